Add the design page and the first core slices

Cause: the repository was empty.

Change: workspace of five packages, the design page, and the slices for escrow, response streams, the table model and the internal protocol.

--- /dev/null
+++ b/crates/core/src/budget/tests.rs
@@ -0,0 +1,88 @@
+//! Tests of the escrow of tokens.
+
+use {
+    super::{Account, Holder, Settings, Shortage, Usage},
+    crate::{
+        id::BudgetId,
+        table::{Memory, Transaction},
+    },
+    std::time::Duration,
+};
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn store(purchased: u64) -> Memory {
+    let mut table = Memory::default();
+    let account = Account {
+        purchased,
+        allocated: 0,
+    };
+    let mut transaction = Transaction::default();
+    transaction.put("budget/hems", serde_json::to_string(&account).unwrap());
+    table.commit(&transaction);
+    table
+}
+
+fn flush(holder: &mut Holder, table: &mut Memory) {
+    let wanted = holder.wanted();
+    let rows: Vec<_> = wanted
+        .iter()
+        .filter_map(|key| table.get(key).cloned())
+        .collect();
+    if let Some(transaction) = holder.flush(NOW, &rows) {
+        let verdict = table.commit(&transaction);
+        holder.decide(&verdict);
+    }
+}
+
+fn usage(tokens: u64) -> Usage {
+    Usage {
+        workspace: "kolkata".into(),
+        model: "drafting".into(),
+        upstream: "u1".into(),
+        tokens,
+    }
+}
+
+/// Guards against reserving tokens that no durable journal row covers.
+#[test]
+fn reservation_needs_a_durable_mark() {
+    let mut table = store(10_000);
+    let mut holder = Holder::new("h1.1".into(), Settings::default());
+    let budget: BudgetId = "hems".into();
+    let first = holder.reserve(NOW, &"r1".into(), &budget, 100);
+    assert_eq!(first, Err(Shortage::Refill));
+    flush(&mut holder, &mut table);
+    assert_eq!(holder.reserve(NOW, &"r1".into(), &budget, 100), Ok(100));
+}
+
+/// Guards against billing above the reservation when an upstream reports too much.
+#[test]
+fn bill_stops_at_the_reservation() {
+    let mut table = store(10_000);
+    let mut holder = Holder::new("h1.1".into(), Settings::default());
+    let budget: BudgetId = "hems".into();
+    let _ = holder.reserve(NOW, &"r1".into(), &budget, 100);
+    flush(&mut holder, &mut table);
+    holder.reserve(NOW, &"r1".into(), &budget, 100).unwrap();
+    let bill = holder.settle(&"r1".into(), usage(130)).unwrap();
+    assert_eq!((bill.charged, bill.uncovered), (100, 30));
+    assert_eq!(holder.settle(&"r1".into(), usage(130)), None);
+}
+
+/// Guards against losing or repeating a flush whose answer was lost.
+#[test]
+fn lost_answer_is_recognised() {
+    let mut table = store(10_000);
+    let mut holder = Holder::new("h1.1".into(), Settings::default());
+    let budget: BudgetId = "hems".into();
+    let _ = holder.reserve(NOW, &"r1".into(), &budget, 100);
+    let rows: Vec<_> = table.get("budget/hems").cloned().into_iter().collect();
+    let transaction = holder.flush(NOW, &rows).unwrap();
+    table.commit(&transaction);
+    let again = holder.flush(NOW, &rows).unwrap();
+    let verdict = table.commit(&again);
+    holder.decide(&verdict);
+    assert!(!holder.is_fenced());
+    assert_eq!(holder.reserve(NOW, &"r1".into(), &budget, 100), Ok(100));
+}
--- /dev/null
+++ b/crates/core/src/config/catalog.rs
@@ -0,0 +1,113 @@
+//! The effective configuration in the form that the request path looks up.
+
+use {
+    crate::id::{
+        BudgetId, ModelId, Region, ServiceId, Tokens, UpstreamId, Version, WorkspaceId, Zone,
+    },
+    serde::{Deserialize, Serialize},
+    sha2::{Digest, Sha256},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// What an API key gives access to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Access {
+    /// The workspace that the key belongs to.
+    pub workspace: WorkspaceId,
+    /// The budget that pays.
+    pub budget: BudgetId,
+    /// Output token limit for requests that name none.
+    pub output_limit: Tokens,
+    /// Priority class; 0 is served first.
+    pub priority: u8,
+}
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// Takes new work.
+    #[default]
+    InService,
+    /// Takes no new work; running work finishes.
+    Withdrawn,
+}
+
+/// An upstream as configured.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Upstream {
+    /// Base URL, without a trailing slash.
+    pub url: Arc<str>,
+    /// The models or services that it serves.
+    pub serves: Vec<ModelId>,
+    /// Region.
+    pub region: Region,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Labels for selection, such as the lot that it was bought with.
+    #[serde(default)]
+    pub labels: BTreeMap<Arc<str>, Arc<str>>,
+    /// Whether it takes new work.
+    #[serde(default)]
+    pub state: State,
+}
+
+/// A plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Whether its calls may be repeated unless a request says otherwise.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Price of a call in tokens.
+    pub price: Tokens,
+}
+
+/// The effective configuration of one version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Catalog {
+    /// Version of the configuration.
+    pub version: Version,
+    /// Access by the hash of the API key, see [`hash_key`].
+    pub keys: BTreeMap<Arc<str>, Access>,
+    /// Upstreams.
+    pub upstreams: BTreeMap<UpstreamId, Upstream>,
+    /// Plain services.
+    pub services: BTreeMap<ServiceId, Service>,
+}
+
+impl Catalog {
+    /// Returns what an API key gives access to.
+    pub fn access(&self, key: &str) -> Option<&Access> {
+        self.keys.get(hash_key(key).as_str())
+    }
+
+    /// Returns the upstreams in service for a model or plain service.
+    pub fn candidates(&self, serves: &str) -> impl Iterator<Item = (&UpstreamId, &Upstream)> {
+        let in_service = move |upstream: &Upstream| {
+            upstream.state == State::InService && upstream.serves.iter().any(|s| **s == *serves)
+        };
+        self.upstreams
+            .iter()
+            .filter(move |(_, upstream)| in_service(upstream))
+    }
+
+    /// Returns the models that any upstream is configured to serve, without plain services.
+    pub fn models(&self) -> Vec<ModelId> {
+        let serves = self
+            .upstreams
+            .values()
+            .flat_map(|upstream| &upstream.serves);
+        let mut models: Vec<_> = serves
+            .filter(|name| !self.services.contains_key(*name))
+            .cloned()
+            .collect();
+        models.sort();
+        models.dedup();
+        models
+    }
+}
+
+/// Returns the SHA-256 hash of an API key in hexadecimal; keys themselves are never stored.
+pub fn hash_key(key: &str) -> String {
+    hex::encode(Sha256::digest(key))
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decision logic of marigoldroute.
+//!
+//! Nothing here does I/O, reads a clock or draws from a global random source: time is passed in
+//! as a [`std::time::Duration`] since the process's clock origin, and functions return what is to
+//! be done. The same code runs in the router process and in the tests.
+
+pub mod bill;
+pub mod budget;
+pub mod config;
+pub mod fault;
+pub mod id;
+pub mod stream;
+pub mod table;
+pub mod wire;
--- /dev/null
+++ b/crates/core/src/stream/relay.rs
@@ -0,0 +1,147 @@
+//! The state of one relayed answer.
+
+use {
+    super::event::{Chunk, Event, Usage},
+    crate::id::{RequestId, Tokens},
+    derive_more::{Display, Error},
+};
+
+/// Payload of the event that ends a stream.
+const END_MARK: &str = "[DONE]";
+
+/// Why an answer cannot be passed on.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Broken {
+    /// The chunk belongs to another request.
+    #[display("the upstream sent a chunk of another request")]
+    Crossed,
+    /// The event is not a completion chunk.
+    #[display("the upstream sent a malformed chunk")]
+    Malformed,
+    /// An event is over the size limit.
+    #[display("the upstream sent an oversized event")]
+    Oversized,
+    /// The stream ended before its end mark.
+    #[display("the upstream ended the stream without its end mark")]
+    Cut,
+}
+
+/// What to do with an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Pass the event on.
+    Forward,
+    /// The first chunk arrived: pass it on; the prompt count is known when it is not 0.
+    First,
+    /// The output token limit is reached: pass the event on, cancel the upstream, end the stream.
+    Limit,
+    /// The stream is complete.
+    End,
+    /// The stream is complete already; the event is dropped.
+    Ignore,
+}
+
+/// Token counts of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// Prompt tokens reported by the engine; 0 when it reported none.
+    pub prompt: Tokens,
+    /// Answer tokens: the larger of the engine's report and the router's own count.
+    pub answer: Tokens,
+}
+
+/// Checks the events of one answer and counts its tokens.
+#[derive(Debug)]
+pub struct Relay {
+    request: RequestId,
+    limit: Tokens,
+    /// Chunks that carried a choice; engines send one token a chunk.
+    counted: Tokens,
+    reported: Usage,
+    started: bool,
+    finished: bool,
+    ended: bool,
+}
+
+impl Relay {
+    /// Creates the state for a request with an output token limit in tokens.
+    pub fn new(request: RequestId, limit: Tokens) -> Self {
+        Self {
+            request,
+            limit,
+            counted: 0,
+            reported: Usage::default(),
+            started: false,
+            finished: false,
+            ended: false,
+        }
+    }
+
+    /// Takes the next event.
+    ///
+    /// # Errors
+    /// [`Broken`] when the answer must not be passed on any further.
+    pub fn take(&mut self, event: &Event) -> Result<Step, Broken> {
+        if self.ended {
+            return Ok(Step::Ignore);
+        }
+        if event.data.is_empty() {
+            return Ok(Step::Forward);
+        }
+        if event.data == END_MARK {
+            return self.end();
+        }
+        let chunk: Chunk = serde_json::from_str(&event.data).map_err(|_| Broken::Malformed)?;
+        if !chunk.id.contains(&*self.request) {
+            return Err(Broken::Crossed);
+        }
+        Ok(self.count(&chunk))
+    }
+
+    /// Checks that the stream may end here.
+    ///
+    /// # Errors
+    /// [`Broken::Cut`] when the end mark has not arrived.
+    pub fn close(&self) -> Result<Summary, Broken> {
+        if self.ended {
+            Ok(self.summary())
+        } else {
+            Err(Broken::Cut)
+        }
+    }
+
+    /// Returns the token counts so far.
+    pub fn summary(&self) -> Summary {
+        Summary {
+            prompt: self.reported.prompt_tokens,
+            answer: self.counted.max(self.reported.completion_tokens),
+        }
+    }
+
+    fn end(&mut self) -> Result<Step, Broken> {
+        if !self.finished {
+            return Err(Broken::Cut);
+        }
+        self.ended = true;
+        Ok(Step::End)
+    }
+
+    fn count(&mut self, chunk: &Chunk) -> Step {
+        if let Some(usage) = chunk.usage {
+            self.reported = usage;
+        }
+        let finish = |choice: &super::event::Choice| choice.finish_reason.is_some();
+        self.finished |= chunk.choices.iter().any(finish);
+        if !chunk.choices.is_empty() && !chunk.choices.iter().any(finish) {
+            self.counted += 1;
+        }
+        if !std::mem::replace(&mut self.started, true) {
+            return Step::First;
+        }
+        if self.counted >= self.limit && !self.finished {
+            self.ended = true;
+            return Step::Limit;
+        }
+        Step::Forward
+    }
+}
--- /dev/null
+++ b/crates/core/src/stream/tests.rs
@@ -0,0 +1,58 @@
+//! Tests of answer checking.
+
+use super::{Broken, Event, Relay, Splitter, Step};
+
+fn events(text: &str) -> Vec<Event> {
+    Splitter::default().push(text.as_bytes()).unwrap()
+}
+
+fn run(text: &str) -> Result<u64, Broken> {
+    let mut relay = Relay::new("r1".into(), 100);
+    for event in events(text) {
+        relay.take(&event)?;
+    }
+    relay.close().map(|summary| summary.answer)
+}
+
+const TOKEN: &str = "data: {\"id\":\"cmpl-r1\",\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
+const LAST: &str = "data: {\"id\":\"cmpl-r1\",\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n";
+const DONE: &str = "data: [DONE]\n\n";
+
+/// Guards against a cut answer passing as a whole one.
+#[test]
+fn answer_without_end_is_broken() {
+    assert_eq!(run(&format!("{TOKEN}{TOKEN}{LAST}{DONE}")), Ok(2));
+    assert_eq!(run(&format!("{TOKEN}{LAST}")), Err(Broken::Cut));
+    assert_eq!(run(&format!("{TOKEN}{DONE}")), Err(Broken::Cut));
+}
+
+/// Guards against a caller receiving a chunk of another request's answer.
+#[test]
+fn crossed_answer_is_broken() {
+    let other = TOKEN.replace("r1", "r2");
+    assert_eq!(run(&format!("{TOKEN}{other}")), Err(Broken::Crossed));
+}
+
+/// Guards against an upstream that ignores the output token limit.
+#[test]
+fn own_count_ends_the_stream_at_the_limit() {
+    let mut relay = Relay::new("r1".into(), 2);
+    let steps: Vec<_> = events(&TOKEN.repeat(3))
+        .iter()
+        .map(|event| relay.take(event).unwrap())
+        .collect();
+    assert_eq!(steps, [Step::First, Step::Limit, Step::Ignore]);
+}
+
+/// Guards against events lost or joined when chunks arrive in pieces.
+#[test]
+fn splitter_is_independent_of_chunk_borders() {
+    let text = format!("{TOKEN}{LAST}{DONE}").replace('\n', "\r\n");
+    for size in 1..text.len() {
+        let mut splitter = Splitter::default();
+        let pieces = text.as_bytes().chunks(size);
+        let events: Vec<_> = pieces.flat_map(|p| splitter.push(p).unwrap()).collect();
+        assert_eq!(events.len(), 3, "pieces of {size} bytes");
+        assert!(!splitter.is_partial());
+    }
+}
--- /dev/null
+++ b/crates/core/src/wire.rs
@@ -0,0 +1,249 @@
+//! Envelope of the internal protocol between hosts.
+
+use {
+    bytes::{Bytes, BytesMut},
+    derive_more::{Display, Error, From},
+    prost::{DecodeError, Message, Oneof},
+    sha2::{Digest, Sha256},
+    std::{io, sync::Arc},
+    tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec},
+};
+
+/// Largest frame in bytes.
+pub const FRAME_LIMIT_BYTES: usize = 1 << 20;
+
+/// A message to one host.
+#[derive(Clone, PartialEq, Message)]
+pub struct Frame {
+    /// Sender's host id.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Recipient's host id; a host refuses frames for others.
+    #[prost(string, tag = "2")]
+    pub to: String,
+    /// Pairs an answer with its question; unique per connection and direction.
+    #[prost(uint64, tag = "3")]
+    pub correlation: u64,
+    /// Content.
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16")]
+    pub body: Option<Body>,
+}
+
+/// Content of a [`Frame`].
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// Asks a holder for a reservation.
+    #[prost(message, tag = "10")]
+    Reserve(Reserve),
+    /// Lowers a reservation.
+    #[prost(message, tag = "11")]
+    Lower(Lower),
+    /// Settles a reservation.
+    #[prost(message, tag = "12")]
+    Settle(Settle),
+    /// Ends a reservation of a request that did not run.
+    #[prost(message, tag = "13")]
+    Release(Release),
+    /// Answers any of the above.
+    #[prost(message, tag = "14")]
+    Reply(Reply),
+    /// Membership exchange; the content is the fleet slice's own message.
+    #[prost(bytes = "vec", tag = "15")]
+    Gossip(Vec<u8>),
+    /// Configuration exchange; the content is the config slice's own message.
+    #[prost(bytes = "vec", tag = "16")]
+    Config(Vec<u8>),
+}
+
+/// Asks a holder to reserve tokens.
+#[derive(Clone, PartialEq, Message)]
+pub struct Reserve {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request: String,
+    /// Budget.
+    #[prost(string, tag = "2")]
+    pub budget: String,
+    /// Tokens.
+    #[prost(uint64, tag = "3")]
+    pub amount: u64,
+    /// Workspace, for the bill when the entry is lost.
+    #[prost(string, tag = "4")]
+    pub workspace: String,
+    /// Model or service, for the bill when the entry is lost.
+    #[prost(string, tag = "5")]
+    pub model: String,
+}
+
+/// Lowers a reservation.
+#[derive(Clone, PartialEq, Message)]
+pub struct Lower {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request: String,
+    /// Tokens to keep reserved.
+    #[prost(uint64, tag = "2")]
+    pub amount: u64,
+}
+
+/// Settles a reservation.
+#[derive(Clone, PartialEq, Message)]
+pub struct Settle {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request: String,
+    /// Workspace.
+    #[prost(string, tag = "2")]
+    pub workspace: String,
+    /// Model or service.
+    #[prost(string, tag = "3")]
+    pub model: String,
+    /// Upstream.
+    #[prost(string, tag = "4")]
+    pub upstream: String,
+    /// Tokens used.
+    #[prost(uint64, tag = "5")]
+    pub tokens: u64,
+}
+
+/// Ends a reservation of a request that did not run.
+#[derive(Clone, PartialEq, Message)]
+pub struct Release {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request: String,
+}
+
+/// A holder's answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Reply {
+    /// Tokens reserved or charged.
+    #[prost(uint64, tag = "1")]
+    pub tokens: u64,
+    /// Why nothing was reserved.
+    #[prost(enumeration = "Refusal", tag = "2")]
+    pub refusal: i32,
+}
+
+/// Why a holder refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum Refusal {
+    /// Not refused.
+    None = 0,
+    /// The budget has no more.
+    Exhausted = 1,
+    /// The holder could not refill in time.
+    Unavailable = 2,
+    /// The request has no reservation here.
+    Unknown = 3,
+}
+
+/// Why a frame was not accepted.
+#[derive(Debug, Display, Error, From)]
+pub enum Fault {
+    /// The connection failed.
+    #[display("connection failed: {_0}")]
+    Io(io::Error),
+    /// The frame is not a valid message.
+    #[display("malformed frame: {_0}")]
+    Decode(DecodeError),
+    /// The frame was not made with the fleet key.
+    #[display("frame not authenticated by a fleet key")]
+    #[from(skip)]
+    Forged,
+}
+
+/// Keys that authenticate frames; the first signs, all are accepted, which allows rotation.
+#[derive(Clone, Debug)]
+pub struct Keys(Vec<Arc<[u8]>>);
+
+impl Keys {
+    /// Creates a key ring.
+    ///
+    /// # Panics
+    /// When `keys` is empty.
+    pub fn new(keys: Vec<Arc<[u8]>>) -> Self {
+        assert!(!keys.is_empty(), "a key ring needs a key");
+        Self(keys)
+    }
+
+    fn sign(&self, payload: &[u8]) -> [u8; TAG_BYTES] {
+        tag(&self.0[0], payload)
+    }
+
+    fn verify(&self, payload: &[u8], given: &[u8]) -> bool {
+        self.0.iter().any(|key| is_equal(&tag(key, payload), given))
+    }
+}
+
+const TAG_BYTES: usize = 32;
+const BLOCK_BYTES: usize = 64;
+
+/// HMAC-SHA-256.
+fn tag(key: &[u8], payload: &[u8]) -> [u8; TAG_BYTES] {
+    let mut block = [0; BLOCK_BYTES];
+    if key.len() > BLOCK_BYTES {
+        block[..TAG_BYTES].copy_from_slice(&Sha256::digest(key));
+    } else {
+        block[..key.len()].copy_from_slice(key);
+    }
+    let pad = |byte: u8| block.map(|b| b ^ byte);
+    let inner = Sha256::new().chain_update(pad(0x36)).chain_update(payload);
+    let outer = Sha256::new()
+        .chain_update(pad(0x5c))
+        .chain_update(inner.finalize());
+    outer.finalize().into()
+}
+
+/// Compares without an early exit, so that the time does not tell how many bytes match.
+fn is_equal(left: &[u8], right: &[u8]) -> bool {
+    let difference = left.iter().zip(right).fold(0, |all, (l, r)| all | (l ^ r));
+    left.len() == right.len() && difference == 0
+}
+
+/// Frames on a connection: length, authentication tag, message.
+#[derive(Debug)]
+pub struct Codec {
+    keys: Keys,
+    inner: LengthDelimitedCodec,
+}
+
+impl Codec {
+    /// Creates a codec.
+    pub fn new(keys: Keys) -> Self {
+        let inner = LengthDelimitedCodec::builder()
+            .max_frame_length(FRAME_LIMIT_BYTES)
+            .new_codec();
+        Self { keys, inner }
+    }
+}
+
+impl Encoder<Frame> for Codec {
+    type Error = Fault;
+
+    fn encode(&mut self, frame: Frame, out: &mut BytesMut) -> Result<(), Fault> {
+        let payload = frame.encode_to_vec();
+        let mut bytes = BytesMut::with_capacity(TAG_BYTES + payload.len());
+        bytes.extend_from_slice(&self.keys.sign(&payload));
+        bytes.extend_from_slice(&payload);
+        Ok(self.inner.encode(bytes.freeze(), out)?)
+    }
+}
+
+impl Decoder for Codec {
+    type Item = Frame;
+    type Error = Fault;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Frame>, Fault> {
+        let Some(bytes) = self.inner.decode(source)? else {
+            return Ok(None);
+        };
+        let bytes: Bytes = bytes.freeze();
+        let (given, payload) = bytes.split_at_checked(TAG_BYTES).ok_or(Fault::Forged)?;
+        if !self.keys.verify(payload, given) {
+            return Err(Fault::Forged);
+        }
+        Ok(Some(Frame::decode(payload)?))
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the operators.
+
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Work in progress.
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of the router.
+
+fn main() {}
