--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,10 @@
-//! Work in progress.
+//! The platform's table service and object store: async clients, and a stand-in server of both
+//! for tests and the demo.
+
+mod client;
+mod stand_in;
+
+pub use {
+    client::{Client, Fault},
+    stand_in::{Counters, Order, StandIn},
+};
--- /dev/null
+++ b/crates/platform/src/stand_in.rs
@@ -0,0 +1,270 @@
+//! Stand-in server of the table service and the object store, held in memory.
+
+use {
+    anyhow::Context,
+    marigoldroute_core::table::{Memory, Row, Transaction, Verdict},
+    poem::{
+        Body, EndpointExt, IntoResponse, Response, Route, Server, get, handler,
+        http::StatusCode,
+        listener::{Acceptor, Listener, TcpListener},
+        post,
+        web::{Data, Json, Path, Query},
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
+};
+
+/// Most rows that a scan returns.
+const SCAN_LIMIT: usize = 1_000;
+/// Largest object in bytes.
+const OBJECT_LIMIT_BYTES: usize = 64 << 20;
+
+/// Faults to inject; each order replaces the earlier one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Order {
+    /// Answer every call with 503 and change nothing.
+    pub down: bool,
+    /// Wait this long before each call, in milliseconds.
+    pub delay_ms: u64,
+    /// Drop the answers of this many writes after they took effect.
+    pub lose_answers: u32,
+}
+
+/// Calls so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counters {
+    /// Rows and objects read; an empty answer counts as one.
+    pub reads: u64,
+    /// Rows and objects written.
+    pub writes: u64,
+    /// Transactions with a failed condition.
+    pub conflicts: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    table: Memory,
+    objects: BTreeMap<String, Vec<u8>>,
+    order: Order,
+    counters: Counters,
+}
+
+/// The stand-in; clones share their state.
+#[derive(Clone, Debug, Default)]
+pub struct StandIn(Arc<Mutex<State>>);
+
+impl StandIn {
+    /// Returns the calls so far.
+    pub fn counters(&self) -> Counters {
+        self.lock().counters
+    }
+
+    /// Replaces the injected faults.
+    pub fn inject(&self, order: Order) {
+        self.lock().order = order;
+    }
+
+    /// Binds `address` and serves until the returned future is dropped.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn bind(
+        &self,
+        address: SocketAddr,
+    ) -> anyhow::Result<(SocketAddr, impl Future<Output = ()> + Send + use<>)> {
+        let listener = TcpListener::bind(address);
+        let acceptor = listener
+            .into_acceptor()
+            .await
+            .with_context(|| format!("bind {address}"))?;
+        let local = acceptor.local_addr().remove(0);
+        let address = *local.as_socket_addr().context("not a socket address")?;
+        let server = Server::new_with_acceptor(acceptor);
+        let routes = self.routes();
+        let serve = async move {
+            if let Err(error) = server.run(routes).await {
+                log::error!("platform stand-in stopped: {error}");
+            }
+        };
+        Ok((address, serve))
+    }
+
+    fn routes(&self) -> impl poem::Endpoint + use<> {
+        Route::new()
+            .at("/v1/rows", get(scan_rows))
+            .at("/v1/rows/*key", get(read_row))
+            .at("/v1/transactions", post(commit_rows))
+            .at("/v1/objects", get(list_objects))
+            .at(
+                "/v1/objects/*key",
+                get(read_object).put(write_object).delete(delete_object),
+            )
+            .at("/v1/faults", post(inject_faults))
+            .at("/v1/counters", get(read_counters))
+            .data(self.clone())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Applies delay and outage.
+    async fn admit(&self) -> Result<(), StatusCode> {
+        let order = self.lock().order;
+        if order.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(order.delay_ms)).await;
+        }
+        if order.down {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        Ok(())
+    }
+
+    /// Runs a read.
+    async fn read<T>(&self, read: impl FnOnce(&State) -> (T, usize)) -> Result<T, StatusCode> {
+        self.admit().await?;
+        let mut state = self.lock();
+        let (value, rows) = read(&state);
+        state.counters.reads += rows.max(1) as u64;
+        Ok(value)
+    }
+
+    /// Runs a write; 500 stands for an answer that got lost.
+    async fn write<T>(&self, write: impl FnOnce(&mut State) -> T) -> Result<T, StatusCode> {
+        self.admit().await?;
+        let mut state = self.lock();
+        let value = write(&mut state);
+        if state.order.lose_answers > 0 {
+            state.order.lose_answers -= 1;
+            return Err(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+        Ok(value)
+    }
+}
+
+#[derive(Deserialize)]
+struct Scan {
+    prefix: String,
+    #[serde(default)]
+    after: String,
+    limit: Option<usize>,
+}
+
+#[handler]
+async fn scan_rows(
+    service: Data<&StandIn>,
+    Query(scan): Query<Scan>,
+) -> Result<Json<Vec<Row>>, StatusCode> {
+    let limit = scan.limit.unwrap_or(SCAN_LIMIT).min(SCAN_LIMIT);
+    let read = |state: &State| {
+        let rows = state.table.scan(&scan.prefix, &scan.after, limit);
+        let count = rows.len();
+        (rows, count)
+    };
+    service.read(read).await.map(Json)
+}
+
+#[handler]
+async fn read_row(
+    service: Data<&StandIn>,
+    Path(key): Path<String>,
+) -> Result<Json<Row>, StatusCode> {
+    let row = service
+        .read(|state| (state.table.get(&key).cloned(), 1))
+        .await?;
+    row.map(Json).ok_or(StatusCode::NOT_FOUND)
+}
+
+#[handler]
+async fn commit_rows(
+    service: Data<&StandIn>,
+    Json(transaction): Json<Transaction>,
+) -> Result<Response, StatusCode> {
+    let write = |state: &mut State| {
+        let verdict = state.table.commit(&transaction);
+        match verdict {
+            Verdict::Committed => state.counters.writes += transaction.writes.len() as u64,
+            Verdict::Conflict(_) => state.counters.conflicts += 1,
+        }
+        verdict
+    };
+    Ok(match service.write(write).await? {
+        Verdict::Committed => StatusCode::OK.into_response(),
+        Verdict::Conflict(rows) => Json(rows).with_status(StatusCode::CONFLICT).into_response(),
+    })
+}
+
+#[derive(Deserialize)]
+struct List {
+    prefix: String,
+}
+
+#[handler]
+async fn list_objects(
+    service: Data<&StandIn>,
+    Query(list): Query<List>,
+) -> Result<Json<Vec<String>>, StatusCode> {
+    let read = |state: &State| {
+        let keys = state
+            .objects
+            .keys()
+            .filter(|key| key.starts_with(&list.prefix));
+        let keys: Vec<_> = keys.cloned().collect();
+        let count = keys.len();
+        (keys, count)
+    };
+    service.read(read).await.map(Json)
+}
+
+#[handler]
+async fn read_object(
+    service: Data<&StandIn>,
+    Path(key): Path<String>,
+) -> Result<Vec<u8>, StatusCode> {
+    let object = service
+        .read(|state| (state.objects.get(&key).cloned(), 1))
+        .await?;
+    object.ok_or(StatusCode::NOT_FOUND)
+}
+
+#[handler]
+async fn write_object(
+    service: Data<&StandIn>,
+    Path(key): Path<String>,
+    body: Body,
+) -> Result<(), StatusCode> {
+    let body = body.into_bytes_limit(OBJECT_LIMIT_BYTES).await;
+    let body = body.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
+    let write = |state: &mut State| {
+        state.counters.writes += 1;
+        state.objects.insert(key, body.to_vec());
+    };
+    service.write(write).await
+}
+
+#[handler]
+async fn delete_object(service: Data<&StandIn>, Path(key): Path<String>) -> Result<(), StatusCode> {
+    let write = |state: &mut State| {
+        state.counters.writes += 1;
+        state.objects.remove(&key);
+    };
+    service.write(write).await
+}
+
+#[handler]
+fn inject_faults(service: Data<&StandIn>, Json(order): Json<Order>) {
+    service.inject(order);
+}
+
+#[handler]
+fn read_counters(service: Data<&StandIn>) -> Json<Counters> {
+    Json(service.counters())
+}
--- /dev/null
+++ b/crates/upstream/src/engine.rs
@@ -0,0 +1,224 @@
+//! Answers of the stand-in model engine.
+
+use {
+    crate::{fault::Fault, server::StandIn},
+    bytes::Bytes,
+    futures_util::Stream,
+    poem::{
+        Body, IntoResponse, Response, handler,
+        http::StatusCode,
+        web::{Data, Json},
+    },
+    serde::{Deserialize, Serialize},
+    serde_json::{Value, json},
+    std::{io, time::Duration},
+    tokio::sync::mpsc,
+    tokio_stream::wrappers::ReceiverStream,
+};
+
+/// Bytes of prompt per token.
+const PROMPT_BYTES_PER_TOKEN: u64 = 4;
+/// Tokens that an engine generates when the request sets no limit.
+const DEFAULT_LIMIT: u64 = 256;
+/// Chunks between the engine and a slow reader.
+const STREAM_CHUNKS: usize = 16;
+
+/// Settings of a stand-in engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Settings {
+    /// Time to the first token.
+    pub first_token: Duration,
+    /// Time between tokens.
+    pub token: Duration,
+    /// Tokens of an answer, when the request's limit allows them.
+    pub answer_tokens: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            first_token: Duration::from_millis(5),
+            token: Duration::from_millis(1),
+            answer_tokens: 24,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct Prompt {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    messages: Value,
+    #[serde(default)]
+    prompt: Value,
+}
+
+/// One run of the engine.
+struct Run {
+    request: String,
+    model: String,
+    prompt_tokens: u64,
+    tokens: u64,
+    fault: Fault,
+}
+
+#[handler]
+pub(crate) async fn complete(
+    stand_in: Data<&StandIn>,
+    request: &poem::Request,
+    Json(prompt): Json<Prompt>,
+) -> Response {
+    let Some(id) = request.header("x-request-id") else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let fault = stand_in.next_fault();
+    if fault == Fault::Refuse || stand_in.is_draining() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let run = start(&stand_in, id, &prompt, fault);
+    let (sender, receiver) = mpsc::channel(STREAM_CHUNKS);
+    let stream = prompt.stream;
+    let task = generate((*stand_in).clone(), run, sender);
+    if stream {
+        tokio::spawn(task);
+        let body = Body::from_bytes_stream(ReceiverStream::new(receiver));
+        return Response::builder()
+            .content_type("text/event-stream")
+            .body(body);
+    }
+    let (summary, ()) = tokio::join!(collect(ReceiverStream::new(receiver)), task);
+    match summary {
+        Some(answer) => Json(answer).into_response(),
+        None => Response::builder().body(broken_body()),
+    }
+}
+
+fn start(stand_in: &StandIn, id: &str, prompt: &Prompt, fault: Fault) -> Run {
+    let bytes = prompt.messages.to_string().len() + prompt.prompt.to_string().len();
+    let limit = prompt.max_tokens.unwrap_or(DEFAULT_LIMIT);
+    let wanted = stand_in.settings().answer_tokens.min(limit);
+    let run = Run {
+        request: id.to_owned(),
+        model: prompt.model.clone(),
+        prompt_tokens: bytes as u64 / PROMPT_BYTES_PER_TOKEN,
+        tokens: if fault == Fault::Excess {
+            limit + 8
+        } else {
+            wanted
+        },
+        fault,
+    };
+    stand_in.record(id, |record| {
+        record.runs += 1;
+        record.prompt_tokens = run.prompt_tokens;
+        record.ended = false;
+    });
+    run
+}
+
+/// Generates the run's chunks until the end, a fault, a cancellation or the reader's loss.
+async fn generate(stand_in: StandIn, run: Run, sender: mpsc::Sender<io::Result<Bytes>>) {
+    let _busy = stand_in.occupy();
+    let settings = stand_in.settings();
+    if run.fault == Fault::Silent {
+        return sender.closed().await;
+    }
+    tokio::time::sleep(settings.first_token).await;
+    for token in 0..run.tokens {
+        let broken = match run.fault {
+            Fault::Break => true,
+            Fault::Cut => token >= run.tokens / 2,
+            _ => false,
+        };
+        if broken {
+            let _ = sender
+                .send(Err(io::ErrorKind::ConnectionReset.into()))
+                .await;
+            break;
+        }
+        if stand_in.is_cancelled(&run.request) {
+            break;
+        }
+        stand_in.record(&run.request, |record| record.completion_tokens += 1);
+        if sender.send(Ok(run.token(token))).await.is_err() {
+            break;
+        }
+        tokio::time::sleep(settings.token).await;
+    }
+    stand_in.record(&run.request, |record| record.ended = true);
+    if !matches!(run.fault, Fault::Break | Fault::Cut | Fault::NoEnd) {
+        let _ = sender.send(Ok(run.end())).await;
+    }
+}
+
+impl Run {
+    fn id(&self) -> String {
+        match self.fault {
+            Fault::Crossed => "cmpl-another-request".to_owned(),
+            _ => format!("cmpl-{}", self.request),
+        }
+    }
+
+    fn token(&self, index: u64) -> Bytes {
+        let text = format!("w{index} ");
+        let prompt = json!({"prompt_tokens": self.prompt_tokens, "completion_tokens": 0});
+        let usage = (index == 0 && self.fault != Fault::NoUsage).then_some(prompt);
+        self.chunk(
+            json!([{"index": 0, "delta": {"content": text}, "text": text, "finish_reason": null}]),
+            usage,
+        )
+    }
+
+    fn end(&self) -> Bytes {
+        let usage = json!({
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": self.tokens,
+            "total_tokens": self.prompt_tokens + self.tokens,
+        });
+        let usage = (self.fault != Fault::NoUsage).then_some(usage);
+        let choices = json!([{"index": 0, "delta": {}, "finish_reason": "stop"}]);
+        let last = self.chunk(choices, usage);
+        [&last[..], b"data: [DONE]\n\n"].concat().into()
+    }
+
+    fn chunk(&self, choices: Value, usage: Option<Value>) -> Bytes {
+        let chunk = json!({
+            "id": self.id(), "object": "chat.completion.chunk", "model": self.model,
+            "choices": choices, "usage": usage,
+        });
+        format!("data: {chunk}\n\n").into()
+    }
+}
+
+/// Joins chunks into an unstreamed answer; `None` when the run broke.
+async fn collect(stream: impl Stream<Item = io::Result<Bytes>>) -> Option<Value> {
+    use futures_util::StreamExt;
+
+    let mut stream = std::pin::pin!(stream);
+    let mut text = String::new();
+    let mut last = Value::Null;
+    while let Some(chunk) = stream.next().await {
+        let chunk = String::from_utf8(chunk.ok()?.to_vec()).ok()?;
+        for data in chunk.lines().filter_map(|line| line.strip_prefix("data: ")) {
+            if let Ok(chunk) = serde_json::from_str::<Value>(data) {
+                text.push_str(chunk["choices"][0]["text"].as_str().unwrap_or_default());
+                last = chunk;
+            }
+        }
+    }
+    let message = json!({"role": "assistant", "content": text});
+    last["object"] = json!("chat.completion");
+    last["choices"] =
+        json!([{"index": 0, "message": message, "text": text, "finish_reason": "stop"}]);
+    Some(last)
+}
+
+/// A body that breaks the connection.
+fn broken_body() -> Body {
+    let error = io::Error::from(io::ErrorKind::ConnectionReset);
+    Body::from_bytes_stream(tokio_stream::once(Err::<Bytes, _>(error)))
+}
--- /dev/null
+++ b/crates/upstream/src/server.rs
@@ -0,0 +1,183 @@
+//! HTTP server of the stand-ins.
+
+use {
+    crate::{
+        engine::{self, Settings},
+        fault::Fault,
+        record::{Book, Record},
+        service,
+    },
+    anyhow::Context,
+    poem::{
+        EndpointExt, Route, Server, get, handler,
+        http::StatusCode,
+        listener::{Acceptor, Listener, TcpListener},
+        post,
+        web::{Data, Json, Path},
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{HashMap, HashSet, VecDeque},
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard},
+    },
+};
+
+/// Load report of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u64,
+    /// Requests that wait.
+    pub waiting: u64,
+    /// Whether the engine asks for no new work.
+    pub draining: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    settings: Settings,
+    book: Book,
+    faults: VecDeque<Fault>,
+    cancelled: HashSet<String>,
+    running: u64,
+    draining: bool,
+}
+
+/// A stand-in upstream; it answers as a model engine and as a plain service. Clones share their
+/// state.
+#[derive(Clone, Debug, Default)]
+pub struct StandIn(Arc<Mutex<State>>);
+
+impl StandIn {
+    /// Creates a stand-in.
+    pub fn new(settings: Settings) -> Self {
+        let state = State {
+            settings,
+            ..State::default()
+        };
+        Self(Arc::new(Mutex::new(state)))
+    }
+
+    /// Queues faults, one for each answer to come.
+    pub fn inject(&self, faults: impl IntoIterator<Item = Fault>) {
+        self.lock().faults.extend(faults);
+    }
+
+    /// Refuses new work from now on, or takes it again.
+    pub fn set_draining(&self, draining: bool) {
+        self.lock().draining = draining;
+    }
+
+    /// Returns the records of all requests.
+    pub fn records(&self) -> HashMap<String, Record> {
+        self.lock().book.all()
+    }
+
+    /// Binds `address` and serves until the returned future is dropped.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn bind(
+        &self,
+        address: SocketAddr,
+    ) -> anyhow::Result<(SocketAddr, impl Future<Output = ()> + Send + use<>)> {
+        let listener = TcpListener::bind(address);
+        let acceptor = listener
+            .into_acceptor()
+            .await
+            .with_context(|| format!("bind {address}"))?;
+        let local = acceptor.local_addr().remove(0);
+        let address = *local.as_socket_addr().context("not a socket address")?;
+        let server = Server::new_with_acceptor(acceptor);
+        let routes = self.routes();
+        let serve = async move {
+            if let Err(error) = server.run(routes).await {
+                log::error!("upstream stand-in stopped: {error}");
+            }
+        };
+        Ok((address, serve))
+    }
+
+    fn routes(&self) -> impl poem::Endpoint + use<> {
+        Route::new()
+            .at("/v1/chat/completions", post(engine::complete))
+            .at("/v1/completions", post(engine::complete))
+            .at("/v1/usage/:request", get(read_usage))
+            .at("/v1/cancel/:request", post(cancel))
+            .at("/v1/load", get(read_load))
+            .at("/v1/faults", post(inject_faults))
+            .at("/*path", service::call)
+            .data(self.clone())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    pub(crate) fn settings(&self) -> Settings {
+        self.lock().settings
+    }
+
+    pub(crate) fn next_fault(&self) -> Fault {
+        self.lock().faults.pop_front().unwrap_or_default()
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.lock().draining
+    }
+
+    pub(crate) fn is_cancelled(&self, request: &str) -> bool {
+        self.lock().cancelled.contains(request)
+    }
+
+    pub(crate) fn record(&self, request: &str, change: impl FnOnce(&mut Record)) {
+        self.lock().book.update(request, change);
+    }
+
+    /// Counts a running request until the guard is dropped.
+    pub(crate) fn occupy(&self) -> Busy {
+        self.lock().running += 1;
+        Busy(self.clone())
+    }
+}
+
+/// A running request.
+pub(crate) struct Busy(StandIn);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.lock().running -= 1;
+    }
+}
+
+#[handler]
+fn read_usage(
+    stand_in: Data<&StandIn>,
+    Path(request): Path<String>,
+) -> Result<Json<Record>, StatusCode> {
+    let record = stand_in.lock().book.get(&request);
+    record.map(Json).ok_or(StatusCode::NOT_FOUND)
+}
+
+#[handler]
+fn cancel(stand_in: Data<&StandIn>, Path(request): Path<String>) {
+    stand_in.lock().cancelled.insert(request);
+}
+
+#[handler]
+fn read_load(stand_in: Data<&StandIn>) -> Json<Load> {
+    let state = stand_in.lock();
+    Json(Load {
+        running: state.running,
+        waiting: 0,
+        draining: state.draining,
+    })
+}
+
+#[handler]
+fn inject_faults(stand_in: Data<&StandIn>, Json(faults): Json<Vec<Fault>>) {
+    stand_in.inject(faults);
+}
--- /dev/null
+++ b/crates/upstream/src/service.rs
@@ -0,0 +1,35 @@
+//! Answers of the stand-in plain service.
+
+use {
+    crate::{fault::Fault, server::StandIn},
+    poem::{
+        IntoResponse, Response, handler,
+        http::StatusCode,
+        web::{Data, Json},
+    },
+    serde_json::json,
+};
+
+#[handler]
+pub(crate) async fn call(
+    stand_in: Data<&StandIn>,
+    request: &poem::Request,
+    body: Vec<u8>,
+) -> Response {
+    let Some(id) = request.header("x-request-id") else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let fault = stand_in.next_fault();
+    if fault == Fault::Refuse || stand_in.is_draining() {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    stand_in.record(id, |record| {
+        record.runs += 1;
+        record.ended = true;
+    });
+    match fault {
+        Fault::Break => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+        Fault::Silent => std::future::pending().await,
+        _ => Json(json!({"accepted": true, "request": id, "bytes": body.len()})).into_response(),
+    }
+}
