--- /dev/null
+++ b/crates/router/src/caller/job.rs
@@ -0,0 +1,127 @@
+//! One admitted request on its way through the upstreams.
+
+use {
+    super::Context,
+    crate::{
+        charge::Charge,
+        logs::ROUTING,
+        upstream::{Choice, Failure, InFlight},
+    },
+    marigoldroute_core::{
+        budget::Usage,
+        config::Access,
+        fault::{Fault, Kind, Outcome},
+        id::{ModelId, RequestId, Tokens, UpstreamId},
+    },
+    poem::http::{HeaderMap, Method},
+    reqwest::Response,
+    std::sync::Arc,
+};
+
+/// A request with its reservation.
+pub(super) struct Job {
+    pub(super) context: Arc<Context>,
+    pub(super) id: RequestId,
+    pub(super) access: Access,
+    pub(super) model: ModelId,
+    pub(super) charge: Charge,
+    /// Whether it may be sent again after an upstream may have acted on it.
+    pub(super) idempotent: bool,
+}
+
+/// An upstream's answer.
+pub(super) struct Reply {
+    pub(super) choice: Choice,
+    pub(super) in_flight: InFlight,
+    pub(super) response: Response,
+}
+
+/// What is sent to an upstream.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    pub(super) method: Method,
+    /// Path and query, with the leading slash.
+    pub(super) path: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: bytes::Bytes,
+}
+
+impl Job {
+    /// Sends the request to one upstream after the other until one answers.
+    ///
+    /// # Errors
+    /// The fault, with "not run" only when no upstream may have acted on the request.
+    pub(super) async fn send(&self, call: &Call) -> Result<Reply, Fault> {
+        let mut tried = Vec::new();
+        let mut outcome = Outcome::NotRun;
+        let mut last = Kind::NoUpstream;
+        for attempt in 1..=self.context.settings.attempts {
+            let Some((choice, in_flight)) = self.choose(&tried, attempt) else {
+                break;
+            };
+            let url = format!("{}{}", choice.url, call.path);
+            let (method, headers) = (call.method.clone(), call.headers.clone());
+            let upstreams = &self.context.upstreams;
+            let sent = upstreams.send(method, &url, &self.id, headers, call.body.clone());
+            let failure = match sent.await {
+                Ok(response) => {
+                    return Ok(Reply {
+                        choice,
+                        in_flight,
+                        response,
+                    });
+                }
+                Err(failure) => failure,
+            };
+            last = self.note(&choice.upstream, failure);
+            tried.push(choice.upstream);
+            if failure != Failure::Refused {
+                outcome = Outcome::Unknown;
+                if !self.idempotent {
+                    break;
+                }
+            }
+        }
+        Err(Fault::new(last, "no upstream answered the request").with_outcome(outcome))
+    }
+
+    fn choose(&self, tried: &[UpstreamId], attempt: u32) -> Option<(Choice, InFlight)> {
+        let catalog = self.context.catalog.borrow().clone();
+        let chosen = self
+            .context
+            .upstreams
+            .choose(&catalog, &self.model, tried)?;
+        let choice = &chosen.0;
+        log::info!(
+            target: ROUTING,
+            request:% = self.id, model:% = self.model, upstream:% = choice.upstream,
+            candidates = choice.candidates, in_flight = choice.in_flight, attempt,
+            reason = "least in flight";
+            "upstream chosen"
+        );
+        Some(chosen)
+    }
+
+    fn note(&self, upstream: &UpstreamId, failure: Failure) -> Kind {
+        log::warn!(target: ROUTING, request:% = self.id, upstream:%, failure:?; "upstream failed");
+        match failure {
+            Failure::Refused => {
+                self.context.metrics.refusals.inc();
+                Kind::UpstreamRefused
+            }
+            Failure::Lost => Kind::UpstreamLost,
+            Failure::Timeout => Kind::UpstreamTimeout,
+        }
+    }
+
+    /// Settles with the tokens used at an upstream.
+    pub(super) async fn settle(self, upstream: UpstreamId, tokens: Tokens) {
+        let usage = Usage {
+            workspace: self.access.workspace,
+            model: self.model,
+            upstream,
+            tokens,
+        };
+        self.charge.settle(usage).await;
+    }
+}
--- /dev/null
+++ b/crates/router/src/caller/mod.rs
@@ -0,0 +1,99 @@
+//! The callers' interface.
+
+mod completion;
+mod job;
+mod models;
+mod request;
+mod service;
+
+use {
+    crate::{
+        charge::Charger, clock::Clock, metrics::Metrics, response::refuse, settings::Settings,
+        upstream::Upstreams,
+    },
+    marigoldroute_core::{
+        config::{Access, Catalog},
+        fault::{Fault, Kind},
+        id::RequestId,
+    },
+    poem::{Request, Response, Route, get, post},
+    std::sync::Arc,
+    tokio::sync::{oneshot, watch},
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// What the callers' interface needs.
+pub(crate) struct Context {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) catalog: watch::Receiver<Arc<Catalog>>,
+    pub(crate) charger: Arc<Charger>,
+    pub(crate) upstreams: Arc<Upstreams>,
+    pub(crate) metrics: Arc<Metrics>,
+    /// Requests in progress; a planned stop waits for them.
+    pub(crate) requests: TaskTracker,
+    /// Cancelled when the host takes no new work.
+    pub(crate) draining: CancellationToken,
+}
+
+/// Adds the routes; they need a [`Context`] as data.
+pub(crate) fn add(routes: Route) -> Route {
+    routes
+        .at("/v1/chat/completions", post(completion::complete))
+        .at("/v1/completions", post(completion::complete))
+        .at("/v1/models", get(models::list))
+        .at("/services/:service", service::forward)
+        .at("/services/:service/*path", service::forward)
+}
+
+impl Context {
+    /// Returns what the request's API key gives access to.
+    fn authenticate(&self, request: &Request) -> Result<Access, Fault> {
+        let header = request.header("authorization").unwrap_or_default();
+        let key = header.strip_prefix("Bearer ").unwrap_or_default();
+        let catalog = self.catalog.borrow();
+        let access = catalog.access(key).cloned();
+        access.ok_or_else(|| Fault::new(Kind::Unauthenticated, "unknown API key"))
+    }
+
+    /// Runs a request as a task of its own, so that it is settled also when the caller leaves.
+    async fn run(
+        self: &Arc<Self>,
+        id: RequestId,
+        job: impl Future<Output = Result<Response, Fault>> + Send + 'static,
+    ) -> Response {
+        if self.draining.is_cancelled() {
+            let fault = Fault::new(Kind::Draining, "the host is stopping");
+            return self.finish(&id, Err(fault));
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.metrics.running.inc();
+        let context = self.clone();
+        self.requests.spawn(async move {
+            let result = job.await;
+            context.metrics.running.dec();
+            // The caller may have left.
+            let _ = sender.send(result);
+        });
+        let lost = || Err(Fault::new(Kind::Internal, "the request was dropped"));
+        let result = receiver.await.unwrap_or_else(|_| lost());
+        self.finish(&id, result)
+    }
+
+    fn finish(&self, id: &RequestId, result: Result<Response, Fault>) -> Response {
+        match result {
+            Ok(mut response) => {
+                self.metrics.requests.with_label_values(&["ok"]).inc();
+                if let Ok(value) = id.parse() {
+                    response.headers_mut().insert("x-request-id", value);
+                }
+                response
+            }
+            Err(fault) => {
+                let kind = fault.kind.to_string();
+                self.metrics.requests.with_label_values(&[&kind]).inc();
+                refuse(&fault, id)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/caller/request.rs
@@ -0,0 +1,125 @@
+//! Parts of a caller's request.
+
+use {
+    marigoldroute_core::{
+        fault::{Fault, Kind},
+        id::{ModelId, RequestId, Tokens, WorkspaceId},
+    },
+    poem::Request,
+    rand::RngCore,
+    serde_json::{Map, Value},
+    sha2::{Digest, Sha256},
+};
+
+/// Bytes of a request id before it is written in hexadecimal.
+const ID_BYTES: usize = 16;
+/// Longest accepted idempotency key in bytes.
+const KEY_LIMIT_BYTES: usize = 255;
+/// Prompt bytes per token in the estimate that is billed when an engine reports no usage.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Tokens that a chat template may add to a prompt.
+const TEMPLATE_TOKENS: Tokens = 64;
+
+/// Returns the idempotency key of a request.
+pub(super) fn idempotency_key(request: &Request) -> Result<Option<String>, Fault> {
+    let Some(key) = request.header("idempotency-key") else {
+        return Ok(None);
+    };
+    if key.is_empty() || key.len() > KEY_LIMIT_BYTES {
+        let message = "Idempotency-Key must have 1 to 255 bytes";
+        return Err(Fault::new(Kind::InvalidRequest, message));
+    }
+    Ok(Some(key.to_owned()))
+}
+
+/// Returns a request id: random, or fixed by the workspace and the idempotency key, so that a
+/// retry through another host has the same id.
+pub(super) fn id(workspace: &WorkspaceId, key: Option<&str>) -> RequestId {
+    let mut bytes = [0; ID_BYTES];
+    match key {
+        Some(key) => {
+            let hash = Sha256::new()
+                .chain_update(workspace.as_bytes())
+                .chain_update([0]);
+            let hash = hash.chain_update(key).finalize();
+            bytes.copy_from_slice(&hash[..ID_BYTES]);
+        }
+        None => rand::rng().fill_bytes(&mut bytes),
+    }
+    hex::encode(bytes).into()
+}
+
+/// A completion request.
+#[derive(Clone, Debug)]
+pub(super) struct Prompt {
+    pub(super) model: ModelId,
+    pub(super) stream: bool,
+    /// Output token limit; set in `body`.
+    pub(super) limit: Tokens,
+    /// No tokenizer makes more tokens than this of the prompt.
+    pub(super) prompt_bound: Tokens,
+    /// Billed when the engine reports no prompt tokens.
+    pub(super) prompt_estimate: Tokens,
+    /// Body for the upstream.
+    pub(super) body: String,
+}
+
+impl Prompt {
+    /// Reads a request body; `limit` applies when the body names none.
+    pub(super) fn parse(bytes: &[u8], limit: Tokens) -> Result<Self, Fault> {
+        let invalid = |message: &str| Fault::new(Kind::InvalidRequest, message);
+        let mut body: Map<String, Value> = serde_json::from_slice(bytes)
+            .map_err(|error| invalid(&format!("body is not a JSON object: {error}")))?;
+        let model = body.get("model").and_then(Value::as_str);
+        let model: ModelId = model
+            .ok_or_else(|| invalid("model: must be a string"))?
+            .into();
+        let stream = flag(&body, "stream")?;
+        let named = ["max_completion_tokens", "max_tokens"];
+        let given = named
+            .iter()
+            .find_map(|name| body.get(*name).filter(|v| !v.is_null()));
+        let limit = match given {
+            Some(value) => value
+                .as_u64()
+                .filter(|limit| *limit > 0)
+                .ok_or_else(|| invalid("max_tokens: must be a positive integer"))?,
+            None => limit,
+        };
+        if body.get("n").is_some_and(|n| *n != 1) {
+            return Err(invalid("n: only 1 is supported"));
+        }
+        body.remove("max_completion_tokens");
+        body.insert("max_tokens".into(), limit.into());
+        if stream {
+            let options =
+                serde_json::json!({"include_usage": true, "continuous_usage_stats": true});
+            body.insert("stream_options".into(), options);
+        }
+        let size = bytes.len() as u64;
+        Ok(Self {
+            model,
+            stream,
+            limit,
+            prompt_bound: size + TEMPLATE_TOKENS,
+            prompt_estimate: size / BYTES_PER_TOKEN,
+            body: Value::Object(body).to_string(),
+        })
+    }
+
+    /// Returns the upper bound on the tokens of the request.
+    pub(super) fn bound(&self) -> Tokens {
+        self.prompt_bound.saturating_add(self.limit)
+    }
+}
+
+fn flag(body: &Map<String, Value>, name: &str) -> Result<bool, Fault> {
+    match body.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(flag)) => Ok(*flag),
+        Some(_) => Err(Fault::new(
+            Kind::InvalidRequest,
+            format!("{name}: must be a boolean"),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/router/src/cli.rs
@@ -0,0 +1,213 @@
+//! Command line and environment variables of the router.
+
+use {
+    crate::settings::{Mistakes, Settings},
+    clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Returns the command line.
+pub fn command() -> Command {
+    Command::new("marigoldroute")
+        .about("Routes requests to upstreams within prepaid budgets")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help("Exit codes: 0 planned stop, 1 failure, 2 mistakes in the settings")
+        .args(names())
+        .args(addresses())
+        .args(limits())
+        .args(actions())
+}
+
+/// Builds the settings and checks them as a whole.
+///
+/// # Errors
+/// [`Mistakes`] with every mistake found.
+pub fn settings(matches: &ArgMatches) -> Result<Settings, Mistakes> {
+    let base = Settings::default();
+    let text = |id: &str, default: &Arc<str>| match matches.get_one::<String>(id) {
+        Some(value) => value.as_str().into(),
+        None => default.clone(),
+    };
+    let address = |id: &str, default: SocketAddr| matches.get_one(id).copied().unwrap_or(default);
+    let ms = |id: &str, default: Duration| match matches.get_one::<u64>(id) {
+        Some(value) => Duration::from_millis(*value),
+        None => default,
+    };
+    let size = |id: &str, default: usize| matches.get_one(id).copied().unwrap_or(default);
+    let keys = matches
+        .get_many::<String>("fleet-key")
+        .into_iter()
+        .flatten();
+    let settings = Settings {
+        host: text("host", &base.host),
+        region: text("region", &base.region),
+        zone: text("zone", &base.zone),
+        listen: address("listen", base.listen),
+        listen_peers: address("listen-peers", base.listen_peers),
+        platform: text("platform", &base.platform),
+        platform_timeout: ms("platform-timeout-ms", base.platform_timeout),
+        fleet_keys: keys.map(|key| key.as_str().into()).collect(),
+        flush_interval: ms("flush-interval-ms", base.flush_interval),
+        poll_interval: ms("poll-interval-ms", base.poll_interval),
+        holders_per_region: size("holders-per-region", base.holders_per_region),
+        peer_timeout: ms("peer-timeout-ms", base.peer_timeout),
+        reserve_timeout: ms("reserve-timeout-ms", base.reserve_timeout),
+        upstream_timeout: ms("upstream-timeout-ms", base.upstream_timeout),
+        attempts: matches
+            .get_one("attempts")
+            .copied()
+            .unwrap_or(base.attempts),
+        body_limit: size("body-limit", base.body_limit),
+        drain_limit: ms("drain-limit-ms", base.drain_limit),
+        log_level: matches
+            .get_one("log-level")
+            .copied()
+            .unwrap_or(base.log_level),
+        ..base
+    };
+    settings.check().map(|()| settings)
+}
+
+fn option(name: &'static str, env: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .env(env)
+        .value_name(value)
+        .help(help)
+}
+
+fn names() -> [Arg; 3] {
+    [
+        option(
+            "host",
+            "MARIGOLDROUTE_HOST",
+            "NAME",
+            "Name of this host, unique in the fleet",
+        ),
+        option(
+            "region",
+            "MARIGOLDROUTE_REGION",
+            "NAME",
+            "Region of this host",
+        ),
+        option(
+            "zone",
+            "MARIGOLDROUTE_ZONE",
+            "NAME",
+            "Availability zone of this host",
+        ),
+    ]
+}
+
+fn addresses() -> [Arg; 4] {
+    [
+        option(
+            "listen",
+            "MARIGOLDROUTE_LISTEN",
+            "ADDRESS",
+            "Address for callers and operators",
+        )
+        .value_parser(value_parser!(SocketAddr)),
+        option(
+            "listen-peers",
+            "MARIGOLDROUTE_LISTEN_PEERS",
+            "ADDRESS",
+            "Address for other hosts",
+        )
+        .value_parser(value_parser!(SocketAddr)),
+        option(
+            "platform",
+            "MARIGOLDROUTE_PLATFORM",
+            "URL",
+            "Table service and object store",
+        ),
+        option(
+            "fleet-key",
+            "MARIGOLDROUTE_FLEET_KEYS",
+            "KEY",
+            "Key of the internal protocol; the first signs, all are accepted",
+        )
+        .action(ArgAction::Append)
+        .value_delimiter(',')
+        .hide_env_values(true),
+    ]
+}
+
+fn limits() -> [Arg; 10] {
+    let ms = |name, env, help| option(name, env, "MS", help).value_parser(value_parser!(u64));
+    let count = |name, env, help| option(name, env, "N", help).value_parser(value_parser!(usize));
+    [
+        ms(
+            "platform-timeout-ms",
+            "MARIGOLDROUTE_PLATFORM_TIMEOUT_MS",
+            "Bound on a call to the platform",
+        ),
+        ms(
+            "flush-interval-ms",
+            "MARIGOLDROUTE_FLUSH_INTERVAL_MS",
+            "Time between two journal rows",
+        ),
+        ms(
+            "poll-interval-ms",
+            "MARIGOLDROUTE_POLL_INTERVAL_MS",
+            "Time between two reads of the configuration",
+        ),
+        count(
+            "holders-per-region",
+            "MARIGOLDROUTE_HOLDERS_PER_REGION",
+            "Hosts per region that hold a budget",
+        ),
+        ms(
+            "peer-timeout-ms",
+            "MARIGOLDROUTE_PEER_TIMEOUT_MS",
+            "Bound on a call to another host",
+        ),
+        ms(
+            "reserve-timeout-ms",
+            "MARIGOLDROUTE_RESERVE_TIMEOUT_MS",
+            "Bound on the wait for a reservation",
+        ),
+        ms(
+            "upstream-timeout-ms",
+            "MARIGOLDROUTE_UPSTREAM_TIMEOUT_MS",
+            "Bound on the wait for an upstream's next bytes",
+        ),
+        option(
+            "attempts",
+            "MARIGOLDROUTE_ATTEMPTS",
+            "N",
+            "Upstreams tried for a request",
+        )
+        .value_parser(value_parser!(u32)),
+        count(
+            "body-limit",
+            "MARIGOLDROUTE_BODY_LIMIT",
+            "Largest request body in bytes",
+        ),
+        ms(
+            "drain-limit-ms",
+            "MARIGOLDROUTE_DRAIN_LIMIT_MS",
+            "Bound on the wait at a planned stop",
+        ),
+    ]
+}
+
+fn actions() -> [Arg; 3] {
+    [
+        option(
+            "log-level",
+            "MARIGOLDROUTE_LOG_LEVEL",
+            "LEVEL",
+            "Least severe level that is logged",
+        )
+        .value_parser(value_parser!(log::LevelFilter)),
+        Arg::new("check")
+            .long("check")
+            .action(ArgAction::SetTrue)
+            .help("Check the settings, report every mistake and exit"),
+        Arg::new("print-settings")
+            .long("print-settings")
+            .action(ArgAction::SetTrue)
+            .help("Print the settings in effect and exit"),
+    ]
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,23 @@
-//! Work in progress.
+//! The router: callers on one side, upstreams on the other, prepaid budgets between.
+
+pub mod cli;
+pub mod logs;
+pub mod settings;
+
+mod caller;
+mod catalog;
+mod charge;
+mod clock;
+mod directory;
+mod escrow;
+mod metrics;
+mod ops;
+mod peer;
+mod response;
+mod router;
+mod upstream;
+
+pub use {
+    router::{Handle, start},
+    settings::Settings,
+};
--- /dev/null
+++ b/crates/router/src/logs.rs
@@ -0,0 +1,65 @@
+//! JSON log lines on standard error.
+
+use {
+    anyhow::Context,
+    log::{
+        Record,
+        kv::{Error, Key, Value, VisitSource},
+    },
+    serde_json::Map,
+    std::time::{SystemTime, UNIX_EPOCH},
+};
+
+/// Target of the line for each routing decision.
+pub const ROUTING: &str = "marigoldroute::routing";
+/// Target of lines about tokens: grants, bills, refusals.
+pub const TOKENS: &str = "marigoldroute::tokens";
+
+/// Starts logging.
+///
+/// # Errors
+/// When logging was started before.
+pub fn init(level: log::LevelFilter) -> anyhow::Result<()> {
+    fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for("marigoldroute", level)
+        .level_for("marigoldroute_core", level)
+        .level_for("marigoldroute_platform", level)
+        .format(|out, _, record| out.finish(format_args!("{}", line(record))))
+        .chain(std::io::stderr())
+        .apply()
+        .context("start logging")
+}
+
+/// Formats a record with its key-value pairs as one JSON object.
+fn line(record: &Record<'_>) -> String {
+    let mut fields = Fields(Map::new());
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis() as u64;
+    fields.0.insert("time_ms".into(), millis.into());
+    fields
+        .0
+        .insert("level".into(), record.level().as_str().into());
+    fields.0.insert("target".into(), record.target().into());
+    fields
+        .0
+        .insert("message".into(), record.args().to_string().into());
+    // A pair that cannot be formatted is left out; the line itself is still written.
+    let _ = record.key_values().visit(&mut fields);
+    serde_json::Value::Object(fields.0).to_string()
+}
+
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = match (value.to_u64(), value.to_f64(), value.to_bool()) {
+            (Some(number), ..) => number.into(),
+            (_, Some(number), _) => number.into(),
+            (.., Some(flag)) => flag.into(),
+            _ => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,110 @@
+//! Metrics of the router.
+//!
+//! No label carries a workspace or a budget: at 17,000 budgets that would be 17,000 series per
+//! metric and host.
+
+use {
+    anyhow::Context,
+    prometheus::{
+        Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+        TextEncoder,
+    },
+};
+
+/// Bucket bounds in seconds around the first-token target of 0.78 s.
+const FIRST_TOKEN_BUCKETS: [f64; 9] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.78, 2.0, 10.0];
+
+/// All metrics of a process.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Finished requests by result: `ok` or an error kind.
+    pub(crate) requests: IntCounterVec,
+    /// Requests between admission and settlement.
+    pub(crate) running: IntGauge,
+    /// Tokens billed.
+    pub(crate) charged: IntCounter,
+    /// Tokens used by upstreams above the reservation, not billed.
+    pub(crate) uncovered: IntCounter,
+    /// Settlements that no holder knew.
+    pub(crate) unmatched: IntCounter,
+    /// Seconds until the first token.
+    pub(crate) first_token: Histogram,
+    /// Attempts that an upstream refused.
+    pub(crate) refusals: IntCounter,
+    /// Failed calls to the platform.
+    pub(crate) platform_faults: IntCounter,
+    /// Frames of the internal protocol that were refused.
+    pub(crate) refused_frames: IntCounter,
+    /// Version of the configuration in effect.
+    pub(crate) config_version: IntGauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| -> anyhow::Result<IntCounter> {
+            let metric = IntCounter::new(name, help)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok(metric)
+        };
+        let gauge = |name: &str, help: &str| -> anyhow::Result<IntGauge> {
+            let metric = IntGauge::new(name, help)?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok(metric)
+        };
+        let requests = Opts::new(
+            "marigoldroute_requests_total",
+            "Finished requests by result",
+        );
+        let requests = IntCounterVec::new(requests, &["result"])?;
+        registry.register(Box::new(requests.clone()))?;
+        let first_token = HistogramOpts::new(
+            "marigoldroute_first_token_seconds",
+            "Time from the request to the first token",
+        );
+        let first_token = Histogram::with_opts(first_token.buckets(FIRST_TOKEN_BUCKETS.into()))?;
+        registry.register(Box::new(first_token.clone()))?;
+        Ok(Self {
+            requests,
+            running: gauge("marigoldroute_running_requests", "Requests being served")?,
+            charged: counter("marigoldroute_charged_tokens_total", "Tokens billed")?,
+            uncovered: counter(
+                "marigoldroute_uncovered_tokens_total",
+                "Tokens that upstreams used above the reservation, not billed",
+            )?,
+            unmatched: counter(
+                "marigoldroute_unmatched_settlements_total",
+                "Settlements for which the holder had no reservation",
+            )?,
+            first_token,
+            refusals: counter(
+                "marigoldroute_upstream_refusals_total",
+                "Attempts that an upstream refused",
+            )?,
+            platform_faults: counter(
+                "marigoldroute_platform_faults_total",
+                "Failed calls to the table service and the object store",
+            )?,
+            refused_frames: counter(
+                "marigoldroute_refused_frames_total",
+                "Frames of the internal protocol that were refused",
+            )?,
+            config_version: gauge(
+                "marigoldroute_config_version",
+                "Version of the configuration in effect",
+            )?,
+            registry,
+        })
+    }
+
+    /// Returns all metrics in the text format.
+    pub(crate) fn render(&self) -> anyhow::Result<String> {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode(&families, &mut text)
+            .context("encode metrics")?;
+        String::from_utf8(text).context("encode metrics")
+    }
+}
--- /dev/null
+++ b/crates/router/src/peer/mod.rs
@@ -0,0 +1,9 @@
+//! The internal protocol between hosts.
+
+mod link;
+mod server;
+
+pub(crate) use {
+    link::{Links, Lost},
+    server::{Listener, Service},
+};
--- /dev/null
+++ b/crates/router/src/settings.rs
@@ -0,0 +1,178 @@
+//! Settings of a router process.
+
+use {
+    derive_more::{Display, Error},
+    marigoldroute_core::{
+        budget,
+        id::{HostId, Region, Zone},
+        wire,
+    },
+    std::{fmt, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Shortest fleet key in bytes.
+const KEY_BYTES: usize = 16;
+
+/// Settings of a router process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the host, unique in the fleet.
+    pub host: HostId,
+    /// Region of the host.
+    pub region: Region,
+    /// Availability zone of the host.
+    pub zone: Zone,
+    /// Address for callers and operators.
+    pub listen: SocketAddr,
+    /// Address for other hosts.
+    pub listen_peers: SocketAddr,
+    /// Base URL of the platform's table service and object store.
+    pub platform: Arc<str>,
+    /// Bound on a call to the platform.
+    pub platform_timeout: Duration,
+    /// Fleet keys; the first signs, all are accepted. Each has at least 16 bytes.
+    pub fleet_keys: Vec<Arc<str>>,
+    /// Time between two journal rows.
+    pub flush_interval: Duration,
+    /// Time between two reads of the configuration and the list of hosts.
+    pub poll_interval: Duration,
+    /// Hosts per region that hold a budget; at least 1.
+    pub holders_per_region: usize,
+    /// Bound on a call to another host.
+    pub peer_timeout: Duration,
+    /// Bound on the wait for a reservation.
+    pub reserve_timeout: Duration,
+    /// Bound on the wait for an upstream's next bytes.
+    pub upstream_timeout: Duration,
+    /// Upstreams tried for a request before it is refused; at least 1.
+    pub attempts: u32,
+    /// Largest request body in bytes.
+    pub body_limit: usize,
+    /// Bound on the wait for running requests at a planned stop.
+    pub drain_limit: Duration,
+    /// Sizes of grants.
+    pub budget: budget::Settings,
+    /// Least severe level that is logged.
+    pub log_level: log::LevelFilter,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            host: "".into(),
+            region: "region-1".into(),
+            zone: "zone-1".into(),
+            listen: ([127, 0, 0, 1], 8080).into(),
+            listen_peers: ([127, 0, 0, 1], 8081).into(),
+            platform: "http://127.0.0.1:8090".into(),
+            platform_timeout: Duration::from_secs(2),
+            fleet_keys: Vec::new(),
+            flush_interval: Duration::from_secs(4),
+            poll_interval: Duration::from_secs(1),
+            holders_per_region: 2,
+            peer_timeout: Duration::from_millis(500),
+            reserve_timeout: Duration::from_secs(2),
+            upstream_timeout: Duration::from_secs(60),
+            attempts: 3,
+            body_limit: 4 << 20,
+            drain_limit: Duration::from_secs(600),
+            budget: budget::Settings::default(),
+            log_level: log::LevelFilter::Info,
+        }
+    }
+}
+
+/// Every mistake found in the settings.
+#[derive(Debug, Display, Error)]
+#[display("{}", _0.join("\n"))]
+pub struct Mistakes(#[error(not(source))] pub Vec<String>);
+
+impl Settings {
+    /// Checks the settings as a whole.
+    ///
+    /// # Errors
+    /// [`Mistakes`] with every mistake found.
+    pub fn check(&self) -> Result<(), Mistakes> {
+        let mut mistakes = Vec::new();
+        let mut require = |holds: bool, text: &str| {
+            if !holds {
+                mistakes.push(text.to_owned());
+            }
+        };
+        require(!self.host.is_empty(), "--host: must not be empty");
+        let name = |text: &str| !text.contains(['/', '.', ' ']);
+        require(
+            name(&self.host),
+            "--host: must not contain '/', '.' or a space",
+        );
+        require(!self.region.is_empty(), "--region: must not be empty");
+        require(!self.zone.is_empty(), "--zone: must not be empty");
+        require(
+            self.platform.starts_with("http"),
+            "--platform: must be an HTTP URL",
+        );
+        require(
+            !self.fleet_keys.is_empty(),
+            "--fleet-key: at least one key is needed",
+        );
+        let long = |key: &Arc<str>| key.len() >= KEY_BYTES;
+        require(
+            self.fleet_keys.iter().all(long),
+            "--fleet-key: a key needs 16 bytes or more",
+        );
+        require(
+            self.holders_per_region > 0,
+            "--holders-per-region: must be 1 or more",
+        );
+        require(self.attempts > 0, "--attempts: must be 1 or more");
+        require(
+            !self.flush_interval.is_zero(),
+            "--flush-interval-ms: must be 1 or more",
+        );
+        require(
+            !self.poll_interval.is_zero(),
+            "--poll-interval-ms: must be 1 or more",
+        );
+        let peers = self.listen_peers != self.listen || self.listen.port() == 0;
+        require(peers, "--listen-peers: must differ from --listen");
+        if mistakes.is_empty() {
+            Ok(())
+        } else {
+            Err(Mistakes(mistakes))
+        }
+    }
+
+    /// Returns the key ring for the internal protocol.
+    pub(crate) fn keys(&self) -> wire::Keys {
+        let keys = self.fleet_keys.iter();
+        wire::Keys::new(keys.map(|key| key.as_bytes().into()).collect())
+    }
+}
+
+impl fmt::Display for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = Duration::as_millis;
+        writeln!(f, "host = {}", self.host)?;
+        writeln!(f, "region = {}", self.region)?;
+        writeln!(f, "zone = {}", self.zone)?;
+        writeln!(f, "listen = {}", self.listen)?;
+        writeln!(f, "listen-peers = {}", self.listen_peers)?;
+        writeln!(f, "platform = {}", self.platform)?;
+        writeln!(f, "platform-timeout-ms = {}", ms(&self.platform_timeout))?;
+        writeln!(
+            f,
+            "fleet-keys = {} (values not shown)",
+            self.fleet_keys.len()
+        )?;
+        writeln!(f, "flush-interval-ms = {}", ms(&self.flush_interval))?;
+        writeln!(f, "poll-interval-ms = {}", ms(&self.poll_interval))?;
+        writeln!(f, "holders-per-region = {}", self.holders_per_region)?;
+        writeln!(f, "peer-timeout-ms = {}", ms(&self.peer_timeout))?;
+        writeln!(f, "reserve-timeout-ms = {}", ms(&self.reserve_timeout))?;
+        writeln!(f, "upstream-timeout-ms = {}", ms(&self.upstream_timeout))?;
+        writeln!(f, "attempts = {}", self.attempts)?;
+        writeln!(f, "body-limit = {}", self.body_limit)?;
+        writeln!(f, "drain-limit-ms = {}", ms(&self.drain_limit))?;
+        writeln!(f, "log-level = {}", self.log_level)
+    }
+}
