--- a/crates/core/src/stream/relay.rs
+++ b/crates/core/src/stream/relay.rs
@@ -33,7 +33,8 @@
     Forward,
     /// The first chunk arrived: pass it on; the prompt count is known when it is not 0.
     First,
-    /// The output token limit is reached: pass the event on, cancel the upstream, end the stream.
+    /// The upstream passes the output token limit: drop the event, cancel the upstream, end the
+    /// stream.
     Limit,
     /// The stream is complete.
     End,
@@ -118,6 +119,16 @@
         }
     }
 
+    /// Returns the answer tokens received so far, from which a resumed stream continues.
+    pub fn received(&self) -> Tokens {
+        self.counted
+    }
+
+    /// Returns whether any chunk was received.
+    pub fn is_started(&self) -> bool {
+        self.started
+    }
+
     fn end(&mut self) -> Result<Step, Broken> {
         if !self.finished {
             return Err(Broken::Cut);
@@ -133,15 +144,15 @@
         let finish = |choice: &super::event::Choice| choice.finish_reason.is_some();
         self.finished |= chunk.choices.iter().any(finish);
         if !chunk.choices.is_empty() && !chunk.choices.iter().any(finish) {
+            if self.counted == self.limit {
+                self.ended = true;
+                return Step::Limit;
+            }
             self.counted += 1;
         }
         if !std::mem::replace(&mut self.started, true) {
             return Step::First;
         }
-        if self.counted >= self.limit && !self.finished {
-            self.ended = true;
-            return Step::Limit;
-        }
         Step::Forward
     }
 }
--- a/crates/router/src/caller/job.rs
+++ b/crates/router/src/caller/job.rs
@@ -47,16 +47,20 @@
 }
 
 impl Job {
-    /// Sends the request to one upstream after the other until one answers.
+    /// Sends the request to one upstream after the other until one answers, leaving out those in
+    /// `tried`; adds those that failed.
     ///
     /// # Errors
     /// The fault, with "not run" only when no upstream may have acted on the request.
-    pub(super) async fn send(&self, call: &Call) -> Result<Reply, Fault> {
-        let mut tried = Vec::new();
+    pub(super) async fn send(
+        &self,
+        call: &Call,
+        tried: &mut Vec<UpstreamId>,
+    ) -> Result<Reply, Fault> {
         let mut outcome = Outcome::NotRun;
         let mut last = Kind::NoUpstream;
         for attempt in 1..=self.context.settings.attempts {
-            let Some((choice, in_flight)) = self.choose(&tried, attempt) else {
+            let Some((choice, in_flight)) = self.choose(tried, attempt) else {
                 break;
             };
             let url = format!("{}{}", choice.url, call.path);
@@ -114,6 +118,16 @@
         }
     }
 
+    /// Ends a request that got no answer: releases the reservation when it did not run, otherwise
+    /// bills `tokens`.
+    pub(super) async fn fail(self, fault: Fault, tokens: Tokens) -> Fault {
+        match fault.answer().outcome {
+            Outcome::NotRun => self.charge.release().await,
+            Outcome::Ran | Outcome::Unknown => self.settle("".into(), tokens).await,
+        }
+        fault
+    }
+
     /// Settles with the tokens used at an upstream.
     pub(super) async fn settle(self, upstream: UpstreamId, tokens: Tokens) {
         let usage = Usage {
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -3,6 +3,7 @@
 mod completion;
 mod job;
 mod models;
+mod relay;
 mod request;
 mod service;
 
--- a/crates/router/src/caller/service.rs
+++ b/crates/router/src/caller/service.rs
@@ -9,7 +9,7 @@
     crate::response::refuse,
     marigoldroute_core::{
         config::Access,
-        fault::{Fault, Kind, Outcome},
+        fault::{Fault, Kind},
         id::{RequestId, ServiceId},
     },
     poem::{Body, Request, Response, handler, http::HeaderMap, web::Data},
@@ -123,7 +123,7 @@
         charge,
         idempotent,
     };
-    match job.send(&call).await {
+    match job.send(&call, &mut Vec::new()).await {
         Ok(reply) => {
             let status = reply.response.status();
             let content = reply.response.headers().get("content-type").cloned();
@@ -138,13 +138,6 @@
             }
             Ok(response)
         }
-        Err(fault) if fault.answer().outcome == Outcome::NotRun => {
-            job.charge.release().await;
-            Err(fault)
-        }
-        Err(fault) => {
-            job.settle("".into(), price).await;
-            Err(fault)
-        }
+        Err(fault) => Err(job.fail(fault, price).await),
     }
 }
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -3,7 +3,7 @@
 use {
     marigoldroute_core::{
         config::Catalog,
-        id::{RequestId, UpstreamId},
+        id::{RequestId, Tokens, UpstreamId},
     },
     poem::http::{HeaderMap, Method},
     reqwest::{Body, Response, StatusCode},
@@ -123,6 +123,20 @@
         }
     }
 
+    /// Asks an engine to send the rest of a stream, from an answer token on.
+    pub(crate) async fn resume(
+        &self,
+        url: &str,
+        request: &RequestId,
+        from: Tokens,
+    ) -> Option<Response> {
+        let call = self
+            .http
+            .get(format!("{url}/v1/resume/{request}?from={from}"));
+        let response = timeout(self.timeout, call.send()).await.ok()?.ok()?;
+        response.status().is_success().then_some(response)
+    }
+
     /// Tells an engine that nobody waits for a request any more.
     pub(crate) async fn cancel(&self, url: &str, request: &RequestId) {
         let call = self.http.post(format!("{url}/v1/cancel/{request}"));
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -7,7 +7,7 @@
     poem::{
         Body, IntoResponse, Response, handler,
         http::StatusCode,
-        web::{Data, Json},
+        web::{Data, Json, Path, Query},
     },
     serde::{Deserialize, Serialize},
     serde_json::{Value, json},
@@ -58,12 +58,15 @@
 }
 
 /// One run of the engine.
-struct Run {
-    request: String,
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) request: String,
     model: String,
     prompt_tokens: u64,
     tokens: u64,
     fault: Fault,
+    /// Index of the first token to send.
+    from: u64,
 }
 
 #[handler]
@@ -80,16 +83,11 @@
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
     let run = start(&stand_in, id, &prompt, fault);
+    if prompt.stream {
+        return stream(&stand_in, run);
+    }
     let (sender, receiver) = mpsc::channel(STREAM_CHUNKS);
-    let stream = prompt.stream;
     let task = generate((*stand_in).clone(), run, sender);
-    if stream {
-        tokio::spawn(task);
-        let body = Body::from_bytes_stream(ReceiverStream::new(receiver));
-        return Response::builder()
-            .content_type("text/event-stream")
-            .body(body);
-    }
     let (summary, ()) = tokio::join!(collect(ReceiverStream::new(receiver)), task);
     match summary {
         Some(answer) => Json(answer).into_response(),
@@ -97,6 +95,37 @@
     }
 }
 
+#[derive(Deserialize)]
+struct Resume {
+    from: u64,
+}
+
+/// Sends the rest of a run again, from a token on.
+#[handler]
+pub(crate) fn resume(
+    stand_in: Data<&StandIn>,
+    Path(request): Path<String>,
+    Query(resume): Query<Resume>,
+) -> Response {
+    let Some(run) = stand_in.run(&request) else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    let run = Run {
+        from: resume.from,
+        fault: stand_in.next_fault(),
+        ..run
+    };
+    stream(&stand_in, run)
+}
+
+fn stream(stand_in: &StandIn, run: Run) -> Response {
+    let (sender, receiver) = mpsc::channel(STREAM_CHUNKS);
+    tokio::spawn(generate(stand_in.clone(), run, sender));
+    let body = Body::from_bytes_stream(ReceiverStream::new(receiver));
+    let response = Response::builder().content_type("text/event-stream");
+    response.body(body)
+}
+
 fn start(stand_in: &StandIn, id: &str, prompt: &Prompt, fault: Fault) -> Run {
     let bytes = prompt.messages.to_string().len() + prompt.prompt.to_string().len();
     let limit = prompt.max_tokens.unwrap_or(DEFAULT_LIMIT);
@@ -111,7 +140,9 @@
             wanted
         },
         fault,
+        from: 0,
     };
+    stand_in.keep(run.clone());
     stand_in.record(id, |record| {
         record.runs += 1;
         record.prompt_tokens = run.prompt_tokens;
@@ -128,7 +159,7 @@
         return sender.closed().await;
     }
     tokio::time::sleep(settings.first_token).await;
-    for token in 0..run.tokens {
+    for token in run.from..run.tokens {
         let broken = match run.fault {
             Fault::Break => true,
             Fault::Cut => token >= run.tokens / 2,
@@ -143,7 +174,9 @@
         if stand_in.is_cancelled(&run.request) {
             break;
         }
-        stand_in.record(&run.request, |record| record.completion_tokens += 1);
+        stand_in.record(&run.request, |record| {
+            record.completion_tokens = record.completion_tokens.max(token + 1);
+        });
         if sender.send(Ok(run.token(token))).await.is_err() {
             break;
         }
--- a/crates/upstream/src/record.rs
+++ b/crates/upstream/src/record.rs
@@ -33,16 +33,22 @@
         self.records.get(request).copied()
     }
 
-    pub(crate) fn update(&mut self, request: &str, change: impl FnOnce(&mut Record)) {
+    /// Changes a record; returns the request whose record was dropped for it.
+    pub(crate) fn update(
+        &mut self,
+        request: &str,
+        change: impl FnOnce(&mut Record),
+    ) -> Option<String> {
         if !self.records.contains_key(request) {
             self.order.push_back(request.to_owned());
         }
         change(self.records.entry(request.to_owned()).or_default());
-        if self.order.len() > RECORD_LIMIT
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.records.remove(&oldest);
+        if self.order.len() <= RECORD_LIMIT {
+            return None;
         }
+        let oldest = self.order.pop_front()?;
+        self.records.remove(&oldest);
+        Some(oldest)
     }
 
     pub(crate) fn all(&self) -> HashMap<String, Record> {
--- a/crates/upstream/src/server.rs
+++ b/crates/upstream/src/server.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        engine::{self, Settings},
+        engine::{self, Run, Settings},
         fault::Fault,
         record::{Book, Record},
         service,
@@ -40,6 +40,8 @@
     book: Book,
     faults: VecDeque<Fault>,
     cancelled: HashSet<String>,
+    /// Runs that can be resumed, by request id.
+    runs: HashMap<String, Run>,
     running: u64,
     draining: bool,
 }
@@ -103,6 +105,7 @@
         Route::new()
             .at("/v1/chat/completions", post(engine::complete))
             .at("/v1/completions", post(engine::complete))
+            .at("/v1/resume/:request", get(engine::resume))
             .at("/v1/usage/:request", get(read_usage))
             .at("/v1/cancel/:request", post(cancel))
             .at("/v1/load", get(read_load))
@@ -133,8 +136,21 @@
         self.lock().cancelled.contains(request)
     }
 
+    /// Keeps a run so that it can be resumed.
+    pub(crate) fn keep(&self, run: Run) {
+        self.lock().runs.insert(run.request.clone(), run);
+    }
+
+    pub(crate) fn run(&self, request: &str) -> Option<Run> {
+        self.lock().runs.get(request).cloned()
+    }
+
     pub(crate) fn record(&self, request: &str, change: impl FnOnce(&mut Record)) {
-        self.lock().book.update(request, change);
+        let mut state = self.lock();
+        if let Some(dropped) = state.book.update(request, change) {
+            state.runs.remove(&dropped);
+            state.cancelled.remove(&dropped);
+        }
     }
 
     /// Counts a running request until the guard is dropped.
