Size grants and marks by demand; fence, reclaim, stop, top up, cut

Cause: the first holder only refilled on shortage, marked all that it had, kept unbounded bills and could neither return tokens nor be reclaimed.

Reservations, bills, budgets and remembered requests are bounded.

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -1,17 +1,40 @@
 //! The budget row of the table service.
 
 use {
-    crate::id::Tokens,
+    crate::{
+        bill::Bill,
+        id::{BudgetId, HolderId, Tokens},
+        table::{Row, Transaction},
+    },
     serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
 };
 
 /// Row `budget/{budget}`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Account {
     /// Tokens bought since the budget was created, less what was cut.
     pub purchased: Tokens,
     /// Tokens moved to holders and not given back; at most `purchased`.
     pub allocated: Tokens,
+    /// Pending part of cuts, taken from `purchased` as holders return tokens; at most `purchased`.
+    /// While it is above 0, `purchased` equals `allocated`.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub cut: Tokens,
+    /// Set by a holder that lacks tokens which other holders may have.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub wanted: Option<Want>,
+}
+
+/// A holder's call for tokens that other holders do not need.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// The holder that lacks tokens. It keeps its own tokens, so that two holders that lack
+    /// tokens at the same time do not wait for each other.
+    pub holder: HolderId,
+    /// Tokens that it lacks.
+    pub tokens: Tokens,
 }
 
 impl Account {
@@ -19,9 +42,114 @@
     pub fn rest(&self) -> Tokens {
         self.purchased.saturating_sub(self.allocated)
     }
+
+    /// Moves up to `amount` tokens to a holder and returns how many were moved.
+    pub fn grant(&mut self, amount: Tokens) -> Tokens {
+        let moved = amount.min(self.rest());
+        self.allocated += moved;
+        moved
+    }
+
+    /// Takes tokens back from a holder; a pending cut takes them first.
+    pub fn restore(&mut self, amount: Tokens) {
+        self.allocated = self.allocated.saturating_sub(amount);
+        self.take_cut();
+    }
+
+    /// Adds purchased tokens; a pending cut takes them first. Returns `None` on overflow.
+    pub fn top_up(&mut self, amount: Tokens) -> Option<()> {
+        self.purchased = self.purchased.checked_add(amount)?;
+        self.take_cut();
+        Some(())
+    }
+
+    /// Removes tokens, at once as far as no holder has them. Returns `None` when the amount is
+    /// above what was purchased and not yet cut.
+    pub fn cut(&mut self, amount: Tokens) -> Option<()> {
+        let cut = self.cut.checked_add(amount)?;
+        if cut > self.purchased {
+            return None;
+        }
+        self.cut = cut;
+        self.take_cut();
+        Some(())
+    }
+
+    /// Charges a bill from the rest; what the rest does not cover becomes uncovered.
+    pub fn cover(&mut self, bill: Bill) -> Bill {
+        let charged = self.grant(bill.charged);
+        Bill {
+            uncovered: bill.uncovered + (bill.charged - charged),
+            charged,
+            ..bill
+        }
+    }
+
+    fn take_cut(&mut self) {
+        let taken = self.cut.min(self.rest());
+        self.cut -= taken;
+        self.purchased -= taken;
+    }
+}
+
+fn is_zero(tokens: &Tokens) -> bool {
+    *tokens == 0
 }
 
 /// Returns the key of a budget's row.
 pub fn key(budget: &str) -> String {
     format!("budget/{budget}")
 }
+
+/// Budget rows as read, and as a transaction changes them.
+#[derive(Debug)]
+pub(super) struct Accounts {
+    rows: BTreeMap<BudgetId, Change>,
+}
+
+#[derive(Debug)]
+struct Change {
+    row: Row,
+    before: Account,
+    after: Account,
+}
+
+impl Accounts {
+    /// Reads the budget rows among `rows`.
+    pub fn read(rows: &[Row]) -> Self {
+        let parse = |row: &Row| {
+            let budget = BudgetId::from(row.key.strip_prefix("budget/")?);
+            let before: Account = serde_json::from_str(&row.value).ok()?;
+            let change = Change {
+                row: row.clone(),
+                after: before.clone(),
+                before,
+            };
+            Some((budget, change))
+        };
+        let rows = rows.iter().filter_map(parse).collect();
+        Self { rows }
+    }
+
+    /// Returns a budget to change.
+    pub fn get(&mut self, budget: &str) -> Option<&mut Account> {
+        self.rows.get_mut(budget).map(|change| &mut change.after)
+    }
+
+    /// Adds the changed rows to a transaction that requires the versions that were read.
+    pub fn write(&self, transaction: &mut Transaction) {
+        for change in self.rows.values() {
+            if change.before == change.after {
+                continue;
+            }
+            let row = &change.row;
+            transaction.require(row.key.clone(), row.version);
+            transaction.put(row.key.clone(), json(&change.after));
+        }
+    }
+}
+
+/// Returns the text of a row.
+pub(super) fn json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/core/src/budget/flush.rs
@@ -0,0 +1,318 @@
+//! Transactions of a holder.
+
+use {
+    super::{
+        account::{self, Accounts, json},
+        holder::{Holder, Phase},
+        journal::{self, Entry, Journal, Share, Shares},
+    },
+    crate::{
+        id::{BudgetId, Tokens},
+        table::{Row, Transaction, Verdict},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// Demand is measured over at least this time, because shorter samples are mostly noise.
+const SAMPLE: Duration = Duration::from_secs(1);
+
+/// A transaction whose verdict is not known.
+#[derive(Debug)]
+pub(super) struct Pending {
+    transaction: Transaction,
+    /// Shares when the transaction has committed.
+    shares: Shares,
+    /// Number of bills in the row, from the front of the holder's queue.
+    bills: usize,
+    /// Shortages that the transaction covers.
+    shortages: BTreeMap<BudgetId, Tokens>,
+    /// Phase when the transaction has committed.
+    phase: Phase,
+}
+
+impl Holder {
+    /// Returns the keys of the budget rows that the next flush needs.
+    pub fn wanted(&self) -> Vec<String> {
+        if self.pending.is_some() {
+            return Vec::new();
+        }
+        let now = self.clock;
+        let mut slots: Vec<_> = match self.phase {
+            Phase::Open => self
+                .slots
+                .iter()
+                .filter(|(_, slot)| slot.is_wanting(now, &self.settings))
+                .collect(),
+            Phase::Draining => self
+                .slots
+                .iter()
+                .filter(|(_, slot)| slot.headroom() > 0)
+                .collect(),
+            Phase::Fenced if self.reservations.is_empty() => self
+                .slots
+                .iter()
+                .filter(|(_, slot)| slot.headroom() > 0)
+                .collect(),
+            Phase::Lost => return self.late_keys(),
+            Phase::Fenced | Phase::Closed => return Vec::new(),
+        };
+        if self.phase == Phase::Open {
+            slots.sort_by_key(|(_, slot)| (slot.lack() == 0, slot.review_at));
+            slots.truncate(self.settings.batch);
+        }
+        let budgets = slots.into_iter();
+        budgets.map(|(budget, _)| account::key(budget)).collect()
+    }
+
+    /// Returns the next store transaction, or the one whose verdict is still unknown.
+    ///
+    /// `rows` are the budget rows named by [`Self::wanted`], as far as they could be read; an old
+    /// row does no harm. Returns `None` when there is nothing to write.
+    pub fn flush(&mut self, now: Duration, rows: &[Row]) -> Option<Transaction> {
+        self.clock = now;
+        if let Some(pending) = &self.pending {
+            return Some(pending.transaction.clone());
+        }
+        self.measure(now);
+        let accounts = Accounts::read(rows);
+        let pending = match self.phase {
+            Phase::Open => self.append(now, accounts),
+            Phase::Draining if self.reservations.is_empty() => self.close(accounts),
+            Phase::Draining => self.append(now, accounts),
+            Phase::Fenced if self.reservations.is_empty() => self.close(accounts),
+            Phase::Lost => self.charge(accounts),
+            Phase::Fenced | Phase::Closed => None,
+        }?;
+        for (budget, share) in &pending.shares {
+            if let Some(slot) = self.slots.get_mut(budget) {
+                slot.ceiling = slot.ceiling.min(share.mark);
+            }
+        }
+        let transaction = pending.transaction.clone();
+        self.pending = Some(pending);
+        Some(transaction)
+    }
+
+    /// Takes the store's verdict on the pending transaction.
+    pub fn decide(&mut self, verdict: &Verdict) {
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        let Verdict::Conflict(rows) = verdict else {
+            return self.adopt(pending);
+        };
+        let key = journal::key(&self.id, self.next);
+        let row = rows.iter().find(|row| *row.key == *key);
+        let Some(row) = row else {
+            return self.undo(&pending);
+        };
+        match serde_json::from_str::<Journal>(&row.value) {
+            Ok(journal) if journal.author == self.id => self.adopt(pending),
+            Ok(journal) => {
+                self.undo(&pending);
+                self.yield_to(&journal.entry);
+            }
+            Err(_) => {
+                self.undo(&pending);
+                self.phase = Phase::Lost;
+            }
+        }
+    }
+
+    /// Returns whether a transaction waits for its verdict or there is something to write.
+    pub fn is_dirty(&self) -> bool {
+        self.pending.is_some() || !self.bills.is_empty() || !self.wanted().is_empty()
+    }
+
+    fn late_keys(&self) -> Vec<String> {
+        let bills = self.bills.iter().take(self.settings.batch);
+        let budgets: BTreeSet<_> = bills.map(|bill| &bill.budget).collect();
+        budgets.into_iter().map(|id| account::key(id)).collect()
+    }
+
+    fn measure(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.last_flush);
+        if elapsed < SAMPLE {
+            return;
+        }
+        self.last_flush = now;
+        for slot in self.slots.values_mut() {
+            let spent = slot.spent - slot.measured;
+            slot.demand.add(spent, elapsed);
+            slot.measured = slot.spent;
+        }
+        let settings = &self.settings;
+        self.slots.retain(|_, slot| !slot.is_idle(now, settings));
+    }
+
+    fn append(&mut self, now: Duration, mut accounts: Accounts) -> Option<Pending> {
+        let bills = self.bills.len().min(self.settings.batch);
+        let mut shares = self.billed_shares(bills);
+        let mut due = bills > 0;
+        let mut shortages = BTreeMap::new();
+        for (budget, slot) in &mut self.slots {
+            let share = shares.entry(budget.clone()).or_default();
+            due |= slot.is_mark_low(&self.settings);
+            let account = accounts.get(budget);
+            match account {
+                Some(account) if self.phase == Phase::Draining => {
+                    account.restore(slot.headroom());
+                    share.allocated = slot.used();
+                }
+                Some(account) => {
+                    share.allocated = slot.balance(now, &self.settings, &self.id, account);
+                }
+                None => {}
+            }
+            due |= share.allocated != slot.durable.allocated;
+            share.mark = slot.raise(&self.settings, share.allocated);
+            if slot.shortage == 0 {
+                continue;
+            }
+            if share.mark < slot.ceiling + slot.shortage {
+                slot.starve(now, &self.settings);
+            } else {
+                shortages.insert(budget.clone(), slot.shortage);
+            }
+            slot.shortage = 0;
+        }
+        let entry = Entry::Flush {
+            shares: left(&shares),
+            bills: self.bills.iter().take(bills).cloned().collect(),
+        };
+        let mut pending = self.pending(entry, &accounts, shares, bills, self.phase);
+        pending.shortages = shortages;
+        let wants = pending.transaction.writes.len() > 1;
+        (due || wants).then_some(pending)
+    }
+
+    fn close(&self, mut accounts: Accounts) -> Option<Pending> {
+        let mut shares = Shares::new();
+        for (budget, slot) in &self.slots {
+            if slot.headroom() > 0 {
+                accounts.get(budget)?.restore(slot.headroom());
+            }
+            let share = Share {
+                allocated: slot.spent,
+                mark: slot.spent,
+                spent: slot.spent,
+            };
+            shares.insert(budget.clone(), share);
+        }
+        let bills: Vec<_> = self.bills.iter().cloned().collect();
+        let count = bills.len();
+        let entry = Entry::Close { bills };
+        Some(self.pending(entry, &accounts, shares, count, Phase::Closed))
+    }
+
+    fn charge(&mut self, mut accounts: Accounts) -> Option<Pending> {
+        if self.bills.is_empty() {
+            if self.reservations.is_empty() {
+                self.phase = Phase::Closed;
+            }
+            return None;
+        }
+        let count = self.bills.len().min(self.settings.batch);
+        let bills = self.bills.iter().take(count).cloned();
+        let mut late = Vec::with_capacity(count);
+        for bill in bills {
+            late.push(accounts.get(&bill.budget.clone())?.cover(bill));
+        }
+        let entry = Entry::Late { bills: late };
+        Some(self.pending(entry, &accounts, Shares::new(), count, Phase::Lost))
+    }
+
+    fn pending(
+        &self,
+        entry: Entry,
+        accounts: &Accounts,
+        shares: Shares,
+        bills: usize,
+        phase: Phase,
+    ) -> Pending {
+        let mut transaction = Transaction::default();
+        let key = journal::key(&self.id, self.next);
+        let author = self.id.clone();
+        transaction.require(key.as_str(), 0);
+        accounts.write(&mut transaction);
+        transaction.put(key, json(&Journal { author, entry }));
+        Pending {
+            transaction,
+            shares,
+            bills,
+            shortages: BTreeMap::new(),
+            phase,
+        }
+    }
+
+    /// Returns the durable shares with the first `count` bills added.
+    fn billed_shares(&self, count: usize) -> Shares {
+        let slots = self.slots.iter();
+        let mut shares: Shares = slots.map(|(id, slot)| (id.clone(), slot.durable)).collect();
+        for bill in self.bills.iter().take(count) {
+            if let Some(share) = shares.get_mut(&bill.budget) {
+                share.spent += bill.charged;
+            }
+        }
+        shares
+    }
+
+    fn adopt(&mut self, pending: Pending) {
+        self.next += 1;
+        self.bills.drain(..pending.bills);
+        for (budget, share) in pending.shares {
+            if let Some(slot) = self.slots.get_mut(&budget) {
+                slot.durable = share;
+                slot.ceiling = share.mark;
+                if pending.shortages.contains_key(&budget) {
+                    slot.starving = None;
+                }
+            }
+        }
+        if pending.phase == Phase::Closed {
+            self.phase = Phase::Closed;
+        }
+    }
+
+    /// Takes back what a transaction without effect changed.
+    fn undo(&mut self, pending: &Pending) {
+        for (budget, share) in &pending.shares {
+            let Some(slot) = self.slots.get_mut(budget) else {
+                continue;
+            };
+            slot.ceiling = slot.durable.mark;
+            if share.allocated != slot.durable.allocated {
+                slot.review_at = Duration::ZERO;
+            }
+            let shortage = pending.shortages.get(budget).copied().unwrap_or(0);
+            slot.shortage = slot.shortage.max(shortage);
+        }
+    }
+
+    /// Accepts a row that another host appended.
+    fn yield_to(&mut self, entry: &Entry) {
+        self.next += 1;
+        self.phase = match entry {
+            Entry::Fence { .. } => Phase::Fenced,
+            _ => Phase::Lost,
+        };
+        if self.phase == Phase::Fenced {
+            let slots = self.slots.values_mut();
+            slots.for_each(|slot| slot.durable.allocated = slot.durable.mark);
+        }
+        let known: BTreeSet<_> = entry.bills().iter().map(|bill| &bill.request).collect();
+        self.bills.retain(|bill| !known.contains(&bill.request));
+        let open = self.reservations.keys();
+        let known: Vec<_> = open.filter(|id| known.contains(id)).cloned().collect();
+        known.iter().for_each(|request| self.release(request));
+    }
+}
+
+/// Returns the shares of which tokens are left.
+fn left(shares: &Shares) -> Shares {
+    let some = shares.iter().filter(|(_, s)| s.allocated > s.spent);
+    some.map(|(id, share)| (id.clone(), *share)).collect()
+}
--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -2,17 +2,17 @@
 
 use {
     super::{
-        account::{self, Account},
-        grant::{self, Settings},
-        journal::{self, Entry, Journal, Share},
+        flush::Pending,
+        grant::Settings,
+        journal::{Share, Shares},
+        slot::Slot,
     },
     crate::{
         bill::Bill,
         id::{BudgetId, HolderId, ModelId, RequestId, Sequence, Tokens, UpstreamId, WorkspaceId},
-        table::{Row, Transaction, Verdict},
     },
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet, VecDeque},
         time::Duration,
     },
 };
@@ -20,10 +20,16 @@
 /// Why a reservation was not made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shortage {
-    /// The budget may have more; ask again after the next committed flush.
+    /// The budget may have more; ask again after the next flush.
     Refill,
     /// The budget row had no more when it was last read.
     Exhausted,
+    /// The holder has as many reservations and unwritten bills, or budgets, as it may have.
+    Full,
+    /// The holder is stopping, or another host has taken over its journal.
+    Closed,
+    /// The request was billed before.
+    Billed,
 }
 
 /// What a finished request used.
@@ -39,48 +45,61 @@
     pub tokens: Tokens,
 }
 
-#[derive(Debug, Default)]
-struct Slot {
-    /// As in the last durable journal row; `spent` is current.
-    share: Share,
-    /// Tokens of open reservations; `spent + reserved ≤ share.mark`.
-    reserved: Tokens,
-    /// Tokens that reservations lacked since the last flush.
-    shortage: Tokens,
-    /// Tokens spent a second, smoothed.
-    rate: f64,
-    spent_at_flush: Tokens,
-    /// Until then the budget counts as exhausted.
-    dry_until: Duration,
+/// What the engines know of a request whose entry does not answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// The request runs, or some engine that may run it could not be asked.
+    Running,
+    /// Every engine that may have run the request has no record of it.
+    Absent,
+    /// An engine finished the request.
+    Finished(Usage),
 }
 
-#[derive(Debug)]
-struct Reservation {
-    budget: BudgetId,
-    amount: Tokens,
+/// Part of a holder's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Takes reservations.
+    Open,
+    /// Takes no reservations and returns its tokens.
+    Draining,
+    /// Another host has returned the tokens above the marks. Open reservations can still be
+    /// settled.
+    Fenced,
+    /// Another host has returned the marked tokens too. Bills are charged from the budgets' rest.
+    Lost,
+    /// All tokens are spent or returned and all bills are durable.
+    Closed,
 }
 
+/// An open reservation.
 #[derive(Debug)]
-struct Pending {
-    transaction: Transaction,
-    shares: BTreeMap<BudgetId, Share>,
-    bills: Vec<Bill>,
+pub(super) struct Reservation {
+    pub budget: BudgetId,
+    pub amount: Tokens,
+    /// When it was made or last confirmed.
+    pub since: Duration,
 }
 
 /// Holds tokens of many budgets for one process.
 #[derive(Debug)]
 pub struct Holder {
-    id: HolderId,
-    settings: Settings,
+    pub(super) id: HolderId,
+    pub(super) settings: Settings,
     /// Sequence of the next journal row.
-    next: Sequence,
-    slots: BTreeMap<BudgetId, Slot>,
-    reservations: HashMap<RequestId, Reservation>,
-    /// Bills that no durable row holds yet.
-    bills: Vec<Bill>,
-    pending: Option<Pending>,
-    last_flush: Duration,
-    fenced: bool,
+    pub(super) next: Sequence,
+    pub(super) slots: BTreeMap<BudgetId, Slot>,
+    pub(super) reservations: HashMap<RequestId, Reservation>,
+    /// Bills that no durable row holds yet, the oldest first.
+    pub(super) bills: VecDeque<Bill>,
+    pub(super) pending: Option<Pending>,
+    pub(super) phase: Phase,
+    /// The latest time that the holder was called with.
+    pub(super) clock: Duration,
+    pub(super) last_flush: Duration,
+    /// The latest billed requests, so that a repeated message does not bill a request again.
+    pub(super) billed: HashSet<RequestId>,
+    pub(super) billed_order: VecDeque<RequestId>,
 }
 
 impl Holder {
@@ -92,18 +111,21 @@
             next: 1,
             slots: BTreeMap::new(),
             reservations: HashMap::new(),
-            bills: Vec::new(),
+            bills: VecDeque::new(),
             pending: None,
+            phase: Phase::Open,
+            clock: Duration::ZERO,
             last_flush: Duration::ZERO,
-            fenced: false,
+            billed: HashSet::new(),
+            billed_order: VecDeque::new(),
         }
     }
 
     /// Reserves `amount` tokens for a request.
     ///
     /// # Errors
-    /// [`Shortage`] when the durable mark does not cover the amount. A repeated call for the same
-    /// request returns the reservation that it has.
+    /// [`Shortage`] when the durable mark does not cover the amount, or the holder takes no more
+    /// reservations. A repeated call for the same request returns the reservation that it has.
     pub fn reserve(
         &mut self,
         now: Duration,
@@ -111,21 +133,27 @@
         budget: &BudgetId,
         amount: Tokens,
     ) -> Result<Tokens, Shortage> {
+        self.clock = now;
         if let Some(reservation) = self.reservations.get(request) {
             return Ok(reservation.amount);
         }
+        self.admit(request, budget)?;
         let slot = self.slots.entry(budget.clone()).or_default();
-        let free = slot.share.mark - slot.share.spent - slot.reserved;
+        slot.used_at = now;
+        let free = slot.free();
         if amount > free {
-            if now < slot.dry_until || self.fenced {
+            if now < slot.dry_until {
                 return Err(Shortage::Exhausted);
             }
             slot.shortage = slot.shortage.max(amount - free);
             return Err(Shortage::Refill);
         }
         slot.reserved += amount;
-        let budget = budget.clone();
-        let reservation = Reservation { budget, amount };
+        let reservation = Reservation {
+            budget: budget.clone(),
+            amount,
+            since: now,
+        };
         self.reservations.insert(request.clone(), reservation);
         Ok(amount)
     }
@@ -159,7 +187,7 @@
         let slot = self.slots.get_mut(&reservation.budget)?;
         let charged = usage.tokens.min(reservation.amount);
         slot.reserved -= reservation.amount;
-        slot.share.spent += charged;
+        slot.spent += charged;
         let bill = Bill {
             request: request.clone(),
             workspace: usage.workspace,
@@ -169,158 +197,113 @@
             charged,
             uncovered: usage.tokens - charged,
         };
-        self.bills.push(bill.clone());
+        self.bills.push_back(bill.clone());
+        self.remember(request);
         Some(bill)
     }
 
-    /// Returns the keys of the budget rows that the next flush needs.
-    pub fn wanted(&self) -> Vec<String> {
-        if self.pending.is_some() || self.fenced {
-            return Vec::new();
-        }
-        let low = |slot: &&Slot| slot.shortage > 0;
-        let wanting = self.slots.iter().filter(|(_, slot)| low(slot));
-        wanting.map(|(budget, _)| account::key(budget)).collect()
+    /// Returns up to `limit` requests whose reservations are older than `age`, the oldest first.
+    /// The caller asks their entry hosts or the engines and passes the result to
+    /// [`Self::resolve`].
+    pub fn overdue(&self, now: Duration, age: Duration, limit: usize) -> Vec<RequestId> {
+        let old = |r: &&Reservation| now.saturating_sub(r.since) > age;
+        let mut requests: Vec<_> = self
+            .reservations
+            .iter()
+            .filter(|(_, reservation)| old(reservation))
+            .map(|(request, reservation)| (reservation.since, request.clone()))
+            .collect();
+        requests.sort();
+        requests.truncate(limit);
+        requests.into_iter().map(|(_, request)| request).collect()
     }
 
-    /// Returns the next store transaction, or the one whose verdict is still unknown.
-    ///
-    /// `rows` are the budget rows named by [`Self::wanted`]. Returns `None` when there is nothing
-    /// to write.
-    pub fn flush(&mut self, now: Duration, rows: &[Row]) -> Option<Transaction> {
-        if let Some(pending) = &self.pending {
-            return Some(pending.transaction.clone());
-        }
-        if self.fenced {
-            return None;
+    /// Applies what the engines know of a request: bills it, ends its reservation, or keeps the
+    /// reservation for another period.
+    pub fn resolve(&mut self, now: Duration, request: &RequestId, record: Record) -> Option<Bill> {
+        match record {
+            Record::Finished(usage) => self.settle(request, usage),
+            Record::Absent => {
+                self.release(request);
+                None
+            }
+            Record::Running => {
+                if let Some(reservation) = self.reservations.get_mut(request) {
+                    reservation.since = now;
+                }
+                None
+            }
         }
-        self.measure(now);
-        let mut transaction = Transaction::default();
-        let mut shares: BTreeMap<_, _> = self.shares();
-        self.refill(now, rows, &mut shares, &mut transaction);
-        self.raise(&mut shares);
-        if shares == self.shares() && self.bills.is_empty() {
-            return None;
+    }
+
+    /// Starts a planned stop: no new reservations; the next flushes return all tokens that are
+    /// not reserved, and the last one closes the journal.
+    pub fn stop(&mut self) {
+        if self.phase == Phase::Open {
+            self.phase = Phase::Draining;
         }
-        let bills = std::mem::take(&mut self.bills);
-        let key = journal::key(&self.id, self.next);
-        transaction.require(key.as_str(), 0);
-        transaction.put(key, self.row(&shares, &bills));
-        self.pending = Some(Pending {
-            transaction: transaction.clone(),
-            shares,
-            bills,
-        });
-        Some(transaction)
     }
 
-    /// Takes the store's verdict on the pending transaction.
-    pub fn decide(&mut self, verdict: &Verdict) {
-        let Some(pending) = self.pending.take() else {
-            return;
-        };
-        let Verdict::Conflict(rows) = verdict else {
-            return self.adopt(&pending);
-        };
-        let key = journal::key(&self.id, self.next);
-        match rows.iter().find(|row| *row.key == *key) {
-            Some(row) if self.is_own(row) => self.adopt(&pending),
-            Some(_) => self.fenced = true,
-            None => self.bills.splice(0..0, pending.bills).for_each(drop),
+    /// Makes the next flush read the row of a budget of which another host reports a shortage.
+    pub fn review(&mut self, budget: &str) {
+        if let Some(slot) = self.slots.get_mut(budget) {
+            slot.review_at = Duration::ZERO;
         }
     }
 
+    /// Returns the part of the life cycle.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
     /// Returns whether another host has taken over the journal.
     pub fn is_fenced(&self) -> bool {
-        self.fenced
+        matches!(self.phase, Phase::Fenced | Phase::Lost)
     }
 
-    /// Returns whether a transaction waits for its verdict or there is something to write.
-    pub fn is_dirty(&self) -> bool {
-        self.pending.is_some() || !self.bills.is_empty() || !self.wanted().is_empty()
+    /// Returns the current figures of every budget; `spent` includes bills that are not durable.
+    pub fn shares(&self) -> Shares {
+        let share = |slot: &Slot| Share {
+            spent: slot.spent,
+            ..slot.durable
+        };
+        let slots = self.slots.iter();
+        slots.map(|(id, slot)| (id.clone(), share(slot))).collect()
     }
 
-    fn shares(&self) -> BTreeMap<BudgetId, Share> {
-        let shares = self.slots.iter();
-        shares.map(|(id, slot)| (id.clone(), slot.share)).collect()
+    /// Returns the number of open reservations.
+    pub fn reserved(&self) -> usize {
+        self.reservations.len()
     }
 
-    fn measure(&mut self, now: Duration) {
-        let seconds = now.saturating_sub(self.last_flush).as_secs_f64();
-        if seconds < 1.0 {
-            return;
-        }
-        self.last_flush = now;
-        for slot in self.slots.values_mut() {
-            let rate = (slot.share.spent - slot.spent_at_flush) as f64 / seconds;
-            slot.rate = slot.rate * 0.7 + rate * 0.3;
-            slot.spent_at_flush = slot.share.spent;
-        }
+    /// Returns the number of bills that no durable row holds.
+    pub fn unwritten(&self) -> usize {
+        self.bills.len()
     }
 
-    fn refill(
-        &mut self,
-        now: Duration,
-        rows: &[Row],
-        shares: &mut BTreeMap<BudgetId, Share>,
-        transaction: &mut Transaction,
-    ) {
-        for (budget, slot) in &mut self.slots {
-            if slot.shortage == 0 {
-                continue;
-            }
-            let key = account::key(budget);
-            let row = rows.iter().find(|row| *row.key == *key);
-            let account = row.and_then(|row| serde_json::from_str::<Account>(&row.value).ok());
-            let rest = account.as_ref().map_or(0, Account::rest);
-            let amount = grant::size(&self.settings, rest, slot.shortage, slot.rate);
-            if amount < slot.shortage {
-                slot.dry_until = now + self.settings.dry_pause;
-            }
-            slot.shortage = 0;
-            let (Some(row), Some(account), 1..) = (row, account, amount) else {
-                continue;
-            };
-            let account = Account {
-                allocated: account.allocated + amount,
-                ..account
-            };
-            transaction.require(key.as_str(), row.version);
-            transaction.put(key, json(&account));
-            shares.entry(budget.clone()).or_default().allocated += amount;
+    fn admit(&self, request: &RequestId, budget: &BudgetId) -> Result<(), Shortage> {
+        if self.phase != Phase::Open {
+            return Err(Shortage::Closed);
         }
-    }
-
-    fn raise(&self, shares: &mut BTreeMap<BudgetId, Share>) {
-        for share in shares.values_mut() {
-            share.mark = share.allocated;
+        if self.billed.contains(request) {
+            return Err(Shortage::Billed);
         }
+        // Each reservation has room for its bill, so a settlement never has to be refused.
+        let full = self.reservations.len() + self.bills.len() >= self.settings.limit;
+        let many = self.slots.len() >= self.settings.budgets && !self.slots.contains_key(budget);
+        if full || many {
+            return Err(Shortage::Full);
+        }
+        Ok(())
     }
 
-    fn row(&self, shares: &BTreeMap<BudgetId, Share>, bills: &[Bill]) -> String {
-        json(&Journal {
-            author: self.id.clone(),
-            entry: Entry::Flush {
-                shares: shares.clone(),
-                bills: bills.to_vec(),
-            },
-        })
-    }
-
-    fn is_own(&self, row: &Row) -> bool {
-        serde_json::from_str::<Journal>(&row.value).is_ok_and(|journal| journal.author == self.id)
-    }
-
-    fn adopt(&mut self, pending: &Pending) {
-        self.next += 1;
-        for (budget, share) in &pending.shares {
-            let slot = self.slots.entry(budget.clone()).or_default();
-            slot.share.allocated = share.allocated;
-            slot.share.mark = share.mark;
+    fn remember(&mut self, request: &RequestId) {
+        self.billed.insert(request.clone());
+        self.billed_order.push_back(request.clone());
+        if self.billed_order.len() > self.settings.remembered
+            && let Some(oldest) = self.billed_order.pop_front()
+        {
+            self.billed.remove(&oldest);
         }
     }
 }
-
-fn json(value: &impl serde::Serialize) -> String {
-    serde_json::to_string(value).unwrap_or_default()
-}
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -4,17 +4,22 @@
 //! holder's [`Journal`] rows carry, for each budget, what it was allocated, up to which mark it
 //! may spend and what it spent. It only reserves below the mark of a durable row.
 
-mod account;
+pub mod account;
+mod change;
+mod flush;
 mod grant;
 mod holder;
-mod journal;
+pub mod journal;
+pub mod reclaim;
+mod slot;
 
 #[cfg(test)]
 mod tests;
 
 pub use {
-    account::Account,
-    grant::Settings,
-    holder::{Holder, Shortage, Usage},
-    journal::{Entry, Journal, Share},
+    account::{Account, Want},
+    change::{Change, Proposal, Receipt, Request},
+    grant::{Demand, Settings},
+    holder::{Holder, Phase, Record, Shortage, Usage},
+    journal::{Entry, Journal, Reason, Share, Shares},
 };
--- /dev/null
+++ b/crates/core/src/budget/reclaim.rs
@@ -0,0 +1,203 @@
+//! Return of the tokens of a holder that does not answer.
+//!
+//! The type of a [`Tail`] states how far the reclaim has gone, and only the steps that are safe
+//! then exist: a live journal can be fenced, a fenced one can be declared lost, and bills can be
+//! added to a lost one.
+
+use {
+    super::{
+        account::{self, Accounts, json},
+        journal::{self, Entry, Journal, Reason, Share, Shares},
+    },
+    crate::{
+        bill::Bill,
+        id::{BudgetId, HolderId, Sequence, Tokens},
+        table::{Row, Transaction},
+    },
+    std::{collections::BTreeSet, marker::PhantomData, time::Duration},
+};
+
+/// Settings of the reclaim of marked tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Settings {
+    /// Lease time of a host.
+    pub lease: Duration,
+    /// Setting `reclaim after`: the longest pause of a process that is assumed. When it is absent,
+    /// only the holder itself or an operator's statement releases the marked tokens. A longer
+    /// pause costs no overspend, but bills that arrive afterwards may be uncovered.
+    pub after: Option<Duration>,
+}
+
+/// State of a journal that only its holder has written.
+#[derive(Clone, Copy, Debug)]
+pub enum Live {}
+/// State of a journal whose last row is a fence.
+#[derive(Clone, Copy, Debug)]
+pub enum Fenced {}
+/// State of a journal whose holder was declared lost.
+#[derive(Clone, Copy, Debug)]
+pub enum Lost {}
+
+/// The end of a holder's journal.
+#[derive(Clone, Debug)]
+pub struct Tail<State> {
+    holder: HolderId,
+    /// Sequence of the next row.
+    next: Sequence,
+    pub(super) shares: Shares,
+    state: PhantomData<State>,
+}
+
+/// A [`Tail`] in the state in which it was read.
+#[derive(Clone, Debug)]
+pub enum Found {
+    /// Not fenced.
+    Live(Tail<Live>),
+    /// Fenced; the marked tokens are stranded.
+    Fenced(Tail<Fenced>),
+    /// Declared lost.
+    Lost(Tail<Lost>),
+    /// Closed by the holder.
+    Closed,
+}
+
+/// Reads the end of a holder's journal from its last row; `None` stands for an empty journal.
+///
+/// Returns `None` when the row cannot be read. An old row does no harm: the transactions that
+/// follow from it conflict.
+pub fn read(holder: &HolderId, last: Option<&Row>) -> Option<Found> {
+    let Some(row) = last else {
+        return Some(Found::Live(Tail::new(holder, 1, Shares::new())));
+    };
+    let next = journal::sequence(&row.key)? + 1;
+    let journal: Journal = serde_json::from_str(&row.value).ok()?;
+    Some(match journal.entry {
+        Entry::Flush { shares, .. } => Found::Live(Tail::new(holder, next, shares)),
+        Entry::Fence { shares } => Found::Fenced(Tail::new(holder, next, shares)),
+        Entry::Lost { .. } | Entry::Late { .. } => {
+            Found::Lost(Tail::new(holder, next, Shares::new()))
+        }
+        Entry::Close { .. } => Found::Closed,
+    })
+}
+
+impl<State> Tail<State> {
+    fn new(holder: &HolderId, next: Sequence, shares: Shares) -> Self {
+        Self {
+            holder: holder.clone(),
+            next,
+            shares,
+            state: PhantomData,
+        }
+    }
+
+    /// Returns the keys of the budget rows that the next step needs, with those of `bills`.
+    pub fn keys(&self, bills: &[Bill]) -> Vec<String> {
+        let budgets: BTreeSet<_> = self
+            .shares
+            .keys()
+            .chain(bills.iter().map(|b| &b.budget))
+            .collect();
+        budgets.into_iter().map(|id| account::key(id)).collect()
+    }
+
+    fn append(&self, author: &HolderId, entry: Entry, accounts: &Accounts) -> Transaction {
+        let mut transaction = Transaction::default();
+        let key = journal::key(&self.holder, self.next);
+        let author = author.clone();
+        transaction.require(key.as_str(), 0);
+        accounts.write(&mut transaction);
+        transaction.put(key, json(&Journal { author, entry }));
+        transaction
+    }
+}
+
+impl Tail<Live> {
+    /// Fences the holder and returns its tokens above the marks.
+    ///
+    /// `rows` are the budget rows of [`Self::keys`]; `None` when one is missing. `author` is the
+    /// name of the reclaiming host, never the holder's id.
+    pub fn fence(&self, author: &HolderId, rows: &[Row]) -> Option<Transaction> {
+        let mut accounts = Accounts::read(rows);
+        let mut shares = self.shares.clone();
+        for (budget, share) in &mut shares {
+            let above = share.allocated - share.mark;
+            accounts.get(budget)?.restore(above);
+            share.allocated = share.mark;
+        }
+        Some(self.append(author, Entry::Fence { shares }, &accounts))
+    }
+}
+
+impl Tail<Fenced> {
+    /// Returns whether the setting `reclaim after` allows [`Self::lose`] without an operator.
+    ///
+    /// `seen` is when this process first saw the fence row, by its own clock.
+    pub fn is_due(&self, settings: &Settings, seen: Duration, now: Duration) -> bool {
+        let Some(after) = settings.after else {
+            return false;
+        };
+        now.saturating_sub(seen) >= settings.lease + after
+    }
+
+    /// Declares the holder lost and returns its marked tokens, less the `bills` that were rebuilt
+    /// from usage records and are in none of the holder's rows.
+    ///
+    /// `rows` are the budget rows of [`Tail::keys`]; `None` when one is missing.
+    pub fn lose(
+        &self,
+        author: &HolderId,
+        reason: Reason,
+        bills: Vec<Bill>,
+        rows: &[Row],
+    ) -> Option<Transaction> {
+        let mut accounts = Accounts::read(rows);
+        let mut marked = self.shares.clone();
+        let bills: Vec<_> = bills
+            .into_iter()
+            .map(|bill| charge(&mut marked, bill))
+            .collect();
+        for (budget, share) in &marked {
+            accounts.get(budget)?.restore(share.mark - share.spent);
+        }
+        let mut covered = Vec::with_capacity(bills.len());
+        for (bill, excess) in bills {
+            let account = accounts.get(&bill.budget)?;
+            let moved = account.grant(excess);
+            covered.push(Bill {
+                charged: bill.charged + moved,
+                uncovered: bill.uncovered + (excess - moved),
+                ..bill
+            });
+        }
+        let bills = covered;
+        Some(self.append(author, Entry::Lost { reason, bills }, &accounts))
+    }
+}
+
+impl Tail<Lost> {
+    /// Appends bills that arrived late, charged from what the budgets have left.
+    ///
+    /// `rows` are the budget rows of [`Tail::keys`]; `None` when one is missing.
+    pub fn charge(&self, author: &HolderId, bills: Vec<Bill>, rows: &[Row]) -> Option<Transaction> {
+        let mut accounts = Accounts::read(rows);
+        let mut late = Vec::with_capacity(bills.len());
+        for bill in bills {
+            let account = accounts.get(&bill.budget)?;
+            late.push(account.cover(bill));
+        }
+        Some(self.append(author, Entry::Late { bills: late }, &accounts))
+    }
+}
+
+/// Charges a bill from the marked tokens and returns it with the part that they do not cover.
+fn charge(marked: &mut Shares, bill: Bill) -> (Bill, Tokens) {
+    let mut none = Share::default();
+    let share = marked
+        .get_mut::<BudgetId>(&bill.budget)
+        .unwrap_or(&mut none);
+    let charged = bill.charged.min(share.mark - share.spent);
+    share.spent += charged;
+    let excess = bill.charged - charged;
+    (Bill { charged, ..bill }, excess)
+}
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -15,7 +15,7 @@
     let mut table = Memory::default();
     let account = Account {
         purchased,
-        allocated: 0,
+        ..Account::default()
     };
     let mut transaction = Transaction::default();
     transaction.put("budget/hems", serde_json::to_string(&account).unwrap());
