Add the settings tree and its validation

Cause: the catalog had no source; operators could not change anything.

Change: a tree of typed settings with inheritance, changes that are validated as a whole, explanations, differences, and compilation into the catalog. The catalog keeps its fields and gains workspaces, hosting and limits.

--- a/crates/core/src/config/catalog.rs
+++ b/crates/core/src/config/catalog.rs
@@ -6,7 +6,7 @@
     },
     serde::{Deserialize, Serialize},
     sha2::{Digest, Sha256},
-    std::{collections::BTreeMap, sync::Arc},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
 /// What an API key gives access to.
@@ -62,6 +62,63 @@
     pub price: Tokens,
 }
 
+impl Upstream {
+    /// Returns whether the configuration lets it take new work.
+    pub fn is_in_service(&self) -> bool {
+        self.state == State::InService
+    }
+}
+
+/// What a workspace may use and how much.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Workspace {
+    /// Weight when capacity is short.
+    pub share: u64,
+    /// Retries in percent of requests; at most 100.
+    pub retry_percent: u64,
+    /// Models and services that may be used; every one when absent.
+    pub allowed: Option<Vec<ModelId>>,
+}
+
+/// What happens to running work of a withdrawn upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Running {
+    /// It finishes where it runs.
+    #[default]
+    Finish,
+    /// Idempotent work is cancelled and moved; other work finishes.
+    Move,
+}
+
+/// What an upstream serves and how it is commanded.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hosting {
+    /// Version served, by model.
+    pub versions: BTreeMap<ModelId, Arc<str>>,
+    /// Models or services for which no new work is taken.
+    pub withdrawn: Vec<ModelId>,
+    /// What happens to running work once withdrawn.
+    pub running: Running,
+    /// Whether commands with an old fencing number are refused.
+    pub is_fencing: bool,
+    /// Whether the sender of a command is verified.
+    pub is_verifying: bool,
+}
+
+/// Settings of the organisation as a whole; absent ones leave the process's default.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Hosts per region that hold a grant of a budget.
+    pub holders: Option<u64>,
+    /// Demand that a holder covers without the store.
+    pub endurance: Option<Duration>,
+    /// Age of the last contact with store or peers after which new work is refused.
+    pub stale: Option<Duration>,
+    /// Longest time that a stopping host waits for its streams.
+    pub drain: Option<Duration>,
+}
+
 /// The effective configuration of one version.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Catalog {
@@ -73,6 +130,15 @@
     pub upstreams: BTreeMap<UpstreamId, Upstream>,
     /// Plain services.
     pub services: BTreeMap<ServiceId, Service>,
+    /// Workspaces that have API keys.
+    #[serde(default)]
+    pub workspaces: BTreeMap<WorkspaceId, Workspace>,
+    /// What each upstream hosts.
+    #[serde(default)]
+    pub hosting: BTreeMap<UpstreamId, Hosting>,
+    /// Settings of the organisation.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 impl Catalog {
@@ -84,7 +150,7 @@
     /// Returns the upstreams in service for a model or plain service.
     pub fn candidates(&self, serves: &str) -> impl Iterator<Item = (&UpstreamId, &Upstream)> {
         let in_service = move |upstream: &Upstream| {
-            upstream.state == State::InService && upstream.serves.iter().any(|s| **s == *serves)
+            upstream.is_in_service() && upstream.serves.iter().any(|s| **s == *serves)
         };
         self.upstreams
             .iter()
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,5 +1,32 @@
 //! Configuration of the fleet.
+//!
+//! A [`Tree`] of settings in which each node inherits from its parents unless it overrides a
+//! value. Operators submit a [`Change`], which is validated as a whole. Each accepted change is
+//! one version of the log in the table service; a [`Log`] applies the versions on a host in
+//! order. The tree of a version compiles into the [`Catalog`] that the request path looks up.
 
 mod catalog;
+mod change;
+mod check;
+mod compile;
+mod setting;
+mod tree;
+mod value;
 
-pub use catalog::{Access, Catalog, Service, State, Upstream, hash_key};
+#[cfg(test)]
+mod tests;
+
+pub use {
+    catalog::{
+        Access, Catalog, Hosting, Limits, Running, Service, State, Upstream, Workspace, hash_key,
+    },
+    change::{Change, Edit, Rejection},
+    check::{
+        CHANGE_LIMIT_BYTES, DEPTH_LIMIT, EDIT_LIMIT, Mistake, NAME_LIMIT_BYTES, NODE_LIMIT, Reason,
+    },
+    setting::{Rule, Setting},
+    tree::{
+        Difference, Effective, Explanation, Kind, Node, Path, ROOT, Source, Tree, name, parent,
+    },
+    value::{Unit, Value},
+};
--- /dev/null
+++ b/crates/core/src/config/setting.rs
@@ -0,0 +1,123 @@
+//! The closed list of settings.
+
+use {
+    super::{Kind, Unit},
+    derive_more::Display,
+    serde::{Deserialize, Serialize},
+};
+
+/// Where a setting may be set and which values it takes.
+#[derive(Clone, Copy, Debug)]
+pub struct Rule {
+    /// Unit of the value.
+    pub unit: Unit,
+    /// Greatest number; for text and lists, the greatest length.
+    pub limit: u64,
+    /// Kinds of nodes that may set it; their descendants inherit it.
+    pub kinds: &'static [Kind],
+    /// Words that a text value is restricted to; empty when any text is accepted.
+    pub words: &'static [&'static str],
+}
+
+macro_rules! settings {
+    ($($(#[$doc:meta])* $setting:ident = $name:literal, $unit:ident, $limit:expr, $kinds:expr, $words:expr;)+) => {
+        /// A setting of the tree.
+        #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub enum Setting {
+            $($(#[$doc])* #[display($name)] #[serde(rename = $name)] $setting,)+
+        }
+
+        impl Setting {
+            /// Every setting.
+            pub const ALL: &[Self] = &[$(Self::$setting),+];
+
+            /// Returns the rule of this setting.
+            pub const fn rule(self) -> Rule {
+                match self {
+                    $(Self::$setting => Rule {
+                        unit: Unit::$unit,
+                        limit: $limit,
+                        kinds: $kinds,
+                        words: $words,
+                    },)+
+                }
+            }
+
+            /// Returns the setting of a name.
+            pub fn parse(name: &str) -> Option<Self> {
+                match name {
+                    $($name => Some(Self::$setting),)+
+                    _ => None,
+                }
+            }
+        }
+    };
+}
+
+const ORGANISATION: &[Kind] = &[Kind::Organisation];
+const WORKSPACES: &[Kind] = &[Kind::Organisation, Kind::Workspace];
+const WORKSPACE: &[Kind] = &[Kind::Workspace];
+const SERVICES: &[Kind] = &[Kind::Organisation, Kind::Service];
+const UPSTREAMS: &[Kind] = &[
+    Kind::Organisation,
+    Kind::Model,
+    Kind::Service,
+    Kind::Upstream,
+];
+const UPSTREAM: &[Kind] = &[Kind::Upstream];
+
+const TEXT_LIMIT_BYTES: u64 = 512;
+const LIST_LIMIT: u64 = 256;
+const TOKENS_LIMIT: u64 = 1 << 50;
+const DAY_SECONDS: u64 = 86_400;
+
+settings! {
+    /// Hashes of the API keys of a workspace.
+    ApiKeys = "api_keys", Hashes, LIST_LIMIT, WORKSPACE, &[];
+    /// Budget that pays for a workspace.
+    Budget = "budget", Text, TEXT_LIMIT_BYTES, WORKSPACES, &[];
+    /// Output token limit for requests that name none.
+    OutputLimit = "output_limit", Tokens, TOKENS_LIMIT, WORKSPACES, &[];
+    /// Priority class of a workspace.
+    Priority = "priority", Class, 7, WORKSPACES, &[];
+    /// Weight of a workspace when capacity is short.
+    Share = "share", Weight, 10_000, WORKSPACES, &[];
+    /// Retries of a workspace as a share of its requests.
+    RetryShare = "retry_share", Percent, 100, WORKSPACES, &[];
+    /// Models and services that a workspace may use; all when unset.
+    Allowed = "allowed", Names, LIST_LIMIT, WORKSPACES, &[];
+    /// Price of a call of a plain service.
+    Price = "price", Tokens, TOKENS_LIMIT, SERVICES, &[];
+    /// Whether calls of a plain service may be repeated.
+    Idempotent = "idempotent", Flag, 1, SERVICES, &[];
+    /// Base URL of an upstream.
+    Url = "url", Text, TEXT_LIMIT_BYTES, UPSTREAM, &[];
+    /// Region of an upstream.
+    Region = "region", Text, TEXT_LIMIT_BYTES, UPSTREAMS, &[];
+    /// Availability zone of an upstream.
+    Zone = "availability_zone", Text, TEXT_LIMIT_BYTES, UPSTREAMS, &[];
+    /// Labels of an upstream, such as the lot that it was bought with.
+    Labels = "labels", Labels, 32, UPSTREAMS, &[];
+    /// Models or services that an upstream serves; the enclosing node when unset.
+    Serves = "serves", Names, LIST_LIMIT, UPSTREAMS, &[];
+    /// Version served, by model.
+    Versions = "versions", Labels, 64, UPSTREAMS, &[];
+    /// Whether an upstream takes new work.
+    State = "state", Text, TEXT_LIMIT_BYTES, UPSTREAMS, &["in_service", "withdrawn"];
+    /// Models or services for which an upstream takes no new work.
+    Withdrawn = "withdrawn", Names, LIST_LIMIT, UPSTREAMS, &[];
+    /// What happens to running work of a withdrawn upstream.
+    Running = "running_work", Text, TEXT_LIMIT_BYTES, UPSTREAMS, &["finish", "move"];
+    /// Whether an upstream refuses commands with an old fencing number.
+    Fencing = "fencing", Flag, 1, UPSTREAMS, &[];
+    /// Whether an upstream verifies the sender of a command.
+    Verifies = "verifies_sender", Flag, 1, UPSTREAMS, &[];
+    /// Hosts per region that hold a grant of a budget.
+    Holders = "holders_per_region", Count, 16, ORGANISATION, &[];
+    /// Demand that a holder covers without the store.
+    Endurance = "endurance", Seconds, DAY_SECONDS, ORGANISATION, &[];
+    /// Age of the last contact with store or peers after which a host refuses new work.
+    StaleLimit = "stale_limit", Seconds, DAY_SECONDS, ORGANISATION, &[];
+    /// Longest time that a stopping host waits for its streams.
+    DrainLimit = "drain_limit", Seconds, DAY_SECONDS, ORGANISATION, &[];
+}
