--- a/crates/core/src/config/tree.rs
+++ b/crates/core/src/config/tree.rs
@@ -152,6 +152,14 @@
         self.nodes.iter()
     }
 
+    /// Returns the nodes from a path on.
+    pub(super) fn range<'a>(
+        &'a self,
+        start: Bound<&'a str>,
+    ) -> impl Iterator<Item = (&'a Path, &'a Arc<Node>)> {
+        self.nodes.range::<str, _>((start, Bound::Unbounded))
+    }
+
     /// Returns the number of nodes.
     #[expect(clippy::len_without_is_empty, reason = "the root always exists")]
     pub fn len(&self) -> usize {
