Add membership of hosts and health of upstreams

Cause: hosts knew neither each other nor which upstreams were leaving.

Change: gossip with bounded fan-out and bounded retransmission, digests for repair, suspicion with a quorum and refutation, reports on upstreams with hysteresis, and weighted rendezvous hashing.

--- /dev/null
+++ b/crates/core/src/fleet/mod.rs
@@ -0,0 +1,27 @@
+//! Membership of hosts, and health of upstreams.
+//!
+//! Every host has a [`View`]. Each second it exchanges [`Gossip`] with one peer of its own
+//! availability zone and one elsewhere. A message carries the version of the sender's
+//! configuration and the marks that the sender learned recently; now and then a digest of
+//! everything it knows, so that a peer can repair what was lost.
+
+mod health;
+mod mark;
+mod probe;
+mod queue;
+mod rank;
+mod repair;
+mod roster;
+mod round;
+mod view;
+
+#[cfg(test)]
+mod tests;
+
+pub use {
+    health::{Observation, Status},
+    mark::{Applied, Evidence, Gossip, HostMark, Kind, Mark, Phase, Report, Suspicion},
+    rank::{Weighted, rank},
+    roster::{Host, Listed, Listing, Progress},
+    view::{Settings, View},
+};
--- /dev/null
+++ b/crates/core/src/fleet/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of membership.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod config;
 pub mod fault;
+pub mod fleet;
 pub mod id;
 pub mod stream;
 pub mod table;
