Add withdrawal and restoration of batches

Cause: operators could only edit single upstreams.

Change: selectors by upstream, model, version and label; a dry run with the remaining capacity per availability zone; one change of the tree for the batch; progress per host.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -23,6 +23,7 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use compile::served;
 pub use {
     catalog::{
         Access, Catalog, Hosting, Limits, Running, Service, State, Upstream, Workspace, hash_key,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod stream;
 pub mod table;
 pub mod wire;
+pub mod withdraw;
--- /dev/null
+++ b/crates/core/src/withdraw/tests.rs
@@ -0,0 +1,204 @@
+//! Tests of withdrawal.
+
+use {
+    super::{Action, Fate, Plan, Progress, Repeat, Selector},
+    crate::{
+        config::{Catalog, Change, Edit, Kind, Reason, Running, Setting, Tree, Value},
+        fleet,
+    },
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+const WITHDRAW: Action = Action::Withdraw(Running::Finish);
+
+fn set(path: &str, setting: Setting, value: Value) -> Edit {
+    Edit::Set {
+        path: path.into(),
+        setting: setting.to_string().into(),
+        value,
+    }
+}
+
+fn text(text: &str) -> Value {
+    Value::Text(text.into())
+}
+
+fn pairs(pairs: &[(&str, &str)]) -> Value {
+    let pairs = pairs.iter().map(|(a, b)| ((*a).into(), (*b).into()));
+    Value::Labels(pairs.collect())
+}
+
+/// Three upstreams in two availability zones; two of lot 7, and one that serves two models.
+fn tree() -> Tree {
+    let mut edits = Vec::new();
+    for path in ["drafting", "desk"] {
+        let kind = Kind::Model;
+        let path = path.into();
+        edits.push(Edit::Add { path, kind });
+    }
+    for (id, zone, lot, version) in [
+        ("d1", "howrah", "7", "1"),
+        ("d2", "howrah", "8", "2"),
+        ("d3", "durgapur", "7", "2"),
+    ] {
+        let path = format!("drafting/{id}");
+        edits.push(Edit::Add {
+            path: path.as_str().into(),
+            kind: Kind::Upstream,
+        });
+        edits.push(set(&path, Setting::Url, text(&format!("http://{id}"))));
+        edits.push(set(&path, Setting::Region, text("east")));
+        edits.push(set(&path, Setting::Zone, text(zone)));
+        edits.push(set(&path, Setting::Labels, pairs(&[("lot", lot)])));
+        edits.push(set(
+            &path,
+            Setting::Versions,
+            pairs(&[("drafting", version)]),
+        ));
+    }
+    let both = ["drafting", "desk"].map(Into::into).to_vec();
+    edits.push(set("drafting/d3", Setting::Serves, Value::Names(both)));
+    let change = Change {
+        edits,
+        force: false,
+    };
+    change.validate(&Tree::default()).unwrap()
+}
+
+fn lot(lot: &str) -> Selector {
+    Selector {
+        labels: [("lot".into(), lot.into())].into(),
+        ..Selector::default()
+    }
+}
+
+fn names(names: &[&str]) -> BTreeSet<Arc<str>> {
+    names.iter().map(|name| (*name).into()).collect()
+}
+
+/// Guards against a dry run that miscounts what remains.
+#[test]
+fn plan_counts_what_remains() {
+    let plan = Plan::new(4, &tree(), &lot("7"), WITHDRAW);
+    let hits: Vec<_> = plan.hits.iter().map(|hit| &*hit.upstream).collect();
+    assert_eq!(hits, ["d1", "d3"]);
+    let lines = plan.capacity.iter();
+    let lines: Vec<_> = lines
+        .map(|line| (&*line.serves, &*line.zone, line.before, line.after))
+        .collect();
+    assert_eq!(
+        lines,
+        [
+            ("desk", "durgapur", 1, 0),
+            ("drafting", "durgapur", 1, 0),
+            ("drafting", "howrah", 2, 1),
+        ]
+    );
+    assert_eq!(plan.emptied, ["desk".into()]);
+}
+
+/// Guards against a withdrawal that leaves a model with nothing although nobody asked for it.
+#[test]
+fn emptying_needs_force() {
+    let plan = Plan::new(4, &tree(), &lot("7"), WITHDRAW);
+    let mistakes = plan.validate(&tree()).unwrap_err().0;
+    let reasons: Vec<_> = mistakes.iter().map(|m| (&*m.path, &m.reason)).collect();
+    assert_eq!(reasons, [("desk", &Reason::NothingLeft)]);
+    let later = plan.with_force().validate(&tree()).unwrap();
+    let catalog = Catalog::compile(5, &later);
+    let left = |serves| catalog.candidates(serves).map(|(id, _)| &**id).collect();
+    let (drafting, desk): (Vec<_>, Vec<_>) = (left("drafting"), left("desk"));
+    assert_eq!((drafting, desk), (vec!["d2"], vec![]));
+}
+
+/// Guards against an empty selector that takes everything out of service.
+#[test]
+fn empty_selector_selects_nothing() {
+    let plan = Plan::new(4, &tree(), &Selector::default(), WITHDRAW);
+    assert_eq!(plan.hits, []);
+    let mistakes = plan.validate(&tree()).unwrap_err().0;
+    assert_eq!(mistakes[0].reason, Reason::Empty);
+}
+
+/// Guards against the withdrawal of one model taking the other models of an upstream along.
+#[test]
+fn model_leaves_the_rest_of_its_upstream_in_service() {
+    let selector = Selector {
+        models: names(&["drafting"]),
+        versions: names(&["2"]),
+        ..Selector::default()
+    };
+    let plan = Plan::new(4, &tree(), &selector, WITHDRAW);
+    let later = plan.validate(&tree()).unwrap();
+    let catalog = Catalog::compile(5, &later);
+    let left = |serves| catalog.candidates(serves).map(|(id, _)| &**id).collect();
+    let (drafting, desk): (Vec<_>, Vec<_>) = (left("drafting"), left("desk"));
+    assert_eq!((drafting, desk), (vec!["d1"], vec!["d3"]));
+}
+
+/// Guards against a restoration that leaves overrides behind or brings back more than the batch.
+#[test]
+fn restoration_undoes_the_withdrawal() {
+    let selectors = [
+        lot("8"),
+        Selector {
+            versions: names(&["2"]),
+            ..Selector::default()
+        },
+    ];
+    for selector in selectors {
+        for running in [Running::Finish, Running::Move] {
+            let plan = Plan::new(4, &tree(), &selector, Action::Withdraw(running));
+            let later = plan.validate(&tree()).unwrap();
+            assert_ne!(later, tree());
+            let back = Plan::new(5, &later, &selector, Action::Restore);
+            assert_eq!(back.validate(&later).unwrap(), tree());
+        }
+    }
+}
+
+/// Guards against restoring an upstream whose parent is withdrawn without any effect.
+#[test]
+fn restoration_overrides_a_withdrawn_parent() {
+    let edits = vec![set("drafting", Setting::State, text("withdrawn"))];
+    let change = Change { edits, force: true };
+    let later = change.validate(&tree()).unwrap();
+    let plan = Plan::new(5, &later, &lot("8"), Action::Restore);
+    let back = plan.validate(&later).unwrap();
+    let catalog = Catalog::compile(6, &back);
+    let left: Vec<_> = catalog
+        .candidates("drafting")
+        .map(|(id, _)| &**id)
+        .collect();
+    assert_eq!(left, ["d2"]);
+}
+
+/// Guards against moving a request that must run at most once.
+#[test]
+fn only_idempotent_work_moves() {
+    let plan = Plan::new(4, &tree(), &lot("8"), Action::Withdraw(Running::Move));
+    let catalog = Catalog::compile(5, &plan.validate(&tree()).unwrap());
+    let fate = |upstream, repeat| Fate::of(&catalog, upstream, "drafting", repeat);
+    assert_eq!(fate("d2", Repeat::Allowed), Fate::Move);
+    assert_eq!(fate("d2", Repeat::Never), Fate::Finish);
+    assert_eq!(fate("d1", Repeat::Allowed), Fate::Finish);
+}
+
+/// Guards against reporting a withdrawal as done before every reachable host said so.
+#[test]
+fn progress_waits_for_each_reachable_host() {
+    let mut progress = Progress {
+        hosts: fleet::Progress {
+            version: 5,
+            applied: vec!["h1".into()],
+            behind: vec![("h2".into(), 4)],
+            unreachable: vec![("h3".into(), 4)],
+        },
+        running: [("h1".into(), 0)].into(),
+    };
+    assert!(!progress.is_in_effect());
+    progress.hosts.behind.clear();
+    assert!(progress.is_done());
+    progress.hosts.applied.push("h2".into());
+    assert!(!progress.is_done());
+}
