--- a/crates/core/src/bill.rs
+++ b/crates/core/src/bill.rs
@@ -5,6 +5,18 @@
     serde::{Deserialize, Serialize},
 };
 
+/// Returns the request of an attempt.
+///
+/// The id of an attempt is `{request}.{attempt}`: a request that a caller repeats with the same
+/// idempotency key keeps its id, while each attempt has its own reservation and its own record at
+/// the engine.
+pub fn request_of(attempt: &str) -> RequestId {
+    let request = attempt
+        .split_once('.')
+        .map_or(attempt, |(request, _)| request);
+    request.into()
+}
+
 /// The bill of one request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Bill {
--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -7,7 +7,8 @@
         journal::{self, Entry, Journal, Share, Shares},
     },
     crate::{
-        id::{BudgetId, Tokens},
+        bill::request_of,
+        id::{BudgetId, RequestId, Tokens},
         table::{Row, Transaction, Verdict},
     },
     std::{
@@ -306,7 +307,8 @@
         let known: BTreeSet<_> = entry.bills().iter().map(|bill| &bill.request).collect();
         self.bills.retain(|bill| !known.contains(&bill.request));
         let open = self.reservations.keys();
-        let known: Vec<_> = open.filter(|id| known.contains(id)).cloned().collect();
+        let is_known = |attempt: &&RequestId| known.contains(&request_of(attempt));
+        let known: Vec<_> = open.filter(is_known).cloned().collect();
         known.iter().for_each(|request| self.release(request));
     }
 }
--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -8,7 +8,7 @@
         slot::Slot,
     },
     crate::{
-        bill::Bill,
+        bill::{Bill, request_of},
         id::{BudgetId, HolderId, ModelId, RequestId, Sequence, Tokens, UpstreamId, WorkspaceId},
     },
     std::{
@@ -189,7 +189,7 @@
         slot.reserved -= reservation.amount;
         slot.spent += charged;
         let bill = Bill {
-            request: request.clone(),
+            request: request_of(request),
             workspace: usage.workspace,
             budget: reservation.budget,
             model: usage.model,
--- a/crates/core/src/config/catalog.rs
+++ b/crates/core/src/config/catalog.rs
@@ -157,6 +157,15 @@
             .filter(move |(_, upstream)| in_service(upstream))
     }
 
+    /// Returns whether any upstream is configured to serve a model.
+    pub fn has_model(&self, model: &str) -> bool {
+        let mut serves = self
+            .upstreams
+            .values()
+            .flat_map(|upstream| &upstream.serves);
+        serves.any(|name| **name == *model) && !self.services.contains_key(model)
+    }
+
     /// Returns the models that any upstream is configured to serve, without plain services.
     pub fn models(&self) -> Vec<ModelId> {
         let serves = self
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 mod health;
 mod mark;
+mod member;
 mod probe;
 mod queue;
 mod rank;
@@ -21,6 +22,7 @@
 pub use {
     health::{Observation, Status},
     mark::{Applied, Evidence, Gossip, HostMark, Kind, Mark, Phase, Report, Suspicion},
+    member::Member,
     rank::{Weighted, rank},
     roster::{Host, Listed, Listing, Progress},
     view::{Settings, View},
--- a/crates/core/src/fleet/roster.rs
+++ b/crates/core/src/fleet/roster.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         mark::{Applied, HostMark, Phase, Suspicion},
+        member::Member,
         rank::Weighted,
     },
     crate::id::{HostId, Region, UpstreamId, Version, Zone},
@@ -113,6 +114,15 @@
         self.gone.is_none()
     }
 
+    pub(super) fn member(&self) -> Member {
+        Member {
+            host: self.host.clone(),
+            phase: self.phase,
+            applied: self.applied,
+            is_alive: self.is_alive(),
+        }
+    }
+
     pub(super) fn is_suspected(&self) -> bool {
         self.suspected.is_some()
     }
@@ -172,6 +182,10 @@
         self.0.get(id)
     }
 
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.0.values()
+    }
+
     pub(super) fn alive(&self) -> impl Iterator<Item = &Peer> {
         self.0.values().filter(|peer| peer.is_alive())
     }
--- a/crates/ctl/src/demo/fleet.rs
+++ b/crates/ctl/src/demo/fleet.rs
@@ -5,7 +5,7 @@
     marigoldroute::{Handle, Settings},
     marigoldroute_core::{
         budget::Account,
-        config::{Access, Catalog, Service, State, Upstream, hash_key},
+        config::{Change, Edit, Kind, Setting, Value, hash_key},
         table::Transaction,
     },
     marigoldroute_platform::{Client, StandIn as Platform},
@@ -28,7 +28,6 @@
     pub engines: Vec<Engine>,
     pub service: Engine,
     pub routers: Vec<Handle>,
-    catalog: Catalog,
     http: reqwest::Client,
     servers: Vec<JoinHandle<()>>,
 }
@@ -50,7 +49,6 @@
             urls.push(format!("http://{address}"));
         }
         let [a, b, service] = stand_ins;
-        let catalog = catalog(&urls);
         fund(&platform, "hems", 20_000).await?;
         fund(&platform, "confetti", 600).await?;
 
@@ -59,16 +57,14 @@
             engines: vec![a, b],
             service,
             routers: Vec::new(),
-            catalog,
             http: reqwest::Client::new(),
             servers,
         };
-        fleet.publish().await?;
         for number in 1..=3 {
             let settings = settings(number, &base);
             fleet.routers.push(marigoldroute::start(settings).await?);
         }
-        fleet.settled().await?;
+        fleet.change(first(&urls), "demo-1").await?;
         Ok(fleet)
     }
 
@@ -113,47 +109,30 @@
     }
 
     /// Takes an upstream out of service and waits until every router has applied it.
-    pub async fn withdraw(&mut self, upstream: &str) -> anyhow::Result<()> {
-        let entry = self.catalog.upstreams.get_mut(upstream);
-        entry.context("no such upstream")?.state = State::Withdrawn;
-        self.catalog.version += 1;
-        self.publish().await?;
-        self.settled().await
+    pub async fn withdraw(&self, upstream: &str) -> anyhow::Result<()> {
+        let state = Value::Text("withdrawn".into());
+        self.change(vec![set(upstream, Setting::State, state)], "demo-2")
+            .await
     }
 
-    fn url(&self, router: usize, path: &str) -> String {
-        format!("http://{}{path}", self.routers[router].address())
-    }
-
-    async fn publish(&self) -> anyhow::Result<()> {
-        let mut transaction = Transaction::default();
-        transaction.put("config/catalog", serde_json::to_string(&self.catalog)?);
-        self.platform.commit(&transaction).await?;
-        Ok(())
-    }
-
-    /// Waits until the newest version is in effect on every router.
-    async fn settled(&self) -> anyhow::Result<()> {
-        let line = format!("marigoldroute_config_version {}", self.catalog.version);
+    /// Changes the configuration and waits until every router has applied it.
+    async fn change(&self, edits: Vec<Edit>, request: &str) -> anyhow::Result<()> {
+        let change = Change {
+            edits,
+            force: false,
+        };
+        let version = self.routers[0].propose(change, "demo", request).await?;
         let wait = async {
-            for router in 0..self.routers.len() {
-                let url = self.url(router, "/metrics");
-                while !self
-                    .http
-                    .get(&url)
-                    .send()
-                    .await?
-                    .text()
-                    .await?
-                    .contains(&line)
-                {
-                    tokio::time::sleep(READY_PAUSE).await;
-                }
+            while self.routers.iter().any(|router| router.version() < version) {
+                tokio::time::sleep(READY_PAUSE).await;
             }
-            anyhow::Ok(())
         };
         let waited = tokio::time::timeout(READY_TIMEOUT, wait).await;
-        waited.context("the configuration did not take effect in time")?
+        waited.context("the configuration did not take effect in time")
+    }
+
+    fn url(&self, router: usize, path: &str) -> String {
+        format!("http://{}{path}", self.routers[router].address())
     }
 }
 
@@ -172,49 +151,58 @@
         listen_peers: ([127, 0, 0, 1], 0).into(),
         platform: platform.into(),
         fleet_keys: vec!["demo-key-of-the-fleet".into()],
-        poll_interval: Duration::from_millis(200),
         flush_interval: Duration::from_millis(500),
         ..Settings::default()
     }
 }
 
-fn catalog(urls: &[String]) -> Catalog {
-    let access = |workspace: &str, budget: &str| Access {
-        workspace: workspace.into(),
-        budget: budget.into(),
-        output_limit: 256,
-        priority: 1,
-    };
-    let upstream = |url: &str, serves: &str| Upstream {
-        url: url.into(),
-        serves: vec![serves.into()],
-        region: "region-1".into(),
-        zone: "zone-1".into(),
-        labels: Default::default(),
-        state: State::InService,
-    };
-    let orders = Service {
-        idempotent: false,
-        price: 25,
-    };
-    Catalog {
-        version: 1,
-        keys: [
-            (hash_key("kolkata-key").into(), access("/kolkata", "hems")),
-            (
-                hash_key("palermo-key").into(),
-                access("/palermo", "confetti"),
-            ),
-        ]
-        .into(),
-        upstreams: [
-            ("engine-a".into(), upstream(&urls[0], "drafting")),
-            ("engine-b".into(), upstream(&urls[1], "drafting")),
-            ("orders-1".into(), upstream(&urls[2], "orders")),
-        ]
-        .into(),
-        services: [("orders".into(), orders)].into(),
+fn add(path: &str, kind: Kind) -> Edit {
+    Edit::Add {
+        path: path.into(),
+        kind,
+    }
+}
+
+fn set(path: &str, setting: Setting, value: Value) -> Edit {
+    Edit::Set {
+        path: path.into(),
+        setting: setting.to_string().into(),
+        value,
+    }
+}
+
+/// The first configuration.
+fn first(urls: &[String]) -> Vec<Edit> {
+    let mut edits = vec![
+        set("", Setting::Region, Value::Text("region-1".into())),
+        set("", Setting::Zone, Value::Text("zone-1".into())),
+        add("drafting", Kind::Model),
+        add("orders", Kind::Service),
+        set("orders", Setting::Price, Value::Tokens(25)),
+        set("orders", Setting::Idempotent, Value::Flag(false)),
+    ];
+    for (workspace, budget) in [("kolkata", "hems"), ("palermo", "confetti")] {
+        let key = hash_key(&format!("{workspace}-key")).into();
+        edits.push(add(workspace, Kind::Workspace));
+        edits.push(set(workspace, Setting::Budget, Value::Text(budget.into())));
+        edits.push(set(workspace, Setting::OutputLimit, Value::Tokens(256)));
+        edits.push(set(workspace, Setting::ApiKeys, Value::Hashes(vec![key])));
+    }
+    let upstreams = [
+        ("engine-a", "drafting"),
+        ("engine-b", "drafting"),
+        ("orders-1", "orders"),
+    ];
+    for ((name, serves), url) in upstreams.into_iter().zip(urls) {
+        edits.push(add(name, Kind::Upstream));
+        edits.push(set(name, Setting::Url, Value::Text(url.as_str().into())));
+        edits.push(set(
+            name,
+            Setting::Serves,
+            Value::Names(vec![serves.into()]),
+        ));
     }
+    edits
 }
 
 async fn fund(platform: &Client, budget: &str, tokens: u64) -> anyhow::Result<()> {
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -7,7 +7,7 @@
         relay,
         request::{self, Prompt},
     },
-    crate::response::refuse,
+    crate::{escrow::Reservation, response::refuse},
     bytes::{Bytes, BytesMut},
     marigoldroute_core::{
         config::Access,
@@ -56,7 +56,7 @@
     let body = body.into_bytes_limit(context.settings.body_limit).await;
     let body = body.map_err(|_| Fault::new(Kind::TooLarge, "the request body is too large"))?;
     let prompt = Prompt::parse(&body, access.output_limit)?;
-    if !context.catalog.borrow().models().contains(&prompt.model) {
+    if !context.control.scene().catalog.has_model(&prompt.model) {
         let message = format!("unknown model {}", prompt.model);
         return Err(Fault::new(Kind::NotFound, message));
     }
@@ -77,15 +77,19 @@
         path,
         started,
     } = prepared;
-    let bound = prompt.bound();
-    let charge = context
-        .charger
-        .reserve(&id, &access, &prompt.model, bound)
-        .await?;
+    let attempt = request::attempt(&id);
+    let reservation = Reservation {
+        attempt: attempt.clone(),
+        budget: access.budget.clone(),
+        amount: prompt.bound(),
+        workspace: access.workspace.clone(),
+        model: prompt.model.clone(),
+    };
+    let charge = context.charger.reserve(&reservation).await?;
     let job = Job {
         context,
-        id,
-        access,
+        id: attempt,
+        workspace: access.workspace,
         model: prompt.model.clone(),
         charge,
         idempotent: true,
--- a/crates/router/src/caller/job.rs
+++ b/crates/router/src/caller/job.rs
@@ -9,9 +9,9 @@
     },
     marigoldroute_core::{
         budget::Usage,
-        config::Access,
         fault::{Fault, Kind, Outcome},
-        id::{ModelId, RequestId, Tokens, UpstreamId},
+        fleet::Observation,
+        id::{ModelId, RequestId, Tokens, UpstreamId, WorkspaceId},
     },
     poem::http::{HeaderMap, Method},
     reqwest::Response,
@@ -21,8 +21,9 @@
 /// A request with its reservation.
 pub(super) struct Job {
     pub(super) context: Arc<Context>,
+    /// Id of this attempt of the request, see [`marigoldroute_core::bill::request_of`].
     pub(super) id: RequestId,
-    pub(super) access: Access,
+    pub(super) workspace: WorkspaceId,
     pub(super) model: ModelId,
     pub(super) charge: Charge,
     /// Whether it may be sent again after an upstream may have acted on it.
@@ -69,6 +70,8 @@
             let sent = upstreams.send(method, &url, &self.id, headers, call.body.clone());
             let failure = match sent.await {
                 Ok(response) => {
+                    let control = &self.context.control;
+                    control.observe(&choice.upstream, Observation::Success);
                     return Ok(Reply {
                         choice,
                         in_flight,
@@ -79,7 +82,7 @@
             };
             last = self.note(&choice.upstream, failure);
             tried.push(choice.upstream);
-            if failure != Failure::Refused {
+            if !failure.is_refusal() {
                 outcome = Outcome::Unknown;
                 if !self.idempotent {
                     break;
@@ -90,11 +93,8 @@
     }
 
     fn choose(&self, tried: &[UpstreamId], attempt: u32) -> Option<(Choice, InFlight)> {
-        let catalog = self.context.catalog.borrow().clone();
-        let chosen = self
-            .context
-            .upstreams
-            .choose(&catalog, &self.model, tried)?;
+        let scene = self.context.control.scene();
+        let chosen = self.context.upstreams.choose(&scene, &self.model, tried)?;
         let choice = &chosen.0;
         log::info!(
             target: ROUTING,
@@ -108,8 +108,16 @@
 
     fn note(&self, upstream: &UpstreamId, failure: Failure) -> Kind {
         log::warn!(target: ROUTING, request:% = self.id, upstream:%, failure:?; "upstream failed");
+        let observation = match failure {
+            Failure::Leaving => Some(Observation::Leaving),
+            Failure::Unreachable | Failure::Lost | Failure::Timeout => Some(Observation::Failure),
+            Failure::Refused => None,
+        };
+        if let Some(observation) = observation {
+            self.context.control.observe(upstream, observation);
+        }
         match failure {
-            Failure::Refused => {
+            Failure::Refused | Failure::Leaving | Failure::Unreachable => {
                 self.context.metrics.refusals.inc();
                 Kind::UpstreamRefused
             }
@@ -131,7 +139,7 @@
     /// Settles with the tokens used at an upstream.
     pub(super) async fn settle(self, upstream: UpstreamId, tokens: Tokens) {
         let usage = Usage {
-            workspace: self.access.workspace,
+            workspace: self.workspace,
             model: self.model,
             upstream,
             tokens,
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -9,17 +9,18 @@
 
 use {
     crate::{
-        charge::Charger, clock::Clock, metrics::Metrics, response::refuse, settings::Settings,
-        upstream::Upstreams,
+        charge::Charger, clock::Clock, control::Control, metrics::Metrics, response::refuse,
+        settings::Settings, upstream::Upstreams,
     },
     marigoldroute_core::{
-        config::{Access, Catalog},
+        config::Access,
         fault::{Fault, Kind},
         id::RequestId,
     },
+    marigoldroute_platform::Client,
     poem::{Request, Response, Route, get, post},
     std::sync::Arc,
-    tokio::sync::{oneshot, watch},
+    tokio::sync::oneshot,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
@@ -27,7 +28,8 @@
 pub(crate) struct Context {
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
-    pub(crate) catalog: watch::Receiver<Arc<Catalog>>,
+    pub(crate) control: Control,
+    pub(crate) platform: Client,
     pub(crate) charger: Arc<Charger>,
     pub(crate) upstreams: Arc<Upstreams>,
     pub(crate) metrics: Arc<Metrics>,
@@ -52,19 +54,26 @@
     fn authenticate(&self, request: &Request) -> Result<Access, Fault> {
         let header = request.header("authorization").unwrap_or_default();
         let key = header.strip_prefix("Bearer ").unwrap_or_default();
-        let catalog = self.catalog.borrow();
-        let access = catalog.access(key).cloned();
+        let access = self.control.scene().catalog.access(key).cloned();
         access.ok_or_else(|| Fault::new(Kind::Unauthenticated, "unknown API key"))
     }
 
+    /// Checks that this host takes new work.
+    fn admit(&self) -> Result<(), Fault> {
+        if self.draining.is_cancelled() {
+            return Err(Fault::new(Kind::Draining, "the host is stopping"));
+        }
+        let hold = self.control.permit();
+        hold.map_err(|hold| Fault::new(Kind::Stale, hold.to_string()))
+    }
+
     /// Runs a request as a task of its own, so that it is settled also when the caller leaves.
     async fn run(
         self: &Arc<Self>,
         id: RequestId,
         job: impl Future<Output = Result<Response, Fault>> + Send + 'static,
     ) -> Response {
-        if self.draining.is_cancelled() {
-            let fault = Fault::new(Kind::Draining, "the host is stopping");
+        if let Err(fault) = self.admit() {
             return self.finish(&id, Err(fault));
         }
         let (sender, receiver) = oneshot::channel();
--- a/crates/router/src/caller/models.rs
+++ b/crates/router/src/caller/models.rs
@@ -16,7 +16,7 @@
     if let Err(fault) = context.authenticate(request) {
         return refuse(&fault, "");
     }
-    let models = context.catalog.borrow().models();
+    let models = context.control.scene().catalog.models();
     let entry = |model| json!({"id": model, "object": "model", "owned_by": "marigoldroute"});
     let data: Vec<_> = models.into_iter().map(entry).collect();
     Json(json!({"object": "list", "data": data})).into_response()
--- a/crates/router/src/caller/request.rs
+++ b/crates/router/src/caller/request.rs
@@ -49,6 +49,11 @@
     hex::encode(bytes).into()
 }
 
+/// Returns the id of a new attempt of a request.
+pub(super) fn attempt(request: &RequestId) -> RequestId {
+    format!("{request}.{:08x}", rand::rng().next_u32()).into()
+}
+
 /// A completion request.
 #[derive(Clone, Debug)]
 pub(super) struct Prompt {
--- a/crates/router/src/caller/service.rs
+++ b/crates/router/src/caller/service.rs
@@ -6,7 +6,7 @@
         job::{Call, Job},
         request,
     },
-    crate::response::refuse,
+    crate::{escrow::Reservation, response::refuse},
     marigoldroute_core::{
         config::Access,
         fault::{Fault, Kind},
@@ -54,7 +54,13 @@
     let access = context.authenticate(request)?;
     let key = request::idempotency_key(request)?;
     let service: ServiceId = request.raw_path_param("service").unwrap_or_default().into();
-    let settings = context.catalog.borrow().services.get(&service).cloned();
+    let settings = context
+        .control
+        .scene()
+        .catalog
+        .services
+        .get(&service)
+        .cloned();
     let settings = settings.ok_or_else(|| Fault::new(Kind::NotFound, "unknown service"))?;
     let idempotent = match request.header("x-idempotent") {
         None => settings.idempotent,
@@ -106,19 +112,25 @@
         call,
     } = prepared;
     let price = context
+        .control
+        .scene()
         .catalog
-        .borrow()
         .services
         .get(&service)
         .map_or(0, |s| s.price);
-    let charge = context
-        .charger
-        .reserve(&id, &access, &service, price)
-        .await?;
+    let attempt = request::attempt(&id);
+    let reservation = Reservation {
+        attempt: attempt.clone(),
+        budget: access.budget.clone(),
+        amount: price,
+        workspace: access.workspace.clone(),
+        model: service.clone(),
+    };
+    let charge = context.charger.reserve(&reservation).await?;
     let job = Job {
         context,
-        id,
-        access,
+        id: attempt,
+        workspace: access.workspace,
         model: service,
         charge,
         idempotent,
--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -2,23 +2,20 @@
 
 use {
     crate::{
-        directory::Hosts,
-        escrow::{Escrow, Refusal},
+        control::Control,
+        escrow::{Escrow, Refusal, Reservation},
         logs::TOKENS,
         peer::{Links, Lost, Service},
         settings::Settings,
     },
     marigoldroute_core::{
         budget::Usage,
-        config::Access,
         fault::{Fault, Kind},
-        id::{BudgetId, HostId, ModelId, Region, RequestId, Tokens},
+        id::{HostId, Region, RequestId, Tokens},
         wire::{self, Body, Lower, Release, Reply, Reserve, Settle},
     },
-    std::{cmp::Reverse, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::sync::watch,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio_util::task::TaskTracker,
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Attempts to deliver a settlement or release to a holder on another host; after the last one
@@ -34,9 +31,11 @@
     own: HostId,
     region: Region,
     per_region: usize,
+    /// Bound on a reservation at another host, which may wait for a refill.
+    reserve_limit: Duration,
     escrow: Escrow,
     links: Arc<Links>,
-    hosts: watch::Receiver<Arc<Hosts>>,
+    control: Control,
     tasks: TaskTracker,
 }
 
@@ -44,7 +43,7 @@
 pub(crate) struct Charge {
     charger: Arc<Charger>,
     place: Place,
-    request: RequestId,
+    attempt: RequestId,
 }
 
 /// Where a reservation is held.
@@ -59,16 +58,17 @@
         settings: &Settings,
         escrow: Escrow,
         links: Arc<Links>,
-        hosts: watch::Receiver<Arc<Hosts>>,
+        control: Control,
         tasks: TaskTracker,
     ) -> Self {
         Self {
             own: settings.host.clone(),
             region: settings.region.clone(),
             per_region: settings.holders_per_region,
+            reserve_limit: settings.reserve_timeout + settings.peer_timeout,
             escrow,
             links,
-            hosts,
+            control,
             tasks,
         }
     }
@@ -76,38 +76,32 @@
     /// Reserves tokens at the first holder that covers them.
     pub(crate) async fn reserve(
         self: &Arc<Self>,
-        request: &RequestId,
-        access: &Access,
-        model: &ModelId,
-        amount: Tokens,
+        reservation: &Reservation,
     ) -> Result<Charge, Fault> {
         let mut exhausted = false;
-        for place in self.places(&access.budget) {
+        for place in self.places(&reservation.budget) {
             let reserved = match &place {
-                Place::Here => self.reserve_here(request, &access.budget, amount).await,
-                Place::Peer(host, address) => {
-                    let reserve = Reserve {
-                        request: request.to_string(),
-                        budget: access.budget.to_string(),
-                        amount,
-                        workspace: access.workspace.to_string(),
-                        model: model.to_string(),
-                    };
-                    self.reserve_at(host, *address, reserve).await
-                }
+                Place::Here => self.escrow.reserve(reservation.clone()).await.map(drop),
+                Place::Peer(host, address) => self.reserve_at(host, *address, reservation).await,
             };
             match reserved {
                 Ok(()) => {
                     return Ok(Charge {
                         charger: self.clone(),
                         place,
-                        request: request.clone(),
+                        attempt: reservation.attempt.clone(),
                     });
                 }
                 Err(refusal) => exhausted |= refusal == Refusal::Exhausted,
             }
         }
-        log::info!(target: TOKENS, request:%, budget:% = access.budget, amount, exhausted; "reservation refused");
+        let Reservation {
+            attempt,
+            budget,
+            amount,
+            ..
+        } = reservation;
+        log::info!(target: TOKENS, attempt:%, budget:%, amount, exhausted; "reservation refused");
         Err(if exhausted {
             Fault::new(
                 Kind::BudgetExhausted,
@@ -118,24 +112,23 @@
         })
     }
 
-    async fn reserve_here(
-        &self,
-        request: &RequestId,
-        budget: &BudgetId,
-        amount: Tokens,
-    ) -> Result<(), Refusal> {
-        let reserved = self.escrow.reserve(request.clone(), budget.clone(), amount);
-        reserved.await.map(drop)
-    }
-
     async fn reserve_at(
         &self,
         host: &HostId,
         address: SocketAddr,
-        reserve: Reserve,
+        reservation: &Reservation,
     ) -> Result<(), Refusal> {
-        let request = reserve.request.clone();
-        match self.links.call(host, address, Body::Reserve(reserve)).await {
+        let reserve = Reserve {
+            request: reservation.attempt.to_string(),
+            budget: reservation.budget.to_string(),
+            amount: reservation.amount,
+            workspace: reservation.workspace.to_string(),
+            model: reservation.model.to_string(),
+        };
+        let call =
+            self.links
+                .call_within(host, address, Body::Reserve(reserve), self.reserve_limit);
+        match call.await {
             Ok(Body::Reply(reply)) => match reply.refusal() {
                 wire::Refusal::None => Ok(()),
                 wire::Refusal::Exhausted => Err(Refusal::Exhausted),
@@ -143,6 +136,7 @@
             },
             Ok(_) => Err(Refusal::Unavailable),
             Err(Lost) => {
+                let request = reservation.attempt.to_string();
                 self.deliver(host.clone(), address, Body::Release(Release { request }));
                 Err(Refusal::Unavailable)
             }
@@ -151,31 +145,14 @@
 
     /// Returns the holders of a budget: those of the own region, then those of the others.
     fn places(&self, budget: &str) -> Vec<Place> {
-        let hosts = self.hosts.borrow().clone();
-        let mut ranked: Vec<_> = hosts
-            .iter()
-            .map(|(name, host)| {
-                (
-                    Reverse(xxh3_64(format!("{budget} {name}").as_bytes())),
-                    name,
-                    host,
-                )
-            })
-            .collect();
-        ranked.sort_by_key(|(rank, ..)| *rank);
-        let own = ranked
-            .iter()
-            .filter(|(_, _, host)| host.region == self.region);
-        let others = ranked
-            .iter()
-            .filter(|(_, _, host)| host.region != self.region);
-        let chosen = own
-            .take(self.per_region)
-            .chain(others.take(self.per_region));
-        chosen
-            .map(|(_, name, host)| match **name == self.own {
+        let scene = self.control.scene();
+        let count = scene.catalog.limits.holders;
+        let count = count.map_or(self.per_region, |count| count as usize);
+        let holders = scene.holders(budget, &self.region, count).into_iter();
+        holders
+            .map(|(host, address)| match **host == *self.own {
                 true => Place::Here,
-                false => Place::Peer((*name).clone(), host.peers),
+                false => Place::Peer(host.clone(), address),
             })
             .collect()
     }
@@ -200,12 +177,12 @@
 impl Charge {
     /// Lowers the reservation.
     pub(crate) async fn lower(&self, amount: Tokens) {
-        let request = self.request.to_string();
+        let request = self.attempt.to_string();
         match &self.place {
             Place::Here => {
                 self.charger
                     .escrow
-                    .lower(self.request.clone(), amount)
+                    .lower(self.attempt.clone(), amount)
                     .await;
             }
             Place::Peer(host, address) => {
@@ -219,10 +196,10 @@
     /// Bills the usage and ends the reservation.
     pub(crate) async fn settle(self, usage: Usage) {
         match self.place {
-            Place::Here => drop(self.charger.escrow.settle(self.request, usage).await),
+            Place::Here => drop(self.charger.escrow.settle(self.attempt, usage).await),
             Place::Peer(host, address) => {
                 let body = Body::Settle(Settle {
-                    request: self.request.to_string(),
+                    request: self.attempt.to_string(),
                     workspace: usage.workspace.to_string(),
                     model: usage.model.to_string(),
                     upstream: usage.upstream.to_string(),
@@ -236,9 +213,9 @@
     /// Ends the reservation of a request that did not run.
     pub(crate) async fn release(self) {
         match self.place {
-            Place::Here => self.charger.escrow.release(self.request).await,
+            Place::Here => self.charger.escrow.release(self.attempt).await,
             Place::Peer(host, address) => {
-                let request = self.request.to_string();
+                let request = self.attempt.to_string();
                 let body = Body::Release(Release { request });
                 self.charger.deliver(host, address, body);
             }
@@ -247,22 +224,26 @@
 }
 
 /// Answers other hosts' calls for the budgets that this host holds.
-pub(crate) struct Responder(pub(crate) Escrow);
+pub(crate) struct Responder {
+    pub(crate) escrow: Escrow,
+    pub(crate) control: Control,
+}
 
 impl Service for Responder {
-    async fn answer(&self, _from: HostId, body: Body) -> Option<Body> {
+    async fn answer(&self, from: HostId, body: Body) -> Option<Body> {
         let reply = match body {
             Body::Reserve(reserve) => self.reserve(reserve).await,
             Body::Lower(lower) => {
-                self.0.lower(lower.request.into(), lower.amount).await;
+                self.escrow.lower(lower.request.into(), lower.amount).await;
                 Reply::default()
             }
             Body::Settle(settle) => self.settle(settle).await,
             Body::Release(release) => {
-                self.0.release(release.request.into()).await;
+                self.escrow.release(release.request.into()).await;
                 Reply::default()
             }
-            Body::Reply(_) | Body::Gossip(_) | Body::Config(_) => return None,
+            Body::Gossip(_) | Body::Config(_) => return self.control.message(from, body).await,
+            Body::Reply(_) => return None,
         };
         Some(Body::Reply(reply))
     }
@@ -270,13 +251,14 @@
 
 impl Responder {
     async fn reserve(&self, reserve: Reserve) -> Reply {
-        let Reserve {
-            request,
-            budget,
-            amount,
-            ..
-        } = reserve;
-        match self.0.reserve(request.into(), budget.into(), amount).await {
+        let reservation = Reservation {
+            attempt: reserve.request.into(),
+            budget: reserve.budget.into(),
+            amount: reserve.amount,
+            workspace: reserve.workspace.into(),
+            model: reserve.model.into(),
+        };
+        match self.escrow.reserve(reservation).await {
             Ok(tokens) => Reply { tokens, refusal: 0 },
             Err(refusal) => refused(match refusal {
                 Refusal::Exhausted => wire::Refusal::Exhausted,
@@ -292,7 +274,7 @@
             upstream: settle.upstream.into(),
             tokens: settle.tokens,
         };
-        match self.0.settle(settle.request.into(), usage).await {
+        match self.escrow.settle(settle.request.into(), usage).await {
             Some(bill) => Reply {
                 tokens: bill.charged,
                 refusal: 0,
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -42,16 +42,17 @@
         host: text("host", &base.host),
         region: text("region", &base.region),
         zone: text("zone", &base.zone),
+        weight: matches.get_one("weight").copied().unwrap_or(base.weight),
         listen: address("listen", base.listen),
         listen_peers: address("listen-peers", base.listen_peers),
         platform: text("platform", &base.platform),
         platform_timeout: ms("platform-timeout-ms", base.platform_timeout),
         fleet_keys: keys.map(|key| key.as_str().into()).collect(),
         flush_interval: ms("flush-interval-ms", base.flush_interval),
-        poll_interval: ms("poll-interval-ms", base.poll_interval),
         holders_per_region: size("holders-per-region", base.holders_per_region),
         peer_timeout: ms("peer-timeout-ms", base.peer_timeout),
         reserve_timeout: ms("reserve-timeout-ms", base.reserve_timeout),
+        reservation_limit: ms("reservation-limit-ms", base.reservation_limit),
         upstream_timeout: ms("upstream-timeout-ms", base.upstream_timeout),
         attempts: matches
             .get_one("attempts")
@@ -76,7 +77,7 @@
         .help(help)
 }
 
-fn names() -> [Arg; 3] {
+fn names() -> [Arg; 4] {
     [
         option(
             "host",
@@ -96,6 +97,13 @@
             "NAME",
             "Availability zone of this host",
         ),
+        option(
+            "weight",
+            "MARIGOLDROUTE_WEIGHT",
+            "N",
+            "Size of this host relative to others",
+        )
+        .value_parser(value_parser!(u32).range(1..=1_000)),
     ]
 }
 
@@ -148,9 +156,9 @@
             "Time between two journal rows",
         ),
         ms(
-            "poll-interval-ms",
-            "MARIGOLDROUTE_POLL_INTERVAL_MS",
-            "Time between two reads of the configuration",
+            "reservation-limit-ms",
+            "MARIGOLDROUTE_RESERVATION_LIMIT_MS",
+            "Age at which the upstreams are asked for the outcome of a reservation",
         ),
         count(
             "holders-per-region",
--- /dev/null
+++ b/crates/router/src/control/mod.rs
@@ -0,0 +1,149 @@
+//! Membership and configuration of this host.
+//!
+//! One task owns core's [`View`](marigoldroute_core::fleet::View) and
+//! [`Log`](marigoldroute_core::config::Log), exchanges their messages with other hosts and reads
+//! the store for them. The request path sees the result as a [`Scene`].
+
+mod listing;
+mod probe;
+mod scene;
+mod store;
+mod task;
+
+use {
+    derive_more::{Display, Error, From},
+    marigoldroute_core::{
+        config::{Hold, Proposal, Record, Refusal, Tree},
+        fleet::{Member, Observation, Progress},
+        id::{HostId, UpstreamId, Version},
+        wire::Body,
+    },
+    std::sync::Arc,
+    tokio::sync::{mpsc, oneshot, watch},
+};
+
+pub(crate) use {
+    scene::Scene,
+    task::{Parts, create},
+};
+
+/// Commands that wait for the task.
+const QUEUE_COMMANDS: usize = 1_024;
+
+/// Why a proposal was not accepted.
+#[derive(Clone, Debug, Display, Error, From, PartialEq, Eq)]
+pub(crate) enum Denied {
+    /// It was decided against.
+    #[display("{_0}")]
+    Refused(Refusal),
+    /// The store did not answer; the change may be accepted. A repetition with the same request
+    /// id finds out.
+    #[display("the store did not answer")]
+    #[from(skip)]
+    Unanswered,
+}
+
+enum Command {
+    Message {
+        from: HostId,
+        body: Body,
+        reply: oneshot::Sender<Option<Body>>,
+    },
+    Observe {
+        upstream: UpstreamId,
+        observation: Observation,
+    },
+    Propose {
+        proposal: Box<Proposal>,
+        reply: oneshot::Sender<Result<Version, Denied>>,
+    },
+    Progress {
+        version: Version,
+        reply: oneshot::Sender<Progress>,
+    },
+    Members(oneshot::Sender<Vec<Member>>),
+    Tree(oneshot::Sender<(Version, Arc<Tree>)>),
+    Records {
+        after: Version,
+        reply: oneshot::Sender<Option<Vec<Arc<Record>>>>,
+    },
+}
+
+/// Access to the task; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Control {
+    commands: mpsc::Sender<Command>,
+    scene: watch::Receiver<Arc<Scene>>,
+}
+
+impl Control {
+    /// Returns what the request path needs to know.
+    pub(crate) fn scene(&self) -> Arc<Scene> {
+        self.scene.borrow().clone()
+    }
+
+    /// Returns whether this host may take new work.
+    ///
+    /// # Errors
+    /// Why not.
+    pub(crate) fn permit(&self) -> Result<(), Hold> {
+        match self.scene.borrow().hold {
+            Some(hold) => Err(hold),
+            None => Ok(()),
+        }
+    }
+
+    /// Notes what a request showed of an upstream. Observations are dropped while the task has no
+    /// room for more; later ones replace them.
+    pub(crate) fn observe(&self, upstream: &UpstreamId, observation: Observation) {
+        let upstream = upstream.clone();
+        let _ = self.commands.try_send(Command::Observe {
+            upstream,
+            observation,
+        });
+    }
+
+    /// Answers another host's message about membership or configuration.
+    pub(crate) async fn message(&self, from: HostId, body: Body) -> Option<Body> {
+        let (reply, answer) = oneshot::channel();
+        let command = Command::Message { from, body, reply };
+        self.commands.send(command).await.ok()?;
+        answer.await.ok()?
+    }
+
+    /// Proposes a change of the configuration.
+    pub(crate) async fn propose(&self, proposal: Proposal) -> Result<Version, Denied> {
+        let proposal = Box::new(proposal);
+        let decided = self.ask(|reply| Command::Propose { proposal, reply });
+        decided.await.unwrap_or(Err(Denied::Unanswered))
+    }
+
+    /// Returns on which hosts a version is in effect.
+    pub(crate) async fn progress(&self, version: Version) -> Progress {
+        let progress = self.ask(|reply| Command::Progress { version, reply });
+        progress.await.unwrap_or_default()
+    }
+
+    /// Returns the hosts of the fleet.
+    pub(crate) async fn hosts(&self) -> Vec<Member> {
+        self.ask(Command::Members).await.unwrap_or_default()
+    }
+
+    /// Returns the version in effect and its settings tree.
+    pub(crate) async fn tree(&self) -> (Version, Arc<Tree>) {
+        self.ask(Command::Tree).await.unwrap_or_default()
+    }
+
+    /// Returns the versions after `after`, or `None` when some are no longer kept in memory.
+    pub(crate) async fn records(&self, after: Version) -> Option<Vec<Arc<Record>>> {
+        let records = self.ask(|reply| Command::Records { after, reply });
+        records.await.flatten()
+    }
+
+    /// `None` when the task has ended.
+    async fn ask<T>(&self, command: impl FnOnce(oneshot::Sender<T>) -> Command) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.commands.send(command(reply)).await.ok()?;
+        answer.await.ok()
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/probe.rs
@@ -0,0 +1,64 @@
+//! Probes of upstreams.
+//!
+//! Each upstream is probed by a few hosts, which tell the others by gossip; otherwise the probes
+//! of an upstream would grow with the number of hosts.
+
+use {
+    marigoldroute_core::{
+        config::Catalog,
+        fleet::{Observation, Weighted, rank},
+        id::{HostId, UpstreamId},
+    },
+    serde::Deserialize,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Hosts that probe one upstream.
+const PROBERS: usize = 3;
+/// Time between two probes of an upstream by one host.
+pub(super) const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Bound on a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// An engine's load report.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct Load {
+    pub(crate) running: u64,
+    pub(crate) waiting: u64,
+    pub(crate) draining: bool,
+}
+
+/// Returns the upstreams that `own` probes.
+pub(super) fn duties(
+    catalog: &Catalog,
+    own: &HostId,
+    ready: &[Weighted],
+) -> Vec<(UpstreamId, Arc<str>)> {
+    let is_prober = |upstream: &UpstreamId| {
+        let ranked = rank(upstream, ready);
+        ranked.into_iter().take(PROBERS).any(|host| host == own)
+    };
+    let upstreams = catalog.upstreams.iter();
+    upstreams
+        .filter(|(id, _)| is_prober(id))
+        .map(|(id, upstream)| (id.clone(), upstream.url.clone()))
+        .collect()
+}
+
+/// Probes one upstream.
+pub(super) async fn probe(http: reqwest::Client, url: Arc<str>) -> (Observation, Option<Load>) {
+    let call = http.get(format!("{url}/v1/load")).timeout(PROBE_TIMEOUT);
+    let Ok(response) = call.send().await else {
+        return (Observation::Failure, None);
+    };
+    if response.status().is_server_error() {
+        return (Observation::Failure, None);
+    }
+    // A plain service answers without a load report.
+    match response.json::<Load>().await {
+        Ok(load) if load.draining => (Observation::Leaving, Some(load)),
+        Ok(load) => (Observation::Ready, Some(load)),
+        Err(_) => (Observation::Ready, None),
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/task.rs
@@ -0,0 +1,477 @@
+//! The task that drives membership and configuration.
+
+use {
+    super::{
+        Command, Control, Denied, QUEUE_COMMANDS,
+        listing::{self, Register},
+        probe::{self, Load, PROBE_INTERVAL},
+        scene::Scene,
+        store,
+    },
+    crate::{clock::Clock, metrics::Metrics, peer::Links},
+    marigoldroute_core::{
+        config::{
+            Ask, LOG_PREFIX, Log, Packet, Proposal, Read, Role, SNAPSHOT_KEY, Step, TRIM_ROWS,
+        },
+        fleet::{Gossip, Host, Observation, Phase, Settings, Status, View},
+        id::{HolderId, HostId, UpstreamId, Version},
+        table::{Row, Transaction},
+        wire::{Body, Reply},
+    },
+    marigoldroute_platform::{Client, Fault},
+    prost::Message,
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{future::Future, sync::Arc, time::Duration},
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        task::JoinSet,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time between two steps of the decision logic.
+const TICK: Duration = Duration::from_millis(200);
+/// Time between two reads of the platform's list while no other host is known.
+const LIST_SOON: Duration = Duration::from_secs(1);
+/// Time between two reads of the list by a poller. A read costs one row per host, so that 12
+/// pollers at 390 hosts read 78 rows a second.
+const LIST_INTERVAL: Duration = Duration::from_secs(60);
+/// Attempts to decide on a proposal.
+const PROPOSAL_ATTEMPTS: u32 = 20;
+/// Pause before the next attempt.
+const PROPOSAL_PAUSE: Duration = Duration::from_millis(100);
+
+/// What the task works with.
+pub(crate) struct Parts {
+    pub(crate) host: Host,
+    pub(crate) holder: HolderId,
+    pub(crate) clock: Clock,
+    pub(crate) platform: Client,
+    pub(crate) links: Arc<Links>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) draining: CancellationToken,
+    pub(crate) stop: CancellationToken,
+}
+
+/// Creates the task, the access to it, and the processes registered at the platform.
+pub(crate) fn create(
+    parts: Parts,
+) -> (
+    Control,
+    watch::Receiver<Arc<Register>>,
+    impl Future<Output = ()> + Send + use<>,
+) {
+    let (commands, receiver) = mpsc::channel(QUEUE_COMMANDS);
+    let (scene, scenes) = watch::channel(Arc::default());
+    let (register, registers) = watch::channel(Arc::default());
+    let now = parts.clock.now();
+    let task = Task {
+        view: View::new(parts.host.clone(), Settings::default(), now),
+        log: Log::new(Default::default(), now),
+        parts,
+        random: SmallRng::from_os_rng(),
+        http: reqwest::Client::new(),
+        calls: JoinSet::new(),
+        scene,
+        register,
+        is_registered: false,
+        next_list: Duration::ZERO,
+        next_probe: Duration::ZERO,
+        version: 0,
+    };
+    let control = Control {
+        commands,
+        scene: scenes,
+    };
+    (control, registers, task.run(receiver))
+}
+
+/// Result of a call.
+enum Event {
+    Gossip(HostId, Option<Gossip>),
+    Packet(HostId, Option<Packet>),
+    Read(Read, Result<Vec<Row>, Fault>),
+    Registered(Result<(), Fault>),
+    Written(Result<(), Fault>),
+    Listed(Result<Register, Fault>),
+    Probed(UpstreamId, Observation, Option<Load>),
+    Decide(Box<Attempt>, Result<Vec<Row>, Fault>),
+    Upkeep(Result<(Option<Row>, Vec<Row>), Fault>),
+}
+
+/// A proposal on its way.
+struct Attempt {
+    proposal: Box<Proposal>,
+    left: u32,
+    reply: oneshot::Sender<Result<Version, Denied>>,
+}
+
+struct Task {
+    parts: Parts,
+    view: View,
+    log: Log,
+    random: SmallRng,
+    http: reqwest::Client,
+    calls: JoinSet<Event>,
+    scene: watch::Sender<Arc<Scene>>,
+    register: watch::Sender<Arc<Register>>,
+    is_registered: bool,
+    next_list: Duration,
+    next_probe: Duration,
+    /// Version in effect, as last noted.
+    version: Version,
+}
+
+impl Task {
+    async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
+        let mut tick = tokio::time::interval(TICK);
+        let (draining, stop) = (self.parts.draining.clone(), self.parts.stop.clone());
+        loop {
+            tokio::select! {
+                command = commands.recv() => match command {
+                    Some(command) => self.handle(command),
+                    None => return,
+                },
+                Some(event) = self.calls.join_next() => if let Ok(event) = event {
+                    self.apply(event);
+                },
+                _ = tick.tick() => {
+                    self.step(draining.is_cancelled());
+                    self.publish();
+                }
+                () = stop.cancelled() => break,
+            }
+        }
+        self.leave().await;
+    }
+
+    /// Tells other hosts that this one is gone.
+    async fn leave(mut self) {
+        self.view.enter(Phase::Gone);
+        self.exchange();
+        while self.calls.join_next().await.is_some() {}
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Message { from, body, reply } => {
+                let answer = self.message(&from, body);
+                let _ = reply.send(answer);
+            }
+            Command::Observe {
+                upstream,
+                observation,
+            } => {
+                let now = self.parts.clock.now();
+                self.view.observe(now, &upstream, observation);
+            }
+            Command::Propose { proposal, reply } => self.attempt(Attempt {
+                proposal,
+                left: PROPOSAL_ATTEMPTS,
+                reply,
+            }),
+            Command::Progress { version, reply } => {
+                let _ = reply.send(self.view.progress(version));
+            }
+            Command::Members(reply) => {
+                let _ = reply.send(self.view.members());
+            }
+            Command::Tree(reply) => {
+                let _ = reply.send((self.log.version(), self.log.tree().clone()));
+            }
+            Command::Records { after, reply } => {
+                let records = self.log.since(after);
+                let records = records.map(|records| records.into_iter().cloned().collect());
+                let _ = reply.send(records);
+            }
+        }
+    }
+
+    fn message(&mut self, from: &HostId, body: Body) -> Option<Body> {
+        let now = self.parts.clock.now();
+        match body {
+            Body::Gossip(bytes) => {
+                let gossip = Gossip::decode(&*bytes).ok()?;
+                let answer = self.gossip(now, from, &gossip);
+                let answer = answer.map(|answer| Body::Gossip(answer.encode_to_vec()));
+                Some(answer.unwrap_or(Body::Reply(Reply::default())))
+            }
+            Body::Config(bytes) => {
+                let packet = Packet::decode(&*bytes).ok()?;
+                let answer = self.log.receive(now, from, packet);
+                let answer = answer.map(|answer| Body::Config(answer.encode_to_vec()));
+                Some(answer.unwrap_or(Body::Reply(Reply::default())))
+            }
+            _ => None,
+        }
+    }
+
+    fn gossip(&mut self, now: Duration, from: &HostId, gossip: &Gossip) -> Option<Gossip> {
+        self.log.observe(now, from, gossip.version);
+        self.view.receive(now, from, gossip, &mut self.random)
+    }
+
+    fn apply(&mut self, event: Event) {
+        let now = self.parts.clock.now();
+        match event {
+            Event::Gossip(from, Some(gossip)) => drop(self.gossip(now, &from, &gossip)),
+            Event::Packet(from, Some(packet)) => drop(self.log.receive(now, &from, packet)),
+            // A lost exchange counts against the peer by itself.
+            Event::Gossip(_, None) | Event::Packet(_, None) => {}
+            Event::Read(read, Ok(rows)) => self.answered(now, &read, &rows),
+            Event::Read(_, Err(fault)) => {
+                self.failed(fault);
+                self.log.failed();
+            }
+            Event::Registered(result) => match result {
+                Ok(()) => self.is_registered = true,
+                Err(fault) => self.failed(fault),
+            },
+            Event::Listed(Ok(register)) => {
+                self.view.list(register.listing.clone());
+                self.register.send_replace(Arc::new(register));
+            }
+            Event::Written(Ok(())) => {}
+            Event::Listed(Err(fault)) | Event::Written(Err(fault)) => self.failed(fault),
+            Event::Probed(upstream, observation, _) => {
+                self.view.observe(now, &upstream, observation);
+            }
+            Event::Decide(attempt, rows) => self.decide(*attempt, rows),
+            Event::Upkeep(Ok((pointer, oldest))) => self.tidy(pointer.as_ref(), &oldest),
+            Event::Upkeep(Err(fault)) => self.failed(fault),
+        }
+    }
+
+    fn failed(&self, fault: Fault) {
+        self.parts.metrics.platform_faults.inc();
+        log::warn!(fault:%; "the platform did not answer");
+    }
+
+    fn answered(&mut self, now: Duration, read: &Read, rows: &[Row]) {
+        match read {
+            Read::Head => self.log.head(now, rows.first()),
+            Read::Rows { .. } => self.log.rows(now, rows),
+            Read::Pointer => self.log.pointer(now, rows.first()),
+            Read::Parts { .. } => self.log.parts(now, rows),
+        }
+    }
+
+    /// Takes one step of the decision logic.
+    fn step(&mut self, is_draining: bool) {
+        let now = self.parts.clock.now();
+        self.configure(now);
+        if is_draining {
+            self.view.enter(Phase::Draining);
+        } else if self.log.permit(now).is_ok() && self.log.version() > 0 {
+            self.view.enter(Phase::Ready);
+        }
+        self.view.apply(self.log.version());
+        self.exchange();
+        if !self.is_registered && !is_draining {
+            self.register();
+        }
+        if now >= self.next_list {
+            self.list(now);
+        }
+        if now >= self.next_probe {
+            self.next_probe = now + PROBE_INTERVAL;
+            self.probe();
+        }
+    }
+
+    fn exchange(&mut self) {
+        let now = self.parts.clock.now();
+        for (peer, gossip) in self.view.tick(now, &mut self.random) {
+            let body = Body::Gossip(gossip.encode_to_vec());
+            self.send(peer, body, |peer, body| match body {
+                Some(Body::Gossip(bytes)) => Event::Gossip(peer, Gossip::decode(&*bytes).ok()),
+                _ => Event::Gossip(peer, None),
+            });
+        }
+    }
+
+    fn configure(&mut self, now: Duration) {
+        let role = match self.view.is_poller() {
+            true => Role::Poller,
+            false => Role::Follower,
+        };
+        let peers = self.view.peers();
+        for ask in self.log.tick(now, role, &peers, &mut self.random) {
+            match ask {
+                Ask::Read(read) => self.read(read),
+                Ask::Send(peer, packet) => {
+                    let body = Body::Config(packet.encode_to_vec());
+                    self.send(peer, body, |peer, body| match body {
+                        Some(Body::Config(bytes)) => {
+                            Event::Packet(peer, Packet::decode(&*bytes).ok())
+                        }
+                        _ => Event::Packet(peer, None),
+                    });
+                }
+            }
+        }
+    }
+
+    fn read(&mut self, read: Read) {
+        let platform = self.parts.platform.clone();
+        self.calls.spawn(async move {
+            let rows = store::read(&platform, &read).await;
+            Event::Read(read, rows)
+        });
+    }
+
+    fn send(&mut self, peer: HostId, body: Body, event: fn(HostId, Option<Body>) -> Event) {
+        let address = self.view.address(&peer).and_then(|text| text.parse().ok());
+        let Some(address) = address else { return };
+        let links = self.parts.links.clone();
+        self.calls.spawn(async move {
+            let answer = links.call(&peer, address, body).await.ok();
+            event(peer, answer)
+        });
+    }
+
+    fn register(&mut self) {
+        let platform = self.parts.platform.clone();
+        let (holder, host) = (self.parts.holder.clone(), self.parts.host.clone());
+        self.is_registered = true;
+        self.calls.spawn(async move {
+            Event::Registered(listing::register(&platform, &holder, &host).await)
+        });
+    }
+
+    fn list(&mut self, now: Duration) {
+        let is_alone = self.view.peers().is_empty();
+        self.next_list = now + if is_alone { LIST_SOON } else { LIST_INTERVAL };
+        if !is_alone && !self.view.is_poller() {
+            return;
+        }
+        if self.view.is_poller() {
+            self.keep_up();
+        }
+        let platform = self.parts.platform.clone();
+        self.calls
+            .spawn(async move { Event::Listed(listing::read(&platform).await) });
+    }
+
+    /// Reads what [`Self::tidy`] needs.
+    fn keep_up(&mut self) {
+        let platform = self.parts.platform.clone();
+        self.calls.spawn(async move {
+            let rows = async {
+                let pointer = platform.get(SNAPSHOT_KEY).await?;
+                let oldest = platform.scan(LOG_PREFIX, "", TRIM_ROWS).await?;
+                Ok((pointer, oldest))
+            };
+            Event::Upkeep(rows.await)
+        });
+    }
+
+    /// Writes a snapshot when the last one is old, and removes log rows that it covers.
+    fn tidy(&mut self, pointer: Option<&Row>, oldest: &[Row]) {
+        let transactions = [self.log.snapshot(pointer), Log::trim(pointer, oldest)];
+        for transaction in transactions.into_iter().flatten() {
+            let platform = self.parts.platform.clone();
+            // Another poller may be faster; the next round finds out.
+            self.calls.spawn(async move {
+                let result = platform.commit(&transaction).await;
+                Event::Written(result.map(drop))
+            });
+        }
+    }
+
+    fn probe(&mut self) {
+        let ready = self.view.ready();
+        let own = &self.parts.host.id;
+        for (upstream, url) in probe::duties(self.log.catalog(), own, &ready) {
+            let http = self.http.clone();
+            self.calls.spawn(async move {
+                let (observation, load) = probe::probe(http, url).await;
+                Event::Probed(upstream, observation, load)
+            });
+        }
+    }
+
+    /// Reads the rows that the decision on a proposal needs.
+    fn attempt(&mut self, attempt: Attempt) {
+        let platform = self.parts.platform.clone();
+        self.calls.spawn(async move {
+            let rows = store::get(&platform, &attempt.proposal.keys()).await;
+            Event::Decide(Box::new(attempt), rows)
+        });
+    }
+
+    fn decide(&mut self, attempt: Attempt, rows: Result<Vec<Row>, Fault>) {
+        let rows = match rows {
+            Ok(rows) => rows,
+            Err(fault) => {
+                self.failed(fault);
+                return self.again(attempt, None);
+            }
+        };
+        match attempt.proposal.decide(&rows, &self.log) {
+            Err(refusal) => {
+                let _ = attempt.reply.send(Err(Denied::Refused(refusal)));
+            }
+            Ok(Step::Accepted(version)) => {
+                log::info!(version, author:% = attempt.proposal.author; "configuration accepted");
+                let _ = attempt.reply.send(Ok(version));
+            }
+            Ok(Step::Commit(transaction)) => self.again(attempt, Some(transaction)),
+            Ok(Step::CatchUp(version)) => {
+                let now = self.parts.clock.now();
+                let own = self.parts.host.id.clone();
+                // The newer version is in the store; the log asks for it.
+                self.log.observe(now, &own, version);
+                self.again(attempt, None);
+            }
+            Ok(Step::Reread) => self.again(attempt, None),
+        }
+    }
+
+    /// Commits `transaction`, if any, and decides again.
+    fn again(&mut self, attempt: Attempt, transaction: Option<Transaction>) {
+        if attempt.left == 0 {
+            let _ = attempt.reply.send(Err(Denied::Unanswered));
+            return;
+        }
+        let left = attempt.left - 1;
+        let attempt = Box::new(Attempt { left, ..attempt });
+        let platform = self.parts.platform.clone();
+        self.calls.spawn(async move {
+            match transaction {
+                // The next reading of the rows shows whether it took effect.
+                Some(transaction) => drop(platform.commit(&transaction).await),
+                None => tokio::time::sleep(PROPOSAL_PAUSE).await,
+            }
+            let rows = store::get(&platform, &attempt.proposal.keys()).await;
+            Event::Decide(attempt, rows)
+        });
+    }
+
+    /// Shows the request path what changed.
+    fn publish(&mut self) {
+        let now = self.parts.clock.now();
+        let catalog = self.log.catalog().clone();
+        if catalog.version > self.version {
+            self.version = catalog.version;
+            self.parts
+                .metrics
+                .config_version
+                .set(catalog.version as i64);
+            self.view.retain(|id| catalog.upstreams.contains_key(id));
+            log::info!(version = catalog.version; "configuration in effect");
+        }
+        let ids = catalog.upstreams.keys();
+        let out = ids.map(|id| (id.clone(), self.view.status(now, id)));
+        let out = out.filter(|(_, status)| *status != Status::Up).collect();
+        let hold = self.log.permit(now).err();
+        let scene = Scene::new(catalog, hold, out, &self.view.members());
+        self.scene.send_if_modified(|current| {
+            let is_changed = !current.is_same(&scene);
+            if is_changed {
+                *current = Arc::new(scene);
+            }
+            is_changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/router/src/escrow/mod.rs
@@ -0,0 +1,99 @@
+//! The task that owns this process's [`Holder`](marigoldroute_core::budget::Holder) and keeps its
+//! journal in the table service.
+
+mod resolve;
+mod work;
+
+use {
+    marigoldroute_core::{
+        bill::Bill,
+        budget::Usage,
+        id::{BudgetId, ModelId, RequestId, Tokens, WorkspaceId},
+    },
+    tokio::sync::{mpsc, oneshot},
+};
+
+pub(crate) use work::{Parts, create};
+
+/// Commands that wait for the task.
+const QUEUE_COMMANDS: usize = 1_024;
+
+/// Why nothing was reserved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// The budget has no more.
+    Exhausted,
+    /// The holder could not refill in time, or takes no reservations.
+    Unavailable,
+}
+
+type Reserved = Result<Tokens, Refusal>;
+
+/// A reservation to make.
+#[derive(Clone, Debug)]
+pub(crate) struct Reservation {
+    /// `{request}.{attempt}`, see [`marigoldroute_core::bill::request_of`].
+    pub(crate) attempt: RequestId,
+    pub(crate) budget: BudgetId,
+    pub(crate) amount: Tokens,
+    /// For the bill when the entry is lost.
+    pub(crate) workspace: WorkspaceId,
+    /// Model or service, for the bill when the entry is lost.
+    pub(crate) model: ModelId,
+}
+
+enum Command {
+    Reserve {
+        reservation: Reservation,
+        reply: oneshot::Sender<Reserved>,
+    },
+    Lower {
+        attempt: RequestId,
+        amount: Tokens,
+    },
+    Settle {
+        attempt: RequestId,
+        usage: Usage,
+        reply: oneshot::Sender<Option<Bill>>,
+    },
+    Release {
+        attempt: RequestId,
+    },
+}
+
+/// Access to the task; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Escrow(mpsc::Sender<Command>);
+
+impl Escrow {
+    /// Reserves tokens; waits for a refill, at most for the reserve timeout.
+    pub(crate) async fn reserve(&self, reservation: Reservation) -> Reserved {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.0.send(Command::Reserve { reservation, reply }).await;
+        sent.map_err(|_| Refusal::Unavailable)?;
+        answer.await.unwrap_or(Err(Refusal::Unavailable))
+    }
+
+    /// Lowers a reservation.
+    pub(crate) async fn lower(&self, attempt: RequestId, amount: Tokens) {
+        // The task only ends after the last reservation, so a failed send has nothing to lower.
+        let _ = self.0.send(Command::Lower { attempt, amount }).await;
+    }
+
+    /// Settles a reservation; `None` when there is none.
+    pub(crate) async fn settle(&self, attempt: RequestId, usage: Usage) -> Option<Bill> {
+        let (reply, answer) = oneshot::channel();
+        let command = Command::Settle {
+            attempt,
+            usage,
+            reply,
+        };
+        self.0.send(command).await.ok()?;
+        answer.await.ok()?
+    }
+
+    /// Ends the reservation of a request that did not run.
+    pub(crate) async fn release(&self, attempt: RequestId) {
+        let _ = self.0.send(Command::Release { attempt }).await;
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,10 +5,9 @@
 pub mod settings;
 
 mod caller;
-mod catalog;
 mod charge;
 mod clock;
-mod directory;
+mod control;
 mod escrow;
 mod metrics;
 mod ops;
--- a/crates/router/src/ops.rs
+++ b/crates/router/src/ops.rs
@@ -20,13 +20,17 @@
 }
 
 #[handler]
-fn ready(context: Data<&Arc<Context>>) -> (StatusCode, &'static str) {
+fn ready(context: Data<&Arc<Context>>) -> (StatusCode, String) {
     if context.draining.is_cancelled() {
-        (StatusCode::SERVICE_UNAVAILABLE, "draining")
-    } else if context.catalog.borrow().version == 0 {
-        (StatusCode::SERVICE_UNAVAILABLE, "no configuration")
-    } else {
-        (StatusCode::OK, "ok")
+        return (StatusCode::SERVICE_UNAVAILABLE, "draining".to_owned());
+    }
+    match context.control.permit() {
+        Ok(()) if context.control.scene().catalog.version == 0 => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration".to_owned(),
+        ),
+        Ok(()) => (StatusCode::OK, "ok".to_owned()),
+        Err(hold) => (StatusCode::SERVICE_UNAVAILABLE, hold.to_string()),
     }
 }
 
--- a/crates/router/src/peer/link.rs
+++ b/crates/router/src/peer/link.rs
@@ -59,17 +59,28 @@
         }
     }
 
-    /// Sends a message and waits for the answer.
+    /// Sends a message and waits for the answer, at most for the peer timeout.
     pub(crate) async fn call(
         &self,
         host: &HostId,
         address: SocketAddr,
         body: Body,
+    ) -> Result<Body, Lost> {
+        self.call_within(host, address, body, self.timeout).await
+    }
+
+    /// Sends a message and waits for the answer, at most for `limit`.
+    pub(crate) async fn call_within(
+        &self,
+        host: &HostId,
+        address: SocketAddr,
+        body: Body,
+        limit: Duration,
     ) -> Result<Body, Lost> {
         let (reply, answer) = oneshot::channel();
         let calls = self.open(host, address);
         calls.try_send(Call { body, reply }).map_err(|_| Lost)?;
-        let answer = timeout(self.timeout, answer).await;
+        let answer = timeout(limit, answer).await;
         answer.map_err(|_| Lost)?.map_err(|_| Lost)
     }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -3,11 +3,9 @@
 use {
     crate::{
         caller::{self, Context},
-        catalog::Follower,
         charge::{Charger, Responder},
         clock::Clock,
-        directory::{Directory, Hosts},
-        escrow,
+        control, escrow,
         metrics::Metrics,
         ops,
         peer::{Links, Listener},
@@ -15,29 +13,43 @@
         upstream::Upstreams,
     },
     anyhow::Context as _,
-    marigoldroute_core::budget::Holder,
+    marigoldroute_core::{
+        budget::Holder,
+        config::{Change, Proposal, Rebase},
+        fleet::Host,
+        id::{HolderId, Version},
+    },
     marigoldroute_platform::Client,
     poem::{
         EndpointExt, Route, Server,
         listener::{Acceptor, Listener as _, TcpListener},
     },
     rand::RngCore,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::sync::watch,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
+/// Random bits of an incarnation, below its milliseconds.
+const INCARNATION_RANDOM_BITS: u32 = 16;
+
 /// A running router.
 pub struct Handle {
     address: SocketAddr,
     peers: SocketAddr,
     drain_limit: Duration,
+    control: control::Control,
     /// No new work.
     draining: CancellationToken,
     /// End of the background tasks.
     stop: CancellationToken,
     requests: TaskTracker,
     deliveries: TaskTracker,
+    /// The owner of the tokens of this host.
+    holding: TaskTracker,
     tasks: TaskTracker,
 }
 
@@ -54,52 +66,69 @@
     let (requests, deliveries, tasks) =
         (TaskTracker::new(), TaskTracker::new(), TaskTracker::new());
 
-    let incarnation: Arc<str> = format!("{:016x}", rand::rng().next_u64()).into();
-    let holder = format!("{}.{incarnation}", settings.host).into();
-    let holder = Holder::new(holder, settings.budget.clone());
-    let (escrow, work) = escrow::create(
-        holder,
-        &settings,
-        clock,
-        platform.clone(),
-        metrics.clone(),
-        stop.clone(),
-    );
-    tasks.spawn(work);
-
     let keys = settings.keys();
-    let own = settings.host.clone();
     let listener = Listener::bind(
         settings.listen_peers,
-        own.clone(),
+        settings.host.clone(),
         keys.clone(),
         metrics.clone(),
     );
     let listener = listener.await?;
     let peers = listener.address()?;
-    let responder = Arc::new(Responder(escrow.clone()));
-    tasks.spawn(listener.run(responder, tasks.clone(), stop.clone()));
+    let host = identify(&settings, peers);
+    let holder: HolderId = format!("{}.{:016x}", host.id, host.incarnation).into();
+    let links = Links::new(
+        settings.host.clone(),
+        keys,
+        settings.peer_timeout,
+        tasks.clone(),
+    );
+    let links = Arc::new(links);
+
+    let (control, _register, work) = control::create(control::Parts {
+        host,
+        holder: holder.clone(),
+        clock,
+        platform: platform.clone(),
+        links: links.clone(),
+        metrics: metrics.clone(),
+        draining: draining.clone(),
+        stop: stop.clone(),
+    });
+    tasks.spawn(work);
 
-    let directory = Directory::new(
+    let upstreams = Arc::new(Upstreams::new(settings.upstream_timeout)?);
+    let parts = escrow::Parts {
+        holder: Holder::new(holder, settings.budget.clone()),
+        clock,
+        platform: platform.clone(),
+        upstreams: upstreams.clone(),
+        control: control.clone(),
+        metrics: metrics.clone(),
+    };
+    let (escrow, work) = escrow::create(parts, &settings, draining.clone());
+    let holding = TaskTracker::new();
+    holding.spawn(work);
+
+    let responder = Responder {
+        escrow: escrow.clone(),
+        control: control.clone(),
+    };
+    tasks.spawn(listener.run(Arc::new(responder), tasks.clone(), stop.clone()));
+    let charger = Charger::new(
         &settings,
-        peers,
-        incarnation,
-        platform.clone(),
-        metrics.clone(),
+        escrow,
+        links,
+        control.clone(),
+        deliveries.clone(),
     );
-    let (directory, hosts) = directory;
-    tasks.spawn(directory.run(draining.clone()));
-    let (follower, catalog) = Follower::new(platform, metrics.clone(), settings.poll_interval);
-    tasks.spawn(follower.run(stop.clone()));
-
-    let links = Arc::new(Links::new(own, keys, settings.peer_timeout, tasks.clone()));
-    tasks.spawn(prune(links.clone(), hosts.clone(), stop.clone()));
-    let charger = Charger::new(&settings, escrow, links, hosts, deliveries.clone());
+    let shared = control.clone();
     let context = Arc::new(Context {
         clock,
-        catalog,
+        control,
+        platform,
         charger: Arc::new(charger),
-        upstreams: Arc::new(Upstreams::new(settings.upstream_timeout)?),
+        upstreams,
         metrics,
         requests: requests.clone(),
         draining: draining.clone(),
@@ -111,25 +140,28 @@
         address,
         peers,
         drain_limit: settings.drain_limit,
+        control: shared,
         draining,
         stop,
         requests,
         deliveries,
+        holding,
         tasks,
     })
 }
 
-/// Closes connections to hosts that left the list, until `stop`.
-async fn prune(links: Arc<Links>, mut hosts: watch::Receiver<Arc<Hosts>>, stop: CancellationToken) {
-    loop {
-        tokio::select! {
-            changed = hosts.changed() => if changed.is_err() {
-                return;
-            },
-            () = stop.cancelled() => return,
-        }
-        let listed = hosts.borrow_and_update().clone();
-        links.retain(|host| listed.contains_key(host));
+/// Describes this process to the other hosts. The incarnation grows with each start.
+fn identify(settings: &Settings, peers: SocketAddr) -> Host {
+    let started = SystemTime::now().duration_since(UNIX_EPOCH);
+    let started = started.unwrap_or_default().as_millis() as u64;
+    Host {
+        id: settings.host.clone(),
+        incarnation: started << INCARNATION_RANDOM_BITS
+            | rand::rng().next_u64() >> (u64::BITS - INCARNATION_RANDOM_BITS),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        address: peers.to_string().into(),
+        weight: settings.weight,
     }
 }
 
@@ -166,6 +198,34 @@
         self.peers
     }
 
+    /// Proposes a change on top of the version in effect on this host; returns its version.
+    ///
+    /// # Errors
+    /// When the change is refused or the store does not answer.
+    pub async fn propose(
+        &self,
+        change: Change,
+        author: &str,
+        request: &str,
+    ) -> anyhow::Result<Version> {
+        let (base, _) = self.control.tree().await;
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let proposal = Proposal {
+            change,
+            author: author.into(),
+            request: request.into(),
+            time_ms: since.unwrap_or_default().as_millis() as u64,
+            base,
+            rebase: Rebase::Never,
+        };
+        Ok(self.control.propose(proposal).await?)
+    }
+
+    /// Returns the configuration version in effect on this host.
+    pub fn version(&self) -> Version {
+        self.control.scene().catalog.version
+    }
+
     /// Stops as planned: takes no new work, lets requests finish up to the drain limit, makes the
     /// journal durable.
     pub async fn stop(self) {
@@ -175,6 +235,7 @@
             .await;
         self.wait(&self.deliveries, "settlements not delivered")
             .await;
+        self.wait(&self.holding, "the journal was not closed").await;
         self.stop.cancel();
         self.wait(&self.tasks, "background tasks cut").await;
         log::info!("stopped");
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -22,6 +22,8 @@
     pub region: Region,
     /// Availability zone of the host.
     pub zone: Zone,
+    /// Size of the host relative to others; it holds a share of the budgets in proportion.
+    pub weight: u32,
     /// Address for callers and operators.
     pub listen: SocketAddr,
     /// Address for other hosts.
@@ -34,14 +36,15 @@
     pub fleet_keys: Vec<Arc<str>>,
     /// Time between two journal rows.
     pub flush_interval: Duration,
-    /// Time between two reads of the configuration and the list of hosts.
-    pub poll_interval: Duration,
     /// Hosts per region that hold a budget; at least 1.
     pub holders_per_region: usize,
     /// Bound on a call to another host.
     pub peer_timeout: Duration,
     /// Bound on the wait for a reservation.
     pub reserve_timeout: Duration,
+    /// Age at which a reservation's outcome is asked of the upstreams, because its entry may be
+    /// lost.
+    pub reservation_limit: Duration,
     /// Bound on the wait for an upstream's next bytes.
     pub upstream_timeout: Duration,
     /// Upstreams tried for a request before it is refused; at least 1.
@@ -62,16 +65,17 @@
             host: "".into(),
             region: "region-1".into(),
             zone: "zone-1".into(),
+            weight: 1,
             listen: ([127, 0, 0, 1], 8080).into(),
             listen_peers: ([127, 0, 0, 1], 8081).into(),
             platform: "http://127.0.0.1:8090".into(),
             platform_timeout: Duration::from_secs(2),
             fleet_keys: Vec::new(),
             flush_interval: Duration::from_secs(4),
-            poll_interval: Duration::from_secs(1),
             holders_per_region: 2,
             peer_timeout: Duration::from_millis(500),
             reserve_timeout: Duration::from_secs(2),
+            reservation_limit: Duration::from_secs(60),
             upstream_timeout: Duration::from_secs(60),
             attempts: 3,
             body_limit: 4 << 20,
@@ -129,10 +133,6 @@
             !self.flush_interval.is_zero(),
             "--flush-interval-ms: must be 1 or more",
         );
-        require(
-            !self.poll_interval.is_zero(),
-            "--poll-interval-ms: must be 1 or more",
-        );
         let peers = self.listen_peers != self.listen || self.listen.port() == 0;
         require(peers, "--listen-peers: must differ from --listen");
         if mistakes.is_empty() {
@@ -155,6 +155,7 @@
         writeln!(f, "host = {}", self.host)?;
         writeln!(f, "region = {}", self.region)?;
         writeln!(f, "zone = {}", self.zone)?;
+        writeln!(f, "weight = {}", self.weight)?;
         writeln!(f, "listen = {}", self.listen)?;
         writeln!(f, "listen-peers = {}", self.listen_peers)?;
         writeln!(f, "platform = {}", self.platform)?;
@@ -165,10 +166,11 @@
             self.fleet_keys.len()
         )?;
         writeln!(f, "flush-interval-ms = {}", ms(&self.flush_interval))?;
-        writeln!(f, "poll-interval-ms = {}", ms(&self.poll_interval))?;
         writeln!(f, "holders-per-region = {}", self.holders_per_region)?;
         writeln!(f, "peer-timeout-ms = {}", ms(&self.peer_timeout))?;
         writeln!(f, "reserve-timeout-ms = {}", ms(&self.reserve_timeout))?;
+        let limit = ms(&self.reservation_limit);
+        writeln!(f, "reservation-limit-ms = {limit}")?;
         writeln!(f, "upstream-timeout-ms = {}", ms(&self.upstream_timeout))?;
         writeln!(f, "attempts = {}", self.attempts)?;
         writeln!(f, "body-limit = {}", self.body_limit)?;
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -1,12 +1,11 @@
 //! Calls to upstreams.
 
 use {
-    marigoldroute_core::{
-        config::Catalog,
-        id::{RequestId, Tokens, UpstreamId},
-    },
+    crate::control::Scene,
+    marigoldroute_core::id::{RequestId, Tokens, UpstreamId},
     poem::http::{HeaderMap, Method},
     reqwest::{Body, Response, StatusCode},
+    serde::Deserialize,
     std::{
         collections::HashMap,
         sync::{Arc, Mutex, PoisonError},
@@ -18,17 +17,51 @@
 /// Bound on opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Header of a refusal by an upstream that takes no more work.
+const DRAINING_HEADER: &str = "x-draining";
+
 /// Why an upstream gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
     /// It acted on no byte of the request.
     Refused,
+    /// It acted on no byte of the request, and takes no more work.
+    Leaving,
+    /// No connection could be opened.
+    Unreachable,
     /// It may have acted on the request.
     Lost,
     /// No answer arrived in time; it may have acted on the request.
     Timeout,
 }
 
+impl Failure {
+    /// Returns whether it is certain that the upstream acted on no byte of the request.
+    pub(crate) fn is_refusal(self) -> bool {
+        matches!(self, Self::Refused | Self::Leaving | Self::Unreachable)
+    }
+}
+
+/// What an engine knows of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Used {
+    /// It has no record.
+    Absent,
+    /// It has not finished the attempt.
+    Running,
+    /// It finished the attempt with this many prompt and answer tokens.
+    Finished(Tokens),
+    /// It could not be asked.
+    Unanswered,
+}
+
+#[derive(Deserialize)]
+struct UsageRecord {
+    prompt_tokens: Tokens,
+    completion_tokens: Tokens,
+    ended: bool,
+}
+
 /// Why a request was sent where it was sent, for the log line.
 #[derive(Clone, Debug)]
 pub(crate) struct Choice {
@@ -68,7 +101,7 @@
     /// Chooses the upstream with the fewest requests in flight.
     pub(crate) fn choose(
         self: &Arc<Self>,
-        catalog: &Catalog,
+        scene: &Scene,
         serves: &str,
         tried: &[UpstreamId],
     ) -> Option<(Choice, InFlight)> {
@@ -77,9 +110,10 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let count = |id: &UpstreamId| in_flight.get(id).copied().unwrap_or(0);
-        let candidates: Vec<_> = catalog
+        let candidates: Vec<_> = scene
+            .catalog
             .candidates(serves)
-            .filter(|(id, _)| !tried.contains(id))
+            .filter(|(id, _)| scene.is_up(id) && !tried.contains(id))
             .collect();
         let (id, upstream) = candidates.iter().min_by_key(|(id, _)| count(id)).copied()?;
         let choice = Choice {
@@ -110,11 +144,14 @@
         let response = timeout(self.timeout, call.send()).await;
         let response = response.map_err(|_| Failure::Timeout)?.map_err(|error| {
             if error.is_connect() || error.is_builder() {
-                Failure::Refused
+                Failure::Unreachable
             } else {
                 Failure::Lost
             }
         })?;
+        if response.headers().contains_key(DRAINING_HEADER) {
+            return Err(Failure::Leaving);
+        }
         match response.status() {
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
                 Err(Failure::Refused)
@@ -137,6 +174,24 @@
         response.status().is_success().then_some(response)
     }
 
+    /// Asks an engine for its usage record of an attempt.
+    pub(crate) async fn usage(&self, url: &str, attempt: &RequestId) -> Used {
+        let call = self.http.get(format!("{url}/v1/usage/{attempt}"));
+        let Ok(Ok(response)) = timeout(CONNECT_TIMEOUT, call.send()).await else {
+            return Used::Unanswered;
+        };
+        if response.status() == StatusCode::NOT_FOUND {
+            return Used::Absent;
+        }
+        match timeout(CONNECT_TIMEOUT, response.json::<UsageRecord>()).await {
+            Ok(Ok(record)) if record.ended => {
+                Used::Finished(record.prompt_tokens + record.completion_tokens)
+            }
+            Ok(Ok(_)) => Used::Running,
+            _ => Used::Unanswered,
+        }
+    }
+
     /// Tells an engine that nobody waits for a request any more.
     pub(crate) async fn cancel(&self, url: &str, request: &RequestId) {
         let call = self.http.post(format!("{url}/v1/cancel/{request}"));
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -7,13 +7,13 @@
     marigoldroute::{Handle, Settings},
     marigoldroute_core::{
         bill::Bill,
-        budget::{Account, Entry, Journal},
-        config::{Access, Catalog, Service, State, Upstream, hash_key},
+        budget::{Account, Journal},
+        config::{Change, Edit, Kind, Setting, Value, hash_key},
         table::Transaction,
     },
     marigoldroute_platform::{Client, StandIn as Platform},
     marigoldroute_upstream::StandIn as Engine,
-    serde_json::{Value, json},
+    serde_json::{Value as Json, json},
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -28,7 +28,7 @@
     pub client: Client,
     pub base: String,
     pub engines: Vec<Engine>,
-    pub catalog: Catalog,
+    urls: Vec<String>,
 }
 
 /// An answer as a caller sees it.
@@ -56,38 +56,23 @@
             client,
             base,
             engines: Vec::new(),
-            catalog: catalog(),
+            urls: Vec::new(),
         };
-        for number in 0..engines {
-            outside.add_engine(number).await;
+        for _ in 0..engines {
+            outside.add_engine().await;
         }
         outside.put("budget/hems", &account(purchased)).await;
-        outside.publish().await;
         outside
     }
 
-    async fn add_engine(&mut self, number: usize) {
+    async fn add_engine(&mut self) {
         let engine = Engine::default();
         let (address, serve) = engine.bind(local()).await.unwrap();
         tokio::spawn(serve);
-        let upstream = Upstream {
-            url: format!("http://{address}").into(),
-            serves: vec!["drafting".into(), "orders".into()],
-            region: "region-1".into(),
-            zone: "zone-1".into(),
-            labels: Default::default(),
-            state: State::InService,
-        };
-        let name = format!("engine-{number}").into();
-        self.catalog.upstreams.insert(name, upstream);
+        self.urls.push(format!("http://{address}"));
         self.engines.push(engine);
     }
 
-    /// Writes the configuration.
-    pub async fn publish(&self) {
-        self.put("config/catalog", &self.catalog).await;
-    }
-
     pub async fn put(&self, key: &str, value: &impl serde::Serialize) {
         let mut transaction = Transaction::default();
         transaction.put(key, serde_json::to_string(value).unwrap());
@@ -102,28 +87,58 @@
             listen_peers: local(),
             platform: self.base.as_str().into(),
             fleet_keys: vec!["a-fleet-key-for-the-tests".into()],
-            poll_interval: Duration::from_millis(50),
             flush_interval: Duration::from_millis(100),
             upstream_timeout: Duration::from_millis(500),
             ..Settings::default()
         }
     }
 
-    /// Starts a router in this process and waits until it is ready.
+    /// Starts a router in this process, gives the fleet its configuration if it has none, and
+    /// waits until the router is ready.
     pub async fn router(&self, number: usize) -> Handle {
         let router = marigoldroute::start(self.settings(number)).await.unwrap();
+        until(|| async { router.propose(self.change(), "test", "first").await.is_ok() }).await;
         ready(router.address()).await;
         router
     }
 
+    /// The fleet's first configuration.
+    fn change(&self) -> Change {
+        let mut edits = vec![
+            add("kolkata", Kind::Workspace),
+            set("kolkata", Setting::Budget, Value::Text(BUDGET.into())),
+            set("kolkata", Setting::OutputLimit, Value::Tokens(64)),
+            set(
+                "kolkata",
+                Setting::ApiKeys,
+                Value::Hashes(vec![hash_key(KEY).into()]),
+            ),
+            add("drafting", Kind::Model),
+            add("orders", Kind::Service),
+            set("orders", Setting::Price, Value::Tokens(10)),
+            set("orders", Setting::Idempotent, Value::Flag(false)),
+            set("", Setting::Region, Value::Text("region-1".into())),
+            set("", Setting::Zone, Value::Text("zone-1".into())),
+        ];
+        for (number, url) in self.urls.iter().enumerate() {
+            let path = format!("engine-{number}");
+            let serves = vec!["drafting".into(), "orders".into()];
+            edits.push(add(&path, Kind::Upstream));
+            edits.push(set(&path, Setting::Url, Value::Text(url.as_str().into())));
+            edits.push(set(&path, Setting::Serves, Value::Names(serves)));
+        }
+        Change {
+            edits,
+            force: false,
+        }
+    }
+
     /// Returns every bill in the journals.
     pub async fn bills(&self) -> Vec<Bill> {
         let rows = self.client.scan("journal/", "", 1_000).await.unwrap();
         let bills = rows.iter().flat_map(|row| {
             let journal: Journal = serde_json::from_str(&row.value).unwrap();
-            match journal.entry {
-                Entry::Flush { bills, .. } => bills,
-            }
+            journal.entry.bills().to_vec()
         });
         bills.collect()
     }
@@ -142,39 +157,40 @@
     }
 }
 
-fn catalog() -> Catalog {
-    let access = Access {
-        workspace: "/kolkata".into(),
-        budget: BUDGET.into(),
-        output_limit: 64,
-        priority: 1,
-    };
-    let orders = Service {
-        idempotent: false,
-        price: 10,
-    };
-    Catalog {
-        version: 1,
-        keys: [(hash_key(KEY).into(), access)].into(),
-        services: [("orders".into(), orders)].into(),
-        ..Catalog::default()
+pub fn add(path: &str, kind: Kind) -> Edit {
+    Edit::Add {
+        path: path.into(),
+        kind,
     }
 }
 
-/// Waits until a router takes work.
-pub async fn ready(address: SocketAddr) {
-    let url = format!("http://{address}/readyz");
+pub fn set(path: &str, setting: Setting, value: Value) -> Edit {
+    Edit::Set {
+        path: path.into(),
+        setting: setting.to_string().into(),
+        value,
+    }
+}
+
+/// Waits until a condition holds; a test that waits in vain is ended by the test runner.
+pub async fn until<F: Future<Output = bool>>(condition: impl Fn() -> F) {
     let mut tick = tokio::time::interval(Duration::from_millis(20));
-    loop {
+    while !condition().await {
         tick.tick().await;
-        if let Ok(response) = reqwest::get(&url).await
-            && response.status().is_success()
-        {
-            return;
-        }
     }
 }
 
+/// Waits until a router takes work.
+pub async fn ready(address: SocketAddr) {
+    let url = format!("http://{address}/readyz");
+    until(|| async {
+        reqwest::get(&url)
+            .await
+            .is_ok_and(|r| r.status().is_success())
+    })
+    .await;
+}
+
 /// Sends a completion request with the output token limit 16.
 pub async fn complete(
     address: SocketAddr,
@@ -217,7 +233,7 @@
             Some((_, data)) => data.trim(),
             None => &self.body,
         };
-        let value: Value = serde_json::from_str(text).ok()?;
+        let value: Json = serde_json::from_str(text).ok()?;
         let part = |name: &str| value["error"][name].as_str().map(str::to_owned);
         Some((part("kind")?, part("outcome")?))
     }
@@ -229,7 +245,7 @@
 
     /// Returns the answer's tokens in order.
     pub fn text(&self) -> String {
-        if let Ok(value) = serde_json::from_str::<Value>(&self.body) {
+        if let Ok(value) = serde_json::from_str::<Json>(&self.body) {
             let text = &value["choices"][0]["message"]["content"];
             return text.as_str().unwrap_or_default().to_owned();
         }
@@ -237,7 +253,7 @@
             .body
             .lines()
             .filter_map(|line| line.strip_prefix("data: "));
-        let chunks = data.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+        let chunks = data.filter_map(|data| serde_json::from_str::<Json>(data).ok());
         chunks
             .map(|chunk| {
                 chunk["choices"][0]["delta"]["content"]
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -79,7 +79,11 @@
         return StatusCode::BAD_REQUEST.into_response();
     };
     let fault = stand_in.next_fault();
-    if fault == Fault::Refuse || stand_in.is_draining() {
+    if stand_in.is_draining() {
+        let refusal = StatusCode::SERVICE_UNAVAILABLE.with_header("x-draining", "true");
+        return refusal.into_response();
+    }
+    if fault == Fault::Refuse {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
     let run = start(&stand_in, id, &prompt, fault);
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -20,7 +20,11 @@
         return StatusCode::BAD_REQUEST.into_response();
     };
     let fault = stand_in.next_fault();
-    if fault == Fault::Refuse || stand_in.is_draining() {
+    if stand_in.is_draining() {
+        let refusal = StatusCode::SERVICE_UNAVAILABLE.with_header("x-draining", "true");
+        return refusal.into_response();
+    }
+    if fault == Fault::Refuse {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
     stand_in.record(id, |record| {
