Fence the journals of dead processes

Cause: the tokens of a process that died stayed with it, and a process that another host fenced could not go on.

Change: a reclaimer on the pollers fences the journals of processes that nobody hears and that have not renewed their row three times in a row. A fenced process goes on with a new holder while the old one closes. A planned stop removes the process's row once its journals are closed.

--- a/crates/core/src/budget/journal.rs
+++ b/crates/core/src/budget/journal.rs
@@ -114,6 +114,12 @@
     format!("journal/{holder}/")
 }
 
+/// Returns the holder in the key of a journal row.
+pub fn holder(key: &str) -> Option<&str> {
+    let (holder, _) = key.strip_prefix("journal/")?.rsplit_once('/')?;
+    Some(holder)
+}
+
 /// Returns the sequence in the key of a journal row.
 pub fn sequence(key: &str) -> Option<Sequence> {
     key.rsplit('/').next()?.parse().ok()
--- a/crates/core/src/budget/reclaim.rs
+++ b/crates/core/src/budget/reclaim.rs
@@ -130,6 +130,11 @@
 }
 
 impl Tail<Fenced> {
+    /// Returns whether no marked token is left, so that [`Self::lose`] returns nothing.
+    pub fn is_spent(&self) -> bool {
+        self.shares.values().all(|share| share.spent == share.mark)
+    }
+
     /// Returns whether the setting `reclaim after` allows [`Self::lose`] without an operator.
     ///
     /// `seen` is when this process first saw the fence row, by its own clock.
--- a/crates/router/src/control/listing.rs
+++ b/crates/router/src/control/listing.rs
@@ -4,7 +4,7 @@
     super::store,
     marigoldroute_core::{
         fleet::{Host, Listed, Listing},
-        id::{HolderId, Region, Zone},
+        id::{HolderId, Region, Version, Zone},
         table::Transaction,
     },
     marigoldroute_platform::{Client, Fault},
@@ -12,8 +12,9 @@
     std::sync::Arc,
 };
 
-/// Prefix of the rows of router processes. A row is created when the process starts and removed
-/// when its journal is closed, so that the journal of a lost process is found.
+/// Prefix of the rows of router processes. A row is written when the process starts and again and
+/// again while it lives, and removed when its journals are closed, so that those of a lost process
+/// are found.
 pub(crate) const HOST_PREFIX: &str = "host/";
 /// Prefix of the rows that the platform writes for upstreams that are leaving.
 const LEAVING_PREFIX: &str = "leaving/";
@@ -27,8 +28,8 @@
     pub(crate) zone: Zone,
 }
 
-/// Registers a process.
-pub(super) async fn register(platform: &Client, holder: &str, host: &Host) -> Result<(), Fault> {
+/// Registers a process, or shows that it lives.
+pub(super) async fn register(platform: &Client, process: &str, host: &Host) -> Result<(), Fault> {
     let entry = Entry {
         host: host.id.clone(),
         address: host.address.clone(),
@@ -37,38 +38,50 @@
     };
     let mut transaction = Transaction::default();
     let value = serde_json::to_string(&entry).unwrap_or_default();
-    transaction.put(format!("{HOST_PREFIX}{holder}"), value);
+    transaction.put(format!("{HOST_PREFIX}{process}"), value);
     platform.commit(&transaction).await.map(drop)
 }
 
 /// Removes the row of a process whose journal is closed or was reclaimed.
-pub(crate) async fn remove(platform: &Client, holder: &str) -> Result<(), Fault> {
+pub(crate) async fn remove(platform: &Client, process: &str) -> Result<(), Fault> {
     let mut transaction = Transaction::default();
-    transaction.delete(format!("{HOST_PREFIX}{holder}"));
+    transaction.delete(format!("{HOST_PREFIX}{process}"));
     platform.commit(&transaction).await.map(drop)
 }
 
+/// A process that has a row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Process {
+    /// `{host}.{incarnation}`, the prefix of the ids of its holders.
+    pub(crate) id: HolderId,
+    /// Version of its row; a live process writes it anew again and again.
+    pub(crate) version: Version,
+    pub(crate) entry: Entry,
+}
+
 /// The list, with the processes that have a row.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Register {
     pub(crate) listing: Listing,
-    pub(crate) holders: Vec<(HolderId, Entry)>,
+    pub(crate) processes: Vec<Process>,
 }
 
 /// Reads the list.
 pub(super) async fn read(platform: &Client) -> Result<Register, Fault> {
     let rows = store::all(platform, HOST_PREFIX).await?;
-    let holders: Vec<(HolderId, Entry)> = rows
+    let processes: Vec<Process> = rows
         .iter()
         .filter_map(|row| {
-            let holder = row.key.strip_prefix(HOST_PREFIX)?;
-            Some((holder.into(), serde_json::from_str(&row.value).ok()?))
+            let id = row.key.strip_prefix(HOST_PREFIX)?.into();
+            let entry = serde_json::from_str(&row.value).ok()?;
+            let version = row.version;
+            Some(Process { id, version, entry })
         })
         .collect();
-    let hosts = holders.iter().map(|(_, entry)| Listed {
-        id: entry.host.clone(),
-        zone: entry.zone.clone(),
-        address: entry.address.clone(),
+    let hosts = processes.iter().map(|process| Listed {
+        id: process.entry.host.clone(),
+        zone: process.entry.zone.clone(),
+        address: process.entry.address.clone(),
     });
     let leaving = store::all(platform, LEAVING_PREFIX).await?;
     let leaving = leaving
@@ -78,5 +91,5 @@
         hosts: hosts.collect(),
         leaving: leaving.map(Into::into).collect(),
     };
-    Ok(Register { listing, holders })
+    Ok(Register { listing, processes })
 }
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -23,8 +23,9 @@
 };
 
 pub(crate) use {
-    scene::Scene,
-    task::{Parts, create},
+    listing::{Process, Register, remove},
+    scene::{Scene, process},
+    task::{Parts, REGISTER_INTERVAL, create},
 };
 
 /// Commands that wait for the task.
--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -20,13 +20,11 @@
 /// Bound on a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// An engine's load report.
+/// The part of a load report that tells of an upstream's health.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(default)]
-pub(crate) struct Load {
-    pub(crate) running: u64,
-    pub(crate) waiting: u64,
-    pub(crate) draining: bool,
+struct Load {
+    draining: bool,
 }
 
 /// Returns the upstreams that `own` probes.
@@ -47,18 +45,17 @@
 }
 
 /// Probes one upstream.
-pub(super) async fn probe(http: reqwest::Client, url: Arc<str>) -> (Observation, Option<Load>) {
+pub(super) async fn probe(http: reqwest::Client, url: Arc<str>) -> Observation {
     let call = http.get(format!("{url}/v1/load")).timeout(PROBE_TIMEOUT);
     let Ok(response) = call.send().await else {
-        return (Observation::Failure, None);
+        return Observation::Failure;
     };
     if response.status().is_server_error() {
-        return (Observation::Failure, None);
+        return Observation::Failure;
     }
     // A plain service answers without a load report.
     match response.json::<Load>().await {
-        Ok(load) if load.draining => (Observation::Leaving, Some(load)),
-        Ok(load) => (Observation::Ready, Some(load)),
-        Err(_) => (Observation::Ready, None),
+        Ok(load) if load.draining => Observation::Leaving,
+        Ok(_) | Err(_) => Observation::Ready,
     }
 }
--- a/crates/router/src/control/scene.rs
+++ b/crates/router/src/control/scene.rs
@@ -3,10 +3,14 @@
 use {
     marigoldroute_core::{
         config::{Catalog, Hold},
-        fleet::{Member, Phase, Status, Weighted, rank},
-        id::{HostId, Region, UpstreamId},
+        fleet::{Host, Member, Phase, Status, Weighted, rank},
+        id::{HolderId, HostId, Region, UpstreamId},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
     },
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
 };
 
 /// A consistent state, replaced as a whole.
@@ -20,6 +24,13 @@
     /// Hosts that take work, by region.
     regions: BTreeMap<Region, Vec<Weighted>>,
     addresses: BTreeMap<HostId, SocketAddr>,
+    /// Processes that are heard, `{host}.{incarnation}`.
+    pub(crate) processes: BTreeSet<HolderId>,
+}
+
+/// Returns the name of a process.
+pub(crate) fn process(host: &Host) -> HolderId {
+    format!("{}.{:016x}", host.id, host.incarnation).into()
 }
 
 impl Scene {
@@ -35,6 +46,8 @@
             out,
             ..Self::default()
         };
+        let alive = members.iter().filter(|member| member.is_alive);
+        scene.processes = alive.map(|member| process(&member.host)).collect();
         let is_ready = |member: &&Member| member.is_alive && member.phase == Phase::Ready;
         for member in members.iter().filter(is_ready) {
             let host = &member.host;
@@ -57,6 +70,7 @@
             && self.out == other.out
             && self.regions == other.regions
             && self.addresses == other.addresses
+            && self.processes == other.processes
     }
 
     /// Returns the holders of a budget: the best ranked of `region`, then those of the others.
--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -4,7 +4,7 @@
     super::{
         Command, Control, Denied, QUEUE_COMMANDS,
         listing::{self, Register},
-        probe::{self, Load, PROBE_INTERVAL},
+        probe::{self, PROBE_INTERVAL},
         scene::Scene,
         store,
     },
@@ -33,9 +33,11 @@
 const TICK: Duration = Duration::from_millis(200);
 /// Time between two reads of the platform's list while no other host is known.
 const LIST_SOON: Duration = Duration::from_secs(1);
-/// Time between two reads of the list by a poller. A read costs one row per host, so that 12
-/// pollers at 390 hosts read 78 rows a second.
-const LIST_INTERVAL: Duration = Duration::from_secs(60);
+/// Time between two reads of the list by a poller, for each host on it. A read costs one row per
+/// host; with 12 pollers this keeps the list at 80 rows a second whatever the size of the fleet.
+const LIST_INTERVAL_PER_HOST: Duration = Duration::from_millis(150);
+/// Time between two writes of the own row; 390 hosts make 20 writes a second.
+pub(crate) const REGISTER_INTERVAL: Duration = Duration::from_secs(20);
 /// Attempts to decide on a proposal.
 const PROPOSAL_ATTEMPTS: u32 = 20;
 /// Pause before the next attempt.
@@ -44,7 +46,8 @@
 /// What the task works with.
 pub(crate) struct Parts {
     pub(crate) host: Host,
-    pub(crate) holder: HolderId,
+    /// `{host}.{incarnation}`.
+    pub(crate) process: HolderId,
     pub(crate) clock: Clock,
     pub(crate) platform: Client,
     pub(crate) links: Arc<Links>,
@@ -74,7 +77,7 @@
         calls: JoinSet::new(),
         scene,
         register,
-        is_registered: false,
+        next_register: Duration::ZERO,
         next_list: Duration::ZERO,
         next_probe: Duration::ZERO,
         version: 0,
@@ -94,7 +97,7 @@
     Registered(Result<(), Fault>),
     Written(Result<(), Fault>),
     Listed(Result<Register, Fault>),
-    Probed(UpstreamId, Observation, Option<Load>),
+    Probed(UpstreamId, Observation),
     Decide(Box<Attempt>, Result<Vec<Row>, Fault>),
     Upkeep(Result<(Option<Row>, Vec<Row>), Fault>),
 }
@@ -115,7 +118,7 @@
     calls: JoinSet<Event>,
     scene: watch::Sender<Arc<Scene>>,
     register: watch::Sender<Arc<Register>>,
-    is_registered: bool,
+    next_register: Duration,
     next_list: Duration,
     next_probe: Duration,
     /// Version in effect, as last noted.
@@ -224,8 +227,11 @@
                 self.log.failed();
             }
             Event::Registered(result) => match result {
-                Ok(()) => self.is_registered = true,
-                Err(fault) => self.failed(fault),
+                Ok(()) => {}
+                Err(fault) => {
+                    self.failed(fault);
+                    self.next_register = now + TICK;
+                }
             },
             Event::Listed(Ok(register)) => {
                 self.view.list(register.listing.clone());
@@ -233,7 +239,7 @@
             }
             Event::Written(Ok(())) => {}
             Event::Listed(Err(fault)) | Event::Written(Err(fault)) => self.failed(fault),
-            Event::Probed(upstream, observation, _) => {
+            Event::Probed(upstream, observation) => {
                 self.view.observe(now, &upstream, observation);
             }
             Event::Decide(attempt, rows) => self.decide(*attempt, rows),
@@ -267,7 +273,8 @@
         }
         self.view.apply(self.log.version());
         self.exchange();
-        if !self.is_registered && !is_draining {
+        if now >= self.next_register {
+            self.next_register = now + REGISTER_INTERVAL;
             self.register();
         }
         if now >= self.next_list {
@@ -332,16 +339,16 @@
 
     fn register(&mut self) {
         let platform = self.parts.platform.clone();
-        let (holder, host) = (self.parts.holder.clone(), self.parts.host.clone());
-        self.is_registered = true;
+        let (process, host) = (self.parts.process.clone(), self.parts.host.clone());
         self.calls.spawn(async move {
-            Event::Registered(listing::register(&platform, &holder, &host).await)
+            Event::Registered(listing::register(&platform, &process, &host).await)
         });
     }
 
     fn list(&mut self, now: Duration) {
-        let is_alone = self.view.peers().is_empty();
-        self.next_list = now + if is_alone { LIST_SOON } else { LIST_INTERVAL };
+        let peers = self.view.peers().len() as u32;
+        let is_alone = peers == 0;
+        self.next_list = now + (LIST_INTERVAL_PER_HOST * peers).max(LIST_SOON);
         if !is_alone && !self.view.is_poller() {
             return;
         }
@@ -385,8 +392,8 @@
         for (upstream, url) in probe::duties(self.log.catalog(), own, &ready) {
             let http = self.http.clone();
             self.calls.spawn(async move {
-                let (observation, load) = probe::probe(http, url).await;
-                Event::Probed(upstream, observation, load)
+                let observation = probe::probe(http, url).await;
+                Event::Probed(upstream, observation)
             });
         }
     }
@@ -465,7 +472,11 @@
         let out = ids.map(|id| (id.clone(), self.view.status(now, id)));
         let out = out.filter(|(_, status)| *status != Status::Up).collect();
         let hold = self.log.permit(now).err();
-        let scene = Scene::new(catalog, hold, out, &self.view.members());
+        let members = self.view.members();
+        self.parts
+            .links
+            .retain(|host| members.iter().any(|m| m.host.id == *host));
+        let scene = Scene::new(catalog, hold, out, &members);
         self.scene.send_if_modified(|current| {
             let is_changed = !current.is_same(&scene);
             if is_changed {
--- /dev/null
+++ b/crates/router/src/escrow/holders.rs
@@ -0,0 +1,172 @@
+//! The holders of one process.
+//!
+//! A process has one holder at a time that takes reservations. When another host has fenced it,
+//! as after a pause, the process goes on with a new one; the old one stays until its journal is
+//! closed.
+
+use {
+    super::resolve::Purpose,
+    marigoldroute_core::{
+        bill::Bill,
+        budget::{Holder, Phase, Record, Settings, Shortage, Usage},
+        id::{BudgetId, HolderId, RequestId, Tokens},
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::Duration,
+    },
+};
+
+/// Number of a holder within its process.
+pub(super) type Generation = u64;
+
+/// All holders of a process that are not closed.
+#[derive(Debug)]
+pub(super) struct Holders {
+    process: HolderId,
+    settings: Settings,
+    holders: BTreeMap<Generation, Holder>,
+    /// The holder that takes reservations.
+    current: Generation,
+    /// Of every open reservation.
+    open: HashMap<RequestId, (Generation, Purpose)>,
+    is_draining: bool,
+}
+
+impl Holders {
+    pub(super) fn new(process: HolderId, settings: Settings) -> Self {
+        let mut holders = Self {
+            process,
+            settings,
+            holders: BTreeMap::new(),
+            current: 0,
+            open: HashMap::new(),
+            is_draining: false,
+        };
+        holders.succeed();
+        holders
+    }
+
+    pub(super) fn reserve(
+        &mut self,
+        now: Duration,
+        attempt: &RequestId,
+        budget: &BudgetId,
+        amount: Tokens,
+        purpose: &Purpose,
+    ) -> Result<Tokens, Shortage> {
+        if self.open.contains_key(attempt) {
+            return Ok(amount);
+        }
+        let holder = self.holders.get_mut(&self.current);
+        let holder = holder.ok_or(Shortage::Closed)?;
+        let tokens = holder.reserve(now, attempt, budget, amount)?;
+        let entry = (self.current, purpose.clone());
+        self.open.insert(attempt.clone(), entry);
+        Ok(tokens)
+    }
+
+    pub(super) fn lower(&mut self, attempt: &str, amount: Tokens) {
+        if let Some((generation, _)) = self.open.get(attempt)
+            && let Some(holder) = self.holders.get_mut(generation)
+        {
+            holder.lower(attempt, amount);
+        }
+    }
+
+    pub(super) fn release(&mut self, attempt: &str) {
+        if let Some(holder) = self.close(attempt) {
+            holder.release(attempt);
+        }
+    }
+
+    pub(super) fn settle(&mut self, attempt: &RequestId, usage: Usage) -> Option<Bill> {
+        self.close(attempt)?.settle(attempt, usage)
+    }
+
+    /// Applies what the upstreams know of an attempt.
+    pub(super) fn resolve(
+        &mut self,
+        now: Duration,
+        attempt: &RequestId,
+        record: Record,
+    ) -> Option<Bill> {
+        if record == Record::Running {
+            let (generation, _) = self.open.get(attempt)?;
+            return self
+                .holders
+                .get_mut(generation)?
+                .resolve(now, attempt, record);
+        }
+        self.close(attempt)?.resolve(now, attempt, record)
+    }
+
+    /// Returns attempts whose reservations are older than `age`, with their purpose.
+    pub(super) fn overdue(
+        &self,
+        now: Duration,
+        age: Duration,
+        limit: usize,
+    ) -> Vec<(RequestId, Purpose)> {
+        let holders = self.holders.values();
+        let overdue = holders.flat_map(|holder| holder.overdue(now, age, limit));
+        overdue
+            .filter_map(|attempt| {
+                let (_, purpose) = self.open.get(&attempt)?;
+                Some((attempt, purpose.clone()))
+            })
+            .take(limit)
+            .collect()
+    }
+
+    /// Takes no more reservations and returns all tokens.
+    pub(super) fn stop(&mut self) {
+        self.is_draining = true;
+        self.holders.values_mut().for_each(Holder::stop);
+    }
+
+    /// Returns the holders, the oldest first.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (Generation, &Holder)> {
+        self.holders
+            .iter()
+            .map(|(generation, holder)| (*generation, holder))
+    }
+
+    pub(super) fn get_mut(&mut self, generation: Generation) -> Option<&mut Holder> {
+        self.holders.get_mut(&generation)
+    }
+
+    /// Forgets closed holders, and replaces the current one when it takes no reservations.
+    pub(super) fn renew(&mut self) {
+        self.holders
+            .retain(|_, holder| holder.phase() != Phase::Closed);
+        let current = self.holders.get(&self.current);
+        let is_open = current.is_some_and(|holder| holder.phase() == Phase::Open);
+        if !is_open && !self.is_draining {
+            self.succeed();
+        }
+    }
+
+    /// Returns whether every journal is closed.
+    pub(super) fn is_closed(&self) -> bool {
+        self.holders.is_empty()
+    }
+
+    /// Returns the number of open reservations and of bills that no durable row holds.
+    pub(super) fn left(&self) -> (usize, usize) {
+        let bills = self.holders.values().map(Holder::unwritten).sum();
+        (self.open.len(), bills)
+    }
+
+    fn succeed(&mut self) {
+        self.current += 1;
+        let id = format!("{}.{}", self.process, self.current);
+        let holder = Holder::new(id.into(), self.settings.clone());
+        self.holders.insert(self.current, holder);
+    }
+
+    fn close(&mut self, attempt: &str) -> Option<&mut Holder> {
+        let (generation, _) = self.open.remove(attempt)?;
+        self.holders.get_mut(&generation)
+    }
+}
--- a/crates/router/src/escrow/resolve.rs
+++ b/crates/router/src/escrow/resolve.rs
@@ -11,7 +11,7 @@
 };
 
 /// What a reservation is for.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Purpose {
     pub(super) workspace: WorkspaceId,
     pub(super) model: ModelId,
--- a/crates/router/src/escrow/work.rs
+++ b/crates/router/src/escrow/work.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Command, Escrow, QUEUE_COMMANDS, Refusal, Reservation, Reserved,
+        holders::{Generation, Holders},
         resolve::{Purpose, resolve},
     },
     crate::{
@@ -11,18 +12,12 @@
     },
     marigoldroute_core::{
         bill::Bill,
-        budget::{Holder, Phase, Record, Shortage, Usage},
-        id::RequestId,
+        budget::{Holder, Phase, Record, Settings as Sizes, Shortage, Usage},
+        id::{HolderId, RequestId},
         table::{Row, Transaction, Verdict},
     },
     marigoldroute_platform::{Client, Fault},
-    std::{
-        collections::{HashMap, VecDeque},
-        future::Future,
-        pin::Pin,
-        sync::Arc,
-        time::Duration,
-    },
+    std::{collections::VecDeque, future::Future, pin::Pin, sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc, oneshot},
         task::JoinSet,
@@ -41,7 +36,9 @@
 
 /// What the task works with.
 pub(crate) struct Parts {
-    pub(crate) holder: Holder,
+    /// Process that the holders belong to; never used before.
+    pub(crate) process: HolderId,
+    pub(crate) sizes: Sizes,
     pub(crate) clock: Clock,
     pub(crate) platform: Client,
     pub(crate) upstreams: Arc<Upstreams>,
@@ -51,17 +48,17 @@
 
 /// Creates the task and the access to it.
 ///
-/// After `draining` the task takes no reservations. It ends when its journal is closed, or the
-/// drain limit has passed.
+/// After `draining` the task takes no reservations. It ends when its journals are closed, or the
+/// drain limit has passed; it returns whether they are closed.
 pub(crate) fn create(
     parts: Parts,
     settings: &Settings,
     draining: CancellationToken,
-) -> (Escrow, impl Future<Output = ()> + Send + use<>) {
+) -> (Escrow, impl Future<Output = bool> + Send + use<>) {
     let (sender, commands) = mpsc::channel(QUEUE_COMMANDS);
     let worker = Worker {
+        holders: Holders::new(parts.process.clone(), parts.sizes.clone()),
         parts,
-        purposes: HashMap::new(),
         waiting: VecDeque::new(),
         call: None,
         retry_at: Duration::ZERO,
@@ -81,8 +78,8 @@
 }
 
 enum Event {
-    Rows(Vec<Row>),
-    Verdict(Verdict),
+    Rows(Generation, Vec<Row>),
+    Verdict(Generation, Verdict),
     Failed(Fault),
 }
 
@@ -90,8 +87,7 @@
 
 struct Worker {
     parts: Parts,
-    /// Of every open reservation.
-    purposes: HashMap<RequestId, Purpose>,
+    holders: Holders,
     /// In order of arrival; at most [`WAITING_LIMIT`].
     waiting: VecDeque<Waiting>,
     /// The one call to the platform in progress.
@@ -106,15 +102,19 @@
 }
 
 impl Worker {
-    async fn run(mut self, mut commands: mpsc::Receiver<Command>, draining: CancellationToken) {
+    async fn run(
+        mut self,
+        mut commands: mpsc::Receiver<Command>,
+        draining: CancellationToken,
+    ) -> bool {
         let mut tick = tokio::time::interval(self.flush_interval);
         let mut check = tokio::time::interval(CHECK_INTERVAL);
         let mut end = None;
-        while self.parts.holder.phase() != Phase::Closed {
+        while !self.holders.is_closed() {
             tokio::select! {
                 command = commands.recv() => match command {
                     Some(command) => self.handle(command),
-                    None => return,
+                    None => return false,
                 },
                 event = advance(&mut self.call) => self.apply(event),
                 Some(resolved) = self.resolving.join_next() => if let Ok((attempt, record)) = resolved {
@@ -124,18 +124,18 @@
                 _ = check.tick(), if end.is_some() || !self.waiting.is_empty() => {}
                 () = draining.cancelled(), if end.is_none() => {
                     end = Some(self.parts.clock.now() + self.drain_limit);
-                    self.parts.holder.stop();
+                    self.holders.stop();
                     self.begin();
                 }
             }
             self.expire();
             if end.is_some_and(|end| self.parts.clock.now() >= end) {
-                let bills = self.parts.holder.unwritten();
-                let reserved = self.parts.holder.reserved();
+                let (reserved, bills) = self.holders.left();
                 log::error!(target: TOKENS, bills, reserved; "journal not closed within the drain limit");
-                return;
+                return false;
             }
         }
+        true
     }
 
     fn handle(&mut self, command: Command) {
@@ -145,18 +145,15 @@
                 deadline: self.parts.clock.now() + self.reserve_timeout,
                 reply,
             }),
-            Command::Lower { attempt, amount } => self.parts.holder.lower(&attempt, amount),
-            Command::Release { attempt } => {
-                self.purposes.remove(&attempt);
-                self.parts.holder.release(&attempt);
-            }
+            Command::Lower { attempt, amount } => self.holders.lower(&attempt, amount),
+            Command::Release { attempt } => self.holders.release(&attempt),
             Command::Settle {
                 attempt,
                 usage,
                 reply,
             } => self.settle(&attempt, usage, reply),
         }
-        if self.parts.holder.phase() == Phase::Draining && self.parts.holder.reserved() == 0 {
+        if self.holders.iter().any(|(_, holder)| can_close(holder)) {
             self.begin();
         }
     }
@@ -170,8 +167,15 @@
             workspace,
             model,
         } = &waiting.reservation;
+        let purpose = Purpose {
+            workspace: workspace.clone(),
+            model: model.clone(),
+        };
         let can_wait = now >= self.retry_at && self.waiting.len() < WAITING_LIMIT;
-        let answer = match self.parts.holder.reserve(now, attempt, budget, *amount) {
+        let reserved = self
+            .holders
+            .reserve(now, attempt, budget, *amount, &purpose);
+        let answer = match reserved {
             Ok(tokens) => Ok(tokens),
             Err(Shortage::Exhausted) => Err(Refusal::Exhausted),
             Err(Shortage::Refill) if can_wait => {
@@ -180,22 +184,13 @@
             }
             Err(_) => Err(Refusal::Unavailable),
         };
-        if answer.is_ok() {
-            let purpose = Purpose {
-                workspace: workspace.clone(),
-                model: model.clone(),
-            };
-            self.purposes.insert(attempt.clone(), purpose);
-        }
         if waiting.reply.send(answer).is_err() {
-            self.purposes.remove(&waiting.reservation.attempt);
-            self.parts.holder.release(&waiting.reservation.attempt);
+            self.holders.release(&waiting.reservation.attempt);
         }
     }
 
     fn settle(&mut self, attempt: &RequestId, usage: Usage, reply: oneshot::Sender<Option<Bill>>) {
-        self.purposes.remove(attempt);
-        let bill = self.parts.holder.settle(attempt, usage);
+        let bill = self.holders.settle(attempt, usage);
         self.note(attempt, bill.as_ref());
         // The bill stands also when nobody waits for it any more.
         let _ = reply.send(bill);
@@ -219,33 +214,25 @@
     /// Takes the outcome of a reservation whose entry did not settle it.
     fn resolve(&mut self, attempt: &RequestId, record: Record) {
         let now = self.parts.clock.now();
-        let is_open = matches!(record, Record::Running);
-        let bill = self.parts.holder.resolve(now, attempt, record);
-        if is_open {
-            return;
-        }
-        self.purposes.remove(attempt);
-        if bill.is_some() {
-            self.note(attempt, bill.as_ref());
+        if let Some(bill) = self.holders.resolve(now, attempt, record) {
+            self.note(attempt, Some(&bill));
         }
     }
 
     fn step(&mut self) {
         let now = self.parts.clock.now();
-        let free = RESOLVE_LIMIT.saturating_sub(self.resolving.len());
         if self.resolving.is_empty() {
-            let overdue = self.parts.holder.overdue(now, self.reservation_limit, free);
-            for attempt in overdue {
-                self.ask(attempt);
+            let overdue = self
+                .holders
+                .overdue(now, self.reservation_limit, RESOLVE_LIMIT);
+            for (attempt, purpose) in overdue {
+                self.ask(attempt, purpose);
             }
         }
         self.begin();
     }
 
-    fn ask(&mut self, attempt: RequestId) {
-        let Some(purpose) = self.purposes.get(&attempt).cloned() else {
-            return;
-        };
+    fn ask(&mut self, attempt: RequestId, purpose: Purpose) {
         let upstreams = self.parts.upstreams.clone();
         let catalog = self.parts.control.scene().catalog.clone();
         self.resolving
@@ -257,47 +244,65 @@
         if self.call.is_some() || self.parts.clock.now() < self.retry_at {
             return;
         }
-        let wanted = self.parts.holder.wanted();
-        if wanted.is_empty() {
-            return self.commit(&[]);
+        let generations: Vec<_> = self.holders.iter().map(|(number, _)| number).collect();
+        for generation in generations {
+            let holder = self.holders.get_mut(generation);
+            let wanted = holder.map_or_else(Vec::new, |holder| holder.wanted());
+            if wanted.is_empty() {
+                self.commit(generation, &[]);
+            } else {
+                let platform = self.parts.platform.clone();
+                self.call = Some(Box::pin(read(platform, generation, wanted)));
+            }
+            if self.call.is_some() {
+                return;
+            }
         }
-        let platform = self.parts.platform.clone();
-        self.call = Some(Box::pin(read(platform, wanted)));
+        self.holders.renew();
     }
 
-    fn commit(&mut self, rows: &[Row]) {
+    fn commit(&mut self, generation: Generation, rows: &[Row]) {
         let now = self.parts.clock.now();
-        let transaction = self.parts.holder.flush(now, rows);
+        let holder = self.holders.get_mut(generation);
+        let transaction = holder.and_then(|holder| holder.flush(now, rows));
         self.call = transaction.map(|transaction| {
             let platform = self.parts.platform.clone();
-            Box::pin(commit(platform, transaction)) as Call
+            Box::pin(commit(platform, generation, transaction)) as Call
         });
     }
 
     fn apply(&mut self, event: Event) {
         match event {
-            Event::Rows(rows) => {
-                self.commit(&rows);
+            Event::Rows(generation, rows) => {
+                self.commit(generation, &rows);
                 if self.call.is_none() {
                     self.retry();
                 }
             }
-            Event::Verdict(verdict) => {
-                let before = self.parts.holder.phase();
-                self.parts.holder.decide(&verdict);
+            Event::Verdict(generation, verdict) => {
+                self.decide(generation, &verdict);
                 self.retry();
-                let phase = self.parts.holder.phase();
-                if phase != before {
-                    log::warn!(target: TOKENS, phase:?; "the holder's phase changed");
-                }
-                if phase != Phase::Open && phase != Phase::Closed {
-                    self.begin();
-                }
             }
             Event::Failed(fault) => self.fail(fault),
         }
     }
 
+    fn decide(&mut self, generation: Generation, verdict: &Verdict) {
+        let Some(holder) = self.holders.get_mut(generation) else {
+            return;
+        };
+        let before = holder.phase();
+        holder.decide(verdict);
+        let phase = holder.phase();
+        if phase != before {
+            log::warn!(target: TOKENS, generation, phase:?; "the holder's phase changed");
+        }
+        self.holders.renew();
+        if phase != Phase::Open {
+            self.begin();
+        }
+    }
+
     /// Serves waiting reservations after a refill.
     fn retry(&mut self) {
         for waiting in std::mem::take(&mut self.waiting) {
@@ -333,7 +338,12 @@
     event
 }
 
-async fn read(platform: Client, keys: Vec<String>) -> Event {
+/// Returns whether only the last row of a holder's journal is missing.
+fn can_close(holder: &Holder) -> bool {
+    holder.phase() != Phase::Open && holder.reserved() == 0
+}
+
+async fn read(platform: Client, generation: Generation, keys: Vec<String>) -> Event {
     let mut rows = Vec::with_capacity(keys.len());
     for key in keys {
         match platform.get(&key).await {
@@ -341,12 +351,12 @@
             Err(fault) => return Event::Failed(fault),
         }
     }
-    Event::Rows(rows)
+    Event::Rows(generation, rows)
 }
 
-async fn commit(platform: Client, transaction: Transaction) -> Event {
+async fn commit(platform: Client, generation: Generation, transaction: Transaction) -> Event {
     match platform.commit(&transaction).await {
-        Ok(verdict) => Event::Verdict(verdict),
+        Ok(verdict) => Event::Verdict(generation, verdict),
         Err(fault) => Event::Failed(fault),
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 mod metrics;
 mod ops;
 mod peer;
+mod reclaim;
 mod response;
 mod router;
 mod upstream;
--- /dev/null
+++ b/crates/router/src/reclaim.rs
@@ -0,0 +1,221 @@
+//! Returns tokens of processes that have died.
+//!
+//! A process counts as dead when no host hears it and it has not renewed its row for a while. The
+//! row matters: a process that only this side of a partition does not hear goes on writing it. A
+//! mistake costs no overspend; the fenced process goes on with a new journal.
+
+use {
+    crate::{
+        clock::Clock,
+        control::{Control, Process, REGISTER_INTERVAL, Register, remove},
+        logs::TOKENS,
+        settings::Settings,
+    },
+    marigoldroute_core::{
+        budget::{
+            Reason, journal,
+            reclaim::{self, Found},
+        },
+        id::{HolderId, Version},
+        table::{Row, Transaction, Verdict},
+    },
+    marigoldroute_platform::{Client, Fault},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::sync::watch,
+    tokio_util::sync::CancellationToken,
+};
+
+/// Journal rows read by one call.
+const PAGE_ROWS: usize = 1_000;
+/// Renewals of its row that a dead process has missed.
+const MISSED_RENEWALS: u32 = 3;
+/// The list must be read at least this often for a missing renewal to count; otherwise the store
+/// may have been down for everybody.
+const LONGEST_GAP: Duration = Duration::from_secs(90);
+
+/// Since when a process shows no sign of life.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    version: Version,
+    since: Duration,
+    /// When its fence row was first seen.
+    fenced: Option<Duration>,
+}
+
+/// Fences the journals of dead processes.
+pub(crate) struct Reclaimer {
+    own: HolderId,
+    clock: Clock,
+    platform: Client,
+    control: Control,
+    settings: reclaim::Settings,
+    silences: HashMap<HolderId, Silence>,
+    last_read: Duration,
+}
+
+impl Reclaimer {
+    pub(crate) fn new(
+        settings: &Settings,
+        own: HolderId,
+        clock: Clock,
+        platform: Client,
+        control: Control,
+    ) -> Self {
+        Self {
+            own,
+            clock,
+            platform,
+            control,
+            settings: settings.reclaim,
+            silences: HashMap::new(),
+            last_read: Duration::ZERO,
+        }
+    }
+
+    /// Looks at each new state of the list until `stop`.
+    pub(crate) async fn run(
+        mut self,
+        mut register: watch::Receiver<Arc<Register>>,
+        stop: CancellationToken,
+    ) {
+        loop {
+            tokio::select! {
+                changed = register.changed() => if changed.is_err() {
+                    return;
+                },
+                () = stop.cancelled() => return,
+            }
+            let register = register.borrow_and_update().clone();
+            let dead = self.watch(&register);
+            for process in dead {
+                if let Err(fault) = self.reclaim(&process).await {
+                    log::warn!(target: TOKENS, process:%, fault:%; "reclaim interrupted");
+                }
+            }
+        }
+    }
+
+    /// Returns the processes that count as dead.
+    fn watch(&mut self, register: &Register) -> Vec<HolderId> {
+        let now = self.clock.now();
+        if now.saturating_sub(self.last_read) > LONGEST_GAP {
+            self.silences.clear();
+        }
+        self.last_read = now;
+        let is_listed = |id: &HolderId| register.processes.iter().any(|process| process.id == *id);
+        self.silences.retain(|id, _| is_listed(id));
+        let scene = self.control.scene();
+        let is_heard =
+            |process: &Process| process.id == self.own || scene.processes.contains(&process.id);
+        let mut dead = Vec::new();
+        for process in &register.processes {
+            let silence = Silence {
+                version: process.version,
+                since: now,
+                fenced: None,
+            };
+            let known = self.silences.entry(process.id.clone()).or_insert(silence);
+            if known.version != process.version || is_heard(process) {
+                *known = silence;
+            }
+            if now.saturating_sub(known.since) >= REGISTER_INTERVAL * MISSED_RENEWALS {
+                dead.push(process.id.clone());
+            }
+        }
+        dead
+    }
+
+    /// Takes the next step for every journal of a process.
+    async fn reclaim(&mut self, process: &HolderId) -> Result<(), Fault> {
+        let mut is_done = true;
+        for (holder, last) in self.tails(process).await? {
+            is_done &= self.advance(process, &holder, &last).await?;
+        }
+        if is_done {
+            remove(&self.platform, process).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the last row of each journal of a process.
+    async fn tails(&self, process: &str) -> Result<BTreeMap<HolderId, Row>, Fault> {
+        let prefix = format!("journal/{process}.");
+        let mut tails = BTreeMap::new();
+        let mut after = String::new();
+        loop {
+            let rows = self.platform.scan(&prefix, &after, PAGE_ROWS).await?;
+            let is_last = rows.len() < PAGE_ROWS;
+            for row in rows {
+                after = row.key.to_string();
+                if let Some(holder) = journal::holder(&row.key) {
+                    tails.insert(holder.into(), row);
+                }
+            }
+            if is_last {
+                return Ok(tails);
+            }
+        }
+    }
+
+    /// Takes the next step for one journal; returns whether nothing is left to do.
+    async fn advance(
+        &mut self,
+        process: &HolderId,
+        holder: &HolderId,
+        last: &Row,
+    ) -> Result<bool, Fault> {
+        let Some(found) = reclaim::read(holder, Some(last)) else {
+            return Err(Fault::Malformed);
+        };
+        let author = self.own.clone();
+        match found {
+            Found::Closed | Found::Lost(_) => Ok(true),
+            Found::Live(tail) => {
+                let rows = self.rows(tail.keys(&[])).await?;
+                self.commit(holder, "fenced", tail.fence(&author, &rows))
+                    .await?;
+                Ok(false)
+            }
+            Found::Fenced(tail) => {
+                let now = self.clock.now();
+                let silence = self.silences.get_mut(process);
+                let seen = silence.map_or(now, |silence| *silence.fenced.get_or_insert(now));
+                if !tail.is_spent() && !tail.is_due(&self.settings, seen, now) {
+                    return Ok(false);
+                }
+                let rows = self.rows(tail.keys(&[])).await?;
+                let transaction = tail.lose(&author, Reason::Elapsed, Vec::new(), &rows);
+                self.commit(holder, "released", transaction).await
+            }
+        }
+    }
+
+    async fn rows(&self, keys: Vec<String>) -> Result<Vec<Row>, Fault> {
+        let mut rows = Vec::with_capacity(keys.len());
+        for key in keys {
+            rows.extend(self.platform.get(&key).await?);
+        }
+        Ok(rows)
+    }
+
+    async fn commit(
+        &self,
+        holder: &HolderId,
+        step: &str,
+        transaction: Option<Transaction>,
+    ) -> Result<bool, Fault> {
+        let Some(transaction) = transaction else {
+            return Err(Fault::Malformed);
+        };
+        let verdict = self.platform.commit(&transaction).await?;
+        let is_done = verdict == Verdict::Committed;
+        if is_done {
+            log::warn!(target: TOKENS, holder:%, step; "reclaimed the tokens of a dead holder");
+        }
+        Ok(is_done)
+    }
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -9,12 +9,12 @@
         metrics::Metrics,
         ops,
         peer::{Links, Listener},
+        reclaim::Reclaimer,
         settings::Settings,
         upstream::Upstreams,
     },
     anyhow::Context as _,
     marigoldroute_core::{
-        budget::Holder,
         config::{Change, Proposal, Rebase},
         fleet::Host,
         id::{HolderId, Version},
@@ -27,7 +27,10 @@
     rand::RngCore,
     std::{
         net::SocketAddr,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -42,6 +45,10 @@
     peers: SocketAddr,
     drain_limit: Duration,
     control: control::Control,
+    platform: Client,
+    process: HolderId,
+    /// Whether the journals were closed.
+    is_closed: Arc<AtomicBool>,
     /// No new work.
     draining: CancellationToken,
     /// End of the background tasks.
@@ -76,7 +83,7 @@
     let listener = listener.await?;
     let peers = listener.address()?;
     let host = identify(&settings, peers);
-    let holder: HolderId = format!("{}.{:016x}", host.id, host.incarnation).into();
+    let process = control::process(&host);
     let links = Links::new(
         settings.host.clone(),
         keys,
@@ -85,9 +92,9 @@
     );
     let links = Arc::new(links);
 
-    let (control, _register, work) = control::create(control::Parts {
+    let (control, register, work) = control::create(control::Parts {
         host,
-        holder: holder.clone(),
+        process: process.clone(),
         clock,
         platform: platform.clone(),
         links: links.clone(),
@@ -97,9 +104,18 @@
     });
     tasks.spawn(work);
 
+    let reclaimer = Reclaimer::new(
+        &settings,
+        process.clone(),
+        clock,
+        platform.clone(),
+        control.clone(),
+    );
+    tasks.spawn(reclaimer.run(register, stop.clone()));
     let upstreams = Arc::new(Upstreams::new(settings.upstream_timeout)?);
     let parts = escrow::Parts {
-        holder: Holder::new(holder, settings.budget.clone()),
+        process: process.clone(),
+        sizes: settings.budget.clone(),
         clock,
         platform: platform.clone(),
         upstreams: upstreams.clone(),
@@ -108,7 +124,9 @@
     };
     let (escrow, work) = escrow::create(parts, &settings, draining.clone());
     let holding = TaskTracker::new();
-    holding.spawn(work);
+    let is_closed = Arc::new(AtomicBool::new(false));
+    let closed = is_closed.clone();
+    holding.spawn(async move { closed.store(work.await, Ordering::Release) });
 
     let responder = Responder {
         escrow: escrow.clone(),
@@ -122,7 +140,7 @@
         control.clone(),
         deliveries.clone(),
     );
-    let shared = control.clone();
+    let (shared, store) = (control.clone(), platform.clone());
     let context = Arc::new(Context {
         clock,
         control,
@@ -141,6 +159,9 @@
         peers,
         drain_limit: settings.drain_limit,
         control: shared,
+        platform: store,
+        process,
+        is_closed,
         draining,
         stop,
         requests,
@@ -236,6 +257,10 @@
         self.wait(&self.deliveries, "settlements not delivered")
             .await;
         self.wait(&self.holding, "the journal was not closed").await;
+        if self.is_closed.load(Ordering::Acquire) {
+            // A row that stays leads the other hosts to the closed journal, and they remove it.
+            let _ = control::remove(&self.platform, &self.process).await;
+        }
         self.stop.cancel();
         self.wait(&self.tasks, "background tasks cut").await;
         log::info!("stopped");
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -3,7 +3,7 @@
 use {
     derive_more::{Display, Error},
     marigoldroute_core::{
-        budget,
+        budget::{self, reclaim},
         id::{HostId, Region, Zone},
         wire,
     },
@@ -53,6 +53,8 @@
     pub body_limit: usize,
     /// Bound on the wait for running requests at a planned stop.
     pub drain_limit: Duration,
+    /// When the tokens of a dead host are given back.
+    pub reclaim: reclaim::Settings,
     /// Sizes of grants.
     pub budget: budget::Settings,
     /// Least severe level that is logged.
@@ -80,6 +82,7 @@
             attempts: 3,
             body_limit: 4 << 20,
             drain_limit: Duration::from_secs(600),
+            reclaim: reclaim::Settings::default(),
             budget: budget::Settings::default(),
             log_level: log::LevelFilter::Info,
         }
