core: add claims of idempotency keys

Cause: non-idempotent requests need at-most-once execution under lost store responses and lost hosts.

--- /dev/null
+++ b/crates/core/src/claim/registry.rs
@@ -0,0 +1,382 @@
+//! Turns attempts into transactions and replies into decisions.
+
+use {
+    super::{
+        backlog::{Action, Backlog, Task},
+        decision::{Capability, Decision, Finding, Presence, Query},
+        held::Held,
+        row::{self, Body, Claim, Recorded, State},
+    },
+    crate::{
+        fault::{Fault, Kind},
+        id::{HolderId, RequestId, Version, WorkspaceId},
+        table::{Row, Transaction, Verdict},
+    },
+    std::{
+        collections::{HashSet, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Settings of a [`Registry`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// How long a key is remembered.
+    pub retention: Duration,
+    /// How long after its submission a claimed request may be sent. The difference to
+    /// `retention` is what clocks may differ and a process may pause between the check and the
+    /// first byte.
+    pub send_within: Duration,
+    /// Claims per transaction.
+    pub group: usize,
+    /// Attempts that wait for a transaction; more are refused.
+    pub queue: usize,
+    /// How often an attempt is submitted before it is refused.
+    pub tries: u8,
+    /// Bytes of tasks that wait for the store.
+    pub backlog: usize,
+    /// How long a transaction may be on its way after its response was given up.
+    pub linger: Duration,
+    /// When a caller may ask again for a running request.
+    pub retry_after: Duration,
+    /// Bytes of a body that are recorded in the row.
+    pub inline: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            retention: Duration::from_secs(24 * 3_600),
+            send_within: Duration::from_secs(30),
+            group: 32,
+            queue: 1_024,
+            tries: 3,
+            backlog: 4 << 20,
+            linger: Duration::from_secs(60),
+            retry_after: Duration::from_secs(2),
+            inline: 16 << 10,
+        }
+    }
+}
+
+/// A reading of both clocks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Clock {
+    /// Time since the process's clock origin.
+    pub now: Duration,
+    /// Time since the Unix epoch, comparable between hosts.
+    pub wall: Duration,
+}
+
+/// A request that asks for its key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// The workspace that asks; keys of different workspaces are independent.
+    pub workspace: WorkspaceId,
+    /// Value of the `Idempotency-Key` field.
+    pub key: Arc<str>,
+    /// Hash of method, path and body, see [`super::digest`].
+    pub body: Arc<str>,
+    /// Unique per attempt, also among retries with the same key.
+    pub request: RequestId,
+    /// What the upstreams of the service can say.
+    pub capability: Capability,
+}
+
+/// An attempt whose decision is open.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    key: Arc<str>,
+    claim: Claim,
+    capability: Capability,
+    /// Time of the submission.
+    since: Clock,
+    /// The row version to replace; 0 creates the row.
+    expected: Version,
+    tries: u8,
+    /// Submitted in a transaction of its own after a conflict in a group.
+    alone: bool,
+}
+
+/// Attempts that are in one transaction.
+#[derive(Debug)]
+pub struct Batch {
+    /// The transaction to commit.
+    pub transaction: Transaction,
+    members: Vec<Waiting>,
+}
+
+impl Batch {
+    /// Returns the keys to read when the reply was lost.
+    pub fn keys(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.members.iter().map(|member| &member.key)
+    }
+}
+
+/// The claims of one process.
+#[derive(Debug)]
+pub struct Registry {
+    author: HolderId,
+    settings: Settings,
+    /// At most `settings.queue`, plus the members of batches that are returned to it.
+    queue: VecDeque<Waiting>,
+    /// Changes that are not yet in the store.
+    pub backlog: Backlog,
+}
+
+/// Decisions by request.
+type Decisions = Vec<(RequestId, Decision)>;
+
+impl Registry {
+    /// Creates the registry of a process; `author` must never have been used before.
+    pub fn new(author: HolderId, settings: Settings) -> Self {
+        let backlog = Backlog::new(settings.backlog);
+        Self {
+            author,
+            settings,
+            queue: VecDeque::new(),
+            backlog,
+        }
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Queues an attempt for the next transaction.
+    ///
+    /// # Errors
+    /// [`Kind::ClaimUnavailable`] when the queue is full.
+    pub fn submit(&mut self, clock: Clock, attempt: Attempt) -> Result<(), Fault> {
+        if self.queue.len() >= self.settings.queue {
+            let message = "too many claims wait for the store";
+            return Err(Fault::new(Kind::ClaimUnavailable, message));
+        }
+        self.queue.push_back(Waiting {
+            key: row::key(&attempt.workspace, &attempt.key),
+            claim: Claim {
+                author: self.author.clone(),
+                request: attempt.request,
+                body: attempt.body,
+                created: clock.wall.as_secs(),
+                state: State::Running,
+            },
+            capability: attempt.capability,
+            since: clock,
+            expected: 0,
+            tries: 0,
+            alone: false,
+        });
+        Ok(())
+    }
+
+    /// Returns the next transaction, with up to `group` claims of different keys.
+    pub fn flush(&mut self) -> Option<Batch> {
+        let mut members = vec![self.queue.pop_front()?];
+        if !members[0].alone {
+            self.fill(&mut members);
+        }
+        let mut transaction = Transaction::default();
+        for member in &mut members {
+            member.tries += 1;
+            transaction.require(member.key.clone(), member.expected);
+            transaction.put(member.key.clone(), member.claim.encode());
+        }
+        Some(Batch {
+            transaction,
+            members,
+        })
+    }
+
+    fn fill(&mut self, members: &mut Vec<Waiting>) {
+        let mut keys: HashSet<_> = [members[0].key.clone()].into();
+        let mut rest = VecDeque::with_capacity(self.queue.len());
+        while let Some(waiting) = self.queue.pop_front() {
+            let is_full = members.len() >= self.settings.group;
+            if is_full || waiting.alone || !keys.insert(waiting.key.clone()) {
+                rest.push_back(waiting);
+            } else {
+                members.push(waiting);
+            }
+        }
+        self.queue = rest;
+    }
+
+    /// Takes the verdict on a batch. Members without a decision return to the queue, each in a
+    /// transaction of its own.
+    pub fn decide(
+        &mut self,
+        clock: Clock,
+        batch: Batch,
+        verdict: &Verdict,
+        presence: &dyn Fn(&HolderId) -> Presence,
+    ) -> Decisions {
+        let Verdict::Conflict(rows) = verdict else {
+            return self.grant(batch.members);
+        };
+        let mut decisions = Vec::new();
+        for member in batch.members {
+            let row = rows.iter().find(|row| row.key == member.key);
+            let request = member.claim.request.clone();
+            let decision = match row {
+                Some(row) => self.judge(clock, member, row, presence),
+                None => self.repeat(clock.now, member, 0),
+            };
+            decisions.extend(decision.map(|decision| (request, decision)));
+        }
+        decisions
+    }
+
+    /// Decides a batch whose reply was lost. `read` returns the row as read back, `Some(None)`
+    /// for an absent row and `None` when the store did not answer.
+    pub fn recall(
+        &mut self,
+        clock: Clock,
+        batch: Batch,
+        read: &dyn Fn(&str) -> Option<Option<Row>>,
+        presence: &dyn Fn(&HolderId) -> Presence,
+    ) -> Decisions {
+        let rows: Vec<_> = batch.keys().map(|key| read(key)).collect();
+        let members = batch.members.iter().zip(&rows);
+        if members.into_iter().any(|(member, row)| is_own(member, row)) {
+            // The transaction is atomic: one own row proves them all.
+            return self.grant(batch.members);
+        }
+        let mut decisions = Vec::new();
+        for (member, row) in batch.members.into_iter().zip(rows) {
+            let request = member.claim.request.clone();
+            let decision = match row {
+                None => Some(self.abandon(clock.now, &member)),
+                Some(None) => self.repeat(clock.now, member, 0),
+                Some(Some(row)) => {
+                    self.backlog.push(self.lingering(clock.now, &member));
+                    self.judge(clock, member, &row, presence)
+                }
+            };
+            decisions.extend(decision.map(|decision| (request, decision)));
+        }
+        decisions
+    }
+
+    /// Takes the answer to a [`Query`]. `None` means that the takeover is queued.
+    pub fn resolve(&mut self, now: Duration, query: Query, finding: Finding) -> Option<Decision> {
+        let retry_after = self.settings.retry_after;
+        match finding {
+            Finding::Ran => {
+                let recorded = Recorded {
+                    status: 0,
+                    content_type: "".into(),
+                    body: Body::Missing,
+                };
+                self.backlog.push(Task {
+                    key: query.waiting.key,
+                    request: query.request,
+                    action: Action::Record(recorded.clone()),
+                    until: None,
+                });
+                Some(Decision::Replay(recorded))
+            }
+            Finding::Running => Some(Decision::Busy { retry_after }),
+            Finding::Fenced if query.fence => {
+                let version = query.waiting.expected;
+                self.repeat(now, query.waiting, version)
+            }
+            Finding::Fenced | Finding::Absent | Finding::Unreachable => Some(Decision::Unresolved),
+        }
+    }
+
+    /// Returns how many attempts wait for a transaction.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn grant(&self, members: Vec<Waiting>) -> Decisions {
+        let window = self.settings.send_within;
+        let grants = members.into_iter().map(|member| {
+            let request = member.claim.request;
+            let held = Held::new(member.key, request.clone(), member.since, window);
+            (request, Decision::Run(held))
+        });
+        grants.collect()
+    }
+
+    fn judge(
+        &mut self,
+        clock: Clock,
+        member: Waiting,
+        row: &Row,
+        presence: &dyn Fn(&HolderId) -> Presence,
+    ) -> Option<Decision> {
+        let Ok(claim) = Claim::decode(row) else {
+            return Some(Decision::Unresolved);
+        };
+        if claim == member.claim {
+            return self.grant(vec![member]).pop().map(|(_, run)| run);
+        }
+        if claim.is_expired(clock.wall, self.settings.retention) {
+            return self.repeat(clock.now, member, row.version);
+        }
+        if claim.body != member.claim.body {
+            return Some(Decision::Mismatch);
+        }
+        let is_open = match claim.state {
+            State::Done(recorded) => return Some(Decision::Replay(recorded)),
+            State::Running => presence(&claim.author) == Presence::Alive,
+            State::Unresolved => false,
+        };
+        // This process has given the named attempt up unsent, so nobody can send it any more.
+        let is_given_up = claim.author == self.author && self.backlog.is_released(&claim.request);
+        if is_given_up {
+            return self.repeat(clock.now, member, row.version);
+        }
+        let retry_after = self.settings.retry_after;
+        if is_open {
+            return Some(Decision::Busy { retry_after });
+        }
+        if member.capability == Capability::None {
+            return Some(Decision::Unresolved);
+        }
+        let expected = row.version;
+        Some(Decision::Query(Box::new(Query {
+            request: claim.request,
+            fence: member.capability == Capability::Fence,
+            waiting: Waiting { expected, ..member },
+        })))
+    }
+
+    /// Returns an attempt to the queue, to be submitted alone, or refuses it after too many.
+    fn repeat(&mut self, now: Duration, member: Waiting, expected: Version) -> Option<Decision> {
+        if member.tries >= self.settings.tries {
+            return Some(self.abandon(now, &member));
+        }
+        self.queue.push_back(Waiting {
+            expected,
+            alone: true,
+            ..member
+        });
+        None
+    }
+
+    fn abandon(&mut self, now: Duration, member: &Waiting) -> Decision {
+        self.backlog.push(self.lingering(now, member));
+        Decision::Unavailable
+    }
+
+    fn lingering(&self, now: Duration, member: &Waiting) -> Task {
+        Task {
+            key: member.key.clone(),
+            request: member.claim.request.clone(),
+            action: Action::Release,
+            until: Some(now + self.settings.linger),
+        }
+    }
+}
+
+fn is_own(member: &Waiting, row: &Option<Option<Row>>) -> bool {
+    let Some(Some(row)) = row else {
+        return false;
+    };
+    Claim::decode(row).is_ok_and(|claim| claim == member.claim)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod bill;
 pub mod budget;
+pub mod claim;
 pub mod config;
 pub mod fault;
 pub mod id;
