core: test claims against an oracle of executions

Cause: at-most-once execution has to hold under lost replies, kills, pauses and false suspicion. Change: a stateful test with six deliberate defects of its driver, and unit tests. Two faults it showed are fixed: a release queued at a lost reply deleted the row of an attempt that was granted later, and a claim was stamped when queued instead of when first submitted, so that it could be born expired.

--- a/crates/core/src/claim/decision.rs
+++ b/crates/core/src/claim/decision.rs
@@ -62,6 +62,13 @@
     pub(super) waiting: Waiting,
 }
 
+impl Query {
+    /// Returns the request id of the attempt that waits for the answer.
+    pub fn attempt(&self) -> &RequestId {
+        self.waiting.request()
+    }
+}
+
 /// What to do with a request.
 #[derive(Debug)]
 pub enum Decision {
--- a/crates/core/src/claim/registry.rs
+++ b/crates/core/src/claim/registry.rs
@@ -90,13 +90,30 @@
     key: Arc<str>,
     claim: Claim,
     capability: Capability,
-    /// Time of the submission.
+    /// Time of the first submission to the store.
     since: Clock,
     /// The row version to replace; 0 creates the row.
     expected: Version,
     tries: u8,
     /// Submitted in a transaction of its own after a conflict in a group.
     alone: bool,
+    /// An earlier transaction of this attempt may still be on its way to the store.
+    is_lost: bool,
+}
+
+impl Waiting {
+    pub(super) fn request(&self) -> &RequestId {
+        &self.claim.request
+    }
+
+    /// Only the first submission counts: a row that it left must not look older than the claim.
+    fn stamp(&mut self, clock: Clock) {
+        if self.tries == 0 {
+            self.since = clock;
+            self.claim.created = clock.wall.as_secs();
+        }
+        self.tries += 1;
+    }
 }
 
 /// Attempts that are in one transaction.
@@ -149,7 +166,7 @@
     ///
     /// # Errors
     /// [`Kind::ClaimUnavailable`] when the queue is full.
-    pub fn submit(&mut self, clock: Clock, attempt: Attempt) -> Result<(), Fault> {
+    pub fn submit(&mut self, attempt: Attempt) -> Result<(), Fault> {
         if self.queue.len() >= self.settings.queue {
             let message = "too many claims wait for the store";
             return Err(Fault::new(Kind::ClaimUnavailable, message));
@@ -160,27 +177,28 @@
                 author: self.author.clone(),
                 request: attempt.request,
                 body: attempt.body,
-                created: clock.wall.as_secs(),
+                created: 0,
                 state: State::Running,
             },
             capability: attempt.capability,
-            since: clock,
+            since: Clock::default(),
             expected: 0,
             tries: 0,
             alone: false,
+            is_lost: false,
         });
         Ok(())
     }
 
     /// Returns the next transaction, with up to `group` claims of different keys.
-    pub fn flush(&mut self) -> Option<Batch> {
+    pub fn flush(&mut self, clock: Clock) -> Option<Batch> {
         let mut members = vec![self.queue.pop_front()?];
         if !members[0].alone {
             self.fill(&mut members);
         }
         let mut transaction = Transaction::default();
         for member in &mut members {
-            member.tries += 1;
+            member.stamp(clock);
             transaction.require(member.key.clone(), member.expected);
             transaction.put(member.key.clone(), member.claim.encode());
         }
@@ -245,15 +263,13 @@
             return self.grant(batch.members);
         }
         let mut decisions = Vec::new();
-        for (member, row) in batch.members.into_iter().zip(rows) {
+        for (mut member, row) in batch.members.into_iter().zip(rows) {
+            member.is_lost = true;
             let request = member.claim.request.clone();
             let decision = match row {
-                None => Some(self.abandon(clock.now, &member)),
+                None => Some(self.conclude(clock.now, &member, Decision::Unavailable)),
                 Some(None) => self.repeat(clock.now, member, 0),
-                Some(Some(row)) => {
-                    self.backlog.push(self.lingering(clock.now, &member));
-                    self.judge(clock, member, &row, presence)
-                }
+                Some(Some(row)) => self.judge(clock, member, &row, presence),
             };
             decisions.extend(decision.map(|decision| (request, decision)));
         }
@@ -262,29 +278,39 @@
 
     /// Takes the answer to a [`Query`]. `None` means that the takeover is queued.
     pub fn resolve(&mut self, now: Duration, query: Query, finding: Finding) -> Option<Decision> {
-        let retry_after = self.settings.retry_after;
-        match finding {
-            Finding::Ran => {
-                let recorded = Recorded {
-                    status: 0,
-                    content_type: "".into(),
-                    body: Body::Missing,
-                };
-                self.backlog.push(Task {
-                    key: query.waiting.key,
-                    request: query.request,
-                    action: Action::Record(recorded.clone()),
-                    until: None,
-                });
-                Some(Decision::Replay(recorded))
-            }
-            Finding::Running => Some(Decision::Busy { retry_after }),
-            Finding::Fenced if query.fence => {
-                let version = query.waiting.expected;
-                self.repeat(now, query.waiting, version)
+        let Query {
+            request,
+            fence,
+            waiting,
+        } = query;
+        let decision = match finding {
+            Finding::Ran => Decision::Replay(self.record_run(&waiting, request)),
+            Finding::Running => Decision::Busy {
+                retry_after: self.settings.retry_after,
+            },
+            Finding::Fenced if fence => {
+                let version = waiting.expected;
+                return self.repeat(now, waiting, version);
             }
-            Finding::Fenced | Finding::Absent | Finding::Unreachable => Some(Decision::Unresolved),
-        }
+            Finding::Fenced | Finding::Absent | Finding::Unreachable => Decision::Unresolved,
+        };
+        Some(self.conclude(now, &waiting, decision))
+    }
+
+    /// Records that the request was executed and its response is lost.
+    fn record_run(&mut self, waiting: &Waiting, request: RequestId) -> Recorded {
+        let recorded = Recorded {
+            status: 0,
+            content_type: "".into(),
+            body: Body::Missing,
+        };
+        self.backlog.push(Task {
+            key: waiting.key.clone(),
+            request,
+            action: Action::Record(recorded.clone()),
+            until: None,
+        });
+        recorded
     }
 
     /// Returns how many attempts wait for a transaction.
@@ -310,7 +336,7 @@
         presence: &dyn Fn(&HolderId) -> Presence,
     ) -> Option<Decision> {
         let Ok(claim) = Claim::decode(row) else {
-            return Some(Decision::Unresolved);
+            return Some(self.conclude(clock.now, &member, Decision::Unresolved));
         };
         if claim == member.claim {
             return self.grant(vec![member]).pop().map(|(_, run)| run);
@@ -319,10 +345,12 @@
             return self.repeat(clock.now, member, row.version);
         }
         if claim.body != member.claim.body {
-            return Some(Decision::Mismatch);
+            return Some(self.conclude(clock.now, &member, Decision::Mismatch));
         }
         let is_open = match claim.state {
-            State::Done(recorded) => return Some(Decision::Replay(recorded)),
+            State::Done(recorded) => {
+                return Some(self.conclude(clock.now, &member, Decision::Replay(recorded)));
+            }
             State::Running => presence(&claim.author) == Presence::Alive,
             State::Unresolved => false,
         };
@@ -333,10 +361,10 @@
         }
         let retry_after = self.settings.retry_after;
         if is_open {
-            return Some(Decision::Busy { retry_after });
+            return Some(self.conclude(clock.now, &member, Decision::Busy { retry_after }));
         }
         if member.capability == Capability::None {
-            return Some(Decision::Unresolved);
+            return Some(self.conclude(clock.now, &member, Decision::Unresolved));
         }
         let expected = row.version;
         Some(Decision::Query(Box::new(Query {
@@ -349,7 +377,7 @@
     /// Returns an attempt to the queue, to be submitted alone, or refuses it after too many.
     fn repeat(&mut self, now: Duration, member: Waiting, expected: Version) -> Option<Decision> {
         if member.tries >= self.settings.tries {
-            return Some(self.abandon(now, &member));
+            return Some(self.conclude(now, &member, Decision::Unavailable));
         }
         self.queue.push_back(Waiting {
             expected,
@@ -359,18 +387,18 @@
         None
     }
 
-    fn abandon(&mut self, now: Duration, member: &Waiting) -> Decision {
-        self.backlog.push(self.lingering(now, member));
-        Decision::Unavailable
-    }
-
-    fn lingering(&self, now: Duration, member: &Waiting) -> Task {
-        Task {
-            key: member.key.clone(),
-            request: member.claim.request.clone(),
-            action: Action::Release,
-            until: Some(now + self.settings.linger),
+    /// Ends an attempt that will not run. When a transaction may still be on its way, the row
+    /// that it creates is released as soon as it appears.
+    fn conclude(&mut self, now: Duration, member: &Waiting, decision: Decision) -> Decision {
+        if member.is_lost {
+            self.backlog.push(Task {
+                key: member.key.clone(),
+                request: member.claim.request.clone(),
+                action: Action::Release,
+                until: Some(now + self.settings.linger),
+            });
         }
+        decision
     }
 }
 
--- a/crates/core/src/claim/tests.rs
+++ b/crates/core/src/claim/tests.rs
@@ -1,1 +1,184 @@
+//! Tests of claims.
 
+use {
+    super::{
+        Action, Attempt, Batch, Body, Capability, Claim, Clock, Decision, Presence, Recorded,
+        Registry, Settings, key,
+    },
+    crate::{
+        fault::Kind,
+        id::HolderId,
+        table::{Memory, Row, Verdict},
+    },
+    std::time::Duration,
+};
+
+const ALIVE: &dyn Fn(&HolderId) -> Presence = &|_| Presence::Alive;
+const NO_ANSWER: &dyn Fn(&str) -> Option<Option<Row>> = &|_| None;
+
+fn clock(seconds: u64) -> Clock {
+    let now = Duration::from_secs(seconds);
+    Clock { now, wall: now }
+}
+
+fn registry(author: &str) -> Registry {
+    Registry::new(author.into(), Settings::default())
+}
+
+fn attempt(key: &str, request: &str) -> Attempt {
+    Attempt {
+        workspace: "trapani".into(),
+        key: key.into(),
+        body: "b".into(),
+        request: request.into(),
+        capability: Capability::None,
+    }
+}
+
+fn submit(registry: &mut Registry, key: &str, request: &str, seconds: u64) -> Batch {
+    registry.submit(attempt(key, request)).unwrap();
+    registry.flush(clock(seconds)).unwrap()
+}
+
+fn decide(registry: &mut Registry, batch: Batch, table: &mut Memory, seconds: u64) -> Decision {
+    let verdict = table.commit(&batch.transaction);
+    let mut decisions = registry.decide(clock(seconds), batch, &verdict, ALIVE);
+    decisions.pop().unwrap().1
+}
+
+/// Guards against a group whose members share the fate of one conflict.
+#[test]
+fn conflict_in_a_group_is_resolved_one_by_one() {
+    let mut table = Memory::default();
+    let mut first = registry("h1.1");
+    let taken = submit(&mut first, "a", "r1", 1);
+    assert!(matches!(
+        decide(&mut first, taken, &mut table, 1),
+        Decision::Run(_)
+    ));
+
+    let mut second = registry("h2.1");
+    for (key, request) in [("a", "r2"), ("b", "r3"), ("c", "r4")] {
+        second.submit(attempt(key, request)).unwrap();
+    }
+    let batch = second.flush(clock(1)).unwrap();
+    assert_eq!(batch.keys().count(), 3);
+    let verdict = table.commit(&batch.transaction);
+    let decisions = second.decide(clock(1), batch, &verdict, ALIVE);
+    assert!(matches!(&decisions[..], [(id, Decision::Busy { .. })] if &**id == "r2"));
+    for _ in 0..2 {
+        let batch = second.flush(clock(1)).unwrap();
+        assert_eq!(batch.keys().count(), 1);
+        assert!(matches!(
+            decide(&mut second, batch, &mut table, 1),
+            Decision::Run(_)
+        ));
+    }
+}
+
+/// Guards against the release of a claim that was granted after a lost reply: the release was
+/// queued at the lost reply and deleted the row while the request ran.
+#[test]
+fn lost_reply_queues_no_release_while_the_attempt_goes_on() {
+    let mut table = Memory::default();
+    let mut registry = registry("h1.1");
+    let batch = submit(&mut registry, "a", "r1", 1);
+    let read = |_: &str| Some(None);
+    let decisions = registry.recall(clock(1), batch, &read, ALIVE);
+    assert!(decisions.is_empty());
+    let batch = registry.flush(clock(1)).unwrap();
+    let decision = decide(&mut registry, batch, &mut table, 1);
+    assert!(matches!(decision, Decision::Run(_)));
+    assert!(registry.backlog.is_empty());
+}
+
+/// Guards against a claim that is born expired because its attempt waited in the queue.
+#[test]
+fn creation_is_the_time_of_the_first_submission() {
+    let mut registry = registry("h1.1");
+    let batch = submit(&mut registry, "a", "r1", 90_000);
+    let mut table = Memory::default();
+    table.commit(&batch.transaction);
+    let row = table.get(&key("trapani", "a")).unwrap();
+    assert_eq!(Claim::decode(row).unwrap().created, 90_000);
+}
+
+/// Guards against a key that stays in use after its claim was refused as not run.
+#[test]
+fn refused_claim_is_released_when_it_appears_late() {
+    let mut table = Memory::default();
+    let mut registry = registry("h1.1");
+    let batch = submit(&mut registry, "a", "r1", 1);
+    let late = batch.transaction.clone();
+    let decisions = registry.recall(clock(1), batch, NO_ANSWER, ALIVE);
+    let fault = decisions[0].1.fault().unwrap();
+    assert_eq!(fault.kind, Kind::ClaimUnavailable);
+
+    let now = Duration::from_secs(2);
+    assert_eq!(registry.backlog.advance(now, None), None);
+    assert_eq!(table.commit(&late), Verdict::Committed);
+    let key = registry.backlog.next().unwrap().key.clone();
+    let release = registry.backlog.advance(now, table.get(&key)).unwrap();
+    table.commit(&release);
+    assert_eq!(table.get(&key), None);
+    let later = now + Settings::default().linger;
+    assert_eq!(registry.backlog.advance(later, None), None);
+    assert!(registry.backlog.is_empty());
+}
+
+/// Guards against waiting for expiry when the same process knows that nothing was sent.
+#[test]
+fn own_released_attempt_is_replaced_by_the_next() {
+    let mut table = Memory::default();
+    let mut registry = registry("h1.1");
+    let batch = submit(&mut registry, "a", "r1", 1);
+    table.commit(&batch.transaction);
+    registry.recall(clock(1), batch, NO_ANSWER, ALIVE);
+    let batch = submit(&mut registry, "a", "r2", 1);
+    let verdict = table.commit(&batch.transaction);
+    assert!(registry.decide(clock(1), batch, &verdict, ALIVE).is_empty());
+    let batch = registry.flush(clock(1)).unwrap();
+    let decision = decide(&mut registry, batch, &mut table, 1);
+    assert!(matches!(decision, Decision::Run(held) if &**held.request() == "r2"));
+}
+
+/// Guards against memory that grows while the store is down.
+#[test]
+fn queue_and_backlog_are_bounded() {
+    let settings = Settings {
+        queue: 1,
+        backlog: 500,
+        ..Settings::default()
+    };
+    let mut registry = Registry::new("h1.1".into(), settings);
+    for (request, expected) in [("r1", None), ("r2", Some(Kind::ClaimUnavailable))] {
+        let result = registry.submit(attempt("a", request));
+        assert_eq!(result.err().map(|fault| fault.kind), expected);
+    }
+    let mut table = Memory::default();
+    let batch = registry.flush(clock(1)).unwrap();
+    let Decision::Run(held) = decide(&mut registry, batch, &mut table, 1) else {
+        panic!("the first claim of a key was not granted");
+    };
+    let body = Body::inline(&[b'x'; 300], 400);
+    let recorded = Recorded {
+        status: 200,
+        content_type: "text/plain".into(),
+        body,
+    };
+    let mut task = held.send(clock(1)).unwrap().finish(recorded);
+    registry.backlog.push(task.clone());
+    task.action = Action::Release;
+    registry.backlog.push(task.clone());
+    registry.backlog.push(task);
+    assert_eq!((registry.backlog.len(), registry.backlog.dropped()), (1, 2));
+}
+
+/// Guards against bodies that change on their way through the row.
+#[test]
+fn inline_bodies_keep_their_bytes() {
+    for bytes in [&b"{}"[..], &[0, 255, 128], b""] {
+        assert_eq!(Body::inline(bytes, 16).bytes().as_deref(), Some(bytes));
+    }
+    assert_eq!(Body::inline(&[0; 17], 16), Body::TooLarge { bytes: 17 });
+}
--- /dev/null
+++ b/crates/core/tests/claim_fuzz.rs
@@ -0,0 +1,634 @@
+//! Stateful test of claims: routers, retries through other routers, a store and an upstream that
+//! executes. The oracle is the list of executions and of final answers.
+
+mod fuzz;
+
+use {
+    marigoldroute_core::{
+        claim::{
+            Attempt, Batch, Body, Capability, Clock, Decision, Finding, Held, Presence, Query,
+            Recorded, Registry, Sent, Settings, Task, Unsent, sweep,
+        },
+        id::{HolderId, RequestId},
+        table::{Memory, Row, Transaction, Verdict},
+    },
+    proptest::prelude::*,
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
+    std::{
+        cell::RefCell,
+        collections::{BTreeMap, HashMap, HashSet, VecDeque},
+        time::Duration,
+    },
+};
+
+const SEED: u64 = 0x6d61_7269_0001;
+const CASES: u32 = 1_200;
+const DEFECT_CASES: u32 = 3_000;
+const ROUTERS: usize = 3;
+/// Difference between the clocks of neighbouring routers.
+const SKEW: Duration = Duration::from_secs(2);
+const EPOCH: Duration = Duration::from_secs(1_800_000_000);
+
+/// Deliberate defects of the driver around the slice; each breaks one property.
+mod defect {
+    pub const NONE: u8 = 0;
+    /// Sends a request whose claim could not be confirmed.
+    pub const SEND_UNCONFIRMED: u8 = 1;
+    /// Commits claims without their conditions.
+    pub const UNCONDITIONAL: u8 = 2;
+    /// Sends after the window has passed.
+    pub const SEND_LATE: u8 = 3;
+    /// Reports upstreams as fenced that are not.
+    pub const NO_FENCE: u8 = 4;
+    /// Releases a request whose response was lost as refused.
+    pub const RELEASE_SENT: u8 = 5;
+    /// Replays the last result that the router saw, whatever its key.
+    pub const CROSSED_REPLAY: u8 = 6;
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    LostBefore,
+    LostAfter,
+    /// Takes effect at a later step.
+    Delayed,
+    /// The receiver answers that it refuses.
+    Refused,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Submit {
+        router: usize,
+        key: u8,
+        body: u8,
+    },
+    Flush {
+        router: usize,
+        fault: Fault,
+    },
+    Answer {
+        router: usize,
+        readable: bool,
+        suspect: bool,
+    },
+    Ask {
+        router: usize,
+        reachable: bool,
+    },
+    Resolve {
+        router: usize,
+    },
+    Send {
+        router: usize,
+        fault: Fault,
+    },
+    Finish {
+        router: usize,
+    },
+    Release {
+        router: usize,
+    },
+    Backlog {
+        router: usize,
+        fault: Fault,
+    },
+    /// From the flush to the recorded result, without faults.
+    Run {
+        router: usize,
+        suspect: bool,
+    },
+    Kill {
+        router: usize,
+    },
+    Advance {
+        seconds: u64,
+    },
+    Sweep,
+    Deliver,
+    Down {
+        down: bool,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        STEPS.with(Clone::clone)
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+thread_local! {
+    /// Built once, because building it costs more than a step.
+    static STEPS: BoxedStrategy<Step> = steps();
+}
+
+fn steps() -> BoxedStrategy<Step> {
+    let router = 0..ROUTERS;
+    let fault = prop_oneof![
+        12 => Just(Fault::None),
+        1 => Just(Fault::LostBefore),
+        2 => Just(Fault::LostAfter),
+        1 => Just(Fault::Delayed),
+        1 => Just(Fault::Refused),
+    ];
+    let bit = prop::bool::weighted(0.8);
+    prop_oneof![
+            10 => (router.clone(), prop::sample::select(vec![0, 1, 2, 2]), prop::bool::weighted(0.05))
+                .prop_map(|(router, key, other)| Step::Submit { router, key, body: u8::from(other) }),
+            8 => (router.clone(), fault.clone()).prop_map(|(router, fault)| Step::Flush { router, fault }),
+            8 => (router.clone(), bit, bit)
+                .prop_map(|(router, readable, alive)| Step::Answer { router, readable, suspect: !alive }),
+            3 => (router.clone(), bit).prop_map(|(router, reachable)| Step::Ask { router, reachable }),
+            3 => router.clone().prop_map(|router| Step::Resolve { router }),
+            6 => (router.clone(), fault.clone()).prop_map(|(router, fault)| Step::Send { router, fault }),
+            4 => router.clone().prop_map(|router| Step::Finish { router }),
+            1 => router.clone().prop_map(|router| Step::Release { router }),
+            5 => (router.clone(), fault).prop_map(|(router, fault)| Step::Backlog { router, fault }),
+            8 => (router.clone(), bit).prop_map(|(router, alive)| Step::Run { router, suspect: !alive }),
+            4 => router.prop_map(|router| Step::Kill { router }),
+            1 => prop::sample::select(vec![10, 40, 70, 90_000]).prop_map(|seconds| Step::Advance { seconds }),
+            1 => Just(Step::Sweep),
+            2 => Just(Step::Deliver),
+            1 => bit.prop_map(|up| Step::Down { down: !up }),
+        ]
+        .boxed()
+}
+
+struct Router {
+    author: HolderId,
+    registry: Registry,
+    replies: VecDeque<(Batch, Option<Verdict>)>,
+    queries: VecDeque<(Query, Option<Finding>)>,
+    held: VecDeque<(Held<Unsent>, u8)>,
+    sent: VecDeque<(Held<Sent>, Option<Recorded>)>,
+    last_replay: Option<Recorded>,
+}
+
+impl Router {
+    fn new(number: usize, incarnation: u32) -> Self {
+        let author: HolderId = format!("h{number}.{incarnation}").into();
+        Self {
+            registry: Registry::new(author.clone(), Settings::default()),
+            author,
+            replies: VecDeque::new(),
+            queries: VecDeque::new(),
+            held: VecDeque::new(),
+            sent: VecDeque::new(),
+            last_replay: None,
+        }
+    }
+}
+
+#[derive(Default)]
+struct Upstream {
+    /// Request id, key and time of each execution.
+    executions: Vec<(RequestId, u8, Duration)>,
+    fenced: HashSet<RequestId>,
+}
+
+impl Upstream {
+    fn execute(&mut self, request: &RequestId, key: u8, at: Duration) -> Option<Recorded> {
+        if self.fenced.contains(request) {
+            return None;
+        }
+        self.executions.push((request.clone(), key, at));
+        Some(Recorded {
+            status: 200,
+            content_type: "text/plain".into(),
+            body: Body::Text(format!("order of {request}").into()),
+        })
+    }
+
+    fn has_run(&self, request: &str) -> bool {
+        self.executions.iter().any(|(id, ..)| **id == *request)
+    }
+}
+
+/// How often the paths of interest were taken, over all cases.
+type Coverage = BTreeMap<&'static str, u32>;
+
+thread_local! {
+    static COVERAGE: RefCell<Coverage> = RefCell::default();
+}
+
+fn count(name: &'static str) {
+    COVERAGE.with_borrow_mut(|coverage| *coverage.entry(name).or_default() += 1);
+}
+
+struct World<const DEFECT: u8> {
+    table: Memory,
+    down: bool,
+    now: Duration,
+    routers: Vec<Router>,
+    upstream: Upstream,
+    /// Store transactions and requests that were delayed.
+    delayed: VecDeque<Transaction>,
+    wire: VecDeque<(RequestId, u8)>,
+    keys: HashMap<RequestId, u8>,
+    /// Requests whose caller has a final answer that excludes an execution under this id.
+    not_run: HashSet<RequestId>,
+    submitted: u32,
+    incarnations: u32,
+}
+
+impl<const DEFECT: u8> World<DEFECT> {
+    fn new() -> Self {
+        Self {
+            table: Memory::default(),
+            down: false,
+            now: Duration::ZERO,
+            routers: (0..ROUTERS).map(|number| Router::new(number, 0)).collect(),
+            upstream: Upstream::default(),
+            delayed: VecDeque::new(),
+            wire: VecDeque::new(),
+            keys: HashMap::new(),
+            not_run: HashSet::new(),
+            submitted: 0,
+            incarnations: 0,
+        }
+    }
+
+    fn clock(&self, router: usize) -> Clock {
+        Clock {
+            now: self.now,
+            wall: EPOCH + self.now + SKEW * router as u32,
+        }
+    }
+
+    fn commit(&mut self, transaction: Transaction, fault: Fault) -> Option<Verdict> {
+        match fault {
+            _ if self.down => None,
+            Fault::None | Fault::Refused => Some(self.table.commit(&transaction)),
+            Fault::LostBefore => None,
+            Fault::LostAfter => {
+                self.table.commit(&transaction);
+                None
+            }
+            Fault::Delayed => {
+                self.delayed.push_back(transaction);
+                None
+            }
+        }
+    }
+
+    fn submit(&mut self, router: usize, number: u8, body: u8) {
+        self.submitted += 1;
+        let request: RequestId = format!("r{}", self.submitted).into();
+        self.keys.insert(request.clone(), number);
+        let attempt = Attempt {
+            workspace: "howrah".into(),
+            key: number.to_string().into(),
+            body: body.to_string().into(),
+            request,
+            capability: [Capability::None, Capability::Query, Capability::Fence][number as usize],
+        };
+        self.routers[router]
+            .registry
+            .submit(attempt)
+            .expect("the queue has room");
+    }
+
+    fn flush(&mut self, router: usize, fault: Fault) {
+        let clock = self.clock(router);
+        let Some(mut batch) = self.routers[router].registry.flush(clock) else {
+            return;
+        };
+        if DEFECT == defect::UNCONDITIONAL {
+            batch.transaction.conditions.clear();
+        }
+        let verdict = self.commit(batch.transaction.clone(), fault);
+        self.routers[router].replies.push_back((batch, verdict));
+    }
+
+    fn answer(&mut self, router: usize, readable: bool, suspect: bool) {
+        let clock = self.clock(router);
+        let Some((batch, verdict)) = self.routers[router].replies.pop_front() else {
+            return;
+        };
+        let alive: HashSet<_> = self.routers.iter().map(|r| r.author.clone()).collect();
+        let presence = |author: &HolderId| match !suspect && alive.contains(author) {
+            true => Presence::Alive,
+            false => Presence::Gone,
+        };
+        let is_readable = readable && !self.down;
+        let read = |key: &str| is_readable.then(|| self.table.get(key).cloned());
+        let registry = &mut self.routers[router].registry;
+        let decisions = match &verdict {
+            Some(verdict) => registry.decide(clock, batch, verdict, &presence),
+            None => registry.recall(clock, batch, &read, &presence),
+        };
+        if verdict.is_none() && decisions.iter().any(|(_, d)| matches!(d, Decision::Run(_))) {
+            count("run after a lost reply");
+        }
+        for (request, decision) in decisions {
+            self.take(router, request, decision);
+        }
+    }
+
+    fn take(&mut self, router: usize, request: RequestId, decision: Decision) {
+        let number = self.keys[&request];
+        match decision {
+            Decision::Run(held) => {
+                count("run");
+                return self.routers[router].held.push_back((held, number));
+            }
+            Decision::Query(query) => {
+                count("query");
+                return self.routers[router].queries.push_back((*query, None));
+            }
+            Decision::Replay(recorded) => self.replay(router, number, recorded),
+            Decision::Unavailable => {
+                count("unavailable");
+                if DEFECT == defect::SEND_UNCONFIRMED {
+                    self.upstream.execute(&request, number, self.now);
+                }
+            }
+            Decision::Busy { .. } | Decision::Mismatch | Decision::Unresolved => {}
+        }
+        self.not_run.insert(request);
+    }
+
+    fn replay(&mut self, router: usize, number: u8, mut recorded: Recorded) {
+        count("replay");
+        let last = self.routers[router].last_replay.replace(recorded.clone());
+        if let (defect::CROSSED_REPLAY, Some(last)) = (DEFECT, last) {
+            recorded = last;
+        }
+        let mut executions = self.upstream.executions.iter();
+        let is_known = executions.any(|(id, key, _)| {
+            let first = Body::Text(format!("order of {id}").into());
+            *key == number && (recorded.body == first || recorded.body == Body::Missing)
+        });
+        assert!(
+            is_known,
+            "replay of key {number} differs from its result: {recorded:?}"
+        );
+    }
+
+    fn ask(&mut self, router: usize, reachable: bool) {
+        let mut queries = self.routers[router].queries.iter_mut();
+        let Some((query, finding)) = queries.find(|(_, finding)| finding.is_none()) else {
+            return;
+        };
+        *finding = Some(match query.fence {
+            _ if !reachable => Finding::Unreachable,
+            _ if self.upstream.has_run(&query.request) => Finding::Ran,
+            true => {
+                self.upstream.fenced.insert(query.request.clone());
+                Finding::Fenced
+            }
+            false => Finding::Absent,
+        });
+        if DEFECT == defect::NO_FENCE && *finding == Some(Finding::Fenced) {
+            self.upstream.fenced.clear();
+        }
+    }
+
+    fn resolve(&mut self, router: usize) {
+        let queries = &mut self.routers[router].queries;
+        let Some(at) = queries.iter().position(|(_, finding)| finding.is_some()) else {
+            return;
+        };
+        let (query, finding) = queries.remove(at).expect("found above");
+        let request = query.attempt().clone();
+        let registry = &mut self.routers[router].registry;
+        match registry.resolve(self.now, query, finding.expect("found above")) {
+            Some(decision) => self.take(router, request, decision),
+            None => count("takeover"),
+        }
+    }
+
+    fn send(&mut self, router: usize, fault: Fault) {
+        let clock = self.clock(router);
+        let Some((held, number)) = self.routers[router].held.pop_front() else {
+            return;
+        };
+        let request = held.request().clone();
+        let held = match held.send(clock) {
+            Ok(held) => held,
+            Err(held) => {
+                count("send refused after the window");
+                if DEFECT == defect::SEND_LATE {
+                    self.upstream.execute(&request, number, self.now);
+                    return;
+                }
+                return self.give_up(router, held);
+            }
+        };
+        let result = match fault {
+            Fault::None | Fault::LostAfter => {
+                let result = self.upstream.execute(&request, number, self.now);
+                let Some(result) = result else {
+                    return self.give_up(router, held.refuse());
+                };
+                Some(result).filter(|_| matches!(fault, Fault::None))
+            }
+            Fault::Refused => return self.give_up(router, held.refuse()),
+            Fault::LostBefore => None,
+            Fault::Delayed => {
+                self.wire.push_back((request, number));
+                None
+            }
+        };
+        if DEFECT == defect::RELEASE_SENT && result.is_none() {
+            return self.give_up(router, held.refuse());
+        }
+        self.routers[router].sent.push_back((held, result));
+    }
+
+    fn give_up(&mut self, router: usize, held: Held<Unsent>) {
+        self.not_run.insert(held.request().clone());
+        self.routers[router].registry.backlog.push(held.release());
+    }
+
+    fn finish(&mut self, router: usize) {
+        let router = &mut self.routers[router];
+        let Some((held, result)) = router.sent.pop_front() else {
+            return;
+        };
+        let task: Task = match result {
+            Some(result) => held.finish(result),
+            None => held.give_up(),
+        };
+        router.registry.backlog.push(task);
+    }
+
+    fn backlog(&mut self, router: usize, fault: Fault) {
+        let backlog = &mut self.routers[router].registry.backlog;
+        let (false, Some(task)) = (self.down, backlog.next()) else {
+            return;
+        };
+        let row = self.table.get(&task.key).cloned();
+        if let Some(transaction) = backlog.advance(self.now, row.as_ref()) {
+            self.commit(transaction, fault);
+        }
+    }
+
+    fn deliver(&mut self) {
+        if let Some(transaction) = self.delayed.pop_front() {
+            self.table.commit(&transaction);
+        }
+        if let Some((request, number)) = self.wire.pop_front() {
+            self.upstream.execute(&request, number, self.now);
+        }
+    }
+
+    fn advance(&mut self, seconds: u64) {
+        // A request is on its way to an upstream for less than the retention less the window.
+        while seconds > 3_600 && !self.wire.is_empty() {
+            self.deliver();
+        }
+        self.now += Duration::from_secs(seconds);
+    }
+
+    fn sweep(&mut self) {
+        let rows: Vec<Row> = self.table.scan("claim/", "", 100);
+        let step = sweep(&rows, EPOCH + self.now, Settings::default().retention, 2);
+        if !step.transaction.writes.is_empty() {
+            count("swept");
+            self.commit(step.transaction, Fault::None);
+        }
+    }
+
+    fn check(&self) {
+        let settings = Settings::default();
+        let apart = settings.retention - settings.send_within - SKEW * ROUTERS as u32;
+        let mut last: HashMap<u8, Duration> = HashMap::new();
+        for (request, number, at) in &self.upstream.executions {
+            let is_not_run = self.not_run.contains(request);
+            assert!(
+                !is_not_run,
+                "{request} ran after the answer that it did not"
+            );
+            if let Some(before) = last.insert(*number, *at) {
+                assert!(*at - before >= apart, "key {number} executed twice");
+            }
+        }
+    }
+}
+
+struct Machine<const DEFECT: u8>;
+
+impl<const DEFECT: u8> StateMachineTest for Machine<DEFECT> {
+    type SystemUnderTest = World<DEFECT>;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> World<DEFECT> {
+        World::new()
+    }
+
+    fn apply(mut world: World<DEFECT>, (): &(), step: Step) -> World<DEFECT> {
+        match step {
+            Step::Submit { router, key, body } => world.submit(router, key, body),
+            Step::Flush { router, fault } => world.flush(router, fault),
+            Step::Answer {
+                router,
+                readable,
+                suspect,
+            } => world.answer(router, readable, suspect),
+            Step::Ask { router, reachable } => world.ask(router, reachable),
+            Step::Resolve { router } => world.resolve(router),
+            Step::Send { router, fault } => world.send(router, fault),
+            Step::Finish { router } => world.finish(router),
+            Step::Release { router } => world.release(router),
+            Step::Backlog { router, fault } => world.backlog(router, fault),
+            Step::Run { router, suspect } => world.run(router, suspect),
+            Step::Kill { router } => world.kill(router),
+            Step::Advance { seconds } => world.advance(seconds),
+            Step::Sweep => world.sweep(),
+            Step::Deliver => world.deliver(),
+            Step::Down { down } => world.down = down,
+        }
+        world
+    }
+
+    fn check_invariants(world: &World<DEFECT>, (): &()) {
+        world.check();
+    }
+
+    fn teardown(mut world: World<DEFECT>, (): ()) {
+        while !world.delayed.is_empty() || !world.wire.is_empty() {
+            world.deliver();
+        }
+        world.check();
+    }
+}
+
+impl<const DEFECT: u8> World<DEFECT> {
+    fn release(&mut self, router: usize) {
+        if let Some((held, _)) = self.routers[router].held.pop_front() {
+            self.give_up(router, held);
+        }
+    }
+
+    fn run(&mut self, router: usize, suspect: bool) {
+        for _ in 0..2 {
+            self.flush(router, Fault::None);
+            self.answer(router, true, suspect);
+            self.ask(router, true);
+            self.resolve(router);
+        }
+        self.send(router, Fault::None);
+        self.finish(router);
+        self.backlog(router, Fault::None);
+    }
+
+    fn kill(&mut self, router: usize) {
+        self.incarnations += 1;
+        self.routers[router] = Router::new(router, self.incarnations);
+    }
+}
+
+/// Guards against a second run of a key, a run after the answer "not run" and a replay that
+/// differs from the first result.
+#[test]
+fn claims_hold_under_faults() {
+    let failure = fuzz::first_failure::<Machine<{ defect::NONE }>>(SEED, CASES, 5_000);
+    assert_eq!(failure, None);
+    let coverage = COVERAGE.with_borrow(Clone::clone);
+    println!("{coverage:?}");
+    let paths = [
+        "run",
+        "run after a lost reply",
+        "query",
+        "takeover",
+        "replay",
+        "unavailable",
+        "send refused after the window",
+        "swept",
+    ];
+    for path in paths {
+        assert!(coverage.contains_key(path), "no case took the path {path}");
+    }
+}
+
+fn detect<const DEFECT: u8>(reason: &str) {
+    let failure = fuzz::first_failure::<Machine<DEFECT>>(SEED, DEFECT_CASES, 1);
+    let (case, found) = failure.expect("the defect was not detected");
+    println!("defect {DEFECT} detected in case {case}");
+    assert!(found.contains(reason), "{found}");
+}
+
+/// Guards against an oracle that accepts faults.
+#[test]
+fn oracle_detects_defects() {
+    detect::<{ defect::SEND_UNCONFIRMED }>("ran after the answer");
+    detect::<{ defect::UNCONDITIONAL }>("executed twice");
+    detect::<{ defect::SEND_LATE }>("");
+    detect::<{ defect::NO_FENCE }>("executed twice");
+    detect::<{ defect::RELEASE_SENT }>("");
+    detect::<{ defect::CROSSED_REPLAY }>("differs from its result");
+}
