core: add the ledger, its readers and the recovery of bills

Cause: bills of several holders have to count once, also with two ledgers, lost replies and an object store that is down. Change: a cursor row per holder decides a batch before any object is written, so that objects are a function of durable rows; an index of request ids per time slot, cached in memory; readers; missing bills from usage records. A stateful test with seven deliberate defects.

--- /dev/null
+++ b/crates/core/src/bill/ledger.rs
@@ -0,0 +1,366 @@
+//! The duty that turns journals into billed segments.
+
+use {
+    super::{
+        Bill,
+        cursor::{self, Batch, Cursor, Page},
+        escrow::{self, account_key, journal_key},
+        segment::{Object, Segment},
+        stamp,
+        window::{self, Slot, Window, fingerprint},
+    },
+    crate::{
+        budget::Account,
+        fault::{Fault, Kind},
+        id::{BudgetId, HolderId, Sequence, Tokens},
+        table::{Condition, Row, Transaction},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet, HashSet},
+        time::Duration,
+    },
+};
+
+/// Settings of a [`Ledger`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Journal rows per batch.
+    pub rows: usize,
+    /// Bills per batch; a row that is larger forms a batch of its own.
+    pub bills: usize,
+    /// Length of a time slot of the index.
+    pub slot: Duration,
+    /// How long after a request its bill counts. Must exceed the retention of claims, the
+    /// reservation time limit and the longest outage that a holder's queue survives.
+    pub retention: Duration,
+    /// Slots before the present one in which a request id without a time is looked for.
+    pub reach: u64,
+    /// Fingerprints in memory.
+    pub cached: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            rows: 150,
+            bills: 8_192,
+            slot: Duration::from_secs(600),
+            retention: Duration::from_secs(48 * 3_600),
+            reach: 6,
+            cached: 1_500_000,
+        }
+    }
+}
+
+/// The decision on a batch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Decided {
+    /// Moves the cursor and returns the tokens of dropped bills.
+    pub transaction: Transaction,
+    /// Bills of requests that were billed before.
+    pub repeated: Vec<Bill>,
+    /// Bills that arrived after the retention; they are not charged, because it cannot be known
+    /// whether they were billed before.
+    pub late: Vec<Bill>,
+}
+
+/// A process that has the lease of the ledger duty.
+///
+/// Per holder the driver reads a [`Page`]. An open batch is published and closed; otherwise the
+/// missing slots are loaded and the next batch is decided. Until a decided batch is closed, no
+/// batch of another holder can be decided, because the first may contain the same requests.
+#[derive(Debug)]
+pub struct Ledger {
+    settings: Settings,
+    lease: Condition,
+    window: Window,
+    /// The holder whose batch was decided last and is not closed.
+    open: Option<HolderId>,
+    /// Holders whose open batches, left by an earlier process, are not closed yet.
+    inherited: HashSet<HolderId>,
+}
+
+impl Ledger {
+    /// Creates the duty from the lease row as read after it was acquired, and all cursor rows
+    /// as read after that.
+    ///
+    /// # Errors
+    /// [`Kind::Internal`] when a cursor row is malformed.
+    pub fn new(lease: &Row, cursors: &[Row], settings: Settings) -> Result<Self, Fault> {
+        let mut inherited = HashSet::new();
+        for row in cursors {
+            let holder = row.key.strip_prefix("ledger/").unwrap_or(&row.key);
+            if Page::cursor(Some(row))?.batch.is_some() {
+                inherited.insert(holder.into());
+            }
+        }
+        Ok(Self {
+            settings,
+            lease: Condition {
+                key: lease.key.clone(),
+                version: lease.version,
+            },
+            window: Window::default(),
+            open: None,
+            inherited,
+        })
+    }
+
+    /// Takes the lease row as read after its renewal by this process.
+    pub fn renew(&mut self, lease: &Row) {
+        self.lease.version = lease.version;
+    }
+
+    /// Returns the holder that must be visited next, if there is one.
+    pub fn urgent(&self) -> Option<&HolderId> {
+        self.open.as_ref().or_else(|| self.inherited.iter().min())
+    }
+
+    /// Returns the slots whose index objects must be loaded before the next batch of a page.
+    pub fn slots(&self, wall: Duration, page: &Page) -> Vec<Slot> {
+        let last = self.last(page);
+        let bills = page.bills(page.cursor.next, last);
+        let slots: BTreeSet<_> = bills.flat_map(|bill| self.lookups(wall, bill)).collect();
+        let missing = slots.into_iter().filter(|slot| !self.window.has(*slot));
+        missing.collect()
+    }
+
+    /// Adds the contents of all index objects of a slot.
+    ///
+    /// # Errors
+    /// [`Kind::Internal`] when an object is malformed.
+    pub fn load(&mut self, slot: Slot, objects: &[Vec<u8>]) -> Result<(), Fault> {
+        self.window.load(slot, objects)
+    }
+
+    /// Returns the keys of the budget rows that [`Self::decide`] needs.
+    pub fn accounts(&self, wall: Duration, page: &Page) -> Vec<String> {
+        let last = self.last(page);
+        let (repeated, late, _) = self.sort(wall, page, last);
+        let refunds = refunds(repeated.iter().chain(&late));
+        refunds.keys().map(|id| account_key(id)).collect()
+    }
+
+    /// Decides the next batch of a page, or returns `None` when no row is left.
+    ///
+    /// # Errors
+    /// [`Kind::Conflict`] while another holder's batch is open or a slot is missing, and
+    /// [`Kind::Internal`] when a budget row is malformed.
+    pub fn decide(
+        &mut self,
+        wall: Duration,
+        page: &Page,
+        accounts: &[Row],
+    ) -> Result<Option<Decided>, Fault> {
+        if page.cursor.batch.is_some() || self.urgent().is_some_and(|id| *id != page.holder) {
+            return Err(Fault::new(Kind::Conflict, "another batch is open"));
+        }
+        if !self.slots(wall, page).is_empty() {
+            return Err(Fault::new(Kind::Conflict, "a slot of the index is missing"));
+        }
+        let (first, last) = (page.cursor.next, self.last(page));
+        if last < first {
+            return Ok(None);
+        }
+        let (repeated, late, dropped) = self.sort(wall, page, last);
+        let at = wall.as_secs();
+        let cursor = Cursor {
+            next: last + 1,
+            kept: page.cursor.kept,
+            batch: Some(Batch {
+                first,
+                last,
+                at,
+                dropped,
+            }),
+        };
+        let mut transaction = self.transaction(page, &cursor);
+        refund(&mut transaction, repeated.iter().chain(&late), accounts)?;
+        self.open = Some(page.holder.clone());
+        Ok(Some(Decided {
+            transaction,
+            repeated,
+            late,
+        }))
+    }
+
+    /// Returns the objects of a page's open batch; repeated calls return the same objects.
+    pub fn publish(&mut self, page: &Page) -> Vec<Object> {
+        let Some(batch) = &page.cursor.batch else {
+            return Vec::new();
+        };
+        let mut budgets: BTreeMap<&BudgetId, Vec<Bill>> = BTreeMap::new();
+        let mut slots: BTreeMap<Slot, Vec<u64>> = BTreeMap::new();
+        let at = Duration::from_secs(batch.at);
+        for (position, bill) in (0..).zip(page.bills(batch.first, batch.last)) {
+            let fingerprints = slots.entry(self.home(at, bill)).or_default();
+            fingerprints.push(fingerprint(&bill.request));
+            if batch.dropped.binary_search(&position).is_err() {
+                budgets.entry(&bill.budget).or_default().push(bill.clone());
+            }
+        }
+        let segments = budgets.into_iter().map(|(budget, bills)| {
+            let segment = segment(page, batch, bills);
+            let key = segment.key(budget);
+            let value = segment.encode();
+            Object { key, value }
+        });
+        let mut objects: Vec<_> = segments.collect();
+        for (slot, fingerprints) in slots {
+            self.window.extend(slot, &fingerprints);
+            let key = window::index_key(slot, &page.holder, batch.first);
+            let value = fingerprints.iter().flat_map(|word| word.to_be_bytes());
+            let value = value.collect();
+            objects.push(Object { key, value });
+        }
+        self.window.trim(self.settings.cached);
+        objects
+    }
+
+    /// Returns the transaction that closes a page's open batch; call it when all objects of
+    /// [`Self::publish`] are stored.
+    ///
+    /// The last row that the holder itself wrote is kept with all that follow: it states what
+    /// the holder has, and the holder recognises by it an append whose reply was lost.
+    pub fn close(&mut self, page: &Page) -> Option<Transaction> {
+        let batch = page.cursor.batch.as_ref()?;
+        self.inherited.remove(&page.holder);
+        self.open = self.open.take().filter(|holder| *holder != page.holder);
+        let own =
+            page.rows.iter().rev().find(|(sequence, journal)| {
+                *sequence <= batch.last && journal.author == page.holder
+            });
+        let kept = own.map_or(page.cursor.kept, |(sequence, _)| *sequence);
+        let cursor = Cursor {
+            next: page.cursor.next,
+            kept,
+            batch: None,
+        };
+        let mut transaction = self.transaction(page, &cursor);
+        for sequence in page.cursor.kept..kept {
+            transaction.delete(journal_key(&page.holder, sequence));
+        }
+        Some(transaction)
+    }
+
+    /// Returns the first slot whose index objects may be relevant; objects of earlier slots can
+    /// be deleted. One slot more than the retention is kept, because clocks differ.
+    pub fn oldest(&self, wall: Duration) -> Slot {
+        let oldest = self.slot(wall.saturating_sub(self.settings.retention));
+        oldest.saturating_sub(1)
+    }
+
+    /// Returns the number of fingerprints in memory.
+    pub fn cached(&self) -> usize {
+        self.window.len()
+    }
+
+    fn transaction(&self, page: &Page, cursor: &Cursor) -> Transaction {
+        let key = cursor::key(&page.holder);
+        let mut transaction = Transaction::default();
+        transaction.require(self.lease.key.clone(), self.lease.version);
+        transaction.require(key.as_str(), page.version);
+        transaction.put(key, serde_json::to_string(cursor).unwrap_or_default());
+        transaction
+    }
+
+    /// Returns the last row of the next batch; below `next` when there is none.
+    fn last(&self, page: &Page) -> Sequence {
+        let mut bills = 0;
+        let mut last = page.cursor.next - 1;
+        let next = page.cursor.next;
+        let rows = page.rows.iter().filter(|(sequence, _)| *sequence >= next);
+        for (sequence, journal) in rows.take(self.settings.rows) {
+            bills += escrow::bills(&journal.entry).len();
+            if bills > self.settings.bills && last >= next {
+                break;
+            }
+            last = *sequence;
+        }
+        last
+    }
+
+    /// Returns the repeated and the late bills of a batch and the positions of both.
+    fn sort(
+        &self,
+        wall: Duration,
+        page: &Page,
+        last: Sequence,
+    ) -> (Vec<Bill>, Vec<Bill>, Vec<u32>) {
+        let mut seen = HashSet::new();
+        let (mut repeated, mut late, mut dropped) = (Vec::new(), Vec::new(), Vec::new());
+        let start = wall.saturating_sub(self.settings.retention);
+        for (position, bill) in (0..).zip(page.bills(page.cursor.next, last)) {
+            let fingerprint = fingerprint(&bill.request);
+            let mut slots = self.lookups(wall, bill);
+            let is_repeated = !seen.insert(&bill.request)
+                || slots.any(|slot| self.window.contains(slot, fingerprint));
+            if is_repeated {
+                repeated.push(bill.clone());
+            } else if stamp::time(&bill.request).is_some_and(|time| time < start) {
+                late.push(bill.clone());
+            } else {
+                continue;
+            }
+            dropped.push(position);
+        }
+        (repeated, late, dropped)
+    }
+
+    /// Returns the slot whose index lists a bill.
+    fn home(&self, wall: Duration, bill: &Bill) -> Slot {
+        self.slot(stamp::time(&bill.request).unwrap_or(wall))
+    }
+
+    /// Returns the slots in which an earlier bill of the same request may be listed.
+    fn lookups(&self, wall: Duration, bill: &Bill) -> std::ops::RangeInclusive<Slot> {
+        let home = self.home(wall, bill);
+        match stamp::time(&bill.request) {
+            Some(_) => home..=home,
+            None => home.saturating_sub(self.settings.reach)..=home,
+        }
+    }
+
+    fn slot(&self, wall: Duration) -> Slot {
+        wall.as_secs() / self.settings.slot.as_secs().max(1)
+    }
+}
+
+fn segment(page: &Page, batch: &Batch, bills: Vec<Bill>) -> Segment {
+    Segment {
+        holder: page.holder.clone(),
+        first: batch.first,
+        last: batch.last,
+        at: batch.at,
+        bills,
+    }
+}
+
+fn refunds<'a>(bills: impl Iterator<Item = &'a Bill>) -> BTreeMap<&'a BudgetId, Tokens> {
+    let mut refunds = BTreeMap::new();
+    for bill in bills.filter(|bill| bill.charged > 0) {
+        *refunds.entry(&bill.budget).or_default() += bill.charged;
+    }
+    refunds
+}
+
+/// Returns the tokens of dropped bills to their budgets.
+fn refund<'a>(
+    transaction: &mut Transaction,
+    bills: impl Iterator<Item = &'a Bill>,
+    accounts: &[Row],
+) -> Result<(), Fault> {
+    for (budget, tokens) in refunds(bills) {
+        let key = account_key(budget);
+        let fault = |reason: &str| Fault::new(Kind::Internal, format!("row {key}: {reason}"));
+        let row = accounts.iter().find(|row| *row.key == *key);
+        let row = row.ok_or_else(|| fault("not read"))?;
+        let mut account: Account =
+            serde_json::from_str(&row.value).map_err(|_| fault("not a budget"))?;
+        escrow::restore(&mut account, tokens)
+            .ok_or_else(|| fault("fewer tokens allocated than returned"))?;
+        transaction.require(key.as_str(), row.version);
+        transaction.put(key, serde_json::to_string(&account).unwrap_or_default());
+    }
+    Ok(())
+}
--- a/crates/core/src/bill/mod.rs
+++ b/crates/core/src/bill/mod.rs
@@ -1,4 +1,34 @@
 //! Bills of finished requests.
+//!
+//! Holders append bills to their journals. The [`Ledger`] duty reads the journals, drops a second
+//! bill of a request and returns its tokens, writes [`Segment`]s per budget to the object store
+//! and deletes consumed rows. [`Spend`] and [`page`] read the segments; [`missing`] computes the
+//! bills that a lost holder or entry left behind.
+
+mod cursor;
+mod escrow;
+mod lease;
+mod ledger;
+mod read;
+mod recover;
+mod segment;
+mod stamp;
+mod window;
+
+#[cfg(test)]
+mod tests;
+
+pub use {
+    cursor::{Batch, Cursor, Page, key},
+    escrow::bills,
+    lease::Lease,
+    ledger::{Decided, Ledger, Settings},
+    read::{Position, Spend, Total, page},
+    recover::{Basis, Record, missing},
+    segment::{Object, Segment},
+    stamp::mint,
+    window::{INDEX_PREFIX, index_prefix},
+};
 
 use {
     crate::id::{BudgetId, ModelId, RequestId, Tokens, UpstreamId, WorkspaceId},
--- /dev/null
+++ b/crates/core/tests/bill_fuzz.rs
@@ -0,0 +1,606 @@
+//! Stateful test of billing: holders that crash, pause and return, requests that are settled at
+//! two holders, two ledgers and both stores failing. The oracle is the list of executions.
+
+mod fuzz;
+
+use {
+    marigoldroute_core::{
+        bill::{
+            self, Basis, Bill, Lease, Ledger, Object, Page, Record, Segment, Settings,
+            index_prefix, mint, missing,
+        },
+        budget::{Account, Entry, Journal},
+        id::{HolderId, RequestId, Tokens},
+        table::{Memory, Row, Transaction, Verdict, Write},
+    },
+    proptest::prelude::*,
+    proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+const SEED: u64 = 0x6d61_7269_0002;
+const CASES: u32 = 800;
+const DEFECT_CASES: u32 = 2_000;
+const HOLDERS: usize = 3;
+const LEDGERS: usize = 2;
+const BUDGETS: usize = 2;
+const ALLOCATED: Tokens = 1_000_000;
+const EPOCH: Duration = Duration::from_secs(1_800_000_000);
+const TERM: Duration = Duration::from_secs(30);
+
+/// Deliberate defects of the driver around the slice; each breaks one property.
+mod defect {
+    pub const NONE: u8 = 0;
+    /// Ledger transactions without the condition on the lease.
+    pub const NO_LEASE: u8 = 1;
+    /// Ledger transactions without the condition on the cursor.
+    pub const NO_CURSOR: u8 = 2;
+    /// A ledger that forgets after a lost reply that a batch is in doubt.
+    pub const FORGET_DOUBT: u8 = 3;
+    /// Slots that are taken as empty without reading their index.
+    pub const NO_INDEX: u8 = 4;
+    /// A batch that is closed although its objects were not stored.
+    pub const CLOSE_EARLY: u8 = 5;
+    /// Dropped bills whose tokens are not returned.
+    pub const NO_REFUND: u8 = 6;
+    /// A lost holder whose usage records are not billed.
+    pub const NO_RECOVERY: u8 = 7;
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    LostBefore,
+    LostAfter,
+    /// Takes effect at a later step.
+    Delayed,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A request is executed and settled at a holder, sometimes at a second one too.
+    Execute {
+        holder: usize,
+        second: Option<usize>,
+        budget: usize,
+        tokens: Tokens,
+    },
+    /// A holder appends its bills.
+    Flush {
+        holder: usize,
+    },
+    /// A holder is gone; its unwritten bills are rebuilt from usage records.
+    Lose {
+        holder: usize,
+    },
+    /// A holder that was taken as lost returns and appends what it has.
+    Return,
+    /// A ledger takes or renews the lease.
+    Acquire {
+        ledger: usize,
+    },
+    /// A ledger visits a holder: one transaction, or one attempt to write all objects.
+    Visit {
+        ledger: usize,
+        journal: usize,
+        fault: Fault,
+        stored: usize,
+    },
+    Restart {
+        ledger: usize,
+    },
+    Advance {
+        seconds: u64,
+    },
+    Deliver,
+}
+
+#[derive(Clone, Debug)]
+struct Steps;
+
+thread_local! {
+    /// Built once, because building it costs more than a step.
+    static STEPS: BoxedStrategy<Step> = steps();
+}
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        STEPS.with(Clone::clone)
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+fn steps() -> BoxedStrategy<Step> {
+    let fault = prop_oneof![
+        8 => Just(Fault::None),
+        1 => Just(Fault::LostBefore),
+        2 => Just(Fault::LostAfter),
+        2 => Just(Fault::Delayed),
+    ];
+    let second = prop::option::weighted(0.4, 0..HOLDERS);
+    let ledger = 0..LEDGERS;
+    prop_oneof![
+        8 => (0..HOLDERS, second, 0..BUDGETS, 0..50_u64)
+            .prop_map(|(holder, second, budget, tokens)| Step::Execute { holder, second, budget, tokens }),
+        8 => (0..HOLDERS).prop_map(|holder| Step::Flush { holder }),
+        1 => (0..HOLDERS).prop_map(|holder| Step::Lose { holder }),
+        1 => Just(Step::Return),
+        2 => ledger.clone().prop_map(|ledger| Step::Acquire { ledger }),
+        24 => (ledger.clone(), 0..6_usize, fault, prop_oneof![4 => Just(99_usize), 1 => 0..4_usize])
+            .prop_map(|(ledger, journal, fault, stored)| Step::Visit { ledger, journal, fault, stored }),
+        1 => ledger.prop_map(|ledger| Step::Restart { ledger }),
+        2 => prop::sample::select(vec![1, 40, 700]).prop_map(|seconds| Step::Advance { seconds }),
+        2 => Just(Step::Deliver),
+    ]
+    .boxed()
+}
+
+struct Holder {
+    id: HolderId,
+    next: u64,
+    bills: Vec<Bill>,
+}
+
+struct Execution {
+    budget: Arc<str>,
+    tokens: Tokens,
+    holders: Vec<HolderId>,
+}
+
+struct World<const DEFECT: u8> {
+    table: Memory,
+    objects: BTreeMap<Arc<str>, Vec<u8>>,
+    now: Duration,
+    executions: BTreeMap<RequestId, Execution>,
+    holders: Vec<Holder>,
+    /// Holders that were taken as lost and may return.
+    away: VecDeque<Holder>,
+    /// All holder ids, in the order of their start.
+    journals: Vec<HolderId>,
+    ledgers: Vec<Option<Ledger>>,
+    fencing: [u64; LEDGERS],
+    /// Every copy of a bill that a journal row has held.
+    settled: Vec<Bill>,
+    delayed: VecDeque<Transaction>,
+    late_objects: VecDeque<Object>,
+}
+
+impl<const DEFECT: u8> World<DEFECT> {
+    fn new() -> Self {
+        let mut world = Self {
+            table: Memory::default(),
+            objects: BTreeMap::new(),
+            now: EPOCH,
+            executions: BTreeMap::new(),
+            holders: Vec::new(),
+            away: VecDeque::new(),
+            journals: Vec::new(),
+            ledgers: (0..LEDGERS).map(|_| None).collect(),
+            fencing: [0; LEDGERS],
+            settled: Vec::new(),
+            delayed: VecDeque::new(),
+            late_objects: VecDeque::new(),
+        };
+        let mut transaction = Transaction::default();
+        for budget in 0..BUDGETS {
+            let value = format!(r#"{{"purchased":{ALLOCATED},"allocated":{ALLOCATED}}}"#);
+            transaction.put(format!("budget/b{budget}"), value);
+        }
+        world.table.commit(&transaction);
+        for _ in 0..HOLDERS {
+            let holder = world.start();
+            world.holders.push(holder);
+        }
+        world
+    }
+
+    fn start(&mut self) -> Holder {
+        let id: HolderId = format!("h.{}", self.journals.len()).into();
+        self.journals.push(id.clone());
+        Holder {
+            id,
+            next: 1,
+            bills: Vec::new(),
+        }
+    }
+
+    fn execute(&mut self, holder: usize, second: Option<usize>, budget: usize, tokens: Tokens) {
+        let request = mint(self.now, self.executions.len() as u64);
+        let budget: Arc<str> = format!("b{budget}").into();
+        let mut holders = vec![self.holders[holder].id.clone()];
+        let bill = bill(&request, &budget, tokens);
+        self.holders[holder].bills.push(bill.clone());
+        if let Some(second) = second {
+            holders.push(self.holders[second].id.clone());
+            self.holders[second].bills.push(bill);
+        }
+        let execution = Execution {
+            budget,
+            tokens,
+            holders,
+        };
+        self.executions.insert(request, execution);
+    }
+
+    fn append(&mut self, id: &HolderId, author: &HolderId, sequence: u64, bills: Vec<Bill>) {
+        self.settled.extend_from_slice(&bills);
+        let journal = Journal {
+            author: author.clone(),
+            entry: Entry::Flush {
+                shares: BTreeMap::new(),
+                bills,
+            },
+        };
+        let key = format!("journal/{id}/{sequence:012}");
+        let mut transaction = Transaction::default();
+        transaction.require(key.as_str(), 0);
+        transaction.put(key, serde_json::to_string(&journal).expect("serializable"));
+        assert_eq!(self.table.commit(&transaction), Verdict::Committed);
+    }
+
+    fn flush(&mut self, holder: usize) {
+        let holder = &mut self.holders[holder];
+        let (id, sequence) = (holder.id.clone(), holder.next);
+        holder.next += 1;
+        let bills = std::mem::take(&mut holder.bills);
+        self.append(&id, &id, sequence, bills);
+    }
+
+    /// Bills the lost holder's requests from the engines' records, as far as its journal lacks
+    /// them. The records do not say which bills the ledger has consumed.
+    fn lose(&mut self, holder: usize) {
+        let fresh = self.start();
+        let mut lost = std::mem::replace(&mut self.holders[holder], fresh);
+        let rows = self.table.scan(&format!("journal/{}/", lost.id), "", 1_000);
+        let decode = |row: &Row| serde_json::from_str(&row.value).expect("a journal row");
+        let journal: Vec<Journal> = rows.iter().map(decode).collect();
+        let own = self
+            .executions
+            .iter()
+            .filter(|(_, e)| e.holders.contains(&lost.id));
+        let records: Vec<_> = own.map(|(request, e)| record(request, e)).collect();
+        if DEFECT != defect::NO_RECOVERY {
+            let bills = missing(&journal, &records);
+            self.append(&lost.id.clone(), &"reclaimer".into(), lost.next, bills);
+            lost.next += 1;
+        } else {
+            lost.bills.clear();
+        }
+        self.away.push_back(lost);
+    }
+
+    fn resume(&mut self) {
+        if let Some(mut holder) = self.away.pop_front() {
+            let bills = std::mem::take(&mut holder.bills);
+            self.append(&holder.id, &holder.id, holder.next, bills);
+        }
+    }
+
+    fn commit(&mut self, transaction: Transaction, fault: Fault) -> Option<Verdict> {
+        match fault {
+            Fault::None => Some(self.table.commit(&transaction)),
+            Fault::LostBefore => None,
+            Fault::LostAfter => {
+                self.table.commit(&transaction);
+                None
+            }
+            Fault::Delayed => {
+                self.delayed.push_back(transaction);
+                None
+            }
+        }
+    }
+
+    fn acquire(&mut self, ledger: usize) {
+        let row = self.table.get("lease/ledger").cloned();
+        let id: HolderId = format!("ledger.{ledger}").into();
+        let lease = Lease::acquire("ledger", row.as_ref(), &id, self.now, TERM);
+        let Some(transaction) = lease.expect("a lease row") else {
+            return;
+        };
+        self.table.commit(&transaction);
+        let row = self.table.get("lease/ledger").expect("written above");
+        let is_renewal = Lease::decode(row).expect("a lease").fencing == self.fencing[ledger];
+        self.fencing[ledger] = Lease::decode(row).expect("a lease").fencing;
+        match &mut self.ledgers[ledger] {
+            Some(ledger) if is_renewal => ledger.renew(row),
+            _ => self.ledgers[ledger] = Some(self.ledger(row)),
+        }
+    }
+
+    fn ledger(&self, lease: &Row) -> Ledger {
+        let settings = Settings {
+            rows: 3,
+            bills: 4,
+            cached: 8,
+            ..Settings::default()
+        };
+        let cursors = self.table.scan("ledger/", "", 1_000);
+        Ledger::new(lease, &cursors, settings).expect("cursor rows")
+    }
+
+    fn visit(&mut self, number: usize, journal: usize, fault: Fault, stored: usize) {
+        let Some(mut ledger) = self.ledgers[number].take() else {
+            return;
+        };
+        let urgent = ledger.urgent().cloned();
+        let holder = urgent.unwrap_or_else(|| self.journals[journal % self.journals.len()].clone());
+        let row = self.table.get(&bill::key(&holder)).cloned();
+        let cursor = Page::cursor(row.as_ref()).expect("a cursor row");
+        let (prefix, after) = Page::range(&holder, &cursor);
+        let rows = self.table.scan(&prefix, &after, 10);
+        let page = Page::decode(holder, row.as_ref(), &rows).expect("a page");
+        let reply = match page.batch() {
+            Some(_) => self.publish(&mut ledger, &page, fault, stored),
+            None => self.decide(&mut ledger, &page, fault),
+        };
+        let is_deposed = matches!(&reply, Some(Verdict::Conflict(rows))
+            if rows.iter().any(|row| &*row.key == "lease/ledger"));
+        if DEFECT == defect::FORGET_DOUBT && reply.is_none() {
+            let lease = self.table.get("lease/ledger").expect("held").clone();
+            ledger = self.ledger(&lease);
+        }
+        self.ledgers[number] = Some(ledger).filter(|_| !is_deposed);
+    }
+
+    /// Returns the verdict, `Committed` when nothing was to do and `None` for a lost reply.
+    fn decide(&mut self, ledger: &mut Ledger, page: &Page, fault: Fault) -> Option<Verdict> {
+        for slot in ledger.slots(self.now, page) {
+            let prefix = index_prefix(slot);
+            let keys = self
+                .objects
+                .iter()
+                .filter(|(key, _)| key.starts_with(&prefix));
+            let mut objects: Vec<_> = keys.map(|(_, value)| value.clone()).collect();
+            if DEFECT == defect::NO_INDEX {
+                objects.clear();
+            }
+            ledger.load(slot, &objects).expect("index objects");
+        }
+        let keys = ledger.accounts(self.now, page);
+        let rows = keys.iter().filter_map(|key| self.table.get(key).cloned());
+        let rows: Vec<_> = rows.collect();
+        let Some(decided) = ledger.decide(self.now, page, &rows).expect("a decision") else {
+            return Some(Verdict::Committed);
+        };
+        self.commit(sabotage::<DEFECT>(decided.transaction), fault)
+    }
+
+    fn publish(
+        &mut self,
+        ledger: &mut Ledger,
+        page: &Page,
+        fault: Fault,
+        stored: usize,
+    ) -> Option<Verdict> {
+        let objects = ledger.publish(page);
+        let is_stored = stored >= objects.len();
+        for (position, object) in objects.into_iter().enumerate() {
+            if position < stored {
+                self.objects.insert(object.key, object.value);
+            } else if fault == Fault::Delayed {
+                self.late_objects.push_back(object);
+            }
+        }
+        if !is_stored && DEFECT != defect::CLOSE_EARLY {
+            return Some(Verdict::Committed);
+        }
+        let transaction = ledger.close(page).expect("an open batch");
+        self.commit(sabotage::<DEFECT>(transaction), fault)
+    }
+
+    fn deliver(&mut self) {
+        if let Some(transaction) = self.delayed.pop_front() {
+            self.table.commit(&transaction);
+        }
+        if let Some(object) = self.late_objects.pop_front() {
+            self.objects.insert(object.key, object.value);
+        }
+    }
+
+    fn billed(&self) -> BTreeMap<RequestId, Bill> {
+        let mut billed = BTreeMap::new();
+        for (key, value) in self
+            .objects
+            .iter()
+            .filter(|(key, _)| key.starts_with("bills/"))
+        {
+            for bill in Segment::decode(key, value).expect("a segment").bills {
+                let request = bill.request.clone();
+                let earlier = billed.insert(request.clone(), bill);
+                assert!(earlier.is_none(), "{request} was billed twice");
+            }
+        }
+        billed
+    }
+
+    /// Runs everything to its end without faults.
+    fn settle(&mut self) {
+        for holder in 0..HOLDERS {
+            self.flush(holder);
+        }
+        while !self.away.is_empty() {
+            self.resume();
+        }
+        while !self.delayed.is_empty() || !self.late_objects.is_empty() {
+            self.deliver();
+        }
+        self.now += TERM * 2;
+        self.ledgers.fill_with(|| None);
+        self.acquire(0);
+        // A page takes two visits; urgent holders go first.
+        for _ in 0..200 {
+            for journal in 0..self.journals.len() {
+                self.visit(0, journal, Fault::None, usize::MAX);
+            }
+            if self.is_idle() {
+                break;
+            }
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.journals.iter().all(|holder| {
+            let cursor = Page::cursor(self.table.get(&bill::key(holder))).expect("a cursor");
+            let (prefix, after) = Page::range(holder, &cursor);
+            cursor.batch.is_none() && self.table.scan(&prefix, &after, 1).is_empty()
+        })
+    }
+
+    fn check_end(&self) {
+        assert!(self.is_idle(), "the ledger did not finish");
+        let billed = self.billed();
+        let mut spent: BTreeMap<&str, Tokens> = BTreeMap::new();
+        for (request, execution) in &self.executions {
+            let bill = billed.get(request);
+            let charged = bill.map_or(0, |bill| bill.charged);
+            assert_eq!(charged, execution.tokens, "{request} was not billed");
+            *spent.entry(&execution.budget).or_default() += charged;
+        }
+        let mut settled: BTreeMap<&str, Tokens> = BTreeMap::new();
+        for bill in self.settled.iter() {
+            *settled.entry(&bill.budget).or_default() += bill.charged;
+        }
+        for (budget, settled) in settled {
+            let row = self
+                .table
+                .get(&format!("budget/{budget}"))
+                .expect("a budget");
+            let account: Account = serde_json::from_str(&row.value).expect("a budget");
+            let returned = settled - spent.get(budget).copied().unwrap_or_default();
+            assert_eq!(
+                account.allocated + returned,
+                ALLOCATED,
+                "tokens of {budget} are lost"
+            );
+        }
+    }
+}
+
+fn sabotage<const DEFECT: u8>(mut transaction: Transaction) -> Transaction {
+    match DEFECT {
+        defect::NO_LEASE => transaction
+            .conditions
+            .retain(|c| !c.key.starts_with("lease/")),
+        defect::NO_CURSOR => transaction
+            .conditions
+            .retain(|c| !c.key.starts_with("ledger/")),
+        defect::NO_REFUND => transaction.writes.retain(|write| match write {
+            Write::Put { key, .. } | Write::Delete { key } => !key.starts_with("budget/"),
+        }),
+        _ => {}
+    }
+    transaction
+}
+
+fn bill(request: &RequestId, budget: &Arc<str>, charged: Tokens) -> Bill {
+    Bill {
+        request: request.clone(),
+        workspace: "siliguri".into(),
+        budget: budget.clone(),
+        model: "drafting".into(),
+        upstream: "u1".into(),
+        charged,
+        uncovered: 0,
+    }
+}
+
+fn record(request: &RequestId, execution: &Execution) -> Record {
+    Record {
+        request: request.clone(),
+        workspace: "siliguri".into(),
+        budget: execution.budget.clone(),
+        model: "drafting".into(),
+        upstream: "u1".into(),
+        tokens: execution.tokens,
+        reserved: execution.tokens,
+        basis: Basis::Record,
+    }
+}
+
+struct Machine<const DEFECT: u8>;
+
+impl<const DEFECT: u8> StateMachineTest for Machine<DEFECT> {
+    type SystemUnderTest = World<DEFECT>;
+    type Reference = Steps;
+
+    fn init_test((): &()) -> World<DEFECT> {
+        World::new()
+    }
+
+    fn apply(mut world: World<DEFECT>, (): &(), step: Step) -> World<DEFECT> {
+        match step {
+            Step::Execute {
+                holder,
+                second,
+                budget,
+                tokens,
+            } => {
+                world.execute(holder, second, budget, tokens);
+            }
+            Step::Flush { holder } => world.flush(holder),
+            Step::Lose { holder } => world.lose(holder),
+            Step::Return => world.resume(),
+            Step::Acquire { ledger } => world.acquire(ledger),
+            Step::Visit {
+                ledger,
+                journal,
+                fault,
+                stored,
+            } => {
+                world.visit(ledger, journal, fault, stored);
+            }
+            Step::Restart { ledger } => world.ledgers[ledger] = None,
+            Step::Advance { seconds } => world.now += Duration::from_secs(seconds),
+            Step::Deliver => world.deliver(),
+        }
+        world
+    }
+
+    fn check_invariants(world: &World<DEFECT>, (): &()) {
+        world.billed();
+    }
+
+    fn teardown(mut world: World<DEFECT>, (): ()) {
+        world.settle();
+        world.check_end();
+    }
+}
+
+/// Guards against a second bill, a lost bill and tokens that are neither billed nor returned.
+#[test]
+fn bills_count_exactly_once_under_faults() {
+    let failure = fuzz::first_failure::<Machine<{ defect::NONE }>>(SEED, CASES, 3_000);
+    assert_eq!(failure, None);
+}
+
+fn detect<const DEFECT: u8>(reason: &str) {
+    let failure = fuzz::first_failure::<Machine<DEFECT>>(SEED, DEFECT_CASES, 1);
+    let (case, found) = failure.expect("the defect was not detected");
+    println!("defect {DEFECT} detected in case {case}");
+    assert!(found.contains(reason), "{found}");
+}
+
+/// Guards against an oracle that accepts faults.
+#[test]
+fn oracle_detects_defects() {
+    detect::<{ defect::NO_LEASE }>("");
+    detect::<{ defect::NO_CURSOR }>("");
+    detect::<{ defect::FORGET_DOUBT }>("billed twice");
+    detect::<{ defect::NO_INDEX }>("billed twice");
+    detect::<{ defect::CLOSE_EARLY }>("was not billed");
+    detect::<{ defect::NO_REFUND }>("are lost");
+    detect::<{ defect::NO_RECOVERY }>("was not billed");
+}
