--- a/crates/core/src/bill/cursor.rs
+++ b/crates/core/src/bill/cursor.rs
@@ -15,10 +15,13 @@
     std::sync::Arc,
 };
 
+/// Sequences are below this number, because keys hold 12 digits.
+const SEQUENCES: Sequence = 1_000_000_000_000;
+
 /// Row `ledger/{holder}`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cursor {
-    /// The first journal row that no batch has taken.
+    /// The first journal row that no batch has taken; the journal starts at 1.
     pub next: Sequence,
     /// The first journal row that may still exist; at most `next`.
     pub kept: Sequence,
@@ -86,7 +89,9 @@
             return Ok(Cursor::default());
         };
         let cursor = parse::<Cursor>(row, "cursor")?;
-        let is_ordered = cursor.kept <= cursor.next
+        let is_ordered = 0 < cursor.kept
+            && cursor.kept <= cursor.next
+            && cursor.next < SEQUENCES
             && cursor.batch.as_ref().is_none_or(|batch| {
                 cursor.kept <= batch.first && batch.first <= batch.last && batch.last < cursor.next
             });
--- a/crates/core/src/bill/ledger.rs
+++ b/crates/core/src/bill/ledger.rs
@@ -21,6 +21,9 @@
     },
 };
 
+/// Journal rows that one transaction deletes at most; a later one deletes the rest.
+const DELETES: Sequence = 512;
+
 /// Settings of a [`Ledger`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -35,7 +38,7 @@
     pub retention: Duration,
     /// Slots before the present one in which a request id without a time is looked for.
     pub reach: u64,
-    /// Fingerprints in memory.
+    /// Fingerprints in memory between two batches; a batch loads the slots that it lacks.
     pub cached: usize,
 }
 
@@ -44,9 +47,9 @@
         Self {
             rows: 150,
             bills: 8_192,
-            slot: Duration::from_secs(600),
+            slot: Duration::from_secs(60),
             retention: Duration::from_secs(48 * 3_600),
-            reach: 6,
+            reach: 60,
             cached: 1_500_000,
         }
     }
@@ -151,6 +154,17 @@
         wall: Duration,
         page: &Page,
         accounts: &[Row],
+    ) -> Result<Option<Decided>, Fault> {
+        let decided = self.select(wall, page, accounts);
+        self.window.trim(self.settings.cached);
+        decided
+    }
+
+    fn select(
+        &mut self,
+        wall: Duration,
+        page: &Page,
+        accounts: &[Row],
     ) -> Result<Option<Decided>, Fault> {
         if page.cursor.batch.is_some() || self.urgent().is_some_and(|id| *id != page.holder) {
             return Err(Fault::new(Kind::Conflict, "another batch is open"));
@@ -230,7 +244,8 @@
             page.rows.iter().rev().find(|(sequence, journal)| {
                 *sequence <= batch.last && journal.author == page.holder
             });
-        let kept = own.map_or(page.cursor.kept, |(sequence, _)| *sequence);
+        let end = page.cursor.kept.saturating_add(DELETES);
+        let kept = own.map_or(page.cursor.kept, |(sequence, _)| end.min(*sequence));
         let cursor = Cursor {
             next: page.cursor.next,
             kept,
--- a/crates/core/src/bill/window.rs
+++ b/crates/core/src/bill/window.rs
@@ -15,8 +15,8 @@
 
 /// Prefix of the index objects.
 pub const INDEX_PREFIX: &str = "ledger/index/";
-/// Bytes of a fingerprint. Among the 1.9 million ids of a slot of 10 min at 3,200 bills per second,
-/// a bill is mistaken for a second one with a probability of 1 in 10^13, once in a century.
+/// Bytes of a fingerprint. Among the 192,000 ids of a slot of 60 s at 3,200 bills per second, a bill
+/// is mistaken for a second one with a probability of 1 in 10^14, once in a thousand years.
 pub const FINGERPRINT_BYTES: usize = size_of::<u64>();
 
 /// Number of a time slot.
