--- /dev/null
+++ b/crates/core/src/route/adaptive.rs
@@ -0,0 +1,321 @@
+//! The product's policy: the lowest estimate of the times to first token and to completion.
+
+use {
+    super::{
+        Cache, Candidate, Change, Choice, Full, Load, Name, Origin, Policy, Progress, Reason,
+        Request, Settings, Ticket,
+        choice::Phase,
+        engine::{Engine, Estimate, class},
+        prefix::{Hints, Trust},
+        registry::{Distance, Registry, Slot, Subset},
+    },
+    rand::{Rng, RngCore},
+    std::{mem::size_of, time::Duration},
+};
+
+/// Estimates the times to first token and to completion of each candidate in a sample of this
+/// host's subset, and chooses the lowest after adding a random share that grows with the age of
+/// the load report.
+#[derive(Debug)]
+pub struct Adaptive {
+    settings: Settings,
+    registry: Registry<Engine>,
+    hints: Hints,
+}
+
+/// A candidate with its estimate.
+#[derive(Clone, Copy, Debug)]
+struct Rated {
+    slot: u32,
+    cost: f32,
+    estimate: Estimate,
+}
+
+/// The best candidates so far.
+#[derive(Debug, Default)]
+struct Ranking {
+    best: Option<Rated>,
+    next: Option<Rated>,
+    suspect: Option<Rated>,
+    considered: usize,
+}
+
+impl Ranking {
+    fn add(&mut self, rated: Rated, is_suspect: bool) {
+        self.considered += 1;
+        if is_suspect {
+            if self.suspect.is_none_or(|other| rated.cost < other.cost) {
+                self.suspect = Some(rated);
+            }
+            return;
+        }
+        if self.best.is_none_or(|other| rated.cost < other.cost) {
+            self.next = self.best.replace(rated);
+        } else if self.next.is_none_or(|other| rated.cost < other.cost) {
+            self.next = Some(rated);
+        }
+    }
+}
+
+impl Adaptive {
+    /// Creates the policy without candidates.
+    pub fn new(origin: Origin, settings: Settings) -> Self {
+        Self {
+            registry: Registry::new(origin, settings.capacity),
+            hints: Hints::new(settings.hints, settings.hint_half_life),
+            settings,
+        }
+    }
+
+    /// Rates a slot, unless it is not allowed.
+    fn rate(
+        &self,
+        now: Duration,
+        random: &mut dyn RngCore,
+        request: &Request<'_>,
+        index: u32,
+        ranking: &mut Ranking,
+    ) {
+        let Some(slot) = self.registry.slot(index) else {
+            return;
+        };
+        if !(request.allows)(&slot.candidate.id) {
+            return;
+        }
+        let settings = &self.settings;
+        let estimate = self.estimate(now, request, slot);
+        let share = settings.jitter + settings.age_jitter * estimate.age;
+        let noise = 1.0 + share.min(settings.jitter_limit) * random.random::<f32>();
+        let rated = Rated {
+            slot: index,
+            cost: self.cost(request, slot, &estimate) * noise,
+            estimate,
+        };
+        ranking.add(rated, slot.state.is_suspect(settings, now, estimate.first));
+    }
+
+    fn estimate(&self, now: Duration, request: &Request<'_>, slot: &Slot<Engine>) -> Estimate {
+        let engine = &slot.state;
+        let trust = Trust {
+            cleared: engine.cleared,
+            gap: engine.gap,
+            after_gap: self.settings.after_gap,
+        };
+        let blocks = self.hints.expect(now, slot.hash, request.prefixes, &trust);
+        let cached = (blocks * self.settings.block as f32) as u32;
+        let class = class(request.priority);
+        engine.estimate(&self.settings, now, class, request.prompt, cached)
+    }
+
+    fn cost(&self, request: &Request<'_>, slot: &Slot<Engine>, estimate: &Estimate) -> f32 {
+        let settings = &self.settings;
+        let network = match slot.distance {
+            Distance::Zone => Duration::ZERO,
+            Distance::Region => settings.zone_cost,
+            Distance::Remote => settings.region_cost,
+        };
+        let response = request.output as f32 * estimate.between;
+        let excess = (estimate.between / settings.between_limit - 1.0).max(0.0);
+        network.as_secs_f32() + estimate.first + settings.completion * response + excess
+    }
+
+    /// Rates a random sample of the subset and the candidate that the prompt's first prefix hash
+    /// maps to, so that prompts with the same prefix meet also without cache events.
+    fn sample(
+        &self,
+        now: Duration,
+        random: &mut dyn RngCore,
+        request: &Request<'_>,
+        subset: Subset<'_>,
+    ) -> Ranking {
+        let mut ranking = Ranking::default();
+        let count = subset.len();
+        if count <= self.settings.sample {
+            for index in 0..count {
+                self.rate(now, random, request, subset.slot(index), &mut ranking);
+            }
+            return ranking;
+        }
+        // A random start and a stride that shares no factor with the count visit distinct
+        // candidates without a list of those already drawn.
+        let start = random.random_range(0..count);
+        let stride = stride(random.random_range(1..count), count);
+        for step in 0..self.settings.sample {
+            let slot = subset.slot((start + step * stride) % count);
+            self.rate(now, random, request, slot, &mut ranking);
+        }
+        if let Some(slot) = self.affine(request, subset) {
+            self.rate(now, random, request, slot, &mut ranking);
+        }
+        ranking
+    }
+
+    fn affine(&self, request: &Request<'_>, subset: Subset<'_>) -> Option<u32> {
+        let prefix = request.prefixes.first()?;
+        let weight = |slot: &u32| {
+            let hash = self.registry.slot(*slot).map_or(0, |slot| slot.hash);
+            (hash ^ prefix).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+        };
+        (0..subset.len())
+            .map(|index| subset.slot(index))
+            .max_by_key(weight)
+    }
+
+    fn choice(
+        &self,
+        now: Duration,
+        rated: Rated,
+        known: usize,
+        considered: usize,
+        reason: Reason,
+    ) -> Option<Choice> {
+        let slot = self.registry.slot(rated.slot)?;
+        let mut ticket = Ticket::plain(now, rated.slot, slot.generation);
+        ticket.uncached = rated.estimate.uncached;
+        ticket.first = rated.estimate.first;
+        ticket.between = rated.estimate.between;
+        Some(Choice {
+            upstream: slot.candidate.id.clone(),
+            known,
+            considered,
+            reason,
+            ticket,
+        })
+    }
+
+    fn reason(&self, rated: &Rated, ranking: &Ranking) -> Reason {
+        let failures = self
+            .registry
+            .slot(rated.slot)
+            .map_or(0, |slot| slot.state.failures());
+        if ranking.best.is_none() {
+            return Reason::Fallback;
+        }
+        if failures > 0 {
+            return Reason::Probe { failures };
+        }
+        Reason::Estimate {
+            first: rated.estimate.first,
+            between: rated.estimate.between,
+            cached: rated.estimate.cached,
+            age: rated.estimate.age,
+            next: ranking.next.map_or(0.0, |next| next.estimate.first),
+        }
+    }
+}
+
+impl Policy for Adaptive {
+    fn name(&self) -> Name {
+        Name::Adaptive
+    }
+
+    fn join(&mut self, _now: Duration, candidate: &Candidate) -> Result<(), Full> {
+        self.registry.join(candidate)
+    }
+
+    fn withdraw(&mut self, upstream: &str) {
+        self.registry.withdraw(upstream);
+    }
+
+    fn choose(
+        &mut self,
+        now: Duration,
+        random: &mut dyn RngCore,
+        request: &Request<'_>,
+    ) -> Option<Choice> {
+        let list = self.registry.list(request.target)?;
+        let subset = list.subset(self.settings.subset, self.settings.spill);
+        let mut ranking = self.sample(now, random, request, subset);
+        if ranking.best.is_none() {
+            // Nothing in the sample is in order, so all candidates are considered.
+            ranking = Ranking::default();
+            for slot in list.all() {
+                self.rate(now, random, request, slot, &mut ranking);
+            }
+        }
+        let rated = ranking.best.or(ranking.suspect)?;
+        let reason = self.reason(&rated, &ranking);
+        self.choice(now, rated, list.len(), ranking.considered, reason)
+    }
+
+    fn report(&mut self, now: Duration, ticket: &mut Ticket, progress: Progress<'_>) {
+        let Some((from, to)) = ticket.advance(&progress) else {
+            return;
+        };
+        let elapsed = now.saturating_sub(ticket.at).as_secs_f32();
+        ticket.at = now;
+        let settings = &self.settings;
+        let Some(slot) = self.registry.current(ticket.slot, ticket.generation) else {
+            return;
+        };
+        let engine = &mut slot.state;
+        match progress {
+            Progress::Sent(prefixes) => {
+                engine.send(now, ticket.uncached);
+                self.hints.store(now, slot.hash, prefixes);
+                return;
+            }
+            Progress::First => {
+                engine.answer(settings, now, elapsed, ticket.first);
+                engine.processed(ticket.uncached);
+                return;
+            }
+            Progress::Finished { tokens } if tokens > 1 && from == Phase::Answered => {
+                engine.pace(settings, elapsed / (tokens - 1) as f32, ticket.between);
+            }
+            Progress::Failed => engine.fail(settings, now),
+            Progress::Refused { after } => engine.refuse(settings, now, after),
+            Progress::Finished { .. } | Progress::Cancelled => {}
+        }
+        if from != Phase::Chosen && to == Phase::Ended {
+            engine.end(from == Phase::Answered);
+        }
+        if from == Phase::Sent {
+            engine.processed(ticket.uncached);
+        }
+    }
+
+    fn load(&mut self, now: Duration, upstream: &str, load: &Load) {
+        if let Some((_, engine)) = self.registry.state(upstream) {
+            engine.report(now, load);
+        }
+    }
+
+    fn cache(&mut self, now: Duration, upstream: &str, event: &Cache<'_>) {
+        let Some(index) = self.registry.find(upstream) else {
+            return;
+        };
+        let Some(hash) = self.registry.slot(index).map(|slot| slot.hash) else {
+            return;
+        };
+        let Some((_, engine)) = self.registry.state(upstream) else {
+            return;
+        };
+        let is_gap = engine.sequence > 0 && event.sequence != engine.sequence + 1;
+        engine.sequence = event.sequence;
+        if is_gap {
+            engine.gap = now;
+        }
+        if event.change == Change::Cleared {
+            engine.cleared = now;
+        }
+        match event.change {
+            Change::Stored(prefixes) => self.hints.store(now, hash, prefixes),
+            Change::Removed(prefixes) => self.hints.remove(hash, prefixes),
+            Change::Cleared => {}
+        }
+    }
+
+    fn bytes(&self) -> usize {
+        size_of::<Self>() + self.registry.bytes() + self.hints.bytes()
+    }
+}
+
+/// Returns the first number from `from` on that shares no factor with `count`.
+fn stride(from: usize, count: usize) -> usize {
+    (from..).find(|step| gcd(*step, count) == 1).unwrap_or(1)
+}
+
+fn gcd(a: usize, b: usize) -> usize {
+    if b == 0 { a } else { gcd(b, a % b) }
+}
--- /dev/null
+++ b/crates/core/src/route/candidate.rs
@@ -0,0 +1,65 @@
+//! What is known about upstreams from outside.
+
+use crate::id::{HostId, ModelId, Region, UpstreamId, Zone};
+
+/// Number of priority classes; class 0 is served first, higher numbers count as the last class.
+pub const CLASSES: usize = 3;
+
+/// The host that chooses.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Origin {
+    /// Host, which determines the subset of candidates that it considers.
+    pub host: HostId,
+    /// Region of the host.
+    pub region: Region,
+    /// Availability zone of the host.
+    pub zone: Zone,
+}
+
+/// An upstream in service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Upstream.
+    pub id: UpstreamId,
+    /// Models and services that it serves.
+    pub serves: Vec<ModelId>,
+    /// Region.
+    pub region: Region,
+    /// Availability zone.
+    pub zone: Zone,
+}
+
+/// A load report of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests in the batch.
+    pub running: u32,
+    /// Requests that wait for a place in the batch, by priority class.
+    pub waiting: [u32; CLASSES],
+    /// Prompt tokens that are not yet processed, by priority class.
+    pub pending: [u32; CLASSES],
+    /// Mean time between tokens since the last report, in seconds; 0 when unknown.
+    pub between: f32,
+    /// Mean time per uncached prompt token since the last report, in seconds; 0 when unknown.
+    pub prefill: f32,
+}
+
+/// A change of an engine's prefix cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change<'a> {
+    /// Blocks were stored, given by their prefix hashes.
+    Stored(&'a [u64]),
+    /// Blocks were removed.
+    Removed(&'a [u64]),
+    /// The whole cache was cleared.
+    Cleared,
+}
+
+/// A cache event of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cache<'a> {
+    /// Position in the engine's sequence of events; a gap means that events were lost.
+    pub sequence: u64,
+    /// Change.
+    pub change: Change<'a>,
+}
--- /dev/null
+++ b/crates/core/src/route/choice.rs
@@ -0,0 +1,169 @@
+//! Requests, choices and reports on their progress.
+
+use {
+    crate::id::UpstreamId,
+    derive_more::Display,
+    std::{fmt, time::Duration},
+};
+
+/// What a choice is made for.
+pub struct Request<'a> {
+    /// Model or service.
+    pub target: &'a str,
+    /// Estimated prompt length in tokens.
+    pub prompt: u32,
+    /// Output token limit.
+    pub output: u32,
+    /// Hashes of the prompt's prefixes, one per block and each covering all blocks before it.
+    pub prefixes: &'a [u64],
+    /// Priority class; 0 is served first.
+    pub priority: u8,
+    /// Whether an upstream may be chosen: not tried before, not ejected, not at its limit.
+    pub allows: &'a dyn Fn(&UpstreamId) -> bool,
+}
+
+impl fmt::Debug for Request<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Request")
+            .field("target", &self.target)
+            .field("prompt", &self.prompt)
+            .field("output", &self.output)
+            .field("priority", &self.priority)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Why an upstream was chosen.
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
+pub enum Reason {
+    /// It was next in turn.
+    #[display("next in turn")]
+    Turn,
+    /// It had the fewest of this host's requests in flight.
+    #[display("fewest in flight ({in_flight})")]
+    Fewest {
+        /// This host's requests in flight at the upstream.
+        in_flight: u32,
+    },
+    /// It had the lowest estimate.
+    #[display(
+        "lowest estimate: first token {:.0} ms, between tokens {:.1} ms, {cached} tokens cached, \
+         report {:.1} s old, next best first token {:.0} ms",
+        first * 1e3, between * 1e3, age, next * 1e3
+    )]
+    Estimate {
+        /// Estimated time to first token, in seconds.
+        first: f32,
+        /// Estimated time between tokens, in seconds.
+        between: f32,
+        /// Prompt tokens expected in the prefix cache.
+        cached: u32,
+        /// Age of the load report, in seconds.
+        age: f32,
+        /// Estimated time to first token of the next best candidate, in seconds; 0 without one.
+        next: f32,
+    },
+    /// It is tried again after failures.
+    #[display("probe after {failures} failures")]
+    Probe {
+        /// Failures in a row.
+        failures: u32,
+    },
+    /// Every allowed candidate is failing or silent, and this one was the best of them.
+    #[display("all candidates suspected, lowest estimate")]
+    Fallback,
+}
+
+/// A chosen upstream.
+#[derive(Debug, Display)]
+#[display("{upstream} of {known} ({considered} considered): {reason}")]
+pub struct Choice {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Candidates known for the target.
+    pub known: usize,
+    /// Candidates compared.
+    pub considered: usize,
+    /// Why it was chosen.
+    pub reason: Reason,
+    /// Identifies the request in progress reports.
+    pub ticket: Ticket,
+}
+
+/// Progress of a chosen request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress<'a> {
+    /// The request was sent; carries the prefix hashes of its prompt.
+    Sent(&'a [u64]),
+    /// The first token arrived.
+    First,
+    /// The response is complete.
+    Finished {
+        /// Tokens of the response.
+        tokens: u32,
+    },
+    /// The caller gave the request up; this says nothing about the upstream.
+    Cancelled,
+    /// The upstream failed or did not answer in time.
+    Failed,
+    /// The upstream refused the request.
+    Refused {
+        /// Time after which the upstream may be asked again.
+        after: Option<Duration>,
+    },
+}
+
+/// How far a request has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    Chosen,
+    Sent,
+    Answered,
+    Ended,
+}
+
+/// Identifies a chosen request; held by the caller until the request has ended.
+#[derive(Debug)]
+pub struct Ticket {
+    pub(super) slot: u32,
+    /// Tells a later upstream in the same slot from the chosen one.
+    pub(super) generation: u32,
+    pub(super) phase: Phase,
+    /// Time of the last progress.
+    pub(super) at: Duration,
+    /// Prompt tokens that are expected to be processed.
+    pub(super) uncached: u32,
+    /// Estimated time to first token without the network, in seconds.
+    pub(super) first: f32,
+    /// Estimated time between tokens, in seconds.
+    pub(super) between: f32,
+}
+
+impl Ticket {
+    /// Creates the ticket of a choice that was made without an estimate.
+    pub(super) fn plain(now: Duration, slot: u32, generation: u32) -> Self {
+        Self {
+            slot,
+            generation,
+            phase: Phase::Chosen,
+            at: now,
+            uncached: 0,
+            first: 0.0,
+            between: 0.0,
+        }
+    }
+
+    /// Moves to the phase that follows from a report; `None` when the report does not fit.
+    pub(super) fn advance(&mut self, progress: &Progress<'_>) -> Option<(Phase, Phase)> {
+        let from = self.phase;
+        let to = match (from, progress) {
+            (Phase::Chosen, Progress::Sent(_)) => Phase::Sent,
+            (Phase::Sent, Progress::First) => Phase::Answered,
+            (Phase::Sent | Phase::Answered, Progress::Sent(_) | Progress::First) => return None,
+            (Phase::Ended, _) | (Phase::Chosen, Progress::First) => return None,
+            _ => Phase::Ended,
+        };
+        self.phase = to;
+        Some((from, to))
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/engine.rs
@@ -0,0 +1,222 @@
+//! What is known and learned about one upstream.
+
+use {
+    super::{CLASSES, Load, Settings},
+    std::time::Duration,
+};
+
+/// Bounds on one observed ratio of a measured to an estimated time, so that a single request
+/// cannot dominate what was learned.
+const RATIO: (f32, f32) = (0.25, 4.0);
+/// Bounds on the learned speed.
+const SLOWNESS: (f32, f32) = (0.1, 50.0);
+/// Weight of an own share of the load in the average over reports.
+const SHARE_WEIGHT: f32 = 0.2;
+
+/// Estimate for one request at one upstream, in seconds and tokens.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Estimate {
+    pub first: f32,
+    pub between: f32,
+    pub cached: u32,
+    pub uncached: u32,
+    pub age: f32,
+}
+
+/// State of one upstream.
+#[derive(Debug)]
+pub struct Engine {
+    load: Load,
+    reported: Option<Duration>,
+    /// Own requests in flight.
+    in_flight: u32,
+    /// Own requests in flight without a first token.
+    unanswered: u32,
+    /// Start of the present silence: the last sign of life while requests are unanswered.
+    silent_since: Duration,
+    /// Own requests sent less own requests ended since the last report.
+    net: f32,
+    /// Own prompt tokens sent and not answered since the last report.
+    sent: f32,
+    /// Share of the upstream's load that is this host's, averaged over reports.
+    share: f32,
+    /// Measured over estimated time to first token.
+    slowness: f32,
+    /// Measured over estimated time between tokens.
+    pace: f32,
+    /// Failures in a row.
+    failures: u32,
+    avoid_until: Duration,
+    /// Time of the last loss of cache events.
+    pub gap: Duration,
+    /// Time at which the cache was last cleared.
+    pub cleared: Duration,
+    /// Last sequence number of the cache events; 0 before the first.
+    pub sequence: u64,
+}
+
+impl Default for Engine {
+    fn default() -> Self {
+        Self {
+            load: Load::default(),
+            reported: None,
+            in_flight: 0,
+            unanswered: 0,
+            silent_since: Duration::ZERO,
+            net: 0.0,
+            sent: 0.0,
+            share: 1.0,
+            slowness: 1.0,
+            pace: 1.0,
+            failures: 0,
+            avoid_until: Duration::ZERO,
+            gap: Duration::ZERO,
+            cleared: Duration::ZERO,
+            sequence: 0,
+        }
+    }
+}
+
+impl Engine {
+    /// Estimates the times for a prompt of `prompt` tokens of which `cached` are expected in the
+    /// prefix cache.
+    pub fn estimate(
+        &self,
+        settings: &Settings,
+        now: Duration,
+        class: usize,
+        prompt: u32,
+        cached: u32,
+    ) -> Estimate {
+        let age = self.age(now);
+        let peers = (1.0 / self.share.max(0.01)).min(settings.peers);
+        let running = (self.load.running as f32 + self.net * peers).max(0.0);
+        let prefill = positive(self.load.prefill, settings.prefill) * self.slowness;
+        let between = self.between(settings, running + 1.0);
+        let ahead = self.load.pending[..=class].iter().sum::<u32>() as f32;
+        let backlog = (ahead - age / prefill).max(0.0) + self.sent * peers;
+        let uncached = prompt.saturating_sub(cached).max(1);
+        let first = (backlog + uncached as f32) * prefill + between + self.queue(class, between);
+        Estimate {
+            first,
+            between,
+            cached: prompt.min(cached),
+            uncached,
+            age,
+        }
+    }
+
+    fn between(&self, settings: &Settings, running: f32) -> f32 {
+        let reported = self.load.running as f32;
+        let base = if self.load.between > 0.0 {
+            self.load.between / (settings.half_batch + reported)
+        } else {
+            settings.between / (2.0 * settings.half_batch)
+        };
+        base * (settings.half_batch + running) * self.pace
+    }
+
+    /// Estimates the wait for a place in a full batch: one place becomes free per mean response
+    /// time divided by the number of running requests.
+    fn queue(&self, class: usize, between: f32) -> f32 {
+        let waiting = self.load.waiting[..=class].iter().sum::<u32>() as f32;
+        const MEAN_TOKENS: f32 = 230.0;
+        waiting * MEAN_TOKENS * between / (self.load.running as f32).max(1.0)
+    }
+
+    fn age(&self, now: Duration) -> f32 {
+        self.reported
+            .map_or(0.0, |at| now.saturating_sub(at).as_secs_f32())
+    }
+
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Returns whether the upstream is silent or in a pause after failures. After the pause, one
+    /// request at a time probes it.
+    pub fn is_suspect(&self, settings: &Settings, now: Duration, first: f32) -> bool {
+        if now < self.avoid_until || (self.failures > 0 && self.unanswered > 0) {
+            return true;
+        }
+        let silence = now.saturating_sub(self.silent_since);
+        let patience = settings.silence_factor * first;
+        self.unanswered > 0 && silence > settings.silence && silence.as_secs_f32() > patience
+    }
+
+    pub fn report(&mut self, now: Duration, load: &Load) {
+        let total = load.running + load.waiting.iter().sum::<u32>();
+        if total > 0 {
+            let share = (self.in_flight as f32 / total as f32).min(1.0);
+            self.share += SHARE_WEIGHT * (share - self.share);
+        }
+        self.load = *load;
+        self.reported = Some(now);
+        self.net = 0.0;
+        self.sent = 0.0;
+    }
+
+    pub fn send(&mut self, now: Duration, uncached: u32) {
+        if self.unanswered == 0 {
+            self.silent_since = now;
+        }
+        self.in_flight += 1;
+        self.unanswered += 1;
+        self.net += 1.0;
+        self.sent += uncached as f32;
+    }
+
+    /// Takes the time to first token of a request, in seconds.
+    pub fn answer(&mut self, settings: &Settings, now: Duration, measured: f32, first: f32) {
+        self.unanswered = self.unanswered.saturating_sub(1);
+        self.silent_since = now;
+        self.failures = 0;
+        let ratio = (measured / first.max(1e-4)).clamp(RATIO.0, RATIO.1);
+        self.slowness = learn(self.slowness, ratio, settings.learning);
+    }
+
+    /// Forgets the prompt tokens of a request that the upstream has processed.
+    pub fn processed(&mut self, uncached: u32) {
+        self.sent = (self.sent - uncached as f32).max(0.0);
+    }
+
+    /// Takes the mean time between the tokens of a response, in seconds.
+    pub fn pace(&mut self, settings: &Settings, measured: f32, between: f32) {
+        let ratio = (measured / between.max(1e-4)).clamp(RATIO.0, RATIO.1);
+        self.pace = learn(self.pace, ratio, settings.learning);
+    }
+
+    pub fn end(&mut self, was_answered: bool) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.net -= 1.0;
+        if !was_answered {
+            self.unanswered = self.unanswered.saturating_sub(1);
+        }
+    }
+
+    pub fn fail(&mut self, settings: &Settings, now: Duration) {
+        let doubled = settings.pause * 2_u32.pow(self.failures.min(10));
+        self.failures = self.failures.saturating_add(1);
+        self.avoid_until = self
+            .avoid_until
+            .max(now + doubled.min(settings.pause_limit));
+    }
+
+    pub fn refuse(&mut self, settings: &Settings, now: Duration, after: Option<Duration>) {
+        let pause = after.unwrap_or(settings.pause).min(settings.pause_limit);
+        self.avoid_until = self.avoid_until.max(now + pause);
+    }
+}
+
+/// Returns the class that a priority counts as.
+pub fn class(priority: u8) -> usize {
+    usize::from(priority).min(CLASSES - 1)
+}
+
+fn learn(old: f32, ratio: f32, weight: f32) -> f32 {
+    (old * ratio.powf(weight)).clamp(SLOWNESS.0, SLOWNESS.1)
+}
+
+fn positive(value: f32, default: f32) -> f32 {
+    if value > 0.0 { value } else { default }
+}
--- /dev/null
+++ b/crates/core/src/route/registry.rs
@@ -0,0 +1,235 @@
+//! The known candidates, with the subset that this host considers.
+
+use {
+    super::{Candidate, Origin},
+    crate::id::{ModelId, UpstreamId},
+    derive_more::{Display, Error},
+    std::{collections::HashMap, mem::size_of},
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
+};
+
+/// The bound on known candidates is reached.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("{capacity} candidates are known already")]
+pub struct Full {
+    capacity: usize,
+}
+
+/// Distance between a host and an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    Zone,
+    Region,
+    Remote,
+}
+
+/// A known candidate with the state that the policy keeps for it.
+#[derive(Debug)]
+pub struct Slot<S> {
+    pub candidate: Candidate,
+    pub distance: Distance,
+    /// Hash of the id, the same on every host.
+    pub hash: u64,
+    pub generation: u32,
+    pub state: S,
+}
+
+/// Candidates of one model or service, by descending rank for this host.
+#[derive(Debug, Default)]
+pub struct List {
+    near: Vec<Entry>,
+    far: Vec<Entry>,
+    /// Position of round robin.
+    pub turn: usize,
+}
+
+/// Rank of a candidate for this host, and its slot.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    rank: u64,
+    slot: u32,
+}
+
+impl List {
+    pub fn len(&self) -> usize {
+        self.near.len() + self.far.len()
+    }
+
+    /// Returns every slot, those of the own region first.
+    pub fn all(&self) -> impl Iterator<Item = u32> + '_ {
+        self.near.iter().chain(&self.far).map(|entry| entry.slot)
+    }
+
+    /// Returns the slots that this host considers: up to `size` of its own region, and of other
+    /// regions as many as are missing, but at least `spill` so that a region can overflow.
+    pub fn subset(&self, size: usize, spill: usize) -> Subset<'_> {
+        let near = self.near.len().min(size);
+        let far = self.far.len().min((size - near).max(spill));
+        Subset {
+            near: &self.near[..near],
+            far: &self.far[..far],
+        }
+    }
+
+    fn side(&mut self, distance: Distance) -> &mut Vec<Entry> {
+        match distance {
+            Distance::Remote => &mut self.far,
+            Distance::Zone | Distance::Region => &mut self.near,
+        }
+    }
+}
+
+/// The part of a [`List`] that this host considers.
+#[derive(Clone, Copy, Debug)]
+pub struct Subset<'a> {
+    near: &'a [Entry],
+    far: &'a [Entry],
+}
+
+impl Subset<'_> {
+    pub fn len(&self) -> usize {
+        self.near.len() + self.far.len()
+    }
+
+    /// Returns the slot at an index below [`Self::len`].
+    pub fn slot(&self, index: usize) -> u32 {
+        match index.checked_sub(self.near.len()) {
+            None => self.near[index].slot,
+            Some(rest) => self.far[rest].slot,
+        }
+    }
+}
+
+/// The known candidates.
+#[derive(Debug)]
+pub struct Registry<S> {
+    origin: Origin,
+    seed: u64,
+    capacity: usize,
+    generation: u32,
+    slots: Vec<Option<Slot<S>>>,
+    free: Vec<u32>,
+    ids: HashMap<UpstreamId, u32>,
+    lists: HashMap<ModelId, List>,
+}
+
+impl<S: Default> Registry<S> {
+    pub fn new(origin: Origin, capacity: usize) -> Self {
+        Self {
+            seed: xxh3_64(origin.host.as_bytes()),
+            origin,
+            capacity,
+            generation: 0,
+            slots: Vec::new(),
+            free: Vec::new(),
+            ids: HashMap::new(),
+            lists: HashMap::new(),
+        }
+    }
+
+    /// Adds a candidate with fresh state; one that is known and unchanged keeps its state.
+    pub fn join(&mut self, candidate: &Candidate) -> Result<(), Full> {
+        if let Some(slot) = self.find(&candidate.id) {
+            if self.slot(slot).is_some_and(|s| s.candidate == *candidate) {
+                return Ok(());
+            }
+            self.withdraw(&candidate.id);
+        }
+        if self.ids.len() >= self.capacity {
+            let capacity = self.capacity;
+            return Err(Full { capacity });
+        }
+        let index = self.free.pop().unwrap_or(self.slots.len() as u32);
+        if index as usize == self.slots.len() {
+            self.slots.push(None);
+        }
+        self.insert(index, candidate);
+        Ok(())
+    }
+
+    pub fn withdraw(&mut self, upstream: &str) {
+        let Some(index) = self.ids.remove(upstream) else {
+            return;
+        };
+        let Some(slot) = self.slots[index as usize].take() else {
+            return;
+        };
+        for target in &slot.candidate.serves {
+            let Some(list) = self.lists.get_mut(target) else {
+                continue;
+            };
+            list.side(slot.distance).retain(|entry| entry.slot != index);
+            if list.len() == 0 {
+                self.lists.remove(target);
+            }
+        }
+        self.free.push(index);
+    }
+
+    pub fn find(&self, upstream: &str) -> Option<u32> {
+        self.ids.get(upstream).copied()
+    }
+
+    pub fn slot(&self, index: u32) -> Option<&Slot<S>> {
+        self.slots.get(index as usize)?.as_ref()
+    }
+
+    /// Returns the slot if it still belongs to the upstream of that generation.
+    pub fn current(&mut self, index: u32, generation: u32) -> Option<&mut Slot<S>> {
+        let slot = self.slots.get_mut(index as usize)?.as_mut()?;
+        (slot.generation == generation).then_some(slot)
+    }
+
+    pub fn state(&mut self, upstream: &str) -> Option<(u32, &mut S)> {
+        let index = self.find(upstream)?;
+        let slot = self.slots[index as usize].as_mut()?;
+        Some((index, &mut slot.state))
+    }
+
+    pub fn list(&self, target: &str) -> Option<&List> {
+        self.lists.get(target)
+    }
+
+    pub fn list_mut(&mut self, target: &str) -> Option<&mut List> {
+        self.lists.get_mut(target)
+    }
+
+    /// Returns the memory in bytes, without the text of the ids, which the caller shares.
+    pub fn bytes(&self) -> usize {
+        let entries: usize = self.lists.values().map(List::len).sum();
+        self.slots.capacity() * size_of::<Option<Slot<S>>>()
+            + self.free.capacity() * size_of::<u32>()
+            + self.ids.capacity() * size_of::<(UpstreamId, u32)>()
+            + self.lists.capacity() * size_of::<(ModelId, List)>()
+            + entries * size_of::<Entry>()
+    }
+
+    fn insert(&mut self, index: u32, candidate: &Candidate) {
+        self.generation += 1;
+        let distance = if candidate.region != self.origin.region {
+            Distance::Remote
+        } else if candidate.zone != self.origin.zone {
+            Distance::Region
+        } else {
+            Distance::Zone
+        };
+        let entry = Entry {
+            rank: xxh3_64_with_seed(candidate.id.as_bytes(), self.seed),
+            slot: index,
+        };
+        for target in &candidate.serves {
+            let list = self.lists.entry(target.clone()).or_default();
+            let side = list.side(distance);
+            let at = side.partition_point(|other| other.rank > entry.rank);
+            side.insert(at, entry);
+        }
+        self.ids.insert(candidate.id.clone(), index);
+        self.slots[index as usize] = Some(Slot {
+            candidate: candidate.clone(),
+            distance,
+            hash: xxh3_64(candidate.id.as_bytes()),
+            generation: self.generation,
+            state: S::default(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/settings.rs
@@ -0,0 +1,90 @@
+//! Settings of the adaptive policy.
+
+use std::time::Duration;
+
+/// Settings of [`super::Adaptive`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Most candidates known at a time.
+    pub capacity: usize,
+    /// Candidates of the own region that this host considers, per model.
+    pub subset: usize,
+    /// Candidates of other regions that are considered at least, per model.
+    pub spill: usize,
+    /// Candidates compared per decision.
+    pub sample: usize,
+    /// Tokens covered by one prefix hash.
+    pub block: u32,
+    /// Bound on prefix hints; rounded up to a power of two.
+    pub hints: usize,
+    /// Age at which a prefix hint has lost half of its weight.
+    pub hint_half_life: Duration,
+    /// Weight of the prefix hints from before a gap in the cache events.
+    pub after_gap: f32,
+    /// Assumed seconds per uncached prompt token before anything was learned.
+    pub prefill: f32,
+    /// Assumed seconds between tokens before anything was learned.
+    pub between: f32,
+    /// Number of running requests at which an engine's time between tokens is twice that of an
+    /// empty engine.
+    pub half_batch: f32,
+    /// Weight of the time to completion against the time to first token.
+    pub completion: f32,
+    /// Time between tokens, in seconds, above which a candidate is penalised.
+    pub between_limit: f32,
+    /// Random part of an estimate with a fresh report, as a share of it.
+    pub jitter: f32,
+    /// Additional random share per second of the report's age. It keeps the hosts that choose
+    /// from the same old reports from all choosing the same upstream.
+    pub age_jitter: f32,
+    /// Bound on the random share.
+    pub jitter_limit: f32,
+    /// Bound on the number of requests of other hosts that one own request stands for.
+    pub peers: f32,
+    /// Weight of a new observation of an upstream's speed.
+    pub learning: f32,
+    /// Network round trip to another availability zone.
+    pub zone_cost: Duration,
+    /// Network round trip to another region.
+    pub region_cost: Duration,
+    /// Silence after which an upstream is suspected at the earliest.
+    pub silence: Duration,
+    /// Silence, as a multiple of the estimated time to first token, after which an upstream is
+    /// suspected.
+    pub silence_factor: f32,
+    /// Pause after the first failure; doubled with each further one.
+    pub pause: Duration,
+    /// Longest pause after failures.
+    pub pause_limit: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            capacity: 4_096,
+            subset: 48,
+            spill: 4,
+            sample: 16,
+            block: 256,
+            hints: 1 << 15,
+            hint_half_life: Duration::from_secs(60),
+            after_gap: 0.5,
+            prefill: 0.000_05,
+            between: 0.03,
+            half_batch: 50.0,
+            completion: 0.05,
+            between_limit: 0.055,
+            jitter: 0.05,
+            age_jitter: 0.05,
+            jitter_limit: 0.4,
+            peers: 8.0,
+            learning: 0.1,
+            zone_cost: Duration::from_millis(1),
+            region_cost: Duration::from_millis(20),
+            silence: Duration::from_millis(1_000),
+            silence_factor: 4.0,
+            pause: Duration::from_secs(1),
+            pause_limit: Duration::from_secs(30),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the choice of an upstream.
