--- /dev/null
+++ b/crates/ctl/src/measure/routing/decision.rs
@@ -0,0 +1,95 @@
+//! Time and memory of a decision with many candidates known.
+
+use {
+    hdrhistogram::Histogram,
+    marigoldroute_core::route::{Candidate, Load, Name, Origin, Progress, Request, Settings},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{
+        io::Write,
+        time::{Duration, Instant},
+    },
+};
+
+/// Candidates known.
+const REPLICAS: usize = 600;
+/// Decisions measured.
+const DECISIONS: u32 = 200_000;
+/// Blocks per prompt.
+const BLOCKS: usize = 12;
+
+/// Measures each policy and prints CSV rows.
+///
+/// # Errors
+/// When writing to `out` fails.
+pub fn run(settings: &Settings, out: &mut dyn Write) -> anyhow::Result<()> {
+    writeln!(
+        out,
+        "policy,replicas,decision_p50_ns,decision_p99_ns,decision_mean_ns,bytes_before,bytes_after"
+    )?;
+    for name in Name::ALL {
+        writeln!(out, "{}", measure(name, settings)?)?;
+    }
+    Ok(())
+}
+
+fn measure(name: Name, settings: &Settings) -> anyhow::Result<String> {
+    let origin = Origin {
+        host: "host-1".into(),
+        region: "region".into(),
+        zone: "zone-1".into(),
+    };
+    let mut policy = name.policy(origin, settings.clone());
+    let mut random = SmallRng::seed_from_u64(1);
+    for replica in 0..REPLICAS {
+        let id = format!("engine-{replica}");
+        policy.join(Duration::ZERO, &candidate(&id, replica))?;
+        let load = Load {
+            running: random.random_range(10..60),
+            between: 0.03,
+            prefill: 0.000_05,
+            ..Load::default()
+        };
+        policy.load(Duration::ZERO, &id, &load);
+    }
+    let before = policy.bytes();
+    let mut times = Histogram::<u64>::new(3)?;
+    for round in 0..DECISIONS {
+        let now = Duration::from_millis(u64::from(round));
+        let group: u64 = random.random_range(0..200);
+        let prefixes: Vec<u64> = (0..BLOCKS as u64)
+            .map(|block| group << 32 | block)
+            .collect();
+        let request = Request {
+            target: "drafting",
+            prompt: 3_000,
+            output: 256,
+            prefixes: &prefixes,
+            priority: 0,
+            allows: &|_| true,
+        };
+        let started = Instant::now();
+        let choice = policy.choose(now, &mut random, &request);
+        times.record(started.elapsed().as_nanos() as u64)?;
+        if let Some(mut choice) = choice {
+            policy.report(now, &mut choice.ticket, Progress::Sent(&prefixes));
+            policy.report(now, &mut choice.ticket, Progress::First);
+            policy.report(now, &mut choice.ticket, Progress::Finished { tokens: 1 });
+        }
+    }
+    Ok(format!(
+        "{name},{REPLICAS},{},{},{:.0},{before},{}",
+        times.value_at_quantile(0.5),
+        times.value_at_quantile(0.99),
+        times.mean(),
+        policy.bytes()
+    ))
+}
+
+fn candidate(id: &str, replica: usize) -> Candidate {
+    Candidate {
+        id: id.into(),
+        serves: vec!["drafting".into()],
+        region: "region".into(),
+        zone: format!("zone-{}", replica % 3).into(),
+    }
+}
