Estimate the load of upstreams from own requests scaled by own share

Cause: hosts that follow each load report all choose the same upstream until the next one; the queue in a report is out of date when it arrives.

Change: running requests are the own ones in flight, scaled by the host's share of the load, with a weight of 0.3 on the reports; speeds are averages over reports; queues in reports fade within 0.3 s; the random share is 2% and no longer grows with the age of the report.

--- a/crates/core/src/route/adaptive.rs
+++ b/crates/core/src/route/adaptive.rs
@@ -21,6 +21,29 @@
     settings: Settings,
     registry: Registry<Engine>,
     hints: Hints,
+    share: Share,
+}
+
+/// This host's share of the load of the upstreams that report, over recent reports.
+#[derive(Debug, Default)]
+struct Share {
+    own: f32,
+    all: f32,
+}
+
+impl Share {
+    /// Weight of the earlier reports when a new one arrives.
+    const MEMORY: f32 = 0.98;
+
+    fn add(&mut self, own: u32, all: u32) {
+        self.own = self.own * Self::MEMORY + own as f32;
+        self.all = self.all * Self::MEMORY + all as f32;
+    }
+
+    /// Returns how many requests at an upstream one own request stands for.
+    fn peers(&self, settings: &Settings) -> f32 {
+        (self.all / self.own.max(1.0)).clamp(1.0, settings.peers)
+    }
 }
 
 /// A candidate with its estimate.
@@ -63,6 +86,7 @@
         Self {
             registry: Registry::new(origin, settings.capacity),
             hints: Hints::new(settings.hints, settings.hint_half_life),
+            share: Share::default(),
             settings,
         }
     }
@@ -84,8 +108,7 @@
         }
         let settings = &self.settings;
         let estimate = self.estimate(now, request, slot);
-        let share = settings.jitter + settings.age_jitter * estimate.age;
-        let noise = 1.0 + share.min(settings.jitter_limit) * random.random::<f32>();
+        let noise = 1.0 + settings.jitter * random.random::<f32>();
         let rated = Rated {
             slot: index,
             cost: self.cost(request, slot, &estimate) * noise,
@@ -104,7 +127,8 @@
         let blocks = self.hints.expect(now, slot.hash, request.prefixes, &trust);
         let cached = (blocks * self.settings.block as f32) as u32;
         let class = class(request.priority);
-        engine.estimate(&self.settings, now, class, request.prompt, cached)
+        let peers = self.share.peers(&self.settings);
+        engine.estimate(&self.settings, now, class, request.prompt, cached, peers)
     }
 
     fn cost(&self, request: &Request<'_>, slot: &Slot<Engine>, estimate: &Estimate) -> f32 {
@@ -277,7 +301,8 @@
 
     fn load(&mut self, now: Duration, upstream: &str, load: &Load) {
         if let Some((_, engine)) = self.registry.state(upstream) {
-            engine.report(now, load);
+            let (own, all) = engine.report(&self.settings, now, load);
+            self.share.add(own, all);
         }
     }
 
--- a/crates/core/src/route/engine.rs
+++ b/crates/core/src/route/engine.rs
@@ -10,8 +10,6 @@
 const RATIO: (f32, f32) = (0.25, 4.0);
 /// Bounds on the learned speed.
 const SLOWNESS: (f32, f32) = (0.1, 50.0);
-/// Weight of an own share of the load in the average over reports.
-const SHARE_WEIGHT: f32 = 0.2;
 
 /// Estimate for one request at one upstream, in seconds and tokens.
 #[derive(Clone, Copy, Debug, Default)]
@@ -36,10 +34,16 @@
     silent_since: Duration,
     /// Own requests sent less own requests ended since the last report.
     net: f32,
-    /// Own prompt tokens sent and not answered since the last report.
+    /// Own prompt tokens sent and not answered.
     sent: f32,
-    /// Share of the upstream's load that is this host's, averaged over reports.
-    share: f32,
+    /// Requests in the batch, averaged over reports.
+    running: f32,
+    /// Prompt tokens that wait, averaged over reports.
+    backlog: f32,
+    /// Seconds between tokens per running request, averaged over reports; 0 when unknown.
+    base: f32,
+    /// Seconds per uncached prompt token, averaged over reports; 0 when unknown.
+    prefill: f32,
     /// Measured over estimated time to first token.
     slowness: f32,
     /// Measured over estimated time between tokens.
@@ -65,7 +69,10 @@
             silent_since: Duration::ZERO,
             net: 0.0,
             sent: 0.0,
-            share: 1.0,
+            running: 0.0,
+            backlog: 0.0,
+            base: 0.0,
+            prefill: 0.0,
             slowness: 1.0,
             pace: 1.0,
             failures: 0,
@@ -79,7 +86,7 @@
 
 impl Engine {
     /// Estimates the times for a prompt of `prompt` tokens of which `cached` are expected in the
-    /// prefix cache.
+    /// prefix cache. `peers` is the number of running requests that one own request stands for.
     pub fn estimate(
         &self,
         settings: &Settings,
@@ -87,14 +94,17 @@
         class: usize,
         prompt: u32,
         cached: u32,
+        peers: f32,
     ) -> Estimate {
         let age = self.age(now);
-        let peers = (1.0 / self.share.max(0.01)).min(settings.peers);
-        let running = (self.load.running as f32 + self.net * peers).max(0.0);
-        let prefill = positive(self.load.prefill, settings.prefill) * self.slowness;
+        let own = self.in_flight as f32 * peers;
+        let reported = (self.running + self.net).max(0.0);
+        let running = own + settings.reported * (reported - own);
+        let prefill = positive(self.prefill, settings.prefill) * self.slowness;
         let between = self.between(settings, running + 1.0);
         let ahead = self.load.pending[..=class].iter().sum::<u32>() as f32;
-        let backlog = (ahead - age / prefill).max(0.0) + self.sent * peers;
+        let fresh = (-age / settings.backlog_memory).exp();
+        let backlog = self.backlog + (ahead - self.backlog) * fresh + self.sent;
         let uncached = prompt.saturating_sub(cached).max(1);
         let first = (backlog + uncached as f32) * prefill + between + self.queue(class, between);
         Estimate {
@@ -107,12 +117,7 @@
     }
 
     fn between(&self, settings: &Settings, running: f32) -> f32 {
-        let reported = self.load.running as f32;
-        let base = if self.load.between > 0.0 {
-            self.load.between / (settings.half_batch + reported)
-        } else {
-            settings.between / (2.0 * settings.half_batch)
-        };
+        let base = positive(self.base, settings.between / (2.0 * settings.half_batch));
         base * (settings.half_batch + running) * self.pace
     }
 
@@ -144,16 +149,26 @@
         self.unanswered > 0 && silence > settings.silence && silence.as_secs_f32() > patience
     }
 
-    pub fn report(&mut self, now: Duration, load: &Load) {
-        let total = load.running + load.waiting.iter().sum::<u32>();
-        if total > 0 {
-            let share = (self.in_flight as f32 / total as f32).min(1.0);
-            self.share += SHARE_WEIGHT * (share - self.share);
+    /// Takes a load report and returns the requests at the upstream, own and all.
+    pub fn report(&mut self, settings: &Settings, now: Duration, load: &Load) -> (u32, u32) {
+        let is_first = self.reported.is_none();
+        let weight = if is_first { 1.0 } else { settings.smoothing };
+        let running = load.running as f32;
+        let pending = load.pending.iter().sum::<u32>() as f32;
+        smooth(&mut self.running, running, weight);
+        smooth(&mut self.backlog, pending, weight);
+        if load.between > 0.0 {
+            let base = load.between / (settings.half_batch + running);
+            smooth_known(&mut self.base, base, weight);
+        }
+        if load.prefill > 0.0 {
+            smooth_known(&mut self.prefill, load.prefill, weight);
         }
         self.load = *load;
         self.reported = Some(now);
         self.net = 0.0;
-        self.sent = 0.0;
+        let total = load.running + load.waiting.iter().sum::<u32>();
+        (self.in_flight, total)
     }
 
     pub fn send(&mut self, now: Duration, uncached: u32) {
@@ -217,6 +232,16 @@
     (old * ratio.powf(weight)).clamp(SLOWNESS.0, SLOWNESS.1)
 }
 
+fn smooth(average: &mut f32, value: f32, weight: f32) {
+    *average += weight * (value - *average);
+}
+
+/// Like [`smooth`], but an average of 0 counts as unknown and is replaced.
+fn smooth_known(average: &mut f32, value: f32, weight: f32) {
+    let weight = if *average > 0.0 { weight } else { 1.0 };
+    smooth(average, value, weight);
+}
+
 fn positive(value: f32, default: f32) -> f32 {
     if value > 0.0 { value } else { default }
 }
--- a/crates/core/src/route/settings.rs
+++ b/crates/core/src/route/settings.rs
@@ -32,14 +32,18 @@
     pub completion: f32,
     /// Time between tokens, in seconds, above which a candidate is penalised.
     pub between_limit: f32,
-    /// Random part of an estimate with a fresh report, as a share of it.
+    /// Age of a load report, in seconds, at which its queue counts by a third; prompts are
+    /// processed in a fraction of a second, so older queues say little.
+    pub backlog_memory: f32,
+    /// Weight of the reported number of running requests against the own requests in flight,
+    /// scaled by this host's share of the load. Only the own ones are up to date.
+    pub reported: f32,
+    /// Weight of a new load report in the averages over reports. Hosts that follow every single
+    /// report all choose the same upstream.
+    pub smoothing: f32,
+    /// Random part of an estimate, as a share of it.
     pub jitter: f32,
-    /// Additional random share per second of the report's age. It keeps the hosts that choose
-    /// from the same old reports from all choosing the same upstream.
-    pub age_jitter: f32,
-    /// Bound on the random share.
-    pub jitter_limit: f32,
-    /// Bound on the number of requests of other hosts that one own request stands for.
+    /// Bound on the number of requests at an upstream that one own request stands for.
     pub peers: f32,
     /// Weight of a new observation of an upstream's speed.
     pub learning: f32,
@@ -74,10 +78,11 @@
             half_batch: 50.0,
             completion: 0.05,
             between_limit: 0.055,
-            jitter: 0.05,
-            age_jitter: 0.05,
-            jitter_limit: 0.4,
-            peers: 8.0,
+            backlog_memory: 0.3,
+            reported: 0.3,
+            smoothing: 0.1,
+            jitter: 0.02,
+            peers: 64.0,
             learning: 0.1,
             zone_cost: Duration::from_millis(1),
             region_cost: Duration::from_millis(20),
