--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fault;
 pub mod fleet;
 pub mod id;
+pub mod route;
 pub mod stream;
 pub mod table;
 pub mod wire;
