Fuzz the escrow with faults against an oracle that counts tokens

Cause: the life cycle of grants had only three example tests.

Change: Accounts::restore requires the row as read whenever fewer tokens are allocated than returned. Stateful fuzzing of up to ten holders, two budgets, operators and reclaimers with a store that is down, loses answers, returns old rows or sees transactions twice.

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -51,9 +51,14 @@
     }
 
     /// Takes tokens back from a holder; a pending cut takes them first.
-    pub fn restore(&mut self, amount: Tokens) {
-        self.allocated = self.allocated.saturating_sub(amount);
+    ///
+    /// Returns `None` when fewer tokens are allocated: the row is older than the grant, or another
+    /// host has returned the tokens.
+    #[must_use]
+    pub fn restore(&mut self, amount: Tokens) -> Option<()> {
+        self.allocated = self.allocated.checked_sub(amount)?;
         self.take_cut();
+        Some(())
     }
 
     /// Adds purchased tokens; a pending cut takes them first. Returns `None` on overflow.
@@ -112,6 +117,8 @@
     row: Row,
     before: Account,
     after: Account,
+    /// Whether the transaction depends on the row although it may not change it.
+    required: bool,
 }
 
 impl Accounts {
@@ -124,6 +131,7 @@
                 row: row.clone(),
                 after: before.clone(),
                 before,
+                required: false,
             };
             Some((budget, change))
         };
@@ -136,15 +144,30 @@
         self.rows.get_mut(budget).map(|change| &mut change.after)
     }
 
+    /// Returns tokens to a budget; `None` when its row is missing.
+    ///
+    /// When fewer tokens are allocated, the row is old or another host has returned the tokens.
+    /// The transaction is made all the same and requires the row as it was read, so that the
+    /// store's verdict tells which of the two it was.
+    pub fn restore(&mut self, budget: &str, amount: Tokens) -> Option<()> {
+        let change = self.rows.get_mut(budget)?;
+        if change.after.restore(amount).is_none() {
+            change.required = true;
+        }
+        Some(())
+    }
+
     /// Adds the changed rows to a transaction that requires the versions that were read.
     pub fn write(&self, transaction: &mut Transaction) {
         for change in self.rows.values() {
-            if change.before == change.after {
-                continue;
-            }
             let row = &change.row;
-            transaction.require(row.key.clone(), row.version);
-            transaction.put(row.key.clone(), json(&change.after));
+            let changed = change.before != change.after;
+            if changed || change.required {
+                transaction.require(row.key.clone(), row.version);
+            }
+            if changed {
+                transaction.put(row.key.clone(), json(&change.after));
+            }
         }
     }
 }
--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -156,16 +156,12 @@
         for (budget, slot) in &mut self.slots {
             let share = shares.entry(budget.clone()).or_default();
             due |= slot.is_mark_low(&self.settings);
-            let account = accounts.get(budget);
-            match account {
-                Some(account) if self.phase == Phase::Draining => {
-                    account.restore(slot.headroom());
+            if self.phase == Phase::Draining {
+                if accounts.restore(budget, slot.headroom()).is_some() {
                     share.allocated = slot.used();
                 }
-                Some(account) => {
-                    share.allocated = slot.balance(now, &self.settings, &self.id, account);
-                }
-                None => {}
+            } else if let Some(account) = accounts.get(budget) {
+                share.allocated = slot.balance(now, &self.settings, &self.id, account);
             }
             due |= share.allocated != slot.durable.allocated;
             share.mark = slot.raise(&self.settings, share.allocated);
@@ -193,7 +189,7 @@
         let mut shares = Shares::new();
         for (budget, slot) in &self.slots {
             if slot.headroom() > 0 {
-                accounts.get(budget)?.restore(slot.headroom());
+                accounts.restore(budget, slot.headroom())?;
             }
             let share = Share {
                 allocated: slot.spent,
--- a/crates/core/src/budget/reclaim.rs
+++ b/crates/core/src/budget/reclaim.rs
@@ -122,7 +122,7 @@
         let mut shares = self.shares.clone();
         for (budget, share) in &mut shares {
             let above = share.allocated - share.mark;
-            accounts.get(budget)?.restore(above);
+            accounts.restore(budget, above)?;
             share.allocated = share.mark;
         }
         Some(self.append(author, Entry::Fence { shares }, &accounts))
@@ -158,7 +158,7 @@
             .map(|bill| charge(&mut marked, bill))
             .collect();
         for (budget, share) in &marked {
-            accounts.get(budget)?.restore(share.mark - share.spent);
+            accounts.restore(budget, share.mark - share.spent)?;
         }
         let mut covered = Vec::with_capacity(bills.len());
         for (bill, excess) in bills {
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -109,8 +109,10 @@
         } else if let Some(keep) = keep
             && keep < headroom
         {
-            allocated -= headroom - keep;
-            account.restore(headroom - keep);
+            let returned = headroom - keep;
+            if account.restore(returned).is_some() {
+                allocated -= returned;
+            }
         } else if self.lack() > 0 {
             let tokens = self.lack();
             let holder = holder.clone();
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests/mod.rs
@@ -9,6 +9,10 @@
     std::time::Duration,
 };
 
+mod fuzz;
+mod view;
+mod world;
+
 const NOW: Duration = Duration::from_secs(10);
 
 fn store(purchased: u64) -> Memory {
