Test grants, returns, limits and reclaims of holders

Cause: the fuzz test checks safety, not that tokens move when they should.

Change: tests of low-water refill, returns on a want, a cut and a planned stop, patience, bounds, overdue reservations, late bills and receipts.

--- /dev/null
+++ b/crates/core/src/budget/tests/life.rs
@@ -0,0 +1,285 @@
+//! Tests of grants, returns, limits and reclaims.
+
+use {
+    super::{
+        super::{
+            Account, Change, Demand, Entry, Holder, Journal, Phase, Proposal, Reason, Record,
+            Request, Settings, Shortage, journal,
+            reclaim::{self, Found},
+        },
+        store, usage,
+        world::fetch,
+    },
+    crate::{
+        fault::Kind,
+        id::{BudgetId, Tokens},
+        table::Memory,
+    },
+    std::time::Duration,
+};
+
+const HOUR: Duration = Duration::from_secs(3_600);
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn holder(id: &str) -> Holder {
+    Holder::new(id.into(), Settings::default())
+}
+
+fn flush(holder: &mut Holder, table: &mut Memory, now: Duration) {
+    let rows = fetch(table, &holder.wanted());
+    if let Some(transaction) = holder.flush(now, &rows) {
+        let verdict = table.commit(&transaction);
+        holder.decide(&verdict);
+    }
+}
+
+fn account(table: &Memory) -> Account {
+    serde_json::from_str(&table.get("budget/hems").unwrap().value).unwrap()
+}
+
+fn reserve(holder: &mut Holder, now: u64, id: &str, tokens: Tokens) -> Result<Tokens, Shortage> {
+    holder.reserve(at(now), &id.into(), &"hems".into(), tokens)
+}
+
+/// Reserves with a refill.
+fn obtain(holder: &mut Holder, table: &mut Memory, now: u64, id: &str, tokens: Tokens) {
+    let _ = reserve(holder, now, id, tokens);
+    flush(holder, table, at(now));
+    assert_eq!(reserve(holder, now, id, tokens), Ok(tokens));
+}
+
+fn operate(table: &mut Memory, id: &str, change: Change) -> Result<(), Kind> {
+    let request = Request {
+        budget: "hems".into(),
+        id: id.into(),
+        change,
+        operator: "purser".into(),
+    };
+    let rows = fetch(table, &request.keys());
+    match request.propose(&rows).map_err(|fault| fault.kind)? {
+        Proposal::Commit(transaction) => drop(table.commit(&transaction)),
+        Proposal::Done(_) => {}
+    }
+    Ok(())
+}
+
+/// Guards against marks that do not outlast an hour, and against large grants from a small rest.
+#[test]
+fn targets_follow_demand_and_rest() {
+    let mut demand = Demand::default();
+    (0..600).for_each(|_| demand.add(4_000, at(4)));
+    let hour = demand.during(HOUR);
+    assert!((3_500_000..=3_600_000).contains(&hour), "{hour}");
+    let settings = Settings::default();
+    for (pool, target) in [
+        (100_000_000, hour),
+        (4_000_000, 1_000_000),
+        (36_000, demand.during(settings.shortest)),
+        (100, 100),
+    ] {
+        assert_eq!(settings.target(pool, &demand), target, "pool {pool}");
+        assert!(settings.lead(pool, &demand) >= target, "pool {pool}");
+    }
+    let frugal = Settings::few_stranded();
+    assert!(frugal.lead(100_000_000, &demand) < hour / 5);
+}
+
+/// Guards against refills that wait for a shortage.
+#[test]
+fn refill_starts_at_the_low_water_level() {
+    let mut table = store(1_000_000);
+    let mut holder = holder("h1.1");
+    obtain(&mut holder, &mut table, 10, "r1", 3_000);
+    holder.settle(&"r1".into(), usage(3_000));
+    assert_eq!(holder.wanted(), ["budget/hems"]);
+    flush(&mut holder, &mut table, at(14));
+    assert_eq!(reserve(&mut holder, 14, "r2", 4_000), Ok(4_000));
+}
+
+/// Guards against tokens that stay with an idle holder while another one starves.
+#[test]
+fn idle_holder_returns_wanted_tokens() {
+    let mut table = store(4_000);
+    let (mut idle, mut busy) = (holder("h1.1"), holder("h2.1"));
+    obtain(&mut idle, &mut table, 10, "r1", 3_000);
+    idle.release("r1");
+    assert_eq!(reserve(&mut busy, 11, "r2", 2_000), Err(Shortage::Refill));
+    flush(&mut busy, &mut table, at(11));
+    assert_eq!(account(&table).wanted.unwrap().tokens, 2_000);
+    idle.review("hems");
+    flush(&mut idle, &mut table, at(12));
+    assert_eq!(account(&table).allocated, 0);
+    obtain(&mut busy, &mut table, 12, "r2", 2_000);
+    assert_eq!(account(&table).wanted, None);
+}
+
+/// Guards against refusals before other holders had time to return tokens, and against waiting
+/// for ever.
+#[test]
+fn exhaustion_is_reported_after_the_patience() {
+    let mut table = store(100);
+    let mut holder = holder("h1.1");
+    for now in [10, 11] {
+        assert_eq!(reserve(&mut holder, now, "r1", 200), Err(Shortage::Refill));
+        flush(&mut holder, &mut table, at(now));
+    }
+    let _ = reserve(&mut holder, 12, "r1", 200);
+    flush(&mut holder, &mut table, at(12));
+    assert_eq!(
+        reserve(&mut holder, 12, "r1", 200),
+        Err(Shortage::Exhausted)
+    );
+    operate(&mut table, "t1", Change::TopUp(1_000)).unwrap();
+    obtain(&mut holder, &mut table, 14, "r1", 200);
+}
+
+/// Guards against cuts that never complete, and against top-ups or cuts that count twice.
+#[test]
+fn cut_takes_returned_tokens() {
+    let mut table = store(10_000);
+    let mut holder = holder("h1.1");
+    obtain(&mut holder, &mut table, 10, "r1", 6_000);
+    for _ in 0..2 {
+        operate(&mut table, "c1", Change::Cut(9_000)).unwrap();
+    }
+    let Account { purchased, cut, .. } = account(&table);
+    assert_eq!((purchased, cut), (6_000, 5_000));
+    holder.settle(&"r1".into(), usage(500));
+    holder.review("hems");
+    flush(&mut holder, &mut table, at(14));
+    let account = account(&table);
+    assert_eq!(
+        (account.purchased, account.cut, account.rest()),
+        (1_000, 0, 500)
+    );
+    assert_eq!(
+        operate(&mut table, "c1", Change::Cut(1)),
+        Err(Kind::Conflict)
+    );
+    assert_eq!(
+        operate(&mut table, "c2", Change::Cut(1_001)),
+        Err(Kind::InvalidRequest)
+    );
+}
+
+/// Guards against unbounded memory while the store is down, and against a second bill.
+#[test]
+fn reservations_and_bills_are_bounded() {
+    let mut table = store(10_000);
+    let settings = Settings {
+        limit: 2,
+        budgets: 1,
+        ..Settings::default()
+    };
+    let mut holder = Holder::new("h1.1".into(), settings);
+    obtain(&mut holder, &mut table, 10, "r1", 100);
+    holder.settle(&"r1".into(), usage(100));
+    assert_eq!(reserve(&mut holder, 11, "r1", 100), Err(Shortage::Billed));
+    assert_eq!(reserve(&mut holder, 11, "r2", 100), Ok(100));
+    assert_eq!(reserve(&mut holder, 11, "r3", 100), Err(Shortage::Full));
+    flush(&mut holder, &mut table, at(12));
+    assert_eq!(reserve(&mut holder, 12, "r3", 100), Ok(100));
+    holder.release("r3");
+    let other: BudgetId = "pins".into();
+    let refused = holder.reserve(at(12), &"r4".into(), &other, 1);
+    assert_eq!(refused, Err(Shortage::Full));
+}
+
+/// Guards against reservations that outlive their entry host.
+#[test]
+fn overdue_reservations_are_resolved() {
+    let mut table = store(10_000);
+    let mut holder = holder("h1.1");
+    obtain(&mut holder, &mut table, 10, "r1", 100);
+    for (now, id) in [(11, "r2"), (12, "r3"), (90, "r4")] {
+        assert_eq!(reserve(&mut holder, now, id, 100), Ok(100));
+    }
+    let overdue = holder.overdue(at(100), at(60), 8);
+    assert_eq!(overdue, ["r1".into(), "r2".into(), "r3".into()]);
+    holder.resolve(at(100), &overdue[0], Record::Absent);
+    holder.resolve(at(100), &overdue[1], Record::Running);
+    let bill = holder.resolve(at(100), &overdue[2], Record::Finished(usage(70)));
+    assert_eq!(bill.unwrap().charged, 70);
+    assert_eq!(holder.overdue(at(100), at(60), 8).len(), 0);
+    assert_eq!((holder.reserved(), holder.unwritten()), (2, 1));
+}
+
+/// Guards against a planned stop that leaves tokens allocated or interrupts a request.
+#[test]
+fn planned_stop_returns_all_tokens() {
+    let mut table = store(10_000);
+    let mut holder = holder("h1.1");
+    obtain(&mut holder, &mut table, 10, "r1", 100);
+    holder.stop();
+    assert_eq!(reserve(&mut holder, 11, "r2", 100), Err(Shortage::Closed));
+    flush(&mut holder, &mut table, at(11));
+    assert_eq!(account(&table).allocated, 100);
+    holder.settle(&"r1".into(), usage(60));
+    flush(&mut holder, &mut table, at(12));
+    assert_eq!(
+        (account(&table).allocated, holder.phase()),
+        (60, Phase::Closed)
+    );
+}
+
+/// Guards against reclaiming marked tokens too early, and against late bills above the budget.
+#[test]
+fn late_bills_take_what_the_budget_has_left() {
+    let mut table = store(1_000);
+    let mut paused = holder("h1.1");
+    obtain(&mut paused, &mut table, 10, "r1", 800);
+    let (id, author) = ("h1.1".into(), "h2".into());
+    let last = |table: &Memory| table.scan(&journal::prefix("h1.1"), "", 99).pop();
+    let Some(Found::Live(tail)) = reclaim::read(&id, last(&table).as_ref()) else {
+        panic!("not live");
+    };
+    let fence = tail.fence(&author, &fetch(&table, &tail.keys(&[])));
+    table.commit(&fence.unwrap());
+    let Some(Found::Fenced(tail)) = reclaim::read(&id, last(&table).as_ref()) else {
+        panic!("not fenced");
+    };
+    let off = reclaim::Settings {
+        lease: at(10),
+        after: None,
+    };
+    let on = reclaim::Settings {
+        after: Some(at(60)),
+        ..off
+    };
+    assert!(!tail.is_due(&off, at(20), at(9_000)));
+    assert!(!tail.is_due(&on, at(20), at(89)) && tail.is_due(&on, at(20), at(90)));
+    let rows = fetch(&table, &tail.keys(&[]));
+    let lost = tail.lose(&author, Reason::Elapsed, Vec::new(), &rows);
+    table.commit(&lost.unwrap());
+    obtain(&mut holder("h3.1"), &mut table, 30, "r2", 700);
+    paused.settle(&"r1".into(), usage(800));
+    for now in 40..44 {
+        flush(&mut paused, &mut table, at(now));
+    }
+    let row = last(&table).unwrap();
+    let journal: Journal = serde_json::from_str(&row.value).unwrap();
+    let Entry::Late { bills } = &journal.entry else {
+        panic!("{journal:?}");
+    };
+    assert_eq!((bills[0].charged, bills[0].uncovered), (300, 500));
+    assert_eq!(
+        (account(&table).allocated, paused.phase()),
+        (1_000, Phase::Closed)
+    );
+}
+
+/// Guards against deleting rows that a holder needs to recognise its own or a fence.
+#[test]
+fn rows_from_the_last_own_row_are_kept() {
+    let row = |author: &str| Journal {
+        author: author.into(),
+        entry: Entry::Late { bills: Vec::new() },
+    };
+    let rows = [(1, row("h1.1")), (2, row("h1.1")), (3, row("h2"))];
+    let rows = || rows.iter().map(|(sequence, row)| (*sequence, row));
+    assert_eq!(journal::retained("h1.1", rows()), Some(2));
+    assert_eq!(journal::retained("h3.1", rows()), None);
+}
--- a/crates/core/src/budget/tests/mod.rs
+++ b/crates/core/src/budget/tests/mod.rs
@@ -10,6 +10,7 @@
 };
 
 mod fuzz;
+mod life;
 mod view;
 mod world;
 
--- a/crates/core/src/budget/tests/world.rs
+++ b/crates/core/src/budget/tests/world.rs
@@ -158,7 +158,7 @@
         }
         let refill = holder.reserve(self.now, &request, budget, amount) == Err(Shortage::Refill);
         // Half of the requests wait for the refill, so that the cases reach spent tokens.
-        if refill && amount % 2 == 0 {
+        if refill && amount.is_multiple_of(2) {
             self.flush(node, Store::Up);
         }
         let Some(holder) = &mut self.nodes[node].holder else {
