--- a/crates/core/src/bill/escrow.rs
+++ b/crates/core/src/bill/escrow.rs
@@ -4,29 +4,18 @@
     super::Bill,
     crate::{
         budget::{Account, Entry},
-        id::{Sequence, Tokens},
+        id::Tokens,
     },
 };
 
+pub use crate::budget::{account::key as account_key, journal::key as journal_key};
+
 /// Returns the bills of a journal entry.
 pub fn bills(entry: &Entry) -> &[Bill] {
-    match entry {
-        Entry::Flush { bills, .. } => bills,
-    }
-}
-
-/// Returns the key of a journal row.
-pub fn journal_key(holder: &str, sequence: Sequence) -> String {
-    format!("journal/{holder}/{sequence:012}")
-}
-
-/// Returns the key of a budget row.
-pub fn account_key(budget: &str) -> String {
-    format!("budget/{budget}")
+    entry.bills()
 }
 
 /// Takes tokens back into a budget row; `None` when fewer are allocated.
 pub fn restore(account: &mut Account, tokens: Tokens) -> Option<()> {
-    account.allocated = account.allocated.checked_sub(tokens)?;
-    Some(())
+    account.restore(tokens)
 }
--- a/crates/ctl/src/measure/bills/journals.rs
+++ b/crates/ctl/src/measure/bills/journals.rs
@@ -223,7 +223,7 @@
     };
     let shares = (0..settings.budgets).map(|n| (format!("budget-{n:05}").into(), share));
     let digits: Tokens = holder[5..8].parse()?;
-    let ids = (0..bills).map(|n| digits << 32 | wall.as_secs() % 100_000 << 12 | n);
+    let ids = (0..bills).map(|n| digits << 32 | (wall.as_secs() % 100_000) << 12 | n);
     let sent = wall - Duration::from_secs(DURATION);
     Ok(serde_json::to_string(&Journal {
         author: holder.clone(),
