--- a/crates/core/src/bill/cursor.rs
+++ b/crates/core/src/bill/cursor.rs
@@ -134,6 +134,19 @@
         self.cursor.batch.as_ref()
     }
 
+    /// Returns the bills that count and are in no closed batch.
+    pub fn pending(&self) -> impl Iterator<Item = &Bill> {
+        let batch = self.cursor.batch.as_ref();
+        let first = batch.map_or(self.cursor.next, |batch| batch.first);
+        let is_dropped = move |position: u32| {
+            batch.is_some_and(|batch| batch.dropped.binary_search(&position).is_ok())
+        };
+        let bills = (0..).zip(self.bills(first, Sequence::MAX));
+        bills
+            .filter(move |(position, _)| !is_dropped(*position))
+            .map(|(_, bill)| bill)
+    }
+
     /// Returns the bills of the rows from `first` to `last`.
     pub(super) fn bills(&self, first: Sequence, last: Sequence) -> impl Iterator<Item = &Bill> {
         let rows = self.rows.iter();
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -25,7 +25,7 @@
     #[prost(uint64, tag = "3")]
     pub correlation: u64,
     /// Content.
-    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16")]
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18")]
     pub body: Option<Body>,
 }
 
@@ -38,15 +38,21 @@
     /// Lowers a reservation.
     #[prost(message, tag = "11")]
     Lower(Lower),
-    /// Settles a reservation.
+    /// Settles reservations.
     #[prost(message, tag = "12")]
     Settle(Settle),
     /// Ends a reservation of a request that did not run.
     #[prost(message, tag = "13")]
     Release(Release),
-    /// Answers any of the above.
+    /// Answers any of the above but a settlement.
     #[prost(message, tag = "14")]
     Reply(Reply),
+    /// Tells a holder that another one lacks tokens of a budget.
+    #[prost(message, tag = "18")]
+    Review(Review),
+    /// Answers a settlement.
+    #[prost(message, tag = "17")]
+    Settled(Settled),
     /// Membership exchange; the content is the fleet slice's own message.
     #[prost(bytes = "vec", tag = "15")]
     Gossip(Vec<u8>),
@@ -86,26 +92,58 @@
     pub amount: u64,
 }
 
-/// Settles a reservation.
+/// Settles reservations. The entry repeats it until each item is durable, so that the loss of a
+/// holder loses no bill.
 #[derive(Clone, PartialEq, Message)]
 pub struct Settle {
-    /// Request id.
+    /// Finished attempts.
+    #[prost(message, repeated, tag = "1")]
+    pub items: Vec<Settlement>,
+}
+
+/// One finished attempt.
+#[derive(Clone, PartialEq, Message)]
+pub struct Settlement {
+    /// Attempt id.
     #[prost(string, tag = "1")]
-    pub request: String,
-    /// Workspace.
+    pub attempt: String,
+    /// Budget, for a holder that has no reservation of the attempt.
     #[prost(string, tag = "2")]
+    pub budget: String,
+    /// Workspace.
+    #[prost(string, tag = "3")]
     pub workspace: String,
     /// Model or service.
-    #[prost(string, tag = "3")]
+    #[prost(string, tag = "4")]
     pub model: String,
     /// Upstream.
-    #[prost(string, tag = "4")]
+    #[prost(string, tag = "5")]
     pub upstream: String,
     /// Tokens used.
-    #[prost(uint64, tag = "5")]
+    #[prost(uint64, tag = "6")]
     pub tokens: u64,
 }
 
+/// A holder's answer to [`Settle`].
+#[derive(Clone, PartialEq, Message)]
+pub struct Settled {
+    /// State of each item, in the same order.
+    #[prost(enumeration = "Billing", repeated, tag = "1")]
+    pub items: Vec<i32>,
+}
+
+/// State of a bill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum Billing {
+    /// The holder takes no bills.
+    Refused = 0,
+    /// Made or to be made; not in the store yet.
+    Pending = 1,
+    /// In the store.
+    Durable = 2,
+}
+
 /// Ends a reservation of a request that did not run.
 #[derive(Clone, PartialEq, Message)]
 pub struct Release {
@@ -114,6 +152,14 @@
     pub request: String,
 }
 
+/// Tells a holder that another one lacks tokens of a budget.
+#[derive(Clone, PartialEq, Message)]
+pub struct Review {
+    /// Budget.
+    #[prost(string, tag = "1")]
+    pub budget: String,
+}
+
 /// A holder's answer.
 #[derive(Clone, PartialEq, Message)]
 pub struct Reply {
@@ -135,8 +181,6 @@
     Exhausted = 1,
     /// The holder could not refill in time.
     Unavailable = 2,
-    /// The request has no reservation here.
-    Unknown = 3,
 }
 
 /// Why a frame was not accepted.
--- a/crates/ctl/src/demo/report.rs
+++ b/crates/ctl/src/demo/report.rs
@@ -1,10 +1,13 @@
-//! Bills against budgets, read from the table service.
+//! Bills against budgets, as the platform has them.
 
 use {
     super::fleet::Fleet,
     anyhow::ensure,
-    marigoldroute_core::budget::{Account, Journal},
-    std::collections::{BTreeMap, HashSet},
+    marigoldroute_core::{
+        bill::{Bill, Page, Segment, key},
+        budget::{Account, journal},
+    },
+    std::collections::{BTreeMap, BTreeSet, HashSet},
 };
 
 /// Rows read per call.
@@ -14,18 +17,12 @@
 pub async fn print(fleet: &Fleet) -> anyhow::Result<()> {
     let mut billed: BTreeMap<String, (u64, u64)> = BTreeMap::new();
     let mut requests = HashSet::new();
-    for row in fleet.platform.scan("journal/", "", PAGE_ROWS).await? {
-        let journal: Journal = serde_json::from_str(&row.value)?;
-        for bill in journal.entry.bills() {
-            ensure!(
-                requests.insert(bill.request.clone()),
-                "request {} billed twice",
-                bill.request
-            );
-            let entry = billed.entry(bill.budget.to_string()).or_default();
-            entry.0 += 1;
-            entry.1 += bill.charged;
-        }
+    for bill in bills(fleet).await? {
+        let is_first = requests.insert(bill.request.clone());
+        ensure!(is_first, "request {} billed twice", bill.request);
+        let entry = billed.entry(bill.budget.to_string()).or_default();
+        entry.0 += 1;
+        entry.1 += bill.charged;
     }
     println!(
         "{:<10} {:>9} {:>6} {:>7}",
@@ -37,6 +34,38 @@
         let (bills, spent) = billed.get(name).copied().unwrap_or_default();
         println!("{name:<10} {:>9} {bills:>6} {spent:>7}", account.purchased);
         ensure!(spent <= account.purchased, "budget {name} is overspent");
+        let allocated = account.allocated;
+        ensure!(
+            allocated == spent,
+            "budget {name}: {allocated} tokens allocated, {spent} spent"
+        );
     }
     Ok(())
 }
+
+/// Returns the bills of closed batches and those that the ledger has not read yet.
+async fn bills(fleet: &Fleet) -> anyhow::Result<Vec<Bill>> {
+    let platform = &fleet.platform;
+    let mut bills = Vec::new();
+    for key in platform.list_objects("bills/").await? {
+        let object = platform.get_object(&key).await?.unwrap_or_default();
+        bills.extend(Segment::decode(&key, &object)?.bills);
+    }
+    let rows = platform.scan("journal/", "", PAGE_ROWS).await?;
+    let holders: BTreeSet<_> = rows
+        .iter()
+        .filter_map(|row| journal::holder(&row.key))
+        .collect();
+    for holder in holders {
+        let cursor = platform.get(&key(holder)).await?;
+        let (prefix, after) = Page::range(holder, &Page::cursor(cursor.as_ref())?);
+        let rows = platform.scan(&prefix, &after, PAGE_ROWS).await?;
+        let page = Page::decode(holder.into(), cursor.as_ref(), &rows)?;
+        ensure!(
+            page.batch().is_none(),
+            "the ledger stopped within a batch of {holder}"
+        );
+        bills.extend(page.pending().cloned());
+    }
+    Ok(bills)
+}
--- /dev/null
+++ b/crates/router/src/caller/claimed.rs
@@ -0,0 +1,204 @@
+//! The claim of one request, if it has one.
+
+use {
+    crate::{claim::Claims, clock::Clock},
+    marigoldroute_core::{
+        claim::{self, Attempt, Body, Capability, Decision, Held, Recorded, Sent, Unsent, digest},
+        fault::{Fault, Kind},
+        id::{RequestId, WorkspaceId},
+    },
+    marigoldroute_platform::Client,
+    poem::{Response, http::StatusCode},
+    std::time::{SystemTime, UNIX_EPOCH},
+};
+
+/// Bytes of a body that are recorded in the claim row itself.
+const INLINE_BYTES: usize = 16 << 10;
+/// Largest body that is kept for replays.
+const REPLAY_BYTES: usize = 1 << 20;
+
+/// What a claim is made for.
+pub(super) struct Subject<'a> {
+    pub(super) workspace: &'a WorkspaceId,
+    pub(super) key: &'a str,
+    pub(super) attempt: &'a RequestId,
+    pub(super) method: &'a str,
+    pub(super) path: &'a str,
+    pub(super) body: &'a [u8],
+    pub(super) capability: Capability,
+}
+
+/// Life cycle of the claim while its request is served.
+enum State {
+    /// The request needs no claim.
+    Free,
+    Unsent(Held<Unsent>),
+    Sent(Held<Sent>),
+}
+
+/// The claim of a request.
+pub(super) struct Claimed {
+    claims: Claims,
+    clock: Clock,
+    state: State,
+}
+
+/// What to do with a request that asked for its claim.
+pub(super) enum Ruling {
+    Run(Claimed),
+    /// Return the recorded result.
+    Replay(Response),
+}
+
+impl Claimed {
+    /// The claim of a request that needs none.
+    pub(super) fn free(claims: &Claims, clock: Clock) -> Self {
+        Self {
+            claims: claims.clone(),
+            clock,
+            state: State::Free,
+        }
+    }
+
+    /// Claims the key of a non-idempotent request.
+    ///
+    /// # Errors
+    /// Why the request must not run.
+    pub(super) async fn claim(
+        claims: &Claims,
+        clock: Clock,
+        platform: &Client,
+        subject: Subject<'_>,
+    ) -> Result<Ruling, Fault> {
+        let attempt = Attempt {
+            workspace: subject.workspace.clone(),
+            key: subject.key.into(),
+            body: digest(&[
+                subject.method.as_bytes(),
+                subject.path.as_bytes(),
+                subject.body,
+            ]),
+            request: subject.attempt.clone(),
+            capability: subject.capability,
+        };
+        let decision = claims.submit(attempt).await?;
+        if let Some(fault) = decision.fault() {
+            return Err(fault);
+        }
+        match decision {
+            Decision::Run(held) => Ok(Ruling::Run(Self {
+                state: State::Unsent(held),
+                ..Self::free(claims, clock)
+            })),
+            Decision::Replay(recorded) => replay(platform, recorded).await.map(Ruling::Replay),
+            _ => Err(Fault::new(Kind::Internal, "the claim was not decided")),
+        }
+    }
+
+    /// Permits the send; call it directly before the first byte.
+    ///
+    /// # Errors
+    /// When the claim is too old.
+    pub(super) fn send(&mut self) -> Result<(), Fault> {
+        self.state = match std::mem::replace(&mut self.state, State::Free) {
+            State::Unsent(held) => match held.send(now(self.clock)) {
+                Ok(sent) => State::Sent(sent),
+                Err(held) => {
+                    self.state = State::Unsent(held);
+                    let message = "the claim of the key is too old to run the request";
+                    return Err(Fault::new(Kind::ClaimUnavailable, message));
+                }
+            },
+            state => state,
+        };
+        Ok(())
+    }
+
+    /// Notes that the upstream acted on no byte of the request.
+    pub(super) fn refuse(&mut self) {
+        self.state = match std::mem::replace(&mut self.state, State::Free) {
+            State::Sent(held) => State::Unsent(held.refuse()),
+            state => state,
+        };
+    }
+
+    /// Ends the claim of a request without a recorded result.
+    pub(super) async fn give_up(self) {
+        match self.state {
+            State::Free => {}
+            State::Unsent(held) => self.claims.push(held.release()).await,
+            State::Sent(held) => self.claims.push(held.give_up()).await,
+        }
+    }
+
+    /// Records the result for replays.
+    pub(super) async fn finish(
+        self,
+        platform: &Client,
+        status: u16,
+        content_type: &str,
+        body: &[u8],
+    ) {
+        let State::Sent(held) = self.state else {
+            return;
+        };
+        let recorded = Recorded {
+            status,
+            content_type: content_type.into(),
+            body: store(platform, held.request(), body).await,
+        };
+        self.claims.push(held.finish(recorded)).await;
+    }
+
+    /// Records that the request ran; its result cannot be replayed.
+    pub(super) async fn finish_stream(self, tokens: u64) {
+        if let State::Sent(held) = self.state {
+            let body = Body::TooLarge { bytes: tokens };
+            let recorded = Recorded {
+                status: StatusCode::OK.as_u16(),
+                content_type: "text/event-stream".into(),
+                body,
+            };
+            self.claims.push(held.finish(recorded)).await;
+        }
+    }
+}
+
+/// Returns the place of a body: the row, the object store, or none when it is too large.
+async fn store(platform: &Client, request: &str, body: &[u8]) -> Body {
+    let inline = Body::inline(body, INLINE_BYTES);
+    if !matches!(inline, Body::TooLarge { .. }) || body.len() > REPLAY_BYTES {
+        return inline;
+    }
+    let key = format!("claims/{request}");
+    match platform.put_object(&key, body.to_vec()).await {
+        Ok(()) => Body::Object(key.into()),
+        Err(_) => inline,
+    }
+}
+
+async fn replay(platform: &Client, recorded: Recorded) -> Result<Response, Fault> {
+    let body = match &recorded.body {
+        Body::Object(key) => platform.get_object(key).await.ok().flatten(),
+        body => body.bytes(),
+    };
+    let missing = || {
+        let message = "the request ran; its response cannot be read now";
+        Fault::new(Kind::KeyUnresolved, message)
+            .with_outcome(marigoldroute_core::fault::Outcome::Ran)
+    };
+    let status = StatusCode::from_u16(recorded.status).map_err(|_| missing())?;
+    let response = Response::builder().status(status);
+    let response = response.header("idempotency-replayed", "true");
+    Ok(response
+        .content_type(&*recorded.content_type)
+        .body(body.ok_or_else(missing)?))
+}
+
+fn now(clock: Clock) -> claim::Clock {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    claim::Clock {
+        now: clock.now(),
+        wall: wall.unwrap_or_default(),
+    }
+}
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -3,15 +3,17 @@
 use {
     super::{
         Context,
-        job::{Call, Job, Reply},
+        claimed::{Ruling, Subject},
+        job::{Call, Job, Kind, Reply},
         relay,
         request::{self, Prompt},
     },
     crate::{escrow::Reservation, response::refuse},
     bytes::{Bytes, BytesMut},
     marigoldroute_core::{
+        claim::Capability,
         config::Access,
-        fault::{Fault, Kind},
+        fault::{self, Fault},
         id::{RequestId, Tokens},
     },
     poem::{
@@ -44,9 +46,11 @@
 
 struct Prepared {
     id: RequestId,
+    key: Option<String>,
     access: Access,
     prompt: Prompt,
     path: String,
+    is_idempotent: bool,
     started: Duration,
 }
 
@@ -54,14 +58,17 @@
     let access = context.authenticate(request)?;
     let key = request::idempotency_key(request)?;
     let body = body.into_bytes_limit(context.settings.body_limit).await;
-    let body = body.map_err(|_| Fault::new(Kind::TooLarge, "the request body is too large"))?;
+    let body =
+        body.map_err(|_| Fault::new(fault::Kind::TooLarge, "the request body is too large"))?;
     let prompt = Prompt::parse(&body, access.output_limit)?;
     if !context.control.scene().catalog.has_model(&prompt.model) {
         let message = format!("unknown model {}", prompt.model);
-        return Err(Fault::new(Kind::NotFound, message));
+        return Err(Fault::new(fault::Kind::NotFound, message));
     }
     Ok(Prepared {
         id: request::id(&access.workspace, key.as_deref()),
+        is_idempotent: request::is_idempotent(request)?.unwrap_or(true),
+        key,
         access,
         prompt,
         path: request.uri().path().to_owned(),
@@ -72,12 +79,28 @@
 async fn serve(context: Arc<Context>, prepared: Prepared) -> Result<Response, Fault> {
     let Prepared {
         id,
+        key,
         access,
         prompt,
         path,
+        is_idempotent,
         started,
     } = prepared;
     let attempt = request::attempt(&id);
+    let key = key.as_deref().filter(|_| !is_idempotent);
+    let subject = key.map(|key| Subject {
+        workspace: &access.workspace,
+        key,
+        attempt: &attempt,
+        method: "POST",
+        path: &path,
+        body: prompt.body.as_bytes(),
+        capability: Capability::Query,
+    });
+    let claim = match context.claim(subject).await? {
+        Ruling::Run(claim) => claim,
+        Ruling::Replay(response) => return Ok(response),
+    };
     let reservation = Reservation {
         attempt: attempt.clone(),
         budget: access.budget.clone(),
@@ -85,14 +108,21 @@
         workspace: access.workspace.clone(),
         model: prompt.model.clone(),
     };
-    let charge = context.charger.reserve(&reservation).await?;
-    let job = Job {
+    let charge = match context.charger.reserve(&reservation).await {
+        Ok(charge) => charge,
+        Err(fault) => {
+            claim.give_up().await;
+            return Err(fault);
+        }
+    };
+    let mut job = Job {
         context,
         id: attempt,
         workspace: access.workspace,
         model: prompt.model.clone(),
         charge,
-        idempotent: true,
+        claim,
+        kind: Kind::Model { is_idempotent },
     };
     let json = HeaderValue::from_static("application/json");
     let call = Call {
@@ -113,6 +143,7 @@
 async fn pass_on(job: Job, reply: Reply) -> Result<Response, Fault> {
     let status = reply.response.status();
     job.charge.release().await;
+    job.claim.give_up().await;
     let body = reply.response.bytes().await.unwrap_or_default();
     let response = Response::builder().status(status);
     Ok(response.content_type("application/json").body(body))
@@ -131,8 +162,8 @@
 }
 
 /// Reads an answer, at most [`ANSWER_LIMIT_BYTES`].
-async fn read_limited(mut response: reqwest::Response) -> Result<Bytes, Fault> {
-    let broken = |message: &str| Fault::new(Kind::AnswerBroken, message);
+pub(super) async fn read_limited(mut response: reqwest::Response) -> Result<Bytes, Fault> {
+    let broken = |message: &str| Fault::new(fault::Kind::AnswerBroken, message);
     let mut body = BytesMut::new();
     loop {
         let piece = response.chunk().await;
@@ -149,7 +180,7 @@
 
 /// Checks that an answer belongs to the request.
 fn check(id: &RequestId, body: Bytes) -> Result<(Bytes, Option<Usage>), Fault> {
-    let broken = |message: &str| Fault::new(Kind::AnswerBroken, message);
+    let broken = |message: &str| Fault::new(fault::Kind::AnswerBroken, message);
     let answer: Answer =
         serde_json::from_slice(&body).map_err(|_| broken("the upstream's answer is malformed"))?;
     if !answer.id.contains(&**id) {
@@ -171,7 +202,7 @@
     job.context.metrics.first_token.observe(seconds);
     let late = || {
         Err(Fault::new(
-            Kind::UpstreamTimeout,
+            fault::Kind::UpstreamTimeout,
             "the upstream did not answer in time",
         ))
     };
@@ -182,7 +213,16 @@
         Ok((_, Some(usage))) => usage.prompt_tokens + usage.completion_tokens,
         _ => prompt.prompt_estimate + prompt.limit,
     };
-    job.settle(reply.choice.upstream, used).await;
+    let context = job.context.clone();
+    let claim = job.settle(reply.choice.upstream, used).await;
+    match &read {
+        Ok((body, _)) => {
+            claim
+                .finish(&context.platform, 200, "application/json", body)
+                .await;
+        }
+        Err(_) => claim.give_up().await,
+    }
     read.map(|(body, _)| {
         Response::builder()
             .content_type("application/json")
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -1,5 +1,6 @@
 //! The callers' interface.
 
+mod claimed;
 mod completion;
 mod job;
 mod models;
@@ -9,9 +10,10 @@
 
 use {
     crate::{
-        charge::Charger, clock::Clock, control::Control, metrics::Metrics, response::refuse,
-        settings::Settings, upstream::Upstreams,
+        charge::Charger, claim::Claims, clock::Clock, control::Control, metrics::Metrics,
+        response::refuse, settings::Settings, upstream::Upstreams,
     },
+    claimed::{Claimed, Ruling, Subject},
     marigoldroute_core::{
         config::Access,
         fault::{Fault, Kind},
@@ -31,6 +33,7 @@
     pub(crate) control: Control,
     pub(crate) platform: Client,
     pub(crate) charger: Arc<Charger>,
+    pub(crate) claims: Claims,
     pub(crate) upstreams: Arc<Upstreams>,
     pub(crate) metrics: Arc<Metrics>,
     /// Requests in progress; a planned stop waits for them.
@@ -67,6 +70,16 @@
         hold.map_err(|hold| Fault::new(Kind::Stale, hold.to_string()))
     }
 
+    /// Claims the key of a request that needs it.
+    async fn claim(&self, subject: Option<Subject<'_>>) -> Result<Ruling, Fault> {
+        match subject {
+            Some(subject) => {
+                Claimed::claim(&self.claims, self.clock, &self.platform, subject).await
+            }
+            None => Ok(Ruling::Run(Claimed::free(&self.claims, self.clock))),
+        }
+    }
+
     /// Runs a request as a task of its own, so that it is settled also when the caller leaves.
     async fn run(
         self: &Arc<Self>,
--- a/crates/router/src/caller/relay.rs
+++ b/crates/router/src/caller/relay.rs
@@ -132,7 +132,7 @@
 
     /// Sends the request to another engine, unless a part of the answer was passed on.
     async fn restart(&mut self, failed: &UpstreamId) -> Option<Reply> {
-        if self.state.is_started() {
+        if self.state.is_started() || !self.job.kind.is_idempotent() {
             return None;
         }
         self.tried.push(failed.clone());
@@ -227,7 +227,8 @@
             let _ = timeout(CALLER_TIMEOUT, self.events.send(Ok(last.into()))).await;
         }
         log::info!(target: TOKENS, request:% = self.job.id, upstream:%, tokens; "stream ended");
-        self.job.settle(upstream, tokens).await;
+        let claim = self.job.settle(upstream, tokens).await;
+        claim.finish_stream(tokens).await;
     }
 
     fn used(&self, summary: Summary) -> Tokens {
--- a/crates/router/src/caller/request.rs
+++ b/crates/router/src/caller/request.rs
@@ -2,6 +2,7 @@
 
 use {
     marigoldroute_core::{
+        bill::mint,
         fault::{Fault, Kind},
         id::{ModelId, RequestId, Tokens, WorkspaceId},
     },
@@ -9,6 +10,7 @@
     rand::RngCore,
     serde_json::{Map, Value},
     sha2::{Digest, Sha256},
+    std::time::{SystemTime, UNIX_EPOCH},
 };
 
 /// Bytes of a request id before it is written in hexadecimal.
@@ -32,21 +34,35 @@
     Ok(Some(key.to_owned()))
 }
 
-/// Returns a request id: random, or fixed by the workspace and the idempotency key, so that a
+/// Returns what the request says about whether it may be repeated.
+pub(super) fn is_idempotent(request: &Request) -> Result<Option<bool>, Fault> {
+    match request.header("x-idempotent") {
+        None => Ok(None),
+        Some("true") => Ok(Some(true)),
+        Some("false") => Ok(Some(false)),
+        Some(_) => {
+            let message = "x-idempotent: must be true or false";
+            Err(Fault::new(Kind::InvalidRequest, message))
+        }
+    }
+}
+
+/// Returns a request id: minted, or fixed by the workspace and the idempotency key, so that a
 /// retry through another host has the same id.
 pub(super) fn id(workspace: &WorkspaceId, key: Option<&str>) -> RequestId {
-    let mut bytes = [0; ID_BYTES];
     match key {
         Some(key) => {
             let hash = Sha256::new()
                 .chain_update(workspace.as_bytes())
                 .chain_update([0]);
             let hash = hash.chain_update(key).finalize();
-            bytes.copy_from_slice(&hash[..ID_BYTES]);
+            hex::encode(&hash[..ID_BYTES]).into()
+        }
+        None => {
+            let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+            mint(wall.unwrap_or_default(), rand::rng().next_u64())
         }
-        None => rand::rng().fill_bytes(&mut bytes),
     }
-    hex::encode(bytes).into()
 }
 
 /// Returns the id of a new attempt of a request.
--- a/crates/router/src/caller/service.rs
+++ b/crates/router/src/caller/service.rs
@@ -3,26 +3,29 @@
 use {
     super::{
         Context,
-        job::{Call, Job},
+        claimed::{Ruling, Subject},
+        completion::read_limited,
+        job::{Call, Job, Kind, Reply},
         request,
     },
     crate::{escrow::Reservation, response::refuse},
     marigoldroute_core::{
+        claim::Capability,
         config::Access,
-        fault::{Fault, Kind},
-        id::{RequestId, ServiceId},
+        fault::{self, Fault, Outcome},
+        id::{RequestId, ServiceId, Tokens},
     },
     poem::{Body, Request, Response, handler, http::HeaderMap, web::Data},
     std::sync::Arc,
+    tokio::time::timeout,
 };
 
 /// Request headers that end at the router.
-const OWN_HEADERS: [&str; 7] = [
+const OWN_HEADERS: [&str; 6] = [
     "authorization",
     "connection",
     "content-length",
     "host",
-    "idempotency-key",
     "transfer-encoding",
     "x-idempotent",
 ];
@@ -44,9 +47,10 @@
 
 struct Prepared {
     id: RequestId,
+    key: Option<String>,
     access: Access,
     service: ServiceId,
-    idempotent: bool,
+    is_idempotent: bool,
     call: Call,
 }
 
@@ -61,20 +65,11 @@
         .services
         .get(&service)
         .cloned();
-    let settings = settings.ok_or_else(|| Fault::new(Kind::NotFound, "unknown service"))?;
-    let idempotent = match request.header("x-idempotent") {
-        None => settings.idempotent,
-        Some("true") => true,
-        Some("false") => false,
-        Some(_) => {
-            return Err(Fault::new(
-                Kind::InvalidRequest,
-                "x-idempotent: must be true or false",
-            ));
-        }
-    };
+    let settings = settings.ok_or_else(|| Fault::new(fault::Kind::NotFound, "unknown service"))?;
+    let is_idempotent = request::is_idempotent(request)?.unwrap_or(settings.idempotent);
     let body = body.into_bytes_limit(context.settings.body_limit).await;
-    let body = body.map_err(|_| Fault::new(Kind::TooLarge, "the request body is too large"))?;
+    let body =
+        body.map_err(|_| Fault::new(fault::Kind::TooLarge, "the request body is too large"))?;
     let path = request.raw_path_param("path").unwrap_or_default();
     let query = request
         .uri()
@@ -83,9 +78,10 @@
         .unwrap_or_default();
     Ok(Prepared {
         id: request::id(&access.workspace, key.as_deref()),
+        key,
         access,
         service,
-        idempotent,
+        is_idempotent,
         call: Call {
             method: request.method().clone(),
             path: format!("/{path}{query}"),
@@ -106,19 +102,29 @@
 async fn serve(context: Arc<Context>, prepared: Prepared) -> Result<Response, Fault> {
     let Prepared {
         id,
+        key,
         access,
         service,
-        idempotent,
+        is_idempotent,
         call,
     } = prepared;
-    let price = context
-        .control
-        .scene()
-        .catalog
-        .services
-        .get(&service)
-        .map_or(0, |s| s.price);
     let attempt = request::attempt(&id);
+    let key = key.as_deref().filter(|_| !is_idempotent);
+    let subject = key.map(|key| Subject {
+        workspace: &access.workspace,
+        key,
+        attempt: &attempt,
+        method: call.method.as_str(),
+        path: &call.path,
+        body: &call.body,
+        capability: Capability::None,
+    });
+    let claim = match context.claim(subject).await? {
+        Ruling::Run(claim) => claim,
+        Ruling::Replay(response) => return Ok(response),
+    };
+    let services = &context.control.scene().catalog.services;
+    let price = services.get(&service).map_or(0, |service| service.price);
     let reservation = Reservation {
         attempt: attempt.clone(),
         budget: access.budget.clone(),
@@ -126,30 +132,56 @@
         workspace: access.workspace.clone(),
         model: service.clone(),
     };
-    let charge = context.charger.reserve(&reservation).await?;
-    let job = Job {
+    let charge = match context.charger.reserve(&reservation).await {
+        Ok(charge) => charge,
+        Err(fault) => {
+            claim.give_up().await;
+            return Err(fault);
+        }
+    };
+    let mut job = Job {
         context,
         id: attempt,
         workspace: access.workspace,
         model: service,
         charge,
-        idempotent,
+        claim,
+        kind: Kind::Service { is_idempotent },
     };
     match job.send(&call, &mut Vec::new()).await {
-        Ok(reply) => {
-            let status = reply.response.status();
-            let content = reply.response.headers().get("content-type").cloned();
-            let body = reply.response.bytes().await;
-            job.settle(reply.choice.upstream, price).await;
-            let broken = |_| Fault::new(Kind::AnswerBroken, "the answer was cut");
-            let mut response = Response::builder()
-                .status(status)
-                .body(body.map_err(broken)?);
-            if let Some(content) = content {
-                response.headers_mut().insert("content-type", content);
-            }
-            Ok(response)
-        }
+        Ok(reply) => finish(job, reply, price).await,
         Err(fault) => Err(job.fail(fault, price).await),
     }
 }
+
+/// Passes on a service's answer and records it for replays.
+async fn finish(job: Job, reply: Reply, price: Tokens) -> Result<Response, Fault> {
+    let context = job.context.clone();
+    let status = reply.response.status();
+    let content = reply.response.headers().get("content-type").cloned();
+    let limit = context.upstreams.timeout();
+    let body = timeout(limit, read_limited(reply.response)).await;
+    let claim = job.settle(reply.choice.upstream, price).await;
+    let late = || {
+        Err(Fault::new(
+            fault::Kind::UpstreamTimeout,
+            "the upstream fell silent",
+        ))
+    };
+    let body = match body.unwrap_or_else(|_| late()) {
+        Ok(body) => body,
+        Err(fault) => {
+            claim.give_up().await;
+            return Err(fault.with_outcome(Outcome::Ran));
+        }
+    };
+    let content = content
+        .as_ref()
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    claim
+        .finish(&context.platform, status.as_u16(), content, &body)
+        .await;
+    let response = Response::builder().status(status);
+    Ok(response.content_type(content).body(body))
+}
--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -3,23 +3,24 @@
 use {
     crate::{
         control::Control,
-        escrow::{Escrow, Refusal, Reservation},
+        escrow::{Escrow, Refusal, Reservation, Settlement},
         logs::TOKENS,
+        outbox::Outbox,
         peer::{Links, Lost, Service},
         settings::Settings,
     },
     marigoldroute_core::{
         budget::Usage,
         fault::{Fault, Kind},
-        id::{HostId, Region, RequestId, Tokens},
-        wire::{self, Body, Lower, Release, Reply, Reserve, Settle},
+        id::{BudgetId, HostId, Region, RequestId, Tokens},
+        wire::{self, Body, Lower, Release, Reply, Reserve, Settle, Settled},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio_util::task::TaskTracker,
 };
 
-/// Attempts to deliver a settlement or release to a holder on another host; after the last one
-/// the holder finds out from the upstream's usage record.
+/// Attempts to deliver a release to a holder on another host; after the last one the holder finds
+/// out from the upstreams.
 const DELIVERY_ATTEMPTS: u32 = 12;
 /// Pause before the second delivery attempt; it doubles each time.
 const DELIVERY_PAUSE: Duration = Duration::from_millis(100);
@@ -36,6 +37,7 @@
     escrow: Escrow,
     links: Arc<Links>,
     control: Control,
+    outbox: Outbox,
     tasks: TaskTracker,
 }
 
@@ -44,6 +46,7 @@
     charger: Arc<Charger>,
     place: Place,
     attempt: RequestId,
+    budget: BudgetId,
 }
 
 /// Where a reservation is held.
@@ -59,6 +62,7 @@
         escrow: Escrow,
         links: Arc<Links>,
         control: Control,
+        outbox: Outbox,
         tasks: TaskTracker,
     ) -> Self {
         Self {
@@ -69,6 +73,7 @@
             escrow,
             links,
             control,
+            outbox,
             tasks,
         }
     }
@@ -90,6 +95,7 @@
                         charger: self.clone(),
                         place,
                         attempt: reservation.attempt.clone(),
+                        budget: reservation.budget.clone(),
                     });
                 }
                 Err(refusal) => exhausted |= refusal == Refusal::Exhausted,
@@ -143,18 +149,27 @@
         }
     }
 
-    /// Returns the holders of a budget: those of the own region, then those of the others.
+    /// Returns the holders of a budget in the order in which they are asked.
+    ///
+    /// Within the own region this host comes last: when entry and holder are on different hosts,
+    /// the loss of one of them loses no bill.
     fn places(&self, budget: &str) -> Vec<Place> {
         let scene = self.control.scene();
         let count = scene.catalog.limits.holders;
         let count = count.map_or(self.per_region, |count| count as usize);
-        let holders = scene.holders(budget, &self.region, count).into_iter();
-        holders
-            .map(|(host, address)| match **host == *self.own {
-                true => Place::Here,
-                false => Place::Peer(host.clone(), address),
+        let mut places: Vec<_> = scene
+            .holders(budget, &self.region, count)
+            .into_iter()
+            .map(|holder| match *holder.host == self.own {
+                true => (holder.is_near, Place::Here),
+                false => (
+                    holder.is_near,
+                    Place::Peer(holder.host.clone(), holder.address),
+                ),
             })
-            .collect()
+            .collect();
+        places.sort_by_key(|(is_near, place)| (!is_near, matches!(place, Place::Here)));
+        places.into_iter().map(|(_, place)| place).collect()
     }
 
     /// Delivers a message until the holder acknowledges it.
@@ -169,7 +184,7 @@
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(DELIVERY_PAUSE_LIMIT);
             }
-            log::warn!(target: TOKENS, host:%; "settlement not delivered");
+            log::warn!(target: TOKENS, host:%; "release not delivered");
         });
     }
 }
@@ -180,34 +195,31 @@
         let request = self.attempt.to_string();
         match &self.place {
             Place::Here => {
-                self.charger
-                    .escrow
-                    .lower(self.attempt.clone(), amount)
-                    .await;
+                let attempt = self.attempt.clone();
+                self.charger.escrow.lower(attempt, amount).await;
             }
             Place::Peer(host, address) => {
                 let body = Body::Lower(Lower { request, amount });
+                let (links, host, address) = (self.charger.links.clone(), host.clone(), *address);
                 // A lost message only keeps tokens reserved until settlement.
-                let _ = self.charger.links.call(host, *address, body).await;
+                let call = async move { drop(links.call(&host, address, body).await) };
+                self.charger.tasks.spawn(call);
             }
         }
     }
 
     /// Bills the usage and ends the reservation.
     pub(crate) async fn settle(self, usage: Usage) {
-        match self.place {
-            Place::Here => drop(self.charger.escrow.settle(self.attempt, usage).await),
-            Place::Peer(host, address) => {
-                let body = Body::Settle(Settle {
-                    request: self.attempt.to_string(),
-                    workspace: usage.workspace.to_string(),
-                    model: usage.model.to_string(),
-                    upstream: usage.upstream.to_string(),
-                    tokens: usage.tokens,
-                });
-                self.charger.deliver(host, address, body);
-            }
-        }
+        let item = Settlement {
+            attempt: self.attempt,
+            budget: self.budget,
+            usage,
+        };
+        let host = match self.place {
+            Place::Here => self.charger.own.clone(),
+            Place::Peer(host, _) => host,
+        };
+        self.charger.outbox.push(item, host).await;
     }
 
     /// Ends the reservation of a request that did not run.
@@ -237,13 +249,17 @@
                 self.escrow.lower(lower.request.into(), lower.amount).await;
                 Reply::default()
             }
-            Body::Settle(settle) => self.settle(settle).await,
+            Body::Settle(settle) => return self.settle(settle).await,
             Body::Release(release) => {
                 self.escrow.release(release.request.into()).await;
                 Reply::default()
             }
             Body::Gossip(_) | Body::Config(_) => return self.control.message(from, body).await,
-            Body::Reply(_) => return None,
+            Body::Review(review) => {
+                self.escrow.review(review.budget.into()).await;
+                Reply::default()
+            }
+            Body::Reply(_) | Body::Settled(_) => return None,
         };
         Some(Body::Reply(reply))
     }
@@ -267,20 +283,20 @@
         }
     }
 
-    async fn settle(&self, settle: Settle) -> Reply {
-        let usage = Usage {
-            workspace: settle.workspace.into(),
-            model: settle.model.into(),
-            upstream: settle.upstream.into(),
-            tokens: settle.tokens,
-        };
-        match self.escrow.settle(settle.request.into(), usage).await {
-            Some(bill) => Reply {
-                tokens: bill.charged,
-                refusal: 0,
+    async fn settle(&self, settle: Settle) -> Option<Body> {
+        let items = settle.items.into_iter().map(|item| Settlement {
+            attempt: item.attempt.into(),
+            budget: item.budget.into(),
+            usage: Usage {
+                workspace: item.workspace.into(),
+                model: item.model.into(),
+                upstream: item.upstream.into(),
+                tokens: item.tokens,
             },
-            None => refused(wire::Refusal::Unknown),
-        }
+        });
+        let settled = self.escrow.settle(items.collect()).await?;
+        let items = settled.into_iter().map(Into::into).collect();
+        Some(Body::Settled(Settled { items }))
     }
 }
 
--- /dev/null
+++ b/crates/router/src/claim/work.rs
@@ -0,0 +1,290 @@
+//! The task itself.
+
+use {
+    super::{Claims, Command, QUEUE_COMMANDS},
+    crate::{
+        clock::Clock,
+        control::Control,
+        metrics::Metrics,
+        upstream::{Upstreams, Used},
+    },
+    marigoldroute_core::{
+        claim::{self, Batch, Decision, Finding, Presence, Query, Registry, Settings},
+        fault::Fault as Refusal,
+        id::{HolderId, RequestId},
+        table::{Row, Transaction, Verdict},
+    },
+    marigoldroute_platform::{Client, Fault},
+    std::{
+        collections::HashMap,
+        future::Future,
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{
+        sync::{mpsc, oneshot},
+        task::JoinSet,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time between two looks at the backlog while the store does not answer.
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What the task works with.
+pub(crate) struct Parts {
+    pub(crate) process: HolderId,
+    pub(crate) clock: Clock,
+    pub(crate) platform: Client,
+    pub(crate) upstreams: Arc<Upstreams>,
+    pub(crate) control: Control,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+/// Creates the task and the access to it. After `stop` it ends once the backlog is in the store,
+/// or after `linger`.
+pub(crate) fn create(
+    parts: Parts,
+    linger: Duration,
+    stop: CancellationToken,
+) -> (Claims, impl Future<Output = ()> + Send + use<>) {
+    let (sender, commands) = mpsc::channel(QUEUE_COMMANDS);
+    let worker = Worker {
+        registry: Registry::new(parts.process.clone(), Settings::default()),
+        parts,
+        waiting: HashMap::new(),
+        calls: JoinSet::new(),
+        is_committing: false,
+        is_tidying: false,
+        linger,
+    };
+    (Claims(sender), worker.run(commands, stop))
+}
+
+type Reply = oneshot::Sender<Result<Decision, Refusal>>;
+
+enum Event {
+    /// The verdict on a batch; after a lost answer the rows as read back, by key.
+    Batch(Batch, Result<Verdict, HashMap<Arc<str>, Option<Row>>>),
+    Found(Box<Query>, Finding),
+    /// The row of the backlog's next task.
+    Row(Result<Option<Row>, Fault>),
+    Tidied(Result<(), Fault>),
+}
+
+struct Worker {
+    parts: Parts,
+    registry: Registry,
+    /// Open submissions by attempt.
+    waiting: HashMap<RequestId, Reply>,
+    calls: JoinSet<Event>,
+    is_committing: bool,
+    /// Whether a call for the backlog is in progress.
+    is_tidying: bool,
+    linger: Duration,
+}
+
+impl Worker {
+    async fn run(mut self, mut commands: mpsc::Receiver<Command>, stop: CancellationToken) {
+        let mut retry = tokio::time::interval(RETRY_INTERVAL);
+        let mut end = None;
+        loop {
+            tokio::select! {
+                command = commands.recv() => match command {
+                    Some(command) => self.handle(command),
+                    None => return,
+                },
+                Some(event) = self.calls.join_next() => if let Ok(event) = event {
+                    self.apply(event);
+                },
+                _ = retry.tick() => self.tidy(),
+                () = stop.cancelled(), if end.is_none() => {
+                    end = Some(self.parts.clock.now() + self.linger);
+                }
+            }
+            self.commit();
+            let is_idle = self.registry.backlog.is_empty() && self.waiting.is_empty();
+            if end.is_some_and(|end| is_idle || self.parts.clock.now() >= end) {
+                return;
+            }
+        }
+    }
+
+    fn clock(&self) -> claim::Clock {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+        claim::Clock {
+            now: self.parts.clock.now(),
+            wall: wall.unwrap_or_default(),
+        }
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Submit { attempt, reply } => {
+                let request = attempt.request.clone();
+                match self.registry.submit(*attempt) {
+                    Ok(()) => drop(self.waiting.insert(request, reply)),
+                    Err(refusal) => drop(reply.send(Err(refusal))),
+                }
+            }
+            Command::Task(task) => {
+                self.registry.backlog.push(*task);
+                self.tidy();
+            }
+        }
+    }
+
+    /// Commits the next batch, unless one is on its way.
+    fn commit(&mut self) {
+        if self.is_committing {
+            return;
+        }
+        let Some(batch) = self.registry.flush(self.clock()) else {
+            return;
+        };
+        self.is_committing = true;
+        let platform = self.parts.platform.clone();
+        self.calls.spawn(async move {
+            let verdict = platform.commit(&batch.transaction).await;
+            let verdict = match verdict {
+                Ok(verdict) => Ok(verdict),
+                Err(_) => Err(read_back(&platform, &batch).await),
+            };
+            Event::Batch(batch, verdict)
+        });
+    }
+
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Batch(batch, verdict) => self.decide(batch, verdict),
+            Event::Found(query, finding) => {
+                let attempt = query.attempt().clone();
+                let now = self.parts.clock.now();
+                if let Some(decision) = self.registry.resolve(now, *query, finding) {
+                    self.answer(&attempt, decision);
+                }
+            }
+            Event::Row(Ok(row)) => {
+                let now = self.parts.clock.now();
+                let transaction = self.registry.backlog.advance(now, row.as_ref());
+                match transaction {
+                    Some(transaction) => self.write(transaction),
+                    None => {
+                        self.is_tidying = false;
+                        self.tidy_lingering();
+                    }
+                }
+            }
+            Event::Tidied(Ok(())) => {
+                self.is_tidying = false;
+                self.tidy();
+            }
+            Event::Row(Err(fault)) | Event::Tidied(Err(fault)) => {
+                self.is_tidying = false;
+                self.parts.metrics.platform_faults.inc();
+                log::warn!(fault:%; "claim not recorded");
+            }
+        }
+    }
+
+    fn decide(&mut self, batch: Batch, verdict: Result<Verdict, HashMap<Arc<str>, Option<Row>>>) {
+        self.is_committing = false;
+        let clock = self.clock();
+        let scene = self.parts.control.scene();
+        let presence = move |author: &HolderId| {
+            if scene.processes.contains(author) {
+                Presence::Alive
+            } else {
+                Presence::Gone
+            }
+        };
+        let decisions = match verdict {
+            Ok(verdict) => self.registry.decide(clock, batch, &verdict, &presence),
+            Err(rows) => {
+                self.parts.metrics.platform_faults.inc();
+                let read = |key: &str| rows.get(key).cloned();
+                self.registry.recall(clock, batch, &read, &presence)
+            }
+        };
+        for (attempt, decision) in decisions {
+            match decision {
+                Decision::Query(query) => self.ask(query),
+                decision => self.answer(&attempt, decision),
+            }
+        }
+        self.tidy();
+    }
+
+    fn answer(&mut self, attempt: &RequestId, decision: Decision) {
+        let Some(reply) = self.waiting.remove(attempt) else {
+            return;
+        };
+        // A caller that left before its request was sent gives the claim up.
+        if let Err(Ok(Decision::Run(held))) = reply.send(Ok(decision)) {
+            self.registry.backlog.push(held.release());
+        }
+    }
+
+    /// Asks every upstream that may have received the attempt named in a claim.
+    fn ask(&mut self, query: Box<Query>) {
+        let upstreams = self.parts.upstreams.clone();
+        let catalog = self.parts.control.scene().catalog.clone();
+        self.calls.spawn(async move {
+            let mut finding = Finding::Absent;
+            for upstream in catalog.upstreams.values() {
+                match upstreams.usage(&upstream.url, &query.request).await {
+                    Used::Finished(_) => return Event::Found(query, Finding::Ran),
+                    Used::Running => return Event::Found(query, Finding::Running),
+                    Used::Unanswered => finding = Finding::Unreachable,
+                    Used::Absent => {}
+                }
+            }
+            Event::Found(query, finding)
+        });
+    }
+
+    /// Works on the next task of the backlog.
+    fn tidy(&mut self) {
+        if self.is_tidying {
+            return;
+        }
+        let Some(task) = self.registry.backlog.next() else {
+            return;
+        };
+        self.is_tidying = true;
+        let (platform, key) = (self.parts.platform.clone(), task.key.clone());
+        self.calls
+            .spawn(async move { Event::Row(platform.get(&key).await) });
+    }
+
+    /// Goes on with the backlog unless only tasks are left that wait for a row to appear.
+    fn tidy_lingering(&mut self) {
+        if self
+            .registry
+            .backlog
+            .next()
+            .is_some_and(|task| task.until.is_none())
+        {
+            self.tidy();
+        }
+    }
+
+    fn write(&mut self, transaction: Transaction) {
+        let platform = self.parts.platform.clone();
+        self.calls.spawn(async move {
+            // The task stays until a later read shows its effect, so the verdict is not needed.
+            Event::Tidied(platform.commit(&transaction).await.map(drop))
+        });
+    }
+}
+
+/// Reads the rows of a batch whose answer was lost; a row that cannot be read is left out.
+async fn read_back(platform: &Client, batch: &Batch) -> HashMap<Arc<str>, Option<Row>> {
+    let mut rows = HashMap::new();
+    for key in batch.keys() {
+        if let Ok(row) = platform.get(key).await {
+            rows.insert(key.clone(), row);
+        }
+    }
+    rows
+}
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -49,6 +49,8 @@
         platform_timeout: ms("platform-timeout-ms", base.platform_timeout),
         fleet_keys: keys.map(|key| key.as_str().into()).collect(),
         flush_interval: ms("flush-interval-ms", base.flush_interval),
+        ledger_interval: ms("ledger-interval-ms", base.ledger_interval),
+        renew_interval: ms("renew-interval-ms", base.renew_interval),
         holders_per_region: size("holders-per-region", base.holders_per_region),
         peer_timeout: ms("peer-timeout-ms", base.peer_timeout),
         reserve_timeout: ms("reserve-timeout-ms", base.reserve_timeout),
@@ -141,7 +143,7 @@
     ]
 }
 
-fn limits() -> [Arg; 10] {
+fn limits() -> [Arg; 12] {
     let ms = |name, env, help| option(name, env, "MS", help).value_parser(value_parser!(u64));
     let count = |name, env, help| option(name, env, "N", help).value_parser(value_parser!(usize));
     [
@@ -160,6 +162,16 @@
             "MARIGOLDROUTE_RESERVATION_LIMIT_MS",
             "Age at which the upstreams are asked for the outcome of a reservation",
         ),
+        ms(
+            "ledger-interval-ms",
+            "MARIGOLDROUTE_LEDGER_INTERVAL_MS",
+            "Time between two rounds of the ledger",
+        ),
+        ms(
+            "renew-interval-ms",
+            "MARIGOLDROUTE_RENEW_INTERVAL_MS",
+            "Time between two signs of life in the list of hosts",
+        ),
         count(
             "holders-per-region",
             "MARIGOLDROUTE_HOLDERS_PER_REGION",
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -25,7 +25,7 @@
 pub(crate) use {
     listing::{Process, Register, remove},
     scene::{Scene, process},
-    task::{Parts, REGISTER_INTERVAL, create},
+    task::{Parts, create},
 };
 
 /// Commands that wait for the task.
--- a/crates/router/src/control/scene.rs
+++ b/crates/router/src/control/scene.rs
@@ -28,6 +28,15 @@
     pub(crate) processes: BTreeSet<HolderId>,
 }
 
+/// A holder of a budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Holder<'a> {
+    pub(crate) host: &'a HostId,
+    pub(crate) address: SocketAddr,
+    /// Whether it is in the region that was asked for.
+    pub(crate) is_near: bool,
+}
+
 /// Returns the name of a process.
 pub(crate) fn process(host: &Host) -> HolderId {
     format!("{}.{:016x}", host.id, host.incarnation).into()
@@ -46,13 +55,13 @@
             out,
             ..Self::default()
         };
-        let alive = members.iter().filter(|member| member.is_alive);
-        scene.processes = alive.map(|member| process(&member.host)).collect();
-        let is_ready = |member: &&Member| member.is_alive && member.phase == Phase::Ready;
-        for member in members.iter().filter(is_ready) {
+        for member in members.iter().filter(|member| member.is_alive) {
             let host = &member.host;
+            scene.processes.insert(process(host));
             if let Ok(address) = host.address.parse() {
                 scene.addresses.insert(host.id.clone(), address);
+            }
+            if member.phase == Phase::Ready {
                 let region = scene.regions.entry(host.region.clone()).or_default();
                 region.push(Weighted {
                     host: host.id.clone(),
@@ -74,18 +83,25 @@
     }
 
     /// Returns the holders of a budget: the best ranked of `region`, then those of the others.
-    pub(crate) fn holders(
-        &self,
-        budget: &str,
-        region: &str,
-        count: usize,
-    ) -> Vec<(&HostId, SocketAddr)> {
-        let own = self.regions.get(region).into_iter();
+    pub(crate) fn holders(&self, budget: &str, region: &str, count: usize) -> Vec<Holder<'_>> {
+        let own = self.regions.get_key_value(region).into_iter();
         let others = self.regions.iter().filter(|(name, _)| ***name != *region);
-        own.chain(others.map(|(_, hosts)| hosts))
-            .flat_map(|hosts| rank(budget, hosts).into_iter().take(count))
-            .filter_map(|host| Some((host, *self.addresses.get(host)?)))
-            .collect()
+        let mut holders = Vec::new();
+        for (name, hosts) in own.chain(others) {
+            for host in rank(budget, hosts).into_iter().take(count) {
+                holders.extend(self.addresses.get(host).map(|address| Holder {
+                    host,
+                    address: *address,
+                    is_near: **name == *region,
+                }));
+            }
+        }
+        holders
+    }
+
+    /// Returns the address of a host that answers, also one that takes no new work.
+    pub(crate) fn address(&self, host: &str) -> Option<SocketAddr> {
+        self.addresses.get(host).copied()
     }
 
     /// Returns whether an upstream gets new work as far as its health goes.
--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -36,8 +36,6 @@
 /// Time between two reads of the list by a poller, for each host on it. A read costs one row per
 /// host; with 12 pollers this keeps the list at 80 rows a second whatever the size of the fleet.
 const LIST_INTERVAL_PER_HOST: Duration = Duration::from_millis(150);
-/// Time between two writes of the own row; 390 hosts make 20 writes a second.
-pub(crate) const REGISTER_INTERVAL: Duration = Duration::from_secs(20);
 /// Attempts to decide on a proposal.
 const PROPOSAL_ATTEMPTS: u32 = 20;
 /// Pause before the next attempt.
@@ -52,6 +50,7 @@
     pub(crate) platform: Client,
     pub(crate) links: Arc<Links>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) renew_interval: Duration,
     pub(crate) draining: CancellationToken,
     pub(crate) stop: CancellationToken,
 }
@@ -274,7 +273,7 @@
         self.view.apply(self.log.version());
         self.exchange();
         if now >= self.next_register {
-            self.next_register = now + REGISTER_INTERVAL;
+            self.next_register = now + self.parts.renew_interval;
             self.register();
         }
         if now >= self.next_list {
--- a/crates/router/src/escrow/holders.rs
+++ b/crates/router/src/escrow/holders.rs
@@ -5,11 +5,12 @@
 //! closed.
 
 use {
-    super::resolve::Purpose,
+    super::{Settlement, durable::Durable, resolve::Purpose},
     marigoldroute_core::{
         bill::Bill,
         budget::{Holder, Phase, Record, Settings, Shortage, Usage},
         id::{BudgetId, HolderId, RequestId, Tokens},
+        wire::Billing,
     },
     std::{
         collections::{BTreeMap, HashMap},
@@ -30,6 +31,9 @@
     current: Generation,
     /// Of every open reservation.
     open: HashMap<RequestId, (Generation, Purpose)>,
+    durable: Durable,
+    /// Bills made since they were last taken.
+    made: Vec<Bill>,
     is_draining: bool,
 }
 
@@ -41,6 +45,8 @@
             holders: BTreeMap::new(),
             current: 0,
             open: HashMap::new(),
+            durable: Durable::default(),
+            made: Vec::new(),
             is_draining: false,
         };
         holders.succeed();
@@ -80,25 +86,79 @@
         }
     }
 
-    pub(super) fn settle(&mut self, attempt: &RequestId, usage: Usage) -> Option<Bill> {
-        self.close(attempt)?.settle(attempt, usage)
+    /// Settles an attempt, also one that has no reservation here because its holder was lost.
+    pub(super) fn settle(&mut self, now: Duration, item: &Settlement) -> Billing {
+        if let Some(is_durable) = self.durable.get(&item.attempt) {
+            return if is_durable {
+                Billing::Durable
+            } else {
+                Billing::Pending
+            };
+        }
+        if !self.open.contains_key(&item.attempt)
+            && let Err(billing) = self.adopt(now, item)
+        {
+            return billing;
+        }
+        match self.bill(&item.attempt, item.usage.clone()) {
+            Some(_) => Billing::Pending,
+            None => Billing::Durable,
+        }
+    }
+
+    /// Reserves what an attempt has used that has no reservation here. What the budget does not
+    /// cover is billed as uncovered. The ledger drops the bill if the lost holder made one too.
+    fn adopt(&mut self, now: Duration, item: &Settlement) -> Result<(), Billing> {
+        let purpose = Purpose {
+            workspace: item.usage.workspace.clone(),
+            model: item.usage.model.clone(),
+        };
+        let mut amount = item.usage.tokens;
+        loop {
+            let reserved = self.reserve(now, &item.attempt, &item.budget, amount, &purpose);
+            match reserved {
+                Ok(_) => return Ok(()),
+                Err(Shortage::Exhausted) if amount > 0 => amount = 0,
+                Err(Shortage::Refill) => return Err(Billing::Pending),
+                Err(Shortage::Billed) => return Err(Billing::Durable),
+                Err(_) => return Err(Billing::Refused),
+            }
+        }
+    }
+
+    fn bill(&mut self, attempt: &RequestId, usage: Usage) -> Option<Bill> {
+        let (generation, _) = self.open.remove(attempt)?;
+        let bill = self.holders.get_mut(&generation)?.settle(attempt, usage)?;
+        self.durable.made(attempt, generation);
+        self.made.push(bill.clone());
+        Some(bill)
+    }
+
+    /// Returns the bills made since the last call.
+    pub(super) fn take_made(&mut self) -> Vec<Bill> {
+        std::mem::take(&mut self.made)
+    }
+
+    /// Notes which bills of a holder are in the store now.
+    pub(super) fn note_written(&mut self, generation: Generation) {
+        if let Some(holder) = self.holders.get(&generation) {
+            self.durable.written(generation, holder.unwritten() as u64);
+        }
     }
 
     /// Applies what the upstreams know of an attempt.
-    pub(super) fn resolve(
-        &mut self,
-        now: Duration,
-        attempt: &RequestId,
-        record: Record,
-    ) -> Option<Bill> {
-        if record == Record::Running {
-            let (generation, _) = self.open.get(attempt)?;
-            return self
-                .holders
-                .get_mut(generation)?
-                .resolve(now, attempt, record);
+    pub(super) fn resolve(&mut self, now: Duration, attempt: &RequestId, record: Record) {
+        match record {
+            Record::Finished(usage) => drop(self.bill(attempt, usage)),
+            Record::Absent => self.release(attempt),
+            Record::Running => {
+                let open = self.open.get(attempt);
+                let holder = open.and_then(|(generation, _)| self.holders.get_mut(generation));
+                if let Some(holder) = holder {
+                    holder.resolve(now, attempt, record);
+                }
+            }
         }
-        self.close(attempt)?.resolve(now, attempt, record)
     }
 
     /// Returns attempts whose reservations are older than `age`, with their purpose.
@@ -119,6 +179,13 @@
             .collect()
     }
 
+    /// Makes the next flush read the row of a budget of which another holder lacks tokens.
+    pub(super) fn review(&mut self, budget: &str) {
+        if let Some(holder) = self.holders.get_mut(&self.current) {
+            holder.review(budget);
+        }
+    }
+
     /// Takes no more reservations and returns all tokens.
     pub(super) fn stop(&mut self) {
         self.is_draining = true;
--- a/crates/router/src/escrow/mod.rs
+++ b/crates/router/src/escrow/mod.rs
@@ -1,15 +1,17 @@
 //! The task that owns this process's [`Holder`](marigoldroute_core::budget::Holder) and keeps its
 //! journal in the table service.
 
+mod durable;
 mod holders;
 mod resolve;
+mod review;
 mod work;
 
 use {
     marigoldroute_core::{
-        bill::Bill,
         budget::Usage,
         id::{BudgetId, ModelId, RequestId, Tokens, WorkspaceId},
+        wire::Billing,
     },
     tokio::sync::{mpsc, oneshot},
 };
@@ -43,6 +45,14 @@
     pub(crate) model: ModelId,
 }
 
+/// A finished attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct Settlement {
+    pub(crate) attempt: RequestId,
+    pub(crate) budget: BudgetId,
+    pub(crate) usage: Usage,
+}
+
 enum Command {
     Reserve {
         reservation: Reservation,
@@ -53,13 +63,15 @@
         amount: Tokens,
     },
     Settle {
-        attempt: RequestId,
-        usage: Usage,
-        reply: oneshot::Sender<Option<Bill>>,
+        items: Vec<Settlement>,
+        reply: oneshot::Sender<Vec<Billing>>,
     },
     Release {
         attempt: RequestId,
     },
+    Review {
+        budget: BudgetId,
+    },
 }
 
 /// Access to the task; clones share it.
@@ -81,16 +93,16 @@
         let _ = self.0.send(Command::Lower { attempt, amount }).await;
     }
 
-    /// Settles a reservation; `None` when there is none.
-    pub(crate) async fn settle(&self, attempt: RequestId, usage: Usage) -> Option<Bill> {
+    /// Settles attempts and returns the state of each bill; `None` when the task has ended.
+    pub(crate) async fn settle(&self, items: Vec<Settlement>) -> Option<Vec<Billing>> {
         let (reply, answer) = oneshot::channel();
-        let command = Command::Settle {
-            attempt,
-            usage,
-            reply,
-        };
-        self.0.send(command).await.ok()?;
-        answer.await.ok()?
+        self.0.send(Command::Settle { items, reply }).await.ok()?;
+        answer.await.ok()
+    }
+
+    /// Notes that another holder lacks tokens of a budget.
+    pub(crate) async fn review(&self, budget: BudgetId) {
+        let _ = self.0.send(Command::Review { budget }).await;
     }
 
     /// Ends the reservation of a request that did not run.
--- /dev/null
+++ b/crates/router/src/escrow/review.rs
@@ -0,0 +1,50 @@
+//! Asks the other holders of a budget for tokens that they do not need.
+
+use {
+    crate::{control::Control, peer::Links},
+    marigoldroute_core::{
+        id::{BudgetId, HostId, Region},
+        wire::{Body, Review},
+    },
+    std::{collections::HashMap, sync::Arc, time::Duration},
+    tokio::task::JoinSet,
+};
+
+/// Time between two calls about one budget.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Calls to other holders.
+pub(super) struct Reviews {
+    pub(super) own: HostId,
+    pub(super) region: Region,
+    pub(super) holders_per_region: usize,
+    pub(super) links: Arc<Links>,
+    pub(super) control: Control,
+    /// When each budget may be asked for again.
+    pub(super) next: HashMap<BudgetId, Duration>,
+    pub(super) calls: JoinSet<()>,
+}
+
+impl Reviews {
+    /// Tells the other holders of a budget that this one lacks tokens, unless they were told just
+    /// before. A lost message costs a refusal, not tokens.
+    pub(super) fn ask(&mut self, now: Duration, budget: &BudgetId) {
+        self.next.retain(|_, next| *next > now);
+        if self.next.contains_key(budget) {
+            return;
+        }
+        self.next.insert(budget.clone(), now + PAUSE);
+        while self.calls.try_join_next().is_some() {}
+        let scene = self.control.scene();
+        for holder in scene.holders(budget, &self.region, self.holders_per_region) {
+            if *holder.host == self.own {
+                continue;
+            }
+            let (links, host, address) = (self.links.clone(), holder.host.clone(), holder.address);
+            let budget = budget.to_string();
+            let body = Body::Review(Review { budget });
+            self.calls
+                .spawn(async move { drop(links.call(&host, address, body).await) });
+        }
+    }
+}
--- a/crates/router/src/escrow/work.rs
+++ b/crates/router/src/escrow/work.rs
@@ -2,22 +2,29 @@
 
 use {
     super::{
-        Command, Escrow, QUEUE_COMMANDS, Refusal, Reservation, Reserved,
+        Command, Escrow, QUEUE_COMMANDS, Refusal, Reservation, Reserved, Settlement,
         holders::{Generation, Holders},
         resolve::{Purpose, resolve},
+        review::Reviews,
     },
     crate::{
-        clock::Clock, control::Control, logs::TOKENS, metrics::Metrics, settings::Settings,
-        upstream::Upstreams,
+        clock::Clock, control::Control, logs::TOKENS, metrics::Metrics, peer::Links,
+        settings::Settings, upstream::Upstreams,
     },
     marigoldroute_core::{
-        bill::Bill,
-        budget::{Holder, Phase, Record, Settings as Sizes, Shortage, Usage},
+        budget::{Holder, Phase, Record, Settings as Sizes, Shortage},
         id::{HolderId, RequestId},
         table::{Row, Transaction, Verdict},
+        wire::Billing,
     },
     marigoldroute_platform::{Client, Fault},
-    std::{collections::VecDeque, future::Future, pin::Pin, sync::Arc, time::Duration},
+    std::{
+        collections::{HashMap, VecDeque},
+        future::Future,
+        pin::Pin,
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
         sync::{mpsc, oneshot},
         task::JoinSet,
@@ -43,7 +50,10 @@
     pub(crate) platform: Client,
     pub(crate) upstreams: Arc<Upstreams>,
     pub(crate) control: Control,
+    pub(crate) links: Arc<Links>,
     pub(crate) metrics: Arc<Metrics>,
+    /// Cancelled when this host's own settlements are durable.
+    pub(crate) settled: CancellationToken,
 }
 
 /// Creates the task and the access to it.
@@ -58,9 +68,19 @@
     let (sender, commands) = mpsc::channel(QUEUE_COMMANDS);
     let worker = Worker {
         holders: Holders::new(parts.process.clone(), parts.sizes.clone()),
+        reviews: Reviews {
+            own: settings.host.clone(),
+            region: settings.region.clone(),
+            holders_per_region: settings.holders_per_region,
+            links: parts.links.clone(),
+            control: parts.control.clone(),
+            next: HashMap::new(),
+            calls: JoinSet::new(),
+        },
         parts,
         waiting: VecDeque::new(),
         call: None,
+        closed: None,
         retry_at: Duration::ZERO,
         resolving: JoinSet::new(),
         flush_interval: settings.flush_interval,
@@ -88,10 +108,13 @@
 struct Worker {
     parts: Parts,
     holders: Holders,
+    reviews: Reviews,
     /// In order of arrival; at most [`WAITING_LIMIT`].
     waiting: VecDeque<Waiting>,
     /// The one call to the platform in progress.
     call: Option<Call>,
+    /// When the journals were closed.
+    closed: Option<Duration>,
     /// No call to the platform before.
     retry_at: Duration,
     resolving: JoinSet<(RequestId, Record)>,
@@ -109,8 +132,8 @@
     ) -> bool {
         let mut tick = tokio::time::interval(self.flush_interval);
         let mut check = tokio::time::interval(CHECK_INTERVAL);
-        let mut end = None;
-        while !self.holders.is_closed() {
+        let mut stop = None;
+        loop {
             tokio::select! {
                 command = commands.recv() => match command {
                     Some(command) => self.handle(command),
@@ -121,37 +144,58 @@
                     self.resolve(&attempt, record);
                 },
                 _ = tick.tick() => self.step(),
-                _ = check.tick(), if end.is_some() || !self.waiting.is_empty() => {}
-                () = draining.cancelled(), if end.is_none() => {
-                    end = Some(self.parts.clock.now() + self.drain_limit);
+                _ = check.tick(), if stop.is_some() || !self.waiting.is_empty() => self.begin(),
+                () = draining.cancelled(), if stop.is_none() => {
+                    stop = Some(self.parts.clock.now());
                     self.holders.stop();
                     self.begin();
                 }
             }
             self.expire();
-            if end.is_some_and(|end| self.parts.clock.now() >= end) {
-                let (reserved, bills) = self.holders.left();
-                log::error!(target: TOKENS, bills, reserved; "journal not closed within the drain limit");
-                return false;
+            if let Some(is_closed) = stop.and_then(|stop| self.end(stop)) {
+                return is_closed;
             }
         }
-        true
+    }
+
+    /// Returns whether the journals are closed once the task is to end.
+    ///
+    /// A closed task lingers, so that the entries learn that their settlements are durable.
+    fn end(&mut self, stop: Duration) -> Option<bool> {
+        let now = self.parts.clock.now();
+        if now >= stop + self.drain_limit {
+            let (reserved, bills) = self.holders.left();
+            log::error!(target: TOKENS, bills, reserved; "journal not closed within the drain limit");
+            return Some(false);
+        }
+        if !self.holders.is_closed() {
+            return None;
+        }
+        let closed = *self.closed.get_or_insert(now);
+        let is_settled = self.parts.settled.is_cancelled();
+        (is_settled && now >= closed + self.flush_interval).then_some(true)
     }
 
     fn handle(&mut self, command: Command) {
         match command {
-            Command::Reserve { reservation, reply } => self.reserve(Waiting {
-                reservation,
-                deadline: self.parts.clock.now() + self.reserve_timeout,
-                reply,
-            }),
+            Command::Reserve { reservation, reply } => {
+                let deadline = self.parts.clock.now() + self.reserve_timeout;
+                self.reserve(Waiting {
+                    reservation,
+                    deadline,
+                    reply,
+                });
+                if !self.waiting.is_empty() {
+                    self.begin();
+                }
+            }
             Command::Lower { attempt, amount } => self.holders.lower(&attempt, amount),
             Command::Release { attempt } => self.holders.release(&attempt),
-            Command::Settle {
-                attempt,
-                usage,
-                reply,
-            } => self.settle(&attempt, usage, reply),
+            Command::Review { budget } => {
+                self.holders.review(&budget);
+                self.begin();
+            }
+            Command::Settle { items, reply } => self.settle(&items, reply),
         }
         if self.holders.iter().any(|(_, holder)| can_close(holder)) {
             self.begin();
@@ -180,7 +224,7 @@
             Err(Shortage::Exhausted) => Err(Refusal::Exhausted),
             Err(Shortage::Refill) if can_wait => {
                 self.waiting.push_back(waiting);
-                return self.begin();
+                return;
             }
             Err(_) => Err(Refusal::Unavailable),
         };
@@ -189,34 +233,48 @@
         }
     }
 
-    fn settle(&mut self, attempt: &RequestId, usage: Usage, reply: oneshot::Sender<Option<Bill>>) {
-        let bill = self.holders.settle(attempt, usage);
-        self.note(attempt, bill.as_ref());
-        // The bill stands also when nobody waits for it any more.
-        let _ = reply.send(bill);
+    fn settle(&mut self, items: &[Settlement], reply: oneshot::Sender<Vec<Billing>>) {
+        let now = self.parts.clock.now();
+        let settled = items
+            .iter()
+            .map(|item| self.holders.settle(now, item))
+            .collect();
+        self.note();
+        // The bills stand also when nobody waits for them any more.
+        let _ = reply.send(settled);
+        self.begin_if_wanted();
+    }
+
+    /// Logs and counts the bills just made.
+    fn note(&mut self) {
+        for bill in self.holders.take_made() {
+            self.parts.metrics.charged.inc_by(bill.charged);
+            self.parts.metrics.uncovered.inc_by(bill.uncovered);
+            log::info!(
+                target: TOKENS,
+                request:% = bill.request, budget:% = bill.budget, charged = bill.charged,
+                uncovered = bill.uncovered;
+                "billed"
+            );
+        }
     }
 
-    fn note(&self, attempt: &RequestId, bill: Option<&Bill>) {
-        let Some(bill) = bill else {
-            self.parts.metrics.unmatched.inc();
-            return;
-        };
-        self.parts.metrics.charged.inc_by(bill.charged);
-        self.parts.metrics.uncovered.inc_by(bill.uncovered);
-        log::info!(
-            target: TOKENS,
-            request:% = bill.request, attempt:%, budget:% = bill.budget, charged = bill.charged,
-            uncovered = bill.uncovered;
-            "billed"
-        );
+    /// Starts a refill when a settlement lacked tokens.
+    fn begin_if_wanted(&mut self) {
+        if self
+            .holders
+            .iter()
+            .any(|(_, holder)| !holder.wanted().is_empty())
+        {
+            self.begin();
+        }
     }
 
     /// Takes the outcome of a reservation whose entry did not settle it.
     fn resolve(&mut self, attempt: &RequestId, record: Record) {
         let now = self.parts.clock.now();
-        if let Some(bill) = self.holders.resolve(now, attempt, record) {
-            self.note(attempt, Some(&bill));
-        }
+        self.holders.resolve(now, attempt, record);
+        self.note();
     }
 
     fn step(&mut self) {
@@ -294,6 +352,7 @@
         let before = holder.phase();
         holder.decide(verdict);
         let phase = holder.phase();
+        self.holders.note_written(generation);
         if phase != before {
             log::warn!(target: TOKENS, generation, phase:?; "the holder's phase changed");
         }
@@ -303,11 +362,16 @@
         }
     }
 
-    /// Serves waiting reservations after a refill.
+    /// Serves waiting reservations after a refill. Those that the budget row did not cover wait
+    /// for other holders to return tokens.
     fn retry(&mut self) {
         for waiting in std::mem::take(&mut self.waiting) {
             self.reserve(waiting);
         }
+        let now = self.parts.clock.now();
+        for waiting in &self.waiting {
+            self.reviews.ask(now, &waiting.reservation.budget);
+        }
     }
 
     /// Gives waiting reservations their final answer: the store cannot be asked.
@@ -320,10 +384,11 @@
         }
     }
 
+    /// Refuses reservations for which no tokens came in time.
     fn expire(&mut self) {
         let now = self.parts.clock.now();
         while let Some(waiting) = self.waiting.pop_front_if(|first| first.deadline <= now) {
-            let _ = waiting.reply.send(Err(Refusal::Unavailable));
+            let _ = waiting.reply.send(Err(Refusal::Exhausted));
         }
     }
 }
--- /dev/null
+++ b/crates/router/src/ledger.rs
@@ -0,0 +1,203 @@
+//! The duty that turns journals into billed segments, under a lease.
+
+use {
+    crate::{control::Control, logs::TOKENS, metrics::Metrics},
+    derive_more::{Display, Error, From},
+    marigoldroute_core::{
+        bill::{self, Lease, Ledger, Page, Settings, index_prefix},
+        budget::journal,
+        fault,
+        id::{HolderId, HostId, Region},
+        table::{Row, Transaction, Verdict},
+    },
+    marigoldroute_platform::{Client, Fault},
+    std::{
+        collections::BTreeSet,
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+const NAME: &str = "ledger";
+/// Time for which a lease is taken; half of it passes between renewals.
+const TERM: Duration = Duration::from_secs(30);
+/// Rows read by one call.
+const PAGE_ROWS: usize = 1_000;
+
+/// Why a round ended early.
+#[derive(Debug, Display, Error, From)]
+enum Broken {
+    #[display("{_0}")]
+    Platform(Fault),
+    #[display("{_0}")]
+    Row(fault::Fault),
+    #[display("another process changed the rows")]
+    #[from(skip)]
+    Overtaken,
+}
+
+/// What the duty works with.
+pub(crate) struct Duty {
+    pub(crate) process: HolderId,
+    pub(crate) host: HostId,
+    pub(crate) region: Region,
+    pub(crate) platform: Client,
+    pub(crate) control: Control,
+    pub(crate) metrics: Arc<Metrics>,
+    /// Time between two rounds over all journals.
+    pub(crate) interval: Duration,
+}
+
+impl Duty {
+    /// Runs rounds until `stop` while this host is the one for the duty.
+    pub(crate) async fn run(self, stop: CancellationToken) {
+        let mut tick = tokio::time::interval(self.interval);
+        let mut ledger = None;
+        loop {
+            tokio::select! {
+                _ = tick.tick() => {}
+                () = stop.cancelled() => return,
+            }
+            if !self.is_first() {
+                ledger = None;
+                continue;
+            }
+            if let Err(broken) = self.round(&mut ledger).await {
+                ledger = None;
+                self.metrics.platform_faults.inc();
+                log::warn!(target: TOKENS, broken:%; "ledger round ended early");
+            }
+        }
+    }
+
+    /// Returns whether this host is the first for the duty; the lease decides when two hosts
+    /// take themselves for it.
+    fn is_first(&self) -> bool {
+        let scene = self.control.scene();
+        let holders = scene.holders(NAME, &self.region, 1);
+        let best = holders.iter().map(|holder| holder.host).min();
+        best.is_some_and(|host| *host == self.host)
+    }
+
+    async fn round(&self, ledger: &mut Option<Ledger>) -> Result<(), Broken> {
+        let Some(lease) = self.lease().await? else {
+            *ledger = None;
+            return Ok(());
+        };
+        let ledger = match ledger {
+            Some(ledger) => {
+                ledger.renew(&lease);
+                ledger
+            }
+            None => {
+                let cursors = self.all("ledger/").await?;
+                ledger.insert(Ledger::new(&lease, &cursors, Settings::default())?)
+            }
+        };
+        while let Some(holder) = ledger.urgent().cloned() {
+            self.visit(ledger, &holder).await?;
+        }
+        for holder in self.holders().await? {
+            self.visit(ledger, &holder).await?;
+        }
+        Ok(())
+    }
+
+    /// Takes or renews the lease; `None` while another process has it.
+    async fn lease(&self) -> Result<Option<Row>, Broken> {
+        let key = format!("lease/{NAME}");
+        let row = self.platform.get(&key).await?;
+        let transaction = Lease::acquire(NAME, row.as_ref(), &self.process, wall(), TERM)?;
+        let Some(transaction) = transaction else {
+            return Ok(None);
+        };
+        // The row read back tells whether it took effect, also after a lost answer.
+        let _ = self.platform.commit(&transaction).await;
+        let row = self.platform.get(&key).await?;
+        Ok(row.filter(|row| Lease::decode(row).is_ok_and(|lease| lease.holder == self.process)))
+    }
+
+    /// Returns every holder that has journal rows.
+    async fn holders(&self) -> Result<BTreeSet<HolderId>, Broken> {
+        let rows = self.all("journal/").await?;
+        let holders = rows.iter().filter_map(|row| journal::holder(&row.key));
+        Ok(holders.map(HolderId::from).collect())
+    }
+
+    async fn all(&self, prefix: &str) -> Result<Vec<Row>, Broken> {
+        let mut rows: Vec<Row> = Vec::new();
+        loop {
+            let after = rows.last().map_or("", |row| &row.key).to_owned();
+            let page = self.platform.scan(prefix, &after, PAGE_ROWS).await?;
+            let is_last = page.len() < PAGE_ROWS;
+            rows.extend(page);
+            if is_last {
+                return Ok(rows);
+            }
+        }
+    }
+
+    /// Bills all journal rows of a holder.
+    async fn visit(&self, ledger: &mut Ledger, holder: &HolderId) -> Result<(), Broken> {
+        loop {
+            let page = self.page(holder).await?;
+            let transaction = match page.batch() {
+                Some(_) => self.close(ledger, &page).await?,
+                None => self.decide(ledger, &page).await?,
+            };
+            let Some(transaction) = transaction else {
+                return Ok(());
+            };
+            if self.platform.commit(&transaction).await? != Verdict::Committed {
+                return Err(Broken::Overtaken);
+            }
+        }
+    }
+
+    async fn page(&self, holder: &HolderId) -> Result<Page, Broken> {
+        let cursor = self.platform.get(&bill::key(holder)).await?;
+        let (prefix, after) = Page::range(holder, &Page::cursor(cursor.as_ref())?);
+        let rows = self.platform.scan(&prefix, &after, PAGE_ROWS).await?;
+        Ok(Page::decode(holder.clone(), cursor.as_ref(), &rows)?)
+    }
+
+    /// Writes the objects of an open batch.
+    async fn close(&self, ledger: &mut Ledger, page: &Page) -> Result<Option<Transaction>, Broken> {
+        for object in ledger.publish(page) {
+            self.platform.put_object(&object.key, object.value).await?;
+        }
+        Ok(ledger.close(page))
+    }
+
+    async fn decide(
+        &self,
+        ledger: &mut Ledger,
+        page: &Page,
+    ) -> Result<Option<Transaction>, Broken> {
+        let wall = wall();
+        for slot in ledger.slots(wall, page) {
+            let mut objects = Vec::new();
+            for key in self.platform.list_objects(&index_prefix(slot)).await? {
+                objects.extend(self.platform.get_object(&key).await?);
+            }
+            ledger.load(slot, &objects)?;
+        }
+        let mut accounts = Vec::new();
+        for key in ledger.accounts(wall, page) {
+            accounts.extend(self.platform.get(&key).await?);
+        }
+        let Some(decided) = ledger.decide(wall, page, &accounts)? else {
+            return Ok(None);
+        };
+        for bill in decided.repeated.iter().chain(&decided.late) {
+            log::info!(target: TOKENS, request:% = bill.request, charged = bill.charged; "second bill dropped");
+        }
+        Ok(Some(decided.transaction))
+    }
+}
+
+fn wall() -> Duration {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default()
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,16 +1,19 @@
 //! The router: callers on one side, upstreams on the other, prepaid budgets between.
 
 pub mod cli;
+mod ledger;
 pub mod logs;
 pub mod settings;
 
 mod caller;
 mod charge;
+mod claim;
 mod clock;
 mod control;
 mod escrow;
 mod metrics;
 mod ops;
+mod outbox;
 mod peer;
 mod reclaim;
 mod response;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -26,8 +26,6 @@
     pub(crate) charged: IntCounter,
     /// Tokens used by upstreams above the reservation, not billed.
     pub(crate) uncovered: IntCounter,
-    /// Settlements that no holder knew.
-    pub(crate) unmatched: IntCounter,
     /// Seconds until the first token.
     pub(crate) first_token: Histogram,
     /// Attempts that an upstream refused.
@@ -73,10 +71,6 @@
                 "marigoldroute_uncovered_tokens_total",
                 "Tokens that upstreams used above the reservation, not billed",
             )?,
-            unmatched: counter(
-                "marigoldroute_unmatched_settlements_total",
-                "Settlements for which the holder had no reservation",
-            )?,
             first_token,
             refusals: counter(
                 "marigoldroute_upstream_refusals_total",
--- /dev/null
+++ b/crates/router/src/outbox.rs
@@ -0,0 +1,256 @@
+//! Settlements on their way to the holders.
+//!
+//! A settlement is repeated until the holder's bill is in the store. When the holder is lost
+//! before, another holder of the budget makes the bill.
+
+use {
+    crate::{
+        control::Control,
+        escrow::{Escrow, Settlement},
+        logs::TOKENS,
+        peer::Links,
+    },
+    marigoldroute_core::{
+        id::{HostId, Region},
+        wire::{self, Billing, Body, Settle},
+    },
+    std::{
+        collections::{BTreeMap, HashSet},
+        future::Future,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{sync::mpsc, task::JoinSet},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Settlements that wait for the task.
+const QUEUE_ITEMS: usize = 1_024;
+/// Settlements that are not durable yet; a longer outage of the store loses the oldest, whose
+/// bills the holders make from the engines' records.
+const ITEMS_LIMIT: usize = 65_536;
+/// Settlements in one message.
+const MESSAGE_ITEMS: usize = 512;
+/// Rounds without an answer after which another holder is asked.
+const MISSED_ROUNDS: u32 = 3;
+
+/// Access to the task.
+#[derive(Clone, Debug)]
+pub(crate) struct Outbox(mpsc::Sender<(Settlement, HostId)>);
+
+impl Outbox {
+    /// Queues a settlement for the holder on `host`.
+    pub(crate) async fn push(&self, item: Settlement, host: HostId) {
+        // The task only ends after the last request, so the send cannot fail before.
+        let _ = self.0.send((item, host)).await;
+    }
+}
+
+/// What the task works with.
+pub(crate) struct Parts {
+    pub(crate) own: HostId,
+    pub(crate) region: Region,
+    pub(crate) holders_per_region: usize,
+    pub(crate) escrow: Escrow,
+    pub(crate) links: Arc<Links>,
+    pub(crate) control: Control,
+    /// Time between two messages about a settlement that is not durable.
+    pub(crate) interval: Duration,
+}
+
+/// Creates the task and the access to it. After `stop` it ends once it is empty.
+pub(crate) fn create(
+    parts: Parts,
+    stop: CancellationToken,
+) -> (Outbox, impl Future<Output = ()> + Send + use<>) {
+    let (sender, receiver) = mpsc::channel(QUEUE_ITEMS);
+    let worker = Worker {
+        parts,
+        items: BTreeMap::new(),
+        next: 0,
+        calls: JoinSet::new(),
+        busy: HashSet::new(),
+    };
+    (Outbox(sender), worker.run(receiver, stop))
+}
+
+struct Item {
+    settlement: Settlement,
+    host: HostId,
+    /// Whether `host` was told.
+    is_sent: bool,
+    /// Rounds without an answer of `host`.
+    missed: u32,
+}
+
+/// The answer of a holder to some items.
+type Answer = (HostId, Vec<u64>, Option<Vec<Billing>>);
+
+struct Worker {
+    parts: Parts,
+    /// In order of arrival; at most [`ITEMS_LIMIT`].
+    items: BTreeMap<u64, Item>,
+    next: u64,
+    calls: JoinSet<Answer>,
+    /// Holders with a message on its way.
+    busy: HashSet<HostId>,
+}
+
+impl Worker {
+    async fn run(
+        mut self,
+        mut arrivals: mpsc::Receiver<(Settlement, HostId)>,
+        stop: CancellationToken,
+    ) {
+        let mut round = tokio::time::interval(self.parts.interval);
+        let mut is_open = true;
+        while is_open || !self.items.is_empty() {
+            tokio::select! {
+                arrival = arrivals.recv(), if is_open => match arrival {
+                    Some((settlement, host)) => self.push(settlement, host),
+                    None => is_open = false,
+                },
+                Some(answer) = self.calls.join_next() => if let Ok(answer) = answer {
+                    self.apply(answer);
+                },
+                _ = round.tick() => self.send(),
+                () = stop.cancelled(), if is_open && arrivals.is_empty() => is_open = false,
+            }
+        }
+    }
+
+    fn push(&mut self, settlement: Settlement, host: HostId) {
+        if self.items.len() >= ITEMS_LIMIT
+            && let Some((_, item)) = self.items.pop_first()
+        {
+            log::error!(target: TOKENS, attempt:% = item.settlement.attempt; "settlement dropped");
+        }
+        let item = Item {
+            settlement,
+            host: host.clone(),
+            is_sent: false,
+            missed: 0,
+        };
+        self.items.insert(self.next, item);
+        self.next += 1;
+        self.send_first(host);
+    }
+
+    /// Sends the settlements that a holder was not told of; this frees the rest of their
+    /// reservations.
+    fn send_first(&mut self, host: HostId) {
+        if self.busy.contains(&host) {
+            return;
+        }
+        let is_new = |item: &Item| !item.is_sent && item.host == host;
+        let items = self.items.iter().filter(|(_, item)| is_new(item));
+        let numbers: Vec<_> = items
+            .map(|(number, _)| *number)
+            .take(MESSAGE_ITEMS)
+            .collect();
+        if !numbers.is_empty() {
+            self.call(host, numbers);
+        }
+    }
+
+    /// Sends all open settlements again.
+    fn send(&mut self) {
+        self.reassign();
+        let mut batches: BTreeMap<HostId, Vec<u64>> = BTreeMap::new();
+        for (number, item) in &self.items {
+            let batch = batches.entry(item.host.clone()).or_default();
+            if batch.len() < MESSAGE_ITEMS {
+                batch.push(*number);
+            }
+        }
+        for (host, numbers) in batches {
+            if !self.busy.contains(&host) {
+                self.call(host, numbers);
+            }
+        }
+    }
+
+    /// Gives settlements whose holder does not answer to another one.
+    fn reassign(&mut self) {
+        let scene = self.parts.control.scene();
+        let count = self.parts.holders_per_region;
+        for item in self.items.values_mut() {
+            if item.missed < MISSED_ROUNDS {
+                continue;
+            }
+            let holders = scene.holders(&item.settlement.budget, &self.parts.region, count);
+            let other = holders.iter().find(|holder| *holder.host != item.host);
+            let host = other.map_or(&self.parts.own, |holder| holder.host);
+            log::warn!(
+                target: TOKENS,
+                attempt:% = item.settlement.attempt, lost:% = item.host, holder:% = host;
+                "settlement given to another holder"
+            );
+            item.host = host.clone();
+            item.is_sent = false;
+            item.missed = 0;
+        }
+    }
+
+    fn call(&mut self, host: HostId, numbers: Vec<u64>) {
+        let mut items = Vec::with_capacity(numbers.len());
+        for number in &numbers {
+            if let Some(item) = self.items.get_mut(number) {
+                item.is_sent = true;
+                items.push(item.settlement.clone());
+            }
+        }
+        self.busy.insert(host.clone());
+        if host == self.parts.own {
+            let escrow = self.parts.escrow.clone();
+            self.calls
+                .spawn(async move { (host, numbers, escrow.settle(items).await) });
+            return;
+        }
+        let address = self.parts.control.scene().address(&host);
+        let links = self.parts.links.clone();
+        self.calls.spawn(async move {
+            let Some(address) = address else {
+                return (host, numbers, None);
+            };
+            let body = Body::Settle(Settle {
+                items: items.iter().map(message).collect(),
+            });
+            let settled = match links.call(&host, address, body).await {
+                Ok(Body::Settled(settled)) => Some(settled.items().collect()),
+                _ => None,
+            };
+            (host, numbers, settled)
+        });
+    }
+
+    fn apply(&mut self, (host, numbers, settled): Answer) {
+        self.busy.remove(&host);
+        let settled = settled.filter(|settled| settled.len() == numbers.len());
+        for (index, number) in numbers.into_iter().enumerate() {
+            let billing = settled
+                .as_ref()
+                .map_or(Billing::Refused, |settled| settled[index]);
+            let Some(item) = self.items.get_mut(&number) else {
+                continue;
+            };
+            match billing {
+                Billing::Durable => drop(self.items.remove(&number)),
+                Billing::Pending => item.missed = 0,
+                Billing::Refused => item.missed += 1,
+            }
+        }
+        self.send_first(host);
+    }
+}
+
+fn message(item: &Settlement) -> wire::Settlement {
+    wire::Settlement {
+        attempt: item.attempt.to_string(),
+        budget: item.budget.to_string(),
+        workspace: item.usage.workspace.to_string(),
+        model: item.usage.model.to_string(),
+        upstream: item.usage.upstream.to_string(),
+        tokens: item.usage.tokens,
+    }
+}
--- a/crates/router/src/reclaim.rs
+++ b/crates/router/src/reclaim.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         clock::Clock,
-        control::{Control, Process, REGISTER_INTERVAL, Register, remove},
+        control::{Control, Process, Register, remove},
         logs::TOKENS,
         settings::Settings,
     },
@@ -53,6 +53,7 @@
     platform: Client,
     control: Control,
     settings: reclaim::Settings,
+    renew_interval: Duration,
     silences: HashMap<HolderId, Silence>,
     last_read: Duration,
 }
@@ -71,6 +72,7 @@
             platform,
             control,
             settings: settings.reclaim,
+            renew_interval: settings.renew_interval,
             silences: HashMap::new(),
             last_read: Duration::ZERO,
         }
@@ -122,7 +124,7 @@
             if known.version != process.version || is_heard(process) {
                 *known = silence;
             }
-            if now.saturating_sub(known.since) >= REGISTER_INTERVAL * MISSED_RENEWALS {
+            if now.saturating_sub(known.since) >= self.renew_interval * MISSED_RENEWALS {
                 dead.push(process.id.clone());
             }
         }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -4,10 +4,11 @@
     crate::{
         caller::{self, Context},
         charge::{Charger, Responder},
+        claim,
         clock::Clock,
-        control, escrow,
+        control, escrow, ledger,
         metrics::Metrics,
-        ops,
+        ops, outbox,
         peer::{Links, Listener},
         reclaim::Reclaimer,
         settings::Settings,
@@ -51,6 +52,10 @@
     is_closed: Arc<AtomicBool>,
     /// No new work.
     draining: CancellationToken,
+    /// No more settlements arrive.
+    finished: CancellationToken,
+    /// All settlements are durable.
+    settled: CancellationToken,
     /// End of the background tasks.
     stop: CancellationToken,
     requests: TaskTracker,
@@ -99,6 +104,7 @@
         platform: platform.clone(),
         links: links.clone(),
         metrics: metrics.clone(),
+        renew_interval: settings.renew_interval,
         draining: draining.clone(),
         stop: stop.clone(),
     });
@@ -113,6 +119,7 @@
     );
     tasks.spawn(reclaimer.run(register, stop.clone()));
     let upstreams = Arc::new(Upstreams::new(settings.upstream_timeout)?);
+    let settled = CancellationToken::new();
     let parts = escrow::Parts {
         process: process.clone(),
         sizes: settings.budget.clone(),
@@ -120,8 +127,30 @@
         platform: platform.clone(),
         upstreams: upstreams.clone(),
         control: control.clone(),
+        links: links.clone(),
+        metrics: metrics.clone(),
+        settled: settled.clone(),
+    };
+    let ledger = ledger::Duty {
+        process: process.clone(),
+        host: settings.host.clone(),
+        region: settings.region.clone(),
+        platform: platform.clone(),
+        control: control.clone(),
+        metrics: metrics.clone(),
+        interval: settings.ledger_interval,
+    };
+    tasks.spawn(ledger.run(stop.clone()));
+    let claims = claim::Parts {
+        process: process.clone(),
+        clock,
+        platform: platform.clone(),
+        upstreams: upstreams.clone(),
+        control: control.clone(),
         metrics: metrics.clone(),
     };
+    let (claims, work) = claim::create(claims, settings.drain_limit, stop.clone());
+    tasks.spawn(work);
     let (escrow, work) = escrow::create(parts, &settings, draining.clone());
     let holding = TaskTracker::new();
     let is_closed = Arc::new(AtomicBool::new(false));
@@ -133,11 +162,24 @@
         control: control.clone(),
     };
     tasks.spawn(listener.run(Arc::new(responder), tasks.clone(), stop.clone()));
+    let outbox = outbox::Parts {
+        own: settings.host.clone(),
+        region: settings.region.clone(),
+        holders_per_region: settings.holders_per_region,
+        escrow: escrow.clone(),
+        links: links.clone(),
+        control: control.clone(),
+        interval: settings.flush_interval / 2,
+    };
+    let finished = CancellationToken::new();
+    let (outbox, work) = outbox::create(outbox, finished.clone());
+    deliveries.spawn(work);
     let charger = Charger::new(
         &settings,
         escrow,
         links,
         control.clone(),
+        outbox,
         deliveries.clone(),
     );
     let (shared, store) = (control.clone(), platform.clone());
@@ -146,6 +188,7 @@
         control,
         platform,
         charger: Arc::new(charger),
+        claims,
         upstreams,
         metrics,
         requests: requests.clone(),
@@ -163,6 +206,8 @@
         process,
         is_closed,
         draining,
+        finished,
+        settled,
         stop,
         requests,
         deliveries,
@@ -254,8 +299,10 @@
         self.draining.cancel();
         self.wait(&self.requests, "requests cut at the drain limit")
             .await;
+        self.finished.cancel();
         self.wait(&self.deliveries, "settlements not delivered")
             .await;
+        self.settled.cancel();
         self.wait(&self.holding, "the journal was not closed").await;
         if self.is_closed.load(Ordering::Acquire) {
             // A row that stays leads the other hosts to the closed journal, and they remove it.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -36,6 +36,11 @@
     pub fleet_keys: Vec<Arc<str>>,
     /// Time between two journal rows.
     pub flush_interval: Duration,
+    /// Time between two rounds of the ledger over all journals.
+    pub ledger_interval: Duration,
+    /// Time after which a live process renews its row in the list of hosts. A process that missed
+    /// three renewals and that no host hears counts as dead.
+    pub renew_interval: Duration,
     /// Hosts per region that hold a budget; at least 1.
     pub holders_per_region: usize,
     /// Bound on a call to another host.
@@ -74,9 +79,11 @@
             platform_timeout: Duration::from_secs(2),
             fleet_keys: Vec::new(),
             flush_interval: Duration::from_secs(4),
+            ledger_interval: Duration::from_secs(10),
+            renew_interval: Duration::from_secs(20),
             holders_per_region: 2,
             peer_timeout: Duration::from_millis(500),
-            reserve_timeout: Duration::from_secs(2),
+            reserve_timeout: Duration::from_secs(1),
             reservation_limit: Duration::from_secs(60),
             upstream_timeout: Duration::from_secs(60),
             attempts: 3,
@@ -169,6 +176,8 @@
             self.fleet_keys.len()
         )?;
         writeln!(f, "flush-interval-ms = {}", ms(&self.flush_interval))?;
+        writeln!(f, "ledger-interval-ms = {}", ms(&self.ledger_interval))?;
+        writeln!(f, "renew-interval-ms = {}", ms(&self.renew_interval))?;
         writeln!(f, "holders-per-region = {}", self.holders_per_region)?;
         writeln!(f, "peer-timeout-ms = {}", ms(&self.peer_timeout))?;
         writeln!(f, "reserve-timeout-ms = {}", ms(&self.reserve_timeout))?;
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -17,9 +17,6 @@
 /// Bound on opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Header of a refusal by an upstream that takes no more work.
-const DRAINING_HEADER: &str = "x-draining";
-
 /// Why an upstream gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -149,15 +146,7 @@
                 Failure::Lost
             }
         })?;
-        if response.headers().contains_key(DRAINING_HEADER) {
-            return Err(Failure::Leaving);
-        }
-        match response.status() {
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-                Err(Failure::Refused)
-            }
-            _ => Ok(response),
-        }
+        Ok(response)
     }
 
     /// Asks an engine to send the rest of a stream, from an answer token on.
--- a/crates/upstream/src/service.rs
+++ b/crates/upstream/src/service.rs
@@ -25,7 +25,8 @@
         return refusal.into_response();
     }
     if fault == Fault::Refuse {
-        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+        let refusal = StatusCode::SERVICE_UNAVAILABLE.with_header("x-not-run", "true");
+        return refusal.into_response();
     }
     stand_in.record(id, |record| {
         record.runs += 1;
