Test killed, paused and stopped router processes

Cause: no test ran the router as a process. The first runs showed five faults: a planned stop waited for settlements that its own closed holder could not confirm; the ledger lease stayed with a stopped process for 30 s; draining hosts had no address for confirmations; releases to a host that had gone kept a stop waiting for 63 s; the books still held two bills of a retried request until the ledger ran.

Change: tokens are returned only when the host's own settlements are durable; the lease is given back at a planned stop and lasts three rounds; hosts that answer keep their address; releases are given up after 5 attempts.

--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -21,11 +21,9 @@
 
 /// Attempts to deliver a release to a holder on another host; after the last one the holder finds
 /// out from the upstreams.
-const DELIVERY_ATTEMPTS: u32 = 12;
+const DELIVERY_ATTEMPTS: u32 = 5;
 /// Pause before the second delivery attempt; it doubles each time.
 const DELIVERY_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause between delivery attempts.
-const DELIVERY_PAUSE_LIMIT: Duration = Duration::from_secs(10);
 
 /// Makes reservations.
 pub(crate) struct Charger {
@@ -182,7 +180,7 @@
                     return;
                 }
                 tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(DELIVERY_PAUSE_LIMIT);
+                pause *= 2;
             }
             log::warn!(target: TOKENS, host:%; "release not delivered");
         });
--- a/crates/router/src/escrow/work.rs
+++ b/crates/router/src/escrow/work.rs
@@ -58,8 +58,9 @@
 
 /// Creates the task and the access to it.
 ///
-/// After `draining` the task takes no reservations. It ends when its journals are closed, or the
-/// drain limit has passed; it returns whether they are closed.
+/// After `draining` the task takes no reservations. Once this host's own settlements are durable it
+/// closes its journals and ends, at the latest when the drain limit has passed; it returns whether
+/// they are closed.
 pub(crate) fn create(
     parts: Parts,
     settings: &Settings,
@@ -80,6 +81,7 @@
         parts,
         waiting: VecDeque::new(),
         call: None,
+        is_draining: false,
         closed: None,
         retry_at: Duration::ZERO,
         resolving: JoinSet::new(),
@@ -113,6 +115,8 @@
     waiting: VecDeque<Waiting>,
     /// The one call to the platform in progress.
     call: Option<Call>,
+    /// Whether new reservations are refused.
+    is_draining: bool,
     /// When the journals were closed.
     closed: Option<Duration>,
     /// No call to the platform before.
@@ -132,7 +136,8 @@
     ) -> bool {
         let mut tick = tokio::time::interval(self.flush_interval);
         let mut check = tokio::time::interval(CHECK_INTERVAL);
-        let mut stop = None;
+        let settled = self.parts.settled.clone();
+        let (mut stop, mut is_settled) = (None, false);
         loop {
             tokio::select! {
                 command = commands.recv() => match command {
@@ -147,6 +152,10 @@
                 _ = check.tick(), if stop.is_some() || !self.waiting.is_empty() => self.begin(),
                 () = draining.cancelled(), if stop.is_none() => {
                     stop = Some(self.parts.clock.now());
+                    self.is_draining = true;
+                }
+                () = settled.cancelled(), if stop.is_some() && !is_settled => {
+                    is_settled = true;
                     self.holders.stop();
                     self.begin();
                 }
@@ -172,8 +181,7 @@
             return None;
         }
         let closed = *self.closed.get_or_insert(now);
-        let is_settled = self.parts.settled.is_cancelled();
-        (is_settled && now >= closed + self.flush_interval).then_some(true)
+        (now >= closed + self.flush_interval).then_some(true)
     }
 
     fn handle(&mut self, command: Command) {
@@ -216,9 +224,12 @@
             model: model.clone(),
         };
         let can_wait = now >= self.retry_at && self.waiting.len() < WAITING_LIMIT;
-        let reserved = self
-            .holders
-            .reserve(now, attempt, budget, *amount, &purpose);
+        let reserved = match self.is_draining {
+            true => Err(Shortage::Closed),
+            false => self
+                .holders
+                .reserve(now, attempt, budget, *amount, &purpose),
+        };
         let answer = match reserved {
             Ok(tokens) => Ok(tokens),
             Err(Shortage::Exhausted) => Err(Refusal::Exhausted),
--- a/crates/router/src/ledger.rs
+++ b/crates/router/src/ledger.rs
@@ -20,8 +20,8 @@
 };
 
 const NAME: &str = "ledger";
-/// Time for which a lease is taken; half of it passes between renewals.
-const TERM: Duration = Duration::from_secs(30);
+/// Rounds for which a lease is taken; it is renewed in each.
+const TERM_ROUNDS: u32 = 3;
 /// Rows read by one call.
 const PAGE_ROWS: usize = 1_000;
 
@@ -57,7 +57,7 @@
         loop {
             tokio::select! {
                 _ = tick.tick() => {}
-                () = stop.cancelled() => return,
+                () = stop.cancelled() => break,
             }
             if !self.is_first() {
                 ledger = None;
@@ -69,6 +69,8 @@
                 log::warn!(target: TOKENS, broken:%; "ledger round ended early");
             }
         }
+        // A lease that stays keeps the next host waiting until it has passed.
+        let _ = self.lease(Duration::ZERO).await;
     }
 
     /// Returns whether this host is the first for the duty; the lease decides when two hosts
@@ -81,7 +83,7 @@
     }
 
     async fn round(&self, ledger: &mut Option<Ledger>) -> Result<(), Broken> {
-        let Some(lease) = self.lease().await? else {
+        let Some(lease) = self.lease(self.interval * TERM_ROUNDS).await? else {
             *ledger = None;
             return Ok(());
         };
@@ -104,11 +106,11 @@
         Ok(())
     }
 
-    /// Takes or renews the lease; `None` while another process has it.
-    async fn lease(&self) -> Result<Option<Row>, Broken> {
+    /// Takes or renews the lease for a time; `None` while another process has it.
+    async fn lease(&self, term: Duration) -> Result<Option<Row>, Broken> {
         let key = format!("lease/{NAME}");
         let row = self.platform.get(&key).await?;
-        let transaction = Lease::acquire(NAME, row.as_ref(), &self.process, wall(), TERM)?;
+        let transaction = Lease::acquire(NAME, row.as_ref(), &self.process, wall(), term)?;
         let Some(transaction) = transaction else {
             return Ok(None);
         };
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -3,18 +3,24 @@
 #![allow(dead_code, reason = "each test program uses a part of it")]
 #![allow(clippy::unwrap_used)]
 
+pub mod process;
+
 use {
     marigoldroute::{Handle, Settings},
     marigoldroute_core::{
-        bill::Bill,
-        budget::{Account, Journal},
+        bill::{Bill, Page, Segment, key, request_of},
+        budget::{Account, Entry, Journal, journal},
         config::{Change, Edit, Kind, Setting, Value, hash_key},
-        table::Transaction,
+        table::{Row, Transaction},
     },
     marigoldroute_platform::{Client, StandIn as Platform},
     marigoldroute_upstream::StandIn as Engine,
     serde_json::{Value as Json, json},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet, HashSet},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
 /// API key of the one workspace.
@@ -88,6 +94,7 @@
             platform: self.base.as_str().into(),
             fleet_keys: vec!["a-fleet-key-for-the-tests".into()],
             flush_interval: Duration::from_millis(100),
+            ledger_interval: Duration::from_millis(100),
             upstream_timeout: Duration::from_millis(500),
             ..Settings::default()
         }
@@ -133,14 +140,87 @@
         }
     }
 
-    /// Returns every bill in the journals.
+    /// Returns the bills of closed batches and those that the ledger has not read yet.
     pub async fn bills(&self) -> Vec<Bill> {
-        let rows = self.client.scan("journal/", "", 1_000).await.unwrap();
-        let bills = rows.iter().flat_map(|row| {
-            let journal: Journal = serde_json::from_str(&row.value).unwrap();
-            journal.entry.bills().to_vec()
-        });
-        bills.collect()
+        let mut bills = Vec::new();
+        let mut open = HashSet::new();
+        for holder in self.holders().await {
+            let page = self.page(&holder).await;
+            bills.extend(page.pending().cloned());
+            open.extend(page.batch().map(|batch| (holder, batch.first)));
+        }
+        for key in self.client.list_objects("bills/").await.unwrap() {
+            let object = self.client.get_object(&key).await.unwrap().unwrap();
+            let segment = Segment::decode(&key, &object).unwrap();
+            if !open.contains(&(segment.holder.to_string(), segment.first)) {
+                bills.extend(segment.bills);
+            }
+        }
+        bills
+    }
+
+    /// Returns the number of distinct requests that are billed so far; 0 while the ledger changes
+    /// the books under the reader.
+    pub async fn requests_billed(&self) -> usize {
+        let before = self.platform.counters().writes;
+        let bills = self.bills().await;
+        if self.platform.counters().writes != before {
+            return 0;
+        }
+        let requests: HashSet<_> = bills.iter().map(|bill| &bill.request).collect();
+        requests.len()
+    }
+
+    /// Returns the number of bills that the ledger has not read yet.
+    pub async fn unread(&self) -> usize {
+        let mut unread = 0;
+        for holder in self.holders().await {
+            unread += self.page(&holder).await.pending().count();
+        }
+        unread
+    }
+
+    async fn page(&self, holder: &str) -> Page {
+        let cursor = self.client.get(&key(holder)).await.unwrap();
+        let (prefix, after) = Page::range(holder, &Page::cursor(cursor.as_ref()).unwrap());
+        let rows = self.client.scan(&prefix, &after, 1_000).await.unwrap();
+        Page::decode(holder.into(), cursor.as_ref(), &rows).unwrap()
+    }
+
+    async fn journals(&self) -> Vec<Row> {
+        self.client.scan("journal/", "", 1_000).await.unwrap()
+    }
+
+    async fn holders(&self) -> BTreeSet<String> {
+        let rows = self.journals().await;
+        let holders = rows.iter().filter_map(|row| journal::holder(&row.key));
+        holders.map(str::to_owned).collect()
+    }
+
+    /// Returns the number of fence rows.
+    pub async fn fences(&self) -> usize {
+        let rows = self.journals().await;
+        let journals = rows
+            .iter()
+            .filter_map(|row| serde_json::from_str::<Journal>(&row.value).ok());
+        journals
+            .filter(|journal| matches!(journal.entry, Entry::Fence { .. }))
+            .count()
+    }
+
+    /// Returns the row of the budget.
+    pub async fn account(&self) -> Account {
+        let row = self.client.get("budget/hems").await.unwrap().unwrap();
+        serde_json::from_str(&row.value).unwrap()
+    }
+
+    /// Executions by request, over all attempts and engines.
+    pub fn runs_by_request(&self) -> BTreeMap<String, u32> {
+        let mut runs = BTreeMap::new();
+        for (attempt, record) in self.engines.iter().flat_map(Engine::records) {
+            *runs.entry(request_of(&attempt).to_string()).or_default() += record.runs;
+        }
+        runs
     }
 
     /// Runs of all requests on all engines.
--- /dev/null
+++ b/crates/router/tests/processes.rs
@@ -0,0 +1,220 @@
+//! Faults of router processes and of the platform, with real processes and signals.
+//!
+//! Each test ends by reading what callers saw, what the engines executed and what was billed.
+
+#![allow(clippy::unwrap_used)]
+
+mod fleet;
+
+use {
+    fleet::{Answer, Outside, complete, order, process::Process, until},
+    marigoldroute_platform::Order,
+    nix::sys::signal::Signal,
+    std::{collections::BTreeMap, net::SocketAddr},
+    tokio::task::JoinSet,
+};
+
+const PURCHASED: u64 = 100_000;
+
+/// Three routers with a configuration.
+async fn start(outside: &Outside) -> Vec<Process> {
+    let operator = outside.router(9).await;
+    let mut routers = Vec::new();
+    for number in 1..=3 {
+        routers.push(Process::start(outside, number).await);
+    }
+    operator.stop().await;
+    routers
+}
+
+/// Sends `count` streamed requests with keys `{name}-{n}` at the same time.
+async fn streams(
+    address: SocketAddr,
+    name: &str,
+    count: usize,
+) -> BTreeMap<String, Option<Answer>> {
+    let mut calls = JoinSet::new();
+    for number in 0..count {
+        let key = format!("{name}-{number}");
+        calls.spawn(async move {
+            let answer = complete(address, true, Some(&key)).await.ok();
+            (key, answer)
+        });
+    }
+    calls.join_all().await.into_iter().collect()
+}
+
+/// Stops routers as planned, and lets the ledger read what they left.
+async fn stop(outside: &Outside, routers: Vec<Process>) {
+    for router in &routers {
+        router.signal(Signal::SIGTERM);
+    }
+    for router in routers {
+        let (status, lines) = router.wait();
+        assert!(status.success(), "{status}: {lines:?}");
+    }
+    let operator = outside.router(9).await;
+    until(|| async { outside.unread().await == 0 }).await;
+    operator.stop().await;
+}
+
+/// Checks the books of a fleet that has stopped: no request billed twice, every token spent or
+/// back in the budget, except `stranded` tokens of a killed router.
+async fn check_books(outside: &Outside, requests: usize) -> u64 {
+    let bills = outside.bills().await;
+    let mut billed: Vec<_> = bills.iter().map(|bill| &*bill.request).collect();
+    billed.sort_unstable();
+    let total = billed.len();
+    billed.dedup();
+    assert_eq!(billed.len(), total, "a request was billed twice: {bills:?}");
+    assert_eq!(total, requests, "billed requests: {bills:?}");
+    let spent: u64 = bills.iter().map(|bill| bill.charged).sum();
+    let account = outside.account().await;
+    assert!(account.allocated <= account.purchased);
+    assert!(spent <= account.allocated, "{spent} spent, {account:?}");
+    account.allocated - spent
+}
+
+/// Guards against a planned stop that cuts streams or keeps tokens.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_cuts_nothing() {
+    let outside = Outside::start(2, PURCHASED).await;
+    let mut routers = start(&outside).await;
+    let leaving = routers.remove(0);
+    let address = leaving.address;
+    let calls = tokio::spawn(async move { streams(address, "stop", 24).await });
+    until(|| async { outside.runs() >= 24 }).await;
+    leaving.signal(Signal::SIGTERM);
+    let (status, _) = leaving.wait();
+    assert!(status.success());
+    for (key, answer) in calls.await.unwrap() {
+        let answer = answer.unwrap_or_else(|| panic!("{key} was cut"));
+        assert!(answer.is_whole_stream(), "{key}: {}", answer.body);
+    }
+    stop(&outside, routers).await;
+    assert_eq!(
+        check_books(&outside, 24).await,
+        0,
+        "tokens kept by stopped routers"
+    );
+}
+
+/// Guards against lost or double bills when a router dies with streams open and callers retry.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_router_loses_no_bill() {
+    let outside = Outside::start(2, PURCHASED).await;
+    let mut routers = start(&outside).await;
+    let killed = routers.remove(0);
+    let address = killed.address;
+    let calls = tokio::spawn(async move { streams(address, "kill", 24).await });
+    until(|| async { outside.runs() >= 24 }).await;
+    killed.signal(Signal::SIGKILL);
+    let cut = calls.await.unwrap();
+    let whole = cut
+        .values()
+        .flatten()
+        .filter(|answer| answer.is_whole_stream());
+    let whole = whole.count();
+    let retried = streams(routers[0].address, "kill", 24).await;
+    for (key, answer) in &retried {
+        let answer = answer.as_ref().unwrap();
+        assert!(
+            answer.is_whole_stream(),
+            "{key}: {}, {whole} whole before",
+            answer.body
+        );
+    }
+    until(|| async { outside.requests_billed().await == 24 }).await;
+    stop(&outside, routers).await;
+    check_books(&outside, 24).await;
+}
+
+/// Guards against spend above the budget, or double bills, by a holder that was paused, was
+/// fenced meanwhile and goes on unaware.
+#[tokio::test(flavor = "multi_thread")]
+async fn paused_router_is_fenced_and_goes_on() {
+    let outside = Outside::start(2, PURCHASED).await;
+    let routers = start(&outside).await;
+    for router in &routers {
+        streams(
+            router.address,
+            &format!("before-{}", router.address.port()),
+            8,
+        )
+        .await;
+    }
+    routers[0].signal(Signal::SIGSTOP);
+    until(|| async { outside.fences().await > 0 }).await;
+    routers[0].signal(Signal::SIGCONT);
+    for router in &routers {
+        let name = format!("after-{}", router.address.port());
+        let answers = streams(router.address, &name, 8).await;
+        for (key, answer) in answers {
+            let answer = answer.unwrap();
+            assert!(answer.is_whole_stream(), "{key}: {}", answer.body);
+        }
+    }
+    stop(&outside, routers).await;
+    assert_eq!(
+        check_books(&outside, 48).await,
+        0,
+        "tokens kept by a fenced holder"
+    );
+}
+
+/// Guards against orders that run although their claim is not certain, and against models that
+/// stop with the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage_refuses_orders_and_serves_models() {
+    let outside = Outside::start(2, PURCHASED).await;
+    let routers = start(&outside).await;
+    let address = routers[0].address;
+    complete(address, true, None).await.unwrap();
+    outside.platform.inject(Order {
+        down: true,
+        ..Order::default()
+    });
+    let refused = order(address, "order-1").await.unwrap();
+    let expected = Some(("claim_unavailable".into(), "not_run".into()));
+    assert_eq!(refused.error(), expected, "{}", refused.body);
+    let served = complete(address, true, None).await.unwrap();
+    assert!(served.is_whole_stream(), "{}", served.body);
+    outside.platform.inject(Order::default());
+    let accepted = order(address, "order-1").await.unwrap();
+    assert_eq!(accepted.status, 200, "{}", accepted.body);
+    let replayed = order(routers[1].address, "order-1").await.unwrap();
+    assert_eq!(replayed.body, accepted.body, "a retry runs the order again");
+    stop(&outside, routers).await;
+    assert_eq!(check_books(&outside, 3).await, 0);
+}
+
+/// Guards against an order placed twice when callers retry through every router and answers of
+/// the store are lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_run_at_most_once() {
+    let outside = Outside::start(2, PURCHASED).await;
+    let routers = start(&outside).await;
+    for number in 0..10 {
+        outside.platform.inject(Order {
+            lose_answers: 2,
+            ..Order::default()
+        });
+        let mut calls = JoinSet::new();
+        for router in &routers {
+            let (address, key) = (router.address, format!("order-{number}"));
+            calls.spawn(async move { order(address, &key).await.unwrap() });
+        }
+        let answers = calls.join_all().await;
+        let ran = answers.iter().filter(|answer| answer.status == 200).count();
+        let refused = answers
+            .iter()
+            .filter(|answer| answer.error().is_some())
+            .count();
+        assert_eq!(ran + refused, 3, "{answers:?}");
+    }
+    outside.platform.inject(Order::default());
+    stop(&outside, routers).await;
+    for (request, runs) in outside.runs_by_request() {
+        assert_eq!(runs, 1, "order {request} ran {runs} times");
+    }
+}
