Move the runner of the stateful tests to their common module

Cause: both stateful tests repeated the state machine around their worlds. Change: a trait for the world with its defects as an enum.

--- a/crates/core/tests/bill_fuzz.rs
+++ b/crates/core/tests/bill_fuzz.rs
@@ -4,7 +4,7 @@
 mod fuzz;
 
 use {
-    fuzz::{Fault, Store, fault},
+    fuzz::{Fault, Store, World, fault},
     marigoldroute_core::{
         bill::{
             self, Basis, Bill, Lease, Ledger, Object, Page, Record, Segment, Settings,
@@ -15,7 +15,6 @@
         table::{Row, Transaction, Verdict, Write},
     },
     proptest::prelude::*,
-    proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
@@ -33,23 +32,22 @@
 const EPOCH: Duration = Duration::from_secs(1_800_000_000);
 const TERM: Duration = Duration::from_secs(30);
 
-/// Deliberate defects of the driver around the slice; each breaks one property.
-mod defect {
-    pub const NONE: u8 = 0;
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Defect {
     /// Ledger transactions without the condition on the lease.
-    pub const NO_LEASE: u8 = 1;
+    NoLease,
     /// Ledger transactions without the condition on the cursor.
-    pub const NO_CURSOR: u8 = 2;
+    NoCursor,
     /// A ledger that forgets after a lost reply that a batch is in doubt.
-    pub const FORGET_DOUBT: u8 = 3;
+    ForgetDoubt,
     /// Slots that are taken as empty without reading their index.
-    pub const NO_INDEX: u8 = 4;
+    NoIndex,
     /// A batch that is closed although its objects were not stored.
-    pub const CLOSE_EARLY: u8 = 5;
+    CloseEarly,
     /// Dropped bills whose tokens are not returned.
-    pub const NO_REFUND: u8 = 6;
+    NoRefund,
     /// A lost holder whose usage records are not billed.
-    pub const NO_RECOVERY: u8 = 7;
+    NoRecovery,
 }
 
 #[derive(Clone, Debug)]
@@ -75,48 +73,6 @@
     Deliver,
 }
 
-#[derive(Clone, Debug)]
-struct Steps;
-
-thread_local! {
-    /// Built once, because building it costs more than a step.
-    static STEPS: BoxedStrategy<Step> = steps();
-}
-
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Step> {
-        STEPS.with(Clone::clone)
-    }
-
-    fn apply((): (), _: &Step) {}
-}
-
-fn steps() -> BoxedStrategy<Step> {
-    let second = prop::option::weighted(0.4, 0..HOLDERS);
-    let stored = prop_oneof![4 => Just(99_usize), 1 => 0..4_usize];
-    prop_oneof![
-        8 => (0..HOLDERS, second, 0..BUDGETS, 0..50_u64)
-            .prop_map(|(holder, second, budget, n)| Step::Execute(holder, second, budget, n)),
-        8 => (0..HOLDERS).prop_map(Step::Flush),
-        1 => (0..HOLDERS).prop_map(Step::Lose),
-        1 => Just(Step::Return),
-        2 => (0..LEDGERS).prop_map(Step::Acquire),
-        24 => (0..LEDGERS, 0..6_usize, fault(), stored)
-            .prop_map(|(ledger, journal, fault, n)| Step::Visit(ledger, journal, fault, n)),
-        1 => (0..LEDGERS).prop_map(Step::Restart),
-        2 => prop::sample::select(vec![1, 40, 700]).prop_map(Step::Advance),
-        2 => Just(Step::Deliver),
-    ]
-    .boxed()
-}
-
 struct Holder {
     id: HolderId,
     next: u64,
@@ -129,7 +85,8 @@
     holders: Vec<HolderId>,
 }
 
-struct World<const DEFECT: u8> {
+struct Fleet {
+    defect: Option<Defect>,
     store: Store,
     objects: BTreeMap<Arc<str>, Vec<u8>>,
     now: Duration,
@@ -146,32 +103,9 @@
     late_objects: VecDeque<Object>,
 }
 
-impl<const DEFECT: u8> World<DEFECT> {
-    fn new() -> Self {
-        let mut world = Self {
-            store: Store::default(),
-            objects: BTreeMap::new(),
-            now: EPOCH,
-            executions: BTreeMap::new(),
-            holders: Vec::new(),
-            away: VecDeque::new(),
-            journals: Vec::new(),
-            ledgers: (0..LEDGERS).map(|_| None).collect(),
-            fencing: [0; LEDGERS],
-            settled: Vec::new(),
-            late_objects: VecDeque::new(),
-        };
-        let mut transaction = Transaction::default();
-        for budget in 0..BUDGETS {
-            let value = format!(r#"{{"purchased":{ALLOCATED},"allocated":{ALLOCATED}}}"#);
-            transaction.put(format!("budget/b{budget}"), value);
-        }
-        world.store.table.commit(&transaction);
-        for _ in 0..HOLDERS {
-            let holder = world.start();
-            world.holders.push(holder);
-        }
-        world
+impl Fleet {
+    fn has(&self, defect: Defect) -> bool {
+        self.defect == Some(defect)
     }
 
     fn start(&mut self) -> Holder {
@@ -242,7 +176,7 @@
             .iter()
             .filter(|(_, e)| e.holders.contains(&lost.id));
         let records: Vec<_> = own.map(|(request, e)| record(request, e)).collect();
-        if DEFECT != defect::NO_RECOVERY {
+        if !self.has(Defect::NoRecovery) {
             let bills = missing(&journal, &records);
             self.append(&lost.id.clone(), &"reclaimer".into(), lost.next, bills);
             lost.next += 1;
@@ -304,7 +238,7 @@
         };
         let is_deposed = matches!(&reply, Some(Verdict::Conflict(rows))
             if rows.iter().any(|row| &*row.key == "lease/ledger"));
-        if DEFECT == defect::FORGET_DOUBT && reply.is_none() {
+        if self.has(Defect::ForgetDoubt) && reply.is_none() {
             let lease = self.store.table.get("lease/ledger").expect("held").clone();
             ledger = self.ledger(&lease);
         }
@@ -320,7 +254,7 @@
                 .iter()
                 .filter(|(key, _)| key.starts_with(&prefix));
             let mut objects: Vec<_> = keys.map(|(_, value)| value.clone()).collect();
-            if DEFECT == defect::NO_INDEX {
+            if self.has(Defect::NoIndex) {
                 objects.clear();
             }
             ledger.load(slot, &objects).expect("index objects");
@@ -333,8 +267,7 @@
         let Some(decided) = ledger.decide(self.now, page, &rows).expect("a decision") else {
             return Some(Verdict::Committed);
         };
-        self.store
-            .commit(sabotage::<DEFECT>(decided.transaction), fault)
+        self.store.commit(self.sabotage(decided.transaction), fault)
     }
 
     fn publish(
@@ -353,11 +286,27 @@
                 self.late_objects.push_back(object);
             }
         }
-        if !is_stored && DEFECT != defect::CLOSE_EARLY {
+        if !is_stored && !self.has(Defect::CloseEarly) {
             return Some(Verdict::Committed);
         }
         let transaction = ledger.close(page).expect("an open batch");
-        self.store.commit(sabotage::<DEFECT>(transaction), fault)
+        self.store.commit(self.sabotage(transaction), fault)
+    }
+
+    fn sabotage(&self, mut transaction: Transaction) -> Transaction {
+        match self.defect {
+            Some(Defect::NoLease) => transaction
+                .conditions
+                .retain(|c| !c.key.starts_with("lease/")),
+            Some(Defect::NoCursor) => transaction
+                .conditions
+                .retain(|c| !c.key.starts_with("ledger/")),
+            Some(Defect::NoRefund) => transaction.writes.retain(|write| match write {
+                Write::Put { key, .. } | Write::Delete { key } => !key.starts_with("budget/"),
+            }),
+            _ => {}
+        }
+        transaction
     }
 
     fn deliver(&mut self) -> bool {
@@ -447,22 +396,6 @@
     }
 }
 
-fn sabotage<const DEFECT: u8>(mut transaction: Transaction) -> Transaction {
-    match DEFECT {
-        defect::NO_LEASE => transaction
-            .conditions
-            .retain(|c| !c.key.starts_with("lease/")),
-        defect::NO_CURSOR => transaction
-            .conditions
-            .retain(|c| !c.key.starts_with("ledger/")),
-        defect::NO_REFUND => transaction.writes.retain(|write| match write {
-            Write::Put { key, .. } | Write::Delete { key } => !key.starts_with("budget/"),
-        }),
-        _ => {}
-    }
-    transaction
-}
-
 fn bill(request: &RequestId, budget: &Arc<str>, charged: Tokens) -> Bill {
     Bill {
         request: request.clone(),
@@ -488,61 +421,101 @@
     }
 }
 
-struct Machine<const DEFECT: u8>;
-
-impl<const DEFECT: u8> StateMachineTest for Machine<DEFECT> {
-    type SystemUnderTest = World<DEFECT>;
-    type Reference = Steps;
+impl World for Fleet {
+    type Step = Step;
+    type Defect = Defect;
+
+    fn steps() -> BoxedStrategy<Step> {
+        let second = prop::option::weighted(0.4, 0..HOLDERS);
+        let stored = prop_oneof![4 => Just(99_usize), 1 => 0..4_usize];
+        prop_oneof![
+            8 => (0..HOLDERS, second, 0..BUDGETS, 0..50_u64)
+                .prop_map(|(holder, second, budget, n)| Step::Execute(holder, second, budget, n)),
+            8 => (0..HOLDERS).prop_map(Step::Flush),
+            1 => (0..HOLDERS).prop_map(Step::Lose),
+            1 => Just(Step::Return),
+            2 => (0..LEDGERS).prop_map(Step::Acquire),
+            24 => (0..LEDGERS, 0..6_usize, fault(), stored)
+                .prop_map(|(ledger, journal, fault, n)| Step::Visit(ledger, journal, fault, n)),
+            1 => (0..LEDGERS).prop_map(Step::Restart),
+            2 => prop::sample::select(vec![1, 40, 700]).prop_map(Step::Advance),
+            2 => Just(Step::Deliver),
+        ]
+        .boxed()
+    }
 
-    fn init_test((): &()) -> World<DEFECT> {
-        World::new()
+    fn new(defect: Option<Defect>) -> Self {
+        let mut world = Self {
+            defect,
+            store: Store::default(),
+            objects: BTreeMap::new(),
+            now: EPOCH,
+            executions: BTreeMap::new(),
+            holders: Vec::new(),
+            away: VecDeque::new(),
+            journals: Vec::new(),
+            ledgers: (0..LEDGERS).map(|_| None).collect(),
+            fencing: [0; LEDGERS],
+            settled: Vec::new(),
+            late_objects: VecDeque::new(),
+        };
+        let mut transaction = Transaction::default();
+        for budget in 0..BUDGETS {
+            let value = format!(r#"{{"purchased":{ALLOCATED},"allocated":{ALLOCATED}}}"#);
+            transaction.put(format!("budget/b{budget}"), value);
+        }
+        world.store.table.commit(&transaction);
+        for _ in 0..HOLDERS {
+            let holder = world.start();
+            world.holders.push(holder);
+        }
+        world
     }
 
-    fn apply(mut world: World<DEFECT>, (): &(), step: Step) -> World<DEFECT> {
+    fn apply(&mut self, step: Step) {
         match step {
-            Step::Execute(holder, second, budget, n) => world.execute(holder, second, budget, n),
-            Step::Flush(holder) => world.flush(holder),
-            Step::Lose(holder) => world.lose(holder),
-            Step::Return => world.resume(),
-            Step::Acquire(ledger) => world.acquire(ledger),
-            Step::Visit(ledger, journal, fault, n) => world.visit(ledger, journal, fault, n),
-            Step::Restart(ledger) => world.ledgers[ledger] = None,
-            Step::Advance(seconds) => world.now += Duration::from_secs(seconds),
-            Step::Deliver => drop(world.deliver()),
+            Step::Execute(holder, second, budget, n) => self.execute(holder, second, budget, n),
+            Step::Flush(holder) => self.flush(holder),
+            Step::Lose(holder) => self.lose(holder),
+            Step::Return => self.resume(),
+            Step::Acquire(ledger) => self.acquire(ledger),
+            Step::Visit(ledger, journal, fault, n) => self.visit(ledger, journal, fault, n),
+            Step::Restart(ledger) => self.ledgers[ledger] = None,
+            Step::Advance(seconds) => self.now += Duration::from_secs(seconds),
+            Step::Deliver => drop(self.deliver()),
         }
-        world
     }
 
-    fn check_invariants(world: &World<DEFECT>, (): &()) {
-        world.billed();
+    fn check(&self) {
+        self.billed();
     }
 
-    fn teardown(mut world: World<DEFECT>, (): ()) {
-        world.settle();
-        world.check_end();
+    fn finish(&mut self) {
+        self.settle();
+        self.check_end();
     }
 }
 
 /// Guards against a second bill, a lost bill and tokens that are neither billed nor returned.
 #[test]
 fn bills_count_exactly_once_under_faults() {
-    let failure = fuzz::first_failure::<Machine<{ defect::NONE }>>(SEED, CASES, 3_000);
+    let failure = fuzz::first_failure::<Fleet>(None, SEED, CASES, 3_000);
     assert_eq!(failure, None);
 }
 
-fn detect<const DEFECT: u8>(name: &str, reasons: &[&str]) {
-    fuzz::detect::<Machine<DEFECT>>(SEED, DEFECT_CASES, name, reasons);
-}
-
 /// Guards against an oracle that accepts faults.
 #[test]
 fn oracle_detects_defects() {
     let (twice, never, lost) = ("billed twice", "was not billed", "are lost");
-    detect::<{ defect::NO_LEASE }>("no lease condition", &[twice]);
-    detect::<{ defect::NO_CURSOR }>("no cursor condition", &["is missing", twice, never, lost]);
-    detect::<{ defect::FORGET_DOUBT }>("doubt forgotten", &[twice]);
-    detect::<{ defect::NO_INDEX }>("index not read", &[twice]);
-    detect::<{ defect::CLOSE_EARLY }>("closed early", &[never, twice]);
-    detect::<{ defect::NO_REFUND }>("no refund", &[lost]);
-    detect::<{ defect::NO_RECOVERY }>("no recovery", &[never]);
+    for (defect, reasons) in [
+        (Defect::NoLease, &[twice][..]),
+        (Defect::NoCursor, &["is missing", twice, never, lost]),
+        (Defect::ForgetDoubt, &[twice]),
+        (Defect::NoIndex, &[twice]),
+        (Defect::CloseEarly, &[never, twice]),
+        (Defect::NoRefund, &[lost]),
+        (Defect::NoRecovery, &[never]),
+    ] {
+        fuzz::detect::<Fleet>(defect, SEED, DEFECT_CASES, reasons);
+    }
 }
--- a/crates/core/tests/claim_fuzz.rs
+++ b/crates/core/tests/claim_fuzz.rs
@@ -4,7 +4,7 @@
 mod fuzz;
 
 use {
-    fuzz::{Fault, Store, fault},
+    fuzz::{Fault, Store, World, fault},
     marigoldroute_core::{
         claim::{
             Attempt, Batch, Body, Capability, Clock, Decision, Finding, Held, Presence, Query,
@@ -14,7 +14,6 @@
         table::{Row, Verdict},
     },
     proptest::prelude::*,
-    proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
     std::{
         cell::RefCell,
         collections::{BTreeMap, HashMap, HashSet, VecDeque},
@@ -30,26 +29,23 @@
 const SKEW: Duration = Duration::from_secs(2);
 const EPOCH: Duration = Duration::from_secs(1_800_000_000);
 
-/// Deliberate defects of the driver around the slice; each breaks one property.
-mod defect {
-    pub const NONE: u8 = 0;
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Defect {
     /// Sends a request whose claim could not be confirmed.
-    pub const SEND_UNCONFIRMED: u8 = 1;
+    SendUnconfirmed,
     /// Commits claims without their conditions.
-    pub const UNCONDITIONAL: u8 = 2;
+    Unconditional,
     /// Sends after the window has passed.
-    pub const SEND_LATE: u8 = 3;
+    SendLate,
     /// Reports upstreams as fenced that are not.
-    pub const NO_FENCE: u8 = 4;
+    NoFence,
     /// Releases a request whose response was lost as refused.
-    pub const RELEASE_SENT: u8 = 5;
+    ReleaseSent,
     /// Replays the last result that the router saw, whatever its key.
-    pub const CROSSED_REPLAY: u8 = 6;
+    CrossedReplay,
 }
 
-/// A step of one router or of its surroundings.
-type Step = (usize, Action);
-
+/// What one router or its surroundings do.
 #[derive(Clone, Debug)]
 enum Action {
     /// Key and body.
@@ -74,27 +70,7 @@
     Down(bool),
 }
 
-#[derive(Clone, Debug)]
-struct Steps;
-
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Step> {
-        STEPS.with(Clone::clone)
-    }
-
-    fn apply((): (), _: &Step) {}
-}
-
 thread_local! {
-    /// Built once, because building it costs more than a step.
-    static STEPS: BoxedStrategy<Step> = (0..ROUTERS, actions()).boxed();
     /// How often the paths of interest were taken, over all cases.
     static COVERAGE: RefCell<BTreeMap<&'static str, u32>> = RefCell::default();
 }
@@ -189,7 +165,8 @@
     COVERAGE.with_borrow_mut(|coverage| *coverage.entry(name).or_default() += 1);
 }
 
-struct World<const DEFECT: u8> {
+struct Fleet {
+    defect: Option<Defect>,
     store: Store,
     now: Duration,
     routers: Vec<Router>,
@@ -203,19 +180,9 @@
     incarnations: u32,
 }
 
-impl<const DEFECT: u8> World<DEFECT> {
-    fn new() -> Self {
-        Self {
-            store: Store::default(),
-            now: Duration::ZERO,
-            routers: (0..ROUTERS).map(|number| Router::new(number, 0)).collect(),
-            upstream: Upstream::default(),
-            wire: VecDeque::new(),
-            keys: HashMap::new(),
-            not_run: HashSet::new(),
-            submitted: 0,
-            incarnations: 0,
-        }
+impl Fleet {
+    fn has(&self, defect: Defect) -> bool {
+        self.defect == Some(defect)
     }
 
     fn clock(&self, router: usize) -> Clock {
@@ -247,7 +214,7 @@
         let Some(mut batch) = self.routers[router].registry.flush(clock) else {
             return;
         };
-        if DEFECT == defect::UNCONDITIONAL {
+        if self.has(Defect::Unconditional) {
             batch.transaction.conditions.clear();
         }
         let verdict = self.store.commit(batch.transaction.clone(), fault);
@@ -293,7 +260,7 @@
             Decision::Replay(recorded) => self.replay(router, number, recorded),
             Decision::Unavailable => {
                 count("unavailable");
-                if DEFECT == defect::SEND_UNCONFIRMED {
+                if self.has(Defect::SendUnconfirmed) {
                     self.upstream.execute(&request, number, self.now);
                 }
             }
@@ -305,7 +272,7 @@
     fn replay(&mut self, router: usize, number: u8, mut recorded: Recorded) {
         count("replay");
         let last = self.routers[router].last_replay.replace(recorded.clone());
-        if let (defect::CROSSED_REPLAY, Some(last)) = (DEFECT, last) {
+        if let (true, Some(last)) = (self.has(Defect::CrossedReplay), last) {
             recorded = last;
         }
         let mut executions = self.upstream.executions.iter();
@@ -320,6 +287,7 @@
     }
 
     fn ask(&mut self, router: usize, reachable: bool) {
+        let is_fenced = !self.has(Defect::NoFence);
         let mut queries = self.routers[router].queries.iter_mut();
         let Some((query, finding)) = queries.find(|(_, finding)| finding.is_none()) else {
             return;
@@ -328,14 +296,12 @@
             _ if !reachable => Finding::Unreachable,
             _ if self.upstream.has_run(&query.request) => Finding::Ran,
             true => {
-                self.upstream.fenced.insert(query.request.clone());
+                let fence = is_fenced.then(|| query.request.clone());
+                self.upstream.fenced.extend(fence);
                 Finding::Fenced
             }
             false => Finding::Absent,
         });
-        if DEFECT == defect::NO_FENCE && *finding == Some(Finding::Fenced) {
-            self.upstream.fenced.clear();
-        }
     }
 
     fn resolve(&mut self, router: usize) {
@@ -362,7 +328,7 @@
             Ok(held) => held,
             Err(held) => {
                 count("window passed");
-                if DEFECT == defect::SEND_LATE {
+                if self.has(Defect::SendLate) {
                     self.upstream.execute(&request, number, self.now);
                     return;
                 }
@@ -384,7 +350,7 @@
                 None
             }
         };
-        if DEFECT == defect::RELEASE_SENT && result.is_none() {
+        if self.has(Defect::ReleaseSent) && result.is_none() {
             return self.give_up(router, held.refuse());
         }
         self.routers[router].sent.push_back((held, result));
@@ -443,6 +409,50 @@
             self.store.commit(step.transaction, Fault::None);
         }
     }
+}
+
+impl World for Fleet {
+    type Step = (usize, Action);
+    type Defect = Defect;
+
+    fn steps() -> BoxedStrategy<Self::Step> {
+        (0..ROUTERS, actions()).boxed()
+    }
+
+    fn new(defect: Option<Defect>) -> Self {
+        Self {
+            defect,
+            store: Store::default(),
+            now: Duration::ZERO,
+            routers: (0..ROUTERS).map(|number| Router::new(number, 0)).collect(),
+            upstream: Upstream::default(),
+            wire: VecDeque::new(),
+            keys: HashMap::new(),
+            not_run: HashSet::new(),
+            submitted: 0,
+            incarnations: 0,
+        }
+    }
+
+    fn apply(&mut self, (router, action): Self::Step) {
+        match action {
+            Action::Submit(key, body) => self.submit(router, key, body),
+            Action::Flush(fault) => self.flush(router, fault),
+            Action::Answer(readable, suspect) => self.answer(router, readable, suspect),
+            Action::Ask(reachable) => self.ask(router, reachable),
+            Action::Resolve => self.resolve(router),
+            Action::Send(fault) => self.send(router, fault),
+            Action::Finish => self.finish(router),
+            Action::Release => self.release(router),
+            Action::Backlog(fault) => self.backlog(router, fault),
+            Action::Run(suspect) => self.run(router, suspect),
+            Action::Kill => self.kill(router),
+            Action::Advance(seconds) => self.advance(seconds),
+            Action::Sweep => self.sweep(),
+            Action::Deliver => drop(self.deliver()),
+            Action::Down(is_down) => self.store.is_down = is_down,
+        }
+    }
 
     fn check(&self) {
         let settings = Settings::default();
@@ -459,51 +469,14 @@
             }
         }
     }
-}
-
-struct Machine<const DEFECT: u8>;
-
-impl<const DEFECT: u8> StateMachineTest for Machine<DEFECT> {
-    type SystemUnderTest = World<DEFECT>;
-    type Reference = Steps;
-
-    fn init_test((): &()) -> World<DEFECT> {
-        World::new()
-    }
-
-    fn apply(mut world: World<DEFECT>, (): &(), step: Step) -> World<DEFECT> {
-        let (router, action) = step;
-        match action {
-            Action::Submit(key, body) => world.submit(router, key, body),
-            Action::Flush(fault) => world.flush(router, fault),
-            Action::Answer(readable, suspect) => world.answer(router, readable, suspect),
-            Action::Ask(reachable) => world.ask(router, reachable),
-            Action::Resolve => world.resolve(router),
-            Action::Send(fault) => world.send(router, fault),
-            Action::Finish => world.finish(router),
-            Action::Release => world.release(router),
-            Action::Backlog(fault) => world.backlog(router, fault),
-            Action::Run(suspect) => world.run(router, suspect),
-            Action::Kill => world.kill(router),
-            Action::Advance(seconds) => world.advance(seconds),
-            Action::Sweep => world.sweep(),
-            Action::Deliver => drop(world.deliver()),
-            Action::Down(is_down) => world.store.is_down = is_down,
-        }
-        world
-    }
-
-    fn check_invariants(world: &World<DEFECT>, (): &()) {
-        world.check();
-    }
 
-    fn teardown(mut world: World<DEFECT>, (): ()) {
-        while world.deliver() {}
-        world.check();
+    fn finish(&mut self) {
+        while self.deliver() {}
+        self.check();
     }
 }
 
-impl<const DEFECT: u8> World<DEFECT> {
+impl Fleet {
     fn release(&mut self, router: usize) {
         if let Some((held, _)) = self.routers[router].held.pop_front() {
             self.give_up(router, held);
@@ -532,25 +505,25 @@
 /// differs from the first result.
 #[test]
 fn claims_hold_under_faults() {
-    let failure = fuzz::first_failure::<Machine<{ defect::NONE }>>(SEED, CASES, 5_000);
+    let failure = fuzz::first_failure::<Fleet>(None, SEED, CASES, 5_000);
     assert_eq!(failure, None);
     let coverage = COVERAGE.with_borrow(Clone::clone);
     println!("{coverage:?}");
     assert_eq!(coverage.len(), PATHS.len(), "paths not taken: {coverage:?}");
 }
 
-fn detect<const DEFECT: u8>(name: &str, reasons: &[&str]) {
-    fuzz::detect::<Machine<DEFECT>>(SEED, DEFECT_CASES, name, reasons);
-}
-
 /// Guards against an oracle that accepts faults.
 #[test]
 fn oracle_detects_defects() {
     let (early, twice, crossed) = ("ran after the answer", "executed twice", "differs");
-    detect::<{ defect::SEND_UNCONFIRMED }>("send unconfirmed", &[early]);
-    detect::<{ defect::UNCONDITIONAL }>("unconditional claims", &[twice]);
-    detect::<{ defect::SEND_LATE }>("send late", &[early, twice]);
-    detect::<{ defect::NO_FENCE }>("no fence", &[twice]);
-    detect::<{ defect::RELEASE_SENT }>("release sent", &[early, twice]);
-    detect::<{ defect::CROSSED_REPLAY }>("crossed replay", &[crossed]);
+    for (defect, reasons) in [
+        (Defect::SendUnconfirmed, &[early][..]),
+        (Defect::Unconditional, &[twice]),
+        (Defect::SendLate, &[early, twice]),
+        (Defect::NoFence, &[twice]),
+        (Defect::ReleaseSent, &[early, twice]),
+        (Defect::CrossedReplay, &[crossed]),
+    ] {
+        fuzz::detect::<Fleet>(defect, SEED, DEFECT_CASES, reasons);
+    }
 }
--- a/crates/core/tests/fuzz/mod.rs
+++ b/crates/core/tests/fuzz/mod.rs
@@ -6,8 +6,10 @@
         prelude::*,
         test_runner::{Config, RngSeed, TestError, TestRunner},
     },
-    proptest_state_machine::{ReferenceStateMachine, StateMachineTest},
-    std::{cell::Cell, collections::VecDeque, fmt::Debug},
+    proptest_state_machine::ReferenceStateMachine,
+    std::{
+        cell::Cell, collections::VecDeque, fmt::Debug, marker::PhantomData, sync::atomic::Ordering,
+    },
 };
 
 /// Steps per case.
@@ -69,14 +71,52 @@
     }
 }
 
+/// The system under test with its surroundings and its oracle.
+pub trait World: Sized + 'static {
+    type Step: Clone + Debug + 'static;
+    /// Deliberate defects of the driver around the slice; each breaks one property.
+    type Defect: Copy + Debug;
+
+    fn steps() -> BoxedStrategy<Self::Step>;
+    fn new(defect: Option<Self::Defect>) -> Self;
+    fn apply(&mut self, step: Self::Step);
+    /// Checks what holds after every step.
+    fn check(&self);
+    /// Ends the case and checks what holds then.
+    fn finish(&mut self);
+}
+
+/// The strategy of the steps, built once because building it costs more than a step.
+#[derive(Clone, Debug)]
+struct Shared<S: Debug>(BoxedStrategy<S>);
+
+struct Steps<W>(PhantomData<W>);
+
+impl<W: World> ReferenceStateMachine for Steps<W> {
+    type State = Shared<W::Step>;
+    type Transition = W::Step;
+
+    fn init_state() -> BoxedStrategy<Self::State> {
+        Just(Shared(W::steps())).boxed()
+    }
+
+    fn transitions(state: &Self::State) -> BoxedStrategy<W::Step> {
+        state.0.clone()
+    }
+
+    fn apply(state: Self::State, _: &W::Step) -> Self::State {
+        state
+    }
+}
+
 /// Runs up to `cases` cases and returns the number of the first case that failed, with the
 /// reason and the shortest failing steps found in `shrink` attempts.
-pub fn first_failure<M>(seed: u64, cases: u32, shrink: u32) -> Option<(u32, String)>
-where
-    M: StateMachineTest,
-    <M::Reference as ReferenceStateMachine>::Transition: Debug,
-    <M::Reference as ReferenceStateMachine>::State: Debug,
-{
+pub fn first_failure<W: World>(
+    defect: Option<W::Defect>,
+    seed: u64,
+    cases: u32,
+    shrink: u32,
+) -> Option<(u32, String)> {
     let config = Config {
         cases,
         rng_seed: RngSeed::Fixed(seed),
@@ -85,12 +125,20 @@
         ..Config::default()
     };
     let (count, is_failed) = (Cell::new(0), Cell::new(false));
-    let strategy = M::Reference::sequential_strategy(STEPS);
-    let result = TestRunner::new(config.clone()).run(&strategy, |(state, steps, seen)| {
+    let strategy = Steps::<W>::sequential_strategy(STEPS);
+    let result = TestRunner::new(config).run(&strategy, |(_, steps, seen)| {
         if !is_failed.replace(true) {
             count.set(count.get() + 1);
         }
-        M::test_sequential(config.clone(), state, steps, seen);
+        let mut world = W::new(defect);
+        for step in steps {
+            if let Some(seen) = &seen {
+                seen.fetch_add(1, Ordering::SeqCst);
+            }
+            world.apply(step);
+            world.check();
+        }
+        world.finish();
         is_failed.set(false);
         Ok(())
     });
@@ -102,16 +150,11 @@
     Some((count.get(), reason))
 }
 
-/// Checks that a machine with a deliberate defect fails for one of the expected reasons.
-pub fn detect<M>(seed: u64, cases: u32, name: &str, reasons: &[&str])
-where
-    M: StateMachineTest,
-    <M::Reference as ReferenceStateMachine>::Transition: Debug,
-    <M::Reference as ReferenceStateMachine>::State: Debug,
-{
-    let failure = first_failure::<M>(seed, cases, 1);
+/// Checks that a defect is detected for one of the expected reasons.
+pub fn detect<W: World>(defect: W::Defect, seed: u64, cases: u32, reasons: &[&str]) {
+    let failure = first_failure::<W>(Some(defect), seed, cases, 1);
     let (case, found) = failure.expect("the defect was not detected");
-    println!("{name}: detected in case {case}");
+    println!("{defect:?}: detected in case {case}");
     let is_expected = reasons.iter().any(|reason| found.contains(reason));
-    assert!(is_expected, "{name}: {found}");
+    assert!(is_expected, "{defect:?}: {found}");
 }
