Pace the backlog of claims and end committed tasks at once

Cause: a task that waits for a late row was due again immediately, which would read the store without a pause; a driver could pair a row with the wrong task. Change: tasks are due again after 1 s, the request names the task, and a committed verdict ends it. Memory of claims is measured before the journals, whose freed memory hid the growth.

--- a/crates/core/src/claim/backlog.rs
+++ b/crates/core/src/claim/backlog.rs
@@ -9,6 +9,9 @@
     std::{collections::VecDeque, sync::Arc, time::Duration},
 };
 
+/// Time between two attempts of a task; a task lingers for 60 s, so it costs up to 60 reads.
+const PAUSE: Duration = Duration::from_secs(1);
+
 /// A change of a claim row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -43,7 +46,7 @@
             }) => text.len(),
             Action::Record(_) | Action::Release | Action::Doubt => 0,
         };
-        size_of::<Self>() + self.key.len() + self.request.len() + body
+        size_of::<Entry>() + self.key.len() + self.request.len() + body
     }
 
     /// Returns the transaction for the row as read, or `None` when nothing is left to change.
@@ -79,10 +82,17 @@
     }
 }
 
-/// Tasks in order of arrival, bounded by number and bytes.
+/// A task and the process time before which it is not worked on again.
+#[derive(Debug)]
+struct Entry {
+    task: Task,
+    due: Duration,
+}
+
+/// Tasks in order of arrival, bounded by bytes.
 #[derive(Debug)]
 pub struct Backlog {
-    tasks: VecDeque<Task>,
+    entries: VecDeque<Entry>,
     /// At most `limit`.
     bytes: usize,
     limit: usize,
@@ -93,7 +103,7 @@
     /// Creates a backlog that takes at most `limit` bytes.
     pub fn new(limit: usize) -> Self {
         Self {
-            tasks: VecDeque::new(),
+            entries: VecDeque::new(),
             bytes: 0,
             limit,
             dropped: 0,
@@ -108,44 +118,68 @@
             return;
         }
         self.bytes += task.bytes();
-        self.tasks.push_back(task);
+        let due = Duration::ZERO;
+        self.entries.push_back(Entry { task, due });
     }
 
     /// Returns the task to work on next; the driver reads its row and calls [`Self::advance`].
-    pub fn next(&self) -> Option<&Task> {
-        self.tasks.front()
+    pub fn next(&self, now: Duration) -> Option<&Task> {
+        let mut entries = self.entries.iter();
+        entries.find(|entry| entry.due <= now).map(|e| &e.task)
     }
 
-    /// Returns the transaction for the next task, given its row as read from the store.
+    /// Returns the transaction for the task of a request, given its row as read from the store.
     ///
-    /// The task moves to the back and stays until a later read shows that nothing is left to do,
-    /// so the verdict of the transaction is not needed.
-    pub fn advance(&mut self, now: Duration, row: Option<&Row>) -> Option<Transaction> {
-        let task = self.tasks.pop_front()?;
+    /// The task is due again after a pause and stays until a later read shows that nothing is
+    /// left to do, so a verdict that is lost is not needed.
+    pub fn advance(
+        &mut self,
+        now: Duration,
+        request: &str,
+        row: Option<&Row>,
+    ) -> Option<Transaction> {
+        let mut entries = self.entries.iter();
+        let at = entries.position(|entry| *entry.task.request == *request)?;
+        let Entry { task, .. } = self.entries.remove(at)?;
         let transaction = task.advance(row);
         let lingers = task.until.is_some_and(|until| now < until);
         if transaction.is_some() || lingers {
-            self.tasks.push_back(task);
+            let due = now + PAUSE;
+            self.entries.push_back(Entry { task, due });
         } else {
             self.bytes -= task.bytes();
         }
         transaction
     }
 
+    /// Ends a task whose transaction was committed, which saves the read that would show it.
+    pub fn finish(&mut self, now: Duration, request: &str) {
+        let mut entries = self.entries.iter();
+        let is_done = |task: &Task| {
+            let lingers = task.until.is_some_and(|until| now < until);
+            *task.request == *request && !lingers
+        };
+        if let Some(at) = entries.position(|entry| is_done(&entry.task))
+            && let Some(entry) = self.entries.remove(at)
+        {
+            self.bytes -= entry.task.bytes();
+        }
+    }
+
     /// Returns whether this process has given up the request without sending it.
     pub fn is_released(&self, request: &str) -> bool {
-        let mut tasks = self.tasks.iter();
+        let mut tasks = self.entries.iter().map(|entry| &entry.task);
         tasks.any(|task| *task.request == *request && task.action == Action::Release)
     }
 
     /// Returns the number of tasks.
     pub fn len(&self) -> usize {
-        self.tasks.len()
+        self.entries.len()
     }
 
     /// Returns whether there are no tasks.
     pub fn is_empty(&self) -> bool {
-        self.tasks.is_empty()
+        self.entries.is_empty()
     }
 
     /// Returns how many tasks were dropped for lack of space.
--- a/crates/core/tests/claim_fuzz.rs
+++ b/crates/core/tests/claim_fuzz.rs
@@ -375,12 +375,17 @@
 
     fn backlog(&mut self, router: usize, fault: Fault) {
         let backlog = &mut self.routers[router].registry.backlog;
-        let (false, Some(task)) = (self.store.is_down, backlog.next()) else {
+        let (false, Some(task)) = (self.store.is_down, backlog.next(Duration::MAX)) else {
             return;
         };
         let row = self.store.table.get(&task.key).cloned();
-        if let Some(transaction) = backlog.advance(self.now, row.as_ref()) {
-            self.store.commit(transaction, fault);
+        let request = task.request.clone();
+        if let Some(transaction) = backlog.advance(self.now, &request, row.as_ref()) {
+            let verdict = self.store.commit(transaction, fault);
+            if verdict == Some(Verdict::Committed) {
+                let backlog = &mut self.routers[router].registry.backlog;
+                backlog.finish(self.now, &request);
+            }
         }
     }
 
--- a/crates/ctl/src/measure/bills.rs
+++ b/crates/ctl/src/measure/bills.rs
@@ -56,6 +56,7 @@
 /// When the output cannot be written or a row is malformed.
 pub fn run(settings: &Settings, out: &mut impl Write) -> Result<()> {
     writeln!(out, "figure,case,value,unit")?;
+    claims::memory(out)?;
     journals::run(settings, out)?;
     claims::run(settings, out)
 }
--- a/crates/ctl/src/measure/bills/claims.rs
+++ b/crates/ctl/src/measure/bills/claims.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Settings, resident},
-    anyhow::{Result, bail},
+    anyhow::{Context, Result, bail},
     marigoldroute_core::{
         bill::mint,
         claim::{
@@ -36,9 +36,8 @@
     waits: Vec<Duration>,
 }
 
-/// Prints the figures of claims.
+/// Prints the writes and waiting times of claims.
 pub fn run(settings: &Settings, out: &mut impl Write) -> Result<()> {
-    memory(out)?;
     for rate in RATES {
         let mut cost = arrive(settings, rate)?;
         let per_request = |count: u64| count as f64 / (cost.requests - cost.refused) as f64;
@@ -65,7 +64,9 @@
     Ok(())
 }
 
-fn memory(out: &mut impl Write) -> Result<()> {
+/// Prints the bytes of claims. Runs first: memory that was freed before is used again and does
+/// not show as growth.
+pub fn memory(out: &mut impl Write) -> Result<()> {
     let mut table = Memory::default();
     let mut registry = Registry::new("host-000.1234567890".into(), claim::Settings::default());
     let held = claim_one(&mut registry, &mut table)?;
@@ -80,9 +81,9 @@
     };
     registry.backlog.push(held.finish(recorded()));
     let row = table.scan("claim/", "", 1).pop();
-    if let Some(transaction) = registry.backlog.advance(clock.now, row.as_ref()) {
-        table.commit(&transaction);
-    }
+    let request = attempt(0).request;
+    let record = registry.backlog.advance(clock.now, &request, row.as_ref());
+    table.commit(&record.context("nothing to record")?);
     let case = format!("done with {BODY} bytes of body");
     writeln!(out, "claim row,{case},{},bytes", row_bytes(&table))?;
 
@@ -172,12 +173,13 @@
 }
 
 fn record(registry: &mut Registry, table: &mut Memory, now: Duration, cost: &mut Cost) {
-    while let Some(task) = registry.backlog.next() {
-        let row = table.get(&task.key).cloned();
-        if let Some(transaction) = registry.backlog.advance(now, row.as_ref()) {
+    while let Some(task) = registry.backlog.next(now) {
+        let (request, row) = (task.request.clone(), table.get(&task.key).cloned());
+        if let Some(transaction) = registry.backlog.advance(now, &request, row.as_ref()) {
             cost.records += 1;
             cost.rows += transaction.writes.len() as u64;
             table.commit(&transaction);
+            registry.backlog.finish(now, &request);
         }
     }
 }
