Let the ledger recognise that its lease was taken

Cause: the driver had to interpret conflicts on the lease row, and a conflict after its own renewal looks the same. Change: Ledger::is_deposed compares fencing numbers; the lease row is decoded at the start.

--- a/crates/core/src/bill/ledger.rs
+++ b/crates/core/src/bill/ledger.rs
@@ -5,6 +5,7 @@
         Bill,
         cursor::{self, Batch, Cursor, Page},
         escrow::{self, account_key, journal_key},
+        lease::Lease,
         segment::{Object, Segment},
         stamp,
         window::{self, Slot, Window, fingerprint},
@@ -13,7 +14,7 @@
         budget::Account,
         fault::{Fault, Kind},
         id::{BudgetId, HolderId, Sequence, Tokens},
-        table::{Condition, Row, Transaction},
+        table::{Condition, Row, Transaction, Verdict},
     },
     std::{
         collections::{BTreeMap, BTreeSet, HashSet},
@@ -76,6 +77,7 @@
 pub struct Ledger {
     settings: Settings,
     lease: Condition,
+    fencing: u64,
     window: Window,
     /// The holder whose batch was decided last and is not closed.
     open: Option<HolderId>,
@@ -88,7 +90,7 @@
     /// as read after that.
     ///
     /// # Errors
-    /// [`Kind::Internal`] when a cursor row is malformed.
+    /// [`Kind::Internal`] when a row is malformed.
     pub fn new(lease: &Row, cursors: &[Row], settings: Settings) -> Result<Self, Fault> {
         let mut inherited = HashSet::new();
         for row in cursors {
@@ -103,6 +105,7 @@
                 key: lease.key.clone(),
                 version: lease.version,
             },
+            fencing: Lease::decode(lease)?.fencing,
             window: Window::default(),
             open: None,
             inherited,
@@ -114,6 +117,17 @@
         self.lease.version = lease.version;
     }
 
+    /// Returns whether a verdict shows that another process has taken the lease. The duty must
+    /// then be dropped and acquired anew.
+    pub fn is_deposed(&self, verdict: &Verdict) -> bool {
+        let Verdict::Conflict(rows) = verdict else {
+            return false;
+        };
+        let row = rows.iter().find(|row| row.key == self.lease.key);
+        let lease = row.map(Lease::decode);
+        lease.is_some_and(|lease| lease.is_ok_and(|lease| lease.fencing != self.fencing))
+    }
+
     /// Returns the holder that must be visited next, if there is one.
     pub fn urgent(&self) -> Option<&HolderId> {
         self.open.as_ref().or_else(|| self.inherited.iter().min())
--- a/crates/core/src/bill/tests.rs
+++ b/crates/core/src/bill/tests.rs
@@ -46,8 +46,16 @@
     }
 }
 
+fn lease() -> Lease {
+    Lease {
+        holder: "h.1".into(),
+        fencing: 4,
+        until: NOW.as_secs(),
+    }
+}
+
 fn ledger() -> Ledger {
-    let lease = row("lease/ledger", &());
+    let lease = row("lease/ledger", &lease());
     Ledger::new(&lease, &[], Settings::default()).unwrap()
 }
 
@@ -112,7 +120,7 @@
 /// Guards against memory that grows with the number of bills.
 #[test]
 fn cache_of_request_ids_is_bounded() {
-    let lease = row("lease/ledger", &());
+    let lease = row("lease/ledger", &lease());
     let settings = Settings {
         cached: 10,
         ..Settings::default()
@@ -202,12 +210,7 @@
         let term = Duration::from_secs(30);
         Lease::acquire("ledger", row, &holder.into(), wall, term).unwrap()
     };
-    let lease = Lease {
-        holder: "h.1".into(),
-        fencing: 4,
-        until: NOW.as_secs(),
-    };
-    let held = row("lease/ledger", &lease);
+    let held = row("lease/ledger", &lease());
     assert!(acquire(None, "h.2", 0).is_some());
     let fencing = |transaction| format!("{transaction:?}").contains(r#"fencing\":5"#);
     assert!(!fencing(acquire(Some(&held), "h.1", 0)));
--- a/crates/core/tests/bill_fuzz.rs
+++ b/crates/core/tests/bill_fuzz.rs
@@ -236,8 +236,9 @@
             Some(_) => self.publish(&mut ledger, &page, fault, stored),
             None => self.decide(&mut ledger, &page, fault),
         };
-        let is_deposed = matches!(&reply, Some(Verdict::Conflict(rows))
-            if rows.iter().any(|row| &*row.key == "lease/ledger"));
+        let is_deposed = reply
+            .as_ref()
+            .is_some_and(|verdict| ledger.is_deposed(verdict));
         if self.has(Defect::ForgetDoubt) && reply.is_none() {
             let lease = self.store.table.get("lease/ledger").expect("held").clone();
             ledger = self.ledger(&lease);
--- a/crates/core/tests/billing_decoders.rs
+++ b/crates/core/tests/billing_decoders.rs
@@ -78,7 +78,7 @@
         prop_assert!(is_internal(Segment::decode("bills/b/1", &bytes)));
         let _ = text.parse::<Position>();
 
-        let lease = row("lease/ledger");
+        let lease = Row { value: VALID[3].into(), ..row("lease/ledger") };
         let mut ledger = Ledger::new(&lease, &[], Settings::default())?;
         let is_whole = bytes.len() % 8 == 0;
         let loaded = ledger.load(1, std::slice::from_ref(&bytes));
--- a/crates/ctl/src/measure/bills/journals.rs
+++ b/crates/ctl/src/measure/bills/journals.rs
@@ -17,6 +17,7 @@
 };
 
 const EPOCH: Duration = Duration::from_secs(1_800_000_000);
+const LEASE: &str = r#"{"holder":"host-000.1","fencing":1,"until":1800000030}"#;
 /// Ids for the measurement of memory: the peak rate for 600 s.
 const IDS: u64 = 1_920_000;
 /// Seconds from a request to its bill.
@@ -112,7 +113,7 @@
     let lease = Row {
         key: "lease/ledger".into(),
         version: 1,
-        value: "".into(),
+        value: LEASE.into(),
     };
     let mut ledger = Ledger::new(&lease, &[], bill::Settings::default())?;
     let before = resident()?;
@@ -136,11 +137,11 @@
     let lease = Row {
         key: "lease/ledger".into(),
         version: 1,
-        value: "".into(),
+        value: LEASE.into(),
     };
     let mut table = Memory::default();
     let mut create = Transaction::default();
-    create.put("lease/ledger", "");
+    create.put("lease/ledger", LEASE);
     table.commit(&create);
     let mut ledger = Ledger::new(&lease, &[], bill::Settings::default())?;
     let mut index: BTreeMap<String, Vec<u8>> = BTreeMap::new();
