--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests/mod.rs
@@ -9,13 +9,18 @@
     std::time::Duration,
 };
 
+mod fuzz;
+mod life;
+mod view;
+mod world;
+
 const NOW: Duration = Duration::from_secs(10);
 
 fn store(purchased: u64) -> Memory {
     let mut table = Memory::default();
     let account = Account {
         purchased,
-        allocated: 0,
+        ..Account::default()
     };
     let mut transaction = Transaction::default();
     transaction.put("budget/hems", serde_json::to_string(&account).unwrap());
--- /dev/null
+++ b/crates/router/src/caller/completion.rs
@@ -0,0 +1,231 @@
+//! `POST /v1/chat/completions` and `POST /v1/completions`.
+
+use {
+    super::{
+        Context,
+        claimed::{Ruling, Subject},
+        job::{Call, Job, Kind, Reply},
+        relay,
+        request::{self, Prompt},
+    },
+    crate::{escrow::Reservation, response::refuse},
+    bytes::{Bytes, BytesMut},
+    marigoldroute_core::{
+        claim::Capability,
+        config::Access,
+        fault::{self, Fault},
+        id::{RequestId, Tokens},
+    },
+    poem::{
+        Body, Request, Response, handler,
+        http::{HeaderMap, HeaderValue, Method, header::CONTENT_TYPE},
+        web::Data,
+    },
+    serde::Deserialize,
+    std::{sync::Arc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Largest unstreamed answer in bytes.
+const ANSWER_LIMIT_BYTES: usize = 16 << 20;
+
+#[handler]
+pub(super) async fn complete(
+    context: Data<&Arc<Context>>,
+    request: &Request,
+    body: Body,
+) -> Response {
+    let context = (*context).clone();
+    let prepared = match prepare(&context, request, body).await {
+        Ok(prepared) => prepared,
+        Err(fault) => return refuse(&fault, ""),
+    };
+    let id = prepared.id.clone();
+    context.run(id, serve(context.clone(), prepared)).await
+}
+
+struct Prepared {
+    id: RequestId,
+    key: Option<String>,
+    access: Access,
+    prompt: Prompt,
+    path: String,
+    is_idempotent: bool,
+    started: Duration,
+}
+
+async fn prepare(context: &Context, request: &Request, body: Body) -> Result<Prepared, Fault> {
+    let access = context.authenticate(request)?;
+    let key = request::idempotency_key(request)?;
+    let body = body.into_bytes_limit(context.settings.body_limit).await;
+    let body =
+        body.map_err(|_| Fault::new(fault::Kind::TooLarge, "the request body is too large"))?;
+    let prompt = Prompt::parse(&body, access.output_limit)?;
+    if !context.control.scene().catalog.has_model(&prompt.model) {
+        let message = format!("unknown model {}", prompt.model);
+        return Err(Fault::new(fault::Kind::NotFound, message));
+    }
+    Ok(Prepared {
+        id: request::id(&access.workspace, key.as_deref()),
+        is_idempotent: request::is_idempotent(request)?.unwrap_or(true),
+        key,
+        access,
+        prompt,
+        path: request.uri().path().to_owned(),
+        started: context.clock.now(),
+    })
+}
+
+async fn serve(context: Arc<Context>, prepared: Prepared) -> Result<Response, Fault> {
+    let Prepared {
+        id,
+        key,
+        access,
+        prompt,
+        path,
+        is_idempotent,
+        started,
+    } = prepared;
+    let attempt = request::attempt(&id);
+    let key = key.as_deref().filter(|_| !is_idempotent);
+    let subject = key.map(|key| Subject {
+        workspace: &access.workspace,
+        key,
+        attempt: &attempt,
+        method: "POST",
+        path: &path,
+        body: prompt.body.as_bytes(),
+        capability: Capability::Query,
+    });
+    let claim = match context.claim(subject).await? {
+        Ruling::Run(claim) => claim,
+        Ruling::Replay(response) => return Ok(response),
+    };
+    let reservation = Reservation {
+        attempt: attempt.clone(),
+        budget: access.budget.clone(),
+        amount: prompt.bound(),
+        workspace: access.workspace.clone(),
+        model: prompt.model.clone(),
+    };
+    let charge = match context.charger.reserve(&reservation).await {
+        Ok(charge) => charge,
+        Err(fault) => {
+            claim.give_up().await;
+            return Err(fault);
+        }
+    };
+    let mut job = Job {
+        context,
+        id: attempt,
+        workspace: access.workspace,
+        model: prompt.model.clone(),
+        charge,
+        claim,
+        kind: Kind::Model { is_idempotent },
+    };
+    let json = HeaderValue::from_static("application/json");
+    let call = Call {
+        method: Method::POST,
+        path,
+        headers: HeaderMap::from_iter([(CONTENT_TYPE, json)]),
+        body: prompt.body.clone().into(),
+    };
+    match job.send(&call, &mut Vec::new()).await {
+        Ok(reply) if !reply.response.status().is_success() => pass_on(job, reply).await,
+        Ok(reply) if prompt.stream => relay::stream(job, prompt, call, reply, started).await,
+        Ok(reply) => whole(job, &prompt, reply, started).await,
+        Err(fault) => Err(job.fail(fault, prompt.prompt_estimate).await),
+    }
+}
+
+/// Passes on an engine's refusal of the request, such as a prompt that is too long.
+async fn pass_on(job: Job, reply: Reply) -> Result<Response, Fault> {
+    let status = reply.response.status();
+    job.charge.release().await;
+    job.claim.give_up().await;
+    let body = reply.response.bytes().await.unwrap_or_default();
+    let response = Response::builder().status(status);
+    Ok(response.content_type("application/json").body(body))
+}
+
+#[derive(Deserialize)]
+struct Answer {
+    id: String,
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    prompt_tokens: Tokens,
+    completion_tokens: Tokens,
+}
+
+/// Reads an answer, at most [`ANSWER_LIMIT_BYTES`].
+pub(super) async fn read_limited(mut response: reqwest::Response) -> Result<Bytes, Fault> {
+    let broken = |message: &str| Fault::new(fault::Kind::AnswerBroken, message);
+    let mut body = BytesMut::new();
+    loop {
+        let piece = response.chunk().await;
+        let piece = piece.map_err(|_| broken("the upstream's answer was cut"))?;
+        let Some(piece) = piece else {
+            return Ok(body.freeze());
+        };
+        if body.len() + piece.len() > ANSWER_LIMIT_BYTES {
+            return Err(broken("the answer is too large"));
+        }
+        body.extend_from_slice(&piece);
+    }
+}
+
+/// Checks that an answer belongs to the request.
+fn check(id: &RequestId, body: Bytes) -> Result<(Bytes, Option<Usage>), Fault> {
+    let broken = |message: &str| Fault::new(fault::Kind::AnswerBroken, message);
+    let answer: Answer =
+        serde_json::from_slice(&body).map_err(|_| broken("the upstream's answer is malformed"))?;
+    if !answer.id.contains(&**id) {
+        return Err(broken("the upstream answered another request"));
+    }
+    Ok((body, answer.usage))
+}
+
+/// Relays an unstreamed answer.
+async fn whole(
+    job: Job,
+    prompt: &Prompt,
+    reply: Reply,
+    started: Duration,
+) -> Result<Response, Fault> {
+    let limit = job.context.upstreams.timeout();
+    let body = timeout(limit, read_limited(reply.response)).await;
+    let seconds = (job.context.clock.now() - started).as_secs_f64();
+    job.context.metrics.first_token.observe(seconds);
+    let late = || {
+        Err(Fault::new(
+            fault::Kind::UpstreamTimeout,
+            "the upstream did not answer in time",
+        ))
+    };
+    let read = body
+        .unwrap_or_else(|_| late())
+        .and_then(|body| check(&job.id, body));
+    let used = match &read {
+        Ok((_, Some(usage))) => usage.prompt_tokens + usage.completion_tokens,
+        _ => prompt.prompt_estimate + prompt.limit,
+    };
+    let context = job.context.clone();
+    let claim = job.settle(reply.choice.upstream, used).await;
+    match &read {
+        Ok((body, _)) => {
+            claim
+                .finish(&context.platform, 200, "application/json", body)
+                .await;
+        }
+        Err(_) => claim.give_up().await,
+    }
+    read.map(|(body, _)| {
+        Response::builder()
+            .content_type("application/json")
+            .body(body)
+    })
+}
--- /dev/null
+++ b/crates/router/src/charge.rs
@@ -0,0 +1,308 @@
+//! Reservations at the holders of a budget, on this host or on others.
+
+use {
+    crate::{
+        control::Control,
+        escrow::{Escrow, Refusal, Reservation, Settlement},
+        logs::TOKENS,
+        outbox::Outbox,
+        peer::{Links, Lost, Service},
+        settings::Settings,
+    },
+    marigoldroute_core::{
+        budget::Usage,
+        fault::{Fault, Kind},
+        id::{BudgetId, HostId, Region, RequestId, Tokens},
+        wire::{self, Body, Lower, Release, Reply, Reserve, Settle, Settled},
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio_util::task::TaskTracker,
+};
+
+/// Attempts to deliver a release to a holder on another host; after the last one the holder finds
+/// out from the upstreams.
+const DELIVERY_ATTEMPTS: u32 = 12;
+/// Pause before the second delivery attempt; it doubles each time.
+const DELIVERY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between delivery attempts.
+const DELIVERY_PAUSE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Makes reservations.
+pub(crate) struct Charger {
+    own: HostId,
+    region: Region,
+    per_region: usize,
+    /// Bound on a reservation at another host, which may wait for a refill.
+    reserve_limit: Duration,
+    escrow: Escrow,
+    links: Arc<Links>,
+    control: Control,
+    outbox: Outbox,
+    tasks: TaskTracker,
+}
+
+/// A reservation of one request.
+pub(crate) struct Charge {
+    charger: Arc<Charger>,
+    place: Place,
+    attempt: RequestId,
+    budget: BudgetId,
+}
+
+/// Where a reservation is held.
+#[derive(Clone, Debug)]
+enum Place {
+    Here,
+    Peer(HostId, SocketAddr),
+}
+
+impl Charger {
+    pub(crate) fn new(
+        settings: &Settings,
+        escrow: Escrow,
+        links: Arc<Links>,
+        control: Control,
+        outbox: Outbox,
+        tasks: TaskTracker,
+    ) -> Self {
+        Self {
+            own: settings.host.clone(),
+            region: settings.region.clone(),
+            per_region: settings.holders_per_region,
+            reserve_limit: settings.reserve_timeout + settings.peer_timeout,
+            escrow,
+            links,
+            control,
+            outbox,
+            tasks,
+        }
+    }
+
+    /// Reserves tokens at the first holder that covers them.
+    pub(crate) async fn reserve(
+        self: &Arc<Self>,
+        reservation: &Reservation,
+    ) -> Result<Charge, Fault> {
+        let mut exhausted = false;
+        for place in self.places(&reservation.budget) {
+            let reserved = match &place {
+                Place::Here => self.escrow.reserve(reservation.clone()).await.map(drop),
+                Place::Peer(host, address) => self.reserve_at(host, *address, reservation).await,
+            };
+            match reserved {
+                Ok(()) => {
+                    return Ok(Charge {
+                        charger: self.clone(),
+                        place,
+                        attempt: reservation.attempt.clone(),
+                        budget: reservation.budget.clone(),
+                    });
+                }
+                Err(refusal) => exhausted |= refusal == Refusal::Exhausted,
+            }
+        }
+        let Reservation {
+            attempt,
+            budget,
+            amount,
+            ..
+        } = reservation;
+        log::info!(target: TOKENS, attempt:%, budget:%, amount, exhausted; "reservation refused");
+        Err(if exhausted {
+            Fault::new(
+                Kind::BudgetExhausted,
+                "the rest of the budget does not cover the request",
+            )
+        } else {
+            Fault::new(Kind::BudgetUnavailable, "no holder of the budget answered")
+        })
+    }
+
+    async fn reserve_at(
+        &self,
+        host: &HostId,
+        address: SocketAddr,
+        reservation: &Reservation,
+    ) -> Result<(), Refusal> {
+        let reserve = Reserve {
+            request: reservation.attempt.to_string(),
+            budget: reservation.budget.to_string(),
+            amount: reservation.amount,
+            workspace: reservation.workspace.to_string(),
+            model: reservation.model.to_string(),
+        };
+        let call =
+            self.links
+                .call_within(host, address, Body::Reserve(reserve), self.reserve_limit);
+        match call.await {
+            Ok(Body::Reply(reply)) => match reply.refusal() {
+                wire::Refusal::None => Ok(()),
+                wire::Refusal::Exhausted => Err(Refusal::Exhausted),
+                _ => Err(Refusal::Unavailable),
+            },
+            Ok(_) => Err(Refusal::Unavailable),
+            Err(Lost) => {
+                let request = reservation.attempt.to_string();
+                self.deliver(host.clone(), address, Body::Release(Release { request }));
+                Err(Refusal::Unavailable)
+            }
+        }
+    }
+
+    /// Returns the holders of a budget in the order in which they are asked.
+    ///
+    /// Within the own region this host comes last: when entry and holder are on different hosts,
+    /// the loss of one of them loses no bill.
+    fn places(&self, budget: &str) -> Vec<Place> {
+        let scene = self.control.scene();
+        let count = scene.catalog.limits.holders;
+        let count = count.map_or(self.per_region, |count| count as usize);
+        let mut places: Vec<_> = scene
+            .holders(budget, &self.region, count)
+            .into_iter()
+            .map(|holder| match *holder.host == self.own {
+                true => (holder.is_near, Place::Here),
+                false => (
+                    holder.is_near,
+                    Place::Peer(holder.host.clone(), holder.address),
+                ),
+            })
+            .collect();
+        places.sort_by_key(|(is_near, place)| (!is_near, matches!(place, Place::Here)));
+        places.into_iter().map(|(_, place)| place).collect()
+    }
+
+    /// Delivers a message until the holder acknowledges it.
+    fn deliver(&self, host: HostId, address: SocketAddr, body: Body) {
+        let links = self.links.clone();
+        self.tasks.spawn(async move {
+            let mut pause = DELIVERY_PAUSE;
+            for _ in 0..DELIVERY_ATTEMPTS {
+                if links.call(&host, address, body.clone()).await.is_ok() {
+                    return;
+                }
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(DELIVERY_PAUSE_LIMIT);
+            }
+            log::warn!(target: TOKENS, host:%; "release not delivered");
+        });
+    }
+}
+
+impl Charge {
+    /// Lowers the reservation.
+    pub(crate) async fn lower(&self, amount: Tokens) {
+        let request = self.attempt.to_string();
+        match &self.place {
+            Place::Here => {
+                let attempt = self.attempt.clone();
+                self.charger.escrow.lower(attempt, amount).await;
+            }
+            Place::Peer(host, address) => {
+                let body = Body::Lower(Lower { request, amount });
+                let (links, host, address) = (self.charger.links.clone(), host.clone(), *address);
+                // A lost message only keeps tokens reserved until settlement.
+                let call = async move { drop(links.call(&host, address, body).await) };
+                self.charger.tasks.spawn(call);
+            }
+        }
+    }
+
+    /// Bills the usage and ends the reservation.
+    pub(crate) async fn settle(self, usage: Usage) {
+        let item = Settlement {
+            attempt: self.attempt,
+            budget: self.budget,
+            usage,
+        };
+        let host = match self.place {
+            Place::Here => self.charger.own.clone(),
+            Place::Peer(host, _) => host,
+        };
+        self.charger.outbox.push(item, host).await;
+    }
+
+    /// Ends the reservation of a request that did not run.
+    pub(crate) async fn release(self) {
+        match self.place {
+            Place::Here => self.charger.escrow.release(self.attempt).await,
+            Place::Peer(host, address) => {
+                let request = self.attempt.to_string();
+                let body = Body::Release(Release { request });
+                self.charger.deliver(host, address, body);
+            }
+        }
+    }
+}
+
+/// Answers other hosts' calls for the budgets that this host holds.
+pub(crate) struct Responder {
+    pub(crate) escrow: Escrow,
+    pub(crate) control: Control,
+}
+
+impl Service for Responder {
+    async fn answer(&self, from: HostId, body: Body) -> Option<Body> {
+        let reply = match body {
+            Body::Reserve(reserve) => self.reserve(reserve).await,
+            Body::Lower(lower) => {
+                self.escrow.lower(lower.request.into(), lower.amount).await;
+                Reply::default()
+            }
+            Body::Settle(settle) => return self.settle(settle).await,
+            Body::Release(release) => {
+                self.escrow.release(release.request.into()).await;
+                Reply::default()
+            }
+            Body::Gossip(_) | Body::Config(_) => return self.control.message(from, body).await,
+            Body::Review(review) => {
+                self.escrow.review(review.budget.into()).await;
+                Reply::default()
+            }
+            Body::Reply(_) | Body::Settled(_) => return None,
+        };
+        Some(Body::Reply(reply))
+    }
+}
+
+impl Responder {
+    async fn reserve(&self, reserve: Reserve) -> Reply {
+        let reservation = Reservation {
+            attempt: reserve.request.into(),
+            budget: reserve.budget.into(),
+            amount: reserve.amount,
+            workspace: reserve.workspace.into(),
+            model: reserve.model.into(),
+        };
+        match self.escrow.reserve(reservation).await {
+            Ok(tokens) => Reply { tokens, refusal: 0 },
+            Err(refusal) => refused(match refusal {
+                Refusal::Exhausted => wire::Refusal::Exhausted,
+                Refusal::Unavailable => wire::Refusal::Unavailable,
+            }),
+        }
+    }
+
+    async fn settle(&self, settle: Settle) -> Option<Body> {
+        let items = settle.items.into_iter().map(|item| Settlement {
+            attempt: item.attempt.into(),
+            budget: item.budget.into(),
+            usage: Usage {
+                workspace: item.workspace.into(),
+                model: item.model.into(),
+                upstream: item.upstream.into(),
+                tokens: item.tokens,
+            },
+        });
+        let settled = self.escrow.settle(items.collect()).await?;
+        let items = settled.into_iter().map(Into::into).collect();
+        Some(Body::Settled(Settled { items }))
+    }
+}
+
+fn refused(refusal: wire::Refusal) -> Reply {
+    Reply {
+        tokens: 0,
+        refusal: refusal.into(),
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/scene.rs
@@ -0,0 +1,111 @@
+//! What the request path knows of hosts, upstreams and configuration.
+
+use {
+    marigoldroute_core::{
+        config::{Catalog, Hold},
+        fleet::{Host, Member, Phase, Status, Weighted, rank},
+        id::{HolderId, HostId, Region, UpstreamId},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        sync::Arc,
+    },
+};
+
+/// A consistent state, replaced as a whole.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Scene {
+    pub(crate) catalog: Arc<Catalog>,
+    /// Why this host takes no new work.
+    pub(crate) hold: Option<Hold>,
+    /// Upstreams that get no new work although they are in service by configuration.
+    pub(crate) out: BTreeMap<UpstreamId, Status>,
+    /// Hosts that take work, by region.
+    regions: BTreeMap<Region, Vec<Weighted>>,
+    addresses: BTreeMap<HostId, SocketAddr>,
+    /// Processes that are heard, `{host}.{incarnation}`.
+    pub(crate) processes: BTreeSet<HolderId>,
+}
+
+/// A holder of a budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Holder<'a> {
+    pub(crate) host: &'a HostId,
+    pub(crate) address: SocketAddr,
+    /// Whether it is in the region that was asked for.
+    pub(crate) is_near: bool,
+}
+
+/// Returns the name of a process.
+pub(crate) fn process(host: &Host) -> HolderId {
+    format!("{}.{:016x}", host.id, host.incarnation).into()
+}
+
+impl Scene {
+    pub(super) fn new(
+        catalog: Arc<Catalog>,
+        hold: Option<Hold>,
+        out: BTreeMap<UpstreamId, Status>,
+        members: &[Member],
+    ) -> Self {
+        let mut scene = Self {
+            catalog,
+            hold,
+            out,
+            ..Self::default()
+        };
+        for member in members.iter().filter(|member| member.is_alive) {
+            let host = &member.host;
+            scene.processes.insert(process(host));
+            if let Ok(address) = host.address.parse() {
+                scene.addresses.insert(host.id.clone(), address);
+            }
+            if member.phase == Phase::Ready {
+                let region = scene.regions.entry(host.region.clone()).or_default();
+                region.push(Weighted {
+                    host: host.id.clone(),
+                    weight: host.weight,
+                });
+            }
+        }
+        scene
+    }
+
+    /// Returns whether nothing changed; catalogs are compared by identity because they are large.
+    pub(super) fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.catalog, &other.catalog)
+            && self.hold == other.hold
+            && self.out == other.out
+            && self.regions == other.regions
+            && self.addresses == other.addresses
+            && self.processes == other.processes
+    }
+
+    /// Returns the holders of a budget: the best ranked of `region`, then those of the others.
+    pub(crate) fn holders(&self, budget: &str, region: &str, count: usize) -> Vec<Holder<'_>> {
+        let own = self.regions.get_key_value(region).into_iter();
+        let others = self.regions.iter().filter(|(name, _)| ***name != *region);
+        let mut holders = Vec::new();
+        for (name, hosts) in own.chain(others) {
+            for host in rank(budget, hosts).into_iter().take(count) {
+                holders.extend(self.addresses.get(host).map(|address| Holder {
+                    host,
+                    address: *address,
+                    is_near: **name == *region,
+                }));
+            }
+        }
+        holders
+    }
+
+    /// Returns the address of a host that answers, also one that takes no new work.
+    pub(crate) fn address(&self, host: &str) -> Option<SocketAddr> {
+        self.addresses.get(host).copied()
+    }
+
+    /// Returns whether an upstream gets new work as far as its health goes.
+    pub(crate) fn is_up(&self, upstream: &str) -> bool {
+        !self.out.contains_key(upstream)
+    }
+}
--- /dev/null
+++ b/crates/router/src/escrow/work.rs
@@ -0,0 +1,427 @@
+//! The task itself.
+
+use {
+    super::{
+        Command, Escrow, QUEUE_COMMANDS, Refusal, Reservation, Reserved, Settlement,
+        holders::{Generation, Holders},
+        resolve::{Purpose, resolve},
+        review::Reviews,
+    },
+    crate::{
+        clock::Clock, control::Control, logs::TOKENS, metrics::Metrics, peer::Links,
+        settings::Settings, upstream::Upstreams,
+    },
+    marigoldroute_core::{
+        budget::{Holder, Phase, Record, Settings as Sizes, Shortage},
+        id::{HolderId, RequestId},
+        table::{Row, Transaction, Verdict},
+        wire::Billing,
+    },
+    marigoldroute_platform::{Client, Fault},
+    std::{
+        collections::{HashMap, VecDeque},
+        future::Future,
+        pin::Pin,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot},
+        task::JoinSet,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Reservations that wait for a refill; more are refused.
+const WAITING_LIMIT: usize = 4_096;
+/// Pause after a failed call to the platform.
+const FAULT_PAUSE: Duration = Duration::from_millis(200);
+/// Time between two looks at deadlines.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Reservations whose outcome is asked for at the same time.
+const RESOLVE_LIMIT: usize = 32;
+
+/// What the task works with.
+pub(crate) struct Parts {
+    /// Process that the holders belong to; never used before.
+    pub(crate) process: HolderId,
+    pub(crate) sizes: Sizes,
+    pub(crate) clock: Clock,
+    pub(crate) platform: Client,
+    pub(crate) upstreams: Arc<Upstreams>,
+    pub(crate) control: Control,
+    pub(crate) links: Arc<Links>,
+    pub(crate) metrics: Arc<Metrics>,
+    /// Cancelled when this host's own settlements are durable.
+    pub(crate) settled: CancellationToken,
+}
+
+/// Creates the task and the access to it.
+///
+/// After `draining` the task takes no reservations. It ends when its journals are closed, or the
+/// drain limit has passed; it returns whether they are closed.
+pub(crate) fn create(
+    parts: Parts,
+    settings: &Settings,
+    draining: CancellationToken,
+) -> (Escrow, impl Future<Output = bool> + Send + use<>) {
+    let (sender, commands) = mpsc::channel(QUEUE_COMMANDS);
+    let worker = Worker {
+        holders: Holders::new(parts.process.clone(), parts.sizes.clone()),
+        reviews: Reviews {
+            own: settings.host.clone(),
+            region: settings.region.clone(),
+            holders_per_region: settings.holders_per_region,
+            links: parts.links.clone(),
+            control: parts.control.clone(),
+            next: HashMap::new(),
+            calls: JoinSet::new(),
+        },
+        parts,
+        waiting: VecDeque::new(),
+        call: None,
+        closed: None,
+        retry_at: Duration::ZERO,
+        resolving: JoinSet::new(),
+        flush_interval: settings.flush_interval,
+        reserve_timeout: settings.reserve_timeout,
+        reservation_limit: settings.reservation_limit,
+        drain_limit: settings.drain_limit,
+    };
+    (Escrow(sender), worker.run(commands, draining))
+}
+
+struct Waiting {
+    reservation: Reservation,
+    deadline: Duration,
+    reply: oneshot::Sender<Reserved>,
+}
+
+enum Event {
+    Rows(Generation, Vec<Row>),
+    Verdict(Generation, Verdict),
+    Failed(Fault),
+}
+
+type Call = Pin<Box<dyn Future<Output = Event> + Send>>;
+
+struct Worker {
+    parts: Parts,
+    holders: Holders,
+    reviews: Reviews,
+    /// In order of arrival; at most [`WAITING_LIMIT`].
+    waiting: VecDeque<Waiting>,
+    /// The one call to the platform in progress.
+    call: Option<Call>,
+    /// When the journals were closed.
+    closed: Option<Duration>,
+    /// No call to the platform before.
+    retry_at: Duration,
+    resolving: JoinSet<(RequestId, Record)>,
+    flush_interval: Duration,
+    reserve_timeout: Duration,
+    reservation_limit: Duration,
+    drain_limit: Duration,
+}
+
+impl Worker {
+    async fn run(
+        mut self,
+        mut commands: mpsc::Receiver<Command>,
+        draining: CancellationToken,
+    ) -> bool {
+        let mut tick = tokio::time::interval(self.flush_interval);
+        let mut check = tokio::time::interval(CHECK_INTERVAL);
+        let mut stop = None;
+        loop {
+            tokio::select! {
+                command = commands.recv() => match command {
+                    Some(command) => self.handle(command),
+                    None => return false,
+                },
+                event = advance(&mut self.call) => self.apply(event),
+                Some(resolved) = self.resolving.join_next() => if let Ok((attempt, record)) = resolved {
+                    self.resolve(&attempt, record);
+                },
+                _ = tick.tick() => self.step(),
+                _ = check.tick(), if stop.is_some() || !self.waiting.is_empty() => self.begin(),
+                () = draining.cancelled(), if stop.is_none() => {
+                    stop = Some(self.parts.clock.now());
+                    self.holders.stop();
+                    self.begin();
+                }
+            }
+            self.expire();
+            if let Some(is_closed) = stop.and_then(|stop| self.end(stop)) {
+                return is_closed;
+            }
+        }
+    }
+
+    /// Returns whether the journals are closed once the task is to end.
+    ///
+    /// A closed task lingers, so that the entries learn that their settlements are durable.
+    fn end(&mut self, stop: Duration) -> Option<bool> {
+        let now = self.parts.clock.now();
+        if now >= stop + self.drain_limit {
+            let (reserved, bills) = self.holders.left();
+            log::error!(target: TOKENS, bills, reserved; "journal not closed within the drain limit");
+            return Some(false);
+        }
+        if !self.holders.is_closed() {
+            return None;
+        }
+        let closed = *self.closed.get_or_insert(now);
+        let is_settled = self.parts.settled.is_cancelled();
+        (is_settled && now >= closed + self.flush_interval).then_some(true)
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Reserve { reservation, reply } => {
+                let deadline = self.parts.clock.now() + self.reserve_timeout;
+                self.reserve(Waiting {
+                    reservation,
+                    deadline,
+                    reply,
+                });
+                if !self.waiting.is_empty() {
+                    self.begin();
+                }
+            }
+            Command::Lower { attempt, amount } => self.holders.lower(&attempt, amount),
+            Command::Release { attempt } => self.holders.release(&attempt),
+            Command::Review { budget } => {
+                self.holders.review(&budget);
+                self.begin();
+            }
+            Command::Settle { items, reply } => self.settle(&items, reply),
+        }
+        if self.holders.iter().any(|(_, holder)| can_close(holder)) {
+            self.begin();
+        }
+    }
+
+    fn reserve(&mut self, waiting: Waiting) {
+        let now = self.parts.clock.now();
+        let Reservation {
+            attempt,
+            budget,
+            amount,
+            workspace,
+            model,
+        } = &waiting.reservation;
+        let purpose = Purpose {
+            workspace: workspace.clone(),
+            model: model.clone(),
+        };
+        let can_wait = now >= self.retry_at && self.waiting.len() < WAITING_LIMIT;
+        let reserved = self
+            .holders
+            .reserve(now, attempt, budget, *amount, &purpose);
+        let answer = match reserved {
+            Ok(tokens) => Ok(tokens),
+            Err(Shortage::Exhausted) => Err(Refusal::Exhausted),
+            Err(Shortage::Refill) if can_wait => {
+                self.waiting.push_back(waiting);
+                return;
+            }
+            Err(_) => Err(Refusal::Unavailable),
+        };
+        if waiting.reply.send(answer).is_err() {
+            self.holders.release(&waiting.reservation.attempt);
+        }
+    }
+
+    fn settle(&mut self, items: &[Settlement], reply: oneshot::Sender<Vec<Billing>>) {
+        let now = self.parts.clock.now();
+        let settled = items
+            .iter()
+            .map(|item| self.holders.settle(now, item))
+            .collect();
+        self.note();
+        // The bills stand also when nobody waits for them any more.
+        let _ = reply.send(settled);
+        self.begin_if_wanted();
+    }
+
+    /// Logs and counts the bills just made.
+    fn note(&mut self) {
+        for bill in self.holders.take_made() {
+            self.parts.metrics.charged.inc_by(bill.charged);
+            self.parts.metrics.uncovered.inc_by(bill.uncovered);
+            log::info!(
+                target: TOKENS,
+                request:% = bill.request, budget:% = bill.budget, charged = bill.charged,
+                uncovered = bill.uncovered;
+                "billed"
+            );
+        }
+    }
+
+    /// Starts a refill when a settlement lacked tokens.
+    fn begin_if_wanted(&mut self) {
+        if self
+            .holders
+            .iter()
+            .any(|(_, holder)| !holder.wanted().is_empty())
+        {
+            self.begin();
+        }
+    }
+
+    /// Takes the outcome of a reservation whose entry did not settle it.
+    fn resolve(&mut self, attempt: &RequestId, record: Record) {
+        let now = self.parts.clock.now();
+        self.holders.resolve(now, attempt, record);
+        self.note();
+    }
+
+    fn step(&mut self) {
+        let now = self.parts.clock.now();
+        if self.resolving.is_empty() {
+            let overdue = self
+                .holders
+                .overdue(now, self.reservation_limit, RESOLVE_LIMIT);
+            for (attempt, purpose) in overdue {
+                self.ask(attempt, purpose);
+            }
+        }
+        self.begin();
+    }
+
+    fn ask(&mut self, attempt: RequestId, purpose: Purpose) {
+        let upstreams = self.parts.upstreams.clone();
+        let catalog = self.parts.control.scene().catalog.clone();
+        self.resolving
+            .spawn(resolve(upstreams, catalog, attempt, purpose));
+    }
+
+    /// Starts the next call to the platform, unless one is in progress.
+    fn begin(&mut self) {
+        if self.call.is_some() || self.parts.clock.now() < self.retry_at {
+            return;
+        }
+        let generations: Vec<_> = self.holders.iter().map(|(number, _)| number).collect();
+        for generation in generations {
+            let holder = self.holders.get_mut(generation);
+            let wanted = holder.map_or_else(Vec::new, |holder| holder.wanted());
+            if wanted.is_empty() {
+                self.commit(generation, &[]);
+            } else {
+                let platform = self.parts.platform.clone();
+                self.call = Some(Box::pin(read(platform, generation, wanted)));
+            }
+            if self.call.is_some() {
+                return;
+            }
+        }
+        self.holders.renew();
+    }
+
+    fn commit(&mut self, generation: Generation, rows: &[Row]) {
+        let now = self.parts.clock.now();
+        let holder = self.holders.get_mut(generation);
+        let transaction = holder.and_then(|holder| holder.flush(now, rows));
+        self.call = transaction.map(|transaction| {
+            let platform = self.parts.platform.clone();
+            Box::pin(commit(platform, generation, transaction)) as Call
+        });
+    }
+
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Rows(generation, rows) => {
+                self.commit(generation, &rows);
+                if self.call.is_none() {
+                    self.retry();
+                }
+            }
+            Event::Verdict(generation, verdict) => {
+                self.decide(generation, &verdict);
+                self.retry();
+            }
+            Event::Failed(fault) => self.fail(fault),
+        }
+    }
+
+    fn decide(&mut self, generation: Generation, verdict: &Verdict) {
+        let Some(holder) = self.holders.get_mut(generation) else {
+            return;
+        };
+        let before = holder.phase();
+        holder.decide(verdict);
+        let phase = holder.phase();
+        self.holders.note_written(generation);
+        if phase != before {
+            log::warn!(target: TOKENS, generation, phase:?; "the holder's phase changed");
+        }
+        self.holders.renew();
+        if phase != Phase::Open {
+            self.begin();
+        }
+    }
+
+    /// Serves waiting reservations after a refill. Those that the budget row did not cover wait
+    /// for other holders to return tokens.
+    fn retry(&mut self) {
+        for waiting in std::mem::take(&mut self.waiting) {
+            self.reserve(waiting);
+        }
+        let now = self.parts.clock.now();
+        for waiting in &self.waiting {
+            self.reviews.ask(now, &waiting.reservation.budget);
+        }
+    }
+
+    /// Gives waiting reservations their final answer: the store cannot be asked.
+    fn fail(&mut self, fault: Fault) {
+        self.parts.metrics.platform_faults.inc();
+        log::warn!(target: TOKENS, fault:%; "journal not written");
+        self.retry_at = self.parts.clock.now() + FAULT_PAUSE;
+        for waiting in self.waiting.drain(..) {
+            let _ = waiting.reply.send(Err(Refusal::Unavailable));
+        }
+    }
+
+    /// Refuses reservations for which no tokens came in time.
+    fn expire(&mut self) {
+        let now = self.parts.clock.now();
+        while let Some(waiting) = self.waiting.pop_front_if(|first| first.deadline <= now) {
+            let _ = waiting.reply.send(Err(Refusal::Exhausted));
+        }
+    }
+}
+
+/// Completes the call in progress; pends for ever when there is none.
+async fn advance(call: &mut Option<Call>) -> Event {
+    let Some(future) = call.as_mut() else {
+        return std::future::pending().await;
+    };
+    let event = future.await;
+    *call = None;
+    event
+}
+
+/// Returns whether only the last row of a holder's journal is missing.
+fn can_close(holder: &Holder) -> bool {
+    holder.phase() != Phase::Open && holder.reserved() == 0
+}
+
+async fn read(platform: Client, generation: Generation, keys: Vec<String>) -> Event {
+    let mut rows = Vec::with_capacity(keys.len());
+    for key in keys {
+        match platform.get(&key).await {
+            Ok(row) => rows.extend(row),
+            Err(fault) => return Event::Failed(fault),
+        }
+    }
+    Event::Rows(generation, rows)
+}
+
+async fn commit(platform: Client, generation: Generation, transaction: Transaction) -> Event {
+    match platform.commit(&transaction).await {
+        Ok(verdict) => Event::Verdict(generation, verdict),
+        Err(fault) => Event::Failed(fault),
+    }
+}
