Confirm leases of the ledger by their version

Cause: the router took the lease as renewed when the row named its process. If the renewal was lost after a decision whose reply was lost, the new duty did not know of that decision, and both could bill one request. A process that was paused while another had the lease renewed with a cache that lacked the other's batches. Change: Lease::confirm requires a new version, Ledger::renew refuses another fencing number, and the router uses both. The stateful test acquires leases with faults and restarts after lost replies; the unconfirmed lease is its eighth defect.

--- a/crates/core/src/bill/lease.rs
+++ b/crates/core/src/bill/lease.rs
@@ -38,7 +38,8 @@
     }
 
     /// Returns the transaction that takes or renews a lease for `term`, or `None` while another
-    /// process has it. After the commit, also one whose reply was lost, the row is read back.
+    /// process has it. After the commit, also one whose reply was lost, the row is read back and
+    /// passed to [`Self::confirm`].
     ///
     /// # Errors
     /// [`Kind::Internal`] when the row is not a lease.
@@ -67,4 +68,16 @@
         transaction.put(key, serde_json::to_string(&lease).unwrap_or_default());
         Ok(Some(transaction))
     }
+
+    /// Returns the row read back after a transaction of [`Self::acquire`], if that took effect.
+    ///
+    /// It is not enough that the row names this process. Under an unchanged version, transactions
+    /// of the duty whose replies were lost may still commit after the duty started anew.
+    pub fn confirm(transaction: &Transaction, row: Option<Row>, holder: &HolderId) -> Option<Row> {
+        let row = row?;
+        let is_own = Self::decode(&row).is_ok_and(|lease| lease.holder == *holder);
+        let mut conditions = transaction.conditions.iter();
+        let is_new = conditions.all(|condition| condition.version != row.version);
+        (is_own && is_new).then_some(row)
+    }
 }
--- a/crates/core/src/bill/ledger.rs
+++ b/crates/core/src/bill/ledger.rs
@@ -86,8 +86,8 @@
 }
 
 impl Ledger {
-    /// Creates the duty from the lease row as read after it was acquired, and all cursor rows
-    /// as read after that.
+    /// Creates the duty from the lease row as confirmed by [`Lease::confirm`], and all cursor
+    /// rows as read after that.
     ///
     /// # Errors
     /// [`Kind::Internal`] when a row is malformed.
@@ -112,9 +112,18 @@
         })
     }
 
-    /// Takes the lease row as read after its renewal by this process.
-    pub fn renew(&mut self, lease: &Row) {
+    /// Takes the lease row as confirmed after its renewal by this process.
+    ///
+    /// # Errors
+    /// [`Kind::Conflict`] when another process had the lease in between: its batches are not in
+    /// the cache, so the duty must be created anew.
+    pub fn renew(&mut self, lease: &Row) -> Result<(), Fault> {
+        if Lease::decode(lease)?.fencing != self.fencing {
+            let message = "another process had the lease of the ledger";
+            return Err(Fault::new(Kind::Conflict, message));
+        }
         self.lease.version = lease.version;
+        Ok(())
     }
 
     /// Returns whether a verdict shows that another process has taken the lease. The duty must
--- a/crates/core/src/bill/tests.rs
+++ b/crates/core/src/bill/tests.rs
@@ -110,6 +110,19 @@
     assert!(decide(&mut ledger, "h.1", vec![bill("r1", 5)]).is_ok());
 }
 
+/// Guards against a cache that lacks the batches of another process.
+#[test]
+fn lease_that_was_away_ends_the_duty() {
+    let mut ledger = ledger();
+    assert_eq!(ledger.renew(&row("lease/ledger", &lease())), Ok(()));
+    let other = Lease {
+        fencing: 6,
+        ..lease()
+    };
+    let renewed = ledger.renew(&row("lease/ledger", &other));
+    assert_eq!(renewed.map_err(|fault| fault.kind), Err(Kind::Conflict));
+}
+
 /// Guards against returning more tokens than a budget has allocated.
 #[test]
 fn refund_above_the_allocation_is_an_error() {
@@ -215,6 +228,16 @@
     let fencing = |transaction| format!("{transaction:?}").contains(r#"fencing\":5"#);
     assert!(!fencing(acquire(Some(&held), "h.1", 0)));
     assert!(fencing(acquire(Some(&held), "h.2", 0)));
+    let renewal = acquire(Some(&held), "h.1", 0).unwrap();
+    let confirm = |version, holder: &str| {
+        let row = Row {
+            version,
+            ..held.clone()
+        };
+        Lease::confirm(&renewal, Some(row), &holder.into()).is_some()
+    };
+    assert_eq!((confirm(2, "h.1"), confirm(1, "h.1")), (true, false));
+    assert!(!confirm(2, "h.2"));
     let early = Lease::acquire("ledger", Some(&held), &"h.2".into(), NOW - DAY, DAY);
     assert_eq!(early, Ok(None));
 }
--- a/crates/core/tests/bill_fuzz.rs
+++ b/crates/core/tests/bill_fuzz.rs
@@ -40,6 +40,8 @@
     NoCursor,
     /// A ledger that forgets after a lost reply that a batch is in doubt.
     ForgetDoubt,
+    /// A lease that counts as taken when the row names the process, whoever wrote it.
+    UnconfirmedLease,
     /// Slots that are taken as empty without reading their index.
     NoIndex,
     /// A batch that is closed although its objects were not stored.
@@ -62,7 +64,7 @@
     /// A holder that was taken as lost returns and appends what it has.
     Return,
     /// A ledger takes or renews the lease.
-    Acquire(usize),
+    Acquire(usize, Fault),
     /// A ledger visits a journal: one transaction, or an attempt to store the objects, of which
     /// the given number succeeds.
     Visit(usize, usize, Fault, usize),
@@ -97,7 +99,6 @@
     /// All holder ids, in the order of their start.
     journals: Vec<HolderId>,
     ledgers: Vec<Option<Ledger>>,
-    fencing: [u64; LEDGERS],
     /// Every copy of a bill that a journal row has held.
     settled: Vec<Bill>,
     late_objects: VecDeque<Object>,
@@ -193,20 +194,27 @@
         }
     }
 
-    fn acquire(&mut self, ledger: usize) {
+    fn acquire(&mut self, ledger: usize, fault: Fault) {
         let row = self.store.table.get("lease/ledger").cloned();
         let id: HolderId = format!("ledger.{ledger}").into();
         let lease = Lease::acquire("ledger", row.as_ref(), &id, self.now, TERM);
         let Some(transaction) = lease.expect("a lease row") else {
             return;
         };
-        self.store.table.commit(&transaction);
-        let row = self.store.table.get("lease/ledger").expect("written above");
-        let is_renewal = Lease::decode(row).expect("a lease").fencing == self.fencing[ledger];
-        self.fencing[ledger] = Lease::decode(row).expect("a lease").fencing;
-        match &mut self.ledgers[ledger] {
-            Some(ledger) if is_renewal => ledger.renew(row),
-            _ => self.ledgers[ledger] = Some(self.ledger(row)),
+        self.store.commit(transaction.clone(), fault);
+        let row = self.store.table.get("lease/ledger").cloned();
+        let own = row.clone().filter(|row| {
+            let lease = Lease::decode(row).expect("a lease");
+            self.has(Defect::UnconfirmedLease) && lease.holder == id
+        });
+        let row = own.or_else(|| Lease::confirm(&transaction, row, &id));
+        let Some(row) = row else {
+            self.ledgers[ledger] = None;
+            return;
+        };
+        let renewed = self.ledgers[ledger].as_mut().map(|l| l.renew(&row));
+        if !matches!(renewed, Some(Ok(()))) {
+            self.ledgers[ledger] = Some(self.ledger(&row));
         }
     }
 
@@ -243,7 +251,12 @@
             let lease = self.store.table.get("lease/ledger").expect("held").clone();
             ledger = self.ledger(&lease);
         }
-        self.ledgers[number] = Some(ledger).filter(|_| !is_deposed);
+        // Some drivers start anew after a lost reply, others visit the same holder again.
+        let is_restarted = reply.is_none() && journal.is_multiple_of(2);
+        self.ledgers[number] = Some(ledger).filter(|_| !is_deposed && !is_restarted);
+        if is_restarted {
+            self.acquire(number, fault);
+        }
     }
 
     /// Returns the verdict, `Committed` when nothing was to do and `None` for a lost reply.
@@ -346,7 +359,7 @@
         while self.deliver() {}
         self.now += TERM * 2;
         self.ledgers.fill_with(|| None);
-        self.acquire(0);
+        self.acquire(0, Fault::None);
         // A page takes two visits; urgent holders go first.
         for _ in 0..200 {
             for journal in 0..self.journals.len() {
@@ -435,7 +448,7 @@
             8 => (0..HOLDERS).prop_map(Step::Flush),
             1 => (0..HOLDERS).prop_map(Step::Lose),
             1 => Just(Step::Return),
-            2 => (0..LEDGERS).prop_map(Step::Acquire),
+            3 => (0..LEDGERS, fault()).prop_map(|(ledger, fault)| Step::Acquire(ledger, fault)),
             24 => (0..LEDGERS, 0..6_usize, fault(), stored)
                 .prop_map(|(ledger, journal, fault, n)| Step::Visit(ledger, journal, fault, n)),
             1 => (0..LEDGERS).prop_map(Step::Restart),
@@ -456,7 +469,6 @@
             away: VecDeque::new(),
             journals: Vec::new(),
             ledgers: (0..LEDGERS).map(|_| None).collect(),
-            fencing: [0; LEDGERS],
             settled: Vec::new(),
             late_objects: VecDeque::new(),
         };
@@ -479,7 +491,7 @@
             Step::Flush(holder) => self.flush(holder),
             Step::Lose(holder) => self.lose(holder),
             Step::Return => self.resume(),
-            Step::Acquire(ledger) => self.acquire(ledger),
+            Step::Acquire(ledger, fault) => self.acquire(ledger, fault),
             Step::Visit(ledger, journal, fault, n) => self.visit(ledger, journal, fault, n),
             Step::Restart(ledger) => self.ledgers[ledger] = None,
             Step::Advance(seconds) => self.now += Duration::from_secs(seconds),
@@ -512,6 +524,7 @@
         (Defect::NoLease, &[twice][..]),
         (Defect::NoCursor, &["is missing", twice, never, lost]),
         (Defect::ForgetDoubt, &[twice]),
+        (Defect::UnconfirmedLease, &[twice]),
         (Defect::NoIndex, &[twice]),
         (Defect::CloseEarly, &[never, twice]),
         (Defect::NoRefund, &[lost]),
--- a/crates/router/src/ledger.rs
+++ b/crates/router/src/ledger.rs
@@ -87,7 +87,7 @@
         };
         let ledger = match ledger {
             Some(ledger) => {
-                ledger.renew(&lease);
+                ledger.renew(&lease)?;
                 ledger
             }
             None => {
@@ -115,7 +115,7 @@
         // The row read back tells whether it took effect, also after a lost answer.
         let _ = self.platform.commit(&transaction).await;
         let row = self.platform.get(&key).await?;
-        Ok(row.filter(|row| Lease::decode(row).is_ok_and(|lease| lease.holder == self.process)))
+        Ok(Lease::confirm(&transaction, row, &self.process))
     }
 
     /// Returns every holder that has journal rows.
