--- a/crates/core/src/bill/ledger.rs
+++ b/crates/core/src/bill/ledger.rs
@@ -5,6 +5,7 @@
         Bill,
         cursor::{self, Batch, Cursor, Page},
         escrow::{self, account_key, journal_key},
+        lease::Lease,
         segment::{Object, Segment},
         stamp,
         window::{self, Slot, Window, fingerprint},
@@ -13,7 +14,7 @@
         budget::Account,
         fault::{Fault, Kind},
         id::{BudgetId, HolderId, Sequence, Tokens},
-        table::{Condition, Row, Transaction},
+        table::{Condition, Row, Transaction, Verdict},
     },
     std::{
         collections::{BTreeMap, BTreeSet, HashSet},
@@ -76,6 +77,7 @@
 pub struct Ledger {
     settings: Settings,
     lease: Condition,
+    fencing: u64,
     window: Window,
     /// The holder whose batch was decided last and is not closed.
     open: Option<HolderId>,
@@ -84,11 +86,11 @@
 }
 
 impl Ledger {
-    /// Creates the duty from the lease row as read after it was acquired, and all cursor rows
-    /// as read after that.
+    /// Creates the duty from the lease row as confirmed by [`Lease::confirm`], and all cursor
+    /// rows as read after that.
     ///
     /// # Errors
-    /// [`Kind::Internal`] when a cursor row is malformed.
+    /// [`Kind::Internal`] when a row is malformed.
     pub fn new(lease: &Row, cursors: &[Row], settings: Settings) -> Result<Self, Fault> {
         let mut inherited = HashSet::new();
         for row in cursors {
@@ -103,15 +105,36 @@
                 key: lease.key.clone(),
                 version: lease.version,
             },
+            fencing: Lease::decode(lease)?.fencing,
             window: Window::default(),
             open: None,
             inherited,
         })
     }
 
-    /// Takes the lease row as read after its renewal by this process.
-    pub fn renew(&mut self, lease: &Row) {
+    /// Takes the lease row as confirmed after its renewal by this process.
+    ///
+    /// # Errors
+    /// [`Kind::Conflict`] when another process had the lease in between: its batches are not in
+    /// the cache, so the duty must be created anew.
+    pub fn renew(&mut self, lease: &Row) -> Result<(), Fault> {
+        if Lease::decode(lease)?.fencing != self.fencing {
+            let message = "another process had the lease of the ledger";
+            return Err(Fault::new(Kind::Conflict, message));
+        }
         self.lease.version = lease.version;
+        Ok(())
+    }
+
+    /// Returns whether a verdict shows that another process has taken the lease. The duty must
+    /// then be dropped and acquired anew.
+    pub fn is_deposed(&self, verdict: &Verdict) -> bool {
+        let Verdict::Conflict(rows) = verdict else {
+            return false;
+        };
+        let row = rows.iter().find(|row| row.key == self.lease.key);
+        let lease = row.map(Lease::decode);
+        lease.is_some_and(|lease| lease.is_ok_and(|lease| lease.fencing != self.fencing))
     }
 
     /// Returns the holder that must be visited next, if there is one.
--- a/crates/router/src/claim/work.rs
+++ b/crates/router/src/claim/work.rs
@@ -67,9 +67,10 @@
     /// The verdict on a batch; after a lost answer the rows as read back, by key.
     Batch(Batch, Result<Verdict, HashMap<Arc<str>, Option<Row>>>),
     Found(Box<Query>, Finding),
-    /// The row of the backlog's next task.
-    Row(Result<Option<Row>, Fault>),
-    Tidied(Result<(), Fault>),
+    /// The row of a task of the backlog, by the task's attempt.
+    Row(RequestId, Result<Option<Row>, Fault>),
+    /// The verdict on the transaction of a task.
+    Tidied(RequestId, Result<Verdict, Fault>),
 }
 
 struct Worker {
@@ -164,22 +165,26 @@
                     self.answer(&attempt, decision);
                 }
             }
-            Event::Row(Ok(row)) => {
+            Event::Row(attempt, Ok(row)) => {
                 let now = self.parts.clock.now();
-                let transaction = self.registry.backlog.advance(now, row.as_ref());
-                match transaction {
-                    Some(transaction) => self.write(transaction),
+                let backlog = &mut self.registry.backlog;
+                match backlog.advance(now, &attempt, row.as_ref()) {
+                    Some(transaction) => self.write(attempt, transaction),
                     None => {
                         self.is_tidying = false;
-                        self.tidy_lingering();
+                        self.tidy();
                     }
                 }
             }
-            Event::Tidied(Ok(())) => {
+            Event::Tidied(attempt, Ok(verdict)) => {
                 self.is_tidying = false;
+                if verdict == Verdict::Committed {
+                    let now = self.parts.clock.now();
+                    self.registry.backlog.finish(now, &attempt);
+                }
                 self.tidy();
             }
-            Event::Row(Err(fault)) | Event::Tidied(Err(fault)) => {
+            Event::Row(_, Err(fault)) | Event::Tidied(_, Err(fault)) => {
                 self.is_tidying = false;
                 self.parts.metrics.platform_faults.inc();
                 log::warn!(fault:%; "claim not recorded");
@@ -248,32 +253,21 @@
         if self.is_tidying {
             return;
         }
-        let Some(task) = self.registry.backlog.next() else {
+        let Some(task) = self.registry.backlog.next(self.parts.clock.now()) else {
             return;
         };
         self.is_tidying = true;
-        let (platform, key) = (self.parts.platform.clone(), task.key.clone());
+        let (attempt, key) = (task.request.clone(), task.key.clone());
+        let platform = self.parts.platform.clone();
         self.calls
-            .spawn(async move { Event::Row(platform.get(&key).await) });
-    }
-
-    /// Goes on with the backlog unless only tasks are left that wait for a row to appear.
-    fn tidy_lingering(&mut self) {
-        if self
-            .registry
-            .backlog
-            .next()
-            .is_some_and(|task| task.until.is_none())
-        {
-            self.tidy();
-        }
+            .spawn(async move { Event::Row(attempt, platform.get(&key).await) });
     }
 
-    fn write(&mut self, transaction: Transaction) {
+    fn write(&mut self, attempt: RequestId, transaction: Transaction) {
         let platform = self.parts.platform.clone();
         self.calls.spawn(async move {
-            // The task stays until a later read shows its effect, so the verdict is not needed.
-            Event::Tidied(platform.commit(&transaction).await.map(drop))
+            // A task whose verdict is lost stays until a later read shows its effect.
+            Event::Tidied(attempt, platform.commit(&transaction).await)
         });
     }
 }
