Add a stateful test of configuration and membership

Cause: nothing checked that versions never revert and are never lost under partitions, lost answers, stale reads, pauses and restarts.

--- a/crates/core/src/config/log.rs
+++ b/crates/core/src/config/log.rs
@@ -15,8 +15,6 @@
     std::{collections::VecDeque, sync::Arc, time::Duration},
 };
 
-/// Versions kept in memory for peers and for conflicts between operators.
-pub const RECENT_VERSIONS: usize = 512;
 /// Bytes of JSON of the versions kept in memory.
 pub const RECENT_BYTES: usize = 4 << 20;
 /// Bytes of JSON in one answer to a peer.
@@ -24,7 +22,7 @@
 /// A tree that is being copied is kept at its version for this time.
 const PIN_TIME: Duration = Duration::from_secs(10);
 
-/// Times of a [`Log`].
+/// Times and sizes of a [`Log`].
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
     /// A poller reads the head this often.
@@ -39,6 +37,13 @@
     pub pause_limit: Duration,
     /// Peers that a new version is sent to unasked.
     pub push_fanout: usize,
+    /// Versions kept in memory for peers and for conflicts between operators.
+    pub recent_versions: usize,
+    /// A snapshot is written when the log is this many versions ahead of the last one.
+    pub snapshot_versions: u64,
+    /// Log rows that are kept below a snapshot, for operators who repeat a request; the default is
+    /// most of a day of changes.
+    pub kept_versions: u64,
 }
 
 impl Default for Settings {
@@ -50,6 +55,9 @@
             patience: Duration::from_secs(1),
             pause_limit: Duration::from_secs(5),
             push_fanout: 3,
+            recent_versions: 512,
+            snapshot_versions: 256,
+            kept_versions: 1_024,
         }
     }
 }
@@ -71,7 +79,7 @@
 /// [`receive`](Self::receive) for peers, and [`observe`](Self::observe) for versions seen in
 /// membership digests. After any input, and at least every 200 ms, [`tick`](Self::tick) returns
 /// the questions to ask.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Log {
     pub(super) settings: Settings,
     pub(super) phase: Phase,
@@ -381,7 +389,8 @@
     fn keep(&mut self, record: Record, bytes: usize) {
         self.recent.push_back((Arc::new(record), bytes));
         self.recent_bytes += bytes;
-        while self.recent.len() > RECENT_VERSIONS || self.recent_bytes > RECENT_BYTES {
+        while self.recent.len() > self.settings.recent_versions || self.recent_bytes > RECENT_BYTES
+        {
             let Some((_, bytes)) = self.recent.pop_front() else {
                 break;
             };
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -32,13 +32,13 @@
     check::{
         CHANGE_LIMIT_BYTES, DEPTH_LIMIT, EDIT_LIMIT, Mistake, NAME_LIMIT_BYTES, NODE_LIMIT, Reason,
     },
-    log::{Log, RECENT_BYTES, RECENT_VERSIONS, Read, Settings},
+    log::{Log, RECENT_BYTES, Read, Settings},
     message::{Body, Copy, Fetch, Packet, Piece, Versions},
     phase::Hold,
     proposal::{Conflict, Proposal, Rebase, Refusal, Step},
     record::{HEAD_KEY, Head, LOG_PREFIX, Receipt, Record, log_key, request_key},
     setting::{Rule, Setting},
-    snapshot::{KEPT_VERSIONS, Pointer, SNAPSHOT_KEY, SNAPSHOT_VERSIONS, TRIM_ROWS},
+    snapshot::{Pointer, SNAPSHOT_KEY, TRIM_ROWS},
     sync::{Ask, Role},
     tree::{
         Difference, Effective, Explanation, Kind, Node, Path, ROOT, Source, Tree, name, parent,
--- a/crates/core/src/config/snapshot.rs
+++ b/crates/core/src/config/snapshot.rs
@@ -16,10 +16,6 @@
 
 /// Key of the row that names the newest snapshot.
 pub const SNAPSHOT_KEY: &str = "config/snapshot";
-/// A snapshot is written when the log is this many versions ahead of the last one.
-pub const SNAPSHOT_VERSIONS: u64 = 256;
-/// Log rows that are kept for operators' repeated requests; most of a day of changes.
-pub const KEPT_VERSIONS: u64 = 1_024;
 /// Rows that one [`Log::trim`] removes at most, because each row counts as one write.
 pub const TRIM_ROWS: usize = 64;
 /// Size of a part in bytes of JSON; a part fits into a frame between hosts.
@@ -70,7 +66,7 @@
     pub fn snapshot(&self, pointer: Option<&Row>) -> Option<Transaction> {
         let last: Option<Pointer> = decode(pointer);
         let last_version = last.map_or(0, |last| last.version);
-        if self.version() < last_version + SNAPSHOT_VERSIONS {
+        if self.version() < last_version + self.settings.snapshot_versions {
             return None;
         }
         let mut transaction = Transaction::default();
@@ -98,13 +94,13 @@
     /// when there are none.
     ///
     /// `pointer` is the row [`SNAPSHOT_KEY`] and `oldest` the first rows of the log, as just read.
-    pub fn trim(pointer: Option<&Row>, oldest: &[Row]) -> Option<Transaction> {
+    pub fn trim(&self, pointer: Option<&Row>, oldest: &[Row]) -> Option<Transaction> {
         let row = pointer?;
         let covered = decode::<Pointer>(pointer)?.version;
         let mut transaction = Transaction::default();
         transaction.require(SNAPSHOT_KEY, row.version);
         let records = oldest.iter().filter_map(|row| decode::<Record>(Some(row)));
-        let old = records.filter(|record| record.version + KEPT_VERSIONS <= covered);
+        let old = records.filter(|record| record.version + self.settings.kept_versions <= covered);
         for record in old.take(TRIM_ROWS / 2) {
             transaction.delete(log_key(record.version));
             transaction.delete(request_key(&record.request));
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -20,7 +20,7 @@
 
 pub use {
     health::{Observation, Status},
-    mark::{Applied, Evidence, Gossip, HostMark, Kind, Mark, Phase, Report, Suspicion},
+    mark::{Applied, Evidence, Fact, Gossip, HostMark, Kind, Mark, Phase, Report, Suspicion},
     rank::{Weighted, rank},
     roster::{Host, Listed, Listing, Progress},
     view::{Settings, View},
--- /dev/null
+++ b/crates/core/tests/control/defect.rs
@@ -0,0 +1,70 @@
+//! Faults put in on purpose.
+
+use {
+    super::store::Store,
+    marigoldroute_core::{
+        config::{Body, HEAD_KEY, Head, LOG_PREFIX, Packet, Record, request_key},
+        fleet::{Fact, Gossip, Report},
+        id::Version,
+        table::Transaction,
+    },
+    std::time::Duration,
+};
+
+/// Numbers the versions of a message from the recipient's version on, so that one is skipped.
+pub fn renumber(mut packet: Packet, version: Version) -> Packet {
+    if let Some(Body::Versions(versions)) = &mut packet.body
+        && versions.records.len() > 1
+    {
+        versions.records.remove(0);
+        for (text, number) in versions.records.iter_mut().zip(version + 1..) {
+            let mut record: Record = serde_json::from_str(text).unwrap();
+            record.version = number;
+            *text = serde_json::to_string(&record).unwrap();
+        }
+    }
+    packet
+}
+
+pub fn drop_reports(mut gossip: Gossip) -> Gossip {
+    let is_report = |fact: &Fact| matches!(fact, Fact::Report(_));
+    gossip
+        .marks
+        .retain(|mark| !mark.fact.as_ref().is_some_and(is_report));
+    gossip
+}
+
+/// Repeats each report in the name of other hosts.
+pub fn forge_reports(mut gossip: Gossip) -> Gossip {
+    let reports = gossip.marks.iter().filter_map(|mark| match &mark.fact {
+        Some(Fact::Report(report)) => Some(report.clone()),
+        _ => None,
+    });
+    let forged: Vec<_> = reports
+        .flat_map(|report| {
+            (0..super::world::HOSTS).map(move |host| Report {
+                reporter: format!("h{host}"),
+                ..report.clone()
+            })
+        })
+        .collect();
+    let marks = forged.into_iter().map(|report| Fact::Report(report).into());
+    gossip.marks.extend(marks);
+    gossip
+}
+
+/// Takes the newest version back as if it had never been accepted.
+pub fn lose_version(store: &mut Store, now: Duration) {
+    const LAST: usize = 3;
+    let rows = store.rows(LOG_PREFIX);
+    let Some(row) = rows.get(LAST) else {
+        return;
+    };
+    let record: Record = serde_json::from_str(&row.value).unwrap();
+    let version = record.version - 1;
+    let mut transaction = Transaction::default();
+    transaction.delete(row.key.clone());
+    transaction.delete(request_key(&record.request));
+    transaction.put(HEAD_KEY, serde_json::to_string(&Head { version }).unwrap());
+    store.apply(now, &transaction);
+}
--- /dev/null
+++ b/crates/core/tests/control/host.rs
@@ -0,0 +1,138 @@
+//! A simulated router host.
+
+use {
+    super::{oracle::Oracle, world::Defect},
+    marigoldroute_core::{
+        config::{Body, Log, Packet, Settings},
+        fleet::{self, Gossip, Phase, View},
+        id::{HostId, Version},
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    std::time::Duration,
+};
+
+pub fn id(index: usize) -> HostId {
+    format!("h{index}").into()
+}
+
+pub fn index(id: &str) -> usize {
+    id[1..].parse().unwrap()
+}
+
+/// Small sizes, so that snapshots and the removal of old versions happen within a short run.
+pub fn settings() -> Settings {
+    Settings {
+        recent_versions: 4,
+        snapshot_versions: 3,
+        kept_versions: 3,
+        ..Settings::default()
+    }
+}
+
+/// One start of a router process.
+pub struct Process {
+    pub log: Log,
+    pub view: View,
+    pub random: SmallRng,
+    pub incarnation: u64,
+    /// Newest version in any answer since the start.
+    heard: Version,
+    answers: u32,
+    /// State at some earlier time, for the defect that brings it back.
+    earlier: Option<Log>,
+    last: Version,
+    is_serving: bool,
+}
+
+impl Process {
+    pub fn new(host: usize, incarnation: u64, seed: u64, now: Duration) -> Self {
+        let own = fleet::Host {
+            id: id(host),
+            incarnation,
+            region: if host % 3 < 2 { "east" } else { "west" }.into(),
+            zone: format!("z{}", host % 3).into(),
+            address: format!("127.0.0.1:{host}").into(),
+            weight: 1,
+        };
+        Self {
+            log: Log::new(settings(), now),
+            view: View::new(own, fleet::Settings::default(), now),
+            random: SmallRng::seed_from_u64(seed ^ incarnation << 8 ^ host as u64),
+            incarnation,
+            heard: 0,
+            answers: 0,
+            earlier: None,
+            last: 0,
+            is_serving: false,
+        }
+    }
+
+    pub fn answered(&mut self, version: Version) {
+        self.heard = self.heard.max(version);
+        self.answers += 1;
+    }
+
+    pub fn packet(&mut self, now: Duration, from: usize, packet: Packet) -> Option<Packet> {
+        if let Some(Body::Versions(versions)) = &packet.body
+            && versions.is_answer
+            && versions.is_serving
+        {
+            self.answered(versions.newest);
+        }
+        self.log.receive(now, &id(from), packet)
+    }
+
+    pub fn gossip(&mut self, now: Duration, from: usize, gossip: &Gossip) -> Option<Gossip> {
+        self.log.observe(now, &id(from), gossip.version);
+        self.view.receive(now, &id(from), gossip, &mut self.random)
+    }
+
+    /// Whether the host takes work.
+    pub fn takes_work(&self, now: Duration, defect: Option<Defect>) -> bool {
+        defect == Some(Defect::WorkBeforeCatchUp) || self.log.permit(now).is_ok()
+    }
+
+    pub fn bring_back_earlier(&mut self) {
+        if let Some(earlier) = self.earlier.take() {
+            self.log = earlier;
+        }
+    }
+
+    /// Checks what holds at any time.
+    pub fn check(&mut self, now: Duration, oracle: &Oracle, defect: Option<Defect>) {
+        let version = self.log.version();
+        if self.earlier.is_none() && version > 1 && defect == Some(Defect::Revert) {
+            self.earlier = Some(self.log.clone());
+        }
+        assert!(
+            version >= self.last,
+            "version {} after {}",
+            version,
+            self.last
+        );
+        self.last = version;
+        assert!(
+            version <= oracle.newest(),
+            "version {version} was never accepted"
+        );
+        let catalog = self.log.catalog();
+        let workspaces = catalog.workspaces.iter();
+        let served = workspaces.map(|(path, workspace)| (path.clone(), workspace.share));
+        assert_eq!(
+            served.collect::<super::oracle::Shares>(),
+            oracle.shares(version),
+            "content of version {version}"
+        );
+        if self.takes_work(now, defect) && !self.is_serving {
+            self.is_serving = true;
+            assert!(self.answers > 0, "work was taken before any answer");
+            assert!(
+                version >= self.heard,
+                "work was taken at version {version}, with {} known",
+                self.heard
+            );
+            self.view.enter(Phase::Ready);
+        }
+        self.view.apply(version);
+    }
+}
