Repeat a commit without a verdict instead of reading it back

Change: a proposal repeats its commit until it has a verdict. A conflict returns the current rows, among them the one that names the request.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -35,7 +35,7 @@
     log::{Log, RECENT_BYTES, Read, Settings},
     message::{Body, Copy, Fetch, Packet, Piece, Versions},
     phase::Hold,
-    proposal::{Conflict, Proposal, Rebase, Refusal, Step},
+    proposal::{Conflict, Proposal, Rebase, Refusal, Step, Submission},
     record::{HEAD_KEY, Head, LOG_PREFIX, Receipt, Record, log_key, request_key},
     setting::{Rule, Setting},
     snapshot::{Pointer, SNAPSHOT_KEY, TRIM_ROWS},
--- a/crates/core/src/config/proposal.rs
+++ b/crates/core/src/config/proposal.rs
@@ -2,12 +2,12 @@
 
 use {
     super::{
-        Change, Log, Record, Rejection, Tree,
+        Change, Log, Record, Rejection,
         record::{HEAD_KEY, Head, Receipt, decode, encode, log_key, request_key},
     },
     crate::{
         id::Version,
-        table::{Row, Transaction},
+        table::{Row, Transaction, Verdict},
     },
     derive_more::{Display, Error, From},
     serde::{Deserialize, Serialize},
@@ -29,13 +29,9 @@
     Disjoint,
 }
 
-/// A change that an operator submits.
-///
-/// The driver reads the rows of [`keys`](Self::keys), calls [`decide`](Self::decide), does the
-/// [`Step`] and starts again after a conflict or a lost answer. However often it starts again,
-/// the change is accepted at most once.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Proposal {
+/// A change as an operator submits it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Submission {
     /// Change.
     pub change: Change,
     /// Operator.
@@ -47,15 +43,30 @@
     /// Version that the operator saw.
     pub base: Version,
     /// What happens when the newest version is another one.
+    #[serde(default)]
     pub rebase: Rebase,
 }
 
+/// The acceptance of a [`Submission`].
+///
+/// The driver reads the rows of [`keys`](Self::keys) and calls [`decide`](Self::decide). It gives
+/// the verdict on a commit to [`settle`](Self::settle), and after a lost answer decides again
+/// without it. However often this is repeated, the change is accepted at most once, and it is not
+/// refused after it was accepted.
+#[derive(Clone, Debug)]
+pub struct Proposal {
+    submission: Submission,
+    /// A commit without a verdict, and its version. It is repeated until it has one: a read
+    /// might show an old state, in which the commit has not yet taken effect.
+    open: Option<(Version, Transaction)>,
+}
+
 /// What to do next for a [`Proposal`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
     /// The change is this version; nothing is left to do.
     Accepted(Version),
-    /// Commit this, then read the keys and decide again.
+    /// Commit this.
     Commit(Transaction),
     /// This host has to apply this version first; then read the keys and decide again.
     CatchUp(Version),
@@ -88,29 +99,45 @@
 }
 
 impl Proposal {
+    /// Starts the acceptance of a change.
+    pub fn new(submission: Submission) -> Self {
+        Self {
+            submission,
+            open: None,
+        }
+    }
+
+    /// Returns what was submitted.
+    pub fn submission(&self) -> &Submission {
+        &self.submission
+    }
+
     /// Returns the keys of the rows that [`decide`](Self::decide) needs.
     pub fn keys(&self) -> [Arc<str>; 2] {
-        [HEAD_KEY.into(), request_key(&self.request).into()]
+        [
+            HEAD_KEY.into(),
+            request_key(&self.submission.request).into(),
+        ]
     }
 
     /// Decides on the next step by the rows of [`keys`](Self::keys) as just read.
     ///
     /// # Errors
     /// Why the change is not accepted. This is final.
-    pub fn decide(&self, rows: &[Row], log: &Log) -> Result<Step, Refusal> {
-        let [head_key, request_key] = self.keys();
-        let row = |key: &Arc<str>| rows.iter().find(|row| row.key == *key);
-        if let Some(receipt) = decode::<Receipt>(row(&request_key)) {
-            return self.recognise(receipt);
+    pub fn decide(&mut self, rows: &[Row], log: &Log) -> Result<Step, Refusal> {
+        if let Some((_, transaction)) = &self.open {
+            return Ok(Step::Commit(transaction.clone()));
+        }
+        if let Some(version) = self.recognise(rows)? {
+            return Ok(Step::Accepted(version));
         }
         // The row of the request may have been read from an old state of the store.
-        if let Some(record) = log.find(&self.request) {
-            return self.recognise(Receipt {
-                version: record.version,
-                digest: record.change.digest(),
-            });
+        if let Some(record) = log.find(&self.submission.request) {
+            let version = self.same(record.version, record.change.digest())?;
+            return Ok(Step::Accepted(version));
         }
-        let head: Head = decode(row(&head_key)).unwrap_or_default();
+        let row = rows.iter().find(|row| *row.key == *HEAD_KEY);
+        let head: Head = decode(row).unwrap_or_default();
         if head.version > log.version() {
             return Ok(Step::CatchUp(head.version));
         }
@@ -118,37 +145,59 @@
             return Ok(Step::Reread);
         }
         self.check_base(log)?;
-        self.change.validate(log.tree())?;
-        let head_version = row(&head_key).map_or(0, |row| row.version);
-        Ok(Step::Commit(self.transaction(head.version, head_version)))
+        self.submission.change.validate(log.tree())?;
+        let transaction = self.transaction(head.version, row.map_or(0, |row| row.version));
+        self.open = Some((head.version + 1, transaction.clone()));
+        Ok(Step::Commit(transaction))
     }
 
-    /// Returns the tree that the change would make, without accepting it.
+    /// Takes the verdict on the commit; returns the version when the change is accepted. Otherwise
+    /// the driver reads the keys and decides again.
     ///
     /// # Errors
-    /// Every mistake of the change.
-    pub fn preview(&self, log: &Log) -> Result<Tree, Rejection> {
-        self.change.validate(log.tree())
+    /// When the request id was used for another change. This is final.
+    pub fn settle(&mut self, verdict: &Verdict) -> Result<Option<Version>, Refusal> {
+        let open = self.open.take();
+        match verdict {
+            Verdict::Committed => Ok(open.map(|(version, _)| version)),
+            // An earlier attempt may have taken effect; then the row of the request exists.
+            Verdict::Conflict(rows) => self.recognise(rows),
+        }
+    }
+
+    fn recognise(&self, rows: &[Row]) -> Result<Option<Version>, Refusal> {
+        let key = request_key(&self.submission.request);
+        let row = rows.iter().find(|row| *row.key == *key);
+        let receipt: Option<Receipt> = decode(row);
+        receipt
+            .map(|receipt| self.same(receipt.version, receipt.digest))
+            .transpose()
     }
 
-    fn recognise(&self, receipt: Receipt) -> Result<Step, Refusal> {
-        if receipt.digest == self.change.digest() {
-            Ok(Step::Accepted(receipt.version))
+    fn same(&self, version: Version, digest: u64) -> Result<Version, Refusal> {
+        if digest == self.submission.change.digest() {
+            Ok(version)
         } else {
-            Err(Refusal::Reused(receipt.version))
+            Err(Refusal::Reused(version))
         }
     }
 
     fn check_base(&self, log: &Log) -> Result<(), Refusal> {
-        if self.base == log.version() {
+        let Submission {
+            base,
+            rebase,
+            change,
+            ..
+        } = &self.submission;
+        if *base == log.version() {
             return Ok(());
         }
-        let unseen = log.since(self.base);
+        let unseen = log.since(*base);
         let is_disjoint = |unseen: &Vec<&Arc<Record>>| {
             let mut changes = unseen.iter().map(|record| &record.change);
-            !changes.any(|change| change.overlaps(&self.change))
+            !changes.any(|other| other.overlaps(change))
         };
-        if self.rebase == Rebase::Disjoint && unseen.as_ref().is_some_and(is_disjoint) {
+        if *rebase == Rebase::Disjoint && unseen.as_ref().is_some_and(is_disjoint) {
             return Ok(());
         }
         let unseen = unseen.unwrap_or_default();
@@ -160,25 +209,26 @@
 
     fn transaction(&self, current: Version, head_version: Version) -> Transaction {
         let version = current + 1;
+        let submission = &self.submission;
         let record = Record {
             version,
-            base: self.base,
-            author: self.author.clone(),
-            time_ms: self.time_ms,
-            request: self.request.clone(),
-            change: self.change.clone(),
+            base: submission.base,
+            author: submission.author.clone(),
+            time_ms: submission.time_ms,
+            request: submission.request.clone(),
+            change: submission.change.clone(),
         };
         let receipt = Receipt {
             version,
-            digest: self.change.digest(),
+            digest: submission.change.digest(),
         };
         let mut transaction = Transaction::default();
         transaction.require(HEAD_KEY, head_version);
         transaction.require(log_key(version), 0);
-        transaction.require(request_key(&self.request), 0);
+        transaction.require(request_key(&submission.request), 0);
         transaction.put(HEAD_KEY, encode(&Head { version }));
         transaction.put(log_key(version), encode(&record));
-        transaction.put(request_key(&self.request), encode(&receipt));
+        transaction.put(request_key(&submission.request), encode(&receipt));
         transaction
     }
 }
