--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,10 +6,12 @@
 
 pub mod bill;
 pub mod budget;
+pub mod claim;
 pub mod config;
 pub mod fault;
 pub mod fleet;
 pub mod id;
+pub mod route;
 pub mod stream;
 pub mod table;
 pub mod wire;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,23 @@
-//! Work in progress.
+//! The router: callers on one side, upstreams on the other, prepaid budgets between.
+
+pub mod cli;
+pub mod logs;
+pub mod settings;
+
+mod caller;
+mod charge;
+mod clock;
+mod control;
+mod escrow;
+mod metrics;
+mod ops;
+mod peer;
+mod reclaim;
+mod response;
+mod router;
+mod upstream;
+
+pub use {
+    router::{Handle, start},
+    settings::Settings,
+};
--- /dev/null
+++ b/crates/router/src/router.rs
@@ -0,0 +1,276 @@
+//! A router process from start to planned stop.
+
+use {
+    crate::{
+        caller::{self, Context},
+        charge::{Charger, Responder},
+        clock::Clock,
+        control, escrow,
+        metrics::Metrics,
+        ops,
+        peer::{Links, Listener},
+        reclaim::Reclaimer,
+        settings::Settings,
+        upstream::Upstreams,
+    },
+    anyhow::Context as _,
+    marigoldroute_core::{
+        config::{Change, Proposal, Rebase, Submission},
+        fleet::Host,
+        id::{HolderId, Version},
+    },
+    marigoldroute_platform::Client,
+    poem::{
+        EndpointExt, Route, Server,
+        listener::{Acceptor, Listener as _, TcpListener},
+    },
+    rand::RngCore,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// Random bits of an incarnation, below its milliseconds.
+const INCARNATION_RANDOM_BITS: u32 = 16;
+
+/// A running router.
+pub struct Handle {
+    address: SocketAddr,
+    peers: SocketAddr,
+    drain_limit: Duration,
+    control: control::Control,
+    platform: Client,
+    process: HolderId,
+    /// Whether the journals were closed.
+    is_closed: Arc<AtomicBool>,
+    /// No new work.
+    draining: CancellationToken,
+    /// End of the background tasks.
+    stop: CancellationToken,
+    requests: TaskTracker,
+    deliveries: TaskTracker,
+    /// The owner of the tokens of this host.
+    holding: TaskTracker,
+    tasks: TaskTracker,
+}
+
+/// Starts a router.
+///
+/// # Errors
+/// When the settings have mistakes or an address cannot be bound.
+pub async fn start(settings: Settings) -> anyhow::Result<Handle> {
+    settings.check()?;
+    let clock = Clock::new();
+    let metrics = Arc::new(Metrics::new()?);
+    let platform = Client::new(settings.platform.clone(), settings.platform_timeout)?;
+    let (draining, stop) = (CancellationToken::new(), CancellationToken::new());
+    let (requests, deliveries, tasks) =
+        (TaskTracker::new(), TaskTracker::new(), TaskTracker::new());
+
+    let keys = settings.keys();
+    let listener = Listener::bind(
+        settings.listen_peers,
+        settings.host.clone(),
+        keys.clone(),
+        metrics.clone(),
+    );
+    let listener = listener.await?;
+    let peers = listener.address()?;
+    let host = identify(&settings, peers);
+    let process = control::process(&host);
+    let links = Links::new(
+        settings.host.clone(),
+        keys,
+        settings.peer_timeout,
+        tasks.clone(),
+    );
+    let links = Arc::new(links);
+
+    let (control, register, work) = control::create(control::Parts {
+        host,
+        process: process.clone(),
+        clock,
+        platform: platform.clone(),
+        links: links.clone(),
+        metrics: metrics.clone(),
+        draining: draining.clone(),
+        stop: stop.clone(),
+    });
+    tasks.spawn(work);
+
+    let reclaimer = Reclaimer::new(
+        &settings,
+        process.clone(),
+        clock,
+        platform.clone(),
+        control.clone(),
+    );
+    tasks.spawn(reclaimer.run(register, stop.clone()));
+    let upstreams = Arc::new(Upstreams::new(settings.upstream_timeout)?);
+    let parts = escrow::Parts {
+        process: process.clone(),
+        sizes: settings.budget.clone(),
+        clock,
+        platform: platform.clone(),
+        upstreams: upstreams.clone(),
+        control: control.clone(),
+        metrics: metrics.clone(),
+    };
+    let (escrow, work) = escrow::create(parts, &settings, draining.clone());
+    let holding = TaskTracker::new();
+    let is_closed = Arc::new(AtomicBool::new(false));
+    let closed = is_closed.clone();
+    holding.spawn(async move { closed.store(work.await, Ordering::Release) });
+
+    let responder = Responder {
+        escrow: escrow.clone(),
+        control: control.clone(),
+    };
+    tasks.spawn(listener.run(Arc::new(responder), tasks.clone(), stop.clone()));
+    let charger = Charger::new(
+        &settings,
+        escrow,
+        links,
+        control.clone(),
+        deliveries.clone(),
+    );
+    let (shared, store) = (control.clone(), platform.clone());
+    let context = Arc::new(Context {
+        clock,
+        control,
+        platform,
+        charger: Arc::new(charger),
+        upstreams,
+        metrics,
+        requests: requests.clone(),
+        draining: draining.clone(),
+        settings: settings.clone(),
+    });
+    let address = serve(context, &settings, &tasks, stop.clone()).await?;
+    log::info!(host:% = settings.host, address:%, peers:%; "started");
+    Ok(Handle {
+        address,
+        peers,
+        drain_limit: settings.drain_limit,
+        control: shared,
+        platform: store,
+        process,
+        is_closed,
+        draining,
+        stop,
+        requests,
+        deliveries,
+        holding,
+        tasks,
+    })
+}
+
+/// Describes this process to the other hosts. The incarnation grows with each start.
+fn identify(settings: &Settings, peers: SocketAddr) -> Host {
+    let started = SystemTime::now().duration_since(UNIX_EPOCH);
+    let started = started.unwrap_or_default().as_millis() as u64;
+    Host {
+        id: settings.host.clone(),
+        incarnation: started << INCARNATION_RANDOM_BITS
+            | rand::rng().next_u64() >> (u64::BITS - INCARNATION_RANDOM_BITS),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        address: peers.to_string().into(),
+        weight: settings.weight,
+    }
+}
+
+/// Binds the callers' address and serves it until `stop`.
+async fn serve(
+    context: Arc<Context>,
+    settings: &Settings,
+    tasks: &TaskTracker,
+    stop: CancellationToken,
+) -> anyhow::Result<SocketAddr> {
+    let bound = TcpListener::bind(settings.listen).into_acceptor().await;
+    let acceptor = bound.with_context(|| format!("bind {} for callers", settings.listen))?;
+    let local = acceptor.local_addr().remove(0);
+    let address = *local.as_socket_addr().context("not a socket address")?;
+    let routes = ops::add(caller::add(Route::new())).data(context);
+    let server = Server::new_with_acceptor(acceptor);
+    tasks.spawn(async move {
+        let serving = server.run_with_graceful_shutdown(routes, stop.cancelled_owned(), None);
+        if let Err(error) = serving.await {
+            log::error!("callers' interface stopped: {error}");
+        }
+    });
+    Ok(address)
+}
+
+impl Handle {
+    /// Returns the address for callers and operators.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address for other hosts.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
+    /// Proposes a change on top of the version in effect on this host; returns its version.
+    ///
+    /// # Errors
+    /// When the change is refused or the store does not answer.
+    pub async fn propose(
+        &self,
+        change: Change,
+        author: &str,
+        request: &str,
+    ) -> anyhow::Result<Version> {
+        let (base, _) = self.control.tree().await;
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let proposal = Proposal::new(Submission {
+            change,
+            author: author.into(),
+            request: request.into(),
+            time_ms: since.unwrap_or_default().as_millis() as u64,
+            base,
+            rebase: Rebase::Never,
+        });
+        Ok(self.control.propose(proposal).await?)
+    }
+
+    /// Returns the configuration version in effect on this host.
+    pub fn version(&self) -> Version {
+        self.control.scene().catalog.version
+    }
+
+    /// Stops as planned: takes no new work, lets requests finish up to the drain limit, makes the
+    /// journal durable.
+    pub async fn stop(self) {
+        log::info!(running = self.requests.len(); "planned stop");
+        self.draining.cancel();
+        self.wait(&self.requests, "requests cut at the drain limit")
+            .await;
+        self.wait(&self.deliveries, "settlements not delivered")
+            .await;
+        self.wait(&self.holding, "the journal was not closed").await;
+        if self.is_closed.load(Ordering::Acquire) {
+            // A row that stays leads the other hosts to the closed journal, and they remove it.
+            let _ = control::remove(&self.platform, &self.process).await;
+        }
+        self.stop.cancel();
+        self.wait(&self.tasks, "background tasks cut").await;
+        log::info!("stopped");
+    }
+
+    async fn wait(&self, tasks: &TaskTracker, problem: &str) {
+        tasks.close();
+        let waited = tokio::time::timeout(self.drain_limit, tasks.wait()).await;
+        if waited.is_err() {
+            log::error!(left = tasks.len(); "{problem}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/tests/fleet/mod.rs
@@ -0,0 +1,266 @@
+//! Routers with the stand-ins of their outside systems, for tests.
+
+#![allow(dead_code, reason = "each test program uses a part of it")]
+#![allow(clippy::unwrap_used)]
+
+use {
+    marigoldroute::{Handle, Settings},
+    marigoldroute_core::{
+        bill::Bill,
+        budget::{Account, Journal},
+        config::{Change, Edit, Kind, Setting, Value, hash_key},
+        table::Transaction,
+    },
+    marigoldroute_platform::{Client, StandIn as Platform},
+    marigoldroute_upstream::StandIn as Engine,
+    serde_json::{Value as Json, json},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// API key of the one workspace.
+pub const KEY: &str = "workspace-key";
+/// Budget of the one workspace.
+pub const BUDGET: &str = "hems";
+
+/// Outside systems of a fleet.
+pub struct Outside {
+    pub platform: Platform,
+    pub client: Client,
+    pub base: String,
+    pub engines: Vec<Engine>,
+    urls: Vec<String>,
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub body: String,
+}
+
+pub fn local() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+impl Outside {
+    /// Starts the platform and `engines` engines that serve the model `drafting` and the plain
+    /// service `orders`.
+    pub async fn start(engines: usize, purchased: u64) -> Self {
+        let platform = Platform::default();
+        let (address, serve) = platform.bind(local()).await.unwrap();
+        tokio::spawn(serve);
+        let base = format!("http://{address}");
+        let client = Client::new(base.as_str(), Duration::from_secs(5)).unwrap();
+        let mut outside = Self {
+            platform,
+            client,
+            base,
+            engines: Vec::new(),
+            urls: Vec::new(),
+        };
+        for _ in 0..engines {
+            outside.add_engine().await;
+        }
+        outside.put("budget/hems", &account(purchased)).await;
+        outside
+    }
+
+    async fn add_engine(&mut self) {
+        let engine = Engine::default();
+        let (address, serve) = engine.bind(local()).await.unwrap();
+        tokio::spawn(serve);
+        self.urls.push(format!("http://{address}"));
+        self.engines.push(engine);
+    }
+
+    pub async fn put(&self, key: &str, value: &impl serde::Serialize) {
+        let mut transaction = Transaction::default();
+        transaction.put(key, serde_json::to_string(value).unwrap());
+        self.client.commit(&transaction).await.unwrap();
+    }
+
+    /// Settings of a router with short intervals.
+    pub fn settings(&self, number: usize) -> Settings {
+        Settings {
+            host: format!("router-{number}").into(),
+            listen: local(),
+            listen_peers: local(),
+            platform: self.base.as_str().into(),
+            fleet_keys: vec!["a-fleet-key-for-the-tests".into()],
+            flush_interval: Duration::from_millis(100),
+            upstream_timeout: Duration::from_millis(500),
+            ..Settings::default()
+        }
+    }
+
+    /// Starts a router in this process, gives the fleet its configuration if it has none, and
+    /// waits until the router is ready.
+    pub async fn router(&self, number: usize) -> Handle {
+        let router = marigoldroute::start(self.settings(number)).await.unwrap();
+        until(|| async { router.propose(self.change(), "test", "first").await.is_ok() }).await;
+        ready(router.address()).await;
+        router
+    }
+
+    /// The fleet's first configuration.
+    fn change(&self) -> Change {
+        let mut edits = vec![
+            add("kolkata", Kind::Workspace),
+            set("kolkata", Setting::Budget, Value::Text(BUDGET.into())),
+            set("kolkata", Setting::OutputLimit, Value::Tokens(64)),
+            set(
+                "kolkata",
+                Setting::ApiKeys,
+                Value::Hashes(vec![hash_key(KEY).into()]),
+            ),
+            add("drafting", Kind::Model),
+            add("orders", Kind::Service),
+            set("orders", Setting::Price, Value::Tokens(10)),
+            set("orders", Setting::Idempotent, Value::Flag(false)),
+            set("", Setting::Region, Value::Text("region-1".into())),
+            set("", Setting::Zone, Value::Text("zone-1".into())),
+        ];
+        for (number, url) in self.urls.iter().enumerate() {
+            let path = format!("engine-{number}");
+            let serves = vec!["drafting".into(), "orders".into()];
+            edits.push(add(&path, Kind::Upstream));
+            edits.push(set(&path, Setting::Url, Value::Text(url.as_str().into())));
+            edits.push(set(&path, Setting::Serves, Value::Names(serves)));
+        }
+        Change {
+            edits,
+            force: false,
+        }
+    }
+
+    /// Returns every bill in the journals.
+    pub async fn bills(&self) -> Vec<Bill> {
+        let rows = self.client.scan("journal/", "", 1_000).await.unwrap();
+        let bills = rows.iter().flat_map(|row| {
+            let journal: Journal = serde_json::from_str(&row.value).unwrap();
+            journal.entry.bills().to_vec()
+        });
+        bills.collect()
+    }
+
+    /// Runs of all requests on all engines.
+    pub fn runs(&self) -> u32 {
+        let records = self.engines.iter().flat_map(|engine| engine.records());
+        records.map(|(_, record)| record.runs).sum()
+    }
+}
+
+fn account(purchased: u64) -> Account {
+    Account {
+        purchased,
+        ..Account::default()
+    }
+}
+
+pub fn add(path: &str, kind: Kind) -> Edit {
+    Edit::Add {
+        path: path.into(),
+        kind,
+    }
+}
+
+pub fn set(path: &str, setting: Setting, value: Value) -> Edit {
+    Edit::Set {
+        path: path.into(),
+        setting: setting.to_string().into(),
+        value,
+    }
+}
+
+/// Waits until a condition holds; a test that waits in vain is ended by the test runner.
+pub async fn until<F: Future<Output = bool>>(condition: impl Fn() -> F) {
+    let mut tick = tokio::time::interval(Duration::from_millis(20));
+    while !condition().await {
+        tick.tick().await;
+    }
+}
+
+/// Waits until a router takes work.
+pub async fn ready(address: SocketAddr) {
+    let url = format!("http://{address}/readyz");
+    until(|| async {
+        reqwest::get(&url)
+            .await
+            .is_ok_and(|r| r.status().is_success())
+    })
+    .await;
+}
+
+/// Sends a completion request with the output token limit 16.
+pub async fn complete(
+    address: SocketAddr,
+    stream: bool,
+    key: Option<&str>,
+) -> reqwest::Result<Answer> {
+    let body = json!({
+        "model": "drafting", "stream": stream, "max_tokens": 16,
+        "messages": [{"role": "user", "content": "Draft a work sheet."}],
+    });
+    let url = format!("http://{address}/v1/chat/completions");
+    let mut call = reqwest::Client::new()
+        .post(url)
+        .bearer_auth(KEY)
+        .json(&body);
+    if let Some(key) = key {
+        call = call.header("idempotency-key", key);
+    }
+    read(call).await
+}
+
+/// Calls the plain service.
+pub async fn order(address: SocketAddr, key: &str) -> reqwest::Result<Answer> {
+    let url = format!("http://{address}/services/orders/place");
+    let call = reqwest::Client::new().post(url).bearer_auth(KEY);
+    read(call.header("idempotency-key", key).body("120 m khadi")).await
+}
+
+async fn read(call: reqwest::RequestBuilder) -> reqwest::Result<Answer> {
+    let response = call.send().await?;
+    let status = response.status().as_u16();
+    let body = response.text().await?;
+    Ok(Answer { status, body })
+}
+
+impl Answer {
+    /// Returns the error kind and outcome, from the body or the stream's error event.
+    pub fn error(&self) -> Option<(String, String)> {
+        let text = match self.body.split_once("event: error\ndata: ") {
+            Some((_, data)) => data.trim(),
+            None => &self.body,
+        };
+        let value: Json = serde_json::from_str(text).ok()?;
+        let part = |name: &str| value["error"][name].as_str().map(str::to_owned);
+        Some((part("kind")?, part("outcome")?))
+    }
+
+    /// Returns whether a streamed answer is complete.
+    pub fn is_whole_stream(&self) -> bool {
+        self.body.ends_with("data: [DONE]\n\n")
+    }
+
+    /// Returns the answer's tokens in order.
+    pub fn text(&self) -> String {
+        if let Ok(value) = serde_json::from_str::<Json>(&self.body) {
+            let text = &value["choices"][0]["message"]["content"];
+            return text.as_str().unwrap_or_default().to_owned();
+        }
+        let data = self
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        let chunks = data.filter_map(|data| serde_json::from_str::<Json>(data).ok());
+        chunks
+            .map(|chunk| {
+                chunk["choices"][0]["delta"]["content"]
+                    .as_str()
+                    .unwrap_or_default()
+                    .to_owned()
+            })
+            .collect()
+    }
+}
