--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 
 pub use {
     health::{Observation, Status},
-    mark::{Applied, Evidence, Gossip, HostMark, Kind, Mark, Phase, Report, Suspicion},
+    mark::{Applied, Evidence, Fact, Gossip, HostMark, Kind, Mark, Phase, Report, Suspicion},
     member::Member,
     rank::{Weighted, rank},
     roster::{Host, Listed, Listing, Progress},
