Measure the escrow on a simulated clock

Cause: grant sizes and the number of holders were chosen without figures.

Change: marigoldctl measure budgets simulates a fleet with skewed demand that shifts between regions, one region cut off from the store and the other region for two thirds of the run, deaths, restarts and top-ups, and prints CSV. The default number of remembered requests falls from 65,536 to 16,384.

--- a/crates/core/src/budget/grant.rs
+++ b/crates/core/src/budget/grant.rs
@@ -60,7 +60,7 @@
             review_soon: Duration::from_secs(4),
             limit: 65_536,
             budgets: 16_384,
-            remembered: 65_536,
+            remembered: 16_384,
             batch: 1_024,
         }
     }
--- /dev/null
+++ b/crates/ctl/src/measure/budgets/figures.rs
@@ -0,0 +1,159 @@
+//! Counters of a run, and the figures computed from them.
+
+use {
+    super::{demand::Job, node::Node},
+    derive_more::Display,
+    marigoldroute_core::id::Tokens,
+};
+
+/// The last part of a budget, as a fraction of what was bought.
+const LAST: Tokens = 20;
+/// Seconds over which the peak of writes is averaged.
+const WINDOW: usize = 10;
+
+/// Counters of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    pub overspent: Tokens,
+    pub reads: u64,
+    pub writes: u64,
+    requests: u64,
+    refused: u64,
+    /// Refused although the unspent tokens of the budget would have covered the request.
+    false_refusals: u64,
+    /// The same, while no region is cut off, and requests of that time.
+    false_calm: u64,
+    calm: u64,
+    /// Requests to budgets in their last part that the unspent tokens cover, while no region is
+    /// cut off.
+    last: u64,
+    false_last: u64,
+    waited: u64,
+    stranded: Vec<Tokens>,
+    per_second: Vec<u64>,
+}
+
+impl Tally {
+    pub fn arrive(&mut self, left: Tokens, bought: Tokens, job: &Job, calm: bool) {
+        self.requests += 1;
+        self.calm += u64::from(calm);
+        self.last += u64::from(calm && left >= job.amount && left * LAST <= bought);
+    }
+
+    pub fn start(&mut self, waited: u64) {
+        self.waited += u64::from(waited > 0);
+    }
+
+    pub fn refuse(&mut self, left: Tokens, bought: Tokens, job: &Job, calm: bool) {
+        self.refused += 1;
+        if left < job.amount {
+            return;
+        }
+        self.false_refusals += 1;
+        self.false_calm += u64::from(calm);
+        self.false_last += u64::from(calm && left * LAST <= bought);
+    }
+
+    /// Adds what the death of a holder would strand.
+    pub fn strand(&mut self, tokens: Tokens) {
+        self.stranded.push(tokens);
+    }
+
+    /// Adds the writes of a second.
+    pub fn second(&mut self, writes: u64) {
+        self.per_second.push(writes);
+    }
+
+    fn peak(&self) -> f64 {
+        let windows = self.per_second.chunks(WINDOW);
+        let sums = windows.map(|window| window.iter().sum::<u64>());
+        sums.max().unwrap_or(0) as f64 / WINDOW as f64
+    }
+}
+
+/// The figures of one line.
+#[derive(Clone, Debug, Display)]
+#[display(
+    "{overspent:.0},{refused:.5},{false_refusals:.6},{false_calm:.6},{false_last:.5},\
+     {waited:.5},{stranded:.0},{reads:.1},{writes:.1},{peak:.1},{cpu:.4},{budgets:.1}"
+)]
+pub struct Figures {
+    /// Tokens.
+    overspent: f64,
+    /// Share of the requests.
+    refused: f64,
+    /// Share of the requests.
+    false_refusals: f64,
+    /// Share of the requests while no region is cut off.
+    false_calm: f64,
+    /// Share of the requests to budgets in their last 5% that the unspent tokens cover, while no
+    /// region is cut off.
+    false_last: f64,
+    /// Share of the requests that waited for a refill.
+    waited: f64,
+    /// Tokens that the death of a holder would strand, sampled over all holders.
+    stranded: f64,
+    /// Per second.
+    reads: f64,
+    /// Rows per second.
+    writes: f64,
+    /// Rows per second in the busiest ten seconds.
+    peak: f64,
+    /// Percent of a core per holder.
+    cpu: f64,
+    /// Budgets per holder at the end.
+    budgets: f64,
+}
+
+impl Figures {
+    /// Names of the columns.
+    pub const HEADER: &str = "overspent_tokens,refused_share,false_refusal_share,\
+        false_refusal_share_calm,false_refusal_share_last_5_percent,waited_share,\
+        stranded_tokens_per_death,reads_per_second,writes_per_second,peak_writes_per_second,\
+        cpu_percent_per_holder,budgets_per_holder";
+
+    pub fn new(tally: &Tally, nodes: &[Node], seconds: u64) -> Self {
+        let share = |count: u64, of: u64| count as f64 / of.max(1) as f64;
+        let hosts = nodes.len() as f64;
+        let cpu: f64 = nodes.iter().map(|node| node.cpu.as_secs_f64()).sum();
+        let budgets: usize = nodes.iter().map(|node| node.holder.shares().len()).sum();
+        let stranded: Tokens = tally.stranded.iter().sum();
+        Self {
+            overspent: tally.overspent as f64,
+            refused: share(tally.refused, tally.requests),
+            false_refusals: share(tally.false_refusals, tally.requests),
+            false_calm: share(tally.false_calm, tally.calm),
+            false_last: share(tally.false_last, tally.last),
+            waited: share(tally.waited, tally.requests),
+            stranded: share(stranded, tally.stranded.len() as u64),
+            reads: share(tally.reads, seconds),
+            writes: share(tally.writes, seconds),
+            peak: tally.peak(),
+            cpu: 100.0 * cpu / hosts / seconds as f64,
+            budgets: budgets as f64 / hosts,
+        }
+    }
+
+    /// Returns the median of each figure; `None` when there are no runs.
+    pub fn medians(runs: &[Self]) -> Option<Self> {
+        let median = |figure: fn(&Self) -> f64| {
+            let mut values: Vec<_> = runs.iter().map(figure).collect();
+            values.sort_by(f64::total_cmp);
+            values.get(values.len() / 2).copied()
+        };
+        Some(Self {
+            overspent: runs.iter().map(|run| run.overspent).reduce(f64::max)?,
+            refused: median(|run| run.refused)?,
+            false_refusals: median(|run| run.false_refusals)?,
+            false_calm: median(|run| run.false_calm)?,
+            false_last: median(|run| run.false_last)?,
+            waited: median(|run| run.waited)?,
+            stranded: median(|run| run.stranded)?,
+            reads: median(|run| run.reads)?,
+            writes: median(|run| run.writes)?,
+            peak: median(|run| run.peak)?,
+            cpu: median(|run| run.cpu)?,
+            budgets: median(|run| run.budgets)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/measure/mod.rs
@@ -0,0 +1,3 @@
+//! Measurements of the decision logic on a simulated clock.
+
+pub mod budgets;
