--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -13,6 +13,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(demo())
+        .subcommand(crate::measure::command())
         .subcommand(stand_in())
 }
 
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod demo;
+mod measure;
 mod stand_in;
 
 use {clap::ArgMatches, std::process::ExitCode};
@@ -21,6 +22,7 @@
     let runtime = tokio::runtime::Runtime::new()?;
     match matches.subcommand() {
         Some(("demo", matches)) => runtime.block_on(demo::run(matches)),
+        Some(("measure", matches)) => measure::run(matches),
         Some(("stand-in", matches)) => runtime.block_on(stand_in::run(matches)),
         _ => anyhow::bail!("no such command"),
     }
