--- /dev/null
+++ b/crates/router/src/admin/answer.rs
@@ -0,0 +1,165 @@
+//! Answers to refused calls.
+
+use {
+    super::diff::Unseen,
+    crate::{
+        metrics::Metrics,
+        response::{Detail, refuse_with},
+    },
+    derive_more::{Display, Error, From},
+    marigoldroute_core::{
+        config::Rejection,
+        fault::{Fault, Kind, Outcome},
+    },
+    marigoldroute_platform::Fault as Lost,
+    poem::{Endpoint, IntoResponse, Request, Response, http::StatusCode},
+    serde::Serialize,
+    std::sync::Arc,
+};
+
+/// Header with the operator's request id.
+pub(super) const REQUEST_HEADER: &str = "x-request-id";
+
+/// A mistake in a call, with its place.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct Mistake {
+    /// Path of the node, or of the field in the request body.
+    pub(super) path: String,
+    /// Setting, when the mistake concerns one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) setting: Option<String>,
+    /// What is wrong.
+    pub(super) message: String,
+}
+
+impl Mistake {
+    pub(super) fn new(path: impl Into<String>, message: impl Into<String>) -> Self {
+        Self {
+            path: path.into(),
+            setting: None,
+            message: message.into(),
+        }
+    }
+}
+
+/// Why a call is refused, with what the operator needs to correct it.
+#[derive(Clone, Debug, Display, Error)]
+#[display("{fault}")]
+pub(super) struct Refused {
+    pub(super) fault: Fault,
+    /// All mistakes of the call.
+    pub(super) mistakes: Vec<Mistake>,
+    /// What others changed since the operator looked.
+    pub(super) unseen: Option<Box<Unseen>>,
+}
+
+/// Result of an operation.
+pub(super) type Result<T> = std::result::Result<T, Refused>;
+
+impl Refused {
+    pub(super) fn new(kind: Kind, message: impl Into<String>) -> Self {
+        Fault::new(kind, message).into()
+    }
+
+    /// Refuses a call with mistakes.
+    pub(super) fn mistakes(mistakes: Vec<Mistake>) -> Self {
+        let message = match mistakes.len() {
+            1 => "1 mistake".to_owned(),
+            count => format!("{count} mistakes"),
+        };
+        Self {
+            mistakes,
+            ..Self::new(Kind::InvalidRequest, message)
+        }
+    }
+}
+
+impl From<Fault> for Refused {
+    fn from(fault: Fault) -> Self {
+        Self {
+            fault,
+            mistakes: Vec::new(),
+            unseen: None,
+        }
+    }
+}
+
+impl From<Rejection> for Refused {
+    fn from(rejection: Rejection) -> Self {
+        let mistake = |mistake: marigoldroute_core::config::Mistake| Mistake {
+            path: mistake.path.to_string(),
+            setting: mistake.setting.map(|setting| setting.to_string()),
+            message: mistake.reason.to_string(),
+        };
+        Self::mistakes(rejection.0.into_iter().map(mistake).collect())
+    }
+}
+
+impl From<Lost> for Refused {
+    /// A failed read: nothing was written.
+    fn from(fault: Lost) -> Self {
+        let fault = Fault::new(Kind::StoreUnavailable, fault.to_string());
+        fault.with_outcome(Outcome::NotRun).into()
+    }
+}
+
+impl From<Refused> for poem::Error {
+    fn from(refused: Refused) -> Self {
+        let status = StatusCode::from_u16(refused.fault.answer().status);
+        Self::new(refused, status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
+    }
+}
+
+/// Name of a call's result in the metrics.
+#[derive(Debug, Display, From)]
+enum Label {
+    #[display("ok")]
+    Done,
+    Refused(Kind),
+}
+
+/// Runs a call and turns an error into the JSON answer that all interfaces use.
+pub(super) async fn finish<E: Endpoint>(
+    endpoint: Arc<E>,
+    request: Request,
+    metrics: Arc<Metrics>,
+) -> poem::Result<Response> {
+    let id = request.header(REQUEST_HEADER).unwrap_or_default();
+    let id = id.to_owned();
+    let (response, label) = match endpoint.call(request).await {
+        Ok(response) => (response.into_response(), Label::Done),
+        Err(error) => {
+            let refused = explain(error);
+            let label = Label::Refused(refused.fault.kind);
+            (answer(&refused, &id), label)
+        }
+    };
+    let result = label.to_string();
+    metrics.admin_calls.with_label_values(&[&result]).inc();
+    Ok(response)
+}
+
+fn answer(refused: &Refused, request: &str) -> Response {
+    let detail = Detail {
+        mistakes: serde_json::to_value(&refused.mistakes).unwrap_or_default(),
+        unseen: serde_json::to_value(&refused.unseen).unwrap_or_default(),
+    };
+    refuse_with(&refused.fault, request, detail)
+}
+
+fn explain(error: poem::Error) -> Refused {
+    let status = error.status();
+    let message = error.to_string();
+    if let Ok(refused) = error.downcast::<Refused>() {
+        return refused;
+    }
+    let kind = match status {
+        StatusCode::UNAUTHORIZED => Kind::Unauthenticated,
+        StatusCode::FORBIDDEN => Kind::Forbidden,
+        StatusCode::NOT_FOUND | StatusCode::METHOD_NOT_ALLOWED => Kind::NotFound,
+        StatusCode::PAYLOAD_TOO_LARGE => Kind::TooLarge,
+        status if status.is_client_error() => Kind::InvalidRequest,
+        _ => Kind::Internal,
+    };
+    Refused::new(kind, message)
+}
--- /dev/null
+++ b/crates/router/src/admin/lost.rs
@@ -0,0 +1,171 @@
+//! The statement that a host is permanently lost.
+
+use {
+    super::{
+        Admin,
+        answer::{Refused, Result},
+        write::{Effect, Step, Ticket, Write},
+    },
+    crate::directory::{self, Host},
+    marigoldroute_core::{
+        budget::{
+            Entry, Reason, journal,
+            reclaim::{self, Found},
+        },
+        fault::Kind,
+        id::{HolderId, Tokens},
+        table::{Row, Transaction},
+    },
+    marigoldroute_platform::Fault,
+    poem_openapi::Object,
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// Journal rows read per call.
+const PAGE_ROWS: usize = 500;
+
+/// The journal of a process.
+#[derive(Clone, Debug, Object)]
+pub(super) struct Journal {
+    /// Process, `{host}.{incarnation}`.
+    holder: String,
+    /// `open`, `fenced`, `lost` or `closed`.
+    state: String,
+    /// Tokens that the process was allocated and has neither billed nor returned.
+    stranded: Tokens,
+    /// Sequence of the last row.
+    sequence: u64,
+}
+
+/// What a statement has released.
+#[derive(Clone, Debug, Object, Serialize, Deserialize)]
+pub(super) struct Released {
+    /// Processes that count as lost.
+    holders: Vec<String>,
+}
+
+/// An operator's statement.
+pub(super) struct Statement {
+    pub(super) host: String,
+    /// Start of the lost process; every process of the host when absent.
+    pub(super) incarnation: Option<String>,
+    pub(super) operator: String,
+}
+
+impl Journal {
+    pub(super) fn new((holder, row): (&HolderId, &Row)) -> Option<Self> {
+        let journal: marigoldroute_core::budget::Journal = serde_json::from_str(&row.value).ok()?;
+        let state = match &journal.entry {
+            Entry::Flush { .. } => "open",
+            Entry::Fence { .. } => "fenced",
+            Entry::Lost { .. } | Entry::Late { .. } => "lost",
+            Entry::Close { .. } => "closed",
+        };
+        let shares = journal.entry.shares().into_iter().flat_map(BTreeMap::values);
+        Some(Self {
+            holder: holder.to_string(),
+            state: state.to_owned(),
+            stranded: shares.map(|share| share.allocated - share.spent).sum(),
+            sequence: journal::sequence(&row.key)?,
+        })
+    }
+}
+
+/// Returns the last journal row of each process of a host.
+pub(super) async fn tails(
+    admin: &Admin,
+    host: &str,
+    incarnation: Option<&str>,
+) -> Result<BTreeMap<HolderId, Row>> {
+    let prefix = match incarnation {
+        Some(incarnation) => journal::prefix(&format!("{host}.{incarnation}")),
+        None => format!("journal/{host}."),
+    };
+    let mut tails = BTreeMap::new();
+    let mut after = String::new();
+    loop {
+        let rows = admin.platform.scan(&prefix, &after, PAGE_ROWS).await?;
+        let is_last = rows.len() < PAGE_ROWS;
+        for row in rows {
+            after = row.key.to_string();
+            let holder = row.key.split('/').nth(1);
+            let holder: HolderId = holder.unwrap_or_default().into();
+            tails.insert(holder, row);
+        }
+        if is_last {
+            return Ok(tails);
+        }
+    }
+}
+
+impl Write for Statement {
+    /// Fences and then releases one journal after the other, and completes when none is left.
+    async fn step(&self, admin: &Admin, _: &Ticket) -> Result<Step> {
+        let tails = tails(admin, &self.host, self.incarnation.as_deref()).await?;
+        for (holder, row) in &tails {
+            let found = reclaim::read(holder, Some(row)).ok_or(Fault::Malformed)?;
+            if let Some(transaction) = self.release(admin, found).await? {
+                return Ok(Step::Advance(transaction));
+            }
+        }
+        let listed = admin.platform.get(&directory::key(&self.host)).await?;
+        if tails.is_empty() && listed.is_none() {
+            let message = format!("no host {} and no journal of it", self.host);
+            return Err(Refused::new(Kind::NotFound, message));
+        }
+        let mut transaction = Transaction::default();
+        if let Some(row) = listed.filter(|row| self.is_meant(row)) {
+            transaction.require(row.key.clone(), row.version);
+            transaction.delete(row.key);
+        }
+        let released = Released {
+            holders: tails.keys().map(ToString::to_string).collect(),
+        };
+        let effect = Effect {
+            from: "listed".into(),
+            to: format!("lost: {}", released.holders.join(", ")),
+            answer: serde_json::to_value(released).unwrap_or_default(),
+        };
+        Ok(Step::Finish(transaction, effect))
+    }
+}
+
+impl Statement {
+    /// Returns the transaction that brings a journal one step closer to its release.
+    async fn release(&self, admin: &Admin, found: Found) -> Result<Option<Transaction>> {
+        let author: HolderId = admin.host.clone();
+        let transaction = match found {
+            Found::Live(tail) => {
+                let rows = budgets(admin, tail.keys(&[])).await?;
+                tail.fence(&author, &rows)
+            }
+            Found::Fenced(tail) => {
+                let rows = budgets(admin, tail.keys(&[])).await?;
+                let operator = self.operator.clone();
+                let reason = Reason::Statement { operator };
+                tail.lose(&author, reason, Vec::new(), &rows)
+            }
+            Found::Lost(_) | Found::Closed => return Ok(None),
+        };
+        let missing = || Refused::new(Kind::Internal, "a budget row of the journal is missing");
+        transaction.ok_or_else(missing).map(Some)
+    }
+
+    /// Returns whether the row of the list belongs to the lost process.
+    fn is_meant(&self, row: &Row) -> bool {
+        let listed = serde_json::from_str::<Host>(&row.value).ok();
+        match (&self.incarnation, listed) {
+            (Some(lost), Some(listed)) => *listed.incarnation == **lost,
+            _ => true,
+        }
+    }
+}
+
+async fn budgets(admin: &Admin, keys: Vec<String>) -> Result<Vec<Row>> {
+    let mut rows = Vec::with_capacity(keys.len());
+    for key in keys {
+        rows.extend(admin.platform.get(&key).await?);
+    }
+    Ok(rows)
+}
--- /dev/null
+++ b/crates/router/src/admin/mod.rs
@@ -0,0 +1,88 @@
+//! The operators' interface: JSON over HTTP under `/admin/v1`.
+//!
+//! Each operation authenticates an [`key::Operator`] and requires a role. Writes go through
+//! [`write::execute`], which makes them idempotent by the operator's request id and adds an audit
+//! entry in the same transaction.
+
+mod answer;
+mod audit;
+mod batch;
+mod bill;
+mod budget;
+mod change;
+mod diff;
+mod history;
+mod host;
+mod key;
+mod lost;
+mod page;
+mod progress;
+mod ring;
+mod settings;
+mod spend;
+mod upstream;
+mod workspace;
+mod write;
+
+use {
+    crate::{config::Config, directory::Hosts, metrics::Metrics},
+    marigoldroute_core::id::HostId,
+    marigoldroute_platform::Client,
+    poem::{EndpointExt, Route, middleware::SizeLimit},
+    poem_openapi::OpenApiService,
+    std::sync::{Arc, Mutex},
+    tokio::sync::watch,
+};
+
+/// Root of the interface.
+const ROOT: &str = "/admin/v1";
+/// Largest request body in bytes; above the limit on a change of the settings tree.
+const BODY_LIMIT_BYTES: usize = 1 << 20;
+
+/// What the operators' interface needs.
+pub(crate) struct Admin {
+    /// This host.
+    pub(crate) host: HostId,
+    pub(crate) config: Config,
+    pub(crate) platform: Client,
+    pub(crate) hosts: watch::Receiver<Arc<Hosts>>,
+    pub(crate) metrics: Arc<Metrics>,
+    /// SHA-256 hash of the first key, which has every role.
+    pub(crate) initial: Option<Arc<str>>,
+    /// Keys as last read from the store; used while the store does not answer.
+    pub(crate) ring: Mutex<Arc<ring::Ring>>,
+}
+
+/// Adds the routes.
+pub(crate) fn add(routes: Route, admin: Admin) -> Route {
+    let admin = Arc::new(admin);
+    let resources = (
+        settings::Api(admin.clone()),
+        history::Api(admin.clone()),
+        workspace::Api(admin.clone()),
+        budget::Api(admin.clone()),
+        upstream::Api(admin.clone()),
+        batch::Api(admin.clone()),
+        progress::Api(admin.clone()),
+        host::Api(admin.clone()),
+        bill::Api(admin.clone()),
+        spend::Api(admin.clone()),
+        audit::Api(admin.clone()),
+        key::Api(admin.clone()),
+    );
+    let service = OpenApiService::new(
+        resources,
+        "marigoldroute administration",
+        env!("CARGO_PKG_VERSION"),
+    );
+    let service = service.url_prefix(ROOT);
+    let document = service.spec_endpoint();
+    let metrics = admin.metrics.clone();
+    let endpoint = Route::new()
+        .at("/openapi.json", document)
+        .nest("/", service)
+        .with(SizeLimit::new(BODY_LIMIT_BYTES))
+        .data(admin)
+        .around(move |endpoint, request| answer::finish(endpoint, request, metrics.clone()));
+    routes.nest(ROOT, endpoint)
+}
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::{
-        charge::Charger, clock::Clock, metrics::Metrics, response::refuse, settings::Settings,
+        charge::Charger, clock::Clock, config::Config, metrics::Metrics, response::refuse, settings::Settings,
         upstream::Upstreams,
     },
     marigoldroute_core::{
@@ -26,6 +26,7 @@
 pub(crate) struct Context {
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
+    pub(crate) config: Config,
     pub(crate) catalog: watch::Receiver<Arc<Catalog>>,
     pub(crate) charger: Arc<Charger>,
     pub(crate) upstreams: Arc<Upstreams>,
@@ -66,6 +67,10 @@
             let fault = Fault::new(Kind::Draining, "the host is stopping");
             return self.finish(&id, Err(fault));
         }
+        if let Err(hold) = self.config.permit() {
+            let fault = Fault::new(Kind::Stale, hold.to_string());
+            return self.finish(&id, Err(fault));
+        }
         let (sender, receiver) = oneshot::channel();
         self.metrics.running.inc();
         let context = self.clone();
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -3,7 +3,8 @@
 use {
     crate::{metrics::Metrics, settings::Settings},
     marigoldroute_core::{
-        id::{HostId, Region, Zone},
+        config::Catalog,
+        id::{HostId, Region, Version, Zone},
         table::Transaction,
     },
     marigoldroute_platform::{Client, Fault},
@@ -26,6 +27,9 @@
     pub(crate) zone: Zone,
     /// Start of the process, unique per host.
     pub(crate) incarnation: Arc<str>,
+    /// Version of the configuration in effect.
+    #[serde(default)]
+    pub(crate) version: Version,
 }
 
 /// Hosts by name.
@@ -38,12 +42,14 @@
     platform: Client,
     metrics: Arc<Metrics>,
     interval: Duration,
+    catalog: watch::Receiver<Arc<Catalog>>,
     hosts: watch::Sender<Arc<Hosts>>,
 }
 
 impl Directory {
     pub(crate) fn new(
         settings: &Settings,
+        catalog: watch::Receiver<Arc<Catalog>>,
         peers: SocketAddr,
         incarnation: Arc<str>,
         platform: Client,
@@ -54,6 +60,7 @@
             region: settings.region.clone(),
             zone: settings.zone.clone(),
             incarnation,
+            version: 0,
         };
         let only = Hosts::from([(settings.host.clone(), host.clone())]);
         let (hosts, receiver) = watch::channel(Arc::new(only));
@@ -63,21 +70,27 @@
             platform,
             metrics,
             interval: settings.poll_interval,
+            catalog,
             hosts,
         };
         (directory, receiver)
     }
 
-    /// Registers this host and follows the list until `stop`; then removes the host's row.
-    pub(crate) async fn run(self, stop: CancellationToken) {
+    /// Registers this host, with the version in effect, and follows the list until `stop`; then
+    /// removes the host's row.
+    pub(crate) async fn run(mut self, stop: CancellationToken) {
         let mut tick = tokio::time::interval(self.interval);
-        let mut registered = false;
+        let mut registered = None;
         loop {
             tokio::select! {
                 _ = tick.tick() => {}
                 () = stop.cancelled() => break,
             }
-            registered = registered || self.register().await.is_ok();
+            let version = self.catalog.borrow().version;
+            self.host.version = version;
+            if registered != Some(version) && self.register().await.is_ok() {
+                registered = Some(version);
+            }
             if self.read().await.is_err() {
                 self.metrics.platform_faults.inc();
             }
@@ -102,7 +115,8 @@
         let Some(row) = self.platform.get(&self.key()).await? else {
             return Ok(());
         };
-        if serde_json::from_str::<Host>(&row.value).ok().as_ref() != Some(&self.host) {
+        let listed = serde_json::from_str::<Host>(&row.value).ok();
+        if listed.is_none_or(|listed| listed.incarnation != self.host.incarnation) {
             return Ok(());
         }
         let mut transaction = Transaction::default();
--- a/crates/router/src/escrow.rs
+++ b/crates/router/src/escrow.rs
@@ -227,6 +227,7 @@
         let answer = match self.holder.reserve(now, request, budget, *amount) {
             Ok(tokens) => Ok(tokens),
             Err(Shortage::Exhausted) => Err(Refusal::Exhausted),
+            Err(Shortage::Full | Shortage::Closed | Shortage::Billed) => Err(Refusal::Unavailable),
             Err(Shortage::Refill) if self.waiting.len() < WAITING_LIMIT => {
                 self.waiting.push_back(waiting);
                 return self.begin();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,9 +5,9 @@
 pub mod settings;
 
 mod caller;
-mod catalog;
 mod charge;
 mod clock;
+mod config;
 mod directory;
 mod escrow;
 mod metrics;
--- a/crates/router/src/ops.rs
+++ b/crates/router/src/ops.rs
@@ -23,8 +23,8 @@
 fn ready(context: Data<&Arc<Context>>) -> (StatusCode, &'static str) {
     if context.draining.is_cancelled() {
         (StatusCode::SERVICE_UNAVAILABLE, "draining")
-    } else if context.catalog.borrow().version == 0 {
-        (StatusCode::SERVICE_UNAVAILABLE, "no configuration")
+    } else if context.config.permit().is_err() {
+        (StatusCode::SERVICE_UNAVAILABLE, "no recent configuration")
     } else {
         (StatusCode::OK, "ok")
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -3,9 +3,9 @@
 use {
     crate::{
         caller::{self, Context},
-        catalog::Follower,
         charge::{Charger, Responder},
         clock::Clock,
+        config::{Config, Follower},
         directory::{Directory, Hosts},
         escrow,
         metrics::Metrics,
@@ -80,8 +80,10 @@
     let responder = Arc::new(Responder(escrow.clone()));
     tasks.spawn(listener.run(responder, tasks.clone(), stop.clone()));
 
+    let config = Config::new(settings.poll_interval, clock, metrics.clone());
     let directory = Directory::new(
         &settings,
+        config.catalog(),
         peers,
         incarnation,
         platform.clone(),
@@ -89,7 +91,7 @@
     );
     let (directory, hosts) = directory;
     tasks.spawn(directory.run(draining.clone()));
-    let (follower, catalog) = Follower::new(platform, metrics.clone(), settings.poll_interval);
+    let follower = Follower::new(config.clone(), platform.clone());
     tasks.spawn(follower.run(stop.clone()));
 
     let links = Arc::new(Links::new(own, keys, settings.peer_timeout, tasks.clone()));
@@ -97,7 +99,8 @@
     let charger = Charger::new(&settings, escrow, links, hosts, deliveries.clone());
     let context = Arc::new(Context {
         clock,
-        catalog,
+        catalog: config.catalog(),
+        config,
         charger: Arc::new(charger),
         upstreams: Arc::new(Upstreams::new(settings.upstream_timeout)?),
         metrics,
