--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests/mod.rs
@@ -9,6 +9,11 @@
     std::time::Duration,
 };
 
+mod fuzz;
+mod life;
+mod view;
+mod world;
+
 const NOW: Duration = Duration::from_secs(10);
 
 fn store(purchased: u64) -> Memory {
