router: add the administration API

Operators had no interface of their own. /admin/v1 now serves settings, workspaces, budgets, upstreams, batches, progress, hosts, bills, spend, keys and audit entries. Writes commit their answer under the request id, so a repeated call or a lost answer of the store takes effect once.

--- a/crates/core/src/bill/escrow.rs
+++ b/crates/core/src/bill/escrow.rs
@@ -10,9 +10,7 @@
 
 /// Returns the bills of a journal entry.
 pub fn bills(entry: &Entry) -> &[Bill] {
-    match entry {
-        Entry::Flush { bills, .. } => bills,
-    }
+    entry.bills()
 }
 
 /// Returns the key of a journal row.
@@ -27,6 +25,5 @@
 
 /// Takes tokens back into a budget row; `None` when fewer are allocated.
 pub fn restore(account: &mut Account, tokens: Tokens) -> Option<()> {
-    account.allocated = account.allocated.checked_sub(tokens)?;
-    Some(())
+    account.restore(tokens)
 }
--- a/crates/router/src/admin/answer.rs
+++ b/crates/router/src/admin/answer.rs
@@ -13,7 +13,13 @@
     },
     marigoldroute_platform::Fault as Lost,
     poem::{Endpoint, IntoResponse, Request, Response, http::StatusCode},
+    poem_openapi::{
+        ApiResponse, Object,
+        registry::{MetaMediaType, MetaResponse, MetaResponses, Registry},
+        types::{Any, Type},
+    },
     serde::Serialize,
+    serde_json::Value,
     std::sync::Arc,
 };
 
@@ -110,6 +116,70 @@
     }
 }
 
+/// Error kinds of this interface, with their descriptions in the OpenAPI document.
+const DESCRIBED: [(Kind, &str); 9] = [
+    (
+        Kind::InvalidRequest,
+        "The request has mistakes; all of them are listed",
+    ),
+    (Kind::Unauthenticated, "The key is missing or unknown"),
+    (Kind::Forbidden, "The key lacks a role"),
+    (Kind::NotFound, "The object does not exist"),
+    (
+        Kind::Conflict,
+        "The object was changed in the meantime, or the request id was used before",
+    ),
+    (Kind::TooLarge, "The request body is too large"),
+    (Kind::Overloaded, "Other writes were faster each time"),
+    (Kind::Internal, "A defect of the router"),
+    (Kind::StoreUnavailable, "The table service did not answer"),
+];
+
+/// The form of an error.
+#[derive(Debug, Object)]
+struct Problem {
+    /// The error.
+    error: ProblemDetail,
+}
+
+/// An error.
+#[derive(Debug, Object)]
+struct ProblemDetail {
+    /// Kind from the table of errors.
+    kind: String,
+    /// `not_run`, `ran` or `unknown`.
+    outcome: String,
+    /// What happened.
+    message: String,
+    /// The operator's request id.
+    request_id: String,
+    /// Mistakes of the request, each with its path.
+    mistakes: Vec<Any<Value>>,
+    /// What others changed since the operator looked.
+    unseen: Option<Any<Value>>,
+}
+
+impl ApiResponse for Refused {
+    fn meta() -> MetaResponses {
+        let response = |(kind, description): (Kind, &'static str)| MetaResponse {
+            description,
+            status: Some(kind.answer().status),
+            status_range: None,
+            content: vec![MetaMediaType {
+                content_type: "application/json; charset=utf-8",
+                schema: Problem::schema_ref(),
+            }],
+            headers: Vec::new(),
+        };
+        let responses = DESCRIBED.into_iter().map(response).collect();
+        MetaResponses { responses }
+    }
+
+    fn register(registry: &mut Registry) {
+        Problem::register(registry);
+    }
+}
+
 /// Name of a call's result in the metrics.
 #[derive(Debug, Display, From)]
 enum Label {
--- a/crates/router/src/admin/audit.rs
+++ b/crates/router/src/admin/audit.rs
@@ -42,7 +42,10 @@
     ) -> Result<Json<Page<Listed>>> {
         operator.0.require(Role::Read)?;
         let range = Range::new(after.0, limit.0)?;
-        let since = since_ms.0.map(|since| format!("{since:015}")).unwrap_or_default();
+        let since = since_ms
+            .0
+            .map(|since| format!("{since:015}"))
+            .unwrap_or_default();
         let after = format!("{AUDIT_PREFIX}{}", range.after.max(since));
         let (prefix, limit) = (AUDIT_PREFIX, range.limit + 1);
         let rows = self.0.platform.scan(prefix, &after, limit).await?;
--- /dev/null
+++ b/crates/router/src/admin/bill.rs
@@ -0,0 +1,248 @@
+//! Bills.
+//!
+//! Bills are first in the journals of the holders. The ledger takes them from there into segments
+//! in the object store, where no request appears twice. A bill that is still in a journal is shown
+//! as not final.
+
+use {
+    super::{
+        Admin,
+        answer::Result,
+        key::Operator,
+        page::{Page, Range},
+        ring::Role,
+    },
+    marigoldroute_core::{
+        bill::{self, Cursor, Segment, key as cursor_key},
+        budget::{Journal, journal},
+        id::{Sequence, Tokens},
+        table::Row,
+    },
+    marigoldroute_platform::Fault,
+    poem_openapi::{Object, OpenApi, param::Query, payload::Json},
+    std::{
+        collections::{BTreeMap, HashSet},
+        sync::Arc,
+    },
+};
+
+/// Journal rows read per call.
+const PAGE_ROWS: usize = 500;
+/// Most segments and journal rows read for one answer.
+const READ_LIMIT: usize = 2_000;
+
+/// Operations on bills.
+pub(super) struct Api(pub(super) Arc<Admin>);
+
+/// A bill.
+#[derive(Clone, Debug, Object)]
+struct Shown {
+    /// Request.
+    request: String,
+    /// Workspace that asked.
+    workspace: String,
+    /// Budget that pays.
+    budget: String,
+    /// Model or service that answered.
+    model: String,
+    /// Upstream that answered.
+    upstream: String,
+    /// Tokens charged.
+    charged: Tokens,
+    /// Tokens that the upstream used above the reservation; not charged.
+    uncovered: Tokens,
+    /// Whether the ledger has decided on the bill.
+    settled: bool,
+}
+
+/// A group of bills that are read together.
+#[derive(Clone, Debug)]
+pub(super) struct Group {
+    /// Key of the segment or journal row.
+    pub(super) key: Arc<str>,
+    pub(super) bills: Vec<bill::Bill>,
+    /// Whether the ledger has decided on the bills.
+    pub(super) is_settled: bool,
+}
+
+/// Bills as read for one answer.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Found {
+    /// In the order of their keys; no request appears twice.
+    pub(super) groups: Vec<Group>,
+    /// Whether nothing was left out.
+    pub(super) is_complete: bool,
+}
+
+impl Admin {
+    /// Reads the bills of a budget, or of all of them, from a key on. `enough` is the number of
+    /// bills after which no more is read.
+    pub(super) async fn bills(
+        &self,
+        budget: Option<&str>,
+        from: &str,
+        enough: usize,
+    ) -> Result<Found> {
+        let mut found = Found::default();
+        let mut known = HashSet::new();
+        let prefix = match budget {
+            Some(budget) => format!("bills/{budget}/"),
+            None => "bills/".to_owned(),
+        };
+        let keys = self.platform.list_objects(&prefix).await?;
+        let mut read = 0;
+        for key in keys.into_iter().filter(|key| **key >= *from) {
+            if read == READ_LIMIT || known.len() > enough {
+                return Ok(found);
+            }
+            read += 1;
+            // A segment never disappears; one that is listed and absent is being written.
+            let Some(value) = self.platform.get_object(&key).await? else {
+                continue;
+            };
+            let bills = Segment::decode(&key, &value)?.bills;
+            found.add(key.into(), bills, true, &mut known);
+        }
+        self.open_bills(budget, from, enough, &mut found, &mut known)
+            .await?;
+        Ok(found)
+    }
+
+    /// Adds the bills that the ledger has not taken.
+    async fn open_bills(
+        &self,
+        budget: Option<&str>,
+        from: &str,
+        enough: usize,
+        found: &mut Found,
+        known: &mut HashSet<Arc<str>>,
+    ) -> Result<()> {
+        let mut cursors = BTreeMap::new();
+        // The journal rows include the one at `from`, of which a part may have been returned.
+        let mut after = before(from);
+        let mut read = 0;
+        while read < READ_LIMIT && known.len() <= enough {
+            let rows = self.platform.scan("journal/", &after, PAGE_ROWS).await?;
+            read += rows.len();
+            for row in &rows {
+                after = row.key.to_string();
+                let holder = row.key.split('/').nth(1).unwrap_or_default();
+                if !cursors.contains_key(holder) {
+                    let next = self.taken(holder).await?;
+                    cursors.insert(holder.to_owned(), next);
+                }
+                if journal::sequence(&row.key) >= cursors.get(holder).copied() {
+                    let bills = bills(row, budget)?;
+                    found.add(row.key.clone(), bills, false, known);
+                }
+            }
+            if rows.len() < PAGE_ROWS {
+                found.is_complete = true;
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the first journal row of a holder whose bills are not in segments.
+    async fn taken(&self, holder: &str) -> Result<Sequence> {
+        let row = self.platform.get(&cursor_key(holder)).await?;
+        let cursor: Cursor = bill::Page::cursor(row.as_ref())?;
+        Ok(cursor.batch.map_or(cursor.next, |batch| batch.first))
+    }
+}
+
+impl Found {
+    fn add(
+        &mut self,
+        key: Arc<str>,
+        mut bills: Vec<bill::Bill>,
+        is_settled: bool,
+        known: &mut HashSet<Arc<str>>,
+    ) {
+        bills.retain(|bill| known.insert(bill.request.clone()));
+        self.groups.push(Group {
+            key,
+            bills,
+            is_settled,
+        });
+    }
+}
+
+fn bills(row: &Row, budget: Option<&str>) -> Result<Vec<bill::Bill>> {
+    let journal: Journal = serde_json::from_str(&row.value).map_err(|_| Fault::Malformed)?;
+    let mut bills = journal.entry.bills().to_vec();
+    bills.retain(|bill| budget.is_none_or(|budget| *bill.budget == *budget));
+    Ok(bills)
+}
+
+/// Returns a key after which a scan begins with the journal row `key`.
+fn before(key: &str) -> String {
+    let row = key
+        .strip_prefix("journal/")
+        .and_then(|row| row.rsplit_once('/'));
+    match row.and_then(|(holder, sequence)| Some((holder, sequence.parse::<Sequence>().ok()?))) {
+        Some((holder, sequence)) => journal::key(holder, sequence.saturating_sub(1)),
+        None => String::new(),
+    }
+}
+
+/// Place of a bill: `{key}#{number of the bill in its group}`.
+fn place(text: &str) -> (&str, usize) {
+    let split = text.rsplit_once('#');
+    split.map_or((text, 0), |(key, number)| {
+        (key, number.parse().unwrap_or(0))
+    })
+}
+
+#[OpenApi]
+impl Api {
+    /// Lists the bills, those of a budget in the order of time.
+    #[oai(path = "/bills", method = "get")]
+    async fn list(
+        &self,
+        operator: Operator,
+        /// Only bills of this budget.
+        budget: Query<Option<String>>,
+        /// `next` of the page before.
+        after: Query<Option<String>>,
+        /// Most bills of a page.
+        limit: Query<Option<u32>>,
+    ) -> Result<Json<Page<Shown>>> {
+        operator.0.require(Role::Read)?;
+        let range = Range::new(after.0, limit.0)?;
+        let (from, skip) = place(&range.after);
+        let found = self.0.bills(budget.0.as_deref(), from, range.limit + skip);
+        let found = found.await?;
+        let mut items = Vec::new();
+        for group in &found.groups {
+            let first = if *group.key == *from { skip } else { 0 };
+            for (number, bill) in group.bills.iter().enumerate().skip(first) {
+                if items.len() == range.limit {
+                    let next = Some(format!("{}#{number}", group.key));
+                    return Ok(Json(Page { items, next }));
+                }
+                items.push(Shown::new(bill, group.is_settled));
+            }
+        }
+        let last = found.groups.last();
+        let rest = last.map(|group| format!("{}#{}", group.key, group.bills.len()));
+        let next = rest.filter(|_| !found.is_complete);
+        Ok(Json(Page { items, next }))
+    }
+}
+
+impl Shown {
+    fn new(bill: &bill::Bill, settled: bool) -> Self {
+        Self {
+            request: bill.request.to_string(),
+            workspace: bill.workspace.to_string(),
+            budget: bill.budget.to_string(),
+            model: bill.model.to_string(),
+            upstream: bill.upstream.to_string(),
+            charged: bill.charged,
+            uncovered: bill.uncovered,
+            settled,
+        }
+    }
+}
--- a/crates/router/src/admin/budget.rs
+++ b/crates/router/src/admin/budget.rs
@@ -173,7 +173,11 @@
         operator.0.require(Role::Read)?;
         let range = Range::new(after.0, limit.0)?;
         let after = format!("{PREFIX}{}", range.after);
-        let rows = self.0.platform.scan(PREFIX, &after, range.limit + 1).await?;
+        let rows = self
+            .0
+            .platform
+            .scan(PREFIX, &after, range.limit + 1)
+            .await?;
         Ok(Json(range.cut(rows.iter().filter_map(Shown::read))))
     }
 
@@ -211,7 +215,11 @@
         let range = Range::new(after.0, limit.0)?;
         let prefix = format!("topup/{}/", budget.0);
         let after = format!("{prefix}{}", range.after);
-        let rows = self.0.platform.scan(&prefix, &after, range.limit + 1).await?;
+        let rows = self
+            .0
+            .platform
+            .scan(&prefix, &after, range.limit + 1)
+            .await?;
         let bookings = rows.iter().filter_map(|row| {
             let id = row.key.strip_prefix(&prefix)?.to_owned();
             let receipt: budget::Receipt = serde_json::from_str(&row.value).ok()?;
--- a/crates/router/src/admin/change.rs
+++ b/crates/router/src/admin/change.rs
@@ -54,7 +54,10 @@
 
 impl<F: Fn(&Log) -> Result<Wanted> + Sync> Write for Edit<F> {
     async fn step(&self, admin: &Admin, ticket: &Ticket) -> Result<Step> {
-        let keys = [config::HEAD_KEY.to_owned(), config::request_key(&ticket.request)];
+        let keys = [
+            config::HEAD_KEY.to_owned(),
+            config::request_key(&ticket.request),
+        ];
         let mut rows = Vec::new();
         for key in &keys {
             rows.extend(admin.platform.get(key).await?);
--- a/crates/router/src/admin/diff.rs
+++ b/crates/router/src/admin/diff.rs
@@ -92,7 +92,9 @@
             let is_last = rows.len() < PAGE_ROWS;
             let Some(last) = rows.last() else { break };
             after = last.key.to_string();
-            let read = rows.iter().filter_map(|row| serde_json::from_str(&row.value).ok());
+            let read = rows
+                .iter()
+                .filter_map(|row| serde_json::from_str(&row.value).ok());
             made.extend(read.filter(|made: &Made| made.version <= to));
             if is_last || *after >= *key(to) {
                 break;
--- a/crates/router/src/admin/history.rs
+++ b/crates/router/src/admin/history.rs
@@ -79,8 +79,14 @@
                 diff::key(text.parse().map_err(mistake)?)
             }
         };
-        let rows = self.0.platform.scan(PREFIX, &after, range.limit + 1).await?;
-        let read = rows.iter().filter_map(|row| serde_json::from_str(&row.value).ok());
+        let rows = self
+            .0
+            .platform
+            .scan(PREFIX, &after, range.limit + 1)
+            .await?;
+        let read = rows
+            .iter()
+            .filter_map(|row| serde_json::from_str(&row.value).ok());
         let mut items: Vec<Past> = read.map(|made: Made| made.into()).collect();
         let is_more = items.len() > range.limit;
         items.truncate(range.limit);
--- a/crates/router/src/admin/host.rs
+++ b/crates/router/src/admin/host.rs
@@ -93,7 +93,9 @@
         operator.0.require(Role::Read)?;
         let range = Range::new(after.0, limit.0)?;
         let hosts = self.0.hosts.borrow().clone();
-        let shown = hosts.iter().map(|(name, host)| (name, self.shown(name, host)));
+        let shown = hosts
+            .iter()
+            .map(|(name, host)| (name, self.shown(name, host)));
         Ok(Json(range.cut(shown)))
     }
 
--- a/crates/router/src/admin/lost.rs
+++ b/crates/router/src/admin/lost.rs
@@ -62,7 +62,11 @@
             Entry::Lost { .. } | Entry::Late { .. } => "lost",
             Entry::Close { .. } => "closed",
         };
-        let shares = journal.entry.shares().into_iter().flat_map(BTreeMap::values);
+        let shares = journal
+            .entry
+            .shares()
+            .into_iter()
+            .flat_map(BTreeMap::values);
         Some(Self {
             holder: holder.to_string(),
             state: state.to_owned(),
--- a/crates/router/src/admin/settings.rs
+++ b/crates/router/src/admin/settings.rs
@@ -221,11 +221,16 @@
         operator.0.require(Role::Read)?;
         let range = Range::new(after.0, limit.0)?;
         let under = under.0.unwrap_or_default();
-        let (version, tree) = self.0.config.read(|log| (log.version(), log.tree().clone()));
+        let (version, tree) = self
+            .0
+            .config
+            .read(|log| (log.version(), log.tree().clone()));
         tree.get(&under).ok_or_else(|| unknown(&under))?;
         let mut paths = vec![under.as_str().into()];
         paths.extend(tree.below(&under));
-        let nodes = paths.iter().filter_map(|path| Some((path, tree.get(path)?)));
+        let nodes = paths
+            .iter()
+            .filter_map(|path| Some((path, tree.get(path)?)));
         let places = nodes.map(|(path, node)| (path, Place::new(path, node)));
         let nodes = range.cut(places);
         Ok(Body(Listing { version, nodes }))
@@ -240,7 +245,10 @@
         path: Query<String>,
     ) -> Result<Body<Explained>> {
         operator.0.require(Role::Read)?;
-        let (version, tree) = self.0.config.read(|log| (log.version(), log.tree().clone()));
+        let (version, tree) = self
+            .0
+            .config
+            .read(|log| (log.version(), log.tree().clone()));
         let node = tree.get(&path).ok_or_else(|| unknown(&path))?;
         let lines = tree.explain(&path).unwrap_or_default();
         let values = lines.into_iter().map(|line| Origin {
@@ -298,11 +306,7 @@
 
     /// Shows what many edits would change, without effect.
     #[oai(path = "/settings/preview", method = "post")]
-    async fn preview(
-        &self,
-        operator: Operator,
-        body: Body<Request>,
-    ) -> Result<Body<Preview>> {
+    async fn preview(&self, operator: Operator, body: Body<Request>) -> Result<Body<Preview>> {
         operator.0.require(Role::Read)?;
         let preview = |log: &Log| {
             let wanted = body.wanted(log)?;
--- a/crates/router/src/admin/write.rs
+++ b/crates/router/src/admin/write.rs
@@ -67,11 +67,7 @@
 /// A write in steps; each looks at the current state.
 pub(super) trait Write: Sync {
     /// Returns the next step.
-    fn step(
-        &self,
-        admin: &Admin,
-        ticket: &Ticket,
-    ) -> impl Future<Output = Result<Step>> + Send;
+    fn step(&self, admin: &Admin, ticket: &Ticket) -> impl Future<Output = Result<Step>> + Send;
 }
 
 /// Row `admin/request/{request id}`.
@@ -169,7 +165,10 @@
     let is_long = request.len() > REQUEST_LIMIT_BYTES;
     if request.is_empty() || is_long || !request.bytes().all(is_good) {
         let message = "must be 1 to 64 letters, digits, '.', '_' or '-'";
-        return Err(Refused::mistakes(vec![Mistake::new("x-request-id", message)]));
+        return Err(Refused::mistakes(vec![Mistake::new(
+            "x-request-id",
+            message,
+        )]));
     }
     Ok(())
 }
@@ -185,11 +184,7 @@
         .map_err(|error| Refused::new(Kind::Internal, format!("stored answer: {error}")))
 }
 
-async fn complete(
-    admin: &Admin,
-    ticket: &Ticket,
-    write: &impl Write,
-) -> Result<serde_json::Value> {
+async fn complete(admin: &Admin, ticket: &Ticket, write: &impl Write) -> Result<serde_json::Value> {
     let mut lost = 0;
     for _ in 0..STEPS {
         let step = match look(admin, ticket, write).await {
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -9,8 +9,8 @@
 
 use {
     crate::{
-        charge::Charger, clock::Clock, config::Config, metrics::Metrics, response::refuse, settings::Settings,
-        upstream::Upstreams,
+        charge::Charger, clock::Clock, config::Config, metrics::Metrics, response::refuse,
+        settings::Settings, upstream::Upstreams,
     },
     marigoldroute_core::{
         config::{Access, Catalog},
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -47,6 +47,9 @@
         platform: text("platform", &base.platform),
         platform_timeout: ms("platform-timeout-ms", base.platform_timeout),
         fleet_keys: keys.map(|key| key.as_str().into()).collect(),
+        admin_key_hash: matches
+            .get_one::<String>("admin-key-hash")
+            .map(|hash| hash.as_str().into()),
         flush_interval: ms("flush-interval-ms", base.flush_interval),
         poll_interval: ms("poll-interval-ms", base.poll_interval),
         holders_per_region: size("holders-per-region", base.holders_per_region),
@@ -99,7 +102,7 @@
     ]
 }
 
-fn addresses() -> [Arg; 4] {
+fn addresses() -> [Arg; 5] {
     [
         option(
             "listen",
@@ -130,6 +133,12 @@
         .action(ArgAction::Append)
         .value_delimiter(',')
         .hide_env_values(true),
+        option(
+            "admin-key-hash",
+            "MARIGOLDROUTE_ADMIN_KEY_HASH",
+            "HASH",
+            "SHA-256 hash of the first operator's key",
+        ),
     ]
 }
 
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -181,7 +181,10 @@
             // A conflict means that another host was faster.
             self.platform.commit(&transaction).await?;
             let pointer = self.platform.get(SNAPSHOT_KEY).await?;
-            let oldest = self.platform.scan(LOG_PREFIX, "", config::TRIM_ROWS).await?;
+            let oldest = self
+                .platform
+                .scan(LOG_PREFIX, "", config::TRIM_ROWS)
+                .await?;
             if let Some(transaction) = Log::trim(pointer.as_ref(), &oldest) {
                 self.platform.commit(&transaction).await?;
             }
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -99,20 +99,16 @@
         let _ = self.remove().await;
     }
 
-    fn key(&self) -> String {
-        format!("{PREFIX}{}", self.own)
-    }
-
     async fn register(&self) -> Result<(), Fault> {
         let mut transaction = Transaction::default();
         let value = serde_json::to_string(&self.host).unwrap_or_default();
-        transaction.put(self.key(), value);
+        transaction.put(key(&self.own), value);
         self.platform.commit(&transaction).await.map(drop)
     }
 
     /// Removes the row, unless a later process of this host has replaced it.
     async fn remove(&self) -> Result<(), Fault> {
-        let Some(row) = self.platform.get(&self.key()).await? else {
+        let Some(row) = self.platform.get(&key(&self.own)).await? else {
             return Ok(());
         };
         let listed = serde_json::from_str::<Host>(&row.value).ok();
@@ -120,8 +116,8 @@
             return Ok(());
         }
         let mut transaction = Transaction::default();
-        transaction.require(self.key(), row.version);
-        transaction.delete(self.key());
+        transaction.require(key(&self.own), row.version);
+        transaction.delete(key(&self.own));
         self.platform.commit(&transaction).await.map(drop)
     }
 
@@ -144,3 +140,8 @@
         Ok(())
     }
 }
+
+/// Returns the key of a host's row.
+pub(crate) fn key(host: &str) -> String {
+    format!("{PREFIX}{host}")
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod logs;
 pub mod settings;
 
+mod admin;
 mod caller;
 mod charge;
 mod clock;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -38,6 +38,8 @@
     pub(crate) refused_frames: IntCounter,
     /// Version of the configuration in effect.
     pub(crate) config_version: IntGauge,
+    /// Operators' calls by result: `ok` or an error kind.
+    pub(crate) admin_calls: IntCounterVec,
 }
 
 impl Metrics {
@@ -59,6 +61,12 @@
         );
         let requests = IntCounterVec::new(requests, &["result"])?;
         registry.register(Box::new(requests.clone()))?;
+        let admin_calls = Opts::new(
+            "marigoldroute_admin_calls_total",
+            "Operators' calls by result",
+        );
+        let admin_calls = IntCounterVec::new(admin_calls, &["result"])?;
+        registry.register(Box::new(admin_calls.clone()))?;
         let first_token = HistogramOpts::new(
             "marigoldroute_first_token_seconds",
             "Time from the request to the first token",
@@ -67,6 +75,7 @@
         registry.register(Box::new(first_token.clone()))?;
         Ok(Self {
             requests,
+            admin_calls,
             running: gauge("marigoldroute_running_requests", "Requests being served")?,
             charged: counter("marigoldroute_charged_tokens_total", "Tokens billed")?,
             uncovered: counter(
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        admin::{self, Admin},
         caller::{self, Context},
         charge::{Charger, Responder},
         clock::Clock,
@@ -96,6 +97,15 @@
 
     let links = Arc::new(Links::new(own, keys, settings.peer_timeout, tasks.clone()));
     tasks.spawn(prune(links.clone(), hosts.clone(), stop.clone()));
+    let admin = Admin {
+        host: settings.host.clone(),
+        config: config.clone(),
+        platform,
+        hosts: hosts.clone(),
+        metrics: metrics.clone(),
+        initial: settings.admin_key_hash.clone(),
+        ring: Default::default(),
+    };
     let charger = Charger::new(&settings, escrow, links, hosts, deliveries.clone());
     let context = Arc::new(Context {
         clock,
@@ -108,7 +118,7 @@
         draining: draining.clone(),
         settings: settings.clone(),
     });
-    let address = serve(context, &settings, &tasks, stop.clone()).await?;
+    let address = serve(context, admin, &tasks, stop.clone()).await?;
     log::info!(host:% = settings.host, address:%, peers:%; "started");
     Ok(Handle {
         address,
@@ -139,15 +149,16 @@
 /// Binds the callers' address and serves it until `stop`.
 async fn serve(
     context: Arc<Context>,
-    settings: &Settings,
+    admin: Admin,
     tasks: &TaskTracker,
     stop: CancellationToken,
 ) -> anyhow::Result<SocketAddr> {
-    let bound = TcpListener::bind(settings.listen).into_acceptor().await;
-    let acceptor = bound.with_context(|| format!("bind {} for callers", settings.listen))?;
+    let listen = context.settings.listen;
+    let bound = TcpListener::bind(listen).into_acceptor().await;
+    let acceptor = bound.with_context(|| format!("bind {listen} for callers"))?;
     let local = acceptor.local_addr().remove(0);
     let address = *local.as_socket_addr().context("not a socket address")?;
-    let routes = ops::add(caller::add(Route::new())).data(context);
+    let routes = admin::add(ops::add(caller::add(Route::new())), admin).data(context);
     let server = Server::new_with_acceptor(acceptor);
     tasks.spawn(async move {
         let serving = server.run_with_graceful_shutdown(routes, stop.cancelled_owned(), None);
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -32,6 +32,9 @@
     pub platform_timeout: Duration,
     /// Fleet keys; the first signs, all are accepted. Each has at least 16 bytes.
     pub fleet_keys: Vec<Arc<str>>,
+    /// SHA-256 hash of the first operator's key in lower-case hexadecimal; that key has every
+    /// role. Without it, only keys in the table service are accepted.
+    pub admin_key_hash: Option<Arc<str>>,
     /// Time between two journal rows.
     pub flush_interval: Duration,
     /// Time between two reads of the configuration and the list of hosts.
@@ -67,6 +70,7 @@
             platform: "http://127.0.0.1:8090".into(),
             platform_timeout: Duration::from_secs(2),
             fleet_keys: Vec::new(),
+            admin_key_hash: None,
             flush_interval: Duration::from_secs(4),
             poll_interval: Duration::from_secs(1),
             holders_per_region: 2,
@@ -82,6 +86,14 @@
     }
 }
 
+/// Length of a SHA-256 hash in hexadecimal.
+const HASH_CHARS: usize = 64;
+
+fn is_hash(text: &str) -> bool {
+    let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    text.len() == HASH_CHARS && text.bytes().all(is_hex)
+}
+
 /// Every mistake found in the settings.
 #[derive(Debug, Display, Error)]
 #[display("{}", _0.join("\n"))]
@@ -120,6 +132,10 @@
             self.fleet_keys.iter().all(long),
             "--fleet-key: a key needs 16 bytes or more",
         );
+        require(
+            self.admin_key_hash.as_deref().is_none_or(is_hash),
+            "--admin-key-hash: must be a SHA-256 hash in lower-case hexadecimal",
+        );
         require(
             self.holders_per_region > 0,
             "--holders-per-region: must be 1 or more",
@@ -164,6 +180,8 @@
             "fleet-keys = {} (values not shown)",
             self.fleet_keys.len()
         )?;
+        let admin = self.admin_key_hash.as_deref().unwrap_or("none");
+        writeln!(f, "admin-key-hash = {admin}")?;
         writeln!(f, "flush-interval-ms = {}", ms(&self.flush_interval))?;
         writeln!(f, "poll-interval-ms = {}", ms(&self.poll_interval))?;
         writeln!(f, "holders-per-region = {}", self.holders_per_region)?;
