--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -1,21 +1,80 @@
 //! Command line and environment variables.
 
 use {
+    crate::{command, output::Form},
     clap::{Arg, ArgAction, Command, value_parser},
     std::net::SocketAddr,
 };
 
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  failure without a code of its own
+  2  mistakes in the command line or in the request
+  3  the key is missing, unknown or lacks a role
+  4  the object does not exist
+  5  conflict: somebody else was faster, or the request id was used before
+  6  not available; nothing was done
+  7  unknown whether it was done; repeat the command with the same --request-id
+  8  done, but not in effect on every host in time";
+
 /// Returns the command line.
 pub fn command() -> Command {
     Command::new("marigoldctl")
         .about("Operates a fleet of marigoldroute routers")
         .version(env!("CARGO_PKG_VERSION"))
+        .after_help(EXIT_CODES)
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .args(globals())
+        .subcommand(command::workspaces::command())
+        .subcommand(command::budgets::command())
+        .subcommand(command::upstreams::command())
+        .subcommand(command::withdraw::command())
+        .subcommand(command::restore::command())
+        .subcommand(command::settings::command())
+        .subcommand(command::progress::command())
+        .subcommand(command::hosts::command())
+        .subcommand(command::bills::command())
+        .subcommand(command::spend::command())
+        .subcommand(command::keys::command())
+        .subcommand(command::audit::command())
+        .subcommand(command::completions::command())
         .subcommand(demo())
         .subcommand(stand_in())
 }
 
+fn globals() -> [Arg; 4] {
+    [
+        Arg::new("url")
+            .long("url")
+            .env("MARIGOLDCTL_URL")
+            .value_name("URL")
+            .default_value("http://127.0.0.1:8080")
+            .global(true)
+            .help("A router"),
+        Arg::new("key")
+            .long("key")
+            .env("MARIGOLDCTL_KEY")
+            .hide_env_values(true)
+            .value_name("KEY")
+            .global(true)
+            .help("The operator's key"),
+        Arg::new("output")
+            .long("output")
+            .value_name("FORM")
+            .value_parser(value_parser!(Form))
+            .default_value("table")
+            .global(true)
+            .help("Form of the output"),
+        Arg::new("request-id")
+            .long("request-id")
+            .value_name("ID")
+            .global(true)
+            .help("Request id of a write, which takes effect once; random when absent"),
+    ]
+}
+
 fn demo() -> Command {
     let verbose = Arg::new("verbose")
         .long("verbose")
--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 mod report;
+mod setup;
 
 use {
     anyhow::{Context, ensure},
@@ -24,7 +25,7 @@
 
     stream(&fleet).await?;
     exhaust(&fleet).await?;
-    withdraw(&mut fleet).await?;
+    withdraw(&fleet).await?;
     order(&fleet).await?;
 
     fleet.stop().await;
@@ -72,7 +73,7 @@
 }
 
 /// Withdraws an engine in the middle of the work.
-async fn withdraw(fleet: &mut Fleet) -> anyhow::Result<()> {
+async fn withdraw(fleet: &Fleet) -> anyhow::Result<()> {
     fleet.withdraw("engine-a").await?;
     let before = fleet.engines[0].records().len();
     for router in 0..fleet.routers.len() {
--- a/crates/ctl/src/demo/fleet.rs
+++ b/crates/ctl/src/demo/fleet.rs
@@ -1,21 +1,21 @@
 //! The processes of the demonstration.
 
 use {
+    super::setup,
+    crate::client::Client as Admin,
     anyhow::Context,
     marigoldroute::{Handle, Settings},
-    marigoldroute_core::{
-        budget::Account,
-        config::{Access, Catalog, Service, State, Upstream, hash_key},
-        table::Transaction,
-    },
+    marigoldroute_core::config::hash_key,
     marigoldroute_platform::{Client, StandIn as Platform},
     marigoldroute_upstream::StandIn as Engine,
-    reqwest::StatusCode,
-    serde_json::json,
+    reqwest::{Method, StatusCode},
+    serde_json::{Value, json},
     std::{net::SocketAddr, time::Duration},
     tokio::task::JoinHandle,
 };
 
+/// The operator's key of the demonstration.
+const ADMIN_KEY: &str = "demo-key-of-the-operator";
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause between two looks at a router's readiness.
 const READY_PAUSE: Duration = Duration::from_millis(20);
@@ -28,7 +28,7 @@
     pub engines: Vec<Engine>,
     pub service: Engine,
     pub routers: Vec<Handle>,
-    catalog: Catalog,
+    admin: Admin,
     http: reqwest::Client,
     servers: Vec<JoinHandle<()>>,
 }
@@ -50,28 +50,29 @@
             urls.push(format!("http://{address}"));
         }
         let [a, b, service] = stand_ins;
-        let catalog = catalog(&urls);
-        fund(&platform, "hems", 20_000).await?;
-        fund(&platform, "confetti", 600).await?;
-
-        let mut fleet = Self {
+        let mut routers = Vec::new();
+        for number in 1..=3 {
+            routers.push(marigoldroute::start(settings(number, &base)).await?);
+        }
+        let admin = Admin::new(&format!("http://{}", routers[0].address()), ADMIN_KEY)?;
+        let fleet = Self {
             platform,
             engines: vec![a, b],
             service,
-            routers: Vec::new(),
-            catalog,
+            routers,
+            admin,
             http: reqwest::Client::new(),
             servers,
         };
-        fleet.publish().await?;
-        for number in 1..=3 {
-            let settings = settings(number, &base);
-            fleet.routers.push(marigoldroute::start(settings).await?);
-        }
-        fleet.settled().await?;
+        setup::run(&fleet, &urls).await?;
         Ok(fleet)
     }
 
+    /// Writes through the administration API; returns the answer.
+    pub async fn write(&self, request: &str, path: &str, body: &Value) -> anyhow::Result<Value> {
+        self.admin.write(Method::POST, path, request, body).await
+    }
+
     /// Stops the routers as planned.
     pub async fn stop(&mut self) {
         for router in self.routers.drain(..) {
@@ -112,49 +113,33 @@
         Ok((status, response.text().await?))
     }
 
-    /// Takes an upstream out of service and waits until every router has applied it.
-    pub async fn withdraw(&mut self, upstream: &str) -> anyhow::Result<()> {
-        let entry = self.catalog.upstreams.get_mut(upstream);
-        entry.context("no such upstream")?.state = State::Withdrawn;
-        self.catalog.version += 1;
-        self.publish().await?;
-        self.settled().await
-    }
-
-    fn url(&self, router: usize, path: &str) -> String {
-        format!("http://{}{path}", self.routers[router].address())
-    }
-
-    async fn publish(&self) -> anyhow::Result<()> {
-        let mut transaction = Transaction::default();
-        transaction.put("config/catalog", serde_json::to_string(&self.catalog)?);
-        self.platform.commit(&transaction).await?;
-        Ok(())
+    /// Takes an upstream out of service and waits until this is in effect on every router.
+    pub async fn withdraw(&self, upstream: &str) -> anyhow::Result<()> {
+        let path = format!("/upstreams/{upstream}/withdraw");
+        let accepted = self.write("demo-withdraw", &path, &json!({})).await?;
+        self.settled(&accepted).await
     }
 
-    /// Waits until the newest version is in effect on every router.
-    async fn settled(&self) -> anyhow::Result<()> {
-        let line = format!("marigoldroute_config_version {}", self.catalog.version);
+    /// Waits until an accepted change is in effect on every router.
+    pub async fn settled(&self, accepted: &Value) -> anyhow::Result<()> {
+        let query = [("version", accepted["version"].to_string())];
         let wait = async {
-            for router in 0..self.routers.len() {
-                let url = self.url(router, "/metrics");
-                while !self
-                    .http
-                    .get(&url)
-                    .send()
-                    .await?
-                    .text()
-                    .await?
-                    .contains(&line)
-                {
-                    tokio::time::sleep(READY_PAUSE).await;
+            loop {
+                let progress = self.admin.get("/progress", &query).await?;
+                let applied = progress["applied"].as_array().map_or(0, Vec::len);
+                if progress["everywhere"] == true && applied == self.routers.len() {
+                    return anyhow::Ok(());
                 }
+                tokio::time::sleep(READY_PAUSE).await;
             }
-            anyhow::Ok(())
         };
         let waited = tokio::time::timeout(READY_TIMEOUT, wait).await;
         waited.context("the configuration did not take effect in time")?
     }
+
+    fn url(&self, router: usize, path: &str) -> String {
+        format!("http://{}{path}", self.routers[router].address())
+    }
 }
 
 impl Drop for Fleet {
@@ -172,58 +157,9 @@
         listen_peers: ([127, 0, 0, 1], 0).into(),
         platform: platform.into(),
         fleet_keys: vec!["demo-key-of-the-fleet".into()],
+        admin_key_hash: Some(hash_key(ADMIN_KEY).into()),
         poll_interval: Duration::from_millis(200),
         flush_interval: Duration::from_millis(500),
         ..Settings::default()
     }
 }
-
-fn catalog(urls: &[String]) -> Catalog {
-    let access = |workspace: &str, budget: &str| Access {
-        workspace: workspace.into(),
-        budget: budget.into(),
-        output_limit: 256,
-        priority: 1,
-    };
-    let upstream = |url: &str, serves: &str| Upstream {
-        url: url.into(),
-        serves: vec![serves.into()],
-        region: "region-1".into(),
-        zone: "zone-1".into(),
-        labels: Default::default(),
-        state: State::InService,
-    };
-    let orders = Service {
-        idempotent: false,
-        price: 25,
-    };
-    Catalog {
-        version: 1,
-        keys: [
-            (hash_key("kolkata-key").into(), access("/kolkata", "hems")),
-            (
-                hash_key("palermo-key").into(),
-                access("/palermo", "confetti"),
-            ),
-        ]
-        .into(),
-        upstreams: [
-            ("engine-a".into(), upstream(&urls[0], "drafting")),
-            ("engine-b".into(), upstream(&urls[1], "drafting")),
-            ("orders-1".into(), upstream(&urls[2], "orders")),
-        ]
-        .into(),
-        services: [("orders".into(), orders)].into(),
-    }
-}
-
-async fn fund(platform: &Client, budget: &str, tokens: u64) -> anyhow::Result<()> {
-    let account = Account {
-        purchased: tokens,
-        ..Account::default()
-    };
-    let mut transaction = Transaction::default();
-    transaction.put(format!("budget/{budget}"), serde_json::to_string(&account)?);
-    platform.commit(&transaction).await?;
-    Ok(())
-}
--- a/crates/ctl/src/demo/report.rs
+++ b/crates/ctl/src/demo/report.rs
@@ -3,7 +3,7 @@
 use {
     super::fleet::Fleet,
     anyhow::ensure,
-    marigoldroute_core::budget::{Account, Entry, Journal},
+    marigoldroute_core::budget::{Account, Journal},
     std::collections::{BTreeMap, HashSet},
 };
 
@@ -16,8 +16,7 @@
     let mut requests = HashSet::new();
     for row in fleet.platform.scan("journal/", "", PAGE_ROWS).await? {
         let journal: Journal = serde_json::from_str(&row.value)?;
-        let Entry::Flush { bills, .. } = journal.entry;
-        for bill in bills {
+        for bill in journal.entry.bills() {
             ensure!(
                 requests.insert(bill.request.clone()),
                 "request {} billed twice",
--- a/crates/router/src/admin/bill.rs
+++ b/crates/router/src/admin/bill.rs
@@ -90,12 +90,11 @@
             None => "bills/".to_owned(),
         };
         let keys = self.platform.list_objects(&prefix).await?;
-        let mut read = 0;
-        for key in keys.into_iter().filter(|key| **key >= *from) {
+        let later = keys.into_iter().filter(|key| **key >= *from);
+        for (read, key) in later.enumerate() {
             if read == READ_LIMIT || known.len() > enough {
                 return Ok(found);
             }
-            read += 1;
             // A segment never disappears; one that is listed and absent is being written.
             let Some(value) = self.platform.get_object(&key).await? else {
                 continue;
