--- a/crates/ctl/src/demo/fleet.rs
+++ b/crates/ctl/src/demo/fleet.rs
@@ -158,7 +158,6 @@
         platform: platform.into(),
         fleet_keys: vec!["demo-key-of-the-fleet".into()],
         admin_key_hash: Some(hash_key(ADMIN_KEY).into()),
-        poll_interval: Duration::from_millis(200),
         flush_interval: Duration::from_millis(500),
         ..Settings::default()
     }
--- a/crates/router/src/admin/batch.rs
+++ b/crates/router/src/admin/batch.rs
@@ -207,7 +207,7 @@
         force: bool,
     ) -> Result<Json<Accepted>> {
         let selector = selector.read()?;
-        let wanted = |log: &Log| {
+        let wanted = move |log: &Log| {
             let mut change = plan(log, &selector, action)?.change;
             change.force = force;
             Ok(Wanted::planned(change))
@@ -215,9 +215,10 @@
         self.0.change(ticket, wanted).await.map(Json)
     }
 
-    fn preview(&self, selector: &Selector, action: Action) -> Result<Json<Plan>> {
+    async fn preview(&self, selector: &Selector, action: Action) -> Result<Json<Plan>> {
         let selector = selector.read()?;
-        let plan = self.0.config.read(|log| plan(log, &selector, action))?;
+        let plan = move |log: &Log| plan(log, &selector, action);
+        let plan = self.0.read(plan).await??;
         Ok(Json(plan.into()))
     }
 }
@@ -232,7 +233,7 @@
         body: Json<Withdrawal>,
     ) -> Result<Json<Plan>> {
         operator.0.require(Role::Read)?;
-        self.preview(&body.selector, body.running.into())
+        self.preview(&body.selector, body.running.into()).await
     }
 
     /// Withdraws a batch: it gets no new work.
@@ -260,7 +261,7 @@
         body: Json<Restoration>,
     ) -> Result<Json<Plan>> {
         operator.0.require(Role::Read)?;
-        self.preview(&body.selector, Action::Restore)
+        self.preview(&body.selector, Action::Restore).await
     }
 
     /// Restores a batch: it gets new work again.
--- a/crates/router/src/admin/bill.rs
+++ b/crates/router/src/admin/bill.rs
@@ -13,7 +13,7 @@
         ring::Role,
     },
     marigoldroute_core::{
-        bill::{self, Cursor, Segment, key as cursor_key},
+        bill::{self, Cursor, Segment, key as cursor_key, request_of},
         budget::{Journal, journal},
         id::{Sequence, Tokens},
         table::Row,
@@ -159,7 +159,7 @@
         is_settled: bool,
         known: &mut HashSet<Arc<str>>,
     ) {
-        bills.retain(|bill| known.insert(bill.request.clone()));
+        bills.retain(|bill| known.insert(request_of(&bill.request)));
         self.groups.push(Group {
             key,
             bills,
--- a/crates/router/src/admin/change.rs
+++ b/crates/router/src/admin/change.rs
@@ -5,18 +5,22 @@
         Admin,
         answer::{Refused, Result},
         diff::{self, Made},
-        write::{Effect, Step, Ticket, Write, json},
+        write::{self, Effect, Step, Ticket, Write, json},
     },
     marigoldroute_core::{
-        config::{self, Change, Conflict, Log, Proposal, Rebase, Refusal},
+        config::{self, Change, Conflict, LOG_PREFIX, Log, Proposal, Rebase, Refusal, log_key},
         fault::Kind,
         id::Version,
         table::Row,
     },
     poem_openapi::Object,
     serde::{Deserialize, Serialize},
+    std::sync::Arc,
 };
 
+/// Log rows read per call.
+const SCAN_ROWS: usize = 64;
+
 /// An accepted change.
 #[derive(Clone, Debug, Object, Serialize, Deserialize)]
 pub(super) struct Accepted {
@@ -49,10 +53,15 @@
     }
 }
 
-/// A write that changes the settings tree; the function plans it on the version in effect.
-pub(super) struct Edit<F>(pub(super) F);
+/// Plans a change on the version in effect.
+pub(super) trait Plan: Fn(&Log) -> Result<Wanted> + Send + Sync + 'static {}
+
+impl<F: Fn(&Log) -> Result<Wanted> + Send + Sync + 'static> Plan for F {}
+
+/// A write that changes the settings tree.
+struct Edit<F>(Arc<F>);
 
-impl<F: Fn(&Log) -> Result<Wanted> + Sync> Write for Edit<F> {
+impl<F: Plan> Write for Edit<F> {
     async fn step(&self, admin: &Admin, ticket: &Ticket) -> Result<Step> {
         let keys = [
             config::HEAD_KEY.to_owned(),
@@ -62,10 +71,12 @@
         for key in &keys {
             rows.extend(admin.platform.get(key).await?);
         }
-        match admin.config.read(|log| self.decide(log, ticket, &rows))? {
+        let (plan, ticket) = (self.0.clone(), ticket.clone());
+        let decide = move |log: &Log| decide(&*plan, log, &ticket, &rows);
+        match admin.read(decide).await?? {
             Decision::Step(step) => Ok(*step),
             Decision::CatchUp => {
-                admin.config.catch_up(&admin.platform).await?;
+                admin.catch_up().await?;
                 Ok(Step::Again)
             }
             Decision::Conflict(base, conflict) => Err(refuse(admin, base, &conflict).await),
@@ -79,48 +90,46 @@
     Conflict(Version, Conflict),
 }
 
-impl<F: Fn(&Log) -> Result<Wanted> + Sync> Edit<F> {
-    fn decide(&self, log: &Log, ticket: &Ticket, rows: &[Row]) -> Result<Decision> {
-        let wanted = (self.0)(log)?;
-        let current = log.version();
-        let base = wanted.base.unwrap_or(current);
-        if wanted.base.is_none() && wanted.change.edits.is_empty() {
-            return Ok(Decision::Step(Box::new(unchanged(current))));
-        }
-        let proposal = Proposal {
-            change: wanted.change,
-            author: ticket.operator.as_str().into(),
-            request: ticket.request.as_str().into(),
-            time_ms: ticket.time_ms,
-            base,
-            rebase: wanted.rebase,
-        };
-        Ok(match proposal.decide(rows, log) {
-            Ok(config::Step::Commit(mut transaction)) => {
-                let later = proposal.preview(log)?;
-                let made = Made {
-                    version: current + 1,
-                    base,
-                    operator: ticket.operator.clone(),
-                    request: ticket.request.clone(),
-                    time_ms: ticket.time_ms,
-                    differences: log.tree().diff(&later),
-                };
-                transaction.put(diff::key(made.version), json(&made));
-                Decision::Step(Box::new(Step::Finish(transaction, effect(current))))
-            }
-            Ok(config::Step::CatchUp(_)) => Decision::CatchUp,
-            // The receipt row appears with the version; it is read at the next step.
-            Ok(config::Step::Accepted(_) | config::Step::Reread) => {
-                Decision::Step(Box::new(Step::Again))
-            }
-            Err(Refusal::Rejected(rejection)) => return Err(rejection.into()),
-            Err(Refusal::Conflict(conflict)) => Decision::Conflict(base, conflict),
-            Err(refusal @ Refusal::Reused(_)) => {
-                return Err(Refused::new(Kind::Conflict, refusal.to_string()));
-            }
-        })
+fn decide(plan: &impl Plan, log: &Log, ticket: &Ticket, rows: &[Row]) -> Result<Decision> {
+    let wanted = plan(log)?;
+    let current = log.version();
+    let base = wanted.base.unwrap_or(current);
+    if wanted.base.is_none() && wanted.change.edits.is_empty() {
+        return Ok(Decision::Step(Box::new(unchanged(current))));
     }
+    let proposal = Proposal {
+        change: wanted.change,
+        author: ticket.operator.as_str().into(),
+        request: ticket.request.as_str().into(),
+        time_ms: ticket.time_ms,
+        base,
+        rebase: wanted.rebase,
+    };
+    Ok(match proposal.decide(rows, log) {
+        Ok(config::Step::Commit(mut transaction)) => {
+            let later = proposal.preview(log)?;
+            let made = Made {
+                version: current + 1,
+                base,
+                operator: ticket.operator.clone(),
+                request: ticket.request.clone(),
+                time_ms: ticket.time_ms,
+                differences: log.tree().diff(&later),
+            };
+            transaction.put(diff::key(made.version), json(&made));
+            Decision::Step(Box::new(Step::Finish(transaction, effect(current))))
+        }
+        Ok(config::Step::CatchUp(_)) => Decision::CatchUp,
+        // The receipt of the write appears with the version; it is read at the next step.
+        Ok(config::Step::Accepted(_) | config::Step::Reread) => {
+            Decision::Step(Box::new(Step::Again))
+        }
+        Err(Refusal::Rejected(rejection)) => return Err(rejection.into()),
+        Err(Refusal::Conflict(conflict)) => Decision::Conflict(base, conflict),
+        Err(refusal @ Refusal::Reused(_)) => {
+            return Err(Refused::new(Kind::Conflict, refusal.to_string()));
+        }
+    })
 }
 
 fn effect(current: Version) -> Effect {
@@ -164,16 +173,40 @@
 }
 
 impl Admin {
-    /// Makes a change of the settings tree.
-    pub(super) async fn change(
+    /// Reads the configuration log of this host; `read` must be short.
+    pub(super) async fn read<T: Send + 'static>(
         &self,
-        ticket: &Ticket,
-        plan: impl Fn(&Log) -> Result<Wanted> + Sync,
-    ) -> Result<Accepted> {
-        let accepted: Accepted = super::write::execute(self, ticket, &Edit(plan)).await?;
+        read: impl FnOnce(&Log) -> T + Send + 'static,
+    ) -> Result<T> {
+        let read = self.control.consult(move |log, _| read(log)).await;
+        read.ok_or_else(|| Refused::new(Kind::Draining, "the host is stopping"))
+    }
+
+    /// Reads the versions that follow the one in effect and applies them.
+    async fn catch_up(&self) -> Result<()> {
+        loop {
+            let before = self.read(Log::version).await?;
+            let after = log_key(before);
+            let rows = self.platform.scan(LOG_PREFIX, &after, SCAN_ROWS).await?;
+            let is_last = rows.len() < SCAN_ROWS;
+            let apply = move |log: &mut Log, now| {
+                log.rows(now, &rows);
+                log.version()
+            };
+            let version = self.control.consult(apply).await;
+            if is_last || version.is_none_or(|version| version == before) {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Makes a change of the settings tree.
+    pub(super) async fn change(&self, ticket: &Ticket, plan: impl Plan) -> Result<Accepted> {
+        let edit = Edit(Arc::new(plan));
+        let accepted: Accepted = write::execute(self, ticket, &edit).await?;
         // The operator's next call to this host is to see the change. The change itself stands.
-        if let Err(fault) = self.config.catch_up(&self.platform).await {
-            log::warn!(version = accepted.version; "accepted change not read back: {fault}");
+        if let Err(refused) = self.catch_up().await {
+            log::warn!(version = accepted.version; "accepted change not read back: {refused}");
         }
         Ok(accepted)
     }
--- a/crates/router/src/admin/history.rs
+++ b/crates/router/src/admin/history.rs
@@ -106,7 +106,7 @@
         to: Query<Option<Version>>,
     ) -> Result<Json<Compared>> {
         operator.0.require(Role::Read)?;
-        let current = self.0.config.read(Log::version);
+        let current = self.0.read(Log::version).await?;
         let (from, to) = (from.0, to.0.unwrap_or(current));
         if from > to {
             let message = format!("version {from} is later than version {to}");
--- a/crates/router/src/admin/host.rs
+++ b/crates/router/src/admin/host.rs
@@ -10,21 +10,24 @@
         ring::Role,
         write::{Ticket, execute},
     },
-    crate::directory::Host,
-    marigoldroute_core::{fault::Kind, id::Version},
+    marigoldroute_core::{
+        config::Log,
+        fault::Kind,
+        id::{HostId, Version},
+    },
     poem_openapi::{
         Object, OpenApi,
         param::{Header, Path, Query},
         payload::Json,
     },
     serde::Serialize,
-    std::sync::Arc,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 /// Operations on hosts.
 pub(super) struct Api(pub(super) Arc<Admin>);
 
-/// A listed host.
+/// A host.
 #[derive(Clone, Debug, Object)]
 struct Shown {
     /// Name.
@@ -34,12 +37,16 @@
     /// Availability zone.
     zone: String,
     /// Address of the internal protocol.
-    peers: String,
+    address: String,
     /// Start of its process.
     incarnation: String,
-    /// Version of the configuration in effect.
+    /// `joining`, `ready`, `draining` or `gone`.
+    phase: String,
+    /// Whether it answers.
+    alive: bool,
+    /// Version of the configuration in effect, as last heard.
     version: Version,
-    /// Whether it has the newest version that this host knows.
+    /// Whether that is the newest version that this host knows.
     current: bool,
 }
 
@@ -62,19 +69,25 @@
 }
 
 impl Api {
-    fn shown(&self, name: &str, host: &Host) -> Shown {
-        let (own, known) = (self.0.version(), self.0.config.read(|log| log.known()));
-        let is_own = *name == *self.0.host;
-        let version = if is_own { own } else { host.version };
-        Shown {
-            host: name.to_owned(),
-            region: host.region.to_string(),
-            zone: host.zone.to_string(),
-            peers: host.peers.to_string(),
-            incarnation: host.incarnation.to_string(),
-            version,
-            current: version >= known,
-        }
+    async fn hosts(&self) -> Result<BTreeMap<HostId, Shown>> {
+        let known = self.0.read(Log::known).await?;
+        let members = self.0.control.hosts().await;
+        let shown = members.into_iter().map(|member| {
+            let host = &member.host;
+            let shown = Shown {
+                host: host.id.to_string(),
+                region: host.region.to_string(),
+                zone: host.zone.to_string(),
+                address: host.address.to_string(),
+                incarnation: format!("{:016x}", host.incarnation),
+                phase: format!("{:?}", member.phase).to_lowercase(),
+                alive: member.is_alive,
+                version: member.applied,
+                current: member.applied >= known,
+            };
+            (host.id.clone(), shown)
+        });
+        Ok(shown.collect())
     }
 }
 
@@ -92,11 +105,7 @@
     ) -> Result<Json<Page<Shown>>> {
         operator.0.require(Role::Read)?;
         let range = Range::new(after.0, limit.0)?;
-        let hosts = self.0.hosts.borrow().clone();
-        let shown = hosts
-            .iter()
-            .map(|(name, host)| (name, self.shown(name, host)));
-        Ok(Json(range.cut(shown)))
+        Ok(Json(range.cut(self.hosts().await?)))
     }
 
     /// Returns a host and the journals of its processes.
@@ -108,15 +117,14 @@
         host: Path<String>,
     ) -> Result<Json<Status>> {
         operator.0.require(Role::Read)?;
-        let hosts = self.0.hosts.borrow().clone();
-        let listed = hosts.get(host.as_str());
+        let listed = self.hosts().await?.remove(host.as_str());
         let tails = lost::tails(&self.0, &host, None).await?;
         if listed.is_none() && tails.is_empty() {
             let message = format!("no host {} and no journal of it", host.0);
             return Err(Refused::new(Kind::NotFound, message));
         }
         Ok(Json(Status {
-            host: listed.map(|listed| self.shown(&host, listed)),
+            host: listed,
             journals: tails.iter().filter_map(lost::Journal::new).collect(),
         }))
     }
--- a/crates/router/src/admin/lost.rs
+++ b/crates/router/src/admin/lost.rs
@@ -6,7 +6,7 @@
         answer::{Refused, Result},
         write::{Effect, Step, Ticket, Write},
     },
-    crate::directory::{self, Host},
+    crate::control::HOST_PREFIX,
     marigoldroute_core::{
         budget::{
             Entry, Reason, journal,
@@ -113,15 +113,13 @@
                 return Ok(Step::Advance(transaction));
             }
         }
-        let listed = admin.platform.get(&directory::key(&self.host)).await?;
-        if tails.is_empty() && listed.is_none() {
-            let message = format!("no host {} and no journal of it", self.host);
+        if tails.is_empty() {
+            let message = format!("no journal of host {}", self.host);
             return Err(Refused::new(Kind::NotFound, message));
         }
         let mut transaction = Transaction::default();
-        if let Some(row) = listed.filter(|row| self.is_meant(row)) {
-            transaction.require(row.key.clone(), row.version);
-            transaction.delete(row.key);
+        for holder in tails.keys() {
+            transaction.delete(format!("{HOST_PREFIX}{holder}"));
         }
         let released = Released {
             holders: tails.keys().map(ToString::to_string).collect(),
@@ -155,15 +153,6 @@
         let missing = || Refused::new(Kind::Internal, "a budget row of the journal is missing");
         transaction.ok_or_else(missing).map(Some)
     }
-
-    /// Returns whether the row of the list belongs to the lost process.
-    fn is_meant(&self, row: &Row) -> bool {
-        let listed = serde_json::from_str::<Host>(&row.value).ok();
-        match (&self.incarnation, listed) {
-            (Some(lost), Some(listed)) => *listed.incarnation == **lost,
-            _ => true,
-        }
-    }
 }
 
 async fn budgets(admin: &Admin, keys: Vec<String>) -> Result<Vec<Row>> {
--- a/crates/router/src/admin/mod.rs
+++ b/crates/router/src/admin/mod.rs
@@ -25,13 +25,12 @@
 mod write;
 
 use {
-    crate::{config::Config, directory::Hosts, metrics::Metrics},
+    crate::{control::Control, metrics::Metrics},
     marigoldroute_core::id::HostId,
     marigoldroute_platform::Client,
     poem::{EndpointExt, Route, middleware::SizeLimit},
     poem_openapi::OpenApiService,
     std::sync::{Arc, Mutex},
-    tokio::sync::watch,
 };
 
 /// Root of the interface.
@@ -43,9 +42,8 @@
 pub(crate) struct Admin {
     /// This host.
     pub(crate) host: HostId,
-    pub(crate) config: Config,
+    pub(crate) control: Control,
     pub(crate) platform: Client,
-    pub(crate) hosts: watch::Receiver<Arc<Hosts>>,
     pub(crate) metrics: Arc<Metrics>,
     /// SHA-256 hash of the first key, which has every role.
     pub(crate) initial: Option<Arc<str>>,
--- a/crates/router/src/admin/progress.rs
+++ b/crates/router/src/admin/progress.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{Admin, answer::Result, key::Operator, ring::Role},
-    marigoldroute_core::{config::Log, id::Version},
+    marigoldroute_core::{
+        config::Log,
+        id::{HostId, Version},
+    },
     poem_openapi::{Object, OpenApi, param::Query, payload::Json},
     std::sync::Arc,
 };
@@ -12,7 +15,7 @@
 
 /// A host with the version in effect on it.
 #[derive(Clone, Debug, Object)]
-struct At {
+struct Place {
     /// Host.
     host: String,
     /// Version in effect, as far as this host knows.
@@ -24,12 +27,14 @@
 struct Shown {
     /// Version.
     version: Version,
-    /// Whether it is in effect on every listed host.
+    /// Whether it is in effect on every host that is known.
     everywhere: bool,
     /// Hosts with this version or a newer one.
     applied: Vec<String>,
     /// Hosts with an older version.
-    behind: Vec<At>,
+    behind: Vec<Place>,
+    /// Hosts that do not answer, with the version that they were last seen with.
+    unreachable: Vec<Place>,
 }
 
 #[OpenApi]
@@ -43,32 +48,21 @@
         version: Query<Option<Version>>,
     ) -> Result<Json<Shown>> {
         operator.0.require(Role::Read)?;
-        let (current, known) = self.0.config.read(|log| (log.version(), log.known()));
-        let wanted = version.0.unwrap_or(known);
-        let hosts = self.0.hosts.borrow().clone();
-        let (mut applied, mut behind) = (Vec::new(), Vec::new());
-        for (name, host) in hosts.iter() {
-            let is_own = *name == self.0.host;
-            let version = if is_own { current } else { host.version };
-            let host = name.to_string();
-            if version >= wanted {
-                applied.push(host);
-            } else {
-                behind.push(At { host, version });
-            }
-        }
+        let known = self.0.read(Log::known).await?;
+        let progress = self.0.control.progress(version.0.unwrap_or(known)).await;
+        let places = |hosts: Vec<(HostId, Version)>| {
+            let place = |(host, version): (HostId, Version)| Place {
+                host: host.to_string(),
+                version,
+            };
+            hosts.into_iter().map(place).collect()
+        };
         Ok(Json(Shown {
-            version: wanted,
-            everywhere: behind.is_empty(),
-            applied,
-            behind,
+            version: progress.version,
+            everywhere: progress.behind.is_empty() && progress.unreachable.is_empty(),
+            applied: progress.applied.iter().map(ToString::to_string).collect(),
+            behind: places(progress.behind),
+            unreachable: places(progress.unreachable),
         }))
     }
 }
-
-impl Admin {
-    /// Returns the version in effect on this host.
-    pub(super) fn version(&self) -> Version {
-        self.config.read(Log::version)
-    }
-}
--- a/crates/router/src/admin/settings.rs
+++ b/crates/router/src/admin/settings.rs
@@ -221,10 +221,7 @@
         operator.0.require(Role::Read)?;
         let range = Range::new(after.0, limit.0)?;
         let under = under.0.unwrap_or_default();
-        let (version, tree) = self
-            .0
-            .config
-            .read(|log| (log.version(), log.tree().clone()));
+        let (version, tree) = self.0.control.tree().await;
         tree.get(&under).ok_or_else(|| unknown(&under))?;
         let mut paths = vec![under.as_str().into()];
         paths.extend(tree.below(&under));
@@ -245,10 +242,7 @@
         path: Query<String>,
     ) -> Result<Body<Explained>> {
         operator.0.require(Role::Read)?;
-        let (version, tree) = self
-            .0
-            .config
-            .read(|log| (log.version(), log.tree().clone()));
+        let (version, tree) = self.0.control.tree().await;
         let node = tree.get(&path).ok_or_else(|| unknown(&path))?;
         let lines = tree.explain(&path).unwrap_or_default();
         let values = lines.into_iter().map(|line| Origin {
@@ -283,7 +277,8 @@
         let target = format!("{}:{}", body.path, body.setting);
         let ticket = Ticket::new(&operator, &request, operation, target, &body.0)?;
         let change = body.request();
-        let accepted = self.0.change(&ticket, |log| change.wanted(log)).await?;
+        let plan = move |log: &Log| change.wanted(log);
+        let accepted = self.0.change(&ticket, plan).await?;
         Ok(Body(accepted))
     }
 
@@ -300,7 +295,8 @@
         operator.0.require(Role::Operate)?;
         let target = format!("{} edits", body.edits.len());
         let ticket = Ticket::new(&operator, &request, "settings apply", target, &body.0)?;
-        let accepted = self.0.change(&ticket, |log| body.wanted(log)).await?;
+        let plan = move |log: &Log| body.wanted(log);
+        let accepted = self.0.change(&ticket, plan).await?;
         Ok(Body(accepted))
     }
 
@@ -308,7 +304,7 @@
     #[oai(path = "/settings/preview", method = "post")]
     async fn preview(&self, operator: Operator, body: Body<Request>) -> Result<Body<Preview>> {
         operator.0.require(Role::Read)?;
-        let preview = |log: &Log| {
+        let preview = move |log: &Log| {
             let wanted = body.wanted(log)?;
             let later = wanted.change.validate(log.tree())?;
             let differences = log.tree().diff(&later);
@@ -317,6 +313,6 @@
                 differences: differences.into_iter().map(Line::from).collect(),
             })
         };
-        self.0.config.read(preview).map(Body)
+        self.0.read(preview).await?.map(Body)
     }
 }
--- a/crates/router/src/admin/upstream.rs
+++ b/crates/router/src/admin/upstream.rs
@@ -159,7 +159,7 @@
     ) -> Result<Json<Page<Shown>>> {
         operator.0.require(Role::Read)?;
         let range = Range::new(after.0, limit.0)?;
-        Ok(Json(range.cut(self.0.config.read(shown))))
+        Ok(Json(range.cut(self.0.read(shown).await?)))
     }
 
     /// Adds an upstream, which takes work at once.
@@ -176,7 +176,7 @@
         let operation = "upstreams create";
         let ticket = Ticket::new(&operator, &request, operation, body.path.as_str(), &body.0)?;
         let change = body.change();
-        let plan = |_: &Log| Ok(Wanted::planned(change.clone()));
+        let plan = move |_: &Log| Ok(Wanted::planned(change.clone()));
         self.0.change(&ticket, plan).await.map(Json)
     }
 }
--- a/crates/router/src/admin/workspace.rs
+++ b/crates/router/src/admin/workspace.rs
@@ -143,7 +143,7 @@
     ) -> Result<Json<Page<Shown>>> {
         operator.0.require(Role::Read)?;
         let range = Range::new(after.0, limit.0)?;
-        let tree = self.0.config.read(|log| log.tree().clone());
+        let (_, tree) = self.0.control.tree().await;
         let paths = tree.nodes().map(|(path, _)| path);
         let workspaces = paths.filter(|path| is_workspace(&tree, path));
         let shown = workspaces.filter_map(|path| Some((path, Shown::new(path, &tree)?)));
@@ -164,7 +164,7 @@
         let operation = "workspaces create";
         let ticket = Ticket::new(&operator, &request, operation, body.path.as_str(), &body.0)?;
         let change = body.change();
-        let plan = |_: &Log| Ok(Wanted::planned(change.clone()));
+        let plan = move |_: &Log| Ok(Wanted::planned(change.clone()));
         self.0.change(&ticket, plan).await.map(Json)
     }
 
@@ -182,7 +182,7 @@
         operator.0.require(Role::Operate)?;
         let operation = "workspaces delete";
         let ticket = Ticket::new(&operator, &request, operation, path.as_str(), &())?;
-        let plan = |log: &Log| {
+        let plan = move |log: &Log| {
             if !is_workspace(log.tree(), &path) {
                 let message = format!("no workspace at {:?}", path.0);
                 return Err(Refused::new(Error::NotFound, message));
