--- a/crates/router/src/admin/answer.rs
+++ b/crates/router/src/admin/answer.rs
@@ -26,6 +26,9 @@
 /// Header with the operator's request id.
 pub(super) const REQUEST_HEADER: &str = "x-request-id";
 
+/// Largest request body in bytes; above the limit on a change of the settings tree.
+const BODY_LIMIT_BYTES: usize = 1 << 20;
+
 /// A mistake in a call, with its place.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub(super) struct Mistake {
@@ -137,6 +140,7 @@
 
 /// The form of an error.
 #[derive(Debug, Object)]
+#[oai(rename = "Error")]
 struct Problem {
     /// The error.
     error: ProblemDetail,
@@ -144,6 +148,7 @@
 
 /// An error.
 #[derive(Debug, Object)]
+#[oai(rename = "ErrorDetail")]
 struct ProblemDetail {
     /// Kind from the table of errors.
     kind: String,
@@ -196,7 +201,11 @@
 ) -> poem::Result<Response> {
     let id = request.header(REQUEST_HEADER).unwrap_or_default();
     let id = id.to_owned();
-    let (response, label) = match endpoint.call(request).await {
+    let answered = match bound(request).await {
+        Ok(request) => endpoint.call(request).await,
+        Err(refused) => Err(refused.into()),
+    };
+    let (response, label) = match answered {
         Ok(response) => (response.into_response(), Label::Done),
         Err(error) => {
             let refused = explain(error);
@@ -209,6 +218,15 @@
     Ok(response)
 }
 
+/// Reads the body, which must not exceed the limit.
+async fn bound(mut request: Request) -> Result<Request> {
+    let body = request.take_body().into_bytes_limit(BODY_LIMIT_BYTES).await;
+    let message = format!("the request body has more than {BODY_LIMIT_BYTES} bytes");
+    let body = body.map_err(|_| Refused::new(Kind::TooLarge, message))?;
+    request.set_body(body);
+    Ok(request)
+}
+
 fn answer(refused: &Refused, request: &str) -> Response {
     let detail = Detail {
         mistakes: serde_json::to_value(&refused.mistakes).unwrap_or_default(),
--- a/crates/router/src/admin/audit.rs
+++ b/crates/router/src/admin/audit.rs
@@ -18,6 +18,7 @@
 
 /// An audit entry with its place in the list.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "ListedAuditEntry")]
 struct Listed {
     /// Place; sorts by time.
     id: String,
--- a/crates/router/src/admin/bill.rs
+++ b/crates/router/src/admin/bill.rs
@@ -36,6 +36,7 @@
 
 /// A bill.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "Bill")]
 struct Shown {
     /// Request.
     request: String,
--- a/crates/router/src/admin/budget.rs
+++ b/crates/router/src/admin/budget.rs
@@ -34,6 +34,7 @@
 
 /// A budget.
 #[derive(Clone, Debug, Object, Serialize, Deserialize)]
+#[oai(rename = "Budget")]
 struct Shown {
     /// Name.
     budget: String,
--- a/crates/router/src/admin/diff.rs
+++ b/crates/router/src/admin/diff.rs
@@ -39,6 +39,7 @@
 
 /// A changed value.
 #[derive(Clone, Debug, Object, Serialize, Deserialize)]
+#[oai(rename = "Difference")]
 pub(super) struct Line {
     /// Node.
     pub(super) path: String,
--- a/crates/router/src/admin/history.rs
+++ b/crates/router/src/admin/history.rs
@@ -19,6 +19,7 @@
 
 /// An accepted version.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "PastVersion")]
 struct Past {
     /// Version.
     version: Version,
@@ -36,6 +37,7 @@
 
 /// What changed between two versions.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "Comparison")]
 struct Compared {
     /// Earlier version.
     from: Version,
--- a/crates/router/src/admin/host.rs
+++ b/crates/router/src/admin/host.rs
@@ -29,6 +29,7 @@
 
 /// A host.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "Host")]
 struct Shown {
     /// Name.
     host: String,
@@ -52,6 +53,7 @@
 
 /// A host with the journals of its processes.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "HostStatus")]
 struct Status {
     /// Host, as far as it is listed.
     #[oai(skip_serializing_if_is_none)]
--- a/crates/router/src/admin/key.rs
+++ b/crates/router/src/admin/key.rs
@@ -46,6 +46,7 @@
 
 /// An operator's key, without the key itself.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "Key")]
 struct Shown {
     /// Name of the operator.
     name: String,
@@ -55,6 +56,7 @@
 
 /// A key to be accepted.
 #[derive(Clone, Debug, Object, Serialize)]
+#[oai(rename = "NewKey")]
 struct New {
     /// SHA-256 hash of the key in lower-case hexadecimal.
     hash: String,
@@ -64,6 +66,7 @@
 
 /// The keys after a change.
 #[derive(Clone, Debug, Object, Serialize, Deserialize)]
+#[oai(rename = "Keys")]
 struct Changed {
     /// Name of the operator.
     name: String,
--- a/crates/router/src/admin/mod.rs
+++ b/crates/router/src/admin/mod.rs
@@ -28,15 +28,13 @@
     crate::{control::Control, metrics::Metrics},
     marigoldroute_core::id::HostId,
     marigoldroute_platform::Client,
-    poem::{EndpointExt, Route, middleware::SizeLimit},
+    poem::{EndpointExt, Route},
     poem_openapi::OpenApiService,
     std::sync::{Arc, Mutex},
 };
 
 /// Root of the interface.
 const ROOT: &str = "/admin/v1";
-/// Largest request body in bytes; above the limit on a change of the settings tree.
-const BODY_LIMIT_BYTES: usize = 1 << 20;
 
 /// What the operators' interface needs.
 pub(crate) struct Admin {
@@ -79,7 +77,6 @@
     let endpoint = Route::new()
         .at("/openapi.json", document)
         .nest("/", service)
-        .with(SizeLimit::new(BODY_LIMIT_BYTES))
         .data(admin)
         .around(move |endpoint, request| answer::finish(endpoint, request, metrics.clone()));
     routes.nest(ROOT, endpoint)
--- a/crates/router/src/admin/progress.rs
+++ b/crates/router/src/admin/progress.rs
@@ -15,6 +15,7 @@
 
 /// A host with the version in effect on it.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "HostVersion")]
 struct Place {
     /// Host.
     host: String,
@@ -24,6 +25,7 @@
 
 /// On which hosts a version is in effect.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "Progress")]
 struct Shown {
     /// Version.
     version: Version,
--- a/crates/router/src/admin/settings.rs
+++ b/crates/router/src/admin/settings.rs
@@ -34,6 +34,7 @@
 
 /// A node with its overrides.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "Node")]
 pub(super) struct Place {
     /// Path; empty for the root.
     path: String,
@@ -45,6 +46,7 @@
 
 /// A part of the tree.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "Tree")]
 struct Listing {
     /// Version that is shown; pass it as `base` of a change.
     version: Version,
@@ -54,6 +56,7 @@
 
 /// The effective values of a node.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "EffectiveNode")]
 struct Explained {
     /// Version that is shown.
     version: Version,
@@ -67,6 +70,7 @@
 
 /// An effective value and where it comes from.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "EffectiveValue")]
 struct Origin {
     /// Setting.
     setting: String,
@@ -93,6 +97,7 @@
 
 /// A change of the tree.
 #[derive(Clone, Debug, Object, Serialize)]
+#[oai(rename = "Change")]
 struct Request {
     /// Version that the operator saw.
     base: Version,
@@ -168,6 +173,7 @@
 
 /// Sets or removes one override.
 #[derive(Clone, Debug, Object, Serialize)]
+#[oai(rename = "SingleChange")]
 struct Single {
     /// Version that the operator saw.
     base: Version,
--- a/crates/router/src/admin/spend.rs
+++ b/crates/router/src/admin/spend.rs
@@ -22,6 +22,7 @@
 
 /// Sums of bills.
 #[derive(Clone, Debug, Default, Object)]
+#[oai(rename = "SpendTotal")]
 struct Total {
     /// Workspace, budget, model or upstream.
     name: String,
@@ -35,6 +36,7 @@
 
 /// A report of spend.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "Spend")]
 struct Report {
     /// Sums, sorted by name.
     totals: Vec<Total>,
--- a/crates/router/src/admin/upstream.rs
+++ b/crates/router/src/admin/upstream.rs
@@ -29,6 +29,7 @@
 
 /// An upstream with its effective values.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "Upstream")]
 struct Shown {
     /// Name.
     upstream: String,
@@ -54,6 +55,7 @@
 
 /// An upstream to be put into service. What is absent is inherited.
 #[derive(Clone, Debug, Object, Serialize)]
+#[oai(rename = "NewUpstream")]
 struct New {
     /// Path, below the model or service that it serves.
     path: String,
--- a/crates/router/src/admin/workspace.rs
+++ b/crates/router/src/admin/workspace.rs
@@ -29,6 +29,7 @@
 
 /// A workspace with its effective values.
 #[derive(Clone, Debug, Object)]
+#[oai(rename = "Workspace")]
 struct Shown {
     /// Path.
     path: String,
@@ -50,6 +51,7 @@
 
 /// A workspace to be created. What is absent is inherited.
 #[derive(Clone, Debug, Object, Serialize)]
+#[oai(rename = "NewWorkspace")]
 struct New {
     /// Path; the parent must exist.
     path: String,
--- a/crates/router/src/admin/write.rs
+++ b/crates/router/src/admin/write.rs
@@ -80,6 +80,7 @@
 
 /// Row `audit/{time, 15 digits}/{request id}`.
 #[derive(Clone, Debug, Object, Serialize, Deserialize)]
+#[oai(rename = "AuditEntry")]
 pub(super) struct Entry {
     /// Milliseconds since the Unix epoch.
     pub(super) time_ms: u64,
