--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -23,9 +23,9 @@
 };
 
 pub(crate) use {
-    listing::HOST_PREFIX,
-    scene::Scene,
-    task::{Parts, create},
+    listing::{HOST_PREFIX, Process, Register, remove},
+    scene::{Scene, process},
+    task::{Parts, REGISTER_INTERVAL, create},
 };
 
 /// Commands that wait for the task.
