--- a/crates/router/src/admin/change.rs
+++ b/crates/router/src/admin/change.rs
@@ -8,7 +8,9 @@
         write::{self, Effect, Step, Ticket, Write, json},
     },
     marigoldroute_core::{
-        config::{self, Change, Conflict, LOG_PREFIX, Log, Proposal, Rebase, Refusal, log_key},
+        config::{
+            self, Change, Conflict, Head, LOG_PREFIX, Log, Proposal, Rebase, Refusal, log_key,
+        },
         fault::Kind,
         id::Version,
         table::Row,
@@ -91,8 +93,12 @@
 }
 
 fn decide(plan: &impl Plan, log: &Log, ticket: &Ticket, rows: &[Row]) -> Result<Decision> {
-    let wanted = plan(log)?;
     let current = log.version();
+    // A plan on an old version could be refused for what a newer one has set right.
+    if newest(rows) > current {
+        return Ok(Decision::CatchUp);
+    }
+    let wanted = plan(log)?;
     let base = wanted.base.unwrap_or(current);
     if wanted.base.is_none() && wanted.change.edits.is_empty() {
         return Ok(Decision::Step(Box::new(unchanged(current))));
@@ -132,6 +138,13 @@
     })
 }
 
+/// Returns the newest version by the rows as read.
+fn newest(rows: &[Row]) -> Version {
+    let head = rows.iter().find(|row| *row.key == *config::HEAD_KEY);
+    let head = head.and_then(|row| serde_json::from_str::<Head>(&row.value).ok());
+    head.unwrap_or_default().version
+}
+
 fn effect(current: Version) -> Effect {
     let accepted = Accepted {
         version: current + 1,
