--- a/crates/router/src/admin/bill.rs
+++ b/crates/router/src/admin/bill.rs
@@ -23,6 +23,7 @@
     std::{
         collections::{BTreeMap, HashSet},
         sync::Arc,
+        time::{SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -31,6 +32,9 @@
 /// Most segments and journal rows read for one answer.
 const READ_LIMIT: usize = 2_000;
 
+/// A second bill of a request follows the first within this time.
+const REPEAT_SECONDS: u64 = 3_600;
+
 /// Operations on bills.
 pub(super) struct Api(pub(super) Arc<Admin>);
 
@@ -71,6 +75,12 @@
 pub(super) struct Found {
     /// In the order of their keys; no request appears twice.
     pub(super) groups: Vec<Group>,
+    /// Number of bills in the groups.
+    count: usize,
+    /// First key of the answer; what comes before only makes requests known.
+    from: String,
+    /// Requests that have a bill.
+    known: HashSet<Arc<str>>,
     /// Whether nothing was left out.
     pub(super) is_complete: bool,
 }
@@ -84,16 +94,21 @@
         from: &str,
         enough: usize,
     ) -> Result<Found> {
-        let mut found = Found::default();
-        let mut known = HashSet::new();
+        let mut found = Found {
+            from: from.to_owned(),
+            ..Found::default()
+        };
         let prefix = match budget {
             Some(budget) => format!("bills/{budget}/"),
             None => "bills/".to_owned(),
         };
         let keys = self.platform.list_objects(&prefix).await?;
-        let later = keys.into_iter().filter(|key| **key >= *from);
-        for (read, key) in later.enumerate() {
-            if read == READ_LIMIT || known.len() > enough {
+        // Older segments are left out of a later page, but for those whose bills a holder may
+        // have written a second time.
+        let recent = now_seconds().saturating_sub(REPEAT_SECONDS);
+        let is_needed = |key: &String| **key >= *from || time(key) >= recent;
+        for (read, key) in keys.into_iter().filter(is_needed).enumerate() {
+            if read == READ_LIMIT || found.count > enough {
                 return Ok(found);
             }
             // A segment never disappears; one that is listed and absent is being written.
@@ -101,27 +116,24 @@
                 continue;
             };
             let bills = Segment::decode(&key, &value)?.bills;
-            found.add(key.into(), bills, true, &mut known);
+            found.add(key.into(), bills, true);
         }
-        self.open_bills(budget, from, enough, &mut found, &mut known)
-            .await?;
+        self.open_bills(budget, enough, &mut found).await?;
         Ok(found)
     }
 
-    /// Adds the bills that the ledger has not taken.
+    /// Adds the bills that the ledger has not taken. The journals are short, because the ledger
+    /// follows them; they are read from the start to know each request that comes before.
     async fn open_bills(
         &self,
         budget: Option<&str>,
-        from: &str,
         enough: usize,
         found: &mut Found,
-        known: &mut HashSet<Arc<str>>,
     ) -> Result<()> {
         let mut cursors = BTreeMap::new();
-        // The journal rows include the one at `from`, of which a part may have been returned.
-        let mut after = before(from);
+        let mut after = String::new();
         let mut read = 0;
-        while read < READ_LIMIT && known.len() <= enough {
+        while read < READ_LIMIT && found.count <= enough {
             let rows = self.platform.scan("journal/", &after, PAGE_ROWS).await?;
             read += rows.len();
             for row in &rows {
@@ -132,8 +144,7 @@
                     cursors.insert(holder.to_owned(), next);
                 }
                 if journal::sequence(&row.key) >= cursors.get(holder).copied() {
-                    let bills = bills(row, budget)?;
-                    found.add(row.key.clone(), bills, false, known);
+                    found.add(row.key.clone(), bills(row, budget)?, false);
                 }
             }
             if rows.len() < PAGE_ROWS {
@@ -153,14 +164,12 @@
 }
 
 impl Found {
-    fn add(
-        &mut self,
-        key: Arc<str>,
-        mut bills: Vec<bill::Bill>,
-        is_settled: bool,
-        known: &mut HashSet<Arc<str>>,
-    ) {
-        bills.retain(|bill| known.insert(request_of(&bill.request)));
+    fn add(&mut self, key: Arc<str>, mut bills: Vec<bill::Bill>, is_settled: bool) {
+        bills.retain(|bill| self.known.insert(request_of(&bill.request)));
+        if *key < *self.from {
+            return;
+        }
+        self.count += bills.len();
         self.groups.push(Group {
             key,
             bills,
@@ -169,6 +178,18 @@
     }
 }
 
+/// Returns the time in the key of a segment, in seconds since the Unix epoch.
+fn time(key: &str) -> u64 {
+    let name = key.rsplit('/').next().unwrap_or_default();
+    let time = name.split('-').next().unwrap_or_default();
+    time.parse().unwrap_or_default()
+}
+
+fn now_seconds() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_secs()
+}
+
 fn bills(row: &Row, budget: Option<&str>) -> Result<Vec<bill::Bill>> {
     let journal: Journal = serde_json::from_str(&row.value).map_err(|_| Fault::Malformed)?;
     let mut bills = journal.entry.bills().to_vec();
@@ -176,17 +197,6 @@
     Ok(bills)
 }
 
-/// Returns a key after which a scan begins with the journal row `key`.
-fn before(key: &str) -> String {
-    let row = key
-        .strip_prefix("journal/")
-        .and_then(|row| row.rsplit_once('/'));
-    match row.and_then(|(holder, sequence)| Some((holder, sequence.parse::<Sequence>().ok()?))) {
-        Some((holder, sequence)) => journal::key(holder, sequence.saturating_sub(1)),
-        None => String::new(),
-    }
-}
-
 /// Place of a bill: `{key}#{number of the bill in its group}`.
 fn place(text: &str) -> (&str, usize) {
     let split = text.rsplit_once('#');
--- a/crates/router/src/admin/lost.rs
+++ b/crates/router/src/admin/lost.rs
@@ -19,20 +19,20 @@
     marigoldroute_platform::Fault,
     poem_openapi::Object,
     serde::{Deserialize, Serialize},
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, sync::Arc},
 };
 
 /// Journal rows read per call.
 const PAGE_ROWS: usize = 500;
 
-/// The journal of a process.
+/// A journal of a process.
 #[derive(Clone, Debug, Object)]
 pub(super) struct Journal {
-    /// Process, `{host}.{incarnation}`.
+    /// Journal, `{host}.{incarnation}.{generation}`.
     holder: String,
     /// `open`, `fenced`, `lost` or `closed`.
     state: String,
-    /// Tokens that the process was allocated and has neither billed nor returned.
+    /// Tokens that the journal was allocated and has neither billed nor returned.
     stranded: Tokens,
     /// Sequence of the last row.
     sequence: u64,
@@ -41,7 +41,7 @@
 /// What a statement has released.
 #[derive(Clone, Debug, Object, Serialize, Deserialize)]
 pub(super) struct Released {
-    /// Processes that count as lost.
+    /// Journals that are released.
     holders: Vec<String>,
 }
 
@@ -76,16 +76,22 @@
     }
 }
 
-/// Returns the last journal row of each process of a host.
+/// Returns the start of the names of a host's processes and of their journals,
+/// `{host}.{incarnation}.{generation}`.
+fn processes(host: &str, incarnation: Option<&str>) -> String {
+    match incarnation {
+        Some(incarnation) => format!("{host}.{incarnation}."),
+        None => format!("{host}."),
+    }
+}
+
+/// Returns the last row of each journal of a host.
 pub(super) async fn tails(
     admin: &Admin,
     host: &str,
     incarnation: Option<&str>,
 ) -> Result<BTreeMap<HolderId, Row>> {
-    let prefix = match incarnation {
-        Some(incarnation) => journal::prefix(&format!("{host}.{incarnation}")),
-        None => format!("journal/{host}."),
-    };
+    let prefix = format!("journal/{}", processes(host, incarnation));
     let mut tails = BTreeMap::new();
     let mut after = String::new();
     loop {
@@ -113,14 +119,13 @@
                 return Ok(Step::Advance(transaction));
             }
         }
-        if tails.is_empty() {
-            let message = format!("no journal of host {}", self.host);
+        let listed = self.listed(admin).await?;
+        if tails.is_empty() && listed.is_empty() {
+            let message = format!("no process of host {} is listed", self.host);
             return Err(Refused::new(Kind::NotFound, message));
         }
         let mut transaction = Transaction::default();
-        for holder in tails.keys() {
-            transaction.delete(format!("{HOST_PREFIX}{holder}"));
-        }
+        listed.into_iter().for_each(|key| transaction.delete(key));
         let released = Released {
             holders: tails.keys().map(ToString::to_string).collect(),
         };
@@ -134,6 +139,18 @@
 }
 
 impl Statement {
+    /// Returns the keys of the rows of the lost processes.
+    async fn listed(&self, admin: &Admin) -> Result<Vec<Arc<str>>> {
+        let prefix = format!("{HOST_PREFIX}{}.", self.host);
+        let rows = admin.platform.scan(&prefix, "", PAGE_ROWS).await?;
+        let is_meant = |row: &Row| match &self.incarnation {
+            Some(incarnation) => row.key.strip_prefix(&*prefix) == Some(incarnation),
+            None => true,
+        };
+        let meant = rows.into_iter().filter(is_meant);
+        Ok(meant.map(|row| row.key).collect())
+    }
+
     /// Returns the transaction that brings a journal one step closer to its release.
     async fn release(&self, admin: &Admin, found: Found) -> Result<Option<Transaction>> {
         let author: HolderId = admin.host.clone();
--- a/crates/router/tests/operator/mod.rs
+++ b/crates/router/tests/operator/mod.rs
@@ -19,6 +19,7 @@
 /// A fleet with the administration API.
 pub struct Fleet {
     pub platform: Platform,
+    outside: Outside,
     pub routers: Vec<Handle>,
 }
 
@@ -70,6 +71,7 @@
         let outside = Outside::start(0, 0).await;
         let mut fleet = Self {
             platform: outside.platform.clone(),
+            outside,
             routers: Vec::new(),
         };
         for number in 0..routers {
@@ -77,7 +79,7 @@
                 admin_key_hash: Some(hash_key(KEY).into()),
                 listen: local(),
                 platform_timeout: Duration::from_secs(5),
-                ..outside.settings(number)
+                ..fleet.outside.settings(number)
             };
             fleet
                 .routers
@@ -86,6 +88,17 @@
         fleet
     }
 
+    /// Writes a row, as another process would.
+    pub async fn put(&self, key: &str, value: &impl serde::Serialize) {
+        self.outside.put(key, value).await;
+    }
+
+    /// Writes an object, as another process would.
+    pub async fn put_object(&self, key: &str, value: Vec<u8>) {
+        let written = self.outside.client.put_object(key, value);
+        written.await.unwrap();
+    }
+
     /// Returns an operator who calls a router with the first key.
     pub fn operator(&self, router: usize) -> Operator {
         self.operator_with(router, KEY)
--- a/crates/router/tests/operators.rs
+++ b/crates/router/tests/operators.rs
@@ -10,7 +10,11 @@
 
 use {
     futures_util::future::join_all,
-    marigoldroute_core::config::hash_key,
+    marigoldroute_core::{
+        bill::{Bill, Segment},
+        budget::{Account, Entry, Journal, Share},
+        config::hash_key,
+    },
     marigoldroute_platform::Order,
     operator::{Answer, Fleet, Operator},
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -429,6 +433,125 @@
     }
 }
 
+/// Guards against tokens of a lost host that do not return, that return twice, or that return
+/// although they were billed.
+#[tokio::test]
+async fn a_statement_of_loss_returns_unbilled_tokens_once() {
+    let fleet = Fleet::start(1).await;
+    let operator = fleet.operator(0);
+    let account = Account {
+        purchased: 500,
+        allocated: 100,
+        ..Account::default()
+    };
+    let share = Share {
+        allocated: 100,
+        mark: 60,
+        spent: 20,
+    };
+    let bill = Bill {
+        request: "abc.1".into(),
+        workspace: "kolkata".into(),
+        budget: "confetti".into(),
+        model: "drafting".into(),
+        upstream: "d1".into(),
+        charged: 20,
+        uncovered: 0,
+    };
+    let journal = Journal {
+        author: "router-9.00ff.1".into(),
+        entry: Entry::Flush {
+            shares: [("confetti".into(), share)].into(),
+            bills: vec![bill],
+        },
+    };
+    fleet.put("budget/confetti", &account).await;
+    fleet
+        .put("journal/router-9.00ff.1/000000000001", &journal)
+        .await;
+    fleet.put("host/router-9.00ff", &json!({})).await;
+
+    let status = operator.get("/hosts/router-9").await.accepted();
+    assert_eq!(status["journals"][0]["state"], "open");
+    assert_eq!(status["journals"][0]["stranded"], 80);
+    for request in ["lost-1", "lost-1", "lost-2"] {
+        let released = operator.make(request, "/hosts/router-9/lost", json!({}));
+        assert_eq!(released.await["holders"], json!(["router-9.00ff.1"]));
+        let budget = operator.get("/budgets/confetti").await.accepted();
+        assert_eq!(
+            (&budget["allocated"], &budget["rest"]),
+            (&json!(20), &json!(480))
+        );
+    }
+    let status = operator.get("/hosts/router-9").await.accepted();
+    assert_eq!(status["journals"][0]["state"], "lost");
+    let bills = operator.get("/bills?budget=confetti").await.accepted();
+    assert_eq!(bills["items"].as_array().unwrap().len(), 1);
+    assert_eq!(bills["items"][0]["charged"], 20);
+    let spend = operator.get("/spend?by=workspace").await.accepted();
+    assert_eq!(spend["totals"][0]["name"], "kolkata");
+    assert_eq!(spend["totals"][0]["charged"], 20);
+}
+
+/// Guards against a bill that is counted once in a segment and once more in the journal.
+#[tokio::test]
+async fn a_bill_in_journal_and_segment_counts_once() {
+    let fleet = Fleet::start(1).await;
+    let operator = fleet.operator(0);
+    let bill = |request: &str, charged: u64| Bill {
+        request: request.into(),
+        workspace: "kolkata".into(),
+        budget: "confetti".into(),
+        model: "drafting".into(),
+        upstream: "d1".into(),
+        charged,
+        uncovered: 0,
+    };
+    let segment = Segment {
+        holder: "router-9.00ff.1".into(),
+        first: 1,
+        last: 1,
+        // Far in the future, so that the segment counts as recent.
+        at: 99_999_999_999,
+        bills: vec![bill("a", 3), bill("b", 4)],
+    };
+    fleet
+        .put_object(&segment.key("confetti"), segment.encode())
+        .await;
+    for (sequence, bills) in [
+        (1, vec![bill("b", 4)]),
+        (2, vec![bill("b", 4), bill("c", 5)]),
+    ] {
+        let entry = Entry::Flush {
+            shares: BTreeMap::new(),
+            bills,
+        };
+        let journal = Journal {
+            author: "router-9.00ff.1".into(),
+            entry,
+        };
+        let key = format!("journal/router-9.00ff.1/{sequence:012}");
+        fleet.put(&key, &journal).await;
+    }
+    let spend = operator.get("/spend?by=budget").await.accepted();
+    let total = json!({"name": "confetti", "bills": 3, "charged": 12, "uncovered": 0});
+    assert_eq!(spend, json!({"totals": [total], "complete": true}));
+    let mut requests = Vec::new();
+    let mut after = String::new();
+    loop {
+        let call = format!("/bills?limit=1&after={}", after.replace('#', "%23"));
+        let page = operator.get(&call).await.accepted();
+        for bill in page["items"].as_array().unwrap() {
+            requests.push(bill["request"].as_str().unwrap().to_owned());
+        }
+        match page["next"].as_str() {
+            Some(next) => next.clone_into(&mut after),
+            None => break,
+        }
+    }
+    assert_eq!(requests, ["a", "b", "c"]);
+}
+
 /// Guards against an OpenAPI document that lacks an operation or the form of errors.
 #[tokio::test]
 async fn the_openapi_document_lists_every_resource() {
