--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -106,7 +106,7 @@
             "N",
             "Size of this host relative to others",
         )
-        .value_parser(value_parser!(u32).range(1..=1_000)),
+        .value_parser(value_parser!(u32)),
     ]
 }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -13,6 +13,9 @@
 /// Shortest fleet key in bytes.
 const KEY_BYTES: usize = 16;
 
+/// Greatest weight of a host.
+const WEIGHT_LIMIT: u32 = 1_000;
+
 /// Settings of a router process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -96,6 +99,11 @@
 /// Length of a SHA-256 hash in hexadecimal.
 const HASH_CHARS: usize = 64;
 
+fn is_url(text: &str) -> bool {
+    let url = reqwest::Url::parse(text);
+    url.is_ok_and(|url| matches!(url.scheme(), "http" | "https") && url.has_host())
+}
+
 fn is_hash(text: &str) -> bool {
     let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
     text.len() == HASH_CHARS && text.bytes().all(is_hex)
@@ -126,10 +134,7 @@
         );
         require(!self.region.is_empty(), "--region: must not be empty");
         require(!self.zone.is_empty(), "--zone: must not be empty");
-        require(
-            self.platform.starts_with("http"),
-            "--platform: must be an HTTP URL",
-        );
+        require(is_url(&self.platform), "--platform: must be an HTTP URL");
         require(
             !self.fleet_keys.is_empty(),
             "--fleet-key: at least one key is needed",
@@ -148,10 +153,19 @@
             "--holders-per-region: must be 1 or more",
         );
         require(self.attempts > 0, "--attempts: must be 1 or more");
-        require(
-            !self.flush_interval.is_zero(),
-            "--flush-interval-ms: must be 1 or more",
-        );
+        let times = [
+            ("platform-timeout-ms", self.platform_timeout),
+            ("flush-interval-ms", self.flush_interval),
+            ("peer-timeout-ms", self.peer_timeout),
+            ("reserve-timeout-ms", self.reserve_timeout),
+            ("upstream-timeout-ms", self.upstream_timeout),
+        ];
+        for (flag, time) in times {
+            require(!time.is_zero(), &format!("--{flag}: must be 1 or more"));
+        }
+        require(self.body_limit > 0, "--body-limit: must be 1 or more");
+        let is_weight = (1..=WEIGHT_LIMIT).contains(&self.weight);
+        require(is_weight, "--weight: must be from 1 to 1000");
         let peers = self.listen_peers != self.listen || self.listen.port() == 0;
         require(peers, "--listen-peers: must differ from --listen");
         if mistakes.is_empty() {
