--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,17 +1,20 @@
 //! The router: callers on one side, upstreams on the other, prepaid budgets between.
 
 pub mod cli;
+mod ledger;
 pub mod logs;
 pub mod settings;
 
 mod admin;
 mod caller;
 mod charge;
+mod claim;
 mod clock;
 mod control;
 mod escrow;
 mod metrics;
 mod ops;
+mod outbox;
 mod peer;
 mod reclaim;
 mod response;
