--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -3,6 +3,9 @@
 //! No label carries a workspace or a budget: at 17,000 budgets that would be 17,000 series per
 //! metric and host.
 
+#[cfg(test)]
+mod tests;
+
 use {
     anyhow::Context,
     prometheus::{
