--- a/crates/ctl/src/command/hosts.rs
+++ b/crates/ctl/src/command/hosts.rs
@@ -39,13 +39,7 @@
     if action == "list" {
         let hosts = context.list("/hosts", &[], matches).await?;
         let columns = [
-            "host",
-            "region",
-            "zone",
-            "peers",
-            "incarnation",
-            "version",
-            "current",
+            "host", "region", "zone", "address", "phase", "alive", "version", "current",
         ];
         return context.form.list(&columns, &hosts);
     }
--- a/crates/ctl/src/command/progress.rs
+++ b/crates/ctl/src/command/progress.rs
@@ -82,7 +82,7 @@
         let progress = look(context, Some(version)).await?;
         let behind = behind(&progress);
         let applied = progress["applied"].as_array().map_or(0, Vec::len);
-        let line = format!("version {version}: in effect on {applied} hosts, behind: {behind}");
+        let line = format!("version {version}: in effect on {applied} hosts, not on: {behind}");
         if line != shown {
             eprintln!("{line}");
             shown = line;
@@ -98,7 +98,8 @@
 }
 
 fn behind(progress: &Value) -> String {
-    let hosts = progress["behind"].as_array().into_iter().flatten();
+    let lists = [&progress["behind"], &progress["unreachable"]];
+    let hosts = lists.into_iter().filter_map(Value::as_array).flatten();
     let hosts: Vec<_> = hosts
         .map(|at| format!("{} ({})", cell(&at["host"]), cell(&at["version"])))
         .collect();
--- /dev/null
+++ b/crates/ctl/tests/pages.rs
@@ -0,0 +1,99 @@
+//! The commands on the pages for operators, run as printed against a local fleet of processes.
+//!
+//! Guards against pages whose commands no longer work. Each page continues from the page on
+//! starting a fleet, so the commands of that page run first. Only the ports are replaced by free
+//! ones.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::TcpListener,
+    path::{Path, PathBuf},
+    process::{Command, Stdio},
+};
+
+const START: &str = include_str!("../../../docs/operate/start.md");
+/// Ends what the page started, by process id, whether its commands worked or not.
+const PROLOGUE: &str = "set -euo pipefail\ntrap 'kill -KILL $(jobs -p) 2> /dev/null' EXIT\n";
+
+/// Returns the commands of a page.
+fn commands(page: &str) -> String {
+    let mut commands = String::new();
+    let mut is_inside = false;
+    for line in page.lines() {
+        match line {
+            "```sh" => is_inside = true,
+            "```" => is_inside = false,
+            line if is_inside => {
+                commands.push_str(line);
+                commands.push('\n');
+            }
+            _ => {}
+        }
+    }
+    commands
+}
+
+/// Replaces each port on a loopback address by a free one.
+fn with_free_ports(commands: &str) -> String {
+    let parts: Vec<&str> = commands.split("127.0.0.1:").collect();
+    let mut ports: BTreeMap<&str, (String, TcpListener)> = BTreeMap::new();
+    let mut replaced = parts[0].to_owned();
+    for part in &parts[1..] {
+        let end = part
+            .find(|c: char| !c.is_ascii_digit())
+            .unwrap_or(part.len());
+        let (port, rest) = part.split_at(end);
+        let (free, _) = ports.entry(port).or_insert_with(|| {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let free = listener.local_addr().unwrap().port().to_string();
+            (free, listener)
+        });
+        replaced.push_str(&format!("127.0.0.1:{free}{rest}"));
+    }
+    replaced
+}
+
+/// Returns the folder with the binaries of the workspace.
+fn binaries() -> PathBuf {
+    let folder = Path::new(env!("CARGO_BIN_EXE_marigoldctl"))
+        .parent()
+        .unwrap();
+    let router = folder.join("marigoldroute");
+    assert!(
+        router.exists(),
+        "build the workspace first: {}",
+        router.display()
+    );
+    folder.to_owned()
+}
+
+fn run(path: &Path) -> datatest_stable::Result<()> {
+    let page = fs::read_to_string(path)?;
+    let own = commands(&page);
+    assert!(!own.is_empty(), "the page has no commands");
+    let own = if page == START { String::new() } else { own };
+    let script = with_free_ports(&format!("{PROLOGUE}set -x\n{}{own}", commands(START)));
+    let name = path.file_stem().unwrap().to_string_lossy();
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("page-{name}"));
+    fs::create_dir_all(&folder)?;
+    let search = std::env::var("PATH")?;
+    let log = folder.join("page.log");
+    let output = fs::File::create(&log)?;
+    let status = Command::new("bash")
+        .args(["-c", &script])
+        .env("PATH", format!("{}:{search}", binaries().display()))
+        .current_dir(&folder)
+        .stdin(Stdio::null())
+        .stdout(output.try_clone()?)
+        .stderr(output)
+        .status()?;
+    assert!(status.success(), "{name}: {}", fs::read_to_string(&log)?);
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run, root = "../../docs/operate", pattern = r"\.md$" },
+}
