router: count listed hosts that are not heard as unreachable

A host that had just started reported a version as in effect everywhere while it knew no other host.

--- a/crates/router/src/admin/mod.rs
+++ b/crates/router/src/admin/mod.rs
@@ -14,6 +14,7 @@
 mod history;
 mod host;
 mod key;
+mod listed;
 mod lost;
 mod page;
 mod progress;
@@ -25,7 +26,7 @@
 mod write;
 
 use {
-    crate::{control::Control, metrics::Metrics},
+    crate::{clock::Clock, control::Control, metrics::Metrics},
     marigoldroute_core::id::HostId,
     marigoldroute_platform::Client,
     poem::{EndpointExt, Route},
@@ -47,6 +48,9 @@
     pub(crate) initial: Option<Arc<str>>,
     /// Keys as last read from the store; used while the store does not answer.
     pub(crate) ring: Mutex<Arc<ring::Ring>>,
+    pub(crate) clock: Clock,
+    /// Hosts as last listed in the store.
+    pub(crate) listed: Mutex<Option<listed::Listed>>,
 }
 
 /// Adds the routes.
--- a/crates/router/src/admin/progress.rs
+++ b/crates/router/src/admin/progress.rs
@@ -4,6 +4,7 @@
     super::{Admin, answer::Result, key::Operator, ring::Role},
     marigoldroute_core::{
         config::Log,
+        fleet::Progress,
         id::{HostId, Version},
     },
     poem_openapi::{Object, OpenApi, param::Query, payload::Json},
@@ -29,16 +30,21 @@
 struct Shown {
     /// Version.
     version: Version,
-    /// Whether it is in effect on every host that is known.
+    /// Whether it is in effect on every host that is heard of or listed.
     everywhere: bool,
     /// Hosts with this version or a newer one.
     applied: Vec<String>,
     /// Hosts with an older version.
     behind: Vec<Place>,
-    /// Hosts that do not answer, with the version that they were last seen with.
+    /// Hosts that are listed and do not answer, with the version that they were last seen with.
     unreachable: Vec<Place>,
 }
 
+fn is_placed(progress: &Progress, host: &HostId) -> bool {
+    let others = progress.behind.iter().chain(&progress.unreachable);
+    progress.applied.contains(host) || others.into_iter().any(|(other, _)| other == host)
+}
+
 #[OpenApi]
 impl Api {
     /// Shows on which hosts a version is in effect.
@@ -51,7 +57,13 @@
     ) -> Result<Json<Shown>> {
         operator.0.require(Role::Read)?;
         let known = self.0.read(Log::known).await?;
-        let progress = self.0.control.progress(version.0.unwrap_or(known)).await;
+        let wanted = version.0.unwrap_or(known);
+        let mut progress = self.0.control.progress(wanted).await;
+        for host in self.0.listed().await.iter() {
+            if !is_placed(&progress, host) {
+                progress.unreachable.push((host.clone(), 0));
+            }
+        }
         let places = |hosts: Vec<(HostId, Version)>| {
             let place = |(host, version): (HostId, Version)| Place {
                 host: host.to_string(),
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -191,6 +191,8 @@
         metrics: metrics.clone(),
         initial: settings.admin_key_hash.clone(),
         ring: Default::default(),
+        clock,
+        listed: Default::default(),
     };
     let context = Arc::new(Context {
         clock,
--- a/crates/router/tests/operators.rs
+++ b/crates/router/tests/operators.rs
@@ -552,6 +552,18 @@
     assert_eq!(requests, ["a", "b", "c"]);
 }
 
+/// Guards against "in effect everywhere" from a host that has not heard of a listed host.
+#[tokio::test]
+async fn a_listed_host_that_is_not_heard_counts_as_unreachable() {
+    let fleet = Fleet::start(1).await;
+    fleet.configure().await;
+    fleet.put("host/router-9.00ff", &json!({})).await;
+    let progress = fleet.operator(0).get("/progress").await.accepted();
+    let unheard = json!([{"host": "router-9", "version": 0}]);
+    assert_eq!(progress["unreachable"], unheard);
+    assert_eq!(progress["everywhere"], false);
+}
+
 /// Guards against an OpenAPI document that lacks an operation or the form of errors.
 #[tokio::test]
 async fn the_openapi_document_lists_every_resource() {
