--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -15,7 +15,7 @@
         },
         fleet::{Gossip, Host, Observation, Phase, Settings, Status, View},
         id::{HolderId, HostId, UpstreamId, Version},
-        table::{Row, Transaction},
+        table::{Row, Transaction, Verdict},
         wire::{Body, Reply},
     },
     marigoldroute_platform::{Client, Fault},
@@ -98,6 +98,7 @@
     Listed(Result<Register, Fault>),
     Probed(UpstreamId, Observation),
     Decide(Box<Attempt>, Result<Vec<Row>, Fault>),
+    Committed(Box<Attempt>, Result<Verdict, Fault>),
     Upkeep(Result<(Option<Row>, Vec<Row>), Fault>),
 }
 
@@ -241,6 +242,7 @@
                 self.view.observe(now, &upstream, observation);
             }
             Event::Decide(attempt, rows) => self.decide(*attempt, rows),
+            Event::Committed(attempt, verdict) => self.committed(*attempt, verdict),
             Event::Upkeep(Ok((pointer, oldest))) => self.tidy(pointer.as_ref(), &oldest),
             Event::Upkeep(Err(fault)) => self.failed(fault),
         }
@@ -373,7 +375,7 @@
 
     /// Writes a snapshot when the last one is old, and removes log rows that it covers.
     fn tidy(&mut self, pointer: Option<&Row>, oldest: &[Row]) {
-        let transactions = [self.log.snapshot(pointer), Log::trim(pointer, oldest)];
+        let transactions = [self.log.snapshot(pointer), self.log.trim(pointer, oldest)];
         for transaction in transactions.into_iter().flatten() {
             let platform = self.parts.platform.clone();
             // Another poller may be faster; the next round finds out.
@@ -405,36 +407,58 @@
         });
     }
 
-    fn decide(&mut self, attempt: Attempt, rows: Result<Vec<Row>, Fault>) {
+    fn decide(&mut self, mut attempt: Attempt, rows: Result<Vec<Row>, Fault>) {
         let rows = match rows {
             Ok(rows) => rows,
             Err(fault) => {
                 self.failed(fault);
-                return self.again(attempt, None);
+                return self.again(attempt);
             }
         };
         match attempt.proposal.decide(&rows, &self.log) {
             Err(refusal) => {
                 let _ = attempt.reply.send(Err(Denied::Refused(refusal)));
             }
-            Ok(Step::Accepted(version)) => {
-                log::info!(version, author:% = attempt.proposal.author; "configuration accepted");
-                let _ = attempt.reply.send(Ok(version));
-            }
-            Ok(Step::Commit(transaction)) => self.again(attempt, Some(transaction)),
+            Ok(Step::Accepted(version)) => accepted(attempt, version),
+            Ok(Step::Commit(transaction)) => self.commit(attempt, transaction),
             Ok(Step::CatchUp(version)) => {
                 let now = self.parts.clock.now();
                 let own = self.parts.host.id.clone();
                 // The newer version is in the store; the log asks for it.
                 self.log.observe(now, &own, version);
-                self.again(attempt, None);
+                self.again(attempt);
             }
-            Ok(Step::Reread) => self.again(attempt, None),
+            Ok(Step::Reread) => self.again(attempt),
         }
     }
 
-    /// Commits `transaction`, if any, and decides again.
-    fn again(&mut self, attempt: Attempt, transaction: Option<Transaction>) {
+    fn commit(&mut self, attempt: Attempt, transaction: Transaction) {
+        let platform = self.parts.platform.clone();
+        self.calls.spawn(async move {
+            let verdict = platform.commit(&transaction).await;
+            Event::Committed(Box::new(attempt), verdict)
+        });
+    }
+
+    fn committed(&mut self, mut attempt: Attempt, verdict: Result<Verdict, Fault>) {
+        let verdict = match verdict {
+            Ok(verdict) => verdict,
+            Err(fault) => {
+                self.failed(fault);
+                return self.again(attempt);
+            }
+        };
+        match attempt.proposal.settle(&verdict) {
+            Ok(Some(version)) => accepted(attempt, version),
+            Ok(None) => self.again(attempt),
+            Err(refusal) => {
+                let _ = attempt.reply.send(Err(Denied::Refused(refusal)));
+            }
+        }
+    }
+
+    /// Decides again after a pause.
+    fn again(&mut self, attempt: Attempt) {
         if attempt.left == 0 {
             let _ = attempt.reply.send(Err(Denied::Unanswered));
             return;
@@ -443,11 +467,7 @@
         let attempt = Box::new(Attempt { left, ..attempt });
         let platform = self.parts.platform.clone();
         self.calls.spawn(async move {
-            match transaction {
-                // The next reading of the rows shows whether it took effect.
-                Some(transaction) => drop(platform.commit(&transaction).await),
-                None => tokio::time::sleep(PROPOSAL_PAUSE).await,
-            }
+            tokio::time::sleep(PROPOSAL_PAUSE).await;
             let rows = store::get(&platform, &attempt.proposal.keys()).await;
             Event::Decide(attempt, rows)
         });
@@ -484,3 +504,9 @@
         });
     }
 }
+
+fn accepted(attempt: Attempt, version: Version) {
+    let author = &attempt.proposal.submission().author;
+    log::info!(version, author:%; "configuration accepted");
+    let _ = attempt.reply.send(Ok(version));
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -17,7 +17,7 @@
     },
     anyhow::Context as _,
     marigoldroute_core::{
-        config::{Change, Proposal, Rebase},
+        config::{Change, Proposal, Rebase, Submission},
         fleet::Host,
         id::{HolderId, Version},
     },
@@ -288,14 +288,14 @@
     ) -> anyhow::Result<Version> {
         let (base, _) = self.control.tree().await;
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        let proposal = Proposal {
+        let proposal = Proposal::new(Submission {
             change,
             author: author.into(),
             request: request.into(),
             time_ms: since.unwrap_or_default().as_millis() as u64,
             base,
             rebase: Rebase::Never,
-        };
+        });
         Ok(self.control.propose(proposal).await?)
     }
 
