--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 mod report;
+mod setup;
 
 use {
     anyhow::{Context, ensure},
--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -182,10 +182,9 @@
             Command::Tree(reply) => {
                 let _ = reply.send((self.log.version(), self.log.tree().clone()));
             }
-            Command::Records { after, reply } => {
-                let records = self.log.since(after);
-                let records = records.map(|records| records.into_iter().cloned().collect());
-                let _ = reply.send(records);
+            Command::Consult(function) => {
+                function(&mut self.log, self.parts.clock.now());
+                self.publish();
             }
         }
     }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -3,6 +3,9 @@
 //! No label carries a workspace or a budget: at 17,000 budgets that would be 17,000 series per
 //! metric and host.
 
+#[cfg(test)]
+mod tests;
+
 use {
     anyhow::Context,
     prometheus::{
@@ -36,6 +39,8 @@
     pub(crate) refused_frames: IntCounter,
     /// Version of the configuration in effect.
     pub(crate) config_version: IntGauge,
+    /// Operators' calls by result: `ok` or an error kind.
+    pub(crate) admin_calls: IntCounterVec,
 }
 
 impl Metrics {
@@ -57,6 +62,12 @@
         );
         let requests = IntCounterVec::new(requests, &["result"])?;
         registry.register(Box::new(requests.clone()))?;
+        let admin_calls = Opts::new(
+            "marigoldroute_admin_calls_total",
+            "Operators' calls by result",
+        );
+        let admin_calls = IntCounterVec::new(admin_calls, &["result"])?;
+        registry.register(Box::new(admin_calls.clone()))?;
         let first_token = HistogramOpts::new(
             "marigoldroute_first_token_seconds",
             "Time from the request to the first token",
@@ -65,6 +76,7 @@
         registry.register(Box::new(first_token.clone()))?;
         Ok(Self {
             requests,
+            admin_calls,
             running: gauge("marigoldroute_running_requests", "Requests being served")?,
             charged: counter("marigoldroute_charged_tokens_total", "Tokens billed")?,
             uncovered: counter(
