Count what a new request costs the running ones, in small subsets

Cause: fast engines were filled until they were as slow as the slowest one, and long responses were placed without regard to their time to first token. Own requests scaled by the share of the load are wrong for upstreams that few hosts use.

Change: the estimate includes the time that running requests lose; the output limit counts up to 256 tokens; the running requests are the average of the reports plus the scaled change of the own ones; each host prefers 9 candidates per model and considers one random other at 1.4 times its estimate. Tried without benefit and left out: a fading memory of the own prompts, a penalty by rank, the time that running requests wait for the prompt, 2 other candidates, other candidates without a factor.

--- a/crates/core/src/route/adaptive.rs
+++ b/crates/core/src/route/adaptive.rs
@@ -7,7 +7,7 @@
         choice::Phase,
         engine::{Engine, Estimate, class},
         prefix::{Hints, Trust},
-        registry::{Distance, Registry, Slot, Subset},
+        registry::{Distance, List, Registry, Slot, Subset},
     },
     rand::{Rng, RngCore},
     std::{mem::size_of, time::Duration},
@@ -91,13 +91,13 @@
         }
     }
 
-    /// Rates a slot, unless it is not allowed.
+    /// Rates a slot with a factor on its cost, unless it is not allowed.
     fn rate(
         &self,
         now: Duration,
         random: &mut dyn RngCore,
         request: &Request<'_>,
-        index: u32,
+        (index, factor): (u32, f32),
         ranking: &mut Ranking,
     ) {
         let Some(slot) = self.registry.slot(index) else {
@@ -111,7 +111,7 @@
         let noise = 1.0 + settings.jitter * random.random::<f32>();
         let rated = Rated {
             slot: index,
-            cost: self.cost(request, slot, &estimate) * noise,
+            cost: self.cost(request, slot, &estimate) * noise * factor,
             estimate,
         };
         ranking.add(rated, slot.state.is_suspect(settings, now, estimate.first));
@@ -138,25 +138,37 @@
             Distance::Region => settings.zone_cost,
             Distance::Remote => settings.region_cost,
         };
-        let response = request.output as f32 * estimate.between;
+        let tokens = request.output.min(settings.response) as f32;
+        let response = tokens * (estimate.between + settings.slowdown * estimate.slowdown);
         let excess = (estimate.between / settings.between_limit - 1.0).max(0.0);
         network.as_secs_f32() + estimate.first + settings.completion * response + excess
     }
 
-    /// Rates a random sample of the subset and the candidate that the prompt's first prefix hash
+    /// Rates one random candidate outside the subset, a random sample of the subset, and the candidate that the prompt's first prefix hash
     /// maps to, so that prompts with the same prefix meet also without cache events.
     fn sample(
         &self,
         now: Duration,
         random: &mut dyn RngCore,
         request: &Request<'_>,
-        subset: Subset<'_>,
+        list: &List,
     ) -> Ranking {
         let mut ranking = Ranking::default();
+        let subset = list.subset(self.settings.subset, self.settings.spill);
+        if let Some(slot) = list.outsider(random, &subset) {
+            let rated = (slot, self.settings.outside);
+            self.rate(now, random, request, rated, &mut ranking);
+        }
         let count = subset.len();
         if count <= self.settings.sample {
             for index in 0..count {
-                self.rate(now, random, request, subset.slot(index), &mut ranking);
+                self.rate(
+                    now,
+                    random,
+                    request,
+                    (subset.slot(index), 1.0),
+                    &mut ranking,
+                );
             }
             return ranking;
         }
@@ -166,10 +178,10 @@
         let stride = stride(random.random_range(1..count), count);
         for step in 0..self.settings.sample {
             let slot = subset.slot((start + step * stride) % count);
-            self.rate(now, random, request, slot, &mut ranking);
+            self.rate(now, random, request, (slot, 1.0), &mut ranking);
         }
         if let Some(slot) = self.affine(request, subset) {
-            self.rate(now, random, request, slot, &mut ranking);
+            self.rate(now, random, request, (slot, 1.0), &mut ranking);
         }
         ranking
     }
@@ -248,13 +260,12 @@
         request: &Request<'_>,
     ) -> Option<Choice> {
         let list = self.registry.list(request.target)?;
-        let subset = list.subset(self.settings.subset, self.settings.spill);
-        let mut ranking = self.sample(now, random, request, subset);
+        let mut ranking = self.sample(now, random, request, list);
         if ranking.best.is_none() {
             // Nothing in the sample is in order, so all candidates are considered.
             ranking = Ranking::default();
             for slot in list.all() {
-                self.rate(now, random, request, slot, &mut ranking);
+                self.rate(now, random, request, (slot, 1.0), &mut ranking);
             }
         }
         let rated = ranking.best.or(ranking.suspect)?;
--- a/crates/core/src/route/engine.rs
+++ b/crates/core/src/route/engine.rs
@@ -8,6 +8,8 @@
 /// Bounds on one observed ratio of a measured to an estimated time, so that a single request
 /// cannot dominate what was learned.
 const RATIO: (f32, f32) = (0.25, 4.0);
+/// Assumed mean length of a response in tokens.
+const MEAN_TOKENS: f32 = 230.0;
 /// Bounds on the learned speed.
 const SLOWNESS: (f32, f32) = (0.1, 50.0);
 
@@ -16,6 +18,8 @@
 pub struct Estimate {
     pub first: f32,
     pub between: f32,
+    /// Increase of the time between tokens for the requests in the batch, summed over them.
+    pub slowdown: f32,
     pub cached: u32,
     pub uncached: u32,
     pub age: f32,
@@ -32,10 +36,10 @@
     unanswered: u32,
     /// Start of the present silence: the last sign of life while requests are unanswered.
     silent_since: Duration,
-    /// Own requests sent less own requests ended since the last report.
-    net: f32,
     /// Own prompt tokens sent and not answered.
     sent: f32,
+    /// Own requests in flight, averaged over the times of the reports.
+    own: f32,
     /// Requests in the batch, averaged over reports.
     running: f32,
     /// Prompt tokens that wait, averaged over reports.
@@ -67,8 +71,8 @@
             in_flight: 0,
             unanswered: 0,
             silent_since: Duration::ZERO,
-            net: 0.0,
             sent: 0.0,
+            own: 0.0,
             running: 0.0,
             backlog: 0.0,
             base: 0.0,
@@ -97,9 +101,8 @@
         peers: f32,
     ) -> Estimate {
         let age = self.age(now);
-        let own = self.in_flight as f32 * peers;
-        let reported = (self.running + self.net).max(0.0);
-        let running = own + settings.reported * (reported - own);
+        let change = (self.in_flight as f32 - self.own) * peers * settings.own;
+        let running = (self.running + change).max(0.0);
         let prefill = positive(self.prefill, settings.prefill) * self.slowness;
         let between = self.between(settings, running + 1.0);
         let ahead = self.load.pending[..=class].iter().sum::<u32>() as f32;
@@ -110,6 +113,7 @@
         Estimate {
             first,
             between,
+            slowdown: between * running / (settings.half_batch + running + 1.0),
             cached: prompt.min(cached),
             uncached,
             age,
@@ -125,7 +129,6 @@
     /// time divided by the number of running requests.
     fn queue(&self, class: usize, between: f32) -> f32 {
         let waiting = self.load.waiting[..=class].iter().sum::<u32>() as f32;
-        const MEAN_TOKENS: f32 = 230.0;
         waiting * MEAN_TOKENS * between / (self.load.running as f32).max(1.0)
     }
 
@@ -155,6 +158,7 @@
         let weight = if is_first { 1.0 } else { settings.smoothing };
         let running = load.running as f32;
         let pending = load.pending.iter().sum::<u32>() as f32;
+        smooth(&mut self.own, self.in_flight as f32, weight);
         smooth(&mut self.running, running, weight);
         smooth(&mut self.backlog, pending, weight);
         if load.between > 0.0 {
@@ -166,7 +170,6 @@
         }
         self.load = *load;
         self.reported = Some(now);
-        self.net = 0.0;
         let total = load.running + load.waiting.iter().sum::<u32>();
         (self.in_flight, total)
     }
@@ -177,7 +180,6 @@
         }
         self.in_flight += 1;
         self.unanswered += 1;
-        self.net += 1.0;
         self.sent += uncached as f32;
     }
 
@@ -203,7 +205,6 @@
 
     pub fn end(&mut self, was_answered: bool) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        self.net -= 1.0;
         if !was_answered {
             self.unanswered = self.unanswered.saturating_sub(1);
         }
--- a/crates/core/src/route/registry.rs
+++ b/crates/core/src/route/registry.rs
@@ -4,6 +4,7 @@
     super::{Candidate, Origin},
     crate::id::{ModelId, UpstreamId},
     derive_more::{Display, Error},
+    rand::{Rng, RngCore},
     std::{collections::HashMap, mem::size_of},
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
@@ -71,6 +72,16 @@
         }
     }
 
+    /// Returns a random slot of the own region outside the subset. An upstream that is in no
+    /// host's subset receives work only this way.
+    pub fn outsider(&self, random: &mut dyn RngCore, subset: &Subset<'_>) -> Option<u32> {
+        let rest = &self.near[subset.near.len()..];
+        if rest.is_empty() {
+            return None;
+        }
+        Some(rest[random.random_range(0..rest.len())].slot)
+    }
+
     fn side(&mut self, distance: Distance) -> &mut Vec<Entry> {
         match distance {
             Distance::Remote => &mut self.far,
--- a/crates/core/src/route/settings.rs
+++ b/crates/core/src/route/settings.rs
@@ -7,11 +7,15 @@
 pub struct Settings {
     /// Most candidates known at a time.
     pub capacity: usize,
-    /// Candidates of the own region that this host considers, per model.
+    /// Candidates of the own region that this host prefers, per model. A small subset makes a
+    /// larger share of their load this host's own, which it knows without delay.
     pub subset: usize,
     /// Candidates of other regions that are considered at least, per model.
     pub spill: usize,
-    /// Candidates compared per decision.
+    /// Factor on the estimate of one random candidate outside the subset. It receives work only
+    /// when it is much better, for example because it is in no host's subset.
+    pub outside: f32,
+    /// Candidates of the subset compared per decision.
     pub sample: usize,
     /// Tokens covered by one prefix hash.
     pub block: u32,
@@ -30,14 +34,20 @@
     pub half_batch: f32,
     /// Weight of the time to completion against the time to first token.
     pub completion: f32,
+    /// Tokens up to which the output token limit counts in the time to completion. Without a bound,
+    /// long responses would be placed without regard to their time to first token.
+    pub response: u32,
+    /// Weight of the time that running requests lose to a new one. Without it, fast engines are
+    /// filled until they are as slow as the slowest one.
+    pub slowdown: f32,
     /// Time between tokens, in seconds, above which a candidate is penalised.
     pub between_limit: f32,
     /// Age of a load report, in seconds, at which its queue counts by a third; prompts are
     /// processed in a fraction of a second, so older queues say little.
     pub backlog_memory: f32,
-    /// Weight of the reported number of running requests against the own requests in flight,
-    /// scaled by this host's share of the load. Only the own ones are up to date.
-    pub reported: f32,
+    /// Weight of a change of the own requests in flight, scaled by this host's share of the load.
+    /// Only the own ones are up to date; other hosts change theirs in a similar way.
+    pub own: f32,
     /// Weight of a new load report in the averages over reports. Hosts that follow every single
     /// report all choose the same upstream.
     pub smoothing: f32,
@@ -66,8 +76,9 @@
     fn default() -> Self {
         Self {
             capacity: 4_096,
-            subset: 48,
+            subset: 9,
             spill: 4,
+            outside: 1.4,
             sample: 16,
             block: 256,
             hints: 1 << 15,
@@ -76,10 +87,12 @@
             prefill: 0.000_05,
             between: 0.03,
             half_batch: 50.0,
-            completion: 0.05,
+            completion: 0.02,
+            response: 256,
+            slowdown: 4.0,
             between_limit: 0.055,
             backlog_memory: 0.3,
-            reported: 0.3,
+            own: 0.7,
             smoothing: 0.1,
             jitter: 0.02,
             peers: 64.0,
--- a/crates/ctl/src/measure/routing.rs
+++ b/crates/ctl/src/measure/routing.rs
@@ -8,6 +8,7 @@
 mod case;
 mod decision;
 mod engine;
+mod fleet;
 mod meter;
 mod world;
 
--- a/crates/ctl/src/measure/routing/decision.rs
+++ b/crates/ctl/src/measure/routing/decision.rs
@@ -1,8 +1,12 @@
 //! Time and memory of a decision with many candidates known.
 
 use {
+    super::fleet::{MODEL, candidate, origin},
     hdrhistogram::Histogram,
-    marigoldroute_core::route::{Candidate, Load, Name, Origin, Progress, Request, Settings},
+    marigoldroute_core::{
+        id::UpstreamId,
+        route::{Load, Name, Progress, Request, Settings},
+    },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
         io::Write,
@@ -33,15 +37,10 @@
 }
 
 fn measure(name: Name, settings: &Settings) -> anyhow::Result<String> {
-    let origin = Origin {
-        host: "host-1".into(),
-        region: "region".into(),
-        zone: "zone-1".into(),
-    };
-    let mut policy = name.policy(origin, settings.clone());
+    let mut policy = name.policy(origin(1), settings.clone());
     let mut random = SmallRng::seed_from_u64(1);
     for replica in 0..REPLICAS {
-        let id = format!("engine-{replica}");
+        let id: UpstreamId = format!("engine-{replica}").into();
         policy.join(Duration::ZERO, &candidate(&id, replica))?;
         let load = Load {
             running: random.random_range(10..60),
@@ -60,7 +59,7 @@
             .map(|block| group << 32 | block)
             .collect();
         let request = Request {
-            target: "drafting",
+            target: MODEL,
             prompt: 3_000,
             output: 256,
             prefixes: &prefixes,
@@ -84,12 +83,3 @@
         policy.bytes()
     ))
 }
-
-fn candidate(id: &str, replica: usize) -> Candidate {
-    Candidate {
-        id: id.into(),
-        serves: vec!["drafting".into()],
-        region: "region".into(),
-        zone: format!("zone-{}", replica % 3).into(),
-    }
-}
--- a/crates/ctl/src/measure/routing/world.rs
+++ b/crates/ctl/src/measure/routing/world.rs
@@ -5,14 +5,12 @@
         arrivals::{Arrival, Arrivals},
         case::{Case, Fault},
         engine::{Engine, Job, Output},
+        fleet::{MODEL, candidate, origin},
         meter::{Figures, Meter},
     },
     marigoldroute_core::{
         id::UpstreamId,
-        route::{
-            Cache, Candidate, Change, Load, Name, Origin, Policy, Progress, Request, Settings,
-            Ticket,
-        },
+        route::{Cache, Change, Load, Name, Policy, Progress, Request, Settings, Ticket},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
@@ -30,10 +28,6 @@
 const NETWORK: f64 = 0.000_5;
 /// Time until a failing engine's error arrives, in seconds.
 const FAILURE: f64 = 0.005;
-/// Model that all engines serve.
-const MODEL: &str = "drafting";
-/// Availability zones that hosts and engines are spread over.
-const ZONES: usize = 4;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -407,24 +401,3 @@
         self.meter.figures(cached as f64 / prompt.max(1) as f64)
     }
 }
-
-fn zone(index: usize) -> String {
-    format!("zone-{}", index % ZONES)
-}
-
-fn origin(router: usize) -> Origin {
-    Origin {
-        host: format!("host-{router}").into(),
-        region: "region".into(),
-        zone: zone(router).into(),
-    }
-}
-
-fn candidate(id: &UpstreamId, engine: usize) -> Candidate {
-    Candidate {
-        id: id.clone(),
-        serves: vec![MODEL.into()],
-        region: "region".into(),
-        zone: zone(engine).into(),
-    }
-}
