Add the limit slice: overload protection

Cause: nothing bounds the requests in flight at an upstream, divides places between workspaces or bounds retries.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod fault;
 pub mod id;
+pub mod limit;
 pub mod route;
 pub mod stream;
 pub mod table;
--- /dev/null
+++ b/crates/core/src/limit/ramp.rs
@@ -0,0 +1,47 @@
+//! Slow start of new upstreams.
+
+use std::time::Duration;
+
+/// Settings of a [`Ramp`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Time until a new upstream gets its full share.
+    pub length: Duration,
+    /// Share at the start.
+    pub floor: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            length: Duration::from_secs(20),
+            floor: 0.1,
+        }
+    }
+}
+
+/// The share of its limit that an upstream gets since it came into service.
+#[derive(Clone, Debug)]
+pub struct Ramp {
+    settings: Settings,
+    since: Duration,
+}
+
+impl Ramp {
+    /// Starts the ramp.
+    pub fn new(settings: Settings, now: Duration) -> Self {
+        Self {
+            settings,
+            since: now,
+        }
+    }
+
+    /// Returns the share, between the floor and 1.
+    pub fn share(&self, now: Duration) -> f64 {
+        let elapsed = now.saturating_sub(self.since).as_secs_f64();
+        let length = self.settings.length.as_secs_f64();
+        let done = if length > 0.0 { elapsed / length } else { 1.0 };
+        let floor = self.settings.floor.clamp(0.0, 1.0);
+        (floor + (1.0 - floor) * done).min(1.0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/limit/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the overload protection.
