Test the invariants of routing and overload protection

Cause: the limit and route slices had no tests.

Change: property tests from fixed seeds against simple oracles, each with a test that it detects a deliberate defect. Two faults found: the concurrency limit did not recover from 1 within 10 round trips, because each adjustment waited for 20 measurements; the fairness clock kept an account per workspace ever seen.

--- a/crates/core/src/limit/concurrency.rs
+++ b/crates/core/src/limit/concurrency.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// Measurements per adjustment at the lowest limits.
+const WINDOW_LEAST: u32 = 4;
+
 /// Settings of a [`Concurrency`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -13,7 +16,7 @@
     pub most: u32,
     /// Ratio of the recent latency to the unloaded latency up to which the limit may grow.
     pub tolerance: f64,
-    /// Measurements per adjustment.
+    /// Measurements per adjustment, at most; fewer when the limit is lower.
     pub window: u32,
     /// Factor on the limit when a window contains a failure.
     pub backoff: f64,
@@ -120,7 +123,10 @@
     }
 
     fn adjust(&mut self) {
-        if self.window.count < self.settings.window {
+        // At a low limit, a full window would take many round trips and delay the recovery.
+        let longest = self.settings.window.max(WINDOW_LEAST);
+        let needed = (self.limit as u32).clamp(WINDOW_LEAST, longest);
+        if self.window.count < needed {
             return;
         }
         let window = std::mem::take(&mut self.window);
--- a/crates/core/src/limit/tests.rs
+++ b/crates/core/src/limit/tests.rs
@@ -1,1 +1,516 @@
 //! Tests of the overload protection.
+
+use {
+    super::{
+        Concurrency, ConcurrencySettings, Ejector, EjectorSettings, Entry, Fairness, Key, Queue,
+        QueueSettings, Ramp, RampSettings, RetryBudget, RetrySettings, Shed,
+    },
+    crate::{fault::Outcome, id::UpstreamId},
+    proptest::{
+        collection::vec,
+        prelude::*,
+        test_runner::{RngAlgorithm, TestCaseError, TestRng, TestRunner},
+    },
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Runs a property on values from a fixed seed.
+fn check<S: Strategy>(
+    strategy: &S,
+    property: impl Fn(S::Value) -> Result<(), TestCaseError>,
+) -> Result<(), String> {
+    let config = ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[23; 32]);
+    TestRunner::new_with_rng(config, random)
+        .run(strategy, property)
+        .map_err(|error| error.to_string())
+}
+
+const fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Push {
+        workspace: u8,
+        class: u8,
+        cost: u64,
+        patience: u64,
+    },
+    Pop,
+    Cancel(usize),
+    Expire,
+    Pass(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let push = (0..4_u8, 0..4_u8, 1..500_u64, 0..3_000_u64);
+    let push = push.prop_map(|(workspace, class, cost, patience)| Step::Push {
+        workspace,
+        class,
+        cost,
+        patience,
+    });
+    let step = prop_oneof![
+        6 => push,
+        3 => Just(Step::Pop),
+        1 => any::<usize>().prop_map(Step::Cancel),
+        1 => Just(Step::Expire),
+        2 => (0..400_u64).prop_map(Step::Pass),
+    ];
+    vec(step, 1..150)
+}
+
+/// A defect of the queue for the tests of the properties.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Defect {
+    None,
+    LoseVictim,
+    ServeTwice,
+    IgnoreBound,
+    ClaimRan,
+}
+
+/// The answers that each pushed item got.
+#[derive(Default)]
+struct Answers {
+    count: BTreeMap<u32, u32>,
+    waiting: BTreeMap<u32, (Key, Duration)>,
+}
+
+impl Answers {
+    fn answer(&mut self, item: u32) {
+        self.waiting.remove(&item);
+        *self.count.entry(item).or_default() += 1;
+    }
+
+    fn shed(&mut self, shed: &Shed<u32>, defect: Defect) -> Result<(), TestCaseError> {
+        self.answer(shed.item);
+        let mut answer = shed.fault.answer();
+        if defect == Defect::ClaimRan {
+            answer.outcome = Outcome::Ran;
+        }
+        prop_assert_eq!(answer.outcome, Outcome::NotRun);
+        prop_assert!(
+            answer
+                .retry_after
+                .is_some_and(|after| after >= millis(1_000))
+        );
+        Ok(())
+    }
+}
+
+/// Each item gets exactly one answer, in time, and the queue stays within its bound.
+fn answers_once(steps: &[Step], defect: Defect) -> Result<(), TestCaseError> {
+    const CAPACITY: usize = 8;
+    let capacity = if defect == Defect::IgnoreBound {
+        9
+    } else {
+        CAPACITY
+    };
+    let mut queue = Queue::new(QueueSettings {
+        capacity,
+        ..QueueSettings::default()
+    });
+    let mut now = Duration::ZERO;
+    let mut answers = Answers::default();
+    let mut pushed = 0;
+    for step in steps {
+        match *step {
+            Step::Push {
+                workspace,
+                class,
+                cost,
+                patience,
+            } => {
+                pushed += 1;
+                let deadline = now + millis(patience);
+                let entry = Entry {
+                    workspace: format!("w{workspace}").into(),
+                    weight: u32::from(workspace) + 1,
+                    class,
+                    cost,
+                    deadline,
+                    item: pushed,
+                };
+                match queue.push(now, entry) {
+                    Ok((key, victim)) => {
+                        answers.waiting.insert(pushed, (key, deadline));
+                        if let Some(victim) = victim.filter(|_| defect != Defect::LoseVictim) {
+                            answers.shed(&victim, defect)?;
+                        }
+                    }
+                    Err(shed) => answers.shed(&shed, defect)?,
+                }
+            }
+            Step::Pop => {
+                let live = answers
+                    .waiting
+                    .values()
+                    .any(|(_, deadline)| *deadline > now);
+                let popped = queue.pop(now);
+                prop_assert_eq!(popped.is_some(), live, "work waits but none is served");
+                if let Some((_, item)) = popped {
+                    prop_assert!(answers.waiting.get(&item).is_some_and(|(_, at)| *at > now));
+                    answers.answer(item);
+                    if defect == Defect::ServeTwice {
+                        answers.answer(item);
+                    }
+                }
+            }
+            Step::Cancel(index) => {
+                let keys: Vec<Key> = answers.waiting.values().map(|(key, _)| *key).collect();
+                if let Some(key) = keys.get(index % keys.len().max(1)) {
+                    let item = queue.cancel(*key);
+                    prop_assert!(item.is_some());
+                    prop_assert_eq!(queue.cancel(*key), None);
+                    item.into_iter().for_each(|item| answers.answer(item));
+                }
+            }
+            Step::Expire => {
+                for shed in queue.expire(now) {
+                    answers.shed(&shed, defect)?;
+                }
+                prop_assert!(queue.next_deadline().is_none_or(|deadline| deadline > now));
+            }
+            Step::Pass(time) => now += millis(time),
+        }
+        prop_assert!(queue.len() <= CAPACITY, "the queue is over its bound");
+        prop_assert_eq!(queue.len(), answers.waiting.len(), "an entry was lost");
+        prop_assert!(
+            answers.count.values().all(|count| *count == 1),
+            "answered twice"
+        );
+    }
+    for shed in queue.expire(now + millis(10_000)) {
+        answers.shed(&shed, defect)?;
+    }
+    prop_assert_eq!(
+        answers.count.len(),
+        pushed as usize,
+        "an entry has no answer"
+    );
+    Ok(())
+}
+
+/// Guards against entries that are lost, answered twice, served after their deadline or shed with
+/// an untrue outcome, and against a queue over its bound.
+#[test]
+fn queue_answers_each_entry_once() {
+    assert_eq!(
+        check(&steps(), |steps| answers_once(&steps, Defect::None)),
+        Ok(())
+    );
+}
+
+/// Guards against a property that cannot fail.
+#[test]
+fn queue_property_detects_defects() {
+    for defect in [
+        Defect::LoseVictim,
+        Defect::ServeTwice,
+        Defect::IgnoreBound,
+        Defect::ClaimRan,
+    ] {
+        let checked = check(&steps(), |steps| answers_once(&steps, defect));
+        assert!(checked.is_err(), "{defect:?} was not detected");
+    }
+}
+
+/// Serves entries of workspaces that always have entries waiting and compares the costs served
+/// per weight. `weigh` is the weight that the queue is told.
+fn is_fair(
+    weights: &[u32],
+    costs: &[u64],
+    weigh: impl Fn(usize) -> u32,
+) -> Result<(), TestCaseError> {
+    let mut queue = Queue::new(QueueSettings::default());
+    let mut costs = costs.iter().copied().cycle();
+    let mut push = |queue: &mut Queue<(usize, u64)>, workspace: usize| {
+        let cost = costs.next().unwrap_or(1);
+        let entry = Entry {
+            workspace: format!("w{workspace}").into(),
+            weight: weigh(workspace),
+            class: 0,
+            cost,
+            deadline: Duration::MAX,
+            item: (workspace, cost),
+        };
+        queue.push(Duration::ZERO, entry).is_ok()
+    };
+    for workspace in (0..weights.len()).chain(0..weights.len()) {
+        prop_assert!(push(&mut queue, workspace));
+    }
+    let mut served = vec![0.0; weights.len()];
+    let most = 500.0;
+    for _ in 0..200 {
+        let Some((_, (workspace, cost))) = queue.pop(Duration::ZERO) else {
+            return Err(TestCaseError::fail("the queue is empty"));
+        };
+        served[workspace] += cost as f64 / f64::from(weights[workspace]);
+        prop_assert!(push(&mut queue, workspace));
+        for (a, served_a) in served.iter().enumerate() {
+            for (b, served_b) in served.iter().enumerate() {
+                let bound = most / f64::from(weights[a]) + most / f64::from(weights[b]) + 1.0;
+                prop_assert!((served_a - served_b).abs() <= bound);
+            }
+        }
+    }
+    Ok(())
+}
+
+fn workspaces() -> impl Strategy<Value = (Vec<u32>, Vec<u64>)> {
+    (vec(1..20_u32, 2..6), vec(1..500_u64, 1..40))
+}
+
+/// Guards against a large workspace that starves small ones.
+#[test]
+fn queue_is_fair_within_one_cost_per_weight() {
+    let property = |(weights, costs): (Vec<u32>, Vec<u64>)| {
+        is_fair(&weights, &costs, |workspace| weights[workspace])
+    };
+    assert_eq!(check(&workspaces(), property), Ok(()));
+}
+
+/// Guards against a fairness property that cannot fail.
+#[test]
+fn fairness_property_detects_ignored_weights() {
+    let property = |(weights, costs): (Vec<u32>, Vec<u64>)| is_fair(&weights, &costs, |_| 1);
+    assert!(check(&workspaces(), property).is_err());
+}
+
+/// Guards against strict priorities that stop lower classes altogether.
+#[test]
+fn lower_class_progresses_while_a_higher_one_is_busy() {
+    let mut queue = Queue::new(QueueSettings::default());
+    let entry = |class, item| Entry {
+        workspace: "w".into(),
+        weight: 1,
+        class,
+        cost: 1,
+        deadline: Duration::MAX,
+        item,
+    };
+    queue.push(Duration::ZERO, entry(2, 0)).unwrap();
+    let mut served = Vec::new();
+    for item in 1..=8 {
+        queue.push(Duration::ZERO, entry(0, item)).unwrap();
+        served.extend(queue.pop(Duration::ZERO).map(|(_, item)| item));
+    }
+    assert_eq!(served, [1, 2, 3, 4, 5, 6, 7, 0]);
+}
+
+/// Guards against holding a request until its deadline although it cannot be served by then.
+#[test]
+fn hopeless_request_is_shed_at_once_with_the_time_to_come_back() {
+    let mut queue = Queue::new(QueueSettings {
+        interval: millis(500),
+        ..QueueSettings::default()
+    });
+    let entry = |deadline, item| Entry {
+        workspace: "w".into(),
+        weight: 1,
+        class: 0,
+        cost: 1,
+        deadline,
+        item,
+    };
+    for item in 0..4 {
+        queue
+            .push(Duration::ZERO, entry(millis(60_000), item))
+            .unwrap();
+    }
+    let shed = queue
+        .push(Duration::ZERO, entry(millis(1_000), 4))
+        .unwrap_err();
+    assert_eq!(shed.item, 4);
+    assert_eq!(shed.fault.answer().retry_after, Some(millis(2_000)));
+}
+
+/// Checks the ejector's bound over successes, failures and withdrawals.
+fn keeps_one(steps: &[(u8, u8, u64)], share: f64, spare: usize) -> Result<(), TestCaseError> {
+    let mut ejector = Ejector::new(EjectorSettings {
+        failures: 2,
+        share,
+        ..EjectorSettings::default()
+    });
+    let mut now = Duration::ZERO;
+    let mut known = std::collections::BTreeSet::new();
+    for (kind, upstream, time) in steps {
+        let id: UpstreamId = format!("u{upstream}").into();
+        match kind {
+            0 => {
+                ejector.join(&id);
+                known.insert(id);
+            }
+            1 => {
+                ejector.withdraw(now, &id);
+                known.remove(&id);
+            }
+            2 => ejector.succeed(&id),
+            3 => now += millis(*time),
+            _ => {
+                let pause = ejector.fail(now, &id);
+                prop_assert!(pause.is_none() || known.contains(&id));
+            }
+        }
+        let serving = known.iter().filter(|id| !ejector.is_ejected(now, id));
+        prop_assert!(
+            known.is_empty() || serving.count() > spare,
+            "too few are left"
+        );
+    }
+    Ok(())
+}
+
+fn ejections() -> impl Strategy<Value = Vec<(u8, u8, u64)>> {
+    vec((0..9_u8, 0..5_u8, 0..4_000_u64), 1..150)
+}
+
+/// Guards against ejecting all upstreams, also when a healthy one is withdrawn.
+#[test]
+fn ejector_always_leaves_one() {
+    assert_eq!(
+        check(&ejections(), |steps| keeps_one(&steps, 1.0, 0)),
+        Ok(())
+    );
+}
+
+/// Guards against an ejector property that cannot fail: at a share of 1, two upstreams may not
+/// always be left.
+#[test]
+fn ejector_property_detects_too_many_ejections() {
+    assert!(check(&ejections(), |steps| keeps_one(&steps, 1.0, 1)).is_err());
+}
+
+/// Checks that retries stay below the share of the requests plus the reserve.
+fn holds_share(attempts: &[bool], allowed: f64) -> Result<(), TestCaseError> {
+    let settings = RetrySettings {
+        share: 0.2,
+        reserve: 3.0,
+    };
+    let mut budget = RetryBudget::new(settings);
+    let (mut requests, mut retries) = (0.0, 0.0);
+    for is_retry in attempts {
+        if *is_retry {
+            retries += f64::from(u8::from(budget.withdraw()));
+        } else {
+            requests += 1.0;
+            budget.deposit();
+        }
+        prop_assert!(retries <= requests * allowed + 3.0 + 1e-9);
+    }
+    Ok(())
+}
+
+/// Guards against retries that multiply an overload.
+#[test]
+fn retries_stay_within_their_share() {
+    let attempts = vec(any::<bool>(), 1..400);
+    assert_eq!(
+        check(&attempts, |attempts| holds_share(&attempts, 0.2)),
+        Ok(())
+    );
+}
+
+/// Guards against a retry property that cannot fail.
+#[test]
+fn retry_property_detects_a_larger_share() {
+    let attempts = vec(any::<bool>(), 1..400);
+    assert!(check(&attempts, |attempts| holds_share(&attempts, 0.1)).is_err());
+}
+
+/// Checks that the limit stays within its bounds and places are counted.
+fn stays_within(steps: &[(u8, u64)], most: u32) -> Result<(), TestCaseError> {
+    let mut limit = Concurrency::new(ConcurrencySettings {
+        least: 2,
+        most: 40,
+        window: 4,
+        ..ConcurrencySettings::default()
+    });
+    let mut in_flight = 0;
+    for (kind, latency) in steps {
+        if *kind < 3 {
+            let before = limit.limit(1.0);
+            let is_taken = limit.acquire(1.0);
+            prop_assert_eq!(is_taken, in_flight < before);
+            in_flight += u32::from(is_taken);
+        } else if in_flight > 0 {
+            in_flight -= 1;
+            match kind {
+                3 => limit.succeed(millis(*latency)),
+                4 => limit.fail(),
+                _ => limit.release(),
+            }
+        }
+        prop_assert_eq!(limit.in_flight(), in_flight);
+        prop_assert!((2..=most).contains(&limit.limit(1.0)));
+    }
+    Ok(())
+}
+
+/// Guards against a limit outside its bounds and against places that leak.
+#[test]
+fn limit_stays_within_its_bounds() {
+    let steps = vec((0..6_u8, 1..2_000_u64), 1..400);
+    assert_eq!(check(&steps, |steps| stays_within(&steps, 40)), Ok(()));
+}
+
+/// Guards against a limit property that cannot fail.
+#[test]
+fn limit_property_detects_a_lower_bound() {
+    let steps = vec((0..6_u8, 1..2_000_u64), 1..400);
+    assert!(check(&steps, |steps| stays_within(&steps, 31)).is_err());
+}
+
+/// Guards against a limit that does not follow the latency.
+#[test]
+fn limit_falls_with_rising_latency_and_recovers() {
+    let mut limit = Concurrency::new(ConcurrencySettings::default());
+    let mut load = |latency: u64, rounds: u32| {
+        for _ in 0..rounds {
+            let mut taken = 0;
+            while limit.acquire(1.0) {
+                taken += 1;
+            }
+            (0..taken).for_each(|_| limit.succeed(millis(latency)));
+        }
+        limit.limit(1.0)
+    };
+    let calm = load(100, 10);
+    let overloaded = load(1_000, 3);
+    let recovered = load(100, 10);
+    assert!(
+        calm > 32 && overloaded < calm / 2 && recovered > overloaded,
+        "{calm} {overloaded} {recovered}"
+    );
+}
+
+/// Guards against full load on an upstream that has just joined.
+#[test]
+fn ramp_rises_from_its_floor_to_one() {
+    let ramp = Ramp::new(RampSettings::default(), millis(1_000));
+    let shares = [1_000, 11_000, 21_000, 90_000].map(|at| ramp.share(millis(at)));
+    assert_eq!(shares, [0.1, 0.55, 1.0, 1.0]);
+}
+
+/// Guards against one account kept per workspace ever seen.
+#[test]
+fn fairness_forgets_idle_workspaces() {
+    let mut fairness = Fairness::new(16);
+    fairness.tag(&"waiting".into(), 1, 10);
+    for workspace in 0..1_000 {
+        let id = format!("w{workspace}").into();
+        let tag = fairness.tag(&id, 1, 10);
+        fairness.serve(&id, tag);
+        assert!(fairness.len() <= 16);
+    }
+    assert_eq!(fairness.waiting("waiting"), 1);
+    fairness.serve("waiting", 0);
+    assert!(fairness.is_empty());
+}
