--- /dev/null
+++ b/crates/core/tests/overload.rs
@@ -0,0 +1,219 @@
+//! Tables of fault cases for routing and ejection; each file is one case.
+
+use {
+    marigoldroute_core::{
+        id::UpstreamId,
+        limit::{Ejector, EjectorSettings},
+        route::{Candidate, Load, Name, Origin, Policy, Progress, Request, Settings, Ticket},
+    },
+    rand::{SeedableRng, rngs::SmallRng},
+    serde::Deserialize,
+    std::{collections::HashMap, path::Path, time::Duration},
+};
+
+const TARGET: &str = "drafting";
+/// Choices per expectation, so that a choice by chance does not pass.
+const CHOICES: u32 = 50;
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Case {
+    /// The failure that the case guards against.
+    guards: String,
+    steps: Vec<Step>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Step {
+    /// Milliseconds since the start.
+    at: u64,
+    #[serde(rename = "do")]
+    act: Act,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+enum Act {
+    Join(String),
+    Withdraw(String),
+    /// Sends a request to an upstream.
+    Send {
+        request: String,
+        to: String,
+    },
+    First(String),
+    Finish(String),
+    Fail(String),
+    Refuse {
+        request: String,
+        after: u64,
+    },
+    Load {
+        upstream: String,
+        running: u32,
+        between: f32,
+    },
+    /// All of the next choices are from this list; an empty list stands for no choice.
+    Expect(Vec<String>),
+    /// Counts a failure or success in the ejector.
+    Failure(String),
+    Success(String),
+    /// The ejected upstreams.
+    Ejected(Vec<String>),
+}
+
+/// The policy and the ejector under test.
+struct Fixture {
+    policy: Box<dyn Policy>,
+    ejector: Ejector,
+    known: Vec<UpstreamId>,
+    tickets: HashMap<String, Ticket>,
+    random: SmallRng,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let origin = Origin {
+            host: "h1".into(),
+            region: "west".into(),
+            zone: "z1".into(),
+        };
+        Self {
+            policy: Name::Adaptive.policy(origin, Settings::default()),
+            ejector: Ejector::new(EjectorSettings::default()),
+            known: Vec::new(),
+            tickets: HashMap::new(),
+            random: SmallRng::seed_from_u64(17),
+        }
+    }
+
+    fn apply(&mut self, now: Duration, act: &Act) -> Result<(), String> {
+        match act {
+            Act::Join(upstream) => self.join(now, upstream)?,
+            Act::Withdraw(upstream) => {
+                self.policy.withdraw(upstream);
+                self.ejector.withdraw(now, upstream);
+                self.known.retain(|id| **id != **upstream);
+            }
+            Act::Send { request, to } => self.send(now, request, to)?,
+            Act::First(request) => self.report(now, request, Progress::First)?,
+            Act::Finish(request) => {
+                self.report(now, request, Progress::Finished { tokens: 1 })?;
+            }
+            Act::Fail(request) => self.report(now, request, Progress::Failed)?,
+            Act::Refuse { request, after } => {
+                let after = Some(Duration::from_millis(*after));
+                self.report(now, request, Progress::Refused { after })?;
+            }
+            Act::Load {
+                upstream,
+                running,
+                between,
+            } => {
+                let load = Load {
+                    running: *running,
+                    between: *between,
+                    ..Load::default()
+                };
+                self.policy.load(now, upstream, &load);
+            }
+            Act::Expect(allowed) => self.expect(now, allowed)?,
+            Act::Failure(upstream) => {
+                self.ejector.fail(now, upstream);
+            }
+            Act::Success(upstream) => self.ejector.succeed(upstream),
+            Act::Ejected(ejected) => self.ejected(now, ejected)?,
+        }
+        Ok(())
+    }
+
+    fn join(&mut self, now: Duration, upstream: &str) -> Result<(), String> {
+        let candidate = Candidate {
+            id: upstream.into(),
+            serves: vec![TARGET.into()],
+            region: "west".into(),
+            zone: "z1".into(),
+        };
+        self.known.push(candidate.id.clone());
+        self.ejector.join(&candidate.id);
+        let joined = self.policy.join(now, &candidate);
+        joined.map_err(|error| error.to_string())
+    }
+
+    fn send(&mut self, now: Duration, request: &str, to: &str) -> Result<(), String> {
+        let allows = |id: &UpstreamId| **id == *to;
+        let ask = ask(&allows);
+        let choice = self.policy.choose(now, &mut self.random, &ask);
+        let mut choice = choice.ok_or_else(|| format!("{to} cannot be chosen"))?;
+        let sent = Progress::Sent(&[]);
+        self.policy.report(now, &mut choice.ticket, sent);
+        self.tickets.insert(request.into(), choice.ticket);
+        Ok(())
+    }
+
+    fn report(&mut self, now: Duration, request: &str, what: Progress<'_>) -> Result<(), String> {
+        let ticket = self.tickets.get_mut(request);
+        let ticket = ticket.ok_or_else(|| format!("{request} was not sent"))?;
+        self.policy.report(now, ticket, what);
+        Ok(())
+    }
+
+    fn expect(&mut self, now: Duration, allowed: &[String]) -> Result<(), String> {
+        for _ in 0..CHOICES {
+            let choice = self.policy.choose(now, &mut self.random, &ask(&|_| true));
+            let chosen = choice.map(|choice| choice.upstream.to_string());
+            let is_expected = match &chosen {
+                Some(upstream) => allowed.contains(upstream),
+                None => allowed.is_empty(),
+            };
+            if !is_expected {
+                return Err(format!("chose {chosen:?}, expected one of {allowed:?}"));
+            }
+        }
+        Ok(())
+    }
+
+    fn ejected(&self, now: Duration, expected: &[String]) -> Result<(), String> {
+        let known = self.known.iter().map(|id| id.to_string());
+        let ejected: Vec<_> = known
+            .filter(|id| self.ejector.is_ejected(now, id))
+            .collect();
+        if ejected == expected {
+            return Ok(());
+        }
+        Err(format!("ejected are {ejected:?}, expected {expected:?}"))
+    }
+}
+
+fn ask<'a>(allows: &'a dyn Fn(&UpstreamId) -> bool) -> Request<'a> {
+    Request {
+        target: TARGET,
+        prompt: 500,
+        output: 100,
+        prefixes: &[],
+        priority: 0,
+        allows,
+    }
+}
+
+fn run(path: &Path) -> datatest_stable::Result<()> {
+    let case: Case = serde_json::from_str(&std::fs::read_to_string(path)?)?;
+    let mut fixture = Fixture::new();
+    for (index, step) in case.steps.iter().enumerate() {
+        let now = Duration::from_millis(step.at);
+        let done = fixture.apply(now, &step.act);
+        done.map_err(|error| {
+            format!(
+                "step {}: {error}; guards against {}",
+                index + 1,
+                case.guards
+            )
+        })?;
+    }
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = run, root = "tests/overload", pattern = r"\.json$" },
+}
