--- a/crates/core/src/limit/tests.rs
+++ b/crates/core/src/limit/tests.rs
@@ -284,6 +284,32 @@
     assert!(check(&workspaces(), property).is_err());
 }
 
+/// Guards against a workspace that saves up places while it sends nothing.
+#[test]
+fn idle_workspace_gets_no_credit() {
+    let mut queue = Queue::new(QueueSettings::default());
+    let entry = |workspace: &'static str| Entry {
+        workspace: workspace.into(),
+        weight: 1,
+        class: 0,
+        cost: 10,
+        deadline: Duration::MAX,
+        item: workspace,
+    };
+    for _ in 0..40 {
+        queue.push(Duration::ZERO, entry("busy")).unwrap();
+    }
+    for _ in 0..20 {
+        queue.pop(Duration::ZERO);
+    }
+    for _ in 0..20 {
+        queue.push(Duration::ZERO, entry("late")).unwrap();
+    }
+    let served: Vec<_> = (0..10).filter_map(|_| queue.pop(Duration::ZERO)).collect();
+    let late = served.iter().filter(|(_, item)| *item == "late").count();
+    assert!((4..=6).contains(&late), "{late} of 10 places");
+}
+
 /// Guards against strict priorities that stop lower classes altogether.
 #[test]
 fn lower_class_progresses_while_a_higher_one_is_busy() {
