Choose upstreams by the adaptive policy, within limits and a fair queue

Cause: routers chose the upstream with the fewest own requests in flight and took any number of requests.

Change: route::Policy chooses within the concurrency limit of each upstream and learns from load reports, first tokens, failures and refusals; retries after an uncertain attempt are bounded by a share of the traffic; a gate bounds requests in progress and divides free places between workspaces.

--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -4,7 +4,7 @@
     super::{
         Context,
         claimed::{Ruling, Subject},
-        job::{Call, Job, Kind, Reply},
+        job::{Call, Job, Kind, Reply, Size},
         relay,
         request::{self, Prompt},
     },
@@ -88,6 +88,7 @@
     } = prepared;
     let attempt = request::attempt(&id);
     let key = key.as_deref().filter(|_| !is_idempotent);
+    let place = context.enter(&access, prompt.bound()).await?;
     let subject = key.map(|key| Subject {
         workspace: &access.workspace,
         key,
@@ -123,6 +124,12 @@
         charge,
         claim,
         kind: Kind::Model { is_idempotent },
+        size: Size {
+            prompt: count(prompt.prompt_estimate),
+            output: count(prompt.limit),
+        },
+        priority: access.priority,
+        place,
     };
     let json = HeaderValue::from_static("application/json");
     let call = Call {
@@ -139,9 +146,14 @@
     }
 }
 
+fn count(tokens: Tokens) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
 /// Passes on an engine's refusal of the request, such as a prompt that is too long.
 async fn pass_on(job: Job, reply: Reply) -> Result<Response, Fault> {
     let status = reply.response.status();
+    reply.flight.finish(0);
     job.charge.release().await;
     job.claim.give_up().await;
     let body = reply.response.bytes().await.unwrap_or_default();
@@ -214,7 +226,12 @@
         _ => prompt.prompt_estimate + prompt.limit,
     };
     let context = job.context.clone();
-    let claim = job.settle(reply.choice.upstream, used).await;
+    let upstream = reply.flight.upstream.clone();
+    match &read {
+        Ok(_) => reply.flight.finish(used),
+        Err(_) => reply.flight.fail(),
+    }
+    let claim = job.settle(upstream, used).await;
     match &read {
         Ok((body, _)) => {
             claim
--- a/crates/router/src/caller/job.rs
+++ b/crates/router/src/caller/job.rs
@@ -4,8 +4,10 @@
     super::{Context, claimed::Claimed},
     crate::{
         charge::Charge,
+        dispatch::{Flight, Need},
+        gate::Place,
         logs::ROUTING,
-        upstream::{Choice, Failure, InFlight},
+        upstream::Failure,
     },
     marigoldroute_core::{
         budget::Usage,
@@ -33,6 +35,21 @@
     pub(super) charge: Charge,
     pub(super) claim: Claimed,
     pub(super) kind: Kind,
+    pub(super) size: Size,
+    /// Priority class.
+    pub(super) priority: u8,
+    /// Place among the requests in progress.
+    #[expect(dead_code, reason = "given back when the job is dropped")]
+    pub(super) place: Place,
+}
+
+/// Expected size of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Size {
+    /// Prompt tokens.
+    pub(super) prompt: u32,
+    /// Output token limit.
+    pub(super) output: u32,
 }
 
 /// What is requested.
@@ -70,8 +87,9 @@
 
 /// An upstream's answer.
 pub(super) struct Reply {
-    pub(super) choice: Choice,
-    pub(super) in_flight: InFlight,
+    pub(super) flight: Flight,
+    /// Base URL of the upstream.
+    pub(super) url: Arc<str>,
     pub(super) response: Response,
 }
 
@@ -99,14 +117,14 @@
         let mut outcome = Outcome::NotRun;
         let mut last = fault::Kind::NoUpstream;
         for attempt in 1..=self.context.settings.attempts {
-            let Some((choice, in_flight)) = self.choose(tried, attempt) else {
+            let Some((flight, url)) = self.choose(tried, attempt) else {
                 break;
             };
-            let url = format!("{}{}", choice.url, call.path);
+            let target = format!("{url}{}", call.path);
             let (method, headers) = (call.method.clone(), call.headers.clone());
             let upstreams = &self.context.upstreams;
             self.claim.send()?;
-            let sent = upstreams.send(method, &url, &self.id, headers, call.body.clone());
+            let sent = upstreams.send(method, &target, &self.id, headers, call.body.clone());
             let sent = sent
                 .await
                 .and_then(|response| match self.kind.refusal(&response) {
@@ -116,41 +134,49 @@
             let failure = match sent {
                 Ok(response) => {
                     let control = &self.context.control;
-                    control.observe(&choice.upstream, Observation::Success);
+                    control.observe(&flight.upstream, Observation::Success);
                     return Ok(Reply {
-                        choice,
-                        in_flight,
+                        flight,
+                        url,
                         response,
                     });
                 }
                 Err(failure) => failure,
             };
-            last = self.note(&choice.upstream, failure);
-            tried.push(choice.upstream);
+            last = self.note(&flight.upstream, failure);
+            tried.push(flight.upstream.clone());
             if failure.is_refusal() {
+                flight.refuse();
                 self.claim.refuse();
                 continue;
             }
+            flight.fail();
             outcome = Outcome::Unknown;
-            if !self.kind.is_idempotent() {
+            if !self.kind.is_idempotent() || !self.context.dispatch.allows_retry() {
                 break;
             }
         }
         Err(Fault::new(last, "no upstream answered the request").with_outcome(outcome))
     }
 
-    fn choose(&self, tried: &[UpstreamId], attempt: u32) -> Option<(Choice, InFlight)> {
+    fn choose(&self, tried: &[UpstreamId], attempt: u32) -> Option<(Flight, Arc<str>)> {
         let scene = self.context.control.scene();
-        let chosen = self.context.upstreams.choose(&scene, &self.model, tried)?;
-        let choice = &chosen.0;
+        let need = Need {
+            target: &self.model,
+            prompt: self.size.prompt,
+            output: self.size.output,
+            priority: self.priority,
+        };
+        let flight = self.context.dispatch.choose(&scene, need, tried)?;
+        let upstream = scene.catalog.upstreams.get(&flight.upstream)?;
         log::info!(
             target: ROUTING,
-            request:% = self.id, model:% = self.model, upstream:% = choice.upstream,
-            candidates = choice.candidates, in_flight = choice.in_flight, attempt,
-            reason = "least in flight";
+            request:% = self.id, model:% = self.model, upstream:% = flight.upstream,
+            candidates = flight.known, considered = flight.considered, attempt,
+            reason:% = flight.reason;
             "upstream chosen"
         );
-        Some(chosen)
+        Some((flight, upstream.url.clone()))
     }
 
     fn note(&self, upstream: &UpstreamId, failure: Failure) -> fault::Kind {
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -10,14 +10,22 @@
 
 use {
     crate::{
-        charge::Charger, claim::Claims, clock::Clock, control::Control, metrics::Metrics,
-        response::refuse, settings::Settings, upstream::Upstreams,
+        charge::Charger,
+        claim::Claims,
+        clock::Clock,
+        control::Control,
+        dispatch::Dispatch,
+        gate::{Gate, Place, Visitor},
+        metrics::Metrics,
+        response::refuse,
+        settings::Settings,
+        upstream::Upstreams,
     },
     claimed::{Claimed, Ruling, Subject},
     marigoldroute_core::{
         config::Access,
         fault::{Fault, Kind},
-        id::RequestId,
+        id::{RequestId, Tokens},
     },
     marigoldroute_platform::Client,
     poem::{Request, Response, Route, get, post},
@@ -35,6 +43,8 @@
     pub(crate) charger: Arc<Charger>,
     pub(crate) claims: Claims,
     pub(crate) upstreams: Arc<Upstreams>,
+    pub(crate) dispatch: Arc<Dispatch>,
+    pub(crate) gate: Gate,
     pub(crate) metrics: Arc<Metrics>,
     /// Requests in progress; a planned stop waits for them.
     pub(crate) requests: TaskTracker,
@@ -70,6 +80,23 @@
         hold.map_err(|hold| Fault::new(Kind::Stale, hold.to_string()))
     }
 
+    /// Waits for a place among the requests in progress.
+    async fn enter(&self, access: &Access, cost: Tokens) -> Result<Place, Fault> {
+        let workspaces = &self.control.scene().catalog.workspaces;
+        let share = workspaces
+            .get(&access.workspace)
+            .map_or(1, |workspace| workspace.share);
+        let visitor = Visitor {
+            workspace: access.workspace.clone(),
+            weight: u32::try_from(share).unwrap_or(u32::MAX),
+            class: access.priority,
+            cost,
+        };
+        let place = self.gate.enter(visitor).await?;
+        self.dispatch.count_request();
+        Ok(place)
+    }
+
     /// Claims the key of a request that needs it.
     async fn claim(&self, subject: Option<Subject<'_>>) -> Result<Ruling, Fault> {
         match subject {
--- a/crates/router/src/caller/relay.rs
+++ b/crates/router/src/caller/relay.rs
@@ -9,7 +9,7 @@
         job::{Call, Job, Reply},
         request::Prompt,
     },
-    crate::{logs::TOKENS, response::envelope},
+    crate::{dispatch::Flight, logs::TOKENS, response::envelope},
     bytes::Bytes,
     futures_util::StreamExt,
     marigoldroute_core::{
@@ -89,38 +89,47 @@
 impl Transfer {
     async fn run(mut self, mut reply: Reply) {
         let mut resumes = 0;
-        let (end, choice) = loop {
+        let (end, flight, url) = loop {
             let Reply {
-                choice,
-                in_flight,
+                mut flight,
+                url,
                 response,
             } = reply;
-            let end = self.forward(response).await;
+            let end = self.forward(&mut flight, response).await;
             let End::Interrupted(fault) = end else {
-                break (end, choice);
+                break (end, flight, url);
             };
-            log::warn!(request:% = self.job.id, upstream:% = choice.upstream, fault:%; "stream interrupted");
+            log::warn!(request:% = self.job.id, upstream:% = flight.upstream, fault:%; "stream interrupted");
             resumes += 1;
             if resumes <= RESUME_ATTEMPTS
-                && let Some(response) = self.resume(&choice.url).await
+                && let Some(response) = self.resume(&url).await
             {
                 reply = Reply {
-                    choice,
-                    in_flight,
+                    flight,
+                    url,
                     response,
                 };
                 continue;
             }
-            match self.restart(&choice.upstream).await {
-                Some(other) => reply = other,
-                None => break (End::Broken(fault), choice),
+            match self.restart(&flight.upstream).await {
+                Some(other) => {
+                    flight.fail();
+                    reply = other;
+                }
+                None => break (End::Broken(fault), flight, url),
             }
         };
         if !matches!(end, End::Complete) {
             let upstreams = &self.job.context.upstreams;
-            upstreams.cancel(&choice.url, &self.job.id).await;
+            upstreams.cancel(&url, &self.job.id).await;
+        }
+        let upstream = flight.upstream.clone();
+        match &end {
+            End::Complete | End::Limit => flight.finish(self.state.received()),
+            End::CallerGone => drop(flight),
+            End::Interrupted(_) | End::Broken(_) => flight.fail(),
         }
-        self.finish(end, choice.upstream).await;
+        self.finish(end, upstream).await;
     }
 
     async fn resume(&self, url: &str) -> Option<reqwest::Response> {
@@ -141,7 +150,7 @@
     }
 
     /// Passes events on until the answer ends in some way.
-    async fn forward(&mut self, response: reqwest::Response) -> End {
+    async fn forward(&mut self, flight: &mut Flight, response: reqwest::Response) -> End {
         let limit = self.job.context.upstreams.timeout();
         let mut bytes = response.bytes_stream();
         let mut splitter = Splitter::default();
@@ -161,6 +170,9 @@
                     Err(Broken::Cut) => return self.close(),
                     Err(reason) => return broken(reason),
                 };
+                if step == Step::First {
+                    flight.first();
+                }
                 if let Some(end) = self.pass(step, event.raw).await {
                     return end;
                 }
--- a/crates/router/src/caller/service.rs
+++ b/crates/router/src/caller/service.rs
@@ -5,7 +5,7 @@
         Context,
         claimed::{Ruling, Subject},
         completion::read_limited,
-        job::{Call, Job, Kind, Reply},
+        job::{Call, Job, Kind, Reply, Size},
         request,
     },
     crate::{escrow::Reservation, response::refuse},
@@ -110,6 +110,9 @@
     } = prepared;
     let attempt = request::attempt(&id);
     let key = key.as_deref().filter(|_| !is_idempotent);
+    let services = &context.control.scene().catalog.services;
+    let price = services.get(&service).map_or(0, |service| service.price);
+    let place = context.enter(&access, price).await?;
     let subject = key.map(|key| Subject {
         workspace: &access.workspace,
         key,
@@ -123,8 +126,6 @@
         Ruling::Run(claim) => claim,
         Ruling::Replay(response) => return Ok(response),
     };
-    let services = &context.control.scene().catalog.services;
-    let price = services.get(&service).map_or(0, |service| service.price);
     let reservation = Reservation {
         attempt: attempt.clone(),
         budget: access.budget.clone(),
@@ -147,6 +148,9 @@
         charge,
         claim,
         kind: Kind::Service { is_idempotent },
+        size: Size::default(),
+        priority: access.priority,
+        place,
     };
     match job.send(&call, &mut Vec::new()).await {
         Ok(reply) => finish(job, reply, price).await,
@@ -161,7 +165,9 @@
     let content = reply.response.headers().get("content-type").cloned();
     let limit = context.upstreams.timeout();
     let body = timeout(limit, read_limited(reply.response)).await;
-    let claim = job.settle(reply.choice.upstream, price).await;
+    let upstream = reply.flight.upstream.clone();
+    reply.flight.finish(0);
+    let claim = job.settle(upstream, price).await;
     let late = || {
         Err(Fault::new(
             fault::Kind::UpstreamTimeout,
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -3,6 +3,7 @@
 use {
     crate::settings::{Mistakes, Settings},
     clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
+    marigoldroute_core::route::Name,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -63,6 +64,8 @@
             .get_one("attempts")
             .copied()
             .unwrap_or(base.attempts),
+        policy: matches.get_one("policy").copied().unwrap_or(base.policy),
+        running_limit: size("running-limit", base.running_limit),
         body_limit: size("body-limit", base.body_limit),
         drain_limit: ms("drain-limit-ms", base.drain_limit),
         log_level: matches
@@ -152,7 +155,7 @@
     ]
 }
 
-fn limits() -> [Arg; 12] {
+fn limits() -> [Arg; 14] {
     let ms = |name, env, help| option(name, env, "MS", help).value_parser(value_parser!(u64));
     let count = |name, env, help| option(name, env, "N", help).value_parser(value_parser!(usize));
     [
@@ -208,6 +211,18 @@
             "Upstreams tried for a request",
         )
         .value_parser(value_parser!(u32)),
+        option(
+            "policy",
+            "MARIGOLDROUTE_POLICY",
+            "NAME",
+            "Routing policy: adaptive, round-robin, least-in-flight or two-choices",
+        )
+        .value_parser(|text: &str| text.parse::<Name>()),
+        count(
+            "running-limit",
+            "MARIGOLDROUTE_RUNNING_LIMIT",
+            "Requests in progress at a time; more wait in a queue",
+        ),
         count(
             "body-limit",
             "MARIGOLDROUTE_BODY_LIMIT",
--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -8,6 +8,7 @@
         config::Catalog,
         fleet::{Observation, Weighted, rank},
         id::{HostId, UpstreamId},
+        route::Load,
     },
     serde::Deserialize,
     std::{sync::Arc, time::Duration},
@@ -20,13 +21,25 @@
 /// Bound on a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// The part of a load report that tells of an upstream's health.
+/// A load report.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(default)]
-struct Load {
+pub(super) struct Report {
+    running: u32,
+    waiting: u32,
     draining: bool,
 }
 
+impl From<Report> for Load {
+    fn from(report: Report) -> Self {
+        Self {
+            running: report.running,
+            waiting: [report.waiting, 0, 0],
+            ..Self::default()
+        }
+    }
+}
+
 /// Returns the upstreams that `own` probes.
 pub(super) fn duties(
     catalog: &Catalog,
@@ -45,17 +58,18 @@
 }
 
 /// Probes one upstream.
-pub(super) async fn probe(http: reqwest::Client, url: Arc<str>) -> Observation {
+pub(super) async fn probe(http: reqwest::Client, url: Arc<str>) -> (Observation, Option<Load>) {
     let call = http.get(format!("{url}/v1/load")).timeout(PROBE_TIMEOUT);
     let Ok(response) = call.send().await else {
-        return Observation::Failure;
+        return (Observation::Failure, None);
     };
     if response.status().is_server_error() {
-        return Observation::Failure;
+        return (Observation::Failure, None);
     }
     // A plain service answers without a load report.
-    match response.json::<Load>().await {
-        Ok(load) if load.draining => Observation::Leaving,
-        Ok(_) | Err(_) => Observation::Ready,
+    match response.json::<Report>().await {
+        Ok(report) if report.draining => (Observation::Leaving, Some(report.into())),
+        Ok(report) => (Observation::Ready, Some(report.into())),
+        Err(_) => (Observation::Ready, None),
     }
 }
--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -8,13 +8,14 @@
         scene::Scene,
         store,
     },
-    crate::{clock::Clock, metrics::Metrics, peer::Links},
+    crate::{clock::Clock, dispatch::Dispatch, metrics::Metrics, peer::Links},
     marigoldroute_core::{
         config::{
             Ask, LOG_PREFIX, Log, Packet, Proposal, Read, Role, SNAPSHOT_KEY, Step, TRIM_ROWS,
         },
         fleet::{Gossip, Host, Observation, Phase, Settings, Status, View},
         id::{HolderId, HostId, UpstreamId, Version},
+        route::Load,
         table::{Row, Transaction, Verdict},
         wire::{Body, Reply},
     },
@@ -49,6 +50,7 @@
     pub(crate) clock: Clock,
     pub(crate) platform: Client,
     pub(crate) links: Arc<Links>,
+    pub(crate) dispatch: Arc<Dispatch>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) renew_interval: Duration,
     pub(crate) draining: CancellationToken,
@@ -96,7 +98,7 @@
     Registered(Result<(), Fault>),
     Written(Result<(), Fault>),
     Listed(Result<Register, Fault>),
-    Probed(UpstreamId, Observation),
+    Probed(UpstreamId, Observation, Option<Load>),
     Decide(Box<Attempt>, Result<Vec<Row>, Fault>),
     Committed(Box<Attempt>, Result<Verdict, Fault>),
     Upkeep(Result<(Option<Row>, Vec<Row>), Fault>),
@@ -238,7 +240,10 @@
             }
             Event::Written(Ok(())) => {}
             Event::Listed(Err(fault)) | Event::Written(Err(fault)) => self.failed(fault),
-            Event::Probed(upstream, observation) => {
+            Event::Probed(upstream, observation, load) => {
+                if let Some(load) = load {
+                    self.parts.dispatch.load(&upstream, &load);
+                }
                 self.view.observe(now, &upstream, observation);
             }
             Event::Decide(attempt, rows) => self.decide(*attempt, rows),
@@ -392,8 +397,8 @@
         for (upstream, url) in probe::duties(self.log.catalog(), own, &ready) {
             let http = self.http.clone();
             self.calls.spawn(async move {
-                let observation = probe::probe(http, url).await;
-                Event::Probed(upstream, observation)
+                let (observation, load) = probe::probe(http, url).await;
+                Event::Probed(upstream, observation, load)
             });
         }
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -7,7 +7,11 @@
         charge::{Charger, Responder},
         claim,
         clock::Clock,
-        control, escrow, ledger,
+        control,
+        dispatch::Dispatch,
+        escrow,
+        gate::Gate,
+        ledger,
         metrics::Metrics,
         ops, outbox,
         peer::{Links, Listener},
@@ -20,6 +24,7 @@
         config::{Change, Proposal, Rebase, Submission},
         fleet::Host,
         id::{HolderId, Version},
+        route::Origin,
     },
     marigoldroute_platform::Client,
     poem::{
@@ -98,7 +103,17 @@
     );
     let links = Arc::new(links);
 
+    let origin = Origin {
+        host: settings.host.clone(),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+    };
+    let dispatch = Arc::new(Dispatch::new(clock, origin, settings.policy));
+    let gate = Gate::new(clock, settings.running_limit);
+    tasks.spawn(gate.clone().run(stop.clone()));
+
     let (control, register, work) = control::create(control::Parts {
+        dispatch: dispatch.clone(),
         host,
         process: process.clone(),
         clock,
@@ -201,6 +216,8 @@
         charger: Arc::new(charger),
         claims,
         upstreams,
+        dispatch,
+        gate,
         metrics,
         requests: requests.clone(),
         draining: draining.clone(),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -5,7 +5,7 @@
     marigoldroute_core::{
         budget::{self, reclaim},
         id::{HostId, Region, Zone},
-        wire,
+        route, wire,
     },
     std::{fmt, net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -60,6 +60,10 @@
     pub upstream_timeout: Duration,
     /// Upstreams tried for a request before it is refused; at least 1.
     pub attempts: u32,
+    /// Policy that chooses upstreams.
+    pub policy: route::Name,
+    /// Requests in progress at a time; more wait in a bounded queue.
+    pub running_limit: usize,
     /// Largest request body in bytes.
     pub body_limit: usize,
     /// Bound on the wait for running requests at a planned stop.
@@ -94,6 +98,8 @@
             reservation_limit: Duration::from_secs(60),
             upstream_timeout: Duration::from_secs(60),
             attempts: 3,
+            policy: route::Name::Adaptive,
+            running_limit: 4_096,
             body_limit: 4 << 20,
             drain_limit: Duration::from_secs(600),
             reclaim: reclaim::Settings::default(),
@@ -217,6 +223,8 @@
         writeln!(f, "reservation-limit-ms = {limit}")?;
         writeln!(f, "upstream-timeout-ms = {}", ms(&self.upstream_timeout))?;
         writeln!(f, "attempts = {}", self.attempts)?;
+        writeln!(f, "policy = {}", self.policy)?;
+        writeln!(f, "running-limit = {}", self.running_limit)?;
         writeln!(f, "body-limit = {}", self.body_limit)?;
         writeln!(f, "drain-limit-ms = {}", ms(&self.drain_limit))?;
         writeln!(f, "log-level = {}", self.log_level)
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -1,16 +1,11 @@
 //! Calls to upstreams.
 
 use {
-    crate::control::Scene,
-    marigoldroute_core::id::{RequestId, Tokens, UpstreamId},
+    marigoldroute_core::id::{RequestId, Tokens},
     poem::http::{HeaderMap, Method},
     reqwest::{Body, Response, StatusCode},
     serde::Deserialize,
-    std::{
-        collections::HashMap,
-        sync::{Arc, Mutex, PoisonError},
-        time::Duration,
-    },
+    std::time::Duration,
     tokio::time::timeout,
 };
 
@@ -59,28 +54,11 @@
     ended: bool,
 }
 
-/// Why a request was sent where it was sent, for the log line.
-#[derive(Clone, Debug)]
-pub(crate) struct Choice {
-    pub(crate) upstream: UpstreamId,
-    pub(crate) url: Arc<str>,
-    pub(crate) candidates: usize,
-    pub(crate) in_flight: u64,
-}
-
-/// Chooses and calls upstreams.
+/// Calls upstreams.
 #[derive(Debug)]
 pub(crate) struct Upstreams {
     http: reqwest::Client,
     timeout: Duration,
-    in_flight: Mutex<HashMap<UpstreamId, u64>>,
-}
-
-/// Counts a request in flight until it is dropped.
-#[derive(Debug)]
-pub(crate) struct InFlight {
-    upstreams: Arc<Upstreams>,
-    upstream: UpstreamId,
 }
 
 impl Upstreams {
@@ -88,43 +66,7 @@
     pub(crate) fn new(timeout: Duration) -> reqwest::Result<Self> {
         let builder = reqwest::Client::builder();
         let http = builder.connect_timeout(CONNECT_TIMEOUT).build()?;
-        Ok(Self {
-            http,
-            timeout,
-            in_flight: Mutex::default(),
-        })
-    }
-
-    /// Chooses the upstream with the fewest requests in flight.
-    pub(crate) fn choose(
-        self: &Arc<Self>,
-        scene: &Scene,
-        serves: &str,
-        tried: &[UpstreamId],
-    ) -> Option<(Choice, InFlight)> {
-        let mut in_flight = self
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let count = |id: &UpstreamId| in_flight.get(id).copied().unwrap_or(0);
-        let candidates: Vec<_> = scene
-            .catalog
-            .candidates(serves)
-            .filter(|(id, _)| scene.is_up(id) && !tried.contains(id))
-            .collect();
-        let (id, upstream) = candidates.iter().min_by_key(|(id, _)| count(id)).copied()?;
-        let choice = Choice {
-            upstream: id.clone(),
-            url: upstream.url.clone(),
-            candidates: candidates.len(),
-            in_flight: count(id),
-        };
-        *in_flight.entry(id.clone()).or_default() += 1;
-        let guard = InFlight {
-            upstreams: self.clone(),
-            upstream: id.clone(),
-        };
-        Some((choice, guard))
+        Ok(Self { http, timeout })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -193,19 +135,3 @@
         self.timeout
     }
 }
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let mut in_flight = self
-            .upstreams
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if let Some(count) = in_flight.get_mut(&self.upstream) {
-            *count -= 1;
-            if *count == 0 {
-                in_flight.remove(&self.upstream);
-            }
-        }
-    }
-}
