Measure the memory of claims and request ids without reused memory

Cause: growth of the resident set does not show memory that was freed before; a waiting claim seemed to take 168 bytes. Change: both memory figures come first and nothing is freed between them; the task that marks an execution as unknown is named Unresolve.

--- a/crates/core/src/bill/ledger.rs
+++ b/crates/core/src/bill/ledger.rs
@@ -162,7 +162,7 @@
     /// Returns the keys of the budget rows that [`Self::decide`] needs.
     pub fn accounts(&self, wall: Duration, page: &Page) -> Vec<String> {
         let last = self.last(page);
-        let (repeated, late, _) = self.sort(wall, page, last);
+        let (repeated, late, _) = self.classify(wall, page, last);
         let refunds = refunds(repeated.iter().chain(&late));
         refunds.keys().map(|id| account_key(id)).collect()
     }
@@ -199,7 +199,7 @@
         if last < first {
             return Ok(None);
         }
-        let (repeated, late, dropped) = self.sort(wall, page, last);
+        let (repeated, late, dropped) = self.classify(wall, page, last);
         let at = wall.as_secs();
         let cursor = Cursor {
             next: last + 1,
@@ -319,7 +319,7 @@
     }
 
     /// Returns the repeated and the late bills of a batch and the positions of both.
-    fn sort(
+    fn classify(
         &self,
         wall: Duration,
         page: &Page,
--- a/crates/core/src/claim/backlog.rs
+++ b/crates/core/src/claim/backlog.rs
@@ -18,7 +18,7 @@
     /// Delete the row; the request was not and will not be sent.
     Release,
     /// Mark the execution as unknown.
-    Doubt,
+    Unresolve,
     /// Record the result.
     Record(Recorded),
 }
@@ -44,7 +44,7 @@
                 body: Body::Text(text) | Body::Hex(text),
                 ..
             }) => text.len(),
-            Action::Record(_) | Action::Release | Action::Doubt => 0,
+            Action::Record(_) | Action::Release | Action::Unresolve => 0,
         };
         size_of::<Entry>() + self.key.len() + self.request.len() + body
     }
@@ -64,11 +64,11 @@
                 let state = State::Done(recorded.clone());
                 transaction.put(row.key.clone(), Claim { state, ..claim }.encode());
             }
-            (Action::Doubt, State::Running) => {
+            (Action::Unresolve, State::Running) => {
                 let state = State::Unresolved;
                 transaction.put(row.key.clone(), Claim { state, ..claim }.encode());
             }
-            (Action::Release | Action::Doubt | Action::Record(_), _) => return None,
+            (Action::Release | Action::Unresolve | Action::Record(_), _) => return None,
         }
         Some(transaction)
     }
--- a/crates/core/src/claim/held.rs
+++ b/crates/core/src/claim/held.rs
@@ -106,7 +106,7 @@
     /// Gives the result up: it is not known whether the upstream executed the request. Retries
     /// then ask the upstreams instead of waiting for this process.
     pub fn give_up(self) -> Task {
-        self.task(Action::Doubt)
+        self.task(Action::Unresolve)
     }
 
     /// Records the result.
--- a/crates/ctl/src/measure/bills.rs
+++ b/crates/ctl/src/measure/bills.rs
@@ -56,7 +56,10 @@
 /// When the output cannot be written or a row is malformed.
 pub fn run(settings: &Settings, out: &mut impl Write) -> Result<()> {
     writeln!(out, "figure,case,value,unit")?;
-    claims::memory(out)?;
+    // Freed memory is used again and does not show as growth, so nothing is freed in between.
+    let attempts = claims::memory(out)?;
+    journals::memory(out)?;
+    drop(attempts);
     journals::run(settings, out)?;
     claims::run(settings, out)
 }
--- a/crates/ctl/src/measure/bills/claims.rs
+++ b/crates/ctl/src/measure/bills/claims.rs
@@ -64,9 +64,8 @@
     Ok(())
 }
 
-/// Prints the bytes of claims. Runs first: memory that was freed before is used again and does
-/// not show as growth.
-pub fn memory(out: &mut impl Write) -> Result<()> {
+/// Prints the bytes of claims and returns the attempts that were measured.
+pub fn memory(out: &mut impl Write) -> Result<Registry> {
     let mut table = Memory::default();
     let mut registry = Registry::new("host-000.1234567890".into(), claim::Settings::default());
     let held = claim_one(&mut registry, &mut table)?;
@@ -98,7 +97,7 @@
     }
     let bytes = resident()?.saturating_sub(before) as f64 / registry.waiting() as f64;
     writeln!(out, "waiting claim,in memory,{bytes:.0},bytes")?;
-    Ok(())
+    Ok(registry)
 }
 
 fn claim_one(registry: &mut Registry, table: &mut Memory) -> Result<Held<Unsent>> {
--- a/crates/ctl/src/measure/bills/journals.rs
+++ b/crates/ctl/src/measure/bills/journals.rs
@@ -46,7 +46,6 @@
 /// Prints the figures of journals and of the ledger.
 pub fn run(settings: &Settings, out: &mut impl Write) -> Result<()> {
     bytes(settings, out)?;
-    memory(out)?;
     let rounds = (0..settings.rounds).map(|_| bill_all(settings));
     let mut rounds = rounds.collect::<Result<Vec<_>>>()?;
     rounds.sort_by_key(Cost::total);
@@ -109,7 +108,8 @@
     Ok(())
 }
 
-fn memory(out: &mut impl Write) -> Result<()> {
+/// Prints the bytes of a request id in the cache of the ledger.
+pub fn memory(out: &mut impl Write) -> Result<()> {
     let lease = Row {
         key: "lease/ledger".into(),
         version: 1,
