--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -48,6 +48,9 @@
         platform: text("platform", &base.platform),
         platform_timeout: ms("platform-timeout-ms", base.platform_timeout),
         fleet_keys: keys.map(|key| key.as_str().into()).collect(),
+        admin_key_hash: matches
+            .get_one::<String>("admin-key-hash")
+            .map(|hash| hash.as_str().into()),
         flush_interval: ms("flush-interval-ms", base.flush_interval),
         ledger_interval: ms("ledger-interval-ms", base.ledger_interval),
         renew_interval: ms("renew-interval-ms", base.renew_interval),
@@ -105,11 +108,11 @@
             "N",
             "Size of this host relative to others",
         )
-        .value_parser(value_parser!(u32).range(1..=1_000)),
+        .value_parser(value_parser!(u32)),
     ]
 }
 
-fn addresses() -> [Arg; 4] {
+fn addresses() -> [Arg; 5] {
     [
         option(
             "listen",
@@ -140,6 +143,12 @@
         .action(ArgAction::Append)
         .value_delimiter(',')
         .hide_env_values(true),
+        option(
+            "admin-key-hash",
+            "MARIGOLDROUTE_ADMIN_KEY_HASH",
+            "HASH",
+            "SHA-256 hash of the first operator's key",
+        ),
     ]
 }
 
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -13,17 +13,17 @@
 use {
     derive_more::{Display, Error, From},
     marigoldroute_core::{
-        config::{Hold, Proposal, Record, Refusal, Tree},
+        config::{Hold, Log, Proposal, Refusal, Tree},
         fleet::{Member, Observation, Progress},
         id::{HostId, UpstreamId, Version},
         wire::Body,
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
     tokio::sync::{mpsc, oneshot, watch},
 };
 
 pub(crate) use {
-    listing::{Process, Register, remove},
+    listing::{HOST_PREFIX, Process, Register, remove},
     scene::{Scene, process},
     task::{Parts, create},
 };
@@ -64,12 +64,12 @@
     },
     Members(oneshot::Sender<Vec<Member>>),
     Tree(oneshot::Sender<(Version, Arc<Tree>)>),
-    Records {
-        after: Version,
-        reply: oneshot::Sender<Option<Vec<Arc<Record>>>>,
-    },
+    Consult(Consultation),
 }
 
+/// A function that runs where the log is.
+type Consultation = Box<dyn FnOnce(&mut Log, Duration) + Send>;
+
 /// Access to the task; clones share it.
 #[derive(Clone, Debug)]
 pub(crate) struct Control {
@@ -135,10 +135,19 @@
         self.ask(Command::Tree).await.unwrap_or_default()
     }
 
-    /// Returns the versions after `after`, or `None` when some are no longer kept in memory.
-    pub(crate) async fn records(&self, after: Version) -> Option<Vec<Arc<Record>>> {
-        let records = self.ask(|reply| Command::Records { after, reply });
-        records.await.flatten()
+    /// Runs a short function on the log, in the task that owns it; it may give the log input.
+    /// `None` when the task has ended.
+    pub(crate) async fn consult<T: Send + 'static>(
+        &self,
+        function: impl FnOnce(&mut Log, Duration) -> T + Send + 'static,
+    ) -> Option<T> {
+        let answer = |reply: oneshot::Sender<T>| {
+            Command::Consult(Box::new(move |log, now| {
+                // The operator may have left.
+                let _ = reply.send(function(log, now));
+            }))
+        };
+        self.ask(answer).await
     }
 
     /// `None` when the task has ended.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod logs;
 pub mod settings;
 
+mod admin;
 mod caller;
 mod charge;
 mod claim;
