Send small writes of responses at once; wait for room at upstreams

Cause: measure path showed 43.9 ms to the first byte of an engine's stream at one stream, of which the engine takes 5 ms: Nagle's algorithm held the second chunk until the delayed acknowledgement. At 64 streams on one engine requests were refused as soon as the engine was at its concurrency limit.

Change: listening sockets set TCP_NODELAY, which accepted connections inherit. A request waits up to 2 s for a place at an upstream. The ledger reads one row per holder to find the journals, and its default interval is 60 s.

--- a/crates/ctl/src/measure/mod.rs
+++ b/crates/ctl/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bills;
 pub mod budgets;
+pub mod path;
 pub mod routing;
 
 use {
@@ -35,6 +36,7 @@
         .subcommand(budgets)
         .subcommand(Command::new("bills").about("Measure journals, ledger and claims"))
         .subcommand(routing)
+        .subcommand(Command::new("path").about("Measure what the router adds to a request"))
 }
 
 /// Runs a measurement.
@@ -51,6 +53,10 @@
             };
             routing::run(&settings, &mut out)
         }
+        Some(("path", _)) => {
+            let settings = path::Settings::default();
+            tokio::runtime::Runtime::new()?.block_on(path::run(&settings, &mut out))
+        }
         _ => anyhow::bail!("no such measurement"),
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,9 +2,11 @@
 //! for tests and the demo.
 
 mod client;
+mod listen;
 mod stand_in;
 
 pub use {
     client::{Client, Fault},
+    listen::listen,
     stand_in::{Counters, Order, StandIn},
 };
--- a/crates/platform/src/stand_in.rs
+++ b/crates/platform/src/stand_in.rs
@@ -1,12 +1,11 @@
 //! Stand-in server of the table service and the object store, held in memory.
 
 use {
-    anyhow::Context,
+    crate::listen::listen,
     marigoldroute_core::table::{Memory, Row, Transaction, Verdict},
     poem::{
         Body, EndpointExt, IntoResponse, Response, Route, Server, get, handler,
         http::StatusCode,
-        listener::{Acceptor, Listener, TcpListener},
         post,
         web::{Data, Json, Path, Query},
     },
@@ -78,13 +77,7 @@
         &self,
         address: SocketAddr,
     ) -> anyhow::Result<(SocketAddr, impl Future<Output = ()> + Send + use<>)> {
-        let listener = TcpListener::bind(address);
-        let acceptor = listener
-            .into_acceptor()
-            .await
-            .with_context(|| format!("bind {address}"))?;
-        let local = acceptor.local_addr().remove(0);
-        let address = *local.as_socket_addr().context("not a socket address")?;
+        let (acceptor, address) = listen(address)?;
         let server = Server::new_with_acceptor(acceptor);
         let routes = self.routes();
         let serve = async move {
--- a/crates/router/src/caller/job.rs
+++ b/crates/router/src/caller/job.rs
@@ -17,7 +17,7 @@
     },
     poem::http::{HeaderMap, Method},
     reqwest::{Response, StatusCode},
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Header of a refusal by an upstream that takes no more work.
@@ -25,6 +25,9 @@
 /// Header by which an upstream states that it acted on no byte of the request.
 const NOT_RUN_HEADER: &str = "x-not-run";
 
+/// Longest wait for a place at an upstream.
+const ROOM_TIME: Duration = Duration::from_secs(2);
+
 /// A request with its reservation.
 pub(super) struct Job {
     pub(super) context: Arc<Context>,
@@ -117,7 +120,7 @@
         let mut outcome = Outcome::NotRun;
         let mut last = fault::Kind::NoUpstream;
         for attempt in 1..=self.context.settings.attempts {
-            let Some((flight, url)) = self.choose(tried, attempt) else {
+            let Some((flight, url)) = self.choose_in_time(tried, attempt).await else {
                 break;
             };
             let target = format!("{url}{}", call.path);
@@ -159,6 +162,24 @@
         Err(Fault::new(last, "no upstream answered the request").with_outcome(outcome))
     }
 
+    /// Chooses an upstream; waits for a place while all that could serve the request are at their
+    /// limit.
+    async fn choose_in_time(&self, tried: &[UpstreamId], attempt: u32) -> Option<(Flight, Arc<str>)> {
+        let context = &self.context;
+        let end = context.clock.now() + ROOM_TIME;
+        loop {
+            if let Some(chosen) = self.choose(tried, attempt) {
+                return Some(chosen);
+            }
+            let left = end.checked_sub(context.clock.now())?;
+            let scene = context.control.scene();
+            let room = context.dispatch.wait_for_room(&scene, &self.model, tried, left);
+            if !room.await {
+                return None;
+            }
+        }
+    }
+
     fn choose(&self, tried: &[UpstreamId], attempt: u32) -> Option<(Flight, Arc<str>)> {
         let scene = self.context.control.scene();
         let need = Need {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -15,6 +15,7 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
+    tokio::{sync::Notify, time::timeout},
 };
 
 /// What a request needs.
@@ -43,6 +44,8 @@
 pub(crate) struct Dispatch {
     clock: Clock,
     state: Mutex<State>,
+    /// Notified when a place at an upstream comes free.
+    room: Notify,
 }
 
 /// A request on its way to or at an upstream; dropping it reports it as cancelled.
@@ -72,6 +75,7 @@
         Self {
             clock,
             state: Mutex::new(state),
+            room: Notify::new(),
         }
     }
 
@@ -122,6 +126,25 @@
         })
     }
 
+    /// Waits until a place comes free at an upstream that could serve a request.
+    ///
+    /// Returns `false` at once when no upstream is merely at its limit, and after `limit`.
+    pub(crate) async fn wait_for_room(
+        &self,
+        scene: &Scene,
+        target: &str,
+        tried: &[UpstreamId],
+        limit: Duration,
+    ) -> bool {
+        let freed = self.room.notified();
+        let is_full = {
+            let state = self.lock();
+            let mut candidates = scene.catalog.candidates(target);
+            candidates.any(|(id, _)| scene.is_up(id) && !tried.contains(id) && state.limits.contains_key(id))
+        };
+        is_full && timeout(limit, freed).await.is_ok()
+    }
+
     /// Counts a first attempt.
     pub(crate) fn count_request(&self) {
         self.lock().retries.deposit();
@@ -220,6 +243,8 @@
             }
         }
         state.policy.report(now, &mut self.ticket, progress);
+        drop(state);
+        self.dispatch.room.notify_one();
     }
 }
 
--- a/crates/router/src/ledger.rs
+++ b/crates/router/src/ledger.rs
@@ -22,6 +22,8 @@
 const NAME: &str = "ledger";
 /// Rounds for which a lease is taken; it is renewed in each.
 const TERM_ROUNDS: u32 = 3;
+/// Greater than every sequence; keys hold 12 digits.
+const LAST_SEQUENCE: u64 = 999_999_999_999;
 /// Rows read by one call.
 const PAGE_ROWS: usize = 1_000;
 
@@ -120,11 +122,18 @@
         Ok(Lease::confirm(&transaction, row, &self.process))
     }
 
-    /// Returns every holder that has journal rows.
+    /// Returns every holder that has journal rows, with one read for each.
     async fn holders(&self) -> Result<BTreeSet<HolderId>, Broken> {
-        let rows = self.all("journal/").await?;
-        let holders = rows.iter().filter_map(|row| journal::holder(&row.key));
-        Ok(holders.map(HolderId::from).collect())
+        let mut holders = BTreeSet::new();
+        let mut after = String::new();
+        loop {
+            let rows = self.platform.scan("journal/", &after, 1).await?;
+            let Some(holder) = rows.first().and_then(|row| journal::holder(&row.key)) else {
+                return Ok(holders);
+            };
+            holders.insert(holder.into());
+            after = journal::key(holder, LAST_SEQUENCE);
+        }
     }
 
     async fn all(&self, prefix: &str) -> Result<Vec<Row>, Broken> {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -26,11 +26,8 @@
         id::{HolderId, Version},
         route::Origin,
     },
-    marigoldroute_platform::Client,
-    poem::{
-        EndpointExt, Route, Server,
-        listener::{Acceptor, Listener as _, TcpListener},
-    },
+    marigoldroute_platform::{Client, listen},
+    poem::{EndpointExt, Route, Server},
     rand::RngCore,
     std::{
         net::SocketAddr,
@@ -266,11 +263,8 @@
     tasks: &TaskTracker,
     stop: CancellationToken,
 ) -> anyhow::Result<SocketAddr> {
-    let listen = context.settings.listen;
-    let bound = TcpListener::bind(listen).into_acceptor().await;
-    let acceptor = bound.with_context(|| format!("bind {listen} for callers"))?;
-    let local = acceptor.local_addr().remove(0);
-    let address = *local.as_socket_addr().context("not a socket address")?;
+    let (acceptor, address) =
+        listen(context.settings.listen).context("open the callers' interface")?;
     let routes = admin::add(ops::add(caller::add(Route::new())), admin).data(context);
     let server = Server::new_with_acceptor(acceptor);
     tasks.spawn(async move {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -90,7 +90,7 @@
             fleet_keys: Vec::new(),
             admin_key_hash: None,
             flush_interval: Duration::from_secs(4),
-            ledger_interval: Duration::from_secs(10),
+            ledger_interval: Duration::from_secs(60),
             renew_interval: Duration::from_secs(20),
             holders_per_region: 2,
             peer_timeout: Duration::from_millis(500),
--- a/crates/upstream/src/server.rs
+++ b/crates/upstream/src/server.rs
@@ -7,11 +7,10 @@
         record::{Book, Record},
         service,
     },
-    anyhow::Context,
+    marigoldroute_platform::listen,
     poem::{
         EndpointExt, Route, Server, get, handler,
         http::StatusCode,
-        listener::{Acceptor, Listener, TcpListener},
         post,
         web::{Data, Json, Path},
     },
@@ -84,13 +83,7 @@
         &self,
         address: SocketAddr,
     ) -> anyhow::Result<(SocketAddr, impl Future<Output = ()> + Send + use<>)> {
-        let listener = TcpListener::bind(address);
-        let acceptor = listener
-            .into_acceptor()
-            .await
-            .with_context(|| format!("bind {address}"))?;
-        let local = acceptor.local_addr().remove(0);
-        let address = *local.as_socket_addr().context("not a socket address")?;
+        let (acceptor, address) = listen(address)?;
         let server = Server::new_with_acceptor(acceptor);
         let routes = self.routes();
         let serve = async move {
