Read exhausted budgets less often and grant small shortages first

A large request that could not be covered also blocked small ones until the pause ended.

Change: a read without effect pauses low-water reads; reviews run every 300 s, or 30 s near the end; the pause of an exhausted budget is 5 s and counts only for shortages that the row could not cover; the smallest shortage is covered when the largest cannot be. Demand is averaged over 5 and 30 minutes, and tokens are returned above 4 times the target.

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -50,6 +50,16 @@
         moved
     }
 
+    /// Ends the call of a holder that has got its tokens, or that did not take them although they
+    /// were there.
+    pub fn satisfy(&mut self, holder: &HolderId) {
+        let rest = self.rest();
+        let done = |want: &Want| want.holder == *holder || want.tokens <= rest;
+        if self.wanted.as_ref().is_some_and(done) {
+            self.wanted = None;
+        }
+    }
+
     /// Takes tokens back from a holder; a pending cut takes them first.
     ///
     /// Returns `None` when fewer tokens are allocated: the row is older than the grant, or another
--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -169,11 +169,12 @@
                 continue;
             }
             if share.mark < slot.ceiling + slot.shortage {
-                slot.starve(now, &self.settings);
+                slot.starve(now, &self.settings, share.mark);
             } else {
                 shortages.insert(budget.clone(), slot.shortage);
             }
             slot.shortage = 0;
+            slot.least_shortage = 0;
         }
         let entry = Entry::Flush {
             shares: left(&shares),
@@ -284,7 +285,9 @@
                 slot.review_at = Duration::ZERO;
             }
             let shortage = pending.shortages.get(budget).copied().unwrap_or(0);
-            slot.shortage = slot.shortage.max(shortage);
+            if shortage > 0 {
+                slot.miss(shortage);
+            }
         }
     }
 
--- a/crates/core/src/budget/grant.rs
+++ b/crates/core/src/budget/grant.rs
@@ -3,9 +3,12 @@
 use {crate::id::Tokens, std::time::Duration};
 
 /// Time constant of the average that follows a rise of demand.
-const RISE: Duration = Duration::from_secs(60);
+const RISE: Duration = Duration::from_secs(300);
 /// Time constant of the average that keeps grants through a lull.
-const LULL: Duration = Duration::from_secs(600);
+const LULL: Duration = Duration::from_secs(1_800);
+
+/// Unreserved tokens below this fraction of the smallest grant are not worth frequent reads.
+const SCRAP: Tokens = 8;
 
 /// Settings of a [`super::Holder`].
 #[derive(Clone, Debug, PartialEq)]
@@ -24,7 +27,8 @@
     /// Smallest grant in tokens, so that the first request of a budget does not need several.
     pub smallest: Tokens,
     /// A holder aims for at most this fraction of a budget's unspent tokens, so that the last
-    /// tokens are neither spread over all holders nor held by one; about the number of holders.
+    /// tokens are neither spread over all holders nor held by one. A lower
+    /// number lets a region that is cut off go on for longer, and strands more tokens.
     pub divisor: Tokens,
     /// How long an exhausted budget is reported as such before the row is read again.
     pub dry_pause: Duration,
@@ -33,7 +37,8 @@
     pub patience: Duration,
     /// How often a holder reads the row of a budget of which it has unreserved tokens.
     pub review: Duration,
-    /// The same when the budget is nearly exhausted.
+    /// The same when the budget is nearly exhausted. Holders that are asked for tokens which they
+    /// lack read the row in any case, so a long time delays only the return by idle holders.
     pub review_soon: Duration,
     /// Largest number of open reservations and of bills that no row holds yet, taken together.
     pub limit: usize,
@@ -54,10 +59,10 @@
             low_water: 0.5,
             smallest: 4_096,
             divisor: 4,
-            dry_pause: Duration::from_secs(1),
+            dry_pause: Duration::from_secs(5),
             patience: Duration::from_secs(2),
-            review: Duration::from_secs(60),
-            review_soon: Duration::from_secs(4),
+            review: Duration::from_secs(300),
+            review_soon: Duration::from_secs(30),
             limit: 65_536,
             budgets: 16_384,
             remembered: 16_384,
@@ -112,10 +117,14 @@
         (target as f64 * self.low_water.clamp(0.0, 1.0)) as Tokens
     }
 
-    /// Returns when to read a row again that had `rest` tokens left.
-    pub fn next_review(&self, rest: Tokens, demand: &Demand) -> Duration {
+    /// Returns after what time to read a row again that had `rest` tokens left.
+    ///
+    /// Other holders can only starve soon when the rest is small compared with the demand or with
+    /// what this holder could return.
+    pub fn next_review(&self, rest: Tokens, headroom: Tokens, demand: &Demand) -> Duration {
         let all = demand.during(self.review).saturating_mul(self.divisor);
-        if rest < all.max(self.smallest) {
+        let useful = headroom >= self.smallest / SCRAP;
+        if useful && rest < all.max(headroom) {
             self.review_soon
         } else {
             self.review
--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -142,10 +142,10 @@
         slot.used_at = now;
         let free = slot.free();
         if amount > free {
-            if now < slot.dry_until {
+            if now < slot.dry_until && amount - free >= slot.dry_from {
                 return Err(Shortage::Exhausted);
             }
-            slot.shortage = slot.shortage.max(amount - free);
+            slot.miss(amount - free);
             return Err(Shortage::Refill);
         }
         slot.reserved += amount;
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -10,6 +10,9 @@
     std::time::Duration,
 };
 
+/// A holder returns tokens above this multiple of its target.
+const SURPLUS: Tokens = 4;
+
 /// What a holder knows of one budget.
 #[derive(Debug, Default)]
 pub struct Slot {
@@ -22,8 +25,10 @@
     pub spent: Tokens,
     /// Tokens of open reservations; `spent + reserved ≤ ceiling`.
     pub reserved: Tokens,
-    /// Tokens that reservations lacked since the last flush.
+    /// Most tokens that a reservation lacked since the last flush.
     pub shortage: Tokens,
+    /// Fewest tokens that a reservation lacked since the last flush; 0 when none lacked any.
+    pub least_shortage: Tokens,
     /// Smoothed spend.
     pub demand: Demand,
     /// `spent` when `demand` was last updated.
@@ -32,8 +37,13 @@
     pub rest: Tokens,
     /// When to read the budget row again.
     pub review_at: Duration,
-    /// Until then the budget counts as exhausted.
+    /// Until then the budget counts as exhausted for reservations that lack `dry_from` tokens.
     pub dry_until: Duration,
+    /// Fewest tokens that the budget could not provide.
+    pub dry_from: Tokens,
+    /// Until then a headroom below the low-water level does not cause a read, because the last
+    /// read found nothing.
+    pub low_until: Duration,
     /// Since when the holder lacks tokens that the budget row does not have.
     pub starving: Option<Duration>,
     /// When tokens were last asked for.
@@ -56,10 +66,29 @@
         self.spent + self.reserved
     }
 
-    /// Returns the tokens that the budget row has to provide to cover the shortage.
+    /// Notes that a reservation lacks tokens.
+    pub fn miss(&mut self, tokens: Tokens) {
+        let least = if self.least_shortage > 0 {
+            self.least_shortage
+        } else {
+            tokens
+        };
+        self.least_shortage = least.min(tokens);
+        self.shortage = self.shortage.max(tokens);
+    }
+
+    /// Returns the tokens that the budget row has to provide to cover the largest shortage.
     pub fn lack(&self) -> Tokens {
-        let raisable = self.durable.allocated.saturating_sub(self.ceiling);
-        self.shortage.saturating_sub(raisable)
+        self.shortage.saturating_sub(self.raisable())
+    }
+
+    fn least_lack(&self) -> Tokens {
+        self.least_shortage.saturating_sub(self.raisable())
+    }
+
+    /// Returns the allocated tokens above the ceiling.
+    fn raisable(&self) -> Tokens {
+        self.durable.allocated.saturating_sub(self.ceiling)
     }
 
     /// Returns whether nothing would be lost by forgetting the slot.
@@ -79,7 +108,7 @@
             return true;
         }
         let target = settings.target(self.rest + headroom, &self.demand);
-        self.rest > 0 && headroom < settings.low(target)
+        self.rest > 0 && now >= self.low_until && headroom < settings.low(target)
     }
 
     /// Returns whether the mark is low enough to justify a row of its own.
@@ -104,8 +133,10 @@
         if self.lack() > 0 && account.rest() >= self.lack() {
             let amount = target.saturating_sub(headroom).max(self.lack());
             allocated += account.grant(amount);
-            account.wanted = None;
+            account.satisfy(holder);
             self.starving = None;
+        } else if self.least_lack() > 0 && account.rest() >= self.least_lack() {
+            allocated += account.grant(self.least_lack());
         } else if let Some(keep) = keep
             && keep < headroom
         {
@@ -120,16 +151,25 @@
         } else if keep.is_none() && headroom < settings.low(target) {
             allocated += account.grant(target - headroom);
         }
+        if allocated <= self.durable.allocated {
+            self.low_until = now + settings.review_soon;
+        }
         self.rest = account.rest();
-        self.review_at = now + settings.next_review(self.rest, &self.demand);
+        self.review_at = now + settings.next_review(self.rest, headroom, &self.demand);
         allocated
     }
 
-    /// Notes that a shortage remains after the flush.
-    pub fn starve(&mut self, now: Duration, settings: &Settings) {
+    /// Notes that a shortage remains after a flush that raises the mark to `mark`.
+    pub fn starve(&mut self, now: Duration, settings: &Settings, mark: Tokens) {
         let since = *self.starving.get_or_insert(now);
         if now.saturating_sub(since) >= settings.patience {
             self.dry_until = now + settings.dry_pause;
+            let covered = mark >= self.ceiling + self.least_shortage;
+            self.dry_from = if covered {
+                self.shortage
+            } else {
+                self.least_shortage
+            };
         }
     }
 
@@ -164,8 +204,8 @@
         if now > self.used_at + settings.horizon {
             return Some(0);
         }
-        // Below twice the target a return is not worth two writes of the budget row.
-        let surplus = self.headroom().saturating_sub(target);
-        (surplus > target && surplus >= settings.smallest).then_some(target)
+        // Hysteresis saves writes of the budget row when demand, and with it the target, varies.
+        let surplus = self.headroom() > target.saturating_mul(SURPLUS);
+        (surplus && self.headroom() >= settings.smallest).then_some(target)
     }
 }
--- a/crates/ctl/src/measure/budgets/world.rs
+++ b/crates/ctl/src/measure/budgets/world.rs
@@ -73,6 +73,8 @@
     used: Vec<Tokens>,
     /// Requests by the second in which they finish.
     running: Vec<Vec<Running>>,
+    /// Marked and unspent tokens of dead holders per budget.
+    stranded: Vec<Tokens>,
     waiting: VecDeque<(u64, RequestId, Job)>,
     /// Dead holders to fence.
     dead: Vec<(u64, String)>,
@@ -101,6 +103,7 @@
             bought: vec![0; size.budgets],
             taken: vec![0; size.budgets],
             used: vec![0; size.budgets],
+            stranded: vec![0; size.budgets],
             running: (0..LONGEST).map(|_| Vec::new()).collect(),
             waiting: VecDeque::new(),
             dead: Vec::new(),
@@ -197,7 +200,8 @@
         }
         let (left, bought) = (self.left(&job), self.bought[job.budget]);
         let calm = self.is_calm(second);
-        self.tally.refuse(left, bought, &job, calm);
+        let stranded = self.stranded[job.budget];
+        self.tally.refuse(left, stranded, bought, &job, calm);
     }
 
     /// Returns the hosts that an entry asks, in order.
@@ -316,6 +320,11 @@
             return;
         }
         node.down_until = Some(second + REPLACED_AFTER);
+        for (budget, share) in node.holder.shares() {
+            if let Some(index) = self.names.iter().position(|name| *name == budget) {
+                self.stranded[index] += share.mark - share.spent;
+            }
+        }
         self.dead
             .push((second + FENCED_AFTER, node.id().to_string()));
     }
