Split the ranking of the simulation and the end of a shortage

Change: the ranking moves to its own file, and Slot::take_shortage decides whether a flush covers a shortage.

--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -165,16 +165,9 @@
             }
             due |= share.allocated != slot.durable.allocated;
             share.mark = slot.raise(&self.settings, share.allocated);
-            if slot.shortage == 0 {
-                continue;
-            }
-            if share.mark < slot.ceiling + slot.shortage {
-                slot.starve(now, &self.settings, share.mark);
-            } else {
-                shortages.insert(budget.clone(), slot.shortage);
+            if let Some(covered) = slot.take_shortage(now, &self.settings, share.mark) {
+                shortages.insert(budget.clone(), covered);
             }
-            slot.shortage = 0;
-            slot.least_shortage = 0;
         }
         let entry = Entry::Flush {
             shares: left(&shares),
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -159,18 +159,25 @@
         allocated
     }
 
-    /// Notes that a shortage remains after a flush that raises the mark to `mark`.
-    pub fn starve(&mut self, now: Duration, settings: &Settings, mark: Tokens) {
+    /// Ends the shortage at a flush that raises the mark to `mark`, and returns what it covers.
+    pub fn take_shortage(
+        &mut self,
+        now: Duration,
+        settings: &Settings,
+        mark: Tokens,
+    ) -> Option<Tokens> {
+        let most = std::mem::take(&mut self.shortage);
+        let least = std::mem::take(&mut self.least_shortage);
+        if mark >= self.ceiling + most {
+            return (most > 0).then_some(most);
+        }
         let since = *self.starving.get_or_insert(now);
         if now.saturating_sub(since) >= settings.patience {
             self.dry_until = now + settings.dry_pause;
-            let covered = mark >= self.ceiling + self.least_shortage;
-            self.dry_from = if covered {
-                self.shortage
-            } else {
-                self.least_shortage
-            };
+            let covered = mark >= self.ceiling + least;
+            self.dry_from = if covered { most } else { least };
         }
+        None
     }
 
     /// Returns the mark of the next row.
--- a/crates/ctl/src/measure/budgets.rs
+++ b/crates/ctl/src/measure/budgets.rs
@@ -4,6 +4,7 @@
 mod figures;
 mod memory;
 mod node;
+mod rank;
 mod world;
 
 use {
--- a/crates/ctl/src/measure/budgets/world.rs
+++ b/crates/ctl/src/measure/budgets/world.rs
@@ -6,6 +6,7 @@
         demand::{Demand, Job},
         figures::{Figures, Tally},
         node::{Node, Store},
+        rank::{self, Ranks},
     },
     marigoldroute_core::{
         budget::{
@@ -15,11 +16,7 @@
         id::{BudgetId, RequestId, Tokens},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::{
-        collections::VecDeque,
-        hash::{DefaultHasher, Hash, Hasher},
-        time::Duration,
-    },
+    std::{collections::VecDeque, time::Duration},
 };
 
 /// Flush interval in seconds.
@@ -65,7 +62,7 @@
     /// Names of the budgets.
     names: Vec<BudgetId>,
     /// For each budget and region, the nodes in the order in which entries try them.
-    ranks: Vec<[Vec<usize>; 2]>,
+    ranks: Vec<Ranks>,
     /// Tokens bought, and used or reserved, per budget.
     bought: Vec<Tokens>,
     taken: Vec<Tokens>,
@@ -111,7 +108,7 @@
             tally: Tally::default(),
             random,
         };
-        world.rank();
+        world.ranks = rank::ranks(size, variant.holders);
         world.buy_all();
         world
     }
@@ -386,24 +383,4 @@
             self.buy(budget, amount, "t0");
         }
     }
-
-    /// Ranks the hosts of each region per budget, with two in reserve for those that are down.
-    fn rank(&mut self) {
-        let kept = self.holders.map_or(0, |holders| holders + 2);
-        for budget in 0..self.size.budgets {
-            let rank = |region| {
-                let mut nodes: Vec<_> = (region..self.size.hosts).step_by(2).collect();
-                nodes.sort_by_key(|node| weight(budget, *node));
-                nodes.truncate(kept);
-                nodes
-            };
-            self.ranks.push([rank(0), rank(1)]);
-        }
-    }
-}
-
-fn weight(budget: usize, node: usize) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (budget, node).hash(&mut hasher);
-    hasher.finish()
 }
