--- a/crates/ctl/src/measure/budgets.rs
+++ b/crates/ctl/src/measure/budgets.rs
@@ -7,6 +7,9 @@
 mod rank;
 mod world;
 
+#[cfg(test)]
+mod tests;
+
 use {
     anyhow::{Context, Result, anyhow},
     figures::Figures,
