--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -166,15 +166,9 @@
             }
             due |= share.allocated != slot.durable.allocated;
             share.mark = slot.raise(&self.settings, share.allocated);
-            if slot.shortage == 0 {
-                continue;
-            }
-            if share.mark < slot.ceiling + slot.shortage {
-                slot.starve(now, &self.settings);
-            } else {
-                shortages.insert(budget.clone(), slot.shortage);
+            if let Some(covered) = slot.take_shortage(now, &self.settings, share.mark) {
+                shortages.insert(budget.clone(), covered);
             }
-            slot.shortage = 0;
         }
         let entry = Entry::Flush {
             shares: left(&shares),
@@ -285,7 +279,9 @@
                 slot.review_at = Duration::ZERO;
             }
             let shortage = pending.shortages.get(budget).copied().unwrap_or(0);
-            slot.shortage = slot.shortage.max(shortage);
+            if shortage > 0 {
+                slot.miss(shortage);
+            }
         }
     }
 
--- a/crates/ctl/src/measure/budgets/world.rs
+++ b/crates/ctl/src/measure/budgets/world.rs
@@ -6,6 +6,7 @@
         demand::{Demand, Job},
         figures::{Figures, Tally},
         node::{Node, Store},
+        rank::{self, Ranks},
     },
     marigoldroute_core::{
         budget::{
@@ -15,11 +16,7 @@
         id::{BudgetId, RequestId, Tokens},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::{
-        collections::VecDeque,
-        hash::{DefaultHasher, Hash, Hasher},
-        time::Duration,
-    },
+    std::{collections::VecDeque, time::Duration},
 };
 
 /// Flush interval in seconds.
@@ -65,7 +62,7 @@
     /// Names of the budgets.
     names: Vec<BudgetId>,
     /// For each budget and region, the nodes in the order in which entries try them.
-    ranks: Vec<[Vec<usize>; 2]>,
+    ranks: Vec<Ranks>,
     /// Tokens bought, and used or reserved, per budget.
     bought: Vec<Tokens>,
     taken: Vec<Tokens>,
@@ -73,6 +70,8 @@
     used: Vec<Tokens>,
     /// Requests by the second in which they finish.
     running: Vec<Vec<Running>>,
+    /// Marked and unspent tokens of dead holders per budget.
+    stranded: Vec<Tokens>,
     waiting: VecDeque<(u64, RequestId, Job)>,
     /// Dead holders to fence.
     dead: Vec<(u64, String)>,
@@ -101,6 +100,7 @@
             bought: vec![0; size.budgets],
             taken: vec![0; size.budgets],
             used: vec![0; size.budgets],
+            stranded: vec![0; size.budgets],
             running: (0..LONGEST).map(|_| Vec::new()).collect(),
             waiting: VecDeque::new(),
             dead: Vec::new(),
@@ -108,7 +108,7 @@
             tally: Tally::default(),
             random,
         };
-        world.rank();
+        world.ranks = rank::ranks(size, variant.holders);
         world.buy_all();
         world
     }
@@ -197,7 +197,8 @@
         }
         let (left, bought) = (self.left(&job), self.bought[job.budget]);
         let calm = self.is_calm(second);
-        self.tally.refuse(left, bought, &job, calm);
+        let stranded = self.stranded[job.budget];
+        self.tally.refuse(left, stranded, bought, &job, calm);
     }
 
     /// Returns the hosts that an entry asks, in order.
@@ -316,6 +317,11 @@
             return;
         }
         node.down_until = Some(second + REPLACED_AFTER);
+        for (budget, share) in node.holder.shares() {
+            if let Some(index) = self.names.iter().position(|name| *name == budget) {
+                self.stranded[index] += share.mark - share.spent;
+            }
+        }
         self.dead
             .push((second + FENCED_AFTER, node.id().to_string()));
     }
@@ -363,8 +369,9 @@
         }
     }
 
-    /// Buys for each active budget between a quarter and three times its expected use.
+    /// Buys for each active budget a random multiple of its expected use.
     fn buy_all(&mut self) {
+        let (least, most) = self.size.bought;
         let total = self.size.rate * self.duration as f64 * Demand::mean();
         for budget in 0..self.size.budgets {
             let share = if budget < self.size.active {
@@ -372,29 +379,9 @@
             } else {
                 0.0
             };
-            let ratio = self.random.random_range(0.25..3.0);
+            let ratio = self.random.random_range(least..most);
             let amount = (total * share * ratio) as Tokens + 20_000;
             self.buy(budget, amount, "t0");
         }
     }
-
-    /// Ranks the hosts of each region per budget, with two in reserve for those that are down.
-    fn rank(&mut self) {
-        let kept = self.holders.map_or(0, |holders| holders + 2);
-        for budget in 0..self.size.budgets {
-            let rank = |region| {
-                let mut nodes: Vec<_> = (region..self.size.hosts).step_by(2).collect();
-                nodes.sort_by_key(|node| weight(budget, *node));
-                nodes.truncate(kept);
-                nodes
-            };
-            self.ranks.push([rank(0), rank(1)]);
-        }
-    }
-}
-
-fn weight(budget: usize, node: usize) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (budget, node).hash(&mut hasher);
-    hasher.finish()
 }
