Divide the candidates by their own first hosts

Cause: each host ranked the candidates on its own, so that with 6 hosts and 9 of 18 candidates each, one candidate in 64 was preferred by no host and the others by between one and six.

Change: a candidate is preferred by its first hosts in rendezvous order; the policy takes the list of live hosts.

--- a/crates/core/src/route/adaptive.rs
+++ b/crates/core/src/route/adaptive.rs
@@ -9,6 +9,7 @@
         prefix::{Hints, Trust},
         registry::{Distance, List, Registry, Slot, Subset},
     },
+    crate::id::HostId,
     rand::{Rng, RngCore},
     std::{mem::size_of, time::Duration},
 };
@@ -154,7 +155,8 @@
         list: &List,
     ) -> Ranking {
         let mut ranking = Ranking::default();
-        let subset = list.subset(self.settings.subset, self.settings.spill);
+        let hosts = self.registry.host_count();
+        let subset = list.subset(self.settings.subset, self.settings.spill, hosts);
         if let Some(slot) = list.outsider(random, &subset) {
             let rated = (slot, self.settings.outside);
             self.rate(now, random, request, rated, &mut ranking);
@@ -253,6 +255,10 @@
         self.registry.withdraw(upstream);
     }
 
+    fn hosts(&mut self, hosts: &[HostId]) {
+        self.registry.hosts(hosts);
+    }
+
     fn choose(
         &mut self,
         now: Duration,
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -17,6 +17,7 @@
 mod tests;
 
 use {
+    crate::id::HostId,
     derive_more::{Display, Error},
     rand::RngCore,
     std::{str::FromStr, time::Duration},
@@ -45,6 +46,9 @@
     /// Removes a candidate; it is not chosen again until it joins again.
     fn withdraw(&mut self, upstream: &str);
 
+    /// Sets the live hosts, this one included, between which the candidates are divided.
+    fn hosts(&mut self, _hosts: &[HostId]) {}
+
     /// Chooses an upstream; `None` when no known candidate is allowed.
     fn choose(
         &mut self,
--- a/crates/core/src/route/registry.rs
+++ b/crates/core/src/route/registry.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Candidate, Origin},
-    crate::id::{ModelId, UpstreamId},
+    crate::id::{HostId, ModelId, UpstreamId},
     derive_more::{Display, Error},
     rand::{Rng, RngCore},
     std::{collections::HashMap, mem::size_of},
@@ -35,7 +35,7 @@
     pub state: S,
 }
 
-/// Candidates of one model or service, by descending rank for this host.
+/// Candidates of one model or service, by ascending rank for this host.
 #[derive(Debug, Default)]
 pub struct List {
     near: Vec<Entry>,
@@ -44,10 +44,18 @@
     pub turn: usize,
 }
 
+/// Rendezvous rank of this host for a candidate: how many live hosts come before it for that
+/// candidate, and its own hash among equals.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    ahead: u32,
+    hash: u64,
+}
+
 /// Rank of a candidate for this host, and its slot.
 #[derive(Clone, Copy, Debug)]
 struct Entry {
-    rank: u64,
+    rank: Rank,
     slot: u32,
 }
 
@@ -61,19 +69,29 @@
         self.near.iter().chain(&self.far).map(|entry| entry.slot)
     }
 
-    /// Returns the slots that this host considers: up to `size` of its own region, and of other
+    /// Returns the slots that this host prefers: about `size` of its own region, and of other
     /// regions as many as are missing, but at least `spill` so that a region can overflow.
-    pub fn subset(&self, size: usize, spill: usize) -> Subset<'_> {
-        let near = self.near.len().min(size);
-        let far = self.far.len().min((size - near).max(spill));
+    ///
+    /// Each candidate is preferred by its first few hosts, so that every candidate has the same
+    /// number of them; a host has at least half of `size`.
+    pub fn subset(&self, size: usize, spill: usize, hosts: usize) -> Subset<'_> {
+        let count = self.near.len();
+        let near = if hosts > 1 && count > size {
+            let share = (hosts * size).div_ceil(count) as u32;
+            let first = self.near.partition_point(|entry| entry.rank.ahead < share);
+            first.max(size.div_ceil(2)).min(count)
+        } else {
+            count.min(size)
+        };
+        let far = self.far.len().min(size.saturating_sub(near).max(spill));
         Subset {
             near: &self.near[..near],
             far: &self.far[..far],
         }
     }
 
-    /// Returns a random slot of the own region outside the subset. An upstream that is in no
-    /// host's subset receives work only this way.
+    /// Returns a random slot of the own region outside the subset, so that load can move to
+    /// candidates whose first hosts have little work.
     pub fn outsider(&self, random: &mut dyn RngCore, subset: &Subset<'_>) -> Option<u32> {
         let rest = &self.near[subset.near.len()..];
         if rest.is_empty() {
@@ -116,6 +134,8 @@
 pub struct Registry<S> {
     origin: Origin,
     seed: u64,
+    /// Hash seeds of the other live hosts.
+    others: Vec<u64>,
     capacity: usize,
     generation: u32,
     slots: Vec<Option<Slot<S>>>,
@@ -128,6 +148,7 @@
     pub fn new(origin: Origin, capacity: usize) -> Self {
         Self {
             seed: xxh3_64(origin.host.as_bytes()),
+            others: Vec::new(),
             origin,
             capacity,
             generation: 0,
@@ -177,6 +198,42 @@
         self.free.push(index);
     }
 
+    /// Sets the live hosts, and ranks all candidates anew: hosts times candidates hashes.
+    pub fn hosts(&mut self, hosts: &[HostId]) {
+        let others = hosts.iter().filter(|host| **host != self.origin.host);
+        self.others = others.map(|host| xxh3_64(host.as_bytes())).collect();
+        let ranks: Vec<Rank> = self
+            .slots
+            .iter()
+            .map(|slot| match slot {
+                Some(slot) => self.rank(&slot.candidate.id),
+                None => Rank { ahead: 0, hash: 0 },
+            })
+            .collect();
+        for list in self.lists.values_mut() {
+            for side in [&mut list.near, &mut list.far] {
+                for entry in side.iter_mut() {
+                    entry.rank = ranks[entry.slot as usize];
+                }
+                side.sort_unstable_by_key(|entry| entry.rank);
+            }
+        }
+    }
+
+    /// Returns the number of live hosts; 1 when only this one is known.
+    pub fn host_count(&self) -> usize {
+        self.others.len() + 1
+    }
+
+    fn rank(&self, upstream: &str) -> Rank {
+        let hash = xxh3_64_with_seed(upstream.as_bytes(), self.seed);
+        let is_ahead = |seed: &&u64| xxh3_64_with_seed(upstream.as_bytes(), **seed) < hash;
+        Rank {
+            ahead: self.others.iter().filter(is_ahead).count() as u32,
+            hash,
+        }
+    }
+
     pub fn find(&self, upstream: &str) -> Option<u32> {
         self.ids.get(upstream).copied()
     }
@@ -210,6 +267,7 @@
         let entries: usize = self.lists.values().map(List::len).sum();
         self.slots.capacity() * size_of::<Option<Slot<S>>>()
             + self.free.capacity() * size_of::<u32>()
+            + self.others.capacity() * size_of::<u64>()
             + self.ids.capacity() * size_of::<(UpstreamId, u32)>()
             + self.lists.capacity() * size_of::<(ModelId, List)>()
             + entries * size_of::<Entry>()
@@ -225,13 +283,13 @@
             Distance::Zone
         };
         let entry = Entry {
-            rank: xxh3_64_with_seed(candidate.id.as_bytes(), self.seed),
+            rank: self.rank(&candidate.id),
             slot: index,
         };
         for target in &candidate.serves {
             let list = self.lists.entry(target.clone()).or_default();
             let side = list.side(distance);
-            let at = side.partition_point(|other| other.rank > entry.rank);
+            let at = side.partition_point(|other| other.rank < entry.rank);
             side.insert(at, entry);
         }
         self.ids.insert(candidate.id.clone(), index);
--- a/crates/core/src/route/settings.rs
+++ b/crates/core/src/route/settings.rs
@@ -7,13 +7,13 @@
 pub struct Settings {
     /// Most candidates known at a time.
     pub capacity: usize,
-    /// Candidates of the own region that this host prefers, per model. A small subset makes a
-    /// larger share of their load this host's own, which it knows without delay.
+    /// Candidates of the own region that a host prefers on average, per model. A small subset makes
+    /// a larger share of their load this host's own, which it knows without delay.
     pub subset: usize,
     /// Candidates of other regions that are considered at least, per model.
     pub spill: usize,
-    /// Factor on the estimate of one random candidate outside the subset. It receives work only
-    /// when it is much better, for example because it is in no host's subset.
+    /// Factor on the estimate of one random candidate outside the subset; it receives work only
+    /// when it is much better.
     pub outside: f32,
     /// Candidates of the subset compared per decision.
     pub sample: usize,
--- a/crates/core/src/route/tests.rs
+++ b/crates/core/src/route/tests.rs
@@ -5,6 +5,7 @@
         Cache, Candidate, Change, Choice, Full, Load, Name, Origin, Policy, Progress, Request,
         Settings, Ticket,
     },
+    crate::id::HostId,
     proptest::{
         collection::vec,
         prelude::*,
@@ -25,6 +26,10 @@
     }
 }
 
+fn hosts(count: u8) -> Vec<HostId> {
+    (0..count).map(|n| format!("h{n}").into()).collect()
+}
+
 fn name(upstream: u8) -> String {
     format!("u{upstream}")
 }
@@ -54,6 +59,8 @@
     Load(u8, u32),
     Cache(u8, u64, u8),
     Pass(u64),
+    /// Sets the number of live hosts.
+    Hosts(u8),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -66,6 +73,7 @@
         1 => (0..UPSTREAMS, 0..50_u64, 0..3_u8)
             .prop_map(|(upstream, sequence, kind)| Step::Cache(upstream, sequence, kind)),
         2 => (0..4_000_u64).prop_map(Step::Pass),
+        1 => (0..9_u8).prop_map(Step::Hosts),
     ]
 }
 
@@ -202,6 +210,7 @@
                 };
                 policy.cache(now, &name(upstream), &Cache { sequence, change });
             }
+            Step::Hosts(count) => policy.hosts(&hosts(count)),
             Step::Pass(millis) => oracle.now += Duration::from_millis(millis),
         }
     }
@@ -347,3 +356,54 @@
     }
     assert!("fastest".parse::<Name>().is_err());
 }
+
+/// Guards against upstreams that no host prefers, or that all hosts prefer: with 6 hosts, 18
+/// upstreams and a subset of 9, each host spreads its requests and together they reach all.
+#[test]
+fn hosts_divide_the_upstreams() {
+    let mut reached = BTreeMap::<String, u32>::new();
+    for host in 0..6 {
+        let origin = Origin {
+            host: format!("h{host}").into(),
+            ..origin()
+        };
+        let settings = Settings {
+            outside: f32::INFINITY,
+            jitter: 10.0,
+            ..Settings::default()
+        };
+        let mut policy = Name::Adaptive.policy(origin, settings);
+        for upstream in 0..18 {
+            let near = Candidate {
+                region: "west".into(),
+                zone: "z1".into(),
+                ..candidate(upstream)
+            };
+            policy.join(Duration::ZERO, &near).unwrap();
+        }
+        policy.hosts(&hosts(6));
+        let mut chosen = std::collections::BTreeSet::new();
+        for seed in 0..400 {
+            let request = Request {
+                target: TARGET,
+                prompt: 100,
+                output: 10,
+                prefixes: &[],
+                priority: 0,
+                allows: &|_| true,
+            };
+            let mut random = SmallRng::seed_from_u64(seed);
+            let choice = policy.choose(Duration::ZERO, &mut random, &request);
+            chosen.extend(choice.map(|choice| choice.upstream.to_string()));
+        }
+        assert!(chosen.len() < 18);
+        for upstream in chosen {
+            *reached.entry(upstream).or_default() += 1;
+        }
+    }
+    assert_eq!(reached.len(), 18);
+    assert!(
+        reached.values().all(|count| (3..6).contains(count)),
+        "{reached:?}"
+    );
+}
--- a/crates/ctl/src/measure/routing.rs
+++ b/crates/ctl/src/measure/routing.rs
@@ -35,7 +35,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            seeds: vec![11, 23, 37, 41, 59],
+            seeds: vec![11, 23, 37, 41, 59, 61, 73, 89, 97, 101, 113],
             cases: Vec::new(),
             routing: Routing::default(),
             workers: 3,
--- a/crates/ctl/src/measure/routing/decision.rs
+++ b/crates/ctl/src/measure/routing/decision.rs
@@ -16,6 +16,8 @@
 
 /// Candidates known.
 const REPLICAS: usize = 600;
+/// Hosts known.
+const HOSTS: usize = 390;
 /// Decisions measured.
 const DECISIONS: u32 = 200_000;
 /// Blocks per prompt.
@@ -38,6 +40,8 @@
 
 fn measure(name: Name, settings: &Settings) -> anyhow::Result<String> {
     let mut policy = name.policy(origin(1), settings.clone());
+    let hosts: Vec<_> = (0..HOSTS).map(|n| origin(n).host).collect();
+    policy.hosts(&hosts);
     let mut random = SmallRng::seed_from_u64(1);
     for replica in 0..REPLICAS {
         let id: UpstreamId = format!("engine-{replica}").into();
--- a/crates/ctl/src/measure/routing/world.rs
+++ b/crates/ctl/src/measure/routing/world.rs
@@ -87,8 +87,10 @@
     pub fn new(case: &'a Case, name: Name, settings: &Settings, seed: u64) -> Self {
         let count = case.speeds.len();
         let ids: Vec<UpstreamId> = (0..count).map(|n| format!("engine-{n}").into()).collect();
+        let hosts: Vec<_> = (0..case.routers).map(|n| origin(n).host).collect();
         let router = |n: usize| {
             let mut policy = name.policy(origin(n), settings.clone());
+            policy.hosts(&hosts);
             for (engine, id) in ids.iter().enumerate() {
                 // The capacity is above the number of engines of every case.
                 let _ = policy.join(Duration::ZERO, &candidate(id, engine));
