Add the placement of models on engines

Cause: nothing decides which engine holds which model and version.

Change: planner with spare replicas for the loss of an availability zone, hysteresis, the rate of the weight store, fencing numbers with a wait for engines that ignore them, and rollouts that halt on errors.

They found one fault before this commit: right after a takeover all replicas could be in one availability zone and stayed there.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fault;
 pub mod id;
 pub mod limit;
+pub mod place;
 pub mod route;
 pub mod stream;
 pub mod table;
--- /dev/null
+++ b/crates/core/src/place/mod.rs
@@ -0,0 +1,24 @@
+//! Placement of models on engines.
+//!
+//! A [`Planner`] compares the desired with the observed state and returns [`Order`]s. It is driven
+//! by the host that holds the placement lease; see [`Lease`] for what protects engines from the
+//! orders of an earlier holder.
+
+mod demand;
+mod lease;
+mod planner;
+mod rollout;
+mod settings;
+mod state;
+
+#[cfg(test)]
+mod tests;
+
+pub use {
+    demand::{Demand, replicas},
+    lease::Lease,
+    planner::Planner,
+    rollout::{Phase, Rollout},
+    settings::Settings,
+    state::{Engine, Loaded, Observed, Order},
+};
--- /dev/null
+++ b/crates/core/src/place/planner.rs
@@ -0,0 +1,333 @@
+//! Decision on what each engine holds.
+
+use {
+    super::{Demand, Engine, Lease, Loaded, Observed, Order, Rollout, Settings, rollout::Phase},
+    crate::id::{ModelId, UpstreamId, Zone},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// Observed states by engine.
+type Reports = BTreeMap<UpstreamId, Observed>;
+
+/// An order whose effect is not observed yet.
+#[derive(Clone, Debug)]
+struct Sent {
+    load: Loaded,
+    at: Duration,
+}
+
+/// Plans the placement of models. Its memory is bounded by the engines in service and the models
+/// in demand.
+#[derive(Clone, Debug)]
+pub struct Planner {
+    settings: Settings,
+    sent: BTreeMap<UpstreamId, Sent>,
+    /// Time of the last move of each engine.
+    moved: BTreeMap<UpstreamId, Duration>,
+    rollouts: BTreeMap<ModelId, Rollout>,
+    last_load: Option<Duration>,
+}
+
+/// One call of [`Planner::plan`].
+struct Round<'a> {
+    now: Duration,
+    lease: &'a Lease,
+    engines: &'a [Engine],
+    demands: &'a [Demand],
+    /// What each engine holds once everything that was ordered has happened.
+    held: BTreeMap<UpstreamId, Loaded>,
+    zones: usize,
+}
+
+impl Round<'_> {
+    fn have(&self, model: &str) -> usize {
+        self.held
+            .values()
+            .filter(|load| *load.model == *model)
+            .count()
+    }
+
+    fn in_zone(&self, model: &str, zone: &Zone) -> usize {
+        let holds = |engine: &&Engine| {
+            let load = self.held.get(&engine.id);
+            engine.zone == *zone && load.is_some_and(|load| *load.model == *model)
+        };
+        self.engines.iter().filter(holds).count()
+    }
+
+    /// Returns the replicas of a model in its fullest availability zone.
+    fn fullest(&self, model: &str) -> usize {
+        let counts = self.engines.iter().map(|e| self.in_zone(model, &e.zone));
+        counts.max().unwrap_or(0)
+    }
+
+    fn demand(&self, model: &str) -> Option<&Demand> {
+        self.demands.iter().find(|demand| *demand.model == *model)
+    }
+}
+
+impl Planner {
+    /// Creates a planner that knows nothing yet.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            sent: BTreeMap::new(),
+            moved: BTreeMap::new(),
+            rollouts: BTreeMap::new(),
+            last_load: None,
+        }
+    }
+
+    /// Counts responses of a model version, which can halt its rollout.
+    pub fn observe(&mut self, model: &str, version: u64, requests: u64, errors: u64) {
+        if let Some(rollout) = self.rollouts.get_mut(model).filter(|r| r.to == version) {
+            rollout.observe(&self.settings, requests, errors);
+        }
+    }
+
+    /// Returns where the rollout of a model stands, if there is one.
+    pub fn phase(&self, model: &str) -> Option<Phase> {
+        self.rollouts.get(model).map(Rollout::phase)
+    }
+
+    /// Returns the order to send now, if any. At most one is due at a time, because loads are
+    /// spaced by the rate of the weight store.
+    pub fn plan(
+        &mut self,
+        now: Duration,
+        lease: &Lease,
+        engines: &[Engine],
+        observed: &Reports,
+        demands: &[Demand],
+    ) -> Option<Order> {
+        self.forget(now, engines, observed, demands);
+        let round = Round {
+            now,
+            lease,
+            engines,
+            demands,
+            held: self.held(engines, observed),
+            zones: engines
+                .iter()
+                .map(|e| &e.zone)
+                .collect::<BTreeSet<_>>()
+                .len(),
+        };
+        self.track(&round, observed);
+        if !self.may_load(&round, observed) {
+            return None;
+        }
+        let order = self
+            .fill(&round)
+            .or_else(|| self.spread(&round))
+            .or_else(|| self.update(&round, observed))?;
+        let load = order.load.clone();
+        self.sent
+            .insert(order.engine.clone(), Sent { load, at: now });
+        self.moved.insert(order.engine.clone(), now);
+        self.last_load = Some(now);
+        Some(order)
+    }
+
+    /// Drops what concerns engines or models that are gone, and orders that have taken effect or
+    /// are due to be decided anew.
+    fn forget(
+        &mut self,
+        now: Duration,
+        engines: &[Engine],
+        observed: &Reports,
+        demands: &[Demand],
+    ) {
+        let known: BTreeSet<_> = engines.iter().map(|engine| &engine.id).collect();
+        let resend = self.settings.resend;
+        self.sent.retain(|id, sent| {
+            let target = observed.get(id).and_then(Observed::target);
+            let is_open = now.saturating_sub(sent.at) < resend;
+            known.contains(id) && is_open && target != Some(&sent.load)
+        });
+        self.moved.retain(|id, _| known.contains(id));
+        let wanted = |model: &ModelId| demands.iter().any(|demand| demand.model == *model);
+        self.rollouts.retain(|model, _| wanted(model));
+    }
+
+    fn held(&self, engines: &[Engine], observed: &Reports) -> BTreeMap<UpstreamId, Loaded> {
+        let target = |engine: &Engine| {
+            let sent = self.sent.get(&engine.id).map(|sent| &sent.load);
+            let load = sent.or_else(|| observed.get(&engine.id)?.target())?;
+            Some((engine.id.clone(), load.clone()))
+        };
+        engines.iter().filter_map(target).collect()
+    }
+
+    fn may_load(&self, round: &Round<'_>, observed: &Reports) -> bool {
+        let is_loading = |engine: &&Engine| {
+            let report = observed.get(&engine.id);
+            let is_reported = report.is_some_and(|report| report.loading.is_some());
+            is_reported || self.sent.contains_key(&engine.id)
+        };
+        let loading = round.engines.iter().filter(is_loading).count();
+        let interval = self.settings.load_interval;
+        let is_spaced = |last: Duration| round.now.saturating_sub(last) >= interval;
+        loading < self.settings.concurrent_loads && self.last_load.is_none_or(is_spaced)
+    }
+
+    /// Gives a replica to the model that lacks the largest share of its replicas.
+    fn fill(&self, round: &Round<'_>) -> Option<Order> {
+        let share = |demand: &Demand| {
+            let need = demand.need(&self.settings, 1.0, round.zones);
+            round.have(&demand.model) as f64 / need as f64
+        };
+        let mut lacking: Vec<_> = round.demands.iter().filter(|d| share(d) < 1.0).collect();
+        lacking.sort_by(|a, b| share(a).total_cmp(&share(b)));
+        lacking.into_iter().find_map(|demand| {
+            let engine = self.free(round, demand, usize::MAX)?;
+            Some(self.order(round, engine, demand.model.clone(), "replicas are missing"))
+        })
+    }
+
+    /// Adds a replica to a model that has enough of them but would not survive the loss of its
+    /// fullest availability zone. The engines that may be used at the time of the first orders can
+    /// be in few availability zones.
+    fn spread(&self, round: &Round<'_>) -> Option<Order> {
+        round.demands.iter().find_map(|demand| {
+            let fullest = round.fullest(&demand.model);
+            let remaining = round.have(&demand.model) - fullest;
+            if round.zones < 2 || remaining >= demand.least(1.0) {
+                return None;
+            }
+            let engine = self.free(round, demand, fullest)?;
+            Some(self.order(round, engine, demand.model.clone(), "spread over zones"))
+        })
+    }
+
+    /// Returns the engine for another replica: without a wanted model first, then one of a model
+    /// with more replicas than it needs, each in the availability zone with the fewest replicas,
+    /// which must have less than `below` of them.
+    fn free(&self, round: &Round<'_>, demand: &Demand, below: usize) -> Option<UpstreamId> {
+        let is_starving = round.have(&demand.model) == 0;
+        let class = |engine: &Engine| match round.held.get(&engine.id) {
+            None => Some(0),
+            Some(load) if load.model == demand.model => None,
+            Some(load) => match round.demand(&load.model) {
+                None => Some(1),
+                Some(other) if self.is_spare(round, engine, other) => Some(2),
+                Some(other) if is_starving && round.have(&other.model) > 1 => Some(3),
+                Some(_) => None,
+            },
+        };
+        let usable = round
+            .engines
+            .iter()
+            .filter(|engine| round.lease.covers(&self.settings, round.now, engine));
+        let rated = usable.filter_map(|engine| {
+            let class = class(engine)?;
+            let place = round.in_zone(&demand.model, &engine.zone);
+            (place < below).then(|| ((place, class, engine.id.clone()), engine))
+        });
+        let best = rated.min_by(|(a, _), (b, _)| a.cmp(b));
+        best.map(|(_, engine)| engine.id.clone())
+    }
+
+    /// Returns whether a model can do without this replica, also if its demand rises by the
+    /// hysteresis, and the replica is in its fullest availability zone.
+    fn is_spare(&self, round: &Round<'_>, engine: &Engine, demand: &Demand) -> bool {
+        let factor = 1.0 + self.settings.hysteresis;
+        let need = demand.need(&self.settings, factor, round.zones);
+        let own = round.in_zone(&demand.model, &engine.zone);
+        let is_fullest = own == round.fullest(&demand.model);
+        let moved = self.moved.get(&engine.id);
+        let rest = self.settings.rest;
+        let is_rested = moved.is_none_or(|at| round.now.saturating_sub(*at) >= rest);
+        round.have(&demand.model) > need && is_fullest && is_rested
+    }
+
+    /// Starts and advances the rollouts of versions.
+    fn track(&mut self, round: &Round<'_>, observed: &Reports) {
+        for demand in round.demands {
+            let holds = |load: &&Loaded| load.model == demand.model;
+            let old = round.held.values().filter(holds).map(|load| load.version);
+            let old = old.filter(|version| *version != demand.version).max();
+            let known = self.rollouts.get(&demand.model).map(|rollout| rollout.to);
+            if let Some(from) = old.filter(|_| known != Some(demand.version)) {
+                let rollout = Rollout::new(from, demand.version);
+                self.rollouts.insert(demand.model.clone(), rollout);
+            }
+            let updated = observed
+                .values()
+                .filter_map(|report| report.loaded.as_ref());
+            let is_updated =
+                |load: &&Loaded| load.model == demand.model && load.version == demand.version;
+            let updated = updated.filter(is_updated).count();
+            if let Some(rollout) = self.rollouts.get_mut(&demand.model) {
+                let count = round.have(&demand.model);
+                rollout.advance(&self.settings, round.now, updated, count);
+            }
+        }
+    }
+
+    /// Gives the new version to the next replica of a rollout; one at a time per model, and not
+    /// while another replica of the model is out.
+    fn update(&self, round: &Round<'_>, observed: &Reports) -> Option<Order> {
+        round.demands.iter().find_map(|demand| {
+            let rollout = self.rollouts.get(&demand.model)?;
+            let holders = round.engines.iter().filter(|engine| {
+                let load = round.held.get(&engine.id);
+                load.is_some_and(|load| load.model == demand.model)
+            });
+            let holders: Vec<_> = holders.collect();
+            let is_ready = |engine: &&Engine| {
+                let loaded = observed.get(&engine.id).and_then(|r| r.loaded.as_ref());
+                loaded.is_some() && loaded == round.held.get(&engine.id)
+            };
+            if !holders.iter().all(is_ready) {
+                return None;
+            }
+            let is_new = |engine: &&&Engine| round.held[&engine.id].version == demand.version;
+            let updated = holders.iter().filter(is_new).count();
+            if updated >= rollout.allowed(&self.settings, holders.len()) {
+                return None;
+            }
+            let old = holders.iter().filter(|engine| !is_new(engine));
+            let mut covered =
+                old.filter(|engine| round.lease.covers(&self.settings, round.now, engine));
+            let engine = covered.next()?.id.clone();
+            let load = Loaded {
+                model: demand.model.clone(),
+                version: demand.version,
+            };
+            Some(Order {
+                engine,
+                load,
+                fencing: round.lease.fencing,
+                reason: "rollout of a version",
+            })
+        })
+    }
+
+    fn order(
+        &self,
+        round: &Round<'_>,
+        engine: UpstreamId,
+        model: ModelId,
+        reason: &'static str,
+    ) -> Order {
+        let wanted = round.demand(&model).map_or(0, |demand| demand.version);
+        // During a rollout, further replicas get the version that is known to work.
+        let rollout = self
+            .rollouts
+            .get(&model)
+            .filter(|r| r.phase() != Phase::Done);
+        Order {
+            engine,
+            load: Loaded {
+                version: rollout.map_or(wanted, |rollout| rollout.from),
+                model,
+            },
+            fencing: round.lease.fencing,
+            reason,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/place/rollout.rs
@@ -0,0 +1,89 @@
+//! Rollout of a model version in steps.
+
+use {super::Settings, std::time::Duration};
+
+/// Where a rollout stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Proceeds by steps.
+    Running,
+    /// Errors were above the limit; no further engine gets the version.
+    Halted,
+    /// Every replica may have the version.
+    Done,
+}
+
+/// Rollout of one version.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    /// Version that the replicas had before.
+    pub from: u64,
+    /// Version that is rolled out.
+    pub to: u64,
+    phase: Phase,
+    step: usize,
+    /// Time since which the present step is complete.
+    since: Option<Duration>,
+    requests: u64,
+    errors: u64,
+}
+
+impl Rollout {
+    /// Starts a rollout.
+    pub fn new(from: u64, to: u64) -> Self {
+        Self {
+            from,
+            to,
+            phase: Phase::Running,
+            step: 0,
+            since: None,
+            requests: 0,
+            errors: 0,
+        }
+    }
+
+    /// Returns where the rollout stands.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Returns how many of `count` replicas may have the new version: at least one, so that a
+    /// first step of 0 is a single replica.
+    pub fn allowed(&self, settings: &Settings, count: usize) -> usize {
+        let share = match self.phase {
+            Phase::Halted => return 0,
+            Phase::Done => 1.0,
+            Phase::Running => settings.steps.get(self.step).copied().unwrap_or(1.0),
+        };
+        ((count as f64 * share).ceil() as usize).clamp(1, count.max(1))
+    }
+
+    /// Counts responses of the new version.
+    pub fn observe(&mut self, settings: &Settings, requests: u64, errors: u64) {
+        self.requests += requests;
+        self.errors += errors;
+        let share = self.errors as f64 / self.requests.max(1) as f64;
+        if self.requests >= settings.sample && share > settings.error_share {
+            self.phase = Phase::Halted;
+        }
+    }
+
+    /// Goes to the next step when `updated` replicas of `count` complete the present one and it
+    /// was observed for long enough with enough requests.
+    pub fn advance(&mut self, settings: &Settings, now: Duration, updated: usize, count: usize) {
+        if self.phase != Phase::Running || updated < self.allowed(settings, count) {
+            return;
+        }
+        let since = *self.since.get_or_insert(now);
+        if now.saturating_sub(since) < settings.observation || self.requests < settings.sample {
+            return;
+        }
+        self.step += 1;
+        self.since = None;
+        self.requests = 0;
+        self.errors = 0;
+        if self.step >= settings.steps.len() {
+            self.phase = Phase::Done;
+        }
+    }
+}
