Measure the ranking of candidates after a change of the hosts

Cause: the cost of a change of the host list was not measured.

Change: one more column in the decision rows.

--- a/crates/ctl/src/measure/routing/decision.rs
+++ b/crates/ctl/src/measure/routing/decision.rs
@@ -30,7 +30,7 @@
 pub fn run(settings: &Settings, out: &mut dyn Write) -> anyhow::Result<()> {
     writeln!(
         out,
-        "policy,replicas,decision_p50_ns,decision_p99_ns,decision_mean_ns,bytes_before,bytes_after"
+        "policy,replicas,decision_p50_ns,decision_p99_ns,decision_mean_ns,bytes_before,bytes_after,host_change_us"
     )?;
     for name in Name::ALL {
         writeln!(out, "{}", measure(name, settings)?)?;
@@ -40,8 +40,6 @@
 
 fn measure(name: Name, settings: &Settings) -> anyhow::Result<String> {
     let mut policy = name.policy(origin(1), settings.clone());
-    let hosts: Vec<_> = (0..HOSTS).map(|n| origin(n).host).collect();
-    policy.hosts(&hosts);
     let mut random = SmallRng::seed_from_u64(1);
     for replica in 0..REPLICAS {
         let id: UpstreamId = format!("engine-{replica}").into();
@@ -54,6 +52,10 @@
         };
         policy.load(Duration::ZERO, &id, &load);
     }
+    let hosts: Vec<_> = (0..HOSTS).map(|n| origin(n).host).collect();
+    let started = Instant::now();
+    policy.hosts(&hosts);
+    let ranked = started.elapsed().as_micros();
     let before = policy.bytes();
     let mut times = Histogram::<u64>::new(3)?;
     for round in 0..DECISIONS {
@@ -80,7 +82,7 @@
         }
     }
     Ok(format!(
-        "{name},{REPLICAS},{},{},{:.0},{before},{}",
+        "{name},{REPLICAS},{},{},{:.0},{before},{},{ranked}",
         times.value_at_quantile(0.5),
         times.value_at_quantile(0.99),
         times.mean(),
