Count the replicas per zone once per plan

Cause: each candidate engine counted the replicas of its model and zone anew, which is cubic in the number of engines.

Change: the counts are taken once per call.

--- a/crates/core/src/place/planner.rs
+++ b/crates/core/src/place/planner.rs
@@ -39,29 +39,28 @@
     demands: &'a [Demand],
     /// What each engine holds once everything that was ordered has happened.
     held: BTreeMap<UpstreamId, Loaded>,
+    /// Replicas of each model by availability zone.
+    counts: BTreeMap<ModelId, BTreeMap<Zone, usize>>,
     zones: usize,
 }
 
 impl Round<'_> {
     fn have(&self, model: &str) -> usize {
-        self.held
-            .values()
-            .filter(|load| *load.model == *model)
-            .count()
+        let zones = self.counts.get(model);
+        zones.map_or(0, |zones| zones.values().sum())
     }
 
     fn in_zone(&self, model: &str, zone: &Zone) -> usize {
-        let holds = |engine: &&Engine| {
-            let load = self.held.get(&engine.id);
-            engine.zone == *zone && load.is_some_and(|load| *load.model == *model)
-        };
-        self.engines.iter().filter(holds).count()
+        let count = self.counts.get(model).and_then(|zones| zones.get(zone));
+        count.copied().unwrap_or(0)
     }
 
     /// Returns the replicas of a model in its fullest availability zone.
     fn fullest(&self, model: &str) -> usize {
-        let counts = self.engines.iter().map(|e| self.in_zone(model, &e.zone));
-        counts.max().unwrap_or(0)
+        let zones = self.counts.get(model);
+        zones
+            .and_then(|zones| zones.values().max().copied())
+            .unwrap_or(0)
     }
 
     fn demand(&self, model: &str) -> Option<&Demand> {
@@ -104,12 +103,14 @@
         demands: &[Demand],
     ) -> Option<Order> {
         self.forget(now, engines, observed, demands);
+        let held = self.held(engines, observed);
         let round = Round {
             now,
             lease,
             engines,
             demands,
-            held: self.held(engines, observed),
+            counts: count(engines, &held),
+            held,
             zones: engines
                 .iter()
                 .map(|e| &e.zone)
@@ -331,3 +332,17 @@
         }
     }
 }
+
+fn count(
+    engines: &[Engine],
+    held: &BTreeMap<UpstreamId, Loaded>,
+) -> BTreeMap<ModelId, BTreeMap<Zone, usize>> {
+    let mut counts = BTreeMap::<ModelId, BTreeMap<Zone, usize>>::new();
+    for engine in engines {
+        if let Some(load) = held.get(&engine.id) {
+            let zones = counts.entry(load.model.clone()).or_default();
+            *zones.entry(engine.zone.clone()).or_default() += 1;
+        }
+    }
+    counts
+}
