--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod id;
 pub mod limit;
+pub mod place;
 pub mod route;
 pub mod stream;
 pub mod table;
--- a/crates/core/src/route/settings.rs
+++ b/crates/core/src/route/settings.rs
@@ -7,13 +7,13 @@
 pub struct Settings {
     /// Most candidates known at a time.
     pub capacity: usize,
-    /// Candidates of the own region that this host prefers, per model. A small subset makes a
-    /// larger share of their load this host's own, which it knows without delay.
+    /// Candidates of the own region that a host prefers on average, per model. A small subset makes
+    /// a larger share of their load this host's own, which it knows without delay.
     pub subset: usize,
     /// Candidates of other regions that are considered at least, per model.
     pub spill: usize,
-    /// Factor on the estimate of one random candidate outside the subset. It receives work only
-    /// when it is much better, for example because it is in no host's subset.
+    /// Factor on the estimate of one random candidate outside the subset; it receives work only
+    /// when it is much better.
     pub outside: f32,
     /// Candidates of the subset compared per decision.
     pub sample: usize,
@@ -76,9 +76,9 @@
     fn default() -> Self {
         Self {
             capacity: 4_096,
-            subset: 9,
+            subset: 8,
             spill: 4,
-            outside: 1.4,
+            outside: 2.0,
             sample: 16,
             block: 256,
             hints: 1 << 15,
@@ -87,16 +87,16 @@
             prefill: 0.000_05,
             between: 0.03,
             half_batch: 50.0,
-            completion: 0.02,
+            completion: 0.01,
             response: 256,
             slowdown: 4.0,
             between_limit: 0.055,
             backlog_memory: 0.3,
             own: 0.7,
-            smoothing: 0.1,
+            smoothing: 0.2,
             jitter: 0.02,
             peers: 64.0,
-            learning: 0.1,
+            learning: 0.05,
             zone_cost: Duration::from_millis(1),
             region_cost: Duration::from_millis(20),
             silence: Duration::from_millis(1_000),
