--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -5,7 +5,7 @@
     derive_more::Display,
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, HashSet},
         sync::Arc,
     },
 };
@@ -125,10 +125,13 @@
     if tree.len() > NODE_LIMIT {
         mistakes.push(mistake(tree::ROOT, None, Reason::TooManyNodes));
     }
-    // Mistakes that the base has already are not caused by this change. A newer release with
-    // stricter rules must not refuse every change of an older tree.
-    let known: BTreeSet<_> = whole(base).into_iter().collect();
-    let new = whole(&tree).into_iter().filter(|m| !known.contains(m));
+    let mut new = whole(&tree);
+    if !new.is_empty() {
+        // Mistakes that the base has already are not caused by this change. A newer release with
+        // stricter rules must not refuse every change of an older tree.
+        let known: BTreeSet<_> = whole(base).into_iter().collect();
+        new.retain(|mistake| !known.contains(mistake));
+    }
     mistakes.extend(new);
     if !change.force {
         mistakes.extend(emptied(base, &tree));
@@ -288,8 +291,8 @@
 /// Returns the mistakes that only show in the tree as a whole.
 fn whole(tree: &Tree) -> Vec<Mistake> {
     let mut mistakes = Vec::new();
-    let mut names: BTreeSet<(bool, &str)> = BTreeSet::new();
-    let mut keys: BTreeSet<&Arc<str>> = BTreeSet::new();
+    let mut names: HashSet<(bool, &str)> = HashSet::new();
+    let mut keys: HashSet<&Arc<str>> = HashSet::new();
     let named = served(tree);
     tree.walk(|path, node, effective| {
         let name = tree::name(path);
--- a/crates/core/src/config/compile.rs
+++ b/crates/core/src/config/compile.rs
@@ -43,13 +43,12 @@
 
     /// Compiles the upstreams only.
     pub(super) fn upstreams(tree: &Tree) -> BTreeMap<UpstreamId, Upstream> {
-        let mut upstreams = BTreeMap::new();
-        tree.walk(|path, node, effective| {
-            if node.kind == Kind::Upstream {
-                upstreams.insert(tree::name(path).into(), upstream(path, effective));
-            }
+        let nodes = tree.nodes().filter(|(_, node)| node.kind == Kind::Upstream);
+        let compiled = nodes.filter_map(|(path, _)| {
+            let effective = tree.effective(path)?;
+            Some((tree::name(path).into(), upstream(path, &effective)))
         });
-        upstreams
+        compiled.collect()
     }
 
     fn admit(&mut self, path: &Path, node: &Node, effective: &Effective<'_>) {
--- a/crates/core/src/config/tree.rs
+++ b/crates/core/src/config/tree.rs
@@ -194,28 +194,21 @@
 
     /// Calls `visit` for each node with its effective values.
     pub(super) fn walk<'a>(&'a self, mut visit: impl FnMut(&'a Path, &'a Node, &Effective<'a>)) {
-        let mut known: BTreeMap<&str, Effective<'a>> = BTreeMap::new();
+        // Most neighbours have the same parent, whose values are then not gathered again.
+        let mut last: (&str, Effective<'a>) =
+            (ROOT, self.effective(ROOT).unwrap_or(Effective::EMPTY));
         for (path, node) in &self.nodes {
-            let base = parent(path).and_then(|parent| known.get(parent));
-            let effective = base.unwrap_or(&Effective::EMPTY).extend(path, node);
-            visit(path, node, &effective);
-            // Most nodes are leaves; only inner nodes are looked up again.
-            if self.is_inner(path) {
-                known.insert(path, effective);
+            let Some(parent) = parent(path) else {
+                visit(path, node, &Effective::EMPTY.extend(path, node));
+                continue;
+            };
+            if parent != last.0 {
+                last = (parent, self.effective(parent).unwrap_or(Effective::EMPTY));
             }
+            visit(path, node, &last.1.extend(path, node));
         }
     }
 
-    fn is_inner(&self, path: &str) -> bool {
-        let start = format!("{path}/");
-        path == ROOT
-            || self
-                .nodes
-                .range::<str, _>((Bound::Included(start.as_str()), Bound::Unbounded))
-                .next()
-                .is_some_and(|(next, _)| next.starts_with(&start))
-    }
-
     /// Returns each effective value of a node with its origin, or `None` for an unknown path.
     pub fn explain(&self, path: &str) -> Option<Vec<Explanation>> {
         let effective = self.effective(path)?;
--- a/crates/core/src/fleet/round.rs
+++ b/crates/core/src/fleet/round.rs
@@ -16,9 +16,9 @@
 
 /// Peers that an urgent message goes to.
 const URGENT_FANOUT: usize = 2;
-/// News in an answer to a digest from which on the next digest is sent at once. A host that has
-/// just started needs many marks, one that missed a few does not.
-const MANY_NEWS: u32 = 8;
+/// Hosts in an answer that are news from which on the next digest is sent at once. A host that has
+/// just started lacks many hosts; one that missed a few marks does not.
+const MANY_HOSTS: u32 = 8;
 /// Hosts of the platform's list that are contacted while no peer is known.
 const FIRST_CONTACTS: usize = 3;
 
@@ -73,8 +73,8 @@
     }
 
     /// Sends the next digest at once when the last one showed that much was missing.
-    pub(super) fn hurry_repair(&mut self, now: Duration, news: u32) {
-        if news >= MANY_NEWS {
+    pub(super) fn hurry_repair(&mut self, now: Duration, new_hosts: u32) {
+        if new_hosts >= MANY_HOSTS {
             self.next_digest = now;
         }
     }
--- a/crates/core/src/fleet/view.rs
+++ b/crates/core/src/fleet/view.rs
@@ -219,19 +219,16 @@
         gossip: &Gossip,
         random: &mut impl Rng,
     ) -> Option<Gossip> {
-        let mut news = 0;
-        for mark in &gossip.marks {
-            let is_news = mark
-                .fact
-                .as_ref()
-                .is_some_and(|fact| self.take(now, fact, random));
-            news += u32::from(is_news);
+        let mut new_hosts = 0;
+        for fact in gossip.marks.iter().filter_map(|mark| mark.fact.as_ref()) {
+            let is_news = self.take(now, fact, random);
+            new_hosts += u32::from(is_news && matches!(fact, Fact::Host(_)));
         }
         match gossip.kind() {
             Kind::Urgent => None,
             Kind::Answer => {
                 self.probes.answered(from);
-                self.hurry_repair(now, news);
+                self.hurry_repair(now, new_hosts);
                 None
             }
             Kind::Exchange => {
