Refute at once after a partition, and check arbitrary input

A complaint about a host went to every host and counted against it. Revisions of 2^64 - 1 overflowed (control_decoders, extreme_numbers). With 10% of frames lost, refuted suspicions made most of the traffic: 9.6 KB/s at 100 hosts.

Change: a host in doubt is told so directly; three missed answers make a suspicion; revisions saturate.

--- a/crates/core/src/fleet/probe.rs
+++ b/crates/core/src/fleet/probe.rs
@@ -11,7 +11,7 @@
 /// An exchange that is not answered by then counts as missed.
 const ANSWER_TIME: Duration = Duration::from_millis(900);
 /// Consecutive misses after which a host suspects a peer.
-const MISS_LIMIT: u32 = 2;
+const MISS_LIMIT: u32 = 3;
 /// Latest exchanges by which a host judges its own connection.
 const HISTORY: u32 = 8;
 /// A host that misses more of its latest answers than this is itself the likely fault, and does
--- a/crates/core/src/fleet/round.rs
+++ b/crates/core/src/fleet/round.rs
@@ -19,6 +19,8 @@
 /// Hosts in an answer that are news from which on the next digest is sent at once. A host that has
 /// just started lacks many hosts; one that missed a few marks does not.
 const MANY_HOSTS: u32 = 8;
+/// Hosts in doubt that are asked in one round.
+const DOUBTS: usize = 8;
 /// Hosts of the platform's list that are contacted while no peer is known.
 const FIRST_CONTACTS: usize = 3;
 
@@ -69,6 +71,22 @@
             };
             messages.push((peer, message));
         }
+        messages.extend(self.doubts());
+        messages
+    }
+
+    /// Asks hosts that others know as alive to refute that they are gone. Without this, the two
+    /// sides of a partition know each other again only when they have forgotten each other.
+    fn doubts(&mut self) -> Vec<(HostId, Gossip)> {
+        let mut messages = Vec::new();
+        while messages.len() < DOUBTS
+            && let Some(host) = self.doubted.pop_first()
+        {
+            if let Some(doubt) = self.doubt(&host) {
+                let marks = vec![Fact::Suspicion(doubt).into()];
+                messages.push((host, self.message(Kind::Urgent, marks)));
+            }
+        }
         messages
     }
 
--- a/crates/core/src/fleet/view.rs
+++ b/crates/core/src/fleet/view.rs
@@ -11,11 +11,17 @@
     },
     crate::id::{HostId, UpstreamId, Version},
     rand::Rng,
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Greatest number of upstreams; more than three times the target of 600.
 const UPSTREAM_LIMIT: usize = 2_000;
+/// Hosts in doubt that are kept.
+const DOUBT_LIMIT: usize = 64;
 /// Hosts of an availability zone that read the configuration from the store.
 const POLLERS: usize = 2;
 /// When at least this many upstreams fail, and they are most of those that this host uses, its
@@ -69,6 +75,8 @@
     pub(super) listing: Listing,
     pub(super) queue: Queue,
     pub(super) probes: Probes,
+    /// Hosts that seem gone here, but that others know as alive.
+    pub(super) doubted: BTreeSet<HostId>,
     pub(super) next_round: Duration,
     pub(super) next_digest: Duration,
 }
@@ -90,6 +98,7 @@
             listing: Listing::default(),
             queue: Queue::default(),
             probes: Probes::default(),
+            doubted: BTreeSet::new(),
             next_round: now,
             next_digest: now,
         };
@@ -101,7 +110,7 @@
     pub fn enter(&mut self, phase: Phase) {
         if phase > self.me.phase {
             self.me.phase = phase;
-            self.me.revision += 1;
+            self.me.revision = self.me.revision.saturating_add(1);
             self.announce();
         }
     }
@@ -232,19 +241,31 @@
                 None
             }
             Kind::Exchange => {
-                self.complain(from);
-                Some(self.answer(now, gossip, random))
+                let mut answer = self.answer(now, gossip, random);
+                let doubt = self.doubt(from).map(|doubt| Fact::Suspicion(doubt).into());
+                answer.marks.extend(doubt);
+                Some(answer)
             }
         }
     }
 
-    /// Tells a host that seems gone about it, so that it can refute.
-    fn complain(&mut self, from: &HostId) {
-        let me = &self.me.host.id;
-        let peer = self.roster.get(from);
+    /// Returns what to tell a host that seems gone or is suspected, so that it can refute. It is
+    /// told to that host only: told to others, it would count against the host.
+    pub(super) fn doubt(&self, host: &str) -> Option<Suspicion> {
+        let peer = self.roster.get(host);
         let doubted = peer.filter(|peer| !peer.is_alive() || peer.is_suspected());
-        if let Some(suspicion) = doubted.map(|peer| peer.suspicion(me)) {
-            self.spread(Fact::Suspicion(suspicion), Urgency::Regular);
+        doubted.map(|peer| peer.suspicion(&self.me.host.id))
+    }
+
+    /// Notes a host that seems gone here, but that others know as alive.
+    fn note_doubt(&mut self, mark: &HostMark) {
+        let peer = self.roster.get(&mark.id).filter(|peer| !peer.is_alive());
+        let Some(peer) = peer else {
+            return;
+        };
+        let is_same = peer.order() == (mark.incarnation, mark.revision);
+        if is_same && mark.phase() != Phase::Gone && self.doubted.len() < DOUBT_LIMIT {
+            self.doubted.insert(peer.host.id.clone());
         }
     }
 
@@ -264,6 +285,7 @@
                     Phase::Draining | Phase::Gone => Urgency::Urgent,
                     Phase::Joining | Phase::Ready => Urgency::Regular,
                 };
+                self.note_doubt(mark);
                 (self.roster.host(now, mark), urgency)
             }
             Fact::Applied(mark) => (self.roster.applied(mark), Urgency::Regular),
@@ -280,7 +302,7 @@
     /// incarnation.
     fn defend(&mut self, incarnation: u64, revision: u64) {
         if incarnation == self.me.host.incarnation && revision > self.me.revision {
-            self.me.revision = revision + 1;
+            self.me.revision = revision.saturating_add(1);
             self.announce();
         }
     }
@@ -288,7 +310,7 @@
     fn refute(&mut self, mark: &Suspicion) {
         let own = (self.me.host.incarnation, self.me.revision);
         if (mark.incarnation, mark.revision) == own && self.me.phase != Phase::Gone {
-            self.me.revision += 1;
+            self.me.revision = self.me.revision.saturating_add(1);
             self.announce();
         }
     }
