Keep overrides of a node in a sorted list

Cause: a process with a tree of 22,402 nodes took 32.2 MB, more than the 32 MB for all control together.

Change: a sorted list in place of a map per node; versions in memory are limited to 512 KiB instead of 1 MiB of JSON.

--- a/crates/core/src/config/log.rs
+++ b/crates/core/src/config/log.rs
@@ -16,7 +16,7 @@
 };
 
 /// Bytes of JSON of the versions kept in memory.
-pub const RECENT_BYTES: usize = 1 << 20;
+pub const RECENT_BYTES: usize = 1 << 19;
 /// Bytes of JSON in one answer to a peer.
 const ANSWER_BYTES: usize = 200_000;
 /// A tree that is being copied is kept at its version for this time.
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -11,6 +11,7 @@
 mod compile;
 mod log;
 mod message;
+mod overrides;
 mod phase;
 mod proposal;
 mod record;
@@ -34,6 +35,7 @@
     },
     log::{Log, RECENT_BYTES, Read, Settings},
     message::{Body, Copy, Fetch, Packet, Piece, Versions},
+    overrides::Overrides,
     phase::Hold,
     proposal::{Conflict, Proposal, Rebase, Refusal, Step, Submission},
     record::{HEAD_KEY, Head, LOG_PREFIX, Receipt, Record, log_key, request_key},
--- a/crates/core/src/config/tree.rs
+++ b/crates/core/src/config/tree.rs
@@ -1,7 +1,7 @@
 //! The settings tree.
 
 use {
-    super::{Edit, Setting, Value},
+    super::{Edit, Overrides, Setting, Value},
     derive_more::Display,
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, ops::Bound, sync::Arc},
@@ -52,8 +52,8 @@
     /// Kind.
     pub kind: Kind,
     /// Overrides; everything else is inherited.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub settings: BTreeMap<Setting, Value>,
+    #[serde(default, skip_serializing_if = "Overrides::is_empty")]
+    pub settings: Overrides,
 }
 
 /// An effective value and the node that it comes from.
@@ -73,7 +73,7 @@
     const EMPTY: Self = Self([None; Setting::ALL.len()]);
 
     fn extend(mut self, path: &'a Path, node: &'a Node) -> Self {
-        for (setting, value) in &node.settings {
+        for (setting, value) in node.settings.iter() {
             self.0[*setting as usize] = Some(Source { path, value });
         }
         self
