--- a/crates/ctl/src/demo/fleet.rs
+++ b/crates/ctl/src/demo/fleet.rs
@@ -1,21 +1,21 @@
 //! The processes of the demonstration.
 
 use {
+    super::setup,
+    crate::client::Client as Admin,
     anyhow::Context,
     marigoldroute::{Handle, Settings},
-    marigoldroute_core::{
-        budget::Account,
-        config::{Change, Edit, Kind, Setting, Value, hash_key},
-        table::Transaction,
-    },
+    marigoldroute_core::config::hash_key,
     marigoldroute_platform::{Client, StandIn as Platform},
     marigoldroute_upstream::StandIn as Engine,
-    reqwest::StatusCode,
-    serde_json::json,
+    reqwest::{Method, StatusCode},
+    serde_json::{Value, json},
     std::{net::SocketAddr, time::Duration},
     tokio::task::JoinHandle,
 };
 
+/// The operator's key of the demonstration.
+const ADMIN_KEY: &str = "demo-key-of-the-operator";
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause between two looks at a router's readiness.
 const READY_PAUSE: Duration = Duration::from_millis(20);
@@ -28,6 +28,7 @@
     pub engines: Vec<Engine>,
     pub service: Engine,
     pub routers: Vec<Handle>,
+    admin: Admin,
     http: reqwest::Client,
     servers: Vec<JoinHandle<()>>,
 }
@@ -49,25 +50,29 @@
             urls.push(format!("http://{address}"));
         }
         let [a, b, service] = stand_ins;
-        fund(&platform, "hems", 20_000).await?;
-        fund(&platform, "confetti", 600).await?;
-
-        let mut fleet = Self {
+        let mut routers = Vec::new();
+        for number in 1..=3 {
+            routers.push(marigoldroute::start(settings(number, &base)).await?);
+        }
+        let admin = Admin::new(&format!("http://{}", routers[0].address()), ADMIN_KEY)?;
+        let fleet = Self {
             platform,
             engines: vec![a, b],
             service,
-            routers: Vec::new(),
+            routers,
+            admin,
             http: reqwest::Client::new(),
             servers,
         };
-        for number in 1..=3 {
-            let settings = settings(number, &base);
-            fleet.routers.push(marigoldroute::start(settings).await?);
-        }
-        fleet.change(first(&urls), "demo-1").await?;
+        setup::run(&fleet, &urls).await?;
         Ok(fleet)
     }
 
+    /// Writes through the administration API; returns the answer.
+    pub async fn write(&self, request: &str, path: &str, body: &Value) -> anyhow::Result<Value> {
+        self.admin.write(Method::POST, path, request, body).await
+    }
+
     /// Stops the routers as planned.
     pub async fn stop(&mut self) {
         for router in self.routers.drain(..) {
@@ -108,27 +113,28 @@
         Ok((status, response.text().await?))
     }
 
-    /// Takes an upstream out of service and waits until every router has applied it.
+    /// Takes an upstream out of service and waits until this is in effect on every router.
     pub async fn withdraw(&self, upstream: &str) -> anyhow::Result<()> {
-        let state = Value::Text("withdrawn".into());
-        self.change(vec![set(upstream, Setting::State, state)], "demo-2")
-            .await
+        let path = format!("/upstreams/{upstream}/withdraw");
+        let accepted = self.write("demo-withdraw", &path, &json!({})).await?;
+        self.settled(&accepted).await
     }
 
-    /// Changes the configuration and waits until every router has applied it.
-    async fn change(&self, edits: Vec<Edit>, request: &str) -> anyhow::Result<()> {
-        let change = Change {
-            edits,
-            force: false,
-        };
-        let version = self.routers[0].propose(change, "demo", request).await?;
+    /// Waits until an accepted change is in effect on every router.
+    pub async fn settled(&self, accepted: &Value) -> anyhow::Result<()> {
+        let query = [("version", accepted["version"].to_string())];
         let wait = async {
-            while self.routers.iter().any(|router| router.version() < version) {
+            loop {
+                let progress = self.admin.get("/progress", &query).await?;
+                let applied = progress["applied"].as_array().map_or(0, Vec::len);
+                if progress["everywhere"] == true && applied == self.routers.len() {
+                    return anyhow::Ok(());
+                }
                 tokio::time::sleep(READY_PAUSE).await;
             }
         };
         let waited = tokio::time::timeout(READY_TIMEOUT, wait).await;
-        waited.context("the configuration did not take effect in time")
+        waited.context("the configuration did not take effect in time")?
     }
 
     fn url(&self, router: usize, path: &str) -> String {
@@ -151,67 +157,8 @@
         listen_peers: ([127, 0, 0, 1], 0).into(),
         platform: platform.into(),
         fleet_keys: vec!["demo-key-of-the-fleet".into()],
+        admin_key_hash: Some(hash_key(ADMIN_KEY).into()),
         flush_interval: Duration::from_millis(500),
         ..Settings::default()
     }
 }
-
-fn add(path: &str, kind: Kind) -> Edit {
-    Edit::Add {
-        path: path.into(),
-        kind,
-    }
-}
-
-fn set(path: &str, setting: Setting, value: Value) -> Edit {
-    Edit::Set {
-        path: path.into(),
-        setting: setting.to_string().into(),
-        value,
-    }
-}
-
-/// The first configuration.
-fn first(urls: &[String]) -> Vec<Edit> {
-    let mut edits = vec![
-        set("", Setting::Region, Value::Text("region-1".into())),
-        set("", Setting::Zone, Value::Text("zone-1".into())),
-        add("drafting", Kind::Model),
-        add("orders", Kind::Service),
-        set("orders", Setting::Price, Value::Tokens(25)),
-        set("orders", Setting::Idempotent, Value::Flag(false)),
-    ];
-    for (workspace, budget) in [("kolkata", "hems"), ("palermo", "confetti")] {
-        let key = hash_key(&format!("{workspace}-key")).into();
-        edits.push(add(workspace, Kind::Workspace));
-        edits.push(set(workspace, Setting::Budget, Value::Text(budget.into())));
-        edits.push(set(workspace, Setting::OutputLimit, Value::Tokens(256)));
-        edits.push(set(workspace, Setting::ApiKeys, Value::Hashes(vec![key])));
-    }
-    let upstreams = [
-        ("engine-a", "drafting"),
-        ("engine-b", "drafting"),
-        ("orders-1", "orders"),
-    ];
-    for ((name, serves), url) in upstreams.into_iter().zip(urls) {
-        edits.push(add(name, Kind::Upstream));
-        edits.push(set(name, Setting::Url, Value::Text(url.as_str().into())));
-        edits.push(set(
-            name,
-            Setting::Serves,
-            Value::Names(vec![serves.into()]),
-        ));
-    }
-    edits
-}
-
-async fn fund(platform: &Client, budget: &str, tokens: u64) -> anyhow::Result<()> {
-    let account = Account {
-        purchased: tokens,
-        ..Account::default()
-    };
-    let mut transaction = Transaction::default();
-    transaction.put(format!("budget/{budget}"), serde_json::to_string(&account)?);
-    platform.commit(&transaction).await?;
-    Ok(())
-}
--- a/crates/ctl/src/measure/bills/journals.rs
+++ b/crates/ctl/src/measure/bills/journals.rs
@@ -17,6 +17,7 @@
 };
 
 const EPOCH: Duration = Duration::from_secs(1_800_000_000);
+const LEASE: &str = r#"{"holder":"host-000.1","fencing":1,"until":1800000030}"#;
 /// Ids for the measurement of memory: the peak rate for 600 s.
 const IDS: u64 = 1_920_000;
 /// Seconds from a request to its bill.
@@ -36,20 +37,31 @@
     peak_ids: usize,
 }
 
+impl Cost {
+    fn total(&self) -> Duration {
+        self.decode + self.decide + self.publish
+    }
+}
+
 /// Prints the figures of journals and of the ledger.
 pub fn run(settings: &Settings, out: &mut impl Write) -> Result<()> {
     bytes(settings, out)?;
     memory(out)?;
-    let cost = bill_all(settings)?;
+    let rounds = (0..settings.rounds).map(|_| bill_all(settings));
+    let mut rounds = rounds.collect::<Result<Vec<_>>>()?;
+    rounds.sort_by_key(Cost::total);
+    let (lowest, highest) = (rounds[0].total(), rounds[rounds.len() - 1].total());
+    let cost = rounds.swap_remove(rounds.len() / 2);
     let seconds = (settings.visit * settings.visits) as f64;
     let per_bill = |time: Duration| time.as_nanos() as f64 / cost.bills as f64;
-    let total = cost.decode + cost.decide + cost.publish;
     writeln!(out, "bills,ledger,{},bills", cost.bills)?;
     for (case, time) in [
         ("decode", cost.decode),
         ("decide", cost.decide),
         ("publish", cost.publish),
-        ("all", total),
+        ("all", cost.total()),
+        ("all (lowest round)", lowest),
+        ("all (highest round)", highest),
     ] {
         writeln!(
             out,
@@ -57,7 +69,7 @@
             per_bill(time)
         )?;
     }
-    let share = total.as_secs_f64() / seconds * 100.0;
+    let share = cost.total().as_secs_f64() / seconds * 100.0;
     writeln!(
         out,
         "processor share of the ledger,peak,{share:.2},% of a core"
@@ -101,12 +113,12 @@
     let lease = Row {
         key: "lease/ledger".into(),
         version: 1,
-        value: "".into(),
+        value: LEASE.into(),
     };
     let mut ledger = Ledger::new(&lease, &[], bill::Settings::default())?;
     let before = resident()?;
     for slot in 0..10 {
-        let ids = (0..IDS / 10).map(|n| (slot << 32 | n).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let ids = (0..IDS / 10).map(|n| ((slot << 32) | n).wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let object: Vec<u8> = ids.flat_map(u64::to_be_bytes).collect();
         ledger.load(slot, &[object])?;
     }
@@ -125,11 +137,11 @@
     let lease = Row {
         key: "lease/ledger".into(),
         version: 1,
-        value: "".into(),
+        value: LEASE.into(),
     };
     let mut table = Memory::default();
     let mut create = Transaction::default();
-    create.put("lease/ledger", "");
+    create.put("lease/ledger", LEASE);
     table.commit(&create);
     let mut ledger = Ledger::new(&lease, &[], bill::Settings::default())?;
     let mut index: BTreeMap<String, Vec<u8>> = BTreeMap::new();
@@ -223,7 +235,7 @@
     };
     let shares = (0..settings.budgets).map(|n| (format!("budget-{n:05}").into(), share));
     let digits: Tokens = holder[5..8].parse()?;
-    let ids = (0..bills).map(|n| digits << 32 | (wall.as_secs() % 100_000) << 12 | n);
+    let ids = (0..bills).map(|n| (digits << 32) | ((wall.as_secs() % 100_000) << 12) | n);
     let sent = wall - Duration::from_secs(DURATION);
     Ok(serde_json::to_string(&Journal {
         author: holder.clone(),
--- a/crates/router/src/caller/job.rs
+++ b/crates/router/src/caller/job.rs
@@ -1,23 +1,30 @@
 //! One admitted request on its way through the upstreams.
 
 use {
-    super::Context,
+    super::{Context, claimed::Claimed},
     crate::{
         charge::Charge,
+        dispatch::{Flight, Need},
+        gate::Place,
         logs::ROUTING,
-        upstream::{Choice, Failure, InFlight},
+        upstream::Failure,
     },
     marigoldroute_core::{
         budget::Usage,
-        fault::{Fault, Kind, Outcome},
+        fault::{self, Fault, Outcome},
         fleet::Observation,
         id::{ModelId, RequestId, Tokens, UpstreamId, WorkspaceId},
     },
     poem::http::{HeaderMap, Method},
-    reqwest::Response,
+    reqwest::{Response, StatusCode},
     std::sync::Arc,
 };
 
+/// Header of a refusal by an upstream that takes no more work.
+const DRAINING_HEADER: &str = "x-draining";
+/// Header by which an upstream states that it acted on no byte of the request.
+const NOT_RUN_HEADER: &str = "x-not-run";
+
 /// A request with its reservation.
 pub(super) struct Job {
     pub(super) context: Arc<Context>,
@@ -26,14 +33,63 @@
     pub(super) workspace: WorkspaceId,
     pub(super) model: ModelId,
     pub(super) charge: Charge,
-    /// Whether it may be sent again after an upstream may have acted on it.
-    pub(super) idempotent: bool,
+    pub(super) claim: Claimed,
+    pub(super) kind: Kind,
+    pub(super) size: Size,
+    /// Priority class.
+    pub(super) priority: u8,
+    /// Place among the requests in progress.
+    #[expect(dead_code, reason = "given back when the job is dropped")]
+    pub(super) place: Place,
+}
+
+/// Expected size of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Size {
+    /// Prompt tokens.
+    pub(super) prompt: u32,
+    /// Output token limit.
+    pub(super) output: u32,
+}
+
+/// What is requested.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Kind {
+    /// A completion by a model engine, which refuses with the usual status codes.
+    Model { is_idempotent: bool },
+    /// A call of a plain service. Its status codes are its own, also 503: only a header states
+    /// that it acted on no byte.
+    Service { is_idempotent: bool },
+}
+
+impl Kind {
+    /// Returns whether the request may be sent again after an upstream may have acted on it.
+    pub(super) fn is_idempotent(self) -> bool {
+        match self {
+            Self::Model { is_idempotent } | Self::Service { is_idempotent } => is_idempotent,
+        }
+    }
+
+    /// Returns whether a response is a refusal by an upstream that acted on no byte.
+    fn refusal(self, response: &Response) -> Option<Failure> {
+        let has = |name| response.headers().contains_key(name);
+        let status = response.status();
+        let is_busy =
+            status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS;
+        match self {
+            _ if has(DRAINING_HEADER) => Some(Failure::Leaving),
+            _ if has(NOT_RUN_HEADER) => Some(Failure::Refused),
+            Self::Model { .. } if is_busy => Some(Failure::Refused),
+            Self::Model { .. } | Self::Service { .. } => None,
+        }
+    }
 }
 
 /// An upstream's answer.
 pub(super) struct Reply {
-    pub(super) choice: Choice,
-    pub(super) in_flight: InFlight,
+    pub(super) flight: Flight,
+    /// Base URL of the upstream.
+    pub(super) url: Arc<str>,
     pub(super) response: Response,
 }
 
@@ -54,59 +110,76 @@
     /// # Errors
     /// The fault, with "not run" only when no upstream may have acted on the request.
     pub(super) async fn send(
-        &self,
+        &mut self,
         call: &Call,
         tried: &mut Vec<UpstreamId>,
     ) -> Result<Reply, Fault> {
         let mut outcome = Outcome::NotRun;
-        let mut last = Kind::NoUpstream;
+        let mut last = fault::Kind::NoUpstream;
         for attempt in 1..=self.context.settings.attempts {
-            let Some((choice, in_flight)) = self.choose(tried, attempt) else {
+            let Some((flight, url)) = self.choose(tried, attempt) else {
                 break;
             };
-            let url = format!("{}{}", choice.url, call.path);
+            let target = format!("{url}{}", call.path);
             let (method, headers) = (call.method.clone(), call.headers.clone());
             let upstreams = &self.context.upstreams;
-            let sent = upstreams.send(method, &url, &self.id, headers, call.body.clone());
-            let failure = match sent.await {
+            self.claim.send()?;
+            let sent = upstreams.send(method, &target, &self.id, headers, call.body.clone());
+            let sent = sent
+                .await
+                .and_then(|response| match self.kind.refusal(&response) {
+                    Some(failure) => Err(failure),
+                    None => Ok(response),
+                });
+            let failure = match sent {
                 Ok(response) => {
                     let control = &self.context.control;
-                    control.observe(&choice.upstream, Observation::Success);
+                    control.observe(&flight.upstream, Observation::Success);
                     return Ok(Reply {
-                        choice,
-                        in_flight,
+                        flight,
+                        url,
                         response,
                     });
                 }
                 Err(failure) => failure,
             };
-            last = self.note(&choice.upstream, failure);
-            tried.push(choice.upstream);
-            if !failure.is_refusal() {
-                outcome = Outcome::Unknown;
-                if !self.idempotent {
-                    break;
-                }
+            last = self.note(&flight.upstream, failure);
+            tried.push(flight.upstream.clone());
+            if failure.is_refusal() {
+                flight.refuse();
+                self.claim.refuse();
+                continue;
+            }
+            flight.fail();
+            outcome = Outcome::Unknown;
+            if !self.kind.is_idempotent() || !self.context.dispatch.allows_retry() {
+                break;
             }
         }
         Err(Fault::new(last, "no upstream answered the request").with_outcome(outcome))
     }
 
-    fn choose(&self, tried: &[UpstreamId], attempt: u32) -> Option<(Choice, InFlight)> {
+    fn choose(&self, tried: &[UpstreamId], attempt: u32) -> Option<(Flight, Arc<str>)> {
         let scene = self.context.control.scene();
-        let chosen = self.context.upstreams.choose(&scene, &self.model, tried)?;
-        let choice = &chosen.0;
+        let need = Need {
+            target: &self.model,
+            prompt: self.size.prompt,
+            output: self.size.output,
+            priority: self.priority,
+        };
+        let flight = self.context.dispatch.choose(&scene, need, tried)?;
+        let upstream = scene.catalog.upstreams.get(&flight.upstream)?;
         log::info!(
             target: ROUTING,
-            request:% = self.id, model:% = self.model, upstream:% = choice.upstream,
-            candidates = choice.candidates, in_flight = choice.in_flight, attempt,
-            reason = "least in flight";
+            request:% = self.id, model:% = self.model, upstream:% = flight.upstream,
+            candidates = flight.known, considered = flight.considered, attempt,
+            reason:% = flight.reason;
             "upstream chosen"
         );
-        Some(chosen)
+        Some((flight, upstream.url.clone()))
     }
 
-    fn note(&self, upstream: &UpstreamId, failure: Failure) -> Kind {
+    fn note(&self, upstream: &UpstreamId, failure: Failure) -> fault::Kind {
         log::warn!(target: ROUTING, request:% = self.id, upstream:%, failure:?; "upstream failed");
         let observation = match failure {
             Failure::Leaving => Some(Observation::Leaving),
@@ -119,25 +192,31 @@
         match failure {
             Failure::Refused | Failure::Leaving | Failure::Unreachable => {
                 self.context.metrics.refusals.inc();
-                Kind::UpstreamRefused
+                fault::Kind::UpstreamRefused
             }
-            Failure::Lost => Kind::UpstreamLost,
-            Failure::Timeout => Kind::UpstreamTimeout,
+            Failure::Lost => fault::Kind::UpstreamLost,
+            Failure::Timeout => fault::Kind::UpstreamTimeout,
         }
     }
 
-    /// Ends a request that got no answer: releases the reservation when it did not run, otherwise
-    /// bills `tokens`.
+    /// Ends a request that got no answer: releases the reservation and the claim when it did not
+    /// run, otherwise bills `tokens` and leaves the claim in doubt.
     pub(super) async fn fail(self, fault: Fault, tokens: Tokens) -> Fault {
         match fault.answer().outcome {
-            Outcome::NotRun => self.charge.release().await,
-            Outcome::Ran | Outcome::Unknown => self.settle("".into(), tokens).await,
+            Outcome::NotRun => {
+                self.charge.release().await;
+                self.claim.give_up().await;
+            }
+            Outcome::Ran | Outcome::Unknown => {
+                let claim = self.settle("".into(), tokens).await;
+                claim.give_up().await;
+            }
         }
         fault
     }
 
-    /// Settles with the tokens used at an upstream.
-    pub(super) async fn settle(self, upstream: UpstreamId, tokens: Tokens) {
+    /// Settles with the tokens used at an upstream; returns the claim, which is still open.
+    pub(super) async fn settle(self, upstream: UpstreamId, tokens: Tokens) -> Claimed {
         let usage = Usage {
             workspace: self.workspace,
             model: self.model,
@@ -145,5 +224,6 @@
             tokens,
         };
         self.charge.settle(usage).await;
+        self.claim
     }
 }
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -3,6 +3,7 @@
 use {
     crate::settings::{Mistakes, Settings},
     clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
+    marigoldroute_core::route::Name,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -48,7 +49,12 @@
         platform: text("platform", &base.platform),
         platform_timeout: ms("platform-timeout-ms", base.platform_timeout),
         fleet_keys: keys.map(|key| key.as_str().into()).collect(),
+        admin_key_hash: matches
+            .get_one::<String>("admin-key-hash")
+            .map(|hash| hash.as_str().into()),
         flush_interval: ms("flush-interval-ms", base.flush_interval),
+        ledger_interval: ms("ledger-interval-ms", base.ledger_interval),
+        renew_interval: ms("renew-interval-ms", base.renew_interval),
         holders_per_region: size("holders-per-region", base.holders_per_region),
         peer_timeout: ms("peer-timeout-ms", base.peer_timeout),
         reserve_timeout: ms("reserve-timeout-ms", base.reserve_timeout),
@@ -58,6 +64,8 @@
             .get_one("attempts")
             .copied()
             .unwrap_or(base.attempts),
+        policy: matches.get_one("policy").copied().unwrap_or(base.policy),
+        running_limit: size("running-limit", base.running_limit),
         body_limit: size("body-limit", base.body_limit),
         drain_limit: ms("drain-limit-ms", base.drain_limit),
         log_level: matches
@@ -103,11 +111,11 @@
             "N",
             "Size of this host relative to others",
         )
-        .value_parser(value_parser!(u32).range(1..=1_000)),
+        .value_parser(value_parser!(u32)),
     ]
 }
 
-fn addresses() -> [Arg; 4] {
+fn addresses() -> [Arg; 5] {
     [
         option(
             "listen",
@@ -138,10 +146,16 @@
         .action(ArgAction::Append)
         .value_delimiter(',')
         .hide_env_values(true),
+        option(
+            "admin-key-hash",
+            "MARIGOLDROUTE_ADMIN_KEY_HASH",
+            "HASH",
+            "SHA-256 hash of the first operator's key",
+        ),
     ]
 }
 
-fn limits() -> [Arg; 10] {
+fn limits() -> [Arg; 14] {
     let ms = |name, env, help| option(name, env, "MS", help).value_parser(value_parser!(u64));
     let count = |name, env, help| option(name, env, "N", help).value_parser(value_parser!(usize));
     [
@@ -160,6 +174,16 @@
             "MARIGOLDROUTE_RESERVATION_LIMIT_MS",
             "Age at which the upstreams are asked for the outcome of a reservation",
         ),
+        ms(
+            "ledger-interval-ms",
+            "MARIGOLDROUTE_LEDGER_INTERVAL_MS",
+            "Time between two rounds of the ledger",
+        ),
+        ms(
+            "renew-interval-ms",
+            "MARIGOLDROUTE_RENEW_INTERVAL_MS",
+            "Time between two signs of life in the list of hosts",
+        ),
         count(
             "holders-per-region",
             "MARIGOLDROUTE_HOLDERS_PER_REGION",
@@ -187,6 +211,18 @@
             "Upstreams tried for a request",
         )
         .value_parser(value_parser!(u32)),
+        option(
+            "policy",
+            "MARIGOLDROUTE_POLICY",
+            "NAME",
+            "Routing policy: adaptive, round-robin, least-in-flight or two-choices",
+        )
+        .value_parser(|text: &str| text.parse::<Name>()),
+        count(
+            "running-limit",
+            "MARIGOLDROUTE_RUNNING_LIMIT",
+            "Requests in progress at a time; more wait in a queue",
+        ),
         count(
             "body-limit",
             "MARIGOLDROUTE_BODY_LIMIT",
--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -8,13 +8,14 @@
         scene::Scene,
         store,
     },
-    crate::{clock::Clock, metrics::Metrics, peer::Links},
+    crate::{clock::Clock, dispatch::Dispatch, metrics::Metrics, peer::Links},
     marigoldroute_core::{
         config::{
             Ask, LOG_PREFIX, Log, Packet, Proposal, Read, Role, SNAPSHOT_KEY, Step, TRIM_ROWS,
         },
         fleet::{Gossip, Host, Observation, Phase, Settings, Status, View},
         id::{HolderId, HostId, UpstreamId, Version},
+        route::Load,
         table::{Row, Transaction, Verdict},
         wire::{Body, Reply},
     },
@@ -36,8 +37,6 @@
 /// Time between two reads of the list by a poller, for each host on it. A read costs one row per
 /// host; with 12 pollers this keeps the list at 80 rows a second whatever the size of the fleet.
 const LIST_INTERVAL_PER_HOST: Duration = Duration::from_millis(150);
-/// Time between two writes of the own row; 390 hosts make 20 writes a second.
-pub(crate) const REGISTER_INTERVAL: Duration = Duration::from_secs(20);
 /// Attempts to decide on a proposal.
 const PROPOSAL_ATTEMPTS: u32 = 20;
 /// Pause before the next attempt.
@@ -51,7 +50,9 @@
     pub(crate) clock: Clock,
     pub(crate) platform: Client,
     pub(crate) links: Arc<Links>,
+    pub(crate) dispatch: Arc<Dispatch>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) renew_interval: Duration,
     pub(crate) draining: CancellationToken,
     pub(crate) stop: CancellationToken,
 }
@@ -97,7 +98,7 @@
     Registered(Result<(), Fault>),
     Written(Result<(), Fault>),
     Listed(Result<Register, Fault>),
-    Probed(UpstreamId, Observation),
+    Probed(UpstreamId, Observation, Option<Load>),
     Decide(Box<Attempt>, Result<Vec<Row>, Fault>),
     Committed(Box<Attempt>, Result<Verdict, Fault>),
     Upkeep(Result<(Option<Row>, Vec<Row>), Fault>),
@@ -183,10 +184,9 @@
             Command::Tree(reply) => {
                 let _ = reply.send((self.log.version(), self.log.tree().clone()));
             }
-            Command::Records { after, reply } => {
-                let records = self.log.since(after);
-                let records = records.map(|records| records.into_iter().cloned().collect());
-                let _ = reply.send(records);
+            Command::Consult(function) => {
+                function(&mut self.log, self.parts.clock.now());
+                self.publish();
             }
         }
     }
@@ -240,7 +240,10 @@
             }
             Event::Written(Ok(())) => {}
             Event::Listed(Err(fault)) | Event::Written(Err(fault)) => self.failed(fault),
-            Event::Probed(upstream, observation) => {
+            Event::Probed(upstream, observation, load) => {
+                if let Some(load) = load {
+                    self.parts.dispatch.load(&upstream, &load);
+                }
                 self.view.observe(now, &upstream, observation);
             }
             Event::Decide(attempt, rows) => self.decide(*attempt, rows),
@@ -276,7 +279,7 @@
         self.view.apply(self.log.version());
         self.exchange();
         if now >= self.next_register {
-            self.next_register = now + REGISTER_INTERVAL;
+            self.next_register = now + self.parts.renew_interval;
             self.register();
         }
         if now >= self.next_list {
@@ -394,8 +397,8 @@
         for (upstream, url) in probe::duties(self.log.catalog(), own, &ready) {
             let http = self.http.clone();
             self.calls.spawn(async move {
-                let observation = probe::probe(http, url).await;
-                Event::Probed(upstream, observation)
+                let (observation, load) = probe::probe(http, url).await;
+                Event::Probed(upstream, observation, load)
             });
         }
     }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -3,6 +3,9 @@
 //! No label carries a workspace or a budget: at 17,000 budgets that would be 17,000 series per
 //! metric and host.
 
+#[cfg(test)]
+mod tests;
+
 use {
     anyhow::Context,
     prometheus::{
@@ -26,8 +29,6 @@
     pub(crate) charged: IntCounter,
     /// Tokens used by upstreams above the reservation, not billed.
     pub(crate) uncovered: IntCounter,
-    /// Settlements that no holder knew.
-    pub(crate) unmatched: IntCounter,
     /// Seconds until the first token.
     pub(crate) first_token: Histogram,
     /// Attempts that an upstream refused.
@@ -38,6 +39,8 @@
     pub(crate) refused_frames: IntCounter,
     /// Version of the configuration in effect.
     pub(crate) config_version: IntGauge,
+    /// Operators' calls by result: `ok` or an error kind.
+    pub(crate) admin_calls: IntCounterVec,
 }
 
 impl Metrics {
@@ -59,6 +62,12 @@
         );
         let requests = IntCounterVec::new(requests, &["result"])?;
         registry.register(Box::new(requests.clone()))?;
+        let admin_calls = Opts::new(
+            "marigoldroute_admin_calls_total",
+            "Operators' calls by result",
+        );
+        let admin_calls = IntCounterVec::new(admin_calls, &["result"])?;
+        registry.register(Box::new(admin_calls.clone()))?;
         let first_token = HistogramOpts::new(
             "marigoldroute_first_token_seconds",
             "Time from the request to the first token",
@@ -67,16 +76,13 @@
         registry.register(Box::new(first_token.clone()))?;
         Ok(Self {
             requests,
+            admin_calls,
             running: gauge("marigoldroute_running_requests", "Requests being served")?,
             charged: counter("marigoldroute_charged_tokens_total", "Tokens billed")?,
             uncovered: counter(
                 "marigoldroute_uncovered_tokens_total",
                 "Tokens that upstreams used above the reservation, not billed",
             )?,
-            unmatched: counter(
-                "marigoldroute_unmatched_settlements_total",
-                "Settlements for which the holder had no reservation",
-            )?,
             first_token,
             refusals: counter(
                 "marigoldroute_upstream_refusals_total",
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -2,12 +2,18 @@
 
 use {
     crate::{
+        admin::{self, Admin},
         caller::{self, Context},
         charge::{Charger, Responder},
+        claim,
         clock::Clock,
-        control, escrow,
+        control,
+        dispatch::Dispatch,
+        escrow,
+        gate::Gate,
+        ledger,
         metrics::Metrics,
-        ops,
+        ops, outbox,
         peer::{Links, Listener},
         reclaim::Reclaimer,
         settings::Settings,
@@ -18,6 +24,7 @@
         config::{Change, Proposal, Rebase, Submission},
         fleet::Host,
         id::{HolderId, Version},
+        route::Origin,
     },
     marigoldroute_platform::Client,
     poem::{
@@ -51,6 +58,10 @@
     is_closed: Arc<AtomicBool>,
     /// No new work.
     draining: CancellationToken,
+    /// No more settlements arrive.
+    finished: CancellationToken,
+    /// All settlements are durable.
+    settled: CancellationToken,
     /// End of the background tasks.
     stop: CancellationToken,
     requests: TaskTracker,
@@ -92,13 +103,24 @@
     );
     let links = Arc::new(links);
 
+    let origin = Origin {
+        host: settings.host.clone(),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+    };
+    let dispatch = Arc::new(Dispatch::new(clock, origin, settings.policy));
+    let gate = Gate::new(clock, settings.running_limit);
+    tasks.spawn(gate.clone().run(stop.clone()));
+
     let (control, register, work) = control::create(control::Parts {
+        dispatch: dispatch.clone(),
         host,
         process: process.clone(),
         clock,
         platform: platform.clone(),
         links: links.clone(),
         metrics: metrics.clone(),
+        renew_interval: settings.renew_interval,
         draining: draining.clone(),
         stop: stop.clone(),
     });
@@ -113,6 +135,7 @@
     );
     tasks.spawn(reclaimer.run(register, stop.clone()));
     let upstreams = Arc::new(Upstreams::new(settings.upstream_timeout)?);
+    let settled = CancellationToken::new();
     let parts = escrow::Parts {
         process: process.clone(),
         sizes: settings.budget.clone(),
@@ -120,8 +143,30 @@
         platform: platform.clone(),
         upstreams: upstreams.clone(),
         control: control.clone(),
+        links: links.clone(),
+        metrics: metrics.clone(),
+        settled: settled.clone(),
+    };
+    let ledger = ledger::Duty {
+        process: process.clone(),
+        host: settings.host.clone(),
+        region: settings.region.clone(),
+        platform: platform.clone(),
+        control: control.clone(),
         metrics: metrics.clone(),
+        interval: settings.ledger_interval,
     };
+    tasks.spawn(ledger.run(stop.clone()));
+    let claims = claim::Parts {
+        process: process.clone(),
+        clock,
+        platform: platform.clone(),
+        upstreams: upstreams.clone(),
+        control: control.clone(),
+        metrics: metrics.clone(),
+    };
+    let (claims, work) = claim::create(claims, settings.drain_limit, stop.clone());
+    tasks.spawn(work);
     let (escrow, work) = escrow::create(parts, &settings, draining.clone());
     let holding = TaskTracker::new();
     let is_closed = Arc::new(AtomicBool::new(false));
@@ -133,26 +178,52 @@
         control: control.clone(),
     };
     tasks.spawn(listener.run(Arc::new(responder), tasks.clone(), stop.clone()));
+    let outbox = outbox::Parts {
+        own: settings.host.clone(),
+        region: settings.region.clone(),
+        holders_per_region: settings.holders_per_region,
+        escrow: escrow.clone(),
+        links: links.clone(),
+        control: control.clone(),
+        interval: settings.flush_interval / 2,
+    };
+    let finished = CancellationToken::new();
+    let (outbox, work) = outbox::create(outbox, finished.clone());
+    deliveries.spawn(work);
     let charger = Charger::new(
         &settings,
         escrow,
         links,
         control.clone(),
+        outbox,
         deliveries.clone(),
     );
     let (shared, store) = (control.clone(), platform.clone());
+    let admin = Admin {
+        host: settings.host.clone(),
+        control: control.clone(),
+        platform: platform.clone(),
+        metrics: metrics.clone(),
+        initial: settings.admin_key_hash.clone(),
+        ring: Default::default(),
+        clock,
+        listed: Default::default(),
+    };
     let context = Arc::new(Context {
         clock,
         control,
         platform,
         charger: Arc::new(charger),
+        claims,
         upstreams,
+        dispatch,
+        gate,
         metrics,
         requests: requests.clone(),
         draining: draining.clone(),
         settings: settings.clone(),
     });
-    let address = serve(context, &settings, &tasks, stop.clone()).await?;
+    let address = serve(context, admin, &tasks, stop.clone()).await?;
     log::info!(host:% = settings.host, address:%, peers:%; "started");
     Ok(Handle {
         address,
@@ -163,6 +234,8 @@
         process,
         is_closed,
         draining,
+        finished,
+        settled,
         stop,
         requests,
         deliveries,
@@ -189,15 +262,16 @@
 /// Binds the callers' address and serves it until `stop`.
 async fn serve(
     context: Arc<Context>,
-    settings: &Settings,
+    admin: Admin,
     tasks: &TaskTracker,
     stop: CancellationToken,
 ) -> anyhow::Result<SocketAddr> {
-    let bound = TcpListener::bind(settings.listen).into_acceptor().await;
-    let acceptor = bound.with_context(|| format!("bind {} for callers", settings.listen))?;
+    let listen = context.settings.listen;
+    let bound = TcpListener::bind(listen).into_acceptor().await;
+    let acceptor = bound.with_context(|| format!("bind {listen} for callers"))?;
     let local = acceptor.local_addr().remove(0);
     let address = *local.as_socket_addr().context("not a socket address")?;
-    let routes = ops::add(caller::add(Route::new())).data(context);
+    let routes = admin::add(ops::add(caller::add(Route::new())), admin).data(context);
     let server = Server::new_with_acceptor(acceptor);
     tasks.spawn(async move {
         let serving = server.run_with_graceful_shutdown(routes, stop.cancelled_owned(), None);
@@ -254,8 +328,10 @@
         self.draining.cancel();
         self.wait(&self.requests, "requests cut at the drain limit")
             .await;
+        self.finished.cancel();
         self.wait(&self.deliveries, "settlements not delivered")
             .await;
+        self.settled.cancel();
         self.wait(&self.holding, "the journal was not closed").await;
         if self.is_closed.load(Ordering::Acquire) {
             // A row that stays leads the other hosts to the closed journal, and they remove it.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -5,7 +5,7 @@
     marigoldroute_core::{
         budget::{self, reclaim},
         id::{HostId, Region, Zone},
-        wire,
+        route, wire,
     },
     std::{fmt, net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -13,6 +13,9 @@
 /// Shortest fleet key in bytes.
 const KEY_BYTES: usize = 16;
 
+/// Greatest weight of a host.
+const WEIGHT_LIMIT: u32 = 1_000;
+
 /// Settings of a router process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -34,8 +37,16 @@
     pub platform_timeout: Duration,
     /// Fleet keys; the first signs, all are accepted. Each has at least 16 bytes.
     pub fleet_keys: Vec<Arc<str>>,
+    /// SHA-256 hash of the first operator's key in lower-case hexadecimal; that key has every
+    /// role. Without it, only keys in the table service are accepted.
+    pub admin_key_hash: Option<Arc<str>>,
     /// Time between two journal rows.
     pub flush_interval: Duration,
+    /// Time between two rounds of the ledger over all journals.
+    pub ledger_interval: Duration,
+    /// Time after which a live process renews its row in the list of hosts. A process that missed
+    /// three renewals and that no host hears counts as dead.
+    pub renew_interval: Duration,
     /// Hosts per region that hold a budget; at least 1.
     pub holders_per_region: usize,
     /// Bound on a call to another host.
@@ -49,6 +60,10 @@
     pub upstream_timeout: Duration,
     /// Upstreams tried for a request before it is refused; at least 1.
     pub attempts: u32,
+    /// Policy that chooses upstreams.
+    pub policy: route::Name,
+    /// Requests in progress at a time; more wait in a bounded queue.
+    pub running_limit: usize,
     /// Largest request body in bytes.
     pub body_limit: usize,
     /// Bound on the wait for running requests at a planned stop.
@@ -73,13 +88,18 @@
             platform: "http://127.0.0.1:8090".into(),
             platform_timeout: Duration::from_secs(2),
             fleet_keys: Vec::new(),
+            admin_key_hash: None,
             flush_interval: Duration::from_secs(4),
+            ledger_interval: Duration::from_secs(10),
+            renew_interval: Duration::from_secs(20),
             holders_per_region: 2,
             peer_timeout: Duration::from_millis(500),
-            reserve_timeout: Duration::from_secs(2),
+            reserve_timeout: Duration::from_secs(1),
             reservation_limit: Duration::from_secs(60),
             upstream_timeout: Duration::from_secs(60),
             attempts: 3,
+            policy: route::Name::Adaptive,
+            running_limit: 4_096,
             body_limit: 4 << 20,
             drain_limit: Duration::from_secs(600),
             reclaim: reclaim::Settings::default(),
@@ -89,6 +109,19 @@
     }
 }
 
+/// Length of a SHA-256 hash in hexadecimal.
+const HASH_CHARS: usize = 64;
+
+fn is_url(text: &str) -> bool {
+    let url = reqwest::Url::parse(text);
+    url.is_ok_and(|url| matches!(url.scheme(), "http" | "https") && url.has_host())
+}
+
+fn is_hash(text: &str) -> bool {
+    let is_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    text.len() == HASH_CHARS && text.bytes().all(is_hex)
+}
+
 /// Every mistake found in the settings.
 #[derive(Debug, Display, Error)]
 #[display("{}", _0.join("\n"))]
@@ -114,10 +147,7 @@
         );
         require(!self.region.is_empty(), "--region: must not be empty");
         require(!self.zone.is_empty(), "--zone: must not be empty");
-        require(
-            self.platform.starts_with("http"),
-            "--platform: must be an HTTP URL",
-        );
+        require(is_url(&self.platform), "--platform: must be an HTTP URL");
         require(
             !self.fleet_keys.is_empty(),
             "--fleet-key: at least one key is needed",
@@ -127,15 +157,28 @@
             self.fleet_keys.iter().all(long),
             "--fleet-key: a key needs 16 bytes or more",
         );
+        require(
+            self.admin_key_hash.as_deref().is_none_or(is_hash),
+            "--admin-key-hash: must be a SHA-256 hash in lower-case hexadecimal",
+        );
         require(
             self.holders_per_region > 0,
             "--holders-per-region: must be 1 or more",
         );
         require(self.attempts > 0, "--attempts: must be 1 or more");
-        require(
-            !self.flush_interval.is_zero(),
-            "--flush-interval-ms: must be 1 or more",
-        );
+        let times = [
+            ("platform-timeout-ms", self.platform_timeout),
+            ("flush-interval-ms", self.flush_interval),
+            ("peer-timeout-ms", self.peer_timeout),
+            ("reserve-timeout-ms", self.reserve_timeout),
+            ("upstream-timeout-ms", self.upstream_timeout),
+        ];
+        for (flag, time) in times {
+            require(!time.is_zero(), &format!("--{flag}: must be 1 or more"));
+        }
+        require(self.body_limit > 0, "--body-limit: must be 1 or more");
+        let is_weight = (1..=WEIGHT_LIMIT).contains(&self.weight);
+        require(is_weight, "--weight: must be from 1 to 1000");
         let peers = self.listen_peers != self.listen || self.listen.port() == 0;
         require(peers, "--listen-peers: must differ from --listen");
         if mistakes.is_empty() {
@@ -168,7 +211,11 @@
             "fleet-keys = {} (values not shown)",
             self.fleet_keys.len()
         )?;
+        let admin = self.admin_key_hash.as_deref().unwrap_or("none");
+        writeln!(f, "admin-key-hash = {admin}")?;
         writeln!(f, "flush-interval-ms = {}", ms(&self.flush_interval))?;
+        writeln!(f, "ledger-interval-ms = {}", ms(&self.ledger_interval))?;
+        writeln!(f, "renew-interval-ms = {}", ms(&self.renew_interval))?;
         writeln!(f, "holders-per-region = {}", self.holders_per_region)?;
         writeln!(f, "peer-timeout-ms = {}", ms(&self.peer_timeout))?;
         writeln!(f, "reserve-timeout-ms = {}", ms(&self.reserve_timeout))?;
@@ -176,6 +223,8 @@
         writeln!(f, "reservation-limit-ms = {limit}")?;
         writeln!(f, "upstream-timeout-ms = {}", ms(&self.upstream_timeout))?;
         writeln!(f, "attempts = {}", self.attempts)?;
+        writeln!(f, "policy = {}", self.policy)?;
+        writeln!(f, "running-limit = {}", self.running_limit)?;
         writeln!(f, "body-limit = {}", self.body_limit)?;
         writeln!(f, "drain-limit-ms = {}", ms(&self.drain_limit))?;
         writeln!(f, "log-level = {}", self.log_level)
