Run the measurement of the control plane from the command line

Cause: its figures could not be reproduced.

Change: marigoldctl measure control, with sizes, losses and seeds.

--- a/crates/ctl/src/measure/control.rs
+++ b/crates/ctl/src/measure/control.rs
@@ -20,9 +20,9 @@
     /// Seeds; each case runs once per seed.
     pub seeds: Vec<u64>,
     /// Numbers of hosts.
-    pub hosts: Vec<usize>,
+    pub hosts: Vec<u64>,
     /// Shares of lost messages in percent.
-    pub losses: Vec<u32>,
+    pub losses: Vec<u64>,
     /// Upstreams per host, in hundredths; 390 hosts have 600 upstreams.
     pub upstreams_percent: usize,
     /// Drain marks and configuration versions that are timed in each run.
@@ -112,7 +112,7 @@
     for hosts in &settings.hosts {
         for loss in &settings.losses {
             for seed in &settings.seeds {
-                let figures = measure(settings, *hosts, *loss, *seed);
+                let figures = measure(settings, *hosts as usize, *loss, *seed);
                 writeln!(out, "{hosts},{loss},{seed},{}", figures.row())?;
                 out.flush()?;
             }
@@ -121,7 +121,7 @@
     cost::run(settings, out)
 }
 
-fn measure(settings: &Settings, hosts: usize, loss: u32, seed: u64) -> Figures {
+fn measure(settings: &Settings, hosts: usize, loss: u64, seed: u64) -> Figures {
     const BUSY_SECONDS: u64 = 15;
     let resident = resident_kib();
     let upstreams = hosts * settings.upstreams_percent / 100;
--- a/crates/ctl/src/measure/control/fleet.rs
+++ b/crates/ctl/src/measure/control/fleet.rs
@@ -46,7 +46,7 @@
 
 /// Hosts, network and table service on a simulated clock.
 pub(super) struct Fleet {
-    pub(super) loss_percent: u32,
+    pub(super) loss_percent: u64,
     now: Duration,
     nodes: Vec<Node>,
     indexes: HashMap<HostId, usize>,
--- a/crates/ctl/src/measure/mod.rs
+++ b/crates/ctl/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bills;
 pub mod budgets;
+pub mod control;
 pub mod routing;
 
 use {
@@ -29,11 +30,18 @@
     let routing = Command::new("routing")
         .about("Compare the routing policies")
         .arg(cases);
+    let list = |name: &'static str, help: &'static str| number(name).num_args(1..).help(help);
+    let control = Command::new("control")
+        .about("Measure configuration and membership")
+        .arg(list("hosts", "Numbers of hosts; several sizes when absent"))
+        .arg(list("loss", "Shares of lost messages in percent"))
+        .arg(list("seed", "Seeds"));
     Command::new("measure")
         .about("Measure the decision logic; prints CSV")
         .subcommand_required(true)
         .subcommand(budgets)
         .subcommand(Command::new("bills").about("Measure journals, ledger and claims"))
+        .subcommand(control)
         .subcommand(routing)
 }
 
@@ -43,6 +51,7 @@
     match matches.subcommand() {
         Some(("budgets", matches)) => budgets::run(&budget_options(matches), &mut out),
         Some(("bills", _)) => bills::run(&bills::Settings::default(), &mut out),
+        Some(("control", matches)) => control::run(&control_settings(matches), &mut out),
         Some(("routing", matches)) => {
             let cases = matches.get_many::<String>("case").into_iter().flatten();
             let settings = routing::Settings {
@@ -55,6 +64,20 @@
     }
 }
 
+fn control_settings(matches: &ArgMatches) -> control::Settings {
+    let defaults = control::Settings::default();
+    let list = |name, default: Vec<u64>| match matches.get_many(name) {
+        Some(values) => values.copied().collect(),
+        None => default,
+    };
+    control::Settings {
+        hosts: list("hosts", defaults.hosts),
+        losses: list("loss", defaults.losses),
+        seeds: list("seed", defaults.seeds),
+        ..defaults
+    }
+}
+
 fn budget_options(matches: &ArgMatches) -> budgets::Options {
     let defaults = budgets::Options::default();
     let number = |name, default| matches.get_one(name).copied().unwrap_or(default);
