--- a/crates/core/src/fleet/round.rs
+++ b/crates/core/src/fleet/round.rs
@@ -16,9 +16,11 @@
 
 /// Peers that an urgent message goes to.
 const URGENT_FANOUT: usize = 2;
-/// News in an answer to a digest from which on the next digest is sent at once. A host that has
-/// just started needs many marks, one that missed a few does not.
-const MANY_NEWS: u32 = 8;
+/// Hosts in an answer that are news from which on the next digest is sent at once. A host that has
+/// just started lacks many hosts; one that missed a few marks does not.
+const MANY_HOSTS: u32 = 8;
+/// Hosts in doubt that are asked in one round.
+const DOUBTS: usize = 8;
 /// Hosts of the platform's list that are contacted while no peer is known.
 const FIRST_CONTACTS: usize = 3;
 
@@ -69,12 +71,28 @@
             };
             messages.push((peer, message));
         }
+        messages.extend(self.doubts());
+        messages
+    }
+
+    /// Asks hosts that others know as alive to refute that they are gone. Without this, the two
+    /// sides of a partition know each other again only when they have forgotten each other.
+    fn doubts(&mut self) -> Vec<(HostId, Gossip)> {
+        let mut messages = Vec::new();
+        while messages.len() < DOUBTS
+            && let Some(host) = self.doubted.pop_first()
+        {
+            if let Some(doubt) = self.doubt(&host) {
+                let marks = vec![Fact::Suspicion(doubt).into()];
+                messages.push((host, self.message(Kind::Urgent, marks)));
+            }
+        }
         messages
     }
 
     /// Sends the next digest at once when the last one showed that much was missing.
-    pub(super) fn hurry_repair(&mut self, now: Duration, news: u32) {
-        if news >= MANY_NEWS {
+    pub(super) fn hurry_repair(&mut self, now: Duration, new_hosts: u32) {
+        if new_hosts >= MANY_HOSTS {
             self.next_digest = now;
         }
     }
