router: repeat a commit without an answer until the store has decided

After a lost answer a write was decided anew on what was read, which may be an old state, so that a change could be refused after it had taken effect.

--- a/crates/ctl/src/command/hosts.rs
+++ b/crates/ctl/src/command/hosts.rs
@@ -2,10 +2,11 @@
 
 use {
     super::{Context, name, paging, text},
+    crate::output::Form,
     anyhow::Context as _,
     clap::{Arg, ArgMatches, Command},
     reqwest::Method,
-    serde_json::json,
+    serde_json::{Value, json},
 };
 
 /// Returns the command line.
@@ -44,12 +45,25 @@
         return context.form.list(&columns, &hosts);
     }
     let path = format!("/hosts/{}", text(matches, "host")?);
-    let answer = if action == "show" {
-        context.client.get(&path, &[]).await?
-    } else {
-        let body = json!({"incarnation": matches.get_one::<String>("incarnation")});
-        let path = format!("{path}/lost");
-        context.write(Method::POST, &path, &body).await?
-    };
-    context.form.object(&answer)
+    if action == "show" {
+        let status = context.client.get(&path, &[]).await?;
+        return show(context, &status);
+    }
+    let body = json!({"incarnation": matches.get_one::<String>("incarnation")});
+    let path = format!("{path}/lost");
+    let released = context.write(Method::POST, &path, &body).await?;
+    context.form.object(&released)
+}
+
+/// Prints a host and its journals, for people as two tables.
+fn show(context: &Context, status: &Value) -> anyhow::Result<()> {
+    if context.form != Form::Table {
+        return context.form.object(status);
+    }
+    if status["host"].is_object() {
+        context.form.object(&status["host"])?;
+    }
+    let journals = status["journals"].as_array().cloned().unwrap_or_default();
+    let columns = ["holder", "state", "stranded", "sequence"];
+    context.form.list(&columns, &journals)
 }
--- a/crates/router/src/admin/answer.rs
+++ b/crates/router/src/admin/answer.rs
@@ -70,6 +70,15 @@
         Fault::new(kind, message).into()
     }
 
+    /// States that the call may have had an effect; a repetition with the same request id finds
+    /// out.
+    pub(super) fn with_unknown_outcome(self) -> Self {
+        Self {
+            fault: self.fault.with_outcome(Outcome::Unknown),
+            ..self
+        }
+    }
+
     /// Refuses a call with mistakes.
     pub(super) fn mistakes(mistakes: Vec<Mistake>) -> Self {
         let message = match mistakes.len() {
--- a/crates/router/src/admin/change.rs
+++ b/crates/router/src/admin/change.rs
@@ -9,7 +9,8 @@
     },
     marigoldroute_core::{
         config::{
-            self, Change, Conflict, Head, LOG_PREFIX, Log, Proposal, Rebase, Refusal, log_key,
+            self, Change, Conflict, Head, LOG_PREFIX, Log, Proposal, Rebase, Refusal, Submission,
+            log_key,
         },
         fault::Kind,
         id::Version,
@@ -103,17 +104,17 @@
     if wanted.base.is_none() && wanted.change.edits.is_empty() {
         return Ok(Decision::Step(Box::new(unchanged(current))));
     }
-    let proposal = Proposal {
+    let mut proposal = Proposal::new(Submission {
         change: wanted.change,
         author: ticket.operator.as_str().into(),
         request: ticket.request.as_str().into(),
         time_ms: ticket.time_ms,
         base,
         rebase: wanted.rebase,
-    };
+    });
     Ok(match proposal.decide(rows, log) {
         Ok(config::Step::Commit(mut transaction)) => {
-            let later = proposal.preview(log)?;
+            let later = proposal.submission().change.validate(log.tree())?;
             let made = Made {
                 version: current + 1,
                 base,
--- a/crates/router/src/admin/write.rs
+++ b/crates/router/src/admin/write.rs
@@ -11,12 +11,13 @@
         key::Operator,
     },
     marigoldroute_core::{
-        fault::{Fault, Kind, Outcome},
-        table::{Transaction, Verdict},
+        fault::Kind,
+        table::{Row, Transaction, Verdict},
     },
     marigoldroute_platform::Fault as Lost,
     poem_openapi::Object,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::Value,
     sha2::{Digest, Sha256},
     std::time::{SystemTime, UNIX_EPOCH},
 };
@@ -25,8 +26,8 @@
 pub(super) const AUDIT_PREFIX: &str = "audit/";
 /// Steps of a write before it is given up; each lost race with another write costs one.
 const STEPS: u32 = 64;
-/// Commits without an answer before a write is given up.
-const LOST_ANSWERS: u32 = 3;
+/// Attempts to commit a transaction before its outcome counts as unknown.
+const COMMITS: u32 = 4;
 /// Longest request id in bytes.
 const REQUEST_LIMIT_BYTES: usize = 64;
 
@@ -50,7 +51,7 @@
     /// State after, for the audit entry.
     pub(super) to: String,
     /// Answer to the operator, repeated for each repeated call.
-    pub(super) answer: serde_json::Value,
+    pub(super) answer: Value,
 }
 
 /// What to do next for a write.
@@ -75,7 +76,7 @@
 struct Receipt {
     /// Tells writes apart that use the same request id.
     digest: String,
-    answer: serde_json::Value,
+    answer: Value,
 }
 
 /// Row `audit/{time, 15 digits}/{request id}`.
@@ -152,7 +153,8 @@
         transaction.put(audit, json(&entry));
     }
 
-    fn recognise(&self, receipt: Receipt) -> Result<serde_json::Value> {
+    fn recognise(&self, row: &Row) -> Result<Value> {
+        let receipt: Receipt = serde_json::from_str(&row.value).map_err(|_| Lost::Malformed)?;
         if receipt.digest == self.digest {
             return Ok(receipt.answer);
         }
@@ -185,63 +187,66 @@
         .map_err(|error| Refused::new(Kind::Internal, format!("stored answer: {error}")))
 }
 
-async fn complete(admin: &Admin, ticket: &Ticket, write: &impl Write) -> Result<serde_json::Value> {
-    let mut lost = 0;
+async fn complete(admin: &Admin, ticket: &Ticket, write: &impl Write) -> Result<Value> {
+    let mut has_begun = false;
     for _ in 0..STEPS {
         let step = match look(admin, ticket, write).await {
             Ok(Look::Done(answer)) => return Ok(answer),
             Ok(Look::Step(step)) => step,
-            Err(refused) => return Err(doubt(refused, lost)),
+            Err(refused) if has_begun => return Err(refused.with_unknown_outcome()),
+            Err(refused) => return Err(refused),
         };
-        let transaction = match step {
+        let (transaction, answer) = match step {
             Step::Again => continue,
-            Step::Advance(transaction) => transaction,
+            Step::Advance(transaction) => (transaction, None),
             Step::Finish(mut transaction, effect) => {
+                let answer = effect.answer.clone();
                 ticket.sign(&mut transaction, effect);
-                transaction
+                (transaction, Some(answer))
             }
         };
-        match admin.platform.commit(&transaction).await {
-            Ok(Verdict::Committed | Verdict::Conflict(_)) => {}
-            Err(Lost::Unavailable) => return Err(doubt(Lost::Unavailable.into(), lost)),
-            Err(fault) => {
-                lost += 1;
-                if lost == LOST_ANSWERS {
-                    return Err(doubt(fault.into(), lost));
+        match (commit(admin, &transaction).await?, answer) {
+            (Verdict::Committed, Some(answer)) => return Ok(answer),
+            (Verdict::Committed, None) => has_begun = true,
+            (Verdict::Conflict(rows), _) => {
+                // An earlier attempt may have taken effect; a read could still show an old state.
+                let key = ticket.key();
+                if let Some(row) = rows.iter().find(|row| *row.key == *key) {
+                    return ticket.recognise(row);
                 }
             }
         }
     }
-    let fault = Fault::new(Kind::Overloaded, "other writes were faster each time");
-    Err(doubt(fault.into(), lost))
+    let message = "other writes were faster each time";
+    Err(Refused::new(Kind::Overloaded, message))
+}
+
+/// Commits a transaction. After a lost answer the same transaction is repeated until the store
+/// has decided on it: a read might show a state in which it has not yet taken effect.
+async fn commit(admin: &Admin, transaction: &Transaction) -> Result<Verdict> {
+    let mut last = Lost::Unanswered;
+    for attempt in 0..COMMITS {
+        match admin.platform.commit(transaction).await {
+            Ok(verdict) => return Ok(verdict),
+            Err(Lost::Unavailable) if attempt == 0 => return Err(Lost::Unavailable.into()),
+            Err(fault) => last = fault,
+        }
+    }
+    Err(Refused::from(last).with_unknown_outcome())
 }
 
 enum Look {
-    Done(serde_json::Value),
+    Done(Value),
     Step(Step),
 }
 
 async fn look(admin: &Admin, ticket: &Ticket, write: &impl Write) -> Result<Look> {
     if let Some(row) = admin.platform.get(&ticket.key()).await? {
-        let receipt = serde_json::from_str(&row.value).map_err(|_| Lost::Malformed)?;
-        return ticket.recognise(receipt).map(Look::Done);
+        return ticket.recognise(&row).map(Look::Done);
     }
     write.step(admin, ticket).await.map(Look::Step)
 }
 
-/// Marks the outcome as unknown when an earlier commit may have taken effect. A call with the
-/// same request id finds out.
-fn doubt(refused: Refused, lost: u32) -> Refused {
-    if lost == 0 {
-        return refused;
-    }
-    let fault = match refused.fault.kind {
-        Kind::StoreUnavailable => refused.fault.with_outcome(Outcome::Unknown),
-        _ => return refused,
-    };
-    Refused { fault, ..refused }
-}
-
 /// Returns the text of a row.
 pub(super) fn json(value: &impl Serialize) -> String {
     serde_json::to_string(value).unwrap_or_default()
--- a/crates/router/tests/operators.rs
+++ b/crates/router/tests/operators.rs
@@ -198,6 +198,30 @@
     assert_eq!(operator.purchased("confetti").await, 9);
 }
 
+/// Guards against "nothing was done" for a write that took effect, and against a repetition that
+/// makes it twice.
+#[tokio::test]
+async fn a_write_without_any_answer_is_unknown_and_a_repetition_finds_out() {
+    let fleet = Fleet::start(1).await;
+    fleet.configure().await;
+    let operator = fleet.operator(0);
+    let base = operator.version().await;
+    let calls = [
+        ("u1", "/settings/value", priority(base, 2)),
+        ("u2", "/budgets/confetti/top-up", json!({"tokens": 9})),
+    ];
+    for (request, path, body) in calls {
+        fleet.platform.inject(losing(4));
+        let unknown = operator.post(request, path, &body).await;
+        assert_eq!(unknown.kind(), "store_unavailable", "{}", unknown.body);
+        assert_eq!(unknown.body["error"]["outcome"], "unknown");
+        fleet.platform.inject(Order::default());
+        operator.make(request, path, body).await;
+    }
+    assert_eq!(operator.version().await, base + 1);
+    assert_eq!(operator.purchased("confetti").await, 9);
+}
+
 /// Guards against an outage that is reported as something else than "nothing was done", and
 /// against reads of the settings that need the store.
 #[tokio::test]
