--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -41,6 +41,7 @@
         .subcommand(command::audit::command())
         .subcommand(command::completions::command())
         .subcommand(demo())
+        .subcommand(crate::measure::command())
         .subcommand(stand_in())
 }
 
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -5,6 +5,7 @@
 mod command;
 mod demo;
 mod exit;
+mod measure;
 mod output;
 mod stand_in;
 
@@ -27,6 +28,7 @@
     };
     match name {
         "completions" => return command::completions::run(cli::command(), matches),
+        "measure" => return measure::run(matches),
         "keys" if matches.subcommand_name() == Some("hash") => return command::keys::hash(),
         _ => {}
     }
