--- a/crates/ctl/src/command/settings.rs
+++ b/crates/ctl/src/command/settings.rs
@@ -11,8 +11,6 @@
 
 /// Returns the command line.
 pub fn command() -> Command {
-    let path = || name("path", "PATH", "Path of the node; / for the root");
-    let setting = || name("setting", "SETTING", "Name of the setting");
     Command::new("settings")
         .about("Show and change the settings tree")
         .subcommand_required(true)
@@ -20,33 +18,15 @@
         .subcommand(
             Command::new("get")
                 .about("List the nodes at and below a path with their overrides")
-                .arg(path().required(false).default_value("/"))
+                .arg(node().required(false).default_value("/"))
                 .args(paging()),
         )
         .subcommand(
             Command::new("explain")
                 .about("Show the effective values of a node and the nodes that set them")
-                .arg(path()),
-        )
-        .subcommand(
-            Command::new("set")
-                .about("Override a setting")
-                .arg(path())
-                .arg(setting())
-                .arg(name(
-                    "value",
-                    "VALUE",
-                    "Value; lists are separated by commas",
-                ))
-                .arg(base()),
-        )
-        .subcommand(
-            Command::new("unset")
-                .about("Remove an override")
-                .arg(path())
-                .arg(setting())
-                .arg(base()),
+                .arg(node()),
         )
+        .subcommands(turns())
         .subcommand(apply())
         .subcommand(diff())
         .subcommand(
@@ -56,6 +36,28 @@
         )
 }
 
+fn node() -> Arg {
+    name("path", "PATH", "Path of the node; / for the root")
+}
+
+fn turns() -> [Command; 2] {
+    let setting = || name("setting", "SETTING", "Name of the setting");
+    let value = name("value", "VALUE", "Value; lists are separated by commas");
+    [
+        Command::new("set")
+            .about("Override a setting")
+            .arg(node())
+            .arg(setting())
+            .arg(value)
+            .arg(base()),
+        Command::new("unset")
+            .about("Remove an override")
+            .arg(node())
+            .arg(setting())
+            .arg(base()),
+    ]
+}
+
 fn base() -> Arg {
     Arg::new("base")
         .long("base")
