--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -116,7 +116,8 @@
     assert_eq!(lost.status.code(), Some(7), "{lost:?}");
     assert!(text(&lost.stderr).contains("request id"), "{lost:?}");
     server.join().unwrap();
-    let refused = run(&url, KEY, "budgets top-up hems 5").await;
+    // Nothing listens on port 1, and no system gives it to a process that asks for any port.
+    let refused = run("http://127.0.0.1:1", KEY, "budgets top-up hems 5").await;
     assert_eq!(refused.status.code(), Some(6), "{refused:?}");
 }
 
--- a/crates/ctl/tests/pages.rs
+++ b/crates/ctl/tests/pages.rs
@@ -12,9 +12,19 @@
     net::TcpListener,
     path::{Path, PathBuf},
     process::{Command, Stdio},
+    sync::{
+        OnceLock,
+        atomic::{AtomicU16, Ordering},
+    },
 };
 
 const START: &str = include_str!("../../../docs/operate/start.md");
+/// First port that is tried.
+const FIRST_PORT: u16 = 10_000;
+/// Ports for one run of the tests; the pages together use fewer.
+const SLOT_PORTS: u16 = 100;
+/// Runs at the same time on one computer use different slots as a rule.
+const PORT_SLOTS: u32 = 200;
 /// Ends what the page started, by process id, whether its commands worked or not.
 const PROLOGUE: &str = "set -euo pipefail\ntrap 'kill -KILL $(jobs -p) 2> /dev/null' EXIT\n";
 
@@ -36,21 +46,31 @@
     commands
 }
 
+/// Returns a free port. It is below the range from which systems take the ports of outgoing
+/// connections, so that it is still free when a process of the page binds it.
+fn free_port() -> u16 {
+    static NEXT: OnceLock<AtomicU16> = OnceLock::new();
+    let next = NEXT.get_or_init(|| {
+        let slot = std::process::id() % PORT_SLOTS;
+        AtomicU16::new(FIRST_PORT + slot as u16 * SLOT_PORTS)
+    });
+    loop {
+        let port = next.fetch_add(1, Ordering::Relaxed);
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
+}
+
 /// Replaces each port on a loopback address by a free one.
 fn with_free_ports(commands: &str) -> String {
-    let parts: Vec<&str> = commands.split("127.0.0.1:").collect();
-    let mut ports: BTreeMap<&str, (String, TcpListener)> = BTreeMap::new();
-    let mut replaced = parts[0].to_owned();
-    for part in &parts[1..] {
-        let end = part
-            .find(|c: char| !c.is_ascii_digit())
-            .unwrap_or(part.len());
-        let (port, rest) = part.split_at(end);
-        let (free, _) = ports.entry(port).or_insert_with(|| {
-            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-            let free = listener.local_addr().unwrap().port().to_string();
-            (free, listener)
-        });
+    let mut parts = commands.split("127.0.0.1:");
+    let mut ports = BTreeMap::new();
+    let mut replaced = parts.next().unwrap().to_owned();
+    for part in parts {
+        let end = part.find(|c: char| !c.is_ascii_digit());
+        let (port, rest) = part.split_at(end.unwrap_or(part.len()));
+        let free = ports.entry(port).or_insert_with(free_port);
         replaced.push_str(&format!("127.0.0.1:{free}{rest}"));
     }
     replaced
