Count a complete response as a sign of life without a first token

Cause: after a failure, an upstream whose responses have no reported first token, as those of plain services, stayed on one probe at a time.

--- a/crates/core/src/route/adaptive.rs
+++ b/crates/core/src/route/adaptive.rs
@@ -304,9 +304,10 @@
             Progress::Finished { tokens } if tokens > 1 && from == Phase::Answered => {
                 engine.pace(settings, elapsed / (tokens - 1) as f32, ticket.between);
             }
+            Progress::Finished { .. } => engine.respond(now),
             Progress::Failed => engine.fail(settings, now),
             Progress::Refused { after } => engine.refuse(settings, now, after),
-            Progress::Finished { .. } | Progress::Cancelled => {}
+            Progress::Cancelled => {}
         }
         if from != Phase::Chosen && to == Phase::Ended {
             engine.end(from == Phase::Answered);
--- a/crates/core/src/route/engine.rs
+++ b/crates/core/src/route/engine.rs
@@ -186,12 +186,17 @@
     /// Takes the time to first token of a request, in seconds.
     pub fn answer(&mut self, settings: &Settings, now: Duration, measured: f32, first: f32) {
         self.unanswered = self.unanswered.saturating_sub(1);
-        self.silent_since = now;
-        self.failures = 0;
+        self.respond(now);
         let ratio = (measured / first.max(1e-4)).clamp(RATIO.0, RATIO.1);
         self.slowness = learn(self.slowness, ratio, settings.learning);
     }
 
+    /// Notes that the upstream has answered a request.
+    pub fn respond(&mut self, now: Duration) {
+        self.silent_since = now;
+        self.failures = 0;
+    }
+
     /// Forgets the prompt tokens of a request that the upstream has processed.
     pub fn processed(&mut self, uncached: u32) {
         self.sent = (self.sent - uncached as f32).max(0.0);
