Tell the routing policy which hosts share the candidates

Cause: the policy divides the upstreams between the live hosts by rendezvous ranking, but the router never named them.

Change: the dispatcher passes the hosts that take work on every change.

--- a/crates/router/src/control/scene.rs
+++ b/crates/router/src/control/scene.rs
@@ -24,6 +24,8 @@
     /// Hosts that take work, by region.
     regions: BTreeMap<Region, Vec<Weighted>>,
     addresses: BTreeMap<HostId, SocketAddr>,
+    /// Hosts that take work.
+    pub(crate) hosts: Vec<HostId>,
     /// Processes that are heard, `{host}.{incarnation}`.
     pub(crate) processes: BTreeSet<HolderId>,
 }
@@ -62,6 +64,7 @@
                 scene.addresses.insert(host.id.clone(), address);
             }
             if member.phase == Phase::Ready {
+                scene.hosts.push(host.id.clone());
                 let region = scene.regions.entry(host.region.clone()).or_default();
                 region.push(Weighted {
                     host: host.id.clone(),
@@ -79,6 +82,7 @@
             && self.out == other.out
             && self.regions == other.regions
             && self.addresses == other.addresses
+            && self.hosts == other.hosts
             && self.processes == other.processes
     }
 
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -3,7 +3,7 @@
 use {
     crate::{clock::Clock, control::Scene},
     marigoldroute_core::{
-        id::{UpstreamId, Version},
+        id::{HostId, UpstreamId, Version},
         limit::{Concurrency, ConcurrencySettings, RetryBudget, RetrySettings},
         route::{
             Candidate, Load, Name, Origin, Policy, Progress, Reason, Request, Settings, Ticket,
@@ -36,6 +36,8 @@
     random: SmallRng,
     /// Version of the configuration whose upstreams the policy knows.
     version: Version,
+    /// Hosts between which the policy divides the candidates.
+    hosts: Vec<HostId>,
     limits: HashMap<UpstreamId, Concurrency>,
     retries: RetryBudget,
 }
@@ -69,6 +71,7 @@
             policy: policy.policy(origin, Settings::default()),
             random: SmallRng::from_os_rng(),
             version: 0,
+            hosts: Vec::new(),
             limits: HashMap::new(),
             retries: RetryBudget::new(RetrySettings::default()),
         };
@@ -140,7 +143,9 @@
         let is_full = {
             let state = self.lock();
             let mut candidates = scene.catalog.candidates(target);
-            candidates.any(|(id, _)| scene.is_up(id) && !tried.contains(id) && state.limits.contains_key(id))
+            candidates.any(|(id, _)| {
+                scene.is_up(id) && !tried.contains(id) && state.limits.contains_key(id)
+            })
         };
         is_full && timeout(limit, freed).await.is_ok()
     }
@@ -167,8 +172,12 @@
 }
 
 impl State {
-    /// Tells the policy about the upstreams of a new configuration.
+    /// Tells the policy about the hosts and about the upstreams of a new configuration.
     fn follow(&mut self, now: Duration, scene: &Scene) {
+        if scene.hosts != self.hosts {
+            self.hosts.clone_from(&scene.hosts);
+            self.policy.hosts(&self.hosts);
+        }
         let catalog = &scene.catalog;
         if catalog.version == self.version {
             return;
