--- a/crates/core/src/config/log.rs
+++ b/crates/core/src/config/log.rs
@@ -3,10 +3,10 @@
 use {
     super::{
         Catalog, Record, Tree,
-        message::{Body, Copy, Fetch, Packet, Piece, Versions},
+        message::{Body, Packet, Piece, Versions},
         phase::{Hold, Phase},
-        record::{HEAD_KEY, Head, LOG_PREFIX, decode, encode},
-        snapshot::{self, Assembly, Origin, Pointer, SNAPSHOT_KEY},
+        record::{Head, decode},
+        snapshot::{Assembly, Origin, Pointer},
     },
     crate::{
         id::{HostId, Version},
@@ -17,10 +17,6 @@
 
 /// Bytes of JSON of the versions kept in memory.
 pub const RECENT_BYTES: usize = 1 << 19;
-/// Bytes of JSON in one answer to a peer.
-const ANSWER_BYTES: usize = 200_000;
-/// A tree that is being copied is kept at its version for this time.
-const PIN_TIME: Duration = Duration::from_secs(10);
 
 /// Times and sizes of a [`Log`].
 #[derive(Clone, Copy, Debug)]
@@ -96,7 +92,7 @@
     pub(super) want: Want,
     pub(super) assembly: Option<Assembly>,
     /// Tree that peers are copying, and since when.
-    pinned: Option<(Version, Arc<Tree>, Duration)>,
+    pub(super) pinned: Option<(Version, Arc<Tree>, Duration)>,
     /// Oldest version that was applied since the last push.
     pub(super) unpushed: Option<Version>,
     /// Last time that the store or a peer was heard.
@@ -184,7 +180,7 @@
         }
     }
 
-    /// Takes the answer for the row [`HEAD_KEY`].
+    /// Takes the answer for the row `config/head`.
     pub fn head(&mut self, now: Duration, row: Option<&Row>) {
         self.store_answered(now);
         let head: Head = decode(row).unwrap_or_default();
@@ -204,7 +200,7 @@
         }
     }
 
-    /// Takes the answer for the row [`SNAPSHOT_KEY`].
+    /// Takes the answer for the row `config/snapshot`.
     pub fn pointer(&mut self, now: Duration, row: Option<&Row>) {
         self.store_answered(now);
         self.want = Want::Records;
@@ -263,50 +259,6 @@
         Some(Packet { body: Some(body) })
     }
 
-    /// Returns the versions from `first` on, as many as fit into a message.
-    pub(super) fn message(&self, first: Version) -> Versions {
-        let records = self.since(first.saturating_sub(1)).unwrap_or_default();
-        let mut bytes = 0;
-        let texts = records.into_iter().map(|record| encode(&**record));
-        let fitting = texts.take_while(|text| {
-            let is_first = bytes == 0;
-            bytes += text.len();
-            is_first || bytes <= ANSWER_BYTES
-        });
-        Versions {
-            newest: self.version,
-            is_serving: !self.phase.is_starting(),
-            records: fitting.collect(),
-            is_answer: false,
-        }
-    }
-
-    fn answer(&self, fetch: Fetch) -> Versions {
-        Versions {
-            is_answer: true,
-            ..self.message(fetch.after.saturating_add(1))
-        }
-    }
-
-    fn copy(&mut self, now: Duration, copy: &Copy) -> Piece {
-        let is_current = |(_, _, since): &(_, _, Duration)| now.saturating_sub(*since) < PIN_TIME;
-        let pinned = self.pinned.take().filter(is_current);
-        let pinned = pinned.unwrap_or_else(|| (self.version, self.tree.clone(), now));
-        let is_continued = copy.version == pinned.0 && copy.version > 0;
-        let after = Some(copy.after.as_str()).filter(|_| is_continued);
-        let (nodes, _, is_more) = snapshot::part(&pinned.1, after);
-        let piece = Piece {
-            version: pinned.0,
-            after: after.unwrap_or_default().into(),
-            nodes,
-            is_last: !is_more,
-        };
-        // A copy under way keeps the tree at its version.
-        let since = if is_continued { now } else { pinned.2 };
-        self.pinned = Some((pinned.0, pinned.1, since));
-        piece
-    }
-
     fn versions(&mut self, now: Duration, from: &HostId, versions: &Versions) {
         self.contact = now;
         if versions.is_answer {
@@ -417,40 +369,3 @@
         self.want = Want::Records;
     }
 }
-
-/// A question to the table service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Read {
-    /// The row [`HEAD_KEY`], for [`Log::head`].
-    Head,
-    /// Rows of the log after a key, for [`Log::rows`].
-    Rows {
-        /// Last key that is known.
-        after: Arc<str>,
-        /// Greatest number of rows.
-        limit: usize,
-    },
-    /// The row [`SNAPSHOT_KEY`], for [`Log::pointer`].
-    Pointer,
-    /// Rows of a snapshot, for [`Log::parts`].
-    Parts {
-        /// Prefix of the keys.
-        prefix: Arc<str>,
-        /// Last key that is known.
-        after: Arc<str>,
-        /// Greatest number of rows.
-        limit: usize,
-    },
-}
-
-impl Read {
-    /// Returns the key of a single row to get, or the prefix to scan.
-    pub fn key(&self) -> &str {
-        match self {
-            Self::Head => HEAD_KEY,
-            Self::Rows { .. } => LOG_PREFIX,
-            Self::Pointer => SNAPSHOT_KEY,
-            Self::Parts { prefix, .. } => prefix,
-        }
-    }
-}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -15,6 +15,7 @@
 mod phase;
 mod proposal;
 mod record;
+mod serve;
 mod setting;
 mod snapshot;
 mod sync;
@@ -33,7 +34,7 @@
     check::{
         CHANGE_LIMIT_BYTES, DEPTH_LIMIT, EDIT_LIMIT, Mistake, NAME_LIMIT_BYTES, NODE_LIMIT, Reason,
     },
-    log::{Log, RECENT_BYTES, Read, Settings},
+    log::{Log, RECENT_BYTES, Settings},
     message::{Body, Copy, Fetch, Packet, Piece, Versions},
     overrides::Overrides,
     phase::Hold,
@@ -41,7 +42,7 @@
     record::{HEAD_KEY, Head, LOG_PREFIX, Receipt, Record, log_key, request_key},
     setting::{Rule, Setting},
     snapshot::{Pointer, SNAPSHOT_KEY, TRIM_ROWS},
-    sync::{Ask, Role},
+    sync::{Ask, Read, Role},
     tree::{
         Difference, Effective, Explanation, Kind, Node, Path, ROOT, Source, Tree, name, parent,
     },
--- a/crates/core/src/config/sync.rs
+++ b/crates/core/src/config/sync.rs
@@ -2,15 +2,15 @@
 
 use {
     super::{
-        log::{Log, Read, Want},
+        log::{Log, Want},
         message::{Body, Copy, Fetch, Packet},
         phase::{Phase, START_PEERS},
-        record::log_key,
-        snapshot::{Assembly, Origin, part_prefix},
+        record::{HEAD_KEY, LOG_PREFIX, log_key},
+        snapshot::{Assembly, Origin, SNAPSHOT_KEY, part_prefix},
     },
     crate::id::HostId,
     rand::{Rng, seq::IndexedRandom},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Log rows of one scan.
@@ -29,6 +29,43 @@
     Follower,
 }
 
+/// A question to the table service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Read {
+    /// The row [`HEAD_KEY`], for [`Log::head`].
+    Head,
+    /// Rows of the log after a key, for [`Log::rows`].
+    Rows {
+        /// Last key that is known.
+        after: Arc<str>,
+        /// Greatest number of rows.
+        limit: usize,
+    },
+    /// The row [`SNAPSHOT_KEY`], for [`Log::pointer`].
+    Pointer,
+    /// Rows of a snapshot, for [`Log::parts`].
+    Parts {
+        /// Prefix of the keys.
+        prefix: Arc<str>,
+        /// Last key that is known.
+        after: Arc<str>,
+        /// Greatest number of rows.
+        limit: usize,
+    },
+}
+
+impl Read {
+    /// Returns the key of a single row to get, or the prefix to scan.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Head => HEAD_KEY,
+            Self::Rows { .. } => LOG_PREFIX,
+            Self::Pointer => SNAPSHOT_KEY,
+            Self::Parts { prefix, .. } => prefix,
+        }
+    }
+}
+
 /// A question to ask.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ask {
