--- a/crates/router/src/caller/job.rs
+++ b/crates/router/src/caller/job.rs
@@ -164,7 +164,11 @@
 
     /// Chooses an upstream; waits for a place while all that could serve the request are at their
     /// limit.
-    async fn choose_in_time(&self, tried: &[UpstreamId], attempt: u32) -> Option<(Flight, Arc<str>)> {
+    async fn choose_in_time(
+        &self,
+        tried: &[UpstreamId],
+        attempt: u32,
+    ) -> Option<(Flight, Arc<str>)> {
         let context = &self.context;
         let end = context.clock.now() + ROOM_TIME;
         loop {
@@ -173,7 +177,9 @@
             }
             let left = end.checked_sub(context.clock.now())?;
             let scene = context.control.scene();
-            let room = context.dispatch.wait_for_room(&scene, &self.model, tried, left);
+            let room = context
+                .dispatch
+                .wait_for_room(&scene, &self.model, tried, left);
             if !room.await {
                 return None;
             }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -140,7 +140,9 @@
         let is_full = {
             let state = self.lock();
             let mut candidates = scene.catalog.candidates(target);
-            candidates.any(|(id, _)| scene.is_up(id) && !tried.contains(id) && state.limits.contains_key(id))
+            candidates.any(|(id, _)| {
+                scene.is_up(id) && !tried.contains(id) && state.limits.contains_key(id)
+            })
         };
         is_full && timeout(limit, freed).await.is_ok()
     }
