--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -113,7 +113,7 @@
         let mut choice = policy.choose(now, random, &request)?;
         policy.report(now, &mut choice.ticket, Progress::Sent(&[]));
         let limit = limits.entry(choice.upstream.clone());
-        let limit = limit.or_insert_with(|| Concurrency::new(ConcurrencySettings::default()));
+        let limit = limit.or_insert_with(limit_of_new);
         let has_place = limit.acquire(1.0);
         debug_assert!(has_place, "the choice was made under the same lock");
         Some(Flight {
@@ -195,8 +195,7 @@
                 self.policy.withdraw(id);
                 continue;
             }
-            let limit = || Concurrency::new(ConcurrencySettings::default());
-            self.limits.entry(id.clone()).or_insert_with(limit);
+            self.limits.entry(id.clone()).or_insert_with(limit_of_new);
             let candidate = Candidate {
                 id: id.clone(),
                 serves: upstream.serves.clone(),
@@ -210,6 +209,17 @@
     }
 }
 
+/// Returns the limit of an upstream that nothing is known of.
+///
+/// Long streams end rarely, so the limit adapts slowly; a low first value would hold back a burst
+/// of streams for seconds.
+fn limit_of_new() -> Concurrency {
+    Concurrency::new(ConcurrencySettings {
+        initial: 128,
+        ..ConcurrencySettings::default()
+    })
+}
+
 impl Flight {
     /// Notes the first token.
     pub(crate) fn first(&mut self) {
