Ask former holders for tokens when a holder cannot answer

Change: the two hosts that rank below the holders are asked when a holder was unavailable. Admission of completions and services is one function, reads of several rows are methods of the platform client, and the ledger deletes expired claims and old index objects.

A first form of the test passed in both cases, because the first request was charged at the entry itself; it now checks where the request was charged.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -105,6 +105,15 @@
         Ok(Some(body.to_vec()))
     }
 
+    /// Removes an object; an absent one is ignored.
+    ///
+    /// # Errors
+    /// As for [`Self::commit`].
+    pub async fn delete_object(&self, key: &str) -> Result<(), Fault> {
+        let request = self.http.delete(self.url(&format!("objects/{key}")));
+        send(request).await.map(drop)
+    }
+
     /// Returns the keys of the objects whose key starts with `prefix`, sorted.
     ///
     /// # Errors
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod listen;
+mod read;
 mod stand_in;
 
 pub use {
--- /dev/null
+++ b/crates/platform/src/read.rs
@@ -0,0 +1,40 @@
+//! Reads of several rows.
+
+use {
+    crate::client::{Client, Fault},
+    marigoldroute_core::table::Row,
+};
+
+/// Rows read by one call.
+const PAGE_ROWS: usize = 1_000;
+
+impl Client {
+    /// Returns the rows of the given keys that exist.
+    ///
+    /// # Errors
+    /// As for [`Self::get`].
+    pub async fn get_all(&self, keys: &[impl AsRef<str>]) -> Result<Vec<Row>, Fault> {
+        let mut rows = Vec::with_capacity(keys.len());
+        for key in keys {
+            rows.extend(self.get(key.as_ref()).await?);
+        }
+        Ok(rows)
+    }
+
+    /// Returns every row whose key starts with `prefix`.
+    ///
+    /// # Errors
+    /// As for [`Self::get`].
+    pub async fn scan_all(&self, prefix: &str) -> Result<Vec<Row>, Fault> {
+        let mut rows: Vec<Row> = Vec::new();
+        loop {
+            let after = rows.last().map_or("", |row| &row.key).to_owned();
+            let page = self.scan(prefix, &after, PAGE_ROWS).await?;
+            let is_last = page.len() < PAGE_ROWS;
+            rows.extend(page);
+            if is_last {
+                return Ok(rows);
+            }
+        }
+    }
+}
--- a/crates/platform/tests/contract.rs
+++ b/crates/platform/tests/contract.rs
@@ -108,6 +108,9 @@
     assert_eq!(client.get_object("contract/o/2").await, Ok(None));
     let keys = client.list_objects("contract/o/").await.unwrap();
     assert_eq!(keys, ["contract/o/1"]);
+    client.delete_object("contract/o/1").await.unwrap();
+    client.delete_object("contract/o/1").await.unwrap();
+    assert_eq!(client.get_object("contract/o/1").await, Ok(None));
 }
 
 /// Guards against a stand-in whose lost answers do not write, which would hide faults in callers.
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -3,16 +3,14 @@
 use {
     super::{
         Context,
-        claimed::{Ruling, Subject},
         job::{Call, Job, Kind, Reply, Size},
+        plan::{Admitted, Plan},
         relay,
         request::{self, Prompt},
     },
-    crate::{escrow::Reservation, response::refuse},
+    crate::response::refuse,
     bytes::{Bytes, BytesMut},
     marigoldroute_core::{
-        claim::Capability,
-        config::Access,
         fault::{self, Fault},
         id::{RequestId, Tokens},
     },
@@ -36,107 +34,62 @@
     body: Body,
 ) -> Response {
     let context = (*context).clone();
-    let prepared = match prepare(&context, request, body).await {
-        Ok(prepared) => prepared,
-        Err(fault) => return refuse(&fault, ""),
-    };
-    let id = prepared.id.clone();
-    context.run(id, serve(context.clone(), prepared)).await
-}
-
-struct Prepared {
-    id: RequestId,
-    key: Option<String>,
-    access: Access,
-    prompt: Prompt,
-    path: String,
-    is_idempotent: bool,
-    started: Duration,
+    let started = context.clock.now();
+    match prepare(&context, request, body).await {
+        Ok((plan, prompt)) => {
+            let id = plan.id.clone();
+            let job = serve(context.clone(), plan, prompt, started);
+            context.run(id, job).await
+        }
+        Err(fault) => refuse(&fault, &request::mint_id()),
+    }
 }
 
-async fn prepare(context: &Context, request: &Request, body: Body) -> Result<Prepared, Fault> {
+async fn prepare(
+    context: &Context,
+    request: &Request,
+    body: Body,
+) -> Result<(Plan, Prompt), Fault> {
     let access = context.authenticate(request)?;
     let key = request::idempotency_key(request)?;
-    let body = body.into_bytes_limit(context.settings.body_limit).await;
-    let body =
-        body.map_err(|_| Fault::new(fault::Kind::TooLarge, "the request body is too large"))?;
+    let is_idempotent = request::is_idempotent(request)?.unwrap_or(true);
+    let body = context.read(body).await?;
     let prompt = Prompt::parse(&body, access.output_limit)?;
     if !context.control.scene().catalog.has_model(&prompt.model) {
         let message = format!("unknown model {}", prompt.model);
         return Err(Fault::new(fault::Kind::NotFound, message));
     }
-    Ok(Prepared {
+    let json = HeaderValue::from_static("application/json");
+    let plan = Plan {
         id: request::id(&access.workspace, key.as_deref()),
-        is_idempotent: request::is_idempotent(request)?.unwrap_or(true),
-        key,
-        access,
-        prompt,
-        path: request.uri().path().to_owned(),
-        started: context.clock.now(),
-    })
-}
-
-async fn serve(context: Arc<Context>, prepared: Prepared) -> Result<Response, Fault> {
-    let Prepared {
-        id,
         key,
         access,
-        prompt,
-        path,
-        is_idempotent,
-        started,
-    } = prepared;
-    let attempt = request::attempt(&id);
-    let key = key.as_deref().filter(|_| !is_idempotent);
-    let place = context.enter(&access, prompt.bound()).await?;
-    let subject = key.map(|key| Subject {
-        workspace: &access.workspace,
-        key,
-        attempt: &attempt,
-        method: "POST",
-        path: &path,
-        body: prompt.body.as_bytes(),
-        capability: Capability::Query,
-    });
-    let claim = match context.claim(subject).await? {
-        Ruling::Run(claim) => claim,
-        Ruling::Replay(response) => return Ok(response),
-    };
-    let reservation = Reservation {
-        attempt: attempt.clone(),
-        budget: access.budget.clone(),
-        amount: prompt.bound(),
-        workspace: access.workspace.clone(),
-        model: prompt.model.clone(),
-    };
-    let charge = match context.charger.reserve(&reservation).await {
-        Ok(charge) => charge,
-        Err(fault) => {
-            claim.give_up().await;
-            return Err(fault);
-        }
-    };
-    let mut job = Job {
-        context,
-        id: attempt,
-        workspace: access.workspace,
         model: prompt.model.clone(),
-        charge,
-        claim,
         kind: Kind::Model { is_idempotent },
         size: Size {
             prompt: count(prompt.prompt_estimate),
             output: count(prompt.limit),
         },
-        priority: access.priority,
-        place,
+        amount: prompt.bound(),
+        call: Call {
+            method: Method::POST,
+            path: request.uri().path().to_owned(),
+            headers: HeaderMap::from_iter([(CONTENT_TYPE, json)]),
+            body: prompt.body.clone().into(),
+        },
     };
-    let json = HeaderValue::from_static("application/json");
-    let call = Call {
-        method: Method::POST,
-        path,
-        headers: HeaderMap::from_iter([(CONTENT_TYPE, json)]),
-        body: prompt.body.clone().into(),
+    Ok((plan, prompt))
+}
+
+async fn serve(
+    context: Arc<Context>,
+    plan: Plan,
+    prompt: Prompt,
+    started: Duration,
+) -> Result<Response, Fault> {
+    let (mut job, call) = match plan.admit(context).await? {
+        Admitted::Job(job, call) => (*job, call),
+        Admitted::Replay(response) => return Ok(response),
     };
     match job.send(&call, &mut Vec::new()).await {
         Ok(reply) if !reply.response.status().is_success() => pass_on(job, reply).await,
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -4,6 +4,7 @@
 mod completion;
 mod job;
 mod models;
+mod plan;
 mod relay;
 mod request;
 mod service;
@@ -21,6 +22,7 @@
         settings::Settings,
         upstream::Upstreams,
     },
+    bytes::Bytes,
     claimed::{Claimed, Ruling, Subject},
     marigoldroute_core::{
         config::Access,
@@ -28,7 +30,7 @@
         id::{RequestId, Tokens},
     },
     marigoldroute_platform::Client,
-    poem::{Request, Response, Route, get, post},
+    poem::{Body, Request, Response, Route, get, post},
     std::sync::Arc,
     tokio::sync::oneshot,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -80,6 +82,12 @@
         hold.map_err(|hold| Fault::new(Kind::Stale, hold.to_string()))
     }
 
+    /// Reads a request body, at most the body limit.
+    async fn read(&self, body: Body) -> Result<Bytes, Fault> {
+        let body = body.into_bytes_limit(self.settings.body_limit).await;
+        body.map_err(|_| Fault::new(Kind::TooLarge, "the request body is too large"))
+    }
+
     /// Waits for a place among the requests in progress.
     async fn enter(&self, access: &Access, cost: Tokens) -> Result<Place, Fault> {
         let workspaces = &self.control.scene().catalog.workspaces;
--- a/crates/router/src/caller/models.rs
+++ b/crates/router/src/caller/models.rs
@@ -14,7 +14,7 @@
 #[handler]
 pub(super) fn list(context: Data<&Arc<Context>>, request: &Request) -> Response {
     if let Err(fault) = context.authenticate(request) {
-        return refuse(&fault, "");
+        return refuse(&fault, &super::request::mint_id());
     }
     let models = context.control.scene().catalog.models();
     let entry = |model| json!({"id": model, "object": "model", "owned_by": "marigoldroute"});
--- a/crates/router/src/caller/request.rs
+++ b/crates/router/src/caller/request.rs
@@ -47,6 +47,12 @@
     }
 }
 
+/// Returns the id of a request that has none of its own.
+pub(super) fn mint_id() -> RequestId {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    mint(wall.unwrap_or_default(), rand::rng().next_u64())
+}
+
 /// Returns a request id: minted, or fixed by the workspace and the idempotency key, so that a
 /// retry through another host has the same id.
 pub(super) fn id(workspace: &WorkspaceId, key: Option<&str>) -> RequestId {
@@ -58,10 +64,7 @@
             let hash = hash.chain_update(key).finalize();
             hex::encode(&hash[..ID_BYTES]).into()
         }
-        None => {
-            let wall = SystemTime::now().duration_since(UNIX_EPOCH);
-            mint(wall.unwrap_or_default(), rand::rng().next_u64())
-        }
+        None => mint_id(),
     }
 }
 
--- a/crates/router/src/caller/service.rs
+++ b/crates/router/src/caller/service.rs
@@ -3,17 +3,15 @@
 use {
     super::{
         Context,
-        claimed::{Ruling, Subject},
         completion::read_limited,
         job::{Call, Job, Kind, Reply, Size},
+        plan::{Admitted, Plan},
         request,
     },
-    crate::{escrow::Reservation, response::refuse},
+    crate::response::refuse,
     marigoldroute_core::{
-        claim::Capability,
-        config::Access,
         fault::{self, Fault, Outcome},
-        id::{RequestId, ServiceId, Tokens},
+        id::{ServiceId, Tokens},
     },
     poem::{Body, Request, Response, handler, http::HeaderMap, web::Data},
     std::sync::Arc,
@@ -37,56 +35,39 @@
     body: Body,
 ) -> Response {
     let context = (*context).clone();
-    let prepared = match prepare(&context, request, body).await {
-        Ok(prepared) => prepared,
-        Err(fault) => return refuse(&fault, ""),
-    };
-    let id = prepared.id.clone();
-    context.run(id, serve(context.clone(), prepared)).await
-}
-
-struct Prepared {
-    id: RequestId,
-    key: Option<String>,
-    access: Access,
-    service: ServiceId,
-    is_idempotent: bool,
-    call: Call,
+    match prepare(&context, request, body).await {
+        Ok(plan) => {
+            let id = plan.id.clone();
+            context.run(id, serve(context.clone(), plan)).await
+        }
+        Err(fault) => refuse(&fault, &request::mint_id()),
+    }
 }
 
-async fn prepare(context: &Context, request: &Request, body: Body) -> Result<Prepared, Fault> {
+async fn prepare(context: &Context, request: &Request, body: Body) -> Result<Plan, Fault> {
     let access = context.authenticate(request)?;
     let key = request::idempotency_key(request)?;
     let service: ServiceId = request.raw_path_param("service").unwrap_or_default().into();
-    let settings = context
-        .control
-        .scene()
-        .catalog
-        .services
-        .get(&service)
-        .cloned();
+    let scene = context.control.scene();
+    let settings = scene.catalog.services.get(&service);
     let settings = settings.ok_or_else(|| Fault::new(fault::Kind::NotFound, "unknown service"))?;
     let is_idempotent = request::is_idempotent(request)?.unwrap_or(settings.idempotent);
-    let body = body.into_bytes_limit(context.settings.body_limit).await;
-    let body =
-        body.map_err(|_| Fault::new(fault::Kind::TooLarge, "the request body is too large"))?;
     let path = request.raw_path_param("path").unwrap_or_default();
-    let query = request
-        .uri()
-        .query()
-        .map(|query| format!("?{query}"))
-        .unwrap_or_default();
-    Ok(Prepared {
+    let query = request.uri().query();
+    let query = query.map(|query| format!("?{query}")).unwrap_or_default();
+    Ok(Plan {
         id: request::id(&access.workspace, key.as_deref()),
         key,
         access,
-        service,
-        is_idempotent,
+        model: service,
+        kind: Kind::Service { is_idempotent },
+        size: Size::default(),
+        amount: settings.price,
         call: Call {
             method: request.method().clone(),
             path: format!("/{path}{query}"),
             headers: forwarded(request.headers()),
-            body,
+            body: context.read(body).await?,
         },
     })
 }
@@ -99,58 +80,11 @@
     headers
 }
 
-async fn serve(context: Arc<Context>, prepared: Prepared) -> Result<Response, Fault> {
-    let Prepared {
-        id,
-        key,
-        access,
-        service,
-        is_idempotent,
-        call,
-    } = prepared;
-    let attempt = request::attempt(&id);
-    let key = key.as_deref().filter(|_| !is_idempotent);
-    let services = &context.control.scene().catalog.services;
-    let price = services.get(&service).map_or(0, |service| service.price);
-    let place = context.enter(&access, price).await?;
-    let subject = key.map(|key| Subject {
-        workspace: &access.workspace,
-        key,
-        attempt: &attempt,
-        method: call.method.as_str(),
-        path: &call.path,
-        body: &call.body,
-        capability: Capability::None,
-    });
-    let claim = match context.claim(subject).await? {
-        Ruling::Run(claim) => claim,
-        Ruling::Replay(response) => return Ok(response),
-    };
-    let reservation = Reservation {
-        attempt: attempt.clone(),
-        budget: access.budget.clone(),
-        amount: price,
-        workspace: access.workspace.clone(),
-        model: service.clone(),
-    };
-    let charge = match context.charger.reserve(&reservation).await {
-        Ok(charge) => charge,
-        Err(fault) => {
-            claim.give_up().await;
-            return Err(fault);
-        }
-    };
-    let mut job = Job {
-        context,
-        id: attempt,
-        workspace: access.workspace,
-        model: service,
-        charge,
-        claim,
-        kind: Kind::Service { is_idempotent },
-        size: Size::default(),
-        priority: access.priority,
-        place,
+async fn serve(context: Arc<Context>, plan: Plan) -> Result<Response, Fault> {
+    let price = plan.amount;
+    let (mut job, call) = match plan.admit(context).await? {
+        Admitted::Job(job, call) => (*job, call),
+        Admitted::Replay(response) => return Ok(response),
     };
     match job.send(&call, &mut Vec::new()).await {
         Ok(reply) => finish(job, reply, price).await,
--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -25,6 +25,9 @@
 /// Pause before the second delivery attempt; it doubles each time.
 const DELIVERY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Hosts in each region that are asked after the holders.
+const SPARE_HOLDERS: usize = 2;
+
 /// Makes reservations.
 pub(crate) struct Charger {
     own: HostId,
@@ -47,6 +50,17 @@
     budget: BudgetId,
 }
 
+/// Why a host is asked for tokens; earlier ones are asked first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Role {
+    /// A holder in the own region.
+    Near,
+    /// A holder in another region.
+    Far,
+    /// Not a holder now. Asked only when a holder could not answer.
+    Spare,
+}
+
 /// Where a reservation is held.
 #[derive(Clone, Debug)]
 enum Place {
@@ -81,8 +95,11 @@
         self: &Arc<Self>,
         reservation: &Reservation,
     ) -> Result<Charge, Fault> {
-        let mut exhausted = false;
-        for place in self.places(&reservation.budget) {
+        let (mut exhausted, mut unavailable) = (false, false);
+        for (role, place) in self.places(&reservation.budget) {
+            if role == Role::Spare && !unavailable {
+                continue;
+            }
             let reserved = match &place {
                 Place::Here => self.escrow.reserve(reservation.clone()).await.map(drop),
                 Place::Peer(host, address) => self.reserve_at(host, *address, reservation).await,
@@ -96,7 +113,8 @@
                         budget: reservation.budget.clone(),
                     });
                 }
-                Err(refusal) => exhausted |= refusal == Refusal::Exhausted,
+                Err(Refusal::Exhausted) => exhausted = true,
+                Err(Refusal::Unavailable) => unavailable = true,
             }
         }
         let Reservation {
@@ -150,24 +168,31 @@
     /// Returns the holders of a budget in the order in which they are asked.
     ///
     /// Within the own region this host comes last: when entry and holder are on different hosts,
-    /// the loss of one of them loses no bill.
-    fn places(&self, budget: &str) -> Vec<Place> {
+    /// the loss of one of them loses no bill. Hosts that rank just below the holders follow as
+    /// spares: they were holders before others joined and may still have tokens, while a new
+    /// holder has none until it reaches the store.
+    fn places(&self, budget: &str) -> Vec<(Role, Place)> {
         let scene = self.control.scene();
         let count = scene.catalog.limits.holders;
         let count = count.map_or(self.per_region, |count| count as usize);
-        let mut places: Vec<_> = scene
-            .holders(budget, &self.region, count)
+        let holders = scene.holders(budget, &self.region, count + SPARE_HOLDERS);
+        let mut places: Vec<_> = holders
             .into_iter()
-            .map(|holder| match *holder.host == self.own {
-                true => (holder.is_near, Place::Here),
-                false => (
-                    holder.is_near,
-                    Place::Peer(holder.host.clone(), holder.address),
-                ),
+            .map(|holder| {
+                let role = match (holder.rank < count, holder.is_near) {
+                    (true, true) => Role::Near,
+                    (true, false) => Role::Far,
+                    (false, _) => Role::Spare,
+                };
+                let place = match *holder.host == self.own {
+                    true => Place::Here,
+                    false => Place::Peer(holder.host.clone(), holder.address),
+                };
+                (role, place)
             })
             .collect();
-        places.sort_by_key(|(is_near, place)| (!is_near, matches!(place, Place::Here)));
-        places.into_iter().map(|(_, place)| place).collect()
+        places.sort_by_key(|(role, place)| (*role, matches!(place, Place::Here)));
+        places
     }
 
     /// Delivers a message until the holder acknowledges it.
--- a/crates/router/src/control/listing.rs
+++ b/crates/router/src/control/listing.rs
@@ -1,7 +1,6 @@
 //! The platform's list of hosts, kept as rows of the table service.
 
 use {
-    super::store,
     marigoldroute_core::{
         fleet::{Host, Listed, Listing},
         id::{HolderId, Region, Version, Zone},
@@ -68,7 +67,7 @@
 
 /// Reads the list.
 pub(super) async fn read(platform: &Client) -> Result<Register, Fault> {
-    let rows = store::all(platform, HOST_PREFIX).await?;
+    let rows = platform.scan_all(HOST_PREFIX).await?;
     let processes: Vec<Process> = rows
         .iter()
         .filter_map(|row| {
@@ -83,7 +82,7 @@
         zone: process.entry.zone.clone(),
         address: process.entry.address.clone(),
     });
-    let leaving = store::all(platform, LEAVING_PREFIX).await?;
+    let leaving = platform.scan_all(LEAVING_PREFIX).await?;
     let leaving = leaving
         .iter()
         .filter_map(|row| row.key.strip_prefix(LEAVING_PREFIX));
--- a/crates/router/src/control/scene.rs
+++ b/crates/router/src/control/scene.rs
@@ -37,6 +37,8 @@
     pub(crate) address: SocketAddr,
     /// Whether it is in the region that was asked for.
     pub(crate) is_near: bool,
+    /// Position in its region, from 0.
+    pub(crate) rank: usize,
 }
 
 /// Returns the name of a process.
@@ -92,11 +94,12 @@
         let others = self.regions.iter().filter(|(name, _)| ***name != *region);
         let mut holders = Vec::new();
         for (name, hosts) in own.chain(others) {
-            for host in rank(budget, hosts).into_iter().take(count) {
+            for (rank, host) in rank(budget, hosts).into_iter().take(count).enumerate() {
                 holders.extend(self.addresses.get(host).map(|address| Holder {
                     host,
                     address: *address,
                     is_near: **name == *region,
+                    rank,
                 }));
             }
         }
--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -407,7 +407,7 @@
     fn attempt(&mut self, attempt: Attempt) {
         let platform = self.parts.platform.clone();
         self.calls.spawn(async move {
-            let rows = store::get(&platform, &attempt.proposal.keys()).await;
+            let rows = platform.get_all(&attempt.proposal.keys()).await;
             Event::Decide(Box::new(attempt), rows)
         });
     }
@@ -473,7 +473,7 @@
         let platform = self.parts.platform.clone();
         self.calls.spawn(async move {
             tokio::time::sleep(PROPOSAL_PAUSE).await;
-            let rows = store::get(&platform, &attempt.proposal.keys()).await;
+            let rows = platform.get_all(&attempt.proposal.keys()).await;
             Event::Decide(attempt, rows)
         });
     }
@@ -500,6 +500,7 @@
             .links
             .retain(|host| members.iter().any(|m| m.host.id == *host));
         let scene = Scene::new(catalog, hold, out, &members);
+        self.parts.metrics.ready_hosts.set(scene.hosts.len() as i64);
         self.scene.send_if_modified(|current| {
             let is_changed = !current.is_same(&scene);
             if is_changed {
--- a/crates/router/src/escrow/work.rs
+++ b/crates/router/src/escrow/work.rs
@@ -420,14 +420,10 @@
 }
 
 async fn read(platform: Client, generation: Generation, keys: Vec<String>) -> Event {
-    let mut rows = Vec::with_capacity(keys.len());
-    for key in keys {
-        match platform.get(&key).await {
-            Ok(row) => rows.extend(row),
-            Err(fault) => return Event::Failed(fault),
-        }
+    match platform.get_all(&keys).await {
+        Ok(rows) => Event::Rows(generation, rows),
+        Err(fault) => Event::Failed(fault),
     }
-    Event::Rows(generation, rows)
 }
 
 async fn commit(platform: Client, generation: Generation, transaction: Transaction) -> Event {
--- a/crates/router/src/ledger.rs
+++ b/crates/router/src/ledger.rs
@@ -4,9 +4,9 @@
     crate::{control::Control, logs::TOKENS, metrics::Metrics},
     derive_more::{Display, Error, From},
     marigoldroute_core::{
-        bill::{self, Lease, Ledger, Page, Settings, index_prefix},
+        bill::{self, INDEX_PREFIX, Lease, Ledger, Page, Settings, index_prefix},
         budget::journal,
-        fault,
+        claim, fault,
         id::{HolderId, HostId, Region},
         table::{Row, Transaction, Verdict},
     },
@@ -24,6 +24,8 @@
 const TERM_ROUNDS: u32 = 3;
 /// Greater than every sequence; keys hold 12 digits.
 const LAST_SEQUENCE: u64 = 999_999_999_999;
+/// Rows and objects deleted in one round.
+const SWEEP_ROWS: usize = 200;
 /// Rows read by one call.
 const PAGE_ROWS: usize = 1_000;
 
@@ -56,6 +58,8 @@
     pub(crate) async fn run(self, stop: CancellationToken) {
         let mut tick = tokio::time::interval(self.interval);
         let mut ledger = None;
+        // Key of the last claim row that was looked at.
+        let mut swept = String::new();
         loop {
             tokio::select! {
                 _ = tick.tick() => {}
@@ -65,14 +69,16 @@
                 ledger = None;
                 continue;
             }
-            if let Err(broken) = self.round(&mut ledger).await {
+            if let Err(broken) = self.round(&mut ledger, &mut swept).await {
                 ledger = None;
                 self.metrics.platform_faults.inc();
                 log::warn!(target: TOKENS, broken:%; "ledger round ended early");
             }
         }
-        // A lease that stays keeps the next host waiting until it has passed.
-        let _ = self.lease(Duration::ZERO).await;
+        if ledger.is_some() {
+            // A lease that stays keeps the next host waiting until it has passed.
+            let _ = self.lease(Duration::ZERO).await;
+        }
     }
 
     /// Returns whether this host is the first for the duty; the lease decides when two hosts
@@ -84,7 +90,7 @@
         best.is_some_and(|host| *host == self.host)
     }
 
-    async fn round(&self, ledger: &mut Option<Ledger>) -> Result<(), Broken> {
+    async fn round(&self, ledger: &mut Option<Ledger>, swept: &mut String) -> Result<(), Broken> {
         let Some(lease) = self.lease(self.interval * TERM_ROUNDS).await? else {
             *ledger = None;
             return Ok(());
@@ -95,7 +101,7 @@
                 ledger
             }
             None => {
-                let cursors = self.all("ledger/").await?;
+                let cursors = self.platform.scan_all("ledger/").await?;
                 ledger.insert(Ledger::new(&lease, &cursors, Settings::default())?)
             }
         };
@@ -105,7 +111,8 @@
         for holder in self.holders().await? {
             self.visit(ledger, &holder).await?;
         }
-        Ok(())
+        self.trim_index(ledger).await?;
+        self.sweep_claims(swept).await
     }
 
     /// Takes or renews the lease for a time; `None` while another process has it.
@@ -136,17 +143,33 @@
         }
     }
 
-    async fn all(&self, prefix: &str) -> Result<Vec<Row>, Broken> {
-        let mut rows: Vec<Row> = Vec::new();
-        loop {
-            let after = rows.last().map_or("", |row| &row.key).to_owned();
-            let page = self.platform.scan(prefix, &after, PAGE_ROWS).await?;
-            let is_last = page.len() < PAGE_ROWS;
-            rows.extend(page);
-            if is_last {
-                return Ok(rows);
-            }
+    /// Deletes index objects that are older than every bill that may still count.
+    async fn trim_index(&self, ledger: &Ledger) -> Result<(), Broken> {
+        let end = index_prefix(ledger.oldest(wall()));
+        let keys = self.platform.list_objects(INDEX_PREFIX).await?;
+        let old = keys.iter().filter(|key| key.as_str() < end.as_str());
+        for key in old.take(SWEEP_ROWS) {
+            self.platform.delete_object(key).await?;
         }
+        Ok(())
+    }
+
+    /// Deletes expired claims on the next page of their rows.
+    async fn sweep_claims(&self, swept: &mut String) -> Result<(), Broken> {
+        let rows = self.platform.scan("claim/", swept, PAGE_ROWS).await?;
+        let retention = claim::Settings::default().retention;
+        let sweep = claim::sweep(&rows, wall(), retention, SWEEP_ROWS);
+        if !sweep.transaction.writes.is_empty() {
+            // Rows that changed meanwhile are read again by a later sweep.
+            self.platform.commit(&sweep.transaction).await?;
+        }
+        for key in &sweep.objects {
+            self.platform.delete_object(key).await?;
+        }
+        let is_last = rows.len() < PAGE_ROWS;
+        let next = rows.last().filter(|_| !is_last);
+        *swept = next.map_or_else(String::new, |row| row.key.to_string());
+        Ok(())
     }
 
     /// Bills all journal rows of a holder.
@@ -194,10 +217,7 @@
             }
             ledger.load(slot, &objects)?;
         }
-        let mut accounts = Vec::new();
-        for key in ledger.accounts(wall, page) {
-            accounts.extend(self.platform.get(&key).await?);
-        }
+        let accounts = self.platform.get_all(&ledger.accounts(wall, page)).await?;
         let Some(decided) = ledger.decide(wall, page, &accounts)? else {
             return Ok(None);
         };
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -41,6 +41,8 @@
     pub(crate) peer_received: IntCounter,
     /// Frames of the internal protocol that were refused.
     pub(crate) refused_frames: IntCounter,
+    /// Hosts of the fleet that take work, as this host knows them.
+    pub(crate) ready_hosts: IntGauge,
     /// Version of the configuration in effect.
     pub(crate) config_version: IntGauge,
     /// Operators' calls by result: `ok` or an error kind.
@@ -108,6 +110,10 @@
                 "marigoldroute_refused_frames_total",
                 "Frames of the internal protocol that were refused",
             )?,
+            ready_hosts: gauge(
+                "marigoldroute_ready_hosts",
+                "Hosts of the fleet that take work, as this host knows them",
+            )?,
             config_version: gauge(
                 "marigoldroute_config_version",
                 "Version of the configuration in effect",
--- a/crates/router/src/reclaim.rs
+++ b/crates/router/src/reclaim.rs
@@ -177,7 +177,7 @@
         match found {
             Found::Closed | Found::Lost(_) => Ok(true),
             Found::Live(tail) => {
-                let rows = self.rows(tail.keys(&[])).await?;
+                let rows = self.platform.get_all(&tail.keys(&[])).await?;
                 self.commit(holder, "fenced", tail.fence(&author, &rows))
                     .await?;
                 Ok(false)
@@ -189,21 +189,13 @@
                 if !tail.is_spent() && !tail.is_due(&self.settings, seen, now) {
                     return Ok(false);
                 }
-                let rows = self.rows(tail.keys(&[])).await?;
+                let rows = self.platform.get_all(&tail.keys(&[])).await?;
                 let transaction = tail.lose(&author, Reason::Elapsed, Vec::new(), &rows);
                 self.commit(holder, "released", transaction).await
             }
         }
     }
 
-    async fn rows(&self, keys: Vec<String>) -> Result<Vec<Row>, Fault> {
-        let mut rows = Vec::with_capacity(keys.len());
-        for key in keys {
-            rows.extend(self.platform.get(&key).await?);
-        }
-        Ok(rows)
-    }
-
     async fn commit(
         &self,
         holder: &HolderId,
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -140,6 +140,14 @@
         }
     }
 
+    /// Returns whether a router counts this many routers as ready.
+    pub async fn sees(&self, address: SocketAddr, count: i64) -> bool {
+        let metrics = reqwest::get(format!("http://{address}/metrics")).await;
+        let text = metrics.unwrap().text().await.unwrap();
+        let line = format!("marigoldroute_ready_hosts {count}\n");
+        text.contains(&line)
+    }
+
     /// Returns the bills of closed batches and those that the ledger has not read yet.
     pub async fn bills(&self) -> Vec<Bill> {
         let mut bills = Vec::new();
@@ -191,7 +199,7 @@
         self.client.scan("journal/", "", 1_000).await.unwrap()
     }
 
-    async fn holders(&self) -> BTreeSet<String> {
+    pub async fn holders(&self) -> BTreeSet<String> {
         let rows = self.journals().await;
         let holders = rows.iter().filter_map(|row| journal::holder(&row.key));
         holders.map(str::to_owned).collect()
--- a/crates/router/tests/processes.rs
+++ b/crates/router/tests/processes.rs
@@ -8,6 +8,7 @@
 
 use {
     fleet::{Answer, Outside, complete, order, process::Process, until},
+    marigoldroute_core::fleet::{Weighted, rank},
     marigoldroute_platform::Order,
     nix::sys::signal::Signal,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
@@ -220,6 +221,55 @@
     assert_eq!(check_books(&outside, 3).await, 0);
 }
 
+/// Guards against requests refused in an outage because a host that joined just before has become
+/// the holder of a budget, and has no tokens.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage_after_a_join_serves_models() {
+    let outside = Outside::start(2, PURCHASED).await;
+    let operator = outside.router(9).await;
+    let mut routers = vec![
+        Process::start(&outside, 1).await,
+        Process::start(&outside, 2).await,
+    ];
+    until(|| async { outside.sees(routers[0].address, 3).await }).await;
+    operator.stop().await;
+    until(|| async { outside.sees(routers[0].address, 2).await }).await;
+    // Entry 1 prefers the holder on the other host, which is 2.
+    complete(routers[0].address, true, None).await.unwrap();
+    let holders = outside.holders().await;
+    let has_2 = holders.iter().any(|holder| holder.starts_with("router-2."));
+    assert!(
+        has_2,
+        "the first request was not charged at router 2: {holders:?}"
+    );
+    let joining = joining_instead_of_2();
+    routers.push(Process::start(&outside, joining).await);
+    until(|| async { outside.sees(routers[0].address, 3).await }).await;
+    outside.platform.inject(Order {
+        down: true,
+        ..Order::default()
+    });
+    let served = complete(routers[0].address, true, None).await.unwrap();
+    assert!(served.is_whole_stream(), "{}", served.body);
+    outside.platform.inject(Order::default());
+    stop(&outside, routers).await;
+    assert_eq!(check_books(&outside, 2).await, 0);
+}
+
+/// Returns the number of a router that takes the place of router 2 among the two holders.
+fn joining_instead_of_2() -> usize {
+    let weighted = |number: usize| Weighted {
+        host: format!("router-{number}").into(),
+        weight: 1,
+    };
+    let replaces = |number: &usize| {
+        let hosts = [weighted(1), weighted(2), weighted(*number)];
+        let ranked = rank(fleet::BUDGET, &hosts);
+        ranked[2] == &hosts[1].host
+    };
+    (3..1_000).find(replaces).unwrap()
+}
+
 /// Guards against an order placed twice when callers retry through every router and answers of
 /// the store are lost.
 #[tokio::test(flavor = "multi_thread")]
