--- a/crates/core/src/budget/grant.rs
+++ b/crates/core/src/budget/grant.rs
@@ -1,6 +1,6 @@
 //! Sizes of grants and marks.
 
-use {crate::id::Tokens, std::time::Duration};
+use {crate::id::Tokens, derive_more::Display, std::time::Duration};
 
 /// Time constant of the average that follows a rise of demand.
 const RISE: Duration = Duration::from_secs(300);
@@ -71,6 +71,42 @@
     }
 }
 
+/// What a user weighs more; overspend is not part of the choice.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
+pub enum Preset {
+    /// Neither.
+    #[default]
+    #[display("balanced")]
+    Balanced,
+    /// False refusals, see [`Settings::few_refusals`].
+    #[display("few-refusals")]
+    FewRefusals,
+    /// Tokens stranded by lost holders, see [`Settings::few_stranded`].
+    #[display("few-stranded")]
+    FewStranded,
+}
+
+impl Preset {
+    /// Every preset.
+    pub const ALL: [Self; 3] = [Self::Balanced, Self::FewRefusals, Self::FewStranded];
+
+    /// Returns the preset of a name.
+    pub fn parse(name: &str) -> Option<Self> {
+        Self::ALL
+            .into_iter()
+            .find(|preset| preset.to_string() == name)
+    }
+
+    /// Returns the settings.
+    pub fn settings(self) -> Settings {
+        match self {
+            Self::Balanced => Settings::default(),
+            Self::FewRefusals => Settings::few_refusals(),
+            Self::FewStranded => Settings::few_stranded(),
+        }
+    }
+}
+
 impl Settings {
     /// Preset for a user who gives more weight to false refusals.
     pub fn few_refusals() -> Self {
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -19,7 +19,7 @@
 pub use {
     account::{Account, Want},
     change::{Change, Proposal, Receipt, Request},
-    grant::{Demand, Settings},
+    grant::{Demand, Preset, Settings},
     holder::{Holder, Phase, Record, Shortage, Usage},
     journal::{Entry, Journal, Reason, Share, Shares},
 };
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -3,7 +3,7 @@
 use {
     crate::settings::{Mistakes, Settings},
     clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
-    marigoldroute_core::route::Name,
+    marigoldroute_core::{budget::Preset, route::Name},
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -57,6 +57,7 @@
         renew_interval: ms("renew-interval-ms", base.renew_interval),
         holders_per_region: size("holders-per-region", base.holders_per_region),
         peer_timeout: ms("peer-timeout-ms", base.peer_timeout),
+        preset: matches.get_one("preset").copied().unwrap_or(base.preset),
         reserve_timeout: ms("reserve-timeout-ms", base.reserve_timeout),
         reservation_limit: ms("reservation-limit-ms", base.reservation_limit),
         upstream_timeout: ms("upstream-timeout-ms", base.upstream_timeout),
@@ -155,7 +156,7 @@
     ]
 }
 
-fn limits() -> [Arg; 14] {
+fn limits() -> [Arg; 15] {
     let ms = |name, env, help| option(name, env, "MS", help).value_parser(value_parser!(u64));
     let count = |name, env, help| option(name, env, "N", help).value_parser(value_parser!(usize));
     [
@@ -194,6 +195,13 @@
             "MARIGOLDROUTE_PEER_TIMEOUT_MS",
             "Bound on a call to another host",
         ),
+        option(
+            "preset",
+            "MARIGOLDROUTE_PRESET",
+            "NAME",
+            "What the sizes of grants favour: balanced, few-refusals or few-stranded",
+        )
+        .value_parser(|name: &str| Preset::parse(name).ok_or("unknown preset")),
         ms(
             "reserve-timeout-ms",
             "MARIGOLDROUTE_RESERVE_TIMEOUT_MS",
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -136,7 +136,7 @@
     let settled = CancellationToken::new();
     let parts = escrow::Parts {
         process: process.clone(),
-        sizes: settings.budget.clone(),
+        sizes: settings.preset.settings(),
         clock,
         platform: platform.clone(),
         upstreams: upstreams.clone(),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -3,7 +3,7 @@
 use {
     derive_more::{Display, Error},
     marigoldroute_core::{
-        budget::{self, reclaim},
+        budget::{Preset, reclaim},
         id::{HostId, Region, Zone},
         route, wire,
     },
@@ -70,8 +70,8 @@
     pub drain_limit: Duration,
     /// When the tokens of a dead host are given back.
     pub reclaim: reclaim::Settings,
-    /// Sizes of grants.
-    pub budget: budget::Settings,
+    /// What the sizes of grants favour.
+    pub preset: Preset,
     /// Least severe level that is logged.
     pub log_level: log::LevelFilter,
 }
@@ -103,7 +103,7 @@
             body_limit: 4 << 20,
             drain_limit: Duration::from_secs(600),
             reclaim: reclaim::Settings::default(),
-            budget: budget::Settings::default(),
+            preset: Preset::Balanced,
             log_level: log::LevelFilter::Info,
         }
     }
@@ -220,6 +220,7 @@
         writeln!(f, "peer-timeout-ms = {}", ms(&self.peer_timeout))?;
         writeln!(f, "reserve-timeout-ms = {}", ms(&self.reserve_timeout))?;
         let limit = ms(&self.reservation_limit);
+        writeln!(f, "preset = {}", self.preset)?;
         writeln!(f, "reservation-limit-ms = {limit}")?;
         writeln!(f, "upstream-timeout-ms = {}", ms(&self.upstream_timeout))?;
         writeln!(f, "attempts = {}", self.attempts)?;
