--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -6,9 +6,11 @@
 
 mod listing;
 mod probe;
+mod proposal;
 mod scene;
 mod store;
 mod task;
+mod upkeep;
 
 use {
     derive_more::{Display, Error, From},
--- /dev/null
+++ b/crates/router/src/control/proposal.rs
@@ -0,0 +1,111 @@
+//! Acceptance of proposals by the task.
+
+use {
+    super::{
+        Denied,
+        task::{Event, Task},
+    },
+    marigoldroute_core::{
+        config::{Proposal, Step},
+        id::Version,
+        table::{Row, Transaction, Verdict},
+    },
+    marigoldroute_platform::Fault,
+    std::time::Duration,
+    tokio::sync::oneshot,
+};
+
+/// Attempts to decide on a proposal.
+pub(super) const PROPOSAL_ATTEMPTS: u32 = 20;
+/// Pause before the next attempt.
+const PROPOSAL_PAUSE: Duration = Duration::from_millis(100);
+
+/// A proposal on its way.
+pub(super) struct Attempt {
+    pub(super) proposal: Box<Proposal>,
+    pub(super) left: u32,
+    pub(super) reply: oneshot::Sender<Result<Version, Denied>>,
+}
+
+impl Task {
+    /// Reads the rows that the decision on a proposal needs.
+    pub(super) fn attempt(&mut self, attempt: Attempt) {
+        let platform = self.parts.platform.clone();
+        self.calls.spawn(async move {
+            let rows = platform.get_all(&attempt.proposal.keys()).await;
+            Event::Decide(Box::new(attempt), rows)
+        });
+    }
+
+    pub(super) fn decide(&mut self, mut attempt: Attempt, rows: Result<Vec<Row>, Fault>) {
+        let rows = match rows {
+            Ok(rows) => rows,
+            Err(fault) => {
+                self.failed(fault);
+                return self.again(attempt);
+            }
+        };
+        match attempt.proposal.decide(&rows, &self.log) {
+            Err(refusal) => {
+                let _ = attempt.reply.send(Err(Denied::Refused(refusal)));
+            }
+            Ok(Step::Accepted(version)) => accepted(attempt, version),
+            Ok(Step::Commit(transaction)) => self.commit(attempt, transaction),
+            Ok(Step::CatchUp(version)) => {
+                let now = self.parts.clock.now();
+                let own = self.parts.host.id.clone();
+                // The newer version is in the store; the log asks for it.
+                self.log.observe(now, &own, version);
+                self.again(attempt);
+            }
+            Ok(Step::Reread) => self.again(attempt),
+        }
+    }
+
+    fn commit(&mut self, attempt: Attempt, transaction: Transaction) {
+        let platform = self.parts.platform.clone();
+        self.calls.spawn(async move {
+            let verdict = platform.commit(&transaction).await;
+            Event::Committed(Box::new(attempt), verdict)
+        });
+    }
+
+    pub(super) fn committed(&mut self, mut attempt: Attempt, verdict: Result<Verdict, Fault>) {
+        let verdict = match verdict {
+            Ok(verdict) => verdict,
+            Err(fault) => {
+                self.failed(fault);
+                return self.again(attempt);
+            }
+        };
+        match attempt.proposal.settle(&verdict) {
+            Ok(Some(version)) => accepted(attempt, version),
+            Ok(None) => self.again(attempt),
+            Err(refusal) => {
+                let _ = attempt.reply.send(Err(Denied::Refused(refusal)));
+            }
+        }
+    }
+
+    /// Decides again after a pause.
+    fn again(&mut self, attempt: Attempt) {
+        if attempt.left == 0 {
+            let _ = attempt.reply.send(Err(Denied::Unanswered));
+            return;
+        }
+        let left = attempt.left - 1;
+        let attempt = Box::new(Attempt { left, ..attempt });
+        let platform = self.parts.platform.clone();
+        self.calls.spawn(async move {
+            tokio::time::sleep(PROPOSAL_PAUSE).await;
+            let rows = platform.get_all(&attempt.proposal.keys()).await;
+            Event::Decide(attempt, rows)
+        });
+    }
+}
+
+fn accepted(attempt: Attempt, version: Version) {
+    let author = &attempt.proposal.submission().author;
+    log::info!(version, author:%; "configuration accepted");
+    let _ = attempt.reply.send(Ok(version));
+}
--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -2,21 +2,20 @@
 
 use {
     super::{
-        Command, Control, Denied, QUEUE_COMMANDS,
-        listing::{self, Register},
+        Command, Control, QUEUE_COMMANDS,
+        listing::Register,
         probe::{self, PROBE_INTERVAL},
+        proposal::{Attempt, PROPOSAL_ATTEMPTS},
         scene::Scene,
         store,
     },
     crate::{clock::Clock, dispatch::Dispatch, metrics::Metrics, peer::Links},
     marigoldroute_core::{
-        config::{
-            Ask, LOG_PREFIX, Log, Packet, Proposal, Read, Role, SNAPSHOT_KEY, Step, TRIM_ROWS,
-        },
+        config::{Ask, Log, Packet, Read, Role},
         fleet::{Gossip, Host, Observation, Phase, Settings, Status, View},
         id::{HolderId, HostId, UpstreamId, Version},
         route::Load,
-        table::{Row, Transaction, Verdict},
+        table::{Row, Verdict},
         wire::{Body, Reply},
     },
     marigoldroute_platform::{Client, Fault},
@@ -24,7 +23,7 @@
     rand::{SeedableRng, rngs::SmallRng},
     std::{future::Future, sync::Arc, time::Duration},
     tokio::{
-        sync::{mpsc, oneshot, watch},
+        sync::{mpsc, watch},
         task::JoinSet,
     },
     tokio_util::sync::CancellationToken,
@@ -32,15 +31,6 @@
 
 /// Time between two steps of the decision logic.
 const TICK: Duration = Duration::from_millis(200);
-/// Time between two reads of the platform's list while no other host is known.
-const LIST_SOON: Duration = Duration::from_secs(1);
-/// Time between two reads of the list by a poller, for each host on it. A read costs one row per
-/// host; with 12 pollers this keeps the list at 80 rows a second whatever the size of the fleet.
-const LIST_INTERVAL_PER_HOST: Duration = Duration::from_millis(150);
-/// Attempts to decide on a proposal.
-const PROPOSAL_ATTEMPTS: u32 = 20;
-/// Pause before the next attempt.
-const PROPOSAL_PAUSE: Duration = Duration::from_millis(100);
 
 /// What the task works with.
 pub(crate) struct Parts {
@@ -91,7 +81,7 @@
 }
 
 /// Result of a call.
-enum Event {
+pub(super) enum Event {
     Gossip(HostId, Option<Gossip>),
     Packet(HostId, Option<Packet>),
     Read(Read, Result<Vec<Row>, Fault>),
@@ -104,27 +94,20 @@
     Upkeep(Result<(Option<Row>, Vec<Row>), Fault>),
 }
 
-/// A proposal on its way.
-struct Attempt {
-    proposal: Box<Proposal>,
-    left: u32,
-    reply: oneshot::Sender<Result<Version, Denied>>,
-}
-
-struct Task {
-    parts: Parts,
-    view: View,
-    log: Log,
-    random: SmallRng,
-    http: reqwest::Client,
-    calls: JoinSet<Event>,
-    scene: watch::Sender<Arc<Scene>>,
-    register: watch::Sender<Arc<Register>>,
-    next_register: Duration,
-    next_list: Duration,
-    next_probe: Duration,
+pub(super) struct Task {
+    pub(super) parts: Parts,
+    pub(super) view: View,
+    pub(super) log: Log,
+    pub(super) random: SmallRng,
+    pub(super) http: reqwest::Client,
+    pub(super) calls: JoinSet<Event>,
+    pub(super) scene: watch::Sender<Arc<Scene>>,
+    pub(super) register: watch::Sender<Arc<Register>>,
+    pub(super) next_register: Duration,
+    pub(super) next_list: Duration,
+    pub(super) next_probe: Duration,
     /// Version in effect, as last noted.
-    version: Version,
+    pub(super) version: Version,
 }
 
 impl Task {
@@ -253,7 +236,7 @@
         }
     }
 
-    fn failed(&self, fault: Fault) {
+    pub(super) fn failed(&self, fault: Fault) {
         self.parts.metrics.platform_faults.inc();
         log::warn!(fault:%; "the platform did not answer");
     }
@@ -342,55 +325,6 @@
         });
     }
 
-    fn register(&mut self) {
-        let platform = self.parts.platform.clone();
-        let (process, host) = (self.parts.process.clone(), self.parts.host.clone());
-        self.calls.spawn(async move {
-            Event::Registered(listing::register(&platform, &process, &host).await)
-        });
-    }
-
-    fn list(&mut self, now: Duration) {
-        let peers = self.view.peers().len() as u32;
-        let is_alone = peers == 0;
-        self.next_list = now + (LIST_INTERVAL_PER_HOST * peers).max(LIST_SOON);
-        if !is_alone && !self.view.is_poller() {
-            return;
-        }
-        if self.view.is_poller() {
-            self.keep_up();
-        }
-        let platform = self.parts.platform.clone();
-        self.calls
-            .spawn(async move { Event::Listed(listing::read(&platform).await) });
-    }
-
-    /// Reads what [`Self::tidy`] needs.
-    fn keep_up(&mut self) {
-        let platform = self.parts.platform.clone();
-        self.calls.spawn(async move {
-            let rows = async {
-                let pointer = platform.get(SNAPSHOT_KEY).await?;
-                let oldest = platform.scan(LOG_PREFIX, "", TRIM_ROWS).await?;
-                Ok((pointer, oldest))
-            };
-            Event::Upkeep(rows.await)
-        });
-    }
-
-    /// Writes a snapshot when the last one is old, and removes log rows that it covers.
-    fn tidy(&mut self, pointer: Option<&Row>, oldest: &[Row]) {
-        let transactions = [self.log.snapshot(pointer), self.log.trim(pointer, oldest)];
-        for transaction in transactions.into_iter().flatten() {
-            let platform = self.parts.platform.clone();
-            // Another poller may be faster; the next round finds out.
-            self.calls.spawn(async move {
-                let result = platform.commit(&transaction).await;
-                Event::Written(result.map(drop))
-            });
-        }
-    }
-
     fn probe(&mut self) {
         let ready = self.view.ready();
         let own = &self.parts.host.id;
@@ -403,81 +337,6 @@
         }
     }
 
-    /// Reads the rows that the decision on a proposal needs.
-    fn attempt(&mut self, attempt: Attempt) {
-        let platform = self.parts.platform.clone();
-        self.calls.spawn(async move {
-            let rows = platform.get_all(&attempt.proposal.keys()).await;
-            Event::Decide(Box::new(attempt), rows)
-        });
-    }
-
-    fn decide(&mut self, mut attempt: Attempt, rows: Result<Vec<Row>, Fault>) {
-        let rows = match rows {
-            Ok(rows) => rows,
-            Err(fault) => {
-                self.failed(fault);
-                return self.again(attempt);
-            }
-        };
-        match attempt.proposal.decide(&rows, &self.log) {
-            Err(refusal) => {
-                let _ = attempt.reply.send(Err(Denied::Refused(refusal)));
-            }
-            Ok(Step::Accepted(version)) => accepted(attempt, version),
-            Ok(Step::Commit(transaction)) => self.commit(attempt, transaction),
-            Ok(Step::CatchUp(version)) => {
-                let now = self.parts.clock.now();
-                let own = self.parts.host.id.clone();
-                // The newer version is in the store; the log asks for it.
-                self.log.observe(now, &own, version);
-                self.again(attempt);
-            }
-            Ok(Step::Reread) => self.again(attempt),
-        }
-    }
-
-    fn commit(&mut self, attempt: Attempt, transaction: Transaction) {
-        let platform = self.parts.platform.clone();
-        self.calls.spawn(async move {
-            let verdict = platform.commit(&transaction).await;
-            Event::Committed(Box::new(attempt), verdict)
-        });
-    }
-
-    fn committed(&mut self, mut attempt: Attempt, verdict: Result<Verdict, Fault>) {
-        let verdict = match verdict {
-            Ok(verdict) => verdict,
-            Err(fault) => {
-                self.failed(fault);
-                return self.again(attempt);
-            }
-        };
-        match attempt.proposal.settle(&verdict) {
-            Ok(Some(version)) => accepted(attempt, version),
-            Ok(None) => self.again(attempt),
-            Err(refusal) => {
-                let _ = attempt.reply.send(Err(Denied::Refused(refusal)));
-            }
-        }
-    }
-
-    /// Decides again after a pause.
-    fn again(&mut self, attempt: Attempt) {
-        if attempt.left == 0 {
-            let _ = attempt.reply.send(Err(Denied::Unanswered));
-            return;
-        }
-        let left = attempt.left - 1;
-        let attempt = Box::new(Attempt { left, ..attempt });
-        let platform = self.parts.platform.clone();
-        self.calls.spawn(async move {
-            tokio::time::sleep(PROPOSAL_PAUSE).await;
-            let rows = platform.get_all(&attempt.proposal.keys()).await;
-            Event::Decide(attempt, rows)
-        });
-    }
-
     /// Shows the request path what changed.
     fn publish(&mut self) {
         let now = self.parts.clock.now();
@@ -510,9 +369,3 @@
         });
     }
 }
-
-fn accepted(attempt: Attempt, version: Version) {
-    let author = &attempt.proposal.submission().author;
-    log::info!(version, author:%; "configuration accepted");
-    let _ = attempt.reply.send(Ok(version));
-}
--- /dev/null
+++ b/crates/router/src/control/upkeep.rs
@@ -0,0 +1,70 @@
+//! Rows that the task keeps up in the table service: its own, the list of hosts, snapshots.
+
+use {
+    super::{
+        listing,
+        task::{Event, Task},
+    },
+    marigoldroute_core::{
+        config::{LOG_PREFIX, SNAPSHOT_KEY, TRIM_ROWS},
+        table::Row,
+    },
+    std::time::Duration,
+};
+
+/// Time between two reads of the platform's list while no other host is known.
+const LIST_SOON: Duration = Duration::from_secs(1);
+/// Time between two reads of the list by a poller, for each host on it. A read costs one row per
+/// host; with 12 pollers this keeps the list at 80 rows a second whatever the size of the fleet.
+const LIST_INTERVAL_PER_HOST: Duration = Duration::from_millis(150);
+
+impl Task {
+    pub(super) fn register(&mut self) {
+        let platform = self.parts.platform.clone();
+        let (process, host) = (self.parts.process.clone(), self.parts.host.clone());
+        self.calls.spawn(async move {
+            Event::Registered(listing::register(&platform, &process, &host).await)
+        });
+    }
+
+    pub(super) fn list(&mut self, now: Duration) {
+        let peers = self.view.peers().len() as u32;
+        let is_alone = peers == 0;
+        self.next_list = now + (LIST_INTERVAL_PER_HOST * peers).max(LIST_SOON);
+        if !is_alone && !self.view.is_poller() {
+            return;
+        }
+        if self.view.is_poller() {
+            self.keep_up();
+        }
+        let platform = self.parts.platform.clone();
+        self.calls
+            .spawn(async move { Event::Listed(listing::read(&platform).await) });
+    }
+
+    /// Reads what [`Self::tidy`] needs.
+    pub(super) fn keep_up(&mut self) {
+        let platform = self.parts.platform.clone();
+        self.calls.spawn(async move {
+            let rows = async {
+                let pointer = platform.get(SNAPSHOT_KEY).await?;
+                let oldest = platform.scan(LOG_PREFIX, "", TRIM_ROWS).await?;
+                Ok((pointer, oldest))
+            };
+            Event::Upkeep(rows.await)
+        });
+    }
+
+    /// Writes a snapshot when the last one is old, and removes log rows that it covers.
+    pub(super) fn tidy(&mut self, pointer: Option<&Row>, oldest: &[Row]) {
+        let transactions = [self.log.snapshot(pointer), self.log.trim(pointer, oldest)];
+        for transaction in transactions.into_iter().flatten() {
+            let platform = self.parts.platform.clone();
+            // Another poller may be faster; the next round finds out.
+            self.calls.spawn(async move {
+                let result = platform.commit(&transaction).await;
+                Event::Written(result.map(drop))
+            });
+        }
+    }
+}
--- a/crates/router/src/escrow/mod.rs
+++ b/crates/router/src/escrow/mod.rs
@@ -5,6 +5,7 @@
 mod holders;
 mod resolve;
 mod review;
+mod store;
 mod work;
 
 use {
--- a/crates/router/src/escrow/work.rs
+++ b/crates/router/src/escrow/work.rs
@@ -6,6 +6,7 @@
         holders::{Generation, Holders},
         resolve::{Purpose, resolve},
         review::Reviews,
+        store::{Call, Event, advance, commit, read},
     },
     crate::{
         clock::Clock, control::Control, logs::TOKENS, metrics::Metrics, peer::Links,
@@ -14,14 +15,13 @@
     marigoldroute_core::{
         budget::{Holder, Phase, Record, Settings as Sizes, Shortage},
         id::{HolderId, RequestId},
-        table::{Row, Transaction, Verdict},
+        table::{Row, Verdict},
         wire::Billing,
     },
     marigoldroute_platform::{Client, Fault},
     std::{
         collections::{HashMap, VecDeque},
         future::Future,
-        pin::Pin,
         sync::Arc,
         time::Duration,
     },
@@ -99,14 +99,6 @@
     reply: oneshot::Sender<Reserved>,
 }
 
-enum Event {
-    Rows(Generation, Vec<Row>),
-    Verdict(Generation, Verdict),
-    Failed(Fault),
-}
-
-type Call = Pin<Box<dyn Future<Output = Event> + Send>>;
-
 struct Worker {
     parts: Parts,
     holders: Holders,
@@ -404,31 +396,7 @@
     }
 }
 
-/// Completes the call in progress; pends for ever when there is none.
-async fn advance(call: &mut Option<Call>) -> Event {
-    let Some(future) = call.as_mut() else {
-        return std::future::pending().await;
-    };
-    let event = future.await;
-    *call = None;
-    event
-}
-
 /// Returns whether only the last row of a holder's journal is missing.
 fn can_close(holder: &Holder) -> bool {
     holder.phase() != Phase::Open && holder.reserved() == 0
 }
-
-async fn read(platform: Client, generation: Generation, keys: Vec<String>) -> Event {
-    match platform.get_all(&keys).await {
-        Ok(rows) => Event::Rows(generation, rows),
-        Err(fault) => Event::Failed(fault),
-    }
-}
-
-async fn commit(platform: Client, generation: Generation, transaction: Transaction) -> Event {
-    match platform.commit(&transaction).await {
-        Ok(verdict) => Event::Verdict(generation, verdict),
-        Err(fault) => Event::Failed(fault),
-    }
-}
