Serve both stand-ins through one function

Cause: the stand-ins of platform and upstreams bound and served in the same eleven lines each.

Change: marigoldroute_platform::serve does it for both.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,6 @@
 
 pub use {
     client::{Client, Fault},
-    listen::listen,
+    listen::{listen, serve},
     stand_in::{Counters, Order, StandIn},
 };
--- a/crates/platform/src/listen.rs
+++ b/crates/platform/src/listen.rs
@@ -2,7 +2,7 @@
 
 use {
     anyhow::Context,
-    poem::listener::TcpAcceptor,
+    poem::{Endpoint, Server, listener::TcpAcceptor},
     std::net::SocketAddr,
     tokio::net::{TcpListener, TcpSocket},
 };
@@ -23,6 +23,26 @@
     Ok((TcpAcceptor::from_tokio(listener)?, bound))
 }
 
+/// Binds an address and serves `routes` until the returned future is dropped; also returns the
+/// bound address. `name` is for the log.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub fn serve(
+    name: &'static str,
+    address: SocketAddr,
+    routes: impl Endpoint + 'static,
+) -> anyhow::Result<(SocketAddr, impl Future<Output = ()> + Send)> {
+    let (acceptor, address) = listen(address)?;
+    let server = Server::new_with_acceptor(acceptor);
+    let serve = async move {
+        if let Err(error) = server.run(routes).await {
+            log::error!("{name} stopped: {error}");
+        }
+    };
+    Ok((address, serve))
+}
+
 fn open(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
--- a/crates/platform/src/stand_in.rs
+++ b/crates/platform/src/stand_in.rs
@@ -1,10 +1,10 @@
 //! Stand-in server of the table service and the object store, held in memory.
 
 use {
-    crate::listen::listen,
+    crate::listen::serve,
     marigoldroute_core::table::{Memory, Row, Transaction, Verdict},
     poem::{
-        Body, EndpointExt, IntoResponse, Response, Route, Server, get, handler,
+        Body, EndpointExt, IntoResponse, Response, Route, get, handler,
         http::StatusCode,
         post,
         web::{Data, Json, Path, Query},
@@ -77,15 +77,7 @@
         &self,
         address: SocketAddr,
     ) -> anyhow::Result<(SocketAddr, impl Future<Output = ()> + Send + use<>)> {
-        let (acceptor, address) = listen(address)?;
-        let server = Server::new_with_acceptor(acceptor);
-        let routes = self.routes();
-        let serve = async move {
-            if let Err(error) = server.run(routes).await {
-                log::error!("platform stand-in stopped: {error}");
-            }
-        };
-        Ok((address, serve))
+        serve("platform stand-in", address, self.routes())
     }
 
     fn routes(&self) -> impl poem::Endpoint + use<> {
--- a/crates/upstream/src/server.rs
+++ b/crates/upstream/src/server.rs
@@ -7,9 +7,9 @@
         record::{Book, Record},
         service,
     },
-    marigoldroute_platform::listen,
+    marigoldroute_platform::serve,
     poem::{
-        EndpointExt, Route, Server, get, handler,
+        EndpointExt, Route, get, handler,
         http::StatusCode,
         post,
         web::{Data, Json, Path},
@@ -83,15 +83,7 @@
         &self,
         address: SocketAddr,
     ) -> anyhow::Result<(SocketAddr, impl Future<Output = ()> + Send + use<>)> {
-        let (acceptor, address) = listen(address)?;
-        let server = Server::new_with_acceptor(acceptor);
-        let routes = self.routes();
-        let serve = async move {
-            if let Err(error) = server.run(routes).await {
-                log::error!("upstream stand-in stopped: {error}");
-            }
-        };
-        Ok((address, serve))
+        serve("upstream stand-in", address, self.routes())
     }
 
     fn routes(&self) -> impl poem::Endpoint + use<> {
