Wake every request that waits for a place; drop a wrapper

Cause: a place that came free at an upstream woke one waiting request, which could be one for another model; the right one then waited until its limit of 2 s. A place that came free between the choice and the wait was missed too.

Change: all waiting requests look again, and listen from before the choice. The ledger calls the budget slice directly.

No test provokes the lost wake-up.

--- a/crates/core/src/bill/cursor.rs
+++ b/crates/core/src/bill/cursor.rs
@@ -1,12 +1,9 @@
 //! The ledger's position in the journal of a holder.
 
 use {
-    super::{
-        Bill,
-        escrow::{bills, journal_key},
-    },
+    super::Bill,
     crate::{
-        budget::Journal,
+        budget::{Journal, journal::key as journal_key},
         fault::{Fault, Kind},
         id::{HolderId, Sequence, Version},
         table::Row,
@@ -151,7 +148,7 @@
     pub(super) fn bills(&self, first: Sequence, last: Sequence) -> impl Iterator<Item = &Bill> {
         let rows = self.rows.iter();
         rows.filter(move |(sequence, _)| (first..=last).contains(sequence))
-            .flat_map(|(_, journal)| bills(&journal.entry))
+            .flat_map(|(_, journal)| journal.entry.bills())
     }
 }
 
--- a/crates/core/src/bill/ledger.rs
+++ b/crates/core/src/bill/ledger.rs
@@ -4,14 +4,13 @@
     super::{
         Bill,
         cursor::{self, Batch, Cursor, Page},
-        escrow::{self, account_key, journal_key},
         lease::Lease,
         segment::{Object, Segment},
         stamp,
         window::{self, Slot, Window, fingerprint},
     },
     crate::{
-        budget::Account,
+        budget::{Account, account::key as account_key, journal::key as journal_key},
         fault::{Fault, Kind},
         id::{BudgetId, HolderId, Sequence, Tokens},
         table::{Condition, Row, Transaction, Verdict},
@@ -309,7 +308,7 @@
         let next = page.cursor.next;
         let rows = page.rows.iter().filter(|(sequence, _)| *sequence >= next);
         for (sequence, journal) in rows.take(self.settings.rows) {
-            bills += escrow::bills(&journal.entry).len();
+            bills += journal.entry.bills().len();
             if bills > self.settings.bills && last >= next {
                 break;
             }
@@ -395,7 +394,8 @@
         let row = row.ok_or_else(|| fault("not read"))?;
         let mut account: Account =
             serde_json::from_str(&row.value).map_err(|_| fault("not a budget"))?;
-        escrow::restore(&mut account, tokens)
+        account
+            .restore(tokens)
             .ok_or_else(|| fault("fewer tokens allocated than returned"))?;
         transaction.require(key.as_str(), row.version);
         transaction.put(key, serde_json::to_string(&account).unwrap_or_default());
--- a/crates/core/src/bill/mod.rs
+++ b/crates/core/src/bill/mod.rs
@@ -6,7 +6,6 @@
 //! bills that a lost holder or entry left behind.
 
 mod cursor;
-mod escrow;
 mod lease;
 mod ledger;
 mod read;
@@ -20,7 +19,6 @@
 
 pub use {
     cursor::{Batch, Cursor, Page, key},
-    escrow::bills,
     lease::Lease,
     ledger::{Decided, Ledger, Settings},
     read::{Position, Spend, Total, page},
--- a/crates/core/src/bill/recover.rs
+++ b/crates/core/src/bill/recover.rs
@@ -1,7 +1,7 @@
 //! Bills that a lost holder or entry did not write.
 
 use {
-    super::{Bill, escrow::bills},
+    super::Bill,
     crate::{
         budget::Journal,
         id::{BudgetId, ModelId, RequestId, Tokens, UpstreamId, WorkspaceId},
@@ -71,7 +71,7 @@
     records: &[Record],
 ) -> Vec<Bill> {
     let journal = journal.into_iter();
-    let known = journal.flat_map(|row| bills(&row.entry));
+    let known = journal.flat_map(|row| row.entry.bills());
     let known: HashSet<_> = known.map(|bill| &bill.request).collect();
     let mut best: BTreeMap<&RequestId, &Record> = BTreeMap::new();
     let records = records
--- a/crates/router/src/caller/job.rs
+++ b/crates/router/src/caller/job.rs
@@ -18,6 +18,7 @@
     poem::http::{HeaderMap, Method},
     reqwest::{Response, StatusCode},
     std::{sync::Arc, time::Duration},
+    tokio::time::timeout,
 };
 
 /// Header of a refusal by an upstream that takes no more work.
@@ -174,17 +175,17 @@
         let context = &self.context;
         let end = context.clock.now() + ROOM_TIME;
         loop {
+            // Taken before the choice, so that a place that comes free meanwhile is not missed.
+            let freed = context.dispatch.freed();
             if let Some(chosen) = self.choose(tried, attempt) {
                 return Some(chosen);
             }
-            let left = end.checked_sub(context.clock.now())?;
             let scene = context.control.scene();
-            let room = context
-                .dispatch
-                .wait_for_room(&scene, &self.model, tried, left);
-            if !room.await {
+            if !context.dispatch.could_serve(&scene, &self.model, tried) {
                 return None;
             }
+            let left = end.checked_sub(context.clock.now())?;
+            timeout(left, freed).await.ok()?;
         }
     }
 
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -15,7 +15,7 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    tokio::{sync::Notify, time::timeout},
+    tokio::sync::{Notify, futures::Notified},
 };
 
 /// What a request needs.
@@ -131,25 +131,17 @@
         })
     }
 
-    /// Waits until a place comes free at an upstream that could serve a request.
-    ///
-    /// Returns `false` at once when no upstream is merely at its limit, and after `limit`.
-    pub(crate) async fn wait_for_room(
-        &self,
-        scene: &Scene,
-        target: &str,
-        tried: &[UpstreamId],
-        limit: Duration,
-    ) -> bool {
-        let freed = self.room.notified();
-        let is_full = {
-            let state = self.lock();
-            let mut candidates = scene.catalog.candidates(target);
-            candidates.any(|(id, _)| {
-                scene.is_up(id) && !tried.contains(id) && state.limits.contains_key(id)
-            })
-        };
-        is_full && timeout(limit, freed).await.is_ok()
+    /// Returns a future that ends when a place comes free at any upstream after this call.
+    pub(crate) fn freed(&self) -> Notified<'_> {
+        self.room.notified()
+    }
+
+    /// Returns whether an upstream is up that could serve a request, with or without room.
+    pub(crate) fn could_serve(&self, scene: &Scene, target: &str, tried: &[UpstreamId]) -> bool {
+        let state = self.lock();
+        let mut candidates = scene.catalog.candidates(target);
+        candidates
+            .any(|(id, _)| scene.is_up(id) && !tried.contains(id) && state.limits.contains_key(id))
     }
 
     /// Counts a first attempt.
@@ -265,7 +257,8 @@
         }
         state.policy.report(now, &mut self.ticket, progress);
         drop(state);
-        self.dispatch.room.notify_one();
+        // Every waiter looks again: the place may be of no use to the one that waits longest.
+        self.dispatch.room.notify_waiters();
     }
 }
 
