--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -188,11 +188,17 @@
         unread
     }
 
+    /// Reads a cursor and the rows that follow it. The ledger deletes rows with the transaction
+    /// that moves the cursor, so the rows only belong to a cursor that is the same after the scan.
     async fn page(&self, holder: &str) -> Page {
-        let cursor = self.client.get(&key(holder)).await.unwrap();
-        let (prefix, after) = Page::range(holder, &Page::cursor(cursor.as_ref()).unwrap());
-        let rows = self.client.scan(&prefix, &after, 1_000).await.unwrap();
-        Page::decode(holder.into(), cursor.as_ref(), &rows).unwrap()
+        loop {
+            let cursor = self.client.get(&key(holder)).await.unwrap();
+            let (prefix, after) = Page::range(holder, &Page::cursor(cursor.as_ref()).unwrap());
+            let rows = self.client.scan(&prefix, &after, 1_000).await.unwrap();
+            if self.client.get(&key(holder)).await.unwrap() == cursor {
+                return Page::decode(holder.into(), cursor.as_ref(), &rows).unwrap();
+            }
+        }
     }
 
     async fn journals(&self) -> Vec<Row> {
