Move attempts of the claim registry to a module of their own

Change: Attempt, Batch and Clock are in claim/attempt.rs; the question to the upstreams is a function of its own. No behaviour changes.

--- a/crates/core/src/claim/decision.rs
+++ b/crates/core/src/claim/decision.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
+        attempt::Waiting,
         held::{Held, Unsent},
-        registry::Waiting,
         row::{Body, Recorded},
     },
     crate::{
--- a/crates/core/src/claim/held.rs
+++ b/crates/core/src/claim/held.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
+        attempt::Clock,
         backlog::{Action, Task},
-        registry::Clock,
         row::Recorded,
     },
     crate::id::RequestId,
--- a/crates/core/src/claim/mod.rs
+++ b/crates/core/src/claim/mod.rs
@@ -9,6 +9,7 @@
 //! bounded. Finished claims live in the store only: at 3,200 requests per second a retention of
 //! 24 h would be 276 million entries.
 
+mod attempt;
 mod backlog;
 mod decision;
 mod held;
@@ -20,10 +21,11 @@
 mod tests;
 
 pub use {
+    attempt::{Attempt, Batch, Clock},
     backlog::{Action, Backlog, Task},
     decision::{Capability, Decision, Finding, Presence, Query},
     held::{Held, Sent, Unsent},
-    registry::{Attempt, Batch, Clock, Registry, Settings},
+    registry::{Registry, Settings},
     row::{Body, Claim, Recorded, State, digest, key},
     sweep::{Sweep, sweep},
 };
--- a/crates/core/src/claim/registry.rs
+++ b/crates/core/src/claim/registry.rs
@@ -2,19 +2,19 @@
 
 use {
     super::{
+        attempt::{Attempt, Batch, Clock, Waiting},
         backlog::{Action, Backlog, Task},
         decision::{Capability, Decision, Finding, Presence, Query},
         held::Held,
-        row::{self, Body, Claim, Recorded, State},
+        row::{Body, Claim, Recorded, State},
     },
     crate::{
         fault::{Fault, Kind},
-        id::{HolderId, RequestId, Version, WorkspaceId},
+        id::{HolderId, RequestId, Version},
         table::{Row, Transaction, Verdict},
     },
     std::{
         collections::{HashSet, VecDeque},
-        sync::Arc,
         time::Duration,
     },
 };
@@ -60,77 +60,6 @@
     }
 }
 
-/// A reading of both clocks.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Clock {
-    /// Time since the process's clock origin.
-    pub now: Duration,
-    /// Time since the Unix epoch, comparable between hosts.
-    pub wall: Duration,
-}
-
-/// A request that asks for its key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Attempt {
-    /// The workspace that asks; keys of different workspaces are independent.
-    pub workspace: WorkspaceId,
-    /// Value of the `Idempotency-Key` field.
-    pub key: Arc<str>,
-    /// Hash of method, path and body, see [`super::digest`].
-    pub body: Arc<str>,
-    /// Unique per attempt, also among retries with the same key.
-    pub request: RequestId,
-    /// What the upstreams of the service can say.
-    pub capability: Capability,
-}
-
-/// An attempt whose decision is open.
-#[derive(Debug)]
-pub(super) struct Waiting {
-    key: Arc<str>,
-    claim: Claim,
-    capability: Capability,
-    /// Time of the first submission to the store.
-    since: Clock,
-    /// The row version to replace; 0 creates the row.
-    expected: Version,
-    tries: u8,
-    /// Submitted in a transaction of its own after a conflict in a group.
-    alone: bool,
-    /// An earlier transaction of this attempt may still be on its way to the store.
-    is_lost: bool,
-}
-
-impl Waiting {
-    pub(super) fn request(&self) -> &RequestId {
-        &self.claim.request
-    }
-
-    /// Only the first submission counts: a row that it left must not look older than the claim.
-    fn stamp(&mut self, clock: Clock) {
-        if self.tries == 0 {
-            self.since = clock;
-            self.claim.created = clock.wall.as_secs();
-        }
-        self.tries += 1;
-    }
-}
-
-/// Attempts that are in one transaction.
-#[derive(Debug)]
-pub struct Batch {
-    /// The transaction to commit.
-    pub transaction: Transaction,
-    members: Vec<Waiting>,
-}
-
-impl Batch {
-    /// Returns the keys to read when the reply was lost.
-    pub fn keys(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.members.iter().map(|member| &member.key)
-    }
-}
-
 /// The claims of one process.
 #[derive(Debug)]
 pub struct Registry {
@@ -171,22 +100,8 @@
             let message = "too many claims wait for the store";
             return Err(Fault::new(Kind::ClaimUnavailable, message));
         }
-        self.queue.push_back(Waiting {
-            key: row::key(&attempt.workspace, &attempt.key),
-            claim: Claim {
-                author: self.author.clone(),
-                request: attempt.request,
-                body: attempt.body,
-                created: 0,
-                state: State::Running,
-            },
-            capability: attempt.capability,
-            since: Clock::default(),
-            expected: 0,
-            tries: 0,
-            alone: false,
-            is_lost: false,
-        });
+        let waiting = Waiting::new(self.author.clone(), attempt);
+        self.queue.push_back(waiting);
         Ok(())
     }
 
@@ -257,8 +172,12 @@
         presence: &dyn Fn(&HolderId) -> Presence,
     ) -> Decisions {
         let rows: Vec<_> = batch.keys().map(|key| read(key)).collect();
-        let members = batch.members.iter().zip(&rows);
-        if members.into_iter().any(|(member, row)| is_own(member, row)) {
+        let mut members = batch.members.iter().zip(&rows);
+        let is_own = |(member, row): (&Waiting, &Option<Option<Row>>)| {
+            let row = row.as_ref().and_then(Option::as_ref);
+            row.is_some_and(|row| member.owns(row))
+        };
+        if members.any(is_own) {
             // The transaction is atomic: one own row proves them all.
             return self.grant(batch.members);
         }
@@ -359,19 +278,29 @@
         if is_given_up {
             return self.repeat(clock.now, member, row.version);
         }
-        let retry_after = self.settings.retry_after;
         if is_open {
+            let retry_after = self.settings.retry_after;
             return Some(self.conclude(clock.now, &member, Decision::Busy { retry_after }));
         }
+        Some(self.ask(clock.now, member, claim.request, row.version))
+    }
+
+    /// Asks the upstreams for a request whose author is lost, where they can say.
+    fn ask(
+        &mut self,
+        now: Duration,
+        member: Waiting,
+        request: RequestId,
+        expected: Version,
+    ) -> Decision {
         if member.capability == Capability::None {
-            return Some(self.conclude(clock.now, &member, Decision::Unresolved));
+            return self.conclude(now, &member, Decision::Unresolved);
         }
-        let expected = row.version;
-        Some(Decision::Query(Box::new(Query {
-            request: claim.request,
+        Decision::Query(Box::new(Query {
+            request,
             fence: member.capability == Capability::Fence,
             waiting: Waiting { expected, ..member },
-        })))
+        }))
     }
 
     /// Returns an attempt to the queue, to be submitted alone, or refuses it after too many.
@@ -401,10 +330,3 @@
         decision
     }
 }
-
-fn is_own(member: &Waiting, row: &Option<Option<Row>>) -> bool {
-    let Some(Some(row)) = row else {
-        return false;
-    };
-    Claim::decode(row).is_ok_and(|claim| claim == member.claim)
-}
