Spread holders over availability zones

Cause: The holders of a budget were the first hosts in rendezvous order, regardless of availability zone, and an entry only avoided its own host. When entry and holder of a request were lost together with their zone, the bill of a finished request was lost.

Change: `fleet::spread` takes the first host of each availability zone in rank order, then the second of each; one host that comes or goes replaces at most one holder. Entries, and settlements whose holder does not answer, prefer a holder in another zone, then one on another host. The tree's `holders_per_region` now also counts when settlements are given to another holder and when holders are asked to return tokens.

With holders regardless of zone, both new tests fail: fewer requests are billed than were executed.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -23,7 +23,7 @@
     health::{Observation, Status},
     mark::{Applied, Evidence, Fact, Gossip, HostMark, Kind, Mark, Phase, Report, Suspicion},
     member::Member,
-    rank::{Weighted, rank},
+    rank::{Weighted, Zoned, rank, spread},
     roster::{Host, Listed, Listing, Progress},
     view::{Settings, View},
 };
--- a/crates/core/src/fleet/rank.rs
+++ b/crates/core/src/fleet/rank.rs
@@ -1,6 +1,9 @@
 //! Rendezvous hashing.
 
-use {crate::id::HostId, xxhash_rust::xxh3::xxh3_64_with_seed};
+use {
+    crate::id::{HostId, Zone},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
 
 /// A host with its share of the keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,18 +14,85 @@
     pub weight: u32,
 }
 
+/// A host with its share of the keys and its availability zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Zoned {
+    /// Host and share.
+    pub weighted: Weighted,
+    /// Availability zone.
+    pub zone: Zone,
+}
+
 /// Returns the hosts for a key, best first.
 ///
 /// Each host is first for a share of the keys that is proportional to its weight. When a host
 /// comes or goes, only the keys that it is first for move.
 pub fn rank<'a>(key: &str, hosts: impl IntoIterator<Item = &'a Weighted>) -> Vec<&'a HostId> {
-    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
     let weighted = hosts.into_iter().filter(|host| host.weight > 0);
-    let mut scored: Vec<_> = weighted
-        .map(|host| (score(seed, host), &host.host))
+    let seed = seed(key);
+    let scored = weighted.map(|host| (score(seed, host), host));
+    sorted(scored.collect())
+        .into_iter()
+        .map(|(_, host)| &host.host)
+        .collect()
+}
+
+/// Returns the hosts for a key, spread over availability zones.
+///
+/// The best ranked host of each zone comes first, then the second of each, and so on; within such
+/// a round the order is that of [`rank`]. When a host comes or goes, at most one other host enters
+/// or leaves the first `n`, for every `n`.
+pub fn spread<'a>(key: &str, hosts: impl IntoIterator<Item = &'a Zoned>) -> Vec<&'a Zoned> {
+    let weighted = hosts.into_iter().filter(|host| host.weighted.weight > 0);
+    let seed = seed(key);
+    let scored = weighted.map(|host| (score(seed, &host.weighted), host));
+    let mut seen: Vec<(&Zone, usize)> = Vec::new();
+    let ranked = sorted(scored.collect()).into_iter().map(|(_, host)| host);
+    let mut rounds: Vec<_> = ranked
+        .map(|host| (round(&mut seen, &host.zone), host))
         .collect();
-    scored.sort_by(|(a, left), (b, right)| b.total_cmp(a).then_with(|| left.cmp(right)));
-    scored.into_iter().map(|(_, host)| host).collect()
+    // The sort is stable, so it keeps the ranking within a round.
+    rounds.sort_by_key(|(round, _)| *round);
+    rounds.into_iter().map(|(_, host)| host).collect()
+}
+
+/// Returns how many hosts of a zone came before, and counts one more. A region has few zones, so a
+/// list is faster than a map.
+fn round<'a>(seen: &mut Vec<(&'a Zone, usize)>, zone: &'a Zone) -> usize {
+    if let Some((_, count)) = seen.iter_mut().find(|(known, _)| *known == zone) {
+        *count += 1;
+        return *count;
+    }
+    seen.push((zone, 0));
+    0
+}
+
+fn sorted<T: Named>(mut scored: Vec<(f64, T)>) -> Vec<(f64, T)> {
+    scored.sort_by(|(a, left), (b, right)| {
+        b.total_cmp(a).then_with(|| left.name().cmp(right.name()))
+    });
+    scored
+}
+
+/// A host by name, which decides between equal scores.
+trait Named {
+    fn name(&self) -> &HostId;
+}
+
+impl Named for &Weighted {
+    fn name(&self) -> &HostId {
+        &self.host
+    }
+}
+
+impl Named for &Zoned {
+    fn name(&self) -> &HostId {
+        &self.weighted.host
+    }
+}
+
+fn seed(key: &str) -> u64 {
+    xxh3_64_with_seed(key.as_bytes(), 0)
 }
 
 fn score(seed: u64, host: &Weighted) -> f64 {
--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -3,11 +3,15 @@
 use {
     super::{
         Evidence, Fact, Gossip, Host, HostMark, Kind, Listing, Observation, Phase, Report,
-        Settings, Status, Suspicion, View, Weighted, rank,
+        Settings, Status, Suspicion, View, Weighted, Zoned, rank, spread,
     },
     crate::id::{HostId, UpstreamId},
+    proptest::prelude::*,
     rand::{SeedableRng, rngs::SmallRng},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
 };
 
 const START: Duration = Duration::from_secs(100);
@@ -222,7 +226,7 @@
         }
     }
     receive(&mut view, START, [mark("a", 1, 1, Phase::Ready)]);
-    let mut reported = std::collections::BTreeSet::new();
+    let mut reported = BTreeSet::new();
     for tick in 0..100 {
         let now = START + Duration::from_millis(200) * tick;
         for (_, gossip) in view.tick(now, &mut random()) {
@@ -300,3 +304,68 @@
         }
     }
 }
+
+/// Hosts in up to six availability zones, with weights.
+fn zoned() -> impl Strategy<Value = Vec<Zoned>> {
+    let host = (0_u8..6, 1_u32..5);
+    prop::collection::vec(host, 2..30).prop_map(|hosts| {
+        let hosts = hosts.into_iter().enumerate();
+        let zoned = |(number, (zone, weight))| Zoned {
+            weighted: Weighted {
+                host: format!("h{number}").into(),
+                weight,
+            },
+            zone: format!("z{zone}").into(),
+        };
+        hosts.map(zoned).collect()
+    })
+}
+
+fn spread_names(key: &str, hosts: &[Zoned], count: usize) -> BTreeSet<HostId> {
+    let spread = spread(key, hosts).into_iter().take(count);
+    spread.map(|host| host.weighted.host.clone()).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x6d_6172_6990_0001),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against holders that share an availability zone although there is a free one, and
+    /// against hosts that are left out or named twice.
+    #[test]
+    fn spread_covers_zones(hosts in zoned(), key in 0_u32..1_000, count in 1_usize..8) {
+        let key = format!("key{key}");
+        let spread = spread(&key, &hosts);
+        prop_assert_eq!(spread_names(&key, &hosts, hosts.len()).len(), hosts.len());
+        let zones: BTreeSet<_> = hosts.iter().map(|host| &host.zone).collect();
+        let taken: BTreeSet<_> = spread.iter().take(count).map(|host| &host.zone).collect();
+        prop_assert_eq!(taken.len(), count.min(zones.len()));
+        let weighted: Vec<_> = hosts.iter().map(|host| host.weighted.clone()).collect();
+        prop_assert_eq!(&spread[0].weighted.host, rank(&key, &weighted)[0]);
+    }
+
+    /// Guards against tokens that change holders for no reason: one host that leaves, or joins, may
+    /// replace at most one of the holders.
+    #[test]
+    fn spread_is_stable(
+        hosts in zoned(),
+        gone in any::<prop::sample::Index>(),
+        key in 0_u32..1_000,
+        count in 1_usize..8,
+    ) {
+        let key = format!("key{key}");
+        let before = spread_names(&key, &hosts, count);
+        let mut left = hosts.clone();
+        let gone = left.remove(gone.index(hosts.len())).weighted.host;
+        let after = spread_names(&key, &left, count);
+        let lost: Vec<_> = before.difference(&after).collect();
+        prop_assert!(lost.len() <= 1, "{gone} left, {lost:?} replaced");
+        prop_assert_eq!(after.len(), count.min(left.len()));
+        // A host that was no holder must not change who is one.
+        prop_assert!(before.contains(&gone) || lost.is_empty());
+    }
+}
--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -12,7 +12,7 @@
     marigoldroute_core::{
         budget::Usage,
         fault::{Fault, Kind},
-        id::{BudgetId, HostId, Region, RequestId, Tokens},
+        id::{BudgetId, HostId, Region, RequestId, Tokens, Zone},
         wire::{self, Body, Lower, Release, Reply, Reserve, Settle, Settled},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -32,6 +32,7 @@
 pub(crate) struct Charger {
     own: HostId,
     region: Region,
+    zone: Zone,
     per_region: usize,
     /// Bound on a reservation at another host, which may wait for a refill.
     reserve_limit: Duration,
@@ -80,6 +81,7 @@
         Self {
             own: settings.host.clone(),
             region: settings.region.clone(),
+            zone: settings.zone.clone(),
             per_region: settings.holders_per_region,
             reserve_limit: settings.reserve_timeout + settings.peer_timeout,
             escrow,
@@ -167,14 +169,13 @@
 
     /// Returns the holders of a budget in the order in which they are asked.
     ///
-    /// Within the own region this host comes last: when entry and holder are on different hosts,
-    /// the loss of one of them loses no bill. Hosts that rank just below the holders follow as
-    /// spares: they were holders before others joined and may still have tokens, while a new
-    /// holder has none until it reaches the store.
+    /// Holders in other availability zones come first, then those on other hosts, then this host:
+    /// when entry and holder are not lost together, no bill is lost. Hosts that rank just below
+    /// the holders follow as spares: they were holders before others joined and may still have
+    /// tokens, while a new holder has none until it reaches the store.
     fn places(&self, budget: &str) -> Vec<(Role, Place)> {
         let scene = self.control.scene();
-        let count = scene.catalog.limits.holders;
-        let count = count.map_or(self.per_region, |count| count as usize);
+        let count = scene.holders_per_region(self.per_region);
         let holders = scene.holders(budget, &self.region, count + SPARE_HOLDERS);
         let mut places: Vec<_> = holders
             .into_iter()
@@ -188,11 +189,12 @@
                     true => Place::Here,
                     false => Place::Peer(holder.host.clone(), holder.address),
                 };
-                (role, place)
+                (role, holder.nearness(&self.own, &self.zone), place)
             })
             .collect();
-        places.sort_by_key(|(role, place)| (*role, matches!(place, Place::Here)));
-        places
+        places.sort_by_key(|(role, nearness, _)| (*role, *nearness));
+        let places = places.into_iter();
+        places.map(|(role, _, place)| (role, place)).collect()
     }
 
     /// Delivers a message until the holder acknowledges it.
--- a/crates/router/src/control/scene.rs
+++ b/crates/router/src/control/scene.rs
@@ -3,8 +3,8 @@
 use {
     marigoldroute_core::{
         config::{Catalog, Hold},
-        fleet::{Host, Member, Phase, Status, Weighted, rank},
-        id::{HolderId, HostId, Region, UpstreamId},
+        fleet::{Host, Member, Phase, Status, Weighted, Zoned, spread},
+        id::{HolderId, HostId, Region, UpstreamId, Zone},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -22,7 +22,7 @@
     /// Upstreams that get no new work although they are in service by configuration.
     pub(crate) out: BTreeMap<UpstreamId, Status>,
     /// Hosts that take work, by region.
-    regions: BTreeMap<Region, Vec<Weighted>>,
+    regions: BTreeMap<Region, Vec<Zoned>>,
     addresses: BTreeMap<HostId, SocketAddr>,
     /// Hosts that take work.
     pub(crate) hosts: Vec<HostId>,
@@ -35,6 +35,7 @@
 pub(crate) struct Holder<'a> {
     pub(crate) host: &'a HostId,
     pub(crate) address: SocketAddr,
+    pub(crate) zone: &'a Zone,
     /// Whether it is in the region that was asked for.
     pub(crate) is_near: bool,
     /// Position in its region, from 0.
@@ -46,6 +47,28 @@
     format!("{}.{:016x}", host.id, host.incarnation).into()
 }
 
+/// How much is lost together with a host: the smaller, the better for its bills.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Nearness {
+    /// In another availability zone.
+    OtherZone,
+    /// In the same availability zone.
+    OtherHost,
+    /// The host itself.
+    Same,
+}
+
+impl Holder<'_> {
+    /// Returns how near the holder is to a host of the region that was asked for.
+    pub(crate) fn nearness(&self, host: &HostId, zone: &Zone) -> Nearness {
+        match (self.host == host, self.is_near && self.zone == zone) {
+            (true, _) => Nearness::Same,
+            (false, true) => Nearness::OtherHost,
+            (false, false) => Nearness::OtherZone,
+        }
+    }
+}
+
 impl Scene {
     pub(super) fn new(
         catalog: Arc<Catalog>,
@@ -68,9 +91,13 @@
             if member.phase == Phase::Ready {
                 scene.hosts.push(host.id.clone());
                 let region = scene.regions.entry(host.region.clone()).or_default();
-                region.push(Weighted {
+                let weighted = Weighted {
                     host: host.id.clone(),
                     weight: host.weight,
+                };
+                region.push(Zoned {
+                    weighted,
+                    zone: host.zone.clone(),
                 });
             }
         }
@@ -88,16 +115,19 @@
             && self.processes == other.processes
     }
 
-    /// Returns the holders of a budget: the best ranked of `region`, then those of the others.
+    /// Returns the holders of a budget: those of `region`, then those of the others. Within a
+    /// region they are in different availability zones as far as there are any.
     pub(crate) fn holders(&self, budget: &str, region: &str, count: usize) -> Vec<Holder<'_>> {
         let own = self.regions.get_key_value(region).into_iter();
         let others = self.regions.iter().filter(|(name, _)| ***name != *region);
         let mut holders = Vec::new();
         for (name, hosts) in own.chain(others) {
-            for (rank, host) in rank(budget, hosts).into_iter().take(count).enumerate() {
+            for (rank, host) in spread(budget, hosts).into_iter().take(count).enumerate() {
+                let (host, zone) = (&host.weighted.host, &host.zone);
                 holders.extend(self.addresses.get(host).map(|address| Holder {
                     host,
                     address: *address,
+                    zone,
                     is_near: **name == *region,
                     rank,
                 }));
@@ -106,6 +136,12 @@
         holders
     }
 
+    /// Returns the hosts per region that hold a budget; `otherwise` when the tree sets none.
+    pub(crate) fn holders_per_region(&self, otherwise: usize) -> usize {
+        let count = self.catalog.limits.holders;
+        count.map_or(otherwise, |count| count as usize)
+    }
+
     /// Returns the address of a host that answers, also one that takes no new work.
     pub(crate) fn address(&self, host: &str) -> Option<SocketAddr> {
         self.addresses.get(host).copied()
--- a/crates/router/src/escrow/review.rs
+++ b/crates/router/src/escrow/review.rs
@@ -36,7 +36,8 @@
         self.next.insert(budget.clone(), now + PAUSE);
         while self.calls.try_join_next().is_some() {}
         let scene = self.control.scene();
-        for holder in scene.holders(budget, &self.region, self.holders_per_region) {
+        let count = scene.holders_per_region(self.holders_per_region);
+        for holder in scene.holders(budget, &self.region, count) {
             if *holder.host == self.own {
                 continue;
             }
--- a/crates/router/src/outbox.rs
+++ b/crates/router/src/outbox.rs
@@ -11,7 +11,7 @@
         peer::Links,
     },
     marigoldroute_core::{
-        id::{HostId, Region},
+        id::{HostId, Region, Zone},
         wire::{self, Billing, Body, Settle},
     },
     std::{
@@ -50,6 +50,7 @@
 pub(crate) struct Parts {
     pub(crate) own: HostId,
     pub(crate) region: Region,
+    pub(crate) zone: Zone,
     pub(crate) holders_per_region: usize,
     pub(crate) escrow: Escrow,
     pub(crate) links: Arc<Links>,
@@ -173,14 +174,16 @@
     /// Gives settlements whose holder does not answer to another one.
     fn reassign(&mut self) {
         let scene = self.parts.control.scene();
-        let count = self.parts.holders_per_region;
+        let count = scene.holders_per_region(self.parts.holders_per_region);
+        let (own, zone) = (&self.parts.own, &self.parts.zone);
         for item in self.items.values_mut() {
             if item.missed < MISSED_ROUNDS {
                 continue;
             }
             let holders = scene.holders(&item.settlement.budget, &self.parts.region, count);
-            let other = holders.iter().find(|holder| *holder.host != item.host);
-            let host = other.map_or(&self.parts.own, |holder| holder.host);
+            let others = holders.iter().filter(|holder| *holder.host != item.host);
+            let other = others.min_by_key(|holder| (!holder.is_near, holder.nearness(own, zone)));
+            let host = other.map_or(own, |holder| holder.host);
             log::warn!(
                 target: TOKENS,
                 attempt:% = item.settlement.attempt, lost:% = item.host, holder:% = host;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -179,6 +179,7 @@
     let outbox = outbox::Parts {
         own: settings.host.clone(),
         region: settings.region.clone(),
+        zone: settings.zone.clone(),
         holders_per_region: settings.holders_per_region,
         escrow: escrow.clone(),
         links: links.clone(),
--- a/crates/router/tests/fleet/process.rs
+++ b/crates/router/tests/fleet/process.rs
@@ -26,9 +26,15 @@
 impl Process {
     /// Starts a router and waits until it is ready.
     pub async fn start(outside: &Outside, number: usize) -> Self {
+        Self::start_in(outside, number, "zone-1").await
+    }
+
+    /// Starts a router in an availability zone and waits until it is ready.
+    pub async fn start_in(outside: &Outside, number: usize, zone: &str) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_marigoldroute"))
             .args(["--host", &format!("router-{number}")])
             .args(["--listen", "127.0.0.1:0", "--listen-peers", "127.0.0.1:0"])
+            .args(["--zone", zone])
             .args(["--platform", &outside.base])
             .args(["--fleet-key", "a-fleet-key-for-the-tests"])
             .args(["--flush-interval-ms", "200", "--ledger-interval-ms", "200"])
--- a/crates/router/tests/processes.rs
+++ b/crates/router/tests/processes.rs
@@ -8,7 +8,10 @@
 
 use {
     fleet::{Answer, Outside, complete, order, process::Process, until},
-    marigoldroute_core::fleet::{Weighted, rank},
+    marigoldroute_core::{
+        fleet::{Weighted, rank},
+        id::HostId,
+    },
     marigoldroute_platform::Order,
     nix::sys::signal::Signal,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
@@ -300,3 +303,107 @@
         assert_eq!(runs, 1, "order {request} ran {runs} times");
     }
 }
+
+/// Hosts per availability zone in the tests on the loss of a zone.
+const ZONE_HOSTS: usize = 2;
+
+/// Starts [`ZONE_HOSTS`] routers in each zone. Those that rank first for the budget share the
+/// first zone, so that a choice of holders regardless of zone takes both from it.
+async fn start_zones(outside: &Outside, zones: usize) -> Vec<Vec<Process>> {
+    let operator = outside.router(99).await;
+    let weighted = |number: usize| Weighted {
+        host: format!("router-{number}").into(),
+        weight: 1,
+    };
+    let hosts: Vec<_> = (0..zones * ZONE_HOSTS).map(weighted).collect();
+    let ranked = rank(fleet::BUDGET, &hosts);
+    let position = |host: &HostId| hosts.iter().position(|weighted| weighted.host == *host);
+    let numbers: Vec<_> = ranked.into_iter().filter_map(position).collect();
+    let mut fleet = Vec::new();
+    for (zone, numbers) in numbers.chunks(ZONE_HOSTS).enumerate() {
+        let name = format!("zone-{zone}");
+        let mut routers = Vec::new();
+        for number in numbers {
+            routers.push(Process::start_in(outside, *number, &name).await);
+        }
+        fleet.push(routers);
+    }
+    operator.stop().await;
+    for router in fleet.iter().flatten() {
+        until(|| async { outside.sees(router.address, hosts.len() as i64).await }).await;
+    }
+    fleet
+}
+
+/// Kills every router of one zone while settlements cannot become durable and streams are open.
+async fn lose_zone(zones: usize) {
+    const STREAMS: usize = 6;
+    let outside = Outside::start(2, PURCHASED).await;
+    let mut fleet = start_zones(&outside, zones).await;
+    let addresses: Vec<_> = fleet
+        .iter()
+        .flatten()
+        .map(|router| router.address)
+        .collect();
+    for address in &addresses {
+        // Gives the holders tokens, so that they serve during the outage.
+        streams(*address, &format!("before-{address}"), 2).await;
+    }
+    let before = 2 * addresses.len();
+    until(|| async { outside.requests_billed().await == before }).await;
+
+    outside.platform.inject(Order {
+        down: true,
+        ..Order::default()
+    });
+    for address in &addresses {
+        let answers = streams(*address, &format!("outage-{address}"), STREAMS).await;
+        for (key, answer) in answers {
+            let answer = answer.unwrap();
+            assert!(answer.is_whole_stream(), "{key}: {}", answer.body);
+        }
+    }
+    let finished = before + STREAMS * addresses.len();
+    let mut open = JoinSet::new();
+    for address in addresses.clone() {
+        open.spawn(async move { streams(address, &format!("open-{address}"), STREAMS).await });
+    }
+    until(|| async { outside.runs() as usize > finished + STREAMS }).await;
+    let lost = fleet.remove(0);
+    for router in &lost {
+        router.signal(Signal::SIGKILL);
+    }
+    drop(lost);
+    outside.platform.inject(Order::default());
+    open.join_all().await;
+
+    let elsewhere = fleet[0][0].address;
+    for address in &addresses {
+        let answers = streams(elsewhere, &format!("open-{address}"), STREAMS).await;
+        for (key, answer) in answers {
+            let answer = answer.unwrap();
+            assert!(answer.is_whole_stream(), "{key}: {}", answer.body);
+        }
+    }
+    let executed = outside.runs_by_request();
+    // A stopping holder waits for the outcome of every open reservation.
+    stop(&outside, fleet.into_iter().flatten().collect()).await;
+    check_books(&outside, executed.len()).await;
+    let bills = outside.bills().await;
+    for bill in bills {
+        assert!(executed.contains_key(&*bill.request), "never ran: {bill:?}");
+    }
+}
+
+/// Guards against bills that are lost because entry and holder of a request were in one
+/// availability zone, here one of two.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_zone_of_two_loses_no_bill() {
+    lose_zone(2).await;
+}
+
+/// As above, with three zones, where an entry may have two zones to choose from.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_zone_of_three_loses_no_bill() {
+    lose_zone(3).await;
+}
