Measure the data path at a given rate of requests

Cause: measure path keeps a number of streams open and sends as fast as they end, so it says nothing about a node at half of its design load, for which the target of 1 ms of added latency at p99 is stated. Streams at the engine's pace of the design size were not measured at all.

--- a/crates/ctl/src/measure/mod.rs
+++ b/crates/ctl/src/measure/mod.rs
@@ -31,6 +31,15 @@
     let routing = Command::new("routing")
         .about("Compare the routing policies")
         .arg(cases);
+    let rates = Arg::new("requests-per-second")
+        .long("requests-per-second")
+        .value_name("RATE")
+        .num_args(1..)
+        .value_parser(value_parser!(f64))
+        .help("Send at these rates, with answers of the design size");
+    let path = Command::new("path")
+        .about("Measure what the router adds to a request")
+        .arg(rates);
     let list = |name: &'static str, help: &'static str| number(name).num_args(1..).help(help);
     let control = Command::new("control")
         .about("Measure configuration and membership")
@@ -44,7 +53,7 @@
         .subcommand(Command::new("bills").about("Measure journals, ledger and claims"))
         .subcommand(control)
         .subcommand(routing)
-        .subcommand(Command::new("path").about("Measure what the router adds to a request"))
+        .subcommand(path)
 }
 
 /// Runs a measurement.
@@ -62,8 +71,12 @@
             };
             routing::run(&settings, &mut out)
         }
-        Some(("path", _)) => {
-            let settings = path::Settings::default();
+        Some(("path", matches)) => {
+            let rates = matches.get_many("requests-per-second");
+            let settings = path::Settings {
+                rates: rates.into_iter().flatten().copied().collect(),
+                ..path::Settings::default()
+            };
             tokio::runtime::Runtime::new()?.block_on(path::run(&settings, &mut out))
         }
         _ => anyhow::bail!("no such measurement"),
