Let the engine stand-in load models from a weight store by order

Cause: The engine stand-in served any model and took no orders, so placement could only be tested as decision logic.

Change: `POST /v1/models/load` takes an order with model, version and fencing number. One kind of engine refuses an old number with 409, the other ignores it. The weights come from a weight store stand-in, over HTTP or in process, that refuses transfers above its rate. The load report has the model that is held, the one that is loading, and the requests, errors and tokens of the loaded version. Faults: a lost answer after the order took effect, a load that fails, an engine that loses its model. Engines without a loader behave as before.

--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -86,6 +86,10 @@
     if fault == Fault::Refuse {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
+    if !stand_in.serves(&prompt.model) {
+        let refusal = StatusCode::SERVICE_UNAVAILABLE.with_header("x-not-run", "true");
+        return refusal.into_response();
+    }
     let run = start(&stand_in, id, &prompt, fault);
     if prompt.stream {
         return stream(&stand_in, run);
@@ -152,6 +156,11 @@
         record.prompt_tokens = run.prompt_tokens;
         record.ended = false;
     });
+    stand_in.with_models(|models| {
+        models.holding.requests += 1;
+        let is_error = matches!(fault, Fault::Break | Fault::Cut | Fault::Silent);
+        models.holding.errors += u64::from(is_error);
+    });
     run
 }
 
@@ -181,6 +190,7 @@
         stand_in.record(&run.request, |record| {
             record.completion_tokens = record.completion_tokens.max(token + 1);
         });
+        stand_in.with_models(|models| models.holding.tokens += 1);
         if sender.send(Ok(run.token(token))).await.is_err() {
             break;
         }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,14 +1,19 @@
-//! Stand-ins of upstreams: a model engine and a plain service, for tests and the demo.
+//! Stand-ins of upstreams for tests and the demo: a model engine, a plain service, and the weight
+//! store that engines load models from.
 
 mod engine;
 mod fault;
+mod models;
 mod record;
 mod server;
 mod service;
+mod weights;
 
 pub use {
     engine::Settings,
     fault::Fault,
+    models::{Holding, LoadFault, Loader, Model, Order, Weights},
     record::Record,
     server::{Load, StandIn},
+    weights::{Rate, Refused, Transfers, WeightStore},
 };
--- a/crates/upstream/src/server.rs
+++ b/crates/upstream/src/server.rs
@@ -4,6 +4,7 @@
     crate::{
         engine::{self, Run, Settings},
         fault::Fault,
+        models::{self, Holding, LoadFault, Loader, Models, Order},
         record::{Book, Record},
         service,
     },
@@ -23,7 +24,7 @@
 };
 
 /// Load report of an engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests that run.
     pub running: u64,
@@ -31,6 +32,9 @@
     pub waiting: u64,
     /// Whether the engine asks for no new work.
     pub draining: bool,
+    /// The model that it holds; absent for an engine that takes no orders.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub holding: Option<Holding>,
 }
 
 #[derive(Debug, Default)]
@@ -43,6 +47,8 @@
     runs: HashMap<String, Run>,
     running: u64,
     draining: bool,
+    /// Absent for an engine that takes no orders and serves any model.
+    models: Option<Models>,
 }
 
 /// A stand-in upstream; it answers as a model engine and as a plain service. Clones share their
@@ -60,6 +66,40 @@
         Self(Arc::new(Mutex::new(state)))
     }
 
+    /// Creates an engine that holds no model until it is ordered to load one.
+    pub fn with_loader(settings: Settings, loader: Loader) -> Self {
+        let stand_in = Self::new(settings);
+        stand_in.lock().models = Some(Models::new(loader));
+        stand_in
+    }
+
+    /// Queues faults of orders, one for each order to come.
+    pub fn inject_loads(&self, faults: impl IntoIterator<Item = LoadFault>) {
+        self.with_models(|models| models.faults.extend(faults));
+    }
+
+    /// Lets the engine lose the model that it holds or loads.
+    pub fn lose_model(&self) {
+        self.with_models(Models::lose);
+    }
+
+    /// Returns what an engine that takes orders holds.
+    pub fn holding(&self) -> Holding {
+        self.with_models(|models| models.holding.clone())
+            .unwrap_or_default()
+    }
+
+    /// Returns the orders that were acted upon, oldest first.
+    pub fn acted(&self) -> Vec<Order> {
+        let acted = self.with_models(|models| models.acted.iter().cloned().collect());
+        acted.unwrap_or_default()
+    }
+
+    /// Returns the number of orders that were refused for their fencing number.
+    pub fn refused_orders(&self) -> u64 {
+        self.with_models(|models| models.refused).unwrap_or(0)
+    }
+
     /// Queues faults, one for each answer to come.
     pub fn inject(&self, faults: impl IntoIterator<Item = Fault>) {
         self.lock().faults.extend(faults);
@@ -94,7 +134,9 @@
             .at("/v1/usage/:request", get(read_usage))
             .at("/v1/cancel/:request", post(cancel))
             .at("/v1/load", get(read_load))
+            .at("/v1/models/load", post(models::take))
             .at("/v1/faults", post(inject_faults))
+            .at("/v1/load-faults", post(models::inject))
             .at("/*path", service::call)
             .data(self.clone())
     }
@@ -109,6 +151,17 @@
         self.lock().settings
     }
 
+    /// Changes the state of an engine that takes orders; `None` for one that takes none.
+    pub(crate) fn with_models<T>(&self, change: impl FnOnce(&mut Models) -> T) -> Option<T> {
+        self.lock().models.as_mut().map(change)
+    }
+
+    /// Returns whether the engine serves a model now.
+    pub(crate) fn serves(&self, model: &str) -> bool {
+        self.with_models(|models| models.serves(model))
+            .unwrap_or(true)
+    }
+
     pub(crate) fn next_fault(&self) -> Fault {
         self.lock().faults.pop_front().unwrap_or_default()
     }
@@ -175,6 +228,7 @@
         running: state.running,
         waiting: 0,
         draining: state.draining,
+        holding: state.models.as_ref().map(|models| models.holding.clone()),
     })
 }
 
