Test the slices together against the guarantees P1 to P8

Cause: each slice had a state machine test of its own; nothing ran them together, although most guarantees depend on several slices at once.

Change: crates/core/tests/whole runs four routers made of the decision logic, the table service, the object store, upstreams, operators and callers on a simulated clock with faults in any combination. oracle.rs knows only what callers were told, what ran, what was billed and purchased, which versions were accepted and which hosts were killed.

--- /dev/null
+++ b/crates/core/tests/whole/books.rs
@@ -0,0 +1,95 @@
+//! What is billed, and what is lost with a host.
+
+use {
+    super::{host::Process, oracle::Told, world::World},
+    marigoldroute_core::{
+        bill::{Bill, Page, Segment, key, request_of},
+        budget::{Account, journal},
+        id::RequestId,
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+impl World {
+    /// Ends a process at once; its callers' connections break.
+    pub fn kill(&mut self, host: usize) {
+        let Some(process) = self.hosts[host].process.take() else {
+            return;
+        };
+        self.hosts[host].is_paused = false;
+        self.oracle.killed.insert(process.id.to_string());
+        let jobs = process.jobs.values().map(|job| &job.attempt);
+        let outbox = process.outbox.iter().map(|item| item.job.attempt());
+        let known: BTreeSet<RequestId> = jobs
+            .chain(process.escrow.attempts())
+            .cloned()
+            .chain(outbox)
+            .collect();
+        let rows = self.store.rows("journal/");
+        for attempt in known {
+            let request = request_of(&attempt);
+            let others = self.hosts.iter().filter_map(|slot| slot.process.as_ref());
+            let is_known = others.into_iter().any(|other| other.knows(&attempt));
+            let is_written = rows.iter().any(|row| row.value.contains(&*request));
+            if !is_known && !is_written {
+                self.oracle.forgotten.insert(request);
+            }
+        }
+        self.drop_jobs(process);
+    }
+
+    fn drop_jobs(&mut self, process: Process) {
+        for job in process.jobs.into_values() {
+            self.tell(&job, Told::Dropped);
+        }
+    }
+
+    /// Returns the bills that count so far, with repeated ones that the ledger has not read.
+    pub fn bills(&self) -> Vec<Bill> {
+        let rows = self.store.rows("journal/");
+        let holders = rows.iter().filter_map(|row| journal::holder(&row.key));
+        let holders: BTreeSet<_> = holders.collect();
+        let (mut bills, mut open) = (Vec::new(), BTreeSet::new());
+        let cursors: BTreeMap<_, _> = (self.store.rows("ledger/").into_iter())
+            .map(|row| (row.key.to_string(), row))
+            .collect();
+        for holder in holders {
+            let cursor = cursors.get(&key(holder));
+            let (prefix, after) = Page::range(holder, &Page::cursor(cursor).expect("a cursor"));
+            let own = rows
+                .iter()
+                .filter(|row| row.key.starts_with(&prefix) && *row.key > *after);
+            let own: Vec<_> = own.cloned().collect();
+            let page = Page::decode(holder.into(), cursor, &own).expect("a page");
+            bills.extend(page.pending().cloned());
+            open.extend(page.batch().map(|batch| (holder, batch.first)));
+        }
+        let segments = self
+            .objects
+            .iter()
+            .filter(|(key, _)| key.starts_with("bills/"));
+        for (key, value) in segments {
+            let segment = Segment::decode(key, value).expect("a segment");
+            if !open.contains(&(&*segment.holder, segment.first)) {
+                bills.extend(segment.bills);
+            }
+        }
+        bills
+    }
+
+    pub fn account(&self, budget: &str) -> Account {
+        let key = format!("budget/{budget}");
+        let rows = self.store.rows(&key);
+        serde_json::from_str(&rows[0].value).expect("a budget")
+    }
+}
+
+impl Process {
+    /// Returns whether this process can still have an attempt billed.
+    fn knows(&self, attempt: &RequestId) -> bool {
+        let is_settling = |item: &super::host::Item| item.job.attempt() == *attempt;
+        self.jobs.contains_key(attempt)
+            || self.outbox.iter().any(is_settling)
+            || self.escrow.knows(attempt)
+    }
+}
--- /dev/null
+++ b/crates/core/tests/whole/job.rs
@@ -0,0 +1,311 @@
+//! One request on its way through a router process, as the entry drives it.
+
+use {
+    super::{
+        answer::Open,
+        host::{Item, Process, Release},
+        message::{Ask, Event, Purpose},
+        oracle::Told,
+        upstream::{Kind, PRICE, PROMPT},
+        world::{World, node, reach, upstream_id},
+    },
+    marigoldroute_core::{
+        budget::Usage,
+        claim::{Body, Decision, Held, Recorded, Sent, Unsent},
+        fleet::Observation,
+        id::{RequestId, Tokens},
+        route::Progress,
+    },
+    std::{collections::VecDeque, time::Duration},
+};
+
+/// Bound on a reservation at one holder.
+const RESERVE_LIMIT: Duration = Duration::from_secs(3);
+const ROOM_LIMIT: Duration = Duration::from_secs(2);
+const ATTEMPTS: usize = 3;
+
+pub enum Claim {
+    Free,
+    Unsent(Held<Unsent>),
+    Sent(Held<Sent>),
+}
+
+pub enum Stage {
+    Claiming,
+    Reserving {
+        places: VecDeque<usize>,
+        asked: Option<(usize, Duration)>,
+    },
+    /// Waits for an upstream, since when.
+    Sending(Duration),
+    Open(Box<Open>),
+}
+
+pub struct Job {
+    /// Number of the call at the oracle.
+    pub call: usize,
+    pub name: String,
+    pub attempt: RequestId,
+    pub purpose: Purpose,
+    pub total: u64,
+    pub stage: Stage,
+    pub claim: Claim,
+    pub charge: Option<usize>,
+    pub tried: Vec<usize>,
+    /// Whether an upstream that was given up may have acted on the request.
+    pub is_doubtful: bool,
+}
+
+impl Job {
+    pub fn amount(&self) -> Tokens {
+        match self.purpose.kind {
+            Kind::Order => PRICE,
+            Kind::Stream | Kind::Whole => PROMPT + self.total,
+        }
+    }
+
+    pub fn is_idempotent(&self) -> bool {
+        self.purpose.kind != Kind::Order
+    }
+
+    pub fn target(&self) -> &'static str {
+        match self.purpose.kind {
+            Kind::Order => "orders",
+            Kind::Stream | Kind::Whole => "drafting",
+        }
+    }
+}
+
+/// Returns a settlement's usage.
+pub fn usage(kind: Kind, upstream: &str, tokens: Tokens) -> Usage {
+    let model = if kind == Kind::Order {
+        "orders"
+    } else {
+        "drafting"
+    };
+    Usage {
+        workspace: "w0".into(),
+        model: model.into(),
+        upstream: upstream.into(),
+        tokens,
+    }
+}
+
+impl World {
+    /// Takes the registry's decision on a claim.
+    pub fn decide(&mut self, process: &mut Process, attempt: &RequestId, decision: Decision) {
+        let fault = decision.fault();
+        let Some(mut job) = process.jobs.remove(attempt) else {
+            if let Decision::Run(held) = decision {
+                process.registry.backlog.push(held.release());
+            }
+            return;
+        };
+        match (decision, fault) {
+            (Decision::Run(held), _) => {
+                job.claim = Claim::Unsent(held);
+                job.stage = self.reserving(process, &job);
+                process.jobs.insert(attempt.clone(), job);
+            }
+            (
+                Decision::Replay(Recorded {
+                    body: Body::Text(text),
+                    ..
+                }),
+                None,
+            ) => {
+                reach("replay");
+                self.tell(&job, Told::Complete(text.to_string()));
+            }
+            (_, Some(fault)) => self.tell(&job, told(fault.answer().outcome)),
+            _ => self.tell(&job, Told::Other),
+        }
+    }
+
+    pub fn reserving(&self, process: &Process, job: &Job) -> Stage {
+        Stage::Reserving {
+            places: process.places(&job.purpose.budget).into(),
+            asked: None,
+        }
+    }
+
+    /// Takes one step of a job; returns it unless it has ended.
+    pub fn advance(&mut self, process: &mut Process, mut job: Job) -> Option<Job> {
+        match std::mem::replace(&mut job.stage, Stage::Claiming) {
+            Stage::Claiming => Some(job),
+            Stage::Reserving { places, asked } => self.reserve(process, job, places, asked),
+            Stage::Sending(since) => self.send(process, job, since),
+            Stage::Open(open) => self.read(process, job, open),
+        }
+    }
+
+    fn reserve(
+        &mut self,
+        process: &mut Process,
+        mut job: Job,
+        mut places: VecDeque<usize>,
+        mut asked: Option<(usize, Duration)>,
+    ) -> Option<Job> {
+        let is_over = |at: Duration| process.clock >= at + RESERVE_LIMIT;
+        if let Some((host, _)) = asked.filter(|(_, at)| is_over(*at)) {
+            self.release(process, host, &job.attempt);
+            asked = None;
+        }
+        if asked.is_none() {
+            let Some(host) = places.pop_front() else {
+                self.refuse(process, job);
+                return None;
+            };
+            let ask = Ask::Reserve {
+                attempt: job.attempt.clone(),
+                purpose: job.purpose.clone(),
+                amount: job.amount(),
+            };
+            self.ask(process, host, ask);
+            asked = Some((host, process.clock));
+        }
+        job.stage = Stage::Reserving { places, asked };
+        Some(job)
+    }
+
+    fn release(&mut self, process: &mut Process, host: usize, attempt: &RequestId) {
+        process.releases.push(Release {
+            host,
+            attempt: attempt.clone(),
+            tries: 0,
+        });
+    }
+
+    /// Ends a job of which no upstream has seen a byte.
+    fn refuse(&mut self, process: &mut Process, job: Job) {
+        if let Some(host) = job.charge {
+            self.release(process, host, &job.attempt);
+        }
+        self.tell(&job, Told::NotRun);
+        if let Claim::Unsent(held) = job.claim {
+            process.registry.backlog.push(held.release());
+        }
+    }
+
+    /// Ends a job that may have run, and bills `tokens`.
+    pub fn settle(
+        &mut self,
+        process: &mut Process,
+        job: Job,
+        upstream: &str,
+        tokens: Tokens,
+        told: Told,
+    ) {
+        let usage = usage(job.purpose.kind, upstream, tokens);
+        let item = Ask::Settle {
+            attempt: job.attempt.clone(),
+            purpose: job.purpose.clone(),
+            usage,
+        };
+        process.outbox.push(Item {
+            job: item,
+            host: job.charge.unwrap_or(process.host),
+            missed: 0,
+        });
+        self.tell(&job, told.clone());
+        if let Claim::Sent(held) = job.claim {
+            let task = match told {
+                Told::Complete(text) => held.finish(Recorded {
+                    status: 200,
+                    content_type: "text/plain".into(),
+                    body: Body::Text(text.into()),
+                }),
+                _ => held.give_up(),
+            };
+            process.registry.backlog.push(task);
+        }
+    }
+
+    fn send(&mut self, process: &mut Process, mut job: Job, since: Duration) -> Option<Job> {
+        let flight = match job.tried.len() < ATTEMPTS {
+            true => process.choose(job.target(), job.total, &job.tried),
+            false => None,
+        };
+        let Some(flight) = flight else {
+            if process.clock < since + ROOM_LIMIT && job.tried.is_empty() {
+                job.stage = Stage::Sending(since);
+                return Some(job);
+            }
+            self.fail(process, job);
+            return None;
+        };
+        job.claim = match job.claim {
+            Claim::Unsent(held) => match held.send(process.claim_clock()) {
+                Ok(sent) => Claim::Sent(sent),
+                Err(held) => {
+                    job.claim = Claim::Unsent(held);
+                    process.land(flight, Progress::Cancelled);
+                    self.refuse(process, job);
+                    return None;
+                }
+            },
+            claim => claim,
+        };
+        self.oracle.sent(self.now, &upstream_id(flight.upstream));
+        if !self.dial(process, &job, flight.upstream) {
+            job.tried.push(flight.upstream);
+            process.view.observe(
+                process.clock,
+                &upstream_id(flight.upstream),
+                Observation::Failure,
+            );
+            process.land(flight, Progress::Failed);
+            job.claim = unsent(job.claim);
+            job.stage = Stage::Sending(since);
+            return Some(job);
+        }
+        job.stage = Stage::Open(Box::new(Open::new(flight, &job, process.clock)));
+        Some(job)
+    }
+
+    /// Sends a request; returns whether the connection was made.
+    fn dial(&mut self, process: &Process, job: &Job, upstream: usize) -> bool {
+        let way = (process.host, node(upstream));
+        if self.upstreams[upstream].is_down && self.is_linked(way.0, way.1) {
+            return false;
+        }
+        if self.agenda.faults.cut.contains(&way) {
+            return true;
+        }
+        let delay = self.delay();
+        self.agenda.add(
+            self.now + delay,
+            Event::Request {
+                upstream,
+                attempt: job.attempt.clone(),
+                name: job.name.clone(),
+                kind: job.purpose.kind,
+                total: job.total,
+            },
+        );
+        true
+    }
+
+    /// Ends a job that no upstream answered.
+    fn fail(&mut self, process: &mut Process, job: Job) {
+        if !job.is_doubtful {
+            return self.refuse(process, job);
+        }
+        let tokens = if job.is_idempotent() { PROMPT } else { PRICE };
+        self.settle(process, job, "", tokens, Told::Other);
+    }
+}
+
+pub fn unsent(claim: Claim) -> Claim {
+    match claim {
+        Claim::Sent(held) => Claim::Unsent(held.refuse()),
+        claim => claim,
+    }
+}
+
+fn told(outcome: marigoldroute_core::fault::Outcome) -> Told {
+    match outcome {
+        marigoldroute_core::fault::Outcome::NotRun => Told::NotRun,
+        _ => Told::Other,
+    }
+}
--- /dev/null
+++ b/crates/core/tests/whole/main.rs
@@ -0,0 +1,82 @@
+//! The slices together, against the guarantees P1 to P8: routers in two regions, the table
+//! service, the object store, upstreams and callers, with faults in any order and combination.
+//!
+//! `MARIGOLDROUTE_PROOF=START:COUNT` runs COUNT more seeds from START.
+
+mod answer;
+mod books;
+mod delivery;
+mod duty;
+mod escrow;
+#[path = "../fuzz/mod.rs"]
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod fuzz;
+mod host;
+mod job;
+mod ledger;
+mod machine;
+mod message;
+#[path = "../control/network.rs"]
+mod network;
+mod operator;
+mod oracle;
+#[path = "../control/store.rs"]
+mod store;
+mod upstream;
+mod world;
+
+use world::{Defect, World};
+
+const SEED: u64 = 0x6d61_7269_0003;
+const CASES: u32 = 200;
+const DEFECT_CASES: u32 = 100;
+
+fn run(seed: u64, cases: u32, shrink: u32) {
+    if let Some((case, reason)) = fuzz::first_failure::<World>(None, seed, cases, shrink) {
+        panic!("seed {seed}, case {case}: {reason}");
+    }
+}
+
+/// Guards against slices that keep the guarantees each by itself, but not together.
+#[test]
+fn guarantees_hold_under_faults() {
+    run(SEED, CASES, 200);
+    let reached = world::REACHED.take();
+    println!("{reached:?}");
+    // Cases that never reach these would check nothing.
+    for path in world::PATHS {
+        assert!(reached.contains_key(path), "no case reached {path}");
+    }
+}
+
+/// As above, with the seeds that the environment names.
+#[test]
+fn guarantees_hold_for_more_seeds() {
+    let Ok(seeds) = std::env::var("MARIGOLDROUTE_PROOF") else {
+        return;
+    };
+    let (start, count) = seeds.split_once(':').expect("START:COUNT");
+    let start: u64 = start.parse().expect("START is a number");
+    let count: u64 = count.parse().expect("COUNT is a number");
+    for seed in start..start + count {
+        run(seed, 1, 2_000);
+    }
+}
+
+/// Guards against an oracle that does not see a broken guarantee.
+#[test]
+fn oracle_finds_each_defect() {
+    for (defect, reason) in [
+        (Defect::SkipAccount, "spent of"),
+        (Defect::FreshRequest, "P2"),
+        (Defect::CutAsComplete, "P3"),
+        (Defect::LostIsNotRun, "P4"),
+        (Defect::SkipClaim, "P5"),
+        (Defect::SendToWithdrawn, "P6"),
+        (Defect::StopAtOnce, "dropped by a planned stop"),
+        (Defect::KeepTokens, "were not returned"),
+        (Defect::OlderVersion, "P8"),
+    ] {
+        fuzz::detect::<World>(defect, SEED, DEFECT_CASES, &[reason]);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/whole/message.rs
@@ -0,0 +1,94 @@
+//! Messages between the parts of the model.
+
+use {
+    super::upstream::Kind,
+    marigoldroute_core::{
+        budget::Usage,
+        config::{Packet, Read},
+        fleet::Gossip,
+        id::{BudgetId, RequestId, Tokens},
+        table::{Row, Transaction},
+    },
+};
+
+/// What a reservation is for.
+#[derive(Clone, Debug)]
+pub struct Purpose {
+    pub budget: BudgetId,
+    pub kind: Kind,
+}
+
+/// From an entry to a holder.
+#[derive(Clone, Debug)]
+pub enum Ask {
+    Reserve {
+        attempt: RequestId,
+        purpose: Purpose,
+        amount: Tokens,
+    },
+    Release {
+        attempt: RequestId,
+    },
+    Settle {
+        attempt: RequestId,
+        purpose: Purpose,
+        usage: Usage,
+    },
+    /// From another holder that lacks tokens.
+    Review {
+        budget: BudgetId,
+    },
+}
+
+impl Ask {
+    pub fn attempt(&self) -> RequestId {
+        match self {
+            Self::Reserve { attempt, .. }
+            | Self::Release { attempt }
+            | Self::Settle { attempt, .. } => attempt.clone(),
+            Self::Review { .. } => "".into(),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    Exhausted,
+    Unavailable,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Billing {
+    Durable,
+    Pending,
+    Refused,
+}
+
+/// From a holder to an entry.
+#[derive(Clone, Debug)]
+pub enum Answer {
+    Reserved(RequestId, Result<(), Refusal>),
+    Released(RequestId),
+    Settled(RequestId, Billing),
+}
+
+/// What arrives at some time. A process is a host with its incarnation.
+#[derive(Clone)]
+pub enum Event {
+    Packet(usize, usize, Packet),
+    Gossip(usize, usize, Gossip),
+    /// The store's answer to the configuration log of a process.
+    Rows((usize, u64), Read, Option<Vec<Row>>),
+    Ask((usize, u64), usize, Ask),
+    Answer(usize, (usize, u64), Answer),
+    /// A request to an upstream.
+    Request {
+        upstream: usize,
+        attempt: RequestId,
+        name: String,
+        kind: Kind,
+        total: u64,
+    },
+    /// A transaction whose answer was lost before it took effect.
+    Late(Transaction),
+}
--- /dev/null
+++ b/crates/core/tests/whole/upstream.rs
@@ -0,0 +1,197 @@
+//! Model engines and plain services that keep usage records by attempt.
+
+use {
+    marigoldroute_core::{budget::Record, budget::Usage, id::RequestId},
+    std::collections::BTreeMap,
+};
+
+/// Prompt tokens of every request.
+pub const PROMPT: u64 = 10;
+/// Price of an order.
+pub const PRICE: u64 = 8;
+
+/// What goes wrong with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mischief {
+    None,
+    Refuse,
+    /// The connection breaks after half of the answer.
+    Cut,
+    /// The stream ends without its end mark.
+    NoEnd,
+    /// The answer of another request.
+    Swapped,
+    /// The answer is sent twice.
+    Doubled,
+    Silent,
+}
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Stream,
+    Whole,
+    Order,
+}
+
+/// The next part of an answer.
+pub enum Part {
+    Nothing,
+    Refused,
+    Piece(String),
+    End,
+}
+
+struct Work {
+    kind: Kind,
+    total: u64,
+    done: u64,
+    is_running: bool,
+    mischief: Mischief,
+}
+
+pub struct Upstream {
+    pub is_down: bool,
+    pub mischief: Mischief,
+    work: BTreeMap<RequestId, Work>,
+}
+
+/// Returns the text of a complete answer.
+pub fn output(kind: Kind, attempt: &str, total: u64) -> String {
+    match kind {
+        Kind::Order => format!("order of {attempt}"),
+        Kind::Stream | Kind::Whole => (0..total).map(|n| format!("{attempt}:{n} ")).collect(),
+    }
+}
+
+/// Returns what an execution costs.
+pub fn cost(kind: Kind, total: u64) -> u64 {
+    match kind {
+        Kind::Order => PRICE,
+        Kind::Stream | Kind::Whole => PROMPT + total,
+    }
+}
+
+impl Upstream {
+    pub fn new() -> Self {
+        Self {
+            is_down: false,
+            mischief: Mischief::None,
+            work: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a request; returns whether it is executed.
+    pub fn take(&mut self, attempt: &RequestId, kind: Kind, total: u64) -> bool {
+        let mischief = std::mem::replace(&mut self.mischief, Mischief::None);
+        let is_refused = mischief == Mischief::Refuse;
+        let work = Work {
+            kind,
+            total,
+            done: 0,
+            is_running: !is_refused,
+            mischief,
+        };
+        self.work.insert(attempt.clone(), work);
+        !is_refused
+    }
+
+    pub fn tick(&mut self) {
+        for work in self.work.values_mut().filter(|work| work.is_running) {
+            work.done += 1;
+            work.is_running = work.done < work.total;
+        }
+    }
+
+    pub fn crash(&mut self) {
+        self.is_down = true;
+        for work in self.work.values_mut() {
+            work.is_running = false;
+        }
+    }
+
+    pub fn cancel(&mut self, attempt: &str) {
+        if let Some(work) = self.work.get_mut(attempt) {
+            work.is_running = false;
+        }
+    }
+
+    /// Continues an answer after its connection broke; returns whether it can.
+    pub fn resume(&mut self, attempt: &str) -> bool {
+        let work = self.work.get_mut(attempt);
+        let work = work.filter(|work| matches!(work.mischief, Mischief::Cut | Mischief::NoEnd));
+        work.map(|work| work.mischief = Mischief::None).is_some()
+    }
+
+    /// Returns what is known of an attempt.
+    pub fn record(&self, attempt: &str, usage: impl Fn(u64) -> Usage) -> Record {
+        match self.work.get(attempt) {
+            _ if self.is_down => Record::Running,
+            None => Record::Absent,
+            Some(work) if work.mischief == Mischief::Refuse => Record::Absent,
+            Some(work) if work.is_running => Record::Running,
+            Some(work) => Record::Finished(usage(cost(work.kind, work.done))),
+        }
+    }
+
+    /// Returns part `position` of the answer.
+    pub fn answer(&self, attempt: &str, position: u64) -> Part {
+        let Some(work) = self.work.get(attempt) else {
+            return Part::Nothing;
+        };
+        if work.mischief == Mischief::Refuse {
+            return Part::Refused;
+        }
+        if self.is_down || work.mischief == Mischief::Cut && 2 * position > work.total {
+            return Part::End;
+        }
+        let other = self.work.keys().find(|other| &***other != attempt);
+        let attempt = match work.mischief {
+            Mischief::Silent => return Part::Nothing,
+            Mischief::Swapped if work.kind != Kind::Order => other.map_or("none", |other| other),
+            _ => attempt,
+        };
+        match work.kind {
+            Kind::Stream => work.chunk(attempt, position),
+            Kind::Whole | Kind::Order if position > 0 => Part::End,
+            Kind::Whole | Kind::Order if work.done < work.total => match work.is_running {
+                true => Part::Nothing,
+                false => Part::End,
+            },
+            Kind::Whole => Part::Piece(format!(
+                "{attempt}|{}",
+                output(work.kind, attempt, work.total)
+            )),
+            Kind::Order => Part::Piece(output(work.kind, attempt, work.total)),
+        }
+    }
+}
+
+impl Work {
+    fn chunk(&self, attempt: &str, position: u64) -> Part {
+        if position < self.done {
+            let content = format!("{attempt}:{position} ");
+            return Part::Piece(chunk(
+                attempt,
+                &format!(r#"{{"delta":{{"content":"{content}"}}}}"#),
+            ));
+        }
+        if self.is_running {
+            return Part::Nothing;
+        }
+        if self.done < self.total || position > self.total || self.mischief == Mischief::NoEnd {
+            return Part::End;
+        }
+        let mut last = chunk(attempt, r#"{"finish_reason":"stop"}"#);
+        last.push_str("data: [DONE]\n\n");
+        if self.mischief == Mischief::Doubled {
+            last = last.repeat(2);
+        }
+        Part::Piece(last)
+    }
+}
+
+fn chunk(attempt: &str, choice: &str) -> String {
+    let usage = format!(r#"{{"prompt_tokens":{PROMPT}}}"#);
+    format!("data: {{\"id\":\"chatcmpl-{attempt}\",\"choices\":[{choice}],\"usage\":{usage}}}\n\n")
+}
