Serve callers and operators over TLS

Requests, answers and keys travelled in the clear.

The routers' own clients speak plain HTTP as before and load no CA certificates: with reqwest's default, a host without any did not start. The stand-in engine can hold its streams.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -3,7 +3,7 @@
 use {
     crate::{command, output::Form},
     clap::{Arg, ArgAction, Command, value_parser},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, path::PathBuf},
 };
 
 const EXIT_CODES: &str = "\
@@ -45,8 +45,15 @@
         .subcommand(stand_in())
 }
 
-fn globals() -> [Arg; 4] {
+fn globals() -> [Arg; 5] {
     [
+        Arg::new("ca-certificate")
+            .long("ca-certificate")
+            .env("MARIGOLDCTL_CA_CERTIFICATE")
+            .value_name("FILE")
+            .value_parser(value_parser!(PathBuf))
+            .global(true)
+            .help("CA certificates in PEM that are trusted in place of the system's"),
         Arg::new("url")
             .long("url")
             .env("MARIGOLDCTL_URL")
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -4,7 +4,7 @@
     anyhow::Context,
     derive_more::{Display, Error},
     marigoldroute_core::fault::{Kind, Outcome},
-    reqwest::{Method, RequestBuilder},
+    reqwest::{Certificate, Method, RequestBuilder},
     serde::Deserialize,
     serde_json::Value,
     std::{sync::Arc, time::Duration},
@@ -70,12 +70,21 @@
 }
 
 impl Client {
-    /// Creates a client; `url` is that of a router, without a trailing slash.
+    /// Creates a client; `url` is that of a router. With `trusted`, only certificates below one of
+    /// these CA certificates are accepted, otherwise those that the system trusts.
     ///
     /// # Errors
     /// When the HTTP client cannot be set up.
-    pub fn new(url: &str, key: &str) -> anyhow::Result<Self> {
-        let http = reqwest::Client::builder().timeout(TIMEOUT).build();
+    pub fn new(url: &str, key: &str, trusted: Option<Vec<Certificate>>) -> anyhow::Result<Self> {
+        let http = reqwest::Client::builder().timeout(TIMEOUT);
+        let is_secure = url.starts_with("https:");
+        let http = match trusted {
+            Some(trusted) => http.tls_certs_only(trusted),
+            // A host without CA certificates can still use plain HTTP.
+            None if !is_secure => http.tls_certs_only([]),
+            None => http,
+        };
+        let http = http.build();
         Ok(Self {
             http: http.context("set up the HTTP client")?,
             base: format!("{}/admin/v1", url.trim_end_matches('/')).into(),
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -22,8 +22,9 @@
     anyhow::Context as _,
     clap::{Arg, ArgMatches, value_parser},
     rand::RngCore,
-    reqwest::Method,
+    reqwest::{Certificate, Method},
     serde_json::Value,
+    std::{fs, path::PathBuf},
 };
 
 /// Entries of one call for a list.
@@ -57,7 +58,7 @@
             bytes.iter().map(|byte| format!("{byte:02x}")).collect()
         };
         Ok(Self {
-            client: Client::new(url, key)?,
+            client: Client::new(url, key, trusted(matches)?)?,
             form: Form::of(matches),
             request: text("request-id").map_or_else(random, ToOwned::to_owned),
         })
@@ -103,6 +104,22 @@
     }
 }
 
+/// Reads the CA certificates that the command line names.
+fn trusted(matches: &ArgMatches) -> anyhow::Result<Option<Vec<Certificate>>> {
+    let Some(path) = matches.get_one::<PathBuf>("ca-certificate") else {
+        return Ok(None);
+    };
+    let context = || format!("--ca-certificate {}", path.display());
+    let pem = fs::read(path).with_context(context)?;
+    let certificates = Certificate::from_pem_bundle(&pem).with_context(context)?;
+    anyhow::ensure!(
+        !certificates.is_empty(),
+        "{}: no certificate in PEM form",
+        context()
+    );
+    Ok(Some(certificates))
+}
+
 /// Returns the options of a list.
 fn paging() -> [Arg; 2] {
     [
--- a/crates/ctl/src/demo/fleet.rs
+++ b/crates/ctl/src/demo/fleet.rs
@@ -6,7 +6,7 @@
     anyhow::Context,
     marigoldroute::{Handle, Settings},
     marigoldroute_core::config::hash_key,
-    marigoldroute_platform::{Client, StandIn as Platform},
+    marigoldroute_platform::{Client, StandIn as Platform, http},
     marigoldroute_upstream::StandIn as Engine,
     reqwest::{Method, StatusCode},
     serde_json::{Value, json},
@@ -54,14 +54,14 @@
         for number in 1..=3 {
             routers.push(marigoldroute::start(settings(number, &base)).await?);
         }
-        let admin = Admin::new(&format!("http://{}", routers[0].address()), ADMIN_KEY)?;
+        let admin = Admin::new(&format!("http://{}", routers[0].address()), ADMIN_KEY, None)?;
         let fleet = Self {
             platform,
             engines: vec![a, b],
             service,
             routers,
             admin,
-            http: reqwest::Client::new(),
+            http: http().build()?,
             servers,
         };
         setup::run(&fleet, &urls).await?;
--- a/crates/ctl/src/measure/path.rs
+++ b/crates/ctl/src/measure/path.rs
@@ -14,7 +14,7 @@
         config::{Change, Edit, Kind, Setting, Value, hash_key},
         table::Transaction,
     },
-    marigoldroute_platform::{Client, StandIn as Platform},
+    marigoldroute_platform::{Client, StandIn as Platform, http},
     marigoldroute_upstream::{Settings as Engine, StandIn},
     serde_json::json,
     std::{
@@ -130,7 +130,7 @@
         let routed = format!("http://{}", routers[0].address());
         configure(&routers, &direct).await?;
         Ok(Self {
-            http: reqwest::Client::new(),
+            http: http().build()?,
             direct: Target {
                 name: "engine",
                 url: direct,
--- a/crates/ctl/tests/pages.rs
+++ b/crates/ctl/tests/pages.rs
@@ -92,6 +92,15 @@
     folder.to_owned()
 }
 
+/// Writes the certificate that the page on TLS expects.
+fn issue(folder: &Path) -> datatest_stable::Result<()> {
+    let pair = rcgen::generate_simple_self_signed(["127.0.0.1".to_owned()])?;
+    fs::write(folder.join("chain.pem"), pair.cert.pem())?;
+    fs::write(folder.join("ca.pem"), pair.cert.pem())?;
+    fs::write(folder.join("key.pem"), pair.signing_key.serialize_pem())?;
+    Ok(())
+}
+
 fn run(path: &Path) -> datatest_stable::Result<()> {
     let page = fs::read_to_string(path)?;
     let own = commands(&page);
@@ -108,6 +117,7 @@
     let script = with_free_ports(&format!("{PROLOGUE}set -x\n{}{own}", commands(START)));
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("page-{name}"));
     fs::create_dir_all(&folder)?;
+    issue(&folder)?;
     let search = std::env::var("PATH")?;
     let log = folder.join("page.log");
     let output = fs::File::create(&log)?;
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -29,6 +29,14 @@
     base: Arc<str>,
 }
 
+/// Returns a builder of clients for plain HTTP.
+///
+/// It trusts no certificate authority. A client that takes those of the system cannot be built on
+/// a host that has none.
+pub fn http() -> reqwest::ClientBuilder {
+    reqwest::Client::builder().tls_certs_only([])
+}
+
 impl Client {
     /// Creates a client; `base` is the services' URL without a trailing slash, and `timeout`
     /// bounds each call.
@@ -36,7 +44,7 @@
     /// # Errors
     /// When the HTTP client cannot be set up.
     pub fn new(base: impl Into<Arc<str>>, timeout: Duration) -> reqwest::Result<Self> {
-        let http = reqwest::Client::builder().timeout(timeout).build()?;
+        let http = http().timeout(timeout).build()?;
         let base = base.into();
         Ok(Self { http, base })
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,7 +7,7 @@
 mod stand_in;
 
 pub use {
-    client::{Client, Fault},
+    client::{Client, Fault, http},
     listen::{listen, serve},
     stand_in::{Counters, Order, StandIn},
 };
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -4,7 +4,7 @@
     crate::settings::{Mistakes, Settings},
     clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
     marigoldroute_core::{budget::Preset, route::Name},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
 };
 
 /// Returns the command line.
@@ -15,6 +15,7 @@
         .after_help("Exit codes: 0 planned stop, 1 failure, 2 mistakes in the settings")
         .args(names())
         .args(addresses())
+        .args(tls())
         .args(limits())
         .args(actions())
 }
@@ -35,6 +36,11 @@
         None => default,
     };
     let size = |id: &str, default: usize| matches.get_one(id).copied().unwrap_or(default);
+    let path = |id: &str| {
+        matches
+            .get_one::<PathBuf>(id)
+            .map(|path| path.as_path().into())
+    };
     let keys = matches
         .get_many::<String>("fleet-key")
         .into_iter()
@@ -46,6 +52,9 @@
         weight: matches.get_one("weight").copied().unwrap_or(base.weight),
         listen: address("listen", base.listen),
         listen_peers: address("listen-peers", base.listen_peers),
+        tls_certificate: path("tls-certificate"),
+        tls_key: path("tls-key"),
+        tls_interval: ms("tls-interval-ms", base.tls_interval),
         platform: text("platform", &base.platform),
         platform_timeout: ms("platform-timeout-ms", base.platform_timeout),
         fleet_keys: keys.map(|key| key.as_str().into()).collect(),
@@ -156,6 +165,30 @@
     ]
 }
 
+fn tls() -> [Arg; 3] {
+    let file =
+        |name, env, help| option(name, env, "FILE", help).value_parser(value_parser!(PathBuf));
+    [
+        file(
+            "tls-certificate",
+            "MARIGOLDROUTE_TLS_CERTIFICATE",
+            "Certificate chain for callers and operators, in PEM",
+        ),
+        file(
+            "tls-key",
+            "MARIGOLDROUTE_TLS_KEY",
+            "Key of the certificate, in PEM",
+        ),
+        option(
+            "tls-interval-ms",
+            "MARIGOLDROUTE_TLS_INTERVAL_MS",
+            "MS",
+            "Time between two looks at the TLS files",
+        )
+        .value_parser(value_parser!(u64)),
+    ]
+}
+
 fn limits() -> [Arg; 15] {
     let ms = |name, env, help| option(name, env, "MS", help).value_parser(value_parser!(u64));
     let count = |name, env, help| option(name, env, "N", help).value_parser(value_parser!(usize));
--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -38,6 +38,8 @@
     /// `{host}.{incarnation}`.
     pub(crate) process: HolderId,
     pub(crate) clock: Clock,
+    /// Client for probes of upstreams.
+    pub(crate) http: reqwest::Client,
     pub(crate) platform: Client,
     pub(crate) links: Arc<Links>,
     pub(crate) dispatch: Arc<Dispatch>,
@@ -62,9 +64,9 @@
     let task = Task {
         view: View::new(parts.host.clone(), Settings::default(), now),
         log: Log::new(Default::default(), now),
+        http: parts.http.clone(),
         parts,
         random: SmallRng::from_os_rng(),
-        http: reqwest::Client::new(),
         calls: JoinSet::new(),
         scene,
         register,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,6 +21,7 @@
 mod reclaim;
 mod response;
 mod router;
+mod tls;
 mod upstream;
 
 pub use {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -45,6 +45,10 @@
     pub(crate) ready_hosts: IntGauge,
     /// Version of the configuration in effect.
     pub(crate) config_version: IntGauge,
+    /// Changed TLS certificates that were put into effect.
+    pub(crate) tls_reloads: IntCounter,
+    /// Changed TLS certificates that could not be used.
+    pub(crate) tls_refused: IntCounter,
     /// Operators' calls by result: `ok` or an error kind.
     pub(crate) admin_calls: IntCounterVec,
 }
@@ -110,6 +114,14 @@
                 "marigoldroute_refused_frames_total",
                 "Frames of the internal protocol that were refused",
             )?,
+            tls_reloads: counter(
+                "marigoldroute_tls_reloads_total",
+                "Changed TLS certificates that were put into effect",
+            )?,
+            tls_refused: counter(
+                "marigoldroute_tls_refused_total",
+                "Changed TLS certificates that were refused; the previous one stays in effect",
+            )?,
             ready_hosts: gauge(
                 "marigoldroute_ready_hosts",
                 "Hosts of the fleet that take work, as this host knows them",
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -17,6 +17,7 @@
         peer::{Links, Listener},
         reclaim::Reclaimer,
         settings::Settings,
+        tls::Watcher,
         upstream::Upstreams,
     },
     anyhow::Context as _,
@@ -26,8 +27,11 @@
         id::{HolderId, Version},
         route::Origin,
     },
-    marigoldroute_platform::{Client, listen},
-    poem::{EndpointExt, Route, Server},
+    marigoldroute_platform::{Client, http, listen},
+    poem::{
+        Endpoint, EndpointExt, Route, Server,
+        listener::{Acceptor, AcceptorExt},
+    },
     rand::RngCore,
     std::{
         net::SocketAddr,
@@ -116,6 +120,7 @@
         process: process.clone(),
         clock,
         platform: platform.clone(),
+        http: http().build()?,
         links: links.clone(),
         metrics: metrics.clone(),
         renew_interval: settings.renew_interval,
@@ -266,17 +271,34 @@
 ) -> anyhow::Result<SocketAddr> {
     let (acceptor, address) =
         listen(context.settings.listen).context("open the callers' interface")?;
+    let (files, interval) = (context.settings.tls()?, context.settings.tls_interval);
+    let metrics = context.metrics.clone();
     let routes = admin::add(ops::add(caller::add(Route::new())), admin).data(context);
-    let server = Server::new_with_acceptor(acceptor);
-    tasks.spawn(async move {
-        let serving = server.run_with_graceful_shutdown(routes, stop.cancelled_owned(), None);
-        if let Err(error) = serving.await {
-            log::error!("callers' interface stopped: {error}");
+    match files {
+        Some(files) => {
+            let (watcher, configs) = Watcher::new(files, metrics)?;
+            tasks.spawn(watcher.run(interval, stop.clone()));
+            tasks.spawn(answer(acceptor.rustls(configs), routes, stop));
         }
-    });
+        None => {
+            tasks.spawn(answer(acceptor, routes, stop));
+        }
+    }
     Ok(address)
 }
 
+async fn answer(
+    acceptor: impl Acceptor + 'static,
+    routes: impl Endpoint + 'static,
+    stop: CancellationToken,
+) {
+    let server = Server::new_with_acceptor(acceptor);
+    let serving = server.run_with_graceful_shutdown(routes, stop.cancelled_owned(), None);
+    if let Err(error) = serving.await {
+        log::error!("callers' interface stopped: {error}");
+    }
+}
+
 impl Handle {
     /// Returns the address for callers and operators.
     pub fn address(&self) -> SocketAddr {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,13 +1,14 @@
 //! Settings of a router process.
 
 use {
+    crate::tls,
     derive_more::{Display, Error},
     marigoldroute_core::{
         budget::{Preset, reclaim},
         id::{HostId, Region, Zone},
         route, wire,
     },
-    std::{fmt, net::SocketAddr, sync::Arc, time::Duration},
+    std::{fmt, net::SocketAddr, path::Path, sync::Arc, time::Duration},
 };
 
 /// Shortest fleet key in bytes.
@@ -31,6 +32,13 @@
     pub listen: SocketAddr,
     /// Address for other hosts.
     pub listen_peers: SocketAddr,
+    /// File with the certificate chain for callers and operators, in PEM; without it and the key,
+    /// they are served without TLS.
+    pub tls_certificate: Option<Arc<Path>>,
+    /// File with the key of the certificate, in PEM.
+    pub tls_key: Option<Arc<Path>>,
+    /// Time between two looks at these files.
+    pub tls_interval: Duration,
     /// Base URL of the platform's table service and object store.
     pub platform: Arc<str>,
     /// Bound on a call to the platform.
@@ -85,6 +93,9 @@
             weight: 1,
             listen: ([127, 0, 0, 1], 8080).into(),
             listen_peers: ([127, 0, 0, 1], 8081).into(),
+            tls_certificate: None,
+            tls_key: None,
+            tls_interval: Duration::from_secs(5),
             platform: "http://127.0.0.1:8090".into(),
             platform_timeout: Duration::from_secs(2),
             fleet_keys: Vec::new(),
@@ -172,6 +183,7 @@
             ("peer-timeout-ms", self.peer_timeout),
             ("reserve-timeout-ms", self.reserve_timeout),
             ("upstream-timeout-ms", self.upstream_timeout),
+            ("tls-interval-ms", self.tls_interval),
         ];
         for (flag, time) in times {
             require(!time.is_zero(), &format!("--{flag}: must be 1 or more"));
@@ -181,6 +193,9 @@
         require(is_weight, "--weight: must be from 1 to 1000");
         let peers = self.listen_peers != self.listen || self.listen.port() == 0;
         require(peers, "--listen-peers: must differ from --listen");
+        let files = self.tls();
+        let unusable = files.and_then(|files| files.map(|files| files.read()).transpose());
+        mistakes.extend(unusable.err().into_iter().flat_map(|unusable| unusable.0));
         if mistakes.is_empty() {
             Ok(())
         } else {
@@ -188,6 +203,11 @@
         }
     }
 
+    /// Returns the files of the TLS certificate, or `None` when TLS is off.
+    pub(crate) fn tls(&self) -> Result<Option<tls::Files>, tls::Unusable> {
+        tls::Files::new(self.tls_certificate.as_ref(), self.tls_key.as_ref())
+    }
+
     /// Returns the key ring for the internal protocol.
     pub(crate) fn keys(&self) -> wire::Keys {
         let keys = self.fleet_keys.iter();
@@ -204,6 +224,13 @@
         writeln!(f, "weight = {}", self.weight)?;
         writeln!(f, "listen = {}", self.listen)?;
         writeln!(f, "listen-peers = {}", self.listen_peers)?;
+        let path = |path: &Option<Arc<Path>>| match path {
+            Some(path) => path.display().to_string(),
+            None => "none".to_owned(),
+        };
+        writeln!(f, "tls-certificate = {}", path(&self.tls_certificate))?;
+        writeln!(f, "tls-key = {}", path(&self.tls_key))?;
+        writeln!(f, "tls-interval-ms = {}", ms(&self.tls_interval))?;
         writeln!(f, "platform = {}", self.platform)?;
         writeln!(f, "platform-timeout-ms = {}", ms(&self.platform_timeout))?;
         writeln!(
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use {
     marigoldroute_core::id::{RequestId, Tokens},
+    marigoldroute_platform::http,
     poem::http::{HeaderMap, Method},
     reqwest::{Body, Response, StatusCode},
     serde::Deserialize,
@@ -64,8 +65,7 @@
 impl Upstreams {
     /// Creates the client; `timeout` bounds the wait for the next bytes.
     pub(crate) fn new(timeout: Duration) -> reqwest::Result<Self> {
-        let builder = reqwest::Client::builder();
-        let http = builder.connect_timeout(CONNECT_TIMEOUT).build()?;
+        let http = http().connect_timeout(CONNECT_TIMEOUT).build()?;
         Ok(Self { http, timeout })
     }
 
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -110,7 +110,7 @@
     }
 
     /// The fleet's first configuration.
-    fn change(&self) -> Change {
+    pub fn change(&self) -> Change {
         let mut edits = vec![
             add("kolkata", Kind::Workspace),
             set("kolkata", Setting::Budget, Value::Text(BUDGET.into())),
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -184,6 +184,10 @@
         if sender.send(Ok(run.token(token))).await.is_err() {
             break;
         }
+        tokio::select! {
+            () = stand_in.released() => {}
+            () = sender.closed() => break,
+        }
         tokio::time::sleep(settings.token).await;
     }
     stand_in.record(&run.request, |record| record.ended = true);
--- a/crates/upstream/src/server.rs
+++ b/crates/upstream/src/server.rs
@@ -20,6 +20,7 @@
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
     },
+    tokio::sync::watch,
 };
 
 /// Load report of an engine.
@@ -43,6 +44,8 @@
     runs: HashMap<String, Run>,
     running: u64,
     draining: bool,
+    /// Whether runs stop after their next token.
+    held: watch::Sender<bool>,
 }
 
 /// A stand-in upstream; it answers as a model engine and as a plain service. Clones share their
@@ -70,6 +73,23 @@
         self.lock().draining = draining;
     }
 
+    /// Stops each run after its next token, until [`StandIn::release`].
+    pub fn hold(&self) {
+        self.lock().held.send_replace(true);
+    }
+
+    /// Lets the runs go on.
+    pub fn release(&self) {
+        self.lock().held.send_replace(false);
+    }
+
+    /// Waits until the runs may go on.
+    pub(crate) async fn released(&self) {
+        let mut held = self.lock().held.subscribe();
+        // The sender is in the state that `self` keeps, so the wait does not fail.
+        let _ = held.wait_for(|held| !held).await;
+    }
+
     /// Returns the records of all requests.
     pub fn records(&self) -> HashMap<String, Record> {
         self.lock().book.all()
