--- /dev/null
+++ b/crates/core/tests/claim_fuzz/coverage.rs
@@ -0,0 +1,25 @@
+//! Paths that the cases take.
+
+use std::{cell::RefCell, collections::BTreeMap};
+
+thread_local! {
+    /// How often the paths of interest were taken, over all cases.
+    pub static COVERAGE: RefCell<BTreeMap<&'static str, u32>> = RefCell::default();
+}
+
+/// Paths that the cases must take.
+pub const PATHS: [&str; 8] = [
+    "run",
+    "run after a lost reply",
+    "query",
+    "takeover",
+    "replay",
+    "unavailable",
+    "window passed",
+    "swept",
+];
+
+pub fn count(name: &'static str) {
+    assert!(PATHS.contains(&name));
+    COVERAGE.with_borrow_mut(|coverage| *coverage.entry(name).or_default() += 1);
+}
--- a/crates/core/tests/claim_fuzz.rs
+++ b/crates/core/tests/claim_fuzz/fleet.rs
@@ -1,171 +1,33 @@
-//! Stateful test of claims: routers, retries through other routers, a store and an upstream that
-//! executes. The oracle is the list of executions and of final answers.
-
-mod fuzz;
+//! The world of the test: routers, the store and the upstream.
 
 use {
-    fuzz::{Fault, Store, World, fault},
+    crate::{
+        action::{Action, Defect, actions},
+        coverage::count,
+        fuzz::{Fault, Store, World},
+        router::{Router, Upstream},
+    },
     marigoldroute_core::{
         claim::{
-            Attempt, Batch, Body, Capability, Clock, Decision, Finding, Held, Presence, Query,
-            Recorded, Registry, Sent, Settings, Task, Unsent, sweep,
+            Attempt, Body, Capability, Clock, Decision, Finding, Held, Presence, Recorded,
+            Settings, Task, Unsent, sweep,
         },
         id::{HolderId, RequestId},
         table::{Row, Verdict},
     },
     proptest::prelude::*,
     std::{
-        cell::RefCell,
-        collections::{BTreeMap, HashMap, HashSet, VecDeque},
+        collections::{HashMap, HashSet, VecDeque},
         time::Duration,
     },
 };
 
-const SEED: u64 = 0x6d61_7269_0001;
-const CASES: u32 = 1_200;
-const DEFECT_CASES: u32 = 3_000;
 const ROUTERS: usize = 3;
 /// Difference between the clocks of neighbouring routers.
 const SKEW: Duration = Duration::from_secs(2);
 const EPOCH: Duration = Duration::from_secs(1_800_000_000);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Defect {
-    /// Sends a request whose claim could not be confirmed.
-    SendUnconfirmed,
-    /// Commits claims without their conditions.
-    Unconditional,
-    /// Sends after the window has passed.
-    SendLate,
-    /// Reports upstreams as fenced that are not.
-    NoFence,
-    /// Releases a request whose response was lost as refused.
-    ReleaseSent,
-    /// Replays the last result that the router saw, whatever its key.
-    CrossedReplay,
-}
-
-/// What one router or its surroundings do.
-#[derive(Clone, Debug)]
-enum Action {
-    /// Key and body.
-    Submit(u8, u8),
-    Flush(Fault),
-    /// Whether rows can be read back, and whether all other routers are suspected to be gone.
-    Answer(bool, bool),
-    /// Whether the upstream can be reached.
-    Ask(bool),
-    Resolve,
-    Send(Fault),
-    Finish,
-    Release,
-    Backlog(Fault),
-    /// From the flush to the recorded result without faults, except for a false suspicion.
-    Run(bool),
-    Kill,
-    /// Seconds.
-    Advance(u64),
-    Sweep,
-    Deliver,
-    Down(bool),
-}
-
-thread_local! {
-    /// How often the paths of interest were taken, over all cases.
-    static COVERAGE: RefCell<BTreeMap<&'static str, u32>> = RefCell::default();
-}
-
-fn actions() -> impl Strategy<Value = Action> {
-    let key = prop::sample::select(vec![0, 1, 2, 2]);
-    let rare = prop::bool::weighted(0.2);
-    let usual = prop::bool::weighted(0.8);
-    prop_oneof![
-        10 => (key, prop::bool::weighted(0.05)).prop_map(|(key, b)| Action::Submit(key, b.into())),
-        8 => fault().prop_map(Action::Flush),
-        8 => (usual, rare).prop_map(|(readable, suspect)| Action::Answer(readable, suspect)),
-        3 => usual.prop_map(Action::Ask),
-        3 => Just(Action::Resolve),
-        6 => fault().prop_map(Action::Send),
-        4 => Just(Action::Finish),
-        1 => Just(Action::Release),
-        5 => fault().prop_map(Action::Backlog),
-        8 => rare.prop_map(Action::Run),
-        4 => Just(Action::Kill),
-        1 => prop::sample::select(vec![10, 40, 70, 90_000]).prop_map(Action::Advance),
-        1 => Just(Action::Sweep),
-        2 => Just(Action::Deliver),
-        1 => rare.prop_map(Action::Down),
-    ]
-}
-
-struct Router {
-    author: HolderId,
-    registry: Registry,
-    replies: VecDeque<(Batch, Option<Verdict>)>,
-    queries: VecDeque<(Query, Option<Finding>)>,
-    held: VecDeque<(Held<Unsent>, u8)>,
-    sent: VecDeque<(Held<Sent>, Option<Recorded>)>,
-    last_replay: Option<Recorded>,
-}
-
-impl Router {
-    fn new(number: usize, incarnation: u32) -> Self {
-        let author: HolderId = format!("h{number}.{incarnation}").into();
-        Self {
-            registry: Registry::new(author.clone(), Settings::default()),
-            author,
-            replies: VecDeque::new(),
-            queries: VecDeque::new(),
-            held: VecDeque::new(),
-            sent: VecDeque::new(),
-            last_replay: None,
-        }
-    }
-}
-
-#[derive(Default)]
-struct Upstream {
-    /// Request id, key and time of each execution.
-    executions: Vec<(RequestId, u8, Duration)>,
-    fenced: HashSet<RequestId>,
-}
-
-impl Upstream {
-    fn execute(&mut self, request: &RequestId, key: u8, at: Duration) -> Option<Recorded> {
-        if self.fenced.contains(request) {
-            return None;
-        }
-        self.executions.push((request.clone(), key, at));
-        Some(Recorded {
-            status: 200,
-            content_type: "text/plain".into(),
-            body: Body::Text(format!("order of {request}").into()),
-        })
-    }
-
-    fn has_run(&self, request: &str) -> bool {
-        self.executions.iter().any(|(id, ..)| **id == *request)
-    }
-}
-
-/// Paths that the cases must take.
-const PATHS: [&str; 8] = [
-    "run",
-    "run after a lost reply",
-    "query",
-    "takeover",
-    "replay",
-    "unavailable",
-    "window passed",
-    "swept",
-];
-
-fn count(name: &'static str) {
-    assert!(PATHS.contains(&name));
-    COVERAGE.with_borrow_mut(|coverage| *coverage.entry(name).or_default() += 1);
-}
-
-struct Fleet {
+pub struct Fleet {
     defect: Option<Defect>,
     store: Store,
     now: Duration,
@@ -505,30 +367,3 @@
         self.routers[router] = Router::new(router, self.incarnations);
     }
 }
-
-/// Guards against a second run of a key, a run after the answer "not run" and a replay that
-/// differs from the first result.
-#[test]
-fn claims_hold_under_faults() {
-    let failure = fuzz::first_failure::<Fleet>(None, SEED, CASES, 5_000);
-    assert_eq!(failure, None);
-    let coverage = COVERAGE.with_borrow(Clone::clone);
-    println!("{coverage:?}");
-    assert_eq!(coverage.len(), PATHS.len(), "paths not taken: {coverage:?}");
-}
-
-/// Guards against an oracle that accepts faults.
-#[test]
-fn oracle_detects_defects() {
-    let (early, twice, crossed) = ("ran after the answer", "executed twice", "differs");
-    for (defect, reasons) in [
-        (Defect::SendUnconfirmed, &[early][..]),
-        (Defect::Unconditional, &[twice]),
-        (Defect::SendLate, &[early, twice]),
-        (Defect::NoFence, &[twice]),
-        (Defect::ReleaseSent, &[early, twice]),
-        (Defect::CrossedReplay, &[crossed]),
-    ] {
-        fuzz::detect::<Fleet>(defect, SEED, DEFECT_CASES, reasons);
-    }
-}
