Apply endurance, drain_limit and allowed of the tree

Cause: The router accepted and showed these settings but never read them: marks followed the preset, a planned stop followed the flag, and a workspace could use every model and service.

Change: `endurance` replaces that of the preset in every holder at the next flush, `drain_limit` bounds each part of a planned stop, and `allowed` is checked for completions, services and the list of models. The first two go before the flags.

--- a/crates/core/src/budget/grant.rs
+++ b/crates/core/src/budget/grant.rs
@@ -129,6 +129,18 @@
         }
     }
 
+    /// Returns the settings with another endurance. A longer one lengthens the grants too, because a
+    /// mark cannot be above the tokens allocated.
+    pub fn with_endurance(self, endurance: Duration) -> Self {
+        let needed = endurance.as_secs_f64() / self.low_water.clamp(0.1, 1.0);
+        Self {
+            endurance,
+            shortest: self.shortest.min(endurance),
+            horizon: self.horizon.max(Duration::from_secs_f64(needed)),
+            ..self
+        }
+    }
+
     /// Returns how many unreserved tokens a holder should have when `pool` tokens are left for it
     /// and in the budget row.
     pub fn target(&self, pool: Tokens, demand: &Demand) -> Tokens {
--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -121,6 +121,13 @@
         }
     }
 
+    /// Replaces the settings; the sizes of grants and marks follow at the next flushes.
+    pub fn tune(&mut self, settings: &Settings) {
+        if self.settings != *settings {
+            self.settings = settings.clone();
+        }
+    }
+
     /// Reserves `amount` tokens for a request.
     ///
     /// # Errors
--- a/crates/core/src/config/catalog.rs
+++ b/crates/core/src/config/catalog.rs
@@ -147,6 +147,13 @@
         self.keys.get(hash_key(key).as_str())
     }
 
+    /// Returns whether a workspace may use a model or service.
+    pub fn allows(&self, workspace: &str, name: &str) -> bool {
+        let workspace = self.workspaces.get(workspace);
+        let allowed = workspace.and_then(|workspace| workspace.allowed.as_ref());
+        allowed.is_none_or(|allowed| allowed.iter().any(|known| **known == *name))
+    }
+
     /// Returns the upstreams in service for a model or plain service.
     pub fn candidates(&self, serves: &str) -> impl Iterator<Item = (&UpstreamId, &Upstream)> {
         let in_service = move |upstream: &Upstream| {
--- a/crates/core/src/fault.rs
+++ b/crates/core/src/fault.rs
@@ -63,7 +63,7 @@
     InvalidRequest = "invalid_request", 400, NotRun, None;
     /// The API key is missing or unknown.
     Unauthenticated = "unauthenticated", 401, NotRun, None;
-    /// The key's role does not allow the call.
+    /// The key does not allow the call.
     Forbidden = "forbidden", 403, NotRun, None;
     /// The model, service or object does not exist.
     NotFound = "not_found", 404, NotRun, None;
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -59,6 +59,7 @@
         let message = format!("unknown model {}", prompt.model);
         return Err(Fault::new(fault::Kind::NotFound, message));
     }
+    context.permit(&access, &prompt.model)?;
     let json = HeaderValue::from_static("application/json");
     let plan = Plan {
         id: request::id(&access.workspace, key.as_deref()),
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -73,6 +73,15 @@
         access.ok_or_else(|| Fault::new(Kind::Unauthenticated, "unknown API key"))
     }
 
+    /// Checks that a workspace may use a model or service.
+    fn permit(&self, access: &Access, name: &str) -> Result<(), Fault> {
+        if self.control.scene().catalog.allows(&access.workspace, name) {
+            return Ok(());
+        }
+        let message = format!("the workspace may not use {name}");
+        Err(Fault::new(Kind::Forbidden, message))
+    }
+
     /// Checks that this host takes new work.
     fn admit(&self) -> Result<(), Fault> {
         if self.draining.is_cancelled() {
--- a/crates/router/src/caller/service.rs
+++ b/crates/router/src/caller/service.rs
@@ -51,6 +51,7 @@
     let scene = context.control.scene();
     let settings = scene.catalog.services.get(&service);
     let settings = settings.ok_or_else(|| Fault::new(fault::Kind::NotFound, "unknown service"))?;
+    context.permit(&access, &service)?;
     let is_idempotent = request::is_idempotent(request)?.unwrap_or(settings.idempotent);
     let path = request.raw_path_param("path").unwrap_or_default();
     let query = request.uri().query();
--- a/crates/router/src/claim/work.rs
+++ b/crates/router/src/claim/work.rs
@@ -100,7 +100,8 @@
                 },
                 _ = retry.tick() => self.tidy(),
                 () = stop.cancelled(), if end.is_none() => {
-                    end = Some(self.parts.clock.now() + self.linger);
+                    let linger = self.parts.control.scene().drain_limit(self.linger);
+                    end = Some(self.parts.clock.now() + linger);
                 }
             }
             self.commit();
--- a/crates/router/src/control/scene.rs
+++ b/crates/router/src/control/scene.rs
@@ -10,6 +10,7 @@
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
         sync::Arc,
+        time::Duration,
     },
 };
 
@@ -142,6 +143,11 @@
         count.map_or(otherwise, |count| count as usize)
     }
 
+    /// Returns how long a stopping host waits; `otherwise` when the tree sets nothing.
+    pub(crate) fn drain_limit(&self, otherwise: Duration) -> Duration {
+        self.catalog.limits.drain.unwrap_or(otherwise)
+    }
+
     /// Returns the address of a host that answers, also one that takes no new work.
     pub(crate) fn address(&self, host: &str) -> Option<SocketAddr> {
         self.addresses.get(host).copied()
--- a/crates/router/src/escrow/holders.rs
+++ b/crates/router/src/escrow/holders.rs
@@ -192,6 +192,14 @@
         self.holders.values_mut().for_each(Holder::stop);
     }
 
+    /// Applies the settings of grants.
+    pub(super) fn tune(&mut self, settings: &Settings) {
+        self.settings = settings.clone();
+        self.holders
+            .values_mut()
+            .for_each(|holder| holder.tune(settings));
+    }
+
     /// Returns the holders, the oldest first.
     pub(super) fn iter(&self) -> impl Iterator<Item = (Generation, &Holder)> {
         self.holders
--- a/crates/router/src/escrow/work.rs
+++ b/crates/router/src/escrow/work.rs
@@ -164,7 +164,8 @@
     /// A closed task lingers, so that the entries learn that their settlements are durable.
     fn end(&mut self, stop: Duration) -> Option<bool> {
         let now = self.parts.clock.now();
-        if now >= stop + self.drain_limit {
+        let limit = self.parts.control.scene().drain_limit(self.drain_limit);
+        if now >= stop + limit {
             let (reserved, bills) = self.holders.left();
             log::error!(target: TOKENS, bills, reserved; "journal not closed within the drain limit");
             return Some(false);
@@ -280,8 +281,19 @@
         self.note();
     }
 
+    /// Takes over the settings of the tree that concern holders.
+    fn configure(&mut self) {
+        let sizes = self.parts.sizes.clone();
+        let sizes = match self.parts.control.scene().catalog.limits.endurance {
+            Some(endurance) => sizes.with_endurance(endurance),
+            None => sizes,
+        };
+        self.holders.tune(&sizes);
+    }
+
     fn step(&mut self) {
         let now = self.parts.clock.now();
+        self.configure();
         if self.resolving.is_empty() {
             let overdue = self
                 .holders
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -340,7 +340,8 @@
 
     async fn wait(&self, tasks: &TaskTracker, problem: &str) {
         tasks.close();
-        let waited = tokio::time::timeout(self.drain_limit, tasks.wait()).await;
+        let limit = self.control.scene().drain_limit(self.drain_limit);
+        let waited = tokio::time::timeout(limit, tasks.wait()).await;
         if waited.is_err() {
             log::error!(left = tasks.len(); "{problem}");
         }
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -9,7 +9,7 @@
     marigoldroute::{Handle, Settings},
     marigoldroute_core::{
         bill::{Bill, Page, Segment, key, request_of},
-        budget::{Account, Entry, Journal, journal},
+        budget::{Account, Entry, Journal, Share, journal},
         config::{Change, Edit, Kind, Setting, Value, hash_key},
         table::{Row, Transaction},
     },
@@ -103,7 +103,12 @@
     /// Starts a router in this process, gives the fleet its configuration if it has none, and
     /// waits until the router is ready.
     pub async fn router(&self, number: usize) -> Handle {
-        let router = marigoldroute::start(self.settings(number)).await.unwrap();
+        self.router_with(self.settings(number)).await
+    }
+
+    /// The same with settings of its own.
+    pub async fn router_with(&self, settings: Settings) -> Handle {
+        let router = marigoldroute::start(settings).await.unwrap();
         until(|| async { router.propose(self.change(), "test", "first").await.is_ok() }).await;
         ready(router.address()).await;
         router
@@ -216,6 +221,22 @@
             .count()
     }
 
+    /// Returns the shares of the budget in the journal rows that have any, in the order of the rows.
+    pub async fn shares(&self) -> Vec<Share> {
+        let rows = self.journals().await;
+        let journals = rows
+            .iter()
+            .filter_map(|row| serde_json::from_str::<Journal>(&row.value).ok());
+        journals
+            .filter_map(|journal| {
+                journal
+                    .entry
+                    .shares()
+                    .and_then(|shares| shares.get(BUDGET).copied())
+            })
+            .collect()
+    }
+
     /// Returns the row of the budget.
     pub async fn account(&self) -> Account {
         let row = self.client.get("budget/hems").await.unwrap().unwrap();
