--- a/crates/upstream/src/server.rs
+++ b/crates/upstream/src/server.rs
@@ -50,8 +50,8 @@
     draining: bool,
     /// Absent for an engine that takes no orders and serves any model.
     models: Option<Models>,
-    /// Whether runs stop after their next token.
-    held: watch::Sender<bool>,
+    /// Tokens that a run may have; all when absent.
+    held: watch::Sender<Option<u64>>,
 }
 
 /// A stand-in upstream; it answers as a model engine and as a plain service. Clones share their
@@ -113,21 +113,9 @@
         self.lock().draining = draining;
     }
 
-    /// Stops each run after its next token, until [`StandIn::release`].
-    pub fn hold(&self) {
-        self.lock().held.send_replace(true);
-    }
-
-    /// Lets the runs go on.
-    pub fn release(&self) {
-        self.lock().held.send_replace(false);
-    }
-
-    /// Waits until the runs may go on.
-    pub(crate) async fn released(&self) {
-        let mut held = self.lock().held.subscribe();
-        // The sender is in the state that `self` keeps, so the wait does not fail.
-        let _ = held.wait_for(|held| !held).await;
+    /// Holds each run once it has this many tokens, or lets all go on.
+    pub fn hold(&self, tokens: Option<u64>) {
+        self.lock().held.send_replace(tokens);
     }
 
     /// Returns the records of all requests.
@@ -190,10 +178,20 @@
         self.lock().draining
     }
 
-    pub(crate) fn is_cancelled(&self, request: &str) -> bool {
+    /// Returns whether a request was cancelled.
+    pub fn is_cancelled(&self, request: &str) -> bool {
         self.lock().cancelled.contains(request)
     }
 
+    /// Waits until a run may have another token after its first `tokens`.
+    pub(crate) async fn permit(&self, tokens: u64) {
+        let mut held = self.lock().held.subscribe();
+        // The sender is kept in the state.
+        let _ = held
+            .wait_for(|held| held.is_none_or(|held| tokens < held))
+            .await;
+    }
+
     /// Keeps a run so that it can be resumed.
     pub(crate) fn keep(&self, run: Run) {
         self.lock().runs.insert(run.request.clone(), run);
