Hash relayed tokens without parsing their content

Cause: since streams can move, the relay parses the whole content of each chunk into a JSON map and writes it again to hash it.

Change: choices stay raw text, which is hashed; only the reason for the end is parsed.

The 8 tests of moves and the 18 upstream fault cases pass.

--- a/crates/core/src/stream/event.rs
+++ b/crates/core/src/stream/event.rs
@@ -3,7 +3,8 @@
 use {
     bytes::{Bytes, BytesMut},
     serde::Deserialize,
-    serde_json::{Map, Value},
+    serde_json::value::RawValue,
+    std::borrow::Cow,
 };
 
 /// Largest event that is buffered, in bytes.
@@ -64,21 +65,18 @@
 
 /// The parts of a completion chunk that the router needs.
 #[derive(Debug, Deserialize)]
-pub(super) struct Chunk {
+pub(super) struct Chunk<'a> {
     #[serde(default)]
-    pub(super) id: String,
-    #[serde(default)]
-    pub(super) choices: Vec<Choice>,
+    pub(super) id: Cow<'a, str>,
+    #[serde(default, borrow)]
+    pub(super) choices: Vec<&'a RawValue>,
     pub(super) usage: Option<Usage>,
 }
 
 #[derive(Debug, Deserialize)]
-pub(super) struct Choice {
-    #[serde(default)]
-    pub(super) finish_reason: Option<String>,
-    /// Everything else, such as the text.
-    #[serde(flatten)]
-    pub(super) content: Map<String, Value>,
+pub(super) struct Choice<'a> {
+    #[serde(default, borrow)]
+    pub(super) finish_reason: Option<Cow<'a, str>>,
 }
 
 /// Token counts as the engine reports them.
--- a/crates/core/src/stream/relay.rs
+++ b/crates/core/src/stream/relay.rs
@@ -4,6 +4,7 @@
     super::event::{Choice, Chunk, Event, Usage},
     crate::id::{RequestId, Tokens},
     derive_more::{Display, Error},
+    serde_json::value::RawValue,
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
@@ -102,7 +103,7 @@
         if !chunk.id.contains(&*self.request) {
             return Err(Broken::Crossed);
         }
-        Ok(self.count(&chunk))
+        self.count(&chunk)
     }
 
     /// Checks that the stream may end here.
@@ -155,30 +156,34 @@
         Ok(Step::End)
     }
 
-    fn count(&mut self, chunk: &Chunk) -> Step {
+    fn count(&mut self, chunk: &Chunk) -> Result<Step, Broken> {
         if let Some(usage) = chunk.usage {
             self.reported = usage;
         }
-        let finish = |choice: &Choice| choice.finish_reason.is_some();
-        self.finished |= chunk.choices.iter().any(finish);
-        if !chunk.choices.is_empty() && !chunk.choices.iter().any(finish) {
+        let mut is_last = false;
+        for choice in &chunk.choices {
+            let choice: Choice =
+                serde_json::from_str(choice.get()).map_err(|_| Broken::Malformed)?;
+            is_last |= choice.finish_reason.is_some();
+        }
+        self.finished |= is_last;
+        if !chunk.choices.is_empty() && !is_last {
             if self.received() == self.limit {
                 self.ended = true;
-                return Step::Limit;
+                return Ok(Step::Limit);
             }
             self.tokens.push(hash(&chunk.choices));
         }
         if !std::mem::replace(&mut self.started, true) {
-            return Step::First;
+            return Ok(Step::First);
         }
-        Step::Forward
+        Ok(Step::Forward)
     }
 }
 
-fn hash(choices: &[Choice]) -> u64 {
-    let add = |hash, choice: &Choice| {
-        let content = serde_json::to_vec(&choice.content).unwrap_or_default();
-        xxh3_64_with_seed(&content, hash)
-    };
+/// Engines of one model write equal tokens with equal bytes; a difference in their form only keeps
+/// a stream where it is.
+fn hash(choices: &[&RawValue]) -> u64 {
+    let add = |hash, choice: &&RawValue| xxh3_64_with_seed(choice.get().as_bytes(), hash);
     choices.iter().fold(0, add)
 }
