Move streams off upstreams that are withdrawn with `move`

Cause: `withdraw::Fate` decided that idempotent work moves, but the router let everything finish where it ran, so a withdrawal with `running_work: move` freed an upstream no sooner than `finish`.

Change: the relay follows the configuration while it forwards a stream. When its upstream is withdrawn with `move`, the request starts on another upstream that has room, its tokens are compared with those that the caller has, and the first run is cancelled when the second has passed them. If none takes it or the answer differs, it finishes where it is. One attempt id, reservation and bill. `Source` reads the events of one upstream; the relay state keeps a hash per token. The holder of a reservation now asks all engines of the model, because a moved attempt has several records. The stand-in engine can hold its answers at a token and give another answer. Metric `marigoldroute_moved_streams_total`.

Answers that are not streamed finish where they run.

--- a/crates/core/src/stream/event.rs
+++ b/crates/core/src/stream/event.rs
@@ -3,6 +3,7 @@
 use {
     bytes::{Bytes, BytesMut},
     serde::Deserialize,
+    serde_json::{Map, Value},
 };
 
 /// Largest event that is buffered, in bytes.
@@ -75,6 +76,9 @@
 pub(super) struct Choice {
     #[serde(default)]
     pub(super) finish_reason: Option<String>,
+    /// Everything else, such as the text.
+    #[serde(flatten)]
+    pub(super) content: Map<String, Value>,
 }
 
 /// Token counts as the engine reports them.
--- a/crates/core/src/stream/relay.rs
+++ b/crates/core/src/stream/relay.rs
@@ -1,9 +1,10 @@
 //! The state of one relayed answer.
 
 use {
-    super::event::{Chunk, Event, Usage},
+    super::event::{Choice, Chunk, Event, Usage},
     crate::id::{RequestId, Tokens},
     derive_more::{Display, Error},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Payload of the event that ends a stream.
@@ -52,12 +53,12 @@
 }
 
 /// Checks the events of one answer and counts its tokens.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Relay {
     request: RequestId,
     limit: Tokens,
-    /// Chunks that carried a choice; engines send one token a chunk.
-    counted: Tokens,
+    /// Hashes of the chunks that carried a choice; engines send one token a chunk. At most `limit`.
+    tokens: Vec<u64>,
     reported: Usage,
     started: bool,
     finished: bool,
@@ -70,7 +71,7 @@
         Self {
             request,
             limit,
-            counted: 0,
+            tokens: Vec::new(),
             reported: Usage::default(),
             started: false,
             finished: false,
@@ -78,6 +79,11 @@
         }
     }
 
+    /// Returns the state for another run of the same request.
+    pub fn restarted(&self) -> Self {
+        Self::new(self.request.clone(), self.limit)
+    }
+
     /// Takes the next event.
     ///
     /// # Errors
@@ -115,13 +121,25 @@
     pub fn summary(&self) -> Summary {
         Summary {
             prompt: self.reported.prompt_tokens,
-            answer: self.counted.max(self.reported.completion_tokens),
+            answer: self.received().max(self.reported.completion_tokens),
         }
     }
 
     /// Returns the answer tokens received so far, from which a resumed stream continues.
     pub fn received(&self) -> Tokens {
-        self.counted
+        self.tokens.len() as Tokens
+    }
+
+    /// Returns whether the last token is the one that `other` has at the same place; true before
+    /// the first token.
+    pub fn repeats(&self, other: &Self) -> bool {
+        let last = self.tokens.len().checked_sub(1);
+        last.is_none_or(|last| self.tokens.get(last) == other.tokens.get(last))
+    }
+
+    /// Returns whether the engine has given the reason why the answer ends.
+    pub fn is_finished(&self) -> bool {
+        self.finished
     }
 
     /// Returns whether any chunk was received.
@@ -141,14 +159,14 @@
         if let Some(usage) = chunk.usage {
             self.reported = usage;
         }
-        let finish = |choice: &super::event::Choice| choice.finish_reason.is_some();
+        let finish = |choice: &Choice| choice.finish_reason.is_some();
         self.finished |= chunk.choices.iter().any(finish);
         if !chunk.choices.is_empty() && !chunk.choices.iter().any(finish) {
-            if self.counted == self.limit {
+            if self.received() == self.limit {
                 self.ended = true;
                 return Step::Limit;
             }
-            self.counted += 1;
+            self.tokens.push(hash(&chunk.choices));
         }
         if !std::mem::replace(&mut self.started, true) {
             return Step::First;
@@ -156,3 +174,11 @@
         Step::Forward
     }
 }
+
+fn hash(choices: &[Choice]) -> u64 {
+    let add = |hash, choice: &Choice| {
+        let content = serde_json::to_vec(&choice.content).unwrap_or_default();
+        xxh3_64_with_seed(&content, hash)
+    };
+    choices.iter().fold(0, add)
+}
--- a/crates/core/src/stream/tests.rs
+++ b/crates/core/src/stream/tests.rs
@@ -69,3 +69,23 @@
         assert!(!splitter.is_partial());
     }
 }
+
+/// Guards against another answer taken for the same one, when a run is repeated elsewhere.
+#[test]
+fn a_run_repeats_another_while_each_token_is_the_same() {
+    let run = |words: &[&str]| {
+        let mut relay = Relay::new("r1".into(), 100);
+        let steps = words.iter().map(|word| {
+            let text = TOKEN.replace("\"a\"", &format!("\"{word}\""));
+            relay.take(&events(&text)[0])
+        });
+        assert!(steps.last().is_none_or(|step| step.is_ok()));
+        relay
+    };
+    let first = run(&["a", "b", "c"]);
+    assert!(first.restarted().repeats(&first));
+    assert!(run(&["a", "b"]).repeats(&first));
+    for other in [&["x"][..], &["a", "x"], &["a", "b", "c", "d"]] {
+        assert!(!run(other).repeats(&first), "{other:?}");
+    }
+}
--- /dev/null
+++ b/crates/router/src/caller/handover.rs
@@ -0,0 +1,134 @@
+//! Moves a stream from a withdrawn upstream to another one.
+//!
+//! No engine resumes the run of another one, so the request starts anew. The new answer is read
+//! and dropped as far as the caller has it, and compared token by token. The withdrawn upstream is
+//! not read meanwhile, so that the part to be repeated does not grow; it is cancelled only when
+//! the new answer has gone beyond what the caller has. When no upstream takes the request, or its
+//! answer is another one, the stream goes on where it was.
+
+use {
+    super::{
+        job::{Call, Job},
+        source::Source,
+    },
+    crate::control::Scene,
+    marigoldroute_core::{
+        id::UpstreamId,
+        stream::{Relay, Step},
+        withdraw::{Fate, Repeat},
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::{sync::watch, time::timeout},
+};
+
+/// Upstreams that are tried for one request; each one costs the caller a pause.
+const MOVE_ATTEMPTS: u32 = 3;
+/// Longest wait for the next event of the new answer; the caller's stream stands still meanwhile.
+const PAUSE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Follows the configuration to find out when one request has to move.
+pub(super) struct Watch {
+    scenes: watch::Receiver<Arc<Scene>>,
+    repeat: Repeat,
+    /// Attempts left.
+    left: u32,
+}
+
+/// Why a request does not go on at another upstream that took it.
+enum Refusal {
+    Failed,
+    /// Its answer is another one.
+    Differs,
+}
+
+/// A stream to be moved.
+pub(super) struct Part<'a> {
+    pub(super) job: &'a Job,
+    pub(super) call: &'a Call,
+    /// What the caller has.
+    pub(super) passed: &'a Relay,
+}
+
+impl Watch {
+    pub(super) fn new(job: &Job) -> Self {
+        let repeat = match job.kind.is_idempotent() {
+            true => Repeat::Allowed,
+            false => Repeat::Never,
+        };
+        let mut scenes = job.context.control.scenes();
+        scenes.mark_changed();
+        Self {
+            scenes,
+            repeat,
+            left: MOVE_ATTEMPTS,
+        }
+    }
+
+    /// Waits until the request has to leave an upstream. Each state of the configuration gives
+    /// one reason at most.
+    pub(super) async fn due(&mut self, upstream: &UpstreamId, serves: &str) {
+        while self.left > 0 && self.repeat == Repeat::Allowed {
+            if self.scenes.changed().await.is_err() {
+                break;
+            }
+            let scene = self.scenes.borrow_and_update().clone();
+            if Fate::of(&scene.catalog, upstream, serves, self.repeat) == Fate::Move {
+                return;
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+}
+
+impl Part<'_> {
+    /// Sends the request to an upstream that it has not been at, and reads the answer up to the
+    /// first event that the caller does not have. Returns the answer and its state, or `None` when
+    /// the request stays where it is.
+    pub(super) async fn hand_over(
+        &self,
+        watch: &mut Watch,
+        tried: &mut Vec<UpstreamId>,
+    ) -> Option<(Source, Relay)> {
+        let before = tried.len();
+        let sent = timeout(PAUSE_LIMIT, self.job.send_once(self.call, tried)).await;
+        if tried.len() > before {
+            watch.left -= 1;
+        }
+        let reply = sent.ok()??;
+        let mut source = Source::new(reply);
+        let mut state = self.passed.restarted();
+        let Err(refusal) = self.catch_up(&mut source, &mut state).await else {
+            // The new upstream may have been withdrawn meanwhile.
+            watch.scenes.mark_changed();
+            return Some((source, state));
+        };
+        self.job.cancel(&source.url);
+        match refusal {
+            Refusal::Failed => source.flight.fail(),
+            Refusal::Differs => watch.left = 0,
+        }
+        None
+    }
+
+    async fn catch_up(&self, source: &mut Source, state: &mut Relay) -> Result<(), Refusal> {
+        let limit = self.job.context.upstreams.timeout().min(PAUSE_LIMIT);
+        loop {
+            let event = source.next(limit).await.map_err(|_| Refusal::Failed)?;
+            if state.received() == self.passed.received() && !event.data.is_empty() {
+                // An event that breaks the answer must not end the run that is in order.
+                state.clone().take(&event).map_err(|_| Refusal::Failed)?;
+                source.put_back(event);
+                return Ok(());
+            }
+            match state.take(&event) {
+                Ok(Step::First) => source.flight.first(),
+                Ok(Step::Forward) => {}
+                Ok(Step::Limit | Step::End | Step::Ignore) => return Err(Refusal::Differs),
+                Err(_) => return Err(Refusal::Failed),
+            }
+            if state.is_finished() || !state.repeats(self.passed) {
+                return Err(Refusal::Differs);
+            }
+        }
+    }
+}
--- a/crates/router/src/caller/job.rs
+++ b/crates/router/src/caller/job.rs
@@ -126,18 +126,8 @@
             let Some((flight, url)) = self.choose_in_time(tried, attempt).await else {
                 break;
             };
-            let target = format!("{url}{}", call.path);
-            let (method, headers) = (call.method.clone(), call.headers.clone());
-            let upstreams = &self.context.upstreams;
             self.claim.send()?;
-            let sent = upstreams.send(method, &target, &self.id, headers, call.body.clone());
-            let sent = sent
-                .await
-                .and_then(|response| match self.kind.refusal(&response) {
-                    Some(failure) => Err(failure),
-                    None => Ok(response),
-                });
-            let failure = match sent {
+            let failure = match self.call(call, &url).await {
                 Ok(response) => {
                     let control = &self.context.control;
                     control.observe(&flight.upstream, Observation::Success);
@@ -165,6 +155,54 @@
         Err(Fault::new(last, "no upstream answered the request").with_outcome(outcome))
     }
 
+    /// Sends an idempotent request to one more upstream, without a wait for a place, and adds that
+    /// upstream to `tried`. Returns `None` when none takes it.
+    pub(super) async fn send_once(
+        &self,
+        call: &Call,
+        tried: &mut Vec<UpstreamId>,
+    ) -> Option<Reply> {
+        let (flight, url) = self.choose(tried, 1)?;
+        tried.push(flight.upstream.clone());
+        let failure = match self.call(call, &url).await {
+            Ok(response) => {
+                let reply = Reply {
+                    flight,
+                    url,
+                    response,
+                };
+                // Another status is the engine's refusal of this request.
+                return reply.response.status().is_success().then_some(reply);
+            }
+            Err(failure) => failure,
+        };
+        self.note(&flight.upstream, failure);
+        match failure.is_refusal() {
+            true => flight.refuse(),
+            false => flight.fail(),
+        }
+        None
+    }
+
+    /// Tells an engine, without a wait, that nobody waits for this attempt any more.
+    pub(super) fn cancel(&self, url: &Arc<str>) {
+        let (upstreams, url, id) = (self.context.upstreams.clone(), url.clone(), self.id.clone());
+        let requests = &self.context.requests;
+        requests.spawn(async move { upstreams.cancel(&url, &id).await });
+    }
+
+    async fn call(&self, call: &Call, url: &str) -> Result<Response, Failure> {
+        let target = format!("{url}{}", call.path);
+        let (method, headers) = (call.method.clone(), call.headers.clone());
+        let upstreams = &self.context.upstreams;
+        let sent = upstreams.send(method, &target, &self.id, headers, call.body.clone());
+        let response = sent.await?;
+        match self.kind.refusal(&response) {
+            Some(failure) => Err(failure),
+            None => Ok(response),
+        }
+    }
+
     /// Chooses an upstream; waits for a place while all that could serve the request are at their
     /// limit.
     async fn choose_in_time(
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -2,12 +2,14 @@
 
 mod claimed;
 mod completion;
+mod handover;
 mod job;
 mod models;
 mod plan;
 mod relay;
 mod request;
 mod service;
+mod source;
 
 use {
     crate::{
--- a/crates/router/src/caller/relay.rs
+++ b/crates/router/src/caller/relay.rs
@@ -2,20 +2,25 @@
 //!
 //! A stream that breaks is resumed on its engine from the last token received. When nothing was
 //! passed on yet the request may also start again on another engine; later it may not, because
-//! another run would give other tokens.
+//! another run would give other tokens. A stream that has to leave a withdrawn upstream is moved
+//! by [`handover`](super::handover).
 
 use {
     super::{
+        handover::{Part, Watch},
         job::{Call, Job, Reply},
         request::Prompt,
+        source::{Source, Stop},
+    },
+    crate::{
+        logs::{ROUTING, TOKENS},
+        response::envelope,
     },
-    crate::{dispatch::Flight, logs::TOKENS, response::envelope},
     bytes::Bytes,
-    futures_util::StreamExt,
     marigoldroute_core::{
         fault::{Fault, Kind, Outcome},
         id::{Tokens, UpstreamId},
-        stream::{Broken, Relay, Splitter, Step, Summary},
+        stream::{Broken, Relay, Step, Summary},
     },
     poem::{Body, Response},
     serde_json::json,
@@ -47,13 +52,14 @@
     let requests = job.context.requests.clone();
     let transfer = Transfer {
         state: Relay::new(job.id.clone(), prompt.limit),
-        job,
         prompt,
         call,
         started,
         events: sender,
         first: Some(first),
         tried: Vec::new(),
+        watch: Watch::new(&job),
+        job,
     };
     requests.spawn(transfer.run(reply));
     let lost = |_| Err(Fault::new(Kind::Internal, "the stream was dropped"));
@@ -68,6 +74,8 @@
     Complete,
     Limit,
     CallerGone,
+    /// The upstream was withdrawn and running work has to move.
+    Due,
     /// The rest may be had from the engine.
     Interrupted(Fault),
     /// The answer cannot be trusted.
@@ -83,42 +91,48 @@
     events: mpsc::Sender<io::Result<Bytes>>,
     /// Until the first event or the final fault.
     first: Option<oneshot::Sender<Result<(), Fault>>>,
+    /// Upstreams that the request has been at.
     tried: Vec<UpstreamId>,
+    watch: Watch,
 }
 
 impl Transfer {
-    async fn run(mut self, mut reply: Reply) {
+    async fn run(mut self, reply: Reply) {
         let mut resumes = 0;
-        let (end, flight, url) = loop {
-            let Reply {
-                mut flight,
-                url,
-                response,
-            } = reply;
-            let end = self.forward(&mut flight, response).await;
-            let End::Interrupted(fault) = end else {
-                break (end, flight, url);
+        let mut source = Source::new(reply);
+        self.tried.push(source.flight.upstream.clone());
+        let end = loop {
+            let fault = match self.forward(&mut source).await {
+                End::Due => {
+                    source = self.make_move(source).await;
+                    continue;
+                }
+                End::Interrupted(fault) => fault,
+                end => break end,
             };
-            log::warn!(request:% = self.job.id, upstream:% = flight.upstream, fault:%; "stream interrupted");
+            log::warn!(request:% = self.job.id, upstream:% = source.flight.upstream, fault:%; "stream interrupted");
             resumes += 1;
             if resumes <= RESUME_ATTEMPTS
-                && let Some(response) = self.resume(&url).await
+                && let Some(response) = self.resume(&source.url).await
             {
-                reply = Reply {
-                    flight,
-                    url,
-                    response,
-                };
+                source = source.with(response);
                 continue;
             }
-            match self.restart(&flight.upstream).await {
+            match self.restart().await {
                 Some(other) => {
-                    flight.fail();
-                    reply = other;
+                    source.flight.fail();
+                    source = Source::new(other);
+                    self.tried.push(source.flight.upstream.clone());
                 }
-                None => break (End::Broken(fault), flight, url),
+                None => break End::Broken(fault),
             }
         };
+        self.end(end, source).await;
+    }
+
+    /// Ends the work at the upstream and the caller's stream.
+    async fn end(self, end: End, source: Source) {
+        let Source { flight, url, .. } = source;
         if !matches!(end, End::Complete) {
             let upstreams = &self.job.context.upstreams;
             upstreams.cancel(&url, &self.job.id).await;
@@ -126,7 +140,7 @@
         let upstream = flight.upstream.clone();
         match &end {
             End::Complete | End::Limit => flight.finish(self.state.received()),
-            End::CallerGone => drop(flight),
+            End::CallerGone | End::Due => drop(flight),
             End::Interrupted(_) | End::Broken(_) => flight.fail(),
         }
         self.finish(end, upstream).await;
@@ -140,42 +154,68 @@
     }
 
     /// Sends the request to another engine, unless a part of the answer was passed on.
-    async fn restart(&mut self, failed: &UpstreamId) -> Option<Reply> {
+    async fn restart(&mut self) -> Option<Reply> {
         if self.state.is_started() || !self.job.kind.is_idempotent() {
             return None;
         }
-        self.tried.push(failed.clone());
         let reply = self.job.send(&self.call, &mut self.tried).await.ok()?;
         reply.response.status().is_success().then_some(reply)
     }
 
-    /// Passes events on until the answer ends in some way.
-    async fn forward(&mut self, flight: &mut Flight, response: reqwest::Response) -> End {
+    /// Moves the stream away from a withdrawn upstream; returns the source to go on with.
+    async fn make_move(&mut self, old: Source) -> Source {
+        let part = Part {
+            job: &self.job,
+            call: &self.call,
+            passed: &self.state,
+        };
+        let moved = part.hand_over(&mut self.watch, &mut self.tried).await;
+        let moves = &self.job.context.metrics.moves;
+        let from = &old.flight.upstream;
+        let Some((source, state)) = moved else {
+            moves.with_label_values(&["kept"]).inc();
+            log::info!(target: ROUTING, request:% = self.job.id, upstream:% = from; "stream not moved");
+            return old;
+        };
+        moves.with_label_values(&["moved"]).inc();
+        log::info!(
+            target: ROUTING, request:% = self.job.id, from:%, upstream:% = source.flight.upstream,
+            repeated = self.state.received(); "stream moved"
+        );
+        self.state = state;
+        self.job.cancel(&old.url);
+        source
+    }
+
+    /// Passes events on until the answer ends in some way or has to move.
+    async fn forward(&mut self, source: &mut Source) -> End {
         let limit = self.job.context.upstreams.timeout();
-        let mut bytes = response.bytes_stream();
-        let mut splitter = Splitter::default();
         loop {
-            let piece = match timeout(limit, bytes.next()).await {
-                Err(_) => return interrupted(Kind::UpstreamTimeout, "the upstream fell silent"),
-                Ok(Some(Err(_))) => return interrupted(Kind::AnswerBroken, "the connection broke"),
-                Ok(None) => return self.close(),
-                Ok(Some(Ok(piece))) => piece,
+            let upstream = source.flight.upstream.clone();
+            let next = tokio::select! {
+                // An upstream that is faster than the caller always has an event ready.
+                biased;
+                () = self.watch.due(&upstream, &self.job.model), if !self.state.is_finished() => {
+                    return End::Due;
+                }
+                next = source.next(limit) => next,
             };
-            let Some(events) = splitter.push(&piece) else {
-                return broken(Broken::Oversized);
+            let event = match next {
+                Ok(event) => event,
+                Err(Stop::Closed) => return self.close(),
+                Err(Stop::Interrupted(fault)) => return End::Interrupted(fault),
+                Err(Stop::Broken(reason)) => return broken(reason),
             };
-            for event in events {
-                let step = match self.state.take(&event) {
-                    Ok(step) => step,
-                    Err(Broken::Cut) => return self.close(),
-                    Err(reason) => return broken(reason),
-                };
-                if step == Step::First {
-                    flight.first();
-                }
-                if let Some(end) = self.pass(step, event.raw).await {
-                    return end;
-                }
+            let step = match self.state.take(&event) {
+                Ok(step) => step,
+                Err(Broken::Cut) => return self.close(),
+                Err(reason) => return broken(reason),
+            };
+            if step == Step::First {
+                source.flight.first();
+            }
+            if let Some(end) = self.pass(step, event.raw).await {
+                return end;
             }
         }
     }
@@ -200,9 +240,9 @@
     /// Starts the response and lowers the reservation to the engine's own prompt count.
     async fn note_first(&mut self) {
         let context = &self.job.context;
-        let seconds = (context.clock.now() - self.started).as_secs_f64();
-        context.metrics.first_token.observe(seconds);
         if let Some(first) = self.first.take() {
+            let seconds = (context.clock.now() - self.started).as_secs_f64();
+            context.metrics.first_token.observe(seconds);
             // The caller may have left; the next event finds out.
             let _ = first.send(Ok(()));
         }
@@ -224,7 +264,7 @@
     async fn finish(self, end: End, upstream: UpstreamId) {
         let tokens = self.used(self.state.summary());
         let last = match end {
-            End::Complete | End::CallerGone => None,
+            End::Complete | End::CallerGone | End::Due => None,
             End::Limit => Some(limit_event(&self.job.id)),
             End::Interrupted(fault) | End::Broken(fault) => self.first.map_or_else(
                 || Some(error_event(&fault, &self.job.id)),
--- /dev/null
+++ b/crates/router/src/caller/source.rs
@@ -0,0 +1,90 @@
+//! The events of one upstream's streamed answer.
+
+use {
+    super::job::Reply,
+    crate::dispatch::Flight,
+    bytes::Bytes,
+    futures_util::{StreamExt, stream::BoxStream},
+    marigoldroute_core::{
+        fault::{Fault, Kind, Outcome},
+        stream::{Broken, Event, Splitter},
+    },
+    std::{collections::VecDeque, sync::Arc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Why a source has no further event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Stop {
+    /// The upstream closed the stream.
+    Closed,
+    /// The rest may be had from the engine.
+    Interrupted(Fault),
+    /// The answer cannot be trusted.
+    Broken(Broken),
+}
+
+/// An answer being read. Nothing is read from the upstream between two calls of [`Self::next`].
+pub(super) struct Source {
+    pub(super) flight: Flight,
+    /// Base URL of the upstream.
+    pub(super) url: Arc<str>,
+    bytes: BoxStream<'static, reqwest::Result<Bytes>>,
+    splitter: Splitter,
+    /// Events of the last bytes, at most as many as one read holds.
+    events: VecDeque<Event>,
+}
+
+impl Source {
+    pub(super) fn new(reply: Reply) -> Self {
+        Self {
+            flight: reply.flight,
+            url: reply.url,
+            bytes: reply.response.bytes_stream().boxed(),
+            splitter: Splitter::default(),
+            events: VecDeque::new(),
+        }
+    }
+
+    /// Goes on with another response of the same upstream.
+    pub(super) fn with(self, response: reqwest::Response) -> Self {
+        Self::new(Reply {
+            flight: self.flight,
+            url: self.url,
+            response,
+        })
+    }
+
+    /// Returns the next event; `limit` bounds the wait for the next bytes. No event is lost when
+    /// the future is dropped.
+    pub(super) async fn next(&mut self, limit: Duration) -> Result<Event, Stop> {
+        loop {
+            if let Some(event) = self.events.pop_front() {
+                return Ok(event);
+            }
+            let piece = match timeout(limit, self.bytes.next()).await {
+                Err(_) => return Err(silent()),
+                Ok(Some(Err(_))) => {
+                    return Err(interrupted(Kind::AnswerBroken, "the connection broke"));
+                }
+                Ok(None) => return Err(Stop::Closed),
+                Ok(Some(Ok(piece))) => piece,
+            };
+            let events = self.splitter.push(&piece);
+            self.events = events.ok_or(Stop::Broken(Broken::Oversized))?.into();
+        }
+    }
+
+    /// Puts an event back, to be returned next.
+    pub(super) fn put_back(&mut self, event: Event) {
+        self.events.push_front(event);
+    }
+}
+
+fn silent() -> Stop {
+    interrupted(Kind::UpstreamTimeout, "the upstream fell silent")
+}
+
+fn interrupted(kind: Kind, message: &str) -> Stop {
+    Stop::Interrupted(Fault::new(kind, message).with_outcome(Outcome::Ran))
+}
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -85,6 +85,11 @@
         self.scene.borrow().clone()
     }
 
+    /// Returns a receiver of each new state.
+    pub(crate) fn scenes(&self) -> watch::Receiver<Arc<Scene>> {
+        self.scene.clone()
+    }
+
     /// Returns whether this host may take new work.
     ///
     /// # Errors
--- a/crates/router/src/escrow/resolve.rs
+++ b/crates/router/src/escrow/resolve.rs
@@ -5,7 +5,7 @@
     marigoldroute_core::{
         budget::{Record, Usage},
         config::Catalog,
-        id::{ModelId, RequestId, UpstreamId, WorkspaceId},
+        id::{ModelId, RequestId, Tokens, UpstreamId, WorkspaceId},
     },
     std::sync::Arc,
 };
@@ -36,20 +36,61 @@
     if let Some(service) = catalog.services.get(&purpose.model) {
         return (attempt, Record::Finished(usage("".into(), service.price)));
     }
-    let mut record = Record::Absent;
     let is_candidate = |serves: &[ModelId]| serves.contains(&purpose.model);
     let candidates = catalog
         .upstreams
         .iter()
         .filter(|(_, upstream)| is_candidate(&upstream.serves));
+    let mut found = Found::default();
     for (id, upstream) in candidates {
-        match upstreams.usage(&upstream.url, &attempt).await {
+        found.add(id, upstreams.usage(&upstream.url, &attempt).await);
+    }
+    let finished = |(id, tokens)| Record::Finished(usage(id, tokens));
+    let record = match found.state() {
+        State::Running => Record::Running,
+        State::Finished => found.most.map_or(Record::Absent, finished),
+    };
+    (attempt, record)
+}
+
+/// What the engines know of one attempt. A moved attempt has a record at each engine where it ran.
+#[derive(Debug, Default)]
+struct Found {
+    is_running: bool,
+    is_unanswered: bool,
+    /// The engine that finished with the most tokens.
+    most: Option<(UpstreamId, Tokens)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Running,
+    Finished,
+}
+
+impl Found {
+    /// An engine that does not answer delays the end only while no other has a record.
+    fn state(&self) -> State {
+        if self.is_running || (self.is_unanswered && self.most.is_none()) {
+            State::Running
+        } else {
+            State::Finished
+        }
+    }
+
+    fn add(&mut self, upstream: &UpstreamId, used: Used) {
+        match used {
+            Used::Absent => {}
+            Used::Running => self.is_running = true,
+            Used::Unanswered => self.is_unanswered = true,
             Used::Finished(tokens) => {
-                return (attempt, Record::Finished(usage(id.clone(), tokens)));
+                if self.most.as_ref().is_none_or(|(_, most)| *most < tokens) {
+                    self.most = Some((upstream.clone(), tokens));
+                }
             }
-            Used::Running | Used::Unanswered => record = Record::Running,
-            Used::Absent => {}
         }
     }
-    (attempt, record)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -33,6 +33,8 @@
     pub(crate) first_token: Histogram,
     /// Attempts that an upstream refused.
     pub(crate) refusals: IntCounter,
+    /// Streams that were to move from a withdrawn upstream, by result: `moved` or `kept`.
+    pub(crate) moves: IntCounterVec,
     /// Failed calls to the platform.
     pub(crate) platform_faults: IntCounter,
     /// Bytes of frames sent to other hosts.
@@ -74,6 +76,15 @@
         );
         let admin_calls = IntCounterVec::new(admin_calls, &["result"])?;
         registry.register(Box::new(admin_calls.clone()))?;
+        let moves = Opts::new(
+            "marigoldroute_moved_streams_total",
+            "Streams that were to move from a withdrawn upstream, by result",
+        );
+        let moves = IntCounterVec::new(moves, &["result"])?;
+        registry.register(Box::new(moves.clone()))?;
+        for result in ["moved", "kept"] {
+            moves.with_label_values(&[result]);
+        }
         let first_token = HistogramOpts::new(
             "marigoldroute_first_token_seconds",
             "Time from the request to the first token",
@@ -83,6 +94,7 @@
         Ok(Self {
             requests,
             admin_calls,
+            moves,
             running: gauge("marigoldroute_running_requests", "Requests being served")?,
             charged: counter("marigoldroute_charged_tokens_total", "Tokens billed")?,
             uncovered: counter(
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -103,7 +103,12 @@
     /// Starts a router in this process, gives the fleet its configuration if it has none, and
     /// waits until the router is ready.
     pub async fn router(&self, number: usize) -> Handle {
-        let router = marigoldroute::start(self.settings(number)).await.unwrap();
+        self.start_router(self.settings(number)).await
+    }
+
+    /// Starts a router like [`Self::router`], with other settings.
+    pub async fn start_router(&self, settings: Settings) -> Handle {
+        let router = marigoldroute::start(settings).await.unwrap();
         until(|| async { router.propose(self.change(), "test", "first").await.is_ok() }).await;
         ready(router.address()).await;
         router
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -175,6 +175,10 @@
                 .await;
             break;
         }
+        tokio::select! {
+            () = stand_in.permit(token) => {}
+            () = sender.closed() => {}
+        }
         if stand_in.is_cancelled(&run.request) {
             break;
         }
@@ -201,7 +205,11 @@
     }
 
     fn token(&self, index: u64) -> Bytes {
-        let text = format!("w{index} ");
+        let word = match self.fault {
+            Fault::Differ => 'v',
+            _ => 'w',
+        };
+        let text = format!("{word}{index} ");
         let prompt = json!({"prompt_tokens": self.prompt_tokens, "completion_tokens": 0});
         let usage = (index == 0 && self.fault != Fault::NoUsage).then_some(prompt);
         self.chunk(
--- a/crates/upstream/src/fault.rs
+++ b/crates/upstream/src/fault.rs
@@ -25,4 +25,6 @@
     NoUsage,
     /// Never answer.
     Silent,
+    /// Answer with other tokens than the engines without a fault.
+    Differ,
 }
--- a/crates/upstream/src/server.rs
+++ b/crates/upstream/src/server.rs
@@ -20,6 +20,7 @@
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
     },
+    tokio::sync::watch,
 };
 
 /// Load report of an engine.
@@ -43,6 +44,8 @@
     runs: HashMap<String, Run>,
     running: u64,
     draining: bool,
+    /// Tokens that a run may have; all when absent.
+    held: watch::Sender<Option<u64>>,
 }
 
 /// A stand-in upstream; it answers as a model engine and as a plain service. Clones share their
@@ -70,6 +73,11 @@
         self.lock().draining = draining;
     }
 
+    /// Holds each run once it has this many tokens, or lets all go on.
+    pub fn hold(&self, tokens: Option<u64>) {
+        self.lock().held.send_replace(tokens);
+    }
+
     /// Returns the records of all requests.
     pub fn records(&self) -> HashMap<String, Record> {
         self.lock().book.all()
@@ -117,10 +125,20 @@
         self.lock().draining
     }
 
-    pub(crate) fn is_cancelled(&self, request: &str) -> bool {
+    /// Returns whether a request was cancelled.
+    pub fn is_cancelled(&self, request: &str) -> bool {
         self.lock().cancelled.contains(request)
     }
 
+    /// Waits until a run may have another token after its first `tokens`.
+    pub(crate) async fn permit(&self, tokens: u64) {
+        let mut held = self.lock().held.subscribe();
+        // The sender is kept in the state.
+        let _ = held
+            .wait_for(|held| held.is_none_or(|held| tokens < held))
+            .await;
+    }
+
     /// Keeps a run so that it can be resumed.
     pub(crate) fn keep(&self, run: Run) {
         self.lock().runs.insert(run.request.clone(), run);
