Cut and restore links between router processes in tests

Cause: links between real processes were never cut; partitions existed only in simulations of the decision logic.

--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -46,6 +46,7 @@
         weight: matches.get_one("weight").copied().unwrap_or(base.weight),
         listen: address("listen", base.listen),
         listen_peers: address("listen-peers", base.listen_peers),
+        advertise_peers: matches.get_one("advertise-peers").copied(),
         platform: text("platform", &base.platform),
         platform_timeout: ms("platform-timeout-ms", base.platform_timeout),
         fleet_keys: keys.map(|key| key.as_str().into()).collect(),
@@ -116,7 +117,7 @@
     ]
 }
 
-fn addresses() -> [Arg; 5] {
+fn addresses() -> [Arg; 6] {
     [
         option(
             "listen",
@@ -132,6 +133,13 @@
             "Address for other hosts",
         )
         .value_parser(value_parser!(SocketAddr)),
+        option(
+            "advertise-peers",
+            "MARIGOLDROUTE_ADVERTISE_PEERS",
+            "ADDRESS",
+            "Address that other hosts are told to use; the bound one when unset",
+        )
+        .value_parser(value_parser!(SocketAddr)),
         option(
             "platform",
             "MARIGOLDROUTE_PLATFORM",
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -90,7 +90,7 @@
     );
     let listener = listener.await?;
     let peers = listener.address()?;
-    let host = identify(&settings, peers);
+    let host = identify(&settings, settings.advertise_peers.unwrap_or(peers));
     let process = control::process(&host);
     let links = Links::new(
         settings.host.clone(),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -31,6 +31,8 @@
     pub listen: SocketAddr,
     /// Address for other hosts.
     pub listen_peers: SocketAddr,
+    /// Address that other hosts are told to use, when it differs from the bound one.
+    pub advertise_peers: Option<SocketAddr>,
     /// Base URL of the platform's table service and object store.
     pub platform: Arc<str>,
     /// Bound on a call to the platform.
@@ -85,6 +87,7 @@
             weight: 1,
             listen: ([127, 0, 0, 1], 8080).into(),
             listen_peers: ([127, 0, 0, 1], 8081).into(),
+            advertise_peers: None,
             platform: "http://127.0.0.1:8090".into(),
             platform_timeout: Duration::from_secs(2),
             fleet_keys: Vec::new(),
@@ -181,6 +184,12 @@
         require(is_weight, "--weight: must be from 1 to 1000");
         let peers = self.listen_peers != self.listen || self.listen.port() == 0;
         require(peers, "--listen-peers: must differ from --listen");
+        let is_reachable = |to: SocketAddr| !to.ip().is_unspecified() && to.port() > 0;
+        let advertised = self.advertise_peers.is_none_or(is_reachable);
+        require(
+            advertised,
+            "--advertise-peers: must have the IP address and port that other hosts reach",
+        );
         if mistakes.is_empty() {
             Ok(())
         } else {
@@ -204,6 +213,9 @@
         writeln!(f, "weight = {}", self.weight)?;
         writeln!(f, "listen = {}", self.listen)?;
         writeln!(f, "listen-peers = {}", self.listen_peers)?;
+        let advertised = self.advertise_peers.map(|address| address.to_string());
+        let advertised = advertised.as_deref().unwrap_or("none");
+        writeln!(f, "advertise-peers = {advertised}")?;
         writeln!(f, "platform = {}", self.platform)?;
         writeln!(f, "platform-timeout-ms = {}", ms(&self.platform_timeout))?;
         writeln!(
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test program uses a part of it")]
 #![allow(clippy::unwrap_used)]
 
+pub mod links;
 pub mod process;
 
 use {
@@ -142,10 +143,7 @@
 
     /// Returns whether a router counts this many routers as ready.
     pub async fn sees(&self, address: SocketAddr, count: i64) -> bool {
-        let metrics = reqwest::get(format!("http://{address}/metrics")).await;
-        let text = metrics.unwrap().text().await.unwrap();
-        let line = format!("marigoldroute_ready_hosts {count}\n");
-        text.contains(&line)
+        gauge(address, "marigoldroute_ready_hosts").await == count
     }
 
     /// Returns the bills of closed batches and those that the ledger has not read yet.
@@ -238,6 +236,14 @@
     }
 }
 
+/// Returns a metric without labels of a router.
+pub async fn gauge(address: SocketAddr, name: &str) -> i64 {
+    let metrics = reqwest::get(format!("http://{address}/metrics")).await;
+    let text = metrics.unwrap().text().await.unwrap();
+    let mut lines = text.lines().filter_map(|line| line.strip_prefix(name));
+    lines.next().unwrap().trim().parse().unwrap()
+}
+
 fn account(purchased: u64) -> Account {
     Account {
         purchased,
--- a/crates/router/tests/fleet/process.rs
+++ b/crates/router/tests/fleet/process.rs
@@ -1,7 +1,7 @@
 //! Routers as processes of their own.
 
 use {
-    super::{Outside, ready},
+    super::{Outside, links::Links, ready},
     nix::{
         sys::signal::{Signal, kill},
         unistd::Pid,
@@ -15,6 +15,9 @@
     },
 };
 
+/// Key of the internal protocol.
+pub const FLEET_KEY: &str = "a-fleet-key-for-the-tests";
+
 /// A router process; it is killed when it is dropped.
 pub struct Process {
     child: Child,
@@ -26,11 +29,31 @@
 impl Process {
     /// Starts a router and waits until it is ready.
     pub async fn start(outside: &Outside, number: usize) -> Self {
+        let (process, _) = Self::spawn(&outside.base, number, &[]);
+        ready(process.address).await;
+        process
+    }
+
+    /// As [`Self::start`], for a router that reaches the platform and is reached by others through
+    /// links.
+    pub async fn start_linked(outside: &Outside, number: usize, links: &Links) -> Self {
+        let name = format!("router-{number}");
+        let platform = links.platform(outside, &name).await;
+        let advertised = links.peers(&name).await.to_string();
+        let args = ["--advertise-peers", &advertised];
+        let (process, peers) = Self::spawn(&format!("http://{platform}"), number, &args);
+        links.connect(&name, peers);
+        ready(process.address).await;
+        process
+    }
+
+    /// Starts a router; returns it with its address for other hosts.
+    fn spawn(platform: &str, number: usize, args: &[&str]) -> (Self, SocketAddr) {
         let mut child = Command::new(env!("CARGO_BIN_EXE_marigoldroute"))
             .args(["--host", &format!("router-{number}")])
             .args(["--listen", "127.0.0.1:0", "--listen-peers", "127.0.0.1:0"])
-            .args(["--platform", &outside.base])
-            .args(["--fleet-key", "a-fleet-key-for-the-tests"])
+            .args(["--platform", platform])
+            .args(["--fleet-key", FLEET_KEY])
             .args(["--flush-interval-ms", "200", "--ledger-interval-ms", "200"])
             .args([
                 "--renew-interval-ms",
@@ -39,20 +62,20 @@
                 "1500",
             ])
             .args(["--upstream-timeout-ms", "3000", "--drain-limit-ms", "20000"])
+            .args(args)
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let mut reader = BufReader::new(child.stderr.take().unwrap());
-        let address = started(&mut reader);
+        let (address, peers) = started(&mut reader);
         let lines = std::thread::spawn(move || reader.lines().map_while(Result::ok).collect());
         let process = Self {
             child,
             address,
             lines: Some(lines),
         };
-        ready(process.address).await;
-        process
+        (process, peers)
     }
 
     /// Sends a signal.
@@ -77,8 +100,8 @@
     }
 }
 
-/// Reads the log up to the line that names the bound address.
-fn started(reader: &mut BufReader<ChildStderr>) -> SocketAddr {
+/// Reads the log up to the line that names the bound addresses, for callers and for other hosts.
+fn started(reader: &mut BufReader<ChildStderr>) -> (SocketAddr, SocketAddr) {
     loop {
         let mut line = String::new();
         let read = reader.read_line(&mut line).unwrap();
@@ -87,7 +110,8 @@
             continue;
         };
         if json["message"] == "started" {
-            return json["address"].as_str().unwrap().parse().unwrap();
+            let address = |name: &str| json[name].as_str().unwrap().parse().unwrap();
+            return (address("address"), address("peers"));
         }
     }
 }
