Need no edit to withdraw a part of what is withdrawn

Cause: withdrawing models that a batch had withdrawn already moved them to the end of the list, so that the plan held an edit without effect. That made a version for nothing and a conflict for other operators.

Change: names that stay withdrawn keep their order.

The new unit test fails without the change (the list is desk, drafting) and passes with it; cargo test -p marigoldroute-core passes.

--- a/crates/core/src/withdraw/plan.rs
+++ b/crates/core/src/withdraw/plan.rs
@@ -164,11 +164,17 @@
     }
 }
 
+/// Returns the withdrawn models after an action. Those that stay keep their order, so that a batch
+/// that is withdrawn already needs no edit.
 fn names(now: Option<&Value>, models: &[ModelId], action: Action) -> Vec<Arc<str>> {
     let mut names = now.map_or(&[][..], Value::members).to_vec();
-    names.retain(|name| !models.contains(name));
-    if let Action::Withdraw(_) = action {
-        names.extend(models.iter().cloned());
+    match action {
+        Action::Withdraw(_) => {
+            let added = models.iter().filter(|model| !names.contains(model));
+            let added: Vec<_> = added.cloned().collect();
+            names.extend(added);
+        }
+        Action::Restore => names.retain(|name| !models.contains(name)),
     }
     names
 }
--- a/crates/core/src/withdraw/tests.rs
+++ b/crates/core/src/withdraw/tests.rs
@@ -157,6 +157,23 @@
     }
 }
 
+/// Guards against a change that only reorders what is withdrawn already; it would be a version
+/// without effect and a conflict for other operators.
+#[test]
+fn part_of_a_withdrawn_batch_needs_no_edit() {
+    let batch = |models: &[&str]| Selector {
+        upstreams: names(&["d3"]),
+        models: names(models),
+        ..Selector::default()
+    };
+    let plan = Plan::new(4, &tree(), &batch(&["drafting", "desk"]), WITHDRAW);
+    let later = plan.with_force().validate(&tree()).unwrap();
+    for model in ["drafting", "desk"] {
+        let again = Plan::new(5, &later, &batch(&[model]), WITHDRAW);
+        assert_eq!(again.change.edits, [], "{model}");
+    }
+}
+
 /// Guards against restoring an upstream whose parent is withdrawn without any effect.
 #[test]
 fn restoration_overrides_a_withdrawn_parent() {
