--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -55,6 +55,7 @@
         tls_certificate: path("tls-certificate"),
         tls_key: path("tls-key"),
         tls_interval: ms("tls-interval-ms", base.tls_interval),
+        advertise_peers: matches.get_one("advertise-peers").copied(),
         platform: text("platform", &base.platform),
         platform_timeout: ms("platform-timeout-ms", base.platform_timeout),
         fleet_keys: keys.map(|key| key.as_str().into()).collect(),
@@ -125,7 +126,7 @@
     ]
 }
 
-fn addresses() -> [Arg; 5] {
+fn addresses() -> [Arg; 6] {
     [
         option(
             "listen",
@@ -141,6 +142,13 @@
             "Address for other hosts",
         )
         .value_parser(value_parser!(SocketAddr)),
+        option(
+            "advertise-peers",
+            "MARIGOLDROUTE_ADVERTISE_PEERS",
+            "ADDRESS",
+            "Address that other hosts are told to use; the bound one when unset",
+        )
+        .value_parser(value_parser!(SocketAddr)),
         option(
             "platform",
             "MARIGOLDROUTE_PLATFORM",
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -32,6 +32,8 @@
     pub listen: SocketAddr,
     /// Address for other hosts.
     pub listen_peers: SocketAddr,
+    /// Address that other hosts are told to use, when it differs from the bound one.
+    pub advertise_peers: Option<SocketAddr>,
     /// File with the certificate chain for callers and operators, in PEM; without it and the key,
     /// they are served without TLS.
     pub tls_certificate: Option<Arc<Path>>,
@@ -93,6 +95,7 @@
             weight: 1,
             listen: ([127, 0, 0, 1], 8080).into(),
             listen_peers: ([127, 0, 0, 1], 8081).into(),
+            advertise_peers: None,
             tls_certificate: None,
             tls_key: None,
             tls_interval: Duration::from_secs(5),
@@ -193,6 +196,12 @@
         require(is_weight, "--weight: must be from 1 to 1000");
         let peers = self.listen_peers != self.listen || self.listen.port() == 0;
         require(peers, "--listen-peers: must differ from --listen");
+        let is_reachable = |to: SocketAddr| !to.ip().is_unspecified() && to.port() > 0;
+        let advertised = self.advertise_peers.is_none_or(is_reachable);
+        require(
+            advertised,
+            "--advertise-peers: must have the IP address and port that other hosts reach",
+        );
         let files = self.tls();
         let unusable = files.and_then(|files| files.map(|files| files.read()).transpose());
         mistakes.extend(unusable.err().into_iter().flat_map(|unusable| unusable.0));
@@ -224,6 +233,9 @@
         writeln!(f, "weight = {}", self.weight)?;
         writeln!(f, "listen = {}", self.listen)?;
         writeln!(f, "listen-peers = {}", self.listen_peers)?;
+        let advertised = self.advertise_peers.map(|address| address.to_string());
+        let advertised = advertised.as_deref().unwrap_or("none");
+        writeln!(f, "advertise-peers = {advertised}")?;
         let path = |path: &Option<Arc<Path>>| match path {
             Some(path) => path.display().to_string(),
             None => "none".to_owned(),
