Start upstreams slowly that come into service

Cause: `limit::Ramp` was not used by the router, so a new, restored or recovered upstream got the full load at once.

Change: the dispatch keeps a ramp per upstream. It begins when an upstream is new in a later configuration than the process's first, is put back into service, or returns after failures. The share is taken of the limit and of what the busiest other upstream has in flight on this host, because a share of a limit of 128 per host binds nothing in a large fleet. When nothing else is left, the ramp does not count.

Without the ramp, 3 fail: 53 or 54 of 60 requests go to the upstream at once, at most 15 are allowed.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -1,17 +1,25 @@
 //! Choice of an upstream for each request, within the limits of each upstream.
 
+mod room;
+
+#[cfg(test)]
+mod tests;
+
 use {
     crate::{clock::Clock, control::Scene},
     marigoldroute_core::{
+        config::Catalog,
         id::{HostId, UpstreamId, Version},
-        limit::{Concurrency, ConcurrencySettings, RetryBudget, RetrySettings},
+        limit::{RetryBudget, RetrySettings},
         route::{
-            Candidate, Load, Name, Origin, Policy, Progress, Reason, Request, Settings, Ticket,
+            Candidate, Choice, Load, Name, Origin, Policy, Progress, Reason, Request, Settings,
+            Ticket,
         },
     },
     rand::{SeedableRng, rngs::SmallRng},
+    room::{Room, Start},
     std::{
-        collections::HashMap,
+        collections::{BTreeSet, HashMap},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -40,7 +48,13 @@
     version: Version,
     /// Hosts between which the policy divides the candidates.
     hosts: Vec<HostId>,
-    limits: HashMap<UpstreamId, Concurrency>,
+    limits: HashMap<UpstreamId, Room>,
+    /// Upstreams that are not in service by configuration.
+    withdrawn: BTreeSet<UpstreamId>,
+    /// Upstreams that are out because of their health.
+    out: BTreeSet<UpstreamId>,
+    /// End of the last slow start.
+    started: Duration,
     retries: RetryBudget,
 }
 
@@ -75,6 +89,9 @@
             version: 0,
             hosts: Vec::new(),
             limits: HashMap::new(),
+            withdrawn: BTreeSet::new(),
+            out: BTreeSet::new(),
+            started: Duration::ZERO,
             retries: RetryBudget::new(RetrySettings::default()),
         };
         Self {
@@ -91,32 +108,23 @@
         need: Need<'_>,
         tried: &[UpstreamId],
     ) -> Option<Flight> {
-        let now = self.clock.now();
+        self.choose_at(self.clock.now(), scene, need, tried)
+    }
+
+    fn choose_at(
+        self: &Arc<Self>,
+        now: Duration,
+        scene: &Scene,
+        need: Need<'_>,
+        tried: &[UpstreamId],
+    ) -> Option<Flight> {
         let mut state = self.lock();
         state.follow(now, scene);
-        let State {
-            policy,
-            random,
-            limits,
-            ..
-        } = &mut *state;
-        let allows = |id: &UpstreamId| {
-            let has_room = limits.get(id).is_none_or(|limit| limit.has_room(1.0));
-            has_room && scene.is_up(id) && !tried.contains(id)
-        };
-        let request = Request {
-            target: need.target,
-            prompt: need.prompt,
-            output: need.output,
-            prefixes: need.prefixes,
-            priority: need.priority,
-            allows: &allows,
-        };
-        let mut choice = policy.choose(now, random, &request)?;
+        let mut choice = state.choose(now, scene, need, tried)?;
+        let State { policy, limits, .. } = &mut *state;
         policy.report(now, &mut choice.ticket, Progress::Sent(need.prefixes));
-        let limit = limits.entry(choice.upstream.clone());
-        let limit = limit.or_insert_with(limit_of_new);
-        let has_place = limit.acquire(1.0);
+        let room = limits.entry(choice.upstream.clone()).or_default();
+        let has_place = room.limit.acquire(1.0);
         debug_assert!(has_place, "the choice was made under the same lock");
         Some(Flight {
             dispatch: self.clone(),
@@ -166,6 +174,49 @@
 }
 
 impl State {
+    /// Chooses within the slow starts, or beyond them when nothing else is left.
+    fn choose(
+        &mut self,
+        now: Duration,
+        scene: &Scene,
+        need: Need<'_>,
+        tried: &[UpstreamId],
+    ) -> Option<Choice> {
+        let mut start = self.start(now);
+        loop {
+            let limits = &self.limits;
+            let allows = |id: &UpstreamId| {
+                let has_room = limits.get(id).is_none_or(|room| room.is_free(now, start));
+                has_room && scene.is_up(id) && !tried.contains(id)
+            };
+            let request = Request {
+                target: need.target,
+                prompt: need.prompt,
+                output: need.output,
+                prefixes: need.prefixes,
+                priority: need.priority,
+                allows: &allows,
+            };
+            let choice = self.policy.choose(now, &mut self.random, &request);
+            if choice.is_some() || start == Start::Full {
+                return choice;
+            }
+            start = Start::Full;
+        }
+    }
+
+    /// Returns the bound on upstreams in their slow start.
+    fn start(&self, now: Duration) -> Start {
+        if now >= self.started {
+            return Start::Full;
+        }
+        let full = self.limits.values().filter(|room| room.share(now) >= 1.0);
+        let busiest = full.map(|room| room.limit.in_flight()).max();
+        Start::Slow {
+            busiest: busiest.unwrap_or_default(),
+        }
+    }
+
     /// Tells the policy about the hosts and about the upstreams of a new configuration.
     fn follow(&mut self, now: Duration, scene: &Scene) {
         if scene.hosts != self.hosts {
@@ -173,23 +224,40 @@
             self.policy.hosts(&self.hosts);
         }
         let catalog = &scene.catalog;
-        if catalog.version == self.version {
-            return;
+        if catalog.version != self.version {
+            self.apply(now, catalog);
         }
-        self.version = catalog.version;
+        if !scene.out.keys().eq(&self.out) {
+            let out: BTreeSet<_> = scene.out.keys().cloned().collect();
+            let before = std::mem::replace(&mut self.out, out);
+            for id in before.iter().filter(|id| scene.is_up(id)) {
+                self.begin(now, id);
+            }
+        }
+    }
+
+    fn apply(&mut self, now: Duration, catalog: &Catalog) {
+        // What was there when the process started is not new to the fleet.
+        let is_first = std::mem::replace(&mut self.version, catalog.version) == 0;
         let known: Vec<_> = self.limits.keys().cloned().collect();
         for id in known {
             if !catalog.upstreams.contains_key(&id) {
                 self.limits.remove(&id);
+                self.withdrawn.remove(&id);
                 self.policy.withdraw(&id);
             }
         }
         for (id, upstream) in &catalog.upstreams {
             if !upstream.is_in_service() {
                 self.policy.withdraw(id);
+                self.withdrawn.insert(id.clone());
                 continue;
             }
-            self.limits.entry(id.clone()).or_insert_with(limit_of_new);
+            let is_new = !self.limits.contains_key(id);
+            self.limits.entry(id.clone()).or_default();
+            if self.withdrawn.remove(id) || (is_new && !is_first) {
+                self.begin(now, id);
+            }
             let candidate = Candidate {
                 id: id.clone(),
                 serves: upstream.serves.clone(),
@@ -201,17 +269,13 @@
             }
         }
     }
-}
 
-/// Returns the limit of an upstream that nothing is known of.
-///
-/// Long streams end rarely, so the limit adapts slowly; a low first value would hold back a burst
-/// of streams for seconds.
-fn limit_of_new() -> Concurrency {
-    Concurrency::new(ConcurrencySettings {
-        initial: 128,
-        ..ConcurrencySettings::default()
-    })
+    /// Begins the slow start of an upstream.
+    fn begin(&mut self, now: Duration, upstream: &UpstreamId) {
+        if let Some(room) = self.limits.get_mut(upstream) {
+            self.started = room.begin(now);
+        }
+    }
 }
 
 impl Flight {
@@ -245,7 +309,7 @@
         }
         let now = self.dispatch.clock.now();
         let mut state = self.dispatch.lock();
-        if let Some(limit) = state.limits.get_mut(&self.upstream) {
+        if let Some(Room { limit, .. }) = state.limits.get_mut(&self.upstream) {
             match progress {
                 Progress::Finished { .. } => {
                     let whole = now.saturating_sub(self.started);
--- /dev/null
+++ b/crates/router/src/dispatch/room.rs
@@ -0,0 +1,75 @@
+//! The places of one upstream.
+
+use {
+    marigoldroute_core::limit::{Concurrency, ConcurrencySettings, Ramp, RampSettings},
+    std::time::Duration,
+};
+
+/// Places before anything is known of an upstream.
+///
+/// Long streams end rarely, so the limit adapts slowly; a low first value would hold back a burst
+/// of streams for seconds.
+const INITIAL_PLACES: u32 = 128;
+
+/// The limit of one upstream.
+#[derive(Debug)]
+pub(super) struct Room {
+    pub(super) limit: Concurrency,
+    /// Absent when the upstream was in service all along.
+    ramp: Option<Ramp>,
+}
+
+/// How upstreams in their slow start are bounded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Start {
+    /// To their share of what the busiest other upstream has in flight on this host. A share of
+    /// the limit alone would not bound them: the limit is that of one host, and with many hosts
+    /// each one sends far less than it allows.
+    Slow {
+        /// Requests in flight there.
+        busiest: u32,
+    },
+    /// Not at all.
+    Full,
+}
+
+impl Default for Room {
+    fn default() -> Self {
+        let settings = ConcurrencySettings {
+            initial: INITIAL_PLACES,
+            ..ConcurrencySettings::default()
+        };
+        Self {
+            limit: Concurrency::new(settings),
+            ramp: None,
+        }
+    }
+}
+
+impl Room {
+    /// Begins a slow start; returns its end.
+    pub(super) fn begin(&mut self, now: Duration) -> Duration {
+        let settings = RampSettings::default();
+        let end = now + settings.length;
+        self.ramp = Some(Ramp::new(settings, now));
+        end
+    }
+
+    /// Returns the share of the load that the upstream gets, 1 after the slow start.
+    pub(super) fn share(&self, now: Duration) -> f64 {
+        self.ramp.as_ref().map_or(1.0, |ramp| ramp.share(now))
+    }
+
+    /// Returns whether another request may be sent.
+    pub(super) fn is_free(&self, now: Duration, start: Start) -> bool {
+        let share = self.share(now);
+        let is_within = match start {
+            Start::Slow { busiest } if share < 1.0 => {
+                let bound = (f64::from(busiest) * share) as u32;
+                self.limit.has_room(share) && self.limit.in_flight() < bound.max(1)
+            }
+            Start::Slow { .. } | Start::Full => true,
+        };
+        is_within && self.limit.has_room(1.0)
+    }
+}
