Remove the ejector

Cause: the router never used `limit::Ejector`. The health marks of the fleet slice take a failing upstream out after 3 failures in a row, and the adaptive policy pauses it after the first one.

--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -2,11 +2,11 @@
 //!
 //! [`Concurrency`] limits the requests in flight at an upstream, [`Ramp`] lowers that limit for a
 //! new one, [`Queue`] holds requests for which there is no place and sheds them early,
-//! [`Fairness`] divides the places between workspaces, [`RetryBudget`] bounds retries as a share
-//! of the traffic, and [`Ejector`] takes failing upstreams out for a while.
+//! [`Fairness`] divides the places between workspaces, and [`RetryBudget`] bounds retries as a
+//! share of the traffic. Failing upstreams are taken out by the health marks of the slice
+//! [`fleet`](crate::fleet).
 
 mod concurrency;
-mod ejector;
 mod fairness;
 mod queue;
 mod ramp;
@@ -17,7 +17,6 @@
 
 pub use {
     concurrency::{Concurrency, Settings as ConcurrencySettings},
-    ejector::{Ejector, Settings as EjectorSettings},
     fairness::Fairness,
     queue::{Entry, Key, Queue, Settings as QueueSettings, Shed},
     ramp::{Ramp, Settings as RampSettings},
--- a/crates/core/src/limit/tests.rs
+++ b/crates/core/src/limit/tests.rs
@@ -2,10 +2,10 @@
 
 use {
     super::{
-        Concurrency, ConcurrencySettings, Ejector, EjectorSettings, Entry, Fairness, Key, Queue,
-        QueueSettings, Ramp, RampSettings, RetryBudget, RetrySettings, Shed,
+        Concurrency, ConcurrencySettings, Entry, Fairness, Key, Queue, QueueSettings, Ramp,
+        RampSettings, RetryBudget, RetrySettings, Shed,
     },
-    crate::{fault::Outcome, id::UpstreamId},
+    crate::fault::Outcome,
     proptest::{
         collection::vec,
         prelude::*,
@@ -358,62 +358,6 @@
     assert_eq!(shed.fault.answer().retry_after, Some(millis(2_000)));
 }
 
-/// Checks the ejector's bound over successes, failures and withdrawals.
-fn keeps_one(steps: &[(u8, u8, u64)], share: f64, spare: usize) -> Result<(), TestCaseError> {
-    let mut ejector = Ejector::new(EjectorSettings {
-        failures: 2,
-        share,
-        ..EjectorSettings::default()
-    });
-    let mut now = Duration::ZERO;
-    let mut known = std::collections::BTreeSet::new();
-    for (kind, upstream, time) in steps {
-        let id: UpstreamId = format!("u{upstream}").into();
-        match kind {
-            0 => {
-                ejector.join(&id);
-                known.insert(id);
-            }
-            1 => {
-                ejector.withdraw(now, &id);
-                known.remove(&id);
-            }
-            2 => ejector.succeed(&id),
-            3 => now += millis(*time),
-            _ => {
-                let pause = ejector.fail(now, &id);
-                prop_assert!(pause.is_none() || known.contains(&id));
-            }
-        }
-        let serving = known.iter().filter(|id| !ejector.is_ejected(now, id));
-        prop_assert!(
-            known.is_empty() || serving.count() > spare,
-            "too few are left"
-        );
-    }
-    Ok(())
-}
-
-fn ejections() -> impl Strategy<Value = Vec<(u8, u8, u64)>> {
-    vec((0..9_u8, 0..5_u8, 0..4_000_u64), 1..150)
-}
-
-/// Guards against ejecting all upstreams, also when a healthy one is withdrawn.
-#[test]
-fn ejector_always_leaves_one() {
-    assert_eq!(
-        check(&ejections(), |steps| keeps_one(&steps, 1.0, 0)),
-        Ok(())
-    );
-}
-
-/// Guards against an ejector property that cannot fail: at a share of 1, two upstreams may not
-/// always be left.
-#[test]
-fn ejector_property_detects_too_many_ejections() {
-    assert!(check(&ejections(), |steps| keeps_one(&steps, 1.0, 1)).is_err());
-}
-
 /// Checks that retries stay below the share of the requests plus the reserve.
 fn holds_share(attempts: &[bool], allowed: f64) -> Result<(), TestCaseError> {
     let settings = RetrySettings {
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -18,7 +18,7 @@
     pub prefixes: &'a [u64],
     /// Priority class; 0 is served first.
     pub priority: u8,
-    /// Whether an upstream may be chosen: not tried before, not ejected, not at its limit.
+    /// Whether an upstream may be chosen: not tried before, not out, not at its limit.
     pub allows: &'a dyn Fn(&UpstreamId) -> bool,
 }
 
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -1,9 +1,8 @@
-//! Tables of fault cases for routing and ejection; each file is one case.
+//! Tables of fault cases for routing; each file is one case.
 
 use {
     marigoldroute_core::{
         id::UpstreamId,
-        limit::{Ejector, EjectorSettings},
         route::{Candidate, Load, Name, Origin, Policy, Progress, Request, Settings, Ticket},
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -56,18 +55,11 @@
     },
     /// All of the next choices are from this list; an empty list stands for no choice.
     Expect(Vec<String>),
-    /// Counts a failure or success in the ejector.
-    Failure(String),
-    Success(String),
-    /// The ejected upstreams.
-    Ejected(Vec<String>),
 }
 
-/// The policy and the ejector under test.
+/// The policy under test.
 struct Fixture {
     policy: Box<dyn Policy>,
-    ejector: Ejector,
-    known: Vec<UpstreamId>,
     tickets: HashMap<String, Ticket>,
     random: SmallRng,
 }
@@ -81,8 +73,6 @@
         };
         Self {
             policy: Name::Adaptive.policy(origin, Settings::default()),
-            ejector: Ejector::new(EjectorSettings::default()),
-            known: Vec::new(),
             tickets: HashMap::new(),
             random: SmallRng::seed_from_u64(17),
         }
@@ -91,11 +81,7 @@
     fn apply(&mut self, now: Duration, act: &Act) -> Result<(), String> {
         match act {
             Act::Join(upstream) => self.join(now, upstream)?,
-            Act::Withdraw(upstream) => {
-                self.policy.withdraw(upstream);
-                self.ejector.withdraw(now, upstream);
-                self.known.retain(|id| **id != **upstream);
-            }
+            Act::Withdraw(upstream) => self.policy.withdraw(upstream),
             Act::Send { request, to } => self.send(now, request, to)?,
             Act::First(request) => self.report(now, request, Progress::First)?,
             Act::Finish(request) => {
@@ -119,11 +105,6 @@
                 self.policy.load(now, upstream, &load);
             }
             Act::Expect(allowed) => self.expect(now, allowed)?,
-            Act::Failure(upstream) => {
-                self.ejector.fail(now, upstream);
-            }
-            Act::Success(upstream) => self.ejector.succeed(upstream),
-            Act::Ejected(ejected) => self.ejected(now, ejected)?,
         }
         Ok(())
     }
@@ -135,8 +116,6 @@
             region: "west".into(),
             zone: "z1".into(),
         };
-        self.known.push(candidate.id.clone());
-        self.ejector.join(&candidate.id);
         let joined = self.policy.join(now, &candidate);
         joined.map_err(|error| error.to_string())
     }
@@ -173,17 +152,6 @@
         }
         Ok(())
     }
-
-    fn ejected(&self, now: Duration, expected: &[String]) -> Result<(), String> {
-        let known = self.known.iter().map(|id| id.to_string());
-        let ejected: Vec<_> = known
-            .filter(|id| self.ejector.is_ejected(now, id))
-            .collect();
-        if ejected == expected {
-            return Ok(());
-        }
-        Err(format!("ejected are {ejected:?}, expected {expected:?}"))
-    }
 }
 
 fn ask<'a>(allows: &'a dyn Fn(&UpstreamId) -> bool) -> Request<'a> {
