Shorten answers near the end of a budget

Cause: A completion was refused when the rest of its budget covered the prompt but not the whole output token limit.

Change: With the setting `budget_end` = `shorten`, the entry asks the holders that are exhausted for a part, at least the prompt and `least_output`. The smaller limit is set on the upstream call, and the router's own count ends a stream there with the finish reason `length`. The stand-in engine now reports `length` when the limit ends an answer. The default is a refusal as before.

Seen to fail: with the limit not set on the call, an answer of 24 instead of 10 tokens; without the router's count, 18 instead of 10; without the larger refill, `a_partial_reservation_takes_the_rest_of_the_budget` gets 100 instead of 500 tokens.

--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -165,6 +165,29 @@
         Ok(amount)
     }
 
+    /// Reserves as many tokens as there are, up to `most`, for a request that does with `least`.
+    ///
+    /// # Errors
+    /// As [`Self::reserve`] for the amount `least`. The next refill then takes up to `most` from a
+    /// budget row that has fewer.
+    pub fn reserve_part(
+        &mut self,
+        now: Duration,
+        request: &RequestId,
+        budget: &BudgetId,
+        most: Tokens,
+        least: Tokens,
+    ) -> Result<Tokens, Shortage> {
+        let free = self.slots.get(budget).map_or(0, Slot::free);
+        let reserved = self.reserve(now, request, budget, most.min(free.max(least)));
+        if reserved == Err(Shortage::Refill)
+            && let Some(slot) = self.slots.get_mut(budget)
+        {
+            slot.partial = slot.partial.max(most - free);
+        }
+        reserved
+    }
+
     /// Lowers the reservation of a request; a higher amount changes nothing.
     pub fn lower(&mut self, request: &str, amount: Tokens) {
         let Some(reservation) = self.reservations.get_mut(request) else {
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -29,6 +29,8 @@
     pub shortage: Tokens,
     /// Fewest tokens that a reservation lacked since the last flush; 0 when none lacked any.
     pub least_shortage: Tokens,
+    /// Tokens that a request which does with `least_shortage` would take, if there are as many.
+    pub partial: Tokens,
     /// Smoothed spend.
     pub demand: Demand,
     /// `spent` when `demand` was last updated.
@@ -129,14 +131,15 @@
         let headroom = self.headroom();
         let target = settings.target(account.rest() + headroom, &self.demand);
         let keep = self.keep(now, settings, holder, account, target);
+        let partial = self.partial.saturating_sub(self.raisable());
         let mut allocated = self.durable.allocated;
         if self.lack() > 0 && account.rest() >= self.lack() {
             let amount = target.saturating_sub(headroom).max(self.lack());
-            allocated += account.grant(amount);
+            allocated += account.grant(amount.max(partial));
             account.satisfy(holder);
             self.starving = None;
         } else if self.least_lack() > 0 && account.rest() >= self.least_lack() {
-            allocated += account.grant(self.least_lack());
+            allocated += account.grant(self.least_lack().max(partial));
         } else if let Some(keep) = keep
             && keep < headroom
         {
@@ -168,6 +171,7 @@
     ) -> Option<Tokens> {
         let most = std::mem::take(&mut self.shortage);
         let least = std::mem::take(&mut self.least_shortage);
+        self.partial = 0;
         if mark >= self.ceiling + most {
             return (most > 0).then_some(most);
         }
@@ -184,7 +188,7 @@
     pub fn raise(&self, settings: &Settings, allocated: Tokens) -> Tokens {
         let headroom = allocated.saturating_sub(self.used());
         let lead = settings.lead(self.rest + headroom, &self.demand);
-        let wish = (self.used() + lead).max(self.ceiling + self.shortage);
+        let wish = (self.used() + lead).max(self.ceiling + self.shortage.max(self.partial));
         wish.max(self.durable.mark).min(allocated)
     }
 
--- a/crates/core/src/budget/tests/life.rs
+++ b/crates/core/src/budget/tests/life.rs
@@ -285,3 +285,24 @@
     assert_eq!(journal::retained("h1.1", rows()), Some(2));
     assert_eq!(journal::retained("h3.1", rows()), None);
 }
+
+/// Guards against a short answer although the budget row has more, and against a part below the
+/// least that is of use.
+#[test]
+fn a_partial_reservation_takes_the_rest_of_the_budget() {
+    let mut table = store(500);
+    let mut holder = holder("h1");
+    let budget: BudgetId = "hems".into();
+    let mut part = |id: &str, least| {
+        let ask =
+            |holder: &mut Holder| holder.reserve_part(at(10), &id.into(), &budget, 2_000, least);
+        ask(&mut holder).or_else(|_| {
+            flush(&mut holder, &mut table, at(10));
+            ask(&mut holder)
+        })
+    };
+    assert_eq!(part("r1", 501), Err(Shortage::Refill));
+    assert_eq!(part("r1", 100), Ok(500));
+    assert_eq!(part("r1", 100), Ok(500), "a repeated message");
+    assert_eq!(part("r2", 1), Err(Shortage::Refill));
+}
--- a/crates/core/src/budget/tests/world.rs
+++ b/crates/core/src/budget/tests/world.rs
@@ -164,7 +164,16 @@
         let Some(holder) = &mut self.nodes[node].holder else {
             return;
         };
-        if holder.reserve(self.now, &request, budget, amount).is_ok() {
+        // A fifth of the requests do with a quarter of their tokens.
+        let reserved = if amount.is_multiple_of(5) {
+            let least = amount / 4;
+            let part = holder.reserve_part(self.now, &request, budget, amount, least);
+            assert!(part.is_err() || part.is_ok_and(|part| part >= least && part <= amount));
+            part
+        } else {
+            holder.reserve(self.now, &request, budget, amount)
+        };
+        if let Ok(amount) = reserved {
             // A repeated message returns the same reservation.
             assert_eq!(holder.reserve(self.now, &request, budget, 1), Ok(amount));
             let open = &mut self.nodes[node].open;
--- a/crates/core/src/config/catalog.rs
+++ b/crates/core/src/config/catalog.rs
@@ -18,6 +18,10 @@
     pub budget: BudgetId,
     /// Output token limit for requests that name none.
     pub output_limit: Tokens,
+    /// Least useful output token limit of a request that the rest of the budget does not cover;
+    /// `None` when such requests are refused.
+    #[serde(default)]
+    pub least_output: Option<Tokens>,
     /// Priority class; 0 is served first.
     pub priority: u8,
 }
--- a/crates/core/src/config/compile.rs
+++ b/crates/core/src/config/compile.rs
@@ -10,6 +10,8 @@
 };
 
 const DEFAULT_OUTPUT_TOKENS: u64 = 1024;
+/// Answers below this are rarely of use.
+const DEFAULT_LEAST_OUTPUT_TOKENS: u64 = 64;
 const DEFAULT_PRIORITY: u64 = 3;
 const DEFAULT_SHARE: u64 = 1;
 const DEFAULT_RETRY_PERCENT: u64 = 10;
@@ -88,10 +90,13 @@
 
 fn access(path: &Path, effective: &Effective<'_>) -> Access {
     let priority = number(effective, Setting::Priority).unwrap_or(DEFAULT_PRIORITY);
+    let least = number(effective, Setting::LeastOutput).unwrap_or(DEFAULT_LEAST_OUTPUT_TOKENS);
+    let is_shortening = &*text(effective, Setting::BudgetEnd) == "shorten";
     Access {
         workspace: path.clone(),
         budget: text(effective, Setting::Budget),
         output_limit: number(effective, Setting::OutputLimit).unwrap_or(DEFAULT_OUTPUT_TOKENS),
+        least_output: is_shortening.then_some(least.max(1)),
         priority: u8::try_from(priority).unwrap_or(u8::MAX),
     }
 }
--- a/crates/core/src/config/setting.rs
+++ b/crates/core/src/config/setting.rs
@@ -78,6 +78,10 @@
     Budget = "budget", Text, TEXT_LIMIT_BYTES, WORKSPACES, &[];
     /// Output token limit for requests that name none.
     OutputLimit = "output_limit", Tokens, TOKENS_LIMIT, WORKSPACES, &[];
+    /// Whether a request that the rest of the budget covers in part is refused or shortened.
+    BudgetEnd = "budget_end", Text, TEXT_LIMIT_BYTES, WORKSPACES, &["refuse", "shorten"];
+    /// Least useful output token limit of a shortened request; 64 when unset.
+    LeastOutput = "least_output", Tokens, TOKENS_LIMIT, WORKSPACES, &[];
     /// Priority class of a workspace.
     Priority = "priority", Class, 7, WORKSPACES, &[];
     /// Weight of a workspace when capacity is short.
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -79,6 +79,10 @@
     /// Model or service, for the bill when the entry is lost.
     #[prost(string, tag = "5")]
     pub model: String,
+    /// Fewest tokens that are of use when `amount` cannot be had; 0 when only `amount` is. The
+    /// answer states how many were reserved.
+    #[prost(uint64, tag = "6")]
+    pub least: u64,
 }
 
 /// Lowers a reservation.
--- a/crates/ctl/src/measure/budgets.rs
+++ b/crates/ctl/src/measure/budgets.rs
@@ -104,6 +104,8 @@
     name: &'static str,
     /// Holders per budget and region; `None` for a grant on every host.
     holders: Option<usize>,
+    /// Whether requests that the rest of a budget covers in part are shortened.
+    shortens: bool,
     settings: Settings,
 }
 
@@ -111,6 +113,7 @@
     let ranked = |name, settings| Variant {
         name,
         holders: Some(2),
+        shortens: false,
         settings,
     };
     let endurance = |seconds, low_water| Settings {
@@ -122,9 +125,14 @@
         Variant {
             name: "every_host",
             holders: None,
+            shortens: false,
             settings: Settings::default(),
         },
         ranked("ranked", Settings::default()),
+        Variant {
+            shortens: true,
+            ..ranked("shortened_answers", Settings::default())
+        },
         ranked("few_refusals", Settings::few_refusals()),
         ranked("few_stranded", Settings::few_stranded()),
         ranked(
--- a/crates/ctl/src/measure/budgets/demand.rs
+++ b/crates/ctl/src/measure/budgets/demand.rs
@@ -10,6 +10,8 @@
 const LONG: f64 = 0.15;
 /// How far the share of a region swings around one half.
 const SWING: f64 = 0.45;
+/// The least useful reservation as a fraction of the whole.
+const LEAST_PART: Tokens = 4;
 /// Period of the shift between regions in seconds.
 const PERIOD: f64 = 3_600.0;
 
@@ -22,6 +24,8 @@
     pub region: usize,
     /// Tokens to reserve.
     pub amount: Tokens,
+    /// Tokens to reserve with the least useful answer limit, when the budget has fewer.
+    pub least: Tokens,
     /// Tokens that it will use.
     pub used: Tokens,
     /// Seconds until it finishes.
@@ -87,6 +91,7 @@
             budget,
             region,
             amount,
+            least: amount / LEAST_PART,
             used,
             seconds,
         }
--- a/crates/ctl/src/measure/budgets/figures.rs
+++ b/crates/ctl/src/measure/budgets/figures.rs
@@ -31,6 +31,8 @@
     last: u64,
     false_last: u64,
     waited: u64,
+    /// Served with a smaller answer limit.
+    shortened: u64,
     stranded: Vec<Tokens>,
     per_second: Vec<u64>,
 }
@@ -42,6 +44,10 @@
         self.last += u64::from(calm && left >= job.amount && left * LAST <= bought);
     }
 
+    pub fn shorten(&mut self) {
+        self.shortened += 1;
+    }
+
     pub fn start(&mut self, waited: u64) {
         self.waited += u64::from(waited > 0);
     }
@@ -88,7 +94,7 @@
 #[derive(Clone, Debug, Display)]
 #[display(
     "{overspent:.0},{refused:.5},{false_refusals:.6},{false_stranded:.6},{false_calm:.6},{false_last:.5},\
-     {waited:.5},{stranded:.0},{reads:.1},{writes:.1},{peak:.1},{cpu:.4},{budgets:.1}"
+     {waited:.5},{stranded:.0},{reads:.1},{writes:.1},{peak:.1},{shortened:.6},{cpu:.4},{budgets:.1}"
 )]
 pub struct Figures {
     /// Tokens.
@@ -118,6 +124,8 @@
     cpu: f64,
     /// Budgets per holder at the end.
     budgets: f64,
+    /// Share of the requests that were served with a smaller answer limit.
+    shortened: f64,
 }
 
 impl Figures {
@@ -125,7 +133,7 @@
     pub const HEADER: &str = "overspent_tokens,refused_share,false_refusal_share,\
         false_refusal_share_stranded,false_refusal_share_calm,false_refusal_share_last_5_percent,waited_share,\
         stranded_tokens_per_death,reads_per_second,writes_per_second,peak_writes_per_second,\
-        cpu_percent_per_holder,budgets_per_holder";
+        shortened_share,cpu_percent_per_holder,budgets_per_holder";
 
     pub fn new(tally: &Tally, nodes: &[Node], seconds: u64) -> Self {
         let share = |count: u64, of: u64| count as f64 / of.max(1) as f64;
@@ -147,6 +155,7 @@
             peak: tally.peak(),
             cpu: 100.0 * cpu / hosts / seconds as f64,
             budgets: budgets as f64 / hosts,
+            shortened: share(tally.shortened, tally.requests),
         }
     }
 
@@ -171,6 +180,7 @@
             peak: median(|run| run.peak)?,
             cpu: median(|run| run.cpu)?,
             budgets: median(|run| run.budgets)?,
+            shortened: median(|run| run.shortened)?,
         })
     }
 }
--- a/crates/ctl/src/measure/budgets/node.rs
+++ b/crates/ctl/src/measure/budgets/node.rs
@@ -88,6 +88,21 @@
         result
     }
 
+    /// Reserves what there is, up to `most` and at least `least`.
+    pub fn reserve_part(
+        &mut self,
+        now: Duration,
+        request: &RequestId,
+        budget: &BudgetId,
+        most: Tokens,
+        least: Tokens,
+    ) -> Result<Tokens, Shortage> {
+        let start = Instant::now();
+        let result = self.holder.reserve_part(now, request, budget, most, least);
+        self.cpu += start.elapsed();
+        result
+    }
+
     pub fn settle(&mut self, request: &RequestId, tokens: Tokens) {
         let usage = Usage {
             workspace: "w".into(),
--- a/crates/ctl/src/measure/budgets/world.rs
+++ b/crates/ctl/src/measure/budgets/world.rs
@@ -1,5 +1,8 @@
 //! The simulated fleet.
 
+mod purchase;
+mod shorten;
+
 use {
     super::{
         Size, Variant,
@@ -10,7 +13,7 @@
     },
     marigoldroute_core::{
         budget::{
-            Change, Phase, Proposal, Request, Settings, Shortage, journal,
+            Phase, Settings, Shortage, journal,
             reclaim::{self, Found},
         },
         id::{BudgetId, RequestId, Tokens},
@@ -53,6 +56,8 @@
     size: Size,
     /// Holders per budget and region; `None` for a grant on every host.
     holders: Option<usize>,
+    /// Whether requests that the rest of a budget covers in part are shortened.
+    shortens: bool,
     settings: Settings,
     duration: u64,
     random: SmallRng,
@@ -86,6 +91,7 @@
         let mut world = Self {
             size,
             holders: variant.holders,
+            shortens: variant.shortens,
             settings: variant.settings.clone(),
             duration: duration.as_secs(),
             demand,
@@ -180,9 +186,11 @@
         (0..2).all(|region| self.is_connected(second, region))
     }
 
-    fn attempt(&mut self, second: u64, since: u64, request: RequestId, job: Job) {
+    fn attempt(&mut self, second: u64, since: u64, request: RequestId, mut job: Job) {
         let mut hope = false;
-        for index in self.candidates(second, &job) {
+        let candidates = self.candidates(second, &job);
+        for index in &candidates {
+            let index = *index;
             match self.ask(second, index, &request, &job) {
                 Ok(amount) => return self.start(second, since, index, request, job, amount),
                 Err(Shortage::Refill) => {
@@ -195,6 +203,15 @@
         if hope && second - since < PATIENCE {
             return self.waiting.push_back((since, request, job));
         }
+        let part = self
+            .shortens
+            .then(|| self.shorten(second, &candidates, &request, &job));
+        if let Some((index, amount)) = part.flatten() {
+            job.used = job.used.min(amount);
+            job.amount = amount;
+            self.tally.shorten();
+            return self.start(second, since, index, request, job, amount);
+        }
         let (left, bought) = (self.left(&job), self.bought[job.budget]);
         let calm = self.is_calm(second);
         let stranded = self.stranded[job.budget];
@@ -343,45 +360,4 @@
             }
         }
     }
-
-    /// Buys 20% more for a third of the budgets that are nearly used up.
-    fn top_up(&mut self, second: u64) {
-        for budget in 0..self.size.active {
-            let left = self.bought[budget].saturating_sub(self.taken[budget]);
-            if left * 20 < self.bought[budget] && self.random.random_bool(0.33) {
-                let amount = self.bought[budget] / 5 + 1;
-                self.buy(budget, amount, &format!("t{second}"));
-            }
-        }
-    }
-
-    fn buy(&mut self, budget: usize, amount: Tokens, id: &str) {
-        let request = Request {
-            budget: self.names[budget].clone(),
-            id: id.into(),
-            change: Change::TopUp(amount),
-            operator: "purser".into(),
-        };
-        let rows = self.store.fetch(&request.keys());
-        if let Ok(Proposal::Commit(transaction)) = request.propose(&rows) {
-            self.store.commit(&transaction);
-            self.bought[budget] += amount;
-        }
-    }
-
-    /// Buys for each active budget a random multiple of its expected use.
-    fn buy_all(&mut self) {
-        let (least, most) = self.size.bought;
-        let total = self.size.rate * self.duration as f64 * Demand::mean();
-        for budget in 0..self.size.budgets {
-            let share = if budget < self.size.active {
-                self.demand.share(budget)
-            } else {
-                0.0
-            };
-            let ratio = self.random.random_range(least..most);
-            let amount = (total * share * ratio) as Tokens + 20_000;
-            self.buy(budget, amount, "t0");
-        }
-    }
 }
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -8,7 +8,7 @@
         relay,
         request::{self, Prompt},
     },
-    crate::response::refuse,
+    crate::{logs::TOKENS, response::refuse},
     bytes::{Bytes, BytesMut},
     marigoldroute_core::{
         fault::{self, Fault},
@@ -61,6 +61,9 @@
     }
     context.permit(&access, &prompt.model)?;
     let json = HeaderValue::from_static("application/json");
+    let least = access.least_output.map_or(prompt.bound(), |least| {
+        prompt.prompt_bound + least.min(prompt.limit)
+    });
     let plan = Plan {
         id: request::id(&access.workspace, key.as_deref()),
         key,
@@ -73,6 +76,7 @@
         },
         prefixes: prompt.prefixes.clone(),
         amount: prompt.bound(),
+        least,
         call: Call {
             method: Method::POST,
             path: request.uri().path().to_owned(),
@@ -86,13 +90,23 @@
 async fn serve(
     context: Arc<Context>,
     plan: Plan,
-    prompt: Prompt,
+    mut prompt: Prompt,
     started: Duration,
 ) -> Result<Response, Fault> {
-    let (mut job, call) = match plan.admit(context).await? {
+    let (mut job, mut call) = match plan.admit(context).await? {
         Admitted::Job(job, call) => (*job, call),
         Admitted::Replay(response) => return Ok(response),
     };
+    let limit = job.charge.amount().saturating_sub(prompt.prompt_bound);
+    if limit < prompt.limit {
+        log::info!(
+            target: TOKENS, request:% = job.id, from = prompt.limit, to = limit;
+            "answer shortened near the end of the budget"
+        );
+        prompt.shorten(limit);
+        call.body = prompt.body.clone().into();
+        job.size.output = count(limit);
+    }
     match job.send(&call, &mut Vec::new()).await {
         Ok(reply) if !reply.response.status().is_success() => pass_on(job, reply).await,
         Ok(reply) if prompt.stream => relay::stream(job, prompt, call, reply, started).await,
--- a/crates/router/src/caller/plan.rs
+++ b/crates/router/src/caller/plan.rs
@@ -32,6 +32,8 @@
     pub(super) prefixes: Vec<u64>,
     /// Upper bound on the tokens of the request.
     pub(super) amount: Tokens,
+    /// Fewest tokens with which the request is of use, near the end of its budget.
+    pub(super) least: Tokens,
     pub(super) call: Call,
 }
 
@@ -59,10 +61,11 @@
             attempt: attempt.clone(),
             budget: self.access.budget,
             amount: self.amount,
+            least: self.amount,
             workspace: self.access.workspace.clone(),
             model: self.model.clone(),
         };
-        let charge = match context.charger.reserve(&reservation).await {
+        let charge = match context.charger.reserve(&reservation, self.least).await {
             Ok(charge) => charge,
             Err(fault) => {
                 claim.give_up().await;
--- a/crates/router/src/caller/request.rs
+++ b/crates/router/src/caller/request.rs
@@ -139,6 +139,15 @@
         })
     }
 
+    /// Sets a lower output token limit, also in the body for the upstream.
+    pub(super) fn shorten(&mut self, limit: Tokens) {
+        self.limit = limit;
+        if let Ok(mut body) = serde_json::from_str::<Map<String, Value>>(&self.body) {
+            body.insert("max_tokens".into(), limit.into());
+            self.body = Value::Object(body).to_string();
+        }
+    }
+
     /// Returns the upper bound on the tokens of the request.
     pub(super) fn bound(&self) -> Tokens {
         self.prompt_bound.saturating_add(self.limit)
--- a/crates/router/src/caller/service.rs
+++ b/crates/router/src/caller/service.rs
@@ -65,6 +65,7 @@
         size: Size::default(),
         prefixes: Vec::new(),
         amount: settings.price,
+        least: settings.price,
         call: Call {
             method: request.method().clone(),
             path: format!("/{path}{query}"),
--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -49,6 +49,8 @@
     place: Place,
     attempt: RequestId,
     budget: BudgetId,
+    /// Tokens reserved.
+    amount: Tokens,
 }
 
 /// Why a host is asked for tokens; earlier ones are asked first.
@@ -92,48 +94,78 @@
         }
     }
 
-    /// Reserves tokens at the first holder that covers them.
+    /// Reserves tokens at the first holder that covers them. When none does, at the first that has
+    /// `least` tokens.
     pub(crate) async fn reserve(
         self: &Arc<Self>,
         reservation: &Reservation,
+        least: Tokens,
     ) -> Result<Charge, Fault> {
-        let (mut exhausted, mut unavailable) = (false, false);
-        for (role, place) in self.places(&reservation.budget) {
+        let places = self.places(&reservation.budget);
+        let exhausted = match self.reserve_first(places, reservation).await {
+            Ok(charge) => return Ok(charge),
+            Err(exhausted) => exhausted,
+        };
+        let is_exhausted = !exhausted.is_empty();
+        if least < reservation.amount {
+            let part = Reservation {
+                least,
+                ..reservation.clone()
+            };
+            // Only holders that answered: a late release for one that did not would end the
+            // reservation of the same attempt.
+            if let Ok(charge) = self.reserve_first(exhausted, &part).await {
+                return Ok(charge);
+            }
+        }
+        let Reservation {
+            attempt,
+            budget,
+            amount,
+            ..
+        } = reservation;
+        log::info!(target: TOKENS, attempt:%, budget:%, amount, exhausted = is_exhausted; "reservation refused");
+        Err(if is_exhausted {
+            Fault::new(
+                Kind::BudgetExhausted,
+                "the rest of the budget does not cover the request",
+            )
+        } else {
+            Fault::new(Kind::BudgetUnavailable, "no holder of the budget answered")
+        })
+    }
+
+    /// Reserves at the first place that has the tokens; otherwise returns the places that answered
+    /// that they do not.
+    async fn reserve_first(
+        self: &Arc<Self>,
+        places: Vec<(Role, Place)>,
+        reservation: &Reservation,
+    ) -> Result<Charge, Vec<(Role, Place)>> {
+        let (mut exhausted, mut unavailable) = (Vec::new(), false);
+        for (role, place) in places {
             if role == Role::Spare && !unavailable {
                 continue;
             }
             let reserved = match &place {
-                Place::Here => self.escrow.reserve(reservation.clone()).await.map(drop),
+                Place::Here => self.escrow.reserve(reservation.clone()).await,
                 Place::Peer(host, address) => self.reserve_at(host, *address, reservation).await,
             };
             match reserved {
-                Ok(()) => {
+                Ok(amount) => {
                     return Ok(Charge {
                         charger: self.clone(),
                         place,
                         attempt: reservation.attempt.clone(),
                         budget: reservation.budget.clone(),
+                        amount,
                     });
                 }
-                Err(Refusal::Exhausted) => exhausted = true,
+                Err(Refusal::Exhausted) => exhausted.push((role, place)),
                 Err(Refusal::Unavailable) => unavailable = true,
             }
         }
-        let Reservation {
-            attempt,
-            budget,
-            amount,
-            ..
-        } = reservation;
-        log::info!(target: TOKENS, attempt:%, budget:%, amount, exhausted; "reservation refused");
-        Err(if exhausted {
-            Fault::new(
-                Kind::BudgetExhausted,
-                "the rest of the budget does not cover the request",
-            )
-        } else {
-            Fault::new(Kind::BudgetUnavailable, "no holder of the budget answered")
-        })
+        Err(exhausted)
     }
 
     async fn reserve_at(
@@ -141,20 +173,24 @@
         host: &HostId,
         address: SocketAddr,
         reservation: &Reservation,
-    ) -> Result<(), Refusal> {
+    ) -> Result<Tokens, Refusal> {
         let reserve = Reserve {
             request: reservation.attempt.to_string(),
             budget: reservation.budget.to_string(),
             amount: reservation.amount,
             workspace: reservation.workspace.to_string(),
             model: reservation.model.to_string(),
+            least: match reservation.least < reservation.amount {
+                true => reservation.least,
+                false => 0,
+            },
         };
         let call =
             self.links
                 .call_within(host, address, Body::Reserve(reserve), self.reserve_limit);
         match call.await {
             Ok(Body::Reply(reply)) => match reply.refusal() {
-                wire::Refusal::None => Ok(()),
+                wire::Refusal::None => Ok(reply.tokens),
                 wire::Refusal::Exhausted => Err(Refusal::Exhausted),
                 _ => Err(Refusal::Unavailable),
             },
@@ -215,6 +251,11 @@
 }
 
 impl Charge {
+    /// Returns the tokens reserved at first.
+    pub(crate) fn amount(&self) -> Tokens {
+        self.amount
+    }
+
     /// Lowers the reservation.
     pub(crate) async fn lower(&self, amount: Tokens) {
         let request = self.attempt.to_string();
@@ -296,6 +337,10 @@
             attempt: reserve.request.into(),
             budget: reserve.budget.into(),
             amount: reserve.amount,
+            least: match reserve.least {
+                0 => reserve.amount,
+                least => least,
+            },
             workspace: reserve.workspace.into(),
             model: reserve.model.into(),
         };
--- a/crates/router/src/escrow/holders.rs
+++ b/crates/router/src/escrow/holders.rs
@@ -72,6 +72,23 @@
         Ok(tokens)
     }
 
+    /// Reserves what the current holder has, up to `most` and at least `least`.
+    pub(super) fn reserve_part(
+        &mut self,
+        now: Duration,
+        attempt: &RequestId,
+        budget: &BudgetId,
+        (least, most): (Tokens, Tokens),
+        purpose: &Purpose,
+    ) -> Result<Tokens, Shortage> {
+        let holder = self.holders.get_mut(&self.current);
+        let holder = holder.ok_or(Shortage::Closed)?;
+        let tokens = holder.reserve_part(now, attempt, budget, most, least)?;
+        let entry = (self.current, purpose.clone());
+        self.open.insert(attempt.clone(), entry);
+        Ok(tokens)
+    }
+
     pub(super) fn lower(&mut self, attempt: &str, amount: Tokens) {
         if let Some((generation, _)) = self.open.get(attempt)
             && let Some(holder) = self.holders.get_mut(generation)
--- a/crates/router/src/escrow/mod.rs
+++ b/crates/router/src/escrow/mod.rs
@@ -40,6 +40,8 @@
     pub(crate) attempt: RequestId,
     pub(crate) budget: BudgetId,
     pub(crate) amount: Tokens,
+    /// Fewest tokens that are of use; below `amount`, the holder reserves what it has at once.
+    pub(crate) least: Tokens,
     /// For the bill when the entry is lost.
     pub(crate) workspace: WorkspaceId,
     /// Model or service, for the bill when the entry is lost.
--- a/crates/router/src/escrow/work.rs
+++ b/crates/router/src/escrow/work.rs
@@ -1,5 +1,7 @@
 //! The task itself.
 
+mod settings;
+
 use {
     super::{
         Command, Escrow, QUEUE_COMMANDS, Refusal, Reservation, Reserved, Settlement,
@@ -159,24 +161,6 @@
         }
     }
 
-    /// Returns whether the journals are closed once the task is to end.
-    ///
-    /// A closed task lingers, so that the entries learn that their settlements are durable.
-    fn end(&mut self, stop: Duration) -> Option<bool> {
-        let now = self.parts.clock.now();
-        let limit = self.parts.control.scene().drain_limit(self.drain_limit);
-        if now >= stop + limit {
-            let (reserved, bills) = self.holders.left();
-            log::error!(target: TOKENS, bills, reserved; "journal not closed within the drain limit");
-            return Some(false);
-        }
-        if !self.holders.is_closed() {
-            return None;
-        }
-        let closed = *self.closed.get_or_insert(now);
-        (now >= closed + self.flush_interval).then_some(true)
-    }
-
     fn handle(&mut self, command: Command) {
         match command {
             Command::Reserve { reservation, reply } => {
@@ -209,6 +193,7 @@
             attempt,
             budget,
             amount,
+            least,
             workspace,
             model,
         } = &waiting.reservation;
@@ -219,6 +204,11 @@
         let can_wait = now >= self.retry_at && self.waiting.len() < WAITING_LIMIT;
         let reserved = match self.is_draining {
             true => Err(Shortage::Closed),
+            false if least < amount => {
+                let range = (*least, *amount);
+                self.holders
+                    .reserve_part(now, attempt, budget, range, &purpose)
+            }
             false => self
                 .holders
                 .reserve(now, attempt, budget, *amount, &purpose),
@@ -281,16 +271,6 @@
         self.note();
     }
 
-    /// Takes over the settings of the tree that concern holders.
-    fn configure(&mut self) {
-        let sizes = self.parts.sizes.clone();
-        let sizes = match self.parts.control.scene().catalog.limits.endurance {
-            Some(endurance) => sizes.with_endurance(endurance),
-            None => sizes,
-        };
-        self.holders.tune(&sizes);
-    }
-
     fn step(&mut self) {
         let now = self.parts.clock.now();
         self.configure();
--- /dev/null
+++ b/crates/router/tests/budget_end.rs
@@ -0,0 +1,119 @@
+//! Requests that the rest of a budget covers in part.
+
+#![allow(clippy::unwrap_used)]
+
+mod fleet;
+
+use {
+    fleet::{Answer, BUDGET, KEY, Outside, set, until},
+    marigoldroute_core::config::{Change, Setting, Value},
+    marigoldroute_upstream::Fault,
+    serde_json::json,
+};
+
+/// Tokens that the budget has left for an answer.
+const LEFT: u64 = 10;
+/// Output token limit that the caller asks for.
+const ASKED: u64 = 500;
+/// Tokens that the router adds to the prompt's bytes for a chat template.
+const TEMPLATE_TOKENS: u64 = 64;
+
+fn body(stream: bool) -> Vec<u8> {
+    let body = json!({
+        "model": "drafting", "stream": stream, "max_tokens": ASKED,
+        "messages": [{"role": "user", "content": "Draft a work sheet."}],
+    });
+    serde_json::to_vec(&body).unwrap()
+}
+
+struct Outcome {
+    answer: Answer,
+    runs: u32,
+    charged: u64,
+    purchased: u64,
+}
+
+/// Sends a request to a budget with [`LEFT`] tokens for its answer. `least` is the least useful
+/// limit; without it the settings are left as they are.
+async fn ask(stream: bool, least: Option<u64>, fault: Fault) -> Outcome {
+    let body = body(stream);
+    let purchased = body.len() as u64 + TEMPLATE_TOKENS + LEFT;
+    let outside = Outside::start(1, purchased).await;
+    let router = outside.router(1).await;
+    if let Some(least) = least {
+        let edits = vec![
+            set("kolkata", Setting::BudgetEnd, Value::Text("shorten".into())),
+            set("kolkata", Setting::LeastOutput, Value::Tokens(least)),
+        ];
+        let change = Change {
+            edits,
+            force: false,
+        };
+        let version = router.propose(change, "test", "shorten").await.unwrap();
+        until(|| async { router.version() >= version }).await;
+    }
+    outside.engines[0].inject([fault]);
+    let url = format!("http://{}/v1/chat/completions", router.address());
+    let call = reqwest::Client::new().post(url).bearer_auth(KEY).body(body);
+    let response = call.send().await.unwrap();
+    let status = response.status().as_u16();
+    let answer = Answer {
+        status,
+        body: response.text().await.unwrap(),
+    };
+    router.stop().await;
+    let bills = outside.bills().await;
+    assert!(bills.iter().all(|bill| &*bill.budget == BUDGET));
+    Outcome {
+        answer,
+        runs: outside.runs(),
+        charged: bills.iter().map(|bill| bill.charged).sum(),
+        purchased,
+    }
+}
+
+fn assert_refused(outcome: &Outcome) {
+    let expected = Some(("budget_exhausted".into(), "not_run".into()));
+    assert_eq!(outcome.answer.error(), expected, "{}", outcome.answer.body);
+    assert_eq!((outcome.runs, outcome.charged), (0, 0));
+}
+
+fn assert_shortened(outcome: &Outcome) {
+    let text = outcome.answer.text();
+    let tokens = text.split_whitespace().count() as u64;
+    assert_eq!(tokens, LEFT, "{}", outcome.answer.body);
+    let reason = r#""finish_reason":"length""#;
+    assert!(
+        outcome.answer.body.contains(reason),
+        "{}",
+        outcome.answer.body
+    );
+    assert!(outcome.charged > 0 && outcome.charged <= outcome.purchased);
+}
+
+/// Guards against shortened answers that nobody asked for.
+#[tokio::test]
+async fn requests_are_refused_by_default() {
+    assert_refused(&ask(false, None, Fault::None).await);
+}
+
+/// Guards against an answer limit below the rest of the budget, one that the engine does not get, and a refusal despite the setting.
+#[tokio::test]
+async fn answers_are_shortened_to_the_rest() {
+    assert_shortened(&ask(false, Some(LEFT / 2), Fault::None).await);
+    assert_shortened(&ask(true, Some(LEFT / 2), Fault::None).await);
+}
+
+/// Guards against answers that are too short to be of use.
+#[tokio::test]
+async fn answers_below_the_least_useful_limit_are_refused() {
+    assert_refused(&ask(false, Some(LEFT + 1), Fault::None).await);
+}
+
+/// Guards against an engine that ignores the smaller limit.
+#[tokio::test]
+async fn router_ends_streams_at_the_smaller_limit() {
+    let outcome = ask(true, Some(LEFT), Fault::Excess).await;
+    assert_shortened(&outcome);
+    assert!(outcome.answer.is_whole_stream(), "{}", outcome.answer.body);
+}
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -64,6 +64,8 @@
     model: String,
     prompt_tokens: u64,
     tokens: u64,
+    /// Why the answer ends.
+    finish_reason: &'static str,
     fault: Fault,
     /// Index of the first token to send.
     from: u64,
@@ -133,7 +135,8 @@
 fn start(stand_in: &StandIn, id: &str, prompt: &Prompt, fault: Fault) -> Run {
     let bytes = prompt.messages.to_string().len() + prompt.prompt.to_string().len();
     let limit = prompt.max_tokens.unwrap_or(DEFAULT_LIMIT);
-    let wanted = stand_in.settings().answer_tokens.min(limit);
+    let settings = stand_in.settings();
+    let wanted = settings.answer_tokens.min(limit);
     let run = Run {
         request: id.to_owned(),
         model: prompt.model.clone(),
@@ -143,6 +146,10 @@
         } else {
             wanted
         },
+        finish_reason: match settings.answer_tokens > limit {
+            true => "length",
+            false => "stop",
+        },
         fault,
         from: 0,
     };
@@ -217,7 +224,7 @@
             "total_tokens": self.prompt_tokens + self.tokens,
         });
         let usage = (self.fault != Fault::NoUsage).then_some(usage);
-        let choices = json!([{"index": 0, "delta": {}, "finish_reason": "stop"}]);
+        let choices = json!([{"index": 0, "delta": {}, "finish_reason": self.finish_reason}]);
         let last = self.chunk(choices, usage);
         [&last[..], b"data: [DONE]\n\n"].concat().into()
     }
@@ -247,10 +254,11 @@
             }
         }
     }
+    let reason = last["choices"][0]["finish_reason"].take();
     let message = json!({"role": "assistant", "content": text});
     last["object"] = json!("chat.completion");
     last["choices"] =
-        json!([{"index": 0, "message": message, "text": text, "finish_reason": "stop"}]);
+        json!([{"index": 0, "message": message, "text": text, "finish_reason": reason}]);
     Some(last)
 }
 
