Let a suspected author record the result of an executed request

Cause: a retry at a host that did not hear the author of a claim asked the upstreams, was told that the request had been executed, and recorded at once that the response was lost. When the author was suspected wrongly, for example on a busy host or just after a join, its result could not be recorded any more and every later retry got key_unresolved.

Change: such a retry is told that the key is in use until the author had 5 s to record the result, which is longer than the refutation of a suspicion takes. A claim whose author gave the result up is answered at once, as before.

--- a/crates/core/src/claim/decision.rs
+++ b/crates/core/src/claim/decision.rs
@@ -59,6 +59,8 @@
     pub request: RequestId,
     /// Whether the upstreams are to refuse the request id from then on.
     pub fence: bool,
+    /// Whether the author has not given the result up.
+    pub(super) is_awaited: bool,
     pub(super) waiting: Waiting,
 }
 
--- a/crates/core/src/claim/registry.rs
+++ b/crates/core/src/claim/registry.rs
@@ -40,6 +40,9 @@
     pub linger: Duration,
     /// When a caller may ask again for a running request.
     pub retry_after: Duration,
+    /// How long the author of an executed request, which seems to be lost, may still record its
+    /// result. Longer than it takes to refute a suspicion.
+    pub settle: Duration,
     /// Bytes of a body that are recorded in the row.
     pub inline: usize,
 }
@@ -55,6 +58,7 @@
             backlog: 4 << 20,
             linger: Duration::from_secs(60),
             retry_after: Duration::from_secs(2),
+            settle: Duration::from_secs(5),
             inline: 16 << 10,
         }
     }
@@ -67,6 +71,9 @@
     settings: Settings,
     /// At most `settings.queue`, plus the members of batches that are returned to it.
     queue: VecDeque<Waiting>,
+    /// Executed requests without a recorded result, with the time at which this was found, the
+    /// oldest first. At most `settings.queue`.
+    unrecorded: VecDeque<(RequestId, Duration)>,
     /// Changes that are not yet in the store.
     pub backlog: Backlog,
 }
@@ -82,6 +89,7 @@
             author,
             settings,
             queue: VecDeque::new(),
+            unrecorded: VecDeque::new(),
             backlog,
         }
     }
@@ -200,11 +208,14 @@
         let Query {
             request,
             fence,
+            is_awaited,
             waiting,
         } = query;
         let decision = match finding {
-            Finding::Ran => Decision::Replay(self.record_run(&waiting, request)),
-            Finding::Running => Decision::Busy {
+            Finding::Ran if !is_awaited || self.is_settled(now, &request) => {
+                Decision::Replay(self.record_run(&waiting, request))
+            }
+            Finding::Ran | Finding::Running => Decision::Busy {
                 retry_after: self.settings.retry_after,
             },
             Finding::Fenced if fence => {
@@ -216,6 +227,24 @@
         Some(self.conclude(now, &waiting, decision))
     }
 
+    /// Returns whether the author of an executed request had its time to record the result. An
+    /// author that was suspected wrongly would otherwise lose it.
+    fn is_settled(&mut self, now: Duration, request: &RequestId) -> bool {
+        let known = self.unrecorded.iter().position(|(id, _)| id == request);
+        if let Some(position) = known {
+            let is_settled = now >= self.unrecorded[position].1 + self.settings.settle;
+            if is_settled {
+                self.unrecorded.remove(position);
+            }
+            return is_settled;
+        }
+        if self.unrecorded.len() >= self.settings.queue {
+            self.unrecorded.pop_front();
+        }
+        self.unrecorded.push_back((request.clone(), now));
+        false
+    }
+
     /// Records that the request was executed and its response is lost.
     fn record_run(&mut self, waiting: &Waiting, request: RequestId) -> Recorded {
         let recorded = Recorded {
@@ -266,6 +295,7 @@
         if claim.body != member.claim.body {
             return Some(self.conclude(clock.now, &member, Decision::Mismatch));
         }
+        let is_awaited = claim.state == State::Running;
         let is_open = match claim.state {
             State::Done(recorded) => {
                 return Some(self.conclude(clock.now, &member, Decision::Replay(recorded)));
@@ -282,25 +312,16 @@
             let retry_after = self.settings.retry_after;
             return Some(self.conclude(clock.now, &member, Decision::Busy { retry_after }));
         }
-        Some(self.ask(clock.now, member, claim.request, row.version))
-    }
-
-    /// Asks the upstreams for a request whose author is lost, where they can say.
-    fn ask(
-        &mut self,
-        now: Duration,
-        member: Waiting,
-        request: RequestId,
-        expected: Version,
-    ) -> Decision {
         if member.capability == Capability::None {
-            return self.conclude(now, &member, Decision::Unresolved);
+            return Some(self.conclude(clock.now, &member, Decision::Unresolved));
         }
-        Decision::Query(Box::new(Query {
-            request,
+        let expected = row.version;
+        Some(Decision::Query(Box::new(Query {
+            request: claim.request,
             fence: member.capability == Capability::Fence,
+            is_awaited,
             waiting: Waiting { expected, ..member },
-        }))
+        })))
     }
 
     /// Returns an attempt to the queue, to be submitted alone, or refuses it after too many.
--- a/crates/core/src/claim/tests.rs
+++ b/crates/core/src/claim/tests.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Action, Attempt, Batch, Body, Capability, Claim, Clock, Decision, Presence, Recorded,
-        Registry, Settings, key,
+        Action, Attempt, Batch, Body, Capability, Claim, Clock, Decision, Finding, Presence,
+        Recorded, Registry, Settings, key,
     },
     crate::{
         fault::Kind,
@@ -131,6 +131,52 @@
     assert!(registry.backlog.is_empty());
 }
 
+/// Returns the decision on a retry whose upstreams say that the claimed request was executed.
+fn retry_executed(registry: &mut Registry, table: &mut Memory, seconds: u64) -> Decision {
+    let retry = Attempt {
+        capability: Capability::Query,
+        ..attempt("a", &format!("r{seconds}"))
+    };
+    registry.submit(retry).unwrap();
+    let batch = registry.flush(clock(seconds)).unwrap();
+    let verdict = table.commit(&batch.transaction);
+    let gone = &|_: &HolderId| Presence::Gone;
+    let decisions = registry.decide(clock(seconds), batch, &verdict, gone);
+    match decisions.into_iter().next().unwrap().1 {
+        Decision::Query(query) => {
+            let now = Duration::from_secs(seconds);
+            registry.resolve(now, *query, Finding::Ran).unwrap()
+        }
+        decision => decision,
+    }
+}
+
+/// Guards against a result that is lost because its author was suspected wrongly before it had
+/// recorded it, and against a key that stays in use when the author is lost indeed.
+#[test]
+fn executed_request_is_recorded_as_lost_after_a_while() {
+    let mut table = Memory::default();
+    let mut author = registry("h1.1");
+    let batch = submit(&mut author, "a", "r1", 1);
+    assert!(matches!(
+        decide(&mut author, batch, &mut table, 1),
+        Decision::Run(_)
+    ));
+    let mut other = registry("h2.1");
+    for seconds in [2, 4, 6] {
+        let decision = retry_executed(&mut other, &mut table, seconds);
+        assert!(matches!(decision, Decision::Busy { .. }), "{decision:?}");
+        assert!(other.backlog.is_empty());
+    }
+    let lost = retry_executed(&mut other, &mut table, 7);
+    let is_lost = |recorded: &Recorded| recorded.body == Body::Missing;
+    assert!(
+        matches!(&lost, Decision::Replay(recorded) if is_lost(recorded)),
+        "{lost:?}"
+    );
+    assert_eq!(other.backlog.len(), 1);
+}
+
 /// Guards against waiting for expiry when the same process knows that nothing was sent.
 #[test]
 fn own_released_attempt_is_replaced_by_the_next() {
