--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -186,11 +186,17 @@
         unread
     }
 
+    /// Reads a journal page. A running ledger deletes rows as it moves the cursor, so the page only
+    /// counts when the cursor is the same before and after.
     async fn page(&self, holder: &str) -> Page {
-        let cursor = self.client.get(&key(holder)).await.unwrap();
-        let (prefix, after) = Page::range(holder, &Page::cursor(cursor.as_ref()).unwrap());
-        let rows = self.client.scan(&prefix, &after, 1_000).await.unwrap();
-        Page::decode(holder.into(), cursor.as_ref(), &rows).unwrap()
+        loop {
+            let cursor = self.client.get(&key(holder)).await.unwrap();
+            let (prefix, after) = Page::range(holder, &Page::cursor(cursor.as_ref()).unwrap());
+            let rows = self.client.scan(&prefix, &after, 1_000).await.unwrap();
+            if self.client.get(&key(holder)).await.unwrap() == cursor {
+                return Page::decode(holder.into(), cursor.as_ref(), &rows).unwrap();
+            }
+        }
     }
 
     async fn journals(&self) -> Vec<Row> {
