List orders that are billed without a run as a known failure

Cause: a holder whose reservation is neither settled nor released in time bills the price of a plain service, because the service keeps no record. The reason given in escrow/resolve.rs is that the caller was told that the outcome is unknown. But a release is given up after five attempts, so the caller may have been told "not run" when links were cut meanwhile.

Change: the test orders_that_did_not_run_are_not_billed runs the cases of the whole-slices test with services that keep no records. A release in the model also ends a reservation that still waits for tokens. Mending it needs releases that are repeated like settlements, and a holder that refuses a reservation after its release.

--- a/crates/core/tests/whole/duty.rs
+++ b/crates/core/tests/whole/duty.rs
@@ -5,7 +5,7 @@
         host::{Process, Silence},
         job::usage,
         message::{Answer, Ask, Billing, Event},
-        upstream::Kind,
+        upstream::{Kind, PRICE},
         world::{Defect, UPSTREAMS, World, node, reach, upstream_id},
     },
     marigoldroute_core::{
@@ -62,7 +62,12 @@
             }
         }
         for (attempt, purpose) in process.escrow.overdue(process.clock, RESERVATION_LIMIT) {
-            let record = self.record(process.host, &attempt, purpose.kind);
+            let record = match purpose.kind {
+                Kind::Order if self.has(Defect::NoServiceRecords) => {
+                    Record::Finished(usage(purpose.kind, "", PRICE))
+                }
+                _ => self.record(process.host, &attempt, purpose.kind),
+            };
             process.escrow.resolve(process.clock, &attempt, record);
         }
     }
--- a/crates/core/tests/whole/escrow.rs
+++ b/crates/core/tests/whole/escrow.rs
@@ -83,6 +83,8 @@
             Ask::Reserve { .. } if !is_open => Some(refused(&ask, Refusal::Unavailable)),
             Ask::Reserve { .. } => self.reserve(now, from, ask, now + RESERVE_LIMIT),
             Ask::Release { attempt } => {
+                self.waiting
+                    .retain(|waiting| waiting.ask.attempt() != attempt);
                 if let Some((generation, _)) = self.open.remove(&attempt)
                     && let Some(holder) = self.holders.get_mut(&generation)
                 {
--- a/crates/core/tests/whole/main.rs
+++ b/crates/core/tests/whole/main.rs
@@ -31,8 +31,8 @@
 const CASES: u32 = 200;
 const DEFECT_CASES: u32 = 100;
 
-fn run(seed: u64, cases: u32, shrink: u32) {
-    if let Some((case, reason)) = fuzz::first_failure::<World>(None, seed, cases, shrink) {
+fn run(defect: Option<Defect>, seed: u64, cases: u32, shrink: u32) {
+    if let Some((case, reason)) = fuzz::first_failure::<World>(defect, seed, cases, shrink) {
         panic!("seed {seed}, case {case}: {reason}");
     }
 }
@@ -40,7 +40,7 @@
 /// Guards against slices that keep the guarantees each by itself, but not together.
 #[test]
 fn guarantees_hold_under_faults() {
-    run(SEED, CASES, 200);
+    run(None, SEED, CASES, 200);
     let reached = world::REACHED.take();
     println!("{reached:?}");
     // Cases that never reach these would check nothing.
@@ -49,6 +49,13 @@
     }
 }
 
+/// Guards against a bill for an order that no service has seen. Plain services keep no usage
+/// records, as in production; in the other tests they do.
+#[test]
+fn orders_that_did_not_run_are_not_billed() {
+    run(Some(Defect::NoServiceRecords), SEED, CASES, 50);
+}
+
 /// As above, with the seeds that the environment names.
 #[test]
 fn guarantees_hold_for_more_seeds() {
@@ -59,7 +66,7 @@
     let start: u64 = start.parse().expect("START is a number");
     let count: u64 = count.parse().expect("COUNT is a number");
     for seed in start..start + count {
-        run(seed, 1, 2_000);
+        run(None, seed, 1, 2_000);
     }
 }
 
--- a/crates/core/tests/whole/world.rs
+++ b/crates/core/tests/whole/world.rs
@@ -49,6 +49,9 @@
     StopAtOnce,
     /// A planned stop returns no tokens.
     KeepTokens,
+    /// Plain services keep no usage records, and their price is billed when a reservation is
+    /// neither settled nor released in time. The router does this, see KNOWN-RED.txt.
+    NoServiceRecords,
     /// A resumed host goes on with an older version.
     OlderVersion,
 }
