Show the requests that run on withdrawn upstreams, per host

It showed versions only, so an operator did not know when upstreams could be switched off.

Change: a host counts its requests at upstreams by upstream and target. Gossip would cost more: a changed count is a mark of about 45 bytes that each of 390 hosts sends 11 times, whether an operator looks or not.

--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -25,7 +25,7 @@
     #[prost(uint64, tag = "3")]
     pub correlation: u64,
     /// Content.
-    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18")]
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20")]
     pub body: Option<Body>,
 }
 
@@ -50,6 +50,12 @@
     /// Tells a holder that another one lacks tokens of a budget.
     #[prost(message, tag = "18")]
     Review(Review),
+    /// Asks for the requests that run on withdrawn upstreams.
+    #[prost(message, tag = "19")]
+    Count(Count),
+    /// Answers [`Body::Count`].
+    #[prost(message, tag = "20")]
+    Counted(Counted),
     /// Answers a settlement.
     #[prost(message, tag = "17")]
     Settled(Settled),
@@ -160,6 +166,21 @@
     pub budget: String,
 }
 
+/// Asks a host for its requests that run on upstreams which take no new work of their kind.
+#[derive(Clone, PartialEq, Message)]
+pub struct Count {}
+
+/// A host's answer to [`Count`].
+#[derive(Clone, PartialEq, Message)]
+pub struct Counted {
+    /// Configuration version by which the host counted.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Requests.
+    #[prost(uint64, tag = "2")]
+    pub running: u64,
+}
+
 /// A holder's answer.
 #[derive(Clone, PartialEq, Message)]
 pub struct Reply {
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -16,7 +16,7 @@
   5  conflict: somebody else was faster, or the request id was used before
   6  not available; nothing was done
   7  unknown whether it was done; repeat the command with the same --request-id
-  8  done, but not in effect on every host in time";
+  8  done, but not in effect on every host in time, or work still runs";
 
 /// Returns the command line.
 pub fn command() -> Command {
--- a/crates/ctl/src/command/progress.rs
+++ b/crates/ctl/src/command/progress.rs
@@ -14,12 +14,12 @@
 /// Default bound on the wait; a change is in effect everywhere within 5 s as a rule.
 const WAIT_SECONDS: u64 = 60;
 
-/// A version is not in effect on every host in time.
+/// A version is not in effect on every host in time, or requests still run on withdrawn upstreams.
 #[derive(Clone, Debug, Display, Error)]
-#[display("version {version} is not in effect on: {behind}")]
+#[display("in time, {state}")]
 pub struct Late {
-    version: u64,
-    behind: String,
+    #[error(not(source))]
+    state: String,
 }
 
 /// Returns the command line.
@@ -33,6 +33,7 @@
                 .help("Version; the newest one when absent"),
         )
         .args(waiting())
+        .arg(idle())
 }
 
 /// Returns the options of a wait.
@@ -50,11 +51,30 @@
     ]
 }
 
+/// Returns the option of a wait for running work.
+pub(super) fn idle() -> Arg {
+    Arg::new("wait-idle")
+        .long("wait-idle")
+        .action(clap::ArgAction::SetTrue)
+        .help("As --wait, and until nothing runs on withdrawn upstreams")
+}
+
+/// Returns whether the command line asks for a wait.
+pub(super) fn is_waiting(matches: &ArgMatches) -> bool {
+    matches.get_flag("wait") || is_idle_wanted(matches)
+}
+
+/// A command without running work lacks the option.
+fn is_idle_wanted(matches: &ArgMatches) -> bool {
+    let wanted = matches.try_get_one("wait-idle");
+    wanted.ok().flatten().copied().unwrap_or(false)
+}
+
 /// Runs the command.
 pub async fn run(context: &Context, matches: &ArgMatches) -> anyhow::Result<()> {
     let version = matches.get_one::<u64>("version").copied();
     let progress = look(context, version).await?;
-    if matches.get_flag("wait") {
+    if is_waiting(matches) {
         let version = progress["version"].as_u64().unwrap_or_default();
         wait(context, version, matches).await?;
     }
@@ -69,7 +89,8 @@
     context.client.get("/progress", &query).await
 }
 
-/// Waits until a version is in effect everywhere and writes the progress to standard error.
+/// Waits until a version is in effect everywhere, and until nothing runs on withdrawn upstreams
+/// when the command line asks for that; writes the progress to standard error.
 pub(super) async fn wait(
     context: &Context,
     version: u64,
@@ -78,20 +99,27 @@
     let seconds = matches.get_one::<u64>("wait-seconds").copied();
     let end = Instant::now() + Duration::from_secs(seconds.unwrap_or(WAIT_SECONDS));
     let mut shown = String::new();
+    let is_idle_wanted = is_idle_wanted(matches);
     loop {
         let progress = look(context, Some(version)).await?;
-        let behind = behind(&progress);
         let applied = progress["applied"].as_array().map_or(0, Vec::len);
-        let line = format!("version {version}: in effect on {applied} hosts, not on: {behind}");
+        let mut line = format!(
+            "version {version}: in effect on {applied} hosts, not on: {}",
+            behind(&progress)
+        );
+        if is_idle_wanted {
+            line += &format!("; running on withdrawn upstreams: {}", running(&progress));
+        }
         if line != shown {
             eprintln!("{line}");
-            shown = line;
+            shown.clone_from(&line);
         }
-        if progress["everywhere"] == true {
+        let is_idle = !is_idle_wanted || progress["idle"] == true;
+        if progress["everywhere"] == true && is_idle {
             return Ok(());
         }
         if Instant::now() >= end {
-            return Err(Late { version, behind }.into());
+            return Err(Late { state: line }.into());
         }
         tokio::time::sleep(PAUSE).await;
     }
@@ -109,3 +137,21 @@
         hosts.join(", ")
     }
 }
+
+/// Returns the hosts with running requests; a host that has not answered has `?`.
+fn running(progress: &Value) -> String {
+    let hosts = progress["running"].as_array().into_iter().flatten();
+    let busy = hosts.filter(|at| at["requests"] != 0);
+    let count = |at: &Value| match at["requests"].as_u64() {
+        Some(count) => count.to_string(),
+        None => "?".to_owned(),
+    };
+    let busy: Vec<_> = busy
+        .map(|at| format!("{} ({})", cell(&at["host"]), count(at)))
+        .collect();
+    if busy.is_empty() {
+        "none".into()
+    } else {
+        busy.join(", ")
+    }
+}
--- a/crates/ctl/src/command/withdraw.rs
+++ b/crates/ctl/src/command/withdraw.rs
@@ -28,6 +28,7 @@
             "Accept that a model or service has no upstream left",
         ))
         .args(progress::waiting())
+        .arg(progress::idle())
 }
 
 /// Runs the command.
@@ -52,7 +53,7 @@
         return context.form.object(&plan);
     }
     let accepted = context.write(Method::POST, path, body).await?;
-    if matches.get_flag("wait") {
+    if progress::is_waiting(matches) {
         let version = accepted["version"].as_u64().unwrap_or_default();
         progress::wait(context, version, matches).await?;
     }
--- a/crates/router/src/admin/mod.rs
+++ b/crates/router/src/admin/mod.rs
@@ -19,6 +19,7 @@
 mod page;
 mod progress;
 mod ring;
+mod running;
 mod settings;
 mod spend;
 mod upstream;
@@ -26,7 +27,7 @@
 mod write;
 
 use {
-    crate::{clock::Clock, control::Control, metrics::Metrics},
+    crate::{clock::Clock, control::Control, dispatch::Dispatch, metrics::Metrics, peer::Links},
     marigoldroute_core::id::HostId,
     marigoldroute_platform::Client,
     poem::{EndpointExt, Route},
@@ -51,6 +52,10 @@
     pub(crate) clock: Clock,
     /// Hosts as last listed in the store.
     pub(crate) listed: Mutex<Option<listed::Listed>>,
+    pub(crate) dispatch: Arc<Dispatch>,
+    pub(crate) links: Arc<Links>,
+    /// What other hosts said last of their running requests.
+    pub(crate) counts: Mutex<running::Counts>,
 }
 
 /// Adds the routes.
--- a/crates/router/src/admin/progress.rs
+++ b/crates/router/src/admin/progress.rs
@@ -1,4 +1,5 @@
-//! On which hosts a version of the configuration is in effect.
+//! On which hosts a version of the configuration is in effect, and what still runs on withdrawn
+//! upstreams.
 
 use {
     super::{Admin, answer::Result, key::Operator, ring::Role},
@@ -6,6 +7,7 @@
         config::Log,
         fleet::Progress,
         id::{HostId, Version},
+        withdraw,
     },
     poem_openapi::{Object, OpenApi, param::Query, payload::Json},
     std::sync::Arc,
@@ -24,6 +26,17 @@
     version: Version,
 }
 
+/// Requests of a host that run on withdrawn upstreams.
+#[derive(Clone, Debug, Object)]
+#[oai(rename = "HostRunning")]
+struct Running {
+    /// Host.
+    host: String,
+    /// Requests; absent while the host has not answered.
+    #[oai(skip_serializing_if_is_none)]
+    requests: Option<u64>,
+}
+
 /// On which hosts a version is in effect.
 #[derive(Clone, Debug, Object)]
 #[oai(rename = "Progress")]
@@ -38,6 +51,12 @@
     behind: Vec<Place>,
     /// Hosts that are listed and do not answer, with the version that they were last seen with.
     unreachable: Vec<Place>,
+    /// Requests that run on upstreams which take no new work of their kind, for each host with
+    /// this version.
+    running: Vec<Running>,
+    /// Whether the version is in effect on every host that can be reached and each of them has
+    /// answered that nothing runs there any more.
+    idle: bool,
 }
 
 fn is_placed(progress: &Progress, host: &HostId) -> bool {
@@ -64,6 +83,19 @@
                 progress.unreachable.push((host.clone(), 0));
             }
         }
+        let running = self.0.running(&progress.applied, wanted).await;
+        let progress = withdraw::Progress {
+            hosts: progress,
+            running,
+        };
+        Ok(Json(progress.into()))
+    }
+}
+
+impl From<withdraw::Progress> for Shown {
+    fn from(progress: withdraw::Progress) -> Self {
+        let idle = progress.is_done();
+        let withdraw::Progress { hosts, running } = progress;
         let places = |hosts: Vec<(HostId, Version)>| {
             let place = |(host, version): (HostId, Version)| Place {
                 host: host.to_string(),
@@ -71,12 +103,18 @@
             };
             hosts.into_iter().map(place).collect()
         };
-        Ok(Json(Shown {
-            version: progress.version,
-            everywhere: progress.behind.is_empty() && progress.unreachable.is_empty(),
-            applied: progress.applied.iter().map(ToString::to_string).collect(),
-            behind: places(progress.behind),
-            unreachable: places(progress.unreachable),
-        }))
+        let counted = hosts.applied.iter().map(|host| Running {
+            host: host.to_string(),
+            requests: running.get(host).copied(),
+        });
+        Self {
+            version: hosts.version,
+            everywhere: hosts.behind.is_empty() && hosts.unreachable.is_empty(),
+            running: counted.collect(),
+            idle,
+            applied: hosts.applied.iter().map(ToString::to_string).collect(),
+            behind: places(hosts.behind),
+            unreachable: places(hosts.unreachable),
+        }
     }
 }
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -180,7 +180,7 @@
         _ => prompt.prompt_estimate + prompt.limit,
     };
     let context = job.context.clone();
-    let upstream = reply.flight.upstream.clone();
+    let upstream = reply.flight.upstream().clone();
     match &read {
         Ok(_) => reply.flight.finish(used),
         Err(_) => reply.flight.fail(),
--- a/crates/router/src/caller/job.rs
+++ b/crates/router/src/caller/job.rs
@@ -140,7 +140,7 @@
             let failure = match sent {
                 Ok(response) => {
                     let control = &self.context.control;
-                    control.observe(&flight.upstream, Observation::Success);
+                    control.observe(flight.upstream(), Observation::Success);
                     return Ok(Reply {
                         flight,
                         url,
@@ -149,8 +149,8 @@
                 }
                 Err(failure) => failure,
             };
-            last = self.note(&flight.upstream, failure);
-            tried.push(flight.upstream.clone());
+            last = self.note(flight.upstream(), failure);
+            tried.push(flight.upstream().clone());
             if failure.is_refusal() {
                 flight.refuse();
                 self.claim.refuse();
@@ -199,10 +199,10 @@
             priority: self.priority,
         };
         let flight = self.context.dispatch.choose(&scene, need, tried)?;
-        let upstream = scene.catalog.upstreams.get(&flight.upstream)?;
+        let upstream = scene.catalog.upstreams.get(flight.upstream())?;
         log::info!(
             target: ROUTING,
-            request:% = self.id, model:% = self.model, upstream:% = flight.upstream,
+            request:% = self.id, model:% = self.model, upstream:% = flight.upstream(),
             candidates = flight.known, considered = flight.considered, attempt,
             reason:% = flight.reason;
             "upstream chosen"
--- a/crates/router/src/caller/relay.rs
+++ b/crates/router/src/caller/relay.rs
@@ -99,7 +99,7 @@
             let End::Interrupted(fault) = end else {
                 break (end, flight, url);
             };
-            log::warn!(request:% = self.job.id, upstream:% = flight.upstream, fault:%; "stream interrupted");
+            log::warn!(request:% = self.job.id, upstream:% = flight.upstream(), fault:%; "stream interrupted");
             resumes += 1;
             if resumes <= RESUME_ATTEMPTS
                 && let Some(response) = self.resume(&url).await
@@ -111,7 +111,7 @@
                 };
                 continue;
             }
-            match self.restart(&flight.upstream).await {
+            match self.restart(flight.upstream()).await {
                 Some(other) => {
                     flight.fail();
                     reply = other;
@@ -123,7 +123,7 @@
             let upstreams = &self.job.context.upstreams;
             upstreams.cancel(&url, &self.job.id).await;
         }
-        let upstream = flight.upstream.clone();
+        let upstream = flight.upstream().clone();
         match &end {
             End::Complete | End::Limit => flight.finish(self.state.received()),
             End::CallerGone => drop(flight),
--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         control::Control,
+        dispatch::Dispatch,
         escrow::{Escrow, Refusal, Reservation, Settlement},
         logs::TOKENS,
         outbox::Outbox,
@@ -13,7 +14,7 @@
         budget::Usage,
         fault::{Fault, Kind},
         id::{BudgetId, HostId, Region, RequestId, Tokens},
-        wire::{self, Body, Lower, Release, Reply, Reserve, Settle, Settled},
+        wire::{self, Body, Counted, Lower, Release, Reply, Reserve, Settle, Settled},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio_util::task::TaskTracker,
@@ -262,6 +263,7 @@
 pub(crate) struct Responder {
     pub(crate) escrow: Escrow,
     pub(crate) control: Control,
+    pub(crate) dispatch: Arc<Dispatch>,
 }
 
 impl Service for Responder {
@@ -282,13 +284,22 @@
                 self.escrow.review(review.budget.into()).await;
                 Reply::default()
             }
-            Body::Reply(_) | Body::Settled(_) => return None,
+            Body::Count(_) => return Some(Body::Counted(self.count())),
+            Body::Reply(_) | Body::Settled(_) | Body::Counted(_) => return None,
         };
         Some(Body::Reply(reply))
     }
 }
 
 impl Responder {
+    fn count(&self) -> Counted {
+        let scene = self.control.scene();
+        Counted {
+            version: scene.catalog.version,
+            running: self.dispatch.withdrawn(&scene.catalog),
+        }
+    }
+
     async fn reserve(&self, reserve: Reserve) -> Reply {
         let reservation = Reservation {
             attempt: reserve.request.into(),
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -1,9 +1,14 @@
 //! Choice of an upstream for each request, within the limits of each upstream.
 
 use {
-    crate::{clock::Clock, control::Scene},
+    crate::{
+        clock::Clock,
+        control::Scene,
+        running::{Running, Work},
+    },
     marigoldroute_core::{
-        id::{HostId, UpstreamId, Version},
+        config::Catalog,
+        id::{HostId, ModelId, UpstreamId, Version},
         limit::{Concurrency, ConcurrencySettings, RetryBudget, RetrySettings},
         route::{
             Candidate, Load, Name, Origin, Policy, Progress, Reason, Request, Settings, Ticket,
@@ -22,7 +27,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Need<'a> {
     /// Model or service.
-    pub(crate) target: &'a str,
+    pub(crate) target: &'a ModelId,
     /// Estimated prompt tokens.
     pub(crate) prompt: u32,
     /// Output token limit.
@@ -42,6 +47,7 @@
     hosts: Vec<HostId>,
     limits: HashMap<UpstreamId, Concurrency>,
     retries: RetryBudget,
+    running: Running,
 }
 
 /// Chooses upstreams.
@@ -55,7 +61,7 @@
 /// A request on its way to or at an upstream; dropping it reports it as cancelled.
 pub(crate) struct Flight {
     dispatch: Arc<Dispatch>,
-    pub(crate) upstream: UpstreamId,
+    work: Work,
     /// Candidates known and compared, and why this one was chosen.
     pub(crate) known: usize,
     pub(crate) considered: usize,
@@ -76,6 +82,7 @@
             hosts: Vec::new(),
             limits: HashMap::new(),
             retries: RetryBudget::new(RetrySettings::default()),
+            running: Running::default(),
         };
         Self {
             clock,
@@ -98,6 +105,7 @@
             policy,
             random,
             limits,
+            running,
             ..
         } = &mut *state;
         let allows = |id: &UpstreamId| {
@@ -118,9 +126,14 @@
         let limit = limit.or_insert_with(limit_of_new);
         let has_place = limit.acquire(1.0);
         debug_assert!(has_place, "the choice was made under the same lock");
+        let work = Work {
+            upstream: choice.upstream,
+            target: need.target.clone(),
+        };
+        running.begin(&work);
         Some(Flight {
             dispatch: self.clone(),
-            upstream: choice.upstream,
+            work,
             known: choice.known,
             considered: choice.considered,
             reason: choice.reason,
@@ -154,6 +167,11 @@
         self.lock().retries.withdraw()
     }
 
+    /// Returns the requests that run on upstreams which take no new work of their kind.
+    pub(crate) fn withdrawn(&self, catalog: &Catalog) -> u64 {
+        self.lock().running.withdrawn(catalog)
+    }
+
     /// Takes a load report.
     pub(crate) fn load(&self, upstream: &UpstreamId, load: &Load) {
         let now = self.clock.now();
@@ -215,6 +233,11 @@
 }
 
 impl Flight {
+    /// Returns the upstream.
+    pub(crate) fn upstream(&self) -> &UpstreamId {
+        &self.work.upstream
+    }
+
     /// Notes the first token.
     pub(crate) fn first(&mut self) {
         let now = self.dispatch.clock.now();
@@ -245,7 +268,8 @@
         }
         let now = self.dispatch.clock.now();
         let mut state = self.dispatch.lock();
-        if let Some(limit) = state.limits.get_mut(&self.upstream) {
+        state.running.end(&self.work);
+        if let Some(limit) = state.limits.get_mut(self.upstream()) {
             match progress {
                 Progress::Finished { .. } => {
                     let whole = now.saturating_sub(self.started);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,6 +21,7 @@
 mod reclaim;
 mod response;
 mod router;
+mod running;
 mod tls;
 mod upstream;
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -179,6 +179,7 @@
     let responder = Responder {
         escrow: escrow.clone(),
         control: control.clone(),
+        dispatch: dispatch.clone(),
     };
     tasks.spawn(listener.run(Arc::new(responder), tasks.clone(), stop.clone()));
     let outbox = outbox::Parts {
@@ -196,7 +197,7 @@
     let charger = Charger::new(
         &settings,
         escrow,
-        links,
+        links.clone(),
         control.clone(),
         outbox,
         deliveries.clone(),
@@ -211,6 +212,9 @@
         ring: Default::default(),
         clock,
         listed: Default::default(),
+        dispatch: dispatch.clone(),
+        links,
+        counts: Default::default(),
     };
     let context = Arc::new(Context {
         clock,
--- /dev/null
+++ b/crates/router/src/running.rs
@@ -0,0 +1,48 @@
+//! Requests that are at upstreams.
+
+use {
+    marigoldroute_core::{
+        config::Catalog,
+        id::{ModelId, UpstreamId},
+    },
+    std::collections::HashMap,
+};
+
+/// An upstream with the model or service that a request asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Work {
+    pub(crate) upstream: UpstreamId,
+    pub(crate) target: ModelId,
+}
+
+/// Number of requests by upstream and target; holds no zeros, so it is bounded by the requests in
+/// progress.
+#[derive(Debug, Default)]
+pub(crate) struct Running(HashMap<Work, u64>);
+
+impl Running {
+    pub(crate) fn begin(&mut self, work: &Work) {
+        *self.0.entry(work.clone()).or_default() += 1;
+    }
+
+    pub(crate) fn end(&mut self, work: &Work) {
+        if let Some(count) = self.0.get_mut(work) {
+            *count -= 1;
+            if *count == 0 {
+                self.0.remove(work);
+            }
+        }
+    }
+
+    /// Returns the requests on upstreams that take no new work of their kind.
+    pub(crate) fn withdrawn(&self, catalog: &Catalog) -> u64 {
+        let takes = |work: &Work| {
+            let upstream = catalog.upstreams.get(&work.upstream);
+            upstream.is_some_and(|upstream| {
+                upstream.is_in_service() && upstream.serves.contains(&work.target)
+            })
+        };
+        let withdrawn = self.0.iter().filter(|(work, _)| !takes(work));
+        withdrawn.map(|(_, count)| count).sum()
+    }
+}
--- a/crates/router/tests/operator/mod.rs
+++ b/crates/router/tests/operator/mod.rs
@@ -10,7 +10,7 @@
     marigoldroute_platform::StandIn as Platform,
     reqwest::Method,
     serde_json::{Value, json},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// The first operator's key.
@@ -142,6 +142,14 @@
 }
 
 impl Operator {
+    /// Returns an operator who calls the router at an address with the first key.
+    pub fn at(address: SocketAddr) -> Self {
+        Self {
+            base: format!("http://{address}/admin/v1"),
+            key: KEY.to_owned(),
+        }
+    }
+
     pub async fn get(&self, path: &str) -> Answer {
         self.call(Method::GET, path, None, &Value::Null).await
     }
