--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -17,7 +17,7 @@
         peer::{Links, Listener},
         reclaim::Reclaimer,
         settings::Settings,
-        tls::Watcher,
+        tls::{self, Watcher},
         upstream::Upstreams,
     },
     anyhow::Context as _,
@@ -28,10 +28,7 @@
         route::Origin,
     },
     marigoldroute_platform::{Client, http, listen},
-    poem::{
-        Endpoint, EndpointExt, Route, Server,
-        listener::{Acceptor, AcceptorExt},
-    },
+    poem::{Endpoint, EndpointExt, Route, Server, listener::Acceptor},
     rand::RngCore,
     std::{
         net::SocketAddr,
@@ -282,7 +279,7 @@
         Some(files) => {
             let (watcher, configs) = Watcher::new(files, metrics)?;
             tasks.spawn(watcher.run(interval, stop.clone()));
-            tasks.spawn(answer(acceptor.rustls(configs), routes, stop));
+            tasks.spawn(answer(tls::secure(acceptor, configs), routes, stop));
         }
         None => {
             tasks.spawn(answer(acceptor, routes, stop));
--- a/crates/router/src/tls.rs
+++ b/crates/router/src/tls.rs
@@ -3,17 +3,24 @@
 //! The certificate chain and its key are files. They are read again when their content changes;
 //! open connections keep the pair that they began with.
 
+#[cfg(test)]
+mod tests;
+
 use {
     crate::metrics::Metrics,
     derive_more::{Display, Error},
     futures_util::{Stream, StreamExt},
-    poem::listener::{RustlsCertificate, RustlsConfig},
+    poem::{
+        http::uri::Scheme,
+        listener::{Acceptor, AcceptorExt, RustlsCertificate, RustlsConfig},
+        web::{LocalAddr, RemoteAddr},
+    },
     rustls::{
         crypto::aws_lc_rs,
         pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
         sign::CertifiedKey,
     },
-    std::{fs, path::Path, sync::Arc, time::Duration},
+    std::{fs, io, path::Path, sync::Arc, time::Duration},
     tokio::{sync::watch, time::MissedTickBehavior},
     tokio_stream::wrappers::WatchStream,
     tokio_util::sync::CancellationToken,
@@ -149,6 +156,40 @@
     }
 }
 
+/// Accepts connections once the first configuration is in effect.
+///
+/// poem's acceptor closes a connection that is there before its first configuration.
+struct Prepared<A> {
+    inner: A,
+    configured: CancellationToken,
+}
+
+impl<A: Acceptor> Acceptor for Prepared<A> {
+    type Io = A::Io;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        self.inner.local_addr()
+    }
+
+    async fn accept(&mut self) -> io::Result<(A::Io, LocalAddr, RemoteAddr, Scheme)> {
+        self.configured.cancelled().await;
+        self.inner.accept().await
+    }
+}
+
+/// Returns an acceptor for TLS with the configurations as they come.
+pub(crate) fn secure(
+    inner: impl Acceptor + 'static,
+    configs: impl Stream<Item = RustlsConfig> + Send + Unpin + 'static,
+) -> impl Acceptor + 'static {
+    let configured = CancellationToken::new();
+    let prepared = Prepared {
+        inner,
+        configured: configured.clone(),
+    };
+    prepared.rustls(configs.inspect(move |_| configured.cancel()))
+}
+
 /// Follows the files of a pair.
 pub(crate) struct Watcher {
     files: Files,
