Report spend over a range of time, page by page

Cause: a report of spend had no range of time, read at most 2,000 segments and held all of their bills in memory. Above that it was incomplete.

Change: GET /admin/v1/spend takes from and to, in seconds. The time of a bill is that of the ledger's decision, which is in the key of its segment, so a report on the past does not change. A page adds up 500 segments, one in memory at a time, and names the next page; segments outside of the range are passed over by their keys. The first page fixes the time up to which segments are stable (5 min ago); the last one adds newer segments and the bills without a decision, each once.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -131,6 +131,27 @@
         parse(send(request.query(&[("prefix", prefix)])).await?).await
     }
 
+    /// Returns up to `limit` keys of objects that start with `prefix` and are greater than `after`,
+    /// sorted.
+    ///
+    /// # Errors
+    /// As for [`Self::get`].
+    pub async fn list_objects_after(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<String>, Fault> {
+        let text = limit.to_string();
+        let query = [("prefix", prefix), ("after", after), ("limit", &text)];
+        let request = self.http.get(self.url("objects")).query(&query);
+        let mut keys: Vec<String> = parse(send(request).await?).await?;
+        // An object store that knows only prefixes returns every key.
+        keys.retain(|key| key.as_str() > after);
+        keys.truncate(limit);
+        Ok(keys)
+    }
+
     fn url(&self, path: &str) -> String {
         format!("{}/v1/{path}", self.base)
     }
--- a/crates/platform/src/stand_in.rs
+++ b/crates/platform/src/stand_in.rs
@@ -190,6 +190,9 @@
 #[derive(Deserialize)]
 struct List {
     prefix: String,
+    #[serde(default)]
+    after: String,
+    limit: Option<usize>,
 }
 
 #[handler]
@@ -201,7 +204,8 @@
         let keys = state
             .objects
             .keys()
-            .filter(|key| key.starts_with(&list.prefix));
+            .filter(|key| key.starts_with(&list.prefix) && **key > list.after)
+            .take(list.limit.unwrap_or(usize::MAX));
         let keys: Vec<_> = keys.cloned().collect();
         let count = keys.len();
         (keys, count)
--- a/crates/platform/tests/contract.rs
+++ b/crates/platform/tests/contract.rs
@@ -113,6 +113,24 @@
     assert_eq!(client.get_object("contract/o/1").await, Ok(None));
 }
 
+/// Guards against pages of keys that leave one out, repeat one or are not in order.
+#[tokio::test]
+async fn objects_are_listed_in_pages() {
+    let client = service().await;
+    for number in [3, 1, 2] {
+        let key = format!("contract/page/{number}");
+        client.put_object(&key, Vec::new()).await.unwrap();
+    }
+    let list = async |after: &str, limit| {
+        let keys = client.list_objects_after("contract/page/", after, limit);
+        keys.await.unwrap()
+    };
+    assert_eq!(list("", 2).await, ["contract/page/1", "contract/page/2"]);
+    assert_eq!(list("contract/page/2", 2).await, ["contract/page/3"]);
+    assert_eq!(list("contract/page/0", 1).await, ["contract/page/1"]);
+    assert!(list("contract/page/3", 2).await.is_empty());
+}
+
 /// Guards against a stand-in whose lost answers do not write, which would hide faults in callers.
 #[tokio::test]
 async fn lost_answer_follows_an_effective_write() {
--- a/crates/router/src/admin/bill.rs
+++ b/crates/router/src/admin/bill.rs
@@ -33,7 +33,7 @@
 const READ_LIMIT: usize = 2_000;
 
 /// A second bill of a request follows the first within this time.
-const REPEAT_SECONDS: u64 = 3_600;
+pub(super) const REPEAT_SECONDS: u64 = 3_600;
 
 /// Operations on bills.
 pub(super) struct Api(pub(super) Arc<Admin>);
@@ -124,7 +124,7 @@
 
     /// Adds the bills that the ledger has not taken. The journals are short, because the ledger
     /// follows them; they are read from the start to know each request that comes before.
-    async fn open_bills(
+    pub(super) async fn open_bills(
         &self,
         budget: Option<&str>,
         enough: usize,
@@ -179,13 +179,13 @@
 }
 
 /// Returns the time in the key of a segment, in seconds since the Unix epoch.
-fn time(key: &str) -> u64 {
+pub(super) fn time(key: &str) -> u64 {
     let name = key.rsplit('/').next().unwrap_or_default();
     let time = name.split('-').next().unwrap_or_default();
     time.parse().unwrap_or_default()
 }
 
-fn now_seconds() -> u64 {
+pub(super) fn now_seconds() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.unwrap_or_default().as_secs()
 }
--- a/crates/router/src/admin/mod.rs
+++ b/crates/router/src/admin/mod.rs
@@ -20,6 +20,7 @@
 mod progress;
 mod ring;
 mod running;
+mod segments;
 mod settings;
 mod spend;
 mod upstream;
