--- a/crates/router/src/caller/job.rs
+++ b/crates/router/src/caller/job.rs
@@ -130,7 +130,7 @@
             let failure = match self.call(call, &url).await {
                 Ok(response) => {
                     let control = &self.context.control;
-                    control.observe(&flight.upstream, Observation::Success);
+                    control.observe(flight.upstream(), Observation::Success);
                     return Ok(Reply {
                         flight,
                         url,
@@ -139,8 +139,8 @@
                 }
                 Err(failure) => failure,
             };
-            last = self.note(&flight.upstream, failure);
-            tried.push(flight.upstream.clone());
+            last = self.note(flight.upstream(), failure);
+            tried.push(flight.upstream().clone());
             if failure.is_refusal() {
                 flight.refuse();
                 self.claim.refuse();
@@ -163,7 +163,7 @@
         tried: &mut Vec<UpstreamId>,
     ) -> Option<Reply> {
         let (flight, url) = self.choose(tried, 1)?;
-        tried.push(flight.upstream.clone());
+        tried.push(flight.upstream().clone());
         let failure = match self.call(call, &url).await {
             Ok(response) => {
                 let reply = Reply {
@@ -176,7 +176,7 @@
             }
             Err(failure) => failure,
         };
-        self.note(&flight.upstream, failure);
+        self.note(flight.upstream(), failure);
         match failure.is_refusal() {
             true => flight.refuse(),
             false => flight.fail(),
@@ -237,10 +237,10 @@
             priority: self.priority,
         };
         let flight = self.context.dispatch.choose(&scene, need, tried)?;
-        let upstream = scene.catalog.upstreams.get(&flight.upstream)?;
+        let upstream = scene.catalog.upstreams.get(flight.upstream())?;
         log::info!(
             target: ROUTING,
-            request:% = self.id, model:% = self.model, upstream:% = flight.upstream,
+            request:% = self.id, model:% = self.model, upstream:% = flight.upstream(),
             candidates = flight.known, considered = flight.considered, attempt,
             reason:% = flight.reason;
             "upstream chosen"
--- a/crates/router/src/caller/relay.rs
+++ b/crates/router/src/caller/relay.rs
@@ -100,7 +100,7 @@
     async fn run(mut self, reply: Reply) {
         let mut resumes = 0;
         let mut source = Source::new(reply);
-        self.tried.push(source.flight.upstream.clone());
+        self.tried.push(source.flight.upstream().clone());
         let end = loop {
             let fault = match self.forward(&mut source).await {
                 End::Due => {
@@ -110,7 +110,7 @@
                 End::Interrupted(fault) => fault,
                 end => break end,
             };
-            log::warn!(request:% = self.job.id, upstream:% = source.flight.upstream, fault:%; "stream interrupted");
+            log::warn!(request:% = self.job.id, upstream:% = source.flight.upstream(), fault:%; "stream interrupted");
             resumes += 1;
             if resumes <= RESUME_ATTEMPTS
                 && let Some(response) = self.resume(&source.url).await
@@ -122,7 +122,7 @@
                 Some(other) => {
                     source.flight.fail();
                     source = Source::new(other);
-                    self.tried.push(source.flight.upstream.clone());
+                    self.tried.push(source.flight.upstream().clone());
                 }
                 None => break End::Broken(fault),
             }
@@ -137,7 +137,7 @@
             let upstreams = &self.job.context.upstreams;
             upstreams.cancel(&url, &self.job.id).await;
         }
-        let upstream = flight.upstream.clone();
+        let upstream = flight.upstream().clone();
         match &end {
             End::Complete | End::Limit => flight.finish(self.state.received()),
             End::CallerGone | End::Due => drop(flight),
@@ -171,7 +171,7 @@
         };
         let moved = part.hand_over(&mut self.watch, &mut self.tried).await;
         let moves = &self.job.context.metrics.moves;
-        let from = &old.flight.upstream;
+        let from = old.flight.upstream();
         let Some((source, state)) = moved else {
             moves.with_label_values(&["kept"]).inc();
             log::info!(target: ROUTING, request:% = self.job.id, upstream:% = from; "stream not moved");
@@ -179,7 +179,7 @@
         };
         moves.with_label_values(&["moved"]).inc();
         log::info!(
-            target: ROUTING, request:% = self.job.id, from:%, upstream:% = source.flight.upstream,
+            target: ROUTING, request:% = self.job.id, from:%, upstream:% = source.flight.upstream(),
             repeated = self.state.received(); "stream moved"
         );
         self.state = state;
@@ -191,7 +191,7 @@
     async fn forward(&mut self, source: &mut Source) -> End {
         let limit = self.job.context.upstreams.timeout();
         loop {
-            let upstream = source.flight.upstream.clone();
+            let upstream = source.flight.upstream().clone();
             let next = tokio::select! {
                 // An upstream that is faster than the caller always has an event ready.
                 biased;
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -6,10 +6,14 @@
 mod tests;
 
 use {
-    crate::{clock::Clock, control::Scene},
+    crate::{
+        clock::Clock,
+        control::Scene,
+        running::{Running, Work},
+    },
     marigoldroute_core::{
         config::Catalog,
-        id::{HostId, UpstreamId, Version},
+        id::{HostId, ModelId, UpstreamId, Version},
         limit::{RetryBudget, RetrySettings},
         route::{
             Candidate, Choice, Load, Name, Origin, Policy, Progress, Reason, Request, Settings,
@@ -30,7 +34,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Need<'a> {
     /// Model or service.
-    pub(crate) target: &'a str,
+    pub(crate) target: &'a ModelId,
     /// Estimated prompt tokens.
     pub(crate) prompt: u32,
     /// Output token limit.
@@ -56,6 +60,7 @@
     /// End of the last slow start.
     started: Duration,
     retries: RetryBudget,
+    running: Running,
 }
 
 /// Chooses upstreams.
@@ -69,7 +74,7 @@
 /// A request on its way to or at an upstream; dropping it reports it as cancelled.
 pub(crate) struct Flight {
     dispatch: Arc<Dispatch>,
-    pub(crate) upstream: UpstreamId,
+    work: Work,
     /// Candidates known and compared, and why this one was chosen.
     pub(crate) known: usize,
     pub(crate) considered: usize,
@@ -93,6 +98,7 @@
             out: BTreeSet::new(),
             started: Duration::ZERO,
             retries: RetryBudget::new(RetrySettings::default()),
+            running: Running::default(),
         };
         Self {
             clock,
@@ -121,14 +127,24 @@
         let mut state = self.lock();
         state.follow(now, scene);
         let mut choice = state.choose(now, scene, need, tried)?;
-        let State { policy, limits, .. } = &mut *state;
+        let State {
+            policy,
+            limits,
+            running,
+            ..
+        } = &mut *state;
         policy.report(now, &mut choice.ticket, Progress::Sent(need.prefixes));
         let room = limits.entry(choice.upstream.clone()).or_default();
         let has_place = room.limit.acquire(1.0);
         debug_assert!(has_place, "the choice was made under the same lock");
+        let work = Work {
+            upstream: choice.upstream,
+            target: need.target.clone(),
+        };
+        running.begin(&work);
         Some(Flight {
             dispatch: self.clone(),
-            upstream: choice.upstream,
+            work,
             known: choice.known,
             considered: choice.considered,
             reason: choice.reason,
@@ -162,6 +178,11 @@
         self.lock().retries.withdraw()
     }
 
+    /// Returns the requests that run on upstreams which take no new work of their kind.
+    pub(crate) fn withdrawn(&self, catalog: &Catalog) -> u64 {
+        self.lock().running.withdrawn(catalog)
+    }
+
     /// Takes a load report.
     pub(crate) fn load(&self, upstream: &UpstreamId, load: &Load) {
         let now = self.clock.now();
@@ -279,6 +300,11 @@
 }
 
 impl Flight {
+    /// Returns the upstream.
+    pub(crate) fn upstream(&self) -> &UpstreamId {
+        &self.work.upstream
+    }
+
     /// Notes the first token.
     pub(crate) fn first(&mut self) {
         let now = self.dispatch.clock.now();
@@ -309,7 +335,8 @@
         }
         let now = self.dispatch.clock.now();
         let mut state = self.dispatch.lock();
-        if let Some(Room { limit, .. }) = state.limits.get_mut(&self.upstream) {
+        state.running.end(&self.work);
+        if let Some(Room { limit, .. }) = state.limits.get_mut(self.upstream()) {
             match progress {
                 Progress::Finished { .. } => {
                     let whole = now.saturating_sub(self.started);
--- a/crates/router/src/dispatch/tests.rs
+++ b/crates/router/src/dispatch/tests.rs
@@ -11,13 +11,6 @@
     std::{sync::Arc, time::Duration},
 };
 
-const NEED: Need<'_> = Need {
-    target: "drafting",
-    prompt: 100,
-    output: 100,
-    prefixes: &[],
-    priority: 0,
-};
 /// Requests in flight before the change.
 const BEFORE: usize = 100;
 /// Requests after the change.
@@ -71,10 +64,17 @@
     /// Sends requests that stay in flight; returns how many went to an upstream.
     fn send(&mut self, seconds: u64, count: usize, to: &str) -> usize {
         let now = Duration::from_secs(seconds);
-        let choose = |_| self.dispatch.choose_at(now, &self.scene, NEED, &[]);
+        let need = Need {
+            target: &"drafting".into(),
+            prompt: 100,
+            output: 100,
+            prefixes: &[],
+            priority: 0,
+        };
+        let choose = |_| self.dispatch.choose_at(now, &self.scene, need, &[]);
         let chosen: Vec<_> = (0..count).filter_map(choose).collect();
         assert_eq!(chosen.len(), count, "requests were refused");
-        let hits = chosen.iter().filter(|flight| *flight.upstream == *to);
+        let hits = chosen.iter().filter(|flight| **flight.upstream() == *to);
         let hits = hits.count();
         self.flights.extend(chosen);
         hits
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -17,7 +17,7 @@
         peer::{Links, Listener},
         reclaim::Reclaimer,
         settings::Settings,
-        tls::Watcher,
+        tls::{self, Watcher},
         upstream::Upstreams,
     },
     anyhow::Context as _,
@@ -28,10 +28,7 @@
         route::Origin,
     },
     marigoldroute_platform::{Client, http, listen},
-    poem::{
-        Endpoint, EndpointExt, Route, Server,
-        listener::{Acceptor, AcceptorExt},
-    },
+    poem::{Endpoint, EndpointExt, Route, Server, listener::Acceptor},
     rand::RngCore,
     std::{
         net::SocketAddr,
@@ -179,6 +176,7 @@
     let responder = Responder {
         escrow: escrow.clone(),
         control: control.clone(),
+        dispatch: dispatch.clone(),
     };
     tasks.spawn(listener.run(Arc::new(responder), tasks.clone(), stop.clone()));
     let outbox = outbox::Parts {
@@ -197,7 +195,7 @@
     let charger = Charger::new(
         &settings,
         escrow,
-        links,
+        links.clone(),
         control.clone(),
         outbox,
         deliveries.clone(),
@@ -212,6 +210,9 @@
         ring: Default::default(),
         clock,
         listed: Default::default(),
+        dispatch: dispatch.clone(),
+        links,
+        counts: Default::default(),
     };
     let context = Arc::new(Context {
         clock,
@@ -279,7 +280,7 @@
         Some(files) => {
             let (watcher, configs) = Watcher::new(files, metrics)?;
             tasks.spawn(watcher.run(interval, stop.clone()));
-            tasks.spawn(answer(acceptor.rustls(configs), routes, stop));
+            tasks.spawn(answer(tls::secure(acceptor, configs), routes, stop));
         }
         None => {
             tasks.spawn(answer(acceptor, routes, stop));
