Read load by class and cache events of the engines in use

Cause: the stand-in engine reported only running and waiting requests, the routers took no cache events, and a host knew only the load of the engines that it probes. Reports on an upstream were lost until the host's first request.

Change: `GET /v1/load` of the stand-in reports the queue by priority class and mean times per token, and, on request, cache events with a sequence number, late and with gaps. The stand-in has places that are given by class, and a prefix cache. Routers ask for events with their probes, and read the engines that they use in turn, within 9,000 bytes per second; answers over 16 KiB are dropped. The policy learns of a new configuration when it takes effect. Prefix hashes are made in `core`, so that engine and router use the same ones.

--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -28,6 +28,7 @@
     baseline::{LeastInFlight, RoundRobin, TwoChoices},
     candidate::{CLASSES, Cache, Candidate, Change, Load, Origin},
     choice::{Choice, Progress, Reason, Request, Ticket},
+    prefix::prefixes,
     registry::Full,
     settings::Settings,
 };
--- a/crates/core/src/route/prefix.rs
+++ b/crates/core/src/route/prefix.rs
@@ -1,12 +1,33 @@
 //! Hints on which prompt prefixes an upstream has cached.
 
-use std::{mem::size_of, time::Duration};
+use {
+    std::{mem::size_of, time::Duration},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+/// Prompt bytes of one prefix hash; the policy counts 256 tokens for each.
+const BLOCK_BYTES: usize = 1_024;
+/// Most prefix hashes of a prompt.
+const PREFIX_LIMIT: usize = 64;
 
 /// Hints per set of the table.
 const WAYS: usize = 4;
 /// Multiplier that mixes a prefix hash with an upstream (2^64 / golden ratio).
 const MIX: u64 = 0x9e37_79b9_7f4a_7c15;
 
+/// Returns the hashes of a prompt's prefixes, which engines use in their cache events as well; each
+/// covers all blocks before it, so that prompts which begin alike have the same first hashes.
+///
+/// The prompt is given by the JSON text of its messages, or of the prompt when there are none.
+pub fn prefixes(text: &str) -> Vec<u64> {
+    let blocks = text.as_bytes().chunks_exact(BLOCK_BYTES).take(PREFIX_LIMIT);
+    let chain = |hash: &mut u64, block: &[u8]| {
+        *hash = xxh3_64_with_seed(block, *hash);
+        Some(*hash)
+    };
+    blocks.scan(0, chain).collect()
+}
+
 /// One hint: an upstream stored a prefix at a time.
 #[derive(Clone, Copy, Debug, Default)]
 struct Hint {
--- a/crates/ctl/src/measure/path.rs
+++ b/crates/ctl/src/measure/path.rs
@@ -111,6 +111,7 @@
             first_token: Duration::from_millis(5),
             token: Duration::from_millis(5),
             answer_tokens: tokens,
+            ..Engine::default()
         });
         let (address, serve) = engine.bind(local).await?;
         tokio::spawn(serve);
--- a/crates/router/src/caller/request.rs
+++ b/crates/router/src/caller/request.rs
@@ -5,13 +5,13 @@
         bill::mint,
         fault::{Fault, Kind},
         id::{ModelId, RequestId, Tokens, WorkspaceId},
+        route::prefixes,
     },
     poem::Request,
     rand::RngCore,
     serde_json::{Map, Value},
     sha2::{Digest, Sha256},
     std::time::{SystemTime, UNIX_EPOCH},
-    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Bytes of a request id before it is written in hexadecimal.
@@ -20,10 +20,6 @@
 const KEY_LIMIT_BYTES: usize = 255;
 /// Prompt bytes per token in the estimate that is billed when an engine reports no usage.
 const BYTES_PER_TOKEN: u64 = 4;
-/// Prompt bytes of one prefix hash; the policy counts 256 tokens for each.
-const BLOCK_BYTES: usize = 1_024;
-/// Most prefix hashes of a prompt.
-const PREFIX_LIMIT: usize = 64;
 /// Tokens that a chat template may add to a prompt.
 const TEMPLATE_TOKENS: Tokens = 64;
 
@@ -89,7 +85,7 @@
     pub(super) prompt_bound: Tokens,
     /// Billed when the engine reports no prompt tokens.
     pub(super) prompt_estimate: Tokens,
-    /// Hashes of the prompt's prefixes, one for each block of [`BLOCK_BYTES`].
+    /// Hashes of the prompt's prefixes, see [`prefixes`].
     pub(super) prefixes: Vec<u64>,
     /// Body for the upstream.
     pub(super) body: String,
@@ -134,7 +130,7 @@
             limit,
             prompt_bound: size + TEMPLATE_TOKENS,
             prompt_estimate: size / BYTES_PER_TOKEN,
-            prefixes: prefixes(&body),
+            prefixes: prefixes(&text(&body)),
             body: Value::Object(body).to_string(),
         })
     }
@@ -145,17 +141,10 @@
     }
 }
 
-/// Returns the hashes of the prompt's prefixes; each covers all blocks before it, so that prompts
-/// which begin alike have the same first hashes.
-fn prefixes(body: &Map<String, Value>) -> Vec<u64> {
+/// Returns the text that prefix hashes are made of.
+fn text(body: &Map<String, Value>) -> String {
     let prompt = body.get("messages").or_else(|| body.get("prompt"));
-    let text = prompt.map(Value::to_string).unwrap_or_default();
-    let blocks = text.as_bytes().chunks_exact(BLOCK_BYTES).take(PREFIX_LIMIT);
-    let chain = |hash: &mut u64, block: &[u8]| {
-        *hash = xxh3_64_with_seed(block, *hash);
-        Some(*hash)
-    };
-    blocks.scan(0, chain).collect()
+    prompt.map(Value::to_string).unwrap_or_default()
 }
 
 fn flag(body: &Map<String, Value>, name: &str) -> Result<bool, Fault> {
--- a/crates/router/src/control/mod.rs
+++ b/crates/router/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod listing;
 mod probe;
 mod proposal;
+mod reader;
 mod scene;
 mod store;
 mod task;
@@ -26,6 +27,7 @@
 
 pub(crate) use {
     listing::{HOST_PREFIX, Process, Register, remove},
+    probe::CacheEvent,
     scene::{Scene, process},
     task::{Parts, create},
 };
--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -4,11 +4,12 @@
 //! of an upstream would grow with the number of hosts.
 
 use {
+    bytes::BytesMut,
     marigoldroute_core::{
         config::Catalog,
         fleet::{Observation, Weighted, rank},
         id::{HostId, UpstreamId},
-        route::Load,
+        route::{CLASSES, Load},
     },
     serde::Deserialize,
     std::{sync::Arc, time::Duration},
@@ -21,21 +22,52 @@
 /// Bound on a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// A load report.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+/// Largest load report in bytes.
+const REPORT_LIMIT_BYTES: usize = 16 << 10;
+/// Most prefix hashes that are asked for at a time, up to 20 bytes each.
+const HASHES: usize = 64;
+
+/// A change of an engine's prefix cache, as it reports it.
+#[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
+pub(crate) struct CacheEvent {
+    pub(crate) sequence: u64,
+    pub(crate) stored: Vec<u64>,
+    pub(crate) removed: Vec<u64>,
+    pub(crate) cleared: bool,
+}
+
+/// What an upstream answered.
+#[derive(Debug, Default)]
 pub(super) struct Report {
+    pub(super) load: Option<Load>,
+    pub(super) events: Vec<CacheEvent>,
+    /// Size of the answer.
+    pub(super) bytes: usize,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Body {
     running: u32,
     waiting: u32,
+    /// Absent when the engine knows no classes.
+    waiting_by_class: Option<[u32; CLASSES]>,
+    prompt_tokens_by_class: [u32; CLASSES],
+    seconds_per_token: f32,
+    seconds_per_prompt_token: f32,
     draining: bool,
+    cache: Vec<CacheEvent>,
 }
 
-impl From<Report> for Load {
-    fn from(report: Report) -> Self {
-        Self {
-            running: report.running,
-            waiting: [report.waiting, 0, 0],
-            ..Self::default()
+impl Body {
+    fn load(&self) -> Load {
+        Load {
+            running: self.running,
+            waiting: self.waiting_by_class.unwrap_or([self.waiting, 0, 0]),
+            pending: self.prompt_tokens_by_class,
+            between: self.seconds_per_token,
+            prefill: self.seconds_per_prompt_token,
         }
     }
 }
@@ -57,19 +89,49 @@
         .collect()
 }
 
-/// Probes one upstream.
-pub(super) async fn probe(http: reqwest::Client, url: Arc<str>) -> (Observation, Option<Load>) {
-    let call = http.get(format!("{url}/v1/load")).timeout(PROBE_TIMEOUT);
+/// Probes one upstream; asks for the cache events after a sequence number, if one is given.
+pub(super) async fn probe(
+    http: reqwest::Client,
+    url: Arc<str>,
+    after: Option<u64>,
+) -> (Observation, Report) {
+    let query = after.map(|after| format!("?after={after}&hashes={HASHES}"));
+    let url = format!("{url}/v1/load{}", query.unwrap_or_default());
+    let call = http.get(url).timeout(PROBE_TIMEOUT);
     let Ok(response) = call.send().await else {
-        return (Observation::Failure, None);
+        return (Observation::Failure, Report::default());
     };
     if response.status().is_server_error() {
-        return (Observation::Failure, None);
+        return (Observation::Failure, Report::default());
     }
+    let Some(bytes) = read(response).await else {
+        return (Observation::Ready, Report::default());
+    };
+    let mut report = Report {
+        bytes: bytes.len(),
+        ..Report::default()
+    };
     // A plain service answers without a load report.
-    match response.json::<Report>().await {
-        Ok(report) if report.draining => (Observation::Leaving, Some(report.into())),
-        Ok(report) => (Observation::Ready, Some(report.into())),
-        Err(_) => (Observation::Ready, None),
+    let Ok(body) = serde_json::from_slice::<Body>(&bytes) else {
+        return (Observation::Ready, report);
+    };
+    report.load = Some(body.load());
+    let observation = match body.draining {
+        true => Observation::Leaving,
+        false => Observation::Ready,
+    };
+    report.events = body.cache;
+    (observation, report)
+}
+
+/// Reads an answer, `None` when it is too large or breaks.
+async fn read(mut response: reqwest::Response) -> Option<BytesMut> {
+    let mut body = BytesMut::new();
+    while let Some(piece) = response.chunk().await.ok()? {
+        if body.len() + piece.len() > REPORT_LIMIT_BYTES {
+            return None;
+        }
+        body.extend_from_slice(&piece);
     }
+    Some(body)
 }
--- /dev/null
+++ b/crates/router/src/control/reader.rs
@@ -0,0 +1,137 @@
+//! Load reports and cache events of the engines that this host uses.
+//!
+//! A host cannot read every engine each second: with 600 engines that would be 600 answers. It
+//! probes a few (see [`probe`](super::probe)) and reads in turn those that it sends requests to,
+//! within a bound on the bytes. While the bound is reached, probes ask for no cache events.
+
+use {
+    super::{
+        probe::{self, PROBE_INTERVAL, Report},
+        task::{Event, Task},
+    },
+    marigoldroute_core::{fleet::Observation, id::UpstreamId},
+    std::{
+        collections::{BTreeSet, HashMap},
+        time::Duration,
+    },
+};
+
+/// Bytes per second for probes and reads. Control traffic may take 24 KB/s; membership and
+/// configuration take up to 14.8 KB/s (390 hosts, 10% loss, a version per second).
+const READ_RATE: i64 = 9_000;
+/// Bytes that may be saved up.
+const SAVED_LIMIT: i64 = READ_RATE;
+/// Bytes of the heads of a request and its answer, at most.
+const HEAD_BYTES: i64 = 400;
+/// Assumed bytes of an answer until it has arrived.
+const ANSWER_BYTES: i64 = 800;
+
+/// Which engines are read, and when.
+#[derive(Debug, Default)]
+pub(super) struct Reader {
+    /// Bytes that may be read; below 0 after an answer that was larger than assumed.
+    balance: i64,
+    filled: Duration,
+    /// Time of the last read of each engine in use.
+    reads: HashMap<UpstreamId, Duration>,
+}
+
+impl Reader {
+    /// Returns whether bytes are left.
+    pub(super) fn has_room(&mut self, now: Duration) -> bool {
+        let elapsed = now.saturating_sub(self.filled).as_millis().min(1_000) as i64;
+        self.balance = (self.balance + READ_RATE * elapsed / 1_000).min(SAVED_LIMIT);
+        self.filled = now;
+        self.balance > 0
+    }
+
+    /// Counts an answer and its request.
+    pub(super) fn spend(&mut self, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.balance = self.balance.saturating_sub(HEAD_BYTES + bytes);
+    }
+
+    /// Returns the engines to read now, those first that were read longest ago; `used` are the
+    /// engines in use.
+    pub(super) fn next(&mut self, now: Duration, used: BTreeSet<UpstreamId>) -> Vec<UpstreamId> {
+        self.reads.retain(|id, _| used.contains(id));
+        let due = |id: &UpstreamId| {
+            let read = self.reads.get(id);
+            read.is_none_or(|read| now >= *read + PROBE_INTERVAL)
+        };
+        let mut waiting: Vec<_> = used.into_iter().filter(due).collect();
+        waiting.sort_by_key(|id| self.reads.get(id).copied());
+        let mut next = Vec::new();
+        for id in waiting {
+            if !self.has_room(now) {
+                break;
+            }
+            self.balance -= HEAD_BYTES + ANSWER_BYTES;
+            self.reads.insert(id.clone(), now);
+            next.push(id);
+        }
+        next
+    }
+
+    /// Corrects the assumption about an answer.
+    pub(super) fn arrived(&mut self, bytes: usize) {
+        self.balance += HEAD_BYTES + ANSWER_BYTES;
+        self.spend(bytes);
+    }
+}
+
+impl Task {
+    pub(super) fn probe(&mut self) {
+        let now = self.parts.clock.now();
+        let ready = self.view.ready();
+        let duties = probe::duties(self.log.catalog(), &self.parts.host.id, &ready);
+        let has_room = self.reader.has_room(now);
+        let dispatch = self.parts.dispatch.clone();
+        for (upstream, url) in &duties {
+            let (http, upstream, url) = (self.http.clone(), upstream.clone(), url.clone());
+            let after = has_room.then(|| dispatch.sequence(&upstream));
+            self.calls.spawn(async move {
+                let (observation, report) = probe::probe(http, url, after).await;
+                Event::Probed(upstream, observation, report)
+            });
+        }
+        let mut used = dispatch.used();
+        used.retain(|id| duties.iter().all(|(probed, _)| probed != id));
+        for upstream in self.reader.next(now, used) {
+            let known = self.log.catalog().upstreams.get(&upstream);
+            let Some(url) = known.map(|known| known.url.clone()) else {
+                continue;
+            };
+            let (http, after) = (self.http.clone(), Some(dispatch.sequence(&upstream)));
+            self.calls.spawn(async move {
+                let (_, report) = probe::probe(http, url, after).await;
+                Event::Loaded(upstream, report)
+            });
+        }
+    }
+
+    pub(super) fn probed(&mut self, upstream: &UpstreamId, seen: Observation, report: &Report) {
+        self.reader.spend(report.bytes);
+        self.learn(upstream, report);
+        self.view.observe(self.parts.clock.now(), upstream, seen);
+    }
+
+    /// Takes a report that was read only for the policy. A missing one says nothing: the probes
+    /// and the requests find out whether the upstream works.
+    pub(super) fn loaded(&mut self, upstream: &UpstreamId, report: &Report) {
+        self.reader.arrived(report.bytes);
+        self.learn(upstream, report);
+    }
+
+    fn learn(&self, upstream: &UpstreamId, report: &Report) {
+        if let Some(load) = &report.load {
+            self.parts.dispatch.load(upstream, load);
+        }
+        self.parts.dispatch.cache(upstream, &report.events);
+        let events = report.events.len() as u64;
+        self.parts.metrics.cache_events.inc_by(events);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/control/reader/tests.rs
@@ -0,0 +1,52 @@
+//! Tests of the bound on reading engines.
+
+use super::{ANSWER_BYTES, HEAD_BYTES, READ_RATE, Reader};
+use std::{collections::BTreeSet, time::Duration};
+
+fn used(count: usize) -> BTreeSet<std::sync::Arc<str>> {
+    (0..count).map(|n| format!("engine-{n}").into()).collect()
+}
+
+/// Guards against reads beyond the share of the control traffic, and against engines that are
+/// never read: the largest deployment, where a host uses 8 of the replicas of each of 35 models
+/// and probes 5 engines a second.
+#[test]
+fn reads_stay_within_the_bound_and_reach_every_engine() {
+    const SECONDS: u64 = 120;
+    let mut reader = Reader::default();
+    let mut bytes = 0;
+    let mut reached = BTreeSet::new();
+    for second in 1..=SECONDS {
+        let now = Duration::from_secs(second);
+        for _ in 0..5 {
+            reader.spend(300);
+            bytes += HEAD_BYTES + 300;
+        }
+        for id in reader.next(now, used(280)) {
+            // Answers with cache events are larger than assumed.
+            reader.arrived(1_600);
+            bytes += HEAD_BYTES + 1_600;
+            reached.insert(id);
+        }
+    }
+    let most = READ_RATE * SECONDS as i64 + HEAD_BYTES + 1_600 + ANSWER_BYTES;
+    assert!(bytes <= most, "{bytes} bytes in {SECONDS} s");
+    assert_eq!(reached.len(), 280);
+}
+
+/// Guards against engines that are read more often than they are probed, and against memory for
+/// engines that are no longer used.
+#[test]
+fn few_engines_are_read_once_a_second() {
+    let mut reader = Reader::default();
+    let reads = |reader: &mut Reader, millis, count| {
+        let next = reader.next(Duration::from_millis(millis), used(count));
+        next.iter().for_each(|_| reader.arrived(300));
+        next.len()
+    };
+    assert_eq!(reads(&mut reader, 1_000, 3), 3);
+    assert_eq!(reads(&mut reader, 1_500, 3), 0);
+    assert_eq!(reads(&mut reader, 2_000, 3), 3);
+    assert_eq!(reads(&mut reader, 3_000, 1), 1);
+    assert_eq!(reader.reads.len(), 1);
+}
--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -4,8 +4,9 @@
     super::{
         Command, Control, QUEUE_COMMANDS,
         listing::Register,
-        probe::{self, PROBE_INTERVAL},
+        probe::{PROBE_INTERVAL, Report},
         proposal::{Attempt, PROPOSAL_ATTEMPTS},
+        reader::Reader,
         scene::Scene,
         store,
     },
@@ -14,7 +15,6 @@
         config::{Ask, Log, Packet, Read, Role},
         fleet::{Gossip, Host, Observation, Phase, Settings, Status, View},
         id::{HolderId, HostId, UpstreamId, Version},
-        route::Load,
         table::{Row, Verdict},
         wire::{Body, Reply},
     },
@@ -71,6 +71,7 @@
         next_register: Duration::ZERO,
         next_list: Duration::ZERO,
         next_probe: Duration::ZERO,
+        reader: Reader::default(),
         version: 0,
     };
     let control = Control {
@@ -88,7 +89,8 @@
     Registered(Result<(), Fault>),
     Written(Result<(), Fault>),
     Listed(Result<Register, Fault>),
-    Probed(UpstreamId, Observation, Option<Load>),
+    Probed(UpstreamId, Observation, Report),
+    Loaded(UpstreamId, Report),
     Decide(Box<Attempt>, Result<Vec<Row>, Fault>),
     Committed(Box<Attempt>, Result<Verdict, Fault>),
     Upkeep(Result<(Option<Row>, Vec<Row>), Fault>),
@@ -106,6 +108,7 @@
     pub(super) next_register: Duration,
     pub(super) next_list: Duration,
     pub(super) next_probe: Duration,
+    pub(super) reader: Reader,
     /// Version in effect, as last noted.
     pub(super) version: Version,
 }
@@ -223,12 +226,8 @@
             }
             Event::Written(Ok(())) => {}
             Event::Listed(Err(fault)) | Event::Written(Err(fault)) => self.failed(fault),
-            Event::Probed(upstream, observation, load) => {
-                if let Some(load) = load {
-                    self.parts.dispatch.load(&upstream, &load);
-                }
-                self.view.observe(now, &upstream, observation);
-            }
+            Event::Probed(upstream, seen, report) => self.probed(&upstream, seen, &report),
+            Event::Loaded(upstream, report) => self.loaded(&upstream, &report),
             Event::Decide(attempt, rows) => self.decide(*attempt, rows),
             Event::Committed(attempt, verdict) => self.committed(*attempt, verdict),
             Event::Upkeep(Ok((pointer, oldest))) => self.tidy(pointer.as_ref(), &oldest),
@@ -325,18 +324,6 @@
         });
     }
 
-    fn probe(&mut self) {
-        let ready = self.view.ready();
-        let own = &self.parts.host.id;
-        for (upstream, url) in probe::duties(self.log.catalog(), own, &ready) {
-            let http = self.http.clone();
-            self.calls.spawn(async move {
-                let (observation, load) = probe::probe(http, url).await;
-                Event::Probed(upstream, observation, load)
-            });
-        }
-    }
-
     /// Shows the request path what changed.
     fn publish(&mut self) {
         let now = self.parts.clock.now();
@@ -360,12 +347,9 @@
             .retain(|host| members.iter().any(|m| m.host.id == *host));
         let scene = Scene::new(catalog, hold, out, &members);
         self.parts.metrics.ready_hosts.set(scene.hosts.len() as i64);
-        self.scene.send_if_modified(|current| {
-            let is_changed = !current.is_same(&scene);
-            if is_changed {
-                *current = Arc::new(scene);
-            }
-            is_changed
-        });
+        if !self.scene.borrow().is_same(&scene) {
+            self.parts.dispatch.apply(&scene);
+            self.scene.send_replace(Arc::new(scene));
+        }
     }
 }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -6,14 +6,17 @@
 mod tests;
 
 use {
-    crate::{clock::Clock, control::Scene},
+    crate::{
+        clock::Clock,
+        control::{CacheEvent, Scene},
+    },
     marigoldroute_core::{
         config::Catalog,
         id::{HostId, UpstreamId, Version},
         limit::{RetryBudget, RetrySettings},
         route::{
-            Candidate, Choice, Load, Name, Origin, Policy, Progress, Reason, Request, Settings,
-            Ticket,
+            Cache, Candidate, Change, Choice, Load, Name, Origin, Policy, Progress, Reason,
+            Request, Settings, Ticket,
         },
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -101,6 +104,12 @@
         }
     }
 
+    /// Takes a new state, so that reports are not lost on upstreams without a request so far.
+    pub(crate) fn apply(&self, scene: &Scene) {
+        let now = self.clock.now();
+        self.lock().follow(now, scene);
+    }
+
     /// Chooses an upstream that is up, has room and was not tried.
     pub(crate) fn choose(
         self: &Arc<Self>,
@@ -124,6 +133,7 @@
         let State { policy, limits, .. } = &mut *state;
         policy.report(now, &mut choice.ticket, Progress::Sent(need.prefixes));
         let room = limits.entry(choice.upstream.clone()).or_default();
+        room.used = Some(now);
         let has_place = room.limit.acquire(1.0);
         debug_assert!(has_place, "the choice was made under the same lock");
         Some(Flight {
@@ -168,6 +178,43 @@
         self.lock().policy.load(now, upstream, load);
     }
 
+    /// Takes cache events of an upstream, in their order.
+    pub(crate) fn cache(&self, upstream: &UpstreamId, events: &[CacheEvent]) {
+        self.cache_at(self.clock.now(), upstream, events);
+    }
+
+    fn cache_at(&self, now: Duration, upstream: &UpstreamId, events: &[CacheEvent]) {
+        let mut state = self.lock();
+        for event in events {
+            let change = match event {
+                CacheEvent { cleared: true, .. } => Change::Cleared,
+                CacheEvent { removed, .. } if !removed.is_empty() => Change::Removed(removed),
+                CacheEvent { stored, .. } => Change::Stored(stored),
+            };
+            let sequence = event.sequence;
+            state
+                .policy
+                .cache(now, upstream, &Cache { sequence, change });
+        }
+        if let (Some(room), Some(last)) = (state.limits.get_mut(upstream), events.last()) {
+            room.sequence = last.sequence;
+        }
+    }
+
+    /// Returns the sequence number of the last cache event of an upstream.
+    pub(crate) fn sequence(&self, upstream: &UpstreamId) -> u64 {
+        let state = self.lock();
+        state.limits.get(upstream).map_or(0, |room| room.sequence)
+    }
+
+    /// Returns the upstreams that this host has sent requests to lately.
+    pub(crate) fn used(&self) -> BTreeSet<UpstreamId> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let rooms = state.limits.iter().filter(|(_, room)| room.is_used(now));
+        rooms.map(|(id, _)| id.clone()).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/router/src/dispatch/room.rs
+++ b/crates/router/src/dispatch/room.rs
@@ -11,12 +11,19 @@
 /// of streams for seconds.
 const INITIAL_PLACES: u32 = 128;
 
+/// An upstream counts as used for this time after a request.
+const USED_TIME: Duration = Duration::from_secs(60);
+
 /// The limit of one upstream.
 #[derive(Debug)]
 pub(super) struct Room {
     pub(super) limit: Concurrency,
     /// Absent when the upstream was in service all along.
     ramp: Option<Ramp>,
+    /// Time of the last request.
+    pub(super) used: Option<Duration>,
+    /// Sequence number of the last cache event.
+    pub(super) sequence: u64,
 }
 
 /// How upstreams in their slow start are bounded.
@@ -42,6 +49,8 @@
         Self {
             limit: Concurrency::new(settings),
             ramp: None,
+            used: None,
+            sequence: 0,
         }
     }
 }
@@ -60,6 +69,11 @@
         self.ramp.as_ref().map_or(1.0, |ramp| ramp.share(now))
     }
 
+    /// Returns whether a request was sent lately.
+    pub(super) fn is_used(&self, now: Duration) -> bool {
+        self.used.is_some_and(|used| now < used + USED_TIME)
+    }
+
     /// Returns whether another request may be sent.
     pub(super) fn is_free(&self, now: Duration, start: Start) -> bool {
         let share = self.share(now);
--- a/crates/router/src/dispatch/tests.rs
+++ b/crates/router/src/dispatch/tests.rs
@@ -1,12 +1,15 @@
-//! Tests of the slow start.
+//! Tests of the slow start and of cache events.
 
 use {
     super::{Dispatch, Flight, Need},
-    crate::{clock::Clock, control::Scene},
+    crate::{
+        clock::Clock,
+        control::{CacheEvent, Scene},
+    },
     marigoldroute_core::{
         config::{Catalog, State, Upstream},
         fleet::Status,
-        route::{Name, Origin},
+        route::{Name, Origin, Reason},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -35,13 +38,17 @@
 
 impl Fleet {
     fn new(upstreams: &[&str]) -> Self {
+        Self::with(Name::LeastInFlight, upstreams)
+    }
+
+    fn with(policy: Name, upstreams: &[&str]) -> Self {
         let origin = Origin {
             host: "host-1".into(),
             region: "region-1".into(),
             zone: "zone-1".into(),
         };
         let mut fleet = Self {
-            dispatch: Arc::new(Dispatch::new(Clock::new(), origin, Name::LeastInFlight)),
+            dispatch: Arc::new(Dispatch::new(Clock::new(), origin, policy)),
             scene: Scene::default(),
             flights: Vec::new(),
         };
@@ -144,3 +151,50 @@
     fleet.turn("a", State::Withdrawn);
     assert_eq!(fleet.send(101, AFTER, "b"), AFTER);
 }
+
+const PREFIXES: &[u64] = &[11, 12, 13, 14, 15, 16, 17, 18];
+
+fn event(sequence: u64, stored: &[u64], removed: &[u64]) -> CacheEvent {
+    CacheEvent {
+        sequence,
+        stored: stored.to_vec(),
+        removed: removed.to_vec(),
+        cleared: false,
+    }
+}
+
+/// Returns the cached prompt tokens that are expected at an upstream after events 10 s apart.
+fn expected_hit(events: &[CacheEvent]) -> u32 {
+    let fleet = Fleet::with(Name::Adaptive, &["a"]);
+    fleet.dispatch.apply(&fleet.scene);
+    let mut now = Duration::from_secs(100);
+    for event in events {
+        fleet
+            .dispatch
+            .cache_at(now, &"a".into(), std::slice::from_ref(event));
+        now += Duration::from_secs(10);
+    }
+    let need = Need {
+        prompt: 3_000,
+        prefixes: PREFIXES,
+        ..NEED
+    };
+    let flight = fleet.dispatch.choose_at(now, &fleet.scene, need, &[]);
+    match flight.unwrap().reason {
+        Reason::Estimate { cached, .. } => cached,
+        reason => panic!("{reason}"),
+    }
+}
+
+/// Guards against events that are trusted as much after others were lost, and against hits that
+/// are expected where a block was removed.
+#[test]
+fn a_gap_in_the_events_lowers_trust() {
+    let stored = event(1, PREFIXES, &[]);
+    let whole = expected_hit(&[stored.clone(), event(2, &[99], &[])]);
+    let gap = expected_hit(&[stored.clone(), event(5, &[99], &[])]);
+    assert!(whole > 1_000, "{whole}");
+    assert!(gap > 0 && gap <= whole / 2 + 1, "{gap} of {whole}");
+    assert_eq!(expected_hit(&[stored, event(2, &[], PREFIXES)]), 0);
+    assert_eq!(expected_hit(&[]), 0);
+}
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -35,6 +35,8 @@
     pub(crate) refusals: IntCounter,
     /// Streams that were to move from a withdrawn upstream, by result: `moved` or `kept`.
     pub(crate) moves: IntCounterVec,
+    /// Cache events that engines reported.
+    pub(crate) cache_events: IntCounter,
     /// Failed calls to the platform.
     pub(crate) platform_faults: IntCounter,
     /// Bytes of frames sent to other hosts.
@@ -106,6 +108,10 @@
                 "marigoldroute_upstream_refusals_total",
                 "Attempts that an upstream refused",
             )?,
+            cache_events: counter(
+                "marigoldroute_cache_events_total",
+                "Changes of prefix caches that engines reported to this host",
+            )?,
             platform_faults: counter(
                 "marigoldroute_platform_faults_total",
                 "Failed calls to the table service and the object store",
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -1,9 +1,10 @@
 //! Answers of the stand-in model engine.
 
 use {
-    crate::{fault::Fault, server::StandIn},
+    crate::{fault::Fault, queue::Busy, server::StandIn},
     bytes::Bytes,
     futures_util::Stream,
+    marigoldroute_core::route::prefixes,
     poem::{
         Body, IntoResponse, Response, handler,
         http::StatusCode,
@@ -16,8 +17,12 @@
     tokio_stream::wrappers::ReceiverStream,
 };
 
+/// Header with the priority class of a request.
+const PRIORITY_HEADER: &str = "x-priority";
 /// Bytes of prompt per token.
 const PROMPT_BYTES_PER_TOKEN: u64 = 4;
+/// Prompt tokens of a block in the prefix cache.
+const BLOCK_TOKENS: u64 = 256;
 /// Tokens that an engine generates when the request sets no limit.
 const DEFAULT_LIMIT: u64 = 256;
 /// Chunks between the engine and a slow reader.
@@ -29,18 +34,30 @@
 pub struct Settings {
     /// Time to the first token.
     pub first_token: Duration,
+    /// Time per prompt token that is not in the prefix cache, until the first token.
+    pub prompt_token: Duration,
     /// Time between tokens.
     pub token: Duration,
     /// Tokens of an answer, when the request's limit allows them.
     pub answer_tokens: u64,
+    /// Requests that run at a time, those of the first priority class first; all when absent.
+    pub places: Option<u64>,
+    /// Blocks in the prefix cache.
+    pub cache_blocks: usize,
+    /// Age from which cache events are published.
+    pub cache_lag: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
             first_token: Duration::from_millis(5),
+            prompt_token: Duration::ZERO,
             token: Duration::from_millis(1),
             answer_tokens: 24,
+            places: None,
+            cache_blocks: 4_096,
+            cache_lag: Duration::ZERO,
         }
     }
 }
@@ -61,8 +78,12 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
     pub(crate) request: String,
+    /// Priority class; 0 runs first.
+    class: usize,
     model: String,
     prompt_tokens: u64,
+    /// Prompt tokens that were not in the prefix cache.
+    uncached: u64,
     tokens: u64,
     fault: Fault,
     /// Index of the first token to send.
@@ -86,7 +107,9 @@
     if fault == Fault::Refuse {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
-    let run = start(&stand_in, id, &prompt, fault);
+    let class = request.header(PRIORITY_HEADER);
+    let class = class.and_then(|class| class.parse().ok());
+    let run = start(&stand_in, id, class, &prompt, fault);
     if prompt.stream {
         return stream(&stand_in, run);
     }
@@ -130,14 +153,22 @@
     response.body(body)
 }
 
-fn start(stand_in: &StandIn, id: &str, prompt: &Prompt, fault: Fault) -> Run {
-    let bytes = prompt.messages.to_string().len() + prompt.prompt.to_string().len();
+fn start(stand_in: &StandIn, id: &str, class: Option<usize>, prompt: &Prompt, fault: Fault) -> Run {
+    let (messages, text) = (prompt.messages.to_string(), prompt.prompt.to_string());
+    let bytes = messages.len() + text.len();
+    let cached = stand_in.cache_prompt(&prefixes(match prompt.messages {
+        Value::Null => &text,
+        _ => &messages,
+    }));
+    let prompt_tokens = bytes as u64 / PROMPT_BYTES_PER_TOKEN;
     let limit = prompt.max_tokens.unwrap_or(DEFAULT_LIMIT);
     let wanted = stand_in.settings().answer_tokens.min(limit);
     let run = Run {
         request: id.to_owned(),
+        class: class.unwrap_or(usize::MAX),
         model: prompt.model.clone(),
-        prompt_tokens: bytes as u64 / PROMPT_BYTES_PER_TOKEN,
+        prompt_tokens,
+        uncached: prompt_tokens.saturating_sub(cached * BLOCK_TOKENS),
         tokens: if fault == Fault::Excess {
             limit + 8
         } else {
@@ -149,6 +180,7 @@
     stand_in.keep(run.clone());
     stand_in.record(id, |record| {
         record.runs += 1;
+        record.class = class;
         record.prompt_tokens = run.prompt_tokens;
         record.ended = false;
     });
@@ -157,12 +189,17 @@
 
 /// Generates the run's chunks until the end, a fault, a cancellation or the reader's loss.
 async fn generate(stand_in: StandIn, run: Run, sender: mpsc::Sender<io::Result<Bytes>>) {
-    let _busy = stand_in.occupy();
+    let mut busy = Busy::enter(&stand_in, run.class, run.prompt_tokens);
+    tokio::select! {
+        () = busy.admitted() => {}
+        () = sender.closed() => return,
+    }
     let settings = stand_in.settings();
     if run.fault == Fault::Silent {
         return sender.closed().await;
     }
-    tokio::time::sleep(settings.first_token).await;
+    let prompt = settings.prompt_token * u32::try_from(run.uncached).unwrap_or(u32::MAX);
+    tokio::time::sleep(settings.first_token + prompt).await;
     for token in run.from..run.tokens {
         let broken = match run.fault {
             Fault::Break => true,
--- a/crates/upstream/src/server.rs
+++ b/crates/upstream/src/server.rs
@@ -2,8 +2,10 @@
 
 use {
     crate::{
+        cache::{Cache, CacheEvent},
         engine::{self, Run, Settings},
         fault::Fault,
+        queue::{CLASSES, Queue},
         record::{Book, Record},
         service,
     },
@@ -12,7 +14,7 @@
         EndpointExt, Route, get, handler,
         http::StatusCode,
         post,
-        web::{Data, Json, Path},
+        web::{Data, Json, Path, Query},
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -23,13 +25,27 @@
     tokio::sync::watch,
 };
 
+/// Most prefix hashes in a load report.
+const HASH_LIMIT: usize = 1_024;
+
 /// Load report of an engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests that run.
     pub running: u64,
     /// Requests that wait.
     pub waiting: u64,
+    /// Requests that wait, by priority class.
+    pub waiting_by_class: [u64; CLASSES],
+    /// Prompt tokens that wait, by priority class.
+    pub prompt_tokens_by_class: [u64; CLASSES],
+    /// Mean seconds between tokens.
+    pub seconds_per_token: f64,
+    /// Mean seconds per prompt token that is not cached; 0 when unknown.
+    pub seconds_per_prompt_token: f64,
+    /// The newest cache events after the one that the reader names.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cache: Vec<CacheEvent>,
     /// Whether the engine asks for no new work.
     pub draining: bool,
 }
@@ -42,7 +58,8 @@
     cancelled: HashSet<String>,
     /// Runs that can be resumed, by request id.
     runs: HashMap<String, Run>,
-    running: u64,
+    queue: Queue,
+    cache: Cache,
     draining: bool,
     /// Tokens that a run may have; all when absent.
     held: watch::Sender<Option<u64>>,
@@ -63,6 +80,11 @@
         Self(Arc::new(Mutex::new(state)))
     }
 
+    /// Replaces the settings; runs that have begun keep theirs.
+    pub fn configure(&self, settings: Settings) {
+        self.lock().settings = settings;
+    }
+
     /// Queues faults, one for each answer to come.
     pub fn inject(&self, faults: impl IntoIterator<Item = Fault>) {
         self.lock().faults.extend(faults);
@@ -156,19 +178,51 @@
         }
     }
 
-    /// Counts a running request until the guard is dropped.
-    pub(crate) fn occupy(&self) -> Busy {
-        self.lock().running += 1;
-        Busy(self.clone())
+    /// Changes or reads the queue.
+    pub(crate) fn queue<T>(&self, change: impl FnOnce(&mut Queue) -> T) -> T {
+        change(&mut self.lock().queue)
     }
-}
 
-/// A running request.
-pub(crate) struct Busy(StandIn);
+    /// Takes a prompt into the prefix cache and returns the blocks that were in it.
+    pub(crate) fn cache_prompt(&self, prefixes: &[u64]) -> u64 {
+        let mut state = self.lock();
+        let capacity = state.settings.cache_blocks;
+        state.cache.take(prefixes, capacity)
+    }
+
+    /// Loses this many cache events from now on.
+    pub fn lose_events(&self, count: u64) {
+        self.lock().cache.lose(count);
+    }
 
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.lock().running -= 1;
+    /// Publishes a cache event, whether it is true or not.
+    pub fn publish(&self, event: CacheEvent) {
+        self.lock().cache.publish(event);
+    }
+
+    /// Returns the blocks of prompts that were in the cache.
+    pub fn prefix_hits(&self) -> u64 {
+        self.lock().cache.hits
+    }
+
+    fn load(&self, wanted: &Wanted) -> Load {
+        let state = self.lock();
+        let settings = &state.settings;
+        let (waiting_by_class, prompt_tokens_by_class) = state.queue.waiting();
+        let events = wanted.after.map(|after| {
+            let hashes = wanted.hashes.unwrap_or(HASH_LIMIT);
+            state.cache.after(after, settings.cache_lag, hashes)
+        });
+        Load {
+            running: state.queue.running,
+            waiting: waiting_by_class.iter().sum(),
+            waiting_by_class,
+            prompt_tokens_by_class,
+            seconds_per_token: settings.token.as_secs_f64(),
+            seconds_per_prompt_token: settings.prompt_token.as_secs_f64(),
+            cache: events.unwrap_or_default(),
+            draining: state.draining,
+        }
     }
 }
 
@@ -186,14 +240,18 @@
     stand_in.lock().cancelled.insert(request);
 }
 
+/// Which cache events a load report is to contain.
+#[derive(Deserialize)]
+struct Wanted {
+    /// Events after this sequence number; none when absent.
+    after: Option<u64>,
+    /// Most prefix hashes in all of them.
+    hashes: Option<usize>,
+}
+
 #[handler]
-fn read_load(stand_in: Data<&StandIn>) -> Json<Load> {
-    let state = stand_in.lock();
-    Json(Load {
-        running: state.running,
-        waiting: 0,
-        draining: state.draining,
-    })
+fn read_load(stand_in: Data<&StandIn>, Query(wanted): Query<Wanted>) -> Json<Load> {
+    Json(stand_in.load(&wanted))
 }
 
 #[handler]
