Pass the priority class on to engines

Cause: the class of a workspace ordered only the router's own queue; an engine that honours priorities did not learn it.

Change: model engines receive the class in the header `x-priority`. Callers cannot set the header.

--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -16,7 +16,7 @@
     },
     poem::{
         Body, Request, Response, handler,
-        http::{HeaderMap, HeaderValue, Method, header::CONTENT_TYPE},
+        http::{HeaderMap, HeaderName, HeaderValue, Method, header::CONTENT_TYPE},
         web::Data,
     },
     serde::Deserialize,
@@ -24,6 +24,8 @@
     tokio::time::timeout,
 };
 
+/// Header by which an engine learns the priority class of the workspace; 0 is served first.
+const PRIORITY_HEADER: HeaderName = HeaderName::from_static("x-priority");
 /// Largest unstreamed answer in bytes.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
 
@@ -60,6 +62,8 @@
         return Err(Fault::new(fault::Kind::NotFound, message));
     }
     let json = HeaderValue::from_static("application/json");
+    let priority = HeaderValue::from(u16::from(access.priority));
+    let headers = [(CONTENT_TYPE, json), (PRIORITY_HEADER, priority)];
     let plan = Plan {
         id: request::id(&access.workspace, key.as_deref()),
         key,
@@ -75,7 +79,7 @@
         call: Call {
             method: Method::POST,
             path: request.uri().path().to_owned(),
-            headers: HeaderMap::from_iter([(CONTENT_TYPE, json)]),
+            headers: HeaderMap::from_iter(headers),
             body: prompt.body.clone().into(),
         },
     };
--- /dev/null
+++ b/crates/router/tests/priorities.rs
@@ -0,0 +1,63 @@
+//! Priority classes of workspaces at an engine that honours them.
+
+#![allow(clippy::unwrap_used)]
+
+mod fleet;
+
+use {
+    fleet::{Outside, complete, set, until},
+    marigoldroute::Settings,
+    marigoldroute_core::config::{Change, Setting, Value},
+    marigoldroute_upstream::{Record, Settings as Engine},
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+};
+
+/// Guards against an engine that serves a low class before a high one because it does not learn
+/// the class: three streams compete for one place, the last one has the first class.
+#[tokio::test]
+async fn an_engine_serves_the_first_class_first() {
+    let outside = Outside::start(1, 10_000).await;
+    let engine = &outside.engines[0];
+    engine.configure(Engine {
+        places: Some(1),
+        ..Engine::default()
+    });
+    engine.hold(Some(0));
+    let settings = Settings {
+        // Waiting streams must not count as silent.
+        upstream_timeout: Duration::from_secs(60),
+        ..outside.settings(1)
+    };
+    let router = outside.start_router(settings).await;
+    let address = router.address();
+    let order = Arc::new(Mutex::new(Vec::new()));
+    let mut calls = Vec::new();
+    for (number, class) in [3, 4, 0].into_iter().enumerate() {
+        let change = Change {
+            edits: vec![set("kolkata", Setting::Priority, Value::Class(class))],
+            force: false,
+        };
+        let request = format!("class-{number}");
+        let version = router.propose(change, "test", &request).await.unwrap();
+        until(|| async { router.version() >= version }).await;
+        let order = order.clone();
+        calls.push(tokio::spawn(async move {
+            let answer = complete(address, true, None).await.unwrap();
+            order.lock().unwrap().push(number);
+            answer.is_whole_stream()
+        }));
+        until(|| async { outside.runs() as usize > number }).await;
+    }
+    engine.hold(None);
+    for call in calls {
+        assert!(call.await.unwrap());
+    }
+    assert_eq!(*order.lock().unwrap(), [0, 2, 1]);
+    let records = engine.records();
+    let first = |record: &&Record| record.class == Some(0);
+    assert_eq!(records.values().filter(first).count(), 1);
+    router.stop().await;
+}
