--- a/crates/ctl/src/measure/path/bench.rs
+++ b/crates/ctl/src/measure/path/bench.rs
@@ -47,6 +47,7 @@
             first_token: Duration::from_millis(5),
             token: pace,
             answer_tokens: tokens,
+            ..Engine::default()
         });
         let (address, serve) = engine.bind(local).await?;
         tokio::spawn(serve);
--- a/crates/router/src/caller/completion.rs
+++ b/crates/router/src/caller/completion.rs
@@ -16,7 +16,7 @@
     },
     poem::{
         Body, Request, Response, handler,
-        http::{HeaderMap, HeaderValue, Method, header::CONTENT_TYPE},
+        http::{HeaderMap, HeaderName, HeaderValue, Method, header::CONTENT_TYPE},
         web::Data,
     },
     serde::Deserialize,
@@ -24,6 +24,8 @@
     tokio::time::timeout,
 };
 
+/// Header by which an engine learns the priority class of the workspace; 0 is served first.
+const PRIORITY_HEADER: HeaderName = HeaderName::from_static("x-priority");
 /// Largest unstreamed answer in bytes.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
 
@@ -64,6 +66,8 @@
     let least = access.least_output.map_or(prompt.bound(), |least| {
         prompt.prompt_bound + least.min(prompt.limit)
     });
+    let priority = HeaderValue::from(u16::from(access.priority));
+    let headers = [(CONTENT_TYPE, json), (PRIORITY_HEADER, priority)];
     let plan = Plan {
         id: request::id(&access.workspace, key.as_deref()),
         key,
@@ -80,7 +84,7 @@
         call: Call {
             method: Method::POST,
             path: request.uri().path().to_owned(),
-            headers: HeaderMap::from_iter([(CONTENT_TYPE, json)]),
+            headers: HeaderMap::from_iter(headers),
             body: prompt.body.clone().into(),
         },
     };
