--- a/crates/core/src/config/catalog.rs
+++ b/crates/core/src/config/catalog.rs
@@ -69,6 +69,17 @@
     }
 }
 
+/// Which model engines are ordered to load, and for how much work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// Version of the model.
+    pub version: u64,
+    /// Tokens per second for which replicas are kept.
+    pub demand: u64,
+    /// Tokens per second that one replica generates at full load; at least 1.
+    pub replica_rate: u64,
+}
+
 /// What a workspace may use and how much.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Workspace {
@@ -117,6 +128,12 @@
     pub stale: Option<Duration>,
     /// Longest time that a stopping host waits for its streams.
     pub drain: Option<Duration>,
+    /// Loads from the weight store at a time; at least 1.
+    #[serde(default)]
+    pub concurrent_loads: Option<u64>,
+    /// Shortest time between two loads from the weight store.
+    #[serde(default)]
+    pub load_interval: Option<Duration>,
 }
 
 /// The effective configuration of one version.
@@ -136,6 +153,9 @@
     /// What each upstream hosts.
     #[serde(default)]
     pub hosting: BTreeMap<UpstreamId, Hosting>,
+    /// Models that engines are ordered to load.
+    #[serde(default)]
+    pub placement: BTreeMap<ModelId, Placement>,
     /// Settings of the organisation.
     #[serde(default)]
     pub limits: Limits,
--- a/crates/core/src/config/check.rs
+++ b/crates/core/src/config/check.rs
@@ -21,6 +21,13 @@
 /// Longest change in bytes of JSON; several fit into a frame between hosts.
 pub const CHANGE_LIMIT_BYTES: usize = 200_000;
 
+/// Numbers that must not be 0.
+const POSITIVE: [Setting; 3] = [
+    Setting::ModelVersion,
+    Setting::ReplicaRate,
+    Setting::ConcurrentLoads,
+];
+
 /// One mistake of a change.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[display("{path}: {reason}")]
@@ -250,6 +257,7 @@
         Value::Labels(labels) => labels
             .iter()
             .all(|(name, value)| is_name(name) && value.len() <= NAME_LIMIT_BYTES),
+        Value::Tokens(0) | Value::Count(0) => !POSITIVE.contains(&setting),
         _ => true,
     };
     (!is_good).then_some(Reason::BadValue)
@@ -321,7 +329,8 @@
                 report(Some(Setting::ApiKeys), Reason::Duplicate { name });
             }
         }
-        for setting in required(node) {
+        let is_placed = effective.get(Setting::Placement).is_some_and(Value::is_on);
+        for setting in required(node, is_placed) {
             if effective.get(*setting).is_none() {
                 report(Some(*setting), Reason::Missing { setting: *setting });
             }
@@ -345,8 +354,9 @@
     served.map(|(path, _)| tree::name(path)).collect()
 }
 
-fn required(node: &Node) -> &'static [Setting] {
+fn required(node: &Node, is_placed: bool) -> &'static [Setting] {
     match node.kind {
+        Kind::Model if is_placed => &[Setting::ModelVersion, Setting::Demand, Setting::ReplicaRate],
         Kind::Upstream => &[Setting::Url, Setting::Region, Setting::Zone],
         Kind::Workspace if node.settings.contains_key(&Setting::ApiKeys) => {
             &[Setting::Budget, Setting::OutputLimit]
--- a/crates/core/src/config/compile.rs
+++ b/crates/core/src/config/compile.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        Access, Catalog, Effective, Hosting, Kind, Limits, Node, Path, Running, Service, Setting,
-        State, Tree, Upstream, Value, Workspace, tree,
+        Access, Catalog, Effective, Hosting, Kind, Limits, Node, Path, Placement, Running, Service,
+        Setting, State, Tree, Upstream, Value, Workspace, tree,
     },
     crate::id::{ModelId, UpstreamId, Version},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -36,7 +36,11 @@
                     .insert(id.clone(), upstream(path, effective));
                 catalog.hosting.insert(id, hosting);
             }
-            Kind::Model => {}
+            Kind::Model => {
+                let placement = placement(effective);
+                let placed = placement.map(|placement| (tree::name(path).into(), placement));
+                catalog.placement.extend(placed);
+            }
         });
         catalog
     }
@@ -83,6 +87,8 @@
         endurance: seconds(Setting::Endurance),
         stale: seconds(Setting::StaleLimit),
         drain: seconds(Setting::DrainLimit),
+        concurrent_loads: number(effective, Setting::ConcurrentLoads),
+        load_interval: seconds(Setting::LoadInterval),
     }
 }
 
@@ -112,6 +118,18 @@
     }
 }
 
+/// Returns the placement of a model, if it is on and complete.
+fn placement(effective: &Effective<'_>) -> Option<Placement> {
+    if !is_on(effective, Setting::Placement) {
+        return None;
+    }
+    Some(Placement {
+        version: number(effective, Setting::ModelVersion)?,
+        demand: number(effective, Setting::Demand)?,
+        replica_rate: number(effective, Setting::ReplicaRate)?,
+    })
+}
+
 fn upstream(path: &Path, effective: &Effective<'_>) -> Upstream {
     let withdrawn = effective.get(Setting::Withdrawn);
     let withdrawn = withdrawn.map_or(&[][..], Value::members);
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -28,7 +28,8 @@
 pub(crate) use compile::served;
 pub use {
     catalog::{
-        Access, Catalog, Hosting, Limits, Running, Service, State, Upstream, Workspace, hash_key,
+        Access, Catalog, Hosting, Limits, Placement, Running, Service, State, Upstream, Workspace,
+        hash_key,
     },
     change::{Change, Edit, Rejection},
     check::{
--- a/crates/core/src/config/setting.rs
+++ b/crates/core/src/config/setting.rs
@@ -65,11 +65,14 @@
     Kind::Upstream,
 ];
 const UPSTREAM: &[Kind] = &[Kind::Upstream];
+const MODELS: &[Kind] = &[Kind::Organisation, Kind::Model];
+const MODEL: &[Kind] = &[Kind::Model];
 
 const TEXT_LIMIT_BYTES: u64 = 512;
 const LIST_LIMIT: u64 = 256;
 const TOKENS_LIMIT: u64 = 1 << 50;
 const DAY_SECONDS: u64 = 86_400;
+const VERSION_LIMIT: u64 = 1 << 50;
 
 settings! {
     /// Hashes of the API keys of a workspace.
@@ -112,6 +115,18 @@
     Fencing = "fencing", Flag, 1, UPSTREAMS, &[];
     /// Whether an upstream verifies the sender of a command.
     Verifies = "verifies_sender", Flag, 1, UPSTREAMS, &[];
+    /// Whether engines are ordered to load a model.
+    Placement = "placement", Flag, 1, MODELS, &[];
+    /// Version of a model that engines are ordered to load.
+    ModelVersion = "model_version", Count, VERSION_LIMIT, MODEL, &[];
+    /// Tokens per second for which replicas of a model are kept, also when fewer are used.
+    Demand = "demand", Tokens, TOKENS_LIMIT, MODEL, &[];
+    /// Tokens per second that one replica of a model generates at full load.
+    ReplicaRate = "replica_rate", Tokens, TOKENS_LIMIT, MODELS, &[];
+    /// Loads from the weight store at a time.
+    ConcurrentLoads = "concurrent_loads", Count, 64, ORGANISATION, &[];
+    /// Shortest time between two loads from the weight store.
+    LoadInterval = "load_interval", Seconds, DAY_SECONDS, ORGANISATION, &[];
     /// Hosts per region that hold a grant of a budget.
     Holders = "holders_per_region", Count, 16, ORGANISATION, &[];
     /// Demand that a holder covers without the store.
--- a/crates/core/src/fleet/mark.rs
+++ b/crates/core/src/fleet/mark.rs
@@ -35,7 +35,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Mark {
     /// Fact.
-    #[prost(oneof = "Fact", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Fact", tags = "1, 2, 3, 4, 5")]
     pub fact: Option<Fact>,
 }
 
@@ -54,6 +54,9 @@
     /// State of an upstream, by a host.
     #[prost(message, tag = "4")]
     Report(Report),
+    /// Model that an upstream holds, by a host.
+    #[prost(message, tag = "5")]
+    Held(Held),
 }
 
 /// Life cycle of a host; it only goes forward.
@@ -162,6 +165,24 @@
     pub evidence: i32,
 }
 
+/// Model that an upstream holds, as seen by a host. The greatest sequence, then the greatest
+/// reporter is the newest.
+#[derive(Clone, PartialEq, Eq, Hash, Message)]
+pub struct Held {
+    /// Upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Host that reports.
+    #[prost(string, tag = "2")]
+    pub reporter: String,
+    /// Greater than that of the report which this one replaces.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Model; empty while the upstream holds none.
+    #[prost(string, tag = "4")]
+    pub model: String,
+}
+
 impl From<Fact> for Mark {
     fn from(fact: Fact) -> Self {
         Self { fact: Some(fact) }
@@ -175,6 +196,7 @@
     Applied(String),
     Suspicion(String, String),
     Report(String, String),
+    Held(String),
 }
 
 impl Fact {
@@ -184,6 +206,7 @@
             Self::Applied(mark) => Subject::Applied(mark.id.clone()),
             Self::Suspicion(mark) => Subject::Suspicion(mark.id.clone(), mark.reporter.clone()),
             Self::Report(mark) => Subject::Report(mark.upstream.clone(), mark.reporter.clone()),
+            Self::Held(mark) => Subject::Held(mark.upstream.clone()),
         }
     }
 }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! everything it knows, so that a peer can repair what was lost.
 
 mod health;
+mod held;
 mod mark;
 mod member;
 mod probe;
@@ -21,7 +22,7 @@
 
 pub use {
     health::{Observation, Status},
-    mark::{Applied, Evidence, Fact, Gossip, HostMark, Kind, Mark, Phase, Report, Suspicion},
+    mark::{Applied, Evidence, Fact, Gossip, Held, HostMark, Kind, Mark, Phase, Report, Suspicion},
     member::Member,
     rank::{Weighted, rank},
     roster::{Host, Listed, Listing, Progress},
--- a/crates/core/src/fleet/repair.rs
+++ b/crates/core/src/fleet/repair.rs
@@ -86,6 +86,11 @@
                 visit(bucket, hash((&*host.id, applied)), &mark);
             }
         }
+        for mark in self.held.values() {
+            let state = (&mark.upstream, &mark.reporter, mark.sequence);
+            let fact = || Fact::Held(mark.clone());
+            visit(bucket(&mark.upstream), hash(state), &fact);
+        }
         for (upstream, health) in &self.upstreams {
             for (reporter, (incarnation, sequence), evidence) in health.active(now) {
                 if evidence != Evidence::Leaving {
--- a/crates/core/src/fleet/view.rs
+++ b/crates/core/src/fleet/view.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         health::{Health, Observation, Status},
-        mark::{Applied, Evidence, Fact, Gossip, HostMark, Kind, Phase, Report, Suspicion},
+        mark::{Applied, Evidence, Fact, Gossip, Held, HostMark, Kind, Phase, Report, Suspicion},
         probe::Probes,
         queue::{Queue, Urgency},
         rank::{Weighted, rank},
@@ -19,7 +19,7 @@
 };
 
 /// Greatest number of upstreams; more than three times the target of 600.
-const UPSTREAM_LIMIT: usize = 2_000;
+pub(super) const UPSTREAM_LIMIT: usize = 2_000;
 /// Hosts in doubt that are kept.
 const DOUBT_LIMIT: usize = 64;
 /// Hosts of an availability zone that read the configuration from the store.
@@ -72,6 +72,8 @@
     pub(super) me: Own,
     pub(super) roster: Roster,
     pub(super) upstreams: BTreeMap<UpstreamId, Health>,
+    /// Models that upstreams report to hold.
+    pub(super) held: BTreeMap<UpstreamId, Held>,
     pub(super) listing: Listing,
     pub(super) queue: Queue,
     pub(super) probes: Probes,
@@ -95,6 +97,7 @@
             },
             roster: Roster::default(),
             upstreams: BTreeMap::new(),
+            held: BTreeMap::new(),
             listing: Listing::default(),
             queue: Queue::default(),
             probes: Probes::default(),
@@ -141,11 +144,6 @@
         self.listing = listing;
     }
 
-    /// Forgets upstreams that the configuration no longer names.
-    pub fn retain(&mut self, is_configured: impl Fn(&UpstreamId) -> bool) {
-        self.upstreams.retain(|id, _| is_configured(id));
-    }
-
     /// Takes an own observation of an upstream.
     pub fn observe(&mut self, now: Duration, upstream: &UpstreamId, observation: Observation) {
         let Some(health) = self.health(upstream) else {
@@ -291,6 +289,7 @@
             Fact::Applied(mark) => (self.roster.applied(mark), Urgency::Regular),
             Fact::Suspicion(mark) => (self.suspect(now, mark, random), Urgency::Regular),
             Fact::Report(mark) => (self.report(now, mark), Urgency::Urgent),
+            Fact::Held(mark) => (self.take_held(mark), Urgency::Urgent),
         };
         if is_news {
             self.spread(fact.clone(), urgency);
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -5,6 +5,7 @@
 //! orders of an earlier holder.
 
 mod demand;
+mod halt;
 mod lease;
 mod planner;
 mod rollout;
@@ -16,6 +17,7 @@
 
 pub use {
     demand::{Demand, replicas},
+    halt::{HALT_PREFIX, Halt},
     lease::Lease,
     planner::Planner,
     rollout::{Phase, Rollout},
--- a/crates/core/src/place/planner.rs
+++ b/crates/core/src/place/planner.rs
@@ -27,7 +27,7 @@
     sent: BTreeMap<UpstreamId, Sent>,
     /// Time of the last move of each engine.
     moved: BTreeMap<UpstreamId, Duration>,
-    rollouts: BTreeMap<ModelId, Rollout>,
+    pub(super) rollouts: BTreeMap<ModelId, Rollout>,
     last_load: Option<Duration>,
 }
 
@@ -41,7 +41,8 @@
     held: BTreeMap<UpstreamId, Loaded>,
     /// Replicas of each model by availability zone.
     counts: BTreeMap<ModelId, BTreeMap<Zone, usize>>,
-    zones: usize,
+    /// Number of availability zones with engines that may hold each model.
+    zones: BTreeMap<ModelId, usize>,
 }
 
 impl Round<'_> {
@@ -63,6 +64,10 @@
             .unwrap_or(0)
     }
 
+    fn zones(&self, model: &str) -> usize {
+        self.zones.get(model).copied().unwrap_or(0)
+    }
+
     fn demand(&self, model: &str) -> Option<&Demand> {
         self.demands.iter().find(|demand| *demand.model == *model)
     }
@@ -80,11 +85,26 @@
         }
     }
 
-    /// Counts responses of a model version, which can halt its rollout.
-    pub fn observe(&mut self, model: &str, version: u64, requests: u64, errors: u64) {
-        if let Some(rollout) = self.rollouts.get_mut(model).filter(|r| r.to == version) {
+    /// Forgets an order that was not sent.
+    pub fn revoke(&mut self, order: &Order) {
+        self.sent.remove(&order.engine);
+        self.moved.remove(&order.engine);
+    }
+
+    /// Replaces the settings; what is known is kept.
+    pub fn set(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
+    /// Counts responses of a model version, which can halt its rollout. Returns whether there is
+    /// a rollout of that version; otherwise they are not counted.
+    pub fn observe(&mut self, model: &str, version: u64, requests: u64, errors: u64) -> bool {
+        let rollout = self.rollouts.get_mut(model).filter(|r| r.to == version);
+        let is_counted = rollout.is_some();
+        if let Some(rollout) = rollout {
             rollout.observe(&self.settings, requests, errors);
         }
+        is_counted
     }
 
     /// Returns where the rollout of a model stands, if there is one.
@@ -111,11 +131,7 @@
             demands,
             counts: count(engines, &held),
             held,
-            zones: engines
-                .iter()
-                .map(|e| &e.zone)
-                .collect::<BTreeSet<_>>()
-                .len(),
+            zones: zones(engines, demands),
         };
         self.track(&round, observed);
         if !self.may_load(&round, observed) {
@@ -178,7 +194,7 @@
     /// Gives a replica to the model that lacks the largest share of its replicas.
     fn fill(&self, round: &Round<'_>) -> Option<Order> {
         let share = |demand: &Demand| {
-            let need = demand.need(&self.settings, 1.0, round.zones);
+            let need = demand.need(&self.settings, 1.0, round.zones(&demand.model));
             round.have(&demand.model) as f64 / need as f64
         };
         let mut lacking: Vec<_> = round.demands.iter().filter(|d| share(d) < 1.0).collect();
@@ -196,7 +212,7 @@
         round.demands.iter().find_map(|demand| {
             let fullest = round.fullest(&demand.model);
             let remaining = round.have(&demand.model) - fullest;
-            if round.zones < 2 || remaining >= demand.least(1.0) {
+            if round.zones(&demand.model) < 2 || remaining >= demand.least(1.0) {
                 return None;
             }
             let engine = self.free(round, demand, fullest)?;
@@ -210,7 +226,9 @@
     fn free(&self, round: &Round<'_>, demand: &Demand, below: usize) -> Option<UpstreamId> {
         let is_starving = round.have(&demand.model) == 0;
         let class = |engine: &Engine| match round.held.get(&engine.id) {
+            _ if !engine.accepts(&demand.model) => None,
             None => Some(0),
+            Some(load) if !engine.accepts(&load.model) => Some(1),
             Some(load) if load.model == demand.model => None,
             Some(load) => match round.demand(&load.model) {
                 None => Some(1),
@@ -236,7 +254,7 @@
     /// hysteresis, and the replica is in its fullest availability zone.
     fn is_spare(&self, round: &Round<'_>, engine: &Engine, demand: &Demand) -> bool {
         let factor = 1.0 + self.settings.hysteresis;
-        let need = demand.need(&self.settings, factor, round.zones);
+        let need = demand.need(&self.settings, factor, round.zones(&demand.model));
         let own = round.in_zone(&demand.model, &engine.zone);
         let is_fullest = own == round.fullest(&demand.model);
         let moved = self.moved.get(&engine.id);
@@ -253,7 +271,12 @@
             let old = old.filter(|version| *version != demand.version).max();
             let known = self.rollouts.get(&demand.model).map(|rollout| rollout.to);
             if let Some(from) = old.filter(|_| known != Some(demand.version)) {
-                let rollout = Rollout::new(from, demand.version);
+                let rollout = match self.rollouts.get(&demand.model) {
+                    Some(last) if last.from == demand.version => {
+                        Rollout::back(last.to, demand.version)
+                    }
+                    _ => Rollout::new(from, demand.version),
+                };
                 self.rollouts.insert(demand.model.clone(), rollout);
             }
             let updated = observed
@@ -276,7 +299,8 @@
             let rollout = self.rollouts.get(&demand.model)?;
             let holders = round.engines.iter().filter(|engine| {
                 let load = round.held.get(&engine.id);
-                load.is_some_and(|load| load.model == demand.model)
+                let is_held = load.is_some_and(|load| load.model == demand.model);
+                is_held && engine.accepts(&demand.model)
             });
             let holders: Vec<_> = holders.collect();
             let is_ready = |engine: &&Engine| {
@@ -339,10 +363,20 @@
 ) -> BTreeMap<ModelId, BTreeMap<Zone, usize>> {
     let mut counts = BTreeMap::<ModelId, BTreeMap<Zone, usize>>::new();
     for engine in engines {
-        if let Some(load) = held.get(&engine.id) {
+        let load = held.get(&engine.id);
+        if let Some(load) = load.filter(|load| engine.accepts(&load.model)) {
             let zones = counts.entry(load.model.clone()).or_default();
             *zones.entry(engine.zone.clone()).or_default() += 1;
         }
     }
     counts
 }
+
+fn zones(engines: &[Engine], demands: &[Demand]) -> BTreeMap<ModelId, usize> {
+    let count = |demand: &Demand| {
+        let accepting = engines.iter().filter(|e| e.accepts(&demand.model));
+        let zones: BTreeSet<_> = accepting.map(|engine| &engine.zone).collect();
+        (demand.model.clone(), zones.len())
+    };
+    demands.iter().map(count).collect()
+}
--- a/crates/core/src/place/rollout.rs
+++ b/crates/core/src/place/rollout.rs
@@ -42,6 +42,28 @@
         }
     }
 
+    /// Returns a rollout that was halted before.
+    pub fn halted(from: u64, to: u64) -> Self {
+        Self {
+            phase: Phase::Halted,
+            ..Self::new(from, to)
+        }
+    }
+
+    /// Returns the way back to the version that the replicas had before; it was observed already
+    /// and needs no steps.
+    pub fn back(from: u64, to: u64) -> Self {
+        Self {
+            phase: Phase::Done,
+            ..Self::new(from, to)
+        }
+    }
+
+    /// Returns whether errors were above the limit.
+    pub fn is_halted(&self) -> bool {
+        self.phase == Phase::Halted
+    }
+
     /// Returns where the rollout stands.
     pub fn phase(&self) -> Phase {
         self.phase
@@ -58,8 +80,12 @@
         ((count as f64 * share).ceil() as usize).clamp(1, count.max(1))
     }
 
-    /// Counts responses of the new version.
+    /// Counts responses of the new version. A rollout that is done does not halt any more: there
+    /// may be no replica with the old version to go on with.
     pub fn observe(&mut self, settings: &Settings, requests: u64, errors: u64) {
+        if self.phase != Phase::Running {
+            return;
+        }
         self.requests += requests;
         self.errors += errors;
         let share = self.errors as f64 / self.requests.max(1) as f64;
--- a/crates/core/src/place/state.rs
+++ b/crates/core/src/place/state.rs
@@ -14,6 +14,15 @@
     pub zone: Zone,
     /// Whether the engine refuses an order with an old fencing number.
     pub is_fencing: bool,
+    /// Models that it may hold.
+    pub models: Vec<ModelId>,
+}
+
+impl Engine {
+    /// Returns whether the engine may hold a model.
+    pub fn accepts(&self, model: &str) -> bool {
+        self.models.iter().any(|accepted| **accepted == *model)
+    }
 }
 
 /// A model in a version.
--- a/crates/core/src/place/tests.rs
+++ b/crates/core/src/place/tests.rs
@@ -33,6 +33,7 @@
         id: format!("e{n}").into(),
         zone: format!("z{}", n / 3).into(),
         is_fencing: n.is_multiple_of(2),
+        models: MODELS.map(Into::into).into(),
     };
     (0..ENGINES).map(engine).collect()
 }
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -15,6 +15,7 @@
         .after_help("Exit codes: 0 planned stop, 1 failure, 2 mistakes in the settings")
         .args(names())
         .args(addresses())
+        .args(placement())
         .args(limits())
         .args(actions())
 }
@@ -54,6 +55,9 @@
             .map(|hash| hash.as_str().into()),
         flush_interval: ms("flush-interval-ms", base.flush_interval),
         ledger_interval: ms("ledger-interval-ms", base.ledger_interval),
+        placement_interval: ms("placement-interval-ms", base.placement_interval),
+        placement_lease: ms("placement-lease-ms", base.placement_lease),
+        pause_bound: ms("pause-bound-ms", base.pause_bound),
         renew_interval: ms("renew-interval-ms", base.renew_interval),
         holders_per_region: size("holders-per-region", base.holders_per_region),
         peer_timeout: ms("peer-timeout-ms", base.peer_timeout),
@@ -156,6 +160,27 @@
     ]
 }
 
+fn placement() -> [Arg; 3] {
+    let ms = |name, env, help| option(name, env, "MS", help).value_parser(value_parser!(u64));
+    [
+        ms(
+            "placement-interval-ms",
+            "MARIGOLDROUTE_PLACEMENT_INTERVAL_MS",
+            "Time between two rounds of the placement of models",
+        ),
+        ms(
+            "placement-lease-ms",
+            "MARIGOLDROUTE_PLACEMENT_LEASE_MS",
+            "Length of the placement lease, the same on every host",
+        ),
+        ms(
+            "pause-bound-ms",
+            "MARIGOLDROUTE_PAUSE_BOUND_MS",
+            "Longest pause of a process that is assumed, the same on every host",
+        ),
+    ]
+}
+
 fn limits() -> [Arg; 15] {
     let ms = |name, env, help| option(name, env, "MS", help).value_parser(value_parser!(u64));
     let count = |name, env, help| option(name, env, "N", help).value_parser(value_parser!(usize));
--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -7,7 +7,7 @@
     marigoldroute_core::{
         config::Catalog,
         fleet::{Observation, Weighted, rank},
-        id::{HostId, UpstreamId},
+        id::{HostId, ModelId, UpstreamId},
         route::Load,
     },
     serde::Deserialize,
@@ -22,12 +22,43 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// A load report.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
 pub(super) struct Report {
     running: u32,
     waiting: u32,
     draining: bool,
+    /// Absent for an engine that takes no orders.
+    holding: Option<Holding>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+struct Holding {
+    loaded: Option<Model>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Model {
+    model: ModelId,
+}
+
+/// What a probe showed.
+pub(super) struct Probed {
+    pub(super) observation: Observation,
+    pub(super) load: Option<Load>,
+    /// Model that the upstream holds, an empty name for none; absent when it does not say.
+    pub(super) holds: Option<ModelId>,
+}
+
+impl From<Observation> for Probed {
+    fn from(observation: Observation) -> Self {
+        Self {
+            observation,
+            load: None,
+            holds: None,
+        }
+    }
 }
 
 impl From<Report> for Load {
@@ -58,18 +89,30 @@
 }
 
 /// Probes one upstream.
-pub(super) async fn probe(http: reqwest::Client, url: Arc<str>) -> (Observation, Option<Load>) {
+pub(super) async fn probe(http: reqwest::Client, url: Arc<str>) -> Probed {
     let call = http.get(format!("{url}/v1/load")).timeout(PROBE_TIMEOUT);
     let Ok(response) = call.send().await else {
-        return (Observation::Failure, None);
+        return Observation::Failure.into();
     };
     if response.status().is_server_error() {
-        return (Observation::Failure, None);
+        return Observation::Failure.into();
     }
     // A plain service answers without a load report.
-    match response.json::<Report>().await {
-        Ok(report) if report.draining => (Observation::Leaving, Some(report.into())),
-        Ok(report) => (Observation::Ready, Some(report.into())),
-        Err(_) => (Observation::Ready, None),
+    let Ok(report) = response.json::<Report>().await else {
+        return Observation::Ready.into();
+    };
+    let observation = match report.draining {
+        true => Observation::Leaving,
+        false => Observation::Ready,
+    };
+    let holding = report.holding.as_ref();
+    let holds = holding.map(|holding| match &holding.loaded {
+        Some(loaded) => loaded.model.clone(),
+        None => "".into(),
+    });
+    Probed {
+        observation,
+        load: Some(report.into()),
+        holds,
     }
 }
--- a/crates/router/src/control/scene.rs
+++ b/crates/router/src/control/scene.rs
@@ -4,7 +4,7 @@
     marigoldroute_core::{
         config::{Catalog, Hold},
         fleet::{Host, Member, Phase, Status, Weighted, rank},
-        id::{HolderId, HostId, Region, UpstreamId},
+        id::{HolderId, HostId, ModelId, Region, UpstreamId},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -21,6 +21,8 @@
     pub(crate) hold: Option<Hold>,
     /// Upstreams that get no new work although they are in service by configuration.
     pub(crate) out: BTreeMap<UpstreamId, Status>,
+    /// Model that each upstream holds, an empty name for none; absent when it does not say.
+    held: BTreeMap<UpstreamId, ModelId>,
     /// Hosts that take work, by region.
     regions: BTreeMap<Region, Vec<Weighted>>,
     addresses: BTreeMap<HostId, SocketAddr>,
@@ -77,11 +79,16 @@
         scene
     }
 
+    pub(super) fn with_held(self, held: BTreeMap<UpstreamId, ModelId>) -> Self {
+        Self { held, ..self }
+    }
+
     /// Returns whether nothing changed; catalogs are compared by identity because they are large.
     pub(super) fn is_same(&self, other: &Self) -> bool {
         Arc::ptr_eq(&self.catalog, &other.catalog)
             && self.hold == other.hold
             && self.out == other.out
+            && self.held == other.held
             && self.regions == other.regions
             && self.addresses == other.addresses
             && self.hosts == other.hosts
@@ -111,6 +118,14 @@
         self.addresses.get(host).copied()
     }
 
+    /// Returns whether an upstream holds what a request is for. Without placement, and for an
+    /// upstream that does not report what it holds, its settings decide alone.
+    pub(crate) fn holds(&self, upstream: &str, target: &str) -> bool {
+        let is_placed = self.catalog.placement.contains_key(target);
+        let held = self.held.get(upstream).filter(|_| is_placed);
+        held.is_none_or(|model| **model == *target)
+    }
+
     /// Returns whether an upstream gets new work as far as its health goes.
     pub(crate) fn is_up(&self, upstream: &str) -> bool {
         !self.out.contains_key(upstream)
--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -4,7 +4,7 @@
     super::{
         Command, Control, QUEUE_COMMANDS,
         listing::Register,
-        probe::{self, PROBE_INTERVAL},
+        probe::{self, PROBE_INTERVAL, Probed},
         proposal::{Attempt, PROPOSAL_ATTEMPTS},
         scene::Scene,
         store,
@@ -12,9 +12,8 @@
     crate::{clock::Clock, dispatch::Dispatch, metrics::Metrics, peer::Links},
     marigoldroute_core::{
         config::{Ask, Log, Packet, Read, Role},
-        fleet::{Gossip, Host, Observation, Phase, Settings, Status, View},
+        fleet::{Gossip, Host, Phase, Settings, Status, View},
         id::{HolderId, HostId, UpstreamId, Version},
-        route::Load,
         table::{Row, Verdict},
         wire::{Body, Reply},
     },
@@ -88,7 +87,7 @@
     Registered(Result<(), Fault>),
     Written(Result<(), Fault>),
     Listed(Result<Register, Fault>),
-    Probed(UpstreamId, Observation, Option<Load>),
+    Probed(UpstreamId, Probed),
     Decide(Box<Attempt>, Result<Vec<Row>, Fault>),
     Committed(Box<Attempt>, Result<Verdict, Fault>),
     Upkeep(Result<(Option<Row>, Vec<Row>), Fault>),
@@ -223,11 +222,14 @@
             }
             Event::Written(Ok(())) => {}
             Event::Listed(Err(fault)) | Event::Written(Err(fault)) => self.failed(fault),
-            Event::Probed(upstream, observation, load) => {
-                if let Some(load) = load {
+            Event::Probed(upstream, probed) => {
+                if let Some(load) = probed.load {
                     self.parts.dispatch.load(&upstream, &load);
                 }
-                self.view.observe(now, &upstream, observation);
+                if let Some(model) = probed.holds {
+                    self.view.hold(&upstream, &model);
+                }
+                self.view.observe(now, &upstream, probed.observation);
             }
             Event::Decide(attempt, rows) => self.decide(*attempt, rows),
             Event::Committed(attempt, verdict) => self.committed(*attempt, verdict),
@@ -331,8 +333,8 @@
         for (upstream, url) in probe::duties(self.log.catalog(), own, &ready) {
             let http = self.http.clone();
             self.calls.spawn(async move {
-                let (observation, load) = probe::probe(http, url).await;
-                Event::Probed(upstream, observation, load)
+                let probed = probe::probe(http, url).await;
+                Event::Probed(upstream, probed)
             });
         }
     }
@@ -358,7 +360,7 @@
         self.parts
             .links
             .retain(|host| members.iter().any(|m| m.host.id == *host));
-        let scene = Scene::new(catalog, hold, out, &members);
+        let scene = Scene::new(catalog, hold, out, &members).with_held(self.view.held());
         self.parts.metrics.ready_hosts.set(scene.hosts.len() as i64);
         self.scene.send_if_modified(|current| {
             let is_changed = !current.is_same(&scene);
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -102,7 +102,7 @@
         } = &mut *state;
         let allows = |id: &UpstreamId| {
             let has_room = limits.get(id).is_none_or(|limit| limit.has_room(1.0));
-            has_room && scene.is_up(id) && !tried.contains(id)
+            has_room && scene.is_up(id) && scene.holds(id, need.target) && !tried.contains(id)
         };
         let request = Request {
             target: need.target,
@@ -140,8 +140,10 @@
     pub(crate) fn could_serve(&self, scene: &Scene, target: &str, tried: &[UpstreamId]) -> bool {
         let state = self.lock();
         let mut candidates = scene.catalog.candidates(target);
-        candidates
-            .any(|(id, _)| scene.is_up(id) && !tried.contains(id) && state.limits.contains_key(id))
+        candidates.any(|(id, _)| {
+            let is_usable = scene.is_up(id) && scene.holds(id, target);
+            is_usable && !tried.contains(id) && state.limits.contains_key(id)
+        })
     }
 
     /// Counts a first attempt.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 mod ops;
 mod outbox;
 mod peer;
+mod placement;
 mod reclaim;
 mod response;
 mod router;
--- a/crates/router/src/logs.rs
+++ b/crates/router/src/logs.rs
@@ -12,6 +12,8 @@
 
 /// Target of the line for each routing decision.
 pub const ROUTING: &str = "marigoldroute::routing";
+/// Target of the line for each order to an engine, and of other lines about placement.
+pub const PLACEMENT: &str = "marigoldroute::placement";
 /// Target of lines about tokens: grants, bills, refusals.
 pub const TOKENS: &str = "marigoldroute::tokens";
 
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -45,6 +45,10 @@
     pub(crate) ready_hosts: IntGauge,
     /// Version of the configuration in effect.
     pub(crate) config_version: IntGauge,
+    /// Orders to engines by result: `sent`, `refused` or `failed`.
+    pub(crate) placement_orders: IntCounterVec,
+    /// 1 while this process holds the placement lease.
+    pub(crate) placement_holder: IntGauge,
     /// Operators' calls by result: `ok` or an error kind.
     pub(crate) admin_calls: IntCounterVec,
 }
@@ -74,6 +78,12 @@
         );
         let admin_calls = IntCounterVec::new(admin_calls, &["result"])?;
         registry.register(Box::new(admin_calls.clone()))?;
+        let orders = Opts::new(
+            "marigoldroute_placement_orders_total",
+            "Orders to engines to load a model, by result",
+        );
+        let placement_orders = IntCounterVec::new(orders, &["result"])?;
+        registry.register(Box::new(placement_orders.clone()))?;
         let first_token = HistogramOpts::new(
             "marigoldroute_first_token_seconds",
             "Time from the request to the first token",
@@ -83,6 +93,11 @@
         Ok(Self {
             requests,
             admin_calls,
+            placement_orders,
+            placement_holder: gauge(
+                "marigoldroute_placement_holder",
+                "1 on the host that holds the placement lease, otherwise 0",
+            )?,
             running: gauge("marigoldroute_running_requests", "Requests being served")?,
             charged: counter("marigoldroute_charged_tokens_total", "Tokens billed")?,
             uncovered: counter(
--- a/crates/router/src/metrics/tests.rs
+++ b/crates/router/src/metrics/tests.rs
@@ -11,6 +11,7 @@
     let metrics = Metrics::new().unwrap();
     // A family without a series is not in the text format.
     metrics.requests.with_label_values(&["ok"]).inc();
+    metrics.placement_orders.with_label_values(&["sent"]).inc();
     metrics.admin_calls.with_label_values(&["ok"]).inc();
     let text = metrics.render().unwrap();
     let mut expected = Vec::new();
--- /dev/null
+++ b/crates/router/src/placement/lease.rs
@@ -0,0 +1,71 @@
+//! The lease of the duty.
+
+use {
+    super::{Broken, Duty, NAME},
+    marigoldroute_core::{bill, place, table::Row},
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+/// The lease while this process has it.
+#[derive(Clone, Debug)]
+pub(super) struct Hold {
+    pub(super) row: Row,
+    pub(super) lease: place::Lease,
+}
+
+impl Duty {
+    /// Takes or renews the lease for a time; `None` while another process has it.
+    pub(super) async fn acquire(
+        &self,
+        known: Option<&Hold>,
+        term: Duration,
+    ) -> Result<Option<Hold>, Broken> {
+        // Read before the write, so that the lease never seems longer than it is.
+        let (start, wall) = (self.clock.now(), wall());
+        let key = format!("lease/{NAME}");
+        let row = self.platform.get(&key).await?;
+        let taken = bill::Lease::acquire(NAME, row.as_ref(), &self.process, wall, term)?;
+        let Some(transaction) = taken else {
+            return Ok(None);
+        };
+        // The row read back tells whether it took effect, also after a lost answer.
+        let _ = self.platform.commit(&transaction).await;
+        let row = self.platform.get(&key).await?;
+        let Some(row) = bill::Lease::confirm(&transaction, row, &self.process) else {
+            return Ok(None);
+        };
+        let lease = bill::Lease::decode(&row)?;
+        let left = Duration::from_secs(lease.until).saturating_sub(wall);
+        let same = known.filter(|known| known.lease.fencing == lease.fencing);
+        let lease = place::Lease {
+            fencing: lease.fencing,
+            acquired: same.map_or_else(|| self.clock.now(), |known| known.lease.acquired),
+            until: start + left.min(term),
+        };
+        Ok(Some(Hold { row, lease }))
+    }
+
+    /// Ends the lease, so that the next host need not wait until it has passed.
+    pub(super) async fn give_up(&self) {
+        let _ = self.acquire(None, Duration::ZERO).await;
+    }
+
+    /// Returns the time left of the lease, as the table service has it now.
+    ///
+    /// # Errors
+    /// [`Broken::Ended`] when the lease has ended or another process has taken it.
+    pub(super) async fn confirm(&self, hold: &Hold) -> Result<Duration, Broken> {
+        let row = self.platform.get(&hold.row.key).await?;
+        if row.as_ref() != Some(&hold.row) {
+            return Err(Broken::Ended);
+        }
+        // After the read, which may have taken long.
+        let left = hold.lease.until.checked_sub(self.clock.now());
+        left.filter(|left| !left.is_zero()).ok_or(Broken::Ended)
+    }
+}
+
+fn wall() -> Duration {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/router/src/placement/order.rs
@@ -0,0 +1,90 @@
+//! Orders on their way to engines.
+
+use {
+    super::{
+        Broken, Duty,
+        tenure::{Planned, Tenure},
+    },
+    crate::{control::Scene, logs::PLACEMENT},
+    derive_more::Display,
+    marigoldroute_core::place::Order,
+    reqwest::StatusCode,
+    serde::Serialize,
+    std::time::Duration,
+};
+
+/// Bound on the answer to an order. The planner looks at the reports in any case, and repeats an
+/// order without effect.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Body of an order.
+#[derive(Serialize)]
+struct Body<'a> {
+    model: &'a str,
+    version: u64,
+    fencing: u64,
+}
+
+/// What an engine made of an order.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "snake_case")]
+enum Answer {
+    /// It acts on the order.
+    Sent,
+    /// It acted on an order with a greater fencing number.
+    Refused,
+    /// It gave no answer, or none that it acts on the order.
+    Failed,
+}
+
+impl Duty {
+    /// Sends an order, if the lease is still held directly before.
+    pub(super) async fn send(
+        &self,
+        scene: &Scene,
+        tenure: &Tenure,
+        planned: &Planned,
+    ) -> Result<(), Broken> {
+        let order = &planned.order;
+        let Some(upstream) = scene.catalog.upstreams.get(&order.engine) else {
+            return Ok(());
+        };
+        let left = self.confirm(&tenure.hold).await?;
+        let lease = &tenure.hold.lease;
+        if !lease.covers(&tenure.settings, self.clock.now(), &planned.engine) {
+            return Err(Broken::Ended);
+        }
+        let answer = self.call(&upstream.url, order, left).await;
+        let result = answer.to_string();
+        self.metrics
+            .placement_orders
+            .with_label_values(&[&result])
+            .inc();
+        log::info!(
+            target: PLACEMENT, engine:% = order.engine, model:% = order.load.model,
+            version = order.load.version, considered = planned.considered,
+            reason = order.reason, fencing = order.fencing, result:%;
+            "order"
+        );
+        match answer {
+            // Another process has a greater number, whatever the lease row says.
+            Answer::Refused => Err(Broken::Ended),
+            Answer::Sent | Answer::Failed => Ok(()),
+        }
+    }
+
+    async fn call(&self, url: &str, order: &Order, left: Duration) -> Answer {
+        let body = Body {
+            model: &order.load.model,
+            version: order.load.version,
+            fencing: order.fencing,
+        };
+        let call = self.http.post(format!("{url}/v1/models/load")).json(&body);
+        let response = call.timeout(ORDER_TIMEOUT.min(left)).send().await;
+        match response.map(|response| response.status()) {
+            Ok(status) if status.is_success() => Answer::Sent,
+            Ok(StatusCode::CONFLICT) => Answer::Refused,
+            _ => Answer::Failed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/placement/report.rs
@@ -0,0 +1,176 @@
+//! Load reports of the engines, as the holder of the lease polls them.
+
+use {
+    super::Duty,
+    crate::control::Scene,
+    futures_util::{StreamExt, stream},
+    marigoldroute_core::{
+        id::{ModelId, UpstreamId},
+        place::{Loaded, Observed},
+    },
+    serde::Deserialize,
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+/// Reports that are asked for at a time.
+const CONCURRENT_REPORTS: usize = 64;
+/// Bound on a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time for which the last report of an engine counts when it gives none. A single lost report
+/// must not lead to another replica.
+const REPORT_TIME: Duration = Duration::from_secs(15);
+/// Time over which the generated tokens per second are smoothed.
+const RATE_TIME: Duration = Duration::from_secs(60);
+
+/// What an engine reports of the model that it holds.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub(super) struct Holding {
+    loaded: Option<Model>,
+    loading: Option<Model>,
+    requests: u64,
+    errors: u64,
+    tokens: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+struct Model {
+    model: ModelId,
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct Report {
+    #[serde(default)]
+    draining: bool,
+    /// Absent for an engine that takes no orders.
+    holding: Option<Holding>,
+}
+
+impl From<&Model> for Loaded {
+    fn from(model: &Model) -> Self {
+        Self {
+            model: model.model.clone(),
+            version: model.version,
+        }
+    }
+}
+
+/// The last report of an engine.
+#[derive(Debug)]
+pub(super) struct Seen {
+    at: Duration,
+    holding: Holding,
+    /// Tokens per second.
+    rate: f64,
+    /// Requests and errors of the loaded model that were counted already.
+    counted: (u64, u64),
+}
+
+impl Seen {
+    fn new(at: Duration, holding: Holding) -> Self {
+        Self {
+            at,
+            holding,
+            rate: 0.0,
+            counted: (0, 0),
+        }
+    }
+
+    fn update(&mut self, now: Duration, holding: Holding) {
+        let (old, new) = (&self.holding, &holding);
+        let is_same = old.loaded == new.loaded
+            && old.tokens <= new.tokens
+            && old.requests <= new.requests
+            && old.errors <= new.errors;
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        if !is_same {
+            *self = Self::new(now, holding);
+        } else if passed > 0.0 {
+            let rate = (new.tokens - old.tokens) as f64 / passed;
+            let weight = 1.0 - (-passed / RATE_TIME.as_secs_f64()).exp();
+            self.rate += (rate - self.rate) * weight;
+            self.at = now;
+            self.holding = holding;
+        }
+    }
+
+    pub(super) fn observed(&self) -> Observed {
+        Observed {
+            loaded: self.holding.loaded.as_ref().map(Loaded::from),
+            loading: self.holding.loading.as_ref().map(Loaded::from),
+        }
+    }
+
+    /// Returns the loaded model, and its requests and errors that were not counted yet.
+    pub(super) fn uncounted(&self) -> Option<(Loaded, u64, u64)> {
+        let loaded = self.holding.loaded.as_ref()?;
+        let requests = self.holding.requests.saturating_sub(self.counted.0);
+        let errors = self.holding.errors.saturating_sub(self.counted.1);
+        (requests > 0).then(|| (loaded.into(), requests, errors))
+    }
+
+    pub(super) fn mark_counted(&mut self) {
+        self.counted = (self.holding.requests, self.holding.errors);
+    }
+
+    /// Returns the tokens per second that the engine generates for a model.
+    pub(super) fn rate(&self, model: &str) -> f64 {
+        let loaded = self.holding.loaded.as_ref();
+        match loaded.is_some_and(|loaded| *loaded.model == *model) {
+            true => self.rate,
+            false => 0.0,
+        }
+    }
+}
+
+/// The last reports of the engines in service.
+pub(super) type Reports = BTreeMap<UpstreamId, Seen>;
+
+impl Duty {
+    /// Asks the engines in service that may hold a placed model for their reports.
+    pub(super) async fn poll(&self, scene: &Scene, reports: &mut Reports) {
+        let engines = engines(scene);
+        reports.retain(|id, _| engines.contains_key(id));
+        let calls = engines.into_iter().map(|(id, url)| {
+            let http = self.http.clone();
+            async move { (id, ask(http, url).await) }
+        });
+        let mut answers = stream::iter(calls).buffer_unordered(CONCURRENT_REPORTS);
+        while let Some((id, report)) = answers.next().await {
+            let now = self.clock.now();
+            match report {
+                Some(Report {
+                    draining: false,
+                    holding: Some(holding),
+                }) => match reports.get_mut(&id) {
+                    Some(seen) => seen.update(now, holding),
+                    None => drop(reports.insert(id, Seen::new(now, holding))),
+                },
+                Some(_) => drop(reports.remove(&id)),
+                None => {}
+            }
+        }
+        let now = self.clock.now();
+        reports.retain(|_, seen| now < seen.at + REPORT_TIME);
+    }
+}
+
+async fn ask(http: reqwest::Client, url: Arc<str>) -> Option<Report> {
+    let call = http.get(format!("{url}/v1/load"));
+    let response = call.timeout(REPORT_TIMEOUT).send().await.ok()?;
+    response.error_for_status().ok()?.json().await.ok()
+}
+
+/// Returns the URLs of the engines in service that may hold a placed model.
+fn engines(scene: &Scene) -> BTreeMap<UpstreamId, Arc<str>> {
+    let placement = &scene.catalog.placement;
+    let upstreams = scene.catalog.upstreams.iter();
+    let engines = upstreams.filter(|(id, upstream)| {
+        let is_placed = upstream.serves.iter().any(|m| placement.contains_key(m));
+        is_placed && upstream.is_in_service() && scene.is_up(id)
+    });
+    engines
+        .map(|(id, upstream)| (id.clone(), upstream.url.clone()))
+        .collect()
+}
--- /dev/null
+++ b/crates/router/src/placement/tenure.rs
@@ -0,0 +1,156 @@
+//! What the holder of the lease knows.
+
+use {
+    super::{Times, lease::Hold, report::Reports},
+    marigoldroute_core::{
+        config::Catalog,
+        id::{ModelId, UpstreamId, Version},
+        place::{Demand, Engine, Halt, Order, Planner, Settings},
+    },
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// An order with what it was chosen from.
+pub(super) struct Planned {
+    pub(super) order: Order,
+    /// The engine of the order.
+    pub(super) engine: Engine,
+    /// Engines in service that may hold the model.
+    pub(super) considered: usize,
+}
+
+/// The time from when this process took the lease.
+pub(super) struct Tenure {
+    pub(super) hold: Hold,
+    pub(super) planner: Planner,
+    pub(super) settings: Settings,
+    pub(super) reports: Reports,
+    /// Halts as the table service has them.
+    pub(super) halts: BTreeMap<ModelId, Halt>,
+}
+
+impl Tenure {
+    pub(super) fn new(hold: Hold, halts: Vec<Halt>) -> Self {
+        let settings = Settings::default();
+        let halts = halts.into_iter().map(|halt| (halt.model.clone(), halt));
+        Self {
+            hold,
+            planner: Planner::new(settings.clone()),
+            settings,
+            reports: Reports::new(),
+            halts: halts.collect(),
+        }
+    }
+
+    /// Takes the settings of the configuration in effect.
+    pub(super) fn configure(&mut self, catalog: &Catalog, times: &Times) {
+        let base = Settings::default();
+        let loads = catalog.limits.concurrent_loads;
+        let loads = loads.and_then(|loads| usize::try_from(loads).ok());
+        self.settings = Settings {
+            lease: times.lease,
+            pause_bound: times.pause_bound,
+            concurrent_loads: loads.unwrap_or(base.concurrent_loads),
+            load_interval: catalog.limits.load_interval.unwrap_or(base.load_interval),
+            ..base
+        };
+        self.planner.set(self.settings.clone());
+    }
+
+    /// Counts what the engines report of the versions that are rolled out.
+    pub(super) fn count(&mut self) {
+        for seen in self.reports.values_mut() {
+            let Some((loaded, requests, errors)) = seen.uncounted() else {
+                continue;
+            };
+            let planner = &mut self.planner;
+            if planner.observe(&loaded.model, loaded.version, requests, errors) {
+                seen.mark_counted();
+            }
+        }
+    }
+
+    /// Returns the halted rollouts that are not recorded yet.
+    pub(super) fn new_halts(&self, config: Version) -> Vec<Halt> {
+        let is_known = |halt: &Halt| {
+            let known = self.halts.get(&halt.model);
+            known.is_some_and(|known| known.to == halt.to)
+        };
+        let mut halts = self.planner.halts(config);
+        halts.retain(|halt| !is_known(halt));
+        halts
+    }
+
+    /// Returns the recorded halts that an operator has ended.
+    pub(super) fn ended_halts(&self, catalog: &Catalog) -> Vec<Halt> {
+        let wanted = |halt: &Halt| catalog.placement.get(&halt.model).map(|p| p.version);
+        let halts = self.halts.values();
+        halts
+            .filter(|halt| halt.is_over(catalog.version, wanted(halt)))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the order to send now, if any.
+    pub(super) fn plan(&mut self, now: Duration, catalog: &Catalog) -> Option<Planned> {
+        let demands = self.demands(catalog);
+        let engines: Vec<_> = self
+            .reports
+            .keys()
+            .filter_map(|id| engine(catalog, id))
+            .collect();
+        for demand in &demands {
+            let halt = self.halts.get(&demand.model);
+            if let Some(halt) = halt.filter(|halt| halt.to == demand.version) {
+                self.planner.halt(halt);
+            }
+        }
+        let observed = self.reports.iter();
+        let observed = observed
+            .map(|(id, seen)| (id.clone(), seen.observed()))
+            .collect();
+        let lease = &self.hold.lease;
+        let order = self
+            .planner
+            .plan(now, lease, &engines, &observed, &demands)?;
+        let accepting = engines.iter().filter(|e| e.accepts(&order.load.model));
+        let considered = accepting.count();
+        let engine = engines.into_iter().find(|e| e.id == order.engine)?;
+        Some(Planned {
+            order,
+            engine,
+            considered,
+        })
+    }
+
+    /// Returns the demand by model: the setting, or what the engines report when that is more.
+    fn demands(&self, catalog: &Catalog) -> Vec<Demand> {
+        let placed = catalog.placement.iter();
+        placed
+            .map(|(model, placement)| {
+                let rate: f64 = self.reports.values().map(|seen| seen.rate(model)).sum();
+                Demand {
+                    model: model.clone(),
+                    version: placement.version,
+                    rate: rate.max(placement.demand as f64),
+                    replica_rate: placement.replica_rate as f64,
+                }
+            })
+            .collect()
+    }
+}
+
+fn engine(catalog: &Catalog, id: &UpstreamId) -> Option<Engine> {
+    let upstream = catalog.upstreams.get(id)?;
+    let serves = upstream.serves.iter();
+    let hosting = catalog.hosting.get(id);
+    Some(Engine {
+        id: id.clone(),
+        zone: upstream.zone.clone(),
+        is_fencing: hosting.is_some_and(|hosting| hosting.is_fencing),
+        models: serves
+            .filter(|model| catalog.placement.contains_key(*model))
+            .cloned()
+            .collect(),
+    })
+}
--- /dev/null
+++ b/crates/router/src/placement/tests.rs
@@ -0,0 +1,244 @@
+//! The check of the lease directly before an order is sent.
+
+#![allow(clippy::unwrap_used)]
+
+use {
+    super::{
+        Broken, Duty, Times,
+        lease::Hold,
+        tenure::{Planned, Tenure},
+    },
+    crate::{
+        clock::Clock,
+        control::{self, Scene},
+        dispatch::Dispatch,
+        metrics::Metrics,
+        peer::Links,
+    },
+    marigoldroute_core::{
+        bill::Lease,
+        config::{Catalog, State, Upstream},
+        fleet::Host,
+        place::{Engine, Loaded, Order, Settings},
+        route::{Name, Origin},
+        table::{Transaction, Verdict},
+        wire::Keys,
+    },
+    marigoldroute_platform::{Client, StandIn as Platform},
+    marigoldroute_upstream::{Loader, Settings as Speed, StandIn as Stand, WeightStore, Weights},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+const TERM: Duration = Duration::from_secs(3_600);
+const TIMES: Times = Times {
+    interval: Duration::from_secs(1),
+    lease: TERM,
+    pause_bound: Duration::ZERO,
+};
+
+fn local() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+/// A duty of which no round runs, with a platform and an engine that ignores fencing numbers.
+struct Bench {
+    duty: Duty,
+    client: Client,
+    engine: Stand,
+    scene: Scene,
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let (address, serve) = Platform::default().bind(local()).await.unwrap();
+        tokio::spawn(serve);
+        let client = Client::new(format!("http://{address}"), Duration::from_secs(5)).unwrap();
+        let engine = Stand::with_loader(
+            Speed::default(),
+            Loader {
+                is_fencing: false,
+                start_time: Duration::ZERO,
+                weights: Weights::Local(WeightStore::default()),
+            },
+        );
+        let (address, serve) = engine.bind(local()).await.unwrap();
+        tokio::spawn(serve);
+        let upstream = Upstream {
+            url: format!("http://{address}").into(),
+            serves: vec!["drafting".into()],
+            region: "r".into(),
+            zone: "z".into(),
+            labels: Default::default(),
+            state: State::InService,
+        };
+        let catalog = Catalog {
+            upstreams: [("e".into(), upstream)].into(),
+            ..Catalog::default()
+        };
+        let mut scene = Scene::default();
+        scene.catalog = Arc::new(catalog);
+        Self {
+            duty: duty(client.clone()),
+            client,
+            engine,
+            scene,
+        }
+    }
+
+    async fn tenure(&self, term: Duration) -> Tenure {
+        let hold = self.duty.acquire(None, term).await.unwrap().unwrap();
+        let mut tenure = Tenure::new(hold, Vec::new());
+        // The order of this test is not one of the first after a change of the holder.
+        tenure.settings = Settings {
+            lease: Duration::ZERO,
+            pause_bound: Duration::ZERO,
+            ..Settings::default()
+        };
+        tenure
+    }
+
+    async fn send(&self, tenure: &Tenure) -> Result<(), Broken> {
+        let engine = Engine {
+            id: "e".into(),
+            zone: "z".into(),
+            is_fencing: false,
+            models: vec!["drafting".into()],
+        };
+        let order = Order {
+            engine: "e".into(),
+            load: Loaded {
+                model: "drafting".into(),
+                version: 1,
+            },
+            fencing: tenure.hold.lease.fencing,
+            reason: "test",
+        };
+        let planned = Planned {
+            order,
+            engine,
+            considered: 1,
+        };
+        self.duty.send(&self.scene, tenure, &planned).await
+    }
+
+    /// Lets another process take the lease, as after a pause of this one.
+    async fn take_over(&self, hold: &Hold) {
+        let lease = Lease {
+            holder: "other.1".into(),
+            fencing: hold.lease.fencing + 1,
+            until: u64::MAX,
+        };
+        let mut transaction = Transaction::default();
+        transaction.require(hold.row.key.clone(), hold.row.version);
+        transaction.put(hold.row.key.clone(), serde_json::to_string(&lease).unwrap());
+        let verdict = self.client.commit(&transaction).await;
+        assert_eq!(verdict, Ok(Verdict::Committed));
+    }
+}
+
+fn duty(platform: Client) -> Duty {
+    let (clock, metrics) = (Clock::new(), Arc::new(Metrics::new().unwrap()));
+    let keys = Keys::new(vec![b"a-fleet-key-for-the-tests".as_slice().into()]);
+    let links = Links::new(
+        "h".into(),
+        keys,
+        Duration::from_secs(1),
+        metrics.clone(),
+        TaskTracker::new(),
+    );
+    let origin = Origin {
+        host: "h".into(),
+        region: "r".into(),
+        zone: "z".into(),
+    };
+    let host = Host {
+        id: "h".into(),
+        incarnation: 1,
+        region: "r".into(),
+        zone: "z".into(),
+        address: "127.0.0.1:1".into(),
+        weight: 1,
+    };
+    let (control, ..) = control::create(control::Parts {
+        dispatch: Arc::new(Dispatch::new(clock, origin, Name::Adaptive)),
+        host,
+        process: "h.1".into(),
+        clock,
+        platform: platform.clone(),
+        links: Arc::new(links),
+        metrics: metrics.clone(),
+        renew_interval: TERM,
+        draining: CancellationToken::new(),
+        stop: CancellationToken::new(),
+    });
+    Duty {
+        process: "h.1".into(),
+        host: "h".into(),
+        region: "r".into(),
+        clock,
+        platform,
+        control,
+        metrics,
+        http: reqwest::Client::new(),
+        times: TIMES,
+    }
+}
+
+/// Guards against an order that is sent after another process has taken the lease, when the
+/// sender's own clock says that the lease is still held.
+#[tokio::test]
+async fn no_order_is_sent_when_the_lease_was_taken() {
+    let bench = Bench::start().await;
+    let tenure = bench.tenure(TERM).await;
+    bench.send(&tenure).await.unwrap();
+    assert_eq!(bench.engine.acted().len(), 1);
+    bench.take_over(&tenure.hold).await;
+    let sent = bench.send(&tenure).await;
+    assert!(matches!(sent, Err(Broken::Ended)), "{sent:?}");
+    assert_eq!(bench.engine.acted().len(), 1);
+}
+
+/// Guards against an order that is sent after the end of the lease, when no other process has
+/// taken it.
+#[tokio::test]
+async fn no_order_is_sent_after_the_end_of_the_lease() {
+    let bench = Bench::start().await;
+    let tenure = bench.tenure(Duration::ZERO).await;
+    let sent = bench.send(&tenure).await;
+    assert!(matches!(sent, Err(Broken::Ended)), "{sent:?}");
+    assert_eq!(bench.engine.acted().len(), 0);
+}
+
+/// Guards against an order that is sent although the table service cannot confirm the lease.
+#[tokio::test]
+async fn no_order_is_sent_when_the_lease_cannot_be_confirmed() {
+    let mut bench = Bench::start().await;
+    let tenure = bench.tenure(TERM).await;
+    let nowhere = "http://127.0.0.1:9";
+    bench.duty.platform = Client::new(nowhere, Duration::from_secs(5)).unwrap();
+    let sent = bench.send(&tenure).await;
+    assert!(matches!(sent, Err(Broken::Platform(_))), "{sent:?}");
+    assert_eq!(bench.engine.acted().len(), 0);
+}
+
+/// Guards against a renewed lease that seems new, and against one that seems longer than its row.
+#[tokio::test]
+async fn renewed_lease_keeps_its_start() {
+    let bench = Bench::start().await;
+    let first = bench.duty.acquire(None, TERM).await.unwrap().unwrap();
+    let before = bench.duty.clock.now();
+    let again = bench.duty.acquire(Some(&first), TERM).await.unwrap();
+    let again = again.unwrap();
+    assert_eq!(again.lease.fencing, first.lease.fencing);
+    assert_eq!(again.lease.acquired, first.lease.acquired);
+    assert!(again.lease.until <= bench.duty.clock.now() + TERM);
+    assert!(again.lease.until + Duration::from_secs(1) >= before + TERM);
+    bench.duty.give_up().await;
+    let other = Duty {
+        process: "other.1".into(),
+        ..duty(bench.client.clone())
+    };
+    let taken = other.acquire(None, TERM).await.unwrap().unwrap();
+    assert_eq!(taken.lease.fencing, first.lease.fencing + 1);
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -15,6 +15,7 @@
         metrics::Metrics,
         ops, outbox,
         peer::{Links, Listener},
+        placement,
         reclaim::Reclaimer,
         settings::Settings,
         upstream::Upstreams,
@@ -155,6 +156,22 @@
         interval: settings.ledger_interval,
     };
     tasks.spawn(ledger.run(stop.clone()));
+    let placement = placement::Duty {
+        process: process.clone(),
+        host: settings.host.clone(),
+        region: settings.region.clone(),
+        clock,
+        platform: platform.clone(),
+        control: control.clone(),
+        metrics: metrics.clone(),
+        http: reqwest::Client::new(),
+        times: placement::Times {
+            interval: settings.placement_interval,
+            lease: settings.placement_lease,
+            pause_bound: settings.pause_bound,
+        },
+    };
+    tasks.spawn(placement.run(draining.clone()));
     let claims = claim::Parts {
         process: process.clone(),
         clock,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -16,6 +16,11 @@
 /// Greatest weight of a host.
 const WEIGHT_LIMIT: u32 = 1_000;
 
+/// Shortest placement lease; lease rows count in whole seconds.
+const LEASE_MINIMUM: Duration = Duration::from_secs(2);
+/// Rounds of the placement within its lease, so that a slow round does not end it.
+const LEASE_ROUNDS: u32 = 3;
+
 /// Settings of a router process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -44,6 +49,13 @@
     pub flush_interval: Duration,
     /// Time between two rounds of the ledger over all journals.
     pub ledger_interval: Duration,
+    /// Time between two rounds of the placement of models.
+    pub placement_interval: Duration,
+    /// Length of the placement lease; the same on every host.
+    pub placement_lease: Duration,
+    /// Longest pause of a process that is assumed. Engines that ignore fencing numbers get no
+    /// orders of a new holder of the lease before it has passed; the same on every host.
+    pub pause_bound: Duration,
     /// Time after which a live process renews its row in the list of hosts. A process that missed
     /// three renewals and that no host hears counts as dead.
     pub renew_interval: Duration,
@@ -91,6 +103,9 @@
             admin_key_hash: None,
             flush_interval: Duration::from_secs(4),
             ledger_interval: Duration::from_secs(60),
+            placement_interval: Duration::from_secs(4),
+            placement_lease: Duration::from_secs(15),
+            pause_bound: Duration::from_secs(30),
             renew_interval: Duration::from_secs(20),
             holders_per_region: 2,
             peer_timeout: Duration::from_millis(500),
@@ -169,6 +184,7 @@
         let times = [
             ("platform-timeout-ms", self.platform_timeout),
             ("flush-interval-ms", self.flush_interval),
+            ("placement-interval-ms", self.placement_interval),
             ("peer-timeout-ms", self.peer_timeout),
             ("reserve-timeout-ms", self.reserve_timeout),
             ("upstream-timeout-ms", self.upstream_timeout),
@@ -176,6 +192,14 @@
         for (flag, time) in times {
             require(!time.is_zero(), &format!("--{flag}: must be 1 or more"));
         }
+        require(
+            self.placement_lease >= LEASE_MINIMUM,
+            "--placement-lease-ms: must be 2000 or more",
+        );
+        require(
+            self.placement_lease >= self.placement_interval * LEASE_ROUNDS,
+            "--placement-lease-ms: must be at least 3 times --placement-interval-ms",
+        );
         require(self.body_limit > 0, "--body-limit: must be 1 or more");
         let is_weight = (1..=WEIGHT_LIMIT).contains(&self.weight);
         require(is_weight, "--weight: must be from 1 to 1000");
@@ -215,6 +239,10 @@
         writeln!(f, "admin-key-hash = {admin}")?;
         writeln!(f, "flush-interval-ms = {}", ms(&self.flush_interval))?;
         writeln!(f, "ledger-interval-ms = {}", ms(&self.ledger_interval))?;
+        let interval = ms(&self.placement_interval);
+        writeln!(f, "placement-interval-ms = {interval}")?;
+        writeln!(f, "placement-lease-ms = {}", ms(&self.placement_lease))?;
+        writeln!(f, "pause-bound-ms = {}", ms(&self.pause_bound))?;
         writeln!(f, "renew-interval-ms = {}", ms(&self.renew_interval))?;
         writeln!(f, "holders-per-region = {}", self.holders_per_region)?;
         writeln!(f, "peer-timeout-ms = {}", ms(&self.peer_timeout))?;
--- a/crates/upstream/src/models.rs
+++ b/crates/upstream/src/models.rs
@@ -9,6 +9,7 @@
     },
     serde::{Deserialize, Serialize},
     std::{collections::VecDeque, sync::Arc, time::Duration},
+    tokio::sync::Semaphore,
 };
 
 /// Pause of an engine whose transfer was refused by the weight store.
@@ -95,6 +96,11 @@
     pub(crate) faults: VecDeque<LoadFault>,
     /// Number of the last load; one that was replaced must not complete.
     load: u64,
+    /// Whether orders that arrive are kept on their way.
+    pub(crate) is_holding_back: bool,
+    /// Orders on their way.
+    pub(crate) in_transit: usize,
+    transit: Arc<Semaphore>,
 }
 
 impl Models {
@@ -107,9 +113,27 @@
             refused: 0,
             faults: VecDeque::new(),
             load: 0,
+            is_holding_back: false,
+            in_transit: 0,
+            transit: Arc::new(Semaphore::new(0)),
         }
     }
 
+    /// Lets the orders on their way arrive.
+    pub(crate) fn release(&mut self) {
+        self.transit
+            .add_permits(std::mem::take(&mut self.in_transit));
+    }
+
+    /// Returns what an order that arrives has to wait for.
+    fn delay(&mut self) -> Option<Arc<Semaphore>> {
+        if !self.is_holding_back {
+            return None;
+        }
+        self.in_transit += 1;
+        Some(self.transit.clone())
+    }
+
     /// Begins to load, unless the order is old and the engine refuses old ones.
     fn begin(&mut self, order: &Order) -> Option<Load> {
         if self.loader.is_fencing && order.fencing < self.fencing {
@@ -194,6 +218,17 @@
 
 #[handler]
 pub(crate) async fn take(stand_in: Data<&StandIn>, Json(order): Json<Order>) -> Response {
+    // A task of its own: an order on its way arrives although its sender has given up.
+    let taken = tokio::spawn(arrive((*stand_in).clone(), order)).await;
+    taken.unwrap_or_else(|_| StatusCode::INTERNAL_SERVER_ERROR.into_response())
+}
+
+async fn arrive(stand_in: StandIn, order: Order) -> Response {
+    if let Some(transit) = stand_in.with_models(Models::delay).flatten()
+        && let Ok(permit) = transit.acquire().await
+    {
+        permit.forget();
+    }
     let Some(begun) = stand_in.with_models(|models| models.begin(&order)) else {
         return StatusCode::NOT_FOUND.into_response();
     };
@@ -201,7 +236,7 @@
         return StatusCode::CONFLICT.into_response();
     };
     let fault = load.fault;
-    tokio::spawn(load.run((*stand_in).clone()));
+    tokio::spawn(load.run(stand_in));
     match fault {
         Some(LoadFault::LoseAnswer) => std::future::pending().await,
         _ => StatusCode::ACCEPTED.into_response(),
--- a/crates/upstream/src/server.rs
+++ b/crates/upstream/src/server.rs
@@ -78,6 +78,26 @@
         self.with_models(|models| models.faults.extend(faults));
     }
 
+    /// Keeps orders that arrive from now on on their way until [`Self::release_orders`].
+    pub fn hold_orders(&self) {
+        self.with_models(|models| models.is_holding_back = true);
+    }
+
+    /// Lets orders that arrive from now on through; those on their way stay there.
+    pub fn pass_orders(&self) {
+        self.with_models(|models| models.is_holding_back = false);
+    }
+
+    /// Lets the orders on their way arrive.
+    pub fn release_orders(&self) {
+        self.with_models(Models::release);
+    }
+
+    /// Returns the number of orders on their way.
+    pub fn orders_in_transit(&self) -> usize {
+        self.with_models(|models| models.in_transit).unwrap_or(0)
+    }
+
     /// Lets the engine lose the model that it holds or loads.
     pub fn lose_model(&self) {
         self.with_models(Models::lose);
