Test the placement with routers, stopped and killed processes

Cause: No test ran the duty against engines, so fencing, the lease and recorded halts were only tested apart.

Change: Tests with in-process routers: convergence within the rate of the weight store, no orders without the settings, the lease given up at a planned stop, a lost answer, a failed load and a lost model, requests only to engines that hold the model, two models. Tests with processes: orders of a holder stopped with SIGSTOP that arrive after those of the next holder, for both kinds of engines; holders stopped in turn while engines lose their models; a holder killed after a rollout was halted.

Each of these defects in a working copy made the named test fail: no wait for engines that ignore numbers, constant fencing number (orders_of_a_stopped_holder_come_too_late); lost answer repeated at once (lost_answer_leads_to_no_double_load); limit of loads ignored, lease not given up (orders_converge_to_the_wanted_replicas); held models ignored in routing (requests_go_to_engines_that_hold_the_model); halts not read (halted_rollout_stays_halted_after_the_holder_died). With a lost model that is not noticed, lost_model_is_loaded_again waits in vain until the runner ends it (100 s).

--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test program uses a part of it")]
 #![allow(clippy::unwrap_used)]
 
+pub mod placed;
 pub mod process;
 
 use {
@@ -28,13 +29,16 @@
 /// Budget of the one workspace.
 pub const BUDGET: &str = "hems";
 
+/// Length of the placement lease.
+pub const PLACEMENT_LEASE: Duration = Duration::from_secs(2);
+
 /// Outside systems of a fleet.
 pub struct Outside {
     pub platform: Platform,
     pub client: Client,
     pub base: String,
     pub engines: Vec<Engine>,
-    urls: Vec<String>,
+    pub urls: Vec<String>,
 }
 
 /// An answer as a caller sees it.
@@ -52,6 +56,12 @@
     /// Starts the platform and `engines` engines that serve the model `drafting` and the plain
     /// service `orders`.
     pub async fn start(engines: usize, purchased: u64) -> Self {
+        let engines = (0..engines).map(|_| Engine::default()).collect();
+        Self::with_engines(engines, purchased).await
+    }
+
+    /// Starts the platform and these engines.
+    pub async fn with_engines(engines: Vec<Engine>, purchased: u64) -> Self {
         let platform = Platform::default();
         let (address, serve) = platform.bind(local()).await.unwrap();
         tokio::spawn(serve);
@@ -64,15 +74,14 @@
             engines: Vec::new(),
             urls: Vec::new(),
         };
-        for _ in 0..engines {
-            outside.add_engine().await;
+        for engine in engines {
+            outside.add_engine(engine).await;
         }
         outside.put("budget/hems", &account(purchased)).await;
         outside
     }
 
-    async fn add_engine(&mut self) {
-        let engine = Engine::default();
+    async fn add_engine(&mut self, engine: Engine) {
         let (address, serve) = engine.bind(local()).await.unwrap();
         tokio::spawn(serve);
         self.urls.push(format!("http://{address}"));
@@ -95,6 +104,9 @@
             fleet_keys: vec!["a-fleet-key-for-the-tests".into()],
             flush_interval: Duration::from_millis(100),
             ledger_interval: Duration::from_millis(100),
+            placement_interval: Duration::from_millis(100),
+            placement_lease: PLACEMENT_LEASE,
+            pause_bound: Duration::from_millis(500),
             upstream_timeout: Duration::from_millis(500),
             ..Settings::default()
         }
@@ -103,7 +115,11 @@
     /// Starts a router in this process, gives the fleet its configuration if it has none, and
     /// waits until the router is ready.
     pub async fn router(&self, number: usize) -> Handle {
-        let router = marigoldroute::start(self.settings(number)).await.unwrap();
+        self.start_router(self.settings(number)).await
+    }
+
+    pub async fn start_router(&self, settings: Settings) -> Handle {
+        let router = marigoldroute::start(settings).await.unwrap();
         until(|| async { router.propose(self.change(), "test", "first").await.is_ok() }).await;
         ready(router.address()).await;
         router
--- a/crates/router/tests/fleet/process.rs
+++ b/crates/router/tests/fleet/process.rs
@@ -26,6 +26,11 @@
 impl Process {
     /// Starts a router and waits until it is ready.
     pub async fn start(outside: &Outside, number: usize) -> Self {
+        Self::start_with(outside, number, &[]).await
+    }
+
+    /// Starts a router with further arguments and waits until it is ready.
+    pub async fn start_with(outside: &Outside, number: usize, arguments: &[&str]) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_marigoldroute"))
             .args(["--host", &format!("router-{number}")])
             .args(["--listen", "127.0.0.1:0", "--listen-peers", "127.0.0.1:0"])
@@ -39,6 +44,7 @@
                 "1500",
             ])
             .args(["--upstream-timeout-ms", "3000", "--drain-limit-ms", "20000"])
+            .args(arguments)
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
--- /dev/null
+++ b/crates/router/tests/placement.rs
@@ -0,0 +1,186 @@
+//! Placement of models with routers in this process.
+
+#![allow(clippy::unwrap_used)]
+
+mod fleet;
+
+use {
+    fleet::{
+        Outside, add, complete,
+        placed::{Numbers, apply, assert_fenced, engines, placement, store},
+        set, until,
+    },
+    marigoldroute::Settings,
+    marigoldroute_core::{
+        config::{Kind, Setting, Value},
+        route::Name,
+    },
+    marigoldroute_upstream::{LoadFault, Rate, WeightStore},
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+const PURCHASED: u64 = 100_000;
+/// Tries until all engines were probed; each takes 100 ms or more, and a probe is due each second.
+const PROBING_TICKS: usize = 100;
+const FOUR: [Numbers; 4] = [
+    Numbers::Ignored,
+    Numbers::Checked,
+    Numbers::Ignored,
+    Numbers::Checked,
+];
+const CHECKED: [Numbers; 4] = [Numbers::Checked; 4];
+
+/// Guards against orders to a fleet without the settings, against a placement that never settles,
+/// and against loads above the rate of the weight store.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_converge_to_the_wanted_replicas() {
+    // A transfer takes longer than a round, so that one order per round would be above the rate.
+    let store = WeightStore::new(Rate {
+        concurrent: 1,
+        transfer: Duration::from_millis(500),
+        ..Rate::default()
+    });
+    let outside = Outside::with_engines(engines(&FOUR, &store), PURCHASED).await;
+    let router = outside.router(1).await;
+    // A journal row is written every 100 ms, as often as a round of the placement takes place.
+    complete(router.address(), true, None).await.unwrap();
+    until(|| async { outside.platform.counters().writes > 40 }).await;
+    assert_eq!(outside.lease().await, None);
+    assert_eq!(outside.acted(), 0);
+    let mut edits = placement(&FOUR);
+    edits.push(set("", Setting::ConcurrentLoads, Value::Count(1)));
+    apply(&router, "placement", edits).await;
+    outside.served(3, 1).await;
+    outside.rounds(10).await;
+    assert_eq!(outside.acted(), 3, "orders after the placement settled");
+    assert_eq!((store.transfers().refused, store.transfers().peak), (0, 1));
+    assert_fenced(&outside);
+    router.stop().await;
+    let (lease, _) = outside.lease().await.unwrap();
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    assert!(lease.until <= wall.as_secs(), "the lease was not given up");
+    let other = outside.router(2).await;
+    until(|| async { outside.lease_router().await == Some(2) }).await;
+    let (next, _) = outside.lease().await.unwrap();
+    assert_eq!(next.fencing, lease.fencing + 1);
+    other.stop().await;
+}
+
+/// Guards against a model that is loaded twice because the answer to its order was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_leads_to_no_double_load() {
+    let store = store(8);
+    let outside = Outside::with_engines(engines(&CHECKED, &store), PURCHASED).await;
+    for engine in &outside.engines {
+        engine.inject_loads([LoadFault::LoseAnswer]);
+    }
+    let router = outside.router(1).await;
+    apply(&router, "placement", placement(&CHECKED)).await;
+    outside.served(3, 1).await;
+    outside.rounds(5).await;
+    assert_eq!((outside.acted(), store.transfers().complete), (3, 3));
+    router.stop().await;
+}
+
+/// Guards against desired state that is taken for the observed one: an engine whose load failed,
+/// and one that lost its model.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_model_is_loaded_again() {
+    // Long enough that a report shows the load. An order without any effect in the reports is
+    // repeated only after 30 s.
+    let store = WeightStore::new(Rate {
+        transfer: Duration::from_millis(400),
+        ..Rate::default()
+    });
+    let outside = Outside::with_engines(engines(&CHECKED[..3], &store), PURCHASED).await;
+    outside.engines[1].inject_loads([LoadFault::FailLoad]);
+    let router = outside.router(1).await;
+    apply(&router, "placement", placement(&CHECKED[..3])).await;
+    outside.served(3, 1).await;
+    assert_eq!(outside.acted(), 4);
+    outside.engines[2].lose_model();
+    outside.served(3, 1).await;
+    assert_eq!(outside.acted(), 5);
+    router.stop().await;
+}
+
+/// Guards against a request that is sent to an engine without the model.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_go_to_engines_that_hold_the_model() {
+    let store = store(8);
+    let outside = Outside::with_engines(engines(&CHECKED, &store), PURCHASED).await;
+    // Equal prompts prefer one engine under the adaptive policy.
+    let settings = Settings {
+        policy: Name::RoundRobin,
+        ..outside.settings(1)
+    };
+    let router = outside.start_router(settings).await;
+    apply(&router, "placement", placement(&CHECKED)).await;
+    outside.served(3, 1).await;
+    let address = router.address();
+    let url = format!("http://{address}/metrics");
+    let refusals = || async {
+        let text = reqwest::get(&url).await.unwrap().text().await.unwrap();
+        let mut lines = text.lines();
+        let line = lines.find(|line| line.starts_with("marigoldroute_upstream_refusals_total"));
+        line.unwrap().to_owned()
+    };
+    let batch = |count: usize| async move {
+        let mut whole = 0;
+        for _ in 0..count {
+            let answer = complete(address, true, None).await.unwrap();
+            whole += usize::from(answer.is_whole_stream());
+        }
+        whole
+    };
+    // Until a probe has shown what an engine holds, it may get requests that it refuses.
+    let mut tick = tokio::time::interval(Duration::from_millis(100));
+    for _ in 0..PROBING_TICKS {
+        tick.tick().await;
+        let before = refusals().await;
+        if batch(8).await == 8 && refusals().await == before {
+            break;
+        }
+    }
+    let expected = refusals().await;
+    assert_eq!(batch(40).await, 40);
+    assert_eq!(refusals().await, expected);
+    // Without placement, the settings decide alone, and the engine refuses what it does not hold.
+    let off = vec![set("drafting", Setting::Placement, Value::Flag(false))];
+    apply(&router, "off", off).await;
+    until(|| async {
+        complete(address, true, None).await.unwrap();
+        refusals().await != expected
+    })
+    .await;
+    router.stop().await;
+}
+
+/// Guards against an engine that gets a model which it must not hold, and against a model without
+/// a replica while another one has more than it needs.
+#[tokio::test(flavor = "multi_thread")]
+async fn second_model_gets_the_engines_that_may_hold_it() {
+    let store = store(8);
+    let outside = Outside::with_engines(engines(&CHECKED, &store), PURCHASED).await;
+    let router = outside.router(1).await;
+    let mut edits = placement(&CHECKED);
+    let both = vec!["drafting".into(), "desk".into()];
+    edits.extend([
+        add("desk", Kind::Model),
+        set("desk", Setting::Placement, Value::Flag(true)),
+        set("desk", Setting::ModelVersion, Value::Count(5)),
+        set("desk", Setting::Demand, Value::Tokens(50)),
+        set("desk", Setting::ReplicaRate, Value::Tokens(100)),
+        set("engine-0", Setting::Serves, Value::Names(both)),
+    ]);
+    apply(&router, "placement", edits).await;
+    until(|| async {
+        let desk = outside.engines[0].holding().loaded;
+        desk.is_some_and(|loaded| (loaded.model.as_str(), loaded.version) == ("desk", 5))
+    })
+    .await;
+    outside.served(3, 1).await;
+    outside.rounds(5).await;
+    assert_eq!(outside.serving(), [(1, 1), (2, 1), (3, 1)]);
+    router.stop().await;
+}
--- /dev/null
+++ b/crates/router/tests/placement_processes.rs
@@ -0,0 +1,166 @@
+//! Placement of models with router processes that are stopped, continued and killed.
+
+#![allow(clippy::unwrap_used)]
+
+mod fleet;
+
+use {
+    fleet::{
+        Outside,
+        placed::{Numbers, apply, assert_fenced, engines, placement, store},
+        process::Process,
+        set, until,
+    },
+    marigoldroute::Handle,
+    marigoldroute_core::{
+        config::{Setting, Value},
+        place::{HALT_PREFIX, Halt},
+    },
+    nix::sys::signal::Signal,
+    std::collections::BTreeMap,
+};
+
+const PURCHASED: u64 = 100_000;
+const LEASE: [&str; 4] = [
+    "--placement-interval-ms",
+    "100",
+    "--placement-lease-ms",
+    "2000",
+];
+
+/// Two routers that can hold the lease, and one for changes.
+async fn start(
+    outside: &Outside,
+    pause_bound_ms: &str,
+    kinds: &[Numbers],
+) -> (BTreeMap<usize, Process>, Handle) {
+    let operator = outside.bystander().await;
+    let arguments = [&LEASE[..], &["--pause-bound-ms", pause_bound_ms]].concat();
+    let mut routers = BTreeMap::new();
+    for number in 1..=2 {
+        let router = Process::start_with(outside, number, &arguments).await;
+        routers.insert(number, router);
+    }
+    until(|| async { outside.sees(operator.address(), 3).await }).await;
+    apply(&operator, "placement", placement(kinds)).await;
+    until(|| async { outside.lease_router().await.is_some() }).await;
+    (routers, operator)
+}
+
+/// Waits until another router than `number` holds the lease.
+async fn taken_from(outside: &Outside, number: usize) {
+    until(|| async { outside.lease_router().await != Some(number) }).await;
+}
+
+/// Guards against engines of either kind that act on an order of a stopped holder of the lease
+/// after one of the next holder. Orders of the first holder are still on their way when the second
+/// one begins.
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_of_a_stopped_holder_come_too_late() {
+    let kinds = [Numbers::Ignored, Numbers::Checked];
+    let outside = Outside::with_engines(engines(&kinds, &store(8)), PURCHASED).await;
+    let [ignoring, checking] = [&outside.engines[0], &outside.engines[1]];
+    outside
+        .engines
+        .iter()
+        .for_each(|engine| engine.hold_orders());
+    let (routers, operator) = start(&outside, "10000", &kinds).await;
+    until(|| async { ignoring.orders_in_transit() == 1 && checking.orders_in_transit() == 1 })
+        .await;
+    let first = outside.lease_router().await.unwrap();
+    routers[&first].signal(Signal::SIGSTOP);
+    outside
+        .engines
+        .iter()
+        .for_each(|engine| engine.pass_orders());
+    taken_from(&outside, first).await;
+    until(|| async { !checking.acted().is_empty() }).await;
+    // The assumed bound on pauses is not over; the orders of the first holder arrive within it.
+    outside
+        .engines
+        .iter()
+        .for_each(|engine| engine.release_orders());
+    routers[&first].signal(Signal::SIGCONT);
+    let arrived = || checking.refused_orders() + checking.acted().len() as u64;
+    until(|| async { arrived() == 2 && !ignoring.acted().is_empty() }).await;
+    assert_eq!(checking.refused_orders(), 1);
+    until(|| async { outside.serving().len() == 2 }).await;
+    // The second holder gives an order to the engine that ignores numbers.
+    ignoring.lose_model();
+    until(|| async { ignoring.acted().len() >= 2 }).await;
+    outside.rounds(10).await;
+    assert_fenced(&outside);
+    let (lease, _) = outside.lease().await.unwrap();
+    let numbers = [ignoring, checking].map(|engine| engine.acted().last().unwrap().fencing);
+    assert_eq!(numbers, [lease.fencing, lease.fencing]);
+    operator.stop().await;
+}
+
+/// Guards against orders of a holder that was stopped at any point of its round, for longer than
+/// its lease, and continued.
+#[tokio::test(flavor = "multi_thread")]
+async fn holders_that_are_stopped_in_turn_stay_fenced() {
+    let kinds = [Numbers::Ignored, Numbers::Checked, Numbers::Checked];
+    let outside = Outside::with_engines(engines(&kinds, &store(8)), PURCHASED).await;
+    let (routers, operator) = start(&outside, "500", &kinds).await;
+    outside.served(3, 1).await;
+    let mut last = 0;
+    for _ in 0..4 {
+        let holder = outside.lease_router().await.unwrap();
+        outside
+            .engines
+            .iter()
+            .for_each(|engine| engine.lose_model());
+        routers[&holder].signal(Signal::SIGSTOP);
+        taken_from(&outside, holder).await;
+        routers[&holder].signal(Signal::SIGCONT);
+        let (lease, _) = outside.lease().await.unwrap();
+        assert!(lease.fencing > last, "{} after {last}", lease.fencing);
+        last = lease.fencing;
+        until(|| async { outside.sees(operator.address(), 3).await }).await;
+        outside.served(3, 1).await;
+    }
+    assert_fenced(&outside);
+    operator.stop().await;
+}
+
+/// Guards against a halted rollout that the next holder of the lease begins again.
+#[tokio::test(flavor = "multi_thread")]
+async fn halted_rollout_stays_halted_after_the_holder_died() {
+    let kinds = [Numbers::Checked; 3];
+    let outside = Outside::with_engines(engines(&kinds, &store(8)), PURCHASED).await;
+    let (routers, operator) = start(&outside, "500", &kinds).await;
+    outside.served(3, 1).await;
+    let version = |version| {
+        vec![set(
+            "drafting",
+            Setting::ModelVersion,
+            Value::Count(version),
+        )]
+    };
+    apply(&operator, "two", version(2)).await;
+    outside.served(1, 2).await;
+    let is_new = |(number, version): (usize, u64)| (version == 2).then_some(number);
+    let updated = outside.serving().into_iter().find_map(is_new).unwrap();
+    outside.fail(updated, 25).await;
+    let halts = || async { outside.client.scan(HALT_PREFIX, "", 10).await.unwrap() };
+    until(|| async { !halts().await.is_empty() }).await;
+    let halt = Halt::decode(&halts().await[0]).unwrap();
+    assert_eq!((&*halt.model, halt.from, halt.to), ("drafting", 1, 2));
+    let holder = outside.lease_router().await.unwrap();
+    routers[&holder].signal(Signal::SIGKILL);
+    // With the engine, the reported errors are lost; only the record tells of the halt.
+    outside.engines[updated].lose_model();
+    taken_from(&outside, holder).await;
+    outside.served(3, 1).await;
+    outside.rounds(20).await;
+    assert_eq!(outside.serving(), [(0, 1), (1, 1), (2, 1)]);
+    let orders = outside.engines.iter().flat_map(|engine| engine.acted());
+    let updates = orders.filter(|order| order.load.version == 2).count();
+    assert_eq!(updates, 1, "the rollout began again");
+    // An operator ends the halt with another version.
+    apply(&operator, "three", version(3)).await;
+    outside.served(1, 3).await;
+    until(|| async { halts().await.is_empty() }).await;
+    operator.stop().await;
+}
