--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -8,7 +8,7 @@
     marigoldroute_core::{
         config::Catalog,
         fleet::{Observation, Weighted, rank},
-        id::{HostId, UpstreamId},
+        id::{HostId, ModelId, UpstreamId},
         route::{CLASSES, Load},
     },
     serde::Deserialize,
@@ -42,6 +42,8 @@
 pub(super) struct Report {
     pub(super) load: Option<Load>,
     pub(super) events: Vec<CacheEvent>,
+    /// Model that the upstream holds, an empty name for none; absent when it does not say.
+    pub(super) holds: Option<ModelId>,
     /// Size of the answer.
     pub(super) bytes: usize,
 }
@@ -58,6 +60,25 @@
     seconds_per_prompt_token: f32,
     draining: bool,
     cache: Vec<CacheEvent>,
+    /// Absent for an engine that takes no orders.
+    holding: Option<Holding>,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+struct Holding {
+    loaded: Option<Model>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Model {
+    model: ModelId,
+}
+
+impl Holding {
+    fn name(self) -> ModelId {
+        self.loaded.map_or_else(|| "".into(), |loaded| loaded.model)
+    }
 }
 
 impl Body {
@@ -121,6 +142,7 @@
         false => Observation::Ready,
     };
     report.events = body.cache;
+    report.holds = body.holding.map(Holding::name);
     (observation, report)
 }
 
--- a/crates/router/src/control/reader.rs
+++ b/crates/router/src/control/reader.rs
@@ -123,7 +123,10 @@
         self.learn(upstream, report);
     }
 
-    fn learn(&self, upstream: &UpstreamId, report: &Report) {
+    fn learn(&mut self, upstream: &UpstreamId, report: &Report) {
+        if let Some(model) = &report.holds {
+            self.view.hold(upstream, model);
+        }
         if let Some(load) = &report.load {
             self.parts.dispatch.load(upstream, load);
         }
--- a/crates/router/tests/fleet/process.rs
+++ b/crates/router/tests/fleet/process.rs
@@ -34,7 +34,12 @@
 
     /// Starts a router in an availability zone and waits until it is ready.
     pub async fn start_in(outside: &Outside, number: usize, zone: &str) -> Self {
-        let (process, _) = Self::spawn(&outside.base, number, &["--zone", zone]);
+        Self::start_with(outside, number, &["--zone", zone]).await
+    }
+
+    /// Starts a router with further arguments and waits until it is ready.
+    pub async fn start_with(outside: &Outside, number: usize, args: &[&str]) -> Self {
+        let (process, _) = Self::spawn(&outside.base, number, args);
         ready(process.address).await;
         process
     }
