End a waiting reservation when it is released

Cause: a reservation that waits for a refill was not found by its release; the refill then made it, and nobody ended it. The tokens stayed reserved up to the reservation limit, and an order was billed without a run. An entry gives a waiting reservation up when the holder was paused.

Change: a release also removes the waiting reservation, which is answered as unavailable.

--- a/crates/router/src/escrow/work.rs
+++ b/crates/router/src/escrow/work.rs
@@ -190,7 +190,7 @@
                 }
             }
             Command::Lower { attempt, amount } => self.holders.lower(&attempt, amount),
-            Command::Release { attempt } => self.holders.release(&attempt),
+            Command::Release { attempt } => self.release(&attempt),
             Command::Review { budget } => {
                 self.holders.review(&budget);
                 self.begin();
@@ -236,6 +236,14 @@
         }
     }
 
+    /// Ends a reservation, also one that still waits for a refill. Otherwise the refill would make
+    /// it after its release.
+    fn release(&mut self, attempt: &RequestId) {
+        self.waiting
+            .retain(|waiting| waiting.reservation.attempt != *attempt);
+        self.holders.release(attempt);
+    }
+
     fn settle(&mut self, items: &[Settlement], reply: oneshot::Sender<Vec<Billing>>) {
         let now = self.parts.clock.now();
         let settled = items
--- /dev/null
+++ b/crates/router/tests/release.rs
@@ -0,0 +1,68 @@
+//! A holder that gets a release while the reservation waits for tokens.
+
+#![allow(clippy::unwrap_used)]
+
+mod fleet;
+
+use {
+    fleet::{BUDGET, Outside, process::FLEET_KEY},
+    futures_util::{SinkExt, StreamExt},
+    marigoldroute_core::wire::{Body, Codec, Frame, Keys, Refusal, Release, Reply, Reserve},
+    marigoldroute_platform::Order,
+    std::collections::BTreeMap,
+    tokio::net::TcpStream,
+    tokio_util::codec::Framed,
+};
+
+/// Delay of each call to the platform. A refill takes two calls, which together are shorter than
+/// the wait for a reservation.
+const DELAY_MS: u64 = 300;
+
+fn frame(correlation: u64, body: Body) -> Frame {
+    Frame {
+        from: "router-2".into(),
+        to: "router-1".into(),
+        correlation,
+        body: Some(body),
+    }
+}
+
+/// Guards against tokens that are kept, and an order that is billed without a run, because the
+/// refill makes a reservation that was released while it waited. An entry gives a reservation up
+/// while it waits when the holder was paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn release_ends_a_waiting_reservation() {
+    let outside = Outside::start(1, 10_000).await;
+    let router = outside.router(1).await;
+    outside.platform.inject(Order {
+        delay_ms: DELAY_MS,
+        ..Order::default()
+    });
+    let stream = TcpStream::connect(router.peers()).await.unwrap();
+    let keys = Keys::new(vec![FLEET_KEY.as_bytes().into()]);
+    let mut framed = Framed::new(stream, Codec::new(keys));
+    let reserve = Reserve {
+        request: "order.1".into(),
+        budget: BUDGET.into(),
+        amount: 10,
+        workspace: "kolkata".into(),
+        model: "orders".into(),
+    };
+    let request = reserve.request.clone();
+    framed.send(frame(1, Body::Reserve(reserve))).await.unwrap();
+    let release = Body::Release(Release { request });
+    framed.send(frame(2, release)).await.unwrap();
+    let mut replies = BTreeMap::new();
+    for _ in 0..2 {
+        let frame = framed.next().await.unwrap().unwrap();
+        replies.insert(frame.correlation, frame.body);
+    }
+    let refused = Reply {
+        tokens: 0,
+        refusal: Refusal::Unavailable.into(),
+    };
+    assert_eq!(replies[&1], Some(Body::Reply(refused)));
+    assert_eq!(replies[&2], Some(Body::Reply(Reply::default())));
+    outside.platform.inject(Order::default());
+    router.stop().await;
+}
