--- a/crates/core/src/bill/cursor.rs
+++ b/crates/core/src/bill/cursor.rs
@@ -24,6 +24,10 @@
     pub kept: Sequence,
     /// The batch that is decided and not known to be in the object store.
     pub batch: Option<Batch>,
+    /// Since when the journal has ended and all its bills are in the object store, in seconds since
+    /// the Unix epoch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended: Option<u64>,
 }
 
 /// Journal rows that are billed together. With the rows it determines the objects, so that a
@@ -46,6 +50,7 @@
             next: 1,
             kept: 1,
             batch: None,
+            ended: None,
         }
     }
 }
@@ -126,6 +131,11 @@
         })
     }
 
+    /// Returns the holder.
+    pub fn holder(&self) -> &HolderId {
+        &self.holder
+    }
+
     /// Returns the open batch.
     pub fn batch(&self) -> Option<&Batch> {
         self.cursor.batch.as_ref()
--- a/crates/core/src/bill/ledger.rs
+++ b/crates/core/src/bill/ledger.rs
@@ -36,6 +36,9 @@
     /// How long after a request its bill counts. Must exceed the retention of claims, the
     /// reservation time limit and the longest outage that a holder's queue survives.
     pub retention: Duration,
+    /// How long after its end a journal is removed. Late bills of a holder that returns in this time
+    /// are still written to it; later they would be older than `retention`.
+    pub ended: Duration,
     /// Slots before the present one in which a request id without a time is looked for.
     pub reach: u64,
     /// Fingerprints in memory between two batches; a batch loads the slots that it lacks.
@@ -49,6 +52,7 @@
             bills: 8_192,
             slot: Duration::from_secs(60),
             retention: Duration::from_secs(48 * 3_600),
+            ended: Duration::from_secs(48 * 3_600),
             reach: 60,
             cached: 1_500_000,
         }
@@ -74,7 +78,7 @@
 /// batch of another holder can be decided, because the first may contain the same requests.
 #[derive(Debug)]
 pub struct Ledger {
-    settings: Settings,
+    pub(super) settings: Settings,
     lease: Condition,
     fencing: u64,
     window: Window,
@@ -209,6 +213,7 @@
                 at,
                 dropped,
             }),
+            ended: None,
         };
         let mut transaction = self.transaction(page, &cursor);
         refund(&mut transaction, repeated.iter().chain(&late), accounts)?;
@@ -268,10 +273,12 @@
             });
         let end = page.cursor.kept.saturating_add(DELETES);
         let kept = own.map_or(page.cursor.kept, |(sequence, _)| end.min(*sequence));
+        let last = page.rows.iter().find(|(row, _)| *row == batch.last);
         let cursor = Cursor {
             next: page.cursor.next,
             kept,
             batch: None,
+            ended: last.and_then(|(_, journal)| journal.entry.is_end().then_some(batch.at)),
         };
         let mut transaction = self.transaction(page, &cursor);
         for sequence in page.cursor.kept..kept {
@@ -293,11 +300,16 @@
     }
 
     fn transaction(&self, page: &Page, cursor: &Cursor) -> Transaction {
-        let key = cursor::key(&page.holder);
+        let mut transaction = self.conditions(page);
+        let value = serde_json::to_string(cursor).unwrap_or_default();
+        transaction.put(cursor::key(&page.holder), value);
+        transaction
+    }
+
+    pub(super) fn conditions(&self, page: &Page) -> Transaction {
         let mut transaction = Transaction::default();
         transaction.require(self.lease.key.clone(), self.lease.version);
-        transaction.require(key.as_str(), page.version);
-        transaction.put(key, serde_json::to_string(cursor).unwrap_or_default());
+        transaction.require(cursor::key(&page.holder), page.version);
         transaction
     }
 
--- a/crates/core/src/bill/mod.rs
+++ b/crates/core/src/bill/mod.rs
@@ -10,6 +10,7 @@
 mod ledger;
 mod read;
 mod recover;
+mod removal;
 mod segment;
 mod stamp;
 mod window;
@@ -23,6 +24,7 @@
     ledger::{Decided, Ledger, Settings},
     read::{Position, Spend, Total, page},
     recover::{Basis, Record, missing},
+    removal::REMOVED_ROWS,
     segment::{Object, Segment},
     stamp::mint,
     window::{INDEX_PREFIX, index_prefix},
--- /dev/null
+++ b/crates/core/src/bill/removal.rs
@@ -0,0 +1,53 @@
+//! Removal of journals that have ended.
+
+use {
+    super::{
+        cursor::{self, Page},
+        ledger::Ledger,
+    },
+    crate::{
+        budget::journal::{key as journal_key, opening as opening_key},
+        table::{Row, Transaction},
+    },
+    std::time::Duration,
+};
+
+/// Rows of an ended journal that one transaction removes at most.
+pub const REMOVED_ROWS: usize = 256;
+
+impl Ledger {
+    /// Returns whether a journal has ended so long ago that it is to be removed.
+    pub fn is_due(&self, wall: Duration, page: &Page) -> bool {
+        let Some(ended) = page.cursor.ended else {
+            return false;
+        };
+        let is_idle = page.cursor.batch.is_none() && page.rows.is_empty();
+        is_idle && wall >= Duration::from_secs(ended) + self.settings.ended
+    }
+
+    /// Returns the next step of the removal of a journal that is due.
+    ///
+    /// `opening` is its opening row and `rows` are its first rows, at most [`REMOVED_ROWS`], as just
+    /// read. First the opening row goes: from then on no transaction of the holder or of a
+    /// reclaimer takes effect. Only then it is certain which rows there are, because a message that
+    /// was delayed can create a consumed row again.
+    pub fn remove(&self, page: &Page, opening: Option<&Row>, rows: &[Row]) -> Transaction {
+        let mut transaction = self.conditions(page);
+        let next = journal_key(&page.holder, page.cursor.next);
+        transaction.require(next, 0);
+        let key = opening_key(&page.holder);
+        if let Some(row) = opening {
+            transaction.require(key.as_str(), row.version);
+            transaction.delete(key);
+            return transaction;
+        }
+        transaction.require(key, 0);
+        for row in rows {
+            transaction.delete(row.key.clone());
+        }
+        if rows.len() < REMOVED_ROWS {
+            transaction.delete(cursor::key(&page.holder));
+        }
+        transaction
+    }
+}
--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -3,12 +3,12 @@
 use {
     super::{
         account::{self, Accounts, json},
-        holder::{Holder, Phase},
+        holder::{Holder, Opening, Phase},
         journal::{self, Entry, Journal, Share, Shares},
     },
     crate::{
         bill::request_of,
-        id::{BudgetId, RequestId, Tokens},
+        id::{BudgetId, RequestId, Tokens, Version},
         table::{Row, Transaction, Verdict},
     },
     std::{
@@ -20,6 +20,10 @@
 /// Demand is measured over at least this time, because shorter samples are mostly noise.
 const SAMPLE: Duration = Duration::from_secs(1);
 
+/// No row ever has this version. A transaction that requires it of the opening row, because that
+/// could not be read, conflicts, and the conflict shows the row.
+const NO_VERSION: Version = (1 << 53) - 1;
+
 /// A transaction whose verdict is not known.
 #[derive(Debug)]
 pub(super) struct Pending {
@@ -35,11 +39,19 @@
 }
 
 impl Holder {
-    /// Returns the keys of the budget rows that the next flush needs.
+    /// Returns the keys of the rows that the next flush needs.
     pub fn wanted(&self) -> Vec<String> {
         if self.pending.is_some() {
             return Vec::new();
         }
+        let mut keys = self.wanted_budgets();
+        if self.opening == Opening::Unread {
+            keys.push(journal::opening(&self.id));
+        }
+        keys
+    }
+
+    fn wanted_budgets(&self) -> Vec<String> {
         let now = self.clock;
         let mut slots: Vec<_> = match self.phase {
             Phase::Open => self
@@ -70,7 +82,7 @@
 
     /// Returns the next store transaction, or the one whose verdict is still unknown.
     ///
-    /// `rows` are the budget rows named by [`Self::wanted`], as far as they could be read; an old
+    /// `rows` are the rows named by [`Self::wanted`], as far as they could be read; an old
     /// row does no harm. Returns `None` when there is nothing to write.
     pub fn flush(&mut self, now: Duration, rows: &[Row]) -> Option<Transaction> {
         self.clock = now;
@@ -78,6 +90,12 @@
             return Some(pending.transaction.clone());
         }
         self.measure(now);
+        if self.opening == Opening::Unread {
+            let key = journal::opening(&self.id);
+            if let Some(row) = rows.iter().find(|row| *row.key == *key) {
+                self.opening = Opening::Read(row.version);
+            }
+        }
         let accounts = Accounts::read(rows);
         let pending = match self.phase {
             Phase::Open => self.append(now, accounts),
@@ -108,7 +126,8 @@
         let key = journal::key(&self.id, self.next);
         let row = rows.iter().find(|row| *row.key == *key);
         let Some(row) = row else {
-            return self.undo(&pending);
+            self.undo(&pending);
+            return self.reopen(rows);
         };
         match serde_json::from_str::<Journal>(&row.value) {
             Ok(journal) if journal.author == self.id => self.adopt(pending),
@@ -176,7 +195,8 @@
         };
         let mut pending = self.pending(entry, &accounts, shares, bills, self.phase);
         pending.shortages = shortages;
-        let wants = pending.transaction.writes.len() > 1;
+        let own = 1 + usize::from(self.opening == Opening::Absent);
+        let wants = pending.transaction.writes.len() > own;
         (due || wants).then_some(pending)
     }
 
@@ -228,6 +248,15 @@
         let key = journal::key(&self.id, self.next);
         let author = self.id.clone();
         transaction.require(key.as_str(), 0);
+        let opening = journal::opening(&self.id);
+        match self.opening {
+            Opening::Read(version) => transaction.require(opening, version),
+            Opening::Unread => transaction.require(opening, NO_VERSION),
+            Opening::Absent | Opening::Removed => {
+                transaction.require(opening.as_str(), 0);
+                transaction.put(opening, json(&self.id));
+            }
+        }
         accounts.write(&mut transaction);
         transaction.put(key, json(&Journal { author, entry }));
         Pending {
@@ -252,7 +281,7 @@
     }
 
     fn adopt(&mut self, pending: Pending) {
-        self.next += 1;
+        self.advance();
         self.bills.drain(..pending.bills);
         for (budget, share) in pending.shares {
             if let Some(slot) = self.slots.get_mut(&budget) {
@@ -268,6 +297,30 @@
         }
     }
 
+    /// Notes that the next row is in the journal.
+    fn advance(&mut self) {
+        self.next += 1;
+        if self.opening == Opening::Absent {
+            self.opening = Opening::Unread;
+        }
+    }
+
+    /// Finds out from a conflict without a further row of the journal whether it was removed.
+    fn reopen(&mut self, rows: &[Row]) {
+        let key = journal::opening(&self.id);
+        let row = rows.iter().find(|row| *row.key == *key);
+        match (self.opening, row) {
+            (Opening::Unread, Some(row)) => self.opening = Opening::Read(row.version),
+            // Absent rows are left out of a conflict, and no other required row is ever removed.
+            (Opening::Unread, None) => self.opening = Opening::Removed,
+            (Opening::Read(_), None) if rows.is_empty() => self.opening = Opening::Removed,
+            _ => {}
+        }
+        if self.opening == Opening::Removed {
+            self.phase = Phase::Closed;
+        }
+    }
+
     /// Takes back what a transaction without effect changed.
     fn undo(&mut self, pending: &Pending) {
         for (budget, share) in &pending.shares {
@@ -287,7 +340,7 @@
 
     /// Accepts a row that another host appended.
     fn yield_to(&mut self, entry: &Entry) {
-        self.next += 1;
+        self.advance();
         self.phase = match entry {
             Entry::Fence { .. } => Phase::Fenced,
             _ => Phase::Lost,
--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -9,7 +9,10 @@
     },
     crate::{
         bill::{Bill, request_of},
-        id::{BudgetId, HolderId, ModelId, RequestId, Sequence, Tokens, UpstreamId, WorkspaceId},
+        id::{
+            BudgetId, HolderId, ModelId, RequestId, Sequence, Tokens, UpstreamId, Version,
+            WorkspaceId,
+        },
     },
     std::{
         collections::{BTreeMap, HashMap, HashSet, VecDeque},
@@ -81,6 +84,19 @@
     pub since: Duration,
 }
 
+/// What a holder knows of its opening row, see [`super::journal::opening`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Opening {
+    /// No row of the journal is durable.
+    Absent,
+    /// It exists; its version has to be read.
+    Unread,
+    /// Its version.
+    Read(Version),
+    /// It was removed with the journal.
+    Removed,
+}
+
 /// Holds tokens of many budgets for one process.
 #[derive(Debug)]
 pub struct Holder {
@@ -88,6 +104,7 @@
     pub(super) settings: Settings,
     /// Sequence of the next journal row.
     pub(super) next: Sequence,
+    pub(super) opening: Opening,
     pub(super) slots: BTreeMap<BudgetId, Slot>,
     pub(super) reservations: HashMap<RequestId, Reservation>,
     /// Bills that no durable row holds yet, the oldest first.
@@ -109,6 +126,7 @@
             id,
             settings,
             next: 1,
+            opening: Opening::Absent,
             slots: BTreeMap::new(),
             reservations: HashMap::new(),
             bills: VecDeque::new(),
@@ -286,6 +304,12 @@
         self.phase
     }
 
+    /// Returns whether the journal was removed. The holder is closed then, and its unwritten bills
+    /// and open reservations have to be settled at another holder.
+    pub fn is_removed(&self) -> bool {
+        self.opening == Opening::Removed
+    }
+
     /// Returns whether another host has taken over the journal.
     pub fn is_fenced(&self) -> bool {
         matches!(self.phase, Phase::Fenced | Phase::Lost)
--- a/crates/core/src/budget/journal.rs
+++ b/crates/core/src/budget/journal.rs
@@ -82,6 +82,14 @@
         }
     }
 
+    /// Returns whether only late bills can follow.
+    pub fn is_end(&self) -> bool {
+        matches!(
+            self,
+            Self::Close { .. } | Self::Lost { .. } | Self::Late { .. }
+        )
+    }
+
     /// Returns the shares that the holder has after the row.
     pub fn shares(&self) -> Option<&Shares> {
         match self {
@@ -109,6 +117,15 @@
     format!("journal/{holder}/{sequence:012}")
 }
 
+/// Returns the key of a holder's opening row, which is created with the first row of its journal
+/// and never changed.
+///
+/// Every later journal row requires it. It is removed together with the journal, so that nobody
+/// who still takes the journal as his own, or as that of a dead holder, can append to it.
+pub fn opening(holder: &str) -> String {
+    format!("holder/{holder}")
+}
+
 /// Returns the prefix of the keys of a holder's journal.
 pub fn prefix(holder: &str) -> String {
     format!("journal/{holder}/")
--- a/crates/core/src/budget/reclaim.rs
+++ b/crates/core/src/budget/reclaim.rs
@@ -11,7 +11,7 @@
     },
     crate::{
         bill::Bill,
-        id::{BudgetId, HolderId, Sequence, Tokens},
+        id::{BudgetId, HolderId, Sequence, Tokens, Version},
         table::{Row, Transaction},
     },
     std::{collections::BTreeSet, marker::PhantomData, time::Duration},
@@ -44,6 +44,8 @@
     holder: HolderId,
     /// Sequence of the next row.
     next: Sequence,
+    /// Version of the opening row; 0 when the journal is empty.
+    opening: Version,
     pub(super) shares: Shares,
     state: PhantomData<State>,
 }
@@ -61,31 +63,38 @@
     Closed,
 }
 
-/// Reads the end of a holder's journal from its last row; `None` stands for an empty journal.
+/// Reads the end of a holder's journal from its last row and its opening row, see
+/// [`journal::opening`]; no last row stands for an empty journal.
 ///
-/// Returns `None` when the row cannot be read. An old row does no harm: the transactions that
+/// Returns `None` when a row cannot be read, or the journal has just been removed. An old row does no harm: the transactions that
 /// follow from it conflict.
-pub fn read(holder: &HolderId, last: Option<&Row>) -> Option<Found> {
+pub fn read(holder: &HolderId, last: Option<&Row>, opening: Option<&Row>) -> Option<Found> {
     let Some(row) = last else {
-        return Some(Found::Live(Tail::new(holder, 1, Shares::new())));
+        let tail = Tail::new(holder, 1, 0, Shares::new());
+        return opening.is_none().then_some(Found::Live(tail));
     };
     let next = journal::sequence(&row.key)? + 1;
     let journal: Journal = serde_json::from_str(&row.value).ok()?;
+    if matches!(journal.entry, Entry::Close { .. }) {
+        return Some(Found::Closed);
+    }
+    let opening = opening?.version;
     Some(match journal.entry {
-        Entry::Flush { shares, .. } => Found::Live(Tail::new(holder, next, shares)),
-        Entry::Fence { shares } => Found::Fenced(Tail::new(holder, next, shares)),
+        Entry::Flush { shares, .. } => Found::Live(Tail::new(holder, next, opening, shares)),
+        Entry::Fence { shares } => Found::Fenced(Tail::new(holder, next, opening, shares)),
         Entry::Lost { .. } | Entry::Late { .. } => {
-            Found::Lost(Tail::new(holder, next, Shares::new()))
+            Found::Lost(Tail::new(holder, next, opening, Shares::new()))
         }
         Entry::Close { .. } => Found::Closed,
     })
 }
 
 impl<State> Tail<State> {
-    fn new(holder: &HolderId, next: Sequence, shares: Shares) -> Self {
+    fn new(holder: &HolderId, next: Sequence, opening: Version, shares: Shares) -> Self {
         Self {
             holder: holder.clone(),
             next,
+            opening,
             shares,
             state: PhantomData,
         }
@@ -106,6 +115,11 @@
         let key = journal::key(&self.holder, self.next);
         let author = author.clone();
         transaction.require(key.as_str(), 0);
+        let opening = journal::opening(&self.holder);
+        transaction.require(opening.as_str(), self.opening);
+        if self.opening == 0 {
+            transaction.put(opening, json(&self.holder));
+        }
         accounts.write(&mut transaction);
         transaction.put(key, json(&Journal { author, entry }));
         transaction
--- a/crates/core/src/budget/tests/life.rs
+++ b/crates/core/src/budget/tests/life.rs
@@ -95,7 +95,8 @@
     let mut holder = holder("h1.1");
     obtain(&mut holder, &mut table, 10, "r1", 3_000);
     holder.settle(&"r1".into(), usage(3_000));
-    assert_eq!(holder.wanted(), ["budget/hems"]);
+    // The opening row is read once, after the first row of the journal.
+    assert_eq!(holder.wanted(), ["budget/hems", "holder/h1.1"]);
     flush(&mut holder, &mut table, at(14));
     assert_eq!(reserve(&mut holder, 14, "r2", 4_000), Ok(4_000));
 }
@@ -235,12 +236,17 @@
     obtain(&mut paused, &mut table, 10, "r1", 800);
     let (id, author) = ("h1.1".into(), "h2".into());
     let last = |table: &Memory| table.scan(&journal::prefix("h1.1"), "", 99).pop();
-    let Some(Found::Live(tail)) = reclaim::read(&id, last(&table).as_ref()) else {
+    let opening = |table: &Memory| table.get(&journal::opening("h1.1")).cloned();
+    let Some(Found::Live(tail)) =
+        reclaim::read(&id, last(&table).as_ref(), opening(&table).as_ref())
+    else {
         panic!("not live");
     };
     let fence = tail.fence(&author, &fetch(&table, &tail.keys(&[])));
     table.commit(&fence.unwrap());
-    let Some(Found::Fenced(tail)) = reclaim::read(&id, last(&table).as_ref()) else {
+    let Some(Found::Fenced(tail)) =
+        reclaim::read(&id, last(&table).as_ref(), opening(&table).as_ref())
+    else {
         panic!("not fenced");
     };
     let off = reclaim::Settings {
--- a/crates/core/src/budget/tests/world.rs
+++ b/crates/core/src/budget/tests/world.rs
@@ -287,10 +287,12 @@
             &self.table
         };
         let last = table.scan(&journal::prefix(&id), "", usize::MAX).pop();
+        let opening = table.get(&journal::opening(&id)).cloned();
         let author: HolderId = "reclaimer".into();
         let bills = self.unbilled(node);
         let table = &self.table;
-        let transaction = match reclaim::read(&id, last.as_ref()).unwrap() {
+        let found = reclaim::read(&id, last.as_ref(), opening.as_ref());
+        let transaction = match found.unwrap() {
             Found::Live(mut tail) => {
                 if self.defect == Defect::ReclaimMarked {
                     tail.shares
--- a/crates/core/src/config/catalog.rs
+++ b/crates/core/src/config/catalog.rs
@@ -121,6 +121,9 @@
     pub stale: Option<Duration>,
     /// Longest time that a stopping host waits for its streams.
     pub drain: Option<Duration>,
+    /// How long audit entries and the changes of each version are kept.
+    #[serde(default)]
+    pub history: Option<Duration>,
 }
 
 /// The effective configuration of one version.
--- a/crates/core/src/config/compile.rs
+++ b/crates/core/src/config/compile.rs
@@ -85,6 +85,7 @@
         endurance: seconds(Setting::Endurance),
         stale: seconds(Setting::StaleLimit),
         drain: seconds(Setting::DrainLimit),
+        history: seconds(Setting::HistoryRetention),
     }
 }
 
--- a/crates/core/src/config/setting.rs
+++ b/crates/core/src/config/setting.rs
@@ -70,6 +70,7 @@
 const LIST_LIMIT: u64 = 256;
 const TOKENS_LIMIT: u64 = 1 << 50;
 const DAY_SECONDS: u64 = 86_400;
+const HISTORY_SECONDS: u64 = 10 * 366 * DAY_SECONDS;
 
 settings! {
     /// Hashes of the API keys of a workspace.
@@ -124,4 +125,6 @@
     StaleLimit = "stale_limit", Seconds, DAY_SECONDS, ORGANISATION, &[];
     /// Longest time that a stopping host waits for its streams.
     DrainLimit = "drain_limit", Seconds, DAY_SECONDS, ORGANISATION, &[];
+    /// How long audit entries and the changes of each version are kept; 400 days when unset.
+    HistoryRetention = "history_retention", Seconds, HISTORY_SECONDS, ORGANISATION, &[];
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod id;
 pub mod limit;
 pub mod place;
+pub mod retention;
 pub mod route;
 pub mod stream;
 pub mod table;
--- a/crates/core/tests/billing_decoders.rs
+++ b/crates/core/tests/billing_decoders.rs
@@ -90,7 +90,7 @@
     fn positions_and_cursors_survive_text(segment in "[ -~]{0,20}", bill in any::<usize>(), next in 1_u64..1_000_000_000_000) {
         let position = Position { segment: segment.as_str().into(), bill };
         prop_assert_eq!(position.to_string().parse(), Ok(position));
-        let cursor = Cursor { next, kept: 1, batch: None };
+        let cursor = Cursor { next, kept: 1, batch: None, ended: None };
         let value = serde_json::to_string(&cursor).map_err(|e| TestCaseError::fail(e.to_string()))?;
         let row = Row { key: "ledger/h".into(), version: 1, value: value.into() };
         prop_assert_eq!(Page::cursor(Some(&row)), Ok(cursor));
--- /dev/null
+++ b/crates/core/tests/retention_fuzz.rs
@@ -0,0 +1,474 @@
+//! Stateful test of the removal of ended journals: holders that are paused, taken as lost and
+//! return after their journal was removed, reclaimers and a ledger whose messages arrive late. The
+//! oracle is the list of executed requests.
+
+mod fuzz;
+
+use {
+    fuzz::{Fault, Store, World, fault},
+    marigoldroute_core::{
+        bill::{
+            self, Bill, Lease, Ledger, Page, REMOVED_ROWS, Segment, Settings, index_prefix, mint,
+        },
+        budget::{
+            self, Account, Holder, Phase, Reason, Usage, journal,
+            reclaim::{self, Found},
+        },
+        id::{HolderId, RequestId, Tokens},
+        table::{Row, Transaction, Verdict},
+    },
+    proptest::prelude::*,
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+};
+
+const SEED: u64 = 0x6d61_7269_0004;
+const CASES: u32 = 600;
+const DEFECT_CASES: u32 = 2_000;
+/// Processes that take requests.
+const LIVE: usize = 2;
+const PURCHASED: Tokens = 10_000_000;
+const BUDGET: &str = "b0";
+const EPOCH: Duration = Duration::from_secs(1_800_000_000);
+const TERM: Duration = Duration::from_secs(30);
+/// How long after its end a journal is removed.
+const ENDED: Duration = Duration::from_secs(40);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Defect {
+    /// Holders append without the condition on the opening row.
+    HolderAppends,
+    /// Reclaimers append without the condition on the opening row.
+    ReclaimerAppends,
+    /// A journal is removed although its opening row is still there.
+    KeepOpening,
+    /// What a holder with a removed journal had not written is not settled elsewhere.
+    ForgetBills,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A process executes a request, and settles it if it got the tokens.
+    Execute(usize, Tokens),
+    Flush(usize, Fault),
+    /// A live process is paused and replaced.
+    Pause(usize),
+    /// A paused process executes a request if it still can, and flushes.
+    Wake(usize, Tokens, Fault),
+    /// A planned stop.
+    Stop(usize),
+    /// The next step of the reclaim of a paused process.
+    Reclaim(usize, Fault),
+    /// A round of the ledger; the fault meets one of its transactions.
+    Round(usize, Fault),
+    Advance(u64),
+    Deliver,
+}
+
+struct Process {
+    id: HolderId,
+    holder: Holder,
+    /// What its entries keep until it is durable.
+    settled: Vec<(RequestId, Tokens)>,
+}
+
+struct Fleet {
+    defect: Option<Defect>,
+    store: Store,
+    objects: BTreeMap<Arc<str>, Vec<u8>>,
+    now: Duration,
+    executions: BTreeMap<RequestId, Tokens>,
+    /// The first [`LIVE`] take requests, the others are paused.
+    processes: Vec<Process>,
+    started: usize,
+}
+
+fn usage(tokens: Tokens) -> Usage {
+    Usage {
+        workspace: "w".into(),
+        model: "m".into(),
+        upstream: "u".into(),
+        tokens,
+    }
+}
+
+fn start(number: usize) -> Process {
+    let id: HolderId = format!("h.{number}").into();
+    Process {
+        holder: Holder::new(id.clone(), budget::Settings::default()),
+        id,
+        settled: Vec::new(),
+    }
+}
+
+impl Fleet {
+    fn has(&self, defect: Defect) -> bool {
+        self.defect == Some(defect)
+    }
+
+    fn spawn(&mut self) -> Process {
+        self.started += 1;
+        start(self.started)
+    }
+
+    fn clock(&self) -> Duration {
+        self.now - EPOCH
+    }
+
+    fn fetch(&self, keys: &[String]) -> Vec<Row> {
+        let rows = keys.iter().filter_map(|key| self.store.table.get(key));
+        rows.cloned().collect()
+    }
+
+    fn execute(&mut self, process: usize, tokens: Tokens) {
+        let request = mint(self.now, self.executions.len() as u64);
+        if self.settle(process, &request, tokens) {
+            self.executions.insert(request, tokens);
+        }
+    }
+
+    /// Reserves and settles at once; returns whether the process had the tokens.
+    fn settle(&mut self, index: usize, request: &RequestId, tokens: Tokens) -> bool {
+        let clock = self.clock();
+        for _ in 0..2 {
+            let process = &mut self.processes[index];
+            let attempt: RequestId = format!("{request}.{}", process.id).into();
+            let reserved = process
+                .holder
+                .reserve(clock, &attempt, &BUDGET.into(), tokens);
+            if reserved.is_ok() {
+                process.holder.settle(&attempt, usage(tokens));
+                process.settled.push((request.clone(), tokens));
+                return true;
+            }
+            self.flush(index, Fault::None);
+        }
+        false
+    }
+
+    fn flush(&mut self, index: usize, fault: Fault) {
+        let keys = self.processes[index].holder.wanted();
+        let rows = self.fetch(&keys);
+        let clock = self.clock();
+        let Some(mut transaction) = self.processes[index].holder.flush(clock, &rows) else {
+            return;
+        };
+        if self.has(Defect::HolderAppends) {
+            forget_opening(&mut transaction);
+        }
+        if let Some(verdict) = self.store.commit(transaction, fault) {
+            self.processes[index].holder.decide(&verdict);
+        }
+        if self.processes[index].holder.is_removed() {
+            self.settle_elsewhere(index);
+        }
+    }
+
+    /// The entries repeat what a process had not written at another one.
+    fn settle_elsewhere(&mut self, index: usize) {
+        let settled = std::mem::take(&mut self.processes[index].settled);
+        if index < LIVE {
+            let fresh = self.spawn();
+            let old = std::mem::replace(&mut self.processes[index], fresh);
+            self.processes.push(old);
+        }
+        if self.has(Defect::ForgetBills) {
+            return;
+        }
+        for (request, tokens) in settled {
+            if self.processes[0].holder.phase() != Phase::Open {
+                self.pause(0);
+            }
+            while !self.settle(0, &request, tokens) {}
+        }
+    }
+
+    fn pause(&mut self, index: usize) {
+        let fresh = self.spawn();
+        let old = std::mem::replace(&mut self.processes[index], fresh);
+        self.processes.push(old);
+    }
+
+    fn paused(&self, pick: usize) -> Option<usize> {
+        let count = self.processes.len() - LIVE;
+        (count > 0).then(|| LIVE + pick % count)
+    }
+
+    fn wake(&mut self, pick: usize, tokens: Tokens, fault: Fault) {
+        let Some(index) = self.paused(pick) else {
+            return;
+        };
+        let request = mint(self.now, self.executions.len() as u64);
+        let process = &mut self.processes[index];
+        let attempt: RequestId = format!("{request}.{}", process.id).into();
+        let clock = self.now - EPOCH;
+        let reserved = process
+            .holder
+            .reserve(clock, &attempt, &BUDGET.into(), tokens);
+        if reserved.is_ok() {
+            process.holder.settle(&attempt, usage(tokens));
+            process.settled.push((request.clone(), tokens));
+            self.executions.insert(request, tokens);
+        }
+        self.flush(index, fault);
+    }
+
+    fn reclaim(&mut self, pick: usize, fault: Fault) {
+        let Some(index) = self.paused(pick) else {
+            return;
+        };
+        let id = self.processes[index].id.clone();
+        let table = &self.store.table;
+        let last = table.scan(&journal::prefix(&id), "", usize::MAX).pop();
+        let opening = table.get(&journal::opening(&id));
+        let author: HolderId = "reclaimer".into();
+        let transaction = match reclaim::read(&id, last.as_ref(), opening) {
+            Some(Found::Live(tail)) if last.is_some() => {
+                tail.fence(&author, &self.fetch(&tail.keys(&[])))
+            }
+            Some(Found::Fenced(tail)) => {
+                let rows = self.fetch(&tail.keys(&[]));
+                tail.lose(&author, Reason::Elapsed, Vec::new(), &rows)
+            }
+            _ => None,
+        };
+        let Some(mut transaction) = transaction else {
+            return;
+        };
+        if self.has(Defect::ReclaimerAppends) {
+            forget_opening(&mut transaction);
+        }
+        self.store.commit(transaction, fault);
+    }
+
+    /// Takes the lease and visits every journal. The transaction number `faulty` meets the fault; a
+    /// lost reply ends the round.
+    fn round(&mut self, faulty: usize, fault: Fault) {
+        let Some(mut ledger) = self.acquire() else {
+            return;
+        };
+        let mut holders: Vec<HolderId> = Vec::new();
+        for row in self.store.table.scan("journal/", "", usize::MAX) {
+            holders.extend(journal::holder(&row.key).map(Into::into));
+        }
+        holders.dedup();
+        let urgent = ledger.urgent().cloned();
+        let mut count = 0;
+        for holder in urgent.into_iter().chain(holders) {
+            while let Some(transaction) = self.visit(&mut ledger, &holder) {
+                let met = if count == faulty { fault } else { Fault::None };
+                count += 1;
+                if self.store.commit(transaction, met) != Some(Verdict::Committed) {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn acquire(&mut self) -> Option<Ledger> {
+        let id: HolderId = "ledger".into();
+        let row = self.store.table.get("lease/ledger").cloned();
+        let lease = Lease::acquire("ledger", row.as_ref(), &id, self.now, TERM);
+        let transaction = lease.expect("a lease row")?;
+        self.store.table.commit(&transaction);
+        let row = self.store.table.get("lease/ledger").cloned();
+        let row = Lease::confirm(&transaction, row, &id)?;
+        let settings = Settings {
+            ended: ENDED,
+            ..Settings::default()
+        };
+        let cursors = self.store.table.scan("ledger/", "", 1_000);
+        Some(Ledger::new(&row, &cursors, settings).expect("cursor rows"))
+    }
+
+    /// Returns the next transaction for a journal; `None` when there is nothing to do.
+    fn visit(&mut self, ledger: &mut Ledger, holder: &HolderId) -> Option<Transaction> {
+        let row = self.store.table.get(&bill::key(holder)).cloned();
+        let cursor = Page::cursor(row.as_ref()).expect("a cursor row");
+        let (prefix, after) = Page::range(holder, &cursor);
+        let rows = self.store.table.scan(&prefix, &after, 100);
+        let page = Page::decode(holder.clone(), row.as_ref(), &rows).expect("a page");
+        if page.batch().is_some() {
+            let objects = ledger.publish(&page).into_iter();
+            self.objects
+                .extend(objects.map(|object| (object.key, object.value)));
+            return ledger.close(&page);
+        }
+        for slot in ledger.slots(self.now, &page) {
+            let prefix = index_prefix(slot);
+            let keys = self
+                .objects
+                .iter()
+                .filter(|(key, _)| key.starts_with(&prefix));
+            let objects: Vec<_> = keys.map(|(_, value)| value.clone()).collect();
+            ledger.load(slot, &objects).expect("index objects");
+        }
+        let rows = self.fetch(&ledger.accounts(self.now, &page));
+        if let Some(decided) = ledger.decide(self.now, &page, &rows).expect("a decision") {
+            return Some(decided.transaction);
+        }
+        if !ledger.is_due(self.now, &page) {
+            return None;
+        }
+        let opening = self.store.table.get(&journal::opening(holder));
+        let rows = self.store.table.scan(&prefix, "", REMOVED_ROWS);
+        // The rest has gone with an earlier step, whose reply may have been lost.
+        let mut transaction = ledger.remove(&page, opening, &rows);
+        if self.has(Defect::KeepOpening) {
+            transaction = ledger.remove(&page, None, &rows);
+            forget_opening(&mut transaction);
+        }
+        Some(transaction)
+    }
+
+    fn billed(&self) -> BTreeMap<RequestId, Bill> {
+        let mut billed = BTreeMap::new();
+        let segments = self
+            .objects
+            .iter()
+            .filter(|(key, _)| key.starts_with("bills/"));
+        for (key, value) in segments {
+            for bill in Segment::decode(key, value).expect("a segment").bills {
+                let request = bill.request.clone();
+                let earlier = billed.insert(request.clone(), bill);
+                assert!(earlier.is_none(), "{request} was billed twice");
+            }
+        }
+        billed
+    }
+
+    fn account(&self) -> Account {
+        let row = self.store.table.get("budget/b0").expect("a budget");
+        serde_json::from_str(&row.value).expect("a budget")
+    }
+
+    /// Ends every process and removes every journal.
+    fn settle_all(&mut self) {
+        while self.store.deliver() {}
+        for _ in 0..8 {
+            for index in 0..self.processes.len() {
+                self.processes[index].holder.stop();
+                for _ in 0..8 {
+                    self.flush(index, Fault::None);
+                }
+            }
+            self.now += TERM * 2 + ENDED;
+            self.round(usize::MAX, Fault::None);
+        }
+    }
+
+    fn check_end(&self) {
+        for process in &self.processes {
+            let phase = process.holder.phase();
+            assert_eq!(phase, Phase::Closed, "{} does not close", process.id);
+        }
+        for prefix in ["journal/", "holder/", "ledger/"] {
+            let rows = self.store.table.scan(prefix, "", 10);
+            assert!(rows.is_empty(), "rows remain: {rows:?}");
+        }
+        let billed = self.billed();
+        for (request, tokens) in &self.executions {
+            let charged = billed.get(request).map_or(0, |bill| bill.charged);
+            assert_eq!(charged, *tokens, "{request} was not billed");
+        }
+        let spent: Tokens = billed.values().map(|bill| bill.charged).sum();
+        let account = self.account();
+        assert_eq!(account.allocated, spent, "tokens were returned or lost");
+    }
+}
+
+fn forget_opening(transaction: &mut Transaction) {
+    let is_kept = |key: &str| !key.starts_with("holder/");
+    transaction.conditions.retain(|c| is_kept(&c.key));
+}
+
+impl World for Fleet {
+    type Step = Step;
+    type Defect = Defect;
+
+    fn steps() -> BoxedStrategy<Step> {
+        let tokens = || 1..3_000_u64;
+        prop_oneof![
+            6 => (0..LIVE, tokens()).prop_map(|(p, t)| Step::Execute(p, t)),
+            5 => (0..LIVE, fault()).prop_map(|(p, f)| Step::Flush(p, f)),
+            2 => (0..LIVE).prop_map(Step::Pause),
+            3 => (any::<usize>(), tokens(), fault()).prop_map(|(p, t, f)| Step::Wake(p, t, f)),
+            1 => (0..LIVE).prop_map(Step::Stop),
+            6 => (any::<usize>(), fault()).prop_map(|(p, f)| Step::Reclaim(p, f)),
+            6 => (0..6_usize, fault()).prop_map(|(n, f)| Step::Round(n, f)),
+            4 => (1..60_u64).prop_map(Step::Advance),
+            2 => Just(Step::Deliver),
+        ]
+        .boxed()
+    }
+
+    fn new(defect: Option<Defect>) -> Self {
+        let mut fleet = Self {
+            defect,
+            store: Store::default(),
+            objects: BTreeMap::new(),
+            now: EPOCH,
+            executions: BTreeMap::new(),
+            processes: Vec::new(),
+            started: 0,
+        };
+        let mut transaction = Transaction::default();
+        let value = format!(r#"{{"purchased":{PURCHASED},"allocated":0}}"#);
+        transaction.put("budget/b0", value);
+        fleet.store.table.commit(&transaction);
+        for _ in 0..LIVE {
+            let process = fleet.spawn();
+            fleet.processes.push(process);
+        }
+        fleet
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::Execute(process, tokens) => self.execute(process, tokens),
+            Step::Flush(process, fault) => self.flush(process, fault),
+            Step::Pause(process) => self.pause(process),
+            Step::Wake(pick, tokens, fault) => self.wake(pick, tokens, fault),
+            Step::Stop(process) => {
+                self.processes[process].holder.stop();
+                self.pause(process);
+            }
+            Step::Reclaim(pick, fault) => self.reclaim(pick, fault),
+            Step::Round(faulty, fault) => self.round(faulty, fault),
+            Step::Advance(seconds) => self.now += Duration::from_secs(seconds),
+            Step::Deliver => drop(self.store.deliver()),
+        }
+    }
+
+    fn check(&self) {
+        let account = self.account();
+        assert!(account.allocated <= account.purchased, "{account:?}");
+        self.billed();
+    }
+
+    fn finish(&mut self) {
+        self.settle_all();
+        self.check_end();
+    }
+}
+
+/// Guards against a journal that is removed too early, and against a holder or reclaimer that
+/// appends to a removed journal as if it were new.
+#[test]
+fn removed_journals_stay_removed_under_faults() {
+    let failure = fuzz::first_failure::<Fleet>(None, SEED, CASES, 3_000);
+    assert_eq!(failure, None);
+}
+
+/// Guards against an oracle that accepts faults.
+#[test]
+fn oracle_detects_defects() {
+    let (gap, never, lost) = ("is missing", "was not billed", "returned or lost");
+    for (defect, reasons) in [
+        (Defect::HolderAppends, &[gap, lost][..]),
+        (Defect::ReclaimerAppends, &[gap, lost]),
+        (Defect::KeepOpening, &[gap, lost]),
+        (Defect::ForgetBills, &[never]),
+    ] {
+        fuzz::detect::<Fleet>(defect, SEED, DEFECT_CASES, reasons);
+    }
+}
--- a/crates/ctl/src/measure/budgets/world.rs
+++ b/crates/ctl/src/measure/budgets/world.rs
@@ -351,7 +351,9 @@
                 .table
                 .scan(&journal::prefix(&id), "", usize::MAX)
                 .pop();
-            if let Some(Found::Live(tail)) = reclaim::read(&id.as_str().into(), last.as_ref()) {
+            let opening = self.store.table.get(&journal::opening(&id));
+            let found = reclaim::read(&id.as_str().into(), last.as_ref(), opening);
+            if let Some(Found::Live(tail)) = found {
                 let rows = self.store.fetch(&tail.keys(&[]));
                 let fence = tail.fence(&"reclaimer".into(), &rows);
                 fence
--- a/crates/router/src/admin/audit.rs
+++ b/crates/router/src/admin/audit.rs
@@ -7,8 +7,9 @@
         key::Operator,
         page::{Page, Range},
         ring::Role,
-        write::{AUDIT_PREFIX, Entry},
+        write::Entry,
     },
+    marigoldroute_core::retention::AUDIT_PREFIX,
     poem_openapi::{Object, OpenApi, param::Query, payload::Json},
     std::sync::Arc,
 };
--- a/crates/router/src/admin/diff.rs
+++ b/crates/router/src/admin/diff.rs
@@ -12,6 +12,7 @@
     marigoldroute_core::{
         config::{Difference, Setting, Value},
         id::Version,
+        retention::VERSION_PREFIX as PREFIX,
     },
     poem_openapi::Object,
     serde::{Deserialize, Serialize},
@@ -22,9 +23,6 @@
 const COMPARED_VERSIONS: usize = 10_000;
 /// Rows read per call.
 const PAGE_ROWS: usize = 500;
-/// Prefix of the keys.
-pub(super) const PREFIX: &str = "admin/version/";
-
 /// Row `admin/version/{version, 12 digits}`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Made {
--- a/crates/router/src/admin/history.rs
+++ b/crates/router/src/admin/history.rs
@@ -4,12 +4,14 @@
     super::{
         Admin,
         answer::{Mistake, Refused, Result},
-        diff::{self, Line, Made, PREFIX, merge},
+        diff::{self, Line, Made, merge},
         key::Operator,
         page::{Page, Range},
         ring::Role,
     },
-    marigoldroute_core::{config::Log, fault::Kind, id::Version},
+    marigoldroute_core::{
+        config::Log, fault::Kind, id::Version, retention::VERSION_PREFIX as PREFIX,
+    },
     poem_openapi::{Object, OpenApi, param::Query, payload::Json},
     std::sync::Arc,
 };
--- a/crates/router/src/admin/lost.rs
+++ b/crates/router/src/admin/lost.rs
@@ -114,7 +114,9 @@
     async fn step(&self, admin: &Admin, _: &Ticket) -> Result<Step> {
         let tails = tails(admin, &self.host, self.incarnation.as_deref()).await?;
         for (holder, row) in &tails {
-            let found = reclaim::read(holder, Some(row)).ok_or(Fault::Malformed)?;
+            let opening = admin.platform.get(&journal::opening(holder)).await?;
+            let found = reclaim::read(holder, Some(row), opening.as_ref());
+            let found = found.ok_or(Fault::Malformed)?;
             if let Some(transaction) = self.release(admin, found).await? {
                 return Ok(Step::Advance(transaction));
             }
--- a/crates/router/src/admin/write.rs
+++ b/crates/router/src/admin/write.rs
@@ -12,6 +12,7 @@
     },
     marigoldroute_core::{
         fault::Kind,
+        retention::{AUDIT_PREFIX, REQUEST_PREFIX},
         table::{Row, Transaction, Verdict},
     },
     marigoldroute_platform::Fault as Lost,
@@ -22,8 +23,6 @@
     std::time::{SystemTime, UNIX_EPOCH},
 };
 
-/// Prefix of the keys of audit entries; they sort by time.
-pub(super) const AUDIT_PREFIX: &str = "audit/";
 /// Steps of a write before it is given up; each lost race with another write costs one.
 const STEPS: u32 = 64;
 /// Attempts to commit a transaction before its outcome counts as unknown.
@@ -129,7 +128,7 @@
     }
 
     fn key(&self) -> String {
-        format!("admin/request/{}", self.request)
+        format!("{REQUEST_PREFIX}{}", self.request)
     }
 
     /// Adds the receipt and the audit entry to the transaction that completes the write.
--- a/crates/router/src/escrow/durable.rs
+++ b/crates/router/src/escrow/durable.rs
@@ -40,6 +40,11 @@
         done.into_iter().for_each(|attempt| self.remember(attempt));
     }
 
+    /// Forgets the bills of a holder that no row holds; a repeated settlement makes them again.
+    pub(super) fn forget(&mut self, generation: Generation) {
+        self.open.retain(|_, (holder, _)| *holder != generation);
+    }
+
     /// Returns whether the bill of an attempt is in the store; `None` when there is none.
     pub(super) fn get(&self, attempt: &str) -> Option<bool> {
         if self.open.contains_key(attempt) {
--- a/crates/router/src/escrow/holders.rs
+++ b/crates/router/src/escrow/holders.rs
@@ -230,6 +230,16 @@
 
     /// Forgets closed holders, and replaces the current one when it takes no reservations.
     pub(super) fn renew(&mut self) {
+        let removed = self
+            .holders
+            .iter()
+            .filter(|(_, holder)| holder.is_removed());
+        let removed: Vec<_> = removed.map(|(generation, _)| *generation).collect();
+        for generation in removed {
+            // The entries repeat these settlements until a holder has written them.
+            self.durable.forget(generation);
+            self.open.retain(|_, (holder, _)| *holder != generation);
+        }
         self.holders
             .retain(|_, holder| holder.phase() != Phase::Closed);
         let current = self.holders.get(&self.current);
--- a/crates/router/src/ledger.rs
+++ b/crates/router/src/ledger.rs
@@ -4,10 +4,11 @@
     crate::{control::Control, logs::TOKENS, metrics::Metrics},
     derive_more::{Display, Error, From},
     marigoldroute_core::{
-        bill::{self, INDEX_PREFIX, Lease, Ledger, Page, Settings, index_prefix},
+        bill::{self, INDEX_PREFIX, Lease, Ledger, Page, REMOVED_ROWS, Settings, index_prefix},
         budget::journal,
         claim, fault,
         id::{HolderId, HostId, Region},
+        retention::{self, AUDIT_PREFIX, CURSOR_KEY, VERSION_PREFIX},
         table::{Row, Transaction, Verdict},
     },
     marigoldroute_platform::{Client, Fault},
@@ -26,6 +27,10 @@
 const LAST_SEQUENCE: u64 = 999_999_999_999;
 /// Rows and objects deleted in one round.
 const SWEEP_ROWS: usize = 200;
+/// The opening row, then the other rows.
+const REMOVAL_STEPS: usize = 2;
+/// Journals removed in one round.
+const RETIRED_JOURNALS: usize = 32;
 /// Rows read by one call.
 const PAGE_ROWS: usize = 1_000;
 
@@ -108,11 +113,17 @@
         while let Some(holder) = ledger.urgent().cloned() {
             self.visit(ledger, &holder).await?;
         }
+        let mut retired = 0;
         for holder in self.holders().await? {
-            self.visit(ledger, &holder).await?;
+            let page = self.visit(ledger, &holder).await?;
+            if retired < RETIRED_JOURNALS && ledger.is_due(wall(), &page) {
+                retired += 1;
+                self.retire(ledger, page).await?;
+            }
         }
         self.trim_index(ledger).await?;
-        self.sweep_claims(swept).await
+        self.sweep_claims(swept).await?;
+        self.sweep_operators(&lease).await
     }
 
     /// Takes or renews the lease for a time; `None` while another process has it.
@@ -172,8 +183,32 @@
         Ok(())
     }
 
-    /// Bills all journal rows of a holder.
-    async fn visit(&self, ledger: &mut Ledger, holder: &HolderId) -> Result<(), Broken> {
+    /// Removes operators' rows that are past their retention, a bounded number.
+    async fn sweep_operators(&self, lease: &Row) -> Result<(), Broken> {
+        let mut settings = retention::Settings::default();
+        if let Some(history) = self.control.scene().catalog.limits.history {
+            settings.history = history;
+        }
+        let rows = settings.rows;
+        let cursor = self.platform.get(CURSOR_KEY).await?;
+        let after = retention::position(cursor.as_ref());
+        let audit = self.platform.scan(AUDIT_PREFIX, &after, rows).await?;
+        // After a conflict a later round looks again.
+        if let Some(forget) = retention::forget(lease, cursor.as_ref(), &audit, wall(), &settings) {
+            self.platform.commit(&forget).await?;
+        }
+        let audit = self.platform.scan(AUDIT_PREFIX, "", rows).await?;
+        let versions = self.platform.scan(VERSION_PREFIX, "", rows).await?;
+        let cursor = cursor.as_ref();
+        let trim = retention::trim(lease, cursor, &audit, &versions, wall(), &settings);
+        if let Some(trim) = trim {
+            self.platform.commit(&trim).await?;
+        }
+        Ok(())
+    }
+
+    /// Bills all journal rows of a holder, and returns its cursor as it is then.
+    async fn visit(&self, ledger: &mut Ledger, holder: &HolderId) -> Result<Page, Broken> {
         loop {
             let page = self.page(holder).await?;
             let transaction = match page.batch() {
@@ -181,7 +216,7 @@
                 None => self.decide(ledger, &page).await?,
             };
             let Some(transaction) = transaction else {
-                return Ok(());
+                return Ok(page);
             };
             if self.platform.commit(&transaction).await? != Verdict::Committed {
                 return Err(Broken::Overtaken);
@@ -189,6 +224,25 @@
         }
     }
 
+    /// Removes what is left of a journal that ended long ago.
+    async fn retire(&self, ledger: &Ledger, mut page: Page) -> Result<(), Broken> {
+        let holder = page.holder().clone();
+        for _ in 0..REMOVAL_STEPS {
+            let opening = self.platform.get(&journal::opening(&holder)).await?;
+            let prefix = journal::prefix(&holder);
+            let rows = self.platform.scan(&prefix, "", REMOVED_ROWS).await?;
+            let transaction = ledger.remove(&page, opening.as_ref(), &rows);
+            let verdict = self.platform.commit(&transaction).await?;
+            page = self.page(&holder).await?;
+            // A later round looks again at a journal that got a late bill.
+            if verdict != Verdict::Committed || !ledger.is_due(wall(), &page) {
+                break;
+            }
+        }
+        log::info!(target: TOKENS, holder:%; "journal of an ended holder removed");
+        Ok(())
+    }
+
     async fn page(&self, holder: &HolderId) -> Result<Page, Broken> {
         let cursor = self.platform.get(&bill::key(holder)).await?;
         let (prefix, after) = Page::range(holder, &Page::cursor(cursor.as_ref())?);
--- a/crates/router/src/reclaim.rs
+++ b/crates/router/src/reclaim.rs
@@ -170,7 +170,8 @@
         holder: &HolderId,
         last: &Row,
     ) -> Result<bool, Fault> {
-        let Some(found) = reclaim::read(holder, Some(last)) else {
+        let opening = self.platform.get(&journal::opening(holder)).await?;
+        let Some(found) = reclaim::read(holder, Some(last), opening.as_ref()) else {
             return Err(Fault::Malformed);
         };
         let author = self.own.clone();
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -193,11 +193,18 @@
         unread
     }
 
+    /// Returns the cursor and the rows of a journal as they were at one time. The ledger deletes
+    /// rows in the transaction that changes the cursor, so a cursor that has changed meanwhile does
+    /// not belong to the rows.
     async fn page(&self, holder: &str) -> Page {
-        let cursor = self.client.get(&key(holder)).await.unwrap();
-        let (prefix, after) = Page::range(holder, &Page::cursor(cursor.as_ref()).unwrap());
-        let rows = self.client.scan(&prefix, &after, 1_000).await.unwrap();
-        Page::decode(holder.into(), cursor.as_ref(), &rows).unwrap()
+        loop {
+            let cursor = self.client.get(&key(holder)).await.unwrap();
+            let (prefix, after) = Page::range(holder, &Page::cursor(cursor.as_ref()).unwrap());
+            let rows = self.client.scan(&prefix, &after, 1_000).await.unwrap();
+            if self.client.get(&key(holder)).await.unwrap() == cursor {
+                return Page::decode(holder.into(), cursor.as_ref(), &rows).unwrap();
+            }
+        }
     }
 
     async fn journals(&self) -> Vec<Row> {
