--- a/crates/core/src/config/catalog.rs
+++ b/crates/core/src/config/catalog.rs
@@ -138,6 +138,9 @@
     /// Shortest time between two loads from the weight store.
     #[serde(default)]
     pub load_interval: Option<Duration>,
+    /// How long audit entries and the changes of each version are kept.
+    #[serde(default)]
+    pub history: Option<Duration>,
 }
 
 /// The effective configuration of one version.
--- a/crates/core/src/config/compile.rs
+++ b/crates/core/src/config/compile.rs
@@ -91,6 +91,7 @@
         drain: seconds(Setting::DrainLimit),
         concurrent_loads: number(effective, Setting::ConcurrentLoads),
         load_interval: seconds(Setting::LoadInterval),
+        history: seconds(Setting::HistoryRetention),
     }
 }
 
