Name who changed what in a conflict of two operators

Cause: a conflict listed the values that others changed, with before and after, but the operators apart from them, so it did not say who changed which value. A value that was changed and set back was left out, so such a conflict had no difference at all. marigoldctl printed nothing for an absent value, and a node that was added or removed as a change from nothing to nothing.

Change: each difference of a conflict has by, the operators and versions that touched it, and values that were set back are listed. marigoldctl prints them, writes "unset" for an absent value and "added or removed" for a node; the test of that line now states the whole line in place of its beginning. The comparison of two versions stays as it was.

--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -7,6 +7,7 @@
         output::cell,
     },
     marigoldroute_core::fault::{Kind, Outcome},
+    serde_json::Value,
     std::process::ExitCode,
 };
 
@@ -58,12 +59,37 @@
     }
     let lines = refused.unseen["differences"].as_array();
     for line in lines.into_iter().flatten() {
-        eprintln!(
-            "  changed by others: /{} {} from {} to {}",
-            cell(&line["path"]),
-            cell(&line["setting"]),
-            cell(&line["before"]),
-            cell(&line["after"]),
-        );
+        eprintln!("  changed by others: {}{}", difference(line), authors(line));
+    }
+}
+
+/// Returns what was changed; a line without a setting concerns the node itself.
+fn difference(line: &Value) -> String {
+    let path = cell(&line["path"]);
+    let value = |name: &str| match &line[name] {
+        Value::Null => "unset".to_owned(),
+        value => cell(value),
+    };
+    match &line["setting"] {
+        Value::String(setting) => {
+            format!(
+                "/{path} {setting} from {} to {}",
+                value("before"),
+                value("after")
+            )
+        }
+        _ => format!("/{path} added or removed"),
+    }
+}
+
+/// Returns who made a change, as ` by NAME (version N), ...`.
+fn authors(line: &Value) -> String {
+    let by = line["by"].as_array().into_iter().flatten();
+    let author = |at: &Value| format!("{} (version {})", cell(&at["operator"]), at["version"]);
+    let by: Vec<_> = by.map(author).collect();
+    if by.is_empty() {
+        String::new()
+    } else {
+        format!(" by {}", by.join(", "))
     }
 }
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -148,7 +148,12 @@
     let output = scene.run("settings set / priority 4 --base 0").await;
     assert_eq!(output.status.code(), Some(5), "{output:?}");
     let shown = text(&output.stderr);
-    let line = "  changed by others: / priority from  to {\"class\":2}";
+    let line = "  changed by others: / priority from unset to {\"class\":2} by initial (version 1)";
+    assert!(shown.contains(line), "{shown}");
+    scene.json("workspaces create kolkata").await;
+    let output = scene.run("settings set / priority 4 --base 1").await;
+    let shown = text(&output.stderr);
+    let line = "  changed by others: /kolkata added or removed by initial (version 2)";
     assert!(shown.contains(line), "{shown}");
 }
 
--- a/crates/router/src/admin/diff.rs
+++ b/crates/router/src/admin/diff.rs
@@ -54,6 +54,24 @@
     pub(super) after: Option<Json>,
 }
 
+/// Who made a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct Author {
+    /// Name of the operator's key.
+    pub(super) operator: String,
+    /// Version.
+    pub(super) version: Version,
+}
+
+/// A value that others touched, with who did; it may have its earlier value again.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Touched {
+    #[serde(flatten)]
+    pub(super) line: Line,
+    /// In the order of the versions.
+    pub(super) by: Vec<Author>,
+}
+
 /// What others changed since an operator looked.
 #[derive(Clone, Debug, Serialize)]
 pub(super) struct Unseen {
@@ -63,8 +81,8 @@
     pub(super) current: Version,
     /// Operators who made the versions in between.
     pub(super) operators: Vec<String>,
-    /// Values that differ.
-    pub(super) differences: Vec<Line>,
+    /// Values that others touched.
+    pub(super) differences: Vec<Touched>,
 }
 
 impl From<Difference> for Line {
@@ -114,36 +132,59 @@
             base,
             current,
             operators,
-            differences: merge(made),
+            differences: gather(made).into_iter().map(Touched::from).collect(),
         })
     }
 }
 
 type Place = (Arc<str>, Option<Setting>);
 
+/// What successive versions did to one place.
+#[derive(Default)]
+struct Merged {
+    before: Option<Value>,
+    after: Option<Value>,
+    by: Vec<Author>,
+}
+
+fn gather(made: Vec<Made>) -> BTreeMap<Place, Merged> {
+    let mut places: BTreeMap<Place, Merged> = BTreeMap::new();
+    for made in made {
+        for difference in made.differences {
+            let place = (difference.path, difference.setting);
+            let merged = places.entry(place).or_insert_with(|| Merged {
+                before: difference.before,
+                ..Merged::default()
+            });
+            merged.after = difference.after;
+            merged.by.push(Author {
+                operator: made.operator.clone(),
+                version: made.version,
+            });
+        }
+    }
+    places
+}
+
+impl From<(Place, Merged)> for Touched {
+    fn from(((path, setting), merged): (Place, Merged)) -> Self {
+        let difference = Difference {
+            path,
+            setting,
+            before: merged.before,
+            after: merged.after,
+        };
+        Self {
+            line: difference.into(),
+            by: merged.by,
+        }
+    }
+}
+
 /// Merges the differences of successive versions into one list.
 pub(super) fn merge(made: Vec<Made>) -> Vec<Line> {
-    let mut merged: BTreeMap<Place, (Option<Value>, Option<Value>)> = BTreeMap::new();
-    for difference in made.into_iter().flat_map(|made| made.differences) {
-        let place = (difference.path, difference.setting);
-        let (before, after) = (difference.before, difference.after);
-        merged
-            .entry(place)
-            .and_modify(|values| values.1.clone_from(&after))
-            .or_insert((before, after));
-    }
-    let changed = merged
+    let changed = gather(made)
         .into_iter()
-        .filter(|((_, setting), (before, after))| setting.is_none() || before != after);
-    changed
-        .map(|((path, setting), (before, after))| {
-            Difference {
-                path,
-                setting,
-                before,
-                after,
-            }
-            .into()
-        })
-        .collect()
+        .filter(|((_, setting), merged)| setting.is_none() || merged.before != merged.after);
+    changed.map(|entry| Touched::from(entry).line).collect()
 }
