--- a/crates/router/src/admin/mod.rs
+++ b/crates/router/src/admin/mod.rs
@@ -16,6 +16,7 @@
 mod key;
 mod listed;
 mod lost;
+mod node;
 mod page;
 mod progress;
 mod ring;
--- a/crates/router/src/admin/upstream.rs
+++ b/crates/router/src/admin/upstream.rs
@@ -6,13 +6,14 @@
         answer::Result,
         change::{Accepted, Wanted},
         key::Operator,
+        node::added,
         page::{Page, Range},
         ring::Role,
         settings::Json as Any,
         write::Ticket,
     },
     marigoldroute_core::{
-        config::{Change, Edit, Kind, Log, Path as Place, Setting, State, Value, name},
+        config::{Change, Kind, Log, Setting, State, Value, name},
         id::UpstreamId,
     },
     poem_openapi::{
@@ -75,7 +76,6 @@
 
 impl New {
     fn change(&self) -> Change {
-        let path: Place = self.path.as_str().into();
         let text = |text: &String| Value::Text(text.as_str().into());
         let pairs = |pairs: &BTreeMap<String, String>| {
             let pair = |(name, value): (&String, &String)| {
@@ -92,22 +92,7 @@
             (Setting::Labels, pairs(&self.labels)),
             (Setting::Versions, pairs(&self.versions)),
         ];
-        let mut edits = vec![Edit::Add {
-            path: path.clone(),
-            kind: Kind::Upstream,
-        }];
-        let given = values
-            .into_iter()
-            .filter_map(|(setting, value)| Some((setting, value?)));
-        edits.extend(given.map(|(setting, value)| Edit::Set {
-            path: path.clone(),
-            setting: setting.to_string().into(),
-            value,
-        }));
-        Change {
-            edits,
-            force: false,
-        }
+        added(&self.path, Kind::Upstream, values)
     }
 }
 
--- a/crates/router/src/admin/workspace.rs
+++ b/crates/router/src/admin/workspace.rs
@@ -6,6 +6,7 @@
         answer::{Refused, Result},
         change::{Accepted, Wanted},
         key::Operator,
+        node::added,
         page::{Page, Range},
         ring::Role,
         write::Ticket,
@@ -93,7 +94,6 @@
 
 impl New {
     fn change(&self) -> Change {
-        let path: Arc<str> = self.path.as_str().into();
         let hashes = self.key_hashes.iter().map(|hash| hash.as_str().into());
         let hashes: Vec<Arc<str>> = hashes.collect();
         let budget = self.budget.as_ref().map(|name| name.as_str().into());
@@ -107,22 +107,7 @@
             (Setting::Priority, self.priority.map(Value::Class)),
             (Setting::Share, self.share.map(Value::Weight)),
         ];
-        let mut edits = vec![Edit::Add {
-            path: path.clone(),
-            kind: Kind::Workspace,
-        }];
-        let given = values
-            .into_iter()
-            .filter_map(|(setting, value)| Some((setting, value?)));
-        edits.extend(given.map(|(setting, value)| Edit::Set {
-            path: path.clone(),
-            setting: setting.to_string().into(),
-            value,
-        }));
-        Change {
-            edits,
-            force: false,
-        }
+        added(&self.path, Kind::Workspace, values)
     }
 }
 
