--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -87,6 +87,21 @@
         .arg(verbose)
 }
 
+fn upstream() -> Command {
+    let weights = Arg::new("weights")
+        .long("weights")
+        .value_name("URL")
+        .help("Take orders and load models from this weight store");
+    let fencing = Arg::new("fencing")
+        .long("fencing")
+        .action(ArgAction::SetTrue)
+        .requires("weights")
+        .help("Refuse orders with an old fencing number");
+    Command::new("upstream")
+        .about("Model engine and plain service")
+        .args([weights, fencing])
+}
+
 fn stand_in() -> Command {
     let listen = Arg::new("listen")
         .long("listen")
@@ -100,5 +115,6 @@
         .subcommand_required(true)
         .arg(listen)
         .subcommand(Command::new("platform").about("Table service and object store in memory"))
-        .subcommand(Command::new("upstream").about("Model engine and plain service"))
+        .subcommand(upstream())
+        .subcommand(Command::new("weights").about("Weight store with a limited rate"))
 }
--- a/crates/router/tests/placement.rs
+++ b/crates/router/tests/placement.rs
@@ -55,6 +55,10 @@
     assert_eq!(outside.acted(), 3, "orders after the placement settled");
     assert_eq!((store.transfers().refused, store.transfers().peak), (0, 1));
     assert_fenced(&outside);
+    let url = format!("http://{}/metrics", router.address());
+    let metrics = reqwest::get(url).await.unwrap().text().await.unwrap();
+    let sent = "marigoldroute_placement_orders_total{result=\"sent\"} 3\n";
+    assert!(metrics.contains(sent), "{metrics}");
     router.stop().await;
     let (lease, _) = outside.lease().await.unwrap();
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
--- a/crates/router/tests/placement_processes.rs
+++ b/crates/router/tests/placement_processes.rs
@@ -17,6 +17,7 @@
         place::{HALT_PREFIX, Halt},
     },
     nix::sys::signal::Signal,
+    serde_json::{Value as Json, json},
     std::collections::BTreeMap,
 };
 
@@ -124,12 +125,34 @@
     operator.stop().await;
 }
 
-/// Guards against a halted rollout that the next holder of the lease begins again.
+/// Returns the number of log lines about orders, each of which must say what was chosen and why.
+fn logged(lines: &[String]) -> usize {
+    // The last line of a killed process can be cut.
+    let lines = lines
+        .iter()
+        .filter_map(|line| serde_json::from_str(line).ok());
+    let is_order =
+        |line: &Json| line["target"] == "marigoldroute::placement" && line["message"] == "order";
+    let orders: Vec<Json> = lines.filter(is_order).collect();
+    for order in &orders {
+        assert!(order["engine"].as_str().unwrap().starts_with("engine-"));
+        assert_eq!(
+            (&order["model"], &order["considered"]),
+            (&json!("drafting"), &json!(3))
+        );
+        assert!([1, 2].contains(&order["version"].as_u64().unwrap()));
+        assert!(!order["reason"].as_str().unwrap().is_empty());
+        assert_eq!(order["result"], "sent");
+    }
+    orders.len()
+}
+
+/// Guards against orders without a log line that explains them, and against a halted rollout that the next holder of the lease begins again.
 #[tokio::test(flavor = "multi_thread")]
 async fn halted_rollout_stays_halted_after_the_holder_died() {
     let kinds = [Numbers::Checked; 3];
     let outside = Outside::with_engines(engines(&kinds, &store(8)), PURCHASED).await;
-    let (routers, operator) = start(&outside, "500", &kinds).await;
+    let (mut routers, operator) = start(&outside, "500", &kinds).await;
     outside.served(3, 1).await;
     let version = |version| {
         vec![set(
@@ -148,7 +171,9 @@
     let halt = Halt::decode(&halts().await[0]).unwrap();
     assert_eq!((&*halt.model, halt.from, halt.to), ("drafting", 1, 2));
     let holder = outside.lease_router().await.unwrap();
-    routers[&holder].signal(Signal::SIGKILL);
+    let killed = routers.remove(&holder).unwrap();
+    killed.signal(Signal::SIGKILL);
+    assert_eq!(logged(&killed.wait().1), 4);
     // With the engine, the reported errors are lost; only the record tells of the halt.
     outside.engines[updated].lose_model();
     taken_from(&outside, holder).await;
