Keep an engine that refuses orders from holding up the others

Cause: A refusal for the fencing number ended the tenure, so the next round planned from nothing and chose the same engine again. An engine whose greatest number is above the present one, as after rows of the table service were restored, kept all other engines from getting orders.

Change: A refused order counts as sent, like one that failed; whether another process has the lease is seen when the next round renews it. A further test covers the repair of lost gossip marks on what an upstream holds.

--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -5,7 +5,10 @@
 use {
     marigoldroute_core::{
         config::{Catalog, Change, Edit, Kind, Reason, Setting, Tree, Value},
-        fleet::{Fact, Gossip, Held, Host, Kind as Message, Settings as Times, View},
+        fleet::{
+            Fact, Gossip, Held, Host, HostMark, Kind as Message, Mark, Phase, Settings as Times,
+            View,
+        },
         id::UpstreamId,
         place::{Demand, Engine, Halt, Lease, Loaded, Observed, Order, Planner, Settings},
         table::{Memory, Transaction, Verdict, Write},
@@ -269,3 +272,52 @@
         assert_eq!(&*view.held()["u"], "stock");
     }
 }
+
+fn ready(id: &str) -> Fact {
+    Fact::Host(HostMark {
+        id: id.into(),
+        incarnation: 1,
+        revision: 1,
+        phase: Phase::Ready.into(),
+        region: "r".into(),
+        zone: "z".into(),
+        address: "127.0.0.1:1".into(),
+        weight: 1,
+    })
+}
+
+/// Guards against a host that never learns what an upstream holds because the mark was lost.
+#[test]
+fn lost_mark_is_repaired_by_a_digest() {
+    let mut random = SmallRng::seed_from_u64(5);
+    let (mut one, mut other) = (view("one"), view("other"));
+    let meet = |view: &mut View, id: &str| {
+        let gossip = Gossip {
+            marks: vec![ready(id).into()],
+            kind: Message::Urgent.into(),
+            ..Gossip::default()
+        };
+        view.receive(NOW, &id.into(), &gossip, &mut SmallRng::seed_from_u64(5));
+    };
+    meet(&mut one, "other");
+    meet(&mut other, "one");
+    one.hold(&"u".into(), "drafting");
+    let is_held = |mark: &Mark| matches!(mark.fact, Some(Fact::Held(_)));
+    let mut now = NOW;
+    let mut lost = 0;
+    for _ in 0..10 {
+        now += Duration::from_secs(1);
+        let sent = one.tick(now, &mut random);
+        lost = sent
+            .iter()
+            .flat_map(|(_, gossip)| &gossip.marks)
+            .filter(|m| is_held(m))
+            .count();
+    }
+    assert_eq!(lost, 0, "the mark is still sent");
+    let sent = other.tick(now, &mut random);
+    let digest = sent.iter().find(|(_, gossip)| !gossip.buckets.is_empty());
+    let answer = one.receive(now, &"other".into(), &digest.unwrap().1, &mut random);
+    other.receive(now, &"one".into(), &answer.unwrap(), &mut random);
+    assert_eq!(&*other.held()["u"], "drafting");
+}
--- a/crates/router/src/placement/order.rs
+++ b/crates/router/src/placement/order.rs
@@ -66,11 +66,9 @@
             reason = order.reason, fencing = order.fencing, result:%;
             "order"
         );
-        match answer {
-            // Another process has a greater number, whatever the lease row says.
-            Answer::Refused => Err(Broken::Ended),
-            Answer::Sent | Answer::Failed => Ok(()),
-        }
+        // The order counts as sent in any case, so that an engine that refuses or fails does not
+        // hold up the others. Whether another process has the lease is for the next round to see.
+        Ok(())
     }
 
     async fn call(&self, url: &str, order: &Order, left: Duration) -> Answer {
--- a/crates/router/tests/placement.rs
+++ b/crates/router/tests/placement.rs
@@ -16,12 +16,15 @@
         route::Name,
     },
     marigoldroute_upstream::{LoadFault, Rate, WeightStore},
+    serde_json::json,
     std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 const PURCHASED: u64 = 100_000;
 /// Tries until all engines were probed; each takes 100 ms or more, and a probe is due each second.
 const PROBING_TICKS: usize = 100;
+/// Tries until the placement has gone on; each takes as long as a round.
+const ROUND_TICKS: usize = 200;
 const FOUR: [Numbers; 4] = [
     Numbers::Ignored,
     Numbers::Checked,
@@ -108,6 +111,32 @@
     router.stop().await;
 }
 
+/// Guards against an engine whose greatest fencing number is above the present one, as after the
+/// rows of the table service were restored, that keeps all others from getting orders.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_that_refuses_does_not_hold_up_the_others() {
+    let outside = Outside::with_engines(engines(&CHECKED, &store(8)), PURCHASED).await;
+    let url = format!("{}/v1/models/load", outside.urls[0]);
+    let order = json!({"model": "drafting", "version": 1, "fencing": 1_000_000});
+    let taken = reqwest::Client::new().post(url).json(&order).send().await;
+    assert!(taken.unwrap().status().is_success());
+    outside.engines[0].lose_model();
+    let router = outside.router(1).await;
+    apply(&router, "placement", placement(&CHECKED)).await;
+    let replicas = || outside.serving().len();
+    let mut tick = tokio::time::interval(Duration::from_millis(100));
+    for _ in 0..ROUND_TICKS {
+        tick.tick().await;
+        if replicas() >= 2 {
+            break;
+        }
+    }
+    // The refused order counts as the third replica until it is repeated.
+    assert!(replicas() >= 2, "{:?}", outside.serving());
+    assert!(outside.engines[0].refused_orders() > 0);
+    router.stop().await;
+}
+
 /// Guards against a request that is sent to an engine without the model.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_go_to_engines_that_hold_the_model() {
