Adapt tests of merged parts to one another

Cause: the whole-slices test read journals without their opening row, and the test of releases sent a reservation without its least part; both parts were changed beside each other.

Change: the model reads the opening row, the reservation names its least part.

--- a/crates/core/tests/whole/duty.rs
+++ b/crates/core/tests/whole/duty.rs
@@ -281,7 +281,11 @@
             rows.flatten().collect()
         };
         let author = process.id.clone();
-        let transaction = match reclaim::read(holder, last).expect("a journal row") {
+        let Some(opening) = self.fresh(process.host, &journal::opening(holder)) else {
+            return false;
+        };
+        let found = reclaim::read(holder, last, opening.as_ref());
+        let transaction = match found.expect("a journal row") {
             reclaim::Found::Closed | reclaim::Found::Lost(_) => return true,
             reclaim::Found::Live(tail) => {
                 reach("fence");
--- a/crates/router/tests/release.rs
+++ b/crates/router/tests/release.rs
@@ -45,6 +45,7 @@
         request: "order.1".into(),
         budget: BUDGET.into(),
         amount: 10,
+        least: 10,
         workspace: "kolkata".into(),
         model: "orders".into(),
     };
