Let no request undo a newer configuration in the dispatch

Cause: each choice made the policy follow the state that its request had read. A request that read the state just before a withdrawal and chose just after it put the upstream back for all others until the next choice, and started its slow start.

Change: the dispatch follows only the states that the control task gives it, in their order. A choice leaves out upstreams that its own state does not know.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -104,9 +104,12 @@
         }
     }
 
-    /// Takes a new state, so that reports are not lost on upstreams without a request so far.
+    /// Takes a new state; states are given in their order, before requests see them.
     pub(crate) fn apply(&self, scene: &Scene) {
-        let now = self.clock.now();
+        self.apply_at(self.clock.now(), scene);
+    }
+
+    fn apply_at(&self, now: Duration, scene: &Scene) {
         self.lock().follow(now, scene);
     }
 
@@ -128,7 +131,6 @@
         tried: &[UpstreamId],
     ) -> Option<Flight> {
         let mut state = self.lock();
-        state.follow(now, scene);
         let mut choice = state.choose(now, scene, need, tried)?;
         let State { policy, limits, .. } = &mut *state;
         policy.report(now, &mut choice.ticket, Progress::Sent(need.prefixes));
@@ -234,7 +236,9 @@
             let limits = &self.limits;
             let allows = |id: &UpstreamId| {
                 let has_room = limits.get(id).is_none_or(|room| room.is_free(now, start));
-                has_room && scene.is_up(id) && !tried.contains(id)
+                // The request may have seen an older state than the policy.
+                let is_known = scene.catalog.upstreams.contains_key(id);
+                has_room && is_known && scene.is_up(id) && !tried.contains(id)
             };
             let request = Request {
                 target: need.target,
--- a/crates/router/src/dispatch/tests.rs
+++ b/crates/router/src/dispatch/tests.rs
@@ -78,6 +78,7 @@
     /// Sends requests that stay in flight; returns how many went to an upstream.
     fn send(&mut self, seconds: u64, count: usize, to: &str) -> usize {
         let now = Duration::from_secs(seconds);
+        self.dispatch.apply_at(now, &self.scene);
         let choose = |_| self.dispatch.choose_at(now, &self.scene, NEED, &[]);
         let chosen: Vec<_> = (0..count).filter_map(choose).collect();
         assert_eq!(chosen.len(), count, "requests were refused");
@@ -152,6 +153,23 @@
     assert_eq!(fleet.send(101, AFTER, "b"), AFTER);
 }
 
+/// Guards against a request that still has the state from before a withdrawal and puts the upstream
+/// back into service for all others.
+#[test]
+fn an_older_state_restores_nothing() {
+    let mut fleet = Fleet::new(&["a", "b"]);
+    let before = fleet.scene.clone();
+    fleet.send(100, 1, "a");
+    fleet.turn("b", State::Withdrawn);
+    fleet.dispatch.apply(&fleet.scene);
+    let now = Duration::from_secs(101);
+    for _ in 0..BEFORE {
+        let flight = fleet.dispatch.choose_at(now, &before, NEED, &[]).unwrap();
+        assert_eq!(*flight.upstream, *"a");
+        fleet.flights.push(flight);
+    }
+}
+
 const PREFIXES: &[u64] = &[11, 12, 13, 14, 15, 16, 17, 18];
 
 fn event(sequence: u64, stored: &[u64], removed: &[u64]) -> CacheEvent {
