--- a/crates/router/src/control/scene.rs
+++ b/crates/router/src/control/scene.rs
@@ -168,6 +168,19 @@
         held.is_none_or(|model| **model == *target)
     }
 
+    /// Returns whether an upstream gets new work for a model or service.
+    ///
+    /// While every upstream for it is out, those that failed are tried: failures with another
+    /// cause, such as requests that no upstream survives, must not take all of them out. One that
+    /// is leaving gets nothing.
+    pub(crate) fn takes(&self, upstream: &str, target: &str) -> bool {
+        if !self.holds(upstream, target) || self.out.get(upstream) == Some(&Status::Leaving) {
+            return false;
+        }
+        let mut candidates = self.catalog.candidates(target);
+        self.is_up(upstream) || !candidates.any(|(id, _)| self.is_up(id) && self.holds(id, target))
+    }
+
     /// Returns whether an upstream gets new work as far as its health goes.
     pub(crate) fn is_up(&self, upstream: &str) -> bool {
         !self.out.contains_key(upstream)
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -107,9 +107,12 @@
         }
     }
 
-    /// Takes a new state, so that reports are not lost on upstreams without a request so far.
+    /// Takes a new state; states are given in their order, before requests see them.
     pub(crate) fn apply(&self, scene: &Scene) {
-        let now = self.clock.now();
+        self.apply_at(self.clock.now(), scene);
+    }
+
+    fn apply_at(&self, now: Duration, scene: &Scene) {
         self.lock().follow(now, scene);
     }
 
@@ -131,7 +134,6 @@
         tried: &[UpstreamId],
     ) -> Option<Flight> {
         let mut state = self.lock();
-        state.follow(now, scene);
         let mut choice = state.choose(now, scene, need, tried)?;
         let State {
             policy,
@@ -172,7 +174,7 @@
         let state = self.lock();
         let mut candidates = scene.catalog.candidates(target);
         candidates.any(|(id, _)| {
-            let is_usable = scene.is_up(id) && scene.holds(id, target);
+            let is_usable = scene.takes(id, target);
             is_usable && !tried.contains(id) && state.limits.contains_key(id)
         })
     }
@@ -254,7 +256,9 @@
             let limits = &self.limits;
             let allows = |id: &UpstreamId| {
                 let has_room = limits.get(id).is_none_or(|room| room.is_free(now, start));
-                has_room && scene.is_up(id) && scene.holds(id, need.target) && !tried.contains(id)
+                // The request may have seen an older state than the policy.
+                let is_known = scene.catalog.upstreams.contains_key(id);
+                has_room && is_known && scene.takes(id, need.target) && !tried.contains(id)
             };
             let request = Request {
                 target: need.target,
--- a/crates/router/src/dispatch/tests.rs
+++ b/crates/router/src/dispatch/tests.rs
@@ -82,6 +82,7 @@
     /// Sends requests that stay in flight; returns how many went to an upstream.
     fn send(&mut self, seconds: u64, count: usize, to: &str) -> usize {
         let now = Duration::from_secs(seconds);
+        self.dispatch.apply_at(now, &self.scene);
         let target = "drafting".into();
         let need = need(&target);
         let choose = |_| self.dispatch.choose_at(now, &self.scene, need, &[]);
@@ -158,6 +159,47 @@
     assert_eq!(fleet.send(101, AFTER, "b"), AFTER);
 }
 
+/// Guards against a request that still has the state from before a withdrawal and puts the upstream
+/// back into service for all others.
+#[test]
+fn an_older_state_restores_nothing() {
+    let mut fleet = Fleet::new(&["a", "b"]);
+    let before = fleet.scene.clone();
+    fleet.send(100, 1, "a");
+    fleet.turn("b", State::Withdrawn);
+    fleet.dispatch.apply(&fleet.scene);
+    let now = Duration::from_secs(101);
+    let target = "drafting".into();
+    for _ in 0..BEFORE {
+        let flight = fleet.dispatch.choose_at(now, &before, need(&target), &[]);
+        let flight = flight.unwrap();
+        assert_eq!(**flight.upstream(), *"a");
+        fleet.flights.push(flight);
+    }
+}
+
+/// Guards against a model without any upstream because all of them have failed, and against work
+/// for one that is leaving.
+#[test]
+fn failures_do_not_take_all_upstreams_out() {
+    let mut fleet = Fleet::new(&["a", "b", "c"]);
+    fleet.scene.out.insert("a".into(), Status::Failing);
+    fleet.scene.out.insert("c".into(), Status::Leaving);
+    assert_eq!(fleet.send(100, 10, "b"), 10);
+    fleet.scene.out.insert("b".into(), Status::Failing);
+    assert_eq!(fleet.send(101, 10, "c"), 0);
+    fleet.scene.out.remove("a");
+    assert_eq!(fleet.send(102, 10, "a"), 10);
+    fleet.scene.out.insert("a".into(), Status::Leaving);
+    fleet.scene.out.insert("b".into(), Status::Leaving);
+    let target = "drafting".into();
+    let now = Duration::from_secs(103);
+    let none = fleet
+        .dispatch
+        .choose_at(now, &fleet.scene, need(&target), &[]);
+    assert!(none.is_none());
+}
+
 const PREFIXES: &[u64] = &[11, 12, 13, 14, 15, 16, 17, 18];
 
 fn event(sequence: u64, stored: &[u64], removed: &[u64]) -> CacheEvent {
