--- a/crates/router/tests/resources.rs
+++ b/crates/router/tests/resources.rs
@@ -236,6 +236,9 @@
     fleet
         .put("journal/router-9.00ff.1/000000000001", &journal)
         .await;
+    fleet
+        .put("holder/router-9.00ff.1", &"router-9.00ff.1")
+        .await;
     fleet.put("host/router-9.00ff", &json!({})).await;
 
     let status = operator.get("/hosts/router-9").await.accepted();
