Move refunds of dropped bills out of the ledger module

Change: the tokens of dropped bills are computed and returned in bill/refund.rs. No behaviour changes.

--- a/crates/core/src/bill/ledger.rs
+++ b/crates/core/src/bill/ledger.rs
@@ -5,14 +5,15 @@
         Bill,
         cursor::{self, Batch, Cursor, Page},
         lease::Lease,
+        refund::{refund, refunds},
         segment::{Object, Segment},
         stamp,
         window::{self, Slot, Window, fingerprint},
     },
     crate::{
-        budget::{Account, account::key as account_key, journal::key as journal_key},
+        budget::{account::key as account_key, journal::key as journal_key},
         fault::{Fault, Kind},
-        id::{BudgetId, HolderId, Sequence, Tokens},
+        id::{BudgetId, HolderId, Sequence},
         table::{Condition, Row, Transaction, Verdict},
     },
     std::{
@@ -384,33 +385,3 @@
         bills,
     }
 }
-
-fn refunds<'a>(bills: impl Iterator<Item = &'a Bill>) -> BTreeMap<&'a BudgetId, Tokens> {
-    let mut refunds = BTreeMap::new();
-    for bill in bills.filter(|bill| bill.charged > 0) {
-        *refunds.entry(&bill.budget).or_default() += bill.charged;
-    }
-    refunds
-}
-
-/// Returns the tokens of dropped bills to their budgets.
-fn refund<'a>(
-    transaction: &mut Transaction,
-    bills: impl Iterator<Item = &'a Bill>,
-    accounts: &[Row],
-) -> Result<(), Fault> {
-    for (budget, tokens) in refunds(bills) {
-        let key = account_key(budget);
-        let fault = |reason: &str| Fault::new(Kind::Internal, format!("row {key}: {reason}"));
-        let row = accounts.iter().find(|row| *row.key == *key);
-        let row = row.ok_or_else(|| fault("not read"))?;
-        let mut account: Account =
-            serde_json::from_str(&row.value).map_err(|_| fault("not a budget"))?;
-        account
-            .restore(tokens)
-            .ok_or_else(|| fault("fewer tokens allocated than returned"))?;
-        transaction.require(key.as_str(), row.version);
-        transaction.put(key, serde_json::to_string(&account).unwrap_or_default());
-    }
-    Ok(())
-}
--- a/crates/core/src/bill/mod.rs
+++ b/crates/core/src/bill/mod.rs
@@ -10,6 +10,7 @@
 mod ledger;
 mod read;
 mod recover;
+mod refund;
 mod removal;
 mod segment;
 mod stamp;
