--- a/crates/core/tests/bill_fuzz.rs
+++ b/crates/core/tests/bill_fuzz/fleet.rs
@@ -1,10 +1,10 @@
-//! Stateful test of billing: holders that crash, pause and return, requests that are settled at
-//! two holders, two ledgers and both stores failing. The oracle is the list of executions.
-
-mod fuzz;
+//! Holders, ledgers and both stores, with what the oracle knows of them.
 
 use {
-    fuzz::{Fault, Store, World, fault},
+    crate::{
+        fuzz::{Fault, Store},
+        step::Defect,
+    },
     marigoldroute_core::{
         bill::{
             self, Basis, Bill, Lease, Ledger, Object, Page, Record, Segment, Settings,
@@ -14,7 +14,6 @@
         id::{HolderId, RequestId, Tokens},
         table::{Row, Transaction, Verdict, Write},
     },
-    proptest::prelude::*,
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
@@ -22,94 +21,45 @@
     },
 };
 
-const SEED: u64 = 0x6d61_7269_0002;
-const CASES: u32 = 800;
-const DEFECT_CASES: u32 = 2_000;
-const HOLDERS: usize = 3;
-const LEDGERS: usize = 2;
-const BUDGETS: usize = 2;
-const ALLOCATED: Tokens = 1_000_000;
-const EPOCH: Duration = Duration::from_secs(1_800_000_000);
+pub const HOLDERS: usize = 3;
+pub const ALLOCATED: Tokens = 1_000_000;
 const TERM: Duration = Duration::from_secs(30);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Defect {
-    /// Ledger transactions without the condition on the lease.
-    NoLease,
-    /// Ledger transactions without the condition on the cursor.
-    NoCursor,
-    /// A ledger that forgets after a lost reply that a batch is in doubt.
-    ForgetDoubt,
-    /// A lease that counts as taken when the row names the process, whoever wrote it.
-    UnconfirmedLease,
-    /// Slots that are taken as empty without reading their index.
-    NoIndex,
-    /// A batch that is closed although its objects were not stored.
-    CloseEarly,
-    /// Dropped bills whose tokens are not returned.
-    NoRefund,
-    /// A lost holder whose usage records are not billed.
-    NoRecovery,
-}
-
-#[derive(Clone, Debug)]
-enum Step {
-    /// A request is executed and settled at a holder, sometimes at a second one too: holders,
-    /// budget and tokens.
-    Execute(usize, Option<usize>, usize, Tokens),
-    /// A holder appends its bills.
-    Flush(usize),
-    /// A holder is gone; its unwritten bills are rebuilt from usage records.
-    Lose(usize),
-    /// A holder that was taken as lost returns and appends what it has.
-    Return,
-    /// A ledger takes or renews the lease.
-    Acquire(usize, Fault),
-    /// A ledger visits a journal: one transaction, or an attempt to store the objects, of which
-    /// the given number succeeds.
-    Visit(usize, usize, Fault, usize),
-    /// A ledger process is replaced.
-    Restart(usize),
-    /// Seconds.
-    Advance(u64),
-    Deliver,
+pub struct Holder {
+    pub id: HolderId,
+    pub next: u64,
+    pub bills: Vec<Bill>,
 }
 
-struct Holder {
-    id: HolderId,
-    next: u64,
-    bills: Vec<Bill>,
+pub struct Execution {
+    pub budget: Arc<str>,
+    pub tokens: Tokens,
+    pub holders: Vec<HolderId>,
 }
 
-struct Execution {
-    budget: Arc<str>,
-    tokens: Tokens,
-    holders: Vec<HolderId>,
-}
-
-struct Fleet {
-    defect: Option<Defect>,
-    store: Store,
-    objects: BTreeMap<Arc<str>, Vec<u8>>,
-    now: Duration,
-    executions: BTreeMap<RequestId, Execution>,
-    holders: Vec<Holder>,
+pub struct Fleet {
+    pub defect: Option<Defect>,
+    pub store: Store,
+    pub objects: BTreeMap<Arc<str>, Vec<u8>>,
+    pub now: Duration,
+    pub executions: BTreeMap<RequestId, Execution>,
+    pub holders: Vec<Holder>,
     /// Holders that were taken as lost and may return.
-    away: VecDeque<Holder>,
+    pub away: VecDeque<Holder>,
     /// All holder ids, in the order of their start.
-    journals: Vec<HolderId>,
-    ledgers: Vec<Option<Ledger>>,
+    pub journals: Vec<HolderId>,
+    pub ledgers: Vec<Option<Ledger>>,
     /// Every copy of a bill that a journal row has held.
-    settled: Vec<Bill>,
-    late_objects: VecDeque<Object>,
+    pub settled: Vec<Bill>,
+    pub late_objects: VecDeque<Object>,
 }
 
 impl Fleet {
-    fn has(&self, defect: Defect) -> bool {
+    pub fn has(&self, defect: Defect) -> bool {
         self.defect == Some(defect)
     }
 
-    fn start(&mut self) -> Holder {
+    pub fn start(&mut self) -> Holder {
         let id: HolderId = format!("h.{}", self.journals.len()).into();
         self.journals.push(id.clone());
         Holder {
@@ -119,7 +69,7 @@
         }
     }
 
-    fn execute(&mut self, holder: usize, second: Option<usize>, budget: usize, tokens: Tokens) {
+    pub fn execute(&mut self, holder: usize, second: Option<usize>, budget: usize, tokens: Tokens) {
         let request = mint(self.now, self.executions.len() as u64);
         let budget: Arc<str> = format!("b{budget}").into();
         let mut holders = vec![self.holders[holder].id.clone()];
@@ -137,7 +87,7 @@
         self.executions.insert(request, execution);
     }
 
-    fn append(&mut self, id: &HolderId, author: &HolderId, sequence: u64, bills: Vec<Bill>) {
+    pub fn append(&mut self, id: &HolderId, author: &HolderId, sequence: u64, bills: Vec<Bill>) {
         self.settled.extend_from_slice(&bills);
         let journal = Journal {
             author: author.clone(),
@@ -153,7 +103,7 @@
         assert_eq!(self.store.table.commit(&transaction), Verdict::Committed);
     }
 
-    fn flush(&mut self, holder: usize) {
+    pub fn flush(&mut self, holder: usize) {
         let holder = &mut self.holders[holder];
         let (id, sequence) = (holder.id.clone(), holder.next);
         holder.next += 1;
@@ -163,7 +113,7 @@
 
     /// Bills the lost holder's requests from the engines' records, as far as its journal lacks
     /// them. The records do not say which bills the ledger has consumed.
-    fn lose(&mut self, holder: usize) {
+    pub fn lose(&mut self, holder: usize) {
         let fresh = self.start();
         let mut lost = std::mem::replace(&mut self.holders[holder], fresh);
         let rows = self
@@ -187,14 +137,14 @@
         self.away.push_back(lost);
     }
 
-    fn resume(&mut self) {
+    pub fn resume(&mut self) {
         if let Some(mut holder) = self.away.pop_front() {
             let bills = std::mem::take(&mut holder.bills);
             self.append(&holder.id, &holder.id, holder.next, bills);
         }
     }
 
-    fn acquire(&mut self, ledger: usize, fault: Fault) {
+    pub fn acquire(&mut self, ledger: usize, fault: Fault) {
         let row = self.store.table.get("lease/ledger").cloned();
         let id: HolderId = format!("ledger.{ledger}").into();
         let lease = Lease::acquire("ledger", row.as_ref(), &id, self.now, TERM);
@@ -218,7 +168,7 @@
         }
     }
 
-    fn ledger(&self, lease: &Row) -> Ledger {
+    pub fn ledger(&self, lease: &Row) -> Ledger {
         let settings = Settings {
             rows: 3,
             bills: 4,
@@ -229,7 +179,7 @@
         Ledger::new(lease, &cursors, settings).expect("cursor rows")
     }
 
-    fn visit(&mut self, number: usize, journal: usize, fault: Fault, stored: usize) {
+    pub fn visit(&mut self, number: usize, journal: usize, fault: Fault, stored: usize) {
         let Some(mut ledger) = self.ledgers[number].take() else {
             return;
         };
@@ -260,7 +210,7 @@
     }
 
     /// Returns the verdict, `Committed` when nothing was to do and `None` for a lost reply.
-    fn decide(&mut self, ledger: &mut Ledger, page: &Page, fault: Fault) -> Option<Verdict> {
+    pub fn decide(&mut self, ledger: &mut Ledger, page: &Page, fault: Fault) -> Option<Verdict> {
         for slot in ledger.slots(self.now, page) {
             let prefix = index_prefix(slot);
             let keys = self
@@ -284,7 +234,7 @@
         self.store.commit(self.sabotage(decided.transaction), fault)
     }
 
-    fn publish(
+    pub fn publish(
         &mut self,
         ledger: &mut Ledger,
         page: &Page,
@@ -307,7 +257,7 @@
         self.store.commit(self.sabotage(transaction), fault)
     }
 
-    fn sabotage(&self, mut transaction: Transaction) -> Transaction {
+    pub fn sabotage(&self, mut transaction: Transaction) -> Transaction {
         match self.defect {
             Some(Defect::NoLease) => transaction
                 .conditions
@@ -323,7 +273,7 @@
         transaction
     }
 
-    fn deliver(&mut self) -> bool {
+    pub fn deliver(&mut self) -> bool {
         let is_delivered = self.store.deliver();
         let Some(object) = self.late_objects.pop_front() else {
             return is_delivered;
@@ -332,7 +282,7 @@
         true
     }
 
-    fn billed(&self) -> BTreeMap<RequestId, Bill> {
+    pub fn billed(&self) -> BTreeMap<RequestId, Bill> {
         let mut billed = BTreeMap::new();
         for (key, value) in self
             .objects
@@ -349,7 +299,7 @@
     }
 
     /// Runs everything to its end without faults.
-    fn settle(&mut self) {
+    pub fn settle(&mut self) {
         for holder in 0..HOLDERS {
             self.flush(holder);
         }
@@ -371,7 +321,7 @@
         }
     }
 
-    fn is_idle(&self) -> bool {
+    pub fn is_idle(&self) -> bool {
         self.journals.iter().all(|holder| {
             let cursor = Page::cursor(self.store.table.get(&bill::key(holder))).expect("a cursor");
             let (prefix, after) = Page::range(holder, &cursor);
@@ -379,7 +329,7 @@
         })
     }
 
-    fn check_end(&self) {
+    pub fn check_end(&self) {
         assert!(self.is_idle(), "the ledger did not finish");
         let billed = self.billed();
         let mut spent: BTreeMap<&str, Tokens> = BTreeMap::new();
@@ -434,102 +384,3 @@
         basis: Basis::Record,
     }
 }
-
-impl World for Fleet {
-    type Step = Step;
-    type Defect = Defect;
-
-    fn steps() -> BoxedStrategy<Step> {
-        let second = prop::option::weighted(0.4, 0..HOLDERS);
-        let stored = prop_oneof![4 => Just(99_usize), 1 => 0..4_usize];
-        prop_oneof![
-            8 => (0..HOLDERS, second, 0..BUDGETS, 0..50_u64)
-                .prop_map(|(holder, second, budget, n)| Step::Execute(holder, second, budget, n)),
-            8 => (0..HOLDERS).prop_map(Step::Flush),
-            1 => (0..HOLDERS).prop_map(Step::Lose),
-            1 => Just(Step::Return),
-            3 => (0..LEDGERS, fault()).prop_map(|(ledger, fault)| Step::Acquire(ledger, fault)),
-            24 => (0..LEDGERS, 0..6_usize, fault(), stored)
-                .prop_map(|(ledger, journal, fault, n)| Step::Visit(ledger, journal, fault, n)),
-            1 => (0..LEDGERS).prop_map(Step::Restart),
-            2 => prop::sample::select(vec![1, 40, 700]).prop_map(Step::Advance),
-            2 => Just(Step::Deliver),
-        ]
-        .boxed()
-    }
-
-    fn new(defect: Option<Defect>) -> Self {
-        let mut world = Self {
-            defect,
-            store: Store::default(),
-            objects: BTreeMap::new(),
-            now: EPOCH,
-            executions: BTreeMap::new(),
-            holders: Vec::new(),
-            away: VecDeque::new(),
-            journals: Vec::new(),
-            ledgers: (0..LEDGERS).map(|_| None).collect(),
-            settled: Vec::new(),
-            late_objects: VecDeque::new(),
-        };
-        let mut transaction = Transaction::default();
-        for budget in 0..BUDGETS {
-            let value = format!(r#"{{"purchased":{ALLOCATED},"allocated":{ALLOCATED}}}"#);
-            transaction.put(format!("budget/b{budget}"), value);
-        }
-        world.store.table.commit(&transaction);
-        for _ in 0..HOLDERS {
-            let holder = world.start();
-            world.holders.push(holder);
-        }
-        world
-    }
-
-    fn apply(&mut self, step: Step) {
-        match step {
-            Step::Execute(holder, second, budget, n) => self.execute(holder, second, budget, n),
-            Step::Flush(holder) => self.flush(holder),
-            Step::Lose(holder) => self.lose(holder),
-            Step::Return => self.resume(),
-            Step::Acquire(ledger, fault) => self.acquire(ledger, fault),
-            Step::Visit(ledger, journal, fault, n) => self.visit(ledger, journal, fault, n),
-            Step::Restart(ledger) => self.ledgers[ledger] = None,
-            Step::Advance(seconds) => self.now += Duration::from_secs(seconds),
-            Step::Deliver => drop(self.deliver()),
-        }
-    }
-
-    fn check(&self) {
-        self.billed();
-    }
-
-    fn finish(&mut self) {
-        self.settle();
-        self.check_end();
-    }
-}
-
-/// Guards against a second bill, a lost bill and tokens that are neither billed nor returned.
-#[test]
-fn bills_count_exactly_once_under_faults() {
-    let failure = fuzz::first_failure::<Fleet>(None, SEED, CASES, 3_000);
-    assert_eq!(failure, None);
-}
-
-/// Guards against an oracle that accepts faults.
-#[test]
-fn oracle_detects_defects() {
-    let (twice, never, lost) = ("billed twice", "was not billed", "are lost");
-    for (defect, reasons) in [
-        (Defect::NoLease, &[twice][..]),
-        (Defect::NoCursor, &["is missing", twice, never, lost]),
-        (Defect::ForgetDoubt, &[twice]),
-        (Defect::UnconfirmedLease, &[twice]),
-        (Defect::NoIndex, &[twice]),
-        (Defect::CloseEarly, &[never, twice]),
-        (Defect::NoRefund, &[lost]),
-        (Defect::NoRecovery, &[never]),
-    ] {
-        fuzz::detect::<Fleet>(defect, SEED, DEFECT_CASES, reasons);
-    }
-}
