Pace the writes of holders

Besides, the router wrote a row for each reservation that lacked tokens, and every 100 ms while one waited.

Change: The holders of a fleet together make about 600 row writes per second at most, by the number of ready hosts. Regular flushes always take place; one outside the interval needs writes for two budget rows. Budgets whose reservations lacked most come first. The simulation has the variants `paced` and `unpaced`, in which an entry waits at one holder before it asks the next, as the router does, and a column for the first 30 s.

--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -12,6 +12,7 @@
         table::{Row, Transaction, Verdict},
     },
     std::{
+        cmp::Reverse,
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
@@ -73,8 +74,9 @@
             Phase::Fenced | Phase::Closed => return Vec::new(),
         };
         if self.phase == Phase::Open {
-            slots.sort_by_key(|(_, slot)| (slot.lack() == 0, slot.review_at));
-            slots.truncate(self.settings.batch);
+            let budgets = self.allowance.budgets(now, &self.settings);
+            slots.sort_by_key(|(_, slot)| (slot.lack() == 0, Reverse(slot.missed), slot.review_at));
+            slots.truncate(self.settings.batch.min(budgets));
         }
         let budgets = slots.into_iter();
         budgets.map(|(budget, _)| account::key(budget)).collect()
@@ -111,6 +113,8 @@
             }
         }
         let transaction = pending.transaction.clone();
+        let writes = transaction.writes.len();
+        self.allowance.spend(now, &self.settings, writes);
         self.pending = Some(pending);
         Some(transaction)
     }
--- a/crates/core/src/budget/grant.rs
+++ b/crates/core/src/budget/grant.rs
@@ -7,6 +7,15 @@
 /// Time constant of the average that keeps grants through a lull.
 const LULL: Duration = Duration::from_secs(1_800);
 
+/// Row writes per second of all holders together; the table service takes several hundred.
+const FLEET_WRITES: f64 = 600.0;
+/// Row writes per second of one holder, so that refills are possible in any fleet.
+const LEAST_PACE: f64 = 1.0;
+/// Time for which a holder saves up writes.
+const SAVED: Duration = Duration::from_secs(2);
+/// Writes that every holder may save up: a journal row and three budget rows.
+const LEAST_SAVED: f64 = 4.0;
+
 /// Unreserved tokens below this fraction of the smallest grant are not worth frequent reads.
 const SCRAP: Tokens = 8;
 
@@ -40,6 +49,9 @@
     /// The same when the budget is nearly exhausted. Holders that are asked for tokens which they
     /// lack read the row in any case, so a long time delays only the return by idle holders.
     pub review_soon: Duration,
+    /// Rows that the holder writes per second outside its regular flushes, and in budget rows with
+    /// them; see [`Settings::paced`].
+    pub pace: f64,
     /// Largest number of open reservations and of bills that no row holds yet, taken together.
     pub limit: usize,
     /// Largest number of budgets of one holder.
@@ -63,6 +75,7 @@
             patience: Duration::from_secs(2),
             review: Duration::from_secs(300),
             review_soon: Duration::from_secs(30),
+            pace: f64::INFINITY,
             limit: 65_536,
             budgets: 16_384,
             remembered: 16_384,
@@ -129,6 +142,15 @@
         }
     }
 
+    /// Returns the settings of one of `hosts` holders that together write at most
+    /// [`FLEET_WRITES`] rows per second, also when the whole fleet starts at once.
+    pub fn paced(self, hosts: usize) -> Self {
+        Self {
+            pace: (FLEET_WRITES / hosts.max(1) as f64).max(LEAST_PACE),
+            ..self
+        }
+    }
+
     /// Returns the settings with another endurance. A longer one lengthens the grants too, because a
     /// mark cannot be above the tokens allocated.
     pub fn with_endurance(self, endurance: Duration) -> Self {
@@ -211,3 +233,43 @@
 fn weight(seconds: f64, constant: Duration) -> f64 {
     1.0 - (-seconds / constant.as_secs_f64()).exp()
 }
+
+/// The row writes that a holder may make now.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    /// Below 0 after a regular flush that was not covered.
+    writes: f64,
+    since: Duration,
+}
+
+impl Allowance {
+    /// Starts with what every holder may save up, as before the first request.
+    pub fn new() -> Self {
+        Self {
+            writes: LEAST_SAVED,
+            since: Duration::ZERO,
+        }
+    }
+
+    /// Returns the number of budget rows that a transaction may write beside its journal row.
+    pub fn budgets(&self, now: Duration, settings: &Settings) -> usize {
+        (self.at(now, settings) - 1.0).max(0.0) as usize
+    }
+
+    /// Takes the writes of a transaction.
+    pub fn spend(&mut self, now: Duration, settings: &Settings, writes: usize) {
+        let writes = self.at(now, settings) - writes as f64;
+        // A long series of regular flushes does not keep a holder from refills for longer.
+        self.writes = writes.max(-LEAST_SAVED);
+        self.since = now;
+    }
+
+    fn at(&self, now: Duration, settings: &Settings) -> f64 {
+        if settings.pace.is_infinite() {
+            return settings.batch as f64 + 1.0;
+        }
+        let elapsed = now.saturating_sub(self.since).as_secs_f64();
+        let most = (settings.pace * SAVED.as_secs_f64()).max(LEAST_SAVED);
+        (self.writes + elapsed * settings.pace).min(most)
+    }
+}
--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         flush::Pending,
-        grant::Settings,
+        grant::{Allowance, Settings},
         journal::{Share, Shares},
         slot::Slot,
     },
@@ -20,6 +20,9 @@
     },
 };
 
+/// Budget rows for which a flush outside the interval is worth its journal row.
+const HURRIED_BUDGETS: usize = 2;
+
 /// Why a reservation was not made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shortage {
@@ -114,6 +117,7 @@
     /// The latest time that the holder was called with.
     pub(super) clock: Duration,
     pub(super) last_flush: Duration,
+    pub(super) allowance: Allowance,
     /// The latest billed requests, so that a repeated message does not bill a request again.
     pub(super) billed: HashSet<RequestId>,
     pub(super) billed_order: VecDeque<RequestId>,
@@ -124,6 +128,7 @@
     pub fn new(id: HolderId, settings: Settings) -> Self {
         Self {
             id,
+            allowance: Allowance::new(),
             settings,
             next: 1,
             opening: Opening::Absent,
@@ -299,6 +304,14 @@
         }
     }
 
+    /// Returns whether a reservation lacks tokens and the holder may refill before its next regular
+    /// flush.
+    pub fn is_pressed(&self, now: Duration) -> bool {
+        // A journal row for a single budget row would take half of the writes.
+        let may = self.allowance.budgets(now, &self.settings) >= HURRIED_BUDGETS;
+        may && self.slots.values().any(|slot| slot.shortage > 0)
+    }
+
     /// Returns the part of the life cycle.
     pub fn phase(&self) -> Phase {
         self.phase
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -29,6 +29,8 @@
     pub shortage: Tokens,
     /// Fewest tokens that a reservation lacked since the last flush; 0 when none lacked any.
     pub least_shortage: Tokens,
+    /// Tokens that all reservations since the last flush lacked; repeated ones count again.
+    pub missed: Tokens,
     /// Tokens that a request which does with `least_shortage` would take, if there are as many.
     pub partial: Tokens,
     /// Smoothed spend.
@@ -77,6 +79,7 @@
         };
         self.least_shortage = least.min(tokens);
         self.shortage = self.shortage.max(tokens);
+        self.missed = self.missed.saturating_add(tokens);
     }
 
     /// Returns the tokens that the budget row has to provide to cover the largest shortage.
@@ -172,6 +175,7 @@
         let most = std::mem::take(&mut self.shortage);
         let least = std::mem::take(&mut self.least_shortage);
         self.partial = 0;
+        self.missed = 0;
         if mark >= self.ceiling + most {
             return (most > 0).then_some(most);
         }
--- a/crates/core/src/budget/tests/life.rs
+++ b/crates/core/src/budget/tests/life.rs
@@ -13,7 +13,7 @@
     crate::{
         fault::Kind,
         id::{BudgetId, Tokens},
-        table::Memory,
+        table::{Memory, Transaction},
     },
     std::time::Duration,
 };
@@ -312,3 +312,52 @@
     assert_eq!(part("r1", 100), Ok(500), "a repeated message");
     assert_eq!(part("r2", 1), Err(Shortage::Refill));
 }
+
+/// Guards against a fleet that writes more rows per second than the store takes when all budgets
+/// need their first tokens at once, and against a holder that never gets to some of them.
+#[test]
+fn first_refills_are_spread() {
+    const BUDGETS: usize = 60;
+    const HOSTS: usize = 390;
+    let mut table = Memory::default();
+    let mut buy = Transaction::default();
+    for number in 0..BUDGETS {
+        let value = r#"{"purchased":1000000,"allocated":0}"#;
+        buy.put(format!("budget/b{number}"), value);
+    }
+    table.commit(&buy);
+    let settings = Settings::default().paced(HOSTS);
+    let mut holder = Holder::new("h1".into(), settings);
+    let mut served = std::collections::BTreeSet::new();
+    let mut writes = Vec::new();
+    for tick in 0..1_200 {
+        let now = Duration::from_millis(100) * tick;
+        for number in 0..BUDGETS {
+            let (budget, request) = (format!("b{number}").into(), format!("r{number}").into());
+            if holder.reserve(now, &request, &budget, 1_000).is_ok() {
+                served.insert(number);
+            }
+        }
+        let is_regular = tick % 40 == 0;
+        if !is_regular && !holder.is_pressed(now) {
+            continue;
+        }
+        let rows = fetch(&table, &holder.wanted());
+        if let Some(transaction) = holder.flush(now, &rows) {
+            writes.push((tick, transaction.writes.len()));
+            holder.decide(&table.commit(&transaction));
+        }
+    }
+    assert_eq!(served.len(), BUDGETS);
+    for start in 0..1_200 {
+        let window = writes
+            .iter()
+            .filter(|(tick, _)| (start..start + 100).contains(tick));
+        let rows: usize = window.map(|(_, rows)| rows).sum();
+        let fleet = rows * HOSTS / 10;
+        assert!(
+            fleet < 900,
+            "{fleet} rows per second in the 10 s from tick {start}"
+        );
+    }
+}
--- a/crates/ctl/src/measure/budgets.rs
+++ b/crates/ctl/src/measure/budgets.rs
@@ -106,6 +106,10 @@
     holders: Option<usize>,
     /// Whether requests that the rest of a budget covers in part are shortened.
     shortens: bool,
+    /// Whether the holders spread their writes.
+    paces: bool,
+    /// Whether an entry waits at one holder before it asks the next, as in the router.
+    waits: bool,
     settings: Settings,
 }
 
@@ -114,6 +118,8 @@
         name,
         holders: Some(2),
         shortens: false,
+        paces: false,
+        waits: false,
         settings,
     };
     let endurance = |seconds, low_water| Settings {
@@ -126,9 +132,20 @@
             name: "every_host",
             holders: None,
             shortens: false,
+            paces: false,
+            waits: false,
             settings: Settings::default(),
         },
         ranked("ranked", Settings::default()),
+        Variant {
+            waits: true,
+            ..ranked("unpaced", Settings::default())
+        },
+        Variant {
+            paces: true,
+            waits: true,
+            ..ranked("paced", Settings::default())
+        },
         Variant {
             shortens: true,
             ..ranked("shortened_answers", Settings::default())
--- a/crates/ctl/src/measure/budgets/figures.rs
+++ b/crates/ctl/src/measure/budgets/figures.rs
@@ -10,6 +10,8 @@
 const LAST: Tokens = 20;
 /// Seconds over which the peak of writes is averaged.
 const WINDOW: usize = 10;
+/// Seconds after the start of the whole fleet that are counted apart.
+const START: u64 = 30;
 
 /// Counters of a run.
 #[derive(Clone, Debug, Default)]
@@ -31,6 +33,9 @@
     last: u64,
     false_last: u64,
     waited: u64,
+    /// Requests of the start, and those falsely refused.
+    early: u64,
+    false_early: u64,
     /// Served with a smaller answer limit.
     shortened: u64,
     stranded: Vec<Tokens>,
@@ -38,8 +43,9 @@
 }
 
 impl Tally {
-    pub fn arrive(&mut self, left: Tokens, bought: Tokens, job: &Job, calm: bool) {
+    pub fn arrive(&mut self, second: u64, left: Tokens, bought: Tokens, job: &Job, calm: bool) {
         self.requests += 1;
+        self.early += u64::from(second < START);
         self.calm += u64::from(calm);
         self.last += u64::from(calm && left >= job.amount && left * LAST <= bought);
     }
@@ -54,6 +60,7 @@
 
     pub fn refuse(
         &mut self,
+        since: u64,
         left: Tokens,
         stranded: Tokens,
         bought: Tokens,
@@ -69,6 +76,7 @@
             self.false_stranded += 1;
             return;
         }
+        self.false_early += u64::from(since < START);
         self.false_calm += u64::from(calm);
         self.false_last += u64::from(calm && left * LAST <= bought);
     }
@@ -94,7 +102,7 @@
 #[derive(Clone, Debug, Display)]
 #[display(
     "{overspent:.0},{refused:.5},{false_refusals:.6},{false_stranded:.6},{false_calm:.6},{false_last:.5},\
-     {waited:.5},{stranded:.0},{reads:.1},{writes:.1},{peak:.1},{shortened:.6},{cpu:.4},{budgets:.1}"
+     {waited:.5},{stranded:.0},{reads:.1},{writes:.1},{peak:.1},{false_early:.6},{shortened:.6},{cpu:.4},{budgets:.1}"
 )]
 pub struct Figures {
     /// Tokens.
@@ -124,6 +132,8 @@
     cpu: f64,
     /// Budgets per holder at the end.
     budgets: f64,
+    /// Share of the requests in the first seconds.
+    false_early: f64,
     /// Share of the requests that were served with a smaller answer limit.
     shortened: f64,
 }
@@ -133,7 +143,7 @@
     pub const HEADER: &str = "overspent_tokens,refused_share,false_refusal_share,\
         false_refusal_share_stranded,false_refusal_share_calm,false_refusal_share_last_5_percent,waited_share,\
         stranded_tokens_per_death,reads_per_second,writes_per_second,peak_writes_per_second,\
-        shortened_share,cpu_percent_per_holder,budgets_per_holder";
+        false_refusal_share_first_30_seconds,shortened_share,cpu_percent_per_holder,budgets_per_holder";
 
     pub fn new(tally: &Tally, nodes: &[Node], seconds: u64) -> Self {
         let share = |count: u64, of: u64| count as f64 / of.max(1) as f64;
@@ -155,6 +165,7 @@
             peak: tally.peak(),
             cpu: 100.0 * cpu / hosts / seconds as f64,
             budgets: budgets as f64 / hosts,
+            false_early: share(tally.false_early, tally.early),
             shortened: share(tally.shortened, tally.requests),
         }
     }
@@ -180,6 +191,7 @@
             peak: median(|run| run.peak)?,
             cpu: median(|run| run.cpu)?,
             budgets: median(|run| run.budgets)?,
+            false_early: median(|run| run.false_early)?,
             shortened: median(|run| run.shortened)?,
         })
     }
--- a/crates/ctl/src/measure/budgets/world.rs
+++ b/crates/ctl/src/measure/budgets/world.rs
@@ -58,6 +58,8 @@
     holders: Option<usize>,
     /// Whether requests that the rest of a budget covers in part are shortened.
     shortens: bool,
+    /// Whether an entry waits at one holder before it asks the next.
+    waits: bool,
     settings: Settings,
     duration: u64,
     random: SmallRng,
@@ -86,18 +88,24 @@
 
 impl World {
     pub fn new(size: Size, variant: &Variant, seed: u64, duration: Duration) -> Self {
+        let settings = variant.settings.clone();
+        let settings = match variant.paces {
+            true => settings.paced(size.hosts),
+            false => settings,
+        };
         let mut random = SmallRng::seed_from_u64(seed);
         let demand = Demand::new(size.active, &mut random);
         let mut world = Self {
             size,
             holders: variant.holders,
             shortens: variant.shortens,
-            settings: variant.settings.clone(),
+            waits: variant.waits,
+            settings: settings.clone(),
             duration: duration.as_secs(),
             demand,
             store: Store::default(),
             nodes: (0..size.hosts)
-                .map(|index| Node::new(index, &variant.settings))
+                .map(|index| Node::new(index, &settings))
                 .collect(),
             names: (0..size.budgets)
                 .map(|index| format!("b{index}").into())
@@ -156,7 +164,7 @@
             self.requests += 1;
             let (left, bought) = (self.left(&job), self.bought[job.budget]);
             let calm = self.is_calm(second);
-            self.tally.arrive(left, bought, &job, calm);
+            self.tally.arrive(second, left, bought, &job, calm);
             let request = format!("r{}", self.requests).into();
             self.attempt(second, second, request, job);
         }
@@ -187,7 +195,7 @@
     }
 
     fn attempt(&mut self, second: u64, since: u64, request: RequestId, mut job: Job) {
-        let mut hope = false;
+        let (mut hope, mut refills) = (false, 0);
         let candidates = self.candidates(second, &job);
         for index in &candidates {
             let index = *index;
@@ -196,6 +204,10 @@
                 Err(Shortage::Refill) => {
                     let region = self.nodes[index].region;
                     hope |= self.is_connected(second, region);
+                    refills += 1;
+                    if self.waits && refills > second - since {
+                        break;
+                    }
                 }
                 Err(_) => {}
             }
@@ -215,7 +227,7 @@
         let (left, bought) = (self.left(&job), self.bought[job.budget]);
         let calm = self.is_calm(second);
         let stranded = self.stranded[job.budget];
-        self.tally.refuse(left, stranded, bought, &job, calm);
+        self.tally.refuse(since, left, stranded, bought, &job, calm);
     }
 
     /// Returns the hosts that an entry asks, in order.
@@ -251,7 +263,8 @@
             return Err(Shortage::Closed);
         }
         let first = node.reserve(now, request, &budget, job.amount);
-        if first != Err(Shortage::Refill) || node.hurried == Some(second) {
+        let is_hurried = node.hurried == Some(second) || !node.holder.is_pressed(now);
+        if first != Err(Shortage::Refill) || is_hurried {
             return first;
         }
         node.hurried = Some(second);
--- a/crates/router/src/escrow/work.rs
+++ b/crates/router/src/escrow/work.rs
@@ -143,7 +143,10 @@
                     self.resolve(&attempt, record);
                 },
                 _ = tick.tick() => self.step(),
-                _ = check.tick(), if stop.is_some() || !self.waiting.is_empty() => self.begin(),
+                _ = check.tick(), if stop.is_some() || !self.waiting.is_empty() => match stop {
+                    Some(_) => self.begin(),
+                    None => self.hurry(),
+                },
                 () = draining.cancelled(), if stop.is_none() => {
                     stop = Some(self.parts.clock.now());
                     self.is_draining = true;
@@ -170,9 +173,7 @@
                     deadline,
                     reply,
                 });
-                if !self.waiting.is_empty() {
-                    self.begin();
-                }
+                self.hurry();
             }
             Command::Lower { attempt, amount } => self.holders.lower(&attempt, amount),
             Command::Release { attempt } => self.holders.release(&attempt),
--- a/crates/router/src/escrow/work/settings.rs
+++ b/crates/router/src/escrow/work/settings.rs
@@ -1,4 +1,4 @@
-//! What the task takes from the settings tree.
+//! What the task does by the settings tree: when it ends, and how fast it refills.
 
 use {super::Worker, crate::logs::TOKENS, std::time::Duration};
 
@@ -23,11 +23,25 @@
 
     /// Takes over the settings of the tree that concern holders.
     pub(super) fn configure(&mut self) {
-        let sizes = self.parts.sizes.clone();
-        let sizes = match self.parts.control.scene().catalog.limits.endurance {
+        let scene = self.parts.control.scene();
+        let sizes = self.parts.sizes.clone().paced(scene.hosts.len());
+        let sizes = match scene.catalog.limits.endurance {
             Some(endurance) => sizes.with_endurance(endurance),
             None => sizes,
         };
         self.holders.tune(&sizes);
     }
+
+    /// Refills before the next regular flush when a reservation lacks tokens.
+    pub(super) fn hurry(&mut self) {
+        self.configure();
+        let now = self.parts.clock.now();
+        if self
+            .holders
+            .iter()
+            .any(|(_, holder)| holder.is_pressed(now))
+        {
+            self.begin();
+        }
+    }
 }
