Pause a router that holds tokens in the test of a fence

Cause: paused_router_is_fenced_and_goes_on paused the first router and waited for a fence. The rows of the store in the hanging run showed journals of routers 2 and 3 only, and the reclaimer had removed router 1 from the list of processes. A fault of the reclaimer was ruled out by that.

--- a/crates/router/tests/processes.rs
+++ b/crates/router/tests/processes.rs
@@ -178,9 +178,18 @@
         )
         .await;
     }
-    routers[0].signal(Signal::SIGSTOP);
+    // Which routers hold tokens depends on when they heard of one another; only the journal of a
+    // holder is fenced.
+    let holders = outside.holders().await;
+    let is_holder = |number: usize| {
+        let prefix = format!("router-{number}.");
+        holders.iter().any(|holder| holder.starts_with(&prefix))
+    };
+    let paused = (0..routers.len()).find(|index| is_holder(index + 1));
+    let paused = &routers[paused.unwrap()];
+    paused.signal(Signal::SIGSTOP);
     until(|| async { outside.fences().await > 0 }).await;
-    routers[0].signal(Signal::SIGCONT);
+    paused.signal(Signal::SIGCONT);
     for router in &routers {
         let name = format!("after-{}", router.address.port());
         let answers = streams(router.address, &name, 8).await;
