--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         bill::Bill,
-        id::{BudgetId, HolderId, Tokens},
+        id::{BudgetId, HolderId, Tokens, Version},
         table::{Row, Transaction},
     },
     serde::{Deserialize, Serialize},
@@ -22,6 +22,9 @@
     /// While it is above 0, `purchased` equals `allocated`.
     #[serde(skip_serializing_if = "is_zero")]
     pub cut: Tokens,
+    /// Configuration version that stated the total last; 0 when operators change it by amounts.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub stated: Version,
     /// Set by a holder that lacks tokens which other holders may have.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub wanted: Option<Want>,
@@ -90,6 +93,34 @@
         Some(())
     }
 
+    /// Returns the tokens bought in all, without those that a cut takes.
+    pub fn total(&self) -> Tokens {
+        self.purchased - self.cut
+    }
+
+    /// Sets the tokens bought in all, as stated by a configuration version; an older statement
+    /// than the last changes nothing. Returns `None` on overflow.
+    pub fn state(&mut self, version: Version, total: Tokens) -> Option<()> {
+        if version <= self.stated {
+            return Some(());
+        }
+        let known = self.total();
+        if total >= known {
+            self.raise(total - known)?;
+        } else {
+            self.cut(known - total)?;
+        }
+        self.stated = version;
+        Some(())
+    }
+
+    /// Adds purchased tokens; they first undo a pending cut.
+    fn raise(&mut self, amount: Tokens) -> Option<()> {
+        let undone = self.cut.min(amount);
+        self.cut -= undone;
+        self.top_up(amount - undone)
+    }
+
     /// Charges a bill from the rest; what the rest does not cover becomes uncovered.
     pub fn cover(&mut self, bill: Bill) -> Bill {
         let charged = self.grant(bill.charged);
@@ -107,8 +138,8 @@
     }
 }
 
-fn is_zero(tokens: &Tokens) -> bool {
-    *tokens == 0
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// Returns the key of a budget's row.
--- a/crates/core/src/budget/change.rs
+++ b/crates/core/src/budget/change.rs
@@ -124,6 +124,41 @@
     }
 }
 
+/// The total of a budget as a configuration version states it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Statement {
+    /// The budget.
+    pub budget: BudgetId,
+    /// Configuration version; an older one than the budget row knows changes nothing.
+    pub version: Version,
+    /// Tokens bought in all.
+    pub total: Tokens,
+}
+
+impl Statement {
+    /// Returns the transaction that puts the statement into effect, given the budget row if it
+    /// exists; `None` when it is in effect or a newer one is.
+    ///
+    /// # Errors
+    /// [`Kind::Internal`] when the row cannot be read.
+    pub fn propose(&self, row: Option<&Row>) -> Result<Option<Transaction>, Fault> {
+        let mut account: Account = row.map(parse).transpose()?.unwrap_or_default();
+        let is_known = row.is_some() && account.total() == self.total;
+        if is_known || account.stated >= self.version {
+            return Ok(None);
+        }
+        let overflow = || Fault::new(Kind::Internal, "the stated total is too large");
+        account
+            .state(self.version, self.total)
+            .ok_or_else(overflow)?;
+        let key = account::key(&self.budget);
+        let mut transaction = Transaction::default();
+        transaction.require(key.as_str(), row.map_or(0, |row| row.version));
+        transaction.put(key, json(&account));
+        Ok(Some(transaction))
+    }
+}
+
 fn parse<'a, T: Deserialize<'a>>(row: &'a Row) -> Result<T, Fault> {
     serde_json::from_str(&row.value).map_err(|error| {
         let message = format!("row {} cannot be read: {error}", row.key);
--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -165,7 +165,7 @@
         self.last_flush = now;
         for slot in self.slots.values_mut() {
             let spent = slot.spent - slot.measured;
-            slot.demand.add(spent, elapsed);
+            slot.demand.add(&self.settings, spent, elapsed);
             slot.measured = slot.spent;
         }
         let settings = &self.settings;
--- a/crates/core/src/budget/grant.rs
+++ b/crates/core/src/budget/grant.rs
@@ -2,11 +2,6 @@
 
 use {crate::id::Tokens, derive_more::Display, std::time::Duration};
 
-/// Time constant of the average that follows a rise of demand.
-const RISE: Duration = Duration::from_secs(300);
-/// Time constant of the average that keeps grants through a lull.
-const LULL: Duration = Duration::from_secs(1_800);
-
 /// Row writes per second of all holders together; the table service takes several hundred.
 const FLEET_WRITES: f64 = 600.0;
 /// Row writes per second of one holder, so that refills are possible in any fleet.
@@ -27,6 +22,10 @@
     pub endurance: Duration,
     /// The same when the budget is nearly exhausted.
     pub shortest: Duration,
+    /// Time constant of the average that follows a rise of demand.
+    pub rise: Duration,
+    /// Time constant of the average that keeps grants through a lull.
+    pub lull: Duration,
     /// For how long a grant should cover demand. At `endurance / low_water`, the mark can be raised
     /// to its full lead until the next refill.
     pub horizon: Duration,
@@ -66,6 +65,8 @@
     fn default() -> Self {
         Self {
             endurance: Duration::from_secs(3_600),
+            rise: Duration::from_secs(300),
+            lull: Duration::from_secs(1_800),
             shortest: Duration::from_secs(10),
             horizon: Duration::from_secs(7_200),
             low_water: 0.5,
@@ -206,22 +207,22 @@
 /// Smoothed demand of one budget at one holder.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand {
-    /// Tokens per second, averaged over [`RISE`].
+    /// Tokens per second, averaged over [`Settings::rise`].
     rise: f64,
-    /// Tokens per second, averaged over [`LULL`].
+    /// Tokens per second, averaged over [`Settings::lull`].
     lull: f64,
 }
 
 impl Demand {
     /// Adds `tokens` spent during `elapsed`.
-    pub fn add(&mut self, tokens: Tokens, elapsed: Duration) {
+    pub fn add(&mut self, settings: &Settings, tokens: Tokens, elapsed: Duration) {
         let seconds = elapsed.as_secs_f64();
         if seconds <= 0.0 {
             return;
         }
         let rate = tokens as f64 / seconds;
-        self.rise += (rate - self.rise) * weight(seconds, RISE);
-        self.lull += (rate - self.lull) * weight(seconds, LULL);
+        self.rise += (rate - self.rise) * weight(seconds, settings.rise);
+        self.lull += (rate - self.lull) * weight(seconds, settings.lull);
     }
 
     /// Returns the tokens to expect during `time`: it follows a rise quickly and a fall slowly.
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -18,7 +18,7 @@
 
 pub use {
     account::{Account, Want},
-    change::{Change, Proposal, Receipt, Request},
+    change::{Change, Proposal, Receipt, Request, Statement},
     grant::{Demand, Preset, Settings},
     holder::{Holder, Phase, Record, Shortage, Usage},
     journal::{Entry, Journal, Reason, Share, Shares},
--- /dev/null
+++ b/crates/core/src/forward/directory.rs
@@ -0,0 +1,122 @@
+//! Lookup of routes, services and workspaces in one configuration version.
+
+use {
+    super::plan::{Limits, Route, Service, Snapshot, Workspace},
+    crate::id::{ServiceId, Version},
+    derive_more::{Display, Error},
+    std::{collections::HashMap, sync::Arc},
+};
+
+/// Why a request has no access.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Missing {
+    /// No route matches the host name and the path.
+    #[display("no route")]
+    Route,
+    /// The key belongs to no workspace, or none was given.
+    #[display("unknown key")]
+    Key,
+}
+
+/// What a request is allowed to use.
+#[derive(Clone, Debug)]
+pub struct Access {
+    /// Route.
+    pub route: Arc<Route>,
+    /// Workspace of the key; absent on public routes and when the configuration has none.
+    pub workspace: Option<Arc<Workspace>>,
+}
+
+impl Access {
+    /// Returns the priority of the request; 0 is served first.
+    pub fn priority(&self) -> u8 {
+        let own = self.workspace.as_ref().and_then(|w| w.priority);
+        own.unwrap_or(self.route.priority)
+    }
+}
+
+/// A configuration version, indexed.
+#[derive(Debug, Default)]
+pub struct Directory {
+    version: Version,
+    /// Routes by host name, the longest prefix first.
+    routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    services: HashMap<ServiceId, Arc<Service>>,
+    keys: HashMap<Arc<str>, Arc<Workspace>>,
+    workspaces: Vec<Arc<Workspace>>,
+    limits: Limits,
+}
+
+impl Directory {
+    /// Indexes a version.
+    pub fn new(snapshot: Snapshot) -> Self {
+        let mut routes: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        for route in snapshot.routes {
+            let host = routes.entry(route.host.clone()).or_default();
+            host.push(Arc::new(route));
+        }
+        for host in routes.values_mut() {
+            host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = snapshot.services.into_iter();
+        let workspaces: Vec<_> = snapshot.workspaces.into_iter().map(Arc::new).collect();
+        let keys = workspaces.iter().flat_map(|workspace| {
+            let keys = workspace.keys.iter();
+            keys.map(|key| (key.clone(), workspace.clone()))
+        });
+        Self {
+            version: snapshot.version,
+            routes,
+            services: services.map(|s| (s.name.clone(), Arc::new(s))).collect(),
+            keys: keys.collect(),
+            workspaces,
+            limits: snapshot.limits,
+        }
+    }
+
+    /// Returns the version.
+    pub fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Returns the bounds on requests.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// Returns every service.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
+    /// Returns every workspace.
+    pub fn workspaces(&self) -> &[Arc<Workspace>] {
+        &self.workspaces
+    }
+
+    /// Finds the route and the workspace of a request; a port in `host` is ignored.
+    ///
+    /// # Errors
+    /// [`Missing::Route`], or [`Missing::Key`] when the route requires a key.
+    pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> Result<Access, Missing> {
+        let route = self.route(host, path).ok_or(Missing::Route)?.clone();
+        if route.is_public || self.workspaces.is_empty() {
+            let workspace = None;
+            return Ok(Access { route, workspace });
+        }
+        let workspace = key.and_then(|key| self.keys.get(key));
+        let workspace = Some(workspace.ok_or(Missing::Key)?.clone());
+        Ok(Access { route, workspace })
+    }
+
+    fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.split_once(':').map_or(host, |(name, _)| name);
+        let routes = self.routes.get(name.to_ascii_lowercase().as_str())?;
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod fault;
 pub mod fleet;
+pub mod forward;
 pub mod id;
 pub mod limit;
 pub mod place;
--- a/crates/core/src/limit/retry.rs
+++ b/crates/core/src/limit/retry.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Replaces the settings; what is saved above the new reserve is lost.
+    pub fn tune(&mut self, settings: Settings) {
+        self.saved = self.saved.min(settings.reserve);
+        self.settings = settings;
+    }
+
     /// Counts a first attempt.
     pub fn deposit(&mut self) {
         self.saved = (self.saved + self.settings.share).min(self.settings.reserve);
--- a/crates/core/src/route/adaptive.rs
+++ b/crates/core/src/route/adaptive.rs
@@ -12,6 +12,7 @@
     crate::id::HostId,
     rand::{Rng, RngCore},
     std::{mem::size_of, time::Duration},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Estimates the times to first token and to completion of each candidate in a sample of this
@@ -98,6 +99,7 @@
         now: Duration,
         random: &mut dyn RngCore,
         request: &Request<'_>,
+        home: Option<u32>,
         (index, factor): (u32, f32),
         ranking: &mut Ranking,
     ) {
@@ -108,7 +110,7 @@
             return;
         }
         let settings = &self.settings;
-        let estimate = self.estimate(now, request, slot);
+        let estimate = self.estimate(now, request, home == Some(index), slot);
         let noise = 1.0 + settings.jitter * random.random::<f32>();
         let rated = Rated {
             slot: index,
@@ -118,7 +120,13 @@
         ranking.add(rated, slot.state.is_suspect(settings, now, estimate.first));
     }
 
-    fn estimate(&self, now: Duration, request: &Request<'_>, slot: &Slot<Engine>) -> Estimate {
+    fn estimate(
+        &self,
+        now: Duration,
+        request: &Request<'_>,
+        is_home: bool,
+        slot: &Slot<Engine>,
+    ) -> Estimate {
         let engine = &slot.state;
         let trust = Trust {
             cleared: engine.cleared,
@@ -126,6 +134,8 @@
             after_gap: self.settings.after_gap,
         };
         let blocks = self.hints.expect(now, slot.hash, request.prefixes, &trust);
+        let shared = request.home.filter(|_| is_home);
+        let blocks = blocks.max(shared.map_or(0.0, |home| home.blocks as f32));
         let cached = (blocks * self.settings.block as f32) as u32;
         let class = class(request.priority);
         let peers = self.share.peers(&self.settings);
@@ -155,19 +165,24 @@
         list: &List,
     ) -> Ranking {
         let mut ranking = Ranking::default();
+        let home = self.home(request, list);
         let hosts = self.registry.host_count();
         let subset = list.subset(self.settings.subset, self.settings.spill, hosts);
         if let Some(slot) = list.outsider(random, &subset) {
             let rated = (slot, self.settings.outside);
-            self.rate(now, random, request, rated, &mut ranking);
+            self.rate(now, random, request, home, rated, &mut ranking);
         }
         let count = subset.len();
+        if let Some(slot) = home {
+            self.rate(now, random, request, home, (slot, 1.0), &mut ranking);
+        }
         if count <= self.settings.sample {
             for index in 0..count {
                 self.rate(
                     now,
                     random,
                     request,
+                    home,
                     (subset.slot(index), 1.0),
                     &mut ranking,
                 );
@@ -180,14 +195,28 @@
         let stride = stride(random.random_range(1..count), count);
         for step in 0..self.settings.sample {
             let slot = subset.slot((start + step * stride) % count);
-            self.rate(now, random, request, (slot, 1.0), &mut ranking);
+            self.rate(now, random, request, home, (slot, 1.0), &mut ranking);
         }
         if let Some(slot) = self.affine(request, subset) {
-            self.rate(now, random, request, (slot, 1.0), &mut ranking);
+            self.rate(now, random, request, home, (slot, 1.0), &mut ranking);
         }
         ranking
     }
 
+    /// Returns the allowed candidate with the highest rendezvous hash for the shared prefix.
+    fn home(&self, request: &Request<'_>, list: &List) -> Option<u32> {
+        let home = request.home?;
+        let weight = |slot: &u32| {
+            let hash = self.registry.slot(*slot).map_or(0, |slot| slot.hash);
+            xxh3_64_with_seed(&hash.to_le_bytes(), home.key)
+        };
+        let is_allowed = |slot: &u32| {
+            let slot = self.registry.slot(*slot);
+            slot.is_some_and(|slot| (request.allows)(&slot.candidate.id))
+        };
+        list.all().filter(is_allowed).max_by_key(weight)
+    }
+
     fn affine(&self, request: &Request<'_>, subset: Subset<'_>) -> Option<u32> {
         let prefix = request.prefixes.first()?;
         let weight = |slot: &u32| {
@@ -270,8 +299,9 @@
         if ranking.best.is_none() {
             // Nothing in the sample is in order, so all candidates are considered.
             ranking = Ranking::default();
+            let home = self.home(request, list);
             for slot in list.all() {
-                self.rate(now, random, request, (slot, 1.0), &mut ranking);
+                self.rate(now, random, request, home, (slot, 1.0), &mut ranking);
             }
         }
         let rated = ranking.best.or(ranking.suspect)?;
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -6,6 +6,16 @@
     std::{fmt, time::Duration},
 };
 
+/// A shared prefix. Every host maps it to the same upstream without exchanging messages, so that
+/// one upstream reads it instead of each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Home {
+    /// Hash of the prefix.
+    pub key: u64,
+    /// Blocks of the prefix.
+    pub blocks: u32,
+}
+
 /// What a choice is made for.
 pub struct Request<'a> {
     /// Model or service.
@@ -16,6 +26,8 @@
     pub output: u32,
     /// Hashes of the prompt's prefixes, one per block and each covering all blocks before it.
     pub prefixes: &'a [u64],
+    /// Prefix that many requests share, for which all hosts prefer the same upstream.
+    pub home: Option<Home>,
     /// Priority class; 0 is served first.
     pub priority: u8,
     /// Whether an upstream may be chosen: not tried before, not out, not at its limit.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -27,7 +27,7 @@
     adaptive::Adaptive,
     baseline::{LeastInFlight, RoundRobin, TwoChoices},
     candidate::{CLASSES, Cache, Candidate, Change, Load, Origin},
-    choice::{Choice, Progress, Reason, Request, Ticket},
+    choice::{Choice, Home, Progress, Reason, Request, Ticket},
     prefix::prefixes,
     registry::Full,
     settings::Settings,
--- a/crates/core/src/route/tests.rs
+++ b/crates/core/src/route/tests.rs
@@ -117,6 +117,7 @@
             prompt: 900,
             output: 100,
             prefixes: &[1, 2, 3],
+            home: None,
             priority: (mask % 5) as u8,
             allows: &|id| !excluded(id),
         };
@@ -320,6 +321,7 @@
             prompt: 512,
             output: 64,
             prefixes: &prefixes,
+            home: None,
             priority: 0,
             allows: &|_| true,
         };
@@ -389,6 +391,7 @@
                 prompt: 100,
                 output: 10,
                 prefixes: &[],
+                home: None,
                 priority: 0,
                 allows: &|_| true,
             };
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -160,6 +160,7 @@
         prompt: 500,
         output: 100,
         prefixes: &[],
+        home: None,
         priority: 0,
         allows,
     }
--- a/crates/core/tests/whole/host.rs
+++ b/crates/core/tests/whole/host.rs
@@ -217,6 +217,7 @@
             prompt: super::upstream::PROMPT as u32,
             output: total as u32,
             prefixes: &[],
+            home: None,
             priority: 0,
             allows: &allows,
         };
--- a/crates/ctl/src/demo/fleet.rs
+++ b/crates/ctl/src/demo/fleet.rs
@@ -6,7 +6,7 @@
     anyhow::Context,
     marigoldroute::{Handle, Settings},
     marigoldroute_core::config::hash_key,
-    marigoldroute_platform::{Client, StandIn as Platform, http},
+    marigoldroute_store::{Client, StandIn as Platform, http},
     marigoldroute_upstream::StandIn as Engine,
     reqwest::{Method, StatusCode},
     serde_json::{Value, json},
--- a/crates/ctl/src/measure/path/bench.rs
+++ b/crates/ctl/src/measure/path/bench.rs
@@ -9,7 +9,7 @@
         config::{Change, Edit, Kind, Setting, Value, hash_key},
         table::Transaction,
     },
-    marigoldroute_platform::{Client, StandIn as Platform, http},
+    marigoldroute_store::{Client, StandIn as Platform, http},
     marigoldroute_upstream::{Settings as Engine, StandIn},
     serde_json::json,
     std::{
--- a/crates/ctl/src/measure/routing/decision.rs
+++ b/crates/ctl/src/measure/routing/decision.rs
@@ -69,6 +69,7 @@
             prompt: 3_000,
             output: 256,
             prefixes: &prefixes,
+            home: None,
             priority: 0,
             allows: &|_| true,
         };
--- a/crates/ctl/src/measure/routing/world.rs
+++ b/crates/ctl/src/measure/routing/world.rs
@@ -192,6 +192,7 @@
             prompt: arrival.prompt,
             output: arrival.limit,
             prefixes: &arrival.prefixes,
+            home: None,
             priority: arrival.class as u8,
             allows: &|id| !tried.contains(id),
         };
--- a/crates/ctl/src/stand_in.rs
+++ b/crates/ctl/src/stand_in.rs
@@ -3,7 +3,7 @@
 use {
     anyhow::Context,
     clap::ArgMatches,
-    marigoldroute_platform::StandIn as Platform,
+    marigoldroute_store::StandIn as Platform,
     marigoldroute_upstream::{Loader, Settings, StandIn as Upstream, WeightStore, Weights},
     std::{io::Write, net::SocketAddr, time::Duration},
 };
--- a/crates/ctl/tests/spend.rs
+++ b/crates/ctl/tests/spend.rs
@@ -8,7 +8,7 @@
         bill::{Bill, Segment},
         config::hash_key,
     },
-    marigoldroute_platform::{Client, StandIn as Platform},
+    marigoldroute_store::{Client, StandIn as Platform},
     serde_json::{Value, json},
     std::{net::SocketAddr, process::Command, time::Duration},
 };
--- a/crates/ctl/tests/tls.rs
+++ b/crates/ctl/tests/tls.rs
@@ -5,7 +5,7 @@
 use {
     marigoldroute::Settings,
     marigoldroute_core::config::hash_key,
-    marigoldroute_platform::StandIn as Platform,
+    marigoldroute_store::StandIn as Platform,
     std::{
         fs,
         net::SocketAddr,
--- a/crates/ctl/tests/withdraw.rs
+++ b/crates/ctl/tests/withdraw.rs
@@ -5,7 +5,7 @@
 use {
     marigoldroute::{Handle, Settings},
     marigoldroute_core::config::hash_key,
-    marigoldroute_platform::StandIn as Platform,
+    marigoldroute_store::StandIn as Platform,
     marigoldroute_upstream::StandIn as Engine,
     serde_json::json,
     std::{
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,372 @@
+//! Choice of upstreams, with the requests in flight and the retries of this host.
+
+use {
+    crate::{
+        clock::Clock,
+        interface::{Call, Load, Part},
+        view::lock,
+    },
+    derive_more::Display,
+    marigoldroute_core::{
+        forward::{Allowance, AllowanceSettings, Change, Service},
+        id::{ServiceId, UpstreamId},
+        route::{
+            self, Adaptive, Cache, Candidate, Choice, Home, Origin, Policy, Progress, Reason,
+            Ticket,
+        },
+    },
+    marigoldroute_observe::logs::BELIEFS,
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::sync::Notify,
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+/// Hosts that are assumed until the size of the fleet is known.
+const ASSUMED_HOSTS: usize = 16;
+
+/// Share of an upstream's connections that the fleet uses; the rest is left for hosts that are not
+/// counted yet.
+const USED_CONNECTIONS: f64 = 0.8;
+
+/// Returns how many requests of one host an upstream may have at a time.
+fn places(service: &Service, hosts: usize) -> u32 {
+    let share = f64::from(service.connections) * USED_CONNECTIONS / hosts.max(1) as f64;
+    (share as u32).max(1)
+}
+
+/// What the policy needs to know of a request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Profile {
+    prompt: u32,
+    output: u32,
+    prefixes: Vec<u64>,
+    home: Option<Home>,
+    priority: u8,
+}
+
+impl Profile {
+    /// Describes a request; the last part of its prompt is its own, and the parts before it are
+    /// shared with others.
+    pub(crate) fn new(call: &Call, priority: u8, block: u32) -> Self {
+        let shared = call
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        let prefixes = prefixes(shared, block);
+        let home = prefixes.last().map(|key| Home {
+            key: *key,
+            blocks: prefixes.len() as u32,
+        });
+        let usage = call.usage;
+        let narrow = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
+        Self {
+            prompt: usage.map_or(0, |usage| narrow(usage.prompt)),
+            output: usage.map_or(1, |usage| narrow(usage.output)),
+            prefixes,
+            home,
+            priority,
+        }
+    }
+}
+
+/// Returns a hash for each full block of the parts, each covering all before it.
+fn prefixes(parts: &[Part], block: u32) -> Vec<u64> {
+    let mut hash = 0;
+    let mut blocks = Vec::new();
+    for part in parts {
+        hash = xxh3_64_with_seed(&part.id.to_le_bytes(), hash);
+        let count = u64::from(part.tokens.div_ceil(block));
+        blocks.extend((0..count).map(|index| xxh3_64_with_seed(&index.to_le_bytes(), hash)));
+    }
+    blocks
+}
+
+/// Chooses upstreams.
+pub(crate) struct Dispatch {
+    clock: Clock,
+    block: u32,
+    retries: AllowanceSettings,
+    inner: Mutex<Inner>,
+    /// Notified when a place at an upstream becomes free or an upstream joins.
+    pub(crate) freed: Notify,
+}
+
+struct Inner {
+    policy: Adaptive,
+    random: SmallRng,
+    allowances: HashMap<ServiceId, Allowance>,
+    upstreams: HashMap<UpstreamId, Upstream>,
+    hosts: Option<usize>,
+}
+
+struct Upstream {
+    address: SocketAddr,
+    started_ms: u64,
+    in_flight: u32,
+    has_left: bool,
+}
+
+impl Inner {
+    /// Forgets an upstream that has left once nothing of this host runs there.
+    fn forget(&mut self, id: &UpstreamId) {
+        let is_over = |upstream: &Upstream| upstream.has_left && upstream.in_flight == 0;
+        if self.upstreams.get(id).is_some_and(is_over) {
+            self.upstreams.remove(id);
+        }
+    }
+}
+
+/// Why an upstream was chosen, for the log.
+#[derive(Clone, Copy, Debug, Display)]
+#[display("{considered} of {known} considered: {reason}")]
+pub(crate) struct Rationale {
+    known: usize,
+    considered: usize,
+    reason: Reason,
+}
+
+/// A chosen upstream; dropping it ends the request there.
+pub(crate) struct Flight {
+    dispatch: Arc<Dispatch>,
+    pub(crate) upstream: UpstreamId,
+    pub(crate) address: SocketAddr,
+    ticket: Ticket,
+    has_ended: bool,
+}
+
+impl Flight {
+    pub(crate) fn report(&mut self, progress: Progress<'_>) {
+        let ends = !matches!(progress, Progress::Sent(_) | Progress::First);
+        let now = self.dispatch.clock.now();
+        lock(&self.dispatch.inner)
+            .policy
+            .report(now, &mut self.ticket, progress);
+        self.has_ended |= ends;
+    }
+
+    /// Takes the load that the upstream states.
+    pub(crate) fn load(&self, load: &Load) {
+        let load = route::Load {
+            running: load.running,
+            waiting: [load.waiting, 0, 0],
+            ..route::Load::default()
+        };
+        let now = self.dispatch.clock.now();
+        lock(&self.dispatch.inner)
+            .policy
+            .load(now, &self.upstream, &load);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.report(Progress::Cancelled);
+        }
+        let mut inner = lock(&self.dispatch.inner);
+        if let Some(upstream) = inner.upstreams.get_mut(&self.upstream) {
+            upstream.in_flight = upstream.in_flight.saturating_sub(1);
+        }
+        inner.forget(&self.upstream);
+        drop(inner);
+        self.dispatch.freed.notify_waiters();
+    }
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Vacancy {
+    /// Every upstream has as many requests of this host as it may have.
+    Full,
+    /// No upstream is known that was not tried.
+    None,
+}
+
+impl Dispatch {
+    pub(crate) fn new(
+        clock: Clock,
+        origin: Origin,
+        settings: route::Settings,
+        retries: AllowanceSettings,
+    ) -> Self {
+        let block = settings.block;
+        let inner = Inner {
+            policy: Adaptive::new(origin, settings),
+            random: SmallRng::from_os_rng(),
+            allowances: HashMap::new(),
+            upstreams: HashMap::new(),
+            hosts: None,
+        };
+        Self {
+            clock,
+            block,
+            retries,
+            inner: Mutex::new(inner),
+            freed: Notify::new(),
+        }
+    }
+
+    /// Describes a request for [`Self::choose`].
+    pub(crate) fn profile(&self, call: &Call, priority: u8) -> Profile {
+        Profile::new(call, priority, self.block)
+    }
+
+    /// Takes a change of the list of upstreams.
+    pub(crate) fn apply(&self, now: Duration, change: Change) {
+        let mut inner = lock(&self.inner);
+        match change {
+            Change::Left(id) => {
+                inner.policy.withdraw(&id);
+                if let Some(upstream) = inner.upstreams.get_mut(&id) {
+                    upstream.has_left = true;
+                }
+                inner.forget(&id);
+            }
+            Change::Joined(id, entry) => {
+                let candidate = Candidate {
+                    id: id.clone(),
+                    serves: vec![entry.service],
+                    region: entry.region,
+                    zone: entry.zone,
+                };
+                let known = inner.upstreams.get(&id);
+                let in_flight = known.map_or(0, |known| known.in_flight);
+                if known.is_some_and(|known| known.started_ms != entry.started_ms) {
+                    let change = route::Change::Cleared;
+                    inner.policy.cache(
+                        now,
+                        &id,
+                        &Cache {
+                            sequence: 0,
+                            change,
+                        },
+                    );
+                }
+                let upstream = Upstream {
+                    address: entry.address,
+                    started_ms: entry.started_ms,
+                    in_flight,
+                    has_left: false,
+                };
+                inner.upstreams.insert(id, upstream);
+                if let Err(full) = inner.policy.join(now, &candidate) {
+                    log::error!(target: BELIEFS, upstream:% = candidate.id; "upstream not used: {full}");
+                }
+            }
+        }
+        drop(inner);
+        self.freed.notify_waiters();
+    }
+
+    /// Sets the number of hosts that share the upstreams and the retries.
+    pub(crate) fn set_hosts(&self, hosts: usize) {
+        let mut inner = lock(&self.inner);
+        inner.hosts = Some(hosts);
+        let allowances = inner.allowances.values_mut();
+        allowances.for_each(|allowance| allowance.set_hosts(hosts));
+    }
+
+    /// Counts a request for a service.
+    pub(crate) fn arrive(&self, service: &ServiceId) {
+        self.with_allowance(service, Allowance::deposit);
+    }
+
+    /// Takes a retry from the fleet's allowance.
+    pub(crate) fn may_retry(&self, service: &ServiceId) -> bool {
+        self.with_allowance(service, Allowance::withdraw)
+    }
+
+    fn with_allowance<T>(&self, service: &ServiceId, act: impl FnOnce(&mut Allowance) -> T) -> T {
+        let mut inner = lock(&self.inner);
+        let hosts = inner.hosts;
+        let allowance = inner.allowances.entry(service.clone());
+        act(allowance.or_insert_with(|| {
+            let mut allowance = Allowance::new(self.retries);
+            if let Some(hosts) = hosts {
+                allowance.set_hosts(hosts);
+            }
+            allowance
+        }))
+    }
+
+    /// Chooses an upstream and takes a place there.
+    pub(crate) fn choose(
+        self: &Arc<Self>,
+        service: &Service,
+        profile: &Profile,
+        tried: &[UpstreamId],
+    ) -> Result<(Flight, Rationale), Vacancy> {
+        let now = self.clock.now();
+        let mut inner = lock(&self.inner);
+        let Inner {
+            policy,
+            random,
+            upstreams,
+            hosts,
+            ..
+        } = &mut *inner;
+        let most = places(service, hosts.unwrap_or(ASSUMED_HOSTS));
+        let is_full = std::cell::Cell::new(false);
+        let allows = |id: &UpstreamId| {
+            if tried.contains(id) {
+                return false;
+            }
+            let has_room = upstreams
+                .get(id)
+                .is_some_and(|upstream| upstream.in_flight < most);
+            is_full.set(is_full.get() || !has_room);
+            has_room
+        };
+        let request = route::Request {
+            target: &service.name,
+            prompt: profile.prompt,
+            output: profile.output,
+            prefixes: &profile.prefixes,
+            home: profile.home,
+            priority: profile.priority,
+            allows: &allows,
+        };
+        let choice = policy.choose(now, random, &request);
+        let Some(choice) = choice else {
+            return Err(if is_full.get() {
+                Vacancy::Full
+            } else {
+                Vacancy::None
+            });
+        };
+        let Choice {
+            upstream: id,
+            known,
+            considered,
+            reason,
+            mut ticket,
+        } = choice;
+        let Some(upstream) = upstreams.get_mut(&id) else {
+            return Err(Vacancy::None);
+        };
+        upstream.in_flight += 1;
+        let address = upstream.address;
+        policy.report(now, &mut ticket, Progress::Sent(&profile.prefixes));
+        let flight = Flight {
+            dispatch: self.clone(),
+            upstream: id,
+            address,
+            ticket,
+            has_ended: false,
+        };
+        Ok((
+            flight,
+            Rationale {
+                known,
+                considered,
+                reason,
+            },
+        ))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,122 @@
+//! One attempt of a request at one upstream.
+
+use {
+    crate::{
+        dispatch::Flight,
+        interface::{Call, Interface, Onward, Reply},
+        pool::{Broken, Connection, Pool},
+    },
+    bytes::{Bytes, BytesMut},
+    derive_more::{Display, Error},
+    http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
+    marigoldroute_core::{forward::retry::Outcome, route::Progress},
+    poem::http::Request,
+    std::sync::Arc,
+};
+
+/// Largest answer that is not a stream, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 8 << 20;
+
+/// Why an attempt gave no answer.
+#[derive(Clone, Debug, Display, Error)]
+#[display("{outcome}: {reason}")]
+pub(crate) struct Failure {
+    pub(crate) outcome: Outcome,
+    pub(crate) reason: String,
+}
+
+impl Failure {
+    pub(crate) fn new(outcome: Outcome, reason: impl Into<String>) -> Self {
+        let reason = reason.into();
+        Self { outcome, reason }
+    }
+}
+
+impl From<Broken> for Failure {
+    fn from(broken: Broken) -> Self {
+        match broken {
+            Broken::Unsent { reason } => Self::new(Outcome::Unsent, reason),
+            Broken::Sent { reason } => Self::new(Outcome::Unknown, reason),
+        }
+    }
+}
+
+/// An answer whose head has arrived. Dropping it closes the connection, which ends the work at the
+/// upstream.
+pub(crate) struct Exchange {
+    pub(crate) reply: Reply,
+    pub(crate) flight: Flight,
+    body: Incoming,
+    connection: Connection,
+    pool: Arc<Pool>,
+}
+
+impl Exchange {
+    /// Sends a request over a connection and waits for the head of its answer.
+    pub(crate) async fn start(
+        interface: &dyn Interface,
+        pool: &Arc<Pool>,
+        flight: Flight,
+        mut connection: Connection,
+        call: &Call,
+        onward: &Onward<'_>,
+        body: Bytes,
+    ) -> Result<Self, (Flight, Failure)> {
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.target.clone();
+        *request.headers_mut() = interface.onward(call, onward);
+        let response = match connection.send(request).await {
+            Ok(response) => response,
+            Err(broken) => return Err((flight, broken.into())),
+        };
+        let (head, body) = response.into_parts();
+        let reply = interface.reply(head.status, &head.headers);
+        if let Some(load) = &reply.load {
+            flight.load(load);
+        }
+        let pool = pool.clone();
+        Ok(Self {
+            reply,
+            flight,
+            body,
+            connection,
+            pool,
+        })
+    }
+
+    /// Returns the next bytes of the answer, or `None` at its end.
+    pub(crate) async fn read(&mut self) -> Result<Option<Bytes>, Failure> {
+        while let Some(frame) = self.body.frame().await {
+            let frame = frame.map_err(|error| Failure::new(Outcome::Unknown, error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Returns the whole answer.
+    pub(crate) async fn read_all(&mut self) -> Result<Bytes, Failure> {
+        let mut all = BytesMut::new();
+        while let Some(data) = self.read().await? {
+            all.extend_from_slice(&data);
+            if all.len() > ANSWER_LIMIT_BYTES {
+                return Err(Failure::new(Outcome::Unknown, "the answer is too large"));
+            }
+        }
+        Ok(all.freeze())
+    }
+
+    /// Ends the exchange after a complete answer, and keeps its connection unless the upstream
+    /// closes it.
+    pub(crate) fn finish(mut self, progress: Progress<'_>) {
+        self.flight.report(progress);
+        if !self.reply.is_last {
+            let (upstream, address) = (&self.flight.upstream, self.flight.address);
+            self.pool
+                .put(upstream, address, self.connection, self.reply.keep_alive);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,30 @@
+//! The gateway: forwards callers' requests unchanged to upstreams, within prepaid budgets.
+//!
+//! The gateway knows neither the spelling of its callers' requests nor the calls of its store.
+//! Both come from the program that embeds it, as an [`Interface`] and a [`Store`].
+
+mod answer;
+mod clock;
+mod dispatch;
+mod escrow;
+mod exchange;
+mod front;
+pub mod interface;
+mod job;
+mod life;
+mod listen;
+mod members;
+mod metrics;
+mod pool;
+mod relay;
+mod settings;
+pub mod store;
+mod view;
+mod watch;
+
+pub use {
+    interface::Interface,
+    life::{Handle, start},
+    settings::Settings,
+    store::Store,
+};
--- /dev/null
+++ b/crates/gateway/src/life.rs
@@ -0,0 +1,231 @@
+//! A gateway process from start to planned stop.
+
+use {
+    crate::{
+        clock::Clock,
+        dispatch::Dispatch,
+        escrow::{Escrow, Writer},
+        front::Front,
+        interface::Interface,
+        job::Context,
+        listen::listen,
+        members::Members,
+        metrics::Metrics,
+        pool::Pool,
+        settings::Settings,
+        store::Store,
+        view::View,
+        watch::Watch,
+    },
+    marigoldroute_core::{id::HolderId, route::Origin},
+    poem::{
+        Endpoint, EndpointExt, IntoResponse, Response, Route, Server, endpoint::make_sync, get,
+        http::StatusCode,
+    },
+    rand::RngCore,
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// Time between two sweeps of idle connections.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(300);
+
+/// A running gateway.
+pub struct Handle {
+    addresses: Addresses,
+    settings: Arc<Settings>,
+    view: Arc<View>,
+    /// No new connections, and idle ones are closed.
+    leave: CancellationToken,
+    /// End of the background tasks.
+    stop: CancellationToken,
+    serving: TaskTracker,
+    tasks: TaskTracker,
+}
+
+/// The bound addresses.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the readiness check.
+    pub ready: SocketAddr,
+}
+
+/// Starts a gateway.
+///
+/// # Errors
+/// When an address cannot be bound.
+pub fn start(
+    settings: Settings,
+    store: Arc<dyn Store>,
+    interface: Arc<dyn Interface>,
+) -> anyhow::Result<Handle> {
+    let settings = Arc::new(settings);
+    let clock = Clock::new();
+    let metrics = Arc::new(Metrics::new()?);
+    let view = Arc::new(View::new());
+    let process = process(&settings);
+    let origin = Origin {
+        host: settings.host.clone(),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+    };
+    let dispatch = Dispatch::new(clock, origin, settings.routing.clone(), settings.retries);
+    let dispatch = Arc::new(dispatch);
+    let escrow = Arc::new(Escrow::new(process.clone(), clock, &settings));
+    let pool = Arc::new(Pool::new(clock, metrics.clone(), settings.connect_timeout));
+    let context = Arc::new(Context {
+        clock,
+        interface,
+        view: view.clone(),
+        dispatch: dispatch.clone(),
+        pool: pool.clone(),
+        escrow: escrow.clone(),
+        metrics: metrics.clone(),
+        settings: settings.clone(),
+    });
+    let (leave, stop) = (CancellationToken::new(), CancellationToken::new());
+    let (serving, tasks) = (TaskTracker::new(), TaskTracker::new());
+
+    let callers = serve(settings.listen, Front(context), &serving, &leave)?;
+    let ready = serve(
+        settings.listen_ready,
+        readiness(view.clone()),
+        &tasks,
+        &stop,
+    )?;
+    if let Some(address) = settings.listen_metrics {
+        serve(address, exposition(metrics.clone()), &tasks, &stop)?;
+    }
+    let watch = Watch {
+        clock,
+        store: store.clone(),
+        view: view.clone(),
+        dispatch: dispatch.clone(),
+        metrics: metrics.clone(),
+        settings: settings.clone(),
+    };
+    tasks.spawn(watch.clone().configuration(stop.clone()));
+    tasks.spawn(watch.clone().upstreams(stop.clone()));
+    tasks.spawn(watch.expire(stop.clone()));
+    let members = Members {
+        process: process.clone(),
+        clock,
+        store: store.clone(),
+        view: view.clone(),
+        dispatch,
+        metrics: metrics.clone(),
+        settings: settings.clone(),
+    };
+    tasks.spawn(members.run(stop.clone()));
+    let writer = Writer {
+        escrow,
+        store,
+        view: view.clone(),
+        metrics,
+        settings: settings.clone(),
+    };
+    tasks.spawn(writer.run(stop.clone()));
+    tasks.spawn(sweep(pool, stop.clone()));
+    log::info!(host:% = settings.host, process:%, callers:%, ready:%; "started");
+    Ok(Handle {
+        addresses: Addresses { callers, ready },
+        settings,
+        view,
+        leave,
+        stop,
+        serving,
+        tasks,
+    })
+}
+
+impl Handle {
+    /// Returns the bound addresses.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Stops as planned: reports not ready, accepts connections until the balancer has taken the
+    /// host out, lets requests finish, and returns unspent tokens.
+    pub async fn stop(self) {
+        log::info!("planned stop");
+        self.view.drain();
+        tokio::time::sleep(self.settings.leave_time).await;
+        self.leave.cancel();
+        let rest = self
+            .settings
+            .drain_limit
+            .saturating_sub(self.settings.leave_time);
+        wait(&self.serving, rest, "requests cut at the drain limit").await;
+        self.stop.cancel();
+        wait(
+            &self.tasks,
+            self.settings.store_timeout,
+            "background tasks cut",
+        )
+        .await;
+        log::info!("stopped");
+    }
+}
+
+async fn wait(tasks: &TaskTracker, limit: Duration, problem: &str) {
+    tasks.close();
+    if tokio::time::timeout(limit, tasks.wait()).await.is_err() {
+        log::warn!(left = tasks.len(); "{problem}");
+    }
+}
+
+/// Names this start of the process; never used before.
+fn process(settings: &Settings) -> HolderId {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let started = since.unwrap_or_default().as_millis();
+    let random = rand::rng().next_u32();
+    format!("{}.{started:x}{random:08x}", settings.host).into()
+}
+
+/// Binds an address and serves it until `stop`; then idle connections are closed, and the others
+/// after their answers.
+fn serve(
+    address: SocketAddr,
+    endpoint: impl Endpoint + 'static,
+    tasks: &TaskTracker,
+    stop: &CancellationToken,
+) -> anyhow::Result<SocketAddr> {
+    let (acceptor, address) = listen(address)?;
+    let stop = stop.clone();
+    tasks.spawn(async move {
+        let server = Server::new_with_acceptor(acceptor);
+        let serving = server.run_with_graceful_shutdown(endpoint, stop.cancelled_owned(), None);
+        if let Err(error) = serving.await {
+            log::error!("server stopped: {error}");
+        }
+    });
+    Ok(address)
+}
+
+fn readiness(view: Arc<View>) -> impl Endpoint {
+    let check = make_sync(move |_| match view.is_ready() {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    });
+    Route::new().at("/readyz", get(check.map_to_response()))
+}
+
+fn exposition(metrics: Arc<Metrics>) -> impl Endpoint {
+    let text = make_sync(move |_| Response::builder().body(metrics.text()).into_response());
+    Route::new().at("/metrics", get(text))
+}
+
+async fn sweep(pool: Arc<Pool>, stop: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(SWEEP_INTERVAL) => pool.sweep(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,91 @@
+//! Counters and histograms.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Upper bounds of the latency histograms, in seconds; the objectives are between 0.1 and 1 s.
+const LATENCY_SECONDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
+];
+
+/// Metrics of a gateway process.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests ended, by outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Attempts ended, by outcome.
+    pub(crate) attempts: IntCounterVec,
+    /// Calls to the store, by result.
+    pub(crate) store_calls: IntCounterVec,
+    /// Connections opened to upstreams.
+    pub(crate) connections: IntCounterVec,
+    /// Time from a request's arrival to the first byte of its answer.
+    pub(crate) first_byte: Histogram,
+    /// Configuration version in effect.
+    pub(crate) version: IntGauge,
+    /// Hosts in the fleet.
+    pub(crate) hosts: IntGauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, label: &str| {
+            let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counter.clone()))?;
+            prometheus::Result::Ok(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            prometheus::Result::Ok(gauge)
+        };
+        let options = HistogramOpts::new(
+            "marigoldroute_gateway_first_byte_seconds",
+            "Time from the arrival of a request to the first byte of its answer",
+        );
+        let first_byte = Histogram::with_opts(options.buckets(LATENCY_SECONDS.into()))?;
+        registry.register(Box::new(first_byte.clone()))?;
+        Ok(Self {
+            requests: counter(
+                "marigoldroute_gateway_requests_total",
+                "Requests ended, by outcome",
+                "outcome",
+            )?,
+            attempts: counter(
+                "marigoldroute_gateway_attempts_total",
+                "Attempts at upstreams ended, by outcome",
+                "outcome",
+            )?,
+            store_calls: counter(
+                "marigoldroute_gateway_store_calls_total",
+                "Calls to the store, by result",
+                "result",
+            )?,
+            connections: counter(
+                "marigoldroute_gateway_connections_total",
+                "Connections to upstreams, by event",
+                "event",
+            )?,
+            first_byte,
+            version: gauge(
+                "marigoldroute_gateway_configuration_version",
+                "Configuration version in effect",
+            )?,
+            hosts: gauge("marigoldroute_gateway_hosts", "Hosts in the fleet")?,
+            registry,
+        })
+    }
+
+    /// Returns the text exposition.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        if let Err(error) = encoded {
+            log::error!("metrics cannot be encoded: {error}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,193 @@
+//! Relays the events of a stream to its caller.
+
+use {
+    crate::{
+        exchange::Failure,
+        job::{Answer, Job, Stream},
+    },
+    bytes::{Bytes, BytesMut},
+    futures_util::stream,
+    marigoldroute_core::{
+        forward::{Kind, Sequence, event_id, retry::Outcome},
+        route::Progress,
+    },
+    marigoldroute_observe::logs::REQUESTS,
+    poem::Body,
+    std::{io, time::Duration},
+};
+
+/// Longest pause between events, as a multiple of the time to the first event that the route aims
+/// for, before a stream that another upstream can continue is moved there.
+const STALL_OBJECTIVES: u32 = 2;
+
+/// A stream in progress.
+pub(crate) struct Relay {
+    job: Job,
+    /// Absent when the stream has ended.
+    stream: Option<Box<Stream>>,
+    sequence: Sequence,
+    event_tokens: u64,
+}
+
+/// What to do next.
+enum Step {
+    Hand(Bytes),
+    End,
+    Break(Failure),
+}
+
+impl Relay {
+    pub(crate) fn new(job: Job, stream: Box<Stream>) -> Self {
+        let engine = job.service.engine.as_ref();
+        Self {
+            sequence: Sequence::new(job.call.last_event),
+            event_tokens: engine.map_or(1, |engine| engine.event_tokens.max(1)),
+            stream: Some(stream),
+            job,
+        }
+    }
+
+    /// Returns the body of the answer.
+    pub(crate) fn body(self) -> Body {
+        Body::from_bytes_stream(stream::unfold(self, |mut relay| async move {
+            let bytes = relay.next().await?;
+            Some((bytes, relay))
+        }))
+    }
+
+    /// Returns the next bytes; an error cuts the connection, so that the answer cannot pass as
+    /// complete.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        self.stream.as_ref()?;
+        loop {
+            let failure = match self.step().await {
+                Step::Hand(bytes) => return Some(Ok(bytes)),
+                Step::End => {
+                    self.finish();
+                    return None;
+                }
+                Step::Break(failure) => failure,
+            };
+            if !self.resume(&failure).await {
+                self.stream = None;
+                return Some(Err(io::Error::other(failure)));
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let deadline = self.job.context.clock.instant(self.job.deadline);
+        let stall = self.stall();
+        let Some(stream) = &mut self.stream else {
+            return Step::End;
+        };
+        while stream.events.is_empty() {
+            if stream.is_over {
+                return match stream.splitter.is_partial() {
+                    true => Step::Break(Failure::new(Outcome::Unknown, "the last event is cut")),
+                    false => Step::End,
+                };
+            }
+            let read = tokio::select! {
+                read = stream.exchange.read() => read,
+                () = tokio::time::sleep_until(deadline) => {
+                    Err(Failure::new(Outcome::Unknown, "the deadline has passed"))
+                }
+                () = tokio::time::sleep(stall) => {
+                    Err(Failure::new(Outcome::Unknown, "no event for too long"))
+                }
+            };
+            match read {
+                Ok(None) => stream.is_over = true,
+                Ok(Some(data)) => match stream.splitter.push(&data) {
+                    Some(events) => stream.events.extend(events),
+                    None => {
+                        return Step::Break(Failure::new(
+                            Outcome::Unknown,
+                            "an event is too large",
+                        ));
+                    }
+                },
+                Err(failure) => return Step::Break(failure),
+            }
+        }
+        self.hand()
+    }
+
+    /// Takes the events that have arrived.
+    fn hand(&mut self) -> Step {
+        let Some(stream) = &mut self.stream else {
+            return Step::End;
+        };
+        let mut bytes = BytesMut::new();
+        let before = self.sequence.relayed();
+        while let Some(event) = stream.events.pop_front() {
+            if let Err(rejected) = self.sequence.accept(event_id(&event.raw)) {
+                return Step::Break(Failure::new(Outcome::Unknown, rejected.to_string()));
+            }
+            bytes.extend_from_slice(&event.raw);
+        }
+        let relayed = self.sequence.relayed() - before;
+        if let Some(hold) = &mut self.job.hold {
+            hold.deliver(relayed * self.event_tokens);
+        }
+        Step::Hand(bytes.freeze())
+    }
+
+    /// Returns the pause after which the upstream is taken as silent.
+    fn stall(&self) -> Duration {
+        if self.job.kind() == Kind::Resumable {
+            self.job.access.route.objective * STALL_OBJECTIVES
+        } else {
+            self.job.left()
+        }
+    }
+
+    /// Continues the stream at another upstream, if that is allowed.
+    async fn resume(&mut self, failure: &Failure) -> bool {
+        let Some(mut stream) = self.stream.take() else {
+            return false;
+        };
+        stream.exchange.flight.report(Progress::Failed);
+        // Closing the connection ends the run before another one starts.
+        drop(stream);
+        let last = self.sequence.last();
+        log::info!(
+            target: REQUESTS,
+            request:% = self.job.call.id, reason:% = failure.reason, events = self.sequence.relayed(),
+            left_ms = self.job.left().as_millis() as u64;
+            "stream broken"
+        );
+        if !self.job.may_resume() {
+            return false;
+        }
+        match self.job.answer(last).await {
+            Answer::Stream(stream) => {
+                log::info!(target: REQUESTS, request:% = self.job.call.id; "stream resumed");
+                self.stream = Some(stream);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(stream) = self.stream.take() {
+            let tokens = self.sequence.relayed() * self.event_tokens;
+            let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+            stream.exchange.finish(Progress::Finished { tokens });
+        }
+        self.job
+            .context
+            .metrics
+            .requests
+            .with_label_values(&["streamed"])
+            .inc();
+        log::info!(
+            target: REQUESTS,
+            request:% = self.job.call.id, events = self.sequence.relayed(),
+            ms = self.job.context.clock.now().saturating_sub(self.job.arrived).as_millis() as u64;
+            "stream complete"
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,112 @@
+//! Settings of a gateway process.
+
+use {
+    marigoldroute_core::{
+        budget,
+        forward::AllowanceSettings,
+        id::{HostId, Region, Zone},
+        route,
+    },
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        time::Duration,
+    },
+};
+
+/// Settings of a gateway process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the host.
+    pub host: HostId,
+    /// Region of the host.
+    pub region: Region,
+    /// Availability zone of the host.
+    pub zone: Zone,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address that reports readiness.
+    pub listen_ready: SocketAddr,
+    /// Address of the metrics; absent when none are served.
+    pub listen_metrics: Option<SocketAddr>,
+    /// Sizes of grants and marks.
+    pub escrow: budget::Settings,
+    /// Routing policy.
+    pub routing: route::Settings,
+    /// Retries of the whole fleet.
+    pub retries: AllowanceSettings,
+    /// Time between the regular flushes of the holder.
+    pub flush_interval: Duration,
+    /// Longest wait for tokens.
+    pub reserve_timeout: Duration,
+    /// Longest time to open a connection to an upstream.
+    pub connect_timeout: Duration,
+    /// Longest wait of a read for changes at the store.
+    pub watch_wait: Duration,
+    /// Longest time without an answer after which a call to the store has failed.
+    pub store_timeout: Duration,
+    /// Time between renewals of the host's row; a host is taken as gone after three.
+    pub renew_interval: Duration,
+    /// Time for which new connections are still accepted after the start of a planned stop, until
+    /// the balancer has taken the host out.
+    pub leave_time: Duration,
+    /// Longest time of a planned stop.
+    pub drain_limit: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            host: "host".into(),
+            region: "region".into(),
+            zone: "zone".into(),
+            listen: any,
+            listen_ready: any,
+            listen_metrics: None,
+            escrow: escrow(),
+            routing: routing(),
+            retries: AllowanceSettings::default(),
+            flush_interval: Duration::from_millis(500),
+            reserve_timeout: Duration::from_millis(600),
+            connect_timeout: Duration::from_millis(400),
+            watch_wait: Duration::from_millis(700),
+            store_timeout: Duration::from_millis(1_100),
+            renew_interval: Duration::from_secs(3),
+            leave_time: Duration::from_millis(2_300),
+            drain_limit: Duration::from_secs(7),
+        }
+    }
+}
+
+/// Sizes for a fleet in which every host holds every budget: marks outlast the store's outages of
+/// ten seconds at the present demand, and shrink with the rest of the budget.
+fn escrow() -> budget::Settings {
+    budget::Settings {
+        endurance: Duration::from_secs(10),
+        rise: Duration::from_secs(4),
+        lull: Duration::from_secs(15),
+        shortest: Duration::from_secs(1),
+        horizon: Duration::from_secs(12),
+        low_water: 0.7,
+        smallest: 40_000,
+        divisor: 12,
+        dry_pause: Duration::from_millis(500),
+        patience: Duration::from_millis(400),
+        review: Duration::from_secs(3),
+        review_soon: Duration::from_secs(1),
+        ..budget::Settings::default()
+    }
+}
+
+/// Routing for engines whose caches hold prompts that many callers share.
+fn routing() -> route::Settings {
+    route::Settings {
+        subset: 32,
+        sample: 32,
+        prefill: 0.000_018,
+        between: 0.01,
+        pause: Duration::from_millis(500),
+        pause_limit: Duration::from_secs(5),
+        ..route::Settings::default()
+    }
+}
--- /dev/null
+++ b/crates/observe/src/lib.rs
@@ -0,0 +1,4 @@
+//! Structured logs of marigoldroute's processes.
+
+pub mod logs;
+pub mod queue;
--- a/crates/router/src/logs.rs
+++ b/crates/observe/src/logs.rs
@@ -1,6 +1,7 @@
-//! JSON log lines on standard error.
+//! JSON log lines.
 
 use {
+    crate::queue::Queue,
     anyhow::Context,
     log::{
         Record,
@@ -17,18 +18,39 @@
 /// Target of lines about tokens: grants, bills, refusals.
 pub const TOKENS: &str = "marigoldroute::tokens";
 
-/// Starts logging.
+/// Target of lines about requests that end and about attempts.
+pub const REQUESTS: &str = "marigoldroute::requests";
+/// Target of lines about what the process believes: configuration, upstreams, hosts, the store.
+pub const BELIEFS: &str = "marigoldroute::beliefs";
+
+/// Starts logging to standard error.
 ///
 /// # Errors
 /// When logging was started before.
 pub fn init(level: log::LevelFilter) -> anyhow::Result<()> {
+    start(level, std::io::stderr())
+}
+
+/// Starts logging to standard output through a bounded queue that never blocks.
+///
+/// # Errors
+/// When logging was started before, or the thread of the queue cannot be started.
+pub fn init_queued(level: log::LevelFilter) -> anyhow::Result<()> {
+    let queue = Queue::start(std::io::stdout()).context("start the log queue")?;
+    let output = fern::Output::call(move |record| queue.push(record.args().to_string()));
+    start(level, output)
+}
+
+fn start(level: log::LevelFilter, output: impl Into<fern::Output>) -> anyhow::Result<()> {
     fern::Dispatch::new()
         .level(log::LevelFilter::Warn)
         .level_for("marigoldroute", level)
         .level_for("marigoldroute_core", level)
+        .level_for("marigoldroute_gateway", level)
         .level_for("marigoldroute_platform", level)
+        .level_for("marigoldroute_store", level)
         .format(|out, _, record| out.finish(format_args!("{}", line(record))))
-        .chain(std::io::stderr())
+        .chain(output)
         .apply()
         .context("start logging")
 }
--- a/crates/router/src/admin/answer.rs
+++ b/crates/router/src/admin/answer.rs
@@ -11,7 +11,7 @@
         config::Rejection,
         fault::{Fault, Kind, Outcome},
     },
-    marigoldroute_platform::Fault as Lost,
+    marigoldroute_store::Fault as Lost,
     poem::{Endpoint, IntoResponse, Request, Response, http::StatusCode},
     poem_openapi::{
         ApiResponse, Object,
--- a/crates/router/src/admin/bill.rs
+++ b/crates/router/src/admin/bill.rs
@@ -18,7 +18,7 @@
         id::{Sequence, Tokens},
         table::Row,
     },
-    marigoldroute_platform::Fault,
+    marigoldroute_store::Fault,
     poem_openapi::{Object, OpenApi, param::Query, payload::Json},
     std::{
         collections::{BTreeMap, HashSet},
--- a/crates/router/src/admin/budget.rs
+++ b/crates/router/src/admin/budget.rs
@@ -15,7 +15,7 @@
         id::Tokens,
         table::{Row, Transaction, Write as Put},
     },
-    marigoldroute_platform::Fault,
+    marigoldroute_store::Fault,
     poem_openapi::{
         Object, OpenApi,
         param::{Header, Path, Query},
--- a/crates/router/src/admin/key.rs
+++ b/crates/router/src/admin/key.rs
@@ -9,7 +9,7 @@
         write::{Effect, Step, Ticket, Write, execute, json},
     },
     marigoldroute_core::{fault::Kind, table::Transaction},
-    marigoldroute_platform::Fault,
+    marigoldroute_store::Fault,
     poem::Request,
     poem_openapi::{
         Object, OpenApi, SecurityScheme,
--- a/crates/router/src/admin/listed.rs
+++ b/crates/router/src/admin/listed.rs
@@ -7,7 +7,7 @@
     super::Admin,
     crate::control::HOST_PREFIX,
     marigoldroute_core::id::HostId,
-    marigoldroute_platform::Fault,
+    marigoldroute_store::Fault,
     std::{
         collections::BTreeSet,
         sync::{Arc, PoisonError},
--- a/crates/router/src/admin/lost.rs
+++ b/crates/router/src/admin/lost.rs
@@ -16,7 +16,7 @@
         id::{HolderId, Tokens},
         table::{Row, Transaction},
     },
-    marigoldroute_platform::Fault,
+    marigoldroute_store::Fault,
     poem_openapi::Object,
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, sync::Arc},
--- a/crates/router/src/admin/mod.rs
+++ b/crates/router/src/admin/mod.rs
@@ -31,7 +31,7 @@
 use {
     crate::{clock::Clock, control::Control, dispatch::Dispatch, metrics::Metrics, peer::Links},
     marigoldroute_core::id::HostId,
-    marigoldroute_platform::Client,
+    marigoldroute_store::Client,
     poem::{EndpointExt, Route},
     poem_openapi::OpenApiService,
     std::sync::{Arc, Mutex},
--- a/crates/router/src/admin/ring.rs
+++ b/crates/router/src/admin/ring.rs
@@ -7,7 +7,7 @@
     },
     derive_more::Display,
     marigoldroute_core::{config::hash_key, fault::Kind},
-    marigoldroute_platform::Fault,
+    marigoldroute_store::Fault,
     poem_openapi::Enum,
     serde::{Deserialize, Serialize},
     std::{
--- a/crates/router/src/admin/segments.rs
+++ b/crates/router/src/admin/segments.rs
@@ -2,7 +2,7 @@
 
 use {
     super::bill::time,
-    marigoldroute_platform::{Client, Fault},
+    marigoldroute_store::{Client, Fault},
     std::{collections::VecDeque, ops::Range},
 };
 
--- a/crates/router/src/admin/write.rs
+++ b/crates/router/src/admin/write.rs
@@ -15,7 +15,7 @@
         retention::{AUDIT_PREFIX, REQUEST_PREFIX},
         table::{Row, Transaction, Verdict},
     },
-    marigoldroute_platform::Fault as Lost,
+    marigoldroute_store::Fault as Lost,
     poem_openapi::Object,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     serde_json::Value,
--- a/crates/router/src/caller/claimed.rs
+++ b/crates/router/src/caller/claimed.rs
@@ -7,7 +7,7 @@
         fault::{Fault, Kind},
         id::{RequestId, WorkspaceId},
     },
-    marigoldroute_platform::Client,
+    marigoldroute_store::Client,
     poem::{Response, http::StatusCode},
     std::time::{SystemTime, UNIX_EPOCH},
 };
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -31,7 +31,7 @@
         fault::{Fault, Kind},
         id::{RequestId, Tokens},
     },
-    marigoldroute_platform::Client,
+    marigoldroute_store::Client,
     poem::{Body, Request, Response, Route, get, post},
     std::sync::Arc,
     tokio::sync::oneshot,
--- a/crates/router/src/claim/work.rs
+++ b/crates/router/src/claim/work.rs
@@ -14,7 +14,7 @@
         id::{HolderId, RequestId},
         table::{Row, Transaction, Verdict},
     },
-    marigoldroute_platform::{Client, Fault},
+    marigoldroute_store::{Client, Fault},
     std::{
         collections::HashMap,
         future::Future,
--- a/crates/router/src/control/listing.rs
+++ b/crates/router/src/control/listing.rs
@@ -6,7 +6,7 @@
         id::{HolderId, Region, Version, Zone},
         table::Transaction,
     },
-    marigoldroute_platform::{Client, Fault},
+    marigoldroute_store::{Client, Fault},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
--- a/crates/router/src/control/proposal.rs
+++ b/crates/router/src/control/proposal.rs
@@ -10,7 +10,7 @@
         id::Version,
         table::{Row, Transaction, Verdict},
     },
-    marigoldroute_platform::Fault,
+    marigoldroute_store::Fault,
     std::time::Duration,
     tokio::sync::oneshot,
 };
--- a/crates/router/src/control/store.rs
+++ b/crates/router/src/control/store.rs
@@ -2,7 +2,7 @@
 
 use {
     marigoldroute_core::{config::Read, table::Row},
-    marigoldroute_platform::{Client, Fault},
+    marigoldroute_store::{Client, Fault},
 };
 
 /// Returns the rows that a question asks for.
--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -18,7 +18,7 @@
         table::{Row, Verdict},
         wire::{Body, Reply},
     },
-    marigoldroute_platform::{Client, Fault},
+    marigoldroute_store::{Client, Fault},
     prost::Message,
     rand::{SeedableRng, rngs::SmallRng},
     std::{future::Future, sync::Arc, time::Duration},
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -265,6 +265,7 @@
                 prompt: need.prompt,
                 output: need.output,
                 prefixes: need.prefixes,
+                home: None,
                 priority: need.priority,
                 allows: &allows,
             };
--- a/crates/router/src/escrow/store.rs
+++ b/crates/router/src/escrow/store.rs
@@ -3,7 +3,7 @@
 use {
     super::holders::Generation,
     marigoldroute_core::table::{Row, Transaction, Verdict},
-    marigoldroute_platform::{Client, Fault},
+    marigoldroute_store::{Client, Fault},
     std::{future::Future, pin::Pin},
 };
 
--- a/crates/router/src/escrow/work.rs
+++ b/crates/router/src/escrow/work.rs
@@ -20,7 +20,7 @@
         table::{Row, Verdict},
         wire::Billing,
     },
-    marigoldroute_platform::{Client, Fault},
+    marigoldroute_store::{Client, Fault},
     std::{
         collections::{HashMap, VecDeque},
         future::Future,
--- a/crates/router/src/ledger.rs
+++ b/crates/router/src/ledger.rs
@@ -11,7 +11,7 @@
         retention::{self, AUDIT_PREFIX, CURSOR_KEY, VERSION_PREFIX},
         table::{Row, Transaction, Verdict},
     },
-    marigoldroute_platform::{Client, Fault},
+    marigoldroute_store::{Client, Fault},
     std::{
         collections::BTreeSet,
         sync::Arc,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,7 +2,6 @@
 
 pub mod cli;
 mod ledger;
-pub mod logs;
 pub mod settings;
 
 mod admin;
@@ -27,6 +26,7 @@
 mod upstream;
 
 pub use {
+    marigoldroute_observe::logs,
     router::{Handle, start},
     settings::Settings,
 };
--- a/crates/router/src/placement/mod.rs
+++ b/crates/router/src/placement/mod.rs
@@ -22,7 +22,7 @@
         place::{HALT_PREFIX, Halt},
         table::{Transaction, Verdict},
     },
-    marigoldroute_platform::{Client, Fault},
+    marigoldroute_store::{Client, Fault},
     std::{sync::Arc, time::Duration},
     tenure::Tenure,
     tokio_util::sync::CancellationToken,
--- a/crates/router/src/placement/tests.rs
+++ b/crates/router/src/placement/tests.rs
@@ -24,7 +24,7 @@
         table::{Transaction, Verdict},
         wire::Keys,
     },
-    marigoldroute_platform::{Client, StandIn as Platform},
+    marigoldroute_store::{Client, StandIn as Platform},
     marigoldroute_upstream::{Loader, Settings as Speed, StandIn as Stand, WeightStore, Weights},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio_util::{sync::CancellationToken, task::TaskTracker},
--- a/crates/router/src/reclaim.rs
+++ b/crates/router/src/reclaim.rs
@@ -19,7 +19,7 @@
         id::{HolderId, Version},
         table::{Row, Transaction, Verdict},
     },
-    marigoldroute_platform::{Client, Fault},
+    marigoldroute_store::{Client, Fault},
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -28,7 +28,7 @@
         id::{HolderId, Version},
         route::Origin,
     },
-    marigoldroute_platform::{Client, http, listen},
+    marigoldroute_store::{Client, http, listen},
     poem::{Endpoint, EndpointExt, Route, Server, listener::Acceptor},
     rand::RngCore,
     std::{
--- a/crates/router/src/tls/tests.rs
+++ b/crates/router/src/tls/tests.rs
@@ -3,7 +3,7 @@
 use {
     super::secure,
     futures_util::stream,
-    marigoldroute_platform::listen,
+    marigoldroute_store::listen,
     poem::listener::{Acceptor, RustlsCertificate, RustlsConfig},
     std::net::SocketAddr,
     tokio::net::TcpStream,
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use {
     marigoldroute_core::id::{RequestId, Tokens},
-    marigoldroute_platform::http,
+    marigoldroute_store::http,
     poem::http::{HeaderMap, Method},
     reqwest::{Body, Response, StatusCode},
     serde::Deserialize,
--- a/crates/router/tests/fleet/mod.rs
+++ b/crates/router/tests/fleet/mod.rs
@@ -15,7 +15,7 @@
         config::{Change, Edit, Kind, Setting, Value, hash_key},
         table::{Row, Transaction},
     },
-    marigoldroute_platform::{Client, StandIn as Platform},
+    marigoldroute_store::{Client, StandIn as Platform},
     marigoldroute_upstream::StandIn as Engine,
     serde_json::{Value as Json, json},
     std::{
--- a/crates/router/tests/operator/mod.rs
+++ b/crates/router/tests/operator/mod.rs
@@ -7,7 +7,7 @@
     crate::fleet::{Outside, local},
     marigoldroute::{Handle, Settings},
     marigoldroute_core::config::hash_key,
-    marigoldroute_platform::StandIn as Platform,
+    marigoldroute_store::StandIn as Platform,
     reqwest::Method,
     serde_json::{Value, json},
     std::{net::SocketAddr, time::Duration},
--- a/crates/router/tests/operators.rs
+++ b/crates/router/tests/operators.rs
@@ -11,7 +11,7 @@
 use {
     futures_util::future::join_all,
     marigoldroute_core::config::hash_key,
-    marigoldroute_platform::Order,
+    marigoldroute_store::Order,
     operator::{Answer, Fleet, Operator},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     reqwest::Method,
--- a/crates/router/tests/processes.rs
+++ b/crates/router/tests/processes.rs
@@ -12,7 +12,7 @@
         fleet::{Weighted, rank},
         id::HostId,
     },
-    marigoldroute_platform::Order,
+    marigoldroute_store::Order,
     nix::sys::signal::Signal,
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
     tokio::task::JoinSet,
--- a/crates/router/tests/release.rs
+++ b/crates/router/tests/release.rs
@@ -8,7 +8,7 @@
     fleet::{BUDGET, Outside, process::FLEET_KEY},
     futures_util::{SinkExt, StreamExt},
     marigoldroute_core::wire::{Body, Codec, Frame, Keys, Refusal, Release, Reply, Reserve},
-    marigoldroute_platform::Order,
+    marigoldroute_store::Order,
     std::collections::BTreeMap,
     tokio::net::TcpStream,
     tokio_util::codec::Framed,
--- a/crates/platform/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -7,7 +7,7 @@
 
 use {
     marigoldroute_core::table::{Transaction, Verdict},
-    marigoldroute_platform::{Client, Fault, Order, StandIn},
+    marigoldroute_store::{Client, Fault, Order, StandIn},
     std::time::Duration,
 };
 
--- a/crates/upstream/src/server.rs
+++ b/crates/upstream/src/server.rs
@@ -10,7 +10,7 @@
         record::{Book, Record},
         service,
     },
-    marigoldroute_platform::serve,
+    marigoldroute_store::serve,
     poem::{
         EndpointExt, Route, get, handler,
         http::StatusCode,
--- a/crates/upstream/src/weights.rs
+++ b/crates/upstream/src/weights.rs
@@ -2,7 +2,7 @@
 
 use {
     derive_more::{Display, Error},
-    marigoldroute_platform::serve,
+    marigoldroute_store::serve,
     poem::{
         EndpointExt, IntoResponse, Response, Route, get, handler,
         http::StatusCode,
