Serve callers' connections with hyper, so that a cut stream shows

Cause: poem ends a chunked answer with its last chunk when the body fails, so callers took streams that a crashed upstream had cut for whole ones.

Change: the gateway accepts callers' connections itself and serves them with hyper; a failed body closes the connection without the last chunk.

--- a/crates/core/src/forward/plan.rs
+++ b/crates/core/src/forward/plan.rs
@@ -126,6 +126,8 @@
     pub header_bytes: usize,
     /// Largest request body in bytes.
     pub body_bytes: usize,
+    /// Longest time for which a connection may stay idle.
+    pub idle: Duration,
 }
 
 impl Default for Limits {
@@ -133,6 +135,7 @@
         Self {
             header_bytes: 16 << 10,
             body_bytes: 4 << 20,
+            idle: Duration::from_secs(15),
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/accept.rs
@@ -0,0 +1,136 @@
+//! Connections of callers.
+//!
+//! They are served by hyper itself: poem ends the body of an answer as complete when its source
+//! fails, so that a caller would take a cut stream for a whole one.
+
+use {
+    crate::{clock::Clock, front::Front, listen::listen, pool::watch_silence, view::lock},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::TokioIo,
+    poem::http::Request,
+    std::{
+        convert::Infallible,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::net::{TcpListener, TcpStream},
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// Pause after a failed accept, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two looks at how long a connection has been idle.
+const IDLE_CHECK: Duration = Duration::from_secs(3);
+/// Part of the idle limit that is added before a connection is closed, so that a request that
+/// arrives right at the limit does not cross the close.
+const IDLE_MARGIN: f64 = 1.3;
+
+/// Binds an address and serves callers there until `stop`; then idle connections are closed, and
+/// the others after their answers.
+pub(crate) fn accept(
+    address: SocketAddr,
+    front: Front,
+    tasks: &TaskTracker,
+    stop: &CancellationToken,
+) -> anyhow::Result<SocketAddr> {
+    let (listener, address) = listen(address)?;
+    tasks.spawn(run(listener, front, tasks.clone(), stop.clone()));
+    Ok(address)
+}
+
+async fn run(listener: TcpListener, front: Front, tasks: TaskTracker, stop: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tasks.spawn(serve(stream, front.clone(), stop.clone()));
+            }
+            Err(error) => {
+                log::warn!("connection not accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Requests of a connection.
+struct Activity {
+    running: usize,
+    /// When the last request ended.
+    since: Duration,
+}
+
+/// A running request; it ends when its answer has been handed over or given up.
+struct Running {
+    activity: Arc<Mutex<Activity>>,
+    clock: Clock,
+}
+
+impl Running {
+    fn start(activity: &Arc<Mutex<Activity>>, clock: Clock) -> Self {
+        lock(activity).running += 1;
+        let activity = activity.clone();
+        Self { activity, clock }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut activity = lock(&self.activity);
+        activity.running -= 1;
+        activity.since = self.clock.now();
+    }
+}
+
+async fn serve(stream: TcpStream, front: Front, stop: CancellationToken) {
+    if let Err(error) = watch_silence(&stream) {
+        log::debug!("connection lost before its first request: {error}");
+        return;
+    }
+    let clock = front.0.clock;
+    let activity = Activity {
+        running: 0,
+        since: clock.now(),
+    };
+    let activity = Arc::new(Mutex::new(activity));
+    let (seen, limits) = (activity.clone(), front.clone());
+    let service = service_fn(move |request: Request<Incoming>| {
+        let running = Running::start(&activity, clock);
+        let front = front.clone();
+        async move {
+            let response = front.call(request).await;
+            drop(running);
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut is_leaving = false;
+    loop {
+        tokio::select! {
+            result = connection.as_mut() => {
+                if let Err(error) = result {
+                    log::debug!("connection ended: {error}");
+                }
+                return;
+            }
+            () = stop.cancelled(), if !is_leaving => {
+                is_leaving = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = tokio::time::sleep(IDLE_CHECK), if !is_leaving => {
+                let limit = limits.0.view.directory().unwrap_or_default().limits().idle;
+                let activity = lock(&seen);
+                let idle = clock.now().saturating_sub(activity.since);
+                if activity.running == 0 && idle > limit.mul_f64(IDLE_MARGIN) {
+                    is_leaving = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,13 +1,13 @@
 //! Answers that the gateway makes itself.
 
 use {
-    crate::interface::{Call, Interface, Malformed},
+    crate::{
+        front::{Body, whole},
+        interface::{Call, Interface, Malformed},
+    },
     derive_more::Display,
     marigoldroute_core::forward::Missing,
-    poem::{
-        Response,
-        http::{HeaderValue, StatusCode, header::RETRY_AFTER},
-    },
+    poem::http::{HeaderValue, Response, StatusCode, header::RETRY_AFTER},
     rand::Rng,
     std::time::Duration,
 };
@@ -82,10 +82,13 @@
 }
 
 /// Returns the answer for a reason.
-pub(crate) fn own(interface: &dyn Interface, call: Option<&Call>, reason: Reason) -> Response {
-    let mut response = Response::builder()
-        .status(reason.status())
-        .body(reason.to_string());
+pub(crate) fn own(
+    interface: &dyn Interface,
+    call: Option<&Call>,
+    reason: Reason,
+) -> Response<Body> {
+    let mut response = Response::new(whole(reason.to_string().into()));
+    *response.status_mut() = reason.status();
     *response.headers_mut() = interface.own(call);
     if let Some(least) = reason.come_back() {
         let spread = 1.0 + SPREAD * rand::rng().random::<f64>();
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -8,37 +8,43 @@
         relay::Relay,
     },
     bytes::Bytes,
-    marigoldroute_core::forward::Access,
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody},
+    hyper::body::Incoming,
+    marigoldroute_core::forward::{Access, Service},
     marigoldroute_observe::logs::REQUESTS,
-    poem::{
-        Body, Endpoint, Request, Response,
-        error::ReadBodyError,
-        http::{HeaderValue, header::CONNECTION},
-    },
-    std::{sync::Arc, time::Duration},
+    poem::http::{HeaderValue, Request, Response, header::CONNECTION},
+    std::{io, sync::Arc, time::Duration},
 };
 
 /// Longest time to read a request's body, when the caller does not say how long it waits.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The endpoint for callers.
-pub(crate) struct Front(pub(crate) Arc<Context>);
+/// Body of an answer; an error cuts the connection, so that the answer cannot pass as complete.
+pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
 
-impl Endpoint for Front {
-    type Output = Response;
+/// Returns a body that is known as a whole.
+pub(crate) fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Serves callers.
+#[derive(Clone)]
+pub(crate) struct Front(pub(crate) Arc<Context>);
 
-    async fn call(&self, request: Request) -> poem::Result<Response> {
+impl Front {
+    /// Answers a request.
+    pub(crate) async fn call(&self, request: Request<Incoming>) -> Response<Body> {
         let mut response = self.respond(request).await;
         if self.0.view.is_draining() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
-        Ok(response)
+        response
     }
-}
 
-impl Front {
-    async fn respond(&self, mut request: Request) -> Response {
+    async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
         let context = &self.0;
         let arrived = context.clock.now();
         let call = context
@@ -48,29 +54,34 @@
             Ok(call) => call,
             Err(malformed) => return self.own(None, arrived, Reason::Malformed(malformed)),
         };
-        let body = request.take_body();
-        match self.admit(&call, body).await {
+        match self.admit(&call, request.into_body()).await {
             Ok((access, body)) => self.serve(call, access, body, arrived).await,
             Err(reason) => self.own(Some(&call), arrived, reason),
         }
     }
 
     /// Finds what the request is allowed to use, and reads its body.
-    async fn admit(&self, call: &Call, body: Body) -> Result<(Access, Bytes), Reason> {
+    async fn admit(&self, call: &Call, body: Incoming) -> Result<(Access, Bytes), Reason> {
         let directory = self.0.view.directory().ok_or(Reason::Unconfigured)?;
         let access = directory.find(&call.host, call.target.path(), call.key.as_deref());
         let access = access.map_err(Reason::Missing)?;
         let limit = directory.limits().body_bytes;
         let timeout = call.patience.unwrap_or(BODY_TIMEOUT);
-        let read = tokio::time::timeout(timeout, body.into_bytes_limit(limit)).await;
+        let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
         match read {
-            Ok(Ok(body)) => Ok((access, body)),
-            Ok(Err(ReadBodyError::PayloadTooLarge)) => Err(Reason::TooLarge),
+            Ok(Ok(body)) => Ok((access, body.to_bytes())),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::TooLarge),
             Ok(Err(_)) | Err(_) => Err(Reason::Incomplete),
         }
     }
 
-    async fn serve(&self, call: Call, access: Access, body: Bytes, arrived: Duration) -> Response {
+    async fn serve(
+        &self,
+        call: Call,
+        access: Access,
+        body: Bytes,
+        arrived: Duration,
+    ) -> Response<Body> {
         let service = self.service(&access);
         let Some(service) = service else {
             return self.own(Some(&call), arrived, Reason::Unplaced);
@@ -88,7 +99,7 @@
             Answer::Own(reason) => self.own(Some(&job.call), arrived, reason),
             Answer::Whole(reply, body) => {
                 self.note(&job, &reply, elapsed);
-                respond(&reply, Body::from_bytes(body))
+                respond(&reply, whole(body))
             }
             Answer::Stream(stream) => {
                 let reply = stream.exchange.reply.clone();
@@ -99,7 +110,7 @@
     }
 
     /// Chooses one of the route's services by weight.
-    fn service(&self, access: &Access) -> Option<Arc<marigoldroute_core::forward::Service>> {
+    fn service(&self, access: &Access) -> Option<Arc<Service>> {
         let directory = self.0.view.directory()?;
         let random = rand::random::<f64>();
         let target = access.route.pick(random)?;
@@ -121,7 +132,7 @@
         );
     }
 
-    fn own(&self, call: Option<&Call>, arrived: Duration, reason: Reason) -> Response {
+    fn own(&self, call: Option<&Call>, arrived: Duration, reason: Reason) -> Response<Body> {
         let response = answer::own(&*self.0.interface, call, reason);
         let id = call.map_or("", |call| &call.id);
         let elapsed = self.0.clock.now().saturating_sub(arrived);
@@ -145,8 +156,9 @@
     }
 }
 
-fn respond(reply: &Reply, body: Body) -> Response {
-    let mut response = Response::builder().status(reply.status).body(body);
+fn respond(reply: &Reply, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = reply.status;
     response.headers_mut().extend(reply.headers.clone());
     response
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! The gateway knows neither the spelling of its callers' requests nor the calls of its store.
 //! Both come from the program that embeds it, as an [`Interface`] and a [`Store`].
 
+mod accept;
 mod answer;
 mod clock;
 mod dispatch;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -2,13 +2,14 @@
 
 use {
     crate::{
+        accept::accept,
         clock::Clock,
         dispatch::Dispatch,
         escrow::{Escrow, Writer},
         front::Front,
         interface::Interface,
         job::Context,
-        listen::listen,
+        listen::acceptor,
         members::Members,
         metrics::Metrics,
         pool::Pool,
@@ -92,7 +93,7 @@
     let (leave, stop) = (CancellationToken::new(), CancellationToken::new());
     let (serving, tasks) = (TaskTracker::new(), TaskTracker::new());
 
-    let callers = serve(settings.listen, Front(context), &serving, &leave)?;
+    let callers = accept(settings.listen, Front(context), &serving, &leave)?;
     let ready = serve(
         settings.listen_ready,
         readiness(view.clone()),
@@ -196,7 +197,7 @@
     tasks: &TaskTracker,
     stop: &CancellationToken,
 ) -> anyhow::Result<SocketAddr> {
-    let (acceptor, address) = listen(address)?;
+    let (acceptor, address) = acceptor(address)?;
     let stop = stop.clone();
     tasks.spawn(async move {
         let server = Server::new_with_acceptor(acceptor);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,16 +3,18 @@
 use {
     crate::{
         exchange::Failure,
+        front::Body,
         job::{Answer, Job, Stream},
     },
     bytes::{Bytes, BytesMut},
     futures_util::stream,
+    http_body_util::{BodyExt, StreamBody},
+    hyper::body::Frame,
     marigoldroute_core::{
         forward::{Kind, Sequence, event_id, retry::Outcome},
         route::Progress,
     },
     marigoldroute_observe::logs::REQUESTS,
-    poem::Body,
     std::{io, time::Duration},
 };
 
@@ -49,10 +51,11 @@
 
     /// Returns the body of the answer.
     pub(crate) fn body(self) -> Body {
-        Body::from_bytes_stream(stream::unfold(self, |mut relay| async move {
+        let frames = stream::unfold(self, |mut relay| async move {
             let bytes = relay.next().await?;
-            Some((bytes, relay))
-        }))
+            Some((bytes.map(Frame::data), relay))
+        });
+        StreamBody::new(frames).boxed_unsync()
     }
 
     /// Returns the next bytes; an error cuts the connection, so that the answer cannot pass as
