--- a/crates/core/src/budget/tests/mod.rs
+++ b/crates/core/src/budget/tests/mod.rs
@@ -9,6 +9,7 @@
     std::time::Duration,
 };
 
+mod stated;
 mod fuzz;
 mod life;
 mod view;
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -1,1 +1,195 @@
+use {
+    super::{
+        Accepted, Allowance, AllowanceSettings, Change, Directory, Entry, Kind, Limits, Missing,
+        Rejected, Roster, Route, Sequence, Snapshot, State, Target, Workspace, event_id,
+        retry::{Attempt, Next, Outcome, next},
+    },
+    std::time::Duration,
+};
 
+const SECOND: Duration = Duration::from_secs(1);
+
+fn route(host: &str, prefix: &str, service: &str) -> Route {
+    Route {
+        name: service.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: Kind::Idempotent,
+        targets: vec![Target { service: service.into(), weight: 1 }],
+        attempts: 2,
+        timeout: SECOND,
+        objective: SECOND / 10,
+        priority: 1,
+        is_public: false,
+    }
+}
+
+fn workspace(name: &str, key: &str) -> Workspace {
+    Workspace {
+        name: name.into(),
+        keys: vec![key.into()],
+        priority: None,
+        purchased: Some(1_000),
+    }
+}
+
+fn directory() -> Directory {
+    Directory::new(Snapshot {
+        version: 3,
+        routes: vec![
+            route("desk.example", "/orders/", "desk"),
+            route("desk.example", "/orders/urgent/", "urgent"),
+            Route { is_public: true, ..route("open.example", "/", "open") },
+        ],
+        services: Vec::new(),
+        workspaces: vec![workspace("hostel", "k1"), workspace("school", "k2")],
+        limits: Limits::default(),
+    })
+}
+
+/// Guards against requests that reach the service of a shorter prefix.
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let directory = directory();
+    let service = |host: &str, path: &str| {
+        let access = directory.find(host, path, Some("k1"));
+        access.map(|access| access.route.targets[0].service.to_string())
+    };
+    assert_eq!(service("desk.example", "/orders/7").as_deref(), Ok("desk"));
+    assert_eq!(service("DESK.example:80", "/orders/urgent/7").as_deref(), Ok("urgent"));
+    assert_eq!(service("desk.example", "/orders"), Err(Missing::Route));
+    assert_eq!(service("other.example", "/orders/7"), Err(Missing::Route));
+}
+
+/// Guards against work for a caller whose key was withdrawn, and against charging another one.
+#[test]
+fn keys_lead_to_their_workspace() {
+    let directory = directory();
+    let name = |key: Option<&str>| {
+        let access = directory.find("desk.example", "/orders/7", key);
+        access.map(|access| access.workspace.map(|workspace| workspace.name.to_string()))
+    };
+    assert_eq!(name(Some("k2")), Ok(Some("school".into())));
+    assert_eq!(name(Some("k3")), Err(Missing::Key));
+    assert_eq!(name(None), Err(Missing::Key));
+    assert!(directory.find("open.example", "/any", None).is_ok());
+}
+
+/// Guards against a second run of what may run once, and against a refusal that says "not run"
+/// after an attempt that may have run.
+#[test]
+fn outcomes_lead_to_truthful_ends() {
+    let attempt = |kind, outcome, is_fresh, sent| Attempt {
+        kind,
+        outcome,
+        is_fresh,
+        sent,
+        most: 2,
+        left: SECOND,
+    };
+    let cases = [
+        (Kind::Once, Outcome::Unknown, true, 1, Next::Fail),
+        (Kind::Once, Outcome::Failed, true, 1, Next::Fail),
+        (Kind::Once, Outcome::Refused, true, 1, Next::Retry),
+        (Kind::Once, Outcome::Unsent, true, 0, Next::Retry),
+        (Kind::Once, Outcome::Refused, true, 2, Next::Refuse),
+        (Kind::Stream, Outcome::Unknown, true, 1, Next::Fail),
+        (Kind::Idempotent, Outcome::Unknown, true, 1, Next::Retry),
+        (Kind::Idempotent, Outcome::Failed, true, 2, Next::Fail),
+        (Kind::Idempotent, Outcome::Refused, false, 2, Next::Fail),
+        (Kind::Resumable, Outcome::Unknown, false, 1, Next::Retry),
+    ];
+    for (kind, outcome, is_fresh, sent, expected) in cases {
+        let attempt = attempt(kind, outcome, is_fresh, sent);
+        assert_eq!(next(&attempt, || true), expected, "{attempt:?}");
+    }
+}
+
+/// Guards against retries beyond the fleet's allowance, and against attempts that cannot end in
+/// time.
+#[test]
+fn retries_need_allowance_and_time() {
+    let attempt = Attempt {
+        kind: Kind::Idempotent,
+        outcome: Outcome::Refused,
+        is_fresh: true,
+        sent: 1,
+        most: 2,
+        left: SECOND,
+    };
+    assert_eq!(next(&attempt, || false), Next::Refuse);
+    let late = Attempt { left: Duration::from_millis(5), ..attempt };
+    assert_eq!(next(&late, || panic!("no allowance is taken for a late attempt")), Next::Refuse);
+}
+
+/// Guards against a fleet whose hosts together retry more than the bound over a window.
+#[test]
+fn fleet_stays_within_the_allowance() {
+    let settings = AllowanceSettings { share: 0.2, slack: 52.0, window: 10 * SECOND };
+    let mut hosts = vec![Allowance::new(settings); 6];
+    hosts.iter_mut().for_each(|host| host.set_hosts(6));
+    let requests = 300;
+    let mut retries = 0;
+    for index in 0..requests {
+        let host = &mut hosts[index % 6];
+        host.deposit();
+        while host.withdraw() {
+            retries += 1;
+        }
+    }
+    assert!(f64::from(retries) <= 0.2 * requests as f64 + 52.0, "{retries}");
+}
+
+fn entry(state: State) -> Entry {
+    Entry {
+        service: "desk".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        region: "region".into(),
+        zone: "zone".into(),
+        slots: 6,
+        state,
+        started_ms: 1,
+    }
+}
+
+/// Guards against new work for an upstream that leaves, with and without an announcement.
+#[test]
+fn leaving_upstreams_get_no_work() {
+    let mut roster = Roster::default();
+    assert!(matches!(roster.put("a".into(), entry(State::Ready)), Some(Change::Joined(..))));
+    assert_eq!(roster.put("a".into(), entry(State::Ready)), None);
+    assert_eq!(roster.put("a".into(), entry(State::Draining)), Some(Change::Left("a".into())));
+    roster.put("b".into(), entry(State::Ready));
+    assert_eq!(roster.remove(SECOND, "b"), Some(Change::Left("b".into())));
+    assert_eq!(roster.ready().count(), 0);
+}
+
+/// Guards against losing every upstream because their entries lapsed while the store was away.
+#[test]
+fn entries_that_lapsed_in_an_outage_have_time_to_return() {
+    let mut roster = Roster::default();
+    for id in ["a", "b"] {
+        roster.put(id.into(), entry(State::Ready));
+    }
+    roster.lose();
+    roster.regain(10 * SECOND);
+    assert_eq!(roster.replace(10 * SECOND, Vec::new()), Vec::new());
+    roster.put("a".into(), entry(State::Ready));
+    assert_eq!(roster.expire(11 * SECOND), Vec::new());
+    assert_eq!(roster.expire(13 * SECOND), vec![Change::Left("b".into())]);
+    assert_eq!(roster.ready().count(), 1);
+}
+
+/// Guards against a stream with a missing or repeated event.
+#[test]
+fn events_follow_one_another() {
+    let mut sequence = Sequence::new(Some(4));
+    assert_eq!(sequence.accept(Some(5)), Ok(Accepted::Next));
+    assert_eq!(sequence.accept(None), Ok(Accepted::Unnumbered));
+    assert_eq!(sequence.accept(Some(5)), Err(Rejected::Repeated { id: 5, last: 5 }));
+    assert_eq!(sequence.accept(Some(7)), Err(Rejected::Gap { id: 7, last: 5 }));
+    assert_eq!(sequence.accept(Some(6)), Ok(Accepted::Next));
+    assert_eq!((sequence.last(), sequence.relayed()), (Some(6), 2));
+    assert_eq!(event_id(b"event: x\nid: 12\ndata: y\n\n"), Some(12));
+    assert_eq!(event_id(b"data: id: 12\n\n"), None);
+}
