Bound what a holder uses between rows, and let its successor return the rest

Change: a row states what its holder can use at most as a function of time, and the holder keeps to it.

--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -198,6 +198,12 @@
         Some(())
     }
 
+    /// Returns whether a transaction has to write a row.
+    pub fn is_changed(&self) -> bool {
+        let mut changes = self.rows.values();
+        changes.any(|change| change.before != change.after)
+    }
+
     /// Adds the changed rows to a transaction that requires the versions that were read.
     pub fn write(&self, transaction: &mut Transaction) {
         for change in self.rows.values() {
--- /dev/null
+++ b/crates/core/src/budget/bound.rs
@@ -0,0 +1,115 @@
+//! Bound on what a holder can have used since its last row.
+//!
+//! A mark that outlasts an outage of the store is far above what a holder uses while the store
+//! answers. When the process of a holder has ended, the tokens up to the mark would be lost. So a
+//! row also states how fast the holder uses tokens at most, and the holder keeps to it: the
+//! successor of a process that has certainly ended knows from the time since the row what may have
+//! been used, and returns the rest.
+
+use {
+    super::grant::Demand,
+    crate::id::Tokens,
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+};
+
+/// Tokens that a holder can have used of a budget, as a function of time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bound {
+    /// Clock of the store in milliseconds, read before the row was made.
+    pub at_ms: u64,
+    /// Spent and reserved tokens when the row was made.
+    pub used: Tokens,
+    /// Tokens that may be reserved at once.
+    pub burst: Tokens,
+    /// Tokens that may be reserved per second.
+    pub rate: Tokens,
+}
+
+impl Bound {
+    /// Returns the tokens that may be reserved within `elapsed` after the row was made.
+    fn allowed(&self, elapsed: Duration) -> Tokens {
+        let over_time = (self.rate as f64 * elapsed.as_secs_f64()) as Tokens;
+        self.burst.saturating_add(over_time)
+    }
+
+    /// Returns the tokens that can have been used when the store's clock shows `now_ms`.
+    pub fn most(&self, now_ms: u64) -> Tokens {
+        let elapsed = Duration::from_millis(now_ms.saturating_sub(self.at_ms));
+        // One token covers what the other side lost by rounding down.
+        self.used
+            .saturating_add(self.allowed(elapsed))
+            .saturating_add(1)
+    }
+}
+
+/// Settings of the bounds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Tokens per second as a multiple of the demand, so that a rising demand is served while the
+    /// store does not answer.
+    pub rate: f64,
+    /// Time of demand that may be reserved at once.
+    pub burst: Duration,
+    /// Fewest tokens that may be reserved at once.
+    pub least_burst: Tokens,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            rate: 2.0,
+            burst: Duration::from_secs(1),
+            least_burst: 4_096,
+        }
+    }
+}
+
+impl Settings {
+    /// Returns the bound of a new row; `lacked` is what a reservation was refused for.
+    pub(super) fn bound(&self, at_ms: u64, used: Tokens, demand: &Demand, lacked: Tokens) -> Bound {
+        let burst = demand.during(self.burst).max(self.least_burst);
+        Bound {
+            at_ms,
+            used,
+            burst: burst.max(lacked),
+            rate: demand.during(Duration::from_secs(1).mul_f64(self.rate)),
+        }
+    }
+}
+
+/// Counts reservations against a bound.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Meter {
+    bound: Bound,
+    /// When the row was made, by the holder's clock.
+    made: Duration,
+    /// Tokens reserved since, whether they were used or not.
+    reserved: Tokens,
+}
+
+impl Meter {
+    pub fn new(bound: Bound, made: Duration) -> Self {
+        let reserved = 0;
+        Self {
+            bound,
+            made,
+            reserved,
+        }
+    }
+
+    /// Returns the tokens that may be reserved now.
+    pub fn free(&self, now: Duration) -> Tokens {
+        let allowed = self.bound.allowed(now.saturating_sub(self.made));
+        allowed.saturating_sub(self.reserved)
+    }
+
+    pub fn take(&mut self, tokens: Tokens) {
+        self.reserved = self.reserved.saturating_add(tokens);
+    }
+
+    /// Returns whether more than half of the burst is taken.
+    pub fn is_low(&self, now: Duration) -> bool {
+        self.free(now) < self.bound.burst / 2
+    }
+}
--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         account::{self, Accounts, json},
+        bound::Meter,
         holder::{Holder, Opening, Phase},
         journal::{self, Entry, Journal, Share, Shares},
     },
@@ -189,19 +190,38 @@
             }
             due |= share.allocated != slot.durable.allocated;
             share.mark = slot.raise(&self.settings, share.allocated);
+            due |= slot.is_metered_low(now);
             if let Some(covered) = slot.take_shortage(now, &self.settings, share.mark) {
                 shortages.insert(budget.clone(), covered);
             }
         }
+        if !due && !accounts.is_changed() {
+            return None;
+        }
+        self.bind(now, &mut shares);
         let entry = Entry::Flush {
             shares: left(&shares),
             bills: self.bills.iter().take(bills).cloned().collect(),
         };
         let mut pending = self.pending(entry, &accounts, shares, bills, self.phase);
         pending.shortages = shortages;
-        let own = 1 + usize::from(self.opening == Opening::Absent);
-        let wants = pending.transaction.writes.len() > own;
-        (due || wants).then_some(pending)
+        Some(pending)
+    }
+
+    /// States in the next row what the holder can use after it.
+    fn bind(&mut self, now: Duration, shares: &mut Shares) {
+        let (Some(settings), Some(at_ms)) = (self.settings.bound, self.store_ms) else {
+            return;
+        };
+        for (budget, share) in shares {
+            let Some(slot) = self.slots.get_mut(budget) else {
+                continue;
+            };
+            let lacked = std::mem::take(&mut slot.held_back);
+            let bound = settings.bound(at_ms, slot.used(), &slot.demand, lacked);
+            share.bound = Some(bound);
+            slot.next_meter = Some(Meter::new(bound, now));
+        }
     }
 
     fn close(&self, mut accounts: Accounts) -> Option<Pending> {
@@ -214,6 +234,7 @@
                 allocated: slot.spent,
                 mark: slot.spent,
                 spent: slot.spent,
+                bound: None,
             };
             shares.insert(budget.clone(), share);
         }
@@ -291,6 +312,7 @@
             if let Some(slot) = self.slots.get_mut(&budget) {
                 slot.durable = share;
                 slot.ceiling = share.mark;
+                slot.meter = slot.next_meter.take();
                 if pending.shortages.contains_key(&budget) {
                     slot.starving = None;
                 }
@@ -332,6 +354,7 @@
                 continue;
             };
             slot.ceiling = slot.durable.mark;
+            slot.next_meter = None;
             if share.allocated != slot.durable.allocated {
                 slot.review_at = Duration::ZERO;
             }
--- a/crates/core/src/budget/grant.rs
+++ b/crates/core/src/budget/grant.rs
@@ -1,6 +1,6 @@
 //! Sizes of grants and marks.
 
-use {crate::id::Tokens, derive_more::Display, std::time::Duration};
+use {super::bound, crate::id::Tokens, derive_more::Display, std::time::Duration};
 
 /// Row writes per second of all holders together; the table service takes several hundred.
 const FLEET_WRITES: f64 = 600.0;
@@ -51,6 +51,9 @@
     /// Rows that the holder writes per second outside its regular flushes, and in budget rows with
     /// them; see [`Settings::paced`].
     pub pace: f64,
+    /// Bounds on what a holder uses between its rows; without them, the tokens up to the mark of a
+    /// process that has ended stay stranded.
+    pub bound: Option<bound::Settings>,
     /// Largest number of open reservations and of bills that no row holds yet, taken together.
     pub limit: usize,
     /// Largest number of budgets of one holder.
@@ -77,6 +80,7 @@
             review: Duration::from_secs(300),
             review_soon: Duration::from_secs(30),
             pace: f64::INFINITY,
+            bound: None,
             limit: 65_536,
             budgets: 16_384,
             remembered: 16_384,
--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -114,6 +114,8 @@
     pub(super) bills: VecDeque<Bill>,
     pub(super) pending: Option<Pending>,
     pub(super) phase: Phase,
+    /// The store's clock in milliseconds as last seen.
+    pub(super) store_ms: Option<u64>,
     /// The latest time that the holder was called with.
     pub(super) clock: Duration,
     pub(super) last_flush: Duration,
@@ -137,6 +139,7 @@
             bills: VecDeque::new(),
             pending: None,
             phase: Phase::Open,
+            store_ms: None,
             clock: Duration::ZERO,
             last_flush: Duration::ZERO,
             billed: HashSet::new(),
@@ -144,6 +147,11 @@
         }
     }
 
+    /// Notes the store's clock, as in an answer that has arrived. Rows only carry bounds from then on.
+    pub fn see_clock(&mut self, store_ms: u64) {
+        self.store_ms = self.store_ms.max(Some(store_ms));
+    }
+
     /// Replaces the settings; the sizes of grants and marks follow at the next flushes.
     pub fn tune(&mut self, settings: &Settings) {
         if self.settings != *settings {
@@ -178,7 +186,11 @@
             slot.miss(amount - free);
             return Err(Shortage::Refill);
         }
-        slot.reserved += amount;
+        if amount > slot.metered(now) {
+            slot.held_back = slot.held_back.max(amount);
+            return Err(Shortage::Refill);
+        }
+        slot.reserve(amount);
         let reservation = Reservation {
             budget: budget.clone(),
             amount,
@@ -309,7 +321,10 @@
     pub fn is_pressed(&self, now: Duration) -> bool {
         // A journal row for a single budget row would take half of the writes.
         let may = self.allowance.budgets(now, &self.settings) >= HURRIED_BUDGETS;
-        may && self.slots.values().any(|slot| slot.shortage > 0)
+        may && self
+            .slots
+            .values()
+            .any(|slot| slot.shortage > 0 || slot.held_back > 0)
     }
 
     /// Returns the part of the life cycle.
--- a/crates/core/src/budget/journal.rs
+++ b/crates/core/src/budget/journal.rs
@@ -1,6 +1,7 @@
 //! Rows of a holder's journal.
 
 use {
+    super::bound::Bound,
     crate::{
         bill::Bill,
         id::{BudgetId, HolderId, Sequence, Tokens},
@@ -21,6 +22,9 @@
     pub mark: Tokens,
     /// Tokens billed in this and earlier rows; at most `mark`.
     pub spent: Tokens,
+    /// What can have been used since the row was made; at most `mark` in any case.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub bound: Option<Bound>,
 }
 
 /// Shares of one holder by budget.
@@ -108,6 +112,8 @@
         /// Name of the operator's key.
         operator: String,
     },
+    /// The host's next process has started, so the holder's has certainly ended.
+    Succeeded,
     /// The time of the setting `reclaim after` has passed since the fence row.
     Elapsed,
 }
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -5,6 +5,7 @@
 //! may spend and what it spent. It only reserves below the mark of a durable row.
 
 pub mod account;
+pub mod bound;
 mod change;
 mod flush;
 mod grant;
@@ -18,6 +19,7 @@
 
 pub use {
     account::{Account, Want},
+    bound::Bound,
     change::{Change, Proposal, Receipt, Request, Statement},
     grant::{Demand, Preset, Settings},
     holder::{Holder, Phase, Record, Shortage, Usage},
--- a/crates/core/src/budget/reclaim.rs
+++ b/crates/core/src/budget/reclaim.rs
@@ -143,6 +143,24 @@
     }
 }
 
+impl Tail<Live> {
+    /// Ends the journal of a process that has certainly ended, and returns its tokens but for those
+    /// that it can have used. `now_ms` is the store's clock after the end of the process.
+    ///
+    /// `rows` are the budget rows of [`Self::keys`]; `None` when one is missing.
+    pub fn succeed(&self, author: &HolderId, now_ms: u64, rows: &[Row]) -> Option<Transaction> {
+        let mut accounts = Accounts::read(rows);
+        for (budget, share) in &self.shares {
+            let used = share.bound.map_or(share.mark, |bound| bound.most(now_ms));
+            let used = used.min(share.mark).max(share.spent);
+            accounts.restore(budget, share.allocated - used)?;
+        }
+        let reason = Reason::Succeeded;
+        let bills = Vec::new();
+        Some(self.append(author, Entry::Lost { reason, bills }, &accounts))
+    }
+}
+
 impl Tail<Fenced> {
     /// Returns whether no marked token is left, so that [`Self::lose`] returns nothing.
     pub fn is_spent(&self) -> bool {
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         account::{Account, Want},
+        bound::Meter,
         grant::{Demand, Settings},
         journal::Share,
     },
@@ -50,6 +51,12 @@
     pub low_until: Duration,
     /// Since when the holder lacks tokens that the budget row does not have.
     pub starving: Option<Duration>,
+    /// Counts reservations against the bound of the durable row.
+    pub meter: Option<Meter>,
+    /// The same for the pending row, which may take effect at any time.
+    pub next_meter: Option<Meter>,
+    /// Most tokens that a reservation was refused because of a bound since the last flush.
+    pub held_back: Tokens,
     /// When tokens were last asked for.
     pub used_at: Duration,
 }
@@ -60,6 +67,25 @@
         self.ceiling.saturating_sub(self.used())
     }
 
+    /// Returns the tokens that the bounds of the rows allow to reserve now.
+    pub fn metered(&self, now: Duration) -> Tokens {
+        let meters = self.meter.iter().chain(&self.next_meter);
+        let free = meters.map(|meter| meter.free(now)).min();
+        free.unwrap_or(Tokens::MAX)
+    }
+
+    /// Reserves tokens that are free.
+    pub fn reserve(&mut self, tokens: Tokens) {
+        self.reserved += tokens;
+        let meters = self.meter.iter_mut().chain(&mut self.next_meter);
+        meters.for_each(|meter| meter.take(tokens));
+    }
+
+    /// Returns whether a new row should renew the bound.
+    pub fn is_metered_low(&self, now: Duration) -> bool {
+        self.held_back > 0 || self.meter.as_ref().is_some_and(|meter| meter.is_low(now))
+    }
+
     /// Returns the allocated tokens that are neither spent nor reserved.
     pub fn headroom(&self) -> Tokens {
         self.durable.allocated.saturating_sub(self.used())
--- a/crates/core/src/budget/tests/mod.rs
+++ b/crates/core/src/budget/tests/mod.rs
@@ -9,9 +9,10 @@
     std::time::Duration,
 };
 
-mod stated;
 mod fuzz;
 mod life;
+mod stated;
+mod succession;
 mod view;
 mod world;
 
--- a/crates/core/src/budget/tests/stated.rs
+++ b/crates/core/src/budget/tests/stated.rs
@@ -9,9 +9,16 @@
 }
 
 fn state(memory: &mut Memory, version: u64, total: u64) -> bool {
-    let statement = Statement { budget: "hostel".into(), version, total };
+    let statement = Statement {
+        budget: "hostel".into(),
+        version,
+        total,
+    };
     let row: Option<Row> = memory.get("budget/hostel").cloned();
-    match statement.propose(row.as_ref()).expect("the row can be read") {
+    match statement
+        .propose(row.as_ref())
+        .expect("the row can be read")
+    {
         Some(transaction) => memory.commit(&transaction) == Verdict::Committed,
         None => false,
     }
@@ -37,7 +44,13 @@
     account.state(1, 1_000).expect("no overflow");
     account.grant(800);
     account.state(2, 500).expect("no overflow");
-    assert_eq!((account.total(), account.rest(), account.cut), (500, 0, 300));
+    assert_eq!(
+        (account.total(), account.rest(), account.cut),
+        (500, 0, 300)
+    );
     account.state(3, 900).expect("no overflow");
-    assert_eq!((account.total(), account.rest(), account.cut), (900, 100, 0));
+    assert_eq!(
+        (account.total(), account.rest(), account.cut),
+        (900, 100, 0)
+    );
 }
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -15,7 +15,10 @@
         host: host.into(),
         prefix: prefix.into(),
         kind: Kind::Idempotent,
-        targets: vec![Target { service: service.into(), weight: 1 }],
+        targets: vec![Target {
+            service: service.into(),
+            weight: 1,
+        }],
         attempts: 2,
         timeout: SECOND,
         objective: SECOND / 10,
@@ -39,7 +42,10 @@
         routes: vec![
             route("desk.example", "/orders/", "desk"),
             route("desk.example", "/orders/urgent/", "urgent"),
-            Route { is_public: true, ..route("open.example", "/", "open") },
+            Route {
+                is_public: true,
+                ..route("open.example", "/", "open")
+            },
         ],
         services: Vec::new(),
         workspaces: vec![workspace("hostel", "k1"), workspace("school", "k2")],
@@ -56,7 +62,10 @@
         access.map(|access| access.route.targets[0].service.to_string())
     };
     assert_eq!(service("desk.example", "/orders/7").as_deref(), Ok("desk"));
-    assert_eq!(service("DESK.example:80", "/orders/urgent/7").as_deref(), Ok("urgent"));
+    assert_eq!(
+        service("DESK.example:80", "/orders/urgent/7").as_deref(),
+        Ok("urgent")
+    );
     assert_eq!(service("desk.example", "/orders"), Err(Missing::Route));
     assert_eq!(service("other.example", "/orders/7"), Err(Missing::Route));
 }
@@ -118,14 +127,24 @@
         left: SECOND,
     };
     assert_eq!(next(&attempt, || false), Next::Refuse);
-    let late = Attempt { left: Duration::from_millis(5), ..attempt };
-    assert_eq!(next(&late, || panic!("no allowance is taken for a late attempt")), Next::Refuse);
+    let late = Attempt {
+        left: Duration::from_millis(5),
+        ..attempt
+    };
+    assert_eq!(
+        next(&late, || panic!("no allowance is taken for a late attempt")),
+        Next::Refuse
+    );
 }
 
 /// Guards against a fleet whose hosts together retry more than the bound over a window.
 #[test]
 fn fleet_stays_within_the_allowance() {
-    let settings = AllowanceSettings { share: 0.2, slack: 52.0, window: 10 * SECOND };
+    let settings = AllowanceSettings {
+        share: 0.2,
+        slack: 52.0,
+        window: 10 * SECOND,
+    };
     let mut hosts = vec![Allowance::new(settings); 6];
     hosts.iter_mut().for_each(|host| host.set_hosts(6));
     let requests = 300;
@@ -137,7 +156,10 @@
             retries += 1;
         }
     }
-    assert!(f64::from(retries) <= 0.2 * requests as f64 + 52.0, "{retries}");
+    assert!(
+        f64::from(retries) <= 0.2 * requests as f64 + 52.0,
+        "{retries}"
+    );
 }
 
 fn entry(state: State) -> Entry {
@@ -156,9 +178,15 @@
 #[test]
 fn leaving_upstreams_get_no_work() {
     let mut roster = Roster::default();
-    assert!(matches!(roster.put("a".into(), entry(State::Ready)), Some(Change::Joined(..))));
+    assert!(matches!(
+        roster.put("a".into(), entry(State::Ready)),
+        Some(Change::Joined(..))
+    ));
     assert_eq!(roster.put("a".into(), entry(State::Ready)), None);
-    assert_eq!(roster.put("a".into(), entry(State::Draining)), Some(Change::Left("a".into())));
+    assert_eq!(
+        roster.put("a".into(), entry(State::Draining)),
+        Some(Change::Left("a".into()))
+    );
     roster.put("b".into(), entry(State::Ready));
     assert_eq!(roster.remove(SECOND, "b"), Some(Change::Left("b".into())));
     assert_eq!(roster.ready().count(), 0);
@@ -186,8 +214,14 @@
     let mut sequence = Sequence::new(Some(4));
     assert_eq!(sequence.accept(Some(5)), Ok(Accepted::Next));
     assert_eq!(sequence.accept(None), Ok(Accepted::Unnumbered));
-    assert_eq!(sequence.accept(Some(5)), Err(Rejected::Repeated { id: 5, last: 5 }));
-    assert_eq!(sequence.accept(Some(7)), Err(Rejected::Gap { id: 7, last: 5 }));
+    assert_eq!(
+        sequence.accept(Some(5)),
+        Err(Rejected::Repeated { id: 5, last: 5 })
+    );
+    assert_eq!(
+        sequence.accept(Some(7)),
+        Err(Rejected::Gap { id: 7, last: 5 })
+    );
     assert_eq!(sequence.accept(Some(6)), Ok(Accepted::Next));
     assert_eq!((sequence.last(), sequence.relayed()), (Some(6), 2));
     assert_eq!(event_id(b"event: x\nid: 12\ndata: y\n\n"), Some(12));
--- a/crates/ctl/src/measure/bills/journals.rs
+++ b/crates/ctl/src/measure/bills/journals.rs
@@ -229,6 +229,7 @@
 
 fn row(settings: &Settings, holder: &HolderId, wall: Duration, bills: u64) -> Result<String> {
     let share = Share {
+        bound: None,
         allocated: 1_234_567,
         mark: 1_200_000,
         spent: 765_432,
--- a/crates/gateway/src/escrow.rs
+++ b/crates/gateway/src/escrow.rs
@@ -7,6 +7,7 @@
         metrics::Metrics,
         settings::Settings,
         store::{Fault, Store},
+        succession::Successor,
         view::{View, is_committed, lock},
     },
     derive_more::{Display, Error},
@@ -163,6 +164,7 @@
 
 /// The task that writes the journal.
 pub(crate) struct Writer {
+    pub(crate) process: HolderId,
     pub(crate) escrow: Arc<Escrow>,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) view: Arc<View>,
@@ -175,7 +177,9 @@
     pub(crate) async fn run(self, stop: CancellationToken) {
         let mut changes = self.view.changes();
         changes.mark_changed();
+        let mut successor = Some(self.successor());
         loop {
+            successor = self.succeed(successor).await;
             tokio::select! {
                 () = stop.cancelled() => break,
                 () = self.escrow.kick.notified() => {}
@@ -191,6 +195,23 @@
         self.close().await;
     }
 
+    fn successor(&self) -> Successor<'_> {
+        Successor {
+            process: &self.process,
+            place: &self.settings.place,
+            store: &*self.store,
+        }
+    }
+
+    /// Takes over from the processes before this one, until the store has answered.
+    async fn succeed<'a>(&self, successor: Option<Successor<'a>>) -> Option<Successor<'a>> {
+        let successor = successor?;
+        match self.call(successor.run()).await {
+            Ok(()) => None,
+            Err(_) => Some(successor),
+        }
+    }
+
     async fn close(&self) {
         lock(&self.escrow.holder).stop();
         for _ in 0..CLOSING_FLUSHES {
@@ -252,6 +273,9 @@
             self.call(self.store.get(keys)).await?
         };
         self.state(&rows).await?;
+        if let Some(store_ms) = self.store.clock_ms() {
+            lock(&self.escrow.holder).see_clock(store_ms);
+        }
         let transaction = lock(&self.escrow.holder).flush(self.escrow.clock.now(), &rows);
         if let Some(transaction) = transaction {
             let verdict = self.call(self.store.commit(transaction)).await?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod relay;
 mod settings;
 pub mod store;
+mod succession;
 mod view;
 mod watch;
 
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -125,6 +125,7 @@
     };
     tasks.spawn(members.run(stop.clone()));
     let writer = Writer {
+        process: process.clone(),
         escrow,
         store,
         view: view.clone(),
@@ -186,7 +187,7 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let started = since.unwrap_or_default().as_millis();
     let random = rand::rng().next_u32();
-    format!("{}.{started:x}{random:08x}", settings.host).into()
+    format!("{}.{started:x}{random:08x}", settings.place).into()
 }
 
 /// Binds an address and serves it until `stop`; then idle connections are closed, and the others
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -9,6 +9,7 @@
     },
     std::{
         net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
         time::Duration,
     },
 };
@@ -18,6 +19,9 @@
 pub struct Settings {
     /// Name of the host.
     pub host: HostId,
+    /// Place in which only one process runs at a time, as the name and the address of the host: a
+    /// new process there knows that the ones before it have ended.
+    pub place: Arc<str>,
     /// Region of the host.
     pub region: Region,
     /// Availability zone of the host.
@@ -58,6 +62,7 @@
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         Self {
             host: "host".into(),
+            place: "host".into(),
             region: "region".into(),
             zone: "zone".into(),
             listen: any,
@@ -78,18 +83,20 @@
     }
 }
 
-/// Sizes for a fleet in which every host holds every budget: marks outlast the store's outages of
-/// ten seconds at the present demand, and shrink with the rest of the budget.
+/// Sizes for a fleet in which every host holds every budget. Marks outlast the store's outages of
+/// ten seconds at the present demand; the bounds keep most of a mark from being lost with its
+/// process.
 fn escrow() -> budget::Settings {
     budget::Settings {
-        endurance: Duration::from_secs(10),
+        endurance: Duration::from_secs(12),
         rise: Duration::from_secs(4),
         lull: Duration::from_secs(15),
         shortest: Duration::from_secs(1),
-        horizon: Duration::from_secs(12),
-        low_water: 0.7,
+        horizon: Duration::from_secs(14),
+        low_water: 0.8,
         smallest: 40_000,
-        divisor: 12,
+        divisor: 4,
+        bound: Some(budget::bound::Settings::default()),
         dry_pause: Duration::from_millis(500),
         patience: Duration::from_millis(400),
         review: Duration::from_secs(3),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -61,9 +61,12 @@
     /// Returns the rows of the given keys that exist.
     fn get(&self, keys: Vec<String>) -> BoxFuture<'_, Result<Vec<Row>, Fault>>;
 
-    /// Returns the rows whose key starts with `prefix`, which ends with a slash.
+    /// Returns the rows whose key starts with `prefix`, in ascending order of their keys.
     fn scan(&self, prefix: String) -> BoxFuture<'_, Result<Vec<Row>, Fault>>;
 
+    /// Returns the store's steady clock in milliseconds, as in the newest answer that has arrived.
+    fn clock_ms(&self) -> Option<u64>;
+
     /// Commits a transaction.
     fn commit(&self, transaction: Transaction) -> BoxFuture<'_, Result<Verdict, Fault>>;
 
--- /dev/null
+++ b/crates/gateway/src/succession.rs
@@ -0,0 +1,72 @@
+//! Return of the tokens of processes that ran before in this process's place.
+
+use {
+    crate::{
+        store::{Fault, Store},
+        view::is_committed,
+    },
+    marigoldroute_core::{
+        budget::{
+            journal,
+            reclaim::{self, Found, Live, Tail},
+        },
+        id::HolderId,
+    },
+    marigoldroute_observe::logs::TOKENS,
+};
+
+/// Attempts at one journal; each one that fails has lost against a late row of the old process.
+const ATTEMPTS: usize = 3;
+
+/// Takes over the journals of ended processes.
+pub(crate) struct Successor<'a> {
+    pub(crate) process: &'a HolderId,
+    /// Place that the processes share.
+    pub(crate) place: &'a str,
+    pub(crate) store: &'a dyn Store,
+}
+
+impl Successor<'_> {
+    /// Ends every journal that earlier processes have left open.
+    pub(crate) async fn run(&self) -> Result<(), Fault> {
+        let prefix = journal::opening(&format!("{}.", self.place));
+        let openings = self.store.scan(prefix).await?;
+        let holders = openings.iter().filter_map(|row| row.key.split_once('/'));
+        for (_, holder) in holders.filter(|(_, holder)| **holder != **self.process) {
+            self.succeed(&holder.into()).await?;
+        }
+        Ok(())
+    }
+
+    async fn succeed(&self, holder: &HolderId) -> Result<(), Fault> {
+        for _ in 0..ATTEMPTS {
+            let Some(tail) = self.tail(holder).await? else {
+                return Ok(());
+            };
+            let rows = self.store.get(tail.keys(&[])).await?;
+            let Some(now_ms) = self.store.clock_ms() else {
+                return Ok(());
+            };
+            let Some(transaction) = tail.succeed(self.process, now_ms, &rows) else {
+                log::error!(target: TOKENS, holder:%; "journal not taken over: a budget is missing");
+                return Ok(());
+            };
+            if is_committed(&self.store.commit(transaction).await?) {
+                log::info!(target: TOKENS, holder:%, store_ms = now_ms; "journal taken over");
+                return Ok(());
+            }
+        }
+        log::warn!(target: TOKENS, holder:%; "journal not taken over");
+        Ok(())
+    }
+
+    /// Returns the end of a journal that is still open.
+    async fn tail(&self, holder: &HolderId) -> Result<Option<Tail<Live>>, Fault> {
+        let rows = self.store.scan(journal::prefix(holder)).await?;
+        let opening = self.store.get(vec![journal::opening(holder)]).await?;
+        Ok(match reclaim::read(holder, rows.last(), opening.first()) {
+            Some(Found::Live(tail)) => Some(tail),
+            _ => None,
+        })
+    }
+}
--- a/crates/router/tests/resources.rs
+++ b/crates/router/tests/resources.rs
@@ -212,6 +212,7 @@
         ..Account::default()
     };
     let share = Share {
+        bound: None,
         allocated: 100,
         mark: 60,
         spent: 20,
