Give holders tokens before their demand is known

Change: demand is a plain mean until its time constant and counts from the first use; a holder aims for a share of the budget before; the bound lasts evenly for the endurance; a predecessor ended before this process started.

--- a/crates/core/src/budget/bound.rs
+++ b/crates/core/src/budget/bound.rs
@@ -58,22 +58,32 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            rate: 2.0,
-            burst: Duration::from_secs(1),
+            rate: 1.5,
+            burst: Duration::from_secs(2),
             least_burst: 4_096,
         }
     }
 }
 
 impl Settings {
-    /// Returns the bound of a new row; `lacked` is what a reservation was refused for.
-    pub(super) fn bound(&self, at_ms: u64, used: Tokens, demand: &Demand, lacked: Tokens) -> Bound {
+    /// Returns the bound of a new row; `lacked` is what a reservation was refused for, and `even`
+    /// the tokens per second at which the mark lasts for the holder's endurance.
+    pub(super) fn bound(
+        &self,
+        at_ms: u64,
+        used: Tokens,
+        demand: &Demand,
+        lacked: Tokens,
+        even: Tokens,
+    ) -> Bound {
         let burst = demand.during(self.burst).max(self.least_burst);
         Bound {
             at_ms,
             used,
             burst: burst.max(lacked),
-            rate: demand.during(Duration::from_secs(1).mul_f64(self.rate)),
+            rate: demand
+                .during(Duration::from_secs(1).mul_f64(self.rate))
+                .max(even),
         }
     }
 }
--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -218,7 +218,9 @@
                 continue;
             };
             let lacked = std::mem::take(&mut slot.held_back);
-            let bound = settings.bound(at_ms, slot.used(), &slot.demand, lacked);
+            let lead = share.mark.saturating_sub(slot.used()) as f64;
+            let even = (lead / self.settings.endurance.as_secs_f64().max(1.0)) as Tokens;
+            let bound = settings.bound(at_ms, slot.used(), &slot.demand, lacked, even);
             share.bound = Some(bound);
             slot.next_meter = Some(Meter::new(bound, now));
         }
--- a/crates/core/src/budget/grant.rs
+++ b/crates/core/src/budget/grant.rs
@@ -32,6 +32,9 @@
     /// Share of its target below which a holder refills its tokens and raises its mark, from 0
     /// (only on shortage) to 1.
     pub low_water: f64,
+    /// Part of a budget's unspent tokens that a holder aims for until it knows the demand, from 0
+    /// (only `smallest`) to 1. Without it, a store that goes away early finds holders without tokens.
+    pub first_share: f64,
     /// Smallest grant in tokens, so that the first request of a budget does not need several.
     pub smallest: Tokens,
     /// A holder aims for at most this fraction of a budget's unspent tokens, so that the last
@@ -73,6 +76,7 @@
             shortest: Duration::from_secs(10),
             horizon: Duration::from_secs(7_200),
             low_water: 0.5,
+            first_share: 0.0,
             smallest: 4_096,
             divisor: 4,
             dry_pause: Duration::from_secs(5),
@@ -171,7 +175,7 @@
     /// Returns how many unreserved tokens a holder should have when `pool` tokens are left for it
     /// and in the budget row.
     pub fn target(&self, pool: Tokens, demand: &Demand) -> Tokens {
-        let wish = demand.during(self.horizon).max(self.smallest);
+        let wish = demand.during(self.horizon).max(self.first(pool, demand));
         let fair = pool / self.divisor.max(1);
         wish.min(fair.max(self.least(demand))).min(pool)
     }
@@ -179,10 +183,19 @@
     /// Returns how far the mark should be above spent and reserved tokens.
     pub fn lead(&self, pool: Tokens, demand: &Demand) -> Tokens {
         let fair = pool / self.divisor.max(1);
-        let wish = demand.during(self.endurance).max(self.smallest);
+        let wish = demand.during(self.endurance).max(self.first(pool, demand));
         wish.min(fair.max(self.least(demand)))
     }
 
+    /// Returns the least grant: more than `smallest` while the demand is not known.
+    fn first(&self, pool: Tokens, demand: &Demand) -> Tokens {
+        if demand.seen >= self.rise {
+            return self.smallest;
+        }
+        let share = pool as f64 * self.first_share.clamp(0.0, 1.0);
+        self.smallest.max(share as Tokens)
+    }
+
     /// Returns how many unreserved tokens a holder keeps when others lack tokens.
     pub fn least(&self, demand: &Demand) -> Tokens {
         demand.during(self.shortest)
@@ -215,18 +228,29 @@
     rise: f64,
     /// Tokens per second, averaged over [`Settings::lull`].
     lull: f64,
+    /// Time over which it was measured.
+    seen: Duration,
 }
 
 impl Demand {
     /// Adds `tokens` spent during `elapsed`.
     pub fn add(&mut self, settings: &Settings, tokens: Tokens, elapsed: Duration) {
         let seconds = elapsed.as_secs_f64();
-        if seconds <= 0.0 {
+        // The time before the first use says nothing about the demand.
+        if seconds <= 0.0 || (tokens == 0 && self.seen.is_zero()) {
             return;
         }
+        self.seen += elapsed;
         let rate = tokens as f64 / seconds;
-        self.rise += (rate - self.rise) * weight(seconds, settings.rise);
-        self.lull += (rate - self.lull) * weight(seconds, settings.lull);
+        self.rise += (rate - self.rise) * self.weight(seconds, settings.rise);
+        self.lull += (rate - self.lull) * self.weight(seconds, settings.lull);
+    }
+
+    /// Returns the weight of the newest sample: that of a plain mean until it was measured for the
+    /// time constant, so that the first samples are not averaged with an assumed demand of 0.
+    fn weight(&self, seconds: f64, constant: Duration) -> f64 {
+        let constant = constant.min(self.seen).as_secs_f64();
+        1.0 - (-seconds / constant).exp()
     }
 
     /// Returns the tokens to expect during `time`: it follows a rise quickly and a fall slowly.
@@ -235,10 +259,6 @@
     }
 }
 
-fn weight(seconds: f64, constant: Duration) -> f64 {
-    1.0 - (-seconds / constant.as_secs_f64()).exp()
-}
-
 /// The row writes that a holder may make now.
 #[derive(Clone, Copy, Debug)]
 pub struct Allowance {
--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -14,6 +14,7 @@
             WorkspaceId,
         },
     },
+    derive_more::Display,
     std::{
         collections::{BTreeMap, HashMap, HashSet, VecDeque},
         time::Duration,
@@ -62,6 +63,25 @@
     Finished(Usage),
 }
 
+/// One budget as a holder sees it, for the log.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(
+    "{free} tokens below the mark, {metered} within the bound, {headroom} allocated, {rest} left in \
+     the budget row, demand {demand} per second"
+)]
+pub struct View {
+    /// Tokens below the mark.
+    pub free: Tokens,
+    /// Tokens that the bound allows.
+    pub metered: Tokens,
+    /// Allocated tokens that are neither spent nor reserved.
+    pub headroom: Tokens,
+    /// Tokens that the budget row had left when it was last read.
+    pub rest: Tokens,
+    /// Tokens per second.
+    pub demand: Tokens,
+}
+
 /// Part of a holder's life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -223,6 +243,17 @@
         reserved
     }
 
+    /// Prepares for reservations of a budget that is not in use yet, as far as its row has tokens.
+    pub fn expect(&mut self, now: Duration, budget: &BudgetId) {
+        self.clock = now;
+        if self.phase != Phase::Open || self.slots.contains_key(budget) {
+            return;
+        }
+        let slot = self.slots.entry(budget.clone()).or_default();
+        slot.used_at = now;
+        slot.miss(1);
+    }
+
     /// Lowers the reservation of a request; a higher amount changes nothing.
     pub fn lower(&mut self, request: &str, amount: Tokens) {
         let Some(reservation) = self.reservations.get_mut(request) else {
@@ -327,6 +358,18 @@
             .any(|slot| slot.shortage > 0 || slot.held_back > 0)
     }
 
+    /// Describes a budget for the log.
+    pub fn view(&self, budget: &str) -> Option<View> {
+        let slot = self.slots.get(budget)?;
+        Some(View {
+            free: slot.free(),
+            metered: slot.metered(self.clock),
+            headroom: slot.headroom(),
+            rest: slot.rest,
+            demand: slot.demand.during(Duration::from_secs(1)),
+        })
+    }
+
     /// Returns the part of the life cycle.
     pub fn phase(&self) -> Phase {
         self.phase
--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -22,6 +22,6 @@
     bound::Bound,
     change::{Change, Proposal, Receipt, Request, Statement},
     grant::{Demand, Preset, Settings},
-    holder::{Holder, Phase, Record, Shortage, Usage},
+    holder::{Holder, Phase, Record, Shortage, Usage, View},
     journal::{Entry, Journal, Reason, Share, Shares},
 };
--- a/crates/core/src/budget/reclaim.rs
+++ b/crates/core/src/budget/reclaim.rs
@@ -100,6 +100,20 @@
         }
     }
 
+    /// Returns the tokens that the holder has, and those of them that it had spent by its last row.
+    pub fn totals(&self) -> (Tokens, Tokens) {
+        let shares = self.shares.values();
+        shares.fold((0, 0), |(allocated, spent), share| {
+            (allocated + share.allocated, spent + share.spent)
+        })
+    }
+
+    /// Returns the tokens that the holder can have used, when it ended by `ended_ms`.
+    pub fn used(&self, ended_ms: u64) -> Tokens {
+        let used = self.shares.values().map(|share| used(share, ended_ms));
+        used.sum()
+    }
+
     /// Returns the keys of the budget rows that the next step needs, with those of `bills`.
     pub fn keys(&self, bills: &[Bill]) -> Vec<String> {
         let budgets: BTreeSet<_> = self
@@ -145,15 +159,13 @@
 
 impl Tail<Live> {
     /// Ends the journal of a process that has certainly ended, and returns its tokens but for those
-    /// that it can have used. `now_ms` is the store's clock after the end of the process.
+    /// that it can have used. `ended_ms` is the store's clock at or after the end of the process.
     ///
     /// `rows` are the budget rows of [`Self::keys`]; `None` when one is missing.
-    pub fn succeed(&self, author: &HolderId, now_ms: u64, rows: &[Row]) -> Option<Transaction> {
+    pub fn succeed(&self, author: &HolderId, ended_ms: u64, rows: &[Row]) -> Option<Transaction> {
         let mut accounts = Accounts::read(rows);
         for (budget, share) in &self.shares {
-            let used = share.bound.map_or(share.mark, |bound| bound.most(now_ms));
-            let used = used.min(share.mark).max(share.spent);
-            accounts.restore(budget, share.allocated - used)?;
+            accounts.restore(budget, share.allocated - used(share, ended_ms))?;
         }
         let reason = Reason::Succeeded;
         let bills = Vec::new();
@@ -227,6 +239,12 @@
     }
 }
 
+/// Returns the tokens of a share that can have been used by `ended_ms`.
+fn used(share: &Share, ended_ms: u64) -> Tokens {
+    let used = share.bound.map_or(share.mark, |bound| bound.most(ended_ms));
+    used.min(share.mark).max(share.spent)
+}
+
 /// Charges a bill from the marked tokens and returns it with the part that they do not cover.
 fn charge(marked: &mut Shares, bill: Bill) -> (Bill, Tokens) {
     let mut none = Share::default();
--- a/crates/gateway/src/escrow.rs
+++ b/crates/gateway/src/escrow.rs
@@ -143,14 +143,16 @@
             };
             match reserved {
                 Ok(_) => break,
-                Err(Shortage::Exhausted) => return Err(Refusal::Exhausted),
+                Err(Shortage::Exhausted) => {
+                    return Err(self.refuse(&purpose, Refusal::Exhausted));
+                }
                 Err(Shortage::Refill) if !self.is_cut_off.load(Ordering::Relaxed) => {}
-                Err(_) => return Err(Refusal::Unreachable),
+                Err(_) => return Err(self.refuse(&purpose, Refusal::Unreachable)),
             }
             self.kick.notify_one();
             let wait = deadline.saturating_sub(now);
             if tokio::time::timeout(wait, flushes.changed()).await.is_err() {
-                return Err(Refusal::Unreachable);
+                return Err(self.refuse(&purpose, Refusal::Unreachable));
             }
         }
         Ok(Hold {
@@ -162,6 +164,20 @@
     }
 }
 
+impl Escrow {
+    fn refuse(&self, purpose: &Purpose, refusal: Refusal) -> Refusal {
+        let view = lock(&self.holder).view(&purpose.workspace);
+        let view = view.map_or_else(String::new, |view| view.to_string());
+        log::info!(
+            target: TOKENS,
+            request:% = purpose.request, budget:% = purpose.workspace, refusal:%, view,
+            amount = purpose.usage.most(), is_cut_off = self.is_cut_off.load(Ordering::Relaxed);
+            "no tokens reserved"
+        );
+        refusal
+    }
+}
+
 /// The task that writes the journal.
 pub(crate) struct Writer {
     pub(crate) process: HolderId,
@@ -200,6 +216,7 @@
             process: &self.process,
             place: &self.settings.place,
             store: &*self.store,
+            clock: self.escrow.clock,
         }
     }
 
@@ -236,10 +253,12 @@
             return;
         };
         let mut statements = lock(&self.escrow.statements);
+        let mut holder = lock(&self.escrow.holder);
         statements.clear();
         for workspace in directory.workspaces() {
             if let Some(total) = workspace.purchased {
                 statements.insert(workspace.name.clone(), (directory.version(), total));
+                holder.expect(self.escrow.clock.now(), &workspace.name);
             }
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -72,7 +72,7 @@
             routing: routing(),
             retries: AllowanceSettings::default(),
             flush_interval: Duration::from_millis(500),
-            reserve_timeout: Duration::from_millis(600),
+            reserve_timeout: Duration::from_millis(1_000),
             connect_timeout: Duration::from_millis(400),
             watch_wait: Duration::from_millis(700),
             store_timeout: Duration::from_millis(1_100),
@@ -95,12 +95,13 @@
         horizon: Duration::from_secs(14),
         low_water: 0.8,
         smallest: 40_000,
-        divisor: 4,
+        first_share: 0.04,
+        divisor: 2,
         bound: Some(budget::bound::Settings::default()),
         dry_pause: Duration::from_millis(500),
-        patience: Duration::from_millis(400),
+        patience: Duration::from_millis(800),
         review: Duration::from_secs(3),
-        review_soon: Duration::from_secs(1),
+        review_soon: Duration::from_millis(400),
         ..budget::Settings::default()
     }
 }
--- a/crates/gateway/src/succession.rs
+++ b/crates/gateway/src/succession.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        clock::Clock,
         store::{Fault, Store},
         view::is_committed,
     },
@@ -24,6 +25,8 @@
     /// Place that the processes share.
     pub(crate) place: &'a str,
     pub(crate) store: &'a dyn Store,
+    /// Clock whose origin is the start of this process.
+    pub(crate) clock: Clock,
 }
 
 impl Successor<'_> {
@@ -44,15 +47,22 @@
                 return Ok(());
             };
             let rows = self.store.get(tail.keys(&[])).await?;
-            let Some(now_ms) = self.store.clock_ms() else {
+            // The old process ended before this one started.
+            let uptime = self.clock.now().as_millis() as u64;
+            let Some(ended_ms) = self.store.clock_ms().map(|now| now.saturating_sub(uptime)) else {
                 return Ok(());
             };
-            let Some(transaction) = tail.succeed(self.process, now_ms, &rows) else {
+            let Some(transaction) = tail.succeed(self.process, ended_ms, &rows) else {
                 log::error!(target: TOKENS, holder:%; "journal not taken over: a budget is missing");
                 return Ok(());
             };
             if is_committed(&self.store.commit(transaction).await?) {
-                log::info!(target: TOKENS, holder:%, store_ms = now_ms; "journal taken over");
+                let ((allocated, spent), used) = (tail.totals(), tail.used(ended_ms));
+                log::info!(
+                    target: TOKENS,
+                    holder:%, ended_ms, allocated, spent, used;
+                    "journal taken over"
+                );
                 return Ok(());
             }
         }
