Keep to a burst until a row is too old for a quick successor

Cause: bounds that grow from the start assume 5 s of demand for a process that a successor follows within 2 s; more than 3% of a budget is stranded then, and every later request of the workspace is refused although it fits.

Change: for 2.8 s after a row only a burst may be reserved, afterwards 1.2 times the demand since the row. Rows are renewed every 0.3 s, and at once after one that was made before an outage; refusals state when the bound allows the request.

--- a/crates/core/src/budget/bound.rs
+++ b/crates/core/src/budget/bound.rs
@@ -20,17 +20,37 @@
     pub at_ms: u64,
     /// Spent and reserved tokens when the row was made.
     pub used: Tokens,
-    /// Tokens that may be reserved at once.
+    /// Tokens that may be reserved until `hold_ms` have passed.
     pub burst: Tokens,
-    /// Tokens that may be reserved per second.
+    /// Tokens that may be reserved per second since the row was made, once `hold_ms` have passed.
     pub rate: Tokens,
+    /// Time after which the holder may go on without a new row, in milliseconds. A process that
+    /// dies while the store answers is followed by another one earlier than that.
+    pub hold_ms: u64,
 }
 
 impl Bound {
     /// Returns the tokens that may be reserved within `elapsed` after the row was made.
     fn allowed(&self, elapsed: Duration) -> Tokens {
+        if elapsed < self.hold() {
+            return self.burst;
+        }
         let over_time = (self.rate as f64 * elapsed.as_secs_f64()) as Tokens;
-        self.burst.saturating_add(over_time)
+        self.burst.max(over_time)
+    }
+
+    fn hold(&self) -> Duration {
+        Duration::from_millis(self.hold_ms)
+    }
+
+    /// Returns how long after the row `tokens` may have been reserved; `None` for never.
+    fn delay(&self, tokens: Tokens) -> Option<Duration> {
+        if tokens <= self.burst {
+            return Some(Duration::ZERO);
+        }
+        let seconds = tokens as f64 / self.rate as f64;
+        let delay = Duration::try_from_secs_f64(seconds).ok()?;
+        Some(delay.max(self.hold()))
     }
 
     /// Returns the tokens that can have been used when the store's clock shows `now_ms`.
@@ -51,16 +71,16 @@
     pub rate: f64,
     /// Time of demand that may be reserved at once.
     pub burst: Duration,
-    /// Fewest tokens that may be reserved at once.
-    pub least_burst: Tokens,
+    /// Time after a row in which the holder keeps to the burst.
+    pub hold: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            rate: 1.5,
-            burst: Duration::from_secs(2),
-            least_burst: 4_096,
+            rate: 1.2,
+            burst: Duration::from_secs(1),
+            hold: Duration::from_millis(2_800),
         }
     }
 }
@@ -76,14 +96,14 @@
         lacked: Tokens,
         even: Tokens,
     ) -> Bound {
-        let burst = demand.during(self.burst).max(self.least_burst);
         Bound {
             at_ms,
             used,
-            burst: burst.max(lacked),
+            burst: demand.during(self.burst).max(lacked),
             rate: demand
                 .during(Duration::from_secs(1).mul_f64(self.rate))
                 .max(even),
+            hold_ms: self.hold.as_millis() as u64,
         }
     }
 }
@@ -114,6 +134,13 @@
         allowed.saturating_sub(self.reserved)
     }
 
+    /// Returns how long to wait until `tokens` may be reserved, if nothing else is reserved
+    /// meanwhile; `None` for ever.
+    pub fn wait(&self, now: Duration, tokens: Tokens) -> Option<Duration> {
+        let delay = self.bound.delay(self.reserved.saturating_add(tokens))?;
+        Some((self.made + delay).saturating_sub(now))
+    }
+
     pub fn take(&mut self, tokens: Tokens) {
         self.reserved = self.reserved.saturating_add(tokens);
     }
--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -32,6 +32,8 @@
     transaction: Transaction,
     /// Shares when the transaction has committed.
     shares: Shares,
+    /// When the transaction was made.
+    made: Duration,
     /// Number of bills in the row, from the front of the holder's queue.
     bills: usize,
     /// Shortages that the transaction covers.
@@ -147,6 +149,12 @@
         }
     }
 
+    /// Returns for how long a transaction has waited for its verdict; zero without one.
+    pub fn pending_age(&self, now: Duration) -> Duration {
+        let pending = self.pending.as_ref();
+        pending.map_or(Duration::ZERO, |pending| now.saturating_sub(pending.made))
+    }
+
     /// Returns whether a transaction waits for its verdict or there is something to write.
     pub fn is_dirty(&self) -> bool {
         self.pending.is_some() || !self.bills.is_empty() || !self.wanted().is_empty()
@@ -289,6 +297,7 @@
         Pending {
             transaction,
             shares,
+            made: self.clock,
             bills,
             shortages: BTreeMap::new(),
             phase,
--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -358,6 +358,18 @@
             .any(|slot| slot.shortage > 0 || slot.held_back > 0)
     }
 
+    /// Returns how long to wait until tokens can be reserved without a new row, or `None` when the
+    /// mark does not cover them.
+    pub fn wait(&self, now: Duration, budget: &str, amount: Tokens) -> Option<Duration> {
+        self.slots.get(budget)?.wait(now, amount)
+    }
+
+    /// Returns whether a new row should soon replace the bound of a budget.
+    pub fn is_bound_low(&self, now: Duration, budget: &str) -> bool {
+        let slot = self.slots.get(budget);
+        slot.is_some_and(|slot| slot.is_metered_low(now))
+    }
+
     /// Describes a budget for the log.
     pub fn view(&self, budget: &str) -> Option<View> {
         let slot = self.slots.get(budget)?;
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -74,6 +74,18 @@
         free.unwrap_or(Tokens::MAX)
     }
 
+    /// Returns how long to wait until the bounds of the rows allow to reserve `tokens`, or `None`
+    /// when the mark does not cover them.
+    pub fn wait(&self, now: Duration, tokens: Tokens) -> Option<Duration> {
+        if tokens > self.free() {
+            return None;
+        }
+        let mut meters = self.meter.iter().chain(&self.next_meter);
+        meters.try_fold(Duration::ZERO, |longest, meter| {
+            Some(longest.max(meter.wait(now, tokens)?))
+        })
+    }
+
     /// Reserves tokens that are free.
     pub fn reserve(&mut self, tokens: Tokens) {
         self.reserved += tokens;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -36,9 +36,9 @@
     /// The budget does not cover the request.
     #[display("the budget does not cover the request")]
     Exhausted,
-    /// The budget cannot be reached for now.
+    /// The budget cannot be reached for now; states when it is expected to be.
     #[display("the budget cannot be reached")]
-    Unreachable,
+    Unreachable(Duration),
     /// No upstream could take the request.
     #[display("no upstream could take the request")]
     Unplaced,
@@ -62,7 +62,7 @@
             Self::Missing(Missing::Route) => StatusCode::NOT_FOUND,
             Self::Missing(Missing::Key) => StatusCode::UNAUTHORIZED,
             Self::Exhausted => StatusCode::PAYMENT_REQUIRED,
-            Self::Unconfigured | Self::Unreachable | Self::Unplaced | Self::Refused => {
+            Self::Unconfigured | Self::Unreachable(_) | Self::Unplaced | Self::Refused => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Failed => StatusCode::BAD_GATEWAY,
@@ -74,7 +74,7 @@
     fn come_back(self) -> Option<Duration> {
         match self {
             Self::Unconfigured => Some(Duration::from_millis(500)),
-            Self::Unreachable => Some(Duration::from_millis(700)),
+            Self::Unreachable(after) => Some(after),
             Self::Unplaced | Self::Refused => Some(Duration::from_millis(200)),
             _ => None,
         }
--- a/crates/gateway/src/escrow.rs
+++ b/crates/gateway/src/escrow.rs
@@ -30,9 +30,14 @@
 };
 
 /// Pause after a failed call to the store.
-const FAULT_PAUSE: Duration = Duration::from_millis(100);
+const FAULT_PAUSE: Duration = Duration::from_millis(60);
+/// Age from which a row that has taken effect is followed by another one at once, because what it
+/// states is no longer true.
+const OLD_ROW: Duration = Duration::from_millis(200);
 /// Shortest time between two flushes, so that reservations that lack tokens share one.
 const LEAST_PAUSE: Duration = Duration::from_millis(15);
+/// Time to come back when it is not known when tokens will be within reach.
+const COME_BACK: Duration = Duration::from_millis(700);
 /// Most flushes in which a stopping holder tries to close its journal.
 const CLOSING_FLUSHES: usize = 20;
 
@@ -44,7 +49,10 @@
     Exhausted,
     /// The tokens are out of reach for now.
     #[display("the budget cannot be reached")]
-    Unreachable,
+    Unreachable {
+        /// When tokens are expected to be within reach.
+        after: Duration,
+    },
 }
 
 /// Who uses tokens for what.
@@ -146,15 +154,29 @@
                 Err(Shortage::Exhausted) => {
                     return Err(self.refuse(&purpose, Refusal::Exhausted));
                 }
-                Err(Shortage::Refill) if !self.is_cut_off.load(Ordering::Relaxed) => {}
-                Err(_) => return Err(self.refuse(&purpose, Refusal::Unreachable)),
+                Err(Shortage::Refill) => {}
+                Err(_) => {
+                    return Err(self.refuse(&purpose, Refusal::Unreachable { after: COME_BACK }));
+                }
             }
             self.kick.notify_one();
-            let wait = deadline.saturating_sub(now);
-            if tokio::time::timeout(wait, flushes.changed()).await.is_err() {
-                return Err(self.refuse(&purpose, Refusal::Unreachable));
+            // Without a new row, the bound of the last one allows the reservation later.
+            let wait = lock(&self.holder).wait(now, &purpose.workspace, amount);
+            let is_cut_off = self.is_cut_off.load(Ordering::Relaxed);
+            let is_hopeless = is_cut_off && wait.is_none_or(|wait| now + wait > deadline);
+            if is_hopeless || now >= deadline {
+                let after = wait.unwrap_or(COME_BACK).max(COME_BACK);
+                return Err(self.refuse(&purpose, Refusal::Unreachable { after }));
+            }
+            let wake = wait.map_or(deadline, |wait| deadline.min(now + wait));
+            tokio::select! {
+                _ = flushes.changed() => {}
+                () = tokio::time::sleep_until(self.clock.instant(wake)) => {}
             }
         }
+        if lock(&self.holder).is_bound_low(self.clock.now(), &purpose.workspace) {
+            self.kick.notify_one();
+        }
         Ok(Hold {
             escrow: self.clone(),
             purpose,
@@ -265,7 +287,11 @@
 
     /// Reads what the holder needs, states totals and flushes.
     async fn step(&self) -> Result<(), Fault> {
-        let result = self.exchange().await;
+        let mut result = self.exchange().await;
+        if result.as_ref().is_ok_and(|age| *age >= OLD_ROW) {
+            result = self.exchange().await;
+        }
+        let result = result.map(drop);
         let is_cut_off = result.is_err();
         if self.escrow.is_cut_off.swap(is_cut_off, Ordering::Relaxed) != is_cut_off {
             match &result {
@@ -277,7 +303,8 @@
         result
     }
 
-    async fn exchange(&self) -> Result<(), Fault> {
+    /// Reads and writes; returns the age of the row that took effect, zero without one.
+    async fn exchange(&self) -> Result<Duration, Fault> {
         let mut keys = lock(&self.escrow.holder).wanted();
         let stated: Vec<_> = lock(&self.escrow.statements)
             .keys()
@@ -295,7 +322,9 @@
         if let Some(store_ms) = self.store.clock_ms() {
             lock(&self.escrow.holder).see_clock(store_ms);
         }
-        let transaction = lock(&self.escrow.holder).flush(self.escrow.clock.now(), &rows);
+        let now = self.escrow.clock.now();
+        let age = lock(&self.escrow.holder).pending_age(now);
+        let transaction = lock(&self.escrow.holder).flush(now, &rows);
         if let Some(transaction) = transaction {
             let verdict = self.call(self.store.commit(transaction)).await?;
             if !is_committed(&verdict) {
@@ -303,7 +332,7 @@
             }
             lock(&self.escrow.holder).decide(&verdict);
         }
-        Ok(())
+        Ok(age)
     }
 
     /// Puts the stated totals into effect.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -174,7 +174,7 @@
             .await;
         self.hold = Some(reserved.map_err(|refusal| match refusal {
             Refusal::Exhausted => Reason::Exhausted,
-            Refusal::Unreachable => Reason::Unreachable,
+            Refusal::Unreachable { after } => Reason::Unreachable(after),
         })?);
         Ok(())
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -71,7 +71,7 @@
             escrow: escrow(),
             routing: routing(),
             retries: AllowanceSettings::default(),
-            flush_interval: Duration::from_millis(500),
+            flush_interval: Duration::from_millis(300),
             reserve_timeout: Duration::from_millis(1_000),
             connect_timeout: Duration::from_millis(400),
             watch_wait: Duration::from_millis(700),
