Give prompts a home by the learned speed of engines

The estimate lacked the fixed time to the first token and learned speeds from prefixes that no host had sent yet.

Change: weighted rendezvous by learned speed in steps, a fixed time in the estimate, no learning from assumed cache hits.

--- a/crates/core/src/fleet/rank.rs
+++ b/crates/core/src/fleet/rank.rs
@@ -96,9 +96,16 @@
 }
 
 fn score(seed: u64, host: &Weighted) -> f64 {
+    let hash = xxh3_64_with_seed(host.host.as_bytes(), seed);
+    weighted_score(hash, f64::from(host.weight))
+}
+
+/// Returns the score of a candidate whose hash with the key is uniform; the highest score wins with
+/// a probability that is proportional to the weight.
+pub fn weighted_score(hash: u64, weight: f64) -> f64 {
     const MANTISSA_BITS: u32 = 53;
-    let hash = xxh3_64_with_seed(host.host.as_bytes(), seed) >> (u64::BITS - MANTISSA_BITS);
+    let mantissa = hash >> (u64::BITS - MANTISSA_BITS);
     // Within (0, 1), so that the logarithm is finite and negative.
-    let uniform = (hash as f64 + 0.5) / (1_u64 << MANTISSA_BITS) as f64;
-    -f64::from(host.weight) / uniform.ln()
+    let uniform = (mantissa as f64 + 0.5) / (1_u64 << MANTISSA_BITS) as f64;
+    -weight / uniform.ln()
 }
--- a/crates/core/src/route/adaptive.rs
+++ b/crates/core/src/route/adaptive.rs
@@ -9,7 +9,7 @@
         prefix::{Hints, Trust},
         registry::{Distance, List, Registry, Slot, Subset},
     },
-    crate::id::HostId,
+    crate::{fleet::weighted_score, id::HostId},
     rand::{Rng, RngCore},
     std::{mem::size_of, time::Duration},
     xxhash_rust::xxh3::xxh3_64_with_seed,
@@ -54,6 +54,7 @@
     slot: u32,
     cost: f32,
     estimate: Estimate,
+    is_assumed: bool,
 }
 
 /// The best candidates so far.
@@ -110,12 +111,13 @@
             return;
         }
         let settings = &self.settings;
-        let estimate = self.estimate(now, request, home == Some(index), slot);
+        let (estimate, is_assumed) = self.estimate(now, request, home == Some(index), slot);
         let noise = 1.0 + settings.jitter * random.random::<f32>();
         let rated = Rated {
             slot: index,
             cost: self.cost(request, slot, &estimate) * noise * factor,
             estimate,
+            is_assumed,
         };
         ranking.add(rated, slot.state.is_suspect(settings, now, estimate.first));
     }
@@ -126,7 +128,7 @@
         request: &Request<'_>,
         is_home: bool,
         slot: &Slot<Engine>,
-    ) -> Estimate {
+    ) -> (Estimate, bool) {
         let engine = &slot.state;
         let trust = Trust {
             cleared: engine.cleared,
@@ -135,11 +137,12 @@
         };
         let blocks = self.hints.expect(now, slot.hash, request.prefixes, &trust);
         let shared = request.home.filter(|_| is_home);
-        let blocks = blocks.max(shared.map_or(0.0, |home| home.blocks as f32));
-        let cached = (blocks * self.settings.block as f32) as u32;
+        let assumed = shared.map_or(0.0, |home| home.blocks as f32);
+        let cached = (blocks.max(assumed) * self.settings.block as f32) as u32;
         let class = class(request.priority);
         let peers = self.share.peers(&self.settings);
-        engine.estimate(&self.settings, now, class, request.prompt, cached, peers)
+        let estimate = engine.estimate(&self.settings, now, class, request.prompt, cached, peers);
+        (estimate, assumed > blocks + 1.0)
     }
 
     fn cost(&self, request: &Request<'_>, slot: &Slot<Engine>, estimate: &Estimate) -> f32 {
@@ -206,15 +209,18 @@
     /// Returns the allowed candidate with the highest rendezvous hash for the shared prefix.
     fn home(&self, request: &Request<'_>, list: &List) -> Option<u32> {
         let home = request.home?;
-        let weight = |slot: &u32| {
-            let hash = self.registry.slot(*slot).map_or(0, |slot| slot.hash);
-            xxh3_64_with_seed(&hash.to_le_bytes(), home.key)
+        let score = |slot: &u32| {
+            let slot = self.registry.slot(*slot);
+            let (hash, weight) = slot.map_or((0, 1.0), |slot| (slot.hash, slot.state.weight()));
+            let hash = xxh3_64_with_seed(&hash.to_le_bytes(), home.key);
+            weighted_score(hash, f64::from(weight))
         };
         let is_allowed = |slot: &u32| {
             let slot = self.registry.slot(*slot);
             slot.is_some_and(|slot| (request.allows)(&slot.candidate.id))
         };
-        list.all().filter(is_allowed).max_by_key(weight)
+        let allowed = list.all().filter(is_allowed);
+        allowed.max_by(|a, b| score(a).total_cmp(&score(b)))
     }
 
     fn affine(&self, request: &Request<'_>, subset: Subset<'_>) -> Option<u32> {
@@ -241,6 +247,7 @@
         ticket.uncached = rated.estimate.uncached;
         ticket.first = rated.estimate.first;
         ticket.between = rated.estimate.between;
+        ticket.is_assumed = rated.is_assumed;
         Some(Choice {
             upstream: slot.candidate.id.clone(),
             known,
@@ -327,7 +334,8 @@
                 return;
             }
             Progress::First => {
-                engine.answer(settings, now, elapsed, ticket.first);
+                let first = (!ticket.is_assumed).then_some(ticket.first);
+                engine.answer(settings, now, elapsed, first);
                 engine.processed(ticket.uncached);
                 return;
             }
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -149,6 +149,9 @@
     pub(super) first: f32,
     /// Estimated time between tokens, in seconds.
     pub(super) between: f32,
+    /// Whether the prefix was expected in the cache only because the upstream is its home. Another
+    /// host may not have sent it yet, so the time to first token says nothing about the speed.
+    pub(super) is_assumed: bool,
 }
 
 impl Ticket {
@@ -162,6 +165,7 @@
             uncached: 0,
             first: 0.0,
             between: 0.0,
+            is_assumed: false,
         }
     }
 
--- a/crates/core/src/route/engine.rs
+++ b/crates/core/src/route/engine.rs
@@ -8,6 +8,13 @@
 /// Bounds on one observed ratio of a measured to an estimated time, so that a single request
 /// cannot dominate what was learned.
 const RATIO: (f32, f32) = (0.25, 4.0);
+/// Steps of the weight of a home per doubling of the slowness.
+const HOME_STEPS: f32 = 2.0;
+/// The load of a queue grows faster than its utilisation, so a slow engine gets less than its part
+/// of the prompts: its speed to this power.
+const HOME_POWER: f32 = 2.0;
+/// Bounds on the weight of a home.
+const HOME_WEIGHT: (f32, f32) = (0.02, 8.0);
 /// Assumed mean length of a response in tokens.
 const MEAN_TOKENS: f32 = 230.0;
 /// Bounds on the learned speed.
@@ -109,7 +116,9 @@
         let fresh = (-age / settings.backlog_memory).exp();
         let backlog = self.backlog + (ahead - self.backlog) * fresh + self.sent;
         let uncached = prompt.saturating_sub(cached).max(1);
-        let first = (backlog + uncached as f32) * prefill + between + self.queue(class, between);
+        let setup = settings.setup * self.slowness;
+        let prompt_time = (backlog + uncached as f32) * prefill;
+        let first = setup + prompt_time + between + self.queue(class, between);
         Estimate {
             first,
             between,
@@ -183,14 +192,34 @@
         self.sent += uncached as f32;
     }
 
-    /// Takes the time to first token of a request, in seconds.
-    pub fn answer(&mut self, settings: &Settings, now: Duration, measured: f32, first: f32) {
+    /// Takes the time to first token of a request, in seconds, and its estimate, unless that says
+    /// nothing about the speed.
+    pub fn answer(
+        &mut self,
+        settings: &Settings,
+        now: Duration,
+        measured: f32,
+        first: Option<f32>,
+    ) {
         self.unanswered = self.unanswered.saturating_sub(1);
         self.respond(now);
+        let Some(first) = first else {
+            return;
+        };
         let ratio = (measured / first.max(1e-4)).clamp(RATIO.0, RATIO.1);
         self.slowness = learn(self.slowness, ratio, settings.learning);
     }
 
+    /// Returns the share of the prompts with a home that the upstream should get, relative to an
+    /// engine of normal speed. It moves in steps, so that hosts which learned slightly different
+    /// speeds agree on the home of nearly every prompt.
+    pub fn weight(&self) -> f32 {
+        let steps = (self.slowness.log2() * HOME_STEPS).round() / HOME_STEPS;
+        (-HOME_POWER * steps)
+            .exp2()
+            .clamp(HOME_WEIGHT.0, HOME_WEIGHT.1)
+    }
+
     /// Notes that the upstream has answered a request.
     pub fn respond(&mut self, now: Duration) {
         self.silent_since = now;
--- a/crates/core/src/route/settings.rs
+++ b/crates/core/src/route/settings.rs
@@ -25,6 +25,8 @@
     pub hint_half_life: Duration,
     /// Weight of the prefix hints from before a gap in the cache events.
     pub after_gap: f32,
+    /// Seconds to the first token of an idle engine of normal speed, without those for the prompt.
+    pub setup: f32,
     /// Assumed seconds per uncached prompt token before anything was learned.
     pub prefill: f32,
     /// Assumed seconds between tokens before anything was learned.
@@ -84,6 +86,7 @@
             hints: 1 << 15,
             hint_half_life: Duration::from_secs(60),
             after_gap: 0.5,
+            setup: 0.0,
             prefill: 0.000_05,
             between: 0.03,
             half_batch: 50.0,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -111,6 +111,8 @@
     route::Settings {
         subset: 32,
         sample: 32,
+        setup: 0.09,
+        learning: 0.1,
         prefill: 0.000_018,
         between: 0.01,
         pause: Duration::from_millis(500),
