Test the gateway against stand-ins of its store and upstreams

Ruled out while writing: the first run hung for ten minutes in a stand-in that did not report a closed connection; the gateway closed it.

--- /dev/null
+++ b/crates/gateway/tests/answers.rs
@@ -0,0 +1,156 @@
+//! What callers get when upstreams answer, fail, or answer wrongly.
+
+mod world;
+
+use {
+    std::sync::Arc,
+    tokio::sync::Notify,
+    world::{World, upstream::Script},
+};
+
+fn events(range: std::ops::RangeInclusive<u64>) -> String {
+    range
+        .map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
+        .collect()
+}
+
+/// Guards against changed answers.
+#[tokio::test]
+async fn answers_pass_through() {
+    let (world, upstreams) = World::new(vec![Script::Whole(200, "the answer")]).await;
+    let response = world.request("safe", "r1").send().await.expect("an answer");
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.headers()["x-signed"], "1");
+    assert_eq!(response.text().await.expect("a body"), "the answer");
+    assert_eq!(upstreams[0].arrivals().len(), 1);
+}
+
+/// Guards against a cut stream that passes as complete.
+#[tokio::test]
+async fn cut_streams_do_not_look_complete() {
+    let (world, _upstreams) = World::new(vec![Script::Events { upto: 2, of: 5 }]).await;
+    let response = world.request("stream", "r1").send().await.expect("a head");
+    assert_eq!(response.status(), 200);
+    assert!(response.bytes().await.is_err());
+}
+
+/// Guards against missing and repeated events when a stream goes on at another upstream.
+#[tokio::test]
+async fn resumable_streams_go_on_elsewhere() {
+    let scripts = vec![Script::Events { upto: 2, of: 5 }; 2];
+    let (world, upstreams) = World::new(scripts).await;
+    // The second upstream sends one event only, after which no attempt is left.
+    let response = world
+        .request("resumable", "r1")
+        .send()
+        .await
+        .expect("a head");
+    assert!(response.bytes().await.is_err());
+    let mut arrivals: Vec<_> = upstreams
+        .iter()
+        .flat_map(|upstream| upstream.arrivals())
+        .collect();
+    arrivals.sort_by_key(|arrival| arrival.last_event);
+    let last: Vec<_> = arrivals.iter().map(|arrival| arrival.last_event).collect();
+    assert_eq!(last, [None, Some(2)]);
+
+    let (world, _upstreams) = World::new(vec![
+        Script::Events { upto: 2, of: 5 },
+        Script::Events { upto: 5, of: 5 },
+    ])
+    .await;
+    for id in ["r2", "r3", "r4", "r5"] {
+        let response = world.request("resumable", id).send().await.expect("a head");
+        assert_eq!(
+            response.text().await.expect("a complete stream"),
+            events(1..=5)
+        );
+    }
+}
+
+/// Guards against a second run of a request that may run once, and against "not run" for one that
+/// may have run.
+#[tokio::test]
+async fn what_may_have_run_once_is_not_sent_again() {
+    let (world, upstreams) = World::new(vec![Script::Close, Script::Close]).await;
+    let response = world.request("once", "r1").send().await.expect("an answer");
+    assert_eq!(response.status(), 502);
+    let arrivals: usize = upstreams
+        .iter()
+        .map(|upstream| upstream.arrivals().len())
+        .sum();
+    assert_eq!(arrivals, 1);
+}
+
+/// Guards against refusals without the time to come back, and against giving up while another
+/// upstream may be tried.
+#[tokio::test]
+async fn refused_requests_try_another_upstream() {
+    let (world, upstreams) = World::new(vec![Script::Refuse, Script::Refuse]).await;
+    let response = world.request("once", "r1").send().await.expect("an answer");
+    assert_eq!(response.status(), 503);
+    assert!(response.headers().contains_key("retry-after"));
+    assert!(
+        upstreams
+            .iter()
+            .all(|upstream| upstream.arrivals().len() == 1)
+    );
+}
+
+/// Guards against an answer that reaches the caller of another request.
+#[tokio::test]
+async fn answers_of_other_requests_are_not_delivered() {
+    let (world, _upstreams) = World::new(vec![Script::Crossed]).await;
+    let response = world.request("once", "r1").send().await.expect("an answer");
+    assert_eq!(response.status(), 502);
+    assert_ne!(response.text().await.expect("a body"), "other");
+}
+
+/// Guards against work that goes on after its caller has left.
+#[tokio::test]
+async fn leaving_callers_end_the_work() {
+    let (world, mut upstreams) = World::new(vec![Script::Silent]).await;
+    let call = tokio::spawn(world.request("safe", "r1").send());
+    while upstreams[0].arrivals().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    call.abort();
+    upstreams[0]
+        .closed
+        .recv()
+        .await
+        .expect("the connection is closed");
+}
+
+/// Guards against refusing keys and routes before any configuration is known.
+#[tokio::test]
+async fn unconfigured_gateways_say_so() {
+    let world = World::configured(None).await;
+    let response = world.request("safe", "r1").send().await.expect("an answer");
+    assert_eq!(response.status(), 503);
+    assert!(response.headers().contains_key("retry-after"));
+    assert!(!world.is_ready().await);
+}
+
+/// Guards against a planned stop that cuts a stream.
+#[tokio::test]
+async fn planned_stops_finish_streams() {
+    let go_on = Arc::new(Notify::new());
+    let script = Script::Paused {
+        of: 3,
+        go_on: go_on.clone(),
+    };
+    let (mut world, _upstreams) = World::new(vec![script]).await;
+    let response = world.request("stream", "r1").send().await.expect("a head");
+    let gateway = world.gateway.take().expect("the gateway runs");
+    let stop = tokio::spawn(gateway.stop());
+    while world.is_ready().await {
+        tokio::task::yield_now().await;
+    }
+    go_on.notify_one();
+    assert_eq!(
+        response.text().await.expect("a complete stream"),
+        events(1..=3)
+    );
+    stop.await.expect("the stop ends");
+}
--- /dev/null
+++ b/crates/gateway/tests/budgets.rs
@@ -0,0 +1,92 @@
+//! What callers get while budgets and the store set limits.
+
+mod world;
+
+use world::{World, upstream::Script};
+
+const EVENTS: Script = Script::Events { upto: 3, of: 3 };
+
+/// Sends a request of 100 prompt tokens that gets three events of 10 tokens.
+async fn ask(world: &World, id: usize) -> u16 {
+    let request = world
+        .request("stream", &format!("r{id}"))
+        .header("x-tokens", "100,50");
+    let response = request.send().await.expect("an answer");
+    let status = response.status().as_u16();
+    response.bytes().await.expect("a complete answer");
+    status
+}
+
+/// Guards against spend beyond what was bought, also when a process dies and another one starts in
+/// its place.
+#[tokio::test]
+async fn spend_stays_within_the_purchase() {
+    let (mut world, _upstreams) = World::new(vec![EVENTS]).await;
+    world.store.configure(world::snapshot(2, 1_000));
+    let mut served = 0;
+    for id in 0..40 {
+        if id == 3 {
+            // The process dies without a planned stop; its tasks go on, but no request reaches it.
+            drop(world.gateway.take());
+            world.start();
+            world.until_ready().await;
+        }
+        if ask(&world, id).await == 200 {
+            served += 1;
+        }
+        if world.account().purchased == 1_000 && served * 130 > 1_000 {
+            panic!("{served} requests of 130 tokens were served for 1,000 tokens");
+        }
+    }
+    assert!(served > 0);
+}
+
+/// Guards against refusals for as long as the store is away although the mark covers the requests.
+#[tokio::test]
+async fn marks_carry_requests_through_an_outage() {
+    let (world, _upstreams) = World::new(vec![EVENTS]).await;
+    assert_eq!(ask(&world, 0).await, 200);
+    while world.store.rows("journal/").len() < 2 {
+        tokio::task::yield_now().await;
+    }
+    world.store.set_down(true);
+    // The bound of the last row may hold the first requests back for a few seconds.
+    let mut id = 1;
+    while ask(&world, id).await != 200 {
+        id += 1;
+    }
+}
+
+/// Guards against holding a request that is beyond reach until its deadline.
+#[tokio::test]
+async fn requests_beyond_reach_are_told_when_to_come_back() {
+    let (world, _upstreams) = World::new(vec![EVENTS]).await;
+    assert_eq!(ask(&world, 0).await, 200);
+    world.store.set_down(true);
+    let request = world
+        .request("stream", "large")
+        .header("x-tokens", "900000,50");
+    let response = request.send().await.expect("an answer");
+    assert_eq!(response.status(), 503);
+    assert!(response.headers().contains_key("retry-after"));
+}
+
+/// Guards against a budget that refuses although it was topped up, and one that allows more after
+/// an older configuration is read.
+#[tokio::test]
+async fn top_ups_take_effect() {
+    let (world, _upstreams) = World::new(vec![EVENTS]).await;
+    world.store.configure(world::snapshot(2, 120));
+    while world.account().total() != 120 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(ask(&world, 1).await, 402);
+    world.store.configure(world::snapshot(3, 100_000));
+    while world.account().total() != 100_000 {
+        tokio::task::yield_now().await;
+    }
+    let mut id = 2;
+    while ask(&world, id).await != 200 {
+        id += 1;
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/upstreams.rs
@@ -0,0 +1,53 @@
+//! Which upstreams receive work as the list changes.
+
+mod world;
+
+use {
+    marigoldroute_core::forward::State,
+    world::{World, entry, upstream::Script},
+};
+
+/// Guards against new work for an upstream that drains or has left the list.
+#[tokio::test]
+async fn leaving_upstreams_receive_no_work() {
+    let scripts = vec![
+        Script::Whole(200, "a"),
+        Script::Whole(200, "b"),
+        Script::Whole(200, "c"),
+    ];
+    let (world, upstreams) = World::new(scripts).await;
+    world
+        .store
+        .put("u0", entry(upstreams[0].address, State::Draining));
+    world.store.remove("u1");
+    // Once a request has reached the last upstream, repeated until the others get none.
+    let mut quiet = 0;
+    let mut id = 0;
+    while quiet < 20 {
+        id += 1;
+        let response = world
+            .request("safe", &format!("r{id}"))
+            .send()
+            .await
+            .expect("an answer");
+        quiet = match response.text().await.expect("a body").as_str() {
+            "c" => quiet + 1,
+            _ => 0,
+        };
+    }
+}
+
+/// Guards against an outage of the store that takes every upstream out.
+#[tokio::test]
+async fn upstreams_stay_in_use_while_the_store_is_away() {
+    let (world, _upstreams) = World::new(vec![Script::Whole(200, "a")]).await;
+    world.store.set_down(true);
+    for id in 0..5 {
+        let response = world
+            .request("safe", &format!("r{id}"))
+            .send()
+            .await
+            .expect("an answer");
+        assert_eq!(response.status(), 200);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/world/mod.rs
@@ -0,0 +1,178 @@
+//! Stand-ins around a gateway in one process: a store in memory, upstreams that follow a script,
+//! and a plain spelling of requests and answers.
+
+#![allow(dead_code, reason = "each test program uses a part")]
+
+pub mod spelling;
+pub mod store;
+pub mod upstream;
+
+use {
+    marigoldroute_core::{
+        budget::Account,
+        forward::{Engine, Entry, Kind, Route, Service, Snapshot, State, Target, Workspace},
+    },
+    marigoldroute_gateway::{Handle, Settings, start},
+    spelling::Plain,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    store::Memory,
+    upstream::{Script, Upstream},
+};
+
+/// Key of the only workspace's callers.
+pub const KEY: &str = "key";
+/// The only workspace.
+pub const WORKSPACE: &str = "hostel";
+
+/// A gateway with its surroundings.
+pub struct World {
+    pub store: Arc<Memory>,
+    pub gateway: Option<Handle>,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub client: reqwest::Client,
+    settings: Settings,
+}
+
+/// Returns a configuration with one route per kind.
+pub fn snapshot(version: u64, purchased: u64) -> Snapshot {
+    let kinds = [
+        ("safe", Kind::Idempotent),
+        ("once", Kind::Once),
+        ("stream", Kind::Stream),
+        ("resumable", Kind::Resumable),
+    ];
+    let route = |(name, kind): (&str, Kind)| Route {
+        name: name.into(),
+        host: "desk.example".into(),
+        prefix: format!("/{name}/").into(),
+        kind,
+        targets: vec![Target {
+            service: "desk".into(),
+            weight: 1,
+        }],
+        attempts: 2,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_secs(2),
+        priority: 0,
+        is_public: false,
+    };
+    let engine = Engine {
+        slots: 8,
+        capacity: 100_000,
+        event_tokens: 10,
+        models: Vec::new(),
+    };
+    let workspace = Workspace {
+        name: WORKSPACE.into(),
+        keys: vec![KEY.into()],
+        priority: None,
+        purchased: Some(purchased),
+    };
+    Snapshot {
+        version,
+        routes: kinds.into_iter().map(route).collect(),
+        services: vec![Service {
+            name: "desk".into(),
+            connections: 64,
+            engine: Some(engine),
+        }],
+        workspaces: vec![workspace],
+        ..Snapshot::default()
+    }
+}
+
+/// Returns the entry of an upstream.
+pub fn entry(address: SocketAddr, state: State) -> Entry {
+    Entry {
+        service: "desk".into(),
+        address,
+        region: "region".into(),
+        zone: "zone".into(),
+        slots: 8,
+        state,
+        started_ms: 1,
+    }
+}
+
+impl World {
+    /// Starts a gateway in front of upstreams that follow the scripts.
+    pub async fn new(scripts: Vec<Script>) -> (Self, Vec<Upstream>) {
+        let world = Self::configured(Some(snapshot(1, 1_000_000))).await;
+        let mut upstreams = Vec::new();
+        for (index, script) in scripts.into_iter().enumerate() {
+            let upstream = Upstream::start(&format!("u{index}"), script).await;
+            world
+                .store
+                .put(&upstream.id, entry(upstream.address, State::Ready));
+            upstreams.push(upstream);
+        }
+        world.until_ready().await;
+        (world, upstreams)
+    }
+
+    /// Starts a gateway with a configuration, or without one.
+    pub async fn configured(snapshot: Option<Snapshot>) -> Self {
+        let store = Arc::new(Memory::default());
+        if let Some(snapshot) = snapshot {
+            store.configure(snapshot);
+        }
+        let settings = Settings {
+            leave_time: Duration::from_millis(50),
+            ..Settings::default()
+        };
+        let mut world = Self {
+            store,
+            gateway: None,
+            callers: settings.listen,
+            ready: settings.listen_ready,
+            client: reqwest::Client::builder()
+                .no_proxy()
+                .build()
+                .expect("a client"),
+            settings,
+        };
+        world.start();
+        world
+    }
+
+    /// Starts a process in the place of the one before.
+    pub fn start(&mut self) {
+        let gateway = start(self.settings.clone(), self.store.clone(), Arc::new(Plain));
+        let gateway = gateway.expect("the gateway starts");
+        self.callers = gateway.addresses().callers;
+        self.ready = gateway.addresses().ready;
+        self.gateway = Some(gateway);
+    }
+
+    /// Waits until the gateway reports that it is ready.
+    pub async fn until_ready(&self) {
+        while !self.is_ready().await {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let url = format!("http://{}/readyz", self.ready);
+        let response = self.client.get(url).send().await;
+        response.is_ok_and(|response| response.status().is_success())
+    }
+
+    /// Returns a request with an id and the key.
+    pub fn request(&self, path: &str, id: &str) -> reqwest::RequestBuilder {
+        let url = format!("http://{}/{path}/x", self.callers);
+        let request = self.client.post(url).header("host", "desk.example");
+        request
+            .header("x-request-id", id)
+            .header("x-key", KEY)
+            .body("text")
+    }
+
+    /// Returns the row of the budget.
+    pub fn account(&self) -> Account {
+        let row = self.store.row(&format!("budget/{WORKSPACE}"));
+        row.map_or_else(Account::default, |row| {
+            serde_json::from_str(&row.value).expect("the row is an account")
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/world/spelling.rs
@@ -0,0 +1,79 @@
+//! A plain spelling of requests and answers.
+
+use {
+    marigoldroute_gateway::interface::{Call, Interface, Malformed, Onward, Reply, Usage},
+    poem::http::{
+        HeaderMap, HeaderValue, Method, StatusCode, Uri,
+        header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+    },
+};
+
+pub struct Plain;
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    headers.insert(name, HeaderValue::from_str(value).expect("a header value"));
+}
+
+fn plain(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = headers.clone();
+    for name in [CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING] {
+        headers.remove(name);
+    }
+    headers.remove("x-key");
+    headers
+}
+
+impl Interface for Plain {
+    fn call(&self, method: &Method, target: &Uri, headers: &HeaderMap) -> Result<Call, Malformed> {
+        let usage = text(headers, "x-tokens").and_then(|tokens| {
+            let (prompt, output) = tokens.split_once(',')?;
+            Some(Usage {
+                prompt: prompt.parse().ok()?,
+                output: output.parse().ok()?,
+            })
+        });
+        Ok(Call {
+            id: text(headers, "x-request-id").ok_or(Malformed::Id)?.into(),
+            method: method.clone(),
+            host: text(headers, HOST.as_str()).ok_or(Malformed::Host)?.into(),
+            target: target.clone(),
+            headers: plain(headers),
+            key: text(headers, "x-key").map(Into::into),
+            patience: None,
+            last_event: text(headers, "x-last-event").and_then(|id| id.parse().ok()),
+            model: None,
+            usage,
+            parts: Vec::new(),
+        })
+    }
+
+    fn onward(&self, call: &Call, onward: &Onward<'_>) -> HeaderMap {
+        let mut headers = call.headers.clone();
+        put(&mut headers, "x-upstream", onward.upstream);
+        if let Some(last) = onward.last_event {
+            put(&mut headers, "x-last-event", &last.to_string());
+        }
+        headers
+    }
+
+    fn reply(&self, status: StatusCode, headers: &HeaderMap) -> Reply {
+        Reply {
+            status,
+            headers: plain(headers),
+            id: text(headers, "x-request-id").map(Into::into),
+            is_refused: headers.contains_key("x-not-run"),
+            is_signed: headers.contains_key("x-signed"),
+            load: None,
+            is_last: headers.contains_key(CONNECTION),
+            keep_alive: None,
+        }
+    }
+
+    fn own(&self, _call: Option<&Call>) -> HeaderMap {
+        HeaderMap::new()
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/world/store.rs
@@ -0,0 +1,192 @@
+//! A store in memory, with faults.
+
+use {
+    futures_util::future::BoxFuture,
+    marigoldroute_core::{
+        forward::{Entry, Snapshot},
+        id::UpstreamId,
+        table::{self, Row, Transaction, Verdict},
+    },
+    marigoldroute_gateway::store::{Fault, Listed, Listing, Position, Read, Store},
+    std::{
+        collections::BTreeMap,
+        sync::{Mutex, MutexGuard},
+        time::{Duration, Instant},
+    },
+    tokio::sync::watch,
+};
+
+#[derive(Default)]
+struct Inner {
+    table: table::Memory,
+    snapshot: Option<Snapshot>,
+    entries: BTreeMap<UpstreamId, Entry>,
+    /// Removed or put upstreams, by position.
+    log: Vec<(Position, UpstreamId)>,
+    configured: Position,
+    position: Position,
+    is_down: bool,
+}
+
+pub struct Memory {
+    inner: Mutex<Inner>,
+    changed: watch::Sender<Position>,
+    started: Instant,
+}
+
+impl Default for Memory {
+    fn default() -> Self {
+        Self {
+            inner: Mutex::default(),
+            changed: watch::Sender::new(0),
+            started: Instant::now(),
+        }
+    }
+}
+
+impl Memory {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner
+            .lock()
+            .expect("no test panics while it holds the store")
+    }
+
+    fn open(&self) -> Result<MutexGuard<'_, Inner>, Fault> {
+        let inner = self.lock();
+        if inner.is_down {
+            Err(Fault::Unavailable)
+        } else {
+            Ok(inner)
+        }
+    }
+
+    fn change(&self, act: impl FnOnce(&mut Inner, Position)) {
+        let mut inner = self.lock();
+        inner.position += 1;
+        let position = inner.position;
+        act(&mut inner, position);
+        drop(inner);
+        self.changed.send_replace(position);
+    }
+
+    pub fn configure(&self, snapshot: Snapshot) {
+        self.change(|inner, position| {
+            inner.snapshot = Some(snapshot);
+            inner.configured = position;
+        });
+    }
+
+    pub fn put(&self, id: &str, entry: Entry) {
+        self.change(|inner, position| {
+            inner.entries.insert(id.into(), entry);
+            inner.log.push((position, id.into()));
+        });
+    }
+
+    pub fn remove(&self, id: &str) {
+        self.change(|inner, position| {
+            inner.entries.remove(id);
+            inner.log.push((position, id.into()));
+        });
+    }
+
+    pub fn set_down(&self, is_down: bool) {
+        self.lock().is_down = is_down;
+    }
+
+    pub fn row(&self, key: &str) -> Option<Row> {
+        self.lock().table.get(key).cloned()
+    }
+
+    pub fn rows(&self, prefix: &str) -> Vec<Row> {
+        self.lock().table.scan(prefix, "", usize::MAX)
+    }
+
+    async fn wait(&self, since: Position, wait: Duration) {
+        let mut changed = self.changed.subscribe();
+        // The caller looks at the state afterwards, whether there was a change or not.
+        let _ = tokio::time::timeout(wait, changed.wait_for(|position| *position > since)).await;
+    }
+}
+
+impl Store for Memory {
+    fn get(&self, keys: Vec<String>) -> BoxFuture<'_, Result<Vec<Row>, Fault>> {
+        Box::pin(async move {
+            let inner = self.open()?;
+            Ok(keys
+                .iter()
+                .filter_map(|key| inner.table.get(key).cloned())
+                .collect())
+        })
+    }
+
+    fn scan(&self, prefix: String) -> BoxFuture<'_, Result<Vec<Row>, Fault>> {
+        Box::pin(async move { Ok(self.open()?.table.scan(&prefix, "", usize::MAX)) })
+    }
+
+    fn clock_ms(&self) -> Option<u64> {
+        Some(1 + self.started.elapsed().as_millis() as u64)
+    }
+
+    fn commit(&self, transaction: Transaction) -> BoxFuture<'_, Result<Verdict, Fault>> {
+        Box::pin(async move { Ok(self.open()?.table.commit(&transaction)) })
+    }
+
+    fn configuration(&self) -> BoxFuture<'_, Result<Read<Option<Snapshot>>, Fault>> {
+        Box::pin(async move {
+            let inner = self.open()?;
+            Ok(Read {
+                content: inner.snapshot.clone(),
+                position: inner.position,
+            })
+        })
+    }
+
+    fn configuration_after(
+        &self,
+        since: Position,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Read<Option<Snapshot>>, Fault>> {
+        Box::pin(async move {
+            self.wait(since, wait).await;
+            let inner = self.open()?;
+            let is_new = inner.configured > since;
+            let content = inner.snapshot.clone().filter(|_| is_new);
+            Ok(Read {
+                content,
+                position: inner.position,
+            })
+        })
+    }
+
+    fn upstreams(&self) -> BoxFuture<'_, Result<Read<Listing>, Fault>> {
+        Box::pin(async move {
+            let inner = self.open()?;
+            let content = inner.entries.clone().into_iter().collect();
+            Ok(Read {
+                content,
+                position: inner.position,
+            })
+        })
+    }
+
+    fn upstreams_after(
+        &self,
+        since: Position,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Read<Vec<Listed>>, Fault>> {
+        Box::pin(async move {
+            self.wait(since, wait).await;
+            let inner = self.open()?;
+            let new = inner.log.iter().filter(|(position, _)| *position > since);
+            let listed = |(_, id): &(Position, UpstreamId)| match inner.entries.get(id) {
+                Some(entry) => Listed::Put(id.clone(), entry.clone()),
+                None => Listed::Removed(id.clone()),
+            };
+            Ok(Read {
+                content: new.map(listed).collect(),
+                position: inner.position,
+            })
+        })
+    }
+}
