--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -191,10 +191,9 @@
                 Ok(Err(None)) => return self.unplaced(),
                 Err(_) => return self.late(),
             };
-            if outcome.is_not_run() {
-                if let Some(hold) = self.hold.as_mut().filter(|_| self.is_fresh) {
-                    hold.not_run();
-                }
+            let is_unused = outcome.is_not_run() && self.is_fresh;
+            if let Some(hold) = self.hold.as_mut().filter(|_| is_unused) {
+                hold.not_run();
             }
             let attempt = retry::Attempt {
                 kind: self.kind(),
