Tell other hosts of the prompts that are pending at engines

Cause: a long prompt sent by another host delays all that follow, and load reports do not show it.

Change: hosts exchange the prompt tokens that they have sent and not seen answered, as datagrams that may be lost; the estimate adds them for a second.

--- a/crates/core/src/route/adaptive.rs
+++ b/crates/core/src/route/adaptive.rs
@@ -362,6 +362,12 @@
         }
     }
 
+    fn hear(&mut self, now: Duration, upstream: &str, host: u64, tokens: u32) {
+        if let Some((_, engine)) = self.registry.state(upstream) {
+            engine.hear(now, host, tokens as f32);
+        }
+    }
+
     fn cache(&mut self, now: Duration, upstream: &str, event: &Cache<'_>) {
         let Some(index) = self.registry.find(upstream) else {
             return;
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -169,6 +169,11 @@
         }
     }
 
+    /// Returns the prompt tokens that the upstream is expected to read for the request.
+    pub fn uncached(&self) -> u32 {
+        self.uncached
+    }
+
     /// Moves to the phase that follows from a report; `None` when the report does not fit.
     pub(super) fn advance(&mut self, progress: &Progress<'_>) -> Option<(Phase, Phase)> {
         let from = self.phase;
--- a/crates/core/src/route/engine.rs
+++ b/crates/core/src/route/engine.rs
@@ -8,6 +8,10 @@
 /// Bounds on one observed ratio of a measured to an estimated time, so that a single request
 /// cannot dominate what was learned.
 const RATIO: (f32, f32) = (0.25, 4.0);
+/// Time after which an unconfirmed backlog of another host no longer counts.
+const BACKLOG_TIME: Duration = Duration::from_secs(1);
+/// Hosts whose backlog is kept for one upstream.
+const BACKLOG_HOSTS: usize = 64;
 /// Steps of the weight of a home per doubling of the slowness.
 const HOME_STEPS: f32 = 2.0;
 /// The load of a queue grows faster than its utilisation, so a slow engine gets less than its part
@@ -32,6 +36,15 @@
     pub age: f32,
 }
 
+/// Prompt tokens that another host has sent to an upstream and not seen answered.
+#[derive(Clone, Copy, Debug)]
+struct Backlog {
+    host: u64,
+    tokens: f32,
+    /// When the host said so.
+    at: Duration,
+}
+
 /// State of one upstream.
 #[derive(Debug)]
 pub struct Engine {
@@ -45,6 +58,8 @@
     silent_since: Duration,
     /// Own prompt tokens sent and not answered.
     sent: f32,
+    /// Prompt tokens that other hosts have sent and not seen answered.
+    others: Vec<Backlog>,
     /// Own requests in flight, averaged over the times of the reports.
     own: f32,
     /// Requests in the batch, averaged over reports.
@@ -79,6 +94,7 @@
             unanswered: 0,
             silent_since: Duration::ZERO,
             sent: 0.0,
+            others: Vec::new(),
             own: 0.0,
             running: 0.0,
             backlog: 0.0,
@@ -114,7 +130,7 @@
         let between = self.between(settings, running + 1.0);
         let ahead = self.load.pending[..=class].iter().sum::<u32>() as f32;
         let fresh = (-age / settings.backlog_memory).exp();
-        let backlog = self.backlog + (ahead - self.backlog) * fresh + self.sent;
+        let backlog = self.backlog + (ahead - self.backlog) * fresh + self.sent + self.others(now);
         let uncached = prompt.saturating_sub(cached).max(1);
         let setup = settings.setup * self.slowness;
         let prompt_time = (backlog + uncached as f32) * prefill;
@@ -134,6 +150,24 @@
         base * (settings.half_batch + running) * self.pace
     }
 
+    /// Returns the prompt tokens of other hosts; what a host has not confirmed lately is over, because
+    /// prompts are read in seconds.
+    fn others(&self, now: Duration) -> f32 {
+        let current = self.others.iter();
+        let current = current.filter(|backlog| now < backlog.at + BACKLOG_TIME);
+        current.map(|backlog| backlog.tokens).sum()
+    }
+
+    /// Takes the prompt tokens of another host.
+    pub fn hear(&mut self, now: Duration, host: u64, tokens: f32) {
+        self.others
+            .retain(|backlog| backlog.host != host && now < backlog.at + BACKLOG_TIME);
+        if tokens > 0.0 && self.others.len() < BACKLOG_HOSTS {
+            let at = now;
+            self.others.push(Backlog { host, tokens, at });
+        }
+    }
+
     /// Estimates the wait for a place in a full batch: one place becomes free per mean response
     /// time divided by the number of running requests.
     fn queue(&self, class: usize, between: f32) -> f32 {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -67,6 +67,9 @@
     /// Takes a load report of an upstream.
     fn load(&mut self, _now: Duration, _upstream: &str, _load: &Load) {}
 
+    /// Takes the prompt tokens that another host has sent to an upstream and not seen answered.
+    fn hear(&mut self, _now: Duration, _upstream: &str, _host: u64, _tokens: u32) {}
+
     /// Takes a cache event of an upstream.
     fn cache(&mut self, _now: Duration, _upstream: &str, _event: &Cache<'_>) {}
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -95,6 +95,8 @@
     inner: Mutex<Inner>,
     /// Notified when a place at an upstream becomes free or an upstream joins.
     pub(crate) freed: Notify,
+    /// Notified when other hosts should be told of pending prompts.
+    pub(crate) news: Notify,
 }
 
 struct Inner {
@@ -109,10 +111,22 @@
     address: SocketAddr,
     started_ms: u64,
     in_flight: u32,
+    /// Prompt tokens sent and not answered.
+    pending: u32,
+    /// Whether other hosts have not been told of `pending`.
+    is_news: bool,
     has_left: bool,
 }
 
 impl Inner {
+    fn change_pending(&mut self, id: &UpstreamId, change: impl FnOnce(u32) -> u32) {
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            let pending = change(upstream.pending);
+            upstream.is_news |= pending != upstream.pending;
+            upstream.pending = pending;
+        }
+    }
+
     /// Forgets an upstream that has left once nothing of this host runs there.
     fn forget(&mut self, id: &UpstreamId) {
         let is_over = |upstream: &Upstream| upstream.has_left && upstream.in_flight == 0;
@@ -137,6 +151,8 @@
     pub(crate) upstream: UpstreamId,
     pub(crate) address: SocketAddr,
     ticket: Ticket,
+    /// Prompt tokens that count as pending until the first event.
+    pending: u32,
     has_ended: bool,
 }
 
@@ -144,10 +160,15 @@
     pub(crate) fn report(&mut self, progress: Progress<'_>) {
         let ends = !matches!(progress, Progress::Sent(_) | Progress::First);
         let now = self.dispatch.clock.now();
-        lock(&self.dispatch.inner)
-            .policy
-            .report(now, &mut self.ticket, progress);
+        let mut inner = lock(&self.dispatch.inner);
+        inner.policy.report(now, &mut self.ticket, progress);
+        inner.change_pending(&self.upstream, |pending| {
+            pending.saturating_sub(self.pending)
+        });
+        drop(inner);
+        self.pending = 0;
         self.has_ended |= ends;
+        self.dispatch.news.notify_one();
     }
 
     /// Takes the load that the upstream states.
@@ -209,6 +230,7 @@
             retries,
             inner: Mutex::new(inner),
             freed: Notify::new(),
+            news: Notify::new(),
         }
     }
 
@@ -237,6 +259,7 @@
                 };
                 let known = inner.upstreams.get(&id);
                 let in_flight = known.map_or(0, |known| known.in_flight);
+                let pending = known.map_or(0, |known| known.pending);
                 if known.is_some_and(|known| known.started_ms != entry.started_ms) {
                     let change = route::Change::Cleared;
                     inner.policy.cache(
@@ -252,6 +275,8 @@
                     address: entry.address,
                     started_ms: entry.started_ms,
                     in_flight,
+                    pending,
+                    is_news: pending > 0,
                     has_left: false,
                 };
                 inner.upstreams.insert(id, upstream);
@@ -272,6 +297,25 @@
         allowances.for_each(|allowance| allowance.set_hosts(hosts));
     }
 
+    /// Returns the pending prompts that other hosts have not been told of; all of them when they are
+    /// to be confirmed.
+    pub(crate) fn pending(&self, is_confirmation: bool) -> Vec<(UpstreamId, u32)> {
+        let mut inner = lock(&self.inner);
+        let upstreams = inner.upstreams.iter_mut();
+        let told = upstreams.filter_map(|(id, upstream)| {
+            let is_news = std::mem::take(&mut upstream.is_news);
+            let is_due = is_news || (is_confirmation && upstream.pending > 0);
+            is_due.then(|| (id.clone(), upstream.pending))
+        });
+        told.collect()
+    }
+
+    /// Takes the pending prompts of another host.
+    pub(crate) fn hear(&self, host: u64, upstream: &str, tokens: u32) {
+        let now = self.clock.now();
+        lock(&self.inner).policy.hear(now, upstream, host, tokens);
+    }
+
     /// Counts a request for a service.
     pub(crate) fn arrive(&self, service: &ServiceId) {
         self.with_allowance(service, Allowance::deposit);
@@ -350,14 +394,25 @@
         let Some(upstream) = upstreams.get_mut(&id) else {
             return Err(Vacancy::None);
         };
+        let pending = if profile.prompt > 0 {
+            ticket.uncached()
+        } else {
+            0
+        };
         upstream.in_flight += 1;
+        upstream.pending = upstream.pending.saturating_add(pending);
+        upstream.is_news |= pending > 0;
         let address = upstream.address;
         policy.report(now, &mut ticket, Progress::Sent(&profile.prefixes));
+        if pending > 0 {
+            self.news.notify_one();
+        }
         let flight = Flight {
             dispatch: self.clone(),
             upstream: id,
             address,
             ticket,
+            pending,
             has_ended: false,
         };
         Ok((
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod listen;
 mod members;
 mod metrics;
+mod peers;
 mod pool;
 mod relay;
 mod settings;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -12,6 +12,7 @@
         listen::acceptor,
         members::Members,
         metrics::Metrics,
+        peers::Peers,
         pool::Pool,
         settings::Settings,
         store::Store,
@@ -103,6 +104,14 @@
     if let Some(address) = settings.listen_metrics {
         serve(address, exposition(metrics.clone()), &tasks, &stop)?;
     }
+    let peers = match settings.listen_peers {
+        Some(address) => {
+            let peers = Arc::new(Peers::bind(address, &process, dispatch.clone())?);
+            tasks.spawn(peers.clone().run(stop.clone()));
+            Some(peers)
+        }
+        None => None,
+    };
     let watch = Watch {
         clock,
         store: store.clone(),
@@ -120,6 +129,7 @@
         store: store.clone(),
         view: view.clone(),
         dispatch,
+        peers,
         metrics: metrics.clone(),
         settings: settings.clone(),
     };
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -2,15 +2,16 @@
 
 use {
     crate::{
-        clock::Clock, dispatch::Dispatch, metrics::Metrics, settings::Settings, store::Store,
-        view::View,
+        clock::Clock, dispatch::Dispatch, metrics::Metrics, peers::Peers, settings::Settings,
+        store::Store, view::View,
     },
     marigoldroute_core::{
-        id::{HolderId, Version},
+        id::{HolderId, Version, Zone},
         table::Transaction,
     },
     marigoldroute_observe::logs::BELIEFS,
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    serde::{Deserialize, Serialize},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio_util::sync::CancellationToken,
 };
 
@@ -28,10 +29,20 @@
     pub(crate) store: Arc<dyn Store>,
     pub(crate) view: Arc<View>,
     pub(crate) dispatch: Arc<Dispatch>,
+    pub(crate) peers: Option<Arc<Peers>>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) settings: Arc<Settings>,
 }
 
+/// Row `host/{process}`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Member {
+    /// Availability zone.
+    zone: Zone,
+    /// Address at which the host hears others.
+    peers: Option<SocketAddr>,
+}
+
 /// When a row was last seen to change.
 struct Seen {
     version: Version,
@@ -61,8 +72,18 @@
 
     async fn renew(&self) {
         let mut transaction = Transaction::default();
-        transaction.put(self.key(), format!("\"{}\"", self.settings.zone));
-        self.commit(transaction).await;
+        let peers = self.peers.as_ref().and_then(|peers| peers.address().ok());
+        let member = Member {
+            zone: self.settings.zone.clone(),
+            peers,
+        };
+        match serde_json::to_string(&member) {
+            Ok(text) => {
+                transaction.put(self.key(), text);
+                self.commit(transaction).await;
+            }
+            Err(error) => log::error!(target: BELIEFS, "host row cannot be written: {error}"),
+        }
     }
 
     async fn commit(&self, transaction: Transaction) {
@@ -96,10 +117,16 @@
         }
         let limit = |renewals: u32| self.settings.renew_interval * renewals;
         let age = |seen: &Seen| now.saturating_sub(seen.at);
-        let live = seen
-            .values()
-            .filter(|seen| age(seen) <= limit(MISSED_RENEWALS))
-            .count();
+        let is_live = |seen: &Seen| age(seen) <= limit(MISSED_RENEWALS);
+        let live = seen.values().filter(|seen| is_live(seen)).count();
+        if let Some(peers) = &self.peers {
+            let live = rows
+                .iter()
+                .filter(|row| seen.get(&row.key).is_some_and(is_live));
+            let others = live.filter(|row| *row.key != *self.key());
+            let members = others.filter_map(|row| serde_json::from_str::<Member>(&row.value).ok());
+            peers.set_addresses(members.filter_map(|member| member.peers).collect());
+        }
         if self.view.hosts() != Some(live.max(1)) {
             log::info!(target: BELIEFS, hosts = live; "fleet counted");
             self.view.set_hosts(live);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -30,6 +30,8 @@
     pub listen: SocketAddr,
     /// Address that reports readiness.
     pub listen_ready: SocketAddr,
+    /// Address at which other hosts are heard; absent when hosts tell one another nothing.
+    pub listen_peers: Option<SocketAddr>,
     /// Address of the metrics; absent when none are served.
     pub listen_metrics: Option<SocketAddr>,
     /// Sizes of grants and marks.
@@ -67,6 +69,7 @@
             zone: "zone".into(),
             listen: any,
             listen_ready: any,
+            listen_peers: None,
             listen_metrics: None,
             escrow: escrow(),
             routing: routing(),
