--- a/crates/core/tests/route_shared.rs
+++ b/crates/core/tests/route_shared.rs
@@ -41,10 +41,16 @@
 
 fn choose(policy: &mut Adaptive, now: Duration, key: u64, seed: u64) -> Choice {
     let home = Home { key, blocks: 52 };
-    choose_from(policy, now, Some(home), seed)
+    choose_from(policy, now, Some(home), seed, &|_| true)
 }
 
-fn choose_from(policy: &mut Adaptive, now: Duration, home: Option<Home>, seed: u64) -> Choice {
+fn choose_from(
+    policy: &mut Adaptive,
+    now: Duration,
+    home: Option<Home>,
+    seed: u64,
+    allows: &dyn Fn(&UpstreamId) -> bool,
+) -> Choice {
     let request = Request {
         target: "draft",
         prompt: 17_000,
@@ -52,12 +58,11 @@
         prefixes: &[],
         home,
         priority: 0,
-        allows: &|_: &UpstreamId| true,
+        allows,
     };
     let mut random = StdRng::seed_from_u64(seed);
-    policy
-        .choose(now, &mut random, &request)
-        .expect("there are engines")
+    let choice = policy.choose(now, &mut random, &request);
+    choice.expect("there are engines")
 }
 
 /// Guards against a shared prefix that is read once by an engine for each host.
@@ -103,7 +108,9 @@
     // Answers of one engine take three times as long as those of the others.
     for round in 0..400 {
         let now = NOW + Duration::from_millis(10 * round);
-        let mut choice = choose_from(&mut policy, now, None, round);
+        let name = format!("engine-{}", round % ENGINES as u64);
+        let is_next = |id: &UpstreamId| **id == *name;
+        let mut choice = choose_from(&mut policy, now, None, round, &is_next);
         let seconds = if &*choice.upstream == "engine-3" {
             0.6
         } else {
