--- a/crates/core/src/budget/bound.rs
+++ b/crates/core/src/budget/bound.rs
@@ -79,8 +79,8 @@
     fn default() -> Self {
         Self {
             rate: 1.2,
-            burst: Duration::from_secs(1),
-            hold: Duration::from_millis(2_800),
+            burst: Duration::from_millis(800),
+            hold: Duration::from_millis(2_200),
         }
     }
 }
--- a/crates/core/src/route/adaptive.rs
+++ b/crates/core/src/route/adaptive.rs
@@ -155,7 +155,10 @@
         let tokens = request.output.min(settings.response) as f32;
         let response = tokens * (estimate.between + settings.slowdown * estimate.slowdown);
         let excess = (estimate.between / settings.between_limit - 1.0).max(0.0);
-        network.as_secs_f32() + estimate.first + settings.completion * response + excess
+        let shared = request.home.map_or(0, |home| home.blocks * settings.block);
+        let reread = settings.reread * shared.saturating_sub(estimate.cached) as f32;
+        let time = network.as_secs_f32() + estimate.first + settings.completion * response;
+        time + excess + reread
     }
 
     /// Rates one random candidate outside the subset, a random sample of the subset, and the candidate that the prompt's first prefix hash
--- a/crates/core/src/route/settings.rs
+++ b/crates/core/src/route/settings.rs
@@ -59,6 +59,9 @@
     pub peers: f32,
     /// Weight of a new observation of an upstream's speed.
     pub learning: f32,
+    /// Cost in seconds per token of a shared prefix that another engine has to read again. Besides
+    /// the time of this request it takes capacity and memory from others.
+    pub reread: f32,
     /// Network round trip to another availability zone.
     pub zone_cost: Duration,
     /// Network round trip to another region.
@@ -100,6 +103,7 @@
             jitter: 0.02,
             peers: 64.0,
             learning: 0.05,
+            reread: 0.0,
             zone_cost: Duration::from_millis(1),
             region_cost: Duration::from_millis(20),
             silence: Duration::from_millis(1_000),
--- a/crates/core/tests/route_shared.rs
+++ b/crates/core/tests/route_shared.rs
@@ -24,6 +24,7 @@
         prefill: 0.000_018,
         setup: 0.09,
         learning: 0.1,
+        reread: 0.000_02,
         ..Settings::default()
     };
     let mut policy = Adaptive::new(origin, settings);
@@ -93,6 +94,18 @@
     assert_eq!(choose(&mut policy, later, 1, 4).upstream, home);
 }
 
+/// Guards against a shared prefix that a second engine reads because the first one is briefly busy,
+/// and against waiting there for longer than reading it again takes.
+#[test]
+fn short_backlogs_do_not_move_a_prefix() {
+    let mut policy = host("one");
+    let home = choose(&mut policy, NOW, 1, 1).upstream;
+    policy.hear(NOW, &home, 77, 20_000);
+    assert_eq!(choose(&mut policy, NOW, 1, 2).upstream, home);
+    policy.hear(NOW, &home, 77, 60_000);
+    assert_ne!(choose(&mut policy, NOW, 1, 3).upstream, home);
+}
+
 /// Guards against slow engines that are the home of as many prefixes as fast ones.
 #[test]
 fn slow_engines_are_home_to_fewer_prefixes() {
