--- a/crates/gateway/src/escrow.rs
+++ b/crates/gateway/src/escrow.rs
@@ -222,7 +222,7 @@
                 () = stop.cancelled() => break,
                 () = self.escrow.kick.notified() => {}
                 Ok(()) = changes.changed() => self.note_statements(),
-                () = tokio::time::sleep(self.settings.flush_interval) => {}
+                () = tokio::time::sleep(self.flush_interval()) => {}
             }
             let pause = match self.step().await {
                 Ok(()) => LEAST_PAUSE,
@@ -233,6 +233,14 @@
         self.close().await;
     }
 
+    /// Returns the time until the next regular flush, and paces the holder's writes.
+    fn flush_interval(&self) -> Duration {
+        let hosts = self.view.hosts();
+        let sizes = self.settings.escrow.clone().paced(hosts.unwrap_or(1));
+        lock(&self.escrow.holder).tune(&sizes);
+        self.settings.paced(self.settings.flush_interval, hosts)
+    }
+
     fn successor(&self) -> Successor<'_> {
         Successor {
             process: &self.process,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -59,6 +59,21 @@
     pub drain_limit: Duration,
 }
 
+/// Hosts up to which the intervals of store calls are as set; in a larger fleet they grow with it, so
+/// that all hosts together make about as many calls.
+const FLEET_HOSTS: usize = 24;
+/// Bound on the growth of an interval: rows must stay younger than the hold time of their bounds, and
+/// a connection to the store that fell silent must be noticed within seconds.
+const INTERVAL_GROWTH: f64 = 3.0;
+
+impl Settings {
+    /// Returns an interval of store calls in a fleet of `hosts`.
+    pub(crate) fn paced(&self, interval: Duration, hosts: Option<usize>) -> Duration {
+        let growth = hosts.unwrap_or(1) as f64 / FLEET_HOSTS as f64;
+        interval.mul_f64(growth.clamp(1.0, INTERVAL_GROWTH))
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -66,7 +66,9 @@
         &self,
         position: Option<Position>,
     ) -> Result<Read<Option<Snapshot>>, Fault> {
-        let wait = self.settings.watch_wait;
+        let wait = self
+            .settings
+            .paced(self.settings.watch_wait, self.view.hosts());
         match position {
             None => self.limit(Duration::ZERO, self.store.configuration()).await,
             Some(position) => {
@@ -123,7 +125,9 @@
     /// Reads the list or its changes and applies them; returns the position and whether there were
     /// changes.
     async fn read_upstreams(&self, position: Option<Position>) -> Result<(Position, bool), Fault> {
-        let wait = self.settings.watch_wait;
+        let wait = self
+            .settings
+            .paced(self.settings.watch_wait, self.view.hosts());
         let Some(position) = position else {
             let read = self.limit(Duration::ZERO, self.store.upstreams()).await?;
             let changes = {
