Keep the name of the metric of store faults

Cause: the rename of the store's crate also renamed the metric marigoldroute_platform_faults_total; the test of the metrics page failed in a fresh clone.

Change: the metric has its earlier name.

--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -132,7 +132,7 @@
                 "Changes of prefix caches that engines reported to this host",
             )?,
             platform_faults: counter(
-                "marigoldroute_store_faults_total",
+                "marigoldroute_platform_faults_total",
                 "Failed calls to the table service and the object store",
             )?,
             peer_sent: counter(
