Renew bounds at once after a conflict over budget rows

Change: after a conflict, a row without budgets follows at once, then the refill with rows read again.

--- a/crates/gateway/src/escrow.rs
+++ b/crates/gateway/src/escrow.rs
@@ -330,19 +330,28 @@
         if let Some(store_ms) = self.store.clock_ms() {
             lock(&self.escrow.holder).see_clock(store_ms);
         }
-        let now = self.escrow.clock.now();
-        let age = lock(&self.escrow.holder).pending_age(now);
-        let transaction = lock(&self.escrow.holder).flush(now, &rows);
-        if let Some(transaction) = transaction {
-            let verdict = self.call(self.store.commit(transaction)).await?;
-            if !is_committed(&verdict) {
-                log::debug!(target: TOKENS, "journal row in conflict");
-            }
-            lock(&self.escrow.holder).decide(&verdict);
+        let age = lock(&self.escrow.holder).pending_age(self.escrow.clock.now());
+        if !self.write(&rows).await? {
+            // Another host has changed a budget row. A row without budgets renews the bounds at
+            // least, and the refill is tried again with rows that are read again.
+            self.write(&[]).await?;
+            self.escrow.kick.notify_one();
         }
         Ok(age)
     }
 
+    /// Writes the next row, if there is something to state; returns whether it took effect.
+    async fn write(&self, rows: &[Row]) -> Result<bool, Fault> {
+        let now = self.escrow.clock.now();
+        let transaction = lock(&self.escrow.holder).flush(now, rows);
+        let Some(transaction) = transaction else {
+            return Ok(true);
+        };
+        let verdict = self.call(self.store.commit(transaction)).await?;
+        lock(&self.escrow.holder).decide(&verdict);
+        Ok(is_committed(&verdict))
+    }
+
     /// Puts the stated totals into effect.
     async fn state(&self, rows: &[Row]) -> Result<(), Fault> {
         let statements = lock(&self.escrow.statements).clone();
