--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -4,7 +4,7 @@
 //! fails, so that a caller would take a cut stream for a whole one.
 
 use {
-    crate::{clock::Clock, front::Front, listen::listen, pool::watch_silence, view::lock},
+    crate::{Clock, front::Front, listen::listen, pool::watch_silence, view::lock},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     poem::http::Request,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        clock::Clock,
-        interface::{Call, Load, Part},
+        Clock,
+        interface::{Call, Load},
+        profile::Profile,
         view::lock,
     },
     derive_more::Display,
@@ -11,11 +12,10 @@
         forward::{Allowance, AllowanceSettings, Change, Service},
         id::{ServiceId, UpstreamId},
         route::{
-            self, Adaptive, Cache, Candidate, Choice, Home, Origin, Policy, Progress, Reason,
-            Ticket,
+            self, Adaptive, Cache, Candidate, Choice, Origin, Policy, Progress, Reason, Ticket,
         },
     },
-    marigoldroute_observe::logs::BELIEFS,
+    marigoldroute_process::logs::BELIEFS,
     rand::{SeedableRng, rngs::SmallRng},
     std::{
         collections::HashMap,
@@ -24,7 +24,6 @@
         time::Duration,
     },
     tokio::sync::Notify,
-    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Hosts that are assumed until the size of the fleet is known.
@@ -40,53 +39,6 @@
     (share as u32).max(1)
 }
 
-/// What the policy needs to know of a request.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Profile {
-    prompt: u32,
-    output: u32,
-    prefixes: Vec<u64>,
-    home: Option<Home>,
-    priority: u8,
-}
-
-impl Profile {
-    /// Describes a request; the last part of its prompt is its own, and the parts before it are
-    /// shared with others.
-    pub(crate) fn new(call: &Call, priority: u8, block: u32) -> Self {
-        let shared = call
-            .parts
-            .split_last()
-            .map_or(&[][..], |(_, shared)| shared);
-        let prefixes = prefixes(shared, block);
-        let home = prefixes.last().map(|key| Home {
-            key: *key,
-            blocks: prefixes.len() as u32,
-        });
-        let usage = call.usage;
-        let narrow = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
-        Self {
-            prompt: usage.map_or(0, |usage| narrow(usage.prompt)),
-            output: usage.map_or(1, |usage| narrow(usage.output)),
-            prefixes,
-            home,
-            priority,
-        }
-    }
-}
-
-/// Returns a hash for each full block of the parts, each covering all before it.
-fn prefixes(parts: &[Part], block: u32) -> Vec<u64> {
-    let mut hash = 0;
-    let mut blocks = Vec::new();
-    for part in parts {
-        hash = xxh3_64_with_seed(&part.id.to_le_bytes(), hash);
-        let count = u64::from(part.tokens.div_ceil(block));
-        blocks.extend((0..count).map(|index| xxh3_64_with_seed(&index.to_le_bytes(), hash)));
-    }
-    blocks
-}
-
 /// Chooses upstreams.
 pub(crate) struct Dispatch {
     clock: Clock,
@@ -166,9 +118,10 @@
             pending.saturating_sub(self.pending)
         });
         drop(inner);
-        self.pending = 0;
         self.has_ended |= ends;
-        self.dispatch.news.notify_one();
+        if std::mem::take(&mut self.pending) > 0 {
+            self.dispatch.news.notify_one();
+        }
     }
 
     /// Takes the load that the upstream states.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -11,7 +11,7 @@
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody},
     hyper::body::Incoming,
     marigoldroute_core::forward::{Access, Service},
-    marigoldroute_observe::logs::REQUESTS,
+    marigoldroute_process::logs::REQUESTS,
     poem::http::{HeaderValue, Request, Response, header::CONNECTION},
     std::{io, sync::Arc, time::Duration},
 };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,6 @@
 
 mod accept;
 mod answer;
-mod clock;
 mod dispatch;
 mod escrow;
 mod exchange;
@@ -18,6 +17,7 @@
 mod metrics;
 mod peers;
 mod pool;
+mod profile;
 mod relay;
 mod settings;
 pub mod store;
@@ -25,6 +25,8 @@
 mod view;
 mod watch;
 
+use marigoldroute_process::Clock;
+
 pub use {
     interface::Interface,
     life::{Handle, start},
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
+        Clock,
         accept::accept,
-        clock::Clock,
         dispatch::Dispatch,
         escrow::{Escrow, Writer},
         front::Front,
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -1,14 +1,6 @@
 //! Listening sockets.
 
-use {
-    anyhow::Context,
-    poem::listener::TcpAcceptor,
-    std::net::SocketAddr,
-    tokio::net::{TcpListener, TcpSocket},
-};
-
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
+use {anyhow::Context, poem::listener::TcpAcceptor, std::net::SocketAddr, tokio::net::TcpListener};
 
 /// Binds an address for the server of readiness and metrics.
 pub(crate) fn acceptor(address: SocketAddr) -> anyhow::Result<(TcpAcceptor, SocketAddr)> {
@@ -16,19 +8,10 @@
     Ok((TcpAcceptor::from_tokio(listener)?, bound))
 }
 
-/// Binds an address. Accepted connections send small writes at once: with Nagle's algorithm an
-/// event would wait for the acknowledgement of the one before.
+/// Binds an address; also returns the bound one.
 pub(crate) fn listen(address: SocketAddr) -> anyhow::Result<(TcpListener, SocketAddr)> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.set_nodelay(true)?;
-    socket
-        .bind(address)
-        .with_context(|| format!("bind {address}"))?;
-    let listener = socket.listen(BACKLOG).context("listen")?;
+    let listener = marigoldroute_process::listen(address);
+    let listener = listener.with_context(|| format!("bind {address}"))?;
     let bound = listener.local_addr().context("read the bound address")?;
     Ok((listener, bound))
 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -2,14 +2,14 @@
 
 use {
     crate::{
-        clock::Clock, dispatch::Dispatch, metrics::Metrics, peers::Peers, settings::Settings,
+        Clock, dispatch::Dispatch, metrics::Metrics, peers::Peers, settings::Settings,
         store::Store, view::View,
     },
     marigoldroute_core::{
         id::{HolderId, Version, Zone},
         table::Transaction,
     },
-    marigoldroute_observe::logs::BELIEFS,
+    marigoldroute_process::logs::BELIEFS,
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio_util::sync::CancellationToken,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -5,7 +5,7 @@
 //! whether a request was written, and does not let go of a connection with a stray answer.
 
 use {
-    crate::{clock::Clock, metrics::Metrics, view::lock},
+    crate::{Clock, metrics::Metrics, view::lock},
     bytes::Bytes,
     derive_more::{Display, Error},
     http_body_util::Full,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
         forward::{Kind, Sequence, event_id, retry::Outcome},
         route::Progress,
     },
-    marigoldroute_observe::logs::REQUESTS,
+    marigoldroute_process::logs::REQUESTS,
     std::{io, time::Duration},
 };
 
@@ -79,7 +79,7 @@
     }
 
     async fn step(&mut self) -> Step {
-        let deadline = self.job.context.clock.instant(self.job.deadline);
+        let deadline = self.job.context.clock.instant(self.job.deadline).into();
         let stall = self.stall();
         let Some(stream) = &mut self.stream else {
             return Step::End;
--- a/crates/gateway/src/succession.rs
+++ b/crates/gateway/src/succession.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        clock::Clock,
+        Clock,
         store::{Fault, Store},
         view::is_committed,
     },
@@ -13,7 +13,7 @@
         },
         id::HolderId,
     },
-    marigoldroute_observe::logs::TOKENS,
+    marigoldroute_process::logs::TOKENS,
 };
 
 /// Attempts at one journal; each one that fails has lost against a late row of the old process.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        clock::Clock,
+        Clock,
         dispatch::Dispatch,
         metrics::Metrics,
         settings::Settings,
@@ -10,7 +10,7 @@
         view::{View, lock},
     },
     marigoldroute_core::forward::{Change, Directory, Snapshot},
-    marigoldroute_observe::logs::BELIEFS,
+    marigoldroute_process::logs::BELIEFS,
     std::{sync::Arc, time::Duration},
     tokio_util::sync::CancellationToken,
 };
--- a/crates/observe/src/lib.rs
+++ /dev/null
@@ -1,4 +0,0 @@
-//! Structured logs of marigoldroute's processes.
-
-pub mod logs;
-pub mod queue;
--- a/crates/router/src/admin/mod.rs
+++ b/crates/router/src/admin/mod.rs
@@ -29,7 +29,7 @@
 mod write;
 
 use {
-    crate::{clock::Clock, control::Control, dispatch::Dispatch, metrics::Metrics, peer::Links},
+    crate::{Clock, control::Control, dispatch::Dispatch, metrics::Metrics, peer::Links},
     marigoldroute_core::id::HostId,
     marigoldroute_store::Client,
     poem::{EndpointExt, Route},
--- a/crates/router/src/caller/claimed.rs
+++ b/crates/router/src/caller/claimed.rs
@@ -1,7 +1,7 @@
 //! The claim of one request, if it has one.
 
 use {
-    crate::{claim::Claims, clock::Clock},
+    crate::{Clock, claim::Claims},
     marigoldroute_core::{
         claim::{self, Attempt, Body, Capability, Decision, Held, Recorded, Sent, Unsent, digest},
         fault::{Fault, Kind},
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -13,9 +13,9 @@
 
 use {
     crate::{
+        Clock,
         charge::Charger,
         claim::Claims,
-        clock::Clock,
         control::Control,
         dispatch::Dispatch,
         gate::{Gate, Place, Visitor},
--- a/crates/router/src/claim/work.rs
+++ b/crates/router/src/claim/work.rs
@@ -3,7 +3,7 @@
 use {
     super::{Claims, Command, QUEUE_COMMANDS},
     crate::{
-        clock::Clock,
+        Clock,
         control::Control,
         metrics::Metrics,
         upstream::{Upstreams, Used},
--- a/crates/router/src/control/task.rs
+++ b/crates/router/src/control/task.rs
@@ -10,7 +10,7 @@
         scene::Scene,
         store,
     },
-    crate::{clock::Clock, dispatch::Dispatch, metrics::Metrics, peer::Links},
+    crate::{Clock, dispatch::Dispatch, metrics::Metrics, peer::Links},
     marigoldroute_core::{
         config::{Ask, Log, Packet, Read, Role},
         fleet::{Gossip, Host, Observation, Phase, Settings, Status, View},
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        clock::Clock,
+        Clock,
         control::{CacheEvent, Scene},
         running::{Running, Work},
     },
--- a/crates/router/src/dispatch/tests.rs
+++ b/crates/router/src/dispatch/tests.rs
@@ -3,7 +3,7 @@
 use {
     super::{Dispatch, Flight, Need},
     crate::{
-        clock::Clock,
+        Clock,
         control::{CacheEvent, Scene},
     },
     marigoldroute_core::{
--- a/crates/router/src/escrow/work.rs
+++ b/crates/router/src/escrow/work.rs
@@ -11,8 +11,8 @@
         store::{Call, Event, advance, commit, read},
     },
     crate::{
-        clock::Clock, control::Control, logs::TOKENS, metrics::Metrics, peer::Links,
-        settings::Settings, upstream::Upstreams,
+        Clock, control::Control, logs::TOKENS, metrics::Metrics, peer::Links, settings::Settings,
+        upstream::Upstreams,
     },
     marigoldroute_core::{
         budget::{Holder, Phase, Record, Settings as Sizes, Shortage},
--- a/crates/router/src/gate.rs
+++ b/crates/router/src/gate.rs
@@ -2,7 +2,7 @@
 //! between workspaces and sheds early.
 
 use {
-    crate::clock::Clock,
+    crate::Clock,
     marigoldroute_core::{
         fault::{Fault, Kind},
         id::WorkspaceId,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,7 +8,6 @@
 mod caller;
 mod charge;
 mod claim;
-mod clock;
 mod control;
 mod dispatch;
 mod escrow;
@@ -25,8 +24,9 @@
 mod tls;
 mod upstream;
 
+pub(crate) use marigoldroute_process::Clock;
 pub use {
-    marigoldroute_observe::logs,
+    marigoldroute_process::logs,
     router::{Handle, start},
     settings::Settings,
 };
--- a/crates/router/src/placement/mod.rs
+++ b/crates/router/src/placement/mod.rs
@@ -13,7 +13,7 @@
 mod tests;
 
 use {
-    crate::{clock::Clock, control::Control, logs::PLACEMENT, metrics::Metrics},
+    crate::{Clock, control::Control, logs::PLACEMENT, metrics::Metrics},
     derive_more::{Display, Error, From},
     lease::Hold,
     marigoldroute_core::{
--- a/crates/router/src/placement/tests.rs
+++ b/crates/router/src/placement/tests.rs
@@ -9,7 +9,7 @@
         tenure::{Planned, Tenure},
     },
     crate::{
-        clock::Clock,
+        Clock,
         control::{self, Scene},
         dispatch::Dispatch,
         metrics::Metrics,
--- a/crates/router/src/reclaim.rs
+++ b/crates/router/src/reclaim.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        clock::Clock,
+        Clock,
         control::{Control, Process, Register, remove},
         logs::TOKENS,
         settings::Settings,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -2,12 +2,11 @@
 
 use {
     crate::{
+        Clock,
         admin::{self, Admin},
         caller::{self, Context},
         charge::{Charger, Responder},
-        claim,
-        clock::Clock,
-        control,
+        claim, control,
         dispatch::Dispatch,
         escrow,
         gate::Gate,
