Refuse engines' requests that do not state their tokens

Cause: found on reading: a request to an engine without stated tokens ran without a reservation, so its workspace's budget did not bound it.

Change: such a request is refused as malformed when the workspace has a budget. The stand-in tests state tokens; those of the list of upstreams use a workspace without a limit.

--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -9,7 +9,7 @@
         dispatch::Dispatch,
         escrow::{Escrow, Hold, Purpose, Refusal},
         exchange::Exchange,
-        interface::{Call, Interface, Reply},
+        interface::{Call, Interface, Malformed, Reply},
         metrics::Metrics,
         pool::Pool,
         profile::Profile,
@@ -144,9 +144,11 @@
         let Some(workspace) = &self.access.workspace else {
             return Ok(());
         };
-        let (Some(usage), Some(_)) = (self.call.usage, workspace.purchased) else {
+        if workspace.purchased.is_none() || self.service.engine.is_none() {
             return Ok(());
-        };
+        }
+        // Without its tokens, an engine's request cannot be kept within the budget.
+        let usage = self.call.usage.ok_or(Reason::Malformed(Malformed::Usage))?;
         let purpose = Purpose {
             request: self.call.id.clone(),
             workspace: workspace.name.clone(),
--- a/crates/gateway/tests/budgets.rs
+++ b/crates/gateway/tests/budgets.rs
@@ -8,9 +8,7 @@
 
 /// Sends a request of 100 prompt tokens that gets three events of 10 tokens.
 async fn ask(world: &World, id: usize) -> u16 {
-    let request = world
-        .request("stream", &format!("r{id}"))
-        .header("x-tokens", "100,50");
+    let request = world.request("stream", &format!("r{id}"));
     let response = request.send().await.expect("an answer");
     let status = response.status().as_u16();
     response.bytes().await.expect("a complete answer");
@@ -64,7 +62,7 @@
     assert_eq!(ask(&world, 0).await, 200);
     world.store.set_down(true);
     let request = world
-        .request("stream", "large")
+        .plain_request("stream", "large")
         .header("x-tokens", "900000,50");
     let response = request.send().await.expect("an answer");
     assert_eq!(response.status(), 503);
@@ -90,3 +88,13 @@
         id += 1;
     }
 }
+
+/// Guards against an engine's request that runs outside its workspace's budget because it does not
+/// state its tokens.
+#[tokio::test]
+async fn requests_without_stated_tokens_are_refused() {
+    let (world, upstreams) = World::new(vec![EVENTS]).await;
+    let response = world.plain_request("stream", "r1").send().await;
+    assert_eq!(response.expect("an answer").status(), 400);
+    assert!(upstreams[0].arrivals().is_empty());
+}
--- a/crates/gateway/tests/upstreams.rs
+++ b/crates/gateway/tests/upstreams.rs
@@ -15,7 +15,7 @@
         Script::Whole(200, "b"),
         Script::Whole(200, "c"),
     ];
-    let (world, upstreams) = World::new(scripts).await;
+    let (world, upstreams) = World::unlimited(scripts).await;
     world
         .store
         .put("u0", entry(upstreams[0].address, State::Draining));
@@ -40,7 +40,7 @@
 /// Guards against an outage of the store that takes every upstream out.
 #[tokio::test]
 async fn upstreams_stay_in_use_while_the_store_is_away() {
-    let (world, _upstreams) = World::new(vec![Script::Whole(200, "a")]).await;
+    let (world, _upstreams) = World::unlimited(vec![Script::Whole(200, "a")]).await;
     world.store.set_down(true);
     for id in 0..5 {
         let response = world
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -98,7 +98,18 @@
 impl World {
     /// Starts a gateway in front of upstreams that follow the scripts.
     pub async fn new(scripts: Vec<Script>) -> (Self, Vec<Upstream>) {
-        let world = Self::configured(Some(snapshot(1, 1_000_000))).await;
+        Self::with(snapshot(1, 1_000_000), scripts).await
+    }
+
+    /// The same, with a workspace whose spend is not limited.
+    pub async fn unlimited(scripts: Vec<Script>) -> (Self, Vec<Upstream>) {
+        let mut snapshot = snapshot(1, 0);
+        snapshot.workspaces[0].purchased = None;
+        Self::with(snapshot, scripts).await
+    }
+
+    async fn with(snapshot: Snapshot, scripts: Vec<Script>) -> (Self, Vec<Upstream>) {
+        let world = Self::configured(Some(snapshot)).await;
         let mut upstreams = Vec::new();
         for (index, script) in scripts.into_iter().enumerate() {
             let upstream = Upstream::start(&format!("u{index}"), script).await;
@@ -158,14 +169,17 @@
         response.is_ok_and(|response| response.status().is_success())
     }
 
-    /// Returns a request with an id and the key.
+    /// Returns a request of 100 prompt tokens and at most 50 output tokens.
     pub fn request(&self, path: &str, id: &str) -> reqwest::RequestBuilder {
+        self.plain_request(path, id).header("x-tokens", "100,50")
+    }
+
+    /// Returns a request with an id and the key, which does not state its tokens.
+    pub fn plain_request(&self, path: &str, id: &str) -> reqwest::RequestBuilder {
         let url = format!("http://{}/{path}/x", self.callers);
         let request = self.client.post(url).header("host", "desk.example");
-        request
-            .header("x-request-id", id)
-            .header("x-key", KEY)
-            .body("text")
+        let request = request.header("x-request-id", id).header("x-key", KEY);
+        request.body("text")
     }
 
     /// Returns the row of the budget.
