Bill an order only after its holder was told of it

A plain service keeps no records, so a holder billed the price of every reservation of which it heard nothing more, also when the request was never sent or when the release of a refused one was lost. Ruled out: repeating releases for longer alone, because the entry may end before one arrives.

Change: the entry announces an order to the holder of its reservation before it sends it. An overdue reservation is billed only if it was announced and released otherwise. The caller of an announced order is told "not run" once the holder has confirmed the release, "unknown" without that. A holder makes no second reservation for an announced request that was released.

Orders take one more message to a holder on another host; its cost was not measured.

--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -35,7 +35,7 @@
     Full,
     /// The holder is stopping, or another host has taken over its journal.
     Closed,
-    /// The request was billed before.
+    /// The request was billed before, or released after it was announced.
     Billed,
 }
 
@@ -105,6 +105,8 @@
     pub amount: Tokens,
     /// When it was made or last confirmed.
     pub since: Duration,
+    /// Whether an upstream that keeps no records may have received the request.
+    pub is_announced: bool,
 }
 
 /// What a holder knows of its opening row, see [`super::journal::opening`].
@@ -140,7 +142,8 @@
     pub(super) clock: Duration,
     pub(super) last_flush: Duration,
     pub(super) allowance: Allowance,
-    /// The latest billed requests, so that a repeated message does not bill a request again.
+    /// The latest requests that were billed, or released after they were announced: a repeated
+    /// message makes no reservation for them.
     pub(super) billed: HashSet<RequestId>,
     pub(super) billed_order: VecDeque<RequestId>,
 }
@@ -215,6 +218,7 @@
             budget: budget.clone(),
             amount,
             since: now,
+            is_announced: false,
         };
         self.reservations.insert(request.clone(), reservation);
         Ok(amount)
@@ -266,13 +270,36 @@
         }
     }
 
+    /// Notes that an upstream that keeps no records is about to receive a request; returns whether
+    /// the request has a reservation here. Without one it must not be sent.
+    pub fn announce(&mut self, request: &str) -> bool {
+        let reservation = self.reservations.get_mut(request);
+        reservation.is_some_and(|reservation| {
+            reservation.is_announced = true;
+            true
+        })
+    }
+
+    /// Returns whether a request with a reservation here was announced.
+    pub fn is_announced(&self, request: &str) -> bool {
+        let reservation = self.reservations.get(request);
+        reservation.is_some_and(|reservation| reservation.is_announced)
+    }
+
     /// Ends the reservation of a request that did not run.
+    ///
+    /// The holder makes no other one for an announced request, so that a late repetition of its
+    /// messages does not bill a request of which the caller was told that it did not run.
     pub fn release(&mut self, request: &str) {
-        if let Some(reservation) = self.reservations.remove(request)
-            && let Some(slot) = self.slots.get_mut(&reservation.budget)
-        {
+        let Some((request, reservation)) = self.reservations.remove_entry(request) else {
+            return;
+        };
+        if let Some(slot) = self.slots.get_mut(&reservation.budget) {
             slot.reserved -= reservation.amount;
         }
+        if reservation.is_announced {
+            self.remember(&request);
+        }
     }
 
     /// Ends the reservation of a request and bills its usage, at most what was reserved.
--- a/crates/core/src/budget/tests/mod.rs
+++ b/crates/core/src/budget/tests/mod.rs
@@ -3,7 +3,7 @@
 use {
     super::{Account, Holder, Settings, Shortage, Usage},
     crate::{
-        id::BudgetId,
+        id::{BudgetId, RequestId},
         table::{Memory, Transaction},
     },
     std::time::Duration,
@@ -93,3 +93,23 @@
     assert!(!holder.is_fenced());
     assert_eq!(holder.reserve(NOW, &"r1".into(), &budget, 100), Ok(100));
 }
+
+/// Guards against a bill for a request that did not run: a repetition of its messages arrives after
+/// the release.
+#[test]
+fn a_released_request_that_was_announced_is_not_reserved_again() {
+    let mut table = store(10_000);
+    let mut holder = Holder::new("h1.1".into(), Settings::default());
+    let (budget, request): (BudgetId, RequestId) = ("hems".into(), "r1".into());
+    assert!(!holder.announce(&request), "nothing is reserved");
+    let _ = holder.reserve(NOW, &request, &budget, 100);
+    flush(&mut holder, &mut table);
+    holder.reserve(NOW, &request, &budget, 100).unwrap();
+    assert!(!holder.is_announced(&request));
+    assert!(holder.announce(&request) && holder.is_announced(&request));
+    holder.release(&request);
+    assert!(!holder.announce(&request));
+    let again = holder.reserve(NOW, &request, &budget, 100);
+    assert_eq!(again, Err(Shortage::Billed));
+    assert_eq!(holder.reserve(NOW, &"r2".into(), &budget, 100), Ok(100));
+}
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -25,7 +25,10 @@
     #[prost(uint64, tag = "3")]
     pub correlation: u64,
     /// Content.
-    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20")]
+    #[prost(
+        oneof = "Body",
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+    )]
     pub body: Option<Body>,
 }
 
@@ -44,6 +47,9 @@
     /// Ends a reservation of a request that did not run.
     #[prost(message, tag = "13")]
     Release(Release),
+    /// Announces that a request is about to be sent to a service that keeps no records.
+    #[prost(message, tag = "21")]
+    Announce(Announce),
     /// Answers any of the above but a settlement.
     #[prost(message, tag = "14")]
     Reply(Reply),
@@ -162,6 +168,15 @@
     pub request: String,
 }
 
+/// Announces that a request is about to be sent to a service that keeps no records. The holder bills
+/// the service's price when it hears nothing more; without an announcement it ends the reservation.
+#[derive(Clone, PartialEq, Message)]
+pub struct Announce {
+    /// Request id.
+    #[prost(string, tag = "1")]
+    pub request: String,
+}
+
 /// Tells a holder that another one lacks tokens of a budget.
 #[derive(Clone, PartialEq, Message)]
 pub struct Review {
--- a/crates/core/tests/whole/duty.rs
+++ b/crates/core/tests/whole/duty.rs
@@ -64,7 +64,10 @@
         for (attempt, purpose) in process.escrow.overdue(process.clock, RESERVATION_LIMIT) {
             let record = match purpose.kind {
                 Kind::Order if self.has(Defect::NoServiceRecords) => {
-                    Record::Finished(usage(purpose.kind, "", PRICE))
+                    match process.escrow.is_announced(&attempt) {
+                        true => Record::Finished(usage(purpose.kind, "", PRICE)),
+                        false => Record::Absent,
+                    }
                 }
                 _ => self.record(process.host, &attempt, purpose.kind),
             };
@@ -128,6 +131,10 @@
                     release.host != from || release.attempt != attempt
                 };
                 process.releases.retain(is_open);
+                self.withdrawn(process, from, &attempt);
+            }
+            Answer::Announced(attempt, is_open) => {
+                self.announced(process, from, &attempt, is_open);
             }
             Answer::Settled(attempt, billing) => {
                 let is_own = |item: &&mut super::host::Item| {
--- a/crates/core/tests/whole/escrow.rs
+++ b/crates/core/tests/whole/escrow.rs
@@ -100,6 +100,12 @@
                 let billing = self.settle(now, &attempt, &purpose, usage);
                 Some(Answer::Settled(attempt, billing))
             }
+            Ask::Announce { attempt } => {
+                let open = self.open.get(&attempt);
+                let holder = open.and_then(|(generation, _)| self.holders.get_mut(generation));
+                let is_open = holder.is_some_and(|holder| holder.announce(&attempt));
+                Some(Answer::Announced(attempt, is_open))
+            }
             Ask::Review { budget } => {
                 if let Some(holder) = self.holders.get_mut(&self.current) {
                     holder.review(&budget);
@@ -246,6 +252,12 @@
         self.open.keys().chain(unwritten)
     }
 
+    /// Returns whether a service may have received an attempt.
+    pub fn is_announced(&self, attempt: &str) -> bool {
+        let mut holders = self.holders.values();
+        holders.any(|holder| holder.is_announced(attempt))
+    }
+
     pub fn overdue(&self, now: Duration, age: Duration) -> Vec<(RequestId, Purpose)> {
         let holders = self.holders.values();
         let overdue = holders.flat_map(|holder| holder.overdue(now, age, 8));
--- a/crates/core/tests/whole/job.rs
+++ b/crates/core/tests/whole/job.rs
@@ -21,6 +21,8 @@
 
 /// Bound on a reservation at one holder.
 const RESERVE_LIMIT: Duration = Duration::from_secs(3);
+/// Bound on an announcement, and on the wait for the release of an announced request.
+const ANNOUNCE_LIMIT: Duration = Duration::from_secs(2);
 const ROOM_LIMIT: Duration = Duration::from_secs(2);
 const ATTEMPTS: usize = 3;
 
@@ -36,8 +38,14 @@
         places: VecDeque<usize>,
         asked: Option<(usize, Duration)>,
     },
+    /// Waits until the holder knows that the request is about to be sent, since when.
+    Announcing(Option<Duration>),
     /// Waits for an upstream, since when.
     Sending(Duration),
+    /// Did not run; waits until the holder has released its reservation, since when.
+    Withdrawing(Duration),
+    /// Did not run, and no holder bills it.
+    Withdrawn,
     Open(Box<Open>),
 }
 
@@ -51,6 +59,8 @@
     pub stage: Stage,
     pub claim: Claim,
     pub charge: Option<usize>,
+    /// Whether the holder may bill the request by itself.
+    pub is_announced: bool,
     pub tried: Vec<usize>,
     /// Whether an upstream that was given up may have acted on the request.
     pub is_doubtful: bool,
@@ -134,7 +144,14 @@
         match std::mem::replace(&mut job.stage, Stage::Claiming) {
             Stage::Claiming => Some(job),
             Stage::Reserving { places, asked } => self.reserve(process, job, places, asked),
+            Stage::Announcing(since) => self.announce(process, job, since),
             Stage::Sending(since) => self.send(process, job, since),
+            Stage::Withdrawing(since) if process.clock < since + ANNOUNCE_LIMIT => {
+                job.stage = Stage::Withdrawing(since);
+                Some(job)
+            }
+            Stage::Withdrawing(_) => self.dismiss(process, job, Told::Other),
+            Stage::Withdrawn => self.dismiss(process, job, Told::NotRun),
             Stage::Open(open) => self.read(process, job, open),
         }
     }
@@ -153,8 +170,7 @@
         }
         if asked.is_none() {
             let Some(host) = places.pop_front() else {
-                self.refuse(process, job);
-                return None;
+                return self.refuse(process, job);
             };
             let ask = Ask::Reserve {
                 attempt: job.attempt.clone(),
@@ -176,15 +192,47 @@
         });
     }
 
-    /// Ends a job of which no upstream has seen a byte.
-    fn refuse(&mut self, process: &mut Process, job: Job) {
+    fn announce(
+        &mut self,
+        process: &mut Process,
+        mut job: Job,
+        since: Option<Duration>,
+    ) -> Option<Job> {
+        let since = match (since, job.charge) {
+            (Some(since), _) if process.clock >= since + ANNOUNCE_LIMIT => {
+                return self.refuse(process, job);
+            }
+            (Some(since), _) => since,
+            (None, Some(host)) => {
+                let attempt = job.attempt.clone();
+                self.ask(process, host, Ask::Announce { attempt });
+                job.is_announced = true;
+                process.clock
+            }
+            (None, None) => unreachable!("a job with a reservation"),
+        };
+        job.stage = Stage::Announcing(Some(since));
+        Some(job)
+    }
+
+    /// Ends a job of which no upstream has seen a byte, once no holder can bill it.
+    fn refuse(&mut self, process: &mut Process, mut job: Job) -> Option<Job> {
         if let Some(host) = job.charge {
             self.release(process, host, &job.attempt);
         }
-        self.tell(&job, Told::NotRun);
+        if job.is_announced {
+            job.stage = Stage::Withdrawing(process.clock);
+            return Some(job);
+        }
+        self.dismiss(process, job, Told::NotRun)
+    }
+
+    fn dismiss(&mut self, process: &mut Process, job: Job, told: Told) -> Option<Job> {
+        self.tell(&job, told);
         if let Claim::Unsent(held) = job.claim {
             process.registry.backlog.push(held.release());
         }
+        None
     }
 
     /// Ends a job that may have run, and bills `tokens`.
@@ -231,8 +279,7 @@
                 job.stage = Stage::Sending(since);
                 return Some(job);
             }
-            self.fail(process, job);
-            return None;
+            return self.fail(process, job);
         };
         job.claim = match job.claim {
             Claim::Unsent(held) => match held.send(process.claim_clock()) {
@@ -240,8 +287,7 @@
                 Err(held) => {
                     job.claim = Claim::Unsent(held);
                     process.land(flight, Progress::Cancelled);
-                    self.refuse(process, job);
-                    return None;
+                    return self.refuse(process, job);
                 }
             },
             claim => claim,
@@ -287,12 +333,13 @@
     }
 
     /// Ends a job that no upstream answered.
-    fn fail(&mut self, process: &mut Process, job: Job) {
+    fn fail(&mut self, process: &mut Process, job: Job) -> Option<Job> {
         if !job.is_doubtful {
             return self.refuse(process, job);
         }
         let tokens = if job.is_idempotent() { PROMPT } else { PRICE };
         self.settle(process, job, "", tokens, Told::Other);
+        None
     }
 }
 
--- a/crates/core/tests/whole/main.rs
+++ b/crates/core/tests/whole/main.rs
@@ -67,6 +67,7 @@
     let count: u64 = count.parse().expect("COUNT is a number");
     for seed in start..start + count {
         run(None, seed, 1, 2_000);
+        run(Some(Defect::NoServiceRecords), seed, 1, 2_000);
     }
 }
 
--- a/crates/core/tests/whole/message.rs
+++ b/crates/core/tests/whole/message.rs
@@ -34,6 +34,10 @@
         purpose: Purpose,
         usage: Usage,
     },
+    /// A service that keeps no records is about to receive the request.
+    Announce {
+        attempt: RequestId,
+    },
     /// From another holder that lacks tokens.
     Review {
         budget: BudgetId,
@@ -45,6 +49,7 @@
         match self {
             Self::Reserve { attempt, .. }
             | Self::Release { attempt }
+            | Self::Announce { attempt }
             | Self::Settle { attempt, .. } => attempt.clone(),
             Self::Review { .. } => "".into(),
         }
@@ -69,6 +74,7 @@
 pub enum Answer {
     Reserved(RequestId, Result<(), Refusal>),
     Released(RequestId),
+    Announced(RequestId, bool),
     Settled(RequestId, Billing),
 }
 
--- a/crates/core/tests/whole/world.rs
+++ b/crates/core/tests/whole/world.rs
@@ -49,8 +49,8 @@
     StopAtOnce,
     /// A planned stop returns no tokens.
     KeepTokens,
-    /// Plain services keep no usage records, and their price is billed when a reservation is
-    /// neither settled nor released in time. The router does this, see KNOWN-RED.txt.
+    /// Plain services keep no usage records, and their price is billed when the reservation of an
+    /// announced request is neither settled nor released in time. The router does this.
     NoServiceRecords,
     /// A resumed host goes on with an older version.
     OlderVersion,
@@ -273,6 +273,7 @@
             stage: Stage::Claiming,
             claim: Claim::Free,
             charge: None,
+            is_announced: false,
             tried: Vec::new(),
             is_doubtful: false,
         };
@@ -317,11 +318,44 @@
             *asked = None;
             if is_ok {
                 job.charge = Some(from);
-                job.stage = Stage::Sending(clock);
+                job.stage = match job.purpose.kind {
+                    Kind::Order => Stage::Announcing(None),
+                    Kind::Stream | Kind::Whole => Stage::Sending(clock),
+                };
             }
         }
     }
 
+    /// Takes a holder's answer to an announcement.
+    pub fn announced(
+        &mut self,
+        process: &mut Process,
+        from: usize,
+        attempt: &RequestId,
+        is_open: bool,
+    ) {
+        let clock = process.clock;
+        let Some(job) = process.jobs.get_mut(attempt) else {
+            return;
+        };
+        if matches!(job.stage, Stage::Announcing(Some(_))) && job.charge == Some(from) {
+            job.stage = match is_open {
+                true => Stage::Sending(clock),
+                false => Stage::Withdrawn,
+            };
+        }
+    }
+
+    /// Takes a holder's acknowledgement of a release.
+    pub fn withdrawn(&mut self, process: &mut Process, from: usize, attempt: &RequestId) {
+        if let Some(job) = process.jobs.get_mut(attempt)
+            && matches!(job.stage, Stage::Withdrawing(_))
+            && job.charge == Some(from)
+        {
+            job.stage = Stage::Withdrawn;
+        }
+    }
+
     pub fn run(&mut self, ticks: usize) {
         for _ in 0..ticks {
             self.now += TICK;
--- a/crates/router/src/caller/job.rs
+++ b/crates/router/src/caller/job.rs
@@ -270,11 +270,16 @@
 
     /// Ends a request that got no answer: releases the reservation and the claim when it did not
     /// run, otherwise bills `tokens` and leaves the claim in doubt.
+    ///
+    /// The outcome becomes "unknown" when the holder may bill the request all the same.
     pub(super) async fn fail(self, fault: Fault, tokens: Tokens) -> Fault {
         match fault.answer().outcome {
             Outcome::NotRun => {
-                self.charge.release().await;
+                let is_released = self.charge.release().await;
                 self.claim.give_up().await;
+                if !is_released {
+                    return fault.with_outcome(Outcome::Unknown);
+                }
             }
             Outcome::Ran | Outcome::Unknown => {
                 let claim = self.settle("".into(), tokens).await;
--- a/crates/router/src/caller/service.rs
+++ b/crates/router/src/caller/service.rs
@@ -89,6 +89,9 @@
         Admitted::Job(job, call) => (*job, call),
         Admitted::Replay(response) => return Ok(response),
     };
+    if let Err(fault) = job.charge.announce().await {
+        return Err(job.fail(fault, price).await);
+    }
     match job.send(&call, &mut Vec::new()).await {
         Ok(reply) => finish(job, reply, price).await,
         Err(fault) => Err(job.fail(fault, price).await),
--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -14,7 +14,7 @@
         budget::Usage,
         fault::{Fault, Kind},
         id::{BudgetId, HostId, Region, RequestId, Tokens, Zone},
-        wire::{self, Body, Counted, Lower, Release, Reply, Reserve, Settle, Settled},
+        wire::{self, Announce, Body, Counted, Lower, Release, Reply, Reserve, Settle, Settled},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio_util::task::TaskTracker,
@@ -52,6 +52,8 @@
     budget: BudgetId,
     /// Tokens reserved.
     amount: Tokens,
+    /// Whether the holder may bill the request by itself.
+    is_announced: bool,
 }
 
 /// Why a host is asked for tokens; earlier ones are asked first.
@@ -160,6 +162,7 @@
                         attempt: reservation.attempt.clone(),
                         budget: reservation.budget.clone(),
                         amount,
+                        is_announced: false,
                     });
                 }
                 Err(Refusal::Exhausted) => exhausted.push((role, place)),
@@ -289,17 +292,52 @@
         self.charger.outbox.push(item, host).await;
     }
 
-    /// Ends the reservation of a request that did not run.
-    pub(crate) async fn release(self) {
-        match self.place {
-            Place::Here => self.charger.escrow.release(self.attempt).await,
+    /// Tells the holder that a service that keeps no records is about to receive the request.
+    /// Until it knows, the holder takes the request as not sent.
+    ///
+    /// # Errors
+    /// [`Kind::BudgetUnavailable`] when the holder does not confirm it; the request must not be sent.
+    pub(crate) async fn announce(&mut self) -> Result<(), Fault> {
+        self.is_announced = true;
+        let is_open = match &self.place {
+            Place::Here => self.charger.escrow.announce(self.attempt.clone()).await,
             Place::Peer(host, address) => {
                 let request = self.attempt.to_string();
-                let body = Body::Release(Release { request });
-                self.charger.deliver(host, address, body);
+                let body = Body::Announce(Announce { request });
+                let answer = self.charger.links.call(host, *address, body).await;
+                let is_confirmed = |reply: &Reply| matches!(reply.refusal(), wire::Refusal::None);
+                matches!(answer, Ok(Body::Reply(reply)) if is_confirmed(&reply))
+            }
+        };
+        match is_open {
+            true => Ok(()),
+            false => {
+                log::info!(target: TOKENS, attempt:% = self.attempt; "announcement not confirmed");
+                let message = "the holder of the budget did not confirm the reservation";
+                Err(Fault::new(Kind::BudgetUnavailable, message))
             }
         }
     }
+
+    /// Ends the reservation of a request that did not run. Returns whether no holder can bill it.
+    pub(crate) async fn release(self) -> bool {
+        let Place::Peer(host, address) = self.place else {
+            self.charger.escrow.release(self.attempt).await;
+            return true;
+        };
+        let request = self.attempt.to_string();
+        let body = Body::Release(Release { request });
+        if !self.is_announced {
+            self.charger.deliver(host, address, body);
+            return true;
+        }
+        let links = &self.charger.links;
+        let is_released = links.call(&host, address, body.clone()).await.is_ok();
+        if !is_released {
+            self.charger.deliver(host, address, body);
+        }
+        is_released
+    }
 }
 
 /// Answers other hosts' calls for the budgets that this host holds.
@@ -322,6 +360,10 @@
                 self.escrow.release(release.request.into()).await;
                 Reply::default()
             }
+            Body::Announce(announce) => match self.escrow.announce(announce.request.into()).await {
+                true => Reply::default(),
+                false => refused(wire::Refusal::Unavailable),
+            },
             Body::Gossip(_) | Body::Config(_) => return self.control.message(from, body).await,
             Body::Review(review) => {
                 self.escrow.review(review.budget.into()).await;
--- a/crates/router/src/escrow/holders.rs
+++ b/crates/router/src/escrow/holders.rs
@@ -97,6 +97,17 @@
         }
     }
 
+    /// Notes that a service that keeps no records is about to receive a request; returns whether
+    /// the request has a reservation here.
+    pub(super) fn announce(&mut self, attempt: &str) -> bool {
+        let Some((generation, purpose)) = self.open.get_mut(attempt) else {
+            return false;
+        };
+        let holder = self.holders.get_mut(generation);
+        purpose.is_announced = holder.is_some_and(|holder| holder.announce(attempt));
+        purpose.is_announced
+    }
+
     pub(super) fn release(&mut self, attempt: &str) {
         if let Some(holder) = self.close(attempt) {
             holder.release(attempt);
@@ -129,6 +140,7 @@
         let purpose = Purpose {
             workspace: item.usage.workspace.clone(),
             model: item.usage.model.clone(),
+            is_announced: true,
         };
         let mut amount = item.usage.tokens;
         loop {
--- a/crates/router/src/escrow/mod.rs
+++ b/crates/router/src/escrow/mod.rs
@@ -71,6 +71,11 @@
     },
     Release {
         attempt: RequestId,
+        reply: oneshot::Sender<()>,
+    },
+    Announce {
+        attempt: RequestId,
+        reply: oneshot::Sender<bool>,
     },
     Review {
         budget: BudgetId,
@@ -108,8 +113,19 @@
         let _ = self.0.send(Command::Review { budget }).await;
     }
 
-    /// Ends the reservation of a request that did not run.
+    /// Ends the reservation of a request that did not run; returns once it has ended.
     pub(crate) async fn release(&self, attempt: RequestId) {
-        let _ = self.0.send(Command::Release { attempt }).await;
+        let (reply, released) = oneshot::channel();
+        // The task only ends after the last reservation, so a failed send has nothing to release.
+        let _ = self.0.send(Command::Release { attempt, reply }).await;
+        let _ = released.await;
+    }
+
+    /// Notes that a service that keeps no records is about to receive a request; returns whether
+    /// the request has a reservation, without which it must not be sent.
+    pub(crate) async fn announce(&self, attempt: RequestId) -> bool {
+        let (reply, announced) = oneshot::channel();
+        let sent = self.0.send(Command::Announce { attempt, reply }).await;
+        sent.is_ok() && announced.await.unwrap_or(false)
     }
 }
--- a/crates/router/src/escrow/resolve.rs
+++ b/crates/router/src/escrow/resolve.rs
@@ -15,12 +15,15 @@
 pub(super) struct Purpose {
     pub(super) workspace: WorkspaceId,
     pub(super) model: ModelId,
+    /// Whether a plain service may have received the request.
+    pub(super) is_announced: bool,
 }
 
 /// Finds out what became of a request.
 ///
 /// Engines are asked for their usage record. A plain service keeps none, so its flat price is
-/// billed: the caller was told that the outcome is unknown.
+/// billed when the request was announced: the caller was told that the outcome is unknown. Without
+/// an announcement the service has not received the request.
 pub(super) async fn resolve(
     upstreams: Arc<Upstreams>,
     catalog: Arc<Catalog>,
@@ -34,7 +37,11 @@
         tokens,
     };
     if let Some(service) = catalog.services.get(&purpose.model) {
-        return (attempt, Record::Finished(usage("".into(), service.price)));
+        let record = match purpose.is_announced {
+            true => Record::Finished(usage("".into(), service.price)),
+            false => Record::Absent,
+        };
+        return (attempt, record);
     }
     let is_candidate = |serves: &[ModelId]| serves.contains(&purpose.model);
     let candidates = catalog
--- a/crates/router/src/escrow/work.rs
+++ b/crates/router/src/escrow/work.rs
@@ -176,7 +176,17 @@
                 self.hurry();
             }
             Command::Lower { attempt, amount } => self.holders.lower(&attempt, amount),
-            Command::Release { attempt } => self.release(&attempt),
+            Command::Release { attempt, reply } => {
+                self.release(&attempt);
+                // The reservation has ended also when nobody waits for it any more.
+                let _ = reply.send(());
+            }
+            Command::Announce { attempt, reply } => {
+                let is_open = self.holders.announce(&attempt);
+                if reply.send(is_open).is_err() {
+                    log::debug!(target: TOKENS, attempt:%; "nobody waits for the announcement");
+                }
+            }
             Command::Review { budget } => {
                 self.holders.review(&budget);
                 self.begin();
@@ -201,6 +211,7 @@
         let purpose = Purpose {
             workspace: workspace.clone(),
             model: model.clone(),
+            is_announced: false,
         };
         let can_wait = now >= self.retry_at && self.waiting.len() < WAITING_LIMIT;
         let reserved = match self.is_draining {
--- a/crates/router/tests/release.rs
+++ b/crates/router/tests/release.rs
@@ -7,7 +7,9 @@
 use {
     fleet::{BUDGET, Outside, process::FLEET_KEY},
     futures_util::{SinkExt, StreamExt},
-    marigoldroute_core::wire::{Body, Codec, Frame, Keys, Refusal, Release, Reply, Reserve},
+    marigoldroute_core::wire::{
+        Announce, Body, Codec, Frame, Keys, Refusal, Release, Reply, Reserve,
+    },
     marigoldroute_store::Order,
     std::collections::BTreeMap,
     tokio::net::TcpStream,
@@ -67,3 +69,53 @@
     outside.platform.inject(Order::default());
     router.stop().await;
 }
+
+/// Guards against an order that is sent although its holder takes it as not sent, and would end
+/// its reservation without a bill.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_announcement_needs_a_reservation() {
+    let outside = Outside::start(1, 10_000).await;
+    let router = outside.router(1).await;
+    let stream = TcpStream::connect(router.peers()).await.unwrap();
+    let keys = Keys::new(vec![FLEET_KEY.as_bytes().into()]);
+    let mut framed = Framed::new(stream, Codec::new(keys));
+    let request = "order.1".to_owned();
+    let reserve = Body::Reserve(Reserve {
+        request: request.clone(),
+        budget: BUDGET.into(),
+        amount: 10,
+        least: 10,
+        workspace: "kolkata".into(),
+        model: "orders".into(),
+    });
+    let announce = Body::Announce(Announce {
+        request: request.clone(),
+    });
+    let release = Body::Release(Release { request });
+    let refused = Reply {
+        tokens: 0,
+        refusal: Refusal::Unavailable.into(),
+    };
+    let reserved = Reply {
+        tokens: 10,
+        refusal: Refusal::None.into(),
+    };
+    let calls = [
+        (announce.clone(), refused.clone()),
+        (reserve.clone(), reserved),
+        (announce.clone(), Reply::default()),
+        (release, Reply::default()),
+        (announce, refused.clone()),
+        (reserve, refused),
+    ];
+    for (correlation, (body, expected)) in calls.into_iter().enumerate() {
+        framed.send(frame(correlation as u64, body)).await.unwrap();
+        let answer = framed.next().await.unwrap().unwrap();
+        assert_eq!(
+            answer.body,
+            Some(Body::Reply(expected)),
+            "call {correlation}"
+        );
+    }
+    router.stop().await;
+}
