Hand on the events before a wrong one

Cause: found on reading the relay. When one read held good events and a wrong one, the good ones were counted as relayed but not handed on, so a stream that went on at another upstream lacked them.

Change: the relay hands on what precedes a rejected event and takes up the rejected one in the next step.

Result: the new test fails without the change (events 1 and 2 are missing) and passes with it.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -126,7 +126,12 @@
         let before = self.sequence.relayed();
         while let Some(event) = stream.events.pop_front() {
             if let Err(rejected) = self.sequence.accept(event_id(&event.raw)) {
-                return Step::Break(Failure::new(Outcome::Unknown, rejected.to_string()));
+                if bytes.is_empty() {
+                    return Step::Break(Failure::new(Outcome::Unknown, rejected.to_string()));
+                }
+                // The caller gets the events before it first: a resumed stream goes on after them.
+                stream.events.push_front(event);
+                break;
             }
             bytes.extend_from_slice(&event.raw);
         }
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -68,6 +68,21 @@
     }
 }
 
+/// Guards against losing the events that arrive in the same read as a wrong one: the stream goes on
+/// after them elsewhere.
+#[tokio::test]
+async fn events_before_a_wrong_one_reach_the_caller() {
+    let scripts = vec![Script::Repeating, Script::Events { upto: 5, of: 5 }];
+    let (world, _upstreams) = World::new(scripts).await;
+    for id in ["r1", "r2", "r3", "r4"] {
+        let response = world.request("resumable", id).send().await.expect("a head");
+        assert_eq!(
+            response.text().await.expect("a complete stream"),
+            events(1..=5)
+        );
+    }
+}
+
 /// Guards against a second run of a request that may run once, and against "not run" for one that
 /// may have run.
 #[tokio::test]
--- a/crates/gateway/tests/world/upstream.rs
+++ b/crates/gateway/tests/world/upstream.rs
@@ -28,6 +28,8 @@
     /// Sends events up to the given id; the stream has `of` events in all. When they are fewer, it
     /// closes the connection.
     Events { upto: u64, of: u64 },
+    /// Sends two events and one with the id of the first in one chunk.
+    Repeating,
     /// Sends the first event, and the others when the notification comes.
     Paused { of: u64, go_on: Arc<Notify> },
 }
@@ -150,6 +152,11 @@
             stream.write_all(text.as_bytes()).await.ok()?;
             return (last == *of).then_some(());
         }
+        Script::Repeating => {
+            let first = arrival.last_event.map_or(1, |last| last + 1);
+            let events = [first, first + 1, first].map(raw).concat();
+            head(200, "transfer-encoding: chunked\r\n") + &chunk(&events)
+        }
         Script::Paused { of, go_on } => {
             let text = head(200, "transfer-encoding: chunked\r\n") + &event(1);
             stream.write_all(text.as_bytes()).await.ok()?;
@@ -165,6 +172,13 @@
 }
 
 fn event(id: u64) -> String {
-    let event = format!("id: {id}\ndata: piece {id}\n\n");
-    format!("{:x}\r\n{event}\r\n", event.len())
+    chunk(&raw(id))
+}
+
+fn raw(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
 }
