--- a/crates/core/src/bill/mod.rs
+++ b/crates/core/src/bill/mod.rs
@@ -66,3 +66,20 @@
     /// Tokens that the upstream used above the reservation; not charged.
     pub uncovered: Tokens,
 }
+
+/// Bytes of a bill in a row beside its texts: names, quotes and numbers.
+const BILL_BYTES: usize = 160;
+
+impl Bill {
+    /// Returns a bound on the bytes that the bill takes in a row, for texts without escapes.
+    pub fn size_bound(&self) -> usize {
+        let texts = [
+            &self.request,
+            &self.workspace,
+            &self.budget,
+            &self.model,
+            &self.upstream,
+        ];
+        BILL_BYTES + texts.iter().map(|text| text.len()).sum::<usize>()
+    }
+}
--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -104,7 +104,9 @@
         let accounts = Accounts::read(rows);
         let pending = match self.phase {
             Phase::Open => self.append(now, accounts),
-            Phase::Draining if self.reservations.is_empty() => self.close(accounts),
+            Phase::Draining if self.reservations.is_empty() && self.is_last_row() => {
+                self.close(accounts)
+            }
             Phase::Draining => self.append(now, accounts),
             Phase::Fenced if self.reservations.is_empty() => self.close(accounts),
             Phase::Lost => self.charge(accounts),
@@ -161,11 +163,27 @@
     }
 
     fn late_keys(&self) -> Vec<String> {
-        let bills = self.bills.iter().take(self.settings.batch);
+        let bills = self.bills.iter().take(self.next_bills());
         let budgets: BTreeSet<_> = bills.map(|bill| &bill.budget).collect();
         budgets.into_iter().map(|id| account::key(id)).collect()
     }
 
+    /// Returns how many bills the next row takes: as many as fit, and at least one.
+    fn next_bills(&self) -> usize {
+        let mut bytes = 0;
+        let bills = self.bills.iter().take(self.settings.batch);
+        let fitting = bills.take_while(|bill| {
+            bytes += bill.size_bound();
+            bytes <= self.settings.bill_bytes
+        });
+        fitting.count().max(1).min(self.bills.len())
+    }
+
+    /// Returns whether the next row takes all bills.
+    fn is_last_row(&self) -> bool {
+        self.next_bills() == self.bills.len()
+    }
+
     fn measure(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.last_flush);
         if elapsed < SAMPLE {
@@ -182,7 +200,7 @@
     }
 
     fn append(&mut self, now: Duration, mut accounts: Accounts) -> Option<Pending> {
-        let bills = self.bills.len().min(self.settings.batch);
+        let bills = self.next_bills();
         let mut shares = self.billed_shares(bills);
         let mut due = bills > 0;
         let mut shortages = BTreeMap::new();
@@ -261,7 +279,7 @@
             }
             return None;
         }
-        let count = self.bills.len().min(self.settings.batch);
+        let count = self.next_bills();
         let bills = self.bills.iter().take(count).cloned();
         let mut late = Vec::with_capacity(count);
         for bill in bills {
--- a/crates/core/src/budget/grant.rs
+++ b/crates/core/src/budget/grant.rs
@@ -65,6 +65,9 @@
     pub remembered: usize,
     /// Largest number of bills in a row, and of budget rows in a transaction.
     pub batch: usize,
+    /// Bytes that the bills of a row may take; the rest of what a row of the table service holds is
+    /// for the shares.
+    pub bill_bytes: usize,
 }
 
 impl Default for Settings {
@@ -89,6 +92,7 @@
             budgets: 16_384,
             remembered: 16_384,
             batch: 1_024,
+            bill_bytes: 512 << 10,
         }
     }
 }
--- a/crates/core/src/budget/tests/life.rs
+++ b/crates/core/src/budget/tests/life.rs
@@ -361,3 +361,33 @@
         );
     }
 }
+
+/// Guards against a journal row that the table service refuses: the bills of an outage do not fit
+/// into one row, and the holder would never write again.
+#[test]
+fn the_bills_of_an_outage_are_spread_over_rows() {
+    const ROW_BYTES: usize = 65_536;
+    let mut table = store(10_000_000);
+    let settings = Settings {
+        bill_bytes: 32 << 10,
+        ..Settings::default()
+    };
+    let mut holder = Holder::new("h1.1".into(), settings);
+    obtain(&mut holder, &mut table, 0, "first", 1_000_000);
+    holder.release("first");
+    for number in 0..900 {
+        let id = format!("9c41d07be2a35f68-{number}");
+        reserve(&mut holder, 1, &id, 100).expect("the mark covers it");
+        holder
+            .settle(&id.as_str().into(), usage(90))
+            .expect("a bill");
+    }
+    holder.stop();
+    for now in 2..20 {
+        flush(&mut holder, &mut table, at(now));
+    }
+    assert_eq!(holder.phase(), Phase::Closed);
+    let rows = table.scan("journal/", "", usize::MAX);
+    assert!(rows.iter().all(|row| row.value.len() <= ROW_BYTES));
+    assert_eq!(account(&table).allocated, 900 * 90);
+}
--- a/crates/gateway/src/escrow/writer.rs
+++ b/crates/gateway/src/escrow/writer.rs
@@ -29,6 +29,10 @@
 const OLD_ROW: Duration = Duration::from_millis(200);
 /// Shortest time between two flushes, so that reservations that lack tokens share one.
 const LEAST_PAUSE: Duration = Duration::from_millis(15);
+/// Pause between the flushes of a stopping holder.
+const CLOSING_PAUSE: Duration = Duration::from_millis(15);
+/// Unwritten bills from which another row follows at once, as after an outage.
+const MANY_BILLS: usize = 100;
 /// Most flushes in which a stopping holder tries to close its journal.
 const CLOSING_FLUSHES: usize = 20;
 
@@ -180,7 +184,11 @@
             return Ok(true);
         };
         let verdict = self.call(self.store.commit(transaction)).await?;
-        lock(&self.escrow.holder).decide(&verdict);
+        let mut holder = lock(&self.escrow.holder);
+        holder.decide(&verdict);
+        if holder.unwritten() >= MANY_BILLS {
+            self.escrow.kick.notify_one();
+        }
         Ok(is_committed(&verdict))
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -138,4 +138,6 @@
         pause_limit: Duration::from_secs(5),
         ..route::Settings::default()
     }
+        // Half of the 65,536 bytes of a row; the other half is for the shares.
+        bill_bytes: 32 << 10,
 }
