--- a/crates/core/src/budget/tests/mod.rs
+++ b/crates/core/src/budget/tests/mod.rs
@@ -9,8 +9,10 @@
     std::time::Duration,
 };
 
+mod desk;
 mod fuzz;
 mod life;
+mod places;
 mod stated;
 mod succession;
 mod view;
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! configuration and the marks that the sender learned recently; now and then a digest of
 //! everything it knows, so that a peer can repair what was lost.
 
+mod census;
 mod health;
 mod held;
 mod mark;
@@ -21,6 +22,7 @@
 mod tests;
 
 pub use {
+    census::Census,
     health::{Observation, Status},
     mark::{Applied, Evidence, Fact, Gossip, Held, HostMark, Kind, Mark, Phase, Report, Suspicion},
     member::Member,
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -18,7 +18,7 @@
     /// Sender's host id.
     #[prost(string, tag = "1")]
     pub from: String,
-    /// Recipient's host id; a host refuses frames for others.
+    /// Recipient's host id; a host refuses frames for others. Empty when it is for every host.
     #[prost(string, tag = "2")]
     pub to: String,
     /// Pairs an answer with its question; unique per connection and direction.
@@ -27,7 +27,7 @@
     /// Content.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: Option<Body>,
 }
@@ -50,6 +50,9 @@
     /// Announces that a request is about to be sent to a service that keeps no records.
     #[prost(message, tag = "21")]
     Announce(Announce),
+    /// Tells of prompts that the sender has not seen answered.
+    #[prost(message, tag = "22")]
+    Pending(Pending),
     /// Answers any of the above but a settlement.
     #[prost(message, tag = "14")]
     Reply(Reply),
@@ -177,6 +180,26 @@
     pub request: String,
 }
 
+/// Tells of prompts that an engine's load report does not show yet. It is a hint: a lost one is
+/// replaced by the next.
+#[derive(Clone, PartialEq, Message)]
+pub struct Pending {
+    /// Changed or confirmed upstreams.
+    #[prost(message, repeated, tag = "1")]
+    pub upstreams: Vec<Prompts>,
+}
+
+/// Prompt tokens at one upstream that the sender has not seen answered.
+#[derive(Clone, PartialEq, Message)]
+pub struct Prompts {
+    /// Upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Tokens.
+    #[prost(uint32, tag = "2")]
+    pub tokens: u32,
+}
+
 /// Tells a holder that another one lacks tokens of a budget.
 #[derive(Clone, PartialEq, Message)]
 pub struct Review {
@@ -221,6 +244,8 @@
     Exhausted = 1,
     /// The holder could not refill in time.
     Unavailable = 2,
+    /// Not decided: the reservation waits for a refill, and another answer follows.
+    Waiting = 3,
 }
 
 /// Why a frame was not accepted.
--- a/crates/gateway/src/escrow.rs
+++ b/crates/gateway/src/escrow.rs
@@ -1,15 +1,21 @@
 //! Tokens of this host: reservations by requests, and the task that writes the journal.
 
+mod charger;
+mod responder;
 mod writer;
 
-pub(crate) use writer::Writer;
+pub(crate) use {charger::Charger, responder::Responder, writer::Writer};
 
 use {
     crate::{Clock, interface::Usage, settings::Settings, view::lock},
     derive_more::{Display, Error},
     marigoldroute_core::{
         budget::{self, Holder, Shortage},
-        id::{BudgetId, HolderId, ModelId, RequestId, Tokens, UpstreamId, Version, WorkspaceId},
+        id::{
+            BudgetId, HolderId, HostId, ModelId, RequestId, Tokens, UpstreamId, Version,
+            WorkspaceId,
+        },
+        wire::Settlement,
     },
     marigoldroute_process::logs::TOKENS,
     std::{
@@ -38,6 +44,16 @@
         /// When tokens are expected to be within reach.
         after: Duration,
     },
+    /// The refill was on its way when the time was over.
+    #[display("the refill takes too long")]
+    Late,
+}
+
+impl Refusal {
+    /// Returns that tokens are out of reach, for a time that is not known.
+    fn unreachable() -> Self {
+        Self::Unreachable { after: COME_BACK }
+    }
 }
 
 /// Who uses tokens for what.
@@ -63,9 +79,17 @@
     is_cut_off: AtomicBool,
 }
 
+/// Where a reservation is kept.
+enum Books {
+    /// On this host.
+    Own(Arc<Escrow>),
+    /// On another host.
+    Other(Arc<Charger>, HostId),
+}
+
 /// Reserved tokens of one request; dropping it bills or returns them.
 pub(crate) struct Hold {
-    escrow: Arc<Escrow>,
+    books: Books,
     purpose: Purpose,
     /// Upstream that may have run the request.
     upstream: Option<UpstreamId>,
@@ -73,6 +97,24 @@
 }
 
 impl Hold {
+    fn new(books: Books, purpose: Purpose) -> Self {
+        Self {
+            books,
+            purpose,
+            upstream: None,
+            delivered: 0,
+        }
+    }
+
+    /// Sets the tokens that the request has used in all.
+    fn charge(&mut self, tokens: Tokens) {
+        self.purpose.usage = Usage {
+            prompt: tokens.min(self.purpose.usage.most()),
+            output: 0,
+        };
+        self.delivered = 0;
+    }
+
     /// Notes that an upstream may run the request from now on.
     pub(crate) fn sent(&mut self, upstream: &UpstreamId) {
         self.upstream = Some(upstream.clone());
@@ -91,19 +133,27 @@
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        let mut holder = lock(&self.escrow.holder);
-        let Some(upstream) = self.upstream.take() else {
-            holder.release(&self.purpose.request);
-            return;
-        };
-        let usage = budget::Usage {
-            workspace: self.purpose.workspace.clone(),
-            model: self.purpose.model.clone(),
-            upstream,
-            tokens: self.purpose.usage.prompt + self.delivered,
-        };
-        if holder.settle(&self.purpose.request, usage).is_none() {
-            log::error!(target: TOKENS, request:% = self.purpose.request; "no reservation to settle");
+        let upstream = self.upstream.take();
+        let tokens = self.purpose.usage.prompt + self.delivered;
+        match &self.books {
+            Books::Own(escrow) => escrow.end(&self.purpose, upstream, tokens),
+            Books::Other(charger, host) => {
+                let used = upstream.map(|upstream| self.purpose.settlement(&upstream, tokens));
+                charger.end(host.clone(), &self.purpose, used);
+            }
+        }
+    }
+}
+
+impl Purpose {
+    fn settlement(&self, upstream: &UpstreamId, tokens: Tokens) -> Settlement {
+        Settlement {
+            attempt: self.request.to_string(),
+            budget: self.workspace.to_string(),
+            workspace: self.workspace.to_string(),
+            model: self.model.to_string(),
+            upstream: upstream.to_string(),
+            tokens,
         }
     }
 }
@@ -120,7 +170,7 @@
         }
     }
 
-    /// Reserves the most tokens that a request can use, waiting for a refill until `deadline`.
+    /// Reserves the most tokens that a request can use here, waiting for a refill until `deadline`.
     pub(crate) async fn reserve(
         self: &Arc<Self>,
         purpose: Purpose,
@@ -141,7 +191,7 @@
                 }
                 Err(Shortage::Refill) => {}
                 Err(_) => {
-                    return Err(self.refuse(&purpose, Refusal::Unreachable { after: COME_BACK }));
+                    return Err(self.refuse(&purpose, Refusal::unreachable()));
                 }
             }
             self.kick.notify_one();
@@ -149,10 +199,13 @@
             let wait = lock(&self.holder).wait(now, &purpose.workspace, amount);
             let is_cut_off = self.is_cut_off.load(Ordering::Relaxed);
             let is_hopeless = is_cut_off && wait.is_none_or(|wait| now + wait > deadline);
-            if is_hopeless || now >= deadline {
+            if is_hopeless {
                 let after = wait.unwrap_or(COME_BACK).max(COME_BACK);
                 return Err(self.refuse(&purpose, Refusal::Unreachable { after }));
             }
+            if now >= deadline {
+                return Err(self.refuse(&purpose, Refusal::Late));
+            }
             let wake = wait.map_or(deadline, |wait| deadline.min(now + wait));
             tokio::select! {
                 _ = flushes.changed() => {}
@@ -162,16 +215,27 @@
         if lock(&self.holder).is_bound_low(self.clock.now(), &purpose.workspace) {
             self.kick.notify_one();
         }
-        Ok(Hold {
-            escrow: self.clone(),
-            purpose,
-            upstream: None,
-            delivered: 0,
-        })
+        Ok(Hold::new(Books::Own(self.clone()), purpose))
+    }
+
+    /// Ends a reservation: bills `tokens` if an upstream may have run the request.
+    fn end(&self, purpose: &Purpose, upstream: Option<UpstreamId>, tokens: Tokens) {
+        let mut holder = lock(&self.holder);
+        let Some(upstream) = upstream else {
+            holder.release(&purpose.request);
+            return;
+        };
+        let usage = budget::Usage {
+            workspace: purpose.workspace.clone(),
+            model: purpose.model.clone(),
+            upstream,
+            tokens,
+        };
+        if holder.settle(&purpose.request, usage).is_none() {
+            log::error!(target: TOKENS, request:% = purpose.request; "no reservation to settle");
+        }
     }
-}
 
-impl Escrow {
     fn refuse(&self, purpose: &Purpose, refusal: Refusal) -> Refusal {
         let view = lock(&self.holder).view(&purpose.workspace);
         let view = view.map_or_else(String::new, |view| view.to_string());
--- /dev/null
+++ b/crates/gateway/src/escrow/charger.rs
@@ -0,0 +1,289 @@
+//! Reservations of this host's requests, here or at other hosts.
+
+use {
+    super::{Books, Escrow, Hold, Purpose, Refusal},
+    crate::{
+        Clock,
+        peers::{Called, Peers},
+        view::lock,
+    },
+    marigoldroute_core::{
+        budget::Places,
+        id::{BudgetId, HostId, RequestId},
+        wire::{self, Body, Release, Reserve, Settle, Settlement},
+    },
+    marigoldroute_process::logs::TOKENS,
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::sync::watch,
+    tokio_util::task::TaskTracker,
+};
+
+/// Time that the first holder has for a refill before others are asked.
+const FIRST_WAIT: Duration = Duration::from_millis(250);
+/// Time for which a silent host is asked last.
+const AVOIDED_TIME: Duration = Duration::from_secs(3);
+/// Time for which a host that reports a budget as exhausted is not asked for it again.
+const DRY_TIME: Duration = Duration::from_millis(400);
+/// Attempts to deliver the end of a reservation; after the last one the holder bills it as a whole.
+const DELIVERY_ATTEMPTS: u32 = 6;
+/// Pause before the second attempt; it doubles each time.
+const DELIVERY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Makes reservations.
+pub(crate) struct Charger {
+    clock: Clock,
+    own: HostId,
+    escrow: Arc<Escrow>,
+    /// Absent when this host talks to no others.
+    peers: Option<Arc<Peers>>,
+    places: watch::Sender<Places>,
+    /// Hosts that did not answer, until when they are avoided.
+    avoided: Mutex<HashMap<HostId, Duration>>,
+    /// Hosts without tokens of a budget, until when.
+    dry: Mutex<HashMap<(HostId, BudgetId), Duration>>,
+    tasks: TaskTracker,
+}
+
+/// What hosts have said to one request.
+#[derive(Default)]
+struct Refusals {
+    /// Hosts whose refill was on its way.
+    late: Vec<HostId>,
+    exhausted: usize,
+    /// When tokens are expected to be within reach, by the host that is soonest.
+    after: Option<Duration>,
+    unreachable: usize,
+}
+
+impl Charger {
+    pub(crate) fn new(
+        clock: Clock,
+        own: HostId,
+        escrow: Arc<Escrow>,
+        peers: Option<Arc<Peers>>,
+        tasks: TaskTracker,
+    ) -> Self {
+        let places = Places::new(own.clone(), "".into(), Vec::new());
+        Self {
+            clock,
+            own,
+            escrow,
+            peers,
+            places: watch::Sender::new(places),
+            avoided: Mutex::default(),
+            dry: Mutex::default(),
+            tasks,
+        }
+    }
+
+    /// Sets the hosts that hold budgets.
+    pub(crate) fn set_places(&self, places: Places) {
+        self.places.send_if_modified(|known| {
+            let has_changed = *known != places;
+            *known = places;
+            has_changed
+        });
+    }
+
+    /// Returns a receiver that is notified when holders change.
+    pub(crate) fn changes(&self) -> watch::Receiver<Places> {
+        self.places.subscribe()
+    }
+
+    /// Reserves the most tokens that a request can use, waiting for a refill until `deadline`.
+    pub(crate) async fn reserve(
+        self: &Arc<Self>,
+        purpose: Purpose,
+        deadline: Duration,
+    ) -> Result<Hold, Refusal> {
+        let mut refusals = Refusals::default();
+        let mut limit = deadline.min(self.clock.now() + FIRST_WAIT);
+        for host in self.order(&purpose.workspace) {
+            match self.reserve_at(&host, &purpose, limit).await {
+                Ok(hold) => {
+                    self.withdraw(&refusals, &purpose.request);
+                    return Ok(hold);
+                }
+                Err(refusal) => refusals.add(host, refusal),
+            }
+            limit = self.clock.now();
+        }
+        while let Some(host) = refusals.late.pop() {
+            if self.clock.now() < deadline {
+                match self.reserve_at(&host, &purpose, deadline).await {
+                    Ok(hold) => {
+                        self.withdraw(&refusals, &purpose.request);
+                        return Ok(hold);
+                    }
+                    Err(Refusal::Exhausted) => refusals.exhausted += 1,
+                    Err(_) => refusals.unreachable += 1,
+                }
+            }
+            self.release(host, &purpose.request);
+        }
+        let refusal = refusals.refusal();
+        log::info!(
+            target: TOKENS,
+            request:% = purpose.request, budget:% = purpose.workspace, refusal:%,
+            exhausted = refusals.exhausted, unreachable = refusals.unreachable;
+            "no host reserved tokens"
+        );
+        Err(refusal)
+    }
+
+    /// Returns the hosts to ask, those that did not answer lately last.
+    fn order(&self, budget: &BudgetId) -> Vec<HostId> {
+        let mut order = self.places.borrow().order(budget);
+        let now = self.clock.now();
+        {
+            let mut avoided = lock(&self.avoided);
+            avoided.retain(|_, until| *until > now);
+            order.sort_by_key(|host| avoided.contains_key(host));
+        }
+        let mut dry = lock(&self.dry);
+        dry.retain(|_, until| *until > now);
+        let is_dry = |host: &HostId| dry.contains_key(&(host.clone(), budget.clone()));
+        let mut wet: Vec<_> = order.iter().filter(|host| !is_dry(host)).cloned().collect();
+        // A refusal needs the word of one host.
+        if wet.is_empty() {
+            wet.extend(order.into_iter().next());
+        }
+        wet
+    }
+
+    async fn reserve_at(
+        self: &Arc<Self>,
+        host: &HostId,
+        purpose: &Purpose,
+        limit: Duration,
+    ) -> Result<Hold, Refusal> {
+        let reserved = if *host == self.own {
+            self.escrow.reserve(purpose.clone(), limit).await
+        } else {
+            self.reserve_other(host, purpose, limit).await
+        };
+        if matches!(reserved, Err(Refusal::Exhausted)) {
+            let key = (host.clone(), purpose.workspace.clone());
+            lock(&self.dry).insert(key, self.clock.now() + DRY_TIME);
+        }
+        reserved
+    }
+
+    async fn reserve_other(
+        self: &Arc<Self>,
+        host: &HostId,
+        purpose: &Purpose,
+        limit: Duration,
+    ) -> Result<Hold, Refusal> {
+        let Some(peers) = &self.peers else {
+            return Err(Refusal::unreachable());
+        };
+        let started = self.clock.now();
+        let body = Body::Reserve(Reserve {
+            request: purpose.request.to_string(),
+            budget: purpose.workspace.to_string(),
+            amount: purpose.usage.most(),
+            workspace: purpose.workspace.to_string(),
+            model: purpose.model.to_string(),
+            least: 0,
+        });
+        let called = peers.call(host, body, limit.saturating_sub(started)).await;
+        let refusal = match called {
+            Called::Answered(Body::Reply(reply)) => match reply.refusal() {
+                wire::Refusal::None => {
+                    let ms = self.clock.now().saturating_sub(started).as_millis() as u64;
+                    log::info!(
+                        target: TOKENS,
+                        request:% = purpose.request, budget:% = purpose.workspace, holder:% = host,
+                        ms;
+                        "tokens reserved at another host"
+                    );
+                    let books = Books::Other(self.clone(), host.clone());
+                    return Ok(Hold::new(books, purpose.clone()));
+                }
+                wire::Refusal::Exhausted => Refusal::Exhausted,
+                wire::Refusal::Waiting => Refusal::Late,
+                wire::Refusal::Unavailable => Refusal::unreachable(),
+            },
+            Called::Answered(_) => Refusal::unreachable(),
+            Called::Waiting => Refusal::Late,
+            Called::Silent => {
+                let until = self.clock.now() + AVOIDED_TIME;
+                if lock(&self.avoided).insert(host.clone(), until).is_none() {
+                    log::warn!(target: TOKENS, holder:% = host; "holder does not answer");
+                }
+                self.release(host.clone(), &purpose.request);
+                Refusal::unreachable()
+            }
+        };
+        Err(refusal)
+    }
+
+    /// Releases what hosts may still reserve that were late.
+    fn withdraw(self: &Arc<Self>, refusals: &Refusals, request: &RequestId) {
+        for host in &refusals.late {
+            self.release(host.clone(), request);
+        }
+    }
+
+    fn release(self: &Arc<Self>, host: HostId, request: &RequestId) {
+        let request = request.to_string();
+        self.deliver(host, Body::Release(Release { request }));
+    }
+
+    /// Ends a reservation at another host.
+    pub(super) fn end(self: &Arc<Self>, host: HostId, purpose: &Purpose, used: Option<Settlement>) {
+        match used {
+            None => self.release(host, &purpose.request),
+            Some(item) => self.deliver(host, Body::Settle(Settle { items: vec![item] })),
+        }
+    }
+
+    /// Delivers a message until the holder acknowledges it.
+    fn deliver(self: &Arc<Self>, host: HostId, body: Body) {
+        let Some(peers) = self.peers.clone().filter(|_| host != self.own) else {
+            return;
+        };
+        self.tasks.spawn(async move {
+            let mut pause = DELIVERY_PAUSE;
+            for _ in 0..DELIVERY_ATTEMPTS {
+                let called = peers.call(&host, body.clone(), Duration::ZERO).await;
+                if matches!(called, Called::Answered(_)) {
+                    return;
+                }
+                tokio::time::sleep(pause).await;
+                pause *= 2;
+            }
+            log::warn!(target: TOKENS, holder:% = host; "end of a reservation not delivered");
+        });
+    }
+}
+
+impl Refusals {
+    fn add(&mut self, host: HostId, refusal: Refusal) {
+        match refusal {
+            Refusal::Exhausted => self.exhausted += 1,
+            Refusal::Late => self.late.push(host),
+            Refusal::Unreachable { after } => {
+                self.unreachable += 1;
+                self.after = Some(self.after.map_or(after, |soonest| soonest.min(after)));
+            }
+        }
+    }
+
+    /// Returns the answer to the caller: a budget is exhausted when a holder says so and none may
+    /// still have tokens.
+    fn refusal(&self) -> Refusal {
+        if self.unreachable == 0 && self.exhausted > 0 {
+            return Refusal::Exhausted;
+        }
+        self.after
+            .map_or(Refusal::unreachable(), |after| Refusal::Unreachable {
+                after,
+            })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/escrow/responder.rs
@@ -0,0 +1,179 @@
+//! Reservations that this host makes for others.
+
+use {
+    super::{Escrow, Hold, Purpose, Refusal},
+    crate::{Clock, interface::Usage, view::lock},
+    marigoldroute_core::{
+        budget::{Asked, Desk},
+        wire::{self, Billing, Body, Reply, Reserve, Settle, Settled},
+    },
+    marigoldroute_process::logs::TOKENS,
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// Longest time that a reservation for another host waits for a refill.
+const RESERVE_LIMIT: Duration = Duration::from_secs(1);
+/// Time after which the other host is told that an answer follows.
+const NOTICE_TIME: Duration = Duration::from_millis(20);
+/// Time between two looks for reservations of hosts that are gone.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Answers other hosts that have no tokens of their own.
+pub(crate) struct Responder {
+    clock: Clock,
+    escrow: Arc<Escrow>,
+    desk: Mutex<Desk<Hold>>,
+    tasks: TaskTracker,
+}
+
+impl Responder {
+    pub(crate) fn new(clock: Clock, escrow: Arc<Escrow>, tasks: TaskTracker) -> Self {
+        Self {
+            clock,
+            escrow,
+            desk: Mutex::default(),
+            tasks,
+        }
+    }
+
+    /// Ends reservations of hosts that are gone, until `stop`; then all. Their requests may have
+    /// run, so they are billed as a whole.
+    pub(crate) async fn run(self: Arc<Self>, stop: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => break,
+                () = tokio::time::sleep(EXPIRE_INTERVAL) => {}
+            }
+            let expired = lock(&self.desk).expire(self.clock.now());
+            expired.into_iter().for_each(bill_whole);
+        }
+        let open = lock(&self.desk).close(self.clock.now());
+        open.into_iter().for_each(bill_whole);
+    }
+
+    /// Answers a message; `answer` sends a body to its sender.
+    pub(crate) fn answer<A, F>(self: Arc<Self>, question: Body, answer: A)
+    where
+        A: Fn(Body) -> F + Send + 'static,
+        F: Future<Output = ()> + Send,
+    {
+        let body = match question {
+            Body::Reserve(reserve) => return self.reserve(reserve, answer),
+            Body::Release(release) => {
+                if let Some(mut hold) = self.end(&release.request) {
+                    hold.not_run();
+                }
+                Body::Reply(Reply::default())
+            }
+            Body::Settle(settle) => self.settle(settle),
+            _ => return,
+        };
+        self.tasks.spawn(async move { answer(body).await });
+    }
+
+    fn reserve<A, F>(self: Arc<Self>, reserve: Reserve, answer: A)
+    where
+        A: Fn(Body) -> F + Send + 'static,
+        F: Future<Output = ()> + Send,
+    {
+        let request = reserve.request.as_str().into();
+        let known = lock(&self.desk).ask(self.clock.now(), &request);
+        let tasks = self.tasks.clone();
+        tasks.spawn(async move {
+            match known {
+                Asked::New => self.make(reserve, answer).await,
+                Asked::Waiting => answer(reply(0, wire::Refusal::Waiting)).await,
+                Asked::Held => answer(reply(reserve.amount, wire::Refusal::None)).await,
+                Asked::Refused => answer(reply(0, wire::Refusal::Unavailable)).await,
+            }
+        });
+    }
+
+    async fn make<A, F>(&self, reserve: Reserve, answer: A)
+    where
+        A: Fn(Body) -> F,
+        F: Future<Output = ()>,
+    {
+        let purpose = Purpose {
+            request: reserve.request.as_str().into(),
+            workspace: reserve.workspace.into(),
+            model: reserve.model.into(),
+            // The sender settles with the sum.
+            usage: Usage {
+                prompt: reserve.amount,
+                output: 0,
+            },
+        };
+        let request = purpose.request.clone();
+        let deadline = self.clock.now() + RESERVE_LIMIT;
+        let mut reserving = Box::pin(self.escrow.reserve(purpose, deadline));
+        let reserved = match tokio::time::timeout(NOTICE_TIME, &mut reserving).await {
+            Ok(reserved) => reserved,
+            Err(_) => {
+                answer(reply(0, wire::Refusal::Waiting)).await;
+                reserving.await
+            }
+        };
+        let refusal = match reserved {
+            Ok(hold) => {
+                let held = lock(&self.desk).hold(self.clock.now(), &request, hold);
+                match held {
+                    Ok(()) => wire::Refusal::None,
+                    // The sender has given up meanwhile; dropping the reservation releases it.
+                    Err(_) => wire::Refusal::Unavailable,
+                }
+            }
+            Err(refusal) => {
+                lock(&self.desk).refuse(&request);
+                match refusal {
+                    Refusal::Exhausted => wire::Refusal::Exhausted,
+                    Refusal::Unreachable { .. } | Refusal::Late => wire::Refusal::Unavailable,
+                }
+            }
+        };
+        let tokens = match refusal {
+            wire::Refusal::None => reserve.amount,
+            _ => 0,
+        };
+        answer(reply(tokens, refusal)).await;
+    }
+
+    fn settle(&self, settle: Settle) -> Body {
+        let items = settle.items.into_iter().map(|item| {
+            let Some(mut hold) = self.end(&item.attempt) else {
+                // Already billed, as a whole if its host was taken as gone.
+                return Billing::Refused.into();
+            };
+            hold.sent(&item.upstream.into());
+            hold.charge(item.tokens);
+            Billing::Pending.into()
+        });
+        Body::Settled(Settled {
+            items: items.collect(),
+        })
+    }
+
+    fn end(&self, request: &str) -> Option<Hold> {
+        lock(&self.desk).end(self.clock.now(), &request.into())
+    }
+}
+
+fn bill_whole(mut hold: Hold) {
+    log::warn!(
+        target: TOKENS,
+        request:% = hold.purpose.request, tokens = hold.purpose.usage.most();
+        "reservation for another host not settled; billed as a whole"
+    );
+    hold.sent(&"".into());
+}
+
+fn reply(tokens: u64, refusal: wire::Refusal) -> Body {
+    Body::Reply(Reply {
+        tokens,
+        refusal: refusal.into(),
+    })
+}
--- a/crates/gateway/src/escrow/writer.rs
+++ b/crates/gateway/src/escrow/writer.rs
@@ -1,7 +1,7 @@
 //! The task that writes the journal of this host's tokens.
 
 use {
-    super::Escrow,
+    super::{Charger, Escrow},
     crate::{
         metrics::Metrics,
         settings::Settings,
@@ -40,6 +40,7 @@
 pub(crate) struct Writer {
     pub(crate) process: HolderId,
     pub(crate) escrow: Arc<Escrow>,
+    pub(crate) charger: Arc<Charger>,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) view: Arc<View>,
     pub(crate) metrics: Arc<Metrics>,
@@ -51,6 +52,7 @@
     pub(crate) async fn run(self, stop: CancellationToken) {
         let mut changes = self.view.changes();
         changes.mark_changed();
+        let mut places = self.charger.changes();
         let mut successor = Some(self.successor());
         loop {
             successor = self.succeed(successor).await;
@@ -58,10 +60,11 @@
                 () = stop.cancelled() => break,
                 () = self.escrow.kick.notified() => {}
                 Ok(()) = changes.changed() => self.note_statements(),
+                Ok(()) = places.changed() => self.note_statements(),
                 () = tokio::time::sleep(self.flush_interval()) => {}
             }
             let pause = match self.step().await {
-                Ok(()) => LEAST_PAUSE,
+                Ok(()) => LEAST_PAUSE.max(self.settings.flush_pause(self.view.hosts())),
                 Err(_) => FAULT_PAUSE,
             };
             tokio::time::sleep(pause).await;
@@ -69,12 +72,10 @@
         self.close().await;
     }
 
-    /// Returns the time until the next regular flush, and paces the holder's writes.
+    /// Returns the time until the next regular flush.
     fn flush_interval(&self) -> Duration {
-        let hosts = self.view.hosts();
-        let sizes = self.settings.escrow.clone().paced(hosts.unwrap_or(1));
-        lock(&self.escrow.holder).tune(&sizes);
-        self.settings.paced(self.settings.flush_interval, hosts)
+        self.settings
+            .paced(self.settings.flush_interval, self.view.hosts())
     }
 
     fn successor(&self) -> Successor<'_> {
@@ -104,7 +105,7 @@
                 return;
             }
             let pause = if result.is_ok() {
-                LEAST_PAUSE
+                CLOSING_PAUSE
             } else {
                 FAULT_PAUSE
             };
@@ -113,18 +114,23 @@
         log::warn!(target: TOKENS, "journal not closed");
     }
 
-    /// Takes the totals that the present configuration states.
+    /// Takes the totals that the present configuration states, for the budgets of this host.
     fn note_statements(&self) {
         let Some(directory) = self.view.directory() else {
             return;
         };
+        let changes = self.charger.changes();
+        let places = changes.borrow();
         let mut statements = lock(&self.escrow.statements);
         let mut holder = lock(&self.escrow.holder);
         statements.clear();
-        for workspace in directory.workspaces() {
+        let workspaces = directory.workspaces().iter();
+        for workspace in workspaces.filter(|workspace| places.is_holder(&workspace.name)) {
             if let Some(total) = workspace.purchased {
                 statements.insert(workspace.name.clone(), (directory.version(), total));
-                holder.expect(self.escrow.clock.now(), &workspace.name);
+                if places.is_settled() {
+                    holder.expect(self.escrow.clock.now(), &workspace.name);
+                }
             }
         }
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -19,6 +19,9 @@
 /// Longest time to read a request's body, when the caller does not say how long it waits.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Assumed size of the head of a request or an answer, with the overhead of its packets.
+const HEAD_BYTES: usize = 600;
+
 /// Body of an answer; an error cuts the connection, so that the answer cannot pass as complete.
 pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -37,7 +40,8 @@
     /// Answers a request.
     pub(crate) async fn call(&self, request: Request<Incoming>) -> Response<Body> {
         let mut response = self.respond(request).await;
-        if self.0.view.is_draining() {
+        let view = &self.0.view;
+        if view.is_draining() || view.is_busy(self.0.clock.now()) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -69,7 +73,11 @@
         let timeout = call.patience.unwrap_or(BODY_TIMEOUT);
         let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
         match read {
-            Ok(Ok(body)) => Ok((access, body.to_bytes())),
+            Ok(Ok(body)) => {
+                let body = body.to_bytes();
+                self.count(body.len());
+                Ok((access, body))
+            }
             Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::TooLarge),
             Ok(Err(_)) | Err(_) => Err(Reason::Incomplete),
         }
@@ -98,6 +106,7 @@
         match answer {
             Answer::Own(reason) => self.own(Some(&job.call), arrived, reason),
             Answer::Whole(reply, body) => {
+                self.count(body.len());
                 self.note(&job, &reply, elapsed);
                 respond(&reply, whole(body))
             }
@@ -117,6 +126,11 @@
         directory.service(&target.service).cloned()
     }
 
+    fn count(&self, bytes: usize) {
+        let now = self.0.clock.now();
+        self.0.view.count_bytes(now, bytes + HEAD_BYTES);
+    }
+
     fn note(&self, job: &Job, reply: &Reply, elapsed: Duration) {
         let status = reply.status.as_u16();
         self.0
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -7,7 +7,7 @@
         Clock,
         answer::Reason,
         dispatch::Dispatch,
-        escrow::{Escrow, Hold, Purpose, Refusal},
+        escrow::{Charger, Hold, Purpose, Refusal},
         exchange::Exchange,
         interface::{Call, Interface, Malformed, Reply},
         metrics::Metrics,
@@ -36,7 +36,7 @@
     pub(crate) view: Arc<View>,
     pub(crate) dispatch: Arc<Dispatch>,
     pub(crate) pool: Arc<Pool>,
-    pub(crate) escrow: Arc<Escrow>,
+    pub(crate) charger: Arc<Charger>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) settings: Arc<Settings>,
 }
@@ -162,12 +162,13 @@
         let limit = self.context.clock.now() + self.context.settings.reserve_timeout;
         let reserved = self
             .context
-            .escrow
+            .charger
             .reserve(purpose, limit.min(self.deadline))
             .await;
         self.hold = Some(reserved.map_err(|refusal| match refusal {
             Refusal::Exhausted => Reason::Exhausted,
             Refusal::Unreachable { after } => Reason::Unreachable(after),
+            Refusal::Late => Reason::Unreachable(self.context.settings.reserve_timeout),
         })?);
         Ok(())
     }
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -5,7 +5,7 @@
         Clock,
         accept::accept,
         dispatch::Dispatch,
-        escrow::{Escrow, Writer},
+        escrow::{Charger, Escrow, Responder, Writer},
         front::Front,
         interface::Interface,
         job::Context,
@@ -70,7 +70,7 @@
     let settings = Arc::new(settings);
     let clock = Clock::new();
     let metrics = Arc::new(Metrics::new()?);
-    let view = Arc::new(View::new());
+    let view = Arc::new(View::new(settings.link.clone()));
     let process = process(&settings);
     let origin = Origin {
         host: settings.host.clone(),
@@ -81,37 +81,45 @@
     let dispatch = Arc::new(dispatch);
     let escrow = Arc::new(Escrow::new(process.clone(), clock, &settings));
     let pool = Arc::new(Pool::new(clock, metrics.clone(), settings.connect_timeout));
+    let (leave, stop) = (CancellationToken::new(), CancellationToken::new());
+    let (serving, tasks) = (TaskTracker::new(), TaskTracker::new());
+    let peers = match settings.listen_peers {
+        Some(address) => Some(Arc::new(Peers::bind(
+            address,
+            process.clone(),
+            dispatch.clone(),
+        )?)),
+        None => None,
+    };
+    let own = settings.place.clone();
+    let charger = Charger::new(clock, own, escrow.clone(), peers.clone(), tasks.clone());
+    let charger = Arc::new(charger);
     let context = Arc::new(Context {
         clock,
         interface,
         view: view.clone(),
         dispatch: dispatch.clone(),
         pool: pool.clone(),
-        escrow: escrow.clone(),
+        charger: charger.clone(),
         metrics: metrics.clone(),
         settings: settings.clone(),
     });
-    let (leave, stop) = (CancellationToken::new(), CancellationToken::new());
-    let (serving, tasks) = (TaskTracker::new(), TaskTracker::new());
-
     let callers = accept(settings.listen, Front(context), &serving, &leave)?;
     let ready = serve(
         settings.listen_ready,
-        readiness(view.clone()),
+        readiness(clock, view.clone()),
         &tasks,
         &stop,
     )?;
     if let Some(address) = settings.listen_metrics {
         serve(address, exposition(metrics.clone()), &tasks, &stop)?;
     }
-    let peers = match settings.listen_peers {
-        Some(address) => {
-            let peers = Arc::new(Peers::bind(address, &process, dispatch.clone())?);
-            tasks.spawn(peers.clone().run(stop.clone()));
-            Some(peers)
-        }
-        None => None,
-    };
+    if let Some(peers) = &peers {
+        let responder = Responder::new(clock, escrow.clone(), tasks.clone());
+        let responder = Arc::new(responder);
+        tasks.spawn(responder.clone().run(stop.clone()));
+        tasks.spawn(peers.clone().run(responder, stop.clone()));
+    }
     let watch = Watch {
         clock,
         store: store.clone(),
@@ -130,6 +138,7 @@
         view: view.clone(),
         dispatch,
         peers,
+        charger: charger.clone(),
         metrics: metrics.clone(),
         settings: settings.clone(),
     };
@@ -137,6 +146,7 @@
     let writer = Writer {
         process: process.clone(),
         escrow,
+        charger,
         store,
         view: view.clone(),
         metrics,
@@ -220,8 +230,8 @@
     Ok(address)
 }
 
-fn readiness(view: Arc<View>) -> impl Endpoint {
-    let check = make_sync(move |_| match view.is_ready() {
+fn readiness(clock: Clock, view: Arc<View>) -> impl Endpoint {
+    let check = make_sync(move |_| match view.is_ready(clock.now()) {
         true => StatusCode::OK,
         false => StatusCode::SERVICE_UNAVAILABLE,
     });
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -2,25 +2,36 @@
 
 use {
     crate::{
-        Clock, dispatch::Dispatch, metrics::Metrics, peers::Peers, settings::Settings,
-        store::Store, view::View,
+        Clock,
+        dispatch::Dispatch,
+        escrow::Charger,
+        metrics::Metrics,
+        peers::{Contact, Peers},
+        settings::Settings,
+        store::Store,
+        view::View,
     },
     marigoldroute_core::{
-        id::{HolderId, Version, Zone},
-        table::Transaction,
+        budget::Places,
+        fleet::{Census, Weighted, Zoned},
+        id::{HolderId, HostId, Version, Zone},
+        table::{Row, Transaction},
     },
     marigoldroute_process::logs::BELIEFS,
+    rand::RngCore,
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio_util::sync::CancellationToken,
 };
 
-/// Renewals that a host may miss before it is taken as gone.
-const MISSED_RENEWALS: u32 = 3;
-/// Renewals that a host may miss before its row is removed.
-const REMOVED_RENEWALS: u32 = 20;
+/// Time until the second count, by which hosts that started together have written their rows.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Start of the keys of the hosts' rows.
 const PREFIX: &str = "host/";
+/// Row of the key that authenticates the messages between hosts.
+const FLEET_KEY: &str = "fleet/key";
+/// Random bytes of the key.
+const KEY_BYTES: usize = 32;
 
 /// Renews this host's row and counts the others.
 pub(crate) struct Members {
@@ -30,6 +41,7 @@
     pub(crate) view: Arc<View>,
     pub(crate) dispatch: Arc<Dispatch>,
     pub(crate) peers: Option<Arc<Peers>>,
+    pub(crate) charger: Arc<Charger>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) settings: Arc<Settings>,
 }
@@ -37,29 +49,30 @@
 /// Row `host/{process}`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Member {
+    /// Place of the process; the one before it there has ended.
+    place: HostId,
     /// Availability zone.
     zone: Zone,
+    /// Relative size.
+    weight: u32,
     /// Address at which the host hears others.
     peers: Option<SocketAddr>,
 }
 
-/// When a row was last seen to change.
-struct Seen {
-    version: Version,
-    at: Duration,
-}
-
 impl Members {
     /// Runs until `stop`, then removes this host's row.
     pub(crate) async fn run(self, stop: CancellationToken) {
-        let mut seen = HashMap::new();
+        let mut census = Census::new(self.settings.renew_interval);
+        let mut pause = SETTLE_TIME.min(self.settings.renew_interval);
         loop {
             self.renew().await;
-            self.count(&mut seen).await;
+            self.fetch_key().await;
+            self.count(&mut census).await;
             tokio::select! {
                 () = stop.cancelled() => break,
-                () = tokio::time::sleep(self.settings.renew_interval) => {}
+                () = tokio::time::sleep(pause) => {}
             }
+            pause = self.settings.renew_interval;
         }
         let mut transaction = Transaction::default();
         transaction.delete(self.key());
@@ -74,7 +87,9 @@
         let mut transaction = Transaction::default();
         let peers = self.peers.as_ref().and_then(|peers| peers.address().ok());
         let member = Member {
+            place: self.settings.place.clone(),
             zone: self.settings.zone.clone(),
+            weight: self.settings.weight,
             peers,
         };
         match serde_json::to_string(&member) {
@@ -95,54 +110,103 @@
         }
     }
 
-    async fn count(&self, seen: &mut HashMap<Arc<str>, Seen>) {
+    async fn count(&self, census: &mut Census) {
         let call = self.store.scan(PREFIX.into());
         let Ok(Ok(rows)) = tokio::time::timeout(self.settings.store_timeout, call).await else {
             // The number of hosts stays as it was while the store is away.
             return;
         };
         let now = self.clock.now();
-        seen.retain(|key, _| rows.iter().any(|row| row.key == *key));
-        for row in &rows {
-            let known = seen.entry(row.key.clone()).or_insert(Seen {
-                version: 0,
-                at: now,
-            });
-            if known.version != row.version {
-                *known = Seen {
-                    version: row.version,
-                    at: now,
-                };
-            }
-        }
-        let limit = |renewals: u32| self.settings.renew_interval * renewals;
-        let age = |seen: &Seen| now.saturating_sub(seen.at);
-        let is_live = |seen: &Seen| age(seen) <= limit(MISSED_RENEWALS);
-        let live = seen.values().filter(|seen| is_live(seen)).count();
-        if let Some(peers) = &self.peers {
-            let live = rows
-                .iter()
-                .filter(|row| seen.get(&row.key).is_some_and(is_live));
-            let others = live.filter(|row| *row.key != *self.key());
-            let members = others.filter_map(|row| serde_json::from_str::<Member>(&row.value).ok());
-            peers.set_addresses(members.filter_map(|member| member.peers).collect());
-        }
+        let versions = rows.iter().map(|row| (row.key.clone(), row.version));
+        census.read(now, &versions.collect::<Vec<_>>());
+        let live: Vec<_> = rows
+            .iter()
+            .filter(|row| census.is_live(now, &row.key))
+            .collect();
+        self.place(&live);
+        let live = live.len();
         if self.view.hosts() != Some(live.max(1)) {
             log::info!(target: BELIEFS, hosts = live; "fleet counted");
             self.view.set_hosts(live);
             self.metrics.hosts.set(live as i64);
             self.dispatch.set_hosts(live);
         }
-        let dead = seen
-            .iter()
-            .filter(|(_, seen)| age(seen) > limit(REMOVED_RENEWALS));
         let mut transaction = Transaction::default();
-        for (key, seen) in dead {
-            transaction.require(key.clone(), seen.version);
-            transaction.delete(key.clone());
+        for (key, version) in census.removable(now) {
+            transaction.require(key.clone(), version);
+            transaction.delete(key);
         }
         if !transaction.writes.is_empty() {
             self.commit(transaction).await;
         }
     }
+
+    /// Takes the live hosts as holders of budgets and as receivers of messages.
+    fn place(&self, rows: &[&Row]) {
+        let mut members: HashMap<HostId, (Version, HolderId, Member)> = HashMap::new();
+        for row in rows {
+            let process = row.key.strip_prefix(PREFIX);
+            let member = serde_json::from_str::<Member>(&row.value);
+            let (Some(process), Ok(member)) = (process, member) else {
+                log::warn!(target: BELIEFS, key:% = row.key; "host row cannot be read");
+                continue;
+            };
+            let known = members.get(&member.place);
+            if known.is_none_or(|(version, ..)| *version < row.version) {
+                let place = member.place.clone();
+                members.insert(place, (row.version, process.into(), member));
+            }
+        }
+        let zoned = members.values().map(|(_, _, member)| Zoned {
+            weighted: Weighted {
+                host: member.place.clone(),
+                weight: member.weight,
+            },
+            zone: member.zone.clone(),
+        });
+        let mut hosts: Vec<_> = zoned.collect();
+        hosts.sort_by(|a, b| a.weighted.host.cmp(&b.weighted.host));
+        let own = self.settings.place.clone();
+        let places = Places::new(own.clone(), self.settings.zone.clone(), hosts);
+        self.charger
+            .set_places(match self.clock.now() < SETTLE_TIME {
+                true => places,
+                false => places.settle(),
+            });
+        if let Some(peers) = &self.peers {
+            let others = members.into_iter().filter(|(place, _)| *place != own);
+            let contacts = others.filter_map(|(place, (_, process, member))| {
+                let address = member.peers?;
+                Some((place, Contact { process, address }))
+            });
+            peers.set_contacts(contacts.collect());
+        }
+    }
+
+    /// Reads the key that authenticates messages between hosts, or makes it.
+    async fn fetch_key(&self) {
+        let Some(peers) = self.peers.as_ref().filter(|peers| !peers.has_keys()) else {
+            return;
+        };
+        let mut transaction = Transaction::default();
+        transaction.require(FLEET_KEY, 0);
+        transaction.put(FLEET_KEY, new_key());
+        self.commit(transaction).await;
+        let read = self.store.get(vec![FLEET_KEY.into()]);
+        match tokio::time::timeout(self.settings.store_timeout, read).await {
+            Ok(Ok(rows)) => {
+                if let Some(row) = rows.first() {
+                    peers.set_key(&row.value);
+                }
+            }
+            Ok(Err(fault)) => log::debug!(target: BELIEFS, fault:%; "fleet key not read"),
+            Err(_) => log::debug!(target: BELIEFS, "fleet key not read in time"),
+        }
+    }
+}
+
+fn new_key() -> String {
+    let mut bytes = [0; KEY_BYTES];
+    rand::rng().fill_bytes(&mut bytes);
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -139,6 +139,8 @@
         if let Some(hold) = &mut self.job.hold {
             hold.deliver(relayed * self.event_tokens);
         }
+        let context = &self.job.context;
+        context.view.count_bytes(context.clock.now(), bytes.len());
         Step::Hand(bytes.freeze())
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,7 @@
         budget,
         forward::AllowanceSettings,
         id::{HostId, Region, Zone},
+        limit::LinkSettings,
         route,
     },
     std::{
@@ -22,6 +23,8 @@
     /// Place in which only one process runs at a time, as the name and the address of the host: a
     /// new process there knows that the ones before it have ended.
     pub place: Arc<str>,
+    /// Relative size of the host; larger hosts hold more budgets in a large fleet.
+    pub weight: u32,
     /// Region of the host.
     pub region: Region,
     /// Availability zone of the host.
@@ -38,10 +41,14 @@
     pub escrow: budget::Settings,
     /// Routing policy.
     pub routing: route::Settings,
+    /// Load of the host's link at which it takes no new callers.
+    pub link: LinkSettings,
     /// Retries of the whole fleet.
     pub retries: AllowanceSettings,
     /// Time between the regular flushes of the holder.
     pub flush_interval: Duration,
+    /// Calls per second that the store takes from all hosts for writing.
+    pub store_writes: f64,
     /// Longest wait for tokens.
     pub reserve_timeout: Duration,
     /// Longest time to open a connection to an upstream.
@@ -59,9 +66,11 @@
     pub drain_limit: Duration,
 }
 
-/// Hosts up to which the intervals of store calls are as set; in a larger fleet they grow with it, so
-/// that all hosts together make about as many calls.
-const FLEET_HOSTS: usize = 24;
+/// Writing calls per second and host up to which the intervals of store calls are as set; in a larger
+/// fleet they grow with it, so that all hosts together make about as many calls.
+const HOST_WRITES: f64 = 25.0;
+/// Share of the store's writing calls that go to flushes outside their interval.
+const HURRIED_SHARE: f64 = 0.5;
 /// Bound on the growth of an interval: rows must stay younger than the hold time of their bounds, and
 /// a connection to the store that fell silent must be noticed within seconds.
 const INTERVAL_GROWTH: f64 = 3.0;
@@ -69,17 +78,26 @@
 impl Settings {
     /// Returns an interval of store calls in a fleet of `hosts`.
     pub(crate) fn paced(&self, interval: Duration, hosts: Option<usize>) -> Duration {
-        let growth = hosts.unwrap_or(1) as f64 / FLEET_HOSTS as f64;
+        let growth = hosts.unwrap_or(1) as f64 * HOST_WRITES / self.store_writes.max(1.0);
         interval.mul_f64(growth.clamp(1.0, INTERVAL_GROWTH))
     }
 }
 
+impl Settings {
+    /// Returns the shortest time between two flushes of a host.
+    pub(crate) fn flush_pause(&self, hosts: Option<usize>) -> Duration {
+        let writes = (self.store_writes * HURRIED_SHARE).max(1.0);
+        Duration::from_secs_f64(hosts.unwrap_or(1) as f64 / writes)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         Self {
             host: "host".into(),
             place: "host".into(),
+            weight: 1,
             region: "region".into(),
             zone: "zone".into(),
             listen: any,
@@ -88,8 +106,10 @@
             listen_metrics: None,
             escrow: escrow(),
             routing: routing(),
+            link: LinkSettings::default(),
             retries: AllowanceSettings::default(),
             flush_interval: Duration::from_millis(300),
+            store_writes: 600.0,
             reserve_timeout: Duration::from_millis(1_000),
             connect_timeout: Duration::from_millis(400),
             watch_wait: Duration::from_millis(700),
@@ -118,6 +138,8 @@
         bound: Some(budget::bound::Settings::default()),
         dry_pause: Duration::from_millis(500),
         patience: Duration::from_millis(800),
+        // Half of the 65,536 bytes of a row; the other half is for the shares.
+        bill_bytes: 32 << 10,
         review: Duration::from_secs(3),
         review_soon: Duration::from_millis(400),
         ..budget::Settings::default()
@@ -138,6 +160,4 @@
         pause_limit: Duration::from_secs(5),
         ..route::Settings::default()
     }
-        // Half of the 65,536 bytes of a row; the other half is for the shares.
-        bill_bytes: 32 << 10,
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -3,11 +3,15 @@
 use {
     marigoldroute_core::{
         forward::{Directory, Roster},
+        limit::{Link, LinkSettings},
         table::Verdict,
     },
-    std::sync::{
-        Arc, Mutex, MutexGuard, PoisonError, RwLock,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+    std::{
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError, RwLock,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
     },
     tokio::sync::watch,
 };
@@ -32,10 +36,11 @@
     hosts: AtomicUsize,
     is_listed: AtomicBool,
     is_draining: AtomicBool,
+    link: Mutex<Link>,
 }
 
 impl View {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(link: LinkSettings) -> Self {
         Self {
             directory: RwLock::new(None),
             changed: watch::Sender::new(0),
@@ -43,6 +48,7 @@
             hosts: AtomicUsize::new(0),
             is_listed: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
+            link: Mutex::new(Link::new(link)),
         }
     }
 
@@ -101,8 +107,21 @@
         self.is_draining.load(Ordering::Relaxed)
     }
 
-    /// Returns whether the process can serve requests.
-    pub(crate) fn is_ready(&self) -> bool {
-        !self.is_draining() && self.is_listed.load(Ordering::Relaxed) && self.directory().is_some()
+    /// Counts bytes of a request or an answer.
+    pub(crate) fn count_bytes(&self, now: Duration, bytes: usize) {
+        lock(&self.link).add(now, bytes);
+    }
+
+    /// Returns whether callers should go to other hosts.
+    pub(crate) fn is_busy(&self, now: Duration) -> bool {
+        lock(&self.link).is_busy(now)
+    }
+
+    /// Returns whether the process takes new callers.
+    pub(crate) fn is_ready(&self, now: Duration) -> bool {
+        !self.is_draining()
+            && !self.is_busy(now)
+            && self.is_listed.load(Ordering::Relaxed)
+            && self.directory().is_some()
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/hosts.rs
@@ -0,0 +1,80 @@
+//! Several hosts over one store: tokens that one has and another needs.
+
+mod world;
+
+use {
+    marigoldroute_core::budget::{self, Entry, Journal},
+    marigoldroute_gateway::Settings,
+    world::{World, snapshot, upstream::Script},
+};
+
+const EVENTS: Script = Script::Events { upto: 3, of: 3 };
+/// Tokens bought; about half is at each of two hosts.
+const TOTAL: u64 = 80_000;
+/// Most tokens of a request, and those that it uses: its prompt and three events of 10 tokens.
+const MOST: u64 = 4_000;
+const USED: u64 = 3_930;
+
+/// Settings without a bound on the use between rows, which would make the test wait.
+fn settings() -> Settings {
+    let settings = Settings::default();
+    Settings {
+        escrow: budget::Settings {
+            bound: None,
+            ..settings.escrow
+        },
+        ..settings
+    }
+}
+
+/// Sends a request and returns its status.
+async fn ask(world: &World, id: &str) -> u16 {
+    let request = world.plain_request("stream", id);
+    let request = request.header("x-tokens", "3900,100");
+    let response = request.send().await.expect("an answer");
+    let status = response.status().as_u16();
+    response.bytes().await.expect("a complete answer");
+    status
+}
+
+/// Returns the tokens below the marks of a host, by its last journal row.
+fn marked(world: &World, place: &str) -> u64 {
+    let rows = world.store.rows(&format!("journal/{place}."));
+    let row = rows.last().map(|row| serde_json::from_str(&row.value));
+    let Some(Ok(Journal { entry, .. })) = row else {
+        return 0;
+    };
+    match entry {
+        Entry::Flush { shares, .. } => shares.values().map(|share| share.mark).sum(),
+        _ => 0,
+    }
+}
+
+/// Guards against refusals while the store is away although another host has the tokens, against a
+/// second charge for what was reserved there, and against tokens that stay reserved.
+#[tokio::test]
+async fn a_host_without_tokens_reserves_at_another() {
+    let (mut world, _upstreams) = World::new(vec![EVENTS; 3]).await;
+    // The only host of the world leaves; its budget is the fleet's.
+    world.gateway.take().expect("it runs").stop().await;
+    world.store.configure(snapshot(2, TOTAL));
+    let mut first = world.beside("h1", settings()).await;
+    let mut second = world.beside("h2", settings()).await;
+    while marked(&world, "h1").min(marked(&world, "h2")) < MOST {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(ask(&second, "before").await, 200);
+    world.store.set_down(true);
+    let own = marked(&world, "h2");
+    let mut served = 1;
+    while ask(&second, &format!("r{served}")).await == 200 {
+        served += 1;
+        assert!(served * USED <= TOTAL, "more was used than bought");
+    }
+    assert!(served * USED > own, "{served} requests with {own} tokens");
+    world.store.set_down(false);
+    for host in [&mut second, &mut first] {
+        host.gateway.take().expect("it runs").stop().await;
+    }
+    assert_eq!(world.account().allocated, served * USED);
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -14,7 +14,11 @@
     },
     marigoldroute_gateway::{Handle, Settings, start},
     spelling::Plain,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::Duration,
+    },
     store::Memory,
     upstream::{Script, Upstream},
 };
@@ -147,6 +151,27 @@
         world
     }
 
+    /// Starts another host of the same fleet.
+    pub async fn beside(&self, place: &str, settings: Settings) -> Self {
+        let settings = Settings {
+            place: place.into(),
+            listen_peers: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
+            leave_time: self.settings.leave_time,
+            ..settings
+        };
+        let mut world = Self {
+            store: self.store.clone(),
+            gateway: None,
+            callers: settings.listen,
+            ready: settings.listen_ready,
+            client: self.client.clone(),
+            settings,
+        };
+        world.start();
+        world.until_ready().await;
+        world
+    }
+
     /// Starts a process in the place of the one before.
     pub fn start(&mut self) {
         let gateway = start(self.settings.clone(), self.store.clone(), Arc::new(Plain));
--- a/crates/router/src/charge.rs
+++ b/crates/router/src/charge.rs
@@ -370,6 +370,8 @@
                 Reply::default()
             }
             Body::Count(_) => return Some(Body::Counted(self.count())),
+            // Only the gateway tells of pending prompts.
+            Body::Pending(_) => return None,
             Body::Reply(_) | Body::Settled(_) | Body::Counted(_) => return None,
         };
         Some(Body::Reply(reply))
