Let waiting requests pass with the next row; rest longer on a busy link

Requests that waited together, and those in progress, did not count. A host of 10 Mbit/s took its callers back every four seconds and was overloaded by them again. Ruled out: conflicts over the budget row, after which bounds are renewed alone.

Change: the demand follows reservations; a row lets pass what waits, up to 1.6 s of demand. The time until a busy link takes callers again doubles.

--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -191,9 +191,9 @@
         }
         self.last_flush = now;
         for slot in self.slots.values_mut() {
-            let spent = slot.spent - slot.measured;
-            slot.demand.add(&self.settings, spent, elapsed);
-            slot.measured = slot.spent;
+            let taken = slot.taken.saturating_sub(slot.measured);
+            slot.demand.add(&self.settings, taken, elapsed);
+            slot.measured = slot.taken;
         }
         let settings = &self.settings;
         self.slots.retain(|_, slot| !slot.is_idle(now, settings));
--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -210,7 +210,7 @@
             return Err(Shortage::Refill);
         }
         if amount > slot.metered(now) {
-            slot.held_back = slot.held_back.max(amount);
+            slot.hold_back(amount);
             return Err(Shortage::Refill);
         }
         slot.reserve(amount);
@@ -296,6 +296,7 @@
         };
         if let Some(slot) = self.slots.get_mut(&reservation.budget) {
             slot.reserved -= reservation.amount;
+            slot.taken = slot.taken.saturating_sub(reservation.amount);
         }
         if reservation.is_announced {
             self.remember(&request);
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -11,6 +11,10 @@
     std::time::Duration,
 };
 
+/// Demand that a row may let pass at once because requests wait for it. In an outage many requests are
+/// held back that have been refused when the next row is made.
+const HELD_BACK_TIME: Duration = Duration::from_millis(1_600);
+
 /// A holder returns tokens above this multiple of its target.
 const SURPLUS: Tokens = 4;
 
@@ -34,9 +38,11 @@
     pub missed: Tokens,
     /// Tokens that a request which does with `least_shortage` would take, if there are as many.
     pub partial: Tokens,
-    /// Smoothed spend.
+    /// Smoothed reservations.
     pub demand: Demand,
-    /// `spent` when `demand` was last updated.
+    /// Tokens reserved so far, without those of requests that did not run.
+    pub taken: Tokens,
+    /// `taken` when `demand` was last updated.
     pub measured: Tokens,
     /// Tokens that the budget row had left when it was last read.
     pub rest: Tokens,
@@ -55,7 +61,8 @@
     pub meter: Option<Meter>,
     /// The same for the pending row, which may take effect at any time.
     pub next_meter: Option<Meter>,
-    /// Most tokens that a reservation was refused because of a bound since the last flush.
+    /// Tokens that reservations were refused because of a bound since the last row: those of all,
+    /// up to [`HELD_BACK_TIME`] of demand, and of the largest in any case.
     pub held_back: Tokens,
     /// When tokens were last asked for.
     pub used_at: Duration,
@@ -89,10 +96,18 @@
     /// Reserves tokens that are free.
     pub fn reserve(&mut self, tokens: Tokens) {
         self.reserved += tokens;
+        self.taken += tokens;
         let meters = self.meter.iter_mut().chain(&mut self.next_meter);
         meters.for_each(|meter| meter.take(tokens));
     }
 
+    /// Notes that a reservation is refused because of a bound.
+    pub fn hold_back(&mut self, tokens: Tokens) {
+        let sum = self.held_back.saturating_add(tokens);
+        let most = self.demand.during(HELD_BACK_TIME).max(tokens);
+        self.held_back = self.held_back.max(sum.min(most));
+    }
+
     /// Returns whether a new row should renew the bound.
     pub fn is_metered_low(&self, now: Duration) -> bool {
         self.held_back > 0 || self.meter.as_ref().is_some_and(|meter| meter.is_low(now))
--- a/crates/core/src/limit/link.rs
+++ b/crates/core/src/limit/link.rs
@@ -16,8 +16,13 @@
     pub high: f64,
     /// Share of the capacity below which a busy link may become calm.
     pub low: f64,
-    /// How long the load must be below `low`, because callers that were turned away come back.
+    /// How long the load must be below `low` at first. It doubles each time the link is busy again
+    /// within `memory`: the same callers come back to the host when it takes callers again.
     pub rest: Duration,
+    /// Most that it is doubled to.
+    pub rest_limit: Duration,
+    /// Time without load after which the rest is as at first.
+    pub memory: Duration,
     /// Time constant of the average.
     pub smoothing: Duration,
 }
@@ -29,6 +34,8 @@
             high: 0.6,
             low: 0.35,
             rest: Duration::from_secs(4),
+            rest_limit: Duration::from_secs(64),
+            memory: Duration::from_secs(120),
             smoothing: Duration::from_secs(1),
         }
     }
@@ -45,17 +52,23 @@
     is_busy: bool,
     /// Since when the load has been below the low share.
     low_since: Option<Duration>,
+    /// Present value of the time below the low share.
+    rest: Duration,
+    /// When the link was last calm again.
+    calm_at: Option<Duration>,
 }
 
 impl Link {
     /// Creates the link of a host without traffic.
     pub fn new(settings: Settings) -> Self {
         Self {
+            rest: settings.rest,
             settings,
             rate: 0.0,
             at: Duration::ZERO,
             is_busy: false,
             low_since: None,
+            calm_at: None,
         }
     }
 
@@ -71,14 +84,22 @@
         let Some(capacity) = self.settings.capacity else {
             return false;
         };
-        if self.rate >= capacity * self.settings.high {
+        if self.rate >= capacity * self.settings.high && !self.is_busy {
             self.is_busy = true;
+            let is_again = |calm: Duration| now.saturating_sub(calm) < self.settings.memory;
+            self.rest = match self.calm_at.is_some_and(is_again) {
+                true => (self.rest * 2).min(self.settings.rest_limit),
+                false => self.settings.rest,
+            };
         }
         if self.rate >= capacity * self.settings.low {
             self.low_since = None;
         } else {
             let since = *self.low_since.get_or_insert(now);
-            self.is_busy &= now.saturating_sub(since) < self.settings.rest;
+            if self.is_busy && now.saturating_sub(since) >= self.rest {
+                self.is_busy = false;
+                self.calm_at = Some(now);
+            }
         }
         self.is_busy
     }
--- a/crates/core/tests/link.rs
+++ b/crates/core/tests/link.rs
@@ -54,3 +54,16 @@
     let mut now = Duration::ZERO;
     assert!(!load(&mut unknown, &mut now, 3, 1e9));
 }
+
+/// Guards against a host that takes its callers back and is overloaded by them again and again: the
+/// balancer gives the same callers to the same host.
+#[test]
+fn a_link_that_is_busy_again_rests_for_longer() {
+    let mut link = link(1_250_000.0);
+    let mut now = Duration::ZERO;
+    for rest in [4, 8, 16] {
+        assert!(load(&mut link, &mut now, 3, 1_000_000.0));
+        assert!(load(&mut link, &mut now, rest, 0.0), "busy for {rest} s");
+        assert!(!load(&mut link, &mut now, 2, 0.0), "calm after {rest} s");
+    }
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -6,6 +6,7 @@
         limit::{Link, LinkSettings},
         table::Verdict,
     },
+    marigoldroute_process::logs::BELIEFS,
     std::{
         sync::{
             Arc, Mutex, MutexGuard, PoisonError, RwLock,
@@ -37,6 +38,8 @@
     is_listed: AtomicBool,
     is_draining: AtomicBool,
     link: Mutex<Link>,
+    /// What the log was told.
+    was_busy: AtomicBool,
 }
 
 impl View {
@@ -49,6 +52,7 @@
             is_listed: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
             link: Mutex::new(Link::new(link)),
+            was_busy: AtomicBool::new(false),
         }
     }
 
@@ -114,7 +118,11 @@
 
     /// Returns whether callers should go to other hosts.
     pub(crate) fn is_busy(&self, now: Duration) -> bool {
-        lock(&self.link).is_busy(now)
+        let is_busy = lock(&self.link).is_busy(now);
+        if self.was_busy.swap(is_busy, Ordering::Relaxed) != is_busy {
+            log::info!(target: BELIEFS, is_busy; "load of the link");
+        }
+        is_busy
     }
 
     /// Returns whether the process takes new callers.
