--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -21,6 +21,9 @@
 const BATCH_PAUSE: Duration = Duration::from_millis(150);
 /// Time after which the whole list is read again even without a fault.
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(10);
+/// Longest transfer of an answer, beside the time that the store may wait for a change. Stores give up
+/// answers that make no progress earlier.
+const TRANSFER_LIMIT: Duration = Duration::from_secs(6);
 /// How often entries that are missing after an outage are reviewed.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -55,7 +58,8 @@
                 }
                 Err(fault) => {
                     link.lose(fault);
-                    position = None;
+                    // A large configuration is only read as a whole when its changes are not known.
+                    position = position.filter(|_| fault != Fault::Discarded);
                     tokio::time::sleep(FAULT_PAUSE).await;
                 }
             }
@@ -189,8 +193,7 @@
         wait: Duration,
         call: impl Future<Output = Result<T, Fault>>,
     ) -> Result<T, Fault> {
-        let limit = wait + self.settings.store_timeout - self.settings.watch_wait;
-        let result = tokio::time::timeout(limit.max(Duration::from_millis(400)), call).await;
+        let result = tokio::time::timeout(wait + TRANSFER_LIMIT, call).await;
         let result = result.unwrap_or(Err(Fault::Unanswered));
         let label = if result.is_ok() { "ok" } else { "fault" };
         self.metrics.store_calls.with_label_values(&[label]).inc();
--- a/crates/gateway/tests/upstreams.rs
+++ b/crates/gateway/tests/upstreams.rs
@@ -4,7 +4,8 @@
 
 use {
     marigoldroute_core::forward::State,
-    world::{World, entry, upstream::Script},
+    std::time::Duration,
+    world::{World, entry, snapshot, upstream::Script},
 };
 
 /// Guards against new work for an upstream that drains or has left the list.
@@ -51,3 +52,12 @@
         assert_eq!(response.status(), 200);
     }
 }
+
+/// Guards against a host that never gets a configuration whose transfer takes longer than an answer
+/// usually does.
+#[tokio::test]
+async fn large_configurations_are_read() {
+    let transfer = Duration::from_secs(1);
+    let world = World::configured_within(Some(snapshot(1, 1_000)), transfer).await;
+    world.until_ready().await;
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -128,7 +128,13 @@
 
     /// Starts a gateway with a configuration, or without one.
     pub async fn configured(snapshot: Option<Snapshot>) -> Self {
+        Self::configured_within(snapshot, Duration::ZERO).await
+    }
+
+    /// The same, with a store that takes this time to hand over a whole configuration.
+    pub async fn configured_within(snapshot: Option<Snapshot>, transfer: Duration) -> Self {
         let store = Arc::new(Memory::default());
+        store.set_transfer(transfer);
         if let Some(snapshot) = snapshot {
             store.configure(snapshot);
         }
--- a/crates/gateway/tests/world/store.rs
+++ b/crates/gateway/tests/world/store.rs
@@ -26,6 +26,8 @@
     configured: Position,
     position: Position,
     is_down: bool,
+    /// How long the whole configuration takes on its way.
+    transfer: Duration,
 }
 
 pub struct Memory {
@@ -94,6 +96,10 @@
         self.lock().is_down = is_down;
     }
 
+    pub fn set_transfer(&self, time: Duration) {
+        self.lock().transfer = time;
+    }
+
     pub fn row(&self, key: &str) -> Option<Row> {
         self.lock().table.get(key).cloned()
     }
@@ -134,6 +140,8 @@
 
     fn configuration(&self) -> BoxFuture<'_, Result<Read<Option<Snapshot>>, Fault>> {
         Box::pin(async move {
+            let transfer = self.lock().transfer;
+            tokio::time::sleep(transfer).await;
             let inner = self.open()?;
             Ok(Read {
                 content: inner.snapshot.clone(),
