Count waiting requests as demand; count hosts by their places

After the final fault every host counted 150 hosts, the rows of the ended processes with their own, for nine seconds, and thousands of refusals said that the refill takes too long: the demand was not known and then followed only what the bounds had let pass. Ruled out: succession, which ended within seconds.

Change: reservations that wait count as demand; a quarter of the tokens below the mark may pass with a row while the demand is not known; the row of a process that was followed in its place does not count as a host.

--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -191,7 +191,8 @@
         }
         self.last_flush = now;
         for slot in self.slots.values_mut() {
-            let taken = slot.taken.saturating_sub(slot.measured);
+            // Those that wait are part of the demand, or it would only follow what the bounds allow.
+            let taken = slot.taken.saturating_sub(slot.measured) + slot.waiting;
             slot.demand.add(&self.settings, taken, elapsed);
             slot.measured = slot.taken;
         }
@@ -244,6 +245,7 @@
                 continue;
             };
             let lacked = std::mem::take(&mut slot.held_back);
+            slot.waiting = 0;
             let lead = share.mark.saturating_sub(slot.used()) as f64;
             let even = (lead / self.settings.endurance.as_secs_f64().max(1.0)) as Tokens;
             let bound = settings.bound(at_ms, slot.used(), &slot.demand, lacked, even);
--- a/crates/core/src/budget/grant.rs
+++ b/crates/core/src/budget/grant.rs
@@ -257,6 +257,11 @@
         1.0 - (-seconds / constant).exp()
     }
 
+    /// Returns whether tokens were used for long enough to be measured.
+    pub fn is_known(&self) -> bool {
+        !self.seen.is_zero()
+    }
+
     /// Returns the tokens to expect during `time`: it follows a rise quickly and a fall slowly.
     pub fn during(&self, time: Duration) -> Tokens {
         (self.rise.max(self.lull) * time.as_secs_f64()) as Tokens
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -14,6 +14,9 @@
 /// Demand that a row may let pass at once because requests wait for it. In an outage many requests are
 /// held back that have been refused when the next row is made.
 const HELD_BACK_TIME: Duration = Duration::from_millis(1_600);
+/// Part of the tokens below the mark that a row may let pass instead while the demand is not known, as
+/// after the start of a fleet.
+const UNKNOWN_PART: Tokens = 4;
 
 /// A holder returns tokens above this multiple of its target.
 const SURPLUS: Tokens = 4;
@@ -64,6 +67,8 @@
     /// Tokens that reservations were refused because of a bound since the last row: those of all,
     /// up to [`HELD_BACK_TIME`] of demand, and of the largest in any case.
     pub held_back: Tokens,
+    /// Tokens of all reservations that were refused because of a bound since the last row.
+    pub waiting: Tokens,
     /// When tokens were last asked for.
     pub used_at: Duration,
 }
@@ -104,7 +109,12 @@
     /// Notes that a reservation is refused because of a bound.
     pub fn hold_back(&mut self, tokens: Tokens) {
         let sum = self.held_back.saturating_add(tokens);
-        let most = self.demand.during(HELD_BACK_TIME).max(tokens);
+        let most = match self.demand.is_known() {
+            true => self.demand.during(HELD_BACK_TIME),
+            false => self.free() / UNKNOWN_PART,
+        };
+        let most = most.max(tokens);
+        self.waiting = self.waiting.saturating_add(tokens);
         self.held_back = self.held_back.max(sum.min(most));
     }
 
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -123,8 +123,7 @@
             .iter()
             .filter(|row| census.is_live(now, &row.key))
             .collect();
-        self.place(&live);
-        let live = live.len();
+        let live = self.place(&live);
         if self.view.hosts() != Some(live.max(1)) {
             log::info!(target: BELIEFS, hosts = live; "fleet counted");
             self.view.set_hosts(live);
@@ -141,8 +140,9 @@
         }
     }
 
-    /// Takes the live hosts as holders of budgets and as receivers of messages.
-    fn place(&self, rows: &[&Row]) {
+    /// Takes the live hosts as holders of budgets and as receivers of messages, and returns their
+    /// number. The row of a process that was followed by another one in its place does not count.
+    fn place(&self, rows: &[&Row]) -> usize {
         let mut members: HashMap<HostId, (Version, HolderId, Member)> = HashMap::new();
         for row in rows {
             let process = row.key.strip_prefix(PREFIX);
@@ -157,6 +157,7 @@
                 members.insert(place, (row.version, process.into(), member));
             }
         }
+        let live = members.len();
         let zoned = members.values().map(|(_, _, member)| Zoned {
             weighted: Weighted {
                 host: member.place.clone(),
@@ -181,6 +182,7 @@
             });
             peers.set_contacts(contacts.collect());
         }
+        live
     }
 
     /// Reads the key that authenticates messages between hosts, or makes it.
