Count reservations by where they are made

Cause: the metrics did not show how many requests depend on other hosts.

Change: counter marigoldroute_gateway_reservations_total.

Result: tests of gateway and platform pass; no measured effect is expected.

--- a/crates/gateway/src/escrow/charger.rs
+++ b/crates/gateway/src/escrow/charger.rs
@@ -4,6 +4,7 @@
     super::{Books, Escrow, Hold, Purpose, Refusal},
     crate::{
         Clock,
+        metrics::Metrics,
         peers::{Called, Peers},
         view::lock,
     },
@@ -40,6 +41,7 @@
     escrow: Arc<Escrow>,
     /// Absent when this host talks to no others.
     peers: Option<Arc<Peers>>,
+    metrics: Arc<Metrics>,
     places: watch::Sender<Places>,
     /// Hosts that did not answer, until when they are avoided.
     avoided: Mutex<HashMap<HostId, Duration>>,
@@ -65,6 +67,7 @@
         own: HostId,
         escrow: Arc<Escrow>,
         peers: Option<Arc<Peers>>,
+        metrics: Arc<Metrics>,
         tasks: TaskTracker,
     ) -> Self {
         let places = Places::new(own.clone(), "".into(), Vec::new());
@@ -73,6 +76,7 @@
             own,
             escrow,
             peers,
+            metrics,
             places: watch::Sender::new(places),
             avoided: Mutex::default(),
             dry: Mutex::default(),
@@ -126,6 +130,7 @@
             self.release(host, &purpose.request);
         }
         let refusal = refusals.refusal();
+        self.count("none");
         log::info!(
             target: TOKENS,
             request:% = purpose.request, budget:% = purpose.workspace, refusal:%,
@@ -166,6 +171,9 @@
         } else {
             self.reserve_other(host, purpose, limit).await
         };
+        if reserved.is_ok() {
+            self.count(if *host == self.own { "own" } else { "other" });
+        }
         if matches!(reserved, Err(Refusal::Exhausted)) {
             let key = (host.clone(), purpose.workspace.clone());
             lock(&self.dry).insert(key, self.clock.now() + DRY_TIME);
@@ -223,6 +231,11 @@
         Err(refusal)
     }
 
+    fn count(&self, place: &str) {
+        let reservations = &self.metrics.reservations;
+        reservations.with_label_values(&[place]).inc();
+    }
+
     /// Releases what hosts may still reserve that were late.
     fn withdraw(self: &Arc<Self>, refusals: &Refusals, request: &RequestId) {
         for host in &refusals.late {
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -92,7 +92,14 @@
         None => None,
     };
     let own = settings.place.clone();
-    let charger = Charger::new(clock, own, escrow.clone(), peers.clone(), tasks.clone());
+    let charger = Charger::new(
+        clock,
+        own,
+        escrow.clone(),
+        peers.clone(),
+        metrics.clone(),
+        tasks.clone(),
+    );
     let charger = Arc::new(charger);
     let context = Arc::new(Context {
         clock,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,8 @@
     pub(crate) attempts: IntCounterVec,
     /// Calls to the store, by result.
     pub(crate) store_calls: IntCounterVec,
+    /// Reservations of tokens, by where they were made.
+    pub(crate) reservations: IntCounterVec,
     /// Connections opened to upstreams.
     pub(crate) connections: IntCounterVec,
     /// Time from a request's arrival to the first byte of its answer.
@@ -64,6 +66,11 @@
                 "Calls to the store, by result",
                 "result",
             )?,
+            reservations: counter(
+                "marigoldroute_gateway_reservations_total",
+                "Reservations of tokens, by where they were made",
+                "place",
+            )?,
             connections: counter(
                 "marigoldroute_gateway_connections_total",
                 "Connections to upstreams, by event",
