Release what other hosts may have reserved for a caller who has left

Cause: found on reading. A caller who left while another host was asked for tokens left a reservation there; the host billed it as a whole after 40 s.

Change: the hosts that may have reserved are released when the request is dropped, whatever the reason; late hosts are asked again in their first order.

Result: the new test does not end without the release and passes with it.

--- a/crates/gateway/src/escrow.rs
+++ b/crates/gateway/src/escrow.rs
@@ -47,6 +47,9 @@
     /// The refill was on its way when the time was over.
     #[display("the refill takes too long")]
     Late,
+    /// The host that was asked did not answer.
+    #[display("the holder does not answer")]
+    Silent,
 }
 
 impl Refusal {
--- a/crates/gateway/src/escrow/charger.rs
+++ b/crates/gateway/src/escrow/charger.rs
@@ -50,10 +50,18 @@
     tasks: TaskTracker,
 }
 
+/// Hosts that may reserve tokens for a request which does not use them. They are released when it is
+/// dropped, also because the caller has left.
+struct Open {
+    charger: Arc<Charger>,
+    request: RequestId,
+    hosts: Vec<HostId>,
+}
+
 /// What hosts have said to one request.
 #[derive(Default)]
 struct Refusals {
-    /// Hosts whose refill was on its way.
+    /// Hosts whose refill was on its way, in the order in which they were asked.
     late: Vec<HostId>,
     exhausted: usize,
     /// When tokens are expected to be within reach, by the host that is soonest.
@@ -105,29 +113,34 @@
         deadline: Duration,
     ) -> Result<Hold, Refusal> {
         let mut refusals = Refusals::default();
+        let mut open = Open {
+            charger: self.clone(),
+            request: purpose.request.clone(),
+            hosts: Vec::new(),
+        };
         let mut limit = deadline.min(self.clock.now() + FIRST_WAIT);
         for host in self.order(&purpose.workspace) {
+            open.hosts.push(host.clone());
             match self.reserve_at(&host, &purpose, limit).await {
                 Ok(hold) => {
-                    self.withdraw(&refusals, &purpose.request);
+                    open.settle(&host);
                     return Ok(hold);
                 }
-                Err(refusal) => refusals.add(host, refusal),
+                Err(refusal) => refusals.add(refusal, &host, &mut open),
             }
             limit = self.clock.now();
         }
-        while let Some(host) = refusals.late.pop() {
-            if self.clock.now() < deadline {
-                match self.reserve_at(&host, &purpose, deadline).await {
-                    Ok(hold) => {
-                        self.withdraw(&refusals, &purpose.request);
-                        return Ok(hold);
-                    }
-                    Err(Refusal::Exhausted) => refusals.exhausted += 1,
-                    Err(_) => refusals.unreachable += 1,
+        for host in std::mem::take(&mut refusals.late) {
+            if self.clock.now() >= deadline {
+                break;
+            }
+            match self.reserve_at(&host, &purpose, deadline).await {
+                Ok(hold) => {
+                    open.settle(&host);
+                    return Ok(hold);
                 }
+                Err(refusal) => refusals.add(refusal, &host, &mut open),
             }
-            self.release(host, &purpose.request);
         }
         let refusal = refusals.refusal();
         self.count("none");
@@ -224,8 +237,7 @@
                 if lock(&self.avoided).insert(host.clone(), until).is_none() {
                     log::warn!(target: TOKENS, holder:% = host; "holder does not answer");
                 }
-                self.release(host.clone(), &purpose.request);
-                Refusal::unreachable()
+                Refusal::Silent
             }
         };
         Err(refusal)
@@ -236,13 +248,6 @@
         reservations.with_label_values(&[place]).inc();
     }
 
-    /// Releases what hosts may still reserve that were late.
-    fn withdraw(self: &Arc<Self>, refusals: &Refusals, request: &RequestId) {
-        for host in &refusals.late {
-            self.release(host.clone(), request);
-        }
-    }
-
     fn release(self: &Arc<Self>, host: HostId, request: &RequestId) {
         let request = request.to_string();
         self.deliver(host, Body::Release(Release { request }));
@@ -276,22 +281,45 @@
     }
 }
 
+impl Open {
+    /// Notes that a host reserves nothing, or that its reservation is in use.
+    fn settle(&mut self, host: &HostId) {
+        self.hosts.retain(|open| open != host);
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        for host in self.hosts.drain(..) {
+            self.charger.release(host, &self.request);
+        }
+    }
+}
+
 impl Refusals {
-    fn add(&mut self, host: HostId, refusal: Refusal) {
+    fn add(&mut self, refusal: Refusal, host: &HostId, open: &mut Open) {
         match refusal {
             Refusal::Exhausted => self.exhausted += 1,
-            Refusal::Late => self.late.push(host),
+            Refusal::Late => {
+                self.late.push(host.clone());
+                return;
+            }
+            Refusal::Silent => {
+                self.unreachable += 1;
+                return;
+            }
             Refusal::Unreachable { after } => {
                 self.unreachable += 1;
                 self.after = Some(self.after.map_or(after, |soonest| soonest.min(after)));
             }
         }
+        open.settle(host);
     }
 
     /// Returns the answer to the caller: a budget is exhausted when a holder says so and none may
     /// still have tokens.
     fn refusal(&self) -> Refusal {
-        if self.unreachable == 0 && self.exhausted > 0 {
+        if self.unreachable == 0 && self.late.is_empty() && self.exhausted > 0 {
             return Refusal::Exhausted;
         }
         self.after
--- a/crates/gateway/src/escrow/responder.rs
+++ b/crates/gateway/src/escrow/responder.rs
@@ -131,7 +131,9 @@
                 lock(&self.desk).refuse(&request);
                 match refusal {
                     Refusal::Exhausted => wire::Refusal::Exhausted,
-                    Refusal::Unreachable { .. } | Refusal::Late => wire::Refusal::Unavailable,
+                    Refusal::Unreachable { .. } | Refusal::Late | Refusal::Silent => {
+                        wire::Refusal::Unavailable
+                    }
                 }
             }
         };
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -168,7 +168,9 @@
         self.hold = Some(reserved.map_err(|refusal| match refusal {
             Refusal::Exhausted => Reason::Exhausted,
             Refusal::Unreachable { after } => Reason::Unreachable(after),
-            Refusal::Late => Reason::Unreachable(self.context.settings.reserve_timeout),
+            Refusal::Late | Refusal::Silent => {
+                Reason::Unreachable(self.context.settings.reserve_timeout)
+            }
         })?);
         Ok(())
     }
--- a/crates/gateway/tests/hosts.rs
+++ b/crates/gateway/tests/hosts.rs
@@ -3,8 +3,15 @@
 mod world;
 
 use {
-    marigoldroute_core::budget::{self, Entry, Journal},
-    marigoldroute_gateway::Settings,
+    bytes::BytesMut,
+    marigoldroute_core::{
+        budget::{self, Entry, Journal},
+        table::Transaction,
+        wire::{Body, Codec, Keys},
+    },
+    marigoldroute_gateway::{Settings, Store},
+    tokio::net::UdpSocket,
+    tokio_util::codec::Decoder,
     world::{World, snapshot, upstream::Script},
 };
 
@@ -78,3 +85,54 @@
     }
     assert_eq!(world.account().allocated, served * USED);
 }
+
+/// Waits until a host sends a message that `is_wanted`.
+async fn hear(world: &World, socket: &UdpSocket, is_wanted: impl Fn(&Body) -> bool) {
+    let key = world.store.row("fleet/key").expect("the key of the fleet");
+    let keys = Keys::new(vec![key.value.as_bytes().into()]);
+    let mut buffer = [0; 2_048];
+    loop {
+        let length = socket.recv(&mut buffer).await.expect("a datagram");
+        let mut bytes = BytesMut::from(&buffer[..length]);
+        let frame = Codec::new(keys.clone()).decode(&mut bytes);
+        let body = frame.expect("it is authentic").and_then(|frame| frame.body);
+        if body.is_some_and(|body| is_wanted(&body)) {
+            return;
+        }
+    }
+}
+
+/// Guards against tokens that stay reserved at another host, and are billed as a whole, for a caller
+/// who has left while that host was asked.
+#[tokio::test]
+async fn a_caller_who_leaves_releases_what_was_asked_for() {
+    let (mut world, _upstreams) = World::new(vec![EVENTS]).await;
+    world.gateway.take().expect("it runs").stop().await;
+    // A host that never answers.
+    let silent = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    let address = silent.local_addr().expect("an address");
+    let row = format!(r#"{{"place":"silent","zone":"zone","weight":1,"peers":"{address}"}}"#);
+    let mut transaction = Transaction::default();
+    transaction.put("host/silent.1", row);
+    world.store.commit(transaction).await.expect("it is up");
+    let host = world.beside("h1", settings()).await;
+    assert_eq!(ask(&host, "before").await, 200);
+    world.store.set_down(true);
+    let request = host.plain_request("stream", "large");
+    let request = request.header("x-tokens", "900000,100");
+    let call = tokio::spawn(request.send());
+    let is_large = |request: &str| request == "large";
+    hear(
+        &world,
+        &silent,
+        |body| matches!(body, Body::Reserve(reserve) if is_large(&reserve.request)),
+    )
+    .await;
+    call.abort();
+    hear(
+        &world,
+        &silent,
+        |body| matches!(body, Body::Release(release) if is_large(&release.request)),
+    )
+    .await;
+}
