Rename the reservations for other hosts and the cooldown of links

Cause: read as a newcomer, names that are not terms of the field.

Result: the tests of core's budgets, links and census, of the gateway and of the platform pass.

--- a/crates/core/src/budget/mod.rs
+++ b/crates/core/src/budget/mod.rs
@@ -7,13 +7,13 @@
 pub mod account;
 pub mod bound;
 mod change;
-pub mod desk;
 mod flush;
 mod grant;
 mod holder;
 pub mod journal;
 mod places;
 pub mod reclaim;
+pub mod remote;
 mod slot;
 
 #[cfg(test)]
@@ -23,7 +23,6 @@
     account::{Account, Want},
     bound::Bound,
     change::{Change, Proposal, Receipt, Request, Statement},
-    desk::{Asked, Desk},
     grant::{Demand, Preset, Settings},
     holder::{Holder, Phase, Record, Shortage, Usage, View},
     journal::{Entry, Journal, Reason, Share, Shares},
--- a/crates/core/src/budget/desk.rs
+++ b/crates/core/src/budget/remote.rs
@@ -38,12 +38,12 @@
 
 /// Reservations for other hosts; `T` is a reservation.
 #[derive(Debug)]
-pub struct Desk<T> {
+pub struct Reservations<T> {
     /// With the time of the last change.
     entries: HashMap<RequestId, (State<T>, Duration)>,
 }
 
-impl<T> Default for Desk<T> {
+impl<T> Default for Reservations<T> {
     fn default() -> Self {
         Self {
             entries: HashMap::new(),
@@ -51,7 +51,7 @@
     }
 }
 
-impl<T> Desk<T> {
+impl<T> Reservations<T> {
     /// Takes the question for a reservation.
     pub fn ask(&mut self, now: Duration, request: &RequestId) -> Asked {
         match self.entries.get(request) {
--- a/crates/core/src/budget/tests/mod.rs
+++ b/crates/core/src/budget/tests/mod.rs
@@ -9,10 +9,10 @@
     std::time::Duration,
 };
 
-mod desk;
 mod fuzz;
 mod life;
 mod places;
+mod remote;
 mod stated;
 mod succession;
 mod view;
--- a/crates/core/src/limit/link.rs
+++ b/crates/core/src/limit/link.rs
@@ -11,17 +11,17 @@
 pub struct Settings {
     /// Bytes per second that the link carries in each direction; `None` when it is not known.
     pub capacity: Option<f64>,
-    /// Share of the capacity from which the link is busy. The rest is for headers, for messages
+    /// Share of the capacity from which the link is busy. What is left is for headers, for messages
     /// between hosts and for the variation within a second.
     pub high: f64,
     /// Share of the capacity below which a busy link may become calm.
     pub low: f64,
     /// How long the load must be below `low` at first. It doubles each time the link is busy again
     /// within `memory`: the same callers come back to the host when it takes callers again.
-    pub rest: Duration,
+    pub cooldown: Duration,
     /// Most that it is doubled to.
-    pub rest_limit: Duration,
-    /// Time without load after which the rest is as at first.
+    pub cooldown_limit: Duration,
+    /// Time without load after which the cooldown is as at first.
     pub memory: Duration,
     /// Time constant of the average.
     pub smoothing: Duration,
@@ -33,8 +33,8 @@
             capacity: None,
             high: 0.6,
             low: 0.35,
-            rest: Duration::from_secs(4),
-            rest_limit: Duration::from_secs(64),
+            cooldown: Duration::from_secs(4),
+            cooldown_limit: Duration::from_secs(64),
             memory: Duration::from_secs(120),
             smoothing: Duration::from_secs(1),
         }
@@ -52,8 +52,8 @@
     is_busy: bool,
     /// Since when the load has been below the low share.
     low_since: Option<Duration>,
-    /// Present value of the time below the low share.
-    rest: Duration,
+    /// Present time below the low share until the link is calm.
+    cooldown: Duration,
     /// When the link was last calm again.
     calm_at: Option<Duration>,
 }
@@ -62,7 +62,7 @@
     /// Creates the link of a host without traffic.
     pub fn new(settings: Settings) -> Self {
         Self {
-            rest: settings.rest,
+            cooldown: settings.cooldown,
             settings,
             rate: 0.0,
             at: Duration::ZERO,
@@ -87,16 +87,16 @@
         if self.rate >= capacity * self.settings.high && !self.is_busy {
             self.is_busy = true;
             let is_again = |calm: Duration| now.saturating_sub(calm) < self.settings.memory;
-            self.rest = match self.calm_at.is_some_and(is_again) {
-                true => (self.rest * 2).min(self.settings.rest_limit),
-                false => self.settings.rest,
+            self.cooldown = match self.calm_at.is_some_and(is_again) {
+                true => (self.cooldown * 2).min(self.settings.cooldown_limit),
+                false => self.settings.cooldown,
             };
         }
         if self.rate >= capacity * self.settings.low {
             self.low_since = None;
         } else {
             let since = *self.low_since.get_or_insert(now);
-            if self.is_busy && now.saturating_sub(since) >= self.rest {
+            if self.is_busy && now.saturating_sub(since) >= self.cooldown {
                 self.is_busy = false;
                 self.calm_at = Some(now);
             }
--- a/crates/gateway/src/escrow/charger.rs
+++ b/crates/gateway/src/escrow/charger.rs
@@ -165,12 +165,12 @@
         let mut dry = lock(&self.dry);
         dry.retain(|_, until| *until > now);
         let is_dry = |host: &HostId| dry.contains_key(&(host.clone(), budget.clone()));
-        let mut wet: Vec<_> = order.iter().filter(|host| !is_dry(host)).cloned().collect();
+        let mut asked: Vec<_> = order.iter().filter(|host| !is_dry(host)).cloned().collect();
         // A refusal needs the word of one host.
-        if wet.is_empty() {
-            wet.extend(order.into_iter().next());
+        if asked.is_empty() {
+            asked.extend(order.into_iter().next());
         }
-        wet
+        asked
     }
 
     async fn reserve_at(
--- a/crates/gateway/src/escrow/responder.rs
+++ b/crates/gateway/src/escrow/responder.rs
@@ -4,7 +4,7 @@
     super::{Escrow, Hold, Purpose, Refusal},
     crate::{Clock, interface::Usage, view::lock},
     marigoldroute_core::{
-        budget::{Asked, Desk},
+        budget::remote::{Asked, Reservations},
         wire::{self, Billing, Body, Reply, Reserve, Settle, Settled},
     },
     marigoldroute_process::logs::TOKENS,
@@ -26,7 +26,7 @@
 pub(crate) struct Responder {
     clock: Clock,
     escrow: Arc<Escrow>,
-    desk: Mutex<Desk<Hold>>,
+    reservations: Mutex<Reservations<Hold>>,
     tasks: TaskTracker,
 }
 
@@ -35,7 +35,7 @@
         Self {
             clock,
             escrow,
-            desk: Mutex::default(),
+            reservations: Mutex::default(),
             tasks,
         }
     }
@@ -48,10 +48,10 @@
                 () = stop.cancelled() => break,
                 () = tokio::time::sleep(EXPIRE_INTERVAL) => {}
             }
-            let expired = lock(&self.desk).expire(self.clock.now());
+            let expired = lock(&self.reservations).expire(self.clock.now());
             expired.into_iter().for_each(bill_whole);
         }
-        let open = lock(&self.desk).close(self.clock.now());
+        let open = lock(&self.reservations).close(self.clock.now());
         open.into_iter().for_each(bill_whole);
     }
 
@@ -81,7 +81,7 @@
         F: Future<Output = ()> + Send,
     {
         let request = reserve.request.as_str().into();
-        let known = lock(&self.desk).ask(self.clock.now(), &request);
+        let known = lock(&self.reservations).ask(self.clock.now(), &request);
         let tasks = self.tasks.clone();
         tasks.spawn(async move {
             match known {
@@ -120,7 +120,7 @@
         };
         let refusal = match reserved {
             Ok(hold) => {
-                let held = lock(&self.desk).hold(self.clock.now(), &request, hold);
+                let held = lock(&self.reservations).hold(self.clock.now(), &request, hold);
                 match held {
                     Ok(()) => wire::Refusal::None,
                     // The sender has given up meanwhile; dropping the reservation releases it.
@@ -128,7 +128,7 @@
                 }
             }
             Err(refusal) => {
-                lock(&self.desk).refuse(&request);
+                lock(&self.reservations).refuse(&request);
                 match refusal {
                     Refusal::Exhausted => wire::Refusal::Exhausted,
                     Refusal::Unreachable { .. } | Refusal::Late | Refusal::Silent => {
@@ -160,7 +160,7 @@
     }
 
     fn end(&self, request: &str) -> Option<Hold> {
-        lock(&self.desk).end(self.clock.now(), &request.into())
+        lock(&self.reservations).end(self.clock.now(), &request.into())
     }
 }
 
