Leave other hosts their last tokens of an exhausted budget

When a holder reports a budget as exhausted, its row has nothing left and the other holders keep what their own callers need. Ruled out: takeovers, which are complete, and the size of bursts.

Change: a budget that a holder reports as exhausted is not asked for elsewhere.

The new test does not end without the change.

--- a/crates/gateway/src/escrow/charger.rs
+++ b/crates/gateway/src/escrow/charger.rs
@@ -128,6 +128,10 @@
                 }
                 Err(refusal) => refusals.add(refusal, &host, &mut open),
             }
+            // The row has nothing left, and what other holders keep is for their own callers.
+            if refusals.exhausted > 0 {
+                break;
+            }
             limit = self.clock.now();
         }
         for host in std::mem::take(&mut refusals.late) {
--- a/crates/gateway/tests/hosts.rs
+++ b/crates/gateway/tests/hosts.rs
@@ -102,19 +102,39 @@
     }
 }
 
-/// Guards against tokens that stay reserved at another host, and are billed as a whole, for a caller
-/// who has left while that host was asked.
-#[tokio::test]
-async fn a_caller_who_leaves_releases_what_was_asked_for() {
-    let (mut world, _upstreams) = World::new(vec![EVENTS]).await;
-    world.gateway.take().expect("it runs").stop().await;
-    // A host that never answers.
+/// Adds a host to the fleet that never answers.
+async fn silent_host(world: &World) -> UdpSocket {
     let silent = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
     let address = silent.local_addr().expect("an address");
     let row = format!(r#"{{"place":"silent","zone":"zone","weight":1,"peers":"{address}"}}"#);
     let mut transaction = Transaction::default();
     transaction.put("host/silent.1", row);
     world.store.commit(transaction).await.expect("it is up");
+    silent
+}
+
+/// Guards against using up what other hosts keep for their own callers when a budget has nothing left
+/// in its row: after the loss of a fleet, every host was without tokens at once.
+#[tokio::test]
+async fn other_hosts_are_not_asked_for_an_exhausted_budget() {
+    let (mut world, _upstreams) = World::new(vec![EVENTS]).await;
+    world.gateway.take().expect("it runs").stop().await;
+    world.store.configure(snapshot(2, 100));
+    let _silent = silent_host(&world).await;
+    let host = world.beside("h1", settings()).await;
+    let mut id = 0;
+    while ask(&host, &format!("r{id}")).await != 402 {
+        id += 1;
+    }
+}
+
+/// Guards against tokens that stay reserved at another host, and are billed as a whole, for a caller
+/// who has left while that host was asked.
+#[tokio::test]
+async fn a_caller_who_leaves_releases_what_was_asked_for() {
+    let (mut world, _upstreams) = World::new(vec![EVENTS]).await;
+    world.gateway.take().expect("it runs").stop().await;
+    let silent = silent_host(&world).await;
     let host = world.beside("h1", settings()).await;
     assert_eq!(ask(&host, "before").await, 200);
     world.store.set_down(true);
