Let requests wait for the row that states their tokens

Cause: a successor charged a burst of 0.8 s of demand per holder, and the demand counted a request once when it waited and once when it was reserved. Ruled out: the rate after the hold time, because the ages of the last rows were 0.5 to 1.6 s.

Change: while the store answers, a reservation waits for the row that holds it, and one row takes all that wait. Without rows, a part of the demand is served from 0.9 s after the last one and a multiple of it from 2.2 s. Holders at rest renew their rows. A stopping host relies on rows and takes no more reservations of others.

--- a/crates/core/src/budget/bound.rs
+++ b/crates/core/src/budget/bound.rs
@@ -2,8 +2,10 @@
 //!
 //! A mark that outlasts an outage of the store is far above what a holder uses while the store
 //! answers. When the process of a holder has ended, the tokens up to the mark would be lost. So a
-//! row also states how fast the holder uses tokens at most, and the holder keeps to it: the
-//! successor of a process that has certainly ended knows from the time since the row what may have
+//! row also states what the holder uses at most, and the holder keeps to it: while the store
+//! answers, a request waits for the row that states its reservation. Only when no row has taken effect
+//! for some time, reservations go on without one: a part of the demand at first, a multiple of it
+//! after the hold time. The successor of a process that has certainly ended knows from the time since the row what may have
 //! been used, and returns the rest.
 
 use {
@@ -20,10 +22,17 @@
     pub at_ms: u64,
     /// Spent and reserved tokens when the row was made.
     pub used: Tokens,
-    /// Tokens that may be reserved until `hold_ms` have passed.
+    /// Tokens of the requests that waited for the row.
     pub burst: Tokens,
-    /// Tokens that may be reserved per second since the row was made, once `hold_ms` have passed.
+    /// Tokens that may be reserved besides per second since the row was made, once `hold_ms` have
+    /// passed.
     pub rate: Tokens,
+    /// The same per second since `early_ms`, until `hold_ms` have passed.
+    #[serde(default)]
+    pub early_rate: Tokens,
+    /// Time after which the first tokens may be reserved without a new row, in milliseconds.
+    #[serde(default)]
+    pub early_ms: u64,
     /// Time after which the holder may go on without a new row, in milliseconds. A process that
     /// dies while the store answers is followed by another one earlier than that.
     pub hold_ms: u64,
@@ -32,11 +41,17 @@
 impl Bound {
     /// Returns the tokens that may be reserved within `elapsed` after the row was made.
     fn allowed(&self, elapsed: Duration) -> Tokens {
-        if elapsed < self.hold() {
-            return self.burst;
-        }
-        let over_time = (self.rate as f64 * elapsed.as_secs_f64()) as Tokens;
-        self.burst.max(over_time)
+        let early = elapsed.min(self.hold()).saturating_sub(self.early());
+        let early = (self.early_rate as f64 * early.as_secs_f64()) as Tokens;
+        let late = match elapsed < self.hold() {
+            true => 0,
+            false => (self.rate as f64 * elapsed.as_secs_f64()) as Tokens,
+        };
+        self.burst.saturating_add(early.max(late))
+    }
+
+    fn early(&self) -> Duration {
+        Duration::from_millis(self.early_ms)
     }
 
     fn hold(&self) -> Duration {
@@ -48,9 +63,11 @@
         if tokens <= self.burst {
             return Some(Duration::ZERO);
         }
-        let seconds = tokens as f64 / self.rate as f64;
-        let delay = Duration::try_from_secs_f64(seconds).ok()?;
-        Some(delay.max(self.hold()))
+        let beyond = (tokens - self.burst) as f64;
+        let after = |rate: Tokens| Duration::try_from_secs_f64(beyond / rate as f64).ok();
+        let early = after(self.early_rate).map(|delay| self.early().saturating_add(delay));
+        let late = after(self.rate).map(|delay| delay.max(self.hold()));
+        early.filter(|early| *early < self.hold()).or(late)
     }
 
     /// Returns the tokens that can have been used when the store's clock shows `now_ms`.
@@ -69,40 +86,50 @@
     /// Tokens per second as a multiple of the demand, so that a rising demand is served while the
     /// store does not answer.
     pub rate: f64,
-    /// Time of demand that may be reserved at once.
-    pub burst: Duration,
-    /// Time after a row in which the holder keeps to the burst.
+    /// Time after a row in which only requests that the row states are served.
+    pub early: Duration,
+    /// Part of the demand that is served between `early` and `hold`, from 0 to 1. What is not used
+    /// of it is lost when a process dies and is followed by another one within that time.
+    pub early_part: f64,
+    /// Time after a row from which `rate` applies.
     pub hold: Duration,
+    /// Age at which a row is followed by another one although there is nothing new to state, so that
+    /// a holder at rest that dies is not taken for one that went on without rows.
+    pub renewal: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
             rate: 1.2,
-            burst: Duration::from_millis(800),
+            early: Duration::from_millis(900),
+            early_part: 0.6,
             hold: Duration::from_millis(2_200),
+            renewal: Duration::from_millis(700),
         }
     }
 }
 
 impl Settings {
-    /// Returns the bound of a new row; `lacked` is what a reservation was refused for, and `even`
-    /// the tokens per second at which the mark lasts for the holder's endurance.
+    /// Returns the bound of a new row; `burst` are the tokens of the requests that wait for it, and
+    /// `even` the tokens per second at which the mark lasts for the holder's endurance.
     pub(super) fn bound(
         &self,
         at_ms: u64,
         used: Tokens,
         demand: &Demand,
-        lacked: Tokens,
+        burst: Tokens,
         even: Tokens,
     ) -> Bound {
         Bound {
             at_ms,
             used,
-            burst: demand.during(self.burst).max(lacked),
+            burst,
             rate: demand
                 .during(Duration::from_secs(1).mul_f64(self.rate))
                 .max(even),
+            early_rate: demand.during(Duration::from_secs(1).mul_f64(self.early_part)),
+            early_ms: self.early.as_millis() as u64,
             hold_ms: self.hold.as_millis() as u64,
         }
     }
@@ -130,7 +157,7 @@
 
     /// Returns the tokens that may be reserved now.
     pub fn free(&self, now: Duration) -> Tokens {
-        let allowed = self.bound.allowed(now.saturating_sub(self.made));
+        let allowed = self.bound.allowed(self.age(now));
         allowed.saturating_sub(self.reserved)
     }
 
@@ -145,8 +172,13 @@
         self.reserved = self.reserved.saturating_add(tokens);
     }
 
-    /// Returns whether more than half of the burst is taken.
-    pub fn is_low(&self, now: Duration) -> bool {
-        self.free(now) < self.bound.burst / 2
+    /// Returns whether tokens may be reserved without a new row at some time.
+    pub fn has_lead(&self) -> bool {
+        self.bound.rate > 0 || self.bound.early_rate > 0
+    }
+
+    /// Returns the time since the row was made.
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.made)
     }
 }
--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -191,8 +191,9 @@
         }
         self.last_flush = now;
         for slot in self.slots.values_mut() {
-            // Those that wait are part of the demand, or it would only follow what the bounds allow.
-            let taken = slot.taken.saturating_sub(slot.measured) + slot.waiting;
+            // Those that gave up are part of the demand, or it would only follow what the bounds allow.
+            let taken = slot.taken.saturating_sub(slot.measured);
+            let taken = taken + std::mem::take(&mut slot.given_up);
             slot.demand.add(&self.settings, taken, elapsed);
             slot.measured = slot.taken;
         }
@@ -217,7 +218,10 @@
             }
             due |= share.allocated != slot.durable.allocated;
             share.mark = slot.raise(&self.settings, share.allocated);
-            due |= slot.is_metered_low(now);
+            due |= self.settings.bound.is_some_and(|settings| {
+                let is_lead_over = self.relies_on_rows && slot.has_lead();
+                slot.admitted(share.mark) > 0 || slot.is_bound_old(now, &settings) || is_lead_over
+            });
             if let Some(covered) = slot.take_shortage(now, &self.settings, share.mark) {
                 shortages.insert(budget.clone(), covered);
             }
@@ -244,11 +248,13 @@
             let Some(slot) = self.slots.get_mut(budget) else {
                 continue;
             };
-            let lacked = std::mem::take(&mut slot.held_back);
-            slot.waiting = 0;
+            let burst = slot.admitted(share.mark);
             let lead = share.mark.saturating_sub(slot.used()) as f64;
             let even = (lead / self.settings.endurance.as_secs_f64().max(1.0)) as Tokens;
-            let bound = settings.bound(at_ms, slot.used(), &slot.demand, lacked, even);
+            let mut bound = settings.bound(at_ms, slot.used(), &slot.demand, burst, even);
+            if self.relies_on_rows {
+                (bound.rate, bound.early_rate) = (0, 0);
+            }
             share.bound = Some(bound);
             slot.next_meter = Some(Meter::new(bound, now));
         }
--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -136,6 +136,8 @@
     pub(super) bills: VecDeque<Bill>,
     pub(super) pending: Option<Pending>,
     pub(super) phase: Phase,
+    /// Whether nothing is reserved without a row, see [`Self::rely_on_rows`].
+    pub(super) relies_on_rows: bool,
     /// The store's clock in milliseconds as last seen.
     pub(super) store_ms: Option<u64>,
     /// The latest time that the holder was called with.
@@ -162,6 +164,7 @@
             bills: VecDeque::new(),
             pending: None,
             phase: Phase::Open,
+            relies_on_rows: false,
             store_ms: None,
             clock: Duration::ZERO,
             last_flush: Duration::ZERO,
@@ -202,17 +205,19 @@
         let slot = self.slots.entry(budget.clone()).or_default();
         slot.used_at = now;
         let free = slot.free();
+        if amount > free && now < slot.dry_until && amount - free >= slot.dry_from {
+            return Err(Shortage::Exhausted);
+        }
         if amount > free {
-            if now < slot.dry_until && amount - free >= slot.dry_from {
-                return Err(Shortage::Exhausted);
-            }
             slot.miss(amount - free);
-            return Err(Shortage::Refill);
         }
-        if amount > slot.metered(now) {
-            slot.hold_back(amount);
+        if amount > free || amount > slot.metered(now) {
+            if self.settings.bound.is_some() {
+                slot.waiting.insert(request.clone(), amount);
+            }
             return Err(Shortage::Refill);
         }
+        slot.waiting.remove(request);
         slot.reserve(amount);
         let reservation = Reservation {
             budget: budget.clone(),
@@ -247,6 +252,15 @@
         reserved
     }
 
+    /// Notes that a request no longer waits for a reservation.
+    pub fn give_up(&mut self, request: &RequestId, budget: &BudgetId) {
+        if let Some(slot) = self.slots.get_mut(budget)
+            && let Some(tokens) = slot.waiting.remove(request)
+        {
+            slot.given_up = slot.given_up.saturating_add(tokens);
+        }
+    }
+
     /// Prepares for reservations of a budget that is not in use yet, as far as its row has tokens.
     pub fn expect(&mut self, now: Duration, budget: &BudgetId) {
         self.clock = now;
@@ -360,6 +374,13 @@
         }
     }
 
+    /// Reserves nothing without a row from now on, and says so in the next one. A process that is
+    /// about to end calls this, so that its successor charges nothing for the time after its last
+    /// row if the store is away at the end.
+    pub fn rely_on_rows(&mut self) {
+        self.relies_on_rows = true;
+    }
+
     /// Starts a planned stop: no new reservations; the next flushes return all tokens that are
     /// not reserved, and the last one closes the journal.
     pub fn stop(&mut self) {
@@ -383,7 +404,7 @@
         may && self
             .slots
             .values()
-            .any(|slot| slot.shortage > 0 || slot.held_back > 0)
+            .any(|slot| slot.shortage > 0 || !slot.waiting.is_empty())
     }
 
     /// Returns how long to wait until tokens can be reserved without a new row, or `None` when the
@@ -392,12 +413,6 @@
         self.slots.get(budget)?.wait(now, amount)
     }
 
-    /// Returns whether a new row should soon replace the bound of a budget.
-    pub fn is_bound_low(&self, now: Duration, budget: &str) -> bool {
-        let slot = self.slots.get(budget);
-        slot.is_some_and(|slot| slot.is_metered_low(now))
-    }
-
     /// Describes a budget for the log.
     pub fn view(&self, budget: &str) -> Option<View> {
         let slot = self.slots.get(budget)?;
--- a/crates/core/src/budget/reclaim.rs
+++ b/crates/core/src/budget/reclaim.rs
@@ -108,6 +108,21 @@
         })
     }
 
+    /// Returns the tokens that the holder had spent and reserved by its last row.
+    pub fn stated(&self) -> Tokens {
+        let shares = self.shares.values();
+        let stated = shares.map(|share| share.bound.map_or(share.mark, |bound| bound.used));
+        stated.sum()
+    }
+
+    /// Returns the time between the holder's last row and `ended_ms`, in milliseconds; `None` when
+    /// the row states no bound.
+    pub fn age_ms(&self, ended_ms: u64) -> Option<u64> {
+        let bounds = self.shares.values().filter_map(|share| share.bound);
+        let made = bounds.map(|bound| bound.at_ms).max()?;
+        Some(ended_ms.saturating_sub(made))
+    }
+
     /// Returns the tokens that the holder can have used, when it ended by `ended_ms`.
     pub fn used(&self, ended_ms: u64) -> Tokens {
         let used = self.shares.values().map(|share| used(share, ended_ms));
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -3,21 +3,14 @@
 use {
     super::{
         account::{Account, Want},
-        bound::Meter,
+        bound::{self, Meter},
         grant::{Demand, Settings},
         journal::Share,
     },
-    crate::id::{HolderId, Tokens},
-    std::time::Duration,
+    crate::id::{HolderId, RequestId, Tokens},
+    std::{collections::BTreeMap, time::Duration},
 };
 
-/// Demand that a row may let pass at once because requests wait for it. In an outage many requests are
-/// held back that have been refused when the next row is made.
-const HELD_BACK_TIME: Duration = Duration::from_millis(1_600);
-/// Part of the tokens below the mark that a row may let pass instead while the demand is not known, as
-/// after the start of a fleet.
-const UNKNOWN_PART: Tokens = 4;
-
 /// A holder returns tokens above this multiple of its target.
 const SURPLUS: Tokens = 4;
 
@@ -64,11 +57,11 @@
     pub meter: Option<Meter>,
     /// The same for the pending row, which may take effect at any time.
     pub next_meter: Option<Meter>,
-    /// Tokens that reservations were refused because of a bound since the last row: those of all,
-    /// up to [`HELD_BACK_TIME`] of demand, and of the largest in any case.
-    pub held_back: Tokens,
-    /// Tokens of all reservations that were refused because of a bound since the last row.
-    pub waiting: Tokens,
+    /// Requests that wait for a row, with their tokens. Only used with bounds; who waits ends that
+    /// with a reservation or [`super::Holder::give_up`].
+    pub waiting: BTreeMap<RequestId, Tokens>,
+    /// Tokens of the requests that gave up waiting since `demand` was last updated.
+    pub given_up: Tokens,
     /// When tokens were last asked for.
     pub used_at: Duration,
 }
@@ -106,21 +99,25 @@
         meters.for_each(|meter| meter.take(tokens));
     }
 
-    /// Notes that a reservation is refused because of a bound.
-    pub fn hold_back(&mut self, tokens: Tokens) {
-        let sum = self.held_back.saturating_add(tokens);
-        let most = match self.demand.is_known() {
-            true => self.demand.during(HELD_BACK_TIME),
-            false => self.free() / UNKNOWN_PART,
-        };
-        let most = most.max(tokens);
-        self.waiting = self.waiting.saturating_add(tokens);
-        self.held_back = self.held_back.max(sum.min(most));
+    /// Returns the tokens of the waiting requests that a row with this mark admits.
+    pub fn admitted(&self, mark: Tokens) -> Tokens {
+        let room = mark.saturating_sub(self.used());
+        let waiting = self.waiting.values();
+        waiting.fold(0, |sum, tokens| match sum + tokens <= room {
+            true => sum + tokens,
+            false => sum,
+        })
+    }
+
+    /// Returns whether the bound of the durable row allows reservations without a new row.
+    pub fn has_lead(&self) -> bool {
+        self.meter.as_ref().is_some_and(Meter::has_lead)
     }
 
     /// Returns whether a new row should renew the bound.
-    pub fn is_metered_low(&self, now: Duration) -> bool {
-        self.held_back > 0 || self.meter.as_ref().is_some_and(|meter| meter.is_low(now))
+    pub fn is_bound_old(&self, now: Duration, settings: &bound::Settings) -> bool {
+        let is_old = |meter: &Meter| meter.age(now) >= settings.renewal;
+        self.free() > 0 && self.meter.as_ref().is_some_and(is_old)
     }
 
     /// Returns the allocated tokens that are neither spent nor reserved.
--- a/crates/core/src/budget/tests/succession.rs
+++ b/crates/core/src/budget/tests/succession.rs
@@ -2,8 +2,7 @@
 
 use {
     super::super::{
-        Account, Holder, Settings, Usage, bound,
-        journal::{self, Shares},
+        Account, Holder, Settings, Shortage, Usage, bound, journal,
         reclaim::{self, Found},
     },
     crate::{
@@ -15,7 +14,8 @@
 };
 
 const BUDGET: &str = "hostel";
-const PURCHASED: Tokens = 4_000_000;
+/// About 44 s of demand, as the users' budgets for a day of their tests.
+const PURCHASED: Tokens = 10_000_000;
 
 /// One holder on a simulated clock; the store's clock is ahead of the holder's by a constant.
 struct World {
@@ -25,10 +25,14 @@
     random: StdRng,
     /// Tokens of the open requests, and what they use.
     open: HashMap<u64, Tokens>,
+    /// Requests that wait for a row, with their tokens.
+    waiting: Vec<(u64, Tokens)>,
     next: u64,
     /// Tokens that requests have used, whether a row says so or not.
     used: Tokens,
     is_down: bool,
+    /// Part of a reservation that its request may leave unused.
+    output: f64,
 }
 
 impl World {
@@ -48,9 +52,11 @@
             now: Duration::ZERO,
             random: StdRng::seed_from_u64(seed),
             open: HashMap::new(),
+            waiting: Vec::new(),
             next: 0,
             used: 0,
             is_down: false,
+            output: 1.0,
         }
     }
 
@@ -76,6 +82,25 @@
                 self.holder.decide(&verdict);
             }
         }
+        for (id, amount) in std::mem::take(&mut self.waiting) {
+            self.reserve(id, amount);
+        }
+    }
+
+    /// Reserves as a gateway does: a request waits for the next row when it has to.
+    fn reserve(&mut self, number: u64, amount: Tokens) {
+        let id = number.to_string().into();
+        match self.holder.reserve(self.now, &id, &BUDGET.into(), amount) {
+            Ok(_) => {
+                self.open.insert(number, amount);
+                // A request may have used all that it reserved at any later time.
+                self.used += amount;
+            }
+            Err(Shortage::Refill) if self.random.random_bool(0.95) => {
+                self.waiting.push((number, amount));
+            }
+            Err(_) => self.holder.give_up(&id, &BUDGET.into()),
+        }
     }
 
     fn step(&mut self) {
@@ -86,21 +111,13 @@
         for _ in 0..self.random.random_range(0..3) {
             self.next += 1;
             let amount = self.random.random_range(100..9_000);
-            let id = self.next.to_string().into();
-            if self
-                .holder
-                .reserve(self.now, &id, &BUDGET.into(), amount)
-                .is_ok()
-            {
-                self.open.insert(self.next, amount);
-                // A request may have used all that it reserved at any later time.
-                self.used += amount;
-            }
+            self.reserve(self.next, amount);
         }
         let ended: Vec<_> = self.open.keys().copied().filter(|id| id % 3 != 0).collect();
         for id in ended {
             let amount = self.open.remove(&id).expect("the request is open");
-            let unused = self.random.random_range(0..amount);
+            let unused = self.random.random_range(0.0..self.output) * amount as f64;
+            let unused = unused as Tokens;
             self.used -= unused;
             let usage = Usage {
                 workspace: "w".into(),
@@ -115,9 +132,10 @@
         }
     }
 
-    /// Ends the process, and lets its successor return what it cannot have used.
-    fn succeed(&mut self) -> Tokens {
-        self.now += Duration::from_millis(self.random.random_range(0..1_500));
+    /// Ends the process, and lets its successor, which starts after `pause`, return what it cannot
+    /// have used. Returns the tokens that stay charged.
+    fn succeed(&mut self, pause: Duration) -> Tokens {
+        self.now += pause;
         let id: HolderId = "host.1".into();
         let prefix = journal::prefix(&id);
         let last = self.table.scan(&prefix, "", usize::MAX).pop();
@@ -152,11 +170,16 @@
     }
 }
 
+/// Time from the end of a process to the start of the next one in its place.
+const RESTART: Duration = Duration::from_millis(1_500);
+/// The same when a platform restarts processes at once.
+const QUICK_RESTART: Duration = Duration::from_millis(1_100);
+
 /// Guards against overspend after the death of a process: what its successor returns must not
 /// include tokens that requests have used, also when the store was down or lost answers.
 #[test]
 fn successor_returns_no_used_tokens() {
-    for seed in 0..300 {
+    for seed in 0..1_000 {
         let mut world = World::new(seed, settings());
         for _ in 0..world.random.random_range(20..600) {
             world.step();
@@ -167,7 +190,8 @@
             world.step();
         }
         let used = world.used;
-        let left = world.succeed();
+        let pause = RESTART.mul_f64(world.random.random_range(0.0..4.0));
+        let left = world.succeed(pause);
         assert!(
             left >= used,
             "seed {seed}: {left} tokens are charged, {used} were used"
@@ -175,21 +199,111 @@
     }
 }
 
-/// Guards against stranding a whole mark when a process dies while the store answers.
+/// Guards against charging tokens to callers that nobody used: while the store answers, rows state
+/// what is reserved, so a successor charges that and the requests that waited for a row.
 #[test]
-fn successor_returns_most_of_the_mark() {
+fn successor_charges_what_rows_state() {
+    for seed in 0..300 {
+        let mut world = World::new(seed, settings());
+        // Most of what a request of the users reserves is its prompt.
+        world.output = 0.1;
+        for _ in 0..400 {
+            world.step();
+            world.is_down = false;
+            // A gateway writes a row as soon as a request waits for one.
+            world.flush();
+        }
+        let used = world.used;
+        let left = world.succeed(QUICK_RESTART);
+        assert!(
+            left - used <= PURCHASED / 200,
+            "seed {seed}: {left} tokens are charged, {used} were used"
+        );
+    }
+}
+
+/// Guards against requests that no longer wait, but are admitted by every later row, and against
+/// counting a request twice in the demand because it waited.
+#[test]
+fn waiting_requests_are_admitted_once() {
     let mut world = World::new(7, settings());
+    world.flush();
+    for amount in [3_000, 4_000, 5_000] {
+        world.next += 1;
+        world.reserve(world.next, amount);
+    }
+    world.holder.give_up(&"3".into(), &BUDGET.into());
+    world.waiting.retain(|(id, _)| *id != 3);
+    while !world.waiting.is_empty() {
+        world.now += Duration::from_millis(20);
+        world.flush();
+    }
+    assert_eq!(world.used, 7_000);
+    world.now += Duration::from_secs(2);
+    world.flush();
+    let share = world.holder.shares()[BUDGET];
+    let bound = share.bound.expect("rows state a bound");
+    assert_eq!((bound.used, bound.burst), (7_000, 0));
+    assert!(
+        bound.rate <= 12_000,
+        "{} per second after 12,000 tokens in 2 s",
+        bound.rate
+    );
+}
+
+/// Guards against an outage that stops callers of a budget with plenty of tokens: after the hold
+/// time, reservations go on without rows.
+#[test]
+fn outage_is_outlasted_after_the_hold_time() {
+    let mut world = World::new(3, settings());
     for _ in 0..200 {
         world.step();
         world.is_down = false;
     }
+    let hold = bound::Settings::default().early;
+    let start = world.now;
+    world.is_down = true;
+    let (mut early, mut asked, mut served) = (0, 0, 0);
+    while world.now < start + Duration::from_secs(8) {
+        world.now += Duration::from_millis(20);
+        world.next += 1;
+        let (id, is_early) = (world.next, world.now < start + hold.mul_f64(0.8));
+        world.reserve(id, 1_000);
+        let is_served = world.open.contains_key(&id);
+        asked += 1;
+        served += u32::from(is_served);
+        early += u32::from(is_early && is_served);
+    }
+    assert_eq!(early, 0, "reservations without a row within the hold time");
+    assert!(served * 10 >= asked * 6, "{served} of {asked} were served");
+}
+
+/// Guards against charging a planned stop for time without rows: a process that was told to end
+/// reserves nothing without a row, so its successor charges what the last row states, however long
+/// the store was away at the end.
+#[test]
+fn ending_holders_rely_on_rows() {
+    let mut world = World::new(11, settings());
+    world.output = 0.1;
+    for _ in 0..300 {
+        world.step();
+        world.is_down = false;
+        world.flush();
+    }
+    world.holder.rely_on_rows();
     world.flush();
-    let shares: Shares = world.holder.shares();
-    let mark = shares[BUDGET].mark;
-    let used = world.used;
-    let left = world.succeed();
+    world.flush();
+    let (used, open) = (world.used, world.open.len());
+    world.is_down = true;
+    for _ in 0..100 {
+        world.now += Duration::from_millis(50);
+        world.next += 1;
+        world.reserve(world.next, 1_000);
+    }
+    assert_eq!(world.open.len(), open, "reservations without a row");
+    let left = world.succeed(RESTART);
     assert!(
-        left - used < (mark - used) / 2,
-        "{left} of {mark} tokens are charged, {used} were used"
+        left - used <= PURCHASED / 200,
+        "{left} tokens are charged, {used} were used"
     );
 }
--- a/crates/gateway/src/escrow.rs
+++ b/crates/gateway/src/escrow.rs
@@ -15,6 +15,7 @@
             BudgetId, HolderId, HostId, ModelId, RequestId, Tokens, UpstreamId, Version,
             WorkspaceId,
         },
+        limit::{Contact, ContactSettings},
         wire::Settlement,
     },
     marigoldroute_process::logs::TOKENS,
@@ -78,10 +79,25 @@
     flushes: watch::Sender<u64>,
     /// Asks for a flush before the regular one.
     kick: Notify,
-    /// Whether the last call to the store failed.
+    /// Contact with the store, by the calls of the [`Writer`].
+    contact: Mutex<Contact>,
+    /// Whether the store is out of reach.
     is_cut_off: AtomicBool,
 }
 
+/// A request that waits for a row; dropping it ends that, also because the caller has left.
+struct Waiting<'a> {
+    escrow: &'a Escrow,
+    purpose: &'a Purpose,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut holder = lock(&self.escrow.holder);
+        holder.give_up(&self.purpose.request, &self.purpose.workspace);
+    }
+}
+
 /// Where a reservation is kept.
 enum Books {
     /// On this host.
@@ -169,6 +185,10 @@
             statements: Mutex::default(),
             flushes: watch::Sender::new(0),
             kick: Notify::new(),
+            contact: Mutex::new(Contact::new(ContactSettings {
+                longest: settings.store_timeout,
+                ..ContactSettings::default()
+            })),
             is_cut_off: AtomicBool::new(false),
         }
     }
@@ -181,6 +201,10 @@
     ) -> Result<Hold, Refusal> {
         let amount = purpose.usage.most();
         let mut flushes = self.flushes.subscribe();
+        let waiting = Waiting {
+            escrow: self,
+            purpose: &purpose,
+        };
         loop {
             let now = self.clock.now();
             let reserved = {
@@ -200,8 +224,7 @@
             self.kick.notify_one();
             // Without a new row, the bound of the last one allows the reservation later.
             let wait = lock(&self.holder).wait(now, &purpose.workspace, amount);
-            let is_cut_off = self.is_cut_off.load(Ordering::Relaxed);
-            let is_hopeless = is_cut_off && wait.is_none_or(|wait| now + wait > deadline);
+            let is_hopeless = self.is_cut_off() && wait.is_none_or(|wait| now + wait > deadline);
             if is_hopeless {
                 let after = wait.unwrap_or(COME_BACK).max(COME_BACK);
                 return Err(self.refuse(&purpose, Refusal::Unreachable { after }));
@@ -215,12 +238,21 @@
                 () = tokio::time::sleep_until(self.clock.instant(wake).into()) => {}
             }
         }
-        if lock(&self.holder).is_bound_low(self.clock.now(), &purpose.workspace) {
-            self.kick.notify_one();
-        }
+        drop(waiting);
         Ok(Hold::new(Books::Own(self.clone()), purpose))
     }
 
+    /// Prepares for the end of the process: from the next row on, nothing is reserved without one.
+    pub(crate) fn leave(&self) {
+        lock(&self.holder).rely_on_rows();
+        self.kick.notify_one();
+    }
+
+    /// Returns whether the store is out of reach.
+    fn is_cut_off(&self) -> bool {
+        self.is_cut_off.load(Ordering::Relaxed)
+    }
+
     /// Ends a reservation: bills `tokens` if an upstream may have run the request.
     fn end(&self, purpose: &Purpose, upstream: Option<UpstreamId>, tokens: Tokens) {
         let mut holder = lock(&self.holder);
@@ -245,7 +277,7 @@
         log::info!(
             target: TOKENS,
             request:% = purpose.request, budget:% = purpose.workspace, refusal:%, view,
-            amount = purpose.usage.most(), is_cut_off = self.is_cut_off.load(Ordering::Relaxed);
+            amount = purpose.usage.most(), is_cut_off = self.is_cut_off();
             "no tokens reserved"
         );
         refusal
--- a/crates/gateway/src/escrow/charger.rs
+++ b/crates/gateway/src/escrow/charger.rs
@@ -118,7 +118,12 @@
             request: purpose.request.clone(),
             hosts: Vec::new(),
         };
-        let mut limit = deadline.min(self.clock.now() + FIRST_WAIT);
+        // Without the store, another host may still reach it; this one can only wait.
+        let first_wait = match self.escrow.is_cut_off() {
+            true => Duration::ZERO,
+            false => FIRST_WAIT,
+        };
+        let mut limit = deadline.min(self.clock.now() + first_wait);
         for host in self.order(&purpose.workspace) {
             open.hosts.push(host.clone());
             match self.reserve_at(&host, &purpose, limit).await {
--- a/crates/gateway/src/escrow/responder.rs
+++ b/crates/gateway/src/escrow/responder.rs
@@ -2,9 +2,14 @@
 
 use {
     super::{Escrow, Hold, Purpose, Refusal},
-    crate::{Clock, interface::Usage, view::lock},
+    crate::{
+        Clock,
+        interface::Usage,
+        view::{View, lock},
+    },
     marigoldroute_core::{
         budget::remote::{Asked, Reservations},
+        id::RequestId,
         wire::{self, Billing, Body, Reply, Reserve, Settle, Settled},
     },
     marigoldroute_process::logs::TOKENS,
@@ -26,15 +31,22 @@
 pub(crate) struct Responder {
     clock: Clock,
     escrow: Arc<Escrow>,
+    view: Arc<View>,
     reservations: Mutex<Reservations<Hold>>,
     tasks: TaskTracker,
 }
 
 impl Responder {
-    pub(crate) fn new(clock: Clock, escrow: Arc<Escrow>, tasks: TaskTracker) -> Self {
+    pub(crate) fn new(
+        clock: Clock,
+        escrow: Arc<Escrow>,
+        view: Arc<View>,
+        tasks: TaskTracker,
+    ) -> Self {
         Self {
             clock,
             escrow,
+            view,
             reservations: Mutex::default(),
             tasks,
         }
@@ -80,8 +92,18 @@
         A: Fn(Body) -> F + Send + 'static,
         F: Future<Output = ()> + Send,
     {
-        let request = reserve.request.as_str().into();
-        let known = lock(&self.reservations).ask(self.clock.now(), &request);
+        let request: RequestId = reserve.request.as_str().into();
+        let known = {
+            let mut reservations = lock(&self.reservations);
+            match reservations.ask(self.clock.now(), &request) {
+                // What is still open at the end of a planned stop is billed as a whole.
+                Asked::New if self.view.is_draining() => {
+                    reservations.refuse(&request);
+                    Asked::Refused
+                }
+                known => known,
+            }
+        };
         let tasks = self.tasks.clone();
         tasks.spawn(async move {
             match known {
--- a/crates/gateway/src/escrow/writer.rs
+++ b/crates/gateway/src/escrow/writer.rs
@@ -142,7 +142,8 @@
             result = self.exchange().await;
         }
         let result = result.map(drop);
-        let is_cut_off = result.is_err();
+        let now = self.escrow.clock.now();
+        let is_cut_off = result.is_err() && lock(&self.escrow.contact).is_lost(now);
         if self.escrow.is_cut_off.swap(is_cut_off, Ordering::Relaxed) != is_cut_off {
             match &result {
                 Ok(()) => log::info!(target: TOKENS, "journal reachable"),
@@ -237,8 +238,15 @@
     }
 
     async fn call<T>(&self, call: impl Future<Output = Result<T, Fault>>) -> Result<T, Fault> {
-        let result = tokio::time::timeout(self.settings.store_timeout, call).await;
+        let patience = lock(&self.escrow.contact).patience();
+        let start = self.escrow.clock.now();
+        let result = tokio::time::timeout(patience, call).await;
         let result = result.unwrap_or(Err(Fault::Unanswered));
+        let now = self.escrow.clock.now();
+        match &result {
+            Ok(_) => lock(&self.escrow.contact).answered(now.saturating_sub(start)),
+            Err(_) => lock(&self.escrow.contact).failed(now),
+        }
         let label = if result.is_ok() { "ok" } else { "fault" };
         self.metrics.store_calls.with_label_values(&[label]).inc();
         result
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -40,6 +40,7 @@
 pub struct Handle {
     addresses: Addresses,
     settings: Arc<Settings>,
+    escrow: Arc<Escrow>,
     view: Arc<View>,
     /// No new connections, and idle ones are closed.
     leave: CancellationToken,
@@ -122,7 +123,7 @@
         serve(address, exposition(metrics.clone()), &tasks, &stop)?;
     }
     if let Some(peers) = &peers {
-        let responder = Responder::new(clock, escrow.clone(), tasks.clone());
+        let responder = Responder::new(clock, escrow.clone(), view.clone(), tasks.clone());
         let responder = Arc::new(responder);
         tasks.spawn(responder.clone().run(stop.clone()));
         tasks.spawn(peers.clone().run(responder, stop.clone()));
@@ -152,7 +153,7 @@
     tasks.spawn(members.run(stop.clone()));
     let writer = Writer {
         process: process.clone(),
-        escrow,
+        escrow: escrow.clone(),
         charger,
         store,
         view: view.clone(),
@@ -165,6 +166,7 @@
     Ok(Handle {
         addresses: Addresses { callers, ready },
         settings,
+        escrow,
         view,
         leave,
         stop,
@@ -184,6 +186,7 @@
     pub async fn stop(self) {
         log::info!("planned stop");
         self.view.drain();
+        self.escrow.leave();
         tokio::time::sleep(self.settings.leave_time).await;
         self.leave.cancel();
         let rest = self
--- a/crates/gateway/src/succession.rs
+++ b/crates/gateway/src/succession.rs
@@ -64,9 +64,10 @@
             };
             if is_committed(&self.store.commit(transaction).await?) {
                 let ((allocated, spent), used) = (tail.totals(), tail.used(ended_ms));
+                let (stated, age_ms) = (tail.stated(), tail.age_ms(ended_ms));
                 log::info!(
                     target: TOKENS,
-                    holder:%, ended_ms, allocated, spent, used;
+                    holder:%, ended_ms, age_ms, allocated, spent, stated, used;
                     "journal taken over"
                 );
                 return Ok(true);
--- a/crates/gateway/tests/hosts.rs
+++ b/crates/gateway/tests/hosts.rs
@@ -156,3 +156,31 @@
     )
     .await;
 }
+
+/// Guards against tokens that are billed as a whole because a host took them for another one while it
+/// was leaving: it refuses, so that the other host asks elsewhere.
+#[tokio::test]
+async fn a_leaving_host_reserves_nothing_for_others() {
+    let (mut world, _upstreams) = World::new(vec![EVENTS; 3]).await;
+    world.gateway.take().expect("it runs").stop().await;
+    world.store.configure(snapshot(2, TOTAL));
+    let mut first = world.beside("h1", settings()).await;
+    let mut second = world.beside("h2", settings()).await;
+    while marked(&world, "h1").min(marked(&world, "h2")) < MOST {
+        tokio::task::yield_now().await;
+    }
+    world.store.set_down(true);
+    let leaving = first.gateway.take().expect("it runs");
+    let leaving = tokio::spawn(leaving.stop());
+    tokio::task::yield_now().await;
+    let own = marked(&world, "h2");
+    let mut served = 0;
+    while ask(&second, &format!("r{served}")).await == 200 {
+        served += 1;
+    }
+    assert!(served * USED <= own, "{served} requests with {own} tokens");
+    world.store.set_down(false);
+    leaving.await.expect("the stop ends");
+    second.gateway.take().expect("it runs").stop().await;
+    assert_eq!(world.account().allocated, served * USED);
+}
