--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -11,6 +11,7 @@
 pub mod retry;
 mod roster;
 mod sequence;
+mod stall;
 
 #[cfg(test)]
 mod tests;
@@ -21,4 +22,5 @@
     plan::{Engine, Kind, Limits, Route, Service, Snapshot, Target, Workspace},
     roster::{Change, Entry, Roster, State},
     sequence::{Accepted, Rejected, Sequence, event_id},
+    stall::Stall,
 };
--- a/crates/core/src/forward/plan.rs
+++ b/crates/core/src/forward/plan.rs
@@ -58,6 +58,8 @@
     pub timeout: Duration,
     /// Time in which an answer, or the first event of a stream, is on time.
     pub objective: Duration,
+    /// Longest pause between events of a stream that is on time.
+    pub pause: Duration,
     /// Priority; 0 is served first.
     pub priority: u8,
     /// Whether no key is required.
--- a/crates/core/src/stream/event.rs
+++ b/crates/core/src/stream/event.rs
@@ -23,6 +23,9 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
+    /// Bytes at the start of `buffer` that hold no end of an event, so that an event in many small
+    /// pieces is not searched again with each.
+    searched: usize,
 }
 
 impl Splitter {
@@ -31,13 +34,21 @@
     pub fn push(&mut self, bytes: &[u8]) -> Option<Vec<Event>> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(end) = find_blank_line(&self.buffer) {
-            let raw = self.buffer.split_to(end).freeze();
+        while let Some(end) = find_blank_line(&self.buffer[self.searched..]) {
+            let raw = self.buffer.split_to(self.searched + end).freeze();
+            self.searched = 0;
             events.push(parse(raw));
         }
+        // The end of an event takes up to four bytes, of which three may have arrived.
+        self.searched = self.buffer.len().saturating_sub(3);
         (self.buffer.len() <= EVENT_LIMIT_BYTES).then_some(events)
     }
 
+    /// Returns the memory that is held for an incomplete event, in bytes.
+    pub fn held(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns whether bytes of an incomplete event are left.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
--- /dev/null
+++ b/crates/core/tests/stall.rs
@@ -0,0 +1,27 @@
+//! When a stream counts as stalled.
+
+use {marigoldroute_core::forward::Stall, std::time::Duration};
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Guards against cutting a stream that is slower than its route aims for, but goes on.
+#[test]
+fn slow_streams_that_go_on_are_not_stalled() {
+    let mut stall = Stall::new(Duration::ZERO, 100 * MS, 300 * MS);
+    let mut now = Duration::ZERO;
+    for pause in [400, 900, 1_400, 2_500, 3_000] {
+        now += pause * MS;
+        assert!(now < stall.at(), "cut in a pause of {pause} ms");
+        stall.event(now);
+    }
+}
+
+/// Guards against a stream that is silent for ever, and keeps its caller until the deadline.
+#[test]
+fn silent_streams_are_stalled() {
+    let mut stall = Stall::new(Duration::ZERO, 800 * MS, 300 * MS);
+    (1..20).for_each(|count| stall.event(count * 60 * MS));
+    let last = 19 * 60 * MS;
+    assert!(stall.at() > last + 800 * MS);
+    assert!(stall.at() <= last + 2_000 * MS);
+}
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -4,7 +4,9 @@
 //! fails, so that a caller would take a cut stream for a whole one.
 
 use {
-    crate::{Clock, front::Front, listen::listen, pool::watch_silence, view::lock},
+    crate::{
+        Clock, front::Front, listen::listen, pool::watch_silence, supervise::guard, view::lock,
+    },
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
     poem::http::Request,
@@ -47,7 +49,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tasks.spawn(serve(stream, front.clone(), stop.clone()));
+                // A panic while an answer is handed over cuts this connection only.
+                let (front, stop) = (front.clone(), stop.clone());
+                tasks.spawn(async move {
+                    let metrics = front.0.metrics.clone();
+                    guard(&metrics, "connection", serve(stream, front, stop)).await;
+                });
             }
             Err(error) => {
                 log::warn!("connection not accepted: {error}");
--- a/crates/gateway/src/escrow/writer.rs
+++ b/crates/gateway/src/escrow/writer.rs
@@ -37,6 +37,7 @@
 const CLOSING_FLUSHES: usize = 20;
 
 /// The task that writes the journal.
+#[derive(Clone)]
 pub(crate) struct Writer {
     pub(crate) process: HolderId,
     pub(crate) escrow: Arc<Escrow>,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,6 +4,7 @@
     crate::{
         dispatch::Flight,
         interface::{Call, Interface, Onward, Reply},
+        memory::{Exceeded, Part},
         pool::{Broken, Connection, Pool},
     },
     bytes::{Bytes, BytesMut},
@@ -12,11 +13,14 @@
     hyper::body::Incoming,
     marigoldroute_core::{forward::retry::Outcome, route::Progress},
     poem::http::Request,
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Largest answer that is not a stream, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 8 << 20;
+/// Longest time to read the rest of a refusal, so that its connection can be used again; the caller or
+/// the next attempt waits for that.
+const REFUSAL_TIME: Duration = Duration::from_millis(50);
 
 /// Why an attempt gave no answer.
 #[derive(Clone, Debug, Display, Error)]
@@ -33,6 +37,12 @@
     }
 }
 
+impl From<Exceeded> for Failure {
+    fn from(exceeded: Exceeded) -> Self {
+        Self::new(Outcome::Unknown, exceeded.to_string())
+    }
+}
+
 impl From<Broken> for Failure {
     fn from(broken: Broken) -> Self {
         match broken {
@@ -97,18 +107,34 @@
         Ok(None)
     }
 
-    /// Returns the whole answer.
-    pub(crate) async fn read_all(&mut self) -> Result<Bytes, Failure> {
+    /// Returns the whole answer, and counts it to `part`.
+    pub(crate) async fn read_all(&mut self, part: &mut Part) -> Result<Bytes, Failure> {
         let mut all = BytesMut::new();
         while let Some(data) = self.read().await? {
-            all.extend_from_slice(&data);
-            if all.len() > ANSWER_LIMIT_BYTES {
+            if all.len() + data.len() > ANSWER_LIMIT_BYTES {
                 return Err(Failure::new(Outcome::Unknown, "the answer is too large"));
             }
+            all.reserve(data.len());
+            part.resize(all.capacity())?;
+            all.extend_from_slice(&data);
         }
         Ok(all.freeze())
     }
 
+    /// Ends the exchange after a refusal. Its connection is kept if the rest of the refusal comes
+    /// soon.
+    pub(crate) async fn dismiss(mut self) {
+        let rest = async {
+            while self.read().await?.is_some() {}
+            Ok::<_, Failure>(())
+        };
+        let progress = Progress::Refused { after: None };
+        match tokio::time::timeout(REFUSAL_TIME, rest).await {
+            Ok(Ok(())) => self.finish(progress),
+            Ok(Err(_)) | Err(_) => self.flight.report(progress),
+        }
+    }
+
     /// Ends the exchange after a complete answer, and keeps its connection unless the upstream
     /// closes it.
     pub(crate) fn finish(mut self, progress: Progress<'_>) {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -5,7 +5,9 @@
         answer::{self, Reason},
         interface::{Call, Reply},
         job::{Answer, Context, Job},
+        memory::Part,
         relay::Relay,
+        supervise::guard,
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody},
@@ -32,6 +34,15 @@
         .boxed_unsync()
 }
 
+/// Returns the same for an answer that counts to the memory until its caller has it.
+fn counted(bytes: Bytes, part: Part) -> Body {
+    let count = move |frame| {
+        let _ = &part;
+        frame
+    };
+    whole(bytes).map_frame(count).boxed_unsync()
+}
+
 /// Serves callers.
 #[derive(Clone)]
 pub(crate) struct Front(pub(crate) Arc<Context>);
@@ -39,7 +50,7 @@
 impl Front {
     /// Answers a request.
     pub(crate) async fn call(&self, request: Request<Incoming>) -> Response<Body> {
-        let mut response = self.respond(request).await;
+        let mut response = self.answer(request).await;
         let view = &self.0.view;
         if view.is_draining() || view.is_busy(self.0.clock.now()) {
             let close = HeaderValue::from_static("close");
@@ -64,6 +75,13 @@
         }
     }
 
+    /// Answers a request, also when a defect ends its handling. It may have run then.
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let arrived = self.0.clock.now();
+        let response = guard(&self.0.metrics, "request", self.respond(request)).await;
+        response.unwrap_or_else(|| self.own(None, arrived, Reason::Failed))
+    }
+
     /// Finds what the request is allowed to use, and reads its body.
     async fn admit(&self, call: &Call, body: Incoming) -> Result<(Access, Bytes), Reason> {
         let directory = self.0.view.directory().ok_or(Reason::Unconfigured)?;
@@ -105,10 +123,10 @@
         self.0.metrics.first_byte.observe(elapsed.as_secs_f64());
         match answer {
             Answer::Own(reason) => self.own(Some(&job.call), arrived, reason),
-            Answer::Whole(reply, body) => {
+            Answer::Whole(reply, body, part) => {
                 self.count(body.len());
                 self.note(&job, &reply, elapsed);
-                respond(&reply, whole(body))
+                respond(&reply, counted(body, part))
             }
             Answer::Stream(stream) => {
                 let reply = stream.exchange.reply.clone();
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -2,6 +2,8 @@
 
 mod attempt;
 
+pub(crate) use attempt::STALLED;
+
 use {
     crate::{
         Clock,
@@ -10,6 +12,7 @@
         escrow::{Charger, Hold, Purpose, Refusal},
         exchange::Exchange,
         interface::{Call, Interface, Malformed, Reply},
+        memory::{Memory, Part},
         metrics::Metrics,
         pool::Pool,
         profile::Profile,
@@ -37,14 +40,15 @@
     pub(crate) dispatch: Arc<Dispatch>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) charger: Arc<Charger>,
+    pub(crate) memory: Memory,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) settings: Arc<Settings>,
 }
 
 /// What is handed to the caller.
 pub(crate) enum Answer {
-    /// A complete answer of an upstream.
-    Whole(Reply, Bytes),
+    /// A complete answer of an upstream, with the memory that it takes.
+    Whole(Reply, Bytes, Part),
     /// A stream whose first event has arrived.
     Stream(Box<Stream>),
     /// An answer of the gateway's own.
@@ -55,6 +59,8 @@
 pub(crate) struct Stream {
     pub(crate) exchange: Exchange,
     pub(crate) splitter: Splitter,
+    /// Memory of the event that has not arrived completely.
+    pub(crate) part: Part,
     pub(crate) events: VecDeque<Event>,
     /// Whether the upstream has ended the stream.
     pub(crate) is_over: bool,
--- a/crates/gateway/src/job/attempt.rs
+++ b/crates/gateway/src/job/attempt.rs
@@ -6,10 +6,12 @@
         dispatch::{Flight, Vacancy},
         exchange::{Exchange, Failure},
         interface::{Onward, Reply},
+        memory::Part,
         pool::Connection,
     },
+    bytes::Bytes,
     marigoldroute_core::{
-        forward::{Rejected, Sequence, event_id, retry::Outcome},
+        forward::{Kind, Rejected, Sequence, Stall, event_id, retry::Outcome},
         id::UpstreamId,
         route::Progress,
         stream::{Event, Splitter},
@@ -18,6 +20,8 @@
     std::{collections::VecDeque, time::Duration},
 };
 
+/// Why an attempt failed whose stream stalled.
+pub(crate) const STALLED: &str = "no event for too long";
 /// Connections that turn out closed before anything was written, after which an attempt fails.
 const STALE_CONNECTIONS: usize = 3;
 
@@ -144,11 +148,12 @@
         let failure = match checked {
             Ok(()) if exchange.reply.status.is_success() && self.kind().is_stream() => {
                 match self.first_events(&mut exchange, last_event).await {
-                    Ok((splitter, events, is_over)) => {
+                    Ok((splitter, part, events, is_over)) => {
                         self.note_success(&upstream, started, &exchange);
                         let stream = Stream {
                             exchange,
                             splitter,
+                            part,
                             events,
                             is_over,
                         };
@@ -157,13 +162,13 @@
                     Err(failure) => failure,
                 }
             }
-            Ok(()) => match exchange.read_all().await {
-                Ok(body) => {
+            Ok(()) => match self.read_all(&mut exchange).await {
+                Ok((body, part)) => {
                     self.note_success(&upstream, started, &exchange);
                     let reply = exchange.reply.clone();
                     let is_failure = reply.status.is_server_error();
                     exchange.finish(Progress::Finished { tokens: 1 });
-                    let answer = Answer::Whole(reply, body);
+                    let answer = Answer::Whole(reply, body, part);
                     return Ok(if is_failure {
                         Attempted::Bad(answer)
                     } else {
@@ -175,10 +180,7 @@
             Err(failure) => failure,
         };
         if failure.outcome == Outcome::Refused {
-            let after = None;
-            if exchange.read_all().await.is_ok() {
-                exchange.finish(Progress::Refused { after });
-            }
+            exchange.dismiss().await;
         } else {
             exchange.flight.report(Progress::Failed);
         }
@@ -188,49 +190,82 @@
 
     /// Checks that an answer belongs to this request and that the upstream vouches for it.
     fn check(&self, reply: &Reply) -> Result<(), Failure> {
-        if reply.is_refused {
-            return Err(Failure::new(
-                Outcome::Refused,
-                "the upstream did not run it",
-            ));
-        }
+        // A late refusal of another request says nothing about this one, which may run.
         if reply.id.as_ref() != Some(&self.call.id) {
             return Err(Failure::new(
                 Outcome::Unknown,
                 "the answer belongs to another request",
             ));
         }
+        if reply.is_refused {
+            return Err(Failure::new(
+                Outcome::Refused,
+                "the upstream did not run it",
+            ));
+        }
         if reply.status.is_success() && !reply.is_signed {
             return Err(Failure::new(Outcome::Unknown, "the answer is not signed"));
         }
         Ok(())
     }
 
+    async fn read_all(&self, exchange: &mut Exchange) -> Result<(Bytes, Part), Failure> {
+        let mut part = self.context.memory.part();
+        let body = exchange.read_all(&mut part).await?;
+        Ok((body, part))
+    }
+
     /// Reads up to the first event.
     async fn first_events(
         &self,
         exchange: &mut Exchange,
         last_event: Option<u64>,
-    ) -> Result<(Splitter, VecDeque<Event>, bool), Failure> {
+    ) -> Result<(Splitter, Part, VecDeque<Event>, bool), Failure> {
         let mut splitter = Splitter::default();
+        let mut part = self.context.memory.part();
         let mut sequence = Sequence::new(last_event);
+        // Queues and prompts take their time, but the first event comes as a whole.
+        let mut stall = None;
         loop {
-            let Some(data) = exchange.read().await? else {
-                return Ok((splitter, VecDeque::new(), true));
+            let Some(data) = self.read_within(exchange, stall).await? else {
+                return Ok((splitter, part, VecDeque::new(), true));
             };
             let large = || Failure::new(Outcome::Unknown, "an event is too large");
             let events = splitter.push(&data).ok_or_else(large)?;
+            part.resize(splitter.held())?;
             let Some(first) = events.first() else {
+                stall.get_or_insert_with(|| self.stall());
                 continue;
             };
             let id = event_id(&first.raw);
             let order = |error: Rejected| Failure::new(Outcome::Unknown, error.to_string());
             sequence.accept(id).map_err(order)?;
             exchange.flight.report(Progress::First);
-            return Ok((splitter, events.into(), false));
+            return Ok((splitter, part, events.into(), false));
         }
     }
 
+    /// Reads on until the stream counts as stalled, if another upstream can continue it.
+    async fn read_within(
+        &self,
+        exchange: &mut Exchange,
+        stall: Option<Stall>,
+    ) -> Result<Option<Bytes>, Failure> {
+        let stall = stall.filter(|_| self.kind() == Kind::Resumable);
+        let Some(stall) = stall else {
+            return exchange.read().await;
+        };
+        let stalled = self.context.clock.instant(stall.at());
+        let read = tokio::time::timeout_at(stalled.into(), exchange.read()).await;
+        read.unwrap_or_else(|_| Err(Failure::new(Outcome::Unknown, STALLED)))
+    }
+
+    /// Starts to watch the pauses of a stream.
+    pub(crate) fn stall(&self) -> Stall {
+        let route = &self.access.route;
+        Stall::new(self.context.clock.now(), route.objective, route.pause)
+    }
+
     fn note(&self, upstream: &UpstreamId, started: Duration, failure: &Failure) {
         let label = failure.outcome.to_string();
         self.context
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod life;
 mod listen;
 mod members;
+mod memory;
 mod metrics;
 mod peers;
 mod pool;
@@ -22,6 +23,7 @@
 mod settings;
 pub mod store;
 mod succession;
+mod supervise;
 mod view;
 mod watch;
 
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -11,11 +11,13 @@
         job::Context,
         listen::acceptor,
         members::Members,
+        memory::Memory,
         metrics::Metrics,
         peers::Peers,
         pool::Pool,
         settings::Settings,
         store::Store,
+        supervise::Supervisor,
         view::View,
         watch::Watch,
     },
@@ -109,6 +111,7 @@
         dispatch: dispatch.clone(),
         pool: pool.clone(),
         charger: charger.clone(),
+        memory: Memory::new(settings.answer_memory),
         metrics: metrics.clone(),
         settings: settings.clone(),
     });
@@ -122,11 +125,19 @@
     if let Some(address) = settings.listen_metrics {
         serve(address, exposition(metrics.clone()), &tasks, &stop)?;
     }
-    if let Some(peers) = &peers {
+    let supervisor = Supervisor {
+        metrics: metrics.clone(),
+        tasks: tasks.clone(),
+        stop: stop.clone(),
+    };
+    if let Some(peers) = peers.clone() {
         let responder = Responder::new(clock, escrow.clone(), view.clone(), tasks.clone());
         let responder = Arc::new(responder);
-        tasks.spawn(responder.clone().run(stop.clone()));
-        tasks.spawn(peers.clone().run(responder, stop.clone()));
+        let expiring = responder.clone();
+        supervisor.start("responder", move |stop| expiring.clone().run(stop));
+        supervisor.start("peers", move |stop| {
+            peers.clone().run(responder.clone(), stop)
+        });
     }
     let watch = Watch {
         clock,
@@ -136,9 +147,12 @@
         metrics: metrics.clone(),
         settings: settings.clone(),
     };
-    tasks.spawn(watch.clone().configuration(stop.clone()));
-    tasks.spawn(watch.clone().upstreams(stop.clone()));
-    tasks.spawn(watch.expire(stop.clone()));
+    let watches = (watch.clone(), watch.clone());
+    supervisor.start("configuration", move |stop| {
+        watches.0.clone().configuration(stop)
+    });
+    supervisor.start("upstreams", move |stop| watches.1.clone().upstreams(stop));
+    supervisor.start("expiry", move |stop| watch.clone().expire(stop));
     let members = Members {
         process: process.clone(),
         clock,
@@ -150,7 +164,7 @@
         metrics: metrics.clone(),
         settings: settings.clone(),
     };
-    tasks.spawn(members.run(stop.clone()));
+    supervisor.start("members", move |stop| members.clone().run(stop));
     let writer = Writer {
         process: process.clone(),
         escrow: escrow.clone(),
@@ -160,8 +174,8 @@
         metrics,
         settings: settings.clone(),
     };
-    tasks.spawn(writer.run(stop.clone()));
-    tasks.spawn(sweep(pool, stop.clone()));
+    supervisor.start("journal", move |stop| writer.clone().run(stop));
+    supervisor.start("connections", move |stop| sweep(pool.clone(), stop));
     log::info!(host:% = settings.host, process:%, callers:%, ready:%; "started");
     Ok(Handle {
         addresses: Addresses { callers, ready },
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -34,6 +34,7 @@
 const KEY_BYTES: usize = 32;
 
 /// Renews this host's row and counts the others.
+#[derive(Clone)]
 pub(crate) struct Members {
     pub(crate) process: HolderId,
     pub(crate) clock: Clock,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub(crate) reservations: IntCounterVec,
     /// Connections opened to upstreams.
     pub(crate) connections: IntCounterVec,
+    /// Panics, by task.
+    pub(crate) panics: IntCounterVec,
     /// Time from a request's arrival to the first byte of its answer.
     pub(crate) first_byte: Histogram,
     /// Configuration version in effect.
@@ -76,6 +78,11 @@
                 "Connections to upstreams, by event",
                 "event",
             )?,
+            panics: counter(
+                "marigoldroute_gateway_panics_total",
+                "Panics caught, by task",
+                "task",
+            )?,
             first_byte,
             version: gauge(
                 "marigoldroute_gateway_configuration_version",
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -34,6 +34,9 @@
 const MARGIN: Duration = Duration::from_millis(700);
 /// Longest time for which an idle connection is kept.
 const KEPT_LIMIT: Duration = Duration::from_secs(30);
+/// Largest head of an answer, and bytes read ahead of its body. Heads of sound upstreams take less than
+/// a kilobyte.
+const READ_BUFFER_BYTES: usize = 32 << 10;
 /// Idle connections kept for one upstream.
 const IDLE_LIMIT: usize = 16;
 /// Silence after which the kernel probes a connection, and time between its probes.
@@ -153,7 +156,11 @@
         let stream = tokio::time::timeout(self.connect_timeout, connect).await;
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         watch_silence(&stream)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        let handshake = builder
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
             // The error reaches the request that the connection carries.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,30 +4,27 @@
     crate::{
         exchange::Failure,
         front::Body,
-        job::{Answer, Job, Stream},
+        job::{Answer, Job, STALLED, Stream},
     },
     bytes::{Bytes, BytesMut},
     futures_util::stream,
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
     marigoldroute_core::{
-        forward::{Kind, Sequence, event_id, retry::Outcome},
+        forward::{Kind, Sequence, Stall, event_id, retry::Outcome},
         route::Progress,
     },
     marigoldroute_process::logs::REQUESTS,
-    std::{io, time::Duration},
+    std::io,
 };
 
-/// Longest pause between events, as a multiple of the time to the first event that the route aims
-/// for, before a stream that another upstream can continue is moved there.
-const STALL_OBJECTIVES: u32 = 2;
-
 /// A stream in progress.
 pub(crate) struct Relay {
     job: Job,
     /// Absent when the stream has ended.
     stream: Option<Box<Stream>>,
     sequence: Sequence,
+    stall: Stall,
     event_tokens: u64,
 }
 
@@ -38,11 +35,29 @@
     Break(Failure),
 }
 
+impl Drop for Relay {
+    /// Notes a stream that its caller no longer reads; the others have ended by themselves.
+    fn drop(&mut self) {
+        if self.stream.is_none() {
+            return;
+        }
+        let clock = self.job.context.clock;
+        log::info!(
+            target: REQUESTS,
+            request:% = self.job.call.id, events = self.sequence.relayed(),
+            ms = clock.now().saturating_sub(self.job.arrived).as_millis() as u64,
+            silent_ms = clock.now().saturating_sub(self.stall.last()).as_millis() as u64;
+            "caller left"
+        );
+    }
+}
+
 impl Relay {
     pub(crate) fn new(job: Job, stream: Box<Stream>) -> Self {
         let engine = job.service.engine.as_ref();
         Self {
             sequence: Sequence::new(job.call.last_event),
+            stall: job.stall(),
             event_tokens: engine.map_or(1, |engine| engine.event_tokens.max(1)),
             stream: Some(stream),
             job,
@@ -79,8 +94,11 @@
     }
 
     async fn step(&mut self) -> Step {
-        let deadline = self.job.context.clock.instant(self.job.deadline).into();
-        let stall = self.stall();
+        let clock = self.job.context.clock;
+        let deadline = clock.instant(self.job.deadline).into();
+        // Only a stream that another upstream can continue is ended for its silence.
+        let is_resumable = self.job.kind() == Kind::Resumable;
+        let stalled = clock.instant(self.stall.at()).into();
         let Some(stream) = &mut self.stream else {
             return Step::End;
         };
@@ -96,14 +114,19 @@
                 () = tokio::time::sleep_until(deadline) => {
                     Err(Failure::new(Outcome::Unknown, "the deadline has passed"))
                 }
-                () = tokio::time::sleep(stall) => {
-                    Err(Failure::new(Outcome::Unknown, "no event for too long"))
+                () = tokio::time::sleep_until(stalled), if is_resumable => {
+                    Err(Failure::new(Outcome::Unknown, STALLED))
                 }
             };
             match read {
                 Ok(None) => stream.is_over = true,
                 Ok(Some(data)) => match stream.splitter.push(&data) {
-                    Some(events) => stream.events.extend(events),
+                    Some(events) => {
+                        if let Err(exceeded) = stream.part.resize(stream.splitter.held()) {
+                            return Step::Break(exceeded.into());
+                        }
+                        stream.events.extend(events);
+                    }
                     None => {
                         return Step::Break(Failure::new(
                             Outcome::Unknown,
@@ -136,6 +159,9 @@
             bytes.extend_from_slice(&event.raw);
         }
         let relayed = self.sequence.relayed() - before;
+        if relayed > 0 {
+            self.stall.event(self.job.context.clock.now());
+        }
         if let Some(hold) = &mut self.job.hold {
             hold.deliver(relayed * self.event_tokens);
         }
@@ -144,15 +170,6 @@
         Step::Hand(bytes.freeze())
     }
 
-    /// Returns the pause after which the upstream is taken as silent.
-    fn stall(&self) -> Duration {
-        if self.job.kind() == Kind::Resumable {
-            self.job.access.route.objective * STALL_OBJECTIVES
-        } else {
-            self.job.left()
-        }
-    }
-
     /// Continues the stream at another upstream, if that is allowed.
     async fn resume(&mut self, failure: &Failure) -> bool {
         let Some(mut stream) = self.stream.take() else {
@@ -175,6 +192,7 @@
             Answer::Stream(stream) => {
                 log::info!(target: REQUESTS, request:% = self.job.call.id; "stream resumed");
                 self.stream = Some(stream);
+                self.stall = self.job.stall();
                 true
             }
             _ => false,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -51,6 +51,8 @@
     pub store_writes: f64,
     /// Longest wait for tokens.
     pub reserve_timeout: Duration,
+    /// Memory that answers of upstreams may take together, in bytes.
+    pub answer_memory: usize,
     /// Longest time to open a connection to an upstream.
     pub connect_timeout: Duration,
     /// Longest wait of a read for changes at the store.
@@ -69,8 +71,10 @@
 /// Writing calls per second and host up to which the intervals of store calls are as set; in a larger
 /// fleet they grow with it, so that all hosts together make about as many calls.
 const HOST_WRITES: f64 = 25.0;
-/// Share of the store's writing calls that go to flushes outside their interval.
-const HURRIED_SHARE: f64 = 0.5;
+/// Writing calls of all hosts together for flushes outside their interval, if each host made as many
+/// as it may, as a multiple of what the store takes. Such a flush has requests that wait for it, so
+/// all hosts together make fewer than there are requests.
+const HURRIED_SHARE: f64 = 3.0;
 /// Bound on the growth of an interval: rows must stay younger than the hold time of their bounds, and
 /// a connection to the store that fell silent must be noticed within seconds.
 const INTERVAL_GROWTH: f64 = 3.0;
@@ -86,7 +90,7 @@
 impl Settings {
     /// Returns the shortest time between two flushes of a host.
     pub(crate) fn flush_pause(&self, hosts: Option<usize>) -> Duration {
-        let writes = (self.store_writes * HURRIED_SHARE).max(1.0);
+        let writes = self.store_writes.max(1.0) * HURRIED_SHARE;
         Duration::from_secs_f64(hosts.unwrap_or(1) as f64 / writes)
     }
 }
@@ -111,6 +115,7 @@
             flush_interval: Duration::from_millis(300),
             store_writes: 600.0,
             reserve_timeout: Duration::from_millis(1_000),
+            answer_memory: 32 << 20,
             connect_timeout: Duration::from_millis(400),
             watch_wait: Duration::from_millis(700),
             store_timeout: Duration::from_millis(1_100),
--- /dev/null
+++ b/crates/gateway/tests/faulty_upstreams.rs
@@ -0,0 +1,265 @@
+//! Upstreams in trouble: late copies of answers, bytes without end, stalled and cut streams.
+
+mod world;
+
+use {
+    std::time::{Duration, Instant},
+    world::{
+        World, snapshot,
+        upstream::{Script, Upstream},
+    },
+};
+
+const ANSWER: &str =
+    "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nfresh";
+const STREAM: &str =
+    "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+
+fn events(range: std::ops::RangeInclusive<u64>) -> String {
+    range
+        .map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
+        .collect()
+}
+
+/// Starts a gateway whose routes aim for the first event within this time, and for such pauses.
+async fn aiming_for(
+    objective: Duration,
+    pause: Duration,
+    scripts: Vec<Script>,
+) -> (World, Vec<Upstream>) {
+    let mut snapshot = snapshot(1, 1_000_000);
+    for route in &mut snapshot.routes {
+        route.objective = objective;
+        route.pause = pause;
+    }
+    World::with(snapshot, scripts).await
+}
+
+/// Guards against a late second copy of an answer that reaches the next caller on the connection, and
+/// against a late refusal that passes for the next request's: that one may have run.
+#[tokio::test]
+async fn late_copies_are_not_taken_for_answers() {
+    let copies = [
+        "HTTP/1.1 200 X\r\nx-request-id: r1\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nstale",
+        "HTTP/1.1 200 X\r\nx-request-id: r1\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\n",
+        "HTTP/1.1 200 X\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nstale",
+        "HTTP/1.1 503 X\r\nx-request-id: r1\r\nx-signed: 1\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 503 X\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 200 X\r\nx-request-id: r1\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nstale",
+        "stale",
+    ];
+    for copy in copies {
+        let (world, upstreams) = World::new(vec![Script::Texts(vec![ANSWER, copy])]).await;
+        let first = world.request("once", "r1").send().await.expect("an answer");
+        assert_eq!(first.text().await.expect("a body"), "fresh");
+        let second = world.request("once", "r2").send().await.expect("an answer");
+        assert_eq!(second.status(), 502, "after {copy:?}");
+        assert_ne!(second.text().await.expect("a body"), "stale");
+        assert_eq!(upstreams[0].arrivals().len(), 2);
+    }
+}
+
+/// Guards against the same when the copy arrives before the next request is written: the connection
+/// is not used again.
+#[tokio::test]
+async fn connections_with_stray_bytes_are_not_used_again() {
+    let strays = [
+        "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nfreshHTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nstale",
+        "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nfreshHTTP/1.1 200 X\r\nx-requ",
+        "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nfresh and more",
+    ];
+    for stray in strays {
+        let (world, _upstreams) = World::new(vec![Script::Texts(vec![stray, ANSWER])]).await;
+        for id in ["r1", "r2", "r3"] {
+            let response = world.request("safe", id).send().await.expect("an answer");
+            assert_eq!(response.status(), 200, "{id} with {stray:?}");
+            assert_eq!(response.text().await.expect("a body"), "fresh");
+        }
+    }
+}
+
+/// Guards against a refusal whose body never ends: the caller is told at once that the request has
+/// not run.
+#[tokio::test]
+async fn refusals_without_end_are_refusals() {
+    let heads = [
+        "HTTP/1.1 503 X\r\nx-request-id: {id}\r\nx-not-run: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 503 X\r\nx-request-id: {id}\r\nx-not-run: 1\r\n\r\n",
+    ];
+    for (text, pause) in heads
+        .into_iter()
+        .zip([Duration::ZERO, Duration::from_millis(5)])
+    {
+        let endless = Script::Endless {
+            text,
+            piece: "4\r\nfull\r\n",
+            pause,
+        };
+        let (world, _upstreams) = World::new(vec![endless]).await;
+        let start = Instant::now();
+        let response = world.request("once", "r1").send().await.expect("an answer");
+        assert_eq!(response.status(), 503);
+        assert!(response.headers().contains_key("retry-after"));
+        assert!(
+            start.elapsed() < Duration::from_secs(1),
+            "{:?}",
+            start.elapsed()
+        );
+    }
+}
+
+/// Guards against a head that never ends, which would hold its caller and memory until the deadline.
+#[tokio::test]
+async fn heads_without_end_are_failures() {
+    let endless = Script::Endless {
+        text: "HTTP/1.1 200 X\r\n",
+        piece: "x-filler: 0123456789012345678901234567890123456789\r\n",
+        pause: Duration::ZERO,
+    };
+    let (world, _upstreams) = World::new(vec![endless]).await;
+    let start = Instant::now();
+    let response = world.request("once", "r1").send().await.expect("an answer");
+    assert_eq!(response.status(), 502);
+    assert!(
+        start.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        start.elapsed()
+    );
+}
+
+/// Guards against an event that never ends: a stream that may be resumed goes on elsewhere, long
+/// before its deadline.
+#[tokio::test]
+async fn events_without_end_are_left() {
+    let endless = Script::Endless {
+        text: STREAM,
+        piece: "8\r\ndata: aa\r\n",
+        pause: Duration::ZERO,
+    };
+    let scripts = vec![endless, Script::Events { upto: 5, of: 5 }];
+    let (objective, pause) = (Duration::from_millis(300), Duration::from_millis(100));
+    let (world, _upstreams) = aiming_for(objective, pause, scripts).await;
+    for id in ["r1", "r2", "r3", "r4"] {
+        let start = Instant::now();
+        let response = world.request("resumable", id).send().await.expect("a head");
+        let text = response.text().await.expect("a complete stream");
+        assert_eq!(text, events(1..=5));
+        assert!(
+            start.elapsed() < Duration::from_secs(3),
+            "{:?}",
+            start.elapsed()
+        );
+    }
+}
+
+/// Guards against a stalled stream that stays because it sends a byte now and then: only events
+/// count.
+#[tokio::test]
+async fn trickled_bytes_do_not_keep_a_stalled_stream() {
+    let trickle = Script::Endless {
+        text: concat!(
+            "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\n",
+            "transfer-encoding: chunked\r\n\r\n",
+            "16\r\nid: 1\ndata: piece 1\n\n\r\n"
+        ),
+        piece: "1\r\n:\r\n",
+        pause: Duration::from_millis(20),
+    };
+    let scripts = vec![trickle, Script::Events { upto: 5, of: 5 }];
+    let (objective, pause) = (Duration::from_millis(300), Duration::from_millis(100));
+    let (world, _upstreams) = aiming_for(objective, pause, scripts).await;
+    for id in ["r1", "r2", "r3", "r4"] {
+        let start = Instant::now();
+        let response = world.request("resumable", id).send().await.expect("a head");
+        let text = response.text().await.expect("a complete stream");
+        assert_eq!(text, events(1..=5));
+        assert!(
+            start.elapsed() < Duration::from_secs(3),
+            "{:?}",
+            start.elapsed()
+        );
+    }
+}
+
+/// Guards against cutting a stream that is slow but sound: its pauses are longer than the time to the
+/// first event that the route aims for.
+#[tokio::test]
+async fn slow_streams_are_not_cut() {
+    let paced = Script::Paced {
+        of: 5,
+        pause: Duration::from_millis(250),
+    };
+    let objective = Duration::from_millis(100);
+    let (world, upstreams) = aiming_for(objective, objective, vec![paced.clone(), paced]).await;
+    let request = world.request("resumable", "r1");
+    let response = request.send().await.expect("a head");
+    assert_eq!(response.text().await.expect("a stream"), events(1..=5));
+    let arrivals = upstreams.iter().map(|upstream| upstream.arrivals().len());
+    assert_eq!(arrivals.sum::<usize>(), 1);
+}
+
+/// Guards against an answer that broke off within an event, but whose body ends properly, and reaches
+/// the caller as complete.
+#[tokio::test]
+async fn events_cut_at_a_proper_end_are_not_complete() {
+    let cut = [
+        "16\r\nid: 1\ndata: piece 1\n\n\r\n9\r\nid: 2\ndat\r\n0\r\n\r\n",
+        "9\r\nid: 1\ndat\r\n0\r\n\r\n",
+    ];
+    for body in cut {
+        let text: &'static str = format!("{STREAM}{body}").leak();
+        let (world, _upstreams) = World::new(vec![Script::Texts(vec![text])]).await;
+        let response = world.request("stream", "r1").send().await;
+        // Without any event, the connection is cut before the head.
+        let is_complete = match response {
+            Ok(response) => response.bytes().await.is_ok(),
+            Err(_) => false,
+        };
+        assert!(!is_complete, "{body:?}");
+    }
+}
+
+/// Guards against a whole answer that broke off and reaches the caller as a complete success.
+#[tokio::test]
+async fn whole_answers_that_break_off_are_failures() {
+    let cut = [
+        "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ncontent-length: 9\r\n\r\nfresh",
+        "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfresh\r\n",
+        "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfre",
+        "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ncontent-le",
+    ];
+    for text in cut {
+        let (world, _upstreams) = World::new(vec![Script::Texts(vec![text])]).await;
+        let response = world.request("once", "r1").send().await.expect("an answer");
+        assert_eq!(response.status(), 502, "{text:?}");
+    }
+}
+
+/// Guards against a defect in the handling of one request that ends the process, or leaves its caller
+/// without an answer.
+#[tokio::test]
+async fn a_panic_reaches_one_caller_only() {
+    let (world, _upstreams) = World::new(vec![Script::Whole(200, "the answer")]).await;
+    let request = world.request("safe", "r1").header("x-defect", "1");
+    assert_eq!(request.send().await.expect("an answer").status(), 502);
+    let response = world.request("safe", "r2").send().await.expect("an answer");
+    assert_eq!(response.status(), 200);
+}
+
+/// Guards against a defect that ends a task for good: the list of upstreams is followed on.
+#[tokio::test]
+async fn a_task_that_panics_starts_again() {
+    let (world, upstreams) = World::new(vec![Script::Whole(200, "the answer")]).await;
+    world.store.plant_defect();
+    world.store.remove(&upstreams[0].id);
+    let noticed = async {
+        for id in 0.. {
+            let request = world.request("safe", &format!("r{id}"));
+            if request.send().await.expect("an answer").status() == 503 {
+                return;
+            }
+        }
+    };
+    let noticed = tokio::time::timeout(Duration::from_secs(4), noticed).await;
+    noticed.expect("the upstream that left is noticed");
+}
--- a/crates/gateway/tests/hosts.rs
+++ b/crates/gateway/tests/hosts.rs
@@ -10,6 +10,7 @@
         wire::{Body, Codec, Keys},
     },
     marigoldroute_gateway::{Settings, Store},
+    std::time::Duration,
     tokio::net::UdpSocket,
     tokio_util::codec::Decoder,
     world::{World, snapshot, upstream::Script},
@@ -26,6 +27,7 @@
 fn settings() -> Settings {
     let settings = Settings::default();
     Settings {
+        leave_time: Duration::from_millis(50),
         escrow: budget::Settings {
             bound: None,
             ..settings.escrow
@@ -164,7 +166,11 @@
     let (mut world, _upstreams) = World::new(vec![EVENTS; 3]).await;
     world.gateway.take().expect("it runs").stop().await;
     world.store.configure(snapshot(2, TOTAL));
-    let mut first = world.beside("h1", settings()).await;
+    let slow = Settings {
+        leave_time: Duration::from_secs(2),
+        ..settings()
+    };
+    let mut first = world.beside("h1", slow).await;
     let mut second = world.beside("h2", settings()).await;
     while marked(&world, "h1").min(marked(&world, "h2")) < MOST {
         tokio::task::yield_now().await;
--- /dev/null
+++ b/crates/gateway/tests/memory.rs
@@ -0,0 +1,73 @@
+//! Memory of the process, in a test program of its own because the peak counts for the process.
+
+mod world;
+
+use {
+    marigoldroute_gateway::Settings,
+    std::time::Duration,
+    world::{World, snapshot, upstream::Script},
+};
+
+const STREAM: &str =
+    "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// Returns the most memory that this process has used, in MiB.
+fn peak_mib() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the status of the process");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kib = line.and_then(|line| line.split_whitespace().next());
+    let kib: usize = kib
+        .and_then(|kib| kib.parse().ok())
+        .expect("a number of KiB");
+    kib >> 10
+}
+
+/// Guards against answers without end that together take more memory than a host of 96 MB has. They
+/// are bounded for the process as a whole, not only one by one.
+#[tokio::test]
+async fn answers_without_end_stay_within_the_memory_of_a_small_host() {
+    const PIECE: &str = concat!(
+        "400\r\n",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
+        "\r\n"
+    );
+    let settings = Settings {
+        answer_memory: 24 << 20,
+        ..Settings::default()
+    };
+    let endless = Script::Endless {
+        text: STREAM,
+        piece: PIECE,
+        pause: Duration::ZERO,
+    };
+    let scripts = vec![endless; 64];
+    let (world, _upstreams) = World::bounded(settings, snapshot(1, 1_000_000), scripts).await;
+    let before = peak_mib();
+    let calls = (0..64).map(|number| {
+        // Half of them are taken as streams of events, of which none ever ends.
+        let path = if number % 2 == 0 { "safe" } else { "stream" };
+        let request = world.request(path, &format!("r{number}"));
+        tokio::spawn(request.send())
+    });
+    for call in calls.collect::<Vec<_>>() {
+        let response = call.await.expect("it ends").expect("an answer");
+        assert!([502, 504].contains(&response.status().as_u16()));
+    }
+    let used = peak_mib() - before;
+    assert!(used < 64, "{used} MiB more than before");
+}
--- /dev/null
+++ b/crates/gateway/tests/stop.rs
@@ -0,0 +1,67 @@
+//! Planned stops under load.
+
+mod world;
+
+use {
+    std::{collections::HashMap, sync::Arc, time::Duration},
+    tokio::sync::{Mutex, Semaphore},
+    world::{World, upstream::Script},
+};
+
+/// Callers that keep their connections in use until the gateway no longer accepts any.
+const CALLERS: usize = 24;
+
+/// Guards against requests that a planned stop cuts although they were accepted: whatever reached an
+/// upstream has its complete answer, on kept connections and on new ones, until the process is gone.
+#[tokio::test]
+async fn planned_stops_under_load_answer_what_was_accepted() {
+    let scripts = vec![
+        Script::Events { upto: 3, of: 3 },
+        Script::Paced {
+            of: 4,
+            pause: Duration::from_millis(20),
+        },
+        Script::Events { upto: 9, of: 9 },
+    ];
+    let (mut world, upstreams) = World::new(scripts).await;
+    let answered = Arc::new(Mutex::new(HashMap::new()));
+    let started = Arc::new(Semaphore::new(0));
+    let callers = (0..CALLERS).map(|caller| {
+        let (answered, started) = (answered.clone(), started.clone());
+        let paths = ["once", "stream", "resumable", "safe"];
+        let requests: Vec<_> = (0..400)
+            .map(|number| {
+                let id = format!("c{caller}-{number}");
+                (id.clone(), world.request(paths[number % 4], &id))
+            })
+            .collect();
+        tokio::spawn(async move {
+            for (number, (id, request)) in requests.into_iter().enumerate() {
+                let response = request.send().await;
+                let is_whole = match response {
+                    Ok(response) => response.bytes().await.is_ok(),
+                    Err(error) if error.is_connect() => return,
+                    Err(_) => false,
+                };
+                answered.lock().await.insert(id, is_whole);
+                if number == 5 {
+                    started.add_permits(1);
+                }
+            }
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let all = started.acquire_many(CALLERS as u32);
+    let all = tokio::time::timeout(Duration::from_secs(30), all).await;
+    drop(all.expect("every caller has answers").expect("it is open"));
+    world.gateway.take().expect("it runs").stop().await;
+    for caller in callers {
+        caller.await.expect("the caller ends");
+    }
+    let answered = answered.lock().await;
+    let arrivals = upstreams.iter().flat_map(|upstream| upstream.arrivals());
+    let cut: Vec<_> = arrivals
+        .filter(|arrival| answered.get(&arrival.id) != Some(&true))
+        .collect();
+    assert!(cut.is_empty(), "{cut:?}");
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -58,6 +58,7 @@
         attempts: 2,
         timeout: Duration::from_secs(5),
         objective: Duration::from_secs(2),
+        pause: Duration::from_millis(500),
         priority: 0,
         is_public: false,
     };
@@ -112,8 +113,18 @@
         Self::with(snapshot, scripts).await
     }
 
-    async fn with(snapshot: Snapshot, scripts: Vec<Script>) -> (Self, Vec<Upstream>) {
-        let world = Self::configured(Some(snapshot)).await;
+    /// The same, with another configuration.
+    pub async fn with(snapshot: Snapshot, scripts: Vec<Script>) -> (Self, Vec<Upstream>) {
+        Self::bounded(Settings::default(), snapshot, scripts).await
+    }
+
+    /// The same, with other settings.
+    pub async fn bounded(
+        settings: Settings,
+        snapshot: Snapshot,
+        scripts: Vec<Script>,
+    ) -> (Self, Vec<Upstream>) {
+        let world = Self::set_up(settings, Some(snapshot), Duration::ZERO);
         let mut upstreams = Vec::new();
         for (index, script) in scripts.into_iter().enumerate() {
             let upstream = Upstream::start(&format!("u{index}"), script).await;
@@ -133,6 +144,10 @@
 
     /// The same, with a store that takes this time to hand over a whole configuration.
     pub async fn configured_within(snapshot: Option<Snapshot>, transfer: Duration) -> Self {
+        Self::set_up(Settings::default(), snapshot, transfer)
+    }
+
+    fn set_up(settings: Settings, snapshot: Option<Snapshot>, transfer: Duration) -> Self {
         let store = Arc::new(Memory::default());
         store.set_transfer(transfer);
         if let Some(snapshot) = snapshot {
@@ -140,7 +155,7 @@
         }
         let settings = Settings {
             leave_time: Duration::from_millis(50),
-            ..Settings::default()
+            ..settings
         };
         let mut world = Self {
             store,
@@ -162,7 +177,6 @@
         let settings = Settings {
             place: place.into(),
             listen_peers: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
-            leave_time: self.settings.leave_time,
             ..settings
         };
         let mut world = Self {
--- a/crates/gateway/tests/world/spelling.rs
+++ b/crates/gateway/tests/world/spelling.rs
@@ -29,6 +29,7 @@
 
 impl Interface for Plain {
     fn call(&self, method: &Method, target: &Uri, headers: &HeaderMap) -> Result<Call, Malformed> {
+        assert!(!headers.contains_key("x-defect"), "a planted defect");
         let usage = text(headers, "x-tokens").and_then(|tokens| {
             let (prompt, output) = tokens.split_once(',')?;
             Some(Usage {
--- a/crates/gateway/tests/world/store.rs
+++ b/crates/gateway/tests/world/store.rs
@@ -28,6 +28,8 @@
     is_down: bool,
     /// How long the whole configuration takes on its way.
     transfer: Duration,
+    /// Whether the next read for changes of the list panics.
+    is_defective: bool,
     /// Takeovers of journals that still lose against other hosts.
     lost_takeovers: u32,
 }
@@ -98,6 +100,11 @@
         self.lock().is_down = is_down;
     }
 
+    /// Makes the next read for changes of the list of upstreams panic.
+    pub fn plant_defect(&self) {
+        self.change(|inner, _| inner.is_defective = true);
+    }
+
     pub fn set_transfer(&self, time: Duration) {
         self.lock().transfer = time;
     }
@@ -206,6 +213,10 @@
     ) -> BoxFuture<'_, Result<Read<Vec<Listed>>, Fault>> {
         Box::pin(async move {
             self.wait(since, wait).await;
+            let mut inner = self.open()?;
+            let is_defective = std::mem::take(&mut inner.is_defective);
+            drop(inner);
+            assert!(!is_defective, "a planted defect");
             let inner = self.open()?;
             let new = inner.log.iter().filter(|(position, _)| *position > since);
             let listed = |(_, id): &(Position, UpstreamId)| match inner.entries.get(id) {
--- a/crates/gateway/tests/world/upstream.rs
+++ b/crates/gateway/tests/world/upstream.rs
@@ -4,6 +4,7 @@
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
+        time::Duration,
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -28,6 +29,18 @@
     /// Sends events up to the given id; the stream has `of` events in all. When they are fewer, it
     /// closes the connection.
     Events { upto: u64, of: u64 },
+    /// Answers the n-th request of a connection with the n-th text, and closes the connection after
+    /// the last one. `{id}` stands for the request's id.
+    Texts(Vec<&'static str>),
+    /// Sends the text and then the piece again and again, with this pause, until the caller closes the
+    /// connection.
+    Endless {
+        text: &'static str,
+        piece: &'static str,
+        pause: Duration,
+    },
+    /// Sends all events of a stream with this pause between them.
+    Paced { of: u64, pause: Duration },
     /// Sends two events and one with the id of the first in one chunk.
     Repeating,
     /// Sends the first event, and the others when the notification comes.
@@ -83,14 +96,19 @@
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     closing: mpsc::Sender<()>,
 ) {
+    let mut count = 0;
     while let Some(arrival) = read(&mut stream).await {
         arrivals
             .lock()
             .expect("no test panics while it holds the list")
             .push(arrival.clone());
-        if answer(&mut stream, &script, &arrival).await.is_none() {
+        if answer(&mut stream, &script, &arrival, count)
+            .await
+            .is_none()
+        {
             break;
         }
+        count += 1;
     }
     // The test may have ended.
     let _ = closing.try_send(());
@@ -127,7 +145,12 @@
 }
 
 /// Answers; `None` when the connection is over.
-async fn answer(stream: &mut TcpStream, script: &Script, arrival: &Arrival) -> Option<()> {
+async fn answer(
+    stream: &mut TcpStream,
+    script: &Script,
+    arrival: &Arrival,
+    count: usize,
+) -> Option<()> {
     let id = &arrival.id;
     let head = |status: u16, more: &str| {
         format!("HTTP/1.1 {status} X\r\nx-request-id: {id}\r\nx-signed: 1\r\n{more}\r\n")
@@ -138,6 +161,29 @@
         }
         Script::Refuse => head(503, "x-not-run: 1\r\ncontent-length: 0\r\n"),
         Script::Close => return None,
+        Script::Texts(texts) => {
+            let text = texts.get(count)?.replace("{id}", id);
+            stream.write_all(text.as_bytes()).await.ok()?;
+            return (count + 1 < texts.len()).then_some(());
+        }
+        Script::Endless { text, piece, pause } => {
+            let text = text.replace("{id}", id);
+            stream.write_all(text.as_bytes()).await.ok()?;
+            loop {
+                stream.write_all(piece.as_bytes()).await.ok()?;
+                tokio::time::sleep(*pause).await;
+            }
+        }
+        Script::Paced { of, pause } => {
+            let head = head(200, "transfer-encoding: chunked\r\n");
+            stream.write_all(head.as_bytes()).await.ok()?;
+            let first = arrival.last_event.map_or(1, |last| last + 1);
+            for id in first..=*of {
+                stream.write_all(event(id).as_bytes()).await.ok()?;
+                tokio::time::sleep(*pause).await;
+            }
+            "0\r\n\r\n".into()
+        }
         Script::Silent => return read(stream).await.map(drop),
         Script::Crossed => {
             "HTTP/1.1 200 X\r\nx-request-id: other\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nother"
