Keep callers of a large fleet from waiting for rows

From logs: holders with tokens below their mark waited for transactions that also changed budget rows, which all hosts change in one part of the store; a takeover of several calls had the time limit of one, so tokens of the largest dead holders came back 4 to 6 s after the start; requests that had gone elsewhere still counted as waiting, and the demand of a holder counted what it never reserved.

Change: a row that requests wait for changes no budget rows; takeovers have a limit of their own; a release ends the wait; demand is what was reserved. Holders of fleets above eight hosts reserve 0.8 s of demand ahead of rows.

--- a/crates/core/src/budget/bound.rs
+++ b/crates/core/src/budget/bound.rs
@@ -22,7 +22,7 @@
     pub at_ms: u64,
     /// Spent and reserved tokens when the row was made.
     pub used: Tokens,
-    /// Tokens of the requests that waited for the row.
+    /// Tokens of the requests that waited for the row, and those that may be reserved at once besides.
     pub burst: Tokens,
     /// Tokens that may be reserved besides per second since the row was made, once `hold_ms` have
     /// passed.
@@ -86,7 +86,10 @@
     /// Tokens per second as a multiple of the demand, so that a rising demand is served while the
     /// store does not answer.
     pub rate: f64,
-    /// Time after a row in which only requests that the row states are served.
+    /// Time of demand that may be reserved without waiting for a row. It is lost when a process dies;
+    /// without it, each request waits for a row.
+    pub burst: Duration,
+    /// Time after a row in which only that and requests that the row states are served.
     pub early: Duration,
     /// Part of the demand that is served between `early` and `hold`, from 0 to 1. What is not used
     /// of it is lost when a process dies and is followed by another one within that time.
@@ -102,6 +105,7 @@
     fn default() -> Self {
         Self {
             rate: 1.2,
+            burst: Duration::ZERO,
             early: Duration::from_millis(900),
             early_part: 0.6,
             hold: Duration::from_millis(2_200),
@@ -111,20 +115,20 @@
 }
 
 impl Settings {
-    /// Returns the bound of a new row; `burst` are the tokens of the requests that wait for it, and
+    /// Returns the bound of a new row; `waiting` are the tokens of the requests that wait for it, and
     /// `even` the tokens per second at which the mark lasts for the holder's endurance.
     pub(super) fn bound(
         &self,
         at_ms: u64,
         used: Tokens,
         demand: &Demand,
-        burst: Tokens,
+        waiting: Tokens,
         even: Tokens,
     ) -> Bound {
         Bound {
             at_ms,
             used,
-            burst,
+            burst: waiting + demand.during(self.burst),
             rate: demand
                 .during(Duration::from_secs(1).mul_f64(self.rate))
                 .max(even),
@@ -143,18 +147,27 @@
     made: Duration,
     /// Tokens reserved since, whether they were used or not.
     reserved: Tokens,
+    /// Part of the burst that was not for requests that waited.
+    spare: Tokens,
 }
 
 impl Meter {
-    pub fn new(bound: Bound, made: Duration) -> Self {
-        let reserved = 0;
+    /// Starts to count; `waiting` are the tokens of the requests that waited for the row.
+    pub fn new(bound: Bound, made: Duration, waiting: Tokens) -> Self {
         Self {
             bound,
             made,
-            reserved,
+            reserved: 0,
+            spare: bound.burst.saturating_sub(waiting),
         }
     }
 
+    /// Returns whether more than half of what may be reserved without waiting is taken.
+    pub fn is_low(&self) -> bool {
+        let left = self.bound.burst.saturating_sub(self.reserved);
+        self.spare > 0 && left < self.spare / 2
+    }
+
     /// Returns the tokens that may be reserved now.
     pub fn free(&self, now: Duration) -> Tokens {
         let allowed = self.bound.allowed(self.age(now));
--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -191,9 +191,7 @@
         }
         self.last_flush = now;
         for slot in self.slots.values_mut() {
-            // Those that gave up are part of the demand, or it would only follow what the bounds allow.
             let taken = slot.taken.saturating_sub(slot.measured);
-            let taken = taken + std::mem::take(&mut slot.given_up);
             slot.demand.add(&self.settings, taken, elapsed);
             slot.measured = slot.taken;
         }
@@ -248,15 +246,15 @@
             let Some(slot) = self.slots.get_mut(budget) else {
                 continue;
             };
-            let burst = slot.admitted(share.mark);
+            let waiting = slot.admitted(share.mark);
             let lead = share.mark.saturating_sub(slot.used()) as f64;
             let even = (lead / self.settings.endurance.as_secs_f64().max(1.0)) as Tokens;
-            let mut bound = settings.bound(at_ms, slot.used(), &slot.demand, burst, even);
+            let mut bound = settings.bound(at_ms, slot.used(), &slot.demand, waiting, even);
             if self.relies_on_rows {
-                (bound.rate, bound.early_rate) = (0, 0);
+                (bound.burst, bound.rate, bound.early_rate) = (waiting, 0, 0);
             }
             share.bound = Some(bound);
-            slot.next_meter = Some(Meter::new(bound, now));
+            slot.next_meter = Some(Meter::new(bound, now, waiting));
         }
     }
 
--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -254,10 +254,8 @@
 
     /// Notes that a request no longer waits for a reservation.
     pub fn give_up(&mut self, request: &RequestId, budget: &BudgetId) {
-        if let Some(slot) = self.slots.get_mut(budget)
-            && let Some(tokens) = slot.waiting.remove(request)
-        {
-            slot.given_up = slot.given_up.saturating_add(tokens);
+        if let Some(slot) = self.slots.get_mut(budget) {
+            slot.waiting.remove(request);
         }
     }
 
@@ -407,6 +405,18 @@
             .any(|slot| slot.shortage > 0 || !slot.waiting.is_empty())
     }
 
+    /// Returns whether a new row should soon renew the bound of a budget.
+    pub fn is_bound_low(&self, budget: &str) -> bool {
+        let meter = self.slots.get(budget).and_then(|slot| slot.meter.as_ref());
+        meter.is_some_and(super::bound::Meter::is_low)
+    }
+
+    /// Returns whether requests wait that a row without a change of budget rows would admit.
+    pub fn is_row_awaited(&self, now: Duration) -> bool {
+        let mut slots = self.slots.values();
+        slots.any(|slot| slot.admitted(slot.ceiling) > 0 && slot.metered(now) < slot.most_waiting())
+    }
+
     /// Returns how long to wait until tokens can be reserved without a new row, or `None` when the
     /// mark does not cover them.
     pub fn wait(&self, now: Duration, budget: &str, amount: Tokens) -> Option<Duration> {
--- a/crates/core/src/budget/places.rs
+++ b/crates/core/src/budget/places.rs
@@ -9,8 +9,6 @@
     id::{HostId, Zone},
 };
 
-/// Hosts up to which every host holds every budget.
-const SMALL_FLEET: usize = 8;
 /// Fewest holders of a budget in a larger fleet; there is at least one in each availability zone.
 const LEAST_HOLDERS: usize = 4;
 /// Hosts that are asked after the holders, in case these are not reached.
@@ -33,6 +31,9 @@
 }
 
 impl Places {
+    /// Hosts up to which every host holds every budget.
+    pub const SMALL_FLEET: usize = 8;
+
     /// Creates the places of the host `own`; `hosts` are the live ones.
     pub fn new(own: HostId, zone: Zone, hosts: Vec<Zoned>) -> Self {
         Self {
@@ -59,7 +60,7 @@
     /// Returns whether this host should hold tokens of a budget.
     pub fn is_holder(&self, budget: &str) -> bool {
         let mut holders = self.ranked(budget).into_iter().take(self.holders());
-        self.hosts.len() <= SMALL_FLEET || holders.any(|host| host.weighted.host == self.own)
+        self.hosts.len() <= Self::SMALL_FLEET || holders.any(|host| host.weighted.host == self.own)
     }
 
     /// Returns the hosts to ask for a reservation, the first one first: this host if it is a
@@ -89,7 +90,7 @@
     }
 
     fn holders(&self) -> usize {
-        if self.hosts.len() <= SMALL_FLEET {
+        if self.hosts.len() <= Self::SMALL_FLEET {
             return self.hosts.len();
         }
         let mut zones: Vec<_> = self.hosts.iter().map(|host| &host.zone).collect();
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -60,8 +60,6 @@
     /// Requests that wait for a row, with their tokens. Only used with bounds; who waits ends that
     /// with a reservation or [`super::Holder::give_up`].
     pub waiting: BTreeMap<RequestId, Tokens>,
-    /// Tokens of the requests that gave up waiting since `demand` was last updated.
-    pub given_up: Tokens,
     /// When tokens were last asked for.
     pub used_at: Duration,
 }
@@ -109,6 +107,11 @@
         })
     }
 
+    /// Returns the tokens of the largest waiting request.
+    pub fn most_waiting(&self) -> Tokens {
+        self.waiting.values().copied().max().unwrap_or(0)
+    }
+
     /// Returns whether the bound of the durable row allows reservations without a new row.
     pub fn has_lead(&self) -> bool {
         self.meter.as_ref().is_some_and(Meter::has_lead)
@@ -116,7 +119,7 @@
 
     /// Returns whether a new row should renew the bound.
     pub fn is_bound_old(&self, now: Duration, settings: &bound::Settings) -> bool {
-        let is_old = |meter: &Meter| meter.age(now) >= settings.renewal;
+        let is_old = |meter: &Meter| meter.age(now) >= settings.renewal || meter.is_low();
         self.free() > 0 && self.meter.as_ref().is_some_and(is_old)
     }
 
--- a/crates/gateway/src/escrow.rs
+++ b/crates/gateway/src/escrow.rs
@@ -75,6 +75,8 @@
     holder: Mutex<Holder>,
     /// Totals of budgets as the configuration states them, until the budget rows show them.
     statements: Mutex<BTreeMap<BudgetId, (Version, Tokens)>>,
+    /// When budget rows may be changed again.
+    refill_at: Mutex<Duration>,
     /// Number of flushes, so that waiting reservations try again after each.
     flushes: watch::Sender<u64>,
     /// Asks for a flush before the regular one.
@@ -183,6 +185,7 @@
             clock,
             holder: Mutex::new(Holder::new(process, settings.escrow.clone())),
             statements: Mutex::default(),
+            refill_at: Mutex::default(),
             flushes: watch::Sender::new(0),
             kick: Notify::new(),
             contact: Mutex::new(Contact::new(ContactSettings {
@@ -239,6 +242,9 @@
             }
         }
         drop(waiting);
+        if lock(&self.holder).is_bound_low(&purpose.workspace) {
+            self.kick.notify_one();
+        }
         Ok(Hold::new(Books::Own(self.clone()), purpose))
     }
 
--- a/crates/gateway/src/escrow/responder.rs
+++ b/crates/gateway/src/escrow/responder.rs
@@ -14,6 +14,7 @@
     },
     marigoldroute_process::logs::TOKENS,
     std::{
+        collections::HashMap,
         sync::{Arc, Mutex},
         time::Duration,
     },
@@ -33,6 +34,9 @@
     escrow: Arc<Escrow>,
     view: Arc<View>,
     reservations: Mutex<Reservations<Hold>>,
+    /// Cancelled when the sender of a waiting request has given up or found tokens elsewhere: a row
+    /// would reserve for it in vain.
+    waiting: Mutex<HashMap<RequestId, CancellationToken>>,
     tasks: TaskTracker,
 }
 
@@ -48,6 +52,7 @@
             escrow,
             view,
             reservations: Mutex::default(),
+            waiting: Mutex::default(),
             tasks,
         }
     }
@@ -132,7 +137,14 @@
         };
         let request = purpose.request.clone();
         let deadline = self.clock.now() + RESERVE_LIMIT;
-        let mut reserving = Box::pin(self.escrow.reserve(purpose, deadline));
+        let cancel = CancellationToken::new();
+        lock(&self.waiting).insert(request.clone(), cancel.clone());
+        let mut reserving = Box::pin(async {
+            tokio::select! {
+                reserved = self.escrow.reserve(purpose, deadline) => reserved,
+                () = cancel.cancelled() => Err(Refusal::Late),
+            }
+        });
         let reserved = match tokio::time::timeout(NOTICE_TIME, &mut reserving).await {
             Ok(reserved) => reserved,
             Err(_) => {
@@ -140,6 +152,7 @@
                 reserving.await
             }
         };
+        lock(&self.waiting).remove(&request);
         let refusal = match reserved {
             Ok(hold) => {
                 let held = lock(&self.reservations).hold(self.clock.now(), &request, hold);
@@ -182,6 +195,9 @@
     }
 
     fn end(&self, request: &str) -> Option<Hold> {
+        if let Some(cancel) = lock(&self.waiting).remove(request) {
+            cancel.cancel();
+        }
         lock(&self.reservations).end(self.clock.now(), &request.into())
     }
 }
--- a/crates/gateway/src/escrow/writer.rs
+++ b/crates/gateway/src/escrow/writer.rs
@@ -33,6 +33,8 @@
 const CLOSING_PAUSE: Duration = Duration::from_millis(15);
 /// Unwritten bills from which another row follows at once, as after an outage.
 const MANY_BILLS: usize = 100;
+/// Calls of a takeover of journals, each of which may take as long as the store may.
+const SUCCESSION_CALLS: u32 = 4;
 /// Most flushes in which a stopping holder tries to close its journal.
 const CLOSING_FLUSHES: usize = 20;
 
@@ -65,7 +67,7 @@
                 () = tokio::time::sleep(self.flush_interval()) => {}
             }
             let pause = match self.step().await {
-                Ok(()) => LEAST_PAUSE.max(self.settings.flush_pause(self.view.hosts())),
+                Ok(()) => LEAST_PAUSE,
                 Err(_) => FAULT_PAUSE,
             };
             tokio::time::sleep(pause).await;
@@ -91,9 +93,19 @@
     /// Takes over from the processes before this one, until nothing of theirs is left.
     async fn succeed<'a>(&self, successor: Option<Successor<'a>>) -> Option<Successor<'a>> {
         let successor = successor?;
-        match self.call(successor.run()).await {
-            Ok(true) => None,
-            Ok(false) | Err(_) => Some(successor),
+        // Several calls, most of them to parts that nobody else uses.
+        let limit = self.settings.store_timeout * SUCCESSION_CALLS;
+        match tokio::time::timeout(limit, successor.run()).await {
+            Ok(Ok(true)) => None,
+            Ok(Ok(false)) => Some(successor),
+            Ok(Err(fault)) => {
+                log::warn!(target: TOKENS, fault:%; "journals before this process not taken over yet");
+                Some(successor)
+            }
+            Err(_) => {
+                log::warn!(target: TOKENS, "journals before this process not taken over in time");
+                Some(successor)
+            }
         }
     }
 
@@ -136,13 +148,12 @@
         }
     }
 
-    /// Reads what the holder needs, states totals and flushes.
+    /// Flushes, and reads and changes budget rows when that is due.
+    ///
+    /// All hosts change the same few budget rows, which the store does one after the other. So a row
+    /// for requests that wait goes without them, and they are changed with a pause.
     async fn step(&self) -> Result<(), Fault> {
-        let mut result = self.exchange().await;
-        if result.as_ref().is_ok_and(|age| *age >= OLD_ROW) {
-            result = self.exchange().await;
-        }
-        let result = result.map(drop);
+        let result = self.flush().await;
         let now = self.escrow.clock.now();
         let is_cut_off = result.is_err() && lock(&self.escrow.contact).is_lost(now);
         if self.escrow.is_cut_off.swap(is_cut_off, Ordering::Relaxed) != is_cut_off {
@@ -155,6 +166,32 @@
         result
     }
 
+    async fn flush(&self) -> Result<(), Fault> {
+        let now = self.escrow.clock.now();
+        lock(&self.escrow.holder).tune(&self.settings.escrow_of(self.view.hosts()));
+        let is_due = *lock(&self.escrow.refill_at) <= now;
+        let is_waited_for = lock(&self.escrow.holder).is_row_awaited(now);
+        if is_waited_for || !is_due {
+            self.see_clock();
+            self.write(&[]).await?;
+        }
+        if !is_due {
+            return Ok(());
+        }
+        if self.exchange().await? >= OLD_ROW {
+            self.exchange().await?;
+        }
+        let pause = self.settings.refill_pause(self.view.hosts());
+        *lock(&self.escrow.refill_at) = self.escrow.clock.now() + pause;
+        Ok(())
+    }
+
+    fn see_clock(&self) {
+        if let Some(store_ms) = self.store.clock_ms() {
+            lock(&self.escrow.holder).see_clock(store_ms);
+        }
+    }
+
     /// Reads and writes; returns the age of the row that took effect, zero without one.
     async fn exchange(&self) -> Result<Duration, Fault> {
         let mut keys = lock(&self.escrow.holder).wanted();
@@ -171,9 +208,7 @@
             self.call(self.store.get(keys)).await?
         };
         self.state(&rows).await?;
-        if let Some(store_ms) = self.store.clock_ms() {
-            lock(&self.escrow.holder).see_clock(store_ms);
-        }
+        self.see_clock();
         let age = lock(&self.escrow.holder).pending_age(self.escrow.clock.now());
         if !self.write(&rows).await? {
             // Another host has changed a budget row. A row without budgets renews the bounds at
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -71,10 +71,10 @@
 /// Writing calls per second and host up to which the intervals of store calls are as set; in a larger
 /// fleet they grow with it, so that all hosts together make about as many calls.
 const HOST_WRITES: f64 = 25.0;
-/// Writing calls of all hosts together for flushes outside their interval, if each host made as many
-/// as it may, as a multiple of what the store takes. Such a flush has requests that wait for it, so
-/// all hosts together make fewer than there are requests.
-const HURRIED_SHARE: f64 = 3.0;
+/// Time of demand that a holder in a large fleet reserves without waiting for a row.
+const LARGE_FLEET_BURST: Duration = Duration::from_millis(800);
+/// Share of the store's writing calls that go to changes of budget rows.
+const REFILL_SHARE: f64 = 0.5;
 /// Bound on the growth of an interval: rows must stay younger than the hold time of their bounds, and
 /// a connection to the store that fell silent must be noticed within seconds.
 const INTERVAL_GROWTH: f64 = 3.0;
@@ -88,9 +88,30 @@
 }
 
 impl Settings {
-    /// Returns the shortest time between two flushes of a host.
-    pub(crate) fn flush_pause(&self, hosts: Option<usize>) -> Duration {
-        let writes = self.store_writes.max(1.0) * HURRIED_SHARE;
+    /// Returns the settings of a holder in a fleet of `hosts`.
+    ///
+    /// In a large fleet a few hosts hold each budget, some of them small. Rows ahead of requests keep
+    /// these from waiting for a busy holder; what a death costs is a small part of a budget there.
+    pub(crate) fn escrow_of(&self, hosts: Option<usize>) -> budget::Settings {
+        let is_large = hosts.is_some_and(|hosts| hosts > budget::Places::SMALL_FLEET);
+        let burst = if is_large {
+            LARGE_FLEET_BURST
+        } else {
+            Duration::ZERO
+        };
+        let bound = self
+            .escrow
+            .bound
+            .map(|bound| budget::bound::Settings { burst, ..bound });
+        budget::Settings {
+            bound,
+            ..self.escrow.clone()
+        }
+    }
+
+    /// Returns the shortest time between two changes of budget rows by a host.
+    pub(crate) fn refill_pause(&self, hosts: Option<usize>) -> Duration {
+        let writes = self.store_writes.max(1.0) * REFILL_SHARE;
         Duration::from_secs_f64(hosts.unwrap_or(1) as f64 / writes)
     }
 }
