Return tokens at the end of a planned stop without a pause

Cause: since budget rows are changed with a pause, a stopping host in a large fleet could spend its last flushes waiting for it. Read in the diff, not seen in a run.

Change: the pause does not apply while a holder closes. A test's text is made in one line.

Result: tests of budgets, hosts and stops pass.

--- a/crates/gateway/src/escrow/writer.rs
+++ b/crates/gateway/src/escrow/writer.rs
@@ -112,6 +112,8 @@
     async fn close(&self) {
         lock(&self.escrow.holder).stop();
         for _ in 0..CLOSING_FLUSHES {
+            // The process has little time left to return its tokens.
+            *lock(&self.escrow.refill_at) = Duration::ZERO;
             let result = self.step().await;
             if lock(&self.escrow.holder).phase() == Phase::Closed {
                 log::info!(target: TOKENS, "journal closed");
@@ -148,10 +150,7 @@
         }
     }
 
-    /// Flushes, and reads and changes budget rows when that is due.
-    ///
-    /// All hosts change the same few budget rows, which the store does one after the other. So a row
-    /// for requests that wait goes without them, and they are changed with a pause.
+    /// Flushes, notes whether the store is reached, and wakes those that wait.
     async fn step(&self) -> Result<(), Fault> {
         let result = self.flush().await;
         let now = self.escrow.clock.now();
@@ -166,6 +165,10 @@
         result
     }
 
+    /// Writes a row for requests that wait, and one that changes budget rows when that is due.
+    ///
+    /// All hosts change the same few budget rows, which the store does one after the other. So a row
+    /// for requests that wait goes without them, and they are changed with a pause.
     async fn flush(&self) -> Result<(), Fault> {
         let now = self.escrow.clock.now();
         lock(&self.escrow.holder).tune(&self.settings.escrow_of(self.view.hosts()));
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -26,33 +26,14 @@
 /// are bounded for the process as a whole, not only one by one.
 #[tokio::test]
 async fn answers_without_end_stay_within_the_memory_of_a_small_host() {
-    const PIECE: &str = concat!(
-        "400\r\n",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef",
-        "\r\n"
-    );
+    let piece = format!("400\r\n{}\r\n", "0123456789abcdef".repeat(64)).leak();
     let settings = Settings {
         answer_memory: 24 << 20,
         ..Settings::default()
     };
     let endless = Script::Endless {
         text: STREAM,
-        piece: PIECE,
+        piece,
         pause: Duration::ZERO,
     };
     let scripts = vec![endless; 64];
