Log and count what upstreams state about their rate

Cause: the logs of the rate limit incident cannot tell a stated rate that is not read from one that is read and not kept, and no metric counts what is sent to an upstream with a stated rate.

Change: the adapter reads the header, the gateway logs each change of what an upstream states ("upstream states another rate"), "upstream chosen" has the attempt and the stated rate, and marigoldroute_gateway_limited_attempts_total counts first and later attempts at such upstreams. Nothing is decided by it yet. The head of an answer has grown, so a complete answer holds it in a box.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod route;
 pub mod stream;
 pub mod table;
+pub mod throttle;
 pub mod wire;
 pub mod withdraw;
--- /dev/null
+++ b/crates/core/src/throttle/mod.rs
@@ -0,0 +1,5 @@
+//! Rates that upstreams state.
+
+mod rate;
+
+pub use rate::{Rate, Statement};
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -15,6 +15,7 @@
             self, Adaptive, CacheUpdate, Candidate, Choice, Origin, Policy, Progress, Reason,
             Ticket,
         },
+        throttle::{Rate, Statement},
     },
     marigoldroute_process::logs::BELIEFS,
     rand::{SeedableRng, rngs::SmallRng},
@@ -65,6 +66,8 @@
     address: SocketAddr,
     started_ms: u64,
     in_flight: u32,
+    /// What its last response said about the rate that it takes.
+    stated: Statement,
     /// Prompt tokens sent whose requests have neither a first event nor an end.
     pending: u32,
     /// Whether `pending` has changed since it was last reported to other hosts.
@@ -106,6 +109,8 @@
     dispatcher: Arc<Dispatcher>,
     pub(crate) upstream: UpstreamId,
     pub(crate) address: SocketAddr,
+    /// Rate that the upstream had stated when it was assigned.
+    pub(crate) rate: Option<Rate>,
     ticket: Ticket,
     /// Prompt tokens that count as pending until the first event.
     pending: u32,
@@ -142,6 +147,23 @@
             .policy
             .record_load(now, &self.upstream, &load);
     }
+
+    /// Records what the upstream says about the rate that it takes.
+    pub(crate) fn record_statement(&self, statement: Statement) {
+        let mut inner = lock(&self.dispatcher.inner);
+        let Some(upstream) = inner.upstreams.get_mut(&self.upstream) else {
+            return;
+        };
+        let previous = std::mem::replace(&mut upstream.stated, statement);
+        drop(inner);
+        if previous != statement {
+            log::info!(
+                target: BELIEFS,
+                upstream:% = self.upstream, stated:% = statement, previous:%;
+                "upstream states another rate"
+            );
+        }
+    }
 }
 
 impl Drop for InFlight {
@@ -219,6 +241,7 @@
                 let known = inner.upstreams.get(&id);
                 let in_flight = known.map_or(0, |known| known.in_flight);
                 let pending = known.map_or(0, |known| known.pending);
+                let stated = known.map_or(Statement::Unlimited, |known| known.stated);
                 if known.is_some_and(|known| known.started_ms != entry.started_ms) {
                     let change = route::CacheChange::Cleared;
                     inner.policy.apply_cache_update(
@@ -234,6 +257,7 @@
                     address: entry.address,
                     started_ms: entry.started_ms,
                     in_flight,
+                    stated,
                     pending,
                     has_unreported_change: pending > 0,
                     has_left: false,
@@ -367,6 +391,10 @@
         upstream.pending = upstream.pending.saturating_add(pending);
         upstream.has_unreported_change |= pending > 0;
         let address = upstream.address;
+        let rate = match upstream.stated {
+            Statement::Limited(rate) => Some(rate),
+            Statement::Unlimited | Statement::Unreadable => None,
+        };
         policy.report(now, &mut ticket, Progress::Sent(&profile.prefixes));
         if pending > 0 {
             self.pending_changed.notify_one();
@@ -375,6 +403,7 @@
             dispatcher: self.clone(),
             upstream: id,
             address,
+            rate,
             ticket,
             pending,
             has_ended: false,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,7 +12,7 @@
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     marigoldroute_core::{forward::retry::Outcome, route::Progress},
-    poem::http::Request,
+    poem::http::{Request, StatusCode},
     std::{sync::Arc, time::Duration},
 };
 
@@ -89,6 +89,10 @@
         if let Some(load) = &head.load {
             in_flight.update_load(load);
         }
+        // Another process at the address of the upstream answers that the request is not for it.
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            in_flight.record_statement(head.rate);
+        }
         let pool = pool.clone();
         Ok(Self {
             head,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,8 @@
     pub(crate) requests: IntCounterVec,
     /// Attempts at upstreams that ended, by outcome.
     pub(crate) attempts: IntCounterVec,
+    /// Requests sent to upstreams that had stated a rate, by attempt: `first` or `later`.
+    pub(crate) limited: IntCounterVec,
     /// Calls to the store, by result.
     pub(crate) store_calls: IntCounterVec,
     /// Reservations of tokens, by the host that made them: `own`, `other` or `none`.
@@ -64,6 +66,11 @@
                 "Attempts at upstreams ended, by outcome",
                 "outcome",
             )?,
+            limited: counter(
+                "marigoldroute_gateway_limited_attempts_total",
+                "Requests sent to upstreams that had stated a rate, by attempt",
+                "attempt",
+            )?,
             store_calls: counter(
                 "marigoldroute_gateway_store_calls_total",
                 "Calls to the store, by result",
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -2,7 +2,10 @@
 
 use {
     derive_more::{Display, Error},
-    marigoldroute_core::id::{ModelId, RequestId, Tokens, UpstreamId, WorkspaceId},
+    marigoldroute_core::{
+        id::{ModelId, RequestId, Tokens, UpstreamId, WorkspaceId},
+        throttle::Statement,
+    },
     poem::http::{HeaderMap, Method, StatusCode, Uri},
     std::{sync::Arc, time::Duration},
 };
@@ -115,6 +118,8 @@
     pub is_signed: bool,
     /// Load of the upstream, when stated.
     pub load: Option<Load>,
+    /// What the response says about the rate of requests that the upstream takes.
+    pub rate: Statement,
     /// Whether the upstream closes the connection after the response.
     pub is_closing: bool,
     /// Idle timeout of the connection, when stated.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -48,7 +48,7 @@
 /// The result of a request, to be returned to the caller.
 pub(crate) enum Answer {
     /// A complete response of an upstream, with the permit for the memory of its body.
-    Complete(ResponseHead, Bytes, Permit),
+    Complete(Box<ResponseHead>, Bytes, Permit),
     /// A stream whose first event has arrived, or that ended without an event.
     Stream(Box<Stream>),
     /// An error that the gateway reports itself.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -16,6 +16,7 @@
         id::UpstreamId,
         route::Progress,
         stream::{Event, Splitter},
+        throttle::Rate,
     },
     marigoldroute_process::logs::{REQUESTS, ROUTING},
     std::{collections::VecDeque, time::Duration},
@@ -58,7 +59,7 @@
                     break;
                 }
             };
-            self.record_send(&upstream);
+            self.record_send(&in_flight);
             match self.start_exchange(in_flight, connection, last_event).await {
                 Ok(exchange) => {
                     return self
@@ -82,10 +83,15 @@
     }
 
     /// Records that the upstream may run the request from now on.
-    fn record_send(&mut self, upstream: &UpstreamId) {
+    fn record_send(&mut self, in_flight: &InFlight) {
+        if in_flight.rate.is_some() {
+            let attempt = if self.sent == 0 { "first" } else { "later" };
+            let limited = &self.context.metrics.limited;
+            limited.with_label_values(&[attempt]).inc();
+        }
         self.sent += 1;
         if let Some(reservation) = &mut self.reservation {
-            reservation.record_sent(upstream);
+            reservation.record_sent(&in_flight.upstream);
         }
     }
 
@@ -101,7 +107,9 @@
                 Ok((in_flight, rationale)) => {
                     log::info!(
                         target: ROUTING,
-                        request:% = self.head.id, upstream:% = in_flight.upstream, rationale:%;
+                        request:% = self.head.id, upstream:% = in_flight.upstream, rationale:%,
+                        attempt = self.tried.len() + 1,
+                        rate = in_flight.rate.map(Rate::per_second);
                         "upstream chosen"
                     );
                     return Some(in_flight);
@@ -173,7 +181,7 @@
             Ok(()) => match self.read_all(&mut exchange).await {
                 Ok((body, permit)) => {
                     self.record_success(&upstream, started, &exchange);
-                    let head = exchange.head.clone();
+                    let head = Box::new(exchange.head.clone());
                     let is_failure = head.status.is_server_error();
                     exchange.finish(Progress::Finished { tokens: 1 });
                     let answer = Answer::Complete(head, body, permit);
--- a/crates/gateway/tests/harness/protocol.rs
+++ b/crates/gateway/tests/harness/protocol.rs
@@ -1,6 +1,7 @@
 //! A plain protocol of requests and responses.
 
 use {
+    marigoldroute_core::throttle::{Rate, Statement},
     marigoldroute_gateway::protocol::{
         Attempt, Malformed, Protocol, RequestHead, ResponseHead, Usage,
     },
@@ -78,6 +79,14 @@
             is_refused: headers.contains_key("x-not-run"),
             is_signed: headers.contains_key("x-signed"),
             load: None,
+            rate: match text(headers, "x-rate") {
+                Some(rate) => rate
+                    .parse()
+                    .ok()
+                    .and_then(Rate::new)
+                    .map_or(Statement::Unreadable, Statement::Limited),
+                None => Statement::Unlimited,
+            },
             is_closing: headers.contains_key(CONNECTION),
             keep_alive: None,
         }
