--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -4,7 +4,7 @@
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -18,6 +18,9 @@
 pub enum Script {
     /// Sends a complete response with this status and body.
     Complete(u16, &'static str),
+    /// Sends a complete response that states the rate which the upstream takes now, see
+    /// [`Upstream::state_rate`].
+    Rated,
     /// States that it did not run the request.
     Refuse,
     /// Closes the connection without a response.
@@ -59,6 +62,10 @@
     pub id: String,
     pub address: SocketAddr,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
+    /// When each request arrived.
+    times: Arc<Mutex<Vec<Instant>>>,
+    /// Rate that [`Script::Rated`] states.
+    rate: Arc<Mutex<Option<&'static str>>>,
     /// Receives a message when a connection has ended.
     pub closed: mpsc::Receiver<()>,
 }
@@ -69,25 +76,42 @@
         let address = listener.local_addr().expect("an address");
         let arrivals = Arc::new(Mutex::new(Vec::new()));
         let (closing, closed) = mpsc::channel(64);
-        let recorded = arrivals.clone();
+        let (times, rate) = (Arc::default(), Arc::default());
+        let connection = Connection {
+            script,
+            arrivals: arrivals.clone(),
+            times: Arc::clone(&times),
+            rate: Arc::clone(&rate),
+            closing,
+        };
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(
-                    stream,
-                    script.clone(),
-                    recorded.clone(),
-                    closing.clone(),
-                ));
+                tokio::spawn(serve(stream, connection.clone()));
             }
         });
         Self {
             id: id.into(),
             address,
             arrivals,
+            times,
+            rate,
             closed,
         }
     }
 
+    /// Sets the rate that [`Script::Rated`] states from now on.
+    pub fn state_rate(&self, rate: Option<&'static str>) {
+        *self.rate.lock().expect("no test panics while it holds it") = rate;
+    }
+
+    /// Returns when each request arrived.
+    pub fn times(&self) -> Vec<Instant> {
+        let times = self.times.lock();
+        times
+            .expect("no test panics while it holds the list")
+            .clone()
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals
             .lock()
@@ -96,19 +120,37 @@
     }
 }
 
-async fn serve(
-    mut stream: TcpStream,
+/// What the connections of an upstream share.
+#[derive(Clone)]
+struct Connection {
     script: Script,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
+    times: Arc<Mutex<Vec<Instant>>>,
+    rate: Arc<Mutex<Option<&'static str>>>,
     closing: mpsc::Sender<()>,
-) {
+}
+
+async fn serve(mut stream: TcpStream, connection: Connection) {
+    let Connection {
+        script,
+        arrivals,
+        times,
+        rate,
+        closing,
+    } = connection;
     let mut count = 0;
     while let Some(arrival) = read(&mut stream).await {
+        let now = Instant::now();
+        times
+            .lock()
+            .expect("no test panics while it holds the list")
+            .push(now);
         arrivals
             .lock()
             .expect("no test panics while it holds the list")
             .push(arrival.clone());
-        if answer(&mut stream, &script, &arrival, count)
+        let rate = *rate.lock().expect("no test panics while it holds it");
+        if answer(&mut stream, &script, &arrival, (count, rate))
             .await
             .is_none()
         {
@@ -155,7 +197,7 @@
     stream: &mut TcpStream,
     script: &Script,
     arrival: &Arrival,
-    count: usize,
+    (count, rate): (usize, Option<&str>),
 ) -> Option<()> {
     let id = &arrival.id;
     let head = |status: u16, more: &str| {
@@ -165,6 +207,10 @@
         Script::Complete(status, body) => {
             head(*status, &format!("content-length: {}\r\n", body.len())) + body
         }
+        Script::Rated => {
+            let rate = rate.map_or_else(String::new, |rate| format!("x-rate: {rate}\r\n"));
+            head(200, &format!("{rate}content-length: 5\r\n")) + "rated"
+        }
         Script::Refuse => head(503, "x-not-run: 1\r\ncontent-length: 0\r\n"),
         Script::Close => return None,
         Script::Raw(texts) => {
