Count hosts in linear time

Cause: Census::update compared every known row with every read row. At 300 hosts these are 90,000 comparisons of keys in each round of each host.

Change: the keys are looked up in a set.

--- a/crates/core/src/fleet/census.rs
+++ b/crates/core/src/fleet/census.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::id::Version,
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Renewals that a host may miss before it counts as gone.
@@ -47,8 +51,8 @@
     pub fn update(&mut self, now: Duration, rows: &[(Arc<str>, Version)]) {
         let has_gap = now.saturating_sub(self.updated_at) > self.interval * GAP_RENEWAL_LIMIT;
         self.updated_at = now;
-        self.rows
-            .retain(|key, _| rows.iter().any(|(other, _)| other == key));
+        let keys: HashSet<_> = rows.iter().map(|(key, _)| key).collect();
+        self.rows.retain(|key, _| keys.contains(key));
         for (key, version) in rows {
             let version = *version;
             let known = self.rows.entry(key.clone());
