Share the rate that an upstream states between all hosts

Callers saw: nothing. Upstreams in need got two to three times the requests that they had stated to take from all hosts together.

It is a limit of the fleet that nothing enforces over the fleet; a host that kept it alone would still be one of 6 or 300.

Change: for each such upstream, the host that is first by rendezvous hashing grants permits at the stated rate, and each request needs one: first attempts, retries, resumed streams and requests that waited. A host grants only with a confirmed view, and after it has been first for as long as other views can be old. Hosts tell the granter what answers state, the newest statement wins, and the granter tells the others. What no upstream takes is refused at once, and callers return in turns.

--- /dev/null
+++ b/crates/core/src/throttle/bucket.rs
@@ -0,0 +1,57 @@
+//! Spacing of the permits for one upstream.
+
+use std::time::Duration;
+
+/// Time by which permits may be ahead of their spacing. Two hosts whose requests arrive at the same
+/// time both get one when the rate allows several permits in this time.
+const BURST_TIME: Duration = Duration::from_millis(250);
+/// Longest turn given to an asker; an asker whose turn is later would miss a rate that rises.
+const TURN_LIMIT: Duration = Duration::from_secs(4);
+
+/// Spaces permits, by the generic cell rate algorithm, and spreads the askers that get none.
+///
+/// In any span, the number of permits is at most one more than the span and [`BURST_TIME`] hold
+/// intervals.
+#[derive(Clone, Debug)]
+pub(super) struct Bucket {
+    /// Time between two permits.
+    interval: Duration,
+    /// When the next permit is due; it may be taken by the burst time earlier.
+    next: Duration,
+    /// Turn of the next asker that gets none.
+    turn: Duration,
+}
+
+impl Bucket {
+    /// Creates a bucket whose first permit is due after one interval, because the upstream has just
+    /// received a request.
+    pub(super) fn new(now: Duration, interval: Duration) -> Self {
+        Self {
+            interval,
+            next: now + interval,
+            turn: now,
+        }
+    }
+
+    /// Changes the time between two permits. Permits that were taken stay taken.
+    pub(super) fn set_interval(&mut self, now: Duration, interval: Duration) {
+        self.interval = interval;
+        self.next = self.next.min(now + interval);
+        self.turn = now;
+    }
+
+    /// Takes a permit.
+    ///
+    /// # Errors
+    /// The time until the turn of this asker, which differs from those of the askers before it.
+    pub(super) fn take(&mut self, now: Duration) -> Result<(), Duration> {
+        let open_at = self.next.saturating_sub(BURST_TIME);
+        if now >= open_at {
+            self.next = self.next.max(now) + self.interval;
+            return Ok(());
+        }
+        let turn = self.turn.max(open_at);
+        self.turn = (turn + self.interval).min(now + TURN_LIMIT);
+        Err(turn - now)
+    }
+}
--- a/crates/core/src/throttle/rate.rs
+++ b/crates/core/src/throttle/rate.rs
@@ -1,6 +1,10 @@
 //! Rates, and what responses say about them.
 
-use derive_more::Display;
+use {derive_more::Display, std::time::Duration};
+
+/// Longest time between two requests to an upstream, however low its rate. Only the answer to a
+/// request tells that a rate has ended.
+const LONGEST_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Requests per second that an upstream takes from all hosts together.
 ///
@@ -18,6 +22,13 @@
     pub fn per_second(self) -> f64 {
         self.0
     }
+
+    /// Returns the time between two requests: at most half a minute, so that the end of a very low
+    /// rate is noticed.
+    pub fn interval(self) -> Duration {
+        let lowest = LONGEST_INTERVAL.as_secs_f64().recip();
+        Duration::from_secs_f64(self.0.max(lowest).recip())
+    }
 }
 
 /// What a response says about the rate that its upstream takes.
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -28,7 +28,7 @@
     /// The request, reply or notification itself.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
     )]
     pub body: Option<Body>,
 }
@@ -54,6 +54,15 @@
     /// Publishes the sender's prompts that have not been answered yet. Has no reply.
     #[prost(message, tag = "22")]
     Pending(Pending),
+    /// Asks for a permit to send a request to an upstream that has stated a rate.
+    #[prost(message, tag = "23")]
+    Acquire(Acquire),
+    /// Replies to [`Body::Acquire`].
+    #[prost(message, tag = "24")]
+    Acquired(Acquired),
+    /// Publishes what upstreams state about their rates. Has no reply.
+    #[prost(message, tag = "25")]
+    Rates(Rates),
     /// Replies to [`Body::Reserve`], [`Body::Lower`], [`Body::Release`], [`Body::Announce`] and
     /// [`Body::Review`]; empty where only the receipt matters.
     #[prost(message, tag = "14")]
@@ -212,6 +221,54 @@
     pub budget: String,
 }
 
+/// Asks for a permit to send one request to an upstream that has stated a rate.
+#[derive(Clone, PartialEq, Message)]
+pub struct Acquire {
+    /// What the asker knows about the rate.
+    #[prost(message, required, tag = "1")]
+    pub stated: Stated,
+}
+
+/// The answer of the host that grants the permits of an upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct Acquired {
+    /// Whether the request may be sent; it must be sent at once.
+    #[prost(bool, tag = "1")]
+    pub is_granted: bool,
+    /// Without a permit: time until the asker should ask again, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub wait_ms: u64,
+    /// What the granter knows about the rate; absent when it knows nothing.
+    #[prost(message, optional, tag = "3")]
+    pub stated: Option<Stated>,
+}
+
+/// Publishes what upstreams state about their rates.
+#[derive(Clone, PartialEq, Message)]
+pub struct Rates {
+    /// One item for each upstream.
+    #[prost(message, repeated, tag = "1")]
+    pub items: Vec<Stated>,
+}
+
+/// What an upstream stated about the rate of requests that it takes from all hosts together.
+#[derive(Clone, PartialEq, Message)]
+pub struct Stated {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Start of the upstream's process, in milliseconds since 1970. What a process stated does not
+    /// hold for the next one.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
+    /// Requests per second; absent when the upstream states no rate any more.
+    #[prost(double, optional, tag = "3")]
+    pub rate: Option<f64>,
+    /// Time since a host received the statement, in microseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_us: u64,
+}
+
 /// Asks a host how many of its requests run on upstreams that get no new work of that kind.
 #[derive(Clone, PartialEq, Message)]
 pub struct Count {}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -9,17 +9,20 @@
     },
     derive_more::Display,
     marigoldroute_core::{
+        fleet::WeightedHost,
         forward::{Allowance, AllowanceSettings, Change, Service},
-        id::{ServiceId, UpstreamId},
+        id::{HostId, ServiceId, UpstreamId},
         route::{
             self, Adaptive, CacheUpdate, Candidate, Choice, Origin, Policy, Progress, Reason,
             Ticket,
         },
-        throttle::{Rate, Statement},
+        throttle::{self, Process, Rate, State, Statement, Step, Throttle},
+        wire::{Acquire, Acquired, Stated},
     },
     marigoldroute_process::logs::BELIEFS,
     rand::{SeedableRng, rngs::SmallRng},
     std::{
+        cell::Cell,
         collections::HashMap,
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -52,6 +55,8 @@
     pub(crate) capacity_freed: Notify,
     /// Notified when pending prompt tokens have changed, so that other hosts get an update.
     pub(crate) pending_changed: Notify,
+    /// Notified when other hosts have to be told about a rate.
+    pub(crate) rates_changed: Notify,
 }
 
 struct Inner {
@@ -60,14 +65,14 @@
     allowances: HashMap<ServiceId, Allowance>,
     upstreams: HashMap<UpstreamId, Upstream>,
     hosts: Option<usize>,
+    throttle: Throttle,
 }
 
 struct Upstream {
+    service: ServiceId,
     address: SocketAddr,
     started_ms: u64,
     in_flight: u32,
-    /// What its last response said about the rate that it takes.
-    stated: Statement,
     /// Prompt tokens sent whose requests have neither a first event nor an end.
     pending: u32,
     /// Whether `pending` has changed since it was last reported to other hosts.
@@ -109,8 +114,11 @@
     dispatcher: Arc<Dispatcher>,
     pub(crate) upstream: UpstreamId,
     pub(crate) address: SocketAddr,
-    /// Rate that the upstream had stated when it was assigned.
+    /// Rate that the upstream had stated when it was assigned; the request then needs a permit.
     pub(crate) rate: Option<Rate>,
+    process: Process,
+    /// When the request was sent; the time of its assignment before that.
+    sent_at: Duration,
     ticket: Ticket,
     /// Prompt tokens that count as pending until the first event.
     pending: u32,
@@ -148,21 +156,39 @@
             .record_load(now, &self.upstream, &load);
     }
 
-    /// Records what the upstream says about the rate that it takes.
-    pub(crate) fn record_statement(&self, statement: Statement) {
+    /// Records that the request is about to be sent; returns `false` when the upstream has left
+    /// since it was assigned.
+    pub(crate) fn record_sent(&mut self, profile: &Profile) -> bool {
+        let now = self.dispatcher.clock.now();
         let mut inner = lock(&self.dispatcher.inner);
-        let Some(upstream) = inner.upstreams.get_mut(&self.upstream) else {
-            return;
+        let upstream = inner.upstreams.get_mut(&self.upstream);
+        let Some(upstream) = upstream.filter(|upstream| !upstream.has_left) else {
+            return false;
         };
-        let previous = std::mem::replace(&mut upstream.stated, statement);
+        self.sent_at = now;
+        if profile.prompt > 0 {
+            self.pending = self.ticket.uncached_tokens();
+        }
+        upstream.pending = upstream.pending.saturating_add(self.pending);
+        upstream.has_unreported_change |= self.pending > 0;
+        let progress = Progress::Sent(&profile.prefixes);
+        inner.policy.report(now, &mut self.ticket, progress);
         drop(inner);
-        if previous != statement {
-            log::info!(
-                target: BELIEFS,
-                upstream:% = self.upstream, stated:% = statement, previous:%;
-                "upstream states another rate"
-            );
+        if self.pending > 0 {
+            self.dispatcher.pending_changed.notify_one();
         }
+        true
+    }
+
+    /// Records what a response of the upstream states about the rate that it takes.
+    pub(crate) fn record_statement(&self, statement: Statement, is_success: bool) {
+        let now = self.dispatcher.clock.now();
+        let mut inner = lock(&self.dispatcher.inner);
+        let throttle = &mut inner.throttle;
+        let change = throttle.record(now, &self.process, self.sent_at, statement, is_success);
+        drop(inner);
+        self.dispatcher
+            .report_rate(&self.upstream, change, "own answer");
     }
 }
 
@@ -184,8 +210,13 @@
 /// Why no upstream could be assigned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Unavailable {
-    /// Every candidate that was not tried is at this host's limit of requests in flight.
-    Busy,
+    /// Every candidate that was not tried is at this host's limit of requests in flight, or takes
+    /// no more requests at the rate that it states. Holds the time until the first of the latter
+    /// may take one.
+    Busy(Option<Duration>),
+    /// Every candidate that was not tried takes no more requests at the rate that it states; holds
+    /// the time after which the caller should return.
+    Closed(Duration),
     /// No upstream is known that was not tried.
     NoCandidate,
 }
@@ -196,6 +227,7 @@
         origin: Origin,
         settings: route::Settings,
         retries: AllowanceSettings,
+        throttle: Throttle,
     ) -> Self {
         let block_tokens = settings.block_tokens;
         let inner = Inner {
@@ -204,6 +236,7 @@
             allowances: HashMap::new(),
             upstreams: HashMap::new(),
             hosts: None,
+            throttle,
         };
         Self {
             clock,
@@ -212,6 +245,7 @@
             inner: Mutex::new(inner),
             capacity_freed: Notify::new(),
             pending_changed: Notify::new(),
+            rates_changed: Notify::new(),
         }
     }
 
@@ -226,22 +260,26 @@
         match change {
             Change::Left(id) => {
                 inner.policy.withdraw(&id);
+                inner.throttle.leave(now, &id);
                 if let Some(upstream) = inner.upstreams.get_mut(&id) {
                     upstream.has_left = true;
                 }
                 inner.remove_if_done(&id);
             }
             Change::Joined(id, entry) => {
+                inner.throttle.join(&Process {
+                    upstream: id.clone(),
+                    started_ms: entry.started_ms,
+                });
                 let candidate = Candidate {
                     id: id.clone(),
-                    serves: vec![entry.service],
+                    serves: vec![entry.service.clone()],
                     region: entry.region,
                     zone: entry.zone,
                 };
                 let known = inner.upstreams.get(&id);
                 let in_flight = known.map_or(0, |known| known.in_flight);
                 let pending = known.map_or(0, |known| known.pending);
-                let stated = known.map_or(Statement::Unlimited, |known| known.stated);
                 if known.is_some_and(|known| known.started_ms != entry.started_ms) {
                     let change = route::CacheChange::Cleared;
                     inner.policy.apply_cache_update(
@@ -254,10 +292,10 @@
                     );
                 }
                 let upstream = Upstream {
+                    service: entry.service,
                     address: entry.address,
                     started_ms: entry.started_ms,
                     in_flight,
-                    stated,
                     pending,
                     has_unreported_change: pending > 0,
                     has_left: false,
@@ -301,6 +339,78 @@
             .record_remote_pending(now, upstream, host, tokens);
     }
 
+    /// Replaces the hosts that share the rates of upstreams; see [`Throttle::update_hosts`].
+    pub(crate) fn update_hosts(&self, hosts: Vec<WeightedHost>, confirmed_at: Option<Duration>) {
+        let now = self.clock.now();
+        let mut inner = lock(&self.inner);
+        inner.throttle.update_hosts(now, hosts, confirmed_at);
+        let has_unpublished = inner.throttle.has_unpublished();
+        drop(inner);
+        if has_unpublished {
+            self.rates_changed.notify_one();
+        }
+    }
+
+    /// Begins to acquire a permit for a request to an upstream that has stated a rate.
+    pub(crate) fn acquire(&self, upstream: &UpstreamId) -> Step {
+        let now = self.clock.now();
+        lock(&self.inner).throttle.acquire(now, upstream)
+    }
+
+    /// Applies the answer of a host that was asked for a permit; `None` when it did not answer.
+    pub(crate) fn apply_permit(
+        &self,
+        upstream: &UpstreamId,
+        host: HostId,
+        acquired: Option<&Acquired>,
+    ) {
+        let now = self.clock.now();
+        let mut inner = lock(&self.inner);
+        let Some(acquired) = acquired else {
+            inner.throttle.record_silence(now, host);
+            return;
+        };
+        let change = inner.throttle.apply(now, upstream, acquired);
+        drop(inner);
+        self.report_rate(upstream, change, &host);
+    }
+
+    /// Answers another host that asks for a permit.
+    pub(crate) fn answer_acquire(&self, from: &str, acquire: &Acquire) -> Acquired {
+        let now = self.clock.now();
+        let (acquired, change) = lock(&self.inner).throttle.answer(now, acquire);
+        self.report_rate(&acquire.stated.upstream.as_str().into(), change, from);
+        acquired
+    }
+
+    /// Records what another host has learned about a rate.
+    pub(crate) fn learn_rate(&self, from: &str, stated: &Stated) {
+        let now = self.clock.now();
+        let change = lock(&self.inner).throttle.learn(now, stated);
+        self.report_rate(&stated.upstream.as_str().into(), change, from);
+    }
+
+    /// Takes what other hosts have to be told about rates; see [`Throttle::take_unpublished`].
+    pub(crate) fn take_unpublished(&self) -> (Vec<Stated>, Vec<(HostId, Stated)>) {
+        let now = self.clock.now();
+        lock(&self.inner).throttle.take_unpublished(now)
+    }
+
+    /// Logs a change of a rate, and lets waiting requests and other hosts know.
+    fn report_rate(&self, upstream: &UpstreamId, change: Option<throttle::Change>, source: &str) {
+        let Some(throttle::Change { previous, rate }) = change else {
+            return;
+        };
+        log::info!(
+            target: BELIEFS,
+            upstream:%, source, rate = rate.map(Rate::per_second),
+            previous = previous.map(Rate::per_second);
+            "upstream states another rate"
+        );
+        self.rates_changed.notify_one();
+        self.capacity_freed.notify_waiters();
+    }
+
     /// Records a request for a service, which adds to its allowance of retries.
     pub(crate) fn record_request(&self, service: &ServiceId) {
         self.with_allowance(service, Allowance::deposit);
@@ -341,14 +451,20 @@
             random,
             upstreams,
             hosts,
+            throttle,
             ..
         } = &mut *inner;
         let limit = in_flight_limit(service, hosts.unwrap_or(ASSUMED_HOSTS));
-        let is_busy = std::cell::Cell::new(false);
+        let is_busy = Cell::new(false);
+        let opens_at: Cell<Option<Duration>> = Cell::new(None);
         let allows = |id: &UpstreamId| {
             if tried.contains(id) {
                 return false;
             }
+            if let State::Closed(_, until) = throttle.state(now, id) {
+                opens_at.set(Some(opens_at.get().map_or(until, |at| at.min(until))));
+                return false;
+            }
             let has_capacity = upstreams
                 .get(id)
                 .is_some_and(|upstream| upstream.in_flight < limit);
@@ -366,10 +482,18 @@
         };
         let choice = policy.choose(now, random, &request);
         let Some(choice) = choice else {
-            return Err(if is_busy.get() {
-                Unavailable::Busy
-            } else {
-                Unavailable::NoCandidate
+            return Err(match (is_busy.get(), opens_at.get()) {
+                (true, opens_at) => Unavailable::Busy(opens_at.map(|at| at.saturating_sub(now))),
+                (false, Some(_)) => {
+                    let of_service = upstreams.iter().filter(|(id, upstream)| {
+                        upstream.service == service.name
+                            && !upstream.has_left
+                            && !tried.contains(id)
+                    });
+                    let ids = of_service.map(|(id, _)| id);
+                    Unavailable::Closed(throttle.schedule_return(now, &service.name, ids))
+                }
+                (false, None) => Unavailable::NoCandidate,
             });
         };
         let Choice {
@@ -377,35 +501,28 @@
             known,
             considered,
             reason,
-            mut ticket,
+            ticket,
         } = choice;
         let Some(upstream) = upstreams.get_mut(&id) else {
             return Err(Unavailable::NoCandidate);
         };
-        let pending = if profile.prompt > 0 {
-            ticket.uncached_tokens()
-        } else {
-            0
-        };
         upstream.in_flight += 1;
-        upstream.pending = upstream.pending.saturating_add(pending);
-        upstream.has_unreported_change |= pending > 0;
-        let address = upstream.address;
-        let rate = match upstream.stated {
-            Statement::Limited(rate) => Some(rate),
-            Statement::Unlimited | Statement::Unreadable => None,
+        let rate = match throttle.state(now, &id) {
+            State::Limited(rate) => Some(rate),
+            State::Free | State::Closed(..) => None,
         };
-        policy.report(now, &mut ticket, Progress::Sent(&profile.prefixes));
-        if pending > 0 {
-            self.pending_changed.notify_one();
-        }
         let in_flight = InFlight {
             dispatcher: self.clone(),
+            process: Process {
+                upstream: id.clone(),
+                started_ms: upstream.started_ms,
+            },
             upstream: id,
-            address,
+            address: upstream.address,
             rate,
+            sent_at: now,
             ticket,
-            pending,
+            pending: 0,
             has_ended: false,
         };
         Ok((
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -42,6 +42,10 @@
     /// No upstream could be assigned, and the request has not run.
     #[display("no upstream could take the request")]
     NoUpstream,
+    /// The upstreams take no more requests at the rates that they state; holds the time after which
+    /// the caller should return.
+    #[display("the upstreams take no more requests now")]
+    RateLimited(Duration),
     /// Every attempt ended without a run of the request.
     #[display("the upstreams refused the request")]
     Refused,
@@ -62,9 +66,11 @@
             Self::Access(AccessError::NoRoute) => StatusCode::NOT_FOUND,
             Self::Access(AccessError::UnknownKey) => StatusCode::UNAUTHORIZED,
             Self::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
-            Self::Unconfigured | Self::BudgetUnreachable(_) | Self::NoUpstream | Self::Refused => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Unconfigured
+            | Self::BudgetUnreachable(_)
+            | Self::NoUpstream
+            | Self::RateLimited(_)
+            | Self::Refused => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -74,7 +80,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Unconfigured => Some(Duration::from_millis(500)),
-            Self::BudgetUnreachable(after) => Some(after),
+            Self::BudgetUnreachable(after) | Self::RateLimited(after) => Some(after),
             Self::NoUpstream | Self::Refused => Some(Duration::from_millis(200)),
             _ => None,
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -91,7 +91,7 @@
         }
         // Another process at the address of the upstream answers that the request is not for it.
         if head.status != StatusCode::MISDIRECTED_REQUEST {
-            in_flight.record_statement(head.rate);
+            in_flight.record_statement(head.rate, head.status.is_success());
         }
         let pool = pool.clone();
         Ok(Self {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod memory;
 mod metrics;
 mod peers;
+mod permit;
 mod pool;
 mod profile;
 pub mod protocol;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -12,6 +12,7 @@
         memory::Quota,
         metrics::Metrics,
         peers::Peers,
+        permit::Permits,
         pool::Pool,
         protocol::Protocol,
         request::Context,
@@ -21,7 +22,7 @@
         view::View,
         watch::Watcher,
     },
-    marigoldroute_core::{id::HolderId, route::Origin},
+    marigoldroute_core::{id::HolderId, route::Origin, throttle::Throttle},
     poem::{
         Endpoint, EndpointExt, IntoResponse, Response, Route, Server, endpoint::make_sync, get,
         http::StatusCode,
@@ -82,8 +83,14 @@
         region: settings.region.clone(),
         zone: settings.zone.clone(),
     };
-    let dispatcher = Dispatcher::new(clock, origin, settings.routing.clone(), settings.retries);
-    let dispatcher = Arc::new(dispatcher);
+    let throttle = Throttle::new(settings.instance.clone(), settings.view_term());
+    let dispatcher = Arc::new(Dispatcher::new(
+        clock,
+        origin,
+        settings.routing.clone(),
+        settings.retries,
+        throttle,
+    ));
     let escrow = Arc::new(Escrow::new(process.clone(), clock, &settings));
     let pool = Arc::new(Pool::new(clock, metrics.clone(), settings.connect_timeout));
     let (close, stop) = (CancellationToken::new(), CancellationToken::new());
@@ -111,6 +118,7 @@
         protocol,
         view: view.clone(),
         dispatcher: dispatcher.clone(),
+        permits: Permits::new(dispatcher.clone(), peers.clone(), metrics.clone()),
         pool: pool.clone(),
         reserver: reserver.clone(),
         quota: Quota::new(settings.answer_memory),
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -9,7 +9,7 @@
         peers::{Endpoint, Peers},
         settings::Settings,
         store::Store,
-        view::View,
+        view::{View, is_committed},
     },
     marigoldroute_core::{
         budget::Assignment,
@@ -68,9 +68,11 @@
         let mut census = Census::new(self.settings.renew_interval);
         let mut pause = SETTLE_TIME.min(self.settings.renew_interval);
         loop {
-            self.renew().await;
+            let started = self.clock.now();
+            let is_renewed = self.renew().await;
             self.fetch_key().await;
-            self.count_hosts(&mut census).await;
+            let confirmed_at = is_renewed.then_some(started);
+            self.count_hosts(&mut census, confirmed_at).await;
             tokio::select! {
                 () = stop.cancelled() => break,
                 () = tokio::time::sleep(pause) => {}
@@ -87,8 +89,9 @@
         format!("{HOST_PREFIX}{}", self.process)
     }
 
-    /// Writes this host's row, whose new version shows that the process is alive.
-    async fn renew(&self) {
+    /// Writes this host's row, whose new version shows that the process is alive; returns whether it
+    /// was written.
+    async fn renew(&self) -> bool {
         let mut transaction = Transaction::default();
         let peers = self.peers.as_ref().and_then(|peers| peers.address().ok());
         let member = Member {
@@ -100,24 +103,29 @@
         match serde_json::to_string(&member) {
             Ok(text) => {
                 transaction.put(self.key(), text);
-                self.commit(transaction).await;
+                self.commit(transaction).await
+            }
+            Err(error) => {
+                log::error!(target: BELIEFS, "host row cannot be written: {error}");
+                false
             }
-            Err(error) => log::error!(target: BELIEFS, "host row cannot be written: {error}"),
         }
     }
 
-    /// Commits a transaction; a failure is only logged, as the next round repeats the write.
-    async fn commit(&self, transaction: Transaction) {
+    /// Commits a transaction and returns whether it took effect; a failure is only logged, as the
+    /// next round repeats the write.
+    async fn commit(&self, transaction: Transaction) -> bool {
         let call = self.store.commit(transaction);
         match tokio::time::timeout(self.settings.store_timeout, call).await {
-            Ok(Ok(_)) => {}
+            Ok(Ok(verdict)) => return is_committed(&verdict),
             Ok(Err(fault)) => log::debug!(target: BELIEFS, fault:%; "membership row not written"),
             Err(_) => log::debug!(target: BELIEFS, "membership row not written in time"),
         }
+        false
     }
 
     /// Reads the rows of all hosts, applies those of live ones and deletes those of dead ones.
-    async fn count_hosts(&self, census: &mut Census) {
+    async fn count_hosts(&self, census: &mut Census, confirmed_at: Option<Duration>) {
         let call = self.store.scan(HOST_PREFIX.into());
         let Ok(Ok(rows)) = tokio::time::timeout(self.settings.store_timeout, call).await else {
             // Keep the last known hosts while the store is unavailable.
@@ -130,7 +138,7 @@
             .iter()
             .filter(|row| census.is_live(now, &row.key))
             .collect();
-        let live = self.apply_members(&live);
+        let live = self.apply_members(&live, confirmed_at);
         if self.view.hosts() != Some(live.max(1)) {
             log::info!(target: BELIEFS, hosts = live; "fleet counted");
             self.view.set_hosts(live);
@@ -147,10 +155,10 @@
         }
     }
 
-    /// Updates the assignment of budgets and the endpoints of other hosts from the rows of the live
-    /// hosts, and returns the number of these hosts. Of the rows of one instance only the newest
+    /// Updates the assignment of budgets, the hosts that share rates and the endpoints of other hosts
+    /// from the rows of the live hosts, and returns the number of these hosts. Of the rows of one instance only the newest
     /// counts.
-    fn apply_members(&self, rows: &[&Row]) -> usize {
+    fn apply_members(&self, rows: &[&Row], confirmed_at: Option<Duration>) -> usize {
         let mut members: HashMap<HostId, (Version, HolderId, Member)> = HashMap::new();
         for row in rows {
             let process = row.key.strip_prefix(HOST_PREFIX);
@@ -175,6 +183,8 @@
         });
         let mut hosts: Vec<_> = zoned.collect();
         hosts.sort_by(|a, b| a.weighted.host.cmp(&b.weighted.host));
+        let weighted = hosts.iter().map(|host| host.weighted.clone()).collect();
+        self.dispatcher.update_hosts(weighted, confirmed_at);
         let own = self.settings.instance.clone();
         let assignment = Assignment::new(own.clone(), self.settings.zone.clone(), hosts);
         self.reserver
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,6 +20,8 @@
     pub(crate) attempts: IntCounterVec,
     /// Requests sent to upstreams that had stated a rate, by attempt: `first` or `later`.
     pub(crate) limited: IntCounterVec,
+    /// Permits for requests to upstreams that have stated a rate, by result.
+    pub(crate) permits: IntCounterVec,
     /// Calls to the store, by result.
     pub(crate) store_calls: IntCounterVec,
     /// Reservations of tokens, by the host that made them: `own`, `other` or `none`.
@@ -71,6 +73,11 @@
                 "Requests sent to upstreams that had stated a rate, by attempt",
                 "attempt",
             )?,
+            permits: counter(
+                "marigoldroute_gateway_permits_total",
+                "Permits for requests to upstreams that have stated a rate, by result",
+                "result",
+            )?,
             store_calls: counter(
                 "marigoldroute_gateway_store_calls_total",
                 "Calls to the store, by result",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,7 +9,7 @@
     bytes::BytesMut,
     marigoldroute_core::{
         id::{HolderId, HostId},
-        wire::{Body, Codec, Frame, Keys, Pending, Prompts, Refusal},
+        wire::{Body, Codec, Frame, Keys, Pending, Prompts, Rates, Refusal},
     },
     std::{
         collections::HashMap,
@@ -40,6 +40,8 @@
 /// Largest number of other hosts to which pending prompts are sent. In a larger fleet, each host
 /// contributes too little to the load of an engine to matter.
 const BROADCAST_PEER_LIMIT: usize = 16;
+/// Pause between two publications of rates for each host that receives them.
+const PUBLISH_PAUSE: Duration = Duration::from_millis(20);
 /// Interval at which a call without an answer is sent again.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(60);
 /// Time without an answer or notice after which a call fails. A host that is throttled by its CPU
@@ -127,6 +129,7 @@
         tokio::select! {
             () = stop.cancelled() => {}
             () = self.broadcast_pending() => {}
+            () = self.publish_rates() => {}
             () = self.listen(&responder) => {}
         }
     }
@@ -256,6 +259,32 @@
         }
     }
 
+    /// Tells other hosts what upstreams state about their rates, at first at once and then with
+    /// pauses that grow with the fleet.
+    async fn publish_rates(&self) {
+        loop {
+            self.dispatcher.rates_changed.notified().await;
+            tokio::time::sleep(BATCH_TIME).await;
+            let (to_all, to_granters) = self.dispatcher.take_unpublished();
+            let endpoints = lock(&self.endpoints).clone();
+            for (host, stated) in to_granters {
+                if let Some(endpoint) = endpoints.get(&host) {
+                    let items = vec![stated];
+                    self.send(endpoint, 0, Body::Rates(Rates { items })).await;
+                }
+            }
+            for chunk in to_all.chunks(DATAGRAM_UPSTREAMS) {
+                let items = chunk.to_vec();
+                if let Some(bytes) = self.encode("", 0, Body::Rates(Rates { items })) {
+                    for endpoint in endpoints.values() {
+                        self.send_bytes(endpoint.address, &bytes).await;
+                    }
+                }
+            }
+            tokio::time::sleep(PUBLISH_PAUSE * endpoints.len() as u32).await;
+        }
+    }
+
     async fn listen(self: &Arc<Self>, responder: &Arc<Responder>) {
         let mut buffer = [0; DATAGRAM_BYTES];
         loop {
@@ -308,7 +337,20 @@
                         .record_remote_pending(host, &prompts.upstream, prompts.tokens);
                 }
             }
-            answer @ (Body::Reply(_) | Body::Settled(_)) => {
+            Body::Rates(rates) => {
+                for stated in &rates.items {
+                    self.dispatcher.learn_rate(from, stated);
+                }
+            }
+            Body::Acquire(acquire) => {
+                let acquired = self.dispatcher.answer_acquire(from, &acquire);
+                let (peers, from) = (self.clone(), from.to_owned());
+                tokio::spawn(async move {
+                    let body = Body::Acquired(acquired);
+                    peers.send_frame(address, &from, correlation, body).await;
+                });
+            }
+            answer @ (Body::Reply(_) | Body::Settled(_) | Body::Acquired(_)) => {
                 let call = lock(&self.calls).get(&correlation).cloned();
                 // Repeated answers may arrive after the call has ended, or when its queue is full.
                 let _ = call.map(|call| call.try_send(answer));
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,19 +7,20 @@
 use {
     crate::{
         Clock,
-        dispatch::Dispatcher,
+        dispatch::{Dispatcher, Unavailable},
         error::Error,
         escrow::{Refusal, Reservation, ReservationSpec, Reserver},
         exchange::Exchange,
         memory::{Permit, Quota},
         metrics::Metrics,
+        permit::Permits,
         pool::Pool,
         profile::Profile,
         protocol::{Malformed, Protocol, RequestHead, ResponseHead},
         settings::Settings,
         view::View,
     },
-    attempt::Received,
+    attempt::{Interrupted, Received},
     bytes::Bytes,
     marigoldroute_core::{
         forward::{
@@ -38,6 +39,7 @@
     pub(crate) protocol: Arc<dyn Protocol>,
     pub(crate) view: Arc<View>,
     pub(crate) dispatcher: Arc<Dispatcher>,
+    pub(crate) permits: Permits,
     pub(crate) pool: Arc<Pool>,
     pub(crate) reserver: Arc<Reserver>,
     pub(crate) quota: Quota,
@@ -193,8 +195,8 @@
             let (outcome, answer) = match received {
                 Ok(Ok(Received::Final(answer))) => return answer,
                 Ok(Ok(Received::ServerError(answer))) => (Outcome::Failed, Some(answer)),
-                Ok(Err(Some(outcome))) => (outcome, None),
-                Ok(Err(None)) => return self.without_upstream(),
+                Ok(Err(Interrupted::Failed(outcome))) => (outcome, None),
+                Ok(Err(Interrupted::Unassigned(reason))) => return self.without_upstream(reason),
                 Err(_) => return self.timed_out(),
             };
             let is_still_unexecuted = outcome.is_not_run() && self.is_unexecuted;
@@ -220,11 +222,11 @@
     }
 
     /// Returns the answer when no upstream can be assigned.
-    fn without_upstream(&self) -> Answer {
-        Answer::Error(if self.is_unexecuted {
-            Error::NoUpstream
-        } else {
-            Error::Failed
+    fn without_upstream(&self, reason: Unavailable) -> Answer {
+        Answer::Error(match reason {
+            _ if !self.is_unexecuted => Error::Failed,
+            Unavailable::Closed(retry_after) => Error::RateLimited(retry_after),
+            Unavailable::Busy(_) | Unavailable::NoCandidate => Error::NoUpstream,
         })
     }
 
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -37,16 +37,25 @@
     ServerError(Answer),
 }
 
+/// Why an attempt received no response.
+pub(super) enum Interrupted {
+    /// No upstream could be assigned.
+    Unassigned(Unavailable),
+    /// The attempt failed.
+    Failed(Outcome),
+}
+
 impl ActiveRequest {
     /// Makes one attempt.
     ///
     /// # Errors
-    /// How the attempt failed, or `None` when no upstream could be assigned.
+    /// [`Interrupted`].
     pub(super) async fn attempt(
         &mut self,
         last_event: Option<u64>,
-    ) -> Result<Received, Option<Outcome>> {
-        let mut in_flight = self.acquire_upstream().await.ok_or(None)?;
+    ) -> Result<Received, Interrupted> {
+        let assigned = self.acquire_upstream().await;
+        let mut in_flight = assigned.map_err(Interrupted::Unassigned)?;
         let upstream = in_flight.upstream.clone();
         self.tried.push(upstream.clone());
         let started = self.context.clock.now();
@@ -65,7 +74,7 @@
                     return self
                         .receive(exchange, started, last_event)
                         .await
-                        .map_err(Some);
+                        .map_err(Interrupted::Failed);
                 }
                 Err((returned, error)) => {
                     in_flight = returned;
@@ -79,7 +88,7 @@
         }
         in_flight.report(Progress::Failed);
         self.record_failure(&upstream, started, &failure);
-        Err(Some(failure.outcome))
+        Err(Interrupted::Failed(failure.outcome))
     }
 
     /// Records that the upstream may run the request from now on.
@@ -95,27 +104,42 @@
         }
     }
 
-    /// Assigns an upstream, waiting while every candidate is at its limit.
-    async fn acquire_upstream(&self) -> Option<InFlight> {
+    /// Assigns an upstream, with a permit if it has stated a rate, waiting while every candidate is
+    /// at its limit.
+    async fn acquire_upstream(&self) -> Result<InFlight, Unavailable> {
+        let context = &self.context;
         loop {
-            let capacity_freed = self.context.dispatcher.capacity_freed.notified();
-            match self
-                .context
+            let capacity_freed = context.dispatcher.capacity_freed.notified();
+            let assigned = context
                 .dispatcher
-                .assign(&self.service, &self.profile, &self.tried)
-            {
-                Ok((in_flight, rationale)) => {
-                    log::info!(
-                        target: ROUTING,
-                        request:% = self.head.id, upstream:% = in_flight.upstream, rationale:%,
-                        attempt = self.tried.len() + 1,
-                        rate = in_flight.rate.map(Rate::per_second);
-                        "upstream chosen"
-                    );
-                    return Some(in_flight);
+                .assign(&self.service, &self.profile, &self.tried);
+            let (mut in_flight, rationale) = match assigned {
+                Ok(assigned) => assigned,
+                Err(Unavailable::Busy(opens_after)) => {
+                    let opens_after = opens_after.unwrap_or(self.remaining());
+                    // Either way, the candidates are looked at again.
+                    let _ = tokio::time::timeout(opens_after, capacity_freed).await;
+                    continue;
                 }
-                Err(Unavailable::NoCandidate) => return None,
-                Err(Unavailable::Busy) => capacity_freed.await,
+                Err(unavailable) => return Err(unavailable),
+            };
+            let rate = in_flight.rate.map(Rate::per_second);
+            if rate.is_some() && !context.permits.acquire(&in_flight.upstream).await {
+                log::info!(
+                    target: ROUTING,
+                    request:% = self.head.id, upstream:% = in_flight.upstream, rate;
+                    "no permit"
+                );
+                continue;
+            }
+            if in_flight.record_sent(&self.profile) {
+                log::info!(
+                    target: ROUTING,
+                    request:% = self.head.id, upstream:% = in_flight.upstream, rationale:%,
+                    attempt = self.tried.len() + 1, rate;
+                    "upstream chosen"
+                );
+                return Ok(in_flight);
             }
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -113,6 +113,13 @@
         }
     }
 
+    /// Returns the time for which this host relies on its view of the fleet without a renewal. It
+    /// allows for one round that fails, and is shorter than the time after which others take this
+    /// host for dead.
+    pub(crate) fn view_term(&self) -> Duration {
+        self.renew_interval * 2 + self.store_timeout.min(self.renew_interval / 2)
+    }
+
     /// Returns the shortest time between two changes of budget rows by this host.
     pub(crate) fn refill_interval(&self, hosts: Option<usize>) -> Duration {
         let writes = self.store_writes.max(1.0) * REFILL_SHARE;
--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -18,9 +18,11 @@
 pub enum Script {
     /// Sends a complete response with this status and body.
     Complete(u16, &'static str),
-    /// Sends a complete response that states the rate which the upstream takes now, see
-    /// [`Upstream::state_rate`].
-    Rated,
+    /// Sends a complete response with this status that states the rate which the upstream takes
+    /// now, see [`Upstream::state_rate`].
+    Rated(u16),
+    /// As [`Self::Events`] with `upto: 1`, and states the rate.
+    RatedEvents { of: u64 },
     /// States that it did not run the request.
     Refuse,
     /// Closes the connection without a response.
@@ -200,6 +202,7 @@
     (count, rate): (usize, Option<&str>),
 ) -> Option<()> {
     let id = &arrival.id;
+    let rate = rate.map_or_else(String::new, |rate| format!("x-rate: {rate}\r\n"));
     let head = |status: u16, more: &str| {
         format!("HTTP/1.1 {status} X\r\nx-request-id: {id}\r\nx-signed: 1\r\n{more}\r\n")
     };
@@ -207,9 +210,13 @@
         Script::Complete(status, body) => {
             head(*status, &format!("content-length: {}\r\n", body.len())) + body
         }
-        Script::Rated => {
-            let rate = rate.map_or_else(String::new, |rate| format!("x-rate: {rate}\r\n"));
-            head(200, &format!("{rate}content-length: 5\r\n")) + "rated"
+        Script::Rated(status) => head(*status, &format!("{rate}content-length: 5\r\n")) + "rated",
+        Script::RatedEvents { of } => {
+            let first = arrival.last_event.map_or(1, |last| last + 1);
+            let head = head(200, &format!("{rate}transfer-encoding: chunked\r\n"));
+            let text = head + &event(first) + if first == *of { "0\r\n\r\n" } else { "" };
+            stream.write_all(text.as_bytes()).await.ok()?;
+            return (first == *of).then_some(());
         }
         Script::Refuse => head(503, "x-not-run: 1\r\ncontent-length: 0\r\n"),
         Script::Close => return None,
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -86,7 +86,7 @@
 #[tokio::test]
 async fn six_hosts_share_the_rate_that_an_upstream_states() {
     let (fleet, upstreams) =
-        start_fleet(6, vec![Script::Rated, Script::Complete(200, "free")]).await;
+        start_fleet(6, vec![Script::Rated(200), Script::Complete(200, "free")]).await;
     upstreams[0].state_rate(Some("1"));
     let stated_at = Instant::now();
     load(&fleet, "safe", LEARN_TIME + SPAN * 2).await;
@@ -94,3 +94,75 @@
     assert!(most <= allowed(1.0), "{most} requests in {SPAN:?}");
     assert!(most > 0, "the upstream was not used");
 }
+
+/// Guards against retries and resumed streams that need no permit.
+#[tokio::test]
+async fn retries_and_resumed_streams_keep_the_rate() {
+    for (path, script) in [
+        ("safe", Script::Rated(500)),
+        ("resumable", Script::RatedEvents { of: 4 }),
+    ] {
+        let (fleet, upstreams) = start_fleet(3, vec![script.clone(), script]).await;
+        for upstream in &upstreams {
+            upstream.state_rate(Some("2"));
+        }
+        let stated_at = Instant::now();
+        load(&fleet, path, LEARN_TIME + SPAN).await;
+        for upstream in &upstreams {
+            let most = busiest_span(upstream, stated_at);
+            assert!(most <= allowed(2.0), "{path}: {most} requests in {SPAN:?}");
+        }
+    }
+}
+
+/// Guards against requests that wait for a limited upstream, and against a time to return at which
+/// it takes nothing.
+#[tokio::test]
+async fn what_no_upstream_takes_is_refused_at_once() {
+    let (fleet, upstreams) = start_fleet(2, vec![Script::Rated(200)]).await;
+    upstreams[0].state_rate(Some("0.5"));
+    load(&fleet, "safe", LEARN_TIME).await;
+    let sent_at = Instant::now();
+    let mut returns = Vec::new();
+    for id in 0..6 {
+        let response = fleet[0].request("safe", &format!("late{id}")).send().await;
+        let response = response.expect("an answer");
+        if response.status() == 200 {
+            continue;
+        }
+        assert_eq!(response.status(), 503);
+        let after = response
+            .headers()
+            .get("retry-after")
+            .expect("a time to return");
+        let after: f64 = after.to_str().expect("text").parse().expect("seconds");
+        returns.push(after);
+    }
+    assert!(sent_at.elapsed() < Duration::from_secs(1), "refused late");
+    assert!(returns.len() >= 5, "{} of 6 refused", returns.len());
+    // Of 0.5 requests a second, this host takes half, and its callers come back in turn.
+    let longest = returns.iter().copied().fold(0.0, f64::max);
+    assert!(longest >= 4.0, "all are told to return within {longest} s");
+}
+
+/// Guards against hosts that go on with a rate that has ended, and against a rate that a number
+/// without sense lifts.
+#[tokio::test]
+async fn a_rate_holds_until_the_upstream_states_none() {
+    let (fleet, upstreams) = start_fleet(3, vec![Script::Rated(200)]).await;
+    upstreams[0].state_rate(Some("2"));
+    let stated_at = Instant::now();
+    load(&fleet, "safe", LEARN_TIME).await;
+    upstreams[0].state_rate(Some("many"));
+    load(&fleet, "safe", SPAN).await;
+    let most = busiest_span(&upstreams[0], stated_at);
+    assert!(most <= allowed(2.0), "{most} requests in {SPAN:?}");
+    upstreams[0].state_rate(None);
+    load(&fleet, "safe", Duration::from_secs(2)).await;
+    let time = Duration::from_secs(1);
+    let answered = load(&fleet, "safe", time).await;
+    assert!(
+        answered >= 40,
+        "{answered} of about 60 answered after the end"
+    );
+}
--- a/crates/router/src/reserver.rs
+++ b/crates/router/src/reserver.rs
@@ -381,8 +381,10 @@
                 Reply::default()
             }
             Body::Count(_) => return Some(Body::Counted(self.count())),
-            // Only the gateway sends and uses pending prompts.
-            Body::Pending(_) => return None,
+            // Only the gateway uses pending prompts and rates.
+            Body::Pending(_) | Body::Acquire(_) | Body::Acquired(_) | Body::Rates(_) => {
+                return None;
+            }
             Body::Reply(_) | Body::Settled(_) | Body::Counted(_) => return None,
         };
         Some(Body::Reply(reply))
