Keep the allowance of retries in fleets larger than its slack

Each host had at least one retry of the slack for itself, so that 300 hosts with a slack of 10 could make 300 retries at once, and kept unused retries for as long as it ran, although the bound holds for each window.

Change: a host has its part of the slack, also below one, and what its requests earn expires after a window at the latest. The slack returns after a window without its use. The length of the window, which nothing read, is in effect.

Result: a_slack_below_the_fleet_is_not_one_retry_each and the_slack_returns_after_a_window_without_its_use failed on the code before (300 hosts withdrew more than 10; 1 of 2 retries returned) and pass.

--- a/crates/core/src/forward/allowance.rs
+++ b/crates/core/src/forward/allowance.rs
@@ -1,9 +1,6 @@
 //! Bound on the retries of the fleet, divided between its hosts.
 
-use {
-    crate::limit::{RetryBudget, RetrySettings},
-    std::time::Duration,
-};
+use std::time::Duration;
 
 /// Factor on the allowed share of retries. A request may have left the sliding window when the
 /// retry that it allows is made, so the share is kept below the bound.
@@ -34,21 +31,32 @@
 
 /// Retry budget of one host for one service.
 ///
-/// Over any period, the host makes at most its part of the slack plus a share of its own requests.
+/// In any window, the host makes at most its part of the slack plus a share of its own requests in
+/// that window and the half window before it. A part below one retry only adds to the share.
 #[derive(Clone, Debug)]
 pub struct Allowance {
     settings: Settings,
-    budget: RetryBudget,
     hosts: usize,
+    /// Unused part of the slack.
+    slack: f64,
+    /// When a retry last used the slack.
+    slack_used_at: Option<Duration>,
+    /// Unused share of the requests in the current and in the previous half of a window.
+    earned: [f64; 2],
+    /// Number of the current half of a window.
+    half: u128,
 }
 
 impl Allowance {
     /// Creates the budget of one of many hosts; [`Self::set_hosts`] corrects their number.
     pub fn new(settings: Settings) -> Self {
         Self {
-            budget: RetryBudget::new(budget_settings(settings, ASSUMED_HOSTS)),
+            slack: settings.slack / ASSUMED_HOSTS as f64,
             settings,
             hosts: ASSUMED_HOSTS,
+            slack_used_at: None,
+            earned: [0.0; 2],
+            half: 0,
         }
     }
 
@@ -56,27 +64,60 @@
     pub fn set_hosts(&mut self, hosts: usize) {
         let hosts = hosts.max(1);
         if hosts != self.hosts {
+            let used = self.part() - self.slack;
             self.hosts = hosts;
-            self.budget
-                .update_settings(budget_settings(self.settings, hosts));
+            self.slack = (self.part() - used).max(0.0);
         }
     }
 
     /// Records a request, which adds to the budget.
-    pub fn deposit(&mut self) {
-        self.budget.deposit();
+    pub fn deposit(&mut self, now: Duration) {
+        self.advance(now);
+        let limit = self.part().max(1.0);
+        let [current, previous] = &mut self.earned;
+        let added = self.settings.share * SHARE_FACTOR;
+        *current = (*current + added).min((limit - *previous).max(0.0));
     }
 
     /// Takes a retry from the budget; `false` when the request must end instead.
     #[must_use]
-    pub fn withdraw(&mut self) -> bool {
-        self.budget.withdraw()
+    pub fn withdraw(&mut self, now: Duration) -> bool {
+        self.advance(now);
+        let [current, previous] = self.earned;
+        if current + previous + self.slack < 1.0 {
+            return false;
+        }
+        // What expires first is used first.
+        let from_previous = previous.min(1.0);
+        let from_current = current.min(1.0 - from_previous);
+        self.earned = [current - from_current, previous - from_previous];
+        let from_slack = 1.0 - from_previous - from_current;
+        if from_slack > 0.0 {
+            self.slack -= from_slack;
+            self.slack_used_at = Some(now);
+        }
+        true
     }
-}
 
-fn budget_settings(settings: Settings, hosts: usize) -> RetrySettings {
-    RetrySettings {
-        share: settings.share * SHARE_FACTOR,
-        reserve: (settings.slack / hosts as f64).max(1.0),
+    /// Returns this host's part of the slack.
+    fn part(&self) -> f64 {
+        self.settings.slack / self.hosts as f64
+    }
+
+    /// Drops what has expired, and restores the slack that was not used for a window.
+    fn advance(&mut self, now: Duration) {
+        let half = now.as_nanos() / (self.settings.window / 2).as_nanos().max(1);
+        match half.saturating_sub(self.half) {
+            0 => {}
+            1 => self.earned = [0.0, self.earned[0]],
+            _ => self.earned = [0.0; 2],
+        }
+        self.half = self.half.max(half);
+        if let Some(used_at) = self.slack_used_at
+            && now.saturating_sub(used_at) > self.settings.window
+        {
+            self.slack = self.part();
+            self.slack_used_at = None;
+        }
     }
 }
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -159,8 +159,8 @@
     let mut retries = 0;
     for index in 0..requests {
         let host = &mut hosts[index % 6];
-        host.deposit();
-        while host.withdraw() {
+        host.deposit(Duration::ZERO);
+        while host.withdraw(Duration::ZERO) {
             retries += 1;
         }
     }
@@ -170,6 +170,56 @@
     );
 }
 
+/// Guards against one retry for each host, although the fleet has more hosts than allowed retries.
+#[test]
+fn a_slack_below_the_fleet_is_not_one_retry_each() {
+    const HOSTS: usize = 300;
+    let settings = AllowanceSettings {
+        share: 0.2,
+        slack: 10.0,
+        window: 10 * SECOND,
+    };
+    let mut hosts = vec![Allowance::new(settings); HOSTS];
+    hosts.iter_mut().for_each(|host| host.set_hosts(HOSTS));
+    let withdraw = |hosts: &mut Vec<Allowance>, now| {
+        let taken = hosts
+            .iter_mut()
+            .filter_map(|host| host.withdraw(now).then_some(()));
+        taken.count()
+    };
+    assert!(withdraw(&mut hosts, SECOND) <= 10);
+    // Each host has one request in 5 s, 600 in a window.
+    for second in (5..100).step_by(5) {
+        hosts
+            .iter_mut()
+            .for_each(|host| host.deposit(SECOND * second));
+    }
+    let retries = withdraw(&mut hosts, SECOND * 99);
+    assert!(retries <= 120 + 10, "{retries} retries in a busy fleet");
+    // Saved retries do not outlast the requests that allowed them.
+    hosts.iter_mut().for_each(|host| {
+        (0..20).for_each(|_| host.deposit(SECOND * 120));
+    });
+    let retries = withdraw(&mut hosts, SECOND * 150);
+    assert!(retries <= 10, "{retries} retries in an idle fleet");
+}
+
+/// Guards against a slack that can be used only once.
+#[test]
+fn the_slack_returns_after_a_window_without_its_use() {
+    let settings = AllowanceSettings {
+        share: 0.2,
+        slack: 12.0,
+        window: 10 * SECOND,
+    };
+    let mut host = Allowance::new(settings);
+    host.set_hosts(6);
+    let count = |host: &mut Allowance, now| (0..9).filter(|_| host.withdraw(now)).count();
+    assert_eq!(count(&mut host, SECOND), 2);
+    assert_eq!(count(&mut host, SECOND * 10), 0);
+    assert_eq!(count(&mut host, SECOND * 12), 2);
+}
+
 fn registration(state: State) -> Registration {
     Registration {
         service: "desk".into(),
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -413,12 +413,14 @@
 
     /// Records a request for a service, which adds to its allowance of retries.
     pub(crate) fn record_request(&self, service: &ServiceId) {
-        self.with_allowance(service, Allowance::deposit);
+        let now = self.clock.now();
+        self.with_allowance(service, |allowance| allowance.deposit(now));
     }
 
     /// Takes a retry from this host's part of the fleet's allowance; returns whether there was one.
     pub(crate) fn acquire_retry(&self, service: &ServiceId) -> bool {
-        self.with_allowance(service, Allowance::withdraw)
+        let now = self.clock.now();
+        self.with_allowance(service, |allowance| allowance.withdraw(now))
     }
 
     fn with_allowance<T>(&self, service: &ServiceId, act: impl FnOnce(&mut Allowance) -> T) -> T {
