Take one permit for a question that is repeated

Cause: a call to another host is sent again every 60 ms until it is answered, and each copy took a permit. A granter whose processor time is used up answers up to 100 ms late, so part of the rate was lost.

Change: the answer to a question is kept for twice the time of a call, and a repetition gets the same one.

Result: a_repeated_question_takes_one_permit fails without the change.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,7 +9,7 @@
     bytes::BytesMut,
     marigoldroute_core::{
         id::{HolderId, HostId},
-        wire::{Body, Codec, Frame, Keys, Pending, Prompts, Rates, Refusal},
+        wire::{Acquire, Acquired, Body, Codec, Frame, Keys, Pending, Prompts, Rates, Refusal},
     },
     std::{
         collections::HashMap,
@@ -81,6 +81,8 @@
     next_correlation: AtomicU64,
     /// Calls in progress by correlation number.
     calls: Mutex<HashMap<u64, mpsc::Sender<Body>>>,
+    /// Answers to recent questions for permits, by process and correlation number.
+    acquired: Mutex<HashMap<(String, u64), (Instant, Acquired)>>,
 }
 
 impl Peers {
@@ -101,6 +103,7 @@
             endpoints: Mutex::default(),
             next_correlation: AtomicU64::default(),
             calls: Mutex::default(),
+            acquired: Mutex::default(),
         })
     }
 
@@ -285,6 +288,18 @@
         }
     }
 
+    /// Answers a question for a permit; a repetition gets the same answer.
+    fn answer_acquire(&self, from: &str, correlation: u64, acquire: &Acquire) -> Acquired {
+        let mut acquired = lock(&self.acquired);
+        acquired.retain(|_, (at, _)| at.elapsed() < SILENCE_TIMEOUT * 2);
+        let call = (from.to_owned(), correlation);
+        let new = || {
+            let answer = self.dispatcher.answer_acquire(from, acquire);
+            (Instant::now(), answer)
+        };
+        acquired.entry(call).or_insert_with(new).1.clone()
+    }
+
     async fn listen(self: &Arc<Self>, responder: &Arc<Responder>) {
         let mut buffer = [0; DATAGRAM_BYTES];
         loop {
@@ -343,7 +358,7 @@
                 }
             }
             Body::Acquire(acquire) => {
-                let acquired = self.dispatcher.answer_acquire(from, &acquire);
+                let acquired = self.answer_acquire(from, correlation, &acquire);
                 let (peers, from) = (self.clone(), from.to_owned());
                 tokio::spawn(async move {
                     let body = Body::Acquired(acquired);
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -3,13 +3,16 @@
 mod harness;
 
 use {
+    bytes::BytesMut,
     harness::{
         Harness,
         upstream::{Script, Upstream},
     },
+    marigoldroute_core::wire::{Acquire, Acquired, Body, Codec, Frame, Keys, Stated},
     marigoldroute_gateway::Settings,
     std::time::{Duration, Instant},
-    tokio::task::JoinSet,
+    tokio::{net::UdpSocket, task::JoinSet},
+    tokio_util::codec::{Decoder, Encoder},
 };
 
 /// Time that hosts have to learn of a rate.
@@ -166,3 +169,67 @@
         "{answered} of about 60 answered after the end"
     );
 }
+
+/// Returns the answer to a question for a permit.
+async fn ask(socket: &UdpSocket, keys: &Keys, correlation: u64, stated: &Stated) -> Acquired {
+    let frame = Frame {
+        from: "asker.1".into(),
+        to: String::new(),
+        correlation,
+        body: Some(Body::Acquire(Acquire {
+            stated: stated.clone(),
+        })),
+    };
+    let mut codec = Codec::new(keys.clone());
+    let mut bytes = BytesMut::new();
+    codec.encode(frame, &mut bytes).expect("a frame");
+    socket.send(&bytes).await.expect("it is sent");
+    let mut buffer = [0; 2_048];
+    loop {
+        let length = socket.recv(&mut buffer).await.expect("a datagram");
+        let frame = codec.decode(&mut BytesMut::from(&buffer[..length]));
+        let frame = frame.expect("it is authentic").expect("it is complete");
+        if let Some(Body::Acquired(acquired)) = frame.body {
+            assert_eq!(frame.correlation, correlation);
+            return acquired;
+        }
+    }
+}
+
+/// Guards against a question that is repeated, for lack of an early answer, and takes a permit each
+/// time.
+#[tokio::test]
+async fn a_repeated_question_takes_one_permit() {
+    let (fleet, _upstreams) = start_fleet(1, Vec::new()).await;
+    let row = fleet[0].store.rows("host/h0.");
+    let row = row.first().expect("the host's row");
+    let address = row
+        .value
+        .split('"')
+        .find(|part| part.starts_with("127.0.0.1:"));
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
+    socket
+        .connect(address.expect("an address"))
+        .await
+        .expect("it exists");
+    let key = fleet[0]
+        .store
+        .row("fleet/key")
+        .expect("the key of the fleet");
+    let keys = Keys::new(vec![key.value.as_bytes().into()]);
+    let stated = Stated {
+        upstream: "u".into(),
+        started_ms: 1,
+        rate: Some(1.0),
+        age_us: 0,
+    };
+    let mut correlation = 1;
+    while !ask(&socket, &keys, correlation, &stated).await.is_granted {
+        correlation += 1;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let repeated = ask(&socket, &keys, correlation, &stated).await;
+    assert!(repeated.is_granted, "another answer to the same question");
+    let other = ask(&socket, &keys, correlation + 1, &stated).await;
+    assert!(!other.is_granted, "two permits within a second");
+}
