Use limited upstreams while the store is away

Cause: a host stopped granting permits one term (7.1 s) after its last round with the store, and began again a term after the outage. In an outage nobody takes over, so upstreams that state a rate got nothing; if all of a service do, its callers were refused for the whole time.

Change: a host that was first for a term goes on with half of the rate until a term after its view is confirmed again. If it was cut off alone, it and its successor together grant at most one and a half times the rate. Granters are ranked anew only when the hosts have changed.

--- a/crates/core/src/throttle/bucket.rs
+++ b/crates/core/src/throttle/bucket.rs
@@ -14,8 +14,6 @@
 /// intervals.
 #[derive(Clone, Debug)]
 pub(super) struct Bucket {
-    /// Time between two permits.
-    interval: Duration,
     /// When the next permit is due; it may be taken by the burst time earlier.
     next: Duration,
     /// Turn of the next asker that gets none.
@@ -27,31 +25,29 @@
     /// received a request.
     pub(super) fn new(now: Duration, interval: Duration) -> Self {
         Self {
-            interval,
             next: now + interval,
             turn: now,
         }
     }
 
-    /// Changes the time between two permits. Permits that were taken stay taken.
-    pub(super) fn set_interval(&mut self, now: Duration, interval: Duration) {
-        self.interval = interval;
+    /// Lets the next permit follow within one interval, after a change of the rate.
+    pub(super) fn limit_wait(&mut self, now: Duration, interval: Duration) {
         self.next = self.next.min(now + interval);
         self.turn = now;
     }
 
-    /// Takes a permit.
+    /// Takes a permit; the next one is due after `interval`.
     ///
     /// # Errors
     /// The time until the turn of this asker, which differs from those of the askers before it.
-    pub(super) fn take(&mut self, now: Duration) -> Result<(), Duration> {
+    pub(super) fn take(&mut self, now: Duration, interval: Duration) -> Result<(), Duration> {
         let open_at = self.next.saturating_sub(BURST_TIME);
         if now >= open_at {
-            self.next = self.next.max(now) + self.interval;
+            self.next = self.next.max(now) + interval;
             return Ok(());
         }
         let turn = self.turn.max(open_at);
-        self.turn = (turn + self.interval).min(now + TURN_LIMIT);
+        self.turn = (turn + interval).min(now + TURN_LIMIT);
         Err(turn - now)
     }
 }
--- a/crates/core/src/throttle/mod.rs
+++ b/crates/core/src/throttle/mod.rs
@@ -104,7 +104,7 @@
             self.limited_since = now;
         }
         match (&mut self.bucket, rate) {
-            (Some(bucket), Some(rate)) => bucket.set_interval(now, rate.interval()),
+            (Some(bucket), Some(rate)) => bucket.limit_wait(now, rate.interval()),
             (bucket, _) => *bucket = None,
         }
         Some(Change { previous, rate })
@@ -156,15 +156,17 @@
         hosts: Vec<WeightedHost>,
         confirmed_at: Option<Duration>,
     ) {
-        let has_joined = self.fleet.update(now, hosts, confirmed_at);
+        self.silent.retain(|_, until| *until > now);
+        let Some(change) = self.fleet.update(now, hosts, confirmed_at) else {
+            return;
+        };
         for (id, upstream) in &mut self.upstreams {
             upstream.granter = self.fleet.granter(id).cloned();
             let is_own = upstream.granter.as_ref() == Some(&self.own);
-            if has_joined && is_own && upstream.rate.is_some() {
+            if change == fleet::Change::Joined && is_own && upstream.rate.is_some() {
                 self.unpublished.insert(id.clone());
             }
         }
-        self.silent.retain(|_, until| *until > now);
     }
 
     /// Forgets the rate of an earlier process of an upstream that is on the list.
@@ -339,9 +341,12 @@
         let stated = self.stated(now, id);
         let granted = match self.upstreams.get_mut(id) {
             Some(upstream) => match upstream.rate {
-                Some(rate) => self.fleet.check_grants(now, id).and_then(|()| {
-                    let new = || Bucket::new(now, rate.interval());
-                    upstream.bucket.get_or_insert_with(new).take(now)
+                Some(rate) => self.fleet.part(now, id).and_then(|part| {
+                    let interval = part.interval(rate);
+                    let bucket = upstream
+                        .bucket
+                        .get_or_insert_with(|| Bucket::new(now, interval));
+                    bucket.take(now, interval)
                 }),
                 None => Ok(()),
             },
--- a/crates/core/tests/throttle/main.rs
+++ b/crates/core/tests/throttle/main.rs
@@ -142,6 +142,20 @@
     assert!(longest.is_some_and(|after| after <= seconds(30)));
 }
 
+/// Guards against limited upstreams that get nothing for as long as the store is away.
+#[test]
+fn limited_upstreams_are_used_while_the_store_is_away() {
+    for (hosts, load) in [(6, 20.0), (300, 5.0)] {
+        let mut world = World::new(14, hosts, &[Some(2.0)], load);
+        world.run(seconds(20));
+        world.is_store_up = false;
+        world.run(seconds(60));
+        check(&world.upstreams[0], 2.0, (0, 60));
+        let used = world.upstreams[0].count(seconds(30), seconds(60));
+        assert!(used >= 20, "{used} of 60 used by {hosts} hosts");
+    }
+}
+
 /// Guards against two hosts that grant the permits of one upstream while views of the fleet differ,
 /// and against an upstream that gets nothing more after the host that grants has died.
 #[test]
