Return an upstream's own failure when no retry can be made

Callers saw: 502 of the gateway in place of the 500 that an upstream had answered, when no other upstream could be tried.

Cause: the answer of a failed attempt was kept for the decision on a retry, and lost when the retry found no upstream or failed itself.

Change: the last failure that an upstream answered is kept until the request ends.

Result: a_failure_of_the_only_upstream_reaches_the_caller got 502 before and gets the upstream's answer.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -189,14 +189,21 @@
     /// Makes attempts until one succeeds or no other is allowed. `last_event` is the id of the last
     /// event that the caller has received.
     pub(crate) async fn run(&mut self, last_event: Option<u64>) -> Answer {
+        // The last failure that an upstream itself answered.
+        let mut failure = None;
         loop {
             let remaining = self.remaining();
             let received = tokio::time::timeout(remaining, self.attempt(last_event)).await;
-            let (outcome, answer) = match received {
+            let outcome = match received {
                 Ok(Ok(Received::Final(answer))) => return answer,
-                Ok(Ok(Received::ServerError(answer))) => (Outcome::Failed, Some(answer)),
-                Ok(Err(Interrupted::Failed(outcome))) => (outcome, None),
-                Ok(Err(Interrupted::Unassigned(reason))) => return self.without_upstream(reason),
+                Ok(Ok(Received::ServerError(answer))) => {
+                    failure = Some(answer);
+                    Outcome::Failed
+                }
+                Ok(Err(Interrupted::Failed(outcome))) => outcome,
+                Ok(Err(Interrupted::Unassigned(reason))) => {
+                    return failure.unwrap_or_else(|| self.without_upstream(reason));
+                }
                 Err(_) => return self.timed_out(),
             };
             let is_still_unexecuted = outcome.is_not_run() && self.is_unexecuted;
@@ -216,7 +223,7 @@
             match retry::decide(&attempt, acquire_retry) {
                 Decision::Retry => {}
                 Decision::Refuse => return Answer::Error(Error::Refused),
-                Decision::Fail => return answer.unwrap_or(Answer::Error(Error::Failed)),
+                Decision::Fail => return failure.unwrap_or(Answer::Error(Error::Failed)),
             }
         }
     }
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -205,3 +205,14 @@
     );
     stop.await.expect("the stop ends");
 }
+
+/// Guards against an upstream's own failure that is replaced by the gateway's when no other upstream
+/// can be tried.
+#[tokio::test]
+async fn a_failure_of_the_only_upstream_reaches_the_caller() {
+    let (harness, _upstreams) = Harness::unlimited(vec![Script::Complete(500, "broken")]).await;
+    let response = harness.request("safe", "r1").send().await;
+    let response = response.expect("an answer");
+    assert_eq!(response.status(), 500);
+    assert_eq!(response.text().await.expect("a body"), "broken");
+}
