--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -156,8 +156,8 @@
     }
 
     /// Updates the assignment of budgets, the hosts that share rates and the endpoints of other hosts
-    /// from the rows of the live hosts, and returns the number of these hosts. Of the rows of one instance only the newest
-    /// counts.
+    /// from the rows of the live hosts, and returns the number of these hosts. Of the rows of one
+    /// instance only the newest counts.
     fn apply_members(&self, rows: &[&Row], confirmed_at: Option<Duration>) -> usize {
         let mut members: HashMap<HostId, (Version, HolderId, Member)> = HashMap::new();
         for row in rows {
