Drop turns of callers when the rate they are for has ended

Callers saw: up to 30 s to return in when a rate began soon after another one had ended, although nobody waited.

Cause: the turns given to refused callers stayed when the rate ended. Likewise, a host kept the wait that one granter had named when another host had become the granter.

Change: turns end with a rate, and the wait with a change of the granter.

--- a/crates/core/src/throttle/mod.rs
+++ b/crates/core/src/throttle/mod.rs
@@ -161,7 +161,12 @@
             return;
         };
         for (id, upstream) in &mut self.upstreams {
-            upstream.granter = self.fleet.granter(id).cloned();
+            let granter = self.fleet.granter(id).cloned();
+            if upstream.granter != granter {
+                // The wait was for another host.
+                upstream.closed_until = now;
+            }
+            upstream.granter = granter;
             let is_own = upstream.granter.as_ref() == Some(&self.own);
             if change == fleet::Change::Joined && is_own && upstream.rate.is_some() {
                 self.unpublished.insert(id.clone());
@@ -298,7 +303,12 @@
             }
             *upstream = new();
         }
-        upstream.set(now, rate, stated_at)
+        let change = upstream.set(now, rate, stated_at);
+        if matches!(change, Some(Change { rate: None, .. })) {
+            // Turns were given at a rate that no longer holds.
+            self.returns = Returns::default();
+        }
+        change
     }
 
     /// Begins to acquire a permit for one request.
--- a/crates/core/tests/throttle/main.rs
+++ b/crates/core/tests/throttle/main.rs
@@ -142,6 +142,28 @@
     assert!(longest.is_some_and(|after| after <= seconds(30)));
 }
 
+/// Guards against callers who are told to wait for turns of a rate that has ended.
+#[test]
+fn turns_end_with_the_rate_that_they_are_for() {
+    let mut world = World::new(15, 6, &[Some(0.2)], 20.0);
+    world.run(seconds(30));
+    world.upstreams[0].rate = None;
+    world.run(seconds(45));
+    let last = world.refused.last().map(|(at, _)| *at);
+    assert!(
+        last.is_some_and(|at| at < seconds(43)),
+        "refused without a rate"
+    );
+    world.upstreams[0].rate = Some(6.0);
+    world.run(seconds(46));
+    let new = world.refused.iter().filter(|(at, _)| *at > seconds(45));
+    let soonest = new.map(|(_, after)| *after).min();
+    assert!(
+        soonest.is_some_and(|after| after < seconds(2)),
+        "{soonest:?} at a rate that has just begun"
+    );
+}
+
 /// Guards against limited upstreams that get nothing for as long as the store is away.
 #[test]
 fn limited_upstreams_are_used_while_the_store_is_away() {
