Look up the granter of an upstream in one place

Cause: three methods of the throttle looked it up each in its own way, one under a misleading name, and a comment on the allowance of retries named half of the time for which requests count.

Change: one method serves all three; the comment names the whole window. Behaviour stays as it is.

--- a/crates/core/src/forward/allowance.rs
+++ b/crates/core/src/forward/allowance.rs
@@ -32,7 +32,7 @@
 /// Retry budget of one host for one service.
 ///
 /// In any window, the host makes at most its part of the slack plus a share of its own requests in
-/// that window and the half window before it. A part below one retry only adds to the share.
+/// that window and the one before it. A part below one retry only adds to the share.
 #[derive(Clone, Debug)]
 pub struct Allowance {
     settings: Settings,
--- a/crates/core/src/throttle/mod.rs
+++ b/crates/core/src/throttle/mod.rs
@@ -321,8 +321,7 @@
         let Some(stated) = self.stated(now, upstream) else {
             return Step::Send;
         };
-        let granter = self.upstreams.get(upstream);
-        match granter.and_then(|upstream| upstream.granter.clone()) {
+        match self.granter(upstream).cloned() {
             Some(host) if host == self.own => {
                 let acquired = self.grant(now, upstream);
                 if acquired.is_granted {
@@ -424,12 +423,8 @@
             let Some(stated) = self.stated(now, &id) else {
                 continue;
             };
-            match self
-                .upstreams
-                .get(&id)
-                .and_then(|upstream| upstream.granter.clone())
-            {
-                Some(host) if host != self.own => to_granters.push((host, stated)),
+            match self.granter(&id) {
+                Some(host) if *host != self.own => to_granters.push((host.clone(), stated)),
                 _ => to_all.push(stated),
             }
         }
@@ -441,9 +436,12 @@
         !self.unpublished.is_empty()
     }
 
+    fn granter(&self, upstream: &UpstreamId) -> Option<&HostId> {
+        self.upstreams.get(upstream)?.granter.as_ref()
+    }
+
     fn is_own(&self, upstream: &UpstreamId) -> bool {
-        let upstream = self.upstreams.get(upstream);
-        upstream.is_some_and(|upstream| upstream.granter.as_ref() == Some(&self.own))
+        self.granter(upstream) == Some(&self.own)
     }
 
     fn stated(&self, now: Duration, id: &UpstreamId) -> Option<Stated> {
