Log and count streams and connections that end early

Cause: of the hypotheses on requests that end with neither an answer nor a refusal, the logs distinguish none: a stream that ends incomplete has the line "stream broken" whether or not it continues elsewhere, and nothing shows that an error response was returned before the body was read or that the host closed a connection.

Change: the line "stream cut" with its cause, what kept it from continuing, and the version in effect; counters of cut streams, of error responses before the end of the body, and of closed connections of callers.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -112,6 +112,7 @@
     };
     let activity = Arc::new(Mutex::new(activity));
     let (watched, limits) = (activity.clone(), frontend.clone());
+    let closed = frontend.0.metrics.closed_connections.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let running = Running::start(&activity, clock);
         let frontend = frontend.clone();
@@ -134,6 +135,7 @@
             }
             () = stop.cancelled(), if !is_closing => {
                 is_closing = true;
+                closed.with_label_values(&["stop"]).inc();
                 connection.as_mut().graceful_shutdown();
             }
             () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !is_closing => {
@@ -142,6 +144,7 @@
                 let idle = clock.now().saturating_sub(activity.idle_since);
                 if activity.running == 0 && idle > limit.mul_f64(IDLE_FACTOR) {
                     is_closing = true;
+                    closed.with_label_values(&["idle"]).inc();
                     connection.as_mut().graceful_shutdown();
                 }
             }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -11,7 +11,7 @@
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody},
-    hyper::body::Incoming,
+    hyper::body::{Body as _, Incoming},
     marigoldroute_core::forward::{Access, Service},
     marigoldroute_process::logs::REQUESTS,
     poem::http::{HeaderValue, Request, Response, header::CONNECTION},
@@ -72,9 +72,24 @@
             Ok(head) => head,
             Err(malformed) => return self.reject(None, arrived, Error::Malformed(malformed)),
         };
-        match self.admit(&head, request.into_body()).await {
+        let mut body = request.into_body();
+        match self.admit(&head, &mut body).await {
             Ok((access, body)) => self.forward(head, access, body, arrived).await,
-            Err(error) => self.reject(Some(&head), arrived, error),
+            Err(error) => {
+                let response = self.reject(Some(&head), arrived, error);
+                self.record_unread(&body, &response);
+                response
+            }
+        }
+    }
+
+    /// Counts a response that is returned before the end of the request's body.
+    fn record_unread(&self, body: &Incoming, response: &Response<Body>) {
+        if !body.is_end_stream() {
+            let unread = &self.0.metrics.unread_bodies;
+            unread
+                .with_label_values(&[response.status().as_str()])
+                .inc();
         }
     }
 
@@ -86,7 +101,11 @@
     }
 
     /// Authorizes a request and reads its body.
-    async fn admit(&self, head: &RequestHead, body: Incoming) -> Result<(Access, Bytes), Error> {
+    async fn admit(
+        &self,
+        head: &RequestHead,
+        body: &mut Incoming,
+    ) -> Result<(Access, Bytes), Error> {
         let directory = self.0.view.directory().ok_or(Error::Unconfigured)?;
         let access = directory.find(&head.host, head.target.path(), head.key.as_deref());
         let access = access.map_err(Error::Access)?;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,12 @@
     pub(crate) reservations: IntCounterVec,
     /// Connections to upstreams, by event.
     pub(crate) connections: IntCounterVec,
+    /// Requests that got an error response before their body was read, by status.
+    pub(crate) unread_bodies: IntCounterVec,
+    /// Streams that ended before they were complete although their caller was there, by cause.
+    pub(crate) cut_streams: IntCounterVec,
+    /// Connections of callers that this host closed, by reason.
+    pub(crate) closed_connections: IntCounterVec,
     /// Panics that were caught, by task.
     pub(crate) panics: IntCounterVec,
     /// Time from a request's arrival to the first byte of its answer.
@@ -93,6 +99,21 @@
                 "Connections to upstreams, by event",
                 "event",
             )?,
+            unread_bodies: counter(
+                "marigoldroute_gateway_unread_bodies_total",
+                "Requests that got an error response before their body was read, by status",
+                "status",
+            )?,
+            cut_streams: counter(
+                "marigoldroute_gateway_cut_streams_total",
+                "Streams that ended before they were complete, by cause",
+                "cause",
+            )?,
+            closed_connections: counter(
+                "marigoldroute_gateway_closed_connections_total",
+                "Connections of callers that the host closed, by reason",
+                "reason",
+            )?,
             panics: counter(
                 "marigoldroute_gateway_panics_total",
                 "Panics caught, by task",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,6 +18,9 @@
     std::io,
 };
 
+/// Reason of the failure of a stream that its caller no longer waits for.
+const DEADLINE_REASON: &str = "the deadline has passed";
+
 /// A stream of events on its way to the caller.
 pub(crate) struct Relay {
     request: ActiveRequest,
@@ -120,7 +123,7 @@
             let read = tokio::select! {
                 read = stream.exchange.read() => read,
                 () = tokio::time::sleep_until(deadline) => {
-                    Err(Failure::new(Outcome::Unknown, "the deadline has passed"))
+                    Err(Failure::new(Outcome::Unknown, DEADLINE_REASON))
                 }
                 () = tokio::time::sleep_until(stalled_at), if is_resumable => {
                     Err(Failure::new(Outcome::Unknown, STALL_REASON))
@@ -193,6 +196,7 @@
             "stream broken"
         );
         if !self.request.admit_resume() {
+            self.record_cut(failure, "no retry is allowed");
             return false;
         }
         match self.request.run(last).await {
@@ -202,10 +206,41 @@
                 self.stall = self.request.start_stall_timer();
                 true
             }
-            _ => false,
+            Answer::Complete(head, ..) => {
+                self.record_cut(failure, &format!("an upstream answered {}", head.status));
+                false
+            }
+            Answer::Error(error) => {
+                self.record_cut(failure, &error.to_string());
+                false
+            }
         }
     }
 
+    /// Records that the stream ends although it is incomplete; `obstacle` is why it does not
+    /// continue at another upstream.
+    fn record_cut(&self, failure: &Failure, obstacle: &str) {
+        let cause = match failure.reason.as_str() {
+            STALL_REASON => "stalled",
+            DEADLINE_REASON => "deadline",
+            _ => "broken",
+        };
+        let context = &self.request.context;
+        context
+            .metrics
+            .cut_streams
+            .with_label_values(&[cause])
+            .inc();
+        let directory = context.view.directory();
+        log::info!(
+            target: REQUESTS,
+            request:% = self.request.head.id, cause, obstacle,
+            events = self.sequence.relayed(), sent = self.request.sent,
+            version = directory.map_or(0, |directory| directory.version());
+            "stream cut"
+        );
+    }
+
     /// Records that the stream is complete.
     fn finish(&mut self) {
         if let Some(stream) = self.stream.take() {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -83,7 +83,7 @@
     /// Upstreams that were tried; later attempts avoid them.
     pub(super) tried: Vec<UpstreamId>,
     /// Attempts in which the request was sent to an upstream.
-    pub(super) sent: u32,
+    pub(crate) sent: u32,
     /// Whether the request certainly has not run in any attempt.
     is_unexecuted: bool,
     /// Reserved tokens; absent for requests without a budget.
