Keep a stalled stream until another upstream has agreed to continue it

Cause: the gateway closed a stalled stream before it knew whether another upstream was free, whether an attempt was left, whether the fleet's allowance had a retry, and whether the other upstream would accept it. With one of these missing, nothing continued the stream. Class of fault: giving up what one has before its replacement is certain.

Change: the other upstream is assigned, permitted and connected first; the stream is given up when that one agrees to continue, or 0.25 s after it was asked. If it declines, the stream goes on where it was and is looked at again after 0.25 s. Without an attempt or time left it does not count as stalled.

--- a/crates/core/src/forward/retry.rs
+++ b/crates/core/src/forward/retry.rs
@@ -57,6 +57,16 @@
     pub remaining: Duration,
 }
 
+impl Attempt {
+    /// Returns whether the kind of request, the attempt limit and the time left allow another
+    /// attempt.
+    pub fn is_repeatable(&self) -> bool {
+        (self.outcome.is_not_run() || self.kind.is_repeatable())
+            && self.sent < self.attempt_limit
+            && self.remaining >= MIN_ATTEMPT_TIME
+    }
+}
+
 /// Decides what to do after an attempt.
 ///
 /// `may_retry` takes a retry from the fleet's allowance; it is called only when nothing else rules
@@ -68,9 +78,7 @@
     } else {
         Decision::Fail
     };
-    let is_allowed = has_not_run || attempt.kind.is_repeatable();
-    if !is_allowed || attempt.sent >= attempt.attempt_limit || attempt.remaining < MIN_ATTEMPT_TIME
-    {
+    if !attempt.is_repeatable() {
         return end;
     }
     // While no attempt has reached an upstream, a retry adds no load and takes no allowance.
--- a/crates/core/src/forward/stall.rs
+++ b/crates/core/src/forward/stall.rs
@@ -13,6 +13,8 @@
 const EVENT_INTERVAL_FACTOR: u32 = 5;
 /// Multiple of the longest pause after which the stream continued.
 const LONGEST_PAUSE_FACTOR: u32 = 3;
+/// Time until a stalled stream that could not be moved is looked at again.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Detects from the times of its events that a stream has stalled.
 #[derive(Clone, Copy, Debug)]
@@ -23,6 +25,8 @@
     longest_pause: Duration,
     /// Arrival of the last event.
     last_event: Duration,
+    /// Earliest time at which the stream counts as stalled.
+    not_before: Duration,
 }
 
 impl Stall {
@@ -33,9 +37,15 @@
             min_pause: (objective * OBJECTIVE_FACTOR).max(event_interval * EVENT_INTERVAL_FACTOR),
             longest_pause: Duration::ZERO,
             last_event: now,
+            not_before: now,
         }
     }
 
+    /// Records that a stalled stream was kept, as no other upstream could continue it.
+    pub fn postpone(&mut self, now: Duration) {
+        self.not_before = now + RECHECK_INTERVAL;
+    }
+
     /// Records a complete event; bytes of an incomplete one must not be recorded.
     pub fn record_event(&mut self, now: Duration) {
         self.longest_pause = self.longest_pause.max(now.saturating_sub(self.last_event));
@@ -49,9 +59,9 @@
 
     /// Returns the time at which the stream counts as stalled unless an event arrives first.
     pub fn deadline(&self) -> Duration {
-        self.last_event
-            + self
-                .min_pause
-                .max(self.longest_pause * LONGEST_PAUSE_FACTOR)
+        let pause = self
+            .min_pause
+            .max(self.longest_pause * LONGEST_PAUSE_FACTOR);
+        self.not_before.max(self.last_event + pause)
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -142,6 +142,11 @@
         }
     }
 
+    /// Ends the exchange and closes its connection.
+    pub(crate) fn into_in_flight(self) -> InFlight {
+        self.in_flight
+    }
+
     /// Ends the exchange after a complete response, and keeps its connection unless the upstream
     /// closes it.
     pub(crate) fn finish(mut self, progress: Progress<'_>) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub(crate) unread_bodies: IntCounterVec,
     /// Streams that ended before they were complete although their caller was there, by cause.
     pub(crate) cut_streams: IntCounterVec,
+    /// Streams that stalled while another upstream could be asked to continue them, by result.
+    pub(crate) stalled_streams: IntCounterVec,
     /// Connections of callers that this host closed, by reason.
     pub(crate) closed_connections: IntCounterVec,
     /// Panics that were caught, by task.
@@ -109,6 +111,11 @@
                 "Streams that ended before they were complete, by cause",
                 "cause",
             )?,
+            stalled_streams: counter(
+                "marigoldroute_gateway_stalled_streams_total",
+                "Streams that stalled while another upstream could be asked, by result",
+                "result",
+            )?,
             closed_connections: counter(
                 "marigoldroute_gateway_closed_connections_total",
                 "Connections of callers that the host closed, by reason",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,20 +4,23 @@
     crate::{
         exchange::Failure,
         frontend::Body,
-        request::{ActiveRequest, Answer, STALL_REASON, Stream},
+        request::{ActiveRequest, Answer, Received, Stream},
     },
     bytes::{Bytes, BytesMut},
-    futures_util::stream,
+    futures_util::{FutureExt, stream},
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
     marigoldroute_core::{
-        forward::{Kind, Sequence, Stall, event_id, retry::Outcome},
+        forward::{Sequence, Stall, event_id, retry::Outcome},
         route::Progress,
     },
     marigoldroute_process::logs::REQUESTS,
-    std::io,
+    std::{io, pin::pin, time::Duration},
 };
 
+/// Longest time for which a stream is kept after another upstream was asked to continue it. If that
+/// one declines in time, nothing is lost; afterwards both would work on the request.
+const HANDOVER_OVERLAP: Duration = Duration::from_millis(250);
 /// Reason of the failure of a stream that its caller no longer waits for.
 const DEADLINE_REASON: &str = "the deadline has passed";
 
@@ -38,10 +41,19 @@
     Send(Bytes),
     /// The stream is complete.
     End,
+    /// No event came for too long; another upstream may continue the stream.
+    Stalled,
     /// The stream broke.
     Fail(Failure),
 }
 
+/// Closes the connection of a stream, which cancels its run.
+fn give_up(stream: &mut Option<Box<Stream>>) {
+    if let Some(mut stream) = stream.take() {
+        stream.exchange.in_flight.report(Progress::Failed);
+    }
+}
+
 impl Drop for Relay {
     /// Logs a stream that the caller stopped reading; `stream` is absent for all others.
     fn drop(&mut self) {
@@ -91,6 +103,10 @@
                     self.finish();
                     return None;
                 }
+                Step::Stalled => match self.hand_over().await {
+                    Ok(()) => continue,
+                    Err(failure) => failure,
+                },
                 Step::Fail(failure) => failure,
             };
             if !self.resume(&failure).await {
@@ -104,8 +120,7 @@
     async fn step(&mut self) -> Step {
         let clock = self.request.context.clock;
         let deadline = clock.instant(self.request.deadline).into();
-        // A stalled stream is abandoned only if another upstream can continue it.
-        let is_resumable = self.request.kind() == Kind::Resumable;
+        let is_movable = self.request.is_movable();
         let stalled_at = clock.instant(self.stall.deadline()).into();
         let Some(stream) = &mut self.stream else {
             return Step::End;
@@ -125,26 +140,10 @@
                 () = tokio::time::sleep_until(deadline) => {
                     Err(Failure::new(Outcome::Unknown, DEADLINE_REASON))
                 }
-                () = tokio::time::sleep_until(stalled_at), if is_resumable => {
-                    Err(Failure::new(Outcome::Unknown, STALL_REASON))
-                }
+                () = tokio::time::sleep_until(stalled_at), if is_movable => return Step::Stalled,
             };
-            match read {
-                Ok(None) => stream.has_ended = true,
-                Ok(Some(data)) => match stream.splitter.push(&data) {
-                    Some(events) => {
-                        if let Err(exceeded) =
-                            stream.permit.resize(stream.splitter.buffered_bytes())
-                        {
-                            return Step::Fail(exceeded.into());
-                        }
-                        stream.events.extend(events);
-                    }
-                    None => {
-                        return Step::Fail(Failure::new(Outcome::Unknown, "an event is too large"));
-                    }
-                },
-                Err(failure) => return Step::Fail(failure),
+            if let Err(failure) = stream.push(read) {
+                return Step::Fail(failure);
             }
         }
         self.take_events()
@@ -180,14 +179,79 @@
         Step::Send(bytes.freeze())
     }
 
+    /// Moves a stalled stream to another upstream. The stream is given up only when another one
+    /// has agreed to continue it, or takes longer than [`HANDOVER_OVERLAP`] to answer.
+    ///
+    /// # Errors
+    /// The failure of the other upstream after the stream was given up.
+    async fn hand_over(&mut self) -> Result<(), Failure> {
+        let context = self.request.context.clone();
+        self.stall.postpone(context.clock.now());
+        let successor = self.request.prepare_successor().await;
+        let (Some(successor), Some(stream)) = (successor, &mut self.stream) else {
+            return Ok(());
+        };
+        if let Some(read) = stream.exchange.read().now_or_never() {
+            return stream.push(read);
+        }
+        if !self.request.admit_resume() {
+            return Ok(());
+        }
+        let last = self.sequence.last();
+        let remaining = self.request.remaining();
+        let moving = async {
+            let sent = {
+                let mut sending = pin!(self.request.send_to_successor(successor, last));
+                match tokio::time::timeout(HANDOVER_OVERLAP, &mut sending).await {
+                    Ok(sent) => sent,
+                    Err(_) => {
+                        give_up(&mut self.stream);
+                        sending.await
+                    }
+                }
+            };
+            let (exchange, started) = sent?;
+            give_up(&mut self.stream);
+            match self.request.receive(exchange, started, last).await {
+                Ok(Received::Final(Answer::Stream(stream))) => Ok(stream),
+                Ok(_) => Err(Failure::new(Outcome::Failed, "the answer is not a stream")),
+                Err(outcome) => Err(Failure::new(outcome, "the stream did not continue")),
+            }
+        };
+        let moved = tokio::time::timeout(remaining, moving).await;
+        let moved = moved.unwrap_or_else(|_| {
+            let failure = Failure::new(Outcome::Unknown, DEADLINE_REASON);
+            Err(failure)
+        });
+        let result = match &moved {
+            Ok(_) => "moved",
+            Err(_) if self.stream.is_some() => "kept",
+            Err(_) => "lost",
+        };
+        let stalled = &context.metrics.stalled_streams;
+        stalled.with_label_values(&[result]).inc();
+        let reason = moved.as_ref().err().map(|failure| &failure.reason);
+        log::info!(
+            target: REQUESTS,
+            request:% = self.request.head.id, result, reason:?, events = self.sequence.relayed(),
+            left_ms = self.request.remaining().as_millis() as u64;
+            "stream stalled"
+        );
+        match moved {
+            Ok(stream) => {
+                self.stream = Some(stream);
+                self.stall = self.request.start_stall_timer();
+                Ok(())
+            }
+            Err(_) if self.stream.is_some() => Ok(()),
+            Err(failure) => Err(failure),
+        }
+    }
+
     /// Continues the stream at another upstream if a retry is allowed; returns whether it goes on.
     async fn resume(&mut self, failure: &Failure) -> bool {
-        let Some(mut stream) = self.stream.take() else {
-            return false;
-        };
-        stream.exchange.in_flight.report(Progress::Failed);
         // Close the connection, which cancels the run, before another run starts.
-        drop(stream);
+        give_up(&mut self.stream);
         let last = self.sequence.last();
         log::info!(
             target: REQUESTS,
@@ -221,7 +285,6 @@
     /// continue at another upstream.
     fn record_cut(&self, failure: &Failure, obstacle: &str) {
         let cause = match failure.reason.as_str() {
-            STALL_REASON => "stalled",
             DEADLINE_REASON => "deadline",
             _ => "broken",
         };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,8 +1,9 @@
 //! An admitted request: its reservation of tokens and its attempts at upstreams.
 
 mod attempt;
+mod handover;
 
-pub(crate) use attempt::STALL_REASON;
+pub(crate) use attempt::Received;
 
 use {
     crate::{
@@ -10,7 +11,7 @@
         dispatch::{Dispatcher, Unavailable},
         error::Error,
         escrow::{Refusal, Reservation, ReservationSpec, Reserver},
-        exchange::Exchange,
+        exchange::{Exchange, Failure},
         memory::{Permit, Quota},
         metrics::Metrics,
         permit::Permits,
@@ -20,7 +21,7 @@
         settings::Settings,
         view::View,
     },
-    attempt::{Interrupted, Received},
+    attempt::Interrupted,
     bytes::Bytes,
     marigoldroute_core::{
         forward::{
@@ -69,6 +70,24 @@
     pub(crate) has_ended: bool,
 }
 
+impl Stream {
+    /// Adds what was read from the upstream to the events that are to be relayed.
+    ///
+    /// # Errors
+    /// The failed read, or the failure that the event that is still incomplete is too large.
+    pub(crate) fn push(&mut self, read: Result<Option<Bytes>, Failure>) -> Result<(), Failure> {
+        let Some(data) = read? else {
+            self.has_ended = true;
+            return Ok(());
+        };
+        let too_large = || Failure::new(Outcome::Unknown, "an event is too large");
+        let events = self.splitter.push(&data).ok_or_else(too_large)?;
+        self.permit.resize(self.splitter.buffered_bytes())?;
+        self.events.extend(events);
+        Ok(())
+    }
+}
+
 /// A request that was authorized, with the state of its attempts.
 pub(crate) struct ActiveRequest {
     pub(crate) context: Arc<Context>,
@@ -133,16 +152,26 @@
     /// which counts as a retry.
     pub(crate) fn admit_resume(&mut self) -> bool {
         self.is_unexecuted = false;
-        let attempt = retry::Attempt {
+        let acquire_retry = || self.context.dispatcher.acquire_retry(&self.service.name);
+        retry::decide(&self.running_attempt(), acquire_retry) == Decision::Retry
+    }
+
+    /// Returns whether a stream that has begun, or is about to, may continue at another upstream
+    /// by its kind, its attempts and its time.
+    pub(crate) fn is_movable(&self) -> bool {
+        self.kind() == Kind::Resumable && self.running_attempt().is_repeatable()
+    }
+
+    /// Returns the attempt that is under way, which may have run.
+    fn running_attempt(&self) -> retry::Attempt {
+        retry::Attempt {
             kind: self.kind(),
             outcome: Outcome::Unknown,
             is_unexecuted: false,
             sent: self.sent,
             attempt_limit: self.access.route.attempts,
             remaining: self.remaining(),
-        };
-        let acquire_retry = || self.context.dispatcher.acquire_retry(&self.service.name);
-        retry::decide(&attempt, acquire_retry) == Decision::Retry
+        }
     }
 
     /// Returns the time until the deadline.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -12,7 +12,7 @@
     },
     bytes::Bytes,
     marigoldroute_core::{
-        forward::{Kind, Rejected, Sequence, Stall, event_id, retry::Outcome},
+        forward::{Rejected, Sequence, Stall, event_id, retry::Outcome},
         id::UpstreamId,
         route::Progress,
         stream::{Event, Splitter},
@@ -23,13 +23,13 @@
 };
 
 /// Reason of the failure of an attempt whose stream stalled.
-pub(crate) const STALL_REASON: &str = "no event for too long";
+const STALL_REASON: &str = "no event for too long";
 /// Connections that an attempt uses at most, when each turns out to be closed before anything was
 /// written.
 const CONNECTION_LIMIT: usize = 3;
 
 /// A response that an attempt received.
-pub(super) enum Received {
+pub(crate) enum Received {
     /// The answer for the caller.
     Final(Answer),
     /// The upstream ran the request and failed; its response goes to the caller unless there is a
@@ -92,7 +92,7 @@
     }
 
     /// Records that the upstream may run the request from now on.
-    fn record_send(&mut self, in_flight: &InFlight) {
+    pub(super) fn record_send(&mut self, in_flight: &InFlight) {
         if in_flight.rate.is_some() {
             let attempt = if self.sent == 0 { "first" } else { "later" };
             let limited = &self.context.metrics.limited;
@@ -110,42 +110,50 @@
         let context = &self.context;
         loop {
             let capacity_freed = context.dispatcher.capacity_freed.notified();
-            let assigned = context
-                .dispatcher
-                .assign(&self.service, &self.profile, &self.tried);
-            let (mut in_flight, rationale) = match assigned {
-                Ok(assigned) => assigned,
+            match self.try_acquire_upstream().await {
+                Ok(Some(in_flight)) => return Ok(in_flight),
+                Ok(None) => {}
                 Err(Unavailable::Busy(opens_after)) => {
                     let opens_after = opens_after.unwrap_or(self.remaining());
                     // Either way, the candidates are looked at again.
                     let _ = tokio::time::timeout(opens_after, capacity_freed).await;
-                    continue;
                 }
                 Err(unavailable) => return Err(unavailable),
-            };
-            let rate = in_flight.rate.map(Rate::per_second);
-            if rate.is_some() && !context.permits.acquire(&in_flight.upstream).await {
-                log::info!(
-                    target: ROUTING,
-                    request:% = self.head.id, upstream:% = in_flight.upstream, rate;
-                    "no permit"
-                );
-                continue;
-            }
-            if in_flight.record_sent(&self.profile) {
-                log::info!(
-                    target: ROUTING,
-                    request:% = self.head.id, upstream:% = in_flight.upstream, rationale:%,
-                    attempt = self.tried.len() + 1, rate;
-                    "upstream chosen"
-                );
-                return Ok(in_flight);
             }
         }
     }
 
+    /// Assigns an upstream, with a permit if it has stated a rate. Returns `None` when the chosen
+    /// one cannot be used any more, so that another choice has to be made.
+    pub(super) async fn try_acquire_upstream(&self) -> Result<Option<InFlight>, Unavailable> {
+        let context = &self.context;
+        let (mut in_flight, rationale) =
+            context
+                .dispatcher
+                .assign(&self.service, &self.profile, &self.tried)?;
+        let rate = in_flight.rate.map(Rate::per_second);
+        if rate.is_some() && !context.permits.acquire(&in_flight.upstream).await {
+            log::info!(
+                target: ROUTING,
+                request:% = self.head.id, upstream:% = in_flight.upstream, rate;
+                "no permit"
+            );
+            return Ok(None);
+        }
+        if !in_flight.record_sent(&self.profile) {
+            return Ok(None);
+        }
+        log::info!(
+            target: ROUTING,
+            request:% = self.head.id, upstream:% = in_flight.upstream, rationale:%,
+            attempt = self.tried.len() + 1, rate;
+            "upstream chosen"
+        );
+        Ok(Some(in_flight))
+    }
+
     /// Takes an idle connection from the pool or opens one.
-    async fn connect(&self, in_flight: &InFlight) -> Result<Connection, Failure> {
+    pub(super) async fn connect(&self, in_flight: &InFlight) -> Result<Connection, Failure> {
         let pool = &self.context.pool;
         if let Some(connection) = pool.take(&in_flight.upstream, in_flight.address) {
             return Ok(connection);
@@ -155,7 +163,7 @@
     }
 
     /// Sends the request; a failure returns `in_flight` for another connection.
-    async fn start_exchange(
+    pub(super) async fn start_exchange(
         &self,
         in_flight: InFlight,
         connection: Connection,
@@ -177,7 +185,7 @@
     }
 
     /// Validates the head of a response, and reads the body or the first events of a stream.
-    async fn receive(
+    pub(crate) async fn receive(
         &mut self,
         mut exchange: Exchange,
         started: Duration,
@@ -229,7 +237,7 @@
     }
 
     /// Checks that a response belongs to this request and that a successful one is signed.
-    fn validate(&self, response: &ResponseHead) -> Result<(), Failure> {
+    pub(super) fn validate(&self, response: &ResponseHead) -> Result<(), Failure> {
         // The request may run even if a late refusal of an earlier request arrives on its
         // connection.
         if response.id.as_ref() != Some(&self.head.id) {
@@ -287,14 +295,14 @@
         }
     }
 
-    /// Reads the next bytes; fails once the stream has stalled, if another upstream can continue
+    /// Reads the next bytes; fails once the stream has stalled, if another upstream may continue
     /// it.
     async fn read_unless_stalled(
         &self,
         exchange: &mut Exchange,
         stall: Option<Stall>,
     ) -> Result<Option<Bytes>, Failure> {
-        let stall = stall.filter(|_| self.kind() == Kind::Resumable);
+        let stall = stall.filter(|_| self.is_movable());
         let Some(stall) = stall else {
             return exchange.read().await;
         };
@@ -313,7 +321,12 @@
         )
     }
 
-    fn record_failure(&self, upstream: &UpstreamId, started: Duration, failure: &Failure) {
+    pub(super) fn record_failure(
+        &self,
+        upstream: &UpstreamId,
+        started: Duration,
+        failure: &Failure,
+    ) {
         let label = failure.outcome.to_string();
         self.context
             .metrics
