Read a request's body before an error response

What callers saw: neither an answer nor a refusal but a reset connection, when the gateway refused a request whose body was still on its way: no route, unknown key, no configuration yet, body too large. Routes and keys that a change of the configuration removes cause the first two.

Cause: the response was sent and the connection closed with unread bytes, which resets it; what the caller had not read yet of the response is lost. Class of fault: a connection closed while the peer still sends.

Change: the rest of the body is read and dropped first, up to 16 MiB and 2 s; not for callers that wait for the interim response 100. The connection can then also be used again.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -14,13 +14,21 @@
     hyper::body::{Body as _, Incoming},
     marigoldroute_core::forward::{Access, Service},
     marigoldroute_process::logs::REQUESTS,
-    poem::http::{HeaderValue, Request, Response, header::CONNECTION},
+    poem::http::{
+        HeaderValue, Request, Response,
+        header::{CONNECTION, EXPECT},
+    },
     std::{io, sync::Arc, time::Duration},
 };
 
 /// Longest time to read a request's body when the caller states no timeout.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Longest time to read the rest of a body whose request gets an error response.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest rest of a body that is read before an error response.
+const DISCARD_LIMIT_BYTES: usize = 16 << 20;
+
 /// Assumed size of the head of a request or a response, with the overhead of its packets.
 const HEAD_BYTES: usize = 600;
 
@@ -68,14 +76,19 @@
             context
                 .protocol
                 .parse_request(request.method(), request.uri(), request.headers());
+        let expects_continue = request.headers().contains_key(EXPECT);
+        let mut body = request.into_body();
         let head = match head {
             Ok(head) => head,
-            Err(malformed) => return self.reject(None, arrived, Error::Malformed(malformed)),
+            Err(malformed) => {
+                discard(&mut body, expects_continue).await;
+                return self.reject(None, arrived, Error::Malformed(malformed));
+            }
         };
-        let mut body = request.into_body();
         match self.admit(&head, &mut body).await {
             Ok((access, body)) => self.forward(head, access, body, arrived).await,
             Err(error) => {
+                discard(&mut body, expects_continue).await;
                 let response = self.reject(Some(&head), arrived, error);
                 self.record_unread(&body, &response);
                 response
@@ -218,6 +231,28 @@
     }
 }
 
+/// Reads the rest of a request's body and drops it. Closing a connection with unread bytes resets
+/// it, so that the caller may lose the response.
+///
+/// A caller that waits for the interim response 100 has not sent its body and need not send it.
+async fn discard(body: &mut Incoming, expects_continue: bool) {
+    if expects_continue {
+        return;
+    }
+    let rest = async {
+        let mut left = DISCARD_LIMIT_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            let Some(fewer) = left.checked_sub(bytes) else {
+                return;
+            };
+            left = fewer;
+        }
+    };
+    // Whoever is slower gets the response on a connection that closes.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
+}
+
 fn build_response(head: &ResponseHead, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
