Answer 502 when a stream ends within its first event

What callers saw: a closed connection without a head, neither an answer nor a refusal, when an upstream ended a stream within its first event.

Cause: such a stream counted as a success; it failed only after its head had been queued, and the connection then closed before the head was sent. A resumable stream was then continued as if events had been relayed.

Change: the attempt fails, so that the request is retried if its kind allows it and gets 502 otherwise.

Result: the new test failed before with an incomplete message; it passes. It replaces the second case of the test before it, which allowed a closed connection, by one that requires a response.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,7 +4,7 @@
     crate::{
         exchange::Failure,
         frontend::Body,
-        request::{ActiveRequest, Answer, Received, Stream},
+        request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, Received, Stream},
     },
     bytes::{Bytes, BytesMut},
     futures_util::{FutureExt, stream},
@@ -128,10 +128,7 @@
         while stream.events.is_empty() {
             if stream.has_ended {
                 return match stream.splitter.is_partial() {
-                    true => Step::Fail(Failure::new(
-                        Outcome::Unknown,
-                        "the stream ended within an event",
-                    )),
+                    true => Step::Fail(Failure::new(Outcome::Unknown, ENDED_WITHIN_EVENT)),
                     false => Step::End,
                 };
             }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,7 +3,7 @@
 mod attempt;
 mod handover;
 
-pub(crate) use attempt::Received;
+pub(crate) use attempt::{ENDED_WITHIN_EVENT, Received};
 
 use {
     crate::{
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -24,6 +24,8 @@
 
 /// Reason of the failure of an attempt whose stream stalled.
 const STALL_REASON: &str = "no event for too long";
+/// Reason of the failure of a stream whose end is not the end of an event.
+pub(crate) const ENDED_WITHIN_EVENT: &str = "the stream ended within an event";
 /// Connections that an attempt uses at most, when each turns out to be closed before anything was
 /// written.
 const CONNECTION_LIMIT: usize = 3;
@@ -278,7 +280,10 @@
         let mut stall = None;
         loop {
             let Some(data) = self.read_unless_stalled(exchange, stall).await? else {
-                return Ok((splitter, permit, VecDeque::new(), true));
+                return match splitter.is_partial() {
+                    true => Err(Failure::new(Outcome::Unknown, ENDED_WITHIN_EVENT)),
+                    false => Ok((splitter, permit, VecDeque::new(), true)),
+                };
             };
             let too_large = || Failure::new(Outcome::Unknown, "an event is too large");
             let events = splitter.push(&data).ok_or_else(too_large)?;
--- a/crates/gateway/tests/faulty_upstreams.rs
+++ b/crates/gateway/tests/faulty_upstreams.rs
@@ -223,20 +223,32 @@
 /// that the caller takes for a complete one.
 #[tokio::test]
 async fn events_cut_at_a_proper_end_are_not_complete() {
-    let cut = [
-        "15\r\nid: 1\ndata: piece 1\n\n\r\n9\r\nid: 2\ndat\r\n0\r\n\r\n",
-        "9\r\nid: 1\ndat\r\n0\r\n\r\n",
-    ];
-    for body in cut {
-        let text: &'static str = format!("{STREAM}{body}").leak();
-        let (harness, _upstreams) = Harness::new(vec![Script::Raw(vec![text])]).await;
-        let response = harness.request("stream", "r1").send().await;
-        // Without a complete event, the connection is closed before a head is sent.
-        let is_complete = match response {
-            Ok(response) => response.bytes().await.is_ok(),
-            Err(_) => false,
-        };
-        assert!(!is_complete, "{body:?}");
+    let body = "15\r\nid: 1\ndata: piece 1\n\n\r\n9\r\nid: 2\ndat\r\n0\r\n\r\n";
+    let text: &'static str = format!("{STREAM}{body}").leak();
+    let (harness, _upstreams) = Harness::new(vec![Script::Raw(vec![text])]).await;
+    let response = harness.request("stream", "r1").send().await;
+    let response = response.expect("a head");
+    assert_eq!(response.status(), 200);
+    assert!(response.bytes().await.is_err());
+}
+
+/// Guards against a stream that ends within its first event and leaves its caller without any
+/// response.
+#[tokio::test]
+async fn streams_that_end_within_their_first_event_are_failures() {
+    let body = "9\r\nid: 1\ndat\r\n0\r\n\r\n";
+    let text: &'static str = format!("{STREAM}{body}").leak();
+    let (harness, _upstreams) = Harness::new(vec![Script::Raw(vec![text])]).await;
+    let response = harness.request("stream", "r1").send().await;
+    let response = response.expect("a response");
+    assert_eq!(response.status(), 502);
+    let healthy = Script::Events { upto: 3, of: 3 };
+    let scripts = vec![Script::Raw(vec![text]), healthy];
+    let (harness, upstreams) = Harness::new(scripts).await;
+    while upstreams[0].arrivals().is_empty() {
+        let response = harness.request("resumable", "r2").send().await;
+        let text = response.expect("a head").text().await;
+        assert_eq!(text.expect("a whole stream"), events(1..=3));
     }
 }
 
