Close idle connections of callers only by the limit that they know

What callers saw: a connection that closed while they could still expect it to be open, so that a request that crossed the close got nothing.

Cause: the limit on the idle time was read at each check, so that a change of the configuration that lowers it closed connections at once whose callers went by the limit before. A response counted as ended when its head was ready, so that a connection whose stream took longer than the limit was closed with its last event, without notice. And of a close and a request that had just arrived, one was handled first at random. Class of fault: a change takes effect on what began before it.

Change: the larger of the limit in effect when the connection became idle and the one in effect now holds; a response counts as running until its body has been sent; requests that have arrived are read before a connection is closed.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -5,16 +5,27 @@
 
 use {
     crate::{
-        Clock, frontend::Frontend, listen::listen, pool::configure_socket, supervise::catch_panic,
+        frontend::{Body, Frontend},
+        listen::listen,
+        pool::configure_socket,
+        supervise::catch_panic,
         view::lock,
     },
-    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    bytes::Bytes,
+    hyper::{
+        body::{Frame, Incoming, SizeHint},
+        server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::TokioIo,
     poem::http::Request,
     std::{
         convert::Infallible,
+        io,
         net::SocketAddr,
+        pin::Pin,
         sync::{Arc, Mutex},
+        task::{Context, Poll},
         time::Duration,
     },
     tokio::net::{TcpListener, TcpStream},
@@ -75,27 +86,81 @@
     running: usize,
     /// When the last request ended, or the connection was accepted.
     idle_since: Duration,
+    /// Limit on the idle time that was in effect then, and by which the caller goes.
+    idle_limit: Duration,
+}
+
+impl Activity {
+    fn new(frontend: &Frontend) -> Self {
+        Self {
+            running: 0,
+            idle_since: frontend.0.clock.now(),
+            idle_limit: idle_limit(frontend),
+        }
+    }
+
+    /// Returns whether the connection has been idle for longer than any limit that its caller may
+    /// go by.
+    fn is_expired(&self, frontend: &Frontend) -> bool {
+        let limit = self.idle_limit.max(idle_limit(frontend));
+        let idle = frontend.0.clock.now().saturating_sub(self.idle_since);
+        self.running == 0 && idle > limit.mul_f64(IDLE_FACTOR)
+    }
 }
 
-/// A request in progress, until its response has been handed to hyper or the request was cancelled.
+/// Returns the limit on the idle time of callers' connections by the configuration in effect.
+fn idle_limit(frontend: &Frontend) -> Duration {
+    let directory = frontend.0.view.directory().unwrap_or_default();
+    directory.limits().idle_timeout
+}
+
+/// A request in progress, until its response has been sent or it was cancelled.
 struct Running {
     activity: Arc<Mutex<Activity>>,
-    clock: Clock,
+    frontend: Frontend,
 }
 
 impl Running {
-    fn start(activity: &Arc<Mutex<Activity>>, clock: Clock) -> Self {
+    fn start(activity: &Arc<Mutex<Activity>>, frontend: &Frontend) -> Self {
         lock(activity).running += 1;
-        let activity = activity.clone();
-        Self { activity, clock }
+        let (activity, frontend) = (activity.clone(), frontend.clone());
+        Self { activity, frontend }
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
         let mut activity = lock(&self.activity);
-        activity.running -= 1;
-        activity.idle_since = self.clock.now();
+        *activity = Activity {
+            running: activity.running - 1,
+            ..Activity::new(&self.frontend)
+        };
+    }
+}
+
+/// Body of a response whose request is in progress until the body has been sent.
+struct RunningBody {
+    body: Body,
+    _running: Running,
+}
+
+impl hyper::body::Body for RunningBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
 
@@ -105,49 +170,49 @@
         log::debug!("connection lost before its first request: {error}");
         return;
     }
-    let clock = frontend.0.clock;
-    let activity = Activity {
-        running: 0,
-        idle_since: clock.now(),
-    };
-    let activity = Arc::new(Mutex::new(activity));
-    let (watched, limits) = (activity.clone(), frontend.clone());
-    let closed = frontend.0.metrics.closed_connections.clone();
+    let activity = Arc::new(Mutex::new(Activity::new(&frontend)));
+    let (watched, service_frontend) = (activity.clone(), frontend.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        let running = Running::start(&activity, clock);
-        let frontend = frontend.clone();
+        let running = Running::start(&activity, &service_frontend);
+        let frontend = service_frontend.clone();
         async move {
             let response = frontend.call(request).await;
-            drop(running);
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| RunningBody {
+                body,
+                _running: running,
+            }))
         }
     });
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut is_closing = false;
     loop {
-        tokio::select! {
+        let close_reason = tokio::select! {
+            // A request that has arrived is read before the connection is closed.
+            biased;
             result = connection.as_mut() => {
                 if let Err(error) = result {
                     log::debug!("connection ended: {error}");
                 }
                 return;
             }
-            () = stop.cancelled(), if !is_closing => {
-                is_closing = true;
-                closed.with_label_values(&["stop"]).inc();
-                connection.as_mut().graceful_shutdown();
-            }
+            () = stopped(&stop), if !is_closing => "stop",
             () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !is_closing => {
-                let limit = limits.0.view.directory().unwrap_or_default().limits().idle_timeout;
-                let activity = lock(&watched);
-                let idle = clock.now().saturating_sub(activity.idle_since);
-                if activity.running == 0 && idle > limit.mul_f64(IDLE_FACTOR) {
-                    is_closing = true;
-                    closed.with_label_values(&["idle"]).inc();
-                    connection.as_mut().graceful_shutdown();
+                if !lock(&watched).is_expired(&frontend) {
+                    continue;
                 }
+                "idle"
             }
-        }
+        };
+        is_closing = true;
+        let closed = &frontend.0.metrics.closed_connections;
+        closed.with_label_values(&[close_reason]).inc();
+        connection.as_mut().graceful_shutdown();
     }
 }
+
+/// Waits for the stop, and then until the runtime has seen which connections have new bytes.
+async fn stopped(stop: &CancellationToken) {
+    stop.cancelled().await;
+    tokio::task::yield_now().await;
+}
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -5,10 +5,11 @@
 use {
     harness::{Harness, KEY, upstream::Script},
     marigoldroute_core::forward::Limits,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
+        sync::Notify,
     },
 };
 
@@ -17,11 +18,14 @@
 /// Longest time for a response, far above what a local one takes.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Returns the head of a request with a body of [`BODY_BYTES`].
-fn head(path: &str, id: &str, key: &str) -> String {
+/// A pause during which the gateway checks for how long its connections have been idle.
+const IDLE_PAUSE: Duration = Duration::from_millis(3_600);
+
+/// Returns the head of a request with a body of this length.
+fn head(path: &str, id: &str, key: &str, length: usize) -> String {
     format!(
         "POST /{path}/x HTTP/1.1\r\nhost: desk.example\r\nx-request-id: {id}\r\nx-key: {key}\r\n\
-         x-tokens: 100,50\r\ncontent-length: {BODY_BYTES}\r\n\r\n"
+         x-tokens: 100,50\r\ncontent-length: {length}\r\n\r\n"
     )
 }
 
@@ -53,7 +57,7 @@
     let exchange = async {
         for (index, (path, key, status)) in requests.iter().enumerate() {
             let sending = async {
-                let head = head(path, &format!("r{index}"), key);
+                let head = head(path, &format!("r{index}"), key, BODY_BYTES);
                 writer.write_all(head.as_bytes()).await?;
                 writer.write_all(&vec![b'x'; BODY_BYTES]).await
             };
@@ -91,3 +95,67 @@
     let harness = Harness::without_upstreams(None).await;
     assert_answered(&harness, &[("once", KEY, "503"); 2]).await;
 }
+
+/// Sends a request without a body and reads its response.
+async fn call(stream: &mut TcpStream, path: &str, id: &str) -> String {
+    let head = head(path, id, KEY, 0);
+    stream.write_all(head.as_bytes()).await.expect("it is open");
+    let (line, _) = read_response(stream).await;
+    line
+}
+
+/// Waits until the gateway has checked whether a connection is idle; asserts that it stays open.
+async fn assert_open(stream: &mut TcpStream) {
+    let closed = tokio::time::timeout(IDLE_PAUSE, stream.read_u8()).await;
+    assert!(closed.is_err(), "the connection was closed");
+}
+
+/// Guards against closing a connection earlier than its caller expects, when a change of the
+/// configuration lowers the idle limit or a response takes longer than the limit.
+#[tokio::test]
+async fn connections_are_not_closed_before_the_idle_limit_of_their_callers() {
+    let limits = |idle_timeout| Limits {
+        idle_timeout,
+        ..Limits::default()
+    };
+    let changed = async {
+        let mut snapshot = harness::snapshot(1, 1_000_000);
+        snapshot.limits = limits(Duration::from_secs(60));
+        let script = Script::Complete(200, "the answer");
+        let (harness, _upstreams) = Harness::with_snapshot(snapshot.clone(), vec![script]).await;
+        let mut stream = TcpStream::connect(harness.callers).await.expect("connects");
+        assert!(call(&mut stream, "once", "r1").await.contains("200"));
+        snapshot.version = 2;
+        snapshot.limits = limits(Duration::from_millis(100));
+        harness.store.configure(snapshot);
+        assert_open(&mut stream).await;
+        assert!(call(&mut stream, "once", "r2").await.contains("200"));
+    };
+    let streaming = async {
+        let mut snapshot = harness::snapshot(1, 1_000_000);
+        snapshot.limits = limits(Duration::from_millis(100));
+        let resume = Arc::new(Notify::new());
+        let script = Script::Paused {
+            of: 3,
+            resume: resume.clone(),
+        };
+        let (harness, _upstreams) = Harness::with_snapshot(snapshot, vec![script]).await;
+        let mut stream = TcpStream::connect(harness.callers).await.expect("connects");
+        for id in ["r1", "r2"] {
+            let head = head("stream", id, KEY, 0);
+            stream.write_all(head.as_bytes()).await.expect("it is open");
+            let mut text = Vec::new();
+            while !text.ends_with(b"\n\n\r\n") {
+                text.push(stream.read_u8().await.expect("an event"));
+            }
+            if id == "r1" {
+                assert_open(&mut stream).await;
+            }
+            resume.notify_one();
+            while !text.ends_with(b"0\r\n\r\n") {
+                text.push(stream.read_u8().await.expect("the rest"));
+            }
+        }
+    };
+    tokio::join!(changed, streaming);
+}
