Join only numbered events to a stream that continues

Callers found an error's text, or the head of a refusal, between the events of their stream, and the stream ended as a complete one: an event without an id passed at any place, also as the first one of the upstream that continues a broken stream. The id of an event with bytes that are not UTF-8 was not read, so that the next event counted as a gap.

In a numbered stream, an event without an id is now a comment or consists of known fields, and the first one of an upstream that continues the stream is numbered or a comment. Anything else breaks the stream. Ids are read from bytes.

--- a/crates/core/src/forward/sequence.rs
+++ b/crates/core/src/forward/sequence.rs
@@ -30,6 +30,12 @@
         /// Id of the last relayed event.
         last: u64,
     },
+    /// It has no id by which it can be placed, and is no part of the numbered stream.
+    #[display("an event without an id after event {last}")]
+    Foreign {
+        /// Id of the last relayed event.
+        last: u64,
+    },
 }
 
 /// Tracks the ids of the events that a caller has received.
@@ -38,12 +44,23 @@
     /// Id of the last event that the caller has; absent before the first.
     last: Option<u64>,
     relayed: u64,
+    /// Whether the next event comes from an upstream that continues the stream.
+    is_resuming: bool,
 }
 
 impl Sequence {
     /// Starts after the event that the caller has already received, if any.
     pub fn new(last: Option<u64>) -> Self {
-        Self { last, relayed: 0 }
+        Self {
+            last,
+            is_resuming: last.is_some(),
+            ..Self::default()
+        }
+    }
+
+    /// Records that the next events come from an upstream that continues the stream.
+    pub fn resume(&mut self) {
+        self.is_resuming = self.last.is_some();
     }
 
     /// Returns the id of the last event that the caller has.
@@ -74,13 +91,47 @@
         }
         self.last = Some(id);
         self.relayed += 1;
+        self.is_resuming = false;
         Ok(Accepted::Next)
     }
+
+    /// Checks that an event, in its raw form, follows the last one, and records it. In a numbered
+    /// stream, an event without an id has to be a comment or to consist of known fields; the first
+    /// one of an upstream that continues the stream has to be a comment.
+    ///
+    /// # Errors
+    /// [`Rejected`] when the event does not follow the last one or is no part of the stream.
+    pub fn accept_event(&mut self, event: &[u8]) -> Result<Accepted, Rejected> {
+        let id = event_id(event);
+        if id.is_none()
+            && !lines(event).all(is_comment)
+            && let Some(last) = self.last
+            && (self.is_resuming || !lines(event).all(is_unnumbered_line))
+        {
+            return Err(Rejected::Foreign { last });
+        }
+        self.accept(id)
+    }
+}
+
+/// Returns the lines of an event that are not empty.
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = event.split(|byte| matches!(byte, b'\r' | b'\n'));
+    lines.filter(|line| !line.is_empty())
+}
+
+fn is_comment(line: &[u8]) -> bool {
+    line.starts_with(b":")
+}
+
+/// Returns whether an event without an id may have this line.
+fn is_unnumbered_line(line: &[u8]) -> bool {
+    let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+    matches!(name, b"" | b"data" | b"event" | b"retry")
 }
 
 /// Returns the numeric id of a server-sent event, if it has one.
 pub fn event_id(event: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(event).ok()?;
-    let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
-    id.trim().parse().ok()
+    let id = lines(event).find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -284,4 +284,42 @@
     assert_eq!((sequence.last(), sequence.relayed()), (Some(6), 2));
     assert_eq!(event_id(b"event: x\nid: 12\ndata: y\n\n"), Some(12));
     assert_eq!(event_id(b"data: id: 12\n\n"), None);
+    assert_eq!(event_id(b"id: 12\ndata: \xff\n\n"), Some(12));
+}
+
+/// Guards against text that is no event of the stream, and that reaches a caller in its middle.
+#[test]
+fn text_without_an_id_is_not_joined_to_a_numbered_stream() {
+    let mut sequence = Sequence::default();
+    assert_eq!(
+        sequence.accept_event(b"HTTP/1.1 200 X\r\n\r\n"),
+        Ok(Accepted::Unnumbered)
+    );
+    assert_eq!(sequence.accept_event(b"id: 1\n\n"), Ok(Accepted::Next));
+    for text in ["data: [DONE]\n\n", "event: x\ndata\n\n", ": here\r\n\r\n"] {
+        let accepted = sequence.accept_event(text.as_bytes());
+        assert_eq!(accepted, Ok(Accepted::Unnumbered), "{text}");
+    }
+    let foreign = [
+        "HTTP/1.1 503 X\r\nx-request-id: r0\r\n\r\n",
+        "an error\n\n",
+        "id: x\ndata: y\n\n",
+        "data: y\nan error\n\n",
+    ];
+    for text in foreign {
+        let rejected = sequence.accept_event(text.as_bytes());
+        assert_eq!(rejected, Err(Rejected::Foreign { last: 1 }), "{text}");
+    }
+    sequence.resume();
+    assert_eq!(
+        sequence.accept_event(b": here\n\n"),
+        Ok(Accepted::Unnumbered)
+    );
+    let rejected = sequence.accept_event(b"data: y\n\n");
+    assert_eq!(rejected, Err(Rejected::Foreign { last: 1 }));
+    assert_eq!(sequence.accept_event(b"id: 2\n\n"), Ok(Accepted::Next));
+    assert_eq!(
+        sequence.accept_event(b"data: y\n\n"),
+        Ok(Accepted::Unnumbered)
+    );
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
     marigoldroute_core::{
-        forward::{Sequence, Stall, event_id, retry::Outcome},
+        forward::{Sequence, Stall, retry::Outcome},
         route::Progress,
     },
     marigoldroute_process::logs::REQUESTS,
@@ -157,7 +157,7 @@
         let mut bytes = BytesMut::new();
         let before = self.sequence.relayed();
         while let Some(event) = stream.events.pop_front() {
-            if let Err(rejected) = self.sequence.accept(event_id(&event.raw)) {
+            if let Err(rejected) = self.sequence.accept_event(&event.raw) {
                 if bytes.is_empty() {
                     return Step::Fail(Failure::new(Outcome::Unknown, rejected.to_string()));
                 }
@@ -239,8 +239,7 @@
         );
         match moved {
             Ok(stream) => {
-                self.stream = Some(stream);
-                self.stall = self.request.start_stall_timer();
+                self.go_on(stream);
                 Ok(())
             }
             Err(_) if self.stream.is_some() => Ok(()),
@@ -248,6 +247,13 @@
         }
     }
 
+    /// Relays the events of another upstream from now on.
+    fn go_on(&mut self, stream: Box<Stream>) {
+        self.stream = Some(stream);
+        self.sequence.resume();
+        self.stall = self.request.start_stall_timer();
+    }
+
     /// Continues the stream at another upstream if a retry is allowed; returns whether it goes on.
     async fn resume(&mut self, failure: &Failure) -> bool {
         // Close the connection, which cancels the run, before another run starts.
@@ -266,8 +272,7 @@
         match self.request.run(last).await {
             Answer::Stream(stream) => {
                 log::info!(target: REQUESTS, request:% = self.request.head.id; "stream resumed");
-                self.stream = Some(stream);
-                self.stall = self.request.start_stall_timer();
+                self.go_on(stream);
                 true
             }
             Answer::Complete(head, ..) => {
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -12,7 +12,7 @@
     },
     bytes::Bytes,
     marigoldroute_core::{
-        forward::{Rejected, Sequence, Stall, event_id, retry::Outcome},
+        forward::{Rejected, Sequence, Stall, retry::Outcome},
         id::UpstreamId,
         route::Progress,
         stream::{Event, Splitter},
@@ -287,9 +287,8 @@
                 stall.get_or_insert_with(|| self.start_stall_timer());
                 continue;
             };
-            let id = event_id(&first.raw);
             let out_of_order = |error: Rejected| Failure::new(Outcome::Unknown, error.to_string());
-            sequence.accept(id).map_err(out_of_order)?;
+            sequence.accept_event(&first.raw).map_err(out_of_order)?;
             exchange.in_flight.report(Progress::FirstToken);
             return Ok((splitter, permit, events.into(), false));
         }
--- /dev/null
+++ b/crates/gateway/tests/continued_streams.rs
@@ -0,0 +1,136 @@
+//! What callers get when the upstream that continues a broken stream answers wrongly.
+
+mod harness;
+
+use harness::{Harness, upstream::Script};
+
+const HEAD: &str = "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\n";
+const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
+
+fn events(range: std::ops::RangeInclusive<u64>) -> String {
+    range
+        .map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
+        .collect()
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Returns the text of a chunked answer without its end.
+fn chunked(text: &str) -> String {
+    format!("{HEAD}{CHUNKED}{}", chunk(text))
+}
+
+/// Returns the text of an answer that ends with its connection.
+fn unframed(text: &str) -> String {
+    format!("{HEAD}\r\n{text}")
+}
+
+/// Sends a request to upstreams that answer with these texts, and returns the bytes that the caller
+/// received and whether the stream ended as a complete one, with the number of requests that
+/// reached an upstream.
+async fn play(route: &str, first: &str, rest: &str, is_reset: bool) -> (String, bool, usize) {
+    let script = Script::Continued {
+        first: first.into(),
+        rest: rest.into(),
+        is_reset,
+    };
+    let (harness, upstreams) = Harness::new(vec![script.clone(), script]).await;
+    let request = harness.request(route, "r1");
+    let mut response = request.send().await.expect("a head");
+    let mut received = Vec::new();
+    let is_complete = loop {
+        match response.chunk().await {
+            Ok(Some(bytes)) => received.extend_from_slice(&bytes),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    let text = String::from_utf8(received).expect("text");
+    let arrivals = upstreams.iter().map(|upstream| upstream.arrivals().len());
+    (text, is_complete, arrivals.sum())
+}
+
+/// Guards against a failure, or any other text that does not continue the stream, in the middle of
+/// a stream, and against a stream that ends with it as if it were complete.
+#[tokio::test]
+async fn only_what_follows_is_joined_to_a_stream() {
+    let status =
+        |status: &str| format!("HTTP/1.1 {status} X\r\nx-request-id: {{id}}\r\nx-signed: 1\r\n");
+    let refusal = "HTTP/1.1 503 X\r\nx-request-id: r0\r\nx-not-run: 1\r\n\r\n";
+    let rests = [
+        status("500") + "content-length: 6\r\n\r\nbroken",
+        status("500") + "content-length: 32\r\n\r\n" + &events(3..=3) + "          ",
+        status("404") + "content-length: 6\r\n\r\nabsent",
+        status("503") + "x-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+        status("101") + "\r\n",
+        chunked(&events(3..=5)).replace("x-signed: 1\r\n", "") + "0\r\n\r\n",
+        chunked("an error") + "0\r\n\r\n",
+        chunked("an error\n\n") + "0\r\n\r\n",
+        chunked("data: an error\n\n") + "0\r\n\r\n",
+        chunked(refusal) + "0\r\n\r\n",
+        chunked("id: x\ndata: an error\n\n") + "0\r\n\r\n",
+        chunked(&events(4..=5)) + "0\r\n\r\n",
+        chunked(&events(2..=5)) + "0\r\n\r\n",
+        format!("{HEAD}{CHUNKED}"),
+        chunked("id: 3\nda") + "0\r\n\r\n",
+        unframed("id: 3\nda"),
+        String::new(),
+    ];
+    let first = chunked(&events(1..=2));
+    let mut wrong = Vec::new();
+    for rest in rests {
+        let played = play("resumable", &first, &rest, false).await;
+        if played != (events(1..=2), false, 2) {
+            wrong.push((rest, played));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+/// Guards against a comment of the next upstream after which text without an id is relayed.
+#[tokio::test]
+async fn text_after_a_comment_is_not_joined_to_a_stream() {
+    let rest = chunked(": here\n\ndata: an error\n\n") + "0\r\n\r\n";
+    let (text, is_complete, _) = play("resumable", &chunked(&events(1..=2)), &rest, false).await;
+    assert!(!is_complete);
+    assert_eq!(text.replace(": here\n\n", ""), events(1..=2));
+}
+
+/// Guards against a whole head, which an upstream wrote into its own stream, that reaches the
+/// caller.
+#[tokio::test]
+async fn a_head_within_a_stream_is_not_relayed() {
+    let head = "HTTP/1.1 503 X\r\nx-request-id: r0\r\nx-not-run: 1\r\n\r\n";
+    let first = chunked(&events(1..=2)) + &chunk(head) + &chunk(&events(3..=3)) + "0\r\n\r\n";
+    let played = play("stream", &first, "", false).await;
+    assert_eq!(played, (events(1..=2), false, 1));
+}
+
+/// Guards against a connection that is reset and passes for the end of an answer without a length.
+#[tokio::test]
+async fn a_reset_is_no_end_of_a_stream() {
+    let first = chunked(&events(1..=2));
+    let (text, is_complete, _) = play("resumable", &first, &unframed(&events(3..=3)), true).await;
+    assert!(!is_complete);
+    // The reset may overtake the event.
+    assert!(text == events(1..=2) || text == events(1..=3), "{text}");
+}
+
+/// Guards against a stream that is cut although another upstream continued it properly. One that
+/// states that nothing follows the last event, by a body whose end it marks, completes it.
+#[tokio::test]
+async fn what_follows_completes_a_stream() {
+    let rests = [
+        (chunked(&events(3..=5)) + "0\r\n\r\n", 5),
+        (unframed(&events(3..=5)), 5),
+        (format!("{HEAD}{CHUNKED}0\r\n\r\n"), 2),
+        (format!("{HEAD}content-length: 0\r\n\r\n"), 2),
+    ];
+    let first = chunked(&events(1..=2));
+    for (rest, last) in rests {
+        let played = play("resumable", &first, &rest, false).await;
+        assert_eq!(played, (events(1..=last), true, 2), "{rest:?}");
+    }
+}
--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -1,6 +1,7 @@
 //! A scripted upstream.
 
 use {
+    socket2::SockRef,
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -44,6 +45,14 @@
         piece: &'static str,
         pause: Duration,
     },
+    /// Sends `first` for a request that does not continue a stream and `rest` for one that does, and
+    /// then closes the connection, with a reset when `is_reset`. `{id}` is replaced by the id of the
+    /// request.
+    Continued {
+        first: String,
+        rest: String,
+        is_reset: bool,
+    },
     /// Sends all events of a stream with this pause between them.
     Paced { of: u64, pause: Duration },
     /// Sends two events and, in the same chunk, another one with the id of the first.
@@ -233,6 +242,20 @@
                 tokio::time::sleep(*pause).await;
             }
         }
+        Script::Continued {
+            first,
+            rest,
+            is_reset,
+        } => {
+            let text = arrival.last_event.map_or(first, |_| rest);
+            let text = text.replace("{id}", id);
+            stream.write_all(text.as_bytes()).await.ok()?;
+            if *is_reset && arrival.last_event.is_some() {
+                let socket = SockRef::from(&*stream);
+                socket.set_linger(Some(Duration::ZERO)).ok()?;
+            }
+            return None;
+        }
         Script::Paced { of, pause } => {
             let head = head(200, "transfer-encoding: chunked\r\n");
             stream.write_all(head.as_bytes()).await.ok()?;
