Do not continue a stream whose events had no id

A resumable stream of events without ids that broke off was sent to another upstream, which began anew: the caller got the events twice.

A stream of which content without an id was relayed is not continued; it is cut, and a stalled one is kept.

--- a/crates/core/src/forward/sequence.rs
+++ b/crates/core/src/forward/sequence.rs
@@ -46,6 +46,8 @@
     relayed: u64,
     /// Whether the next event comes from an upstream that continues the stream.
     is_resuming: bool,
+    /// Whether the caller has content of events without an id.
+    has_unnumbered: bool,
 }
 
 impl Sequence {
@@ -63,6 +65,12 @@
         self.is_resuming = self.last.is_some();
     }
 
+    /// Returns whether the id of the last event tells how much the caller has, so that the stream
+    /// can continue at another upstream.
+    pub fn is_resumable(&self) -> bool {
+        !self.has_unnumbered
+    }
+
     /// Returns the id of the last event that the caller has.
     pub fn last(&self) -> Option<u64> {
         self.last
@@ -103,12 +111,13 @@
     /// [`Rejected`] when the event does not follow the last one or is no part of the stream.
     pub fn accept_event(&mut self, event: &[u8]) -> Result<Accepted, Rejected> {
         let id = event_id(event);
-        if id.is_none()
-            && !lines(event).all(is_comment)
-            && let Some(last) = self.last
-            && (self.is_resuming || !lines(event).all(is_unnumbered_line))
-        {
-            return Err(Rejected::Foreign { last });
+        if id.is_none() && !lines(event).all(is_comment) {
+            if let Some(last) = self.last
+                && (self.is_resuming || !lines(event).all(is_unnumbered_line))
+            {
+                return Err(Rejected::Foreign { last });
+            }
+            self.has_unnumbered = true;
         }
         self.accept(id)
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -187,6 +187,9 @@
     async fn hand_over(&mut self) -> Result<(), Failure> {
         let context = self.request.context.clone();
         self.stall.postpone(context.clock.now());
+        if !self.sequence.is_resumable() {
+            return Ok(());
+        }
         let successor = self.request.prepare_successor().await;
         let (Some(successor), Some(stream)) = (successor, &mut self.stream) else {
             return Ok(());
@@ -265,6 +268,10 @@
             left_ms = self.request.remaining().as_millis() as u64;
             "stream broken"
         );
+        if !self.sequence.is_resumable() {
+            self.record_cut(failure, "events without an id were relayed");
+            return false;
+        }
         if !self.request.admit_resume() {
             self.record_cut(failure, "no retry is allowed");
             return false;
--- a/crates/gateway/tests/continued_streams.rs
+++ b/crates/gateway/tests/continued_streams.rs
@@ -134,3 +134,20 @@
         assert_eq!(played, (events(1..=last), true, 2), "{rest:?}");
     }
 }
+
+/// Guards against events that come twice: when those of the broken stream have no id, no upstream
+/// can tell what follows.
+#[tokio::test]
+async fn streams_without_ids_are_not_continued() {
+    let (text, is_complete, arrivals) = play(
+        "resumable",
+        &chunked("data: a\n\n"),
+        &chunked("data: a\n\n"),
+        false,
+    )
+    .await;
+    assert_eq!(
+        (text.as_str(), is_complete, arrivals),
+        ("data: a\n\n", false, 1)
+    );
+}
