Take an unmarked end without an event for a break

The upstream that continues a broken stream answered with a success and its connection closed after the head, or it answered 204: the caller's stream ended as a complete one.

A body without a length and without chunks ends with its connection, which also ends when the upstream does. Such an end completes a continued stream only after an event that follows. A body whose end is marked, and that has no event, is the statement of the upstream that nothing follows, and completes the stream: the broken one may have lost only its end.

--- a/crates/core/src/forward/sequence.rs
+++ b/crates/core/src/forward/sequence.rs
@@ -81,6 +81,12 @@
         self.relayed
     }
 
+    /// Returns whether the stream broke after an event that was relayed here, and the upstream that
+    /// continues it has sent none. It may have broken off as well, unless it marks the end.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.is_resuming && self.relayed > 0
+    }
+
     /// Checks that an event follows the last one, and records it.
     ///
     /// # Errors
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,7 +12,10 @@
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     marigoldroute_core::{forward::retry::Outcome, route::Progress},
-    poem::http::{Request, StatusCode},
+    poem::http::{
+        Request, StatusCode,
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    },
     std::{sync::Arc, time::Duration},
 };
 
@@ -57,6 +60,9 @@
 pub(crate) struct Exchange {
     pub(crate) head: ResponseHead,
     pub(crate) in_flight: InFlight,
+    /// Whether the end of the body is marked, by a length or by the last chunk. Any other body ends
+    /// with its connection, which also ends when the upstream does.
+    pub(crate) is_end_marked: bool,
     body: Incoming,
     connection: Connection,
     pool: Arc<Pool>,
@@ -86,6 +92,9 @@
         };
         let (parts, body) = response.into_parts();
         let head = protocol.parse_response(parts.status, &parts.headers);
+        let is_end_marked = [CONTENT_LENGTH, TRANSFER_ENCODING]
+            .iter()
+            .any(|name| parts.headers.contains_key(name));
         if let Some(load) = &head.load {
             in_flight.update_load(load);
         }
@@ -97,6 +106,7 @@
         Ok(Self {
             head,
             in_flight,
+            is_end_marked,
             body,
             connection,
             pool,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -127,13 +127,14 @@
         };
         while stream.events.is_empty() {
             if stream.has_ended {
-                return match stream.splitter.is_partial() {
-                    true => Step::Fail(Failure::new(
-                        Outcome::Unknown,
-                        "the stream ended within an event",
-                    )),
-                    false => Step::End,
+                let reason = if stream.splitter.is_partial() {
+                    "the stream ended within an event"
+                } else if self.sequence.is_unconfirmed() && !stream.exchange.is_end_marked {
+                    "the stream did not continue"
+                } else {
+                    return Step::End;
                 };
+                return Step::Fail(Failure::new(Outcome::Unknown, reason));
             }
             let read = tokio::select! {
                 read = stream.exchange.read() => read,
--- a/crates/gateway/tests/continued_streams.rs
+++ b/crates/gateway/tests/continued_streams.rs
@@ -64,6 +64,7 @@
         status("500") + "content-length: 32\r\n\r\n" + &events(3..=3) + "          ",
         status("404") + "content-length: 6\r\n\r\nabsent",
         status("503") + "x-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+        status("204") + "\r\n",
         status("101") + "\r\n",
         chunked(&events(3..=5)).replace("x-signed: 1\r\n", "") + "0\r\n\r\n",
         chunked("an error") + "0\r\n\r\n",
@@ -75,6 +76,7 @@
         chunked(&events(2..=5)) + "0\r\n\r\n",
         format!("{HEAD}{CHUNKED}"),
         chunked("id: 3\nda") + "0\r\n\r\n",
+        unframed(""),
         unframed("id: 3\nda"),
         String::new(),
     ];
@@ -89,13 +91,20 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
-/// Guards against a comment of the next upstream after which text without an id is relayed.
+/// Guards against a comment of the next upstream after which text without an id, or nothing, is
+/// taken for the rest of the stream.
 #[tokio::test]
 async fn text_after_a_comment_is_not_joined_to_a_stream() {
-    let rest = chunked(": here\n\ndata: an error\n\n") + "0\r\n\r\n";
-    let (text, is_complete, _) = play("resumable", &chunked(&events(1..=2)), &rest, false).await;
-    assert!(!is_complete);
-    assert_eq!(text.replace(": here\n\n", ""), events(1..=2));
+    let rests = [
+        chunked(": here\n\ndata: an error\n\n") + "0\r\n\r\n",
+        unframed(": here\n\n"),
+    ];
+    for rest in rests {
+        let first = chunked(&events(1..=2));
+        let (text, is_complete, _) = play("resumable", &first, &rest, false).await;
+        assert!(!is_complete, "{rest:?}");
+        assert_eq!(text.replace(": here\n\n", ""), events(1..=2));
+    }
 }
 
 /// Guards against a whole head, which an upstream wrote into its own stream, that reaches the
