Take no contradictory answer for a result

A final status 101 reached the caller as the answer, and a success that also stated that the request had not run counted as not run: the caller was told 503, or the request was sent to another upstream.

Neither shows what became of the request, so that both are failures that promise nothing.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -246,6 +246,13 @@
                 "the answer belongs to another request",
             ));
         }
+        let is_contradictory = response.is_refused && response.status.is_success();
+        if is_contradictory || response.status.is_informational() {
+            return Err(Failure::new(
+                Outcome::Unknown,
+                "the answer does not say what became of the request",
+            ));
+        }
         if response.is_refused {
             return Err(Failure::new(
                 Outcome::Refused,
