--- a/crates/gateway/tests/harness/protocol.rs
+++ b/crates/gateway/tests/harness/protocol.rs
@@ -9,6 +9,7 @@
         HeaderMap, HeaderValue, Method, StatusCode, Uri,
         header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
     },
+    std::time::Duration,
 };
 
 /// A protocol whose headers start with `x-`; `x-defect` makes the parser panic.
@@ -88,7 +89,9 @@
                 None => Statement::Unlimited,
             },
             is_closing: headers.contains_key(CONNECTION),
-            keep_alive: None,
+            keep_alive: text(headers, "x-keep-alive")
+                .and_then(|seconds| seconds.parse().ok())
+                .map(Duration::from_secs),
         }
     }
 
