Bound the memory for the prompt parts that callers state

A caller that stated parts of 4,294,967,295 tokens made the host allocate a hash for each block of them: 128 MiB a part, and any number of parts, in a process that may have 96 MB.

At most 4,096 blocks of a shared prefix are considered, a million tokens.

--- a/crates/gateway/src/profile.rs
+++ b/crates/gateway/src/profile.rs
@@ -6,6 +6,10 @@
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
+/// Blocks of a shared prefix that are considered: the callers state its length, and larger prompts
+/// than a million tokens fit no engine.
+const PREFIX_LIMIT_BLOCKS: usize = 4_096;
+
 /// Properties of a request that the routing policy uses.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Profile {
@@ -46,14 +50,15 @@
 }
 
 /// Returns a hash for each block of the parts; the last block of a part may be incomplete. Each
-/// hash covers the blocks before it as well.
+/// hash covers the blocks before it as well. There are at most [`PREFIX_LIMIT_BLOCKS`].
 fn prefix_hashes(parts: &[PromptPart], block_tokens: u32) -> Vec<u64> {
     let mut hash = 0;
     let mut blocks = Vec::new();
     for part in parts {
         hash = xxh3_64_with_seed(&part.id.to_le_bytes(), hash);
         let count = u64::from(part.tokens.div_ceil(block_tokens));
-        blocks.extend((0..count).map(|index| xxh3_64_with_seed(&index.to_le_bytes(), hash)));
+        let hashes = (0..count).map(|index| xxh3_64_with_seed(&index.to_le_bytes(), hash));
+        blocks.extend(hashes.take(PREFIX_LIMIT_BLOCKS - blocks.len()));
     }
     blocks
 }
--- a/crates/gateway/tests/harness/protocol.rs
+++ b/crates/gateway/tests/harness/protocol.rs
@@ -3,7 +3,7 @@
 use {
     marigoldroute_core::throttle::{Rate, Statement},
     marigoldroute_gateway::protocol::{
-        Attempt, Malformed, Protocol, RequestHead, ResponseHead, Usage,
+        Attempt, Load, Malformed, PromptPart, Protocol, RequestHead, ResponseHead, Usage,
     },
     poem::http::{
         HeaderMap, HeaderValue, Method, StatusCode, Uri,
@@ -59,7 +59,12 @@
             last_event: text(headers, "x-last-event").and_then(|id| id.parse().ok()),
             model: None,
             usage,
-            prompt_parts: Vec::new(),
+            prompt_parts: text(headers, "x-parts")
+                .into_iter()
+                .flat_map(|parts| parts.split(','))
+                .filter_map(|tokens| tokens.parse().ok())
+                .map(|tokens| PromptPart { id: 1, tokens })
+                .collect(),
         })
     }
 
@@ -79,7 +84,13 @@
             id: text(headers, "x-request-id").map(Into::into),
             is_refused: headers.contains_key("x-not-run"),
             is_signed: headers.contains_key("x-signed"),
-            load: None,
+            load: text(headers, "x-load")
+                .and_then(|load| load.parse().ok())
+                .map(|load| Load {
+                    running: load,
+                    waiting: load,
+                    slots: load,
+                }),
             rate: match text(headers, "x-rate") {
                 Some(rate) => rate
                     .parse()
