Sum the load that an upstream states without overflow

An answer whose stated load adds up to more than 32 bits hold ended its request with 502 although it had run, where overflow is checked; elsewhere the sum began anew and the upstream counted as idle.

The sums stop at the largest number.

--- a/crates/core/src/route/engine.rs
+++ b/crates/core/src/route/engine.rs
@@ -141,7 +141,7 @@
         let running = (self.average_running + change).max(0.0);
         let prefill = positive(self.prefill, settings.prefill) * self.slowness;
         let token_interval = self.estimate_interval(settings, running + 1.0);
-        let ahead = self.load.pending_tokens[..=class].iter().sum::<u32>() as f32;
+        let ahead = saturating_sum(&self.load.pending_tokens[..=class]) as f32;
         let fresh = (-age / settings.backlog_decay).exp();
         let backlog = self.average_backlog
             + (ahead - self.average_backlog) * fresh
@@ -192,7 +192,7 @@
     /// Estimates the wait for a slot in a full batch, in seconds: a slot becomes free once per mean
     /// response time divided by the number of running requests.
     fn queue_wait(&self, class: usize, token_interval: f32) -> f32 {
-        let waiting = self.load.waiting[..=class].iter().sum::<u32>() as f32;
+        let waiting = saturating_sum(&self.load.waiting[..=class]) as f32;
         waiting * MEAN_RESPONSE_TOKENS * token_interval / (self.load.running as f32).max(1.0)
     }
 
@@ -224,7 +224,7 @@
         let is_first = self.reported_at.is_none();
         let weight = if is_first { 1.0 } else { settings.smoothing };
         let running = load.running as f32;
-        let pending = load.pending_tokens.iter().sum::<u32>() as f32;
+        let pending = saturating_sum(&load.pending_tokens) as f32;
         smooth(&mut self.average_in_flight, self.in_flight as f32, weight);
         smooth(&mut self.average_running, running, weight);
         smooth(&mut self.average_backlog, pending, weight);
@@ -237,7 +237,7 @@
         }
         self.load = *load;
         self.reported_at = Some(now);
-        let total = load.running + load.waiting.iter().sum::<u32>();
+        let total = load.running.saturating_add(saturating_sum(&load.waiting));
         (self.in_flight, total)
     }
 
@@ -338,6 +338,11 @@
     (old * ratio.powf(weight)).clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1)
 }
 
+/// Returns the sum of numbers that an upstream states.
+fn saturating_sum(numbers: &[u32]) -> u32 {
+    numbers.iter().copied().fold(0, u32::saturating_add)
+}
+
 /// Updates an exponentially weighted average.
 fn smooth(average: &mut f32, value: f32, weight: f32) {
     *average += weight * (value - *average);
--- a/crates/gateway/tests/extremes.rs
+++ b/crates/gateway/tests/extremes.rs
@@ -31,3 +31,14 @@
     let used = peak_mib() - before;
     assert!(used < 64, "{used} MiB more than before");
 }
+
+/// Guards against a sum of the load that an upstream states that overflows.
+#[tokio::test]
+async fn stated_loads_do_not_overflow() {
+    let answer = "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\nx-load: 4294967295\r\ncontent-length: 5\r\n\r\nfresh";
+    let (harness, _upstreams) = Harness::new(vec![Script::Raw(vec![answer; 8])]).await;
+    for id in ["r1", "r2", "r3"] {
+        let response = harness.request("once", id).send().await;
+        assert_eq!(response.expect("an answer").status(), 200, "{id}");
+    }
+}
