Multiply the tokens of events without overflow

A configuration whose events hold more tokens than 64 bits hold for a stream cut each stream where overflow is checked, and billed too little elsewhere.

The products and sums stop at the largest number; the output limit of the request bounds what is billed, as before.

--- a/crates/gateway/src/escrow.rs
+++ b/crates/gateway/src/escrow.rs
@@ -155,14 +155,15 @@
 
     /// Adds output tokens that were sent to the caller.
     pub(crate) fn record_delivered(&mut self, tokens: Tokens) {
-        self.delivered = (self.delivered + tokens).min(self.spec.usage.output);
+        let delivered = self.delivered.saturating_add(tokens);
+        self.delivered = delivered.min(self.spec.usage.output);
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
         let upstream = self.upstream.take();
-        let tokens = self.spec.usage.prompt + self.delivered;
+        let tokens = self.spec.usage.prompt.saturating_add(self.delivered);
         match &self.location {
             Location::Local(escrow) => escrow.end(&self.spec, upstream, tokens),
             Location::Remote(reserver, host) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -173,7 +173,7 @@
             self.stall.record_event(self.request.context.clock.now());
         }
         if let Some(reservation) = &mut self.request.reservation {
-            reservation.record_delivered(relayed * self.event_tokens);
+            reservation.record_delivered(relayed.saturating_mul(self.event_tokens));
         }
         let context = &self.request.context;
         context.view.record_bytes(context.clock.now(), bytes.len());
@@ -320,7 +320,7 @@
     /// Records that the stream is complete.
     fn finish(&mut self) {
         if let Some(stream) = self.stream.take() {
-            let tokens = self.sequence.relayed() * self.event_tokens;
+            let tokens = self.sequence.relayed().saturating_mul(self.event_tokens);
             let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
             stream.exchange.finish(Progress::Finished { tokens });
         }
--- a/crates/gateway/tests/extremes.rs
+++ b/crates/gateway/tests/extremes.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use harness::{Harness, upstream::Script};
+use harness::{Harness, snapshot, upstream::Script};
 
 /// Returns the peak memory of this process in MiB.
 fn peak_mib() -> usize {
@@ -42,3 +42,36 @@
         assert_eq!(response.expect("an answer").status(), 200, "{id}");
     }
 }
+
+/// Guards against a product of the tokens of an event that overflows, and cuts each stream.
+#[tokio::test]
+async fn tokens_of_events_do_not_overflow() {
+    let mut snapshot = snapshot(1, 1_000_000);
+    for service in &mut snapshot.services {
+        if let Some(engine) = &mut service.engine {
+            engine.event_tokens = u64::MAX;
+        }
+    }
+    let scripts = vec![Script::Events { upto: 3, of: 3 }];
+    let (harness, _upstreams) = Harness::with_snapshot(snapshot, scripts).await;
+    let response = harness.request("stream", "r1").send().await;
+    let text = response.expect("a head").text().await;
+    assert_eq!(text.expect("a complete stream").matches("id: ").count(), 3);
+}
+
+/// Guards against a sum of the tokens that a caller states that overflows, and passes as a small
+/// request.
+#[tokio::test]
+async fn stated_tokens_do_not_overflow() {
+    let (harness, upstreams) = Harness::new(vec![Script::Complete(200, "the answer")]).await;
+    let largest = "18446744073709551615";
+    for (id, tokens) in [format!("{largest},{largest}"), format!("{largest},0")]
+        .iter()
+        .enumerate()
+    {
+        let request = harness.plain_request("once", &format!("r{id}"));
+        let response = request.header("x-tokens", tokens).send().await;
+        assert_eq!(response.expect("an answer").status(), 402, "{tokens}");
+    }
+    assert_eq!(upstreams[0].arrivals().len(), 0);
+}
