Test times, rates and numbers at their limits

Numbers at the limits of their types, which a caller or an upstream states in a header, could end a task where they are added to the clock or turned into a time.

No change: times and rates are bounded where they are used, and the parsers of the platform's heads accept or refuse each such number.

With the lower bound of a rate's interval taken out, `stated_times_and_rates_do_not_overflow` failed (a panic); with the limit of the idle timeout taken out it passed, because the margin that is subtracted suffices at the start of a process.

--- a/crates/gateway/tests/extremes.rs
+++ b/crates/gateway/tests/extremes.rs
@@ -75,3 +75,38 @@
     }
     assert_eq!(upstreams[0].arrivals().len(), 0);
 }
+
+/// Guards against a time or rate that a caller or an upstream states, and that overflows when it is
+/// added to the clock.
+#[tokio::test]
+async fn stated_times_and_rates_do_not_overflow() {
+    let stated = [
+        "x-keep-alive: 18446744073709551615",
+        "x-rate: 1e308",
+        "x-rate: 5e-324",
+        "x-rate: 0",
+        "x-rate: -1",
+        "x-rate: NaN",
+        "x-rate: inf",
+    ];
+    for header in stated {
+        let answer = format!(
+            "HTTP/1.1 200 X\r\nx-request-id: {{id}}\r\nx-signed: 1\r\n{header}\r\ncontent-length: 5\r\n\r\nfresh"
+        );
+        let script = Script::Raw(vec![answer.leak(); 8]);
+        let (harness, _upstreams) = Harness::new(vec![script]).await;
+        let send = |id: &str, timeout: &str| {
+            let request = harness.request("once", id);
+            request.header("x-timeout", timeout).send()
+        };
+        let response = send("r1", "18446744073709551615").await;
+        assert_eq!(response.expect("an answer").status(), 200, "{header}");
+        for id in ["r2", "r3"] {
+            let status = send(id, "1000").await.expect("an answer").status();
+            // Under a rate that allows no further request yet.
+            let is_limited = header.starts_with("x-rate") && status == 429;
+            let is_late = header.starts_with("x-rate") && status == 503;
+            assert!(status == 200 || is_limited || is_late, "{header}: {status}");
+        }
+    }
+}
--- a/crates/gateway/tests/harness/protocol.rs
+++ b/crates/gateway/tests/harness/protocol.rs
@@ -55,7 +55,9 @@
             target: target.clone(),
             headers: forwarded(headers),
             key: text(headers, "x-key").map(Into::into),
-            timeout: None,
+            timeout: text(headers, "x-timeout")
+                .and_then(|millis| millis.parse().ok())
+                .map(Duration::from_millis),
             last_event: text(headers, "x-last-event").and_then(|id| id.parse().ok()),
             model: None,
             usage,
