--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
     marigoldroute_core::{
-        forward::{Sequence, Stall, event_id, retry::Outcome},
+        forward::{Sequence, Stall, retry::Outcome},
         route::Progress,
     },
     marigoldroute_process::logs::REQUESTS,
@@ -127,10 +127,14 @@
         };
         while stream.events.is_empty() {
             if stream.has_ended {
-                return match stream.splitter.is_partial() {
-                    true => Step::Fail(Failure::new(Outcome::Unknown, ENDED_WITHIN_EVENT)),
-                    false => Step::End,
+                let reason = if stream.splitter.is_partial() {
+                    ENDED_WITHIN_EVENT
+                } else if self.sequence.is_unconfirmed() && !stream.exchange.is_end_marked {
+                    "the stream did not continue"
+                } else {
+                    return Step::End;
                 };
+                return Step::Fail(Failure::new(Outcome::Unknown, reason));
             }
             let read = tokio::select! {
                 read = stream.exchange.read() => read,
@@ -154,7 +158,7 @@
         let mut bytes = BytesMut::new();
         let before = self.sequence.relayed();
         while let Some(event) = stream.events.pop_front() {
-            if let Err(rejected) = self.sequence.accept(event_id(&event.raw)) {
+            if let Err(rejected) = self.sequence.accept_event(&event.raw) {
                 if bytes.is_empty() {
                     return Step::Fail(Failure::new(Outcome::Unknown, rejected.to_string()));
                 }
@@ -169,7 +173,7 @@
             self.stall.record_event(self.request.context.clock.now());
         }
         if let Some(reservation) = &mut self.request.reservation {
-            reservation.record_delivered(relayed * self.event_tokens);
+            reservation.record_delivered(relayed.saturating_mul(self.event_tokens));
         }
         let context = &self.request.context;
         context.view.record_bytes(context.clock.now(), bytes.len());
@@ -184,6 +188,9 @@
     async fn hand_over(&mut self) -> Result<(), Failure> {
         let context = self.request.context.clone();
         self.stall.postpone(context.clock.now());
+        if !self.sequence.is_resumable() {
+            return Ok(());
+        }
         let successor = self.request.prepare_successor().await;
         let (Some(successor), Some(stream)) = (successor, &mut self.stream) else {
             return Ok(());
@@ -236,8 +243,7 @@
         );
         match moved {
             Ok(stream) => {
-                self.stream = Some(stream);
-                self.stall = self.request.start_stall_timer();
+                self.go_on(stream);
                 Ok(())
             }
             Err(_) if self.stream.is_some() => Ok(()),
@@ -245,6 +251,13 @@
         }
     }
 
+    /// Relays the events of another upstream from now on.
+    fn go_on(&mut self, stream: Box<Stream>) {
+        self.stream = Some(stream);
+        self.sequence.resume();
+        self.stall = self.request.start_stall_timer();
+    }
+
     /// Continues the stream at another upstream if a retry is allowed; returns whether it goes on.
     async fn resume(&mut self, failure: &Failure) -> bool {
         // Close the connection, which cancels the run, before another run starts.
@@ -256,6 +269,10 @@
             left_ms = self.request.remaining().as_millis() as u64;
             "stream broken"
         );
+        if !self.sequence.is_resumable() {
+            self.record_cut(failure, "events without an id were relayed");
+            return false;
+        }
         if !self.request.admit_resume() {
             self.record_cut(failure, "no retry is allowed");
             return false;
@@ -263,8 +280,7 @@
         match self.request.run(last).await {
             Answer::Stream(stream) => {
                 log::info!(target: REQUESTS, request:% = self.request.head.id; "stream resumed");
-                self.stream = Some(stream);
-                self.stall = self.request.start_stall_timer();
+                self.go_on(stream);
                 true
             }
             Answer::Complete(head, ..) => {
@@ -304,7 +320,7 @@
     /// Records that the stream is complete.
     fn finish(&mut self) {
         if let Some(stream) = self.stream.take() {
-            let tokens = self.sequence.relayed() * self.event_tokens;
+            let tokens = self.sequence.relayed().saturating_mul(self.event_tokens);
             let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
             stream.exchange.finish(Progress::Finished { tokens });
         }
--- a/crates/gateway/tests/harness/protocol.rs
+++ b/crates/gateway/tests/harness/protocol.rs
@@ -3,12 +3,13 @@
 use {
     marigoldroute_core::throttle::{Rate, Statement},
     marigoldroute_gateway::protocol::{
-        Attempt, Malformed, Protocol, RequestHead, ResponseHead, Usage,
+        Attempt, Load, Malformed, PromptPart, Protocol, RequestHead, ResponseHead, Usage,
     },
     poem::http::{
         HeaderMap, HeaderValue, Method, StatusCode, Uri,
         header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
     },
+    std::time::Duration,
 };
 
 /// A protocol whose headers start with `x-`; `x-defect` makes the parser panic.
@@ -54,11 +55,18 @@
             target: target.clone(),
             headers: forwarded(headers),
             key: text(headers, "x-key").map(Into::into),
-            timeout: None,
+            timeout: text(headers, "x-timeout")
+                .and_then(|millis| millis.parse().ok())
+                .map(Duration::from_millis),
             last_event: text(headers, "x-last-event").and_then(|id| id.parse().ok()),
             model: None,
             usage,
-            prompt_parts: Vec::new(),
+            prompt_parts: text(headers, "x-parts")
+                .into_iter()
+                .flat_map(|parts| parts.split(','))
+                .filter_map(|tokens| tokens.parse().ok())
+                .map(|tokens| PromptPart { id: 1, tokens })
+                .collect(),
         })
     }
 
@@ -78,7 +86,13 @@
             id: text(headers, "x-request-id").map(Into::into),
             is_refused: headers.contains_key("x-not-run"),
             is_signed: headers.contains_key("x-signed"),
-            load: None,
+            load: text(headers, "x-load")
+                .and_then(|load| load.parse().ok())
+                .map(|load| Load {
+                    running: load,
+                    waiting: load,
+                    slots: load,
+                }),
             rate: match text(headers, "x-rate") {
                 Some(rate) => rate
                     .parse()
@@ -88,7 +102,9 @@
                 None => Statement::Unlimited,
             },
             is_closing: headers.contains_key(CONNECTION),
-            keep_alive: None,
+            keep_alive: text(headers, "x-keep-alive")
+                .and_then(|seconds| seconds.parse().ok())
+                .map(Duration::from_secs),
         }
     }
 
