Send the events before a failure of a stream to its caller

What callers saw: a closed connection without a head, when an upstream sent valid events and a failure in one piece, such as an event that was repeated, and the stream could not continue elsewhere.

Cause: the head and the events were in the write buffer of the connection when the body failed at once, and the buffer is dropped then. They had been billed as delivered.

Change: the failure is returned one turn of the runtime later, so that the buffer is written first.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -111,6 +111,8 @@
             };
             if !self.resume(&failure).await {
                 self.stream = None;
+                // Lets the bytes before the failure be sent, which closes the connection.
+                tokio::task::yield_now().await;
                 return Some(Err(io::Error::other(failure)));
             }
         }
--- a/crates/gateway/tests/faulty_upstreams.rs
+++ b/crates/gateway/tests/faulty_upstreams.rs
@@ -246,6 +246,20 @@
     assert_eq!(response.expect("a response").status(), 502);
 }
 
+/// Guards against a stream that loses its head and first events when it fails right after them.
+#[tokio::test]
+async fn events_before_a_failure_in_the_same_piece_reach_the_caller() {
+    let (harness, _upstreams) = Harness::new(vec![Script::RepeatedEvent]).await;
+    for (path, id) in [("stream", "r1"), ("resumable", "r2")] {
+        let response = harness.request(path, id).send().await;
+        let mut response = response.expect("a head");
+        assert_eq!(response.status(), 200);
+        let first = response.chunk().await.expect("the first events");
+        assert_eq!(first.expect("the first events"), events(1..=2));
+        assert!(response.chunk().await.is_err());
+    }
+}
+
 /// Guards against a truncated response that reaches the caller as a success.
 #[tokio::test]
 async fn whole_answers_that_break_off_are_failures() {
