Read a stalled stream while another upstream is asked to continue it

What callers saw: a stream that went on at its own upstream was still cut or delivered late, when another upstream had been asked to continue it for 0.25 s and then declined, failed or took long to connect.

Cause: the handover of a stalled stream did not read it, and gave it up 0.25 s after the other upstream was asked although that one had not agreed; a declined handover had used the last attempt.

Change: both are awaited at the same time. If the stream goes on, the request at the other upstream is cancelled; if the other one agrees, which it does when it begins to work on the request, the stream moves. Nobody is asked without an allowance for a retry; an upstream that does not accept the connection is not taken for one that was tried; and timers that expire together with arrived bytes, after a pause of the process, move nothing.

Result: streams_that_go_on_are_kept_while_another_upstream_is_asked and stalled_streams_move_to_an_upstream_that_agrees pass, and the cases of the test before now also require that the other upstream was asked. The tests of the gateway pass.

--- a/crates/core/src/forward/allowance.rs
+++ b/crates/core/src/forward/allowance.rs
@@ -79,14 +79,20 @@
         *current = (*current + added).min((limit - *previous).max(0.0));
     }
 
+    /// Returns whether [`Self::withdraw`] would take a retry now.
+    pub fn has_retry(&mut self, now: Duration) -> bool {
+        self.advance(now);
+        let [current, previous] = self.earned;
+        current + previous + self.slack >= 1.0
+    }
+
     /// Takes a retry from the budget; `false` when the request must end instead.
     #[must_use]
     pub fn withdraw(&mut self, now: Duration) -> bool {
-        self.advance(now);
-        let [current, previous] = self.earned;
-        if current + previous + self.slack < 1.0 {
+        if !self.has_retry(now) {
             return false;
         }
+        let [current, previous] = self.earned;
         // What expires first is used first.
         let from_previous = previous.min(1.0);
         let from_current = current.min(1.0 - from_previous);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -340,6 +340,12 @@
         self.with_allowance(service, |allowance| allowance.withdraw(now))
     }
 
+    /// Returns whether [`Self::acquire_retry`] would take a retry now.
+    pub(crate) fn has_retry(&self, service: &ServiceId) -> bool {
+        let now = self.clock.now();
+        self.with_allowance(service, |allowance| allowance.has_retry(now))
+    }
+
     fn with_allowance<T>(&self, service: &ServiceId, act: impl FnOnce(&mut Allowance) -> T) -> T {
         let mut inner = lock(&self.inner);
         let hosts = inner.hosts;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,13 +1,15 @@
 //! Relays the events of a stream to its caller.
 
+mod handover;
+
 use {
     crate::{
         exchange::Failure,
         frontend::Body,
-        request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, Received, Stream},
+        request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, Stream},
     },
     bytes::{Bytes, BytesMut},
-    futures_util::{FutureExt, stream},
+    futures_util::stream,
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
     marigoldroute_core::{
@@ -15,12 +17,9 @@
         route::Progress,
     },
     marigoldroute_process::logs::REQUESTS,
-    std::{io, pin::pin, time::Duration},
+    std::io,
 };
 
-/// Longest time for which a stream is kept after another upstream was asked to continue it. If that
-/// one declines in time, nothing is lost; afterwards both would work on the request.
-const HANDOVER_OVERLAP: Duration = Duration::from_millis(250);
 /// Reason of the failure of a stream that its caller no longer waits for.
 const DEADLINE_REASON: &str = "the deadline has passed";
 
@@ -139,6 +138,7 @@
                 return Step::Fail(Failure::new(Outcome::Unknown, reason));
             }
             let read = tokio::select! {
+                biased;
                 read = stream.exchange.read() => read,
                 () = tokio::time::sleep_until(deadline) => {
                     Err(Failure::new(Outcome::Unknown, DEADLINE_REASON))
@@ -182,77 +182,6 @@
         Step::Send(bytes.freeze())
     }
 
-    /// Moves a stalled stream to another upstream. The stream is given up only when another one
-    /// has agreed to continue it, or takes longer than [`HANDOVER_OVERLAP`] to answer.
-    ///
-    /// # Errors
-    /// The failure of the other upstream after the stream was given up.
-    async fn hand_over(&mut self) -> Result<(), Failure> {
-        let context = self.request.context.clone();
-        self.stall.postpone(context.clock.now());
-        if !self.sequence.is_resumable() {
-            return Ok(());
-        }
-        let successor = self.request.prepare_successor().await;
-        let (Some(successor), Some(stream)) = (successor, &mut self.stream) else {
-            return Ok(());
-        };
-        if let Some(read) = stream.exchange.read().now_or_never() {
-            return stream.push(read);
-        }
-        if !self.request.admit_resume() {
-            return Ok(());
-        }
-        let last = self.sequence.last();
-        let remaining = self.request.remaining();
-        let moving = async {
-            let sent = {
-                let mut sending = pin!(self.request.send_to_successor(successor, last));
-                match tokio::time::timeout(HANDOVER_OVERLAP, &mut sending).await {
-                    Ok(sent) => sent,
-                    Err(_) => {
-                        give_up(&mut self.stream);
-                        sending.await
-                    }
-                }
-            };
-            let (exchange, started) = sent?;
-            give_up(&mut self.stream);
-            match self.request.receive(exchange, started, last).await {
-                Ok(Received::Final(Answer::Stream(stream))) => Ok(stream),
-                Ok(_) => Err(Failure::new(Outcome::Failed, "the answer is not a stream")),
-                Err(outcome) => Err(Failure::new(outcome, "the stream did not continue")),
-            }
-        };
-        let moved = tokio::time::timeout(remaining, moving).await;
-        let moved = moved.unwrap_or_else(|_| {
-            let failure = Failure::new(Outcome::Unknown, DEADLINE_REASON);
-            Err(failure)
-        });
-        let result = match &moved {
-            Ok(_) => "moved",
-            Err(_) if self.stream.is_some() => "kept",
-            Err(_) => "lost",
-        };
-        let stalled = &context.metrics.stalled_streams;
-        stalled.with_label_values(&[result]).inc();
-        let reason = moved.as_ref().err().map(|failure| &failure.reason);
-        log::info!(
-            target: REQUESTS,
-            request:% = self.request.head.id, result, reason:?, events = self.sequence.relayed(),
-            left_ms = self.request.remaining().as_millis() as u64;
-            "stream stalled"
-        );
-        match moved {
-            Ok(stream) => {
-                self.go_on(stream);
-                Ok(())
-            }
-            Err(_) if self.stream.is_some() => Ok(()),
-            Err(failure) => Err(failure),
-        }
-    }
-
     /// Relays the events of another upstream from now on.
     fn go_on(&mut self, stream: Box<Stream>) {
         self.stream = Some(stream);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,7 +3,10 @@
 mod attempt;
 mod handover;
 
-pub(crate) use attempt::{ENDED_WITHIN_EVENT, Received};
+pub(crate) use {
+    attempt::{ENDED_WITHIN_EVENT, Received},
+    handover::Continuation,
+};
 
 use {
     crate::{
@@ -157,9 +160,11 @@
     }
 
     /// Returns whether a stream that has begun, or is about to, may continue at another upstream
-    /// by its kind, its attempts and its time.
+    /// by its kind, its attempts, its time and the allowance of retries.
     pub(crate) fn is_movable(&self) -> bool {
-        self.kind() == Kind::Resumable && self.running_attempt().is_repeatable()
+        self.kind() == Kind::Resumable
+            && self.running_attempt().is_repeatable()
+            && self.context.dispatcher.has_retry(&self.service.name)
     }
 
     /// Returns the attempt that is under way, which may have run.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -28,7 +28,7 @@
 pub(crate) const ENDED_WITHIN_EVENT: &str = "the stream ended within an event";
 /// Connections that an attempt uses at most, when each turns out to be closed before anything was
 /// written.
-const CONNECTION_LIMIT: usize = 3;
+pub(super) const CONNECTION_LIMIT: usize = 3;
 
 /// A response that an attempt received.
 pub(crate) enum Received {
--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -26,6 +26,8 @@
     RatedEvents { of: u64 },
     /// States that it did not run the request.
     Refuse,
+    /// As [`Self::Refuse`], after the notification.
+    RefuseLater { release: Arc<Notify> },
     /// Closes the connection without a response.
     Close,
     /// Reads the request and sends nothing.
@@ -228,6 +230,14 @@
             return (first == *of).then_some(());
         }
         Script::Refuse => head(503, "x-not-run: 1\r\ncontent-length: 0\r\n"),
+        Script::RefuseLater { release } => {
+            let mut byte = [0];
+            tokio::select! {
+                () = release.notified() => {}
+                _ = stream.read(&mut byte) => return None,
+            }
+            head(503, "x-not-run: 1\r\ncontent-length: 0\r\n")
+        }
         Script::Close => return None,
         Script::Raw(texts) => {
             let text = texts.get(count)?.replace("{id}", id);
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -7,7 +7,7 @@
         Harness, snapshot,
         upstream::{Script, Upstream},
     },
-    marigoldroute_core::forward::{AllowanceSettings, Snapshot},
+    marigoldroute_core::forward::{AllowanceSettings, Snapshot, State},
     marigoldroute_gateway::Settings,
     std::{sync::Arc, time::Duration},
     tokio::sync::Notify,
@@ -15,6 +15,8 @@
 
 /// Objective of the routes for the first event; a stream counts as stalled after twice this time.
 const OBJECTIVE: Duration = Duration::from_millis(100);
+/// Longest time for what happens without a pause.
+const PATIENCE: Duration = Duration::from_secs(10);
 /// A pause that lets several stalls pass.
 const PAUSE: Duration = Duration::from_millis(900);
 
@@ -34,64 +36,148 @@
     snapshot
 }
 
-/// Asserts that a stream whose upstream pauses after its first event reaches the caller whole.
-/// `others` are the scripts of the other upstreams, each of which gets a request first.
-async fn assert_kept(settings: Settings, snapshot: Snapshot, others: Vec<Script>, why: &str) {
-    let resume = Arc::new(Notify::new());
-    let paused = Script::Paused {
-        of: 5,
-        resume: resume.clone(),
-    };
-    let (harness, mut upstreams) =
-        Harness::with_settings(settings, snapshot, vec![paused.clone()]).await;
-    let call = harness.request("resumable", "r1").send().await;
-    let mut response = call.expect("a head");
-    let first = response.chunk().await.expect("an event").expect("an event");
-    for (index, script) in others.into_iter().enumerate() {
-        let upstream = Upstream::start(&format!("other{index}"), script).await;
-        let entry = harness::entry(upstream.address, marigoldroute_core::forward::State::Ready);
-        harness.store.put(&upstream.id, entry);
-        upstreams.push(upstream);
+/// A stream that has had its first event; the second upstream joined after that.
+struct Paused {
+    response: reqwest::Response,
+    resume: Arc<Notify>,
+    text: Vec<u8>,
+    upstreams: Vec<Upstream>,
+    _harness: Harness,
+}
+
+impl Paused {
+    async fn start(settings: Settings, snapshot: Snapshot, other: Option<Script>) -> Self {
+        let resume = Arc::new(Notify::new());
+        let script = Script::Paused {
+            of: 5,
+            resume: resume.clone(),
+        };
+        let (harness, mut upstreams) =
+            Harness::with_settings(settings, snapshot, vec![script]).await;
+        let call = harness.request("resumable", "r1").send().await;
+        let mut response = call.expect("a head");
+        let first = response.chunk().await.expect("an event").expect("an event");
+        if let Some(script) = other {
+            let upstream = Upstream::start("other", script).await;
+            let entry = harness::entry(upstream.address, State::Ready);
+            harness.store.put(&upstream.id, entry);
+            upstreams.push(upstream);
+        }
+        Self {
+            response,
+            resume,
+            text: first.to_vec(),
+            upstreams,
+            _harness: harness,
+        }
+    }
+
+    /// Waits until the second upstream was asked to continue the stream.
+    async fn until_asked(&self) {
+        let asked = async {
+            while self.upstreams[1].arrivals().is_empty() {
+                tokio::task::yield_now().await;
+            }
+        };
+        let asked = tokio::time::timeout(PATIENCE, asked).await;
+        asked.expect("the other upstream is asked");
+    }
+
+    /// Asserts that the stream stays open without an event.
+    async fn assert_silent(&mut self, why: &str) {
+        let silence = tokio::time::timeout(PAUSE, self.response.chunk()).await;
+        assert!(silence.is_err(), "{why}: {silence:?}");
+    }
+
+    /// Asserts that the caller gets the whole stream.
+    async fn assert_whole(mut self, why: &str) {
+        let rest = async {
+            while let Some(bytes) = self.response.chunk().await? {
+                self.text.extend(bytes);
+            }
+            reqwest::Result::Ok(())
+        };
+        let rest = tokio::time::timeout(PATIENCE, rest).await;
+        let rest = rest.unwrap_or_else(|_| panic!("{why}: no end"));
+        rest.unwrap_or_else(|error| panic!("{why}: {error}"));
+        let text = String::from_utf8_lossy(&self.text);
+        assert_eq!(text, events(1..=5), "{why}");
     }
-    let silence = tokio::time::timeout(PAUSE, response.chunk()).await;
-    assert!(silence.is_err(), "{why}: {silence:?}");
-    resume.notify_one();
-    let rest = response
-        .text()
-        .await
-        .unwrap_or_else(|error| panic!("{why}: {error}"));
-    let text = String::from_utf8_lossy(&first).into_owned() + &rest;
-    assert_eq!(text, events(1..=5), "{why}");
-    assert_eq!(upstreams[0].arrivals().len(), 1, "{why}");
 }
 
 /// Guards against cutting a stream that pauses when no other upstream can continue it.
 #[tokio::test]
 async fn paused_streams_are_kept_while_no_other_upstream_takes_them() {
-    let settings = Settings::default;
-    assert_kept(settings(), configuration(2), vec![], "no other upstream").await;
     let healthy = Script::Events { upto: 5, of: 5 };
-    let others = vec![healthy.clone()];
-    assert_kept(settings(), configuration(1), others, "no attempt left").await;
     let without_retries = Settings {
         retries: AllowanceSettings {
             share: 0.0,
             slack: 0.0,
             ..AllowanceSettings::default()
         },
-        ..settings()
+        ..Settings::default()
+    };
+    let cases = [
+        (Settings::default(), 2, None, "no other upstream"),
+        (Settings::default(), 1, Some(healthy.clone()), "no attempt"),
+        (without_retries, 2, Some(healthy), "no retry"),
+    ];
+    for (settings, attempts, other, why) in cases {
+        let mut paused = Paused::start(settings, configuration(attempts), other).await;
+        paused.assert_silent(why).await;
+        paused.resume.notify_one();
+        paused.assert_whole(why).await;
+    }
+    let declining = [
+        Script::Refuse,
+        Script::Complete(500, "broken"),
+        Script::Close,
+    ];
+    for other in declining {
+        let why = format!("{other:?}");
+        let settings = Settings::default();
+        let mut paused = Paused::start(settings, configuration(2), Some(other)).await;
+        paused.until_asked().await;
+        paused.assert_silent(&why).await;
+        paused.resume.notify_one();
+        paused.assert_whole(&why).await;
+    }
+}
+
+/// Guards against giving up a stream, or not reading it, while another upstream has not agreed to
+/// continue it.
+#[tokio::test]
+async fn streams_that_go_on_are_kept_while_another_upstream_is_asked() {
+    let release = Arc::new(Notify::new());
+    let undecided = Script::RefuseLater {
+        release: release.clone(),
     };
-    assert_kept(
-        without_retries,
-        configuration(2),
-        vec![healthy],
-        "no retry allowed",
-    )
-    .await;
-    let others = vec![Script::Refuse];
-    assert_kept(settings(), configuration(2), others, "refused").await;
-    let others = vec![Script::Complete(500, "broken")];
-    assert_kept(settings(), configuration(2), others, "failed").await;
-    let others = vec![Script::Close];
-    assert_kept(settings(), configuration(2), others, "closed").await;
+    let settings = Settings::default();
+    let mut paused = Paused::start(settings, configuration(2), Some(undecided.clone())).await;
+    paused.until_asked().await;
+    paused.assert_silent("undecided").await;
+    paused.resume.notify_one();
+    paused.assert_whole("undecided").await;
+
+    let settings = Settings::default();
+    let mut paused = Paused::start(settings, configuration(2), Some(undecided)).await;
+    paused.until_asked().await;
+    paused.assert_silent("declined late").await;
+    release.notify_one();
+    paused.assert_silent("declined late").await;
+    paused.resume.notify_one();
+    paused.assert_whole("declined late").await;
+}
+
+/// Guards against a stalled stream that stays at an upstream which never goes on, and against two
+/// upstreams that work on it.
+#[tokio::test]
+async fn stalled_streams_move_to_an_upstream_that_agrees() {
+    let healthy = Script::Events { upto: 5, of: 5 };
+    let settings = Settings::default();
+    let mut paused = Paused::start(settings, configuration(2), Some(healthy)).await;
+    paused.until_asked().await;
+    let closed = tokio::time::timeout(PATIENCE, paused.upstreams[0].closed.recv()).await;
+    closed.expect("the connection to the first upstream closes");
+    paused.assert_whole("moved").await;
 }
