Forward no text that is no event to callers of the router

An engine's text without a line of data, such as the head of a refusal or an error between two blank lines, passed as an event without content: callers of the router found it in the middle of their stream.

An event without data has to consist of comments and known fields; anything else makes the answer malformed, as a malformed chunk does.

--- a/crates/core/src/stream/event.rs
+++ b/crates/core/src/stream/event.rs
@@ -19,6 +19,18 @@
     pub data: String,
 }
 
+impl Event {
+    /// Returns whether each line is a comment or has a field of server-sent events.
+    pub fn is_well_formed(&self) -> bool {
+        let is_known = |line: &[u8]| {
+            let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+            matches!(name, b"" | b"data" | b"event" | b"id" | b"retry")
+        };
+        let mut lines = self.raw.split(|byte| matches!(byte, b'\r' | b'\n'));
+        lines.all(is_known)
+    }
+}
+
 /// Splits a byte stream into server-sent events.
 #[derive(Debug, Default)]
 pub struct Splitter {
--- a/crates/core/src/stream/tests.rs
+++ b/crates/core/src/stream/tests.rs
@@ -108,3 +108,22 @@
         assert!(!run(other).matches_last_token(&first), "{other:?}");
     }
 }
+
+/// Guards against text that is no event, such as the head of a refusal, in the middle of an answer.
+#[test]
+fn text_that_is_no_event_is_not_forwarded() {
+    let refusal = "HTTP/1.1 503 X\r\nx-request-id: r0\r\n\r\n";
+    for text in [refusal, "an error\n\n", "{\"error\":\"x\"}\n\n"] {
+        let answer = run(&format!("{TOKEN}{text}{TOKEN}{LAST}{DONE}"));
+        assert_eq!(answer, Err(InvalidAnswer::Malformed), "{text}");
+    }
+    for text in [
+        ": here\n\n",
+        "event: ping\r\n\r\n",
+        "id: 4\nretry: 5\n\n",
+        "\n\n",
+    ] {
+        let answer = run(&format!("{TOKEN}{text}{TOKEN}{LAST}{DONE}"));
+        assert_eq!(answer, Ok(2), "{text}");
+    }
+}
--- a/crates/core/src/stream/validator.rs
+++ b/crates/core/src/stream/validator.rs
@@ -99,7 +99,10 @@
             return Ok(Action::Ignore);
         }
         if event.data.is_empty() {
-            return Ok(Action::Forward);
+            let is_event = event.is_well_formed();
+            return is_event
+                .then_some(Action::Forward)
+                .ok_or(InvalidAnswer::Malformed);
         }
         if event.data == END_MARK {
             return self.end();
