Let a late copy of an answer state nothing

The load and the rate in a late copy of an earlier answer counted as the upstream's present ones: a copy of a refusal with the rate 0 closed the upstream to the requests that followed.

Only an answer with the id of the request states anything.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -95,11 +95,13 @@
         let is_end_marked = [CONTENT_LENGTH, TRANSFER_ENCODING]
             .iter()
             .any(|name| parts.headers.contains_key(name));
-        if let Some(load) = &head.load {
+        // Bytes of another answer belong to no request, and state nothing about the upstream.
+        let is_own = head.id.as_ref() == Some(&request_head.id);
+        if let Some(load) = head.load.as_ref().filter(|_| is_own) {
             in_flight.update_load(load);
         }
         // Another process at the address of the upstream answers that the request is not for it.
-        if head.status != StatusCode::MISDIRECTED_REQUEST {
+        if is_own && head.status != StatusCode::MISDIRECTED_REQUEST {
             in_flight.record_statement(head.rate, head.status.is_success());
         }
         let pool = pool.clone();
--- a/crates/gateway/tests/late_refusals.rs
+++ b/crates/gateway/tests/late_refusals.rs
@@ -118,6 +118,19 @@
     assert_eq!(ids, ["1", "2", "3"]);
 }
 
+/// Guards against what an answer without the request's id states about its upstream: such bytes
+/// belong to no request.
+#[tokio::test]
+async fn late_copies_state_no_rate() {
+    let copy = "HTTP/1.1 503 X\r\nx-request-id: r1\r\nx-not-run: 1\r\nx-rate: 0\r\ncontent-length: 0\r\n\r\n";
+    let script = Script::Raw(vec![ANSWER, copy]);
+    let (harness, _upstreams) = Harness::unlimited(vec![script]).await;
+    for (id, status) in [("r1", 200), ("r2", 502), ("r3", 200)] {
+        let response = harness.request("once", id).send().await;
+        assert_eq!(response.expect("an answer").status(), status, "{id}");
+    }
+}
+
 /// Guards against contradictory answers: one that is no final answer, or a success that says that
 /// it did not run, shows neither.
 #[tokio::test]
