--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,7 +12,10 @@
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
     marigoldroute_core::{forward::retry::Outcome, route::Progress},
-    poem::http::{Request, StatusCode},
+    poem::http::{
+        Request, StatusCode,
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    },
     std::{sync::Arc, time::Duration},
 };
 
@@ -57,6 +60,9 @@
 pub(crate) struct Exchange {
     pub(crate) head: ResponseHead,
     pub(crate) in_flight: InFlight,
+    /// Whether the end of the body is marked, by a length or by the last chunk. Any other body ends
+    /// with its connection, which also ends when the upstream does.
+    pub(crate) is_end_marked: bool,
     body: Incoming,
     connection: Connection,
     pool: Arc<Pool>,
@@ -86,17 +92,23 @@
         };
         let (parts, body) = response.into_parts();
         let head = protocol.parse_response(parts.status, &parts.headers);
-        if let Some(load) = &head.load {
+        let is_end_marked = [CONTENT_LENGTH, TRANSFER_ENCODING]
+            .iter()
+            .any(|name| parts.headers.contains_key(name));
+        // Bytes of another answer belong to no request, and state nothing about the upstream.
+        let is_own = head.id.as_ref() == Some(&request_head.id);
+        if let Some(load) = head.load.as_ref().filter(|_| is_own) {
             in_flight.update_load(load);
         }
         // Another process at the address of the upstream answers that the request is not for it.
-        if head.status != StatusCode::MISDIRECTED_REQUEST {
+        if is_own && head.status != StatusCode::MISDIRECTED_REQUEST {
             in_flight.record_statement(head.rate, head.status.is_success());
         }
         let pool = pool.clone();
         Ok(Self {
             head,
             in_flight,
+            is_end_marked,
             body,
             connection,
             pool,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,26 +1,25 @@
 //! Relays the events of a stream to its caller.
 
+mod handover;
+
 use {
     crate::{
         exchange::Failure,
         frontend::Body,
-        request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, Received, Stream},
+        request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, Stream},
     },
     bytes::{Bytes, BytesMut},
-    futures_util::{FutureExt, stream},
+    futures_util::stream,
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
     marigoldroute_core::{
-        forward::{Sequence, Stall, event_id, retry::Outcome},
+        forward::{Sequence, Stall, retry::Outcome},
         route::Progress,
     },
     marigoldroute_process::logs::REQUESTS,
-    std::{io, pin::pin, time::Duration},
+    std::io,
 };
 
-/// Longest time for which a stream is kept after another upstream was asked to continue it. If that
-/// one declines in time, nothing is lost; afterwards both would work on the request.
-const HANDOVER_OVERLAP: Duration = Duration::from_millis(250);
 /// Reason of the failure of a stream that its caller no longer waits for.
 const DEADLINE_REASON: &str = "the deadline has passed";
 
@@ -111,6 +110,8 @@
             };
             if !self.resume(&failure).await {
                 self.stream = None;
+                // Lets the bytes before the failure be sent, which closes the connection.
+                tokio::task::yield_now().await;
                 return Some(Err(io::Error::other(failure)));
             }
         }
@@ -127,12 +128,17 @@
         };
         while stream.events.is_empty() {
             if stream.has_ended {
-                return match stream.splitter.is_partial() {
-                    true => Step::Fail(Failure::new(Outcome::Unknown, ENDED_WITHIN_EVENT)),
-                    false => Step::End,
+                let reason = if stream.splitter.is_partial() {
+                    ENDED_WITHIN_EVENT
+                } else if self.sequence.is_unconfirmed() && !stream.exchange.is_end_marked {
+                    "the stream did not continue"
+                } else {
+                    return Step::End;
                 };
+                return Step::Fail(Failure::new(Outcome::Unknown, reason));
             }
             let read = tokio::select! {
+                biased;
                 read = stream.exchange.read() => read,
                 () = tokio::time::sleep_until(deadline) => {
                     Err(Failure::new(Outcome::Unknown, DEADLINE_REASON))
@@ -154,7 +160,7 @@
         let mut bytes = BytesMut::new();
         let before = self.sequence.relayed();
         while let Some(event) = stream.events.pop_front() {
-            if let Err(rejected) = self.sequence.accept(event_id(&event.raw)) {
+            if let Err(rejected) = self.sequence.accept_event(&event.raw) {
                 if bytes.is_empty() {
                     return Step::Fail(Failure::new(Outcome::Unknown, rejected.to_string()));
                 }
@@ -169,80 +175,18 @@
             self.stall.record_event(self.request.context.clock.now());
         }
         if let Some(reservation) = &mut self.request.reservation {
-            reservation.record_delivered(relayed * self.event_tokens);
+            reservation.record_delivered(relayed.saturating_mul(self.event_tokens));
         }
         let context = &self.request.context;
         context.view.record_bytes(context.clock.now(), bytes.len());
         Step::Send(bytes.freeze())
     }
 
-    /// Moves a stalled stream to another upstream. The stream is given up only when another one
-    /// has agreed to continue it, or takes longer than [`HANDOVER_OVERLAP`] to answer.
-    ///
-    /// # Errors
-    /// The failure of the other upstream after the stream was given up.
-    async fn hand_over(&mut self) -> Result<(), Failure> {
-        let context = self.request.context.clone();
-        self.stall.postpone(context.clock.now());
-        let successor = self.request.prepare_successor().await;
-        let (Some(successor), Some(stream)) = (successor, &mut self.stream) else {
-            return Ok(());
-        };
-        if let Some(read) = stream.exchange.read().now_or_never() {
-            return stream.push(read);
-        }
-        if !self.request.admit_resume() {
-            return Ok(());
-        }
-        let last = self.sequence.last();
-        let remaining = self.request.remaining();
-        let moving = async {
-            let sent = {
-                let mut sending = pin!(self.request.send_to_successor(successor, last));
-                match tokio::time::timeout(HANDOVER_OVERLAP, &mut sending).await {
-                    Ok(sent) => sent,
-                    Err(_) => {
-                        give_up(&mut self.stream);
-                        sending.await
-                    }
-                }
-            };
-            let (exchange, started) = sent?;
-            give_up(&mut self.stream);
-            match self.request.receive(exchange, started, last).await {
-                Ok(Received::Final(Answer::Stream(stream))) => Ok(stream),
-                Ok(_) => Err(Failure::new(Outcome::Failed, "the answer is not a stream")),
-                Err(outcome) => Err(Failure::new(outcome, "the stream did not continue")),
-            }
-        };
-        let moved = tokio::time::timeout(remaining, moving).await;
-        let moved = moved.unwrap_or_else(|_| {
-            let failure = Failure::new(Outcome::Unknown, DEADLINE_REASON);
-            Err(failure)
-        });
-        let result = match &moved {
-            Ok(_) => "moved",
-            Err(_) if self.stream.is_some() => "kept",
-            Err(_) => "lost",
-        };
-        let stalled = &context.metrics.stalled_streams;
-        stalled.with_label_values(&[result]).inc();
-        let reason = moved.as_ref().err().map(|failure| &failure.reason);
-        log::info!(
-            target: REQUESTS,
-            request:% = self.request.head.id, result, reason:?, events = self.sequence.relayed(),
-            left_ms = self.request.remaining().as_millis() as u64;
-            "stream stalled"
-        );
-        match moved {
-            Ok(stream) => {
-                self.stream = Some(stream);
-                self.stall = self.request.start_stall_timer();
-                Ok(())
-            }
-            Err(_) if self.stream.is_some() => Ok(()),
-            Err(failure) => Err(failure),
-        }
+    /// Relays the events of another upstream from now on.
+    fn go_on(&mut self, stream: Box<Stream>) {
+        self.stream = Some(stream);
+        self.sequence.resume();
+        self.stall = self.request.start_stall_timer();
     }
 
     /// Continues the stream at another upstream if a retry is allowed; returns whether it goes on.
@@ -256,6 +200,10 @@
             left_ms = self.request.remaining().as_millis() as u64;
             "stream broken"
         );
+        if !self.sequence.is_resumable() {
+            self.record_cut(failure, "events without an id were relayed");
+            return false;
+        }
         if !self.request.admit_resume() {
             self.record_cut(failure, "no retry is allowed");
             return false;
@@ -263,8 +211,7 @@
         match self.request.run(last).await {
             Answer::Stream(stream) => {
                 log::info!(target: REQUESTS, request:% = self.request.head.id; "stream resumed");
-                self.stream = Some(stream);
-                self.stall = self.request.start_stall_timer();
+                self.go_on(stream);
                 true
             }
             Answer::Complete(head, ..) => {
@@ -304,7 +251,7 @@
     /// Records that the stream is complete.
     fn finish(&mut self) {
         if let Some(stream) = self.stream.take() {
-            let tokens = self.sequence.relayed() * self.event_tokens;
+            let tokens = self.sequence.relayed().saturating_mul(self.event_tokens);
             let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
             stream.exchange.finish(Progress::Finished { tokens });
         }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -12,7 +12,7 @@
     },
     bytes::Bytes,
     marigoldroute_core::{
-        forward::{Rejected, Sequence, Stall, event_id, retry::Outcome},
+        forward::{Rejected, Sequence, Stall, retry::Outcome},
         id::UpstreamId,
         route::Progress,
         stream::{Event, Splitter},
@@ -28,7 +28,7 @@
 pub(crate) const ENDED_WITHIN_EVENT: &str = "the stream ended within an event";
 /// Connections that an attempt uses at most, when each turns out to be closed before anything was
 /// written.
-const CONNECTION_LIMIT: usize = 3;
+pub(super) const CONNECTION_LIMIT: usize = 3;
 
 /// A response that an attempt received.
 pub(crate) enum Received {
@@ -248,6 +248,13 @@
                 "the answer belongs to another request",
             ));
         }
+        let is_contradictory = response.is_refused && response.status.is_success();
+        if is_contradictory || response.status.is_informational() {
+            return Err(Failure::new(
+                Outcome::Unknown,
+                "the answer does not say what became of the request",
+            ));
+        }
         if response.is_refused {
             return Err(Failure::new(
                 Outcome::Refused,
@@ -292,9 +299,8 @@
                 stall.get_or_insert_with(|| self.start_stall_timer());
                 continue;
             };
-            let id = event_id(&first.raw);
             let out_of_order = |error: Rejected| Failure::new(Outcome::Unknown, error.to_string());
-            sequence.accept(id).map_err(out_of_order)?;
+            sequence.accept_event(&first.raw).map_err(out_of_order)?;
             exchange.in_flight.report(Progress::FirstToken);
             return Ok((splitter, permit, events.into(), false));
         }
--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -1,6 +1,7 @@
 //! A scripted upstream.
 
 use {
+    socket2::SockRef,
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -25,6 +26,8 @@
     RatedEvents { of: u64 },
     /// States that it did not run the request.
     Refuse,
+    /// As [`Self::Refuse`], after the notification.
+    RefuseLater { release: Arc<Notify> },
     /// Closes the connection without a response.
     Close,
     /// Reads the request and sends nothing.
@@ -44,6 +47,14 @@
         piece: &'static str,
         pause: Duration,
     },
+    /// Sends `first` for a request that does not continue a stream and `rest` for one that does, and
+    /// then closes the connection, with a reset when `is_reset`. `{id}` is replaced by the id of the
+    /// request.
+    Continued {
+        first: String,
+        rest: String,
+        is_reset: bool,
+    },
     /// Sends all events of a stream with this pause between them.
     Paced { of: u64, pause: Duration },
     /// Sends two events and, in the same chunk, another one with the id of the first.
@@ -219,6 +230,14 @@
             return (first == *of).then_some(());
         }
         Script::Refuse => head(503, "x-not-run: 1\r\ncontent-length: 0\r\n"),
+        Script::RefuseLater { release } => {
+            let mut byte = [0];
+            tokio::select! {
+                () = release.notified() => {}
+                _ = stream.read(&mut byte) => return None,
+            }
+            head(503, "x-not-run: 1\r\ncontent-length: 0\r\n")
+        }
         Script::Close => return None,
         Script::Raw(texts) => {
             let text = texts.get(count)?.replace("{id}", id);
@@ -233,6 +252,20 @@
                 tokio::time::sleep(*pause).await;
             }
         }
+        Script::Continued {
+            first,
+            rest,
+            is_reset,
+        } => {
+            let text = arrival.last_event.map_or(first, |_| rest);
+            let text = text.replace("{id}", id);
+            stream.write_all(text.as_bytes()).await.ok()?;
+            if *is_reset && arrival.last_event.is_some() {
+                let socket = SockRef::from(&*stream);
+                socket.set_linger(Some(Duration::ZERO)).ok()?;
+            }
+            return None;
+        }
         Script::Paced { of, pause } => {
             let head = head(200, "transfer-encoding: chunked\r\n");
             stream.write_all(head.as_bytes()).await.ok()?;
