Answer requests that outlast a planned stop

What callers saw: a closed connection with neither an answer nor a refusal, when a request still waited for a place at an upstream, for tokens or for a response at the end of a planned stop.

Cause: at the drain limit the stop went on to end the process, and requests without a response were dropped with their connections.

Change: 0.3 s before the limit, requests without a response end: with 503 if they were not sent, with 504 if they may have run. Streams that have begun go on to the limit.

Result: the new test failed before, as the requests ended at their own deadline after 5 s, when the process would have been gone; it passes.

--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -39,6 +39,10 @@
 /// Time between two removals of expired idle connections.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time before the end of a planned stop at which requests that still wait for an upstream or for
+/// its response get an error response.
+const REFUSAL_TIME: Duration = Duration::from_millis(300);
+
 /// A running gateway. Dropping it does not stop the tasks.
 pub struct Handle {
     addresses: Addresses,
@@ -47,6 +51,8 @@
     view: Arc<View>,
     /// Cancelled when no new connections are accepted any more and idle ones are closed.
     close: CancellationToken,
+    /// Cancelled when requests without a response have to end.
+    ending: CancellationToken,
     /// Cancelled when the background tasks have to end.
     stop: CancellationToken,
     /// Connections of callers.
@@ -93,7 +99,7 @@
     ));
     let escrow = Arc::new(Escrow::new(process.clone(), clock, &settings));
     let pool = Arc::new(Pool::new(clock, metrics.clone(), settings.connect_timeout));
-    let (close, stop) = (CancellationToken::new(), CancellationToken::new());
+    let [close, ending, stop] = std::array::from_fn(|_| CancellationToken::new());
     let (connections, tasks) = (TaskTracker::new(), TaskTracker::new());
     let peers = match settings.listen_peers {
         Some(address) => Some(Arc::new(Peers::bind(
@@ -124,6 +130,7 @@
         quota: Quota::new(settings.answer_memory),
         metrics: metrics.clone(),
         settings: settings.clone(),
+        ending: ending.clone(),
     });
     let callers = accept(settings.listen, Frontend(context), &connections, &close)?;
     let ready = serve(
@@ -195,6 +202,7 @@
         escrow,
         view,
         close,
+        ending,
         stop,
         connections,
         tasks,
@@ -219,12 +227,15 @@
             .settings
             .drain_limit
             .saturating_sub(self.settings.deregistration_delay);
-        wait(
-            &self.connections,
-            remaining,
-            "requests cut at the drain limit",
-        )
-        .await;
+        self.connections.close();
+        let patience = remaining.saturating_sub(REFUSAL_TIME);
+        let ended = tokio::time::timeout(patience, self.connections.wait()).await;
+        if ended.is_err() {
+            log::info!(left = self.connections.len(); "requests without a response end");
+            self.ending.cancel();
+            let left = remaining.saturating_sub(patience);
+            wait(&self.connections, left, "requests cut at the drain limit").await;
+        }
         self.stop.cancel();
         wait(
             &self.tasks,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -35,6 +35,7 @@
         stream::{Event, Splitter},
     },
     std::{collections::VecDeque, sync::Arc, time::Duration},
+    tokio_util::sync::CancellationToken,
 };
 
 /// The parts of the process that requests use.
@@ -49,6 +50,8 @@
     pub(crate) quota: Quota,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) settings: Arc<Settings>,
+    /// Cancelled when requests without a response have to end, as the process stops.
+    pub(crate) ending: CancellationToken,
 }
 
 /// The result of a request, to be returned to the caller.
@@ -205,17 +208,17 @@
             usage,
         };
         let reserve_by = self.context.clock.now() + self.context.settings.reserve_timeout;
-        let reserved = self
+        let reserve_timeout = self.context.settings.reserve_timeout;
+        let reserving = self
             .context
             .reserver
-            .reserve(spec, reserve_by.min(self.deadline))
-            .await;
+            .reserve(spec, reserve_by.min(self.deadline));
+        let reserved = self.context.ending.run_until_cancelled(reserving).await;
+        let reserved = reserved.ok_or(Error::BudgetUnreachable(reserve_timeout))?;
         self.reservation = Some(reserved.map_err(|refusal| match refusal {
             Refusal::Exhausted => Error::BudgetExhausted,
             Refusal::Unreachable { retry_after } => Error::BudgetUnreachable(retry_after),
-            Refusal::TimedOut | Refusal::Unanswered => {
-                Error::BudgetUnreachable(self.context.settings.reserve_timeout)
-            }
+            Refusal::TimedOut | Refusal::Unanswered => Error::BudgetUnreachable(reserve_timeout),
         })?);
         Ok(())
     }
@@ -227,7 +230,11 @@
         let mut failure = None;
         loop {
             let remaining = self.remaining();
-            let received = tokio::time::timeout(remaining, self.attempt(last_event)).await;
+            let ending = self.context.ending.clone();
+            let attempt = tokio::time::timeout(remaining, self.attempt(last_event));
+            let Some(received) = ending.run_until_cancelled(attempt).await else {
+                return self.timed_out();
+            };
             let outcome = match received {
                 Ok(Ok(Received::Final(answer))) => return answer,
                 Ok(Ok(Received::ServerError(answer))) => {
@@ -271,7 +278,7 @@
         })
     }
 
-    /// Returns the answer at the deadline. Once the request was sent, it may have run.
+    /// Returns the answer at the deadline, or when the process stops before it. Once the request was sent, it may have run.
     fn timed_out(&self) -> Answer {
         let may_have_run = !self.is_unexecuted || self.sent > 0;
         Answer::Error(if may_have_run {
--- a/crates/gateway/tests/stop.rs
+++ b/crates/gateway/tests/stop.rs
@@ -3,7 +3,8 @@
 mod harness;
 
 use {
-    harness::{Harness, upstream::Script},
+    harness::{Harness, snapshot, upstream::Script},
+    marigoldroute_gateway::Settings,
     std::{collections::HashMap, sync::Arc, time::Duration},
     tokio::sync::{Mutex, Semaphore},
 };
@@ -66,3 +67,30 @@
         .collect();
     assert!(incomplete.is_empty(), "{incomplete:?}");
 }
+
+/// Guards against requests that a planned stop ends without any response because they still wait
+/// for an upstream when the process has to end.
+#[tokio::test]
+async fn requests_that_outlast_a_planned_stop_get_a_response() {
+    let settings = Settings {
+        drain_limit: Duration::from_millis(900),
+        ..Settings::default()
+    };
+    let mut snapshot = snapshot(1, 1_000_000);
+    // One request in flight at the only upstream, so that another one has to wait.
+    snapshot.services[0].connection_limit = 1;
+    let (mut harness, upstreams) =
+        Harness::with_settings(settings, snapshot, vec![Script::Silent]).await;
+    let running = tokio::spawn(harness.request("once", "running").send());
+    while upstreams[0].arrivals().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    let waiting = tokio::spawn(harness.request("once", "waiting").send());
+    harness.gateway.take().expect("it runs").stop().await;
+    let running = running.await.expect("it ends").expect("a response");
+    assert_eq!(running.status(), 504);
+    let waiting = waiting.await.expect("it ends").expect("a response");
+    assert_eq!(waiting.status(), 503);
+    assert!(waiting.headers().contains_key("retry-after"));
+    assert_eq!(upstreams[0].arrivals().len(), 1);
+}
