Log and count attempts that break by the state of the request

Cause: no line tells whether the requests on which upstreams end have something in common, so the logs distinguish none of the hypotheses on prompts that crash engines.

Change: a counter of attempts whose connection broke, by whether a head or events had arrived, and a line with the parts of the prompt of those that had a head and no event.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,12 +28,26 @@
 pub(crate) struct Failure {
     pub(crate) outcome: Outcome,
     pub(crate) reason: String,
+    /// Whether the connection broke.
+    pub(crate) is_break: bool,
 }
 
 impl Failure {
     pub(crate) fn new(outcome: Outcome, reason: impl Into<String>) -> Self {
         let reason = reason.into();
-        Self { outcome, reason }
+        Self {
+            outcome,
+            reason,
+            is_break: false,
+        }
+    }
+
+    /// Returns the failure of a connection that broke while the request may have run.
+    fn broken(reason: impl Into<String>) -> Self {
+        Self {
+            is_break: true,
+            ..Self::new(Outcome::Unknown, reason)
+        }
     }
 }
 
@@ -47,7 +61,7 @@
     fn from(error: SendError) -> Self {
         match error {
             SendError::Unsent { reason } => Self::new(Outcome::Unsent, reason),
-            SendError::MaybeSent { reason } => Self::new(Outcome::Unknown, reason),
+            SendError::MaybeSent { reason } => Self::broken(reason),
         }
     }
 }
@@ -106,7 +120,7 @@
     /// Returns the next bytes of the body, or `None` at its end.
     pub(crate) async fn read(&mut self) -> Result<Option<Bytes>, Failure> {
         while let Some(frame) = self.body.frame().await {
-            let frame = frame.map_err(|error| Failure::new(Outcome::Unknown, error.to_string()))?;
+            let frame = frame.map_err(|error| Failure::broken(error.to_string()))?;
             if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,8 @@
     pub(crate) stalled_streams: IntCounterVec,
     /// Connections of callers that this host closed, by reason.
     pub(crate) closed_connections: IntCounterVec,
+    /// Attempts whose connection broke, by the state of the request.
+    pub(crate) broken_attempts: IntCounterVec,
     /// Panics that were caught, by task.
     pub(crate) panics: IntCounterVec,
     /// Time from a request's arrival to the first byte of its answer.
@@ -121,6 +123,11 @@
                 "Connections of callers that the host closed, by reason",
                 "reason",
             )?,
+            broken_attempts: counter(
+                "marigoldroute_gateway_broken_attempts_total",
+                "Attempts whose connection broke, by the state of the request",
+                "state",
+            )?,
             panics: counter(
                 "marigoldroute_gateway_panics_total",
                 "Panics caught, by task",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -250,6 +250,9 @@
 
     /// Continues the stream at another upstream if a retry is allowed; returns whether it goes on.
     async fn resume(&mut self, failure: &Failure) -> bool {
+        if failure.is_break {
+            self.request.record_break("streaming");
+        }
         // Close the connection, which cancels the run, before another run starts.
         give_up(&mut self.stream);
         let last = self.sequence.last();
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -88,6 +88,9 @@
         }
         in_flight.report(Progress::Failed);
         self.record_failure(&upstream, started, &failure);
+        if failure.is_break {
+            self.record_break("queued");
+        }
         Err(Interrupted::Failed(failure.outcome))
     }
 
@@ -193,6 +196,7 @@
     ) -> Result<Received, Outcome> {
         let upstream = exchange.in_flight.upstream.clone();
         let validated = self.validate(&exchange.head);
+        let has_begun = validated.is_ok() && exchange.head.status.is_success();
         let failure = match validated {
             Ok(()) if exchange.head.status.is_success() && self.kind().is_stream() => {
                 match self.read_first_events(&mut exchange, last_event).await {
@@ -233,6 +237,16 @@
             exchange.in_flight.report(Progress::Failed);
         }
         self.record_failure(&upstream, started, &failure);
+        if has_begun && failure.is_break {
+            self.record_break("begun");
+            let parts = self.head.prompt_parts.iter();
+            let parts: Vec<_> = parts.map(|part| format!("{:016x}", part.id)).collect();
+            log::info!(
+                target: REQUESTS,
+                request:% = self.head.id, upstream:%, parts:% = parts.join(",");
+                "upstream broke off an answer"
+            );
+        }
         Err(failure.outcome)
     }
 
@@ -341,6 +355,12 @@
         );
     }
 
+    /// Counts an attempt whose connection broke.
+    pub(crate) fn record_break(&self, state: &str) {
+        let broken = &self.context.metrics.broken_attempts;
+        broken.with_label_values(&[state]).inc();
+    }
+
     fn record_success(&self, upstream: &UpstreamId, started: Duration, exchange: &Exchange) {
         self.context
             .metrics
