Quarantine prompt parts that crash upstreams

Cause: nothing remembered what an upstream ended on, so a request was retried at the next one, and others with the same part of the prompt were sent by every host.

Change: a request whose upstream ended after the head of the response and before the first event accuses the shared parts of its prompt. A part that is accused at three distinct ends and was not answered meanwhile is quarantined for ten minutes at all hosts; they learn it by datagrams and from the hosts' rows. Every path to an upstream passes this gate, and requests under way end when it closes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod id;
 pub mod limit;
 pub mod placement;
+pub mod quarantine;
 pub mod retention;
 pub mod route;
 pub mod stream;
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -28,7 +28,7 @@
     /// The request, reply or notification itself.
     #[prost(
         oneof = "Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
     )]
     pub body: Option<Body>,
 }
@@ -63,6 +63,9 @@
     /// Publishes what upstreams state about their rates. Has no reply.
     #[prost(message, tag = "25")]
     Rates(Rates),
+    /// Tells which parts of prompts crash upstreams, and which do not. Has no reply.
+    #[prost(message, tag = "26")]
+    Parts(Parts),
     /// Replies to [`Body::Reserve`], [`Body::Lower`], [`Body::Release`], [`Body::Announce`] and
     /// [`Body::Review`]; empty where only the receipt matters.
     #[prost(message, tag = "14")]
@@ -269,6 +272,42 @@
     pub age_us: u64,
 }
 
+/// Tells which parts of prompts crash upstreams, and which do not.
+#[derive(Clone, PartialEq, Message)]
+pub struct Parts {
+    /// Accused and quarantined parts.
+    #[prost(message, repeated, tag = "1")]
+    pub suspects: Vec<Suspect>,
+    /// Parts that were accused although upstreams answer requests with them.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub sound: Vec<u64>,
+}
+
+/// A part of prompts at which upstreams ended.
+#[derive(Clone, PartialEq, Message)]
+pub struct Suspect {
+    /// Id of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Distinct ends of upstreams that had begun to answer a request with the part.
+    #[prost(message, repeated, tag = "2")]
+    pub accusations: Vec<Accusation>,
+    /// Time until the end of its quarantine, in milliseconds; 0 when it is only suspected.
+    #[prost(uint64, tag = "3")]
+    pub quarantined_ms: u64,
+}
+
+/// The end of a process of an upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct Accusation {
+    /// Hash of the upstream and the start of its process.
+    #[prost(fixed64, tag = "1")]
+    pub process: u64,
+    /// Time since the end, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+}
+
 /// Asks a host how many of its requests run on upstreams that get no new work of that kind.
 #[derive(Clone, PartialEq, Message)]
 pub struct Count {}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -116,7 +116,7 @@
     pub(crate) address: SocketAddr,
     /// Rate that the upstream had stated when it was assigned; the request then needs a permit.
     pub(crate) rate: Option<Rate>,
-    process: Process,
+    pub(crate) process: Process,
     /// When the request was sent; the time of its assignment before that.
     sent_at: Duration,
     ticket: Ticket,
@@ -208,6 +208,8 @@
     Closed(Duration),
     /// No upstream is known that was not tried.
     NoCandidate,
+    /// A part of the prompt is quarantined for this time.
+    Quarantined(Duration),
 }
 
 impl Dispatcher {
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -46,6 +46,9 @@
     /// the caller should return.
     #[display("the upstreams take no more requests now")]
     RateLimited(Duration),
+    /// A part of the prompt is quarantined; holds the time until the end of the quarantine.
+    #[display("a part of the prompt crashes upstreams")]
+    Quarantined(Duration),
     /// Every attempt ended without a run of the request.
     #[display("the upstreams refused the request")]
     Refused,
@@ -70,6 +73,7 @@
             | Self::BudgetUnreachable(_)
             | Self::NoUpstream
             | Self::RateLimited(_)
+            | Self::Quarantined(_)
             | Self::Refused => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -80,7 +84,9 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Unconfigured => Some(Duration::from_millis(500)),
-            Self::BudgetUnreachable(after) | Self::RateLimited(after) => Some(after),
+            Self::BudgetUnreachable(after)
+            | Self::RateLimited(after)
+            | Self::Quarantined(after) => Some(after),
             Self::NoUpstream | Self::Refused => Some(Duration::from_millis(200)),
             _ => None,
         }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -138,6 +138,10 @@
         self.0.dispatcher.record_request(&service.name);
         let last_event = head.last_event;
         let mut request = ActiveRequest::new(self.0.clone(), head, access, service, body, arrived);
+        if let Some(rest) = self.0.quarantine.check(&request.parts) {
+            let error = request.record_quarantined(rest);
+            return self.reject(Some(&request.head), arrived, error);
+        }
         if let Err(error) = request.reserve().await {
             return self.reject(Some(&request.head), arrived, error);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod pool;
 mod profile;
 pub mod protocol;
+mod quarantine;
 mod relay;
 mod request;
 mod settings;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -15,6 +15,7 @@
         permit::Permits,
         pool::Pool,
         protocol::Protocol,
+        quarantine::Quarantine,
         request::Context,
         settings::Settings,
         store::Store,
@@ -93,6 +94,7 @@
     ));
     let escrow = Arc::new(Escrow::new(process.clone(), clock, &settings));
     let pool = Arc::new(Pool::new(clock, metrics.clone(), settings.connect_timeout));
+    let quarantine = Arc::new(Quarantine::new(clock, metrics.clone()));
     let (close, stop) = (CancellationToken::new(), CancellationToken::new());
     let (connections, tasks) = (TaskTracker::new(), TaskTracker::new());
     let peers = match settings.listen_peers {
@@ -100,6 +102,7 @@
             address,
             process.clone(),
             dispatcher.clone(),
+            quarantine.clone(),
         )?)),
         None => None,
     };
@@ -119,6 +122,7 @@
         view: view.clone(),
         dispatcher: dispatcher.clone(),
         permits: Permits::new(dispatcher.clone(), peers.clone(), metrics.clone()),
+        quarantine: quarantine.clone(),
         pool: pool.clone(),
         reserver: reserver.clone(),
         quota: Quota::new(settings.answer_memory),
@@ -169,6 +173,7 @@
         store: store.clone(),
         view: view.clone(),
         dispatcher,
+        quarantine,
         peers,
         reserver: reserver.clone(),
         metrics: metrics.clone(),
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -7,6 +7,7 @@
         escrow::Reserver,
         metrics::Metrics,
         peers::{Endpoint, Peers},
+        quarantine::{Quarantine, Quarantined},
         settings::Settings,
         store::Store,
         view::{View, is_committed},
@@ -42,6 +43,7 @@
     pub(crate) store: Arc<dyn Store>,
     pub(crate) view: Arc<View>,
     pub(crate) dispatcher: Arc<Dispatcher>,
+    pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) peers: Option<Arc<Peers>>,
     pub(crate) reserver: Arc<Reserver>,
     pub(crate) metrics: Arc<Metrics>,
@@ -60,6 +62,9 @@
     weight: u32,
     /// Address at which the host receives messages of other hosts, if it does.
     peers: Option<SocketAddr>,
+    /// Parts of prompts that no host sends to upstreams, for processes that start later.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    quarantined: Vec<Quarantined>,
 }
 
 impl Membership {
@@ -99,6 +104,7 @@
             zone: self.settings.zone.clone(),
             weight: self.settings.weight,
             peers,
+            quarantined: self.quarantine.rows(),
         };
         match serde_json::to_string(&member) {
             Ok(text) => {
@@ -134,6 +140,7 @@
         let now = self.clock.now();
         let versions = rows.iter().map(|row| (row.key.clone(), row.version));
         census.update(now, &versions.collect::<Vec<_>>());
+        self.learn_quarantined(&rows);
         let live: Vec<_> = rows
             .iter()
             .filter(|row| census.is_live(now, &row.key))
@@ -155,6 +162,15 @@
         }
     }
 
+    /// Learns the quarantined parts of prompts from all rows, also those of dead processes.
+    fn learn_quarantined(&self, rows: &[Row]) {
+        for row in rows.iter().filter(|row| *row.key != *self.key()) {
+            if let Ok(member) = serde_json::from_str::<Member>(&row.value) {
+                self.quarantine.learn_rows(&row.key, &member.quarantined);
+            }
+        }
+    }
+
     /// Updates the assignment of budgets, the hosts that share rates and the endpoints of other hosts
     /// from the rows of the live hosts, and returns the number of these hosts. Of the rows of one
     /// instance only the newest counts.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,10 @@
     pub(crate) closed_connections: IntCounterVec,
     /// Attempts whose connection broke, by the state of the request.
     pub(crate) broken_attempts: IntCounterVec,
+    /// Changes of what is known about parts of prompts that crash upstreams, by kind.
+    pub(crate) prompt_parts: IntCounterVec,
+    /// Requests that were not sent, or sent no more, because of a part of their prompt.
+    pub(crate) quarantined: IntCounterVec,
     /// Panics that were caught, by task.
     pub(crate) panics: IntCounterVec,
     /// Time from a request's arrival to the first byte of its answer.
@@ -128,6 +132,16 @@
                 "Attempts whose connection broke, by the state of the request",
                 "state",
             )?,
+            prompt_parts: counter(
+                "marigoldroute_gateway_prompt_parts_total",
+                "Changes of what is known about parts of prompts that crash upstreams",
+                "change",
+            )?,
+            quarantined: counter(
+                "marigoldroute_gateway_quarantined_requests_total",
+                "Requests that were kept from upstreams because of a part of their prompt",
+                "state",
+            )?,
             panics: counter(
                 "marigoldroute_gateway_panics_total",
                 "Panics caught, by task",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,12 +4,19 @@
 //! answered, so the receiver has to handle repetitions.
 
 use {
-    crate::{dispatch::Dispatcher, escrow::Responder, view::lock},
+    crate::{
+        dispatch::Dispatcher,
+        escrow::Responder,
+        quarantine::{Notice, Quarantine},
+        view::lock,
+    },
     anyhow::Context,
     bytes::BytesMut,
     marigoldroute_core::{
         id::{HolderId, HostId},
-        wire::{Acquire, Acquired, Body, Codec, Frame, Keys, Pending, Prompts, Rates, Refusal},
+        wire::{
+            Acquire, Acquired, Body, Codec, Frame, Keys, Parts, Pending, Prompts, Rates, Refusal,
+        },
     },
     std::{
         collections::HashMap,
@@ -25,7 +32,7 @@
         codec::{Decoder, Encoder},
         sync::CancellationToken,
     },
-    xxhash_rust::xxh3::xxh3_64,
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
 /// Time during which changes of pending prompts are collected into one datagram.
@@ -40,6 +47,13 @@
 /// Largest number of other hosts to which pending prompts are sent. In a larger fleet, each host
 /// contributes too little to the load of an engine to matter.
 const BROADCAST_PEER_LIMIT: usize = 16;
+/// Limit of parts of prompts in a datagram.
+const DATAGRAM_PARTS: usize = 10;
+/// Other hosts that count the accusations of a part of prompts. In a larger fleet they are chosen
+/// by hash, so that the accusations of all hosts meet.
+const JUDGE_COUNT: usize = 8;
+/// Pause between two sendings of the same notice about a part of prompts.
+const NOTICE_PAUSE: Duration = Duration::from_millis(60);
 /// Pause between two publications of rates for each host that receives them.
 const PUBLISH_PAUSE: Duration = Duration::from_millis(20);
 /// Interval at which a call without an answer is sent again.
@@ -75,6 +89,7 @@
     socket: UdpSocket,
     process: HolderId,
     dispatcher: Arc<Dispatcher>,
+    quarantine: Arc<Quarantine>,
     /// Keys that authenticate frames; absent until they have been read from the store.
     keys: Mutex<Option<Keys>>,
     endpoints: Mutex<HashMap<HostId, Endpoint>>,
@@ -91,6 +106,7 @@
         address: SocketAddr,
         process: HolderId,
         dispatcher: Arc<Dispatcher>,
+        quarantine: Arc<Quarantine>,
     ) -> anyhow::Result<Self> {
         let socket = std::net::UdpSocket::bind(address);
         let socket = socket.with_context(|| format!("bind {address} for other hosts"))?;
@@ -99,6 +115,7 @@
             socket: UdpSocket::from_std(socket)?,
             process,
             dispatcher,
+            quarantine,
             keys: Mutex::default(),
             endpoints: Mutex::default(),
             next_correlation: AtomicU64::default(),
@@ -133,6 +150,7 @@
             () = stop.cancelled() => {}
             () = self.broadcast_pending() => {}
             () = self.publish_rates() => {}
+            () = self.publish_parts() => {}
             () = self.listen(&responder) => {}
         }
     }
@@ -288,6 +306,50 @@
         }
     }
 
+    /// Tells other hosts about parts of prompts that crash upstreams.
+    async fn publish_parts(&self) {
+        loop {
+            self.quarantine.outbox_filled.notified().await;
+            loop {
+                let (notices, has_more) = self.quarantine.take_notices();
+                self.send_notices(&notices).await;
+                if !has_more {
+                    break;
+                }
+                let filled = self.quarantine.outbox_filled.notified();
+                // New notices go out at once, with the others.
+                let _ = tokio::time::timeout(NOTICE_PAUSE, filled).await;
+            }
+        }
+    }
+
+    async fn send_notices(&self, notices: &[(u64, Notice)]) {
+        let endpoints: Vec<_> = lock(&self.endpoints).clone().into_iter().collect();
+        let is_small = endpoints.len() <= BROADCAST_PEER_LIMIT;
+        let (narrow, wide): (Vec<_>, Vec<_>) = notices
+            .iter()
+            .partition(|(_, notice)| *notice == Notice::Accused && !is_small);
+        for chunk in wide.chunks(DATAGRAM_PARTS) {
+            let body = Body::Parts(self.quarantine.message(chunk));
+            if let Some(bytes) = self.encode("", 0, body) {
+                for (_, endpoint) in &endpoints {
+                    self.send_bytes(endpoint.address, &bytes).await;
+                }
+            }
+        }
+        for notice in narrow {
+            let body = Body::Parts(self.quarantine.message(&[notice]));
+            let mut judges: Vec<_> = endpoints.iter().collect();
+            let rank = |host: &HostId| xxh3_64_with_seed(host.as_bytes(), notice.0);
+            judges.sort_by_key(|(host, _)| rank(host));
+            if let Some(bytes) = self.encode("", 0, body) {
+                for (_, endpoint) in judges.into_iter().take(JUDGE_COUNT) {
+                    self.send_bytes(endpoint.address, &bytes).await;
+                }
+            }
+        }
+    }
+
     /// Answers a question for a permit; a repetition gets the same answer.
     fn answer_acquire(&self, from: &str, correlation: u64, acquire: &Acquire) -> Acquired {
         let mut acquired = lock(&self.acquired);
@@ -357,6 +419,17 @@
                     self.dispatcher.learn_rate(from, stated);
                 }
             }
+            Body::Parts(parts) => {
+                let sound = self.quarantine.learn(from, &parts);
+                if !sound.is_empty() {
+                    let (peers, from) = (self.clone(), from.to_owned());
+                    tokio::spawn(async move {
+                        let suspects = Vec::new();
+                        let body = Body::Parts(Parts { suspects, sound });
+                        peers.send_frame(address, &from, 0, body).await;
+                    });
+                }
+            }
             Body::Acquire(acquire) => {
                 let acquired = self.answer_acquire(from, correlation, &acquire);
                 let (peers, from) = (self.clone(), from.to_owned());
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,284 @@
+//! Quarantine of parts of prompts that crash upstreams, shared with other hosts.
+
+use {
+    crate::{Clock, dispatch::InFlight, metrics::Metrics, protocol::PromptPart, view::lock},
+    marigoldroute_core::{
+        quarantine::{self, Change, PartId, QUARANTINE_LIMIT},
+        wire::Parts,
+    },
+    marigoldroute_process::logs::BELIEFS,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::HashMap,
+        io,
+        sync::{Arc, Mutex},
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::{net::TcpStream, sync::Notify},
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+/// Longest time to find out whether an upstream has ended.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time for which a failed attempt waits for that, so that its retry knows the result.
+const PROBE_WAIT: Duration = Duration::from_millis(150);
+/// How often a message about a part is sent, as datagrams get lost.
+const SEND_COUNT: u32 = 3;
+/// Messages that wait to be sent; later ones replace nothing and are dropped when it is full.
+const OUTBOX_LIMIT: usize = 512;
+
+/// Parts of a prompt that requests share.
+pub(crate) type SharedParts = Arc<[PartId]>;
+
+/// Returns the parts of a prompt that other requests may share: all but the last one.
+pub(crate) fn shared_parts(parts: &[PromptPart]) -> SharedParts {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| part.id).collect()
+}
+
+/// A quarantined part in a host's row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Quarantined {
+    /// Id of the part in hexadecimal.
+    pub(crate) part: String,
+    /// End of the quarantine, in milliseconds since 1970.
+    pub(crate) until_ms: u64,
+}
+
+/// What is sent about a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Notice {
+    /// It is accused; only the hosts that judge it need to know.
+    Accused,
+    /// It is quarantined; all hosts need to know.
+    Quarantined,
+    /// It is sound; all hosts need to know.
+    Sound,
+}
+
+/// Quarantine of parts of prompts, as this host knows it.
+pub(crate) struct Quarantine {
+    clock: Clock,
+    metrics: Arc<Metrics>,
+    inner: Mutex<quarantine::Quarantine>,
+    /// Notices to send, each with how often it still has to be sent.
+    outbox: Mutex<HashMap<PartId, (Notice, u32)>>,
+    /// Notified when the outbox has got a notice.
+    pub(crate) outbox_filled: Notify,
+    /// Notified when a part has been quarantined.
+    began: Notify,
+}
+
+impl Quarantine {
+    pub(crate) fn new(clock: Clock, metrics: Arc<Metrics>) -> Self {
+        Self {
+            clock,
+            metrics,
+            inner: Mutex::default(),
+            outbox: Mutex::default(),
+            outbox_filled: Notify::new(),
+            began: Notify::new(),
+        }
+    }
+
+    /// Returns for how long no request with these parts may be sent; `None` when it may.
+    pub(crate) fn check(&self, parts: &[PartId]) -> Option<Duration> {
+        if parts.is_empty() {
+            return None;
+        }
+        lock(&self.inner).check(self.clock.now(), parts)
+    }
+
+    /// Waits until no request with these parts may be sent; returns for how long.
+    pub(crate) async fn wait(&self, parts: &[PartId]) -> Duration {
+        loop {
+            let began = self.began.notified();
+            if let Some(rest) = self.check(parts) {
+                return rest;
+            }
+            began.await;
+        }
+    }
+
+    /// Records that an upstream answered a request with these parts.
+    pub(crate) fn record_success(&self, parts: &[PartId]) {
+        if parts.is_empty() {
+            return;
+        }
+        let sound = lock(&self.inner).record_success(self.clock.now(), parts);
+        self.log_sound(&sound, "own answer");
+        self.post(sound.into_iter().map(|part| (part, Notice::Sound)));
+    }
+
+    /// Finds out whether an upstream has ended that began to answer a request with these parts and
+    /// then broke its connection. Returns whether the request should not be retried, as one of its
+    /// parts has been accused before.
+    pub(crate) async fn examine(
+        self: &Arc<Self>,
+        in_flight: &InFlight,
+        parts: &SharedParts,
+    ) -> bool {
+        if parts.is_empty() {
+            return false;
+        }
+        let process = &in_flight.process;
+        let hash = xxh3_64_with_seed(process.upstream.as_bytes(), process.started_ms);
+        let (this, parts) = (self.clone(), parts.clone());
+        let (upstream, address) = (process.upstream.clone(), in_flight.address);
+        let ended_at = self.clock.now();
+        let probe = tokio::spawn(async move {
+            let connect = TcpStream::connect(address);
+            let connected = tokio::time::timeout(PROBE_TIMEOUT, connect).await;
+            let is_refused = matches!(
+                connected,
+                Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused
+            );
+            log::info!(
+                target: BELIEFS,
+                upstream:%, has_ended = is_refused, parts:% = join_hex(&parts);
+                "upstream broke off an answer"
+            );
+            is_refused && this.record_crash(ended_at, hash, &parts)
+        });
+        let known = tokio::time::timeout(PROBE_WAIT, probe).await;
+        matches!(known, Ok(Ok(true)))
+    }
+
+    /// Records the end of an upstream; returns whether a part has been accused before.
+    fn record_crash(&self, at: Duration, process: u64, parts: &[PartId]) -> bool {
+        let changes = lock(&self.inner).record_crash(at, process, parts);
+        self.apply(&changes, "own attempt");
+        let notices = changes.iter().map(|change| {
+            let notice = match change.is_quarantined {
+                true => Notice::Quarantined,
+                false => Notice::Accused,
+            };
+            (change.part, notice)
+        });
+        self.post(notices);
+        changes.iter().any(|change| change.crashes > 1)
+    }
+
+    /// Applies a message of another host; returns the accused parts that this host knows to be
+    /// sound.
+    pub(crate) fn learn(&self, from: &str, message: &Parts) -> Vec<PartId> {
+        let learned = lock(&self.inner).learn(self.clock.now(), message);
+        self.apply(&learned.changes, from);
+        self.log_sound(&learned.cleared, from);
+        let decided = learned
+            .changes
+            .iter()
+            .filter(|change| change.is_own_decision);
+        self.post(decided.map(|change| (change.part, Notice::Quarantined)));
+        let retracted = learned.retracted.into_iter();
+        self.post(retracted.map(|part| (part, Notice::Sound)));
+        learned.contradicted
+    }
+
+    /// Logs and counts changes, and wakes the requests that may have to stop.
+    fn apply(&self, changes: &[Change], source: &str) {
+        for change in changes {
+            let (message, label) = match change.is_quarantined {
+                true => ("prompt part quarantined", "quarantined"),
+                false => ("prompt part suspected", "suspected"),
+            };
+            self.metrics.prompt_parts.with_label_values(&[label]).inc();
+            let part = format!("{:016x}", change.part);
+            log::info!(target: BELIEFS, part, crashes = change.crashes, source; "{message}");
+        }
+        if changes.iter().any(|change| change.is_quarantined) {
+            self.began.notify_waiters();
+        }
+    }
+
+    fn log_sound(&self, parts: &[PartId], source: &str) {
+        for part in parts {
+            self.metrics
+                .prompt_parts
+                .with_label_values(&["sound"])
+                .inc();
+            let part = format!("{part:016x}");
+            log::info!(target: BELIEFS, part, source; "prompt part found sound");
+        }
+    }
+
+    fn post(&self, notices: impl Iterator<Item = (PartId, Notice)>) {
+        let mut outbox = lock(&self.outbox);
+        for (part, notice) in notices {
+            if outbox.len() < OUTBOX_LIMIT || outbox.contains_key(&part) {
+                outbox.insert(part, (notice, SEND_COUNT));
+            }
+        }
+        let has_notices = !outbox.is_empty();
+        drop(outbox);
+        if has_notices {
+            self.outbox_filled.notify_one();
+        }
+    }
+
+    /// Takes the notices that have to be sent now, and whether some have to be sent again.
+    pub(crate) fn take_notices(&self) -> (Vec<(PartId, Notice)>, bool) {
+        let mut outbox = lock(&self.outbox);
+        let notices = outbox
+            .iter_mut()
+            .map(|(part, (notice, left))| {
+                *left = left.saturating_sub(1);
+                (*part, *notice)
+            })
+            .collect();
+        outbox.retain(|_, (_, left)| *left > 0);
+        (notices, !outbox.is_empty())
+    }
+
+    /// Returns the message for notices.
+    pub(crate) fn message(&self, notices: &[(PartId, Notice)]) -> Parts {
+        let (sound, accused): (Vec<_>, Vec<_>) = notices
+            .iter()
+            .partition(|(_, notice)| *notice == Notice::Sound);
+        let parts = |notices: Vec<(PartId, Notice)>| {
+            let parts = notices.into_iter().map(|(part, _)| part);
+            parts.collect::<Vec<_>>()
+        };
+        let now = self.clock.now();
+        Parts {
+            suspects: lock(&self.inner).describe(now, &parts(accused)),
+            sound: parts(sound),
+        }
+    }
+
+    /// Returns the quarantined parts for this host's row.
+    pub(crate) fn rows(&self) -> Vec<Quarantined> {
+        let quarantined = lock(&self.inner).quarantined(self.clock.now());
+        let now_ms = unix_ms();
+        let rows = quarantined.into_iter().map(|(part, rest)| Quarantined {
+            part: format!("{part:016x}"),
+            until_ms: now_ms.saturating_add(rest.as_millis() as u64),
+        });
+        rows.collect()
+    }
+
+    /// Learns the quarantined parts in the row of another process.
+    pub(crate) fn learn_rows(&self, process: &str, rows: &[Quarantined]) {
+        let (now, now_ms) = (self.clock.now(), unix_ms());
+        let mut inner = lock(&self.inner);
+        let known = rows.iter().take(QUARANTINE_LIMIT).filter_map(|row| {
+            let part = u64::from_str_radix(&row.part, 16).ok()?;
+            let rest = Duration::from_millis(row.until_ms.saturating_sub(now_ms));
+            inner.restore(now, part, rest)
+        });
+        let changes: Vec<_> = known.collect();
+        drop(inner);
+        self.apply(&changes, process);
+    }
+}
+
+fn join_hex(parts: &[PartId]) -> String {
+    let parts = parts.iter().map(|part| format!("{part:016x}"));
+    parts.collect::<Vec<_>>().join(",")
+}
+
+/// Returns the wall clock's milliseconds since 1970.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -18,6 +18,7 @@
         pool::Pool,
         profile::Profile,
         protocol::{Malformed, Protocol, RequestHead, ResponseHead},
+        quarantine::{Quarantine, SharedParts, shared_parts},
         settings::Settings,
         view::View,
     },
@@ -41,6 +42,7 @@
     pub(crate) view: Arc<View>,
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) permits: Permits,
+    pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) reserver: Arc<Reserver>,
     pub(crate) quota: Quota,
@@ -99,6 +101,10 @@
     /// When the response is due: the caller's timeout after the arrival, at most the route's.
     pub(crate) deadline: Duration,
     pub(crate) profile: Profile,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) parts: SharedParts,
+    /// Whether an upstream ended on this request, and another one before on a part of its prompt.
+    pub(super) is_accused: bool,
     /// Upstreams that were tried; later attempts avoid them.
     pub(super) tried: Vec<UpstreamId>,
     /// Attempts in which the request was sent to an upstream.
@@ -122,6 +128,8 @@
         let deadline = arrived + timeout.min(access.route.timeout);
         let profile = context.dispatcher.profile(&head, access.priority());
         Self {
+            parts: shared_parts(&head.prompt_parts),
+            is_accused: false,
             context,
             head,
             access,
@@ -220,9 +228,17 @@
     pub(crate) async fn run(&mut self, last_event: Option<u64>) -> Answer {
         // The last failure that an upstream itself answered.
         let mut failure = None;
+        let (context, parts) = (self.context.clone(), self.parts.clone());
         loop {
             let remaining = self.remaining();
-            let received = tokio::time::timeout(remaining, self.attempt(last_event)).await;
+            let attempt = tokio::time::timeout(remaining, self.attempt(last_event));
+            let received = tokio::select! {
+                biased;
+                received = attempt => received,
+                rest = context.quarantine.wait(&parts) => {
+                    return Answer::Error(self.record_quarantined(rest));
+                }
+            };
             let outcome = match received {
                 Ok(Ok(Received::Final(answer))) => return answer,
                 Ok(Ok(Received::ServerError(answer))) => {
@@ -260,12 +276,26 @@
     /// Returns the answer when no upstream can be assigned.
     fn without_upstream(&self, reason: Unavailable) -> Answer {
         Answer::Error(match reason {
+            Unavailable::Quarantined(rest) => self.record_quarantined(rest),
             _ if !self.is_unexecuted => Error::Failed,
             Unavailable::Closed(retry_after) => Error::RateLimited(retry_after),
             Unavailable::Busy(_) | Unavailable::NoCandidate => Error::NoUpstream,
         })
     }
 
+    /// Counts a request that may not be sent, or not any longer, because of a part of its prompt,
+    /// and returns its error.
+    pub(crate) fn record_quarantined(&self, rest: Duration) -> Error {
+        let may_have_run = !self.is_unexecuted || self.sent > 0;
+        let (state, error) = match may_have_run {
+            true => ("sent", Error::Failed),
+            false => ("new", Error::Quarantined(rest)),
+        };
+        let quarantined = &self.context.metrics.quarantined;
+        quarantined.with_label_values(&[state]).inc();
+        error
+    }
+
     /// Returns the answer at the deadline. Once the request was sent, it may have run.
     fn timed_out(&self) -> Answer {
         let may_have_run = !self.is_unexecuted || self.sent > 0;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -130,6 +130,7 @@
     /// one cannot be used any more, so that another choice has to be made.
     pub(super) async fn try_acquire_upstream(&self) -> Result<Option<InFlight>, Unavailable> {
         let context = &self.context;
+        self.pass_quarantine()?;
         let (mut in_flight, rationale) =
             context
                 .dispatcher
@@ -143,6 +144,7 @@
             );
             return Ok(None);
         }
+        self.pass_quarantine()?;
         if !in_flight.record_sent(&self.profile) {
             return Ok(None);
         }
@@ -155,6 +157,15 @@
         Ok(Some(in_flight))
     }
 
+    /// Checks that no part of the prompt is quarantined.
+    fn pass_quarantine(&self) -> Result<(), Unavailable> {
+        match self.context.quarantine.check(&self.parts) {
+            Some(rest) => Err(Unavailable::Quarantined(rest)),
+            None if self.is_accused => Err(Unavailable::Quarantined(Duration::ZERO)),
+            None => Ok(()),
+        }
+    }
+
     /// Takes an idle connection from the pool or opens one.
     pub(super) async fn connect(&self, in_flight: &InFlight) -> Result<Connection, Failure> {
         let pool = &self.context.pool;
@@ -219,6 +230,9 @@
                     self.record_success(&upstream, started, &exchange);
                     let head = Box::new(exchange.head.clone());
                     let is_failure = head.status.is_server_error();
+                    if has_begun {
+                        self.context.quarantine.record_success(&self.parts);
+                    }
                     exchange.finish(Progress::Finished { tokens: 1 });
                     let answer = Answer::Complete(head, body, permit);
                     return Ok(if is_failure {
@@ -233,19 +247,16 @@
         };
         if failure.outcome == Outcome::Refused {
             exchange.finish_refused().await;
-        } else {
-            exchange.in_flight.report(Progress::Failed);
+            self.record_failure(&upstream, started, &failure);
+            return Err(failure.outcome);
         }
+        exchange.in_flight.report(Progress::Failed);
         self.record_failure(&upstream, started, &failure);
         if has_begun && failure.is_break {
             self.record_break("begun");
-            let parts = self.head.prompt_parts.iter();
-            let parts: Vec<_> = parts.map(|part| format!("{:016x}", part.id)).collect();
-            log::info!(
-                target: REQUESTS,
-                request:% = self.head.id, upstream:%, parts:% = parts.join(",");
-                "upstream broke off an answer"
-            );
+            let quarantine = self.context.quarantine.clone();
+            let examined = quarantine.examine(&exchange.in_flight, &self.parts);
+            self.is_accused |= examined.await;
         }
         Err(failure.outcome)
     }
@@ -305,6 +316,7 @@
             let out_of_order = |error: Rejected| Failure::new(Outcome::Unknown, error.to_string());
             sequence.accept(id).map_err(out_of_order)?;
             exchange.in_flight.report(Progress::FirstToken);
+            self.context.quarantine.record_success(&self.parts);
             return Ok((splitter, permit, events.into(), false));
         }
     }
--- /dev/null
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -0,0 +1,166 @@
+//! Parts of prompts that crash every upstream which begins to answer them.
+
+mod harness;
+
+use {
+    harness::{
+        Harness,
+        upstream::{Script, Upstream},
+    },
+    marigoldroute_gateway::Settings,
+    poem::http::StatusCode,
+    std::time::Duration,
+};
+
+/// Part of a prompt that crashes upstreams.
+const DEADLY: u64 = 13;
+/// First part of every prompt.
+const COMMON: u64 = 1;
+/// Requests with the deadly part that may reach upstreams: the three whose crashes quarantine it,
+/// and two more before the fifth crash.
+const ARRIVAL_LIMIT: usize = 5;
+/// Time between two renewals of the hosts' rows.
+const RENEWAL: Duration = Duration::from_millis(200);
+/// Longest wait for what a test expects.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Starts a fleet of hosts with upstreams that the deadly part crashes, and waits until the hosts
+/// know each other.
+async fn start_fleet(hosts: usize) -> (Vec<Harness>, Vec<Upstream>) {
+    let script = Script::Crash {
+        part: DEADLY,
+        down: Duration::from_millis(300),
+    };
+    let (mut harness, upstreams) = Harness::unlimited(vec![script; 8]).await;
+    harness.gateway.take().expect("it runs").stop().await;
+    let mut fleet = Vec::new();
+    for index in 0..hosts {
+        fleet.push(start_host(&harness, index).await);
+    }
+    // A host knows the others once it has renewed its row after theirs.
+    let versions = versions(&harness);
+    until(|| {
+        let renewed = self::versions(&harness);
+        let mut pairs = renewed.iter().zip(&versions);
+        renewed.len() == hosts
+            && pairs.all(|(renewed, first)| renewed >= &(first + 2 * hosts as u64))
+    })
+    .await;
+    (fleet, upstreams)
+}
+
+async fn start_host(harness: &Harness, index: usize) -> Harness {
+    let settings = Settings {
+        renew_interval: RENEWAL,
+        ..Settings::default()
+    };
+    harness.start_host(&format!("h{index}"), settings).await
+}
+
+/// Returns the versions of the hosts' rows.
+fn versions(harness: &Harness) -> Vec<u64> {
+    let rows = harness.store.rows("host/");
+    rows.iter().map(|row| row.version).collect()
+}
+
+/// Waits for a condition.
+async fn until(mut condition: impl FnMut() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waited = tokio::time::timeout(PATIENCE, wait).await;
+    waited.expect("it happens in time");
+}
+
+/// Sends a request with these parts; returns its status and body, which is empty if it broke off.
+async fn send(host: &Harness, path: &str, id: &str, parts: &str) -> (StatusCode, String) {
+    let request = host.plain_request(path, id).header("x-parts", parts);
+    let response = request.send().await.expect("an answer");
+    let status = response.status();
+    (status, response.text().await.unwrap_or_default())
+}
+
+/// Returns the arrivals of requests with the deadly part.
+fn deadly(upstreams: &[Upstream]) -> usize {
+    let arrivals = upstreams.iter().flat_map(Upstream::arrivals);
+    arrivals
+        .filter(|arrival| arrival.parts.contains(&DEADLY))
+        .count()
+}
+
+/// Sends requests with the deadly part to a host until it refuses them.
+async fn crash_until_refused(host: &Harness, path: &str) {
+    for id in 0..ARRIVAL_LIMIT {
+        let parts = format!("{COMMON},{DEADLY},{id}");
+        if send(host, path, &format!("deadly{id}"), &parts).await.0 == 503 {
+            return;
+        }
+    }
+    panic!("{ARRIVAL_LIMIT} requests were not refused");
+}
+
+/// Guards against hosts that go on sending, as first tries or retries, what crashes upstreams, and
+/// against a quarantine that refuses healthy requests.
+#[tokio::test]
+async fn a_deadly_part_stops_at_every_host_and_healthy_requests_go_on() {
+    let (fleet, upstreams) = start_fleet(2).await;
+    for round in 0..8 {
+        for (index, host) in fleet.iter().enumerate() {
+            let id = format!("healthy{round}-{index}");
+            let parts = format!("{COMMON},{},9{round}{index}", 20 + index);
+            let (status, body) = send(host, "resumable", &id, &parts).await;
+            assert_eq!(
+                (status.as_u16(), body.contains("piece 4")),
+                (200, true),
+                "{id}: {body}"
+            );
+            let arrivals = upstreams.iter().flat_map(Upstream::arrivals);
+            assert_eq!(
+                arrivals.filter(|arrival| arrival.id == id).count(),
+                1,
+                "{id}"
+            );
+            let parts = format!("{COMMON},{DEADLY},8{round}{index}");
+            send(host, "resumable", &format!("deadly{round}-{index}"), &parts).await;
+        }
+    }
+    let arrivals = deadly(&upstreams);
+    assert!(
+        arrivals <= ARRIVAL_LIMIT,
+        "{arrivals} deadly requests were sent"
+    );
+    assert!(arrivals >= 3, "quarantined after {arrivals} requests");
+    let parts = format!("{COMMON},{DEADLY},70");
+    let request = fleet[1]
+        .plain_request("once", "last")
+        .header("x-parts", parts);
+    let response = request.send().await.expect("an answer");
+    assert_eq!(response.status(), 503);
+    let after = response
+        .headers()
+        .get("retry-after")
+        .expect("a time to return");
+    let after: f64 = after.to_str().expect("text").parse().expect("seconds");
+    assert!(after > 300.0, "to return after {after} s");
+}
+
+/// Guards against a host that starts later and sends what the others have quarantined.
+#[tokio::test]
+async fn a_new_host_learns_quarantined_parts_from_the_rows() {
+    let (fleet, upstreams) = start_fleet(1).await;
+    crash_until_refused(&fleet[0], "resumable").await;
+    let part = format!("{DEADLY:016x}");
+    let is_in_row = |prefix: &str| {
+        let rows = fleet[0].store.rows(prefix);
+        rows.iter().any(|row| row.value.contains(&part))
+    };
+    until(|| is_in_row("host/h0.")).await;
+    let sent = deadly(&upstreams);
+    let late = start_host(&fleet[0], 1).await;
+    until(|| is_in_row("host/h1.")).await;
+    let parts = format!("{COMMON},{DEADLY},5");
+    assert_eq!(send(&late, "safe", "late", &parts).await.0, 503);
+    assert_eq!(deadly(&upstreams), sent, "it was sent");
+}
--- a/crates/gateway/tests/harness/protocol.rs
+++ b/crates/gateway/tests/harness/protocol.rs
@@ -3,7 +3,7 @@
 use {
     marigoldroute_core::throttle::{Rate, Statement},
     marigoldroute_gateway::protocol::{
-        Attempt, Malformed, Protocol, RequestHead, ResponseHead, Usage,
+        Attempt, Malformed, PromptPart, Protocol, RequestHead, ResponseHead, Usage,
     },
     poem::http::{
         HeaderMap, HeaderValue, Method, StatusCode, Uri,
@@ -22,6 +22,12 @@
     headers.insert(name, HeaderValue::from_str(value).expect("a header value"));
 }
 
+/// Parses the parts of a prompt, each of 10 tokens.
+fn parts(text: &str) -> Vec<PromptPart> {
+    let ids = text.split(',').filter_map(|id| id.parse().ok());
+    ids.map(|id| PromptPart { id, tokens: 10 }).collect()
+}
+
 /// Returns the headers to forward.
 fn forwarded(headers: &HeaderMap) -> HeaderMap {
     let mut headers = headers.clone();
@@ -58,7 +64,7 @@
             last_event: text(headers, "x-last-event").and_then(|id| id.parse().ok()),
             model: None,
             usage,
-            prompt_parts: Vec::new(),
+            prompt_parts: text(headers, "x-parts").map_or_else(Vec::new, parts),
         })
     }
 
--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -10,9 +10,13 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
         sync::{Notify, mpsc},
+        task::JoinSet,
     },
 };
 
+/// Time from the head of a response to the end of the upstream in [`Script::Crash`].
+const WRITE_TIME: Duration = Duration::from_millis(120);
+
 /// How an upstream responds to each request.
 #[derive(Clone, Debug)]
 pub enum Script {
@@ -48,6 +52,9 @@
     Paced { of: u64, pause: Duration },
     /// Sends two events and, in the same chunk, another one with the id of the first.
     RepeatedEvent,
+    /// As [`Self::Events`] with all of 4 events, but ends the upstream after the head of the
+    /// response to a request with this part in its prompt; it is back after this time.
+    Crash { part: u64, down: Duration },
     /// Sends the first event, and the others after the notification.
     Paused { of: u64, resume: Arc<Notify> },
 }
@@ -57,6 +64,8 @@
 pub struct Arrival {
     pub id: String,
     pub last_event: Option<u64>,
+    /// Parts of the prompt.
+    pub parts: Vec<u64>,
 }
 
 /// A scripted upstream on a local port.
@@ -79,7 +88,13 @@
         let arrivals = Arc::new(Mutex::new(Vec::new()));
         let (closing, closed) = mpsc::channel(64);
         let (times, rate) = (Arc::default(), Arc::default());
+        let crash = Arc::new(Notify::new());
+        let down = match script {
+            Script::Crash { down, .. } => down,
+            _ => Duration::ZERO,
+        };
         let connection = Connection {
+            crash: crash.clone(),
             script,
             arrivals: arrivals.clone(),
             times: Arc::clone(&times),
@@ -87,8 +102,20 @@
             closing,
         };
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, connection.clone()));
+            let (mut listener, mut connections) = (listener, JoinSet::new());
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let (stream, _) = accepted.expect("a connection");
+                        connections.spawn(serve(stream, connection.clone()));
+                    }
+                    () = crash.notified() => {
+                        drop(listener);
+                        connections.shutdown().await;
+                        tokio::time::sleep(down).await;
+                        listener = TcpListener::bind(address).await.expect("the same port");
+                    }
+                }
             }
         });
         Self {
@@ -126,6 +153,8 @@
 #[derive(Clone)]
 struct Connection {
     script: Script,
+    /// Ends the upstream.
+    crash: Arc<Notify>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     times: Arc<Mutex<Vec<Instant>>>,
     rate: Arc<Mutex<Option<&'static str>>>,
@@ -135,6 +164,7 @@
 async fn serve(mut stream: TcpStream, connection: Connection) {
     let Connection {
         script,
+        crash,
         arrivals,
         times,
         rate,
@@ -152,7 +182,7 @@
             .expect("no test panics while it holds the list")
             .push(arrival.clone());
         let rate = *rate.lock().expect("no test panics while it holds it");
-        if answer(&mut stream, &script, &arrival, (count, rate))
+        if answer(&mut stream, &script, &arrival, (count, rate, &crash))
             .await
             .is_none()
         {
@@ -191,6 +221,9 @@
     Some(Arrival {
         id: header("x-request-id")?,
         last_event: header("x-last-event").and_then(|id| id.parse().ok()),
+        parts: header("x-parts").map_or_else(Vec::new, |parts| {
+            parts.split(',').filter_map(|id| id.parse().ok()).collect()
+        }),
     })
 }
 
@@ -199,7 +232,7 @@
     stream: &mut TcpStream,
     script: &Script,
     arrival: &Arrival,
-    (count, rate): (usize, Option<&str>),
+    (count, rate, crash): (usize, Option<&str>, &Notify),
 ) -> Option<()> {
     let id = &arrival.id;
     let rate = rate.map_or_else(String::new, |rate| format!("x-rate: {rate}\r\n"));
@@ -257,6 +290,17 @@
             stream.write_all(text.as_bytes()).await.ok()?;
             return (last == *of).then_some(());
         }
+        Script::Crash { part, .. } => {
+            let head = head(200, "transfer-encoding: chunked\r\n");
+            stream.write_all(head.as_bytes()).await.ok()?;
+            if arrival.parts.contains(part) {
+                tokio::time::sleep(WRITE_TIME).await;
+                crash.notify_one();
+                std::future::pending::<()>().await;
+            }
+            let first = arrival.last_event.map_or(1, |last| last + 1);
+            (first..=4).map(event).collect::<String>() + "0\r\n\r\n"
+        }
         Script::RepeatedEvent => {
             let first = arrival.last_event.map_or(1, |last| last + 1);
             let events = [first, first + 1, first].map(raw).concat();
--- a/crates/router/src/reserver.rs
+++ b/crates/router/src/reserver.rs
@@ -382,7 +382,11 @@
             }
             Body::Count(_) => return Some(Body::Counted(self.count())),
             // Only the gateway uses pending prompts and rates.
-            Body::Pending(_) | Body::Acquire(_) | Body::Acquired(_) | Body::Rates(_) => {
+            Body::Pending(_)
+            | Body::Acquire(_)
+            | Body::Acquired(_)
+            | Body::Rates(_)
+            | Body::Parts(_) => {
                 return None;
             }
             Body::Reply(_) | Body::Settled(_) | Body::Counted(_) => return None,
