Count accusations of prompt parts at a few hosts of a large fleet

Change: in fleets of more than 17 hosts an accusation goes to eight hosts, chosen by hash of the part; only a quarantine and its end go to all. Rows without quarantined parts are not parsed for them.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -9,9 +9,13 @@
 mod recent;
 
 use {
-    crate::wire::{Accusation, Parts, Suspect as Message},
+    crate::{
+        id::HostId,
+        wire::{Accusation, Parts, Suspect as Message},
+    },
     recent::Recent,
     std::time::Duration,
+    xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
 /// Identifies a part of a prompt by its content.
@@ -41,6 +45,12 @@
 /// Parts of one request, and of one message, that are looked at.
 const PART_LIMIT: usize = 64;
 
+/// Largest number of other hosts that all count the accusations of every part.
+const SMALL_FLEET_LIMIT: usize = 16;
+/// Hosts that count the accusations of a part in a larger fleet; several, as hosts end and views of
+/// the fleet differ.
+const JUDGE_COUNT: usize = 8;
+
 /// The end of a process of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Crash {
@@ -94,17 +104,35 @@
     }
 }
 
-/// What changed about a part, for the log and for other hosts.
+/// Hosts that have to be told about a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// The hosts that count its accusations, see [`judges`].
+    Judges,
+    /// All hosts.
+    All,
+}
+
+/// What a host knows about a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It was accused at this number of distinct ends of upstreams.
+    Suspected(usize),
+    /// It is quarantined, and was accused at this number of ends that this host knows.
+    Quarantined(usize),
+    /// It is neither.
+    Sound,
+}
+
+/// A change of what a host knows about a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Change {
     /// The part.
     pub part: PartId,
-    /// Distinct ends at which it was accused, as far as this host knows.
-    pub crashes: usize,
-    /// Whether it is quarantined from now on.
-    pub is_quarantined: bool,
-    /// Whether all hosts have to be told, because this host was the one to decide.
-    pub is_own_decision: bool,
+    /// Its state from now on.
+    pub state: State,
+    /// Hosts that have to be told, if any.
+    pub audience: Option<Audience>,
 }
 
 /// What follows from a message of another host.
@@ -114,11 +142,15 @@
     pub contradicted: Vec<PartId>,
     /// Changes of what this host knows.
     pub changes: Vec<Change>,
-    /// Parts that are no longer accused or quarantined.
-    pub cleared: Vec<PartId>,
-    /// Those of [`Self::cleared`] that this host had told others about, which have to be told
-    /// again.
-    pub retracted: Vec<PartId>,
+}
+
+/// Chooses the hosts that count the accusations of a part: all of them in a small fleet, and
+/// otherwise a few by hash, so that the accusations of all hosts meet there.
+pub fn judges(part: PartId, hosts: &mut Vec<HostId>) {
+    if hosts.len() > SMALL_FLEET_LIMIT {
+        hosts.sort_by_cached_key(|host| xxh3_64_with_seed(host.as_bytes(), part));
+        hosts.truncate(JUDGE_COUNT);
+    }
 }
 
 /// What one host knows about parts of prompts that crash upstreams.
@@ -148,27 +180,26 @@
         active.map(|ward| ward.until.saturating_sub(now)).max()
     }
 
-    /// Records that a request with these parts was answered; returns those that other hosts have
-    /// to be told are sound.
-    pub fn record_success(&mut self, now: Duration, parts: &[PartId]) -> Vec<PartId> {
-        let mut cleared = Vec::new();
+    /// Records that a request with these parts was answered.
+    pub fn record_success(&mut self, now: Duration, parts: &[PartId]) -> Vec<Change> {
+        let mut changes = Vec::new();
         for part in parts.iter().take(PART_LIMIT) {
-            if self.clear(*part).is_some() {
-                cleared.push(*part);
-                self.sound.insert(*part, now);
-            } else if self
-                .sound
-                .get(*part)
-                .is_none_or(|at| now.saturating_sub(*at) >= SOUND_STEP)
-            {
+            let cleared = self.clear(*part);
+            let is_recent = |at: &Duration| now.saturating_sub(*at) < SOUND_STEP;
+            if cleared.is_some() || !self.sound.get(*part).is_some_and(is_recent) {
                 self.sound.insert(*part, now);
             }
+            changes.extend(cleared.map(|(_, audience)| Change {
+                part: *part,
+                state: State::Sound,
+                audience: Some(audience),
+            }));
         }
-        cleared
+        changes
     }
 
     /// Records that a process of an upstream ended after it had begun to answer a request with
-    /// these parts, and before the first event. Other hosts have to be told about each change.
+    /// these parts, and before the first event.
     pub fn record_crash(&mut self, now: Duration, process: u64, parts: &[PartId]) -> Vec<Change> {
         let crash = Crash { process, at: now };
         let mut changes = Vec::new();
@@ -176,7 +207,11 @@
             if self.is_sound(*part, now) {
                 continue;
             }
-            changes.extend(self.accuse(now, *part, crash));
+            let change = self.accuse(now, *part, crash);
+            changes.extend(change.map(|change| Change {
+                audience: change.audience.or(Some(Audience::Judges)),
+                ..change
+            }));
             if let Some(suspect) = self.suspect_mut(*part) {
                 suspect.is_published = true;
             }
@@ -211,12 +246,14 @@
             self.learn_suspect(now, suspect, &mut learned);
         }
         for part in message.sound.iter().take(PART_LIMIT) {
-            if let Some(suspect) = self.clear(*part) {
-                learned.cleared.push(*part);
-                if suspect.is_published {
-                    learned.retracted.push(*part);
-                }
-            }
+            let cleared = self.clear(*part);
+            learned
+                .changes
+                .extend(cleared.map(|(suspect, audience)| Change {
+                    part: *part,
+                    state: State::Sound,
+                    audience: suspect.is_published.then_some(audience),
+                }));
             self.sound.insert(*part, now);
         }
         learned
@@ -239,15 +276,13 @@
                 last_change = Some(change);
             }
         }
-        if let Some(change) = last_change.filter(|change| change.is_quarantined && !rest.is_zero())
-        {
-            // The sender has told all hosts already.
-            last_change = Some(Change {
-                is_own_decision: false,
+        if !rest.is_zero() && !is_contradicted {
+            // The host that decided tells all others itself.
+            let untold = |change| Change {
+                audience: None,
                 ..change
-            });
-        } else if !rest.is_zero() && !is_contradicted {
-            last_change = self.restore(now, part, rest).or(last_change);
+            };
+            last_change = self.restore(now, part, rest).or(last_change.map(untold));
         }
         if is_contradicted {
             learned.contradicted.push(part);
@@ -269,9 +304,8 @@
         self.wards.insert(part, Ward { until, suspect });
         Some(Change {
             part,
-            crashes,
-            is_quarantined: true,
-            is_own_decision: false,
+            state: State::Quarantined(crashes),
+            audience: None,
         })
     }
 
@@ -298,10 +332,12 @@
         }
     }
 
-    /// Ends the accusation and the quarantine of a part.
-    fn clear(&mut self, part: PartId) -> Option<Suspect> {
-        let ward = self.wards.remove(part).map(|ward| ward.suspect);
-        ward.or(self.suspects.remove(part))
+    /// Ends the accusation and the quarantine of a part; returns the hosts that may know of it.
+    fn clear(&mut self, part: PartId) -> Option<(Suspect, Audience)> {
+        let ward = self.wards.remove(part);
+        let ward = ward.map(|ward| (ward.suspect, Audience::All));
+        let suspect = self.suspects.remove(part);
+        ward.or(suspect.map(|suspect| (suspect, Audience::Judges)))
     }
 
     fn accuse(&mut self, now: Duration, part: PartId, crash: Crash) -> Option<Change> {
@@ -314,9 +350,8 @@
             ward.until = crash.at + TERM;
             return Some(Change {
                 part,
-                crashes: ward.suspect.crashes.len(),
-                is_quarantined: true,
-                is_own_decision: true,
+                state: State::Quarantined(ward.suspect.crashes.len()),
+                audience: Some(Audience::All),
             });
         }
         let mut suspect = self.suspects.get(part).cloned().unwrap_or_default();
@@ -324,20 +359,22 @@
             return None;
         }
         let crashes = suspect.crashes.len();
-        let is_quarantined = crashes >= CRASH_LIMIT;
-        if is_quarantined {
-            self.suspects.remove(part);
-            suspect.is_published = true;
-            let until = now + TERM;
-            self.wards.insert(part, Ward { until, suspect });
-        } else {
+        if crashes < CRASH_LIMIT {
             self.suspects.insert(part, suspect);
+            return Some(Change {
+                part,
+                state: State::Suspected(crashes),
+                audience: None,
+            });
         }
+        self.suspects.remove(part);
+        suspect.is_published = true;
+        let until = now + TERM;
+        self.wards.insert(part, Ward { until, suspect });
         Some(Change {
             part,
-            crashes,
-            is_quarantined,
-            is_own_decision: is_quarantined,
+            state: State::Quarantined(crashes),
+            audience: Some(Audience::All),
         })
     }
 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -32,6 +32,8 @@
 const HOST_PREFIX: &str = "host/";
 /// Key of the row with the secret that authenticates messages between hosts.
 const FLEET_KEY_ROW: &str = "fleet/key";
+/// Name of the field [`Member::quarantined`], which only few rows have.
+const QUARANTINED_FIELD: &str = "\"quarantined\"";
 /// Length of the secret before it is written in hexadecimal.
 const KEY_BYTES: usize = 32;
 
@@ -164,7 +166,9 @@
 
     /// Learns the quarantined parts of prompts from all rows, also those of dead processes.
     fn learn_quarantined(&self, rows: &[Row]) {
-        for row in rows.iter().filter(|row| *row.key != *self.key()) {
+        let own = self.key();
+        let has_parts = |row: &&Row| *row.key != *own && row.value.contains(QUARANTINED_FIELD);
+        for row in rows.iter().filter(has_parts) {
             if let Ok(member) = serde_json::from_str::<Member>(&row.value) {
                 self.quarantine.learn_rows(&row.key, &member.quarantined);
             }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,6 +14,7 @@
     bytes::BytesMut,
     marigoldroute_core::{
         id::{HolderId, HostId},
+        quarantine::{self, Audience},
         wire::{
             Acquire, Acquired, Body, Codec, Frame, Keys, Parts, Pending, Prompts, Rates, Refusal,
         },
@@ -32,7 +33,7 @@
         codec::{Decoder, Encoder},
         sync::CancellationToken,
     },
-    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Time during which changes of pending prompts are collected into one datagram.
@@ -49,9 +50,6 @@
 const BROADCAST_PEER_LIMIT: usize = 16;
 /// Limit of parts of prompts in a datagram.
 const DATAGRAM_PARTS: usize = 10;
-/// Other hosts that count the accusations of a part of prompts. In a larger fleet they are chosen
-/// by hash, so that the accusations of all hosts meet.
-const JUDGE_COUNT: usize = 8;
 /// Pause between two sendings of the same notice about a part of prompts.
 const NOTICE_PAUSE: Duration = Duration::from_millis(60);
 /// Pause between two publications of rates for each host that receives them.
@@ -323,29 +321,28 @@
         }
     }
 
-    async fn send_notices(&self, notices: &[(u64, Notice)]) {
-        let endpoints: Vec<_> = lock(&self.endpoints).clone().into_iter().collect();
-        let is_small = endpoints.len() <= BROADCAST_PEER_LIMIT;
-        let (narrow, wide): (Vec<_>, Vec<_>) = notices
+    async fn send_notices(&self, notices: &[Notice]) {
+        let endpoints = lock(&self.endpoints).clone();
+        let (for_all, for_judges): (Vec<_>, Vec<_>) = notices
             .iter()
-            .partition(|(_, notice)| *notice == Notice::Accused && !is_small);
-        for chunk in wide.chunks(DATAGRAM_PARTS) {
-            let body = Body::Parts(self.quarantine.message(chunk));
-            if let Some(bytes) = self.encode("", 0, body) {
-                for (_, endpoint) in &endpoints {
-                    self.send_bytes(endpoint.address, &bytes).await;
-                }
-            }
+            .partition(|notice| notice.audience == Audience::All);
+        for chunk in for_all.chunks(DATAGRAM_PARTS) {
+            let message = self.quarantine.message(chunk);
+            self.send_parts(message, endpoints.values()).await;
         }
-        for notice in narrow {
-            let body = Body::Parts(self.quarantine.message(&[notice]));
-            let mut judges: Vec<_> = endpoints.iter().collect();
-            let rank = |host: &HostId| xxh3_64_with_seed(host.as_bytes(), notice.0);
-            judges.sort_by_key(|(host, _)| rank(host));
-            if let Some(bytes) = self.encode("", 0, body) {
-                for (_, endpoint) in judges.into_iter().take(JUDGE_COUNT) {
-                    self.send_bytes(endpoint.address, &bytes).await;
-                }
+        for notice in for_judges {
+            let mut judges: Vec<_> = endpoints.keys().cloned().collect();
+            quarantine::judges(notice.part, &mut judges);
+            let message = self.quarantine.message(&[notice]);
+            let endpoints = judges.iter().filter_map(|host| endpoints.get(host));
+            self.send_parts(message, endpoints).await;
+        }
+    }
+
+    async fn send_parts(&self, message: Parts, to: impl Iterator<Item = &Endpoint>) {
+        if let Some(bytes) = self.encode("", 0, Body::Parts(message)) {
+            for endpoint in to {
+                self.send_bytes(endpoint.address, &bytes).await;
             }
         }
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -3,7 +3,7 @@
 use {
     crate::{Clock, dispatch::InFlight, metrics::Metrics, protocol::PromptPart, view::lock},
     marigoldroute_core::{
-        quarantine::{self, Change, PartId, QUARANTINE_LIMIT},
+        quarantine::{self, Audience, Change, PartId, QUARANTINE_LIMIT, State},
         wire::Parts,
     },
     marigoldroute_process::logs::BELIEFS,
@@ -45,15 +45,12 @@
     pub(crate) until_ms: u64,
 }
 
-/// What is sent about a part.
+/// What has to be sent about a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Notice {
-    /// It is accused; only the hosts that judge it need to know.
-    Accused,
-    /// It is quarantined; all hosts need to know.
-    Quarantined,
-    /// It is sound; all hosts need to know.
-    Sound,
+pub(crate) struct Notice {
+    pub(crate) part: PartId,
+    pub(crate) audience: Audience,
+    is_sound: bool,
 }
 
 /// Quarantine of parts of prompts, as this host knows it.
@@ -105,9 +102,10 @@
         if parts.is_empty() {
             return;
         }
-        let sound = lock(&self.inner).record_success(self.clock.now(), parts);
-        self.log_sound(&sound, "own answer");
-        self.post(sound.into_iter().map(|part| (part, Notice::Sound)));
+        let changes = lock(&self.inner).record_success(self.clock.now(), parts);
+        if !changes.is_empty() {
+            self.apply(&changes, "own answer");
+        }
     }
 
     /// Finds out whether an upstream has ended that began to answer a request with these parts and
@@ -148,15 +146,11 @@
     fn record_crash(&self, at: Duration, process: u64, parts: &[PartId]) -> bool {
         let changes = lock(&self.inner).record_crash(at, process, parts);
         self.apply(&changes, "own attempt");
-        let notices = changes.iter().map(|change| {
-            let notice = match change.is_quarantined {
-                true => Notice::Quarantined,
-                false => Notice::Accused,
-            };
-            (change.part, notice)
-        });
-        self.post(notices);
-        changes.iter().any(|change| change.crashes > 1)
+        changes.iter().any(|change| match change.state {
+            State::Suspected(crashes) => crashes > 1,
+            State::Quarantined(_) => true,
+            State::Sound => false,
+        })
     }
 
     /// Applies a message of another host; returns the accused parts that this host knows to be
@@ -164,49 +158,49 @@
     pub(crate) fn learn(&self, from: &str, message: &Parts) -> Vec<PartId> {
         let learned = lock(&self.inner).learn(self.clock.now(), message);
         self.apply(&learned.changes, from);
-        self.log_sound(&learned.cleared, from);
-        let decided = learned
-            .changes
-            .iter()
-            .filter(|change| change.is_own_decision);
-        self.post(decided.map(|change| (change.part, Notice::Quarantined)));
-        let retracted = learned.retracted.into_iter();
-        self.post(retracted.map(|part| (part, Notice::Sound)));
         learned.contradicted
     }
 
-    /// Logs and counts changes, and wakes the requests that may have to stop.
+    /// Logs and counts changes, tells other hosts, and wakes the requests that may have to stop.
     fn apply(&self, changes: &[Change], source: &str) {
         for change in changes {
-            let (message, label) = match change.is_quarantined {
-                true => ("prompt part quarantined", "quarantined"),
-                false => ("prompt part suspected", "suspected"),
+            let part = format!("{:016x}", change.part);
+            let label = match change.state {
+                State::Suspected(crashes) => {
+                    log::info!(target: BELIEFS, part, crashes, source; "prompt part suspected");
+                    "suspected"
+                }
+                State::Quarantined(crashes) => {
+                    log::info!(target: BELIEFS, part, crashes, source; "prompt part quarantined");
+                    "quarantined"
+                }
+                State::Sound => {
+                    log::info!(target: BELIEFS, part, source; "prompt part found sound");
+                    "sound"
+                }
             };
             self.metrics.prompt_parts.with_label_values(&[label]).inc();
-            let part = format!("{:016x}", change.part);
-            log::info!(target: BELIEFS, part, crashes = change.crashes, source; "{message}");
         }
-        if changes.iter().any(|change| change.is_quarantined) {
+        let is_quarantine = |change: &Change| matches!(change.state, State::Quarantined(_));
+        if changes.iter().any(is_quarantine) {
             self.began.notify_waiters();
         }
+        self.post(changes);
     }
 
-    fn log_sound(&self, parts: &[PartId], source: &str) {
-        for part in parts {
-            self.metrics
-                .prompt_parts
-                .with_label_values(&["sound"])
-                .inc();
-            let part = format!("{part:016x}");
-            log::info!(target: BELIEFS, part, source; "prompt part found sound");
-        }
-    }
-
-    fn post(&self, notices: impl Iterator<Item = (PartId, Notice)>) {
+    fn post(&self, changes: &[Change]) {
         let mut outbox = lock(&self.outbox);
-        for (part, notice) in notices {
-            if outbox.len() < OUTBOX_LIMIT || outbox.contains_key(&part) {
-                outbox.insert(part, (notice, SEND_COUNT));
+        for change in changes {
+            let Some(audience) = change.audience else {
+                continue;
+            };
+            let notice = Notice {
+                part: change.part,
+                audience,
+                is_sound: change.state == State::Sound,
+            };
+            if outbox.len() < OUTBOX_LIMIT || outbox.contains_key(&change.part) {
+                outbox.insert(change.part, (notice, SEND_COUNT));
             }
         }
         let has_notices = !outbox.is_empty();
@@ -217,32 +211,27 @@
     }
 
     /// Takes the notices that have to be sent now, and whether some have to be sent again.
-    pub(crate) fn take_notices(&self) -> (Vec<(PartId, Notice)>, bool) {
+    pub(crate) fn take_notices(&self) -> (Vec<Notice>, bool) {
         let mut outbox = lock(&self.outbox);
-        let notices = outbox
-            .iter_mut()
-            .map(|(part, (notice, left))| {
-                *left = left.saturating_sub(1);
-                (*part, *notice)
-            })
-            .collect();
+        let notices = outbox.values_mut().map(|(notice, left)| {
+            *left = left.saturating_sub(1);
+            *notice
+        });
+        let notices = notices.collect();
         outbox.retain(|_, (_, left)| *left > 0);
         (notices, !outbox.is_empty())
     }
 
     /// Returns the message for notices.
-    pub(crate) fn message(&self, notices: &[(PartId, Notice)]) -> Parts {
-        let (sound, accused): (Vec<_>, Vec<_>) = notices
-            .iter()
-            .partition(|(_, notice)| *notice == Notice::Sound);
-        let parts = |notices: Vec<(PartId, Notice)>| {
-            let parts = notices.into_iter().map(|(part, _)| part);
-            parts.collect::<Vec<_>>()
+    pub(crate) fn message(&self, notices: &[Notice]) -> Parts {
+        let parts = |is_sound: bool| {
+            let notices = notices.iter().filter(|notice| notice.is_sound == is_sound);
+            notices.map(|notice| notice.part).collect::<Vec<_>>()
         };
         let now = self.clock.now();
         Parts {
-            suspects: lock(&self.inner).describe(now, &parts(accused)),
-            sound: parts(sound),
+            suspects: lock(&self.inner).describe(now, &parts(false)),
+            sound: parts(true),
         }
     }
 
