Test that requests under way end with a quarantine

Cause: no test covered requests that wait for a place or an answer when a part of their prompt is quarantined, nor connections that break while the upstream goes on.

Change: two tests with real sockets; the messages about parts have a file of their own.

Result: the first test fails without the wait for the quarantine, the second without the probe of the upstream; both pass now.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,21 +3,15 @@
 //! Each datagram is one frame, authenticated with the fleet's key. A call is sent again until it is
 //! answered, so the receiver has to handle repetitions.
 
+mod parts;
+
 use {
-    crate::{
-        dispatch::Dispatcher,
-        escrow::Responder,
-        quarantine::{Notice, Quarantine},
-        view::lock,
-    },
+    crate::{dispatch::Dispatcher, escrow::Responder, quarantine::Quarantine, view::lock},
     anyhow::Context,
     bytes::BytesMut,
     marigoldroute_core::{
         id::{HolderId, HostId},
-        quarantine::{self, Audience},
-        wire::{
-            Acquire, Acquired, Body, Codec, Frame, Keys, Parts, Pending, Prompts, Rates, Refusal,
-        },
+        wire::{Acquire, Acquired, Body, Codec, Frame, Keys, Pending, Prompts, Rates, Refusal},
     },
     std::{
         collections::HashMap,
@@ -48,10 +42,6 @@
 /// Largest number of other hosts to which pending prompts are sent. In a larger fleet, each host
 /// contributes too little to the load of an engine to matter.
 const BROADCAST_PEER_LIMIT: usize = 16;
-/// Limit of parts of prompts in a datagram.
-const DATAGRAM_PARTS: usize = 10;
-/// Pause between two sendings of the same notice about a part of prompts.
-const NOTICE_PAUSE: Duration = Duration::from_millis(60);
 /// Pause between two publications of rates for each host that receives them.
 const PUBLISH_PAUSE: Duration = Duration::from_millis(20);
 /// Interval at which a call without an answer is sent again.
@@ -304,49 +294,6 @@
         }
     }
 
-    /// Tells other hosts about parts of prompts that crash upstreams.
-    async fn publish_parts(&self) {
-        loop {
-            self.quarantine.outbox_filled.notified().await;
-            loop {
-                let (notices, has_more) = self.quarantine.take_notices();
-                self.send_notices(&notices).await;
-                if !has_more {
-                    break;
-                }
-                let filled = self.quarantine.outbox_filled.notified();
-                // New notices go out at once, with the others.
-                let _ = tokio::time::timeout(NOTICE_PAUSE, filled).await;
-            }
-        }
-    }
-
-    async fn send_notices(&self, notices: &[Notice]) {
-        let endpoints = lock(&self.endpoints).clone();
-        let (for_all, for_judges): (Vec<_>, Vec<_>) = notices
-            .iter()
-            .partition(|notice| notice.audience == Audience::All);
-        for chunk in for_all.chunks(DATAGRAM_PARTS) {
-            let message = self.quarantine.message(chunk);
-            self.send_parts(message, endpoints.values()).await;
-        }
-        for notice in for_judges {
-            let mut judges: Vec<_> = endpoints.keys().cloned().collect();
-            quarantine::judges(notice.part, &mut judges);
-            let message = self.quarantine.message(&[notice]);
-            let endpoints = judges.iter().filter_map(|host| endpoints.get(host));
-            self.send_parts(message, endpoints).await;
-        }
-    }
-
-    async fn send_parts(&self, message: Parts, to: impl Iterator<Item = &Endpoint>) {
-        if let Some(bytes) = self.encode("", 0, Body::Parts(message)) {
-            for endpoint in to {
-                self.send_bytes(endpoint.address, &bytes).await;
-            }
-        }
-    }
-
     /// Answers a question for a permit; a repetition gets the same answer.
     fn answer_acquire(&self, from: &str, correlation: u64, acquire: &Acquire) -> Acquired {
         let mut acquired = lock(&self.acquired);
@@ -416,17 +363,7 @@
                     self.dispatcher.learn_rate(from, stated);
                 }
             }
-            Body::Parts(parts) => {
-                let sound = self.quarantine.learn(from, &parts);
-                if !sound.is_empty() {
-                    let (peers, from) = (self.clone(), from.to_owned());
-                    tokio::spawn(async move {
-                        let suspects = Vec::new();
-                        let body = Body::Parts(Parts { suspects, sound });
-                        peers.send_frame(address, &from, 0, body).await;
-                    });
-                }
-            }
+            Body::Parts(parts) => self.learn_parts(&parts, address, from),
             Body::Acquire(acquire) => {
                 let acquired = self.answer_acquire(from, correlation, &acquire);
                 let (peers, from) = (self.clone(), from.to_owned());
--- a/crates/gateway/tests/crashing_prompts.rs
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -4,12 +4,12 @@
 
 use {
     harness::{
-        Harness,
+        Harness, snapshot,
         upstream::{Script, Upstream},
     },
     marigoldroute_gateway::Settings,
     poem::http::StatusCode,
-    std::time::Duration,
+    std::time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// Part of a prompt that crashes upstreams.
@@ -21,6 +21,8 @@
 const ARRIVAL_LIMIT: usize = 5;
 /// Time between two renewals of the hosts' rows.
 const RENEWAL: Duration = Duration::from_millis(200);
+/// Time within which ends of upstreams count once.
+const INSTANT: Duration = Duration::from_millis(110);
 /// Longest wait for what a test expects.
 const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -164,3 +166,64 @@
     assert_eq!(send(&late, "safe", "late", &parts).await.0, 503);
     assert_eq!(deadly(&upstreams), sent, "it was sent");
 }
+
+/// Returns the row of a process that has quarantined the deadly part.
+fn row() -> String {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("after 1970");
+    let until_ms = now.as_millis() + 600_000;
+    format!(
+        r#"{{"place":"gone","zone":"z","weight":1,"peers":null,
+        "quarantined":[{{"part":"{DEADLY:x}","until_ms":{until_ms}}},{{"part":"?","until_ms":1}}]}}"#
+    )
+}
+
+/// Guards against requests that wait, for a place or for an answer, while a part of their prompt is
+/// quarantined, and against the loss of what a process that has ended knew.
+#[tokio::test]
+async fn requests_under_way_end_when_a_part_is_quarantined() {
+    let mut snapshot = snapshot(1, 0);
+    snapshot.workspaces[0].purchased = None;
+    snapshot.services[0].connection_limit = 1;
+    let settings = Settings {
+        renew_interval: RENEWAL,
+        ..Settings::default()
+    };
+    let (harness, upstreams) =
+        Harness::with_settings(settings, snapshot, vec![Script::Silent]).await;
+    let sent_at = Instant::now();
+    let send = |id: &str| {
+        let parts = format!("{COMMON},{DEADLY},5");
+        let request = harness.plain_request("safe", id).header("x-parts", parts);
+        tokio::spawn(request.send())
+    };
+    let running = send("running");
+    until(|| deadly(&upstreams) == 1).await;
+    let waiting = send("waiting");
+    harness.store.put_row("host/gone.1", &row());
+    let running = running.await.expect("it ends").expect("an answer");
+    assert_eq!(running.status(), 502);
+    let waiting = waiting.await.expect("it ends").expect("an answer");
+    assert_eq!(waiting.status(), 503);
+    assert!(
+        sent_at.elapsed() < Duration::from_secs(4),
+        "ended at the route's timeout"
+    );
+    assert_eq!(deadly(&upstreams), 1, "the waiting request was sent");
+}
+
+/// Guards against evidence that is none: a connection that broke while its upstream went on.
+#[tokio::test]
+async fn broken_connections_of_living_upstreams_quarantine_nothing() {
+    let head = "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\n\
+        transfer-encoding: chunked\r\n\r\n";
+    let (harness, _upstreams) = Harness::unlimited(vec![Script::Raw(vec![head]); 6]).await;
+    for id in 0..5 {
+        // Ends at the same instant would count once.
+        tokio::time::sleep(INSTANT).await;
+        let parts = format!("{COMMON},{DEADLY},{id}");
+        let (status, _) = send(&harness, "resumable", &format!("r{id}"), &parts).await;
+        assert_eq!(status, 502, "request {id} was refused");
+    }
+}
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -121,6 +121,13 @@
         self.lock().table.get(key).cloned()
     }
 
+    /// Writes a row, as another process would.
+    pub fn put_row(&self, key: &str, value: &str) {
+        let mut transaction = Transaction::default();
+        transaction.put(key, value);
+        self.lock().table.commit(&transaction);
+    }
+
     pub fn rows(&self, prefix: &str) -> Vec<Row> {
         self.lock().table.scan(prefix, "", usize::MAX)
     }
