Tell parts of prompts apart that crashed together

Cause: a sound part that was in every prompt which crashed, and in none that was answered yet, was quarantined with the deadly one.

Change: quarantined parts know the last end at which they were accused. Of parts with the same one, a prompt with some and not all is sent: its answer clears them, and its end convicts them.

Result: a request with the common first part and not the deadly one was refused with 503 at a host that knew both from the rows, and is answered now; the tests of the quarantine pass.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -92,6 +92,8 @@
 struct Ward {
     until: Duration,
     suspect: Suspect,
+    /// Process of the last end at which it was accused, if known.
+    last_end: Option<u64>,
 }
 
 impl Ward {
@@ -174,10 +176,23 @@
 
 impl Quarantine {
     /// Returns for how long no request with these parts may be sent; `None` when it may.
+    ///
+    /// Parts with the same last end were in one prompt, and any of them may be the deadly one. A
+    /// prompt with some of them and not all is sent: an answer clears those that it has, and an end
+    /// convicts them.
     pub fn check(&self, now: Duration, parts: &[PartId]) -> Option<Duration> {
         let wards = parts.iter().filter_map(|part| self.wards.get(*part));
-        let active = wards.filter(|ward| ward.is_active(now));
-        active.map(|ward| ward.until.saturating_sub(now)).max()
+        let blocking = wards.filter(|ward| {
+            let mut others = self.wards.iter();
+            let is_absent = |(part, other): (PartId, &Ward)| {
+                other.is_active(now)
+                    && ward.last_end.is_some()
+                    && ward.last_end == other.last_end
+                    && !parts.contains(&part)
+            };
+            ward.is_active(now) && !others.any(is_absent)
+        });
+        blocking.map(|ward| ward.until.saturating_sub(now)).max()
     }
 
     /// Records that a request with these parts was answered.
@@ -229,11 +244,13 @@
                 process: crash.process,
                 age_ms: now.saturating_sub(crash.at).as_millis() as u64,
             });
+            let last_end = ward.and_then(|ward| ward.last_end);
             let rest = ward.map_or(Duration::ZERO, |ward| ward.until.saturating_sub(now));
             Some(Message {
                 part: *part,
                 accusations: accusations.collect(),
                 quarantined_ms: rest.as_millis() as u64,
+                last_end,
             })
         };
         parts.iter().filter_map(message).collect()
@@ -282,7 +299,9 @@
                 audience: None,
                 ..change
             };
-            last_change = self.restore(now, part, rest).or(last_change.map(untold));
+            last_change = self
+                .restore(now, part, rest, suspect.last_end)
+                .or(last_change.map(untold));
         }
         if is_contradicted {
             learned.contradicted.push(part);
@@ -291,8 +310,14 @@
     }
 
     /// Records that another host, or an earlier process, has quarantined a part that stays so for
-    /// `rest`; ignored when the part has been answered since.
-    pub fn restore(&mut self, now: Duration, part: PartId, rest: Duration) -> Option<Change> {
+    /// `rest`, with the process of the last end if known; ignored when the part has been answered since.
+    pub fn restore(
+        &mut self,
+        now: Duration,
+        part: PartId,
+        rest: Duration,
+        last_end: Option<u64>,
+    ) -> Option<Change> {
         let until = now + rest.min(TERM);
         let is_answered = self.is_sound(part, until.saturating_sub(TERM));
         let known = self.wards.get(part);
@@ -301,7 +326,12 @@
         }
         let suspect = self.suspects.remove(part).unwrap_or_default();
         let crashes = suspect.crashes.len();
-        self.wards.insert(part, Ward { until, suspect });
+        let ward = Ward {
+            until,
+            suspect,
+            last_end,
+        };
+        self.wards.insert(part, ward);
         Some(Change {
             part,
             state: State::Quarantined(crashes),
@@ -309,11 +339,12 @@
         })
     }
 
-    /// Returns the quarantined parts with the rest of their quarantine.
-    pub fn quarantined(&self, now: Duration) -> Vec<(PartId, Duration)> {
+    /// Returns the quarantined parts with the rest of their quarantine and the process of their last
+    /// end.
+    pub fn quarantined(&self, now: Duration) -> Vec<(PartId, Duration, Option<u64>)> {
         let active = self.wards.iter().filter(|(_, ward)| ward.is_active(now));
         let mut list: Vec<_> = active
-            .map(|(part, ward)| (part, ward.until.saturating_sub(now)))
+            .map(|(part, ward)| (part, ward.until.saturating_sub(now), ward.last_end))
             .collect();
         list.sort_unstable();
         list
@@ -343,11 +374,14 @@
     fn accuse(&mut self, now: Duration, part: PartId, crash: Crash) -> Option<Change> {
         if let Some(ward) = self.wards.get_mut(part) {
             let is_new = ward.suspect.add(now, crash) && crash.at > ward.started_at();
-            if ward.is_active(now) || !is_new {
+            if !is_new {
                 return None;
             }
-            // One more end is enough after a quarantine.
-            ward.until = crash.at + TERM;
+            ward.last_end = ward.suspect.crashes.last().map(|crash| crash.process);
+            if !ward.is_active(now) {
+                // One more end is enough after a quarantine.
+                ward.until = crash.at + TERM;
+            }
             return Some(Change {
                 part,
                 state: State::Quarantined(ward.suspect.crashes.len()),
@@ -369,8 +403,12 @@
         }
         self.suspects.remove(part);
         suspect.is_published = true;
-        let until = now + TERM;
-        self.wards.insert(part, Ward { until, suspect });
+        let ward = Ward {
+            until: now + TERM,
+            last_end: suspect.crashes.last().map(|crash| crash.process),
+            suspect,
+        };
+        self.wards.insert(part, ward);
         Some(Change {
             part,
             state: State::Quarantined(crashes),
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -295,6 +295,9 @@
     /// Time until the end of its quarantine, in milliseconds; 0 when it is only suspected.
     #[prost(uint64, tag = "3")]
     pub quarantined_ms: u64,
+    /// Process of the last end of a quarantined part; parts with the same one were in one prompt.
+    #[prost(fixed64, optional, tag = "4")]
+    pub last_end: Option<u64>,
 }
 
 /// The end of a process of an upstream.
--- a/crates/core/tests/quarantine/main.rs
+++ b/crates/core/tests/quarantine/main.rs
@@ -1,11 +1,13 @@
 //! Quarantine of prompt parts, in simulated fleets and by single messages.
 
 mod messages;
+mod plan;
 mod world;
 
 use {
+    plan::{Outcome, Plan},
     std::time::Duration,
-    world::{Outcome, Plan, World},
+    world::World,
 };
 
 /// Time after the fifth crash from which on requests with the part are counted.
--- a/crates/core/tests/quarantine/messages.rs
+++ b/crates/core/tests/quarantine/messages.rs
@@ -63,10 +63,31 @@
     quarantine.record_success(now, &[PART]);
     assert_eq!(quarantine.check(now, &[PART]), None);
     // The row of another host still has it.
-    quarantine.restore(now + SECOND, PART, TERM - SECOND);
+    quarantine.restore(now + SECOND, PART, TERM - SECOND, None);
     assert_eq!(quarantine.check(now + SECOND, &[PART]), None);
 }
 
+/// Guards against the quarantine of a sound part that was in every prompt which crashed, when no
+/// answer was known.
+#[test]
+fn parts_that_crashed_together_are_told_apart() {
+    let (first, deadly) = (1, 2);
+    let mut quarantine = Quarantine::default();
+    for process in 1..=CRASH_LIMIT as u64 {
+        let now = SECOND * process as u32;
+        quarantine.record_crash(now, process, &[first, deadly]);
+    }
+    let now = SECOND * 9;
+    assert!(quarantine.check(now, &[first, deadly]).is_some());
+    assert_eq!(quarantine.check(now, &[first, 3]), None);
+    let mut guilty = quarantine.clone();
+    quarantine.record_success(now, &[first, 3]);
+    assert!(quarantine.check(now, &[deadly]).is_some());
+    assert_eq!(quarantine.check(now, &[first]), None);
+    guilty.record_crash(now, 9, &[first, 3]);
+    assert!(guilty.check(now, &[first, 4]).is_some());
+}
+
 fn message(suspects: impl Iterator<Item = Suspect>) -> Parts {
     Parts {
         suspects: suspects.collect(),
@@ -89,13 +110,14 @@
             })
             .collect(),
         quarantined_ms: u64::MAX,
+        last_end: Some(part),
     };
     for first in 0..100 {
         quarantine.learn(now, &message((first * 100..).map(extreme).take(100)));
     }
     let quarantined = quarantine.quarantined(now);
     assert_eq!(quarantined.len(), QUARANTINE_LIMIT);
-    assert!(quarantined.iter().all(|(_, rest)| *rest <= TERM));
+    assert!(quarantined.iter().all(|(_, rest, _)| *rest <= TERM));
     assert!(quarantine.quarantined(now + TERM).is_empty());
 }
 
@@ -113,6 +135,7 @@
         part: PART,
         accusations: accusations.collect(),
         quarantined_ms: 1_000,
+        last_end: None,
     };
     let learned = quarantine.learn(now + SECOND, &message([suspect].into_iter()));
     assert_eq!(learned.contradicted, [PART]);
--- a/crates/core/tests/quarantine/world.rs
+++ b/crates/core/tests/quarantine/world.rs
@@ -1,6 +1,7 @@
 //! A fleet with its upstreams on a simulated clock.
 
 use {
+    crate::plan::{Outcome, Plan},
     marigoldroute_core::{
         id::HostId,
         quarantine::{Audience, Change, PartId, Quarantine, State, judges},
@@ -28,71 +29,12 @@
 const SENDING_PAUSE: Duration = Duration::from_millis(60);
 const RENEWAL: Duration = Duration::from_secs(3);
 
-/// What happens in a world.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    pub hosts: usize,
-    pub upstreams: usize,
-    /// Requests of all hosts in a second.
-    pub rate: f64,
-    /// Share of requests with the deadly part.
-    pub deadly: f64,
-    /// Share of datagrams that get lost.
-    pub loss: f64,
-    /// When a quarter of the upstreams end at the same instant.
-    pub mass_crashes: Vec<Duration>,
-    /// Upstreams of which one ends every 300 ms.
-    pub flapping: usize,
-    /// When a host is replaced by a new process.
-    pub restarts: Vec<Duration>,
-}
-
-impl Default for Plan {
-    fn default() -> Self {
-        Self {
-            hosts: 6,
-            upstreams: 20,
-            rate: 60.0,
-            deadly: 0.0,
-            loss: 0.1,
-            mass_crashes: Vec::new(),
-            flapping: 0,
-            restarts: Vec::new(),
-        }
-    }
-}
-
-/// What was seen.
-#[derive(Clone, Debug, Default)]
-pub struct Outcome {
-    /// When the deadly part ended upstreams.
-    pub crashes: Vec<Duration>,
-    /// When requests with the deadly part reached upstreams.
-    pub deadly_arrivals: Vec<Duration>,
-    pub served: usize,
-    /// Healthy requests that the quarantine refused.
-    pub refused: usize,
-    pub datagrams: usize,
-}
-
-impl Outcome {
-    /// Returns how many requests with the deadly part reached upstreams later than this after the
-    /// fifth crash.
-    pub fn late_arrivals(&self, grace: Duration) -> usize {
-        let Some(fifth) = self.crashes.get(4) else {
-            return 0;
-        };
-        let arrivals = self.deadly_arrivals.iter();
-        arrivals.filter(|at| **at > *fifth + grace).count()
-    }
-}
-
 struct Host {
     quarantine: Quarantine,
     /// Notices with how often they still have to be sent, and when next.
     outbox: BTreeMap<PartId, (Change, u32, Duration)>,
     /// Quarantined parts in the host's row, with their ends.
-    row: Vec<(PartId, Duration)>,
+    row: Vec<(PartId, Duration, Option<u64>)>,
 }
 
 #[derive(Clone)]
@@ -197,8 +139,8 @@
     /// Replaces a host by a new process, which reads the rows of all hosts.
     fn restart(&mut self, host: usize) {
         let mut quarantine = Quarantine::default();
-        for (part, until) in self.hosts.iter().flat_map(|host| &host.row) {
-            quarantine.restore(self.now, *part, until.saturating_sub(self.now));
+        for (part, until, end) in self.hosts.iter().flat_map(|host| &host.row) {
+            quarantine.restore(self.now, *part, until.saturating_sub(self.now), *end);
         }
         self.hosts[host].quarantine = quarantine;
         self.hosts[host].outbox.clear();
@@ -409,18 +351,20 @@
         let now = self.now;
         for host in &mut self.hosts {
             let parts = host.quarantine.quarantined(now).into_iter();
-            host.row = parts.map(|(part, rest)| (part, now + rest)).collect();
+            host.row = parts
+                .map(|(part, rest, end)| (part, now + rest, end))
+                .collect();
         }
         let rows: Vec<_> = self
             .hosts
             .iter()
             .flat_map(|host| host.row.clone())
             .collect();
-        for (host, (part, until)) in
+        for (host, (part, until, end)) in
             (0..self.hosts.len()).flat_map(|host| rows.iter().map(move |row| (host, row)))
         {
             let rest = until.saturating_sub(now);
-            self.hosts[host].quarantine.restore(now, *part, rest);
+            self.hosts[host].quarantine.restore(now, *part, rest, *end);
         }
     }
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -43,6 +43,10 @@
     pub(crate) part: String,
     /// End of the quarantine, in milliseconds since 1970.
     pub(crate) until_ms: u64,
+    /// Process of the last end of an upstream at which it was accused, in hexadecimal; empty when
+    /// it is not known.
+    #[serde(default)]
+    pub(crate) last_end: String,
 }
 
 /// What has to be sent about a part.
@@ -239,10 +243,13 @@
     pub(crate) fn rows(&self) -> Vec<Quarantined> {
         let quarantined = lock(&self.inner).quarantined(self.clock.now());
         let now_ms = unix_ms();
-        let rows = quarantined.into_iter().map(|(part, rest)| Quarantined {
-            part: format!("{part:016x}"),
-            until_ms: now_ms.saturating_add(rest.as_millis() as u64),
-        });
+        let rows = quarantined
+            .into_iter()
+            .map(|(part, rest, last_end)| Quarantined {
+                part: format!("{part:016x}"),
+                until_ms: now_ms.saturating_add(rest.as_millis() as u64),
+                last_end: last_end.map_or_else(String::new, |end| format!("{end:016x}")),
+            });
         rows.collect()
     }
 
@@ -253,7 +260,8 @@
         let known = rows.iter().take(QUARANTINE_LIMIT).filter_map(|row| {
             let part = u64::from_str_radix(&row.part, 16).ok()?;
             let rest = Duration::from_millis(row.until_ms.saturating_sub(now_ms));
-            inner.restore(now, part, rest)
+            let last_end = u64::from_str_radix(&row.last_end, 16).ok();
+            inner.restore(now, part, rest, last_end)
         });
         let changes: Vec<_> = known.collect();
         drop(inner);
--- a/crates/gateway/tests/crashing_prompts.rs
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -165,6 +165,9 @@
     let parts = format!("{COMMON},{DEADLY},5");
     assert_eq!(send(&late, "safe", "late", &parts).await.0, 503);
     assert_eq!(deadly(&upstreams), sent, "it was sent");
+    // The first part was in all prompts that crashed, and in none that was answered.
+    let parts = format!("{COMMON},21,6");
+    assert_eq!(send(&late, "safe", "healthy", &parts).await.0, 200);
 }
 
 /// Returns the row of a process that has quarantined the deadly part.
