--- a/crates/core/tests/quarantine/world.rs
+++ b/crates/core/tests/quarantine/world.rs
@@ -303,34 +303,39 @@
                 }
             }
             self.hosts[from].outbox.retain(|_, (_, left, _)| *left > 0);
-            for change in due {
-                self.send_notice(from, change);
+            let (for_all, for_judges): (Vec<_>, Vec<_>) = due
+                .into_iter()
+                .partition(|change| change.audience == Some(Audience::All));
+            if !for_all.is_empty() {
+                self.send_notices_to(from, &for_all, |_| {});
+            }
+            for change in for_judges {
+                self.send_notices_to(from, &[change], |hosts| judges(change.part, hosts));
             }
         }
     }
 
-    fn send_notice(&mut self, from: usize, change: Change) {
-        let mut to: Vec<_> = self.names.clone();
-        to.remove(from);
-        if change.audience == Some(Audience::Judges) {
-            judges(change.part, &mut to);
-        }
-        let message = match change.state {
-            State::Sound => Parts {
-                suspects: Vec::new(),
-                sound: vec![change.part],
-            },
-            _ => Parts {
-                suspects: self.hosts[from]
-                    .quarantine
-                    .describe(self.now, &[change.part]),
-                sound: Vec::new(),
-            },
+    /// Sends changes in one datagram to the other hosts that are chosen.
+    fn send_notices_to(
+        &mut self,
+        from: usize,
+        changes: &[Change],
+        choose: impl FnOnce(&mut Vec<HostId>),
+    ) {
+        let parts = |is_sound: bool| {
+            let changes = changes.iter();
+            let changes = changes.filter(|change| (change.state == State::Sound) == is_sound);
+            changes.map(|change| change.part).collect::<Vec<_>>()
         };
-        let indexes: HashMap<_, _> = (0..)
-            .zip(&self.names)
-            .map(|(index, name)| (name.clone(), index))
-            .collect();
+        let quarantine = &self.hosts[from].quarantine;
+        let message = Parts {
+            suspects: quarantine.describe(self.now, &parts(false)),
+            sound: parts(true),
+        };
+        let mut to = self.names.clone();
+        to.remove(from);
+        choose(&mut to);
+        let indexes: HashMap<_, _> = self.names.iter().cloned().zip(0..).collect();
         for name in to {
             self.send(from, indexes[&name], message.clone());
         }
