--- /dev/null
+++ b/crates/core/src/quarantine/mod.rs
@@ -0,0 +1,418 @@
+//! Parts of prompts that crash the upstreams which begin to answer them.
+//!
+//! A request accuses the parts of its prompt when its upstream ended while it had begun to answer
+//! and had sent no event. A part that was accused at [`CRASH_LIMIT`] distinct ends, and answered at
+//! none between them, is quarantined: no request with it is sent any more. Hosts share accusations
+//! and contradict those of parts that they know to be sound. [`Quarantine`] is the state of one
+//! host.
+
+mod recent;
+
+use {
+    crate::{
+        id::HostId,
+        wire::{Accusation, Parts, Suspect as Message},
+    },
+    recent::Recent,
+    std::time::Duration,
+    xxhash_rust::xxh3::xxh3_64_with_seed,
+};
+
+/// Identifies a part of a prompt by its content.
+pub type PartId = u64;
+
+/// Distinct ends of upstreams at which a part is quarantined. Two can happen to a healthy request
+/// and its retry while several upstreams fail.
+pub const CRASH_LIMIT: usize = 3;
+/// Time for which a part stays quarantined.
+pub const TERM: Duration = Duration::from_secs(600);
+/// Ends of upstreams within this time count once, as they may have a common cause; covers the
+/// spread with which hosts see them.
+const SAME_INSTANT: Duration = Duration::from_millis(100);
+/// Time after an answer during which a part is not accused.
+const SOUND_TIME: Duration = Duration::from_secs(10);
+/// Time between two updates of the time of a part's last answer; much shorter than
+/// [`SOUND_TIME`].
+const SOUND_STEP: Duration = Duration::from_secs(1);
+/// Time for which an accusation counts.
+const ACCUSATION_TIME: Duration = Duration::from_secs(120);
+/// Parts that are remembered as accused.
+const SUSPECT_LIMIT: usize = 512;
+/// Parts that are quarantined at the same time.
+pub const QUARANTINE_LIMIT: usize = 32;
+/// Parts that are remembered as answered; covers [`SOUND_TIME`] of a busy host.
+const SOUND_LIMIT: usize = 4_096;
+/// Parts of one request, and of one message, that are looked at.
+const PART_LIMIT: usize = 64;
+
+/// Largest number of other hosts that all count the accusations of every part.
+const SMALL_FLEET_LIMIT: usize = 16;
+/// Hosts that count the accusations of a part in a larger fleet; several, as hosts end and views of
+/// the fleet differ.
+const JUDGE_COUNT: usize = 8;
+
+/// The end of a process of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Crash {
+    /// Hash of the upstream and the start of its process.
+    process: u64,
+    at: Duration,
+}
+
+/// An accused part.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    /// The newest ends at which it was accused, each at another instant and of another process.
+    crashes: Vec<Crash>,
+    /// Whether this host has told others.
+    is_published: bool,
+}
+
+impl Suspect {
+    /// Adds an end; returns whether it is another one than those that are known.
+    fn add(&mut self, now: Duration, crash: Crash) -> bool {
+        self.crashes
+            .retain(|known| now.saturating_sub(known.at) <= ACCUSATION_TIME);
+        let is_known = self.crashes.iter().any(|known| {
+            known.process == crash.process || known.at.abs_diff(crash.at) < SAME_INSTANT
+        });
+        if is_known || now.saturating_sub(crash.at) > ACCUSATION_TIME {
+            return false;
+        }
+        self.crashes.push(crash);
+        self.crashes.sort_by_key(|crash| crash.at);
+        let surplus = self.crashes.len().saturating_sub(CRASH_LIMIT);
+        self.crashes.drain(..surplus);
+        true
+    }
+}
+
+/// A quarantined part.
+#[derive(Clone, Debug)]
+struct Ward {
+    until: Duration,
+    suspect: Suspect,
+    /// Process of the last end at which it was accused, if known.
+    last_end: Option<u64>,
+}
+
+impl Ward {
+    fn is_active(&self, now: Duration) -> bool {
+        now < self.until
+    }
+
+    fn started_at(&self) -> Duration {
+        self.until.saturating_sub(TERM)
+    }
+}
+
+/// Hosts that have to be told about a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// The hosts that count its accusations, see [`judges`].
+    Judges,
+    /// All hosts.
+    All,
+}
+
+/// What a host knows about a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It was accused at this number of distinct ends of upstreams.
+    Suspected(usize),
+    /// It is quarantined, and was accused at this number of ends that this host knows.
+    Quarantined(usize),
+    /// It is neither.
+    Sound,
+}
+
+/// A change of what a host knows about a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The part.
+    pub part: PartId,
+    /// Its state from now on.
+    pub state: State,
+    /// Hosts that have to be told, if any.
+    pub audience: Option<Audience>,
+}
+
+/// What follows from a message of another host.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Learned {
+    /// Accused parts that this host knows to be sound; the sender has to be told.
+    pub contradicted: Vec<PartId>,
+    /// Changes of what this host knows.
+    pub changes: Vec<Change>,
+}
+
+/// Chooses the hosts that count the accusations of a part: all of them in a small fleet, and
+/// otherwise a few by hash, so that the accusations of all hosts meet there.
+pub fn judges(part: PartId, hosts: &mut Vec<HostId>) {
+    if hosts.len() > SMALL_FLEET_LIMIT {
+        hosts.sort_by_cached_key(|host| xxh3_64_with_seed(host.as_bytes(), part));
+        hosts.truncate(JUDGE_COUNT);
+    }
+}
+
+/// What one host knows about parts of prompts that crash upstreams.
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    suspects: Recent<Suspect>,
+    wards: Recent<Ward>,
+    /// When a request with the part was last answered, as far as this host knows.
+    sound: Recent<Duration>,
+}
+
+impl Default for Quarantine {
+    fn default() -> Self {
+        Self {
+            suspects: Recent::new(SUSPECT_LIMIT),
+            wards: Recent::new(QUARANTINE_LIMIT),
+            sound: Recent::new(SOUND_LIMIT),
+        }
+    }
+}
+
+impl Quarantine {
+    /// Returns for how long no request with these parts may be sent; `None` when it may.
+    ///
+    /// Parts with the same last end were in one prompt, and any of them may be the deadly one. A
+    /// prompt with some of them and not all is sent: an answer clears those that it has, and an end
+    /// convicts them.
+    pub fn check(&self, now: Duration, parts: &[PartId]) -> Option<Duration> {
+        let wards = parts.iter().filter_map(|part| self.wards.get(*part));
+        let blocking = wards.filter(|ward| {
+            let mut others = self.wards.iter();
+            let is_absent = |(part, other): (PartId, &Ward)| {
+                other.is_active(now)
+                    && ward.last_end.is_some()
+                    && ward.last_end == other.last_end
+                    && !parts.contains(&part)
+            };
+            ward.is_active(now) && !others.any(is_absent)
+        });
+        blocking.map(|ward| ward.until.saturating_sub(now)).max()
+    }
+
+    /// Records that a request with these parts was answered.
+    pub fn record_success(&mut self, now: Duration, parts: &[PartId]) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for part in parts.iter().take(PART_LIMIT) {
+            let cleared = self.clear(*part);
+            let is_recent = |at: &Duration| now.saturating_sub(*at) < SOUND_STEP;
+            if cleared.is_some() || !self.sound.get(*part).is_some_and(is_recent) {
+                self.sound.insert(*part, now);
+            }
+            changes.extend(cleared.map(|(_, audience)| Change {
+                part: *part,
+                state: State::Sound,
+                audience: Some(audience),
+            }));
+        }
+        changes
+    }
+
+    /// Records that a process of an upstream ended after it had begun to answer a request with
+    /// these parts, and before the first event.
+    pub fn record_crash(&mut self, now: Duration, process: u64, parts: &[PartId]) -> Vec<Change> {
+        let crash = Crash { process, at: now };
+        let mut changes = Vec::new();
+        for part in parts.iter().take(PART_LIMIT) {
+            if self.is_sound(*part, now) {
+                continue;
+            }
+            let change = self.accuse(now, *part, crash);
+            changes.extend(change.map(|change| Change {
+                audience: change.audience.or(Some(Audience::Judges)),
+                ..change
+            }));
+            if let Some(suspect) = self.suspect_mut(*part) {
+                suspect.is_published = true;
+            }
+        }
+        changes
+    }
+
+    /// Returns a message about accused and quarantined parts.
+    pub fn describe(&self, now: Duration, parts: &[PartId]) -> Vec<Message> {
+        let message = |part: &PartId| {
+            let ward = self.wards.get(*part);
+            let suspect = ward.map(|ward| &ward.suspect);
+            let suspect = suspect.or_else(|| self.suspects.get(*part))?;
+            let accusations = suspect.crashes.iter().map(|crash| Accusation {
+                process: crash.process,
+                age_ms: now.saturating_sub(crash.at).as_millis() as u64,
+            });
+            let last_end = ward.and_then(|ward| ward.last_end);
+            let rest = ward.map_or(Duration::ZERO, |ward| ward.until.saturating_sub(now));
+            Some(Message {
+                part: *part,
+                accusations: accusations.collect(),
+                quarantined_ms: rest.as_millis() as u64,
+                last_end,
+            })
+        };
+        parts.iter().filter_map(message).collect()
+    }
+
+    /// Applies a message of another host.
+    pub fn learn(&mut self, now: Duration, message: &Parts) -> Learned {
+        let mut learned = Learned::default();
+        for suspect in message.suspects.iter().take(PART_LIMIT) {
+            self.learn_suspect(now, suspect, &mut learned);
+        }
+        for part in message.sound.iter().take(PART_LIMIT) {
+            let cleared = self.clear(*part);
+            learned
+                .changes
+                .extend(cleared.map(|(suspect, audience)| Change {
+                    part: *part,
+                    state: State::Sound,
+                    audience: suspect.is_published.then_some(audience),
+                }));
+            self.sound.insert(*part, now);
+        }
+        learned
+    }
+
+    fn learn_suspect(&mut self, now: Duration, suspect: &Message, learned: &mut Learned) {
+        let part = suspect.part;
+        let rest = Duration::from_millis(suspect.quarantined_ms).min(TERM);
+        let crashes = suspect.accusations.iter().take(CRASH_LIMIT);
+        let crashes = crashes.map(|accusation| Crash {
+            process: accusation.process,
+            at: now.saturating_sub(Duration::from_millis(accusation.age_ms)),
+        });
+        let mut is_contradicted = false;
+        let mut last_change = None;
+        for crash in crashes {
+            if self.is_sound(part, crash.at) {
+                is_contradicted = true;
+            } else if let Some(change) = self.accuse(now, part, crash) {
+                last_change = Some(change);
+            }
+        }
+        if !rest.is_zero() && !is_contradicted {
+            // The host that decided tells all others itself.
+            let untold = |change| Change {
+                audience: None,
+                ..change
+            };
+            last_change = self
+                .restore(now, part, rest, suspect.last_end)
+                .or(last_change.map(untold));
+        }
+        if is_contradicted {
+            learned.contradicted.push(part);
+        }
+        learned.changes.extend(last_change);
+    }
+
+    /// Records that another host, or an earlier process, has quarantined a part that stays so for
+    /// `rest`, with the process of the last end if known; ignored when the part has been answered since.
+    pub fn restore(
+        &mut self,
+        now: Duration,
+        part: PartId,
+        rest: Duration,
+        last_end: Option<u64>,
+    ) -> Option<Change> {
+        let until = now + rest.min(TERM);
+        let is_answered = self.is_sound(part, until.saturating_sub(TERM));
+        let known = self.wards.get(part);
+        if rest.is_zero() || is_answered || known.is_some_and(|ward| ward.is_active(now)) {
+            return None;
+        }
+        let suspect = self.suspects.remove(part).unwrap_or_default();
+        let crashes = suspect.crashes.len();
+        let ward = Ward {
+            until,
+            suspect,
+            last_end,
+        };
+        self.wards.insert(part, ward);
+        Some(Change {
+            part,
+            state: State::Quarantined(crashes),
+            audience: None,
+        })
+    }
+
+    /// Returns the quarantined parts with the rest of their quarantine and the process of their last
+    /// end.
+    pub fn quarantined(&self, now: Duration) -> Vec<(PartId, Duration, Option<u64>)> {
+        let active = self.wards.iter().filter(|(_, ward)| ward.is_active(now));
+        let mut list: Vec<_> = active
+            .map(|(part, ward)| (part, ward.until.saturating_sub(now), ward.last_end))
+            .collect();
+        list.sort_unstable();
+        list
+    }
+
+    /// Returns whether the part was answered so late that an end at this time is no evidence.
+    fn is_sound(&self, part: PartId, at: Duration) -> bool {
+        let answered_at = self.sound.get(part);
+        answered_at.is_some_and(|answered_at| *answered_at + SOUND_TIME > at)
+    }
+
+    fn suspect_mut(&mut self, part: PartId) -> Option<&mut Suspect> {
+        match self.wards.get_mut(part) {
+            Some(ward) => Some(&mut ward.suspect),
+            None => self.suspects.get_mut(part),
+        }
+    }
+
+    /// Ends the accusation and the quarantine of a part; returns the hosts that may know of it.
+    fn clear(&mut self, part: PartId) -> Option<(Suspect, Audience)> {
+        let ward = self.wards.remove(part);
+        let ward = ward.map(|ward| (ward.suspect, Audience::All));
+        let suspect = self.suspects.remove(part);
+        ward.or(suspect.map(|suspect| (suspect, Audience::Judges)))
+    }
+
+    fn accuse(&mut self, now: Duration, part: PartId, crash: Crash) -> Option<Change> {
+        if let Some(ward) = self.wards.get_mut(part) {
+            let is_new = ward.suspect.add(now, crash) && crash.at > ward.started_at();
+            if !is_new {
+                return None;
+            }
+            ward.last_end = ward.suspect.crashes.last().map(|crash| crash.process);
+            if !ward.is_active(now) {
+                // One more end is enough after a quarantine.
+                ward.until = crash.at + TERM;
+            }
+            return Some(Change {
+                part,
+                state: State::Quarantined(ward.suspect.crashes.len()),
+                audience: Some(Audience::All),
+            });
+        }
+        let mut suspect = self.suspects.get(part).cloned().unwrap_or_default();
+        if !suspect.add(now, crash) {
+            return None;
+        }
+        let crashes = suspect.crashes.len();
+        if crashes < CRASH_LIMIT {
+            self.suspects.insert(part, suspect);
+            return Some(Change {
+                part,
+                state: State::Suspected(crashes),
+                audience: None,
+            });
+        }
+        self.suspects.remove(part);
+        suspect.is_published = true;
+        let ward = Ward {
+            until: now + TERM,
+            last_end: suspect.crashes.last().map(|crash| crash.process),
+            suspect,
+        };
+        self.wards.insert(part, ward);
+        Some(Change {
+            part,
+            state: State::Quarantined(crashes),
+            audience: Some(Audience::All),
+        })
+    }
+}
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -15,6 +15,7 @@
         permit::Permits,
         pool::Pool,
         protocol::Protocol,
+        quarantine::Quarantine,
         request::Context,
         settings::Settings,
         store::Store,
@@ -99,6 +100,7 @@
     ));
     let escrow = Arc::new(Escrow::new(process.clone(), clock, &settings));
     let pool = Arc::new(Pool::new(clock, metrics.clone(), settings.connect_timeout));
+    let quarantine = Arc::new(Quarantine::new(clock, metrics.clone()));
     let [close, ending, stop] = std::array::from_fn(|_| CancellationToken::new());
     let (connections, tasks) = (TaskTracker::new(), TaskTracker::new());
     let peers = match settings.listen_peers {
@@ -106,6 +108,7 @@
             address,
             process.clone(),
             dispatcher.clone(),
+            quarantine.clone(),
         )?)),
         None => None,
     };
@@ -125,6 +128,7 @@
         view: view.clone(),
         dispatcher: dispatcher.clone(),
         permits: Permits::new(dispatcher.clone(), peers.clone(), metrics.clone()),
+        quarantine: quarantine.clone(),
         pool: pool.clone(),
         reserver: reserver.clone(),
         quota: Quota::new(settings.answer_memory),
@@ -176,6 +180,7 @@
         store: store.clone(),
         view: view.clone(),
         dispatcher,
+        quarantine,
         peers,
         reserver: reserver.clone(),
         metrics: metrics.clone(),
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -7,6 +7,7 @@
         escrow::Reserver,
         metrics::Metrics,
         peers::{Endpoint, Peers},
+        quarantine::{Quarantine, Quarantined},
         settings::Settings,
         store::Store,
         view::{View, is_committed},
@@ -31,6 +32,8 @@
 const HOST_PREFIX: &str = "host/";
 /// Key of the row with the secret that authenticates messages between hosts.
 const FLEET_KEY_ROW: &str = "fleet/key";
+/// Name of the field [`Member::quarantined`], which only few rows have.
+const QUARANTINED_FIELD: &str = "\"quarantined\"";
 /// Length of the secret before it is written in hexadecimal.
 const KEY_BYTES: usize = 32;
 
@@ -42,6 +45,7 @@
     pub(crate) store: Arc<dyn Store>,
     pub(crate) view: Arc<View>,
     pub(crate) dispatcher: Arc<Dispatcher>,
+    pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) peers: Option<Arc<Peers>>,
     pub(crate) reserver: Arc<Reserver>,
     pub(crate) metrics: Arc<Metrics>,
@@ -60,6 +64,9 @@
     weight: u32,
     /// Address at which the host receives messages of other hosts, if it does.
     peers: Option<SocketAddr>,
+    /// Parts of prompts that no host sends to upstreams, for processes that start later.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    quarantined: Vec<Quarantined>,
 }
 
 impl Membership {
@@ -99,6 +106,7 @@
             zone: self.settings.zone.clone(),
             weight: self.settings.weight,
             peers,
+            quarantined: self.quarantine.rows(),
         };
         match serde_json::to_string(&member) {
             Ok(text) => {
@@ -134,6 +142,7 @@
         let now = self.clock.now();
         let versions = rows.iter().map(|row| (row.key.clone(), row.version));
         census.update(now, &versions.collect::<Vec<_>>());
+        self.learn_quarantined(&rows);
         let live: Vec<_> = rows
             .iter()
             .filter(|row| census.is_live(now, &row.key))
@@ -155,6 +164,17 @@
         }
     }
 
+    /// Learns the quarantined parts of prompts from all rows, also those of dead processes.
+    fn learn_quarantined(&self, rows: &[Row]) {
+        let own = self.key();
+        let has_parts = |row: &&Row| *row.key != *own && row.value.contains(QUARANTINED_FIELD);
+        for row in rows.iter().filter(has_parts) {
+            if let Ok(member) = serde_json::from_str::<Member>(&row.value) {
+                self.quarantine.learn_rows(&row.key, &member.quarantined);
+            }
+        }
+    }
+
     /// Updates the assignment of budgets, the hosts that share rates and the endpoints of other hosts
     /// from the rows of the live hosts, and returns the number of these hosts. Of the rows of one
     /// instance only the newest counts.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,8 +3,10 @@
 //! Each datagram is one frame, authenticated with the fleet's key. A call is sent again until it is
 //! answered, so the receiver has to handle repetitions.
 
+mod parts;
+
 use {
-    crate::{dispatch::Dispatcher, escrow::Responder, view::lock},
+    crate::{dispatch::Dispatcher, escrow::Responder, quarantine::Quarantine, view::lock},
     anyhow::Context,
     bytes::BytesMut,
     marigoldroute_core::{
@@ -75,6 +77,7 @@
     socket: UdpSocket,
     process: HolderId,
     dispatcher: Arc<Dispatcher>,
+    quarantine: Arc<Quarantine>,
     /// Keys that authenticate frames; absent until they have been read from the store.
     keys: Mutex<Option<Keys>>,
     endpoints: Mutex<HashMap<HostId, Endpoint>>,
@@ -91,6 +94,7 @@
         address: SocketAddr,
         process: HolderId,
         dispatcher: Arc<Dispatcher>,
+        quarantine: Arc<Quarantine>,
     ) -> anyhow::Result<Self> {
         let socket = std::net::UdpSocket::bind(address);
         let socket = socket.with_context(|| format!("bind {address} for other hosts"))?;
@@ -99,6 +103,7 @@
             socket: UdpSocket::from_std(socket)?,
             process,
             dispatcher,
+            quarantine,
             keys: Mutex::default(),
             endpoints: Mutex::default(),
             next_correlation: AtomicU64::default(),
@@ -133,6 +138,7 @@
             () = stop.cancelled() => {}
             () = self.broadcast_pending() => {}
             () = self.publish_rates() => {}
+            () = self.publish_parts() => {}
             () = self.listen(&responder) => {}
         }
     }
@@ -357,6 +363,7 @@
                     self.dispatcher.learn_rate(from, stated);
                 }
             }
+            Body::Parts(parts) => self.learn_parts(&parts, address, from),
             Body::Acquire(acquire) => {
                 let acquired = self.answer_acquire(from, correlation, &acquire);
                 let (peers, from) = (self.clone(), from.to_owned());
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -21,6 +21,7 @@
         pool::Pool,
         profile::Profile,
         protocol::{Malformed, Protocol, RequestHead, ResponseHead},
+        quarantine::{Quarantine, SharedParts, shared_parts},
         settings::Settings,
         view::View,
     },
@@ -45,6 +46,7 @@
     pub(crate) view: Arc<View>,
     pub(crate) dispatcher: Arc<Dispatcher>,
     pub(crate) permits: Permits,
+    pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) pool: Arc<Pool>,
     pub(crate) reserver: Arc<Reserver>,
     pub(crate) quota: Quota,
@@ -105,6 +107,10 @@
     /// When the response is due: the caller's timeout after the arrival, at most the route's.
     pub(crate) deadline: Duration,
     pub(crate) profile: Profile,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) parts: SharedParts,
+    /// Whether an upstream ended on this request, and another one before on a part of its prompt.
+    pub(super) is_accused: bool,
     /// Upstreams that were tried; later attempts avoid them.
     pub(super) tried: Vec<UpstreamId>,
     /// Attempts in which the request was sent to an upstream.
@@ -128,6 +134,8 @@
         let deadline = arrived + timeout.min(access.route.timeout);
         let profile = context.dispatcher.profile(&head, access.priority());
         Self {
+            parts: shared_parts(&head.prompt_parts),
+            is_accused: false,
             context,
             head,
             access,
@@ -228,12 +236,17 @@
     pub(crate) async fn run(&mut self, last_event: Option<u64>) -> Answer {
         // The last failure that an upstream itself answered.
         let mut failure = None;
+        let (context, parts) = (self.context.clone(), self.parts.clone());
         loop {
             let remaining = self.remaining();
-            let ending = self.context.ending.clone();
             let attempt = tokio::time::timeout(remaining, self.attempt(last_event));
-            let Some(received) = ending.run_until_cancelled(attempt).await else {
-                return self.timed_out();
+            let received = tokio::select! {
+                biased;
+                received = attempt => received,
+                rest = context.quarantine.wait(&parts) => {
+                    return Answer::Error(self.record_quarantined(rest));
+                }
+                () = context.ending.cancelled() => return self.timed_out(),
             };
             let outcome = match received {
                 Ok(Ok(Received::Final(answer))) => return answer,
@@ -272,13 +285,28 @@
     /// Returns the answer when no upstream can be assigned.
     fn without_upstream(&self, reason: Unavailable) -> Answer {
         Answer::Error(match reason {
+            Unavailable::Quarantined(rest) => self.record_quarantined(rest),
             _ if !self.is_unexecuted => Error::Failed,
             Unavailable::Closed(retry_after) => Error::RateLimited(retry_after),
             Unavailable::Busy(_) | Unavailable::NoCandidate => Error::NoUpstream,
         })
     }
 
-    /// Returns the answer at the deadline, or when the process stops before it. Once the request was sent, it may have run.
+    /// Counts a request that may not be sent, or not any longer, because of a part of its prompt,
+    /// and returns its error.
+    pub(crate) fn record_quarantined(&self, rest: Duration) -> Error {
+        let may_have_run = !self.is_unexecuted || self.sent > 0;
+        let (state, error) = match may_have_run {
+            true => ("sent", Error::Failed),
+            false => ("new", Error::Quarantined(rest)),
+        };
+        let quarantined = &self.context.metrics.quarantined;
+        quarantined.with_label_values(&[state]).inc();
+        error
+    }
+
+    /// Returns the answer at the deadline, or when the process stops before it. Once the request
+    /// was sent, it may have run.
     fn timed_out(&self) -> Answer {
         let may_have_run = !self.is_unexecuted || self.sent > 0;
         Answer::Error(if may_have_run {
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -90,6 +90,9 @@
         }
         in_flight.report(Progress::Failed);
         self.record_failure(&upstream, started, &failure);
+        if failure.is_break {
+            self.record_break("queued");
+        }
         Err(Interrupted::Failed(failure.outcome))
     }
 
@@ -129,6 +132,7 @@
     /// one cannot be used any more, so that another choice has to be made.
     pub(super) async fn try_acquire_upstream(&self) -> Result<Option<InFlight>, Unavailable> {
         let context = &self.context;
+        self.pass_quarantine()?;
         let (mut in_flight, rationale) =
             context
                 .dispatcher
@@ -142,6 +146,7 @@
             );
             return Ok(None);
         }
+        self.pass_quarantine()?;
         if !in_flight.record_sent(&self.profile) {
             return Ok(None);
         }
@@ -154,6 +159,15 @@
         Ok(Some(in_flight))
     }
 
+    /// Checks that no part of the prompt is quarantined.
+    fn pass_quarantine(&self) -> Result<(), Unavailable> {
+        match self.context.quarantine.check(&self.parts) {
+            Some(rest) => Err(Unavailable::Quarantined(rest)),
+            None if self.is_accused => Err(Unavailable::Quarantined(Duration::ZERO)),
+            None => Ok(()),
+        }
+    }
+
     /// Takes an idle connection from the pool or opens one.
     pub(super) async fn connect(&self, in_flight: &InFlight) -> Result<Connection, Failure> {
         let pool = &self.context.pool;
@@ -195,6 +209,7 @@
     ) -> Result<Received, Outcome> {
         let upstream = exchange.in_flight.upstream.clone();
         let validated = self.validate(&exchange.head);
+        let has_begun = validated.is_ok() && exchange.head.status.is_success();
         let failure = match validated {
             Ok(()) if exchange.head.status.is_success() && self.kind().is_stream() => {
                 match self.read_first_events(&mut exchange, last_event).await {
@@ -217,6 +232,9 @@
                     self.record_success(&upstream, started, &exchange);
                     let head = Box::new(exchange.head.clone());
                     let is_failure = head.status.is_server_error();
+                    if has_begun {
+                        self.context.quarantine.record_success(&self.parts);
+                    }
                     exchange.finish(Progress::Finished { tokens: 1 });
                     let answer = Answer::Complete(head, body, permit);
                     return Ok(if is_failure {
@@ -231,10 +249,17 @@
         };
         if failure.outcome == Outcome::Refused {
             exchange.finish_refused().await;
-        } else {
-            exchange.in_flight.report(Progress::Failed);
+            self.record_failure(&upstream, started, &failure);
+            return Err(failure.outcome);
         }
+        exchange.in_flight.report(Progress::Failed);
         self.record_failure(&upstream, started, &failure);
+        if has_begun && failure.is_break {
+            self.record_break("begun");
+            let quarantine = self.context.quarantine.clone();
+            let examined = quarantine.examine(&exchange.in_flight, &self.parts);
+            self.is_accused |= examined.await;
+        }
         Err(failure.outcome)
     }
 
@@ -302,6 +327,7 @@
             let out_of_order = |error: Rejected| Failure::new(Outcome::Unknown, error.to_string());
             sequence.accept_event(&first.raw).map_err(out_of_order)?;
             exchange.in_flight.report(Progress::FirstToken);
+            self.context.quarantine.record_success(&self.parts);
             return Ok((splitter, permit, events.into(), false));
         }
     }
@@ -352,6 +378,12 @@
         );
     }
 
+    /// Counts an attempt whose connection broke.
+    pub(crate) fn record_break(&self, state: &str) {
+        let broken = &self.context.metrics.broken_attempts;
+        broken.with_label_values(&[state]).inc();
+    }
+
     fn record_success(&self, upstream: &UpstreamId, started: Duration, exchange: &Exchange) {
         self.context
             .metrics
--- a/crates/gateway/tests/extremes.rs
+++ b/crates/gateway/tests/extremes.rs
@@ -20,9 +20,12 @@
 async fn stated_prompt_parts_take_no_memory() {
     let (harness, _upstreams) = Harness::new(vec![Script::Complete(200, "the answer")]).await;
     let before = peak_mib();
-    for (id, parts) in ["4294967295,4294967295,1", "4294967295,1,1,1,1"]
-        .iter()
-        .enumerate()
+    for (id, parts) in [
+        "1:4294967295,1:4294967295,1:1",
+        "1:4294967295,1:1,1:1,1:1,1:1",
+    ]
+    .iter()
+    .enumerate()
     {
         let request = harness.request("once", &format!("r{id}"));
         let response = request.header("x-parts", *parts).send().await;
--- a/crates/gateway/tests/harness/protocol.rs
+++ b/crates/gateway/tests/harness/protocol.rs
@@ -23,6 +23,18 @@
     headers.insert(name, HeaderValue::from_str(value).expect("a header value"));
 }
 
+/// Parses the parts of a prompt, `ID` or `ID:TOKENS`; a part without tokens has 10.
+fn parts(text: &str) -> Vec<PromptPart> {
+    let part = |text: &str| {
+        let (id, tokens) = text.split_once(':').unwrap_or((text, "10"));
+        Some(PromptPart {
+            id: id.parse().ok()?,
+            tokens: tokens.parse().ok()?,
+        })
+    };
+    text.split(',').filter_map(part).collect()
+}
+
 /// Returns the headers to forward.
 fn forwarded(headers: &HeaderMap) -> HeaderMap {
     let mut headers = headers.clone();
@@ -61,12 +73,7 @@
             last_event: text(headers, "x-last-event").and_then(|id| id.parse().ok()),
             model: None,
             usage,
-            prompt_parts: text(headers, "x-parts")
-                .into_iter()
-                .flat_map(|parts| parts.split(','))
-                .filter_map(|tokens| tokens.parse().ok())
-                .map(|tokens| PromptPart { id: 1, tokens })
-                .collect(),
+            prompt_parts: text(headers, "x-parts").map_or_else(Vec::new, parts),
         })
     }
 
