Repeat a lost call for the rest of a broken stream

Cause: an upstream that breaks a stream may end its body cleanly and close the connection right after it. The router takes the connection for a kept one and sends the call for the rest on it; the call fails, and the one failure ended the caller's stream with answer_broken although three attempts are allowed. It depends on whether the close has arrived. The captured failures were all of this kind: SendRequest, IncompleteMessage, 0.3 to 1.1 ms after the call.

Change: a call for the rest whose connection was lost is repeated while attempts are left; a lost call uses one. Calls that time out, find no connection or are refused are not repeated.

--- a/crates/router/src/caller/relay.rs
+++ b/crates/router/src/caller/relay.rs
@@ -15,6 +15,7 @@
     crate::{
         logs::{ROUTING, TOKENS},
         response::envelope,
+        upstream::Failure,
     },
     bytes::Bytes,
     marigoldroute_core::{
@@ -99,7 +100,7 @@
 
 impl Transfer {
     async fn run(mut self, reply: UpstreamResponse) {
-        let mut resumes = 0;
+        let mut resumes_left = RESUME_ATTEMPTS;
         let mut source = Source::new(reply);
         self.tried.push(source.in_flight.upstream().clone());
         let end = loop {
@@ -112,10 +113,7 @@
                 end => break end,
             };
             log::warn!(request:% = self.request.id, upstream:% = source.in_flight.upstream(), fault:%; "stream interrupted");
-            resumes += 1;
-            if resumes <= RESUME_ATTEMPTS
-                && let Some(response) = self.resume(&source.url).await
-            {
+            if let Some(response) = self.resume(&source.url, &mut resumes_left).await {
                 source = source.with(response);
                 continue;
             }
@@ -147,11 +145,20 @@
         self.finish(end, upstream).await;
     }
 
-    async fn resume(&self, url: &str) -> Option<reqwest::Response> {
+    /// Requests the rest of the stream from its engine. A call that is lost is repeated while `left`
+    /// attempts last: it may have used a kept connection that the engine was about to close.
+    async fn resume(&self, url: &str, left: &mut u32) -> Option<reqwest::Response> {
         let upstreams = &self.request.context.upstreams;
-        upstreams
-            .resume(url, &self.request.id, self.state.received())
-            .await
+        while *left > 0 {
+            *left -= 1;
+            let received = self.state.received();
+            match upstreams.resume(url, &self.request.id, received).await {
+                Ok(response) => return Some(response),
+                Err(Failure::Lost) => {}
+                Err(_) => return None,
+            }
+        }
+        None
     }
 
     /// Sends the request to another engine, unless a part of the answer was sent to the caller.
--- a/crates/router/src/upstream.rs
+++ b/crates/router/src/upstream.rs
@@ -4,7 +4,7 @@
     marigoldroute_core::id::{RequestId, Tokens},
     marigoldroute_store::http_client_builder,
     poem::http::{HeaderMap, Method},
-    reqwest::{Body, Response, StatusCode},
+    reqwest::{Body, RequestBuilder, Response, StatusCode},
     serde::Deserialize,
     std::time::Duration,
     tokio::time::timeout,
@@ -82,15 +82,7 @@
     ) -> Result<Response, Failure> {
         let call = self.http.request(method, url).headers(headers);
         let call = call.header("x-request-id", &**request).body(body);
-        let response = timeout(self.timeout, call.send()).await;
-        let response = response.map_err(|_| Failure::Timeout)?.map_err(|error| {
-            if error.is_connect() || error.is_builder() {
-                Failure::Unreachable
-            } else {
-                Failure::Lost
-            }
-        })?;
-        Ok(response)
+        self.head(call).await
     }
 
     /// Requests the rest of a stream from an engine, starting after `from` answer tokens.
@@ -99,12 +91,27 @@
         url: &str,
         request: &RequestId,
         from: Tokens,
-    ) -> Option<Response> {
+    ) -> Result<Response, Failure> {
         let call = self
             .http
             .get(format!("{url}/v1/resume/{request}?from={from}"));
-        let response = timeout(self.timeout, call.send()).await.ok()?.ok()?;
-        response.status().is_success().then_some(response)
+        let response = self.head(call).await?;
+        match response.status().is_success() {
+            true => Ok(response),
+            false => Err(Failure::Refused),
+        }
+    }
+
+    /// Sends a call and waits for the head of the response.
+    async fn head(&self, call: RequestBuilder) -> Result<Response, Failure> {
+        let response = timeout(self.timeout, call.send()).await;
+        response.map_err(|_| Failure::Timeout)?.map_err(|error| {
+            if error.is_connect() || error.is_builder() {
+                Failure::Unreachable
+            } else {
+                Failure::Lost
+            }
+        })
     }
 
     /// Queries an engine for its usage record of an attempt.
