Lose the answers of one write, not of any four, in the test of operators

Cause: a fault of the test. It lets the store lose the next four answers of any write, but the router's background tasks write too; if one of them uses an answer, the fourth attempt of the operator's write is answered, and the write is rightly reported as made.

Change: the stand-in can lose the answers of transactions that write one row. The test loses four of the write's own receipt, makes a foreign write in between, and checks that all four were used, so a write with fewer or more than four attempts fails. The bound of four stays.

--- a/crates/router/tests/operators.rs
+++ b/crates/router/tests/operators.rs
@@ -10,7 +10,7 @@
 
 use {
     futures_util::future::join_all,
-    marigoldroute_core::config::hash_key,
+    marigoldroute_core::{config::hash_key, retention::REQUEST_PREFIX},
     marigoldroute_store::InjectedFaults,
     operator::{Answer, Fleet, Operator},
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -230,11 +230,14 @@
         ("u2", "/budgets/confetti/top-up", json!({"tokens": 9})),
     ];
     for (request, path, body) in calls {
-        fleet.platform.inject(losing(4));
+        let receipt = format!("{REQUEST_PREFIX}{request}");
+        fleet.platform.lose_answers_of(receipt, 4);
+        // As background tasks do.
+        fleet.put("other", &request).await;
         let unknown = operator.post(request, path, &body).await;
         assert_eq!(unknown.kind(), "store_unavailable", "{}", unknown.body);
         assert_eq!(unknown.body["error"]["outcome"], "unknown");
-        fleet.platform.inject(InjectedFaults::default());
+        assert_eq!(fleet.platform.answers_to_lose(), 0);
         operator.make(request, path, body).await;
     }
     assert_eq!(operator.version().await, base + 1);
--- a/crates/store/src/stand_in.rs
+++ b/crates/store/src/stand_in.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::listen::serve,
-    marigoldroute_core::table::{Memory, Row, Transaction, Verdict},
+    marigoldroute_core::table::{Memory, Row, Transaction, Verdict, Write},
     poem::{
         Body, EndpointExt, IntoResponse, Response, Route, get, handler,
         http::StatusCode,
@@ -51,9 +51,27 @@
     table: Memory,
     objects: BTreeMap<String, Vec<u8>>,
     faults: InjectedFaults,
+    /// Key of a row, and the number of its writes whose answers are still to be lost.
+    lost_answers: Option<(String, u32)>,
     counters: Counters,
 }
 
+impl State {
+    /// Returns whether the answer of a transaction is one of the row's that are to be lost, and
+    /// counts it.
+    fn takes_answer(&mut self, transaction: &Transaction) -> bool {
+        let Some((key, count)) = &mut self.lost_answers else {
+            return false;
+        };
+        let mut keys = transaction.writes.iter().map(|write| match write {
+            Write::Put { key, .. } | Write::Delete { key } => &**key,
+        });
+        let is_lost = *count > 0 && keys.any(|written| written == key);
+        *count -= u32::from(is_lost);
+        is_lost
+    }
+}
+
 /// A stand-in server; clones share their state.
 #[derive(Clone, Debug, Default)]
 pub struct StandIn(Arc<Mutex<State>>);
@@ -69,6 +87,18 @@
         self.lock().faults = faults;
     }
 
+    /// Loses the answers of the next `count` transactions that write a row, as
+    /// [`InjectedFaults::lose_answers`] does for writes of any kind; replaces the earlier row.
+    pub fn lose_answers_of(&self, key: impl Into<String>, count: u32) {
+        self.lock().lost_answers = Some((key.into(), count));
+    }
+
+    /// Returns the number of answers of [`Self::lose_answers_of`] that are still to be lost.
+    pub fn answers_to_lose(&self) -> u32 {
+        let lost_answers = &self.lock().lost_answers;
+        lost_answers.as_ref().map_or(0, |(_, count)| *count)
+    }
+
     /// Binds `address` and serves until the returned future is dropped.
     ///
     /// # Errors
@@ -179,9 +209,10 @@
             Verdict::Committed => state.counters.writes += transaction.writes.len() as u64,
             Verdict::Conflict(_) => state.counters.conflicts += 1,
         }
-        verdict
+        (!state.takes_answer(&transaction)).then_some(verdict)
     };
-    Ok(match service.write(write).await? {
+    let verdict = service.write(write).await?;
+    Ok(match verdict.ok_or(StatusCode::INTERNAL_SERVER_ERROR)? {
         Verdict::Committed => StatusCode::OK.into_response(),
         Verdict::Conflict(rows) => Json(rows).with_status(StatusCode::CONFLICT).into_response(),
     })
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -145,6 +145,19 @@
     assert_eq!(&*client.get("k").await.unwrap().unwrap().value, "1");
 }
 
+/// Guards against writes of other rows that use up the answers to be lost of one row.
+#[tokio::test]
+async fn answers_of_one_row_are_lost() {
+    let (stand_in, client) = stand_in().await;
+    stand_in.lose_answers_of("k", 1);
+    client.commit(&create("other", "1")).await.unwrap();
+    assert_eq!(stand_in.answers_to_lose(), 1);
+    let lost = client.commit(&create("k", "1")).await;
+    assert_eq!(lost, Err(Fault::Unanswered));
+    assert_eq!(stand_in.answers_to_lose(), 0);
+    assert_eq!(&*client.get("k").await.unwrap().unwrap().value, "1");
+}
+
 /// Guards against a write that takes effect during an injected outage.
 #[tokio::test]
 async fn outage_changes_nothing() {
