Measure the lead of marks with one prompt per sample of the demand

Cause: a fault of the test. A mark leads by the demand of one second, and the demand is sampled over a second or a little more. The bound of two prompts holds for one prompt in a sample; the test sent four back to back, and two or three of them fell into one sample.

Change: the test sends one prompt and waits until the demand has been measured, which the size of the grant shows; before, the mark could also be read before any sample and pass without a measured lead. The bound stays at two prompts.

--- a/crates/router/tests/tree_settings.rs
+++ b/crates/router/tests/tree_settings.rs
@@ -58,10 +58,13 @@
     let router = environment.router(1).await;
     let seconds = |seconds| Value::Seconds(seconds);
     apply(&router, "", Setting::Endurance, seconds(1)).await;
-    for _ in 0..4 {
-        complete_long(&router).await;
-    }
-    until(|| async { share(&environment).await.spent >= 400_000 }).await;
+    complete_long(&router).await;
+    // Grants of this size follow the measured demand, at most one prompt a second.
+    until(|| async {
+        let share = share(&environment).await;
+        share.spent >= 100_000 && share.allocated > PURCHASED / 8
+    })
+    .await;
     let short = share(&environment).await;
     // The tokens of one reservation, plus a lead of one second or of the smallest grant.
     let bound = 2 * PROMPT_BYTES as u64;
