Lose the answer of the operator's own write in the test of lost answers

Cause: a fault of the test. It lets the store lose the next answer of any write; a background write of the router that uses it lets the test pass without a lost answer. From reading; no run shows that it happened.

Change: the test loses one answer of each write's own receipt and checks that it was used. The bound of one lost answer and all checks stay.

--- a/crates/router/tests/operators.rs
+++ b/crates/router/tests/operators.rs
@@ -203,16 +203,22 @@
     fleet.configure().await;
     let operator = fleet.operator(0);
     let base = operator.version().await;
-    fleet.platform.inject(losing(1));
+    let lose_answer_of = |request: &str| {
+        let receipt = format!("{REQUEST_PREFIX}{request}");
+        fleet.platform.lose_answers_of(receipt, 1);
+    };
+    lose_answer_of("l1");
     let set = operator.make("l1", "/settings/value", priority(base, 2));
     assert_eq!(set.await["version"], base + 1);
-    fleet.platform.inject(losing(1));
+    assert_eq!(fleet.platform.answers_to_lose(), 0);
+    lose_answer_of("l2");
     let top_up = operator.make("l2", "/budgets/confetti/top-up", json!({"tokens": 9}));
     assert_eq!(top_up.await["purchased"], 9);
-    fleet.platform.inject(losing(1));
+    assert_eq!(fleet.platform.answers_to_lose(), 0);
+    lose_answer_of("l3");
     let withdraw = operator.make("l3", "/upstreams/d1/withdraw", json!({}));
     assert_eq!(withdraw.await["version"], base + 2);
-    fleet.platform.inject(InjectedFaults::default());
+    assert_eq!(fleet.platform.answers_to_lose(), 0);
     assert_eq!(operator.version().await, base + 2);
     assert_eq!(operator.purchased("confetti").await, 9);
 }
