Decide in one place whether an upstream may be sent a request

Whether an upstream had left, had used up its rate or was at its limit of connections was checked in several places, each with its own part of the reasons. A new reason could be forgotten on one path.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! messages to send, the transactions to commit or the decisions to carry out. The same code
 //! therefore runs in the router process and in deterministic tests.
 
+pub mod admission;
 pub mod bill;
 pub mod budget;
 pub mod claim;
