Send nothing to upstreams that leave or ask for a pause

An upstream said in its answers that it leaves, or turned requests away with a time for which it wants none, and went on getting first tries, retries and continued streams; only the store's list ended that, and the time was not read.

Both are read from every answer and kept for the process of the upstream. The host checks again right before a request is written, whatever it has waited for; a request that is held back keeps its retry and chooses again. When every fitting upstream pauses, the caller is refused at once, with the time until the first takes requests again.

--- a/crates/core/src/forward/retry.rs
+++ b/crates/core/src/forward/retry.rs
@@ -11,6 +11,9 @@
     /// No byte of the request reached an upstream.
     #[display("not sent")]
     Unsent,
+    /// Nothing was sent, since the upstream took no requests any more by the time it was to be.
+    #[display("held back")]
+    Barred,
     /// The upstream stated that it did not run the request.
     #[display("not run")]
     Refused,
@@ -25,7 +28,12 @@
 impl Outcome {
     /// Returns whether the attempt certainly did not run the request.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::Unsent | Self::Refused)
+        matches!(self, Self::Unsent | Self::Barred | Self::Refused)
+    }
+
+    /// Returns whether no byte of the request reached an upstream.
+    pub fn is_unsent(self) -> bool {
+        matches!(self, Self::Unsent | Self::Barred)
     }
 }
 
@@ -81,8 +89,9 @@
     if !attempt.is_repeatable() {
         return end;
     }
-    // While no attempt has reached an upstream, a retry adds no load and takes no allowance.
-    if attempt.sent == 0 || may_retry() {
+    // While no attempt has reached an upstream, a retry adds no load and takes no allowance. One that
+    // was held back has its allowance still.
+    if attempt.sent == 0 || attempt.outcome == Outcome::Barred || may_retry() {
         Decision::Retry
     } else {
         end
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,6 +1,9 @@
 //! Assignment of requests to upstreams, with this host's requests in flight and retries.
 
+mod notices;
 mod rates;
+#[cfg(test)]
+mod tests;
 
 use {
     crate::{
@@ -11,13 +14,14 @@
     },
     derive_more::Display,
     marigoldroute_core::{
+        admission::{Admission, Bar, Stage, Standing},
         forward::{Allowance, AllowanceSettings, Change, Service},
         id::{ServiceId, UpstreamId},
         route::{
             self, Adaptive, CacheUpdate, Candidate, Choice, Origin, Policy, Progress, Reason,
             Ticket,
         },
-        throttle::{Process, Rate, State, Throttle},
+        throttle::{Process, Rate, Throttle},
     },
     marigoldroute_process::logs::BELIEFS,
     rand::{SeedableRng, rngs::SmallRng},
@@ -65,20 +69,17 @@
     allowances: HashMap<ServiceId, Allowance>,
     upstreams: HashMap<UpstreamId, Upstream>,
     hosts: Option<usize>,
-    throttle: Throttle,
+    admission: Admission,
 }
 
 struct Upstream {
     service: ServiceId,
     address: SocketAddr,
     started_ms: u64,
-    in_flight: u32,
     /// Prompt tokens sent whose requests have neither a first event nor an end.
     pending: u32,
     /// Whether `pending` has changed since it was last reported to other hosts.
     has_unreported_change: bool,
-    /// Whether it was removed from the list or takes no new work.
-    has_left: bool,
 }
 
 impl Inner {
@@ -90,10 +91,26 @@
         }
     }
 
+    /// Returns the time after which a caller should return that none of these upstreams of a
+    /// service takes now; see [`Admission::schedule_return`].
+    fn schedule_return(
+        &mut self,
+        now: Duration,
+        service: &ServiceId,
+        mut is_considered: impl FnMut(&UpstreamId) -> bool,
+    ) -> Option<Duration> {
+        let of_service = self
+            .upstreams
+            .iter()
+            .filter(|(_, upstream)| upstream.service == *service);
+        let ids = of_service.map(|(id, _)| id);
+        let ids: Vec<_> = ids.filter(|id| is_considered(id)).collect();
+        self.admission.schedule_return(now, service, &ids)
+    }
+
     /// Removes an upstream that has left once this host has no request in flight there.
     fn remove_if_done(&mut self, id: &UpstreamId) {
-        let is_done = |upstream: &Upstream| upstream.has_left && upstream.in_flight == 0;
-        if self.upstreams.get(id).is_some_and(is_done) {
+        if self.admission.is_done(id) {
             self.upstreams.remove(id);
         }
     }
@@ -156,13 +173,15 @@
             .record_load(now, &self.upstream, &load);
     }
 
-    /// Records that the request is about to be sent; returns `false` when the upstream has left
-    /// since it was assigned.
+    /// Records that the request is about to be sent, with its permit if it needs one; returns
+    /// `false` when the upstream takes no requests any more since it was assigned.
     pub(crate) fn record_sent(&mut self, profile: &Profile) -> bool {
+        if self.bar().is_some() {
+            return false;
+        }
         let now = self.dispatcher.clock.now();
         let mut inner = lock(&self.dispatcher.inner);
-        let upstream = inner.upstreams.get_mut(&self.upstream);
-        let Some(upstream) = upstream.filter(|upstream| !upstream.has_left) else {
+        let Some(upstream) = inner.upstreams.get_mut(&self.upstream) else {
             return false;
         };
         self.sent_at = now;
@@ -187,24 +206,52 @@
             self.report(Progress::Cancelled);
         }
         let mut inner = lock(&self.dispatcher.inner);
-        if let Some(upstream) = inner.upstreams.get_mut(&self.upstream) {
-            upstream.in_flight = upstream.in_flight.saturating_sub(1);
-        }
+        inner.admission.end(&self.upstream);
         inner.remove_if_done(&self.upstream);
         drop(inner);
         self.dispatcher.capacity_freed.notify_waiters();
     }
 }
 
+/// What keeps the candidates that were not tried from being chosen.
+#[derive(Clone, Copy, Debug, Default)]
+struct Obstacles {
+    /// Whether one of them is expected to take a request within moments.
+    is_busy: bool,
+    /// When the first of the others may take one.
+    opens_at: Option<Duration>,
+}
+
+impl Obstacles {
+    fn with(mut self, bar: Bar) -> Self {
+        let opens_at = match bar {
+            Bar::Unlisted | Bar::Leaving => None,
+            Bar::Paused(until) | Bar::Spent(_, until) => Some(until),
+            Bar::Resuming(until) => {
+                self.is_busy = true;
+                Some(until)
+            }
+            Bar::Full => {
+                self.is_busy = true;
+                None
+            }
+        };
+        self.opens_at = match (self.opens_at, opens_at) {
+            (Some(one), Some(other)) => Some(one.min(other)),
+            (one, other) => one.or(other),
+        };
+        self
+    }
+}
+
 /// Why no upstream could be assigned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Unavailable {
-    /// Every candidate that was not tried is at this host's limit of requests in flight, or takes
-    /// no more requests at the rate that it states. Holds the time until the first of the latter
-    /// may take one.
+    /// Every candidate that was not tried takes no requests now, and at least one of them is
+    /// expected to within moments. Holds the time until the first of the others may take one.
     Busy(Option<Duration>),
-    /// Every candidate that was not tried takes no more requests at the rate that it states; holds
-    /// the time after which the caller should return.
+    /// Every candidate that was not tried has asked for a pause, or takes no more requests at the
+    /// rate that it states; holds the time after which the caller should return.
     Closed(Duration),
     /// No upstream is known that was not tried.
     NoCandidate,
@@ -220,12 +267,12 @@
     ) -> Self {
         let block_tokens = settings.block_tokens;
         let inner = Inner {
+            admission: Admission::new(origin.host.clone(), throttle),
             policy: Adaptive::new(origin, settings),
             random: SmallRng::from_os_rng(),
             allowances: HashMap::new(),
             upstreams: HashMap::new(),
             hosts: None,
-            throttle,
         };
         Self {
             clock,
@@ -249,17 +296,15 @@
         match change {
             Change::Left(id) => {
                 inner.policy.withdraw(&id);
-                inner.throttle.leave(now, &id);
-                if let Some(upstream) = inner.upstreams.get_mut(&id) {
-                    upstream.has_left = true;
-                }
+                inner.admission.leave(now, &id);
                 inner.remove_if_done(&id);
             }
             Change::Joined(id, entry) => {
-                inner.throttle.join(&Process {
+                let process = Process {
                     upstream: id.clone(),
                     started_ms: entry.started_ms,
-                });
+                };
+                inner.admission.join(now, &process);
                 let candidate = Candidate {
                     id: id.clone(),
                     serves: vec![entry.service.clone()],
@@ -267,7 +312,6 @@
                     zone: entry.zone,
                 };
                 let known = inner.upstreams.get(&id);
-                let in_flight = known.map_or(0, |known| known.in_flight);
                 let pending = known.map_or(0, |known| known.pending);
                 if known.is_some_and(|known| known.started_ms != entry.started_ms) {
                     let change = route::CacheChange::Cleared;
@@ -284,10 +328,8 @@
                     service: entry.service,
                     address: entry.address,
                     started_ms: entry.started_ms,
-                    in_flight,
                     pending,
                     has_unreported_change: pending > 0,
-                    has_left: false,
                 };
                 inner.upstreams.insert(id, upstream);
                 if let Err(full) = inner.policy.join(now, &candidate) {
@@ -370,25 +412,23 @@
             random,
             upstreams,
             hosts,
-            throttle,
+            admission,
             ..
         } = &mut *inner;
         let limit = in_flight_limit(service, hosts.unwrap_or(ASSUMED_HOSTS));
-        let is_busy = Cell::new(false);
-        let opens_at: Cell<Option<Duration>> = Cell::new(None);
+        let stage = Stage::Choose { limit };
+        let obstacles = Cell::new(Obstacles::default());
         let allows = |id: &UpstreamId| {
             if tried.contains(id) {
                 return false;
             }
-            if let State::Closed(_, until) = throttle.state(now, id) {
-                opens_at.set(Some(opens_at.get().map_or(until, |at| at.min(until))));
-                return false;
+            match admission.standing(now, id, stage) {
+                Standing::Open | Standing::Limited(_) => true,
+                Standing::Barred(bar) => {
+                    obstacles.set(obstacles.get().with(bar));
+                    false
+                }
             }
-            let has_capacity = upstreams
-                .get(id)
-                .is_some_and(|upstream| upstream.in_flight < limit);
-            is_busy.set(is_busy.get() || !has_capacity);
-            has_capacity
         };
         let request = route::Request {
             target: &service.name,
@@ -399,21 +439,16 @@
             priority: profile.priority,
             allows: &allows,
         };
-        let choice = policy.choose(now, random, &request);
-        let Some(choice) = choice else {
-            return Err(match (is_busy.get(), opens_at.get()) {
-                (true, opens_at) => Unavailable::Busy(opens_at.map(|at| at.saturating_sub(now))),
-                (false, Some(_)) => {
-                    let of_service = upstreams.iter().filter(|(id, upstream)| {
-                        upstream.service == service.name
-                            && !upstream.has_left
-                            && !tried.contains(id)
-                    });
-                    let ids = of_service.map(|(id, _)| id);
-                    Unavailable::Closed(throttle.schedule_return(now, &service.name, ids))
-                }
-                (false, None) => Unavailable::NoCandidate,
-            });
+        let Some(choice) = policy.choose(now, random, &request) else {
+            let obstacles = obstacles.get();
+            if obstacles.is_busy {
+                let opens_after = obstacles.opens_at.map(|at| at.saturating_sub(now));
+                return Err(Unavailable::Busy(opens_after));
+            }
+            let has_untried = obstacles.opens_at.is_some();
+            let returns_after =
+                inner.schedule_return(now, &service.name, |id| !has_untried || !tried.contains(id));
+            return Err(returns_after.map_or(Unavailable::NoCandidate, Unavailable::Closed));
         };
         let Choice {
             upstream: id,
@@ -422,35 +457,31 @@
             reason,
             ticket,
         } = choice;
-        let Some(upstream) = upstreams.get_mut(&id) else {
-            return Err(Unavailable::NoCandidate);
+        let rate = match admission.standing(now, &id, stage) {
+            Standing::Limited(rate) => Some(rate),
+            Standing::Open | Standing::Barred(_) => None,
         };
-        upstream.in_flight += 1;
-        let rate = match throttle.state(now, &id) {
-            State::Limited(rate) => Some(rate),
-            State::Free | State::Closed(..) => None,
+        let address = upstreams.get(&id).map(|upstream| upstream.address);
+        let process = admission.begin(now, &id);
+        let (Some(address), Some(process)) = (address, process) else {
+            return Err(Unavailable::NoCandidate);
         };
         let in_flight = InFlight {
             dispatcher: self.clone(),
-            process: Process {
-                upstream: id.clone(),
-                started_ms: upstream.started_ms,
-            },
+            process,
             upstream: id,
-            address: upstream.address,
+            address,
             rate,
             sent_at: now,
             ticket,
             pending: 0,
             has_ended: false,
         };
-        Ok((
-            in_flight,
-            Rationale {
-                known,
-                considered,
-                reason,
-            },
-        ))
+        let rationale = Rationale {
+            known,
+            considered,
+            reason,
+        };
+        Ok((in_flight, rationale))
     }
 }
--- a/crates/gateway/src/dispatch/rates.rs
+++ b/crates/gateway/src/dispatch/rates.rs
@@ -18,7 +18,7 @@
     pub(crate) fn record_statement(&self, statement: Statement, is_success: bool) {
         let now = self.dispatcher.clock.now();
         let mut inner = lock(&self.dispatcher.inner);
-        let throttle = &mut inner.throttle;
+        let throttle = inner.admission.throttle();
         let change = throttle.record(now, &self.process, self.sent_at, statement, is_success);
         drop(inner);
         self.dispatcher
@@ -32,8 +32,11 @@
     pub(crate) fn update_hosts(&self, hosts: Vec<WeightedHost>, confirmed_at: Option<Duration>) {
         let now = self.clock.now();
         let mut inner = lock(&self.inner);
-        inner.throttle.update_hosts(now, hosts, confirmed_at);
-        let has_unpublished = inner.throttle.has_unpublished();
+        inner
+            .admission
+            .throttle()
+            .update_hosts(now, hosts, confirmed_at);
+        let has_unpublished = inner.admission.throttle().has_unpublished();
         drop(inner);
         if has_unpublished {
             self.rates_changed.notify_one();
@@ -43,7 +46,10 @@
     /// Begins to acquire a permit for a request to an upstream that has stated a rate.
     pub(crate) fn acquire(&self, upstream: &UpstreamId) -> Step {
         let now = self.clock.now();
-        lock(&self.inner).throttle.acquire(now, upstream)
+        lock(&self.inner)
+            .admission
+            .throttle()
+            .acquire(now, upstream)
     }
 
     /// Applies the answer of a host that was asked for a permit; `None` when it did not answer.
@@ -56,10 +62,10 @@
         let now = self.clock.now();
         let mut inner = lock(&self.inner);
         let Some(acquired) = acquired else {
-            inner.throttle.record_silence(now, host);
+            inner.admission.throttle().record_silence(now, host);
             return;
         };
-        let change = inner.throttle.apply(now, upstream, acquired);
+        let change = inner.admission.throttle().apply(now, upstream, acquired);
         drop(inner);
         self.report_rate(upstream, change, &host);
     }
@@ -67,7 +73,7 @@
     /// Answers another host that asks for a permit.
     pub(crate) fn answer_acquire(&self, from: &str, acquire: &Acquire) -> Acquired {
         let now = self.clock.now();
-        let (acquired, change) = lock(&self.inner).throttle.answer(now, acquire);
+        let (acquired, change) = lock(&self.inner).admission.throttle().answer(now, acquire);
         self.report_rate(&acquire.stated.upstream.as_str().into(), change, from);
         acquired
     }
@@ -75,7 +81,7 @@
     /// Records what another host has learned about a rate.
     pub(crate) fn learn_rate(&self, from: &str, stated: &Stated) {
         let now = self.clock.now();
-        let change = lock(&self.inner).throttle.learn(now, stated);
+        let change = lock(&self.inner).admission.throttle().learn(now, stated);
         self.report_rate(&stated.upstream.as_str().into(), change, from);
     }
 
@@ -83,7 +89,7 @@
     /// [`Throttle::take_unpublished`](marigoldroute_core::throttle::Throttle::take_unpublished).
     pub(crate) fn take_unpublished(&self) -> (Vec<Stated>, Vec<(HostId, Stated)>) {
         let now = self.clock.now();
-        lock(&self.inner).throttle.take_unpublished(now)
+        lock(&self.inner).admission.throttle().take_unpublished(now)
     }
 
     /// Logs a change of a rate, and lets waiting requests and other hosts know.
--- /dev/null
+++ b/crates/gateway/src/dispatch/tests.rs
@@ -0,0 +1,133 @@
+//! Requests that were assigned before their upstream takes nothing new.
+
+use {
+    super::{Dispatcher, InFlight, Unavailable},
+    crate::{Clock, profile::Profile, protocol::ResponseHead},
+    marigoldroute_core::{
+        admission::Bar,
+        forward::{AllowanceSettings, Change, Registration, Service, State},
+        route::{self, Origin},
+        throttle::{Rate, Statement, Throttle},
+    },
+    poem::http::{HeaderMap, StatusCode},
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+fn service() -> Service {
+    Service {
+        name: "desk".into(),
+        connection_limit: 64,
+        engine: None,
+    }
+}
+
+/// Returns a dispatcher with one upstream.
+fn dispatcher() -> Arc<Dispatcher> {
+    let origin = Origin {
+        host: "h".into(),
+        region: "region".into(),
+        zone: "zone".into(),
+    };
+    let clock = Clock::new();
+    let dispatcher = Dispatcher::new(
+        clock,
+        origin,
+        route::Settings::default(),
+        AllowanceSettings::default(),
+        Throttle::new("h".into(), Duration::from_secs(1)),
+    );
+    let entry = Registration {
+        service: "desk".into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        region: "region".into(),
+        zone: "zone".into(),
+        slots: 8,
+        state: State::Ready,
+        started_ms: 1,
+    };
+    dispatcher.apply(clock.now(), Change::Joined("u".into(), entry));
+    Arc::new(dispatcher)
+}
+
+fn assign(dispatcher: &Arc<Dispatcher>) -> Result<InFlight, Unavailable> {
+    let assigned = dispatcher.assign(&service(), &Profile::default(), &[]);
+    assigned.map(|(in_flight, _)| in_flight)
+}
+
+/// Returns the head of a refusal that answers the request `r`.
+fn refusal() -> ResponseHead {
+    ResponseHead {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        headers: HeaderMap::new(),
+        id: Some("r".into()),
+        is_refused: true,
+        is_signed: false,
+        load: None,
+        rate: Statement::Unlimited,
+        is_leaving: false,
+        pause: None,
+        is_closing: false,
+        keep_alive: None,
+    }
+}
+
+/// Guards against a request that is sent although its upstream has said, while it waited for a
+/// permit or a connection, that it takes nothing new.
+#[test]
+fn assigned_requests_are_held_back() {
+    let paused = ResponseHead {
+        pause: Some(Duration::from_secs(9)),
+        ..refusal()
+    };
+    let leaving = ResponseHead {
+        is_leaving: true,
+        ..refusal()
+    };
+    for head in [paused, leaving] {
+        let dispatcher = dispatcher();
+        let answered = assign(&dispatcher).expect("an upstream");
+        let mut waiting = assign(&dispatcher).expect("an upstream");
+        let mut connecting = assign(&dispatcher).expect("an upstream");
+        assert!(connecting.record_sent(&Profile::default()));
+        answered.record_notice(&head, &"r".into());
+        assert!(!waiting.record_sent(&Profile::default()), "{head:?}");
+        let bar = connecting.bar();
+        assert!(
+            matches!(bar, Some(Bar::Paused(_) | Bar::Leaving)),
+            "{bar:?}"
+        );
+        let refused = assign(&dispatcher).err();
+        match head.pause {
+            Some(_) => assert!(
+                matches!(refused, Some(Unavailable::Closed(_))),
+                "{refused:?}"
+            ),
+            None => assert_eq!(refused, Some(Unavailable::NoCandidate)),
+        }
+    }
+}
+
+/// Guards against a request without a permit for an upstream that has stated a rate since it was
+/// assigned, and against one that is barred by the list but is sent after a wait.
+#[test]
+fn assigned_requests_need_what_was_learned_since() {
+    let dispatcher = dispatcher();
+    let answered = assign(&dispatcher).expect("an upstream");
+    let mut waiting = assign(&dispatcher).expect("an upstream");
+    let rate = Rate::new(1.0).map(Statement::Limited).expect("a rate");
+    answered.record_statement(rate, true);
+    assert!(
+        !waiting.record_sent(&Profile::default()),
+        "without a permit"
+    );
+    let with_permit = assign(&dispatcher).expect("an upstream");
+    assert!(with_permit.rate.is_some());
+    assert_eq!(with_permit.bar(), None);
+    let change = Change::Left("u".into());
+    dispatcher.apply(dispatcher.clock.now(), change);
+    assert_eq!(with_permit.bar(), Some(Bar::Unlisted));
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -80,6 +80,11 @@
         *request.method_mut() = request_head.method.clone();
         *request.uri_mut() = request_head.target.clone();
         *request.headers_mut() = protocol.upstream_headers(request_head, attempt);
+        // Whatever the request has waited for since it was assigned, nothing lies between this check
+        // and the first byte.
+        if let Some(bar) = in_flight.bar() {
+            return Err((in_flight, Failure::new(Outcome::Barred, bar.to_string())));
+        }
         let response = match connection.send(request).await {
             Ok(response) => response,
             Err(error) => return Err((in_flight, error.into())),
@@ -92,6 +97,7 @@
         // Another process at the address of the upstream answers that the request is not for it.
         if head.status != StatusCode::MISDIRECTED_REQUEST {
             in_flight.record_statement(head.rate, head.status.is_success());
+            in_flight.record_notice(&head, &request_head.id);
         }
         let pool = pool.clone();
         Ok(Self {
@@ -131,11 +137,12 @@
     /// Ends the exchange after a refusal. Its connection is kept if the rest of the response
     /// arrives within [`REFUSAL_READ_LIMIT`].
     pub(crate) async fn finish_refused(mut self) {
+        let after = self.head.pause.filter(|pause| !pause.is_zero());
         let rest = async {
             while self.read().await?.is_some() {}
             Ok::<_, Failure>(())
         };
-        let progress = Progress::Refused { after: None };
+        let progress = Progress::Refused { after };
         match tokio::time::timeout(REFUSAL_READ_LIMIT, rest).await {
             Ok(Ok(())) => self.finish(progress),
             Ok(Err(_)) | Err(_) => self.in_flight.report(progress),
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -120,6 +120,12 @@
     pub load: Option<Load>,
     /// What the response says about the rate of requests that the upstream takes.
     pub rate: Statement,
+    /// Whether the upstream states that it leaves: this process of it takes nothing new.
+    pub is_leaving: bool,
+    /// Time for which the upstream wants nothing from this host, when the response states one. It
+    /// counts only in a response with status 503. In `headers`, it stays for the caller that gets
+    /// this very response; no other response repeats it.
+    pub pause: Option<Duration>,
     /// Whether the upstream closes the connection after the response.
     pub is_closing: bool,
     /// Idle timeout of the connection, when stated.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -251,7 +251,7 @@
             let acquire_retry = || self.context.dispatcher.acquire_retry(&self.service.name);
             match retry::decide(&attempt, acquire_retry) {
                 Decision::Retry => {}
-                Decision::Refuse => return Answer::Error(Error::Refused),
+                Decision::Refuse => return Answer::Error(self.refused()),
                 Decision::Fail => return failure.unwrap_or(Answer::Error(Error::Failed)),
             }
         }
@@ -266,6 +266,13 @@
         })
     }
 
+    /// Returns the error when the upstreams have refused the request: the caller returns when one of
+    /// them takes requests again.
+    fn refused(&self) -> Error {
+        let returns_after = self.context.dispatcher.returns_after(&self.service.name);
+        returns_after.map_or(Error::Refused, Error::RateLimited)
+    }
+
     /// Returns the answer at the deadline. Once the request was sent, it may have run.
     fn timed_out(&self) -> Answer {
         let may_have_run = !self.is_unexecuted || self.sent > 0;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -79,10 +79,15 @@
                 Err((returned, error)) => {
                     in_flight = returned;
                     failure = error;
-                    if failure.outcome != Outcome::Unsent {
+                    if !failure.outcome.is_unsent() {
                         break;
                     }
                     self.sent -= 1;
+                    if failure.outcome == Outcome::Barred {
+                        self.forget_choice(in_flight);
+                        self.record_failure(&upstream, started, &failure);
+                        return Err(Interrupted::Failed(failure.outcome));
+                    }
                 }
             }
         }
@@ -91,6 +96,12 @@
         Err(Interrupted::Failed(failure.outcome))
     }
 
+    /// Gives up the last choice of an upstream, from which the request was held back.
+    pub(super) fn forget_choice(&mut self, mut in_flight: InFlight) {
+        in_flight.report(Progress::Cancelled);
+        self.tried.pop();
+    }
+
     /// Records that the upstream may run the request from now on.
     pub(super) fn record_send(&mut self, in_flight: &InFlight) {
         if in_flight.rate.is_some() {
--- a/crates/gateway/src/request/handover.rs
+++ b/crates/gateway/src/request/handover.rs
@@ -64,10 +64,15 @@
         let exchange = match self.start_exchange(in_flight, connection, last).await {
             Ok(exchange) => exchange,
             Err((in_flight, failure)) => {
-                if failure.outcome == Outcome::Unsent {
+                if failure.outcome.is_unsent() {
                     self.sent -= 1;
                 }
-                self.fail(in_flight, started, &failure);
+                if failure.outcome == Outcome::Barred {
+                    self.record_failure(&in_flight.upstream, started, &failure);
+                    self.forget_choice(in_flight);
+                } else {
+                    self.fail(in_flight, started, &failure);
+                }
                 return Err(failure);
             }
         };
--- a/crates/gateway/tests/harness/protocol.rs
+++ b/crates/gateway/tests/harness/protocol.rs
@@ -9,6 +9,7 @@
         HeaderMap, HeaderValue, Method, StatusCode, Uri,
         header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
     },
+    std::time::Duration,
 };
 
 /// A protocol whose headers start with `x-`; `x-defect` makes the parser panic.
@@ -29,6 +30,7 @@
         headers.remove(name);
     }
     headers.remove("x-key");
+    headers.remove("x-leaving");
     headers
 }
 
@@ -87,6 +89,10 @@
                     .map_or(Statement::Unreadable, Statement::Limited),
                 None => Statement::Unlimited,
             },
+            is_leaving: headers.contains_key("x-leaving"),
+            pause: text(headers, "x-pause")
+                .and_then(|pause| pause.parse().ok())
+                .map(Duration::from_secs_f64),
             is_closing: headers.contains_key(CONNECTION),
             keep_alive: None,
         }
