Count the notices of upstreams

`marigoldroute_gateway_notices_total` counts what began to hold and the first answers after pauses. Requests in flight are a module of their own.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,27 +1,22 @@
 //! Assignment of requests to upstreams, with this host's requests in flight and retries.
 
+mod in_flight;
 mod notices;
 mod rates;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use in_flight::InFlight;
+
 use {
-    crate::{
-        Clock,
-        profile::Profile,
-        protocol::{Load, RequestHead},
-        view::lock,
-    },
+    crate::{Clock, metrics::Metrics, profile::Profile, protocol::RequestHead, view::lock},
     derive_more::Display,
     marigoldroute_core::{
         admission::{Admission, Bar, Stage, Standing},
         forward::{Allowance, AllowanceSettings, Change, Service},
         id::{ServiceId, UpstreamId},
-        route::{
-            self, Adaptive, CacheUpdate, Candidate, Choice, Origin, Policy, Progress, Reason,
-            Ticket,
-        },
-        throttle::{Process, Rate, Throttle},
+        route::{self, Adaptive, CacheUpdate, Candidate, Choice, Origin, Policy, Reason},
+        throttle::{Process, Throttle},
     },
     marigoldroute_process::logs::BELIEFS,
     rand::{SeedableRng, rngs::SmallRng},
@@ -51,6 +46,7 @@
 /// Assigns requests to upstreams.
 pub(crate) struct Dispatcher {
     clock: Clock,
+    metrics: Arc<Metrics>,
     /// Tokens of a block of the prefix cache.
     block_tokens: u32,
     retries: AllowanceSettings,
@@ -125,94 +121,6 @@
     reason: Reason,
 }
 
-/// A request in flight at its assigned upstream; dropping it ends the request and lowers the count
-/// of requests in flight there.
-pub(crate) struct InFlight {
-    dispatcher: Arc<Dispatcher>,
-    pub(crate) upstream: UpstreamId,
-    pub(crate) address: SocketAddr,
-    /// Rate that the upstream had stated when it was assigned; the request then needs a permit.
-    pub(crate) rate: Option<Rate>,
-    process: Process,
-    /// When the request was sent; the time of its assignment before that.
-    sent_at: Duration,
-    ticket: Ticket,
-    /// Prompt tokens that count as pending until the first event.
-    pending: u32,
-    has_ended: bool,
-}
-
-impl InFlight {
-    /// Reports the progress of the request to the routing policy. Each report ends the pending
-    /// state of its prompt.
-    pub(crate) fn report(&mut self, progress: Progress<'_>) {
-        let is_end = !matches!(progress, Progress::Sent(_) | Progress::FirstToken);
-        let now = self.dispatcher.clock.now();
-        let mut inner = lock(&self.dispatcher.inner);
-        inner.policy.report(now, &mut self.ticket, progress);
-        inner.update_pending(&self.upstream, |pending| {
-            pending.saturating_sub(self.pending)
-        });
-        drop(inner);
-        self.has_ended |= is_end;
-        if std::mem::take(&mut self.pending) > 0 {
-            self.dispatcher.pending_changed.notify_one();
-        }
-    }
-
-    /// Passes the load that the upstream states to the routing policy.
-    pub(crate) fn update_load(&self, load: &Load) {
-        let load = route::Load {
-            running: load.running,
-            waiting: [load.waiting, 0, 0],
-            ..route::Load::default()
-        };
-        let now = self.dispatcher.clock.now();
-        lock(&self.dispatcher.inner)
-            .policy
-            .record_load(now, &self.upstream, &load);
-    }
-
-    /// Records that the request is about to be sent, with its permit if it needs one; returns
-    /// `false` when the upstream takes no requests any more since it was assigned.
-    pub(crate) fn record_sent(&mut self, profile: &Profile) -> bool {
-        if self.bar().is_some() {
-            return false;
-        }
-        let now = self.dispatcher.clock.now();
-        let mut inner = lock(&self.dispatcher.inner);
-        let Some(upstream) = inner.upstreams.get_mut(&self.upstream) else {
-            return false;
-        };
-        self.sent_at = now;
-        if profile.prompt > 0 {
-            self.pending = self.ticket.uncached_tokens();
-        }
-        upstream.pending = upstream.pending.saturating_add(self.pending);
-        upstream.has_unreported_change |= self.pending > 0;
-        let progress = Progress::Sent(&profile.prefixes);
-        inner.policy.report(now, &mut self.ticket, progress);
-        drop(inner);
-        if self.pending > 0 {
-            self.dispatcher.pending_changed.notify_one();
-        }
-        true
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        if !self.has_ended {
-            self.report(Progress::Cancelled);
-        }
-        let mut inner = lock(&self.dispatcher.inner);
-        inner.admission.end(&self.upstream);
-        inner.remove_if_done(&self.upstream);
-        drop(inner);
-        self.dispatcher.capacity_freed.notify_waiters();
-    }
-}
-
 /// What keeps the candidates that were not tried from being chosen.
 #[derive(Clone, Copy, Debug, Default)]
 struct Obstacles {
@@ -260,6 +168,7 @@
 impl Dispatcher {
     pub(crate) fn new(
         clock: Clock,
+        metrics: Arc<Metrics>,
         origin: Origin,
         settings: route::Settings,
         retries: AllowanceSettings,
@@ -276,6 +185,7 @@
         };
         Self {
             clock,
+            metrics,
             block_tokens,
             retries,
             inner: Mutex::new(inner),
--- /dev/null
+++ b/crates/gateway/src/dispatch/in_flight.rs
@@ -0,0 +1,100 @@
+//! Requests in flight.
+
+use {
+    super::Dispatcher,
+    crate::{profile::Profile, protocol::Load, view::lock},
+    marigoldroute_core::{
+        id::UpstreamId,
+        route::{self, Policy, Progress, Ticket},
+        throttle::{Process, Rate},
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// A request in flight at its assigned upstream; dropping it ends the request and lowers the count
+/// of requests in flight there.
+pub(crate) struct InFlight {
+    pub(super) dispatcher: Arc<Dispatcher>,
+    pub(crate) upstream: UpstreamId,
+    pub(crate) address: SocketAddr,
+    /// Rate that the upstream had stated when it was assigned; the request then needs a permit.
+    pub(crate) rate: Option<Rate>,
+    pub(super) process: Process,
+    /// When the request was sent; the time of its assignment before that.
+    pub(super) sent_at: Duration,
+    pub(super) ticket: Ticket,
+    /// Prompt tokens that count as pending until the first event.
+    pub(super) pending: u32,
+    pub(super) has_ended: bool,
+}
+
+impl InFlight {
+    /// Reports the progress of the request to the routing policy. Each report ends the pending
+    /// state of its prompt.
+    pub(crate) fn report(&mut self, progress: Progress<'_>) {
+        let is_end = !matches!(progress, Progress::Sent(_) | Progress::FirstToken);
+        let now = self.dispatcher.clock.now();
+        let mut inner = lock(&self.dispatcher.inner);
+        inner.policy.report(now, &mut self.ticket, progress);
+        inner.update_pending(&self.upstream, |pending| {
+            pending.saturating_sub(self.pending)
+        });
+        drop(inner);
+        self.has_ended |= is_end;
+        if std::mem::take(&mut self.pending) > 0 {
+            self.dispatcher.pending_changed.notify_one();
+        }
+    }
+
+    /// Passes the load that the upstream states to the routing policy.
+    pub(crate) fn update_load(&self, load: &Load) {
+        let load = route::Load {
+            running: load.running,
+            waiting: [load.waiting, 0, 0],
+            ..route::Load::default()
+        };
+        let now = self.dispatcher.clock.now();
+        lock(&self.dispatcher.inner)
+            .policy
+            .record_load(now, &self.upstream, &load);
+    }
+
+    /// Records that the request is about to be sent, with its permit if it needs one; returns
+    /// `false` when the upstream takes no requests any more since it was assigned.
+    pub(crate) fn record_sent(&mut self, profile: &Profile) -> bool {
+        if self.bar().is_some() {
+            return false;
+        }
+        let now = self.dispatcher.clock.now();
+        let mut inner = lock(&self.dispatcher.inner);
+        let Some(upstream) = inner.upstreams.get_mut(&self.upstream) else {
+            return false;
+        };
+        self.sent_at = now;
+        if profile.prompt > 0 {
+            self.pending = self.ticket.uncached_tokens();
+        }
+        upstream.pending = upstream.pending.saturating_add(self.pending);
+        upstream.has_unreported_change |= self.pending > 0;
+        let progress = Progress::Sent(&profile.prefixes);
+        inner.policy.report(now, &mut self.ticket, progress);
+        drop(inner);
+        if self.pending > 0 {
+            self.dispatcher.pending_changed.notify_one();
+        }
+        true
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.report(Progress::Cancelled);
+        }
+        let mut inner = lock(&self.dispatcher.inner);
+        inner.admission.end(&self.upstream);
+        inner.remove_if_done(&self.upstream);
+        drop(inner);
+        self.dispatcher.capacity_freed.notify_waiters();
+    }
+}
--- a/crates/gateway/src/dispatch/notices.rs
+++ b/crates/gateway/src/dispatch/notices.rs
@@ -40,20 +40,27 @@
             .admission
             .record(now, &self.process, self.sent_at, notice);
         drop(inner);
-        match change {
+        let notice = match change {
             Some(Change::Leaving) => {
                 log::info!(target: BELIEFS, upstream:% = self.upstream; "upstream leaves");
+                "leaving"
+            }
+            Some(Change::Paused(pause)) => {
+                log::info!(
+                    target: BELIEFS,
+                    upstream:% = self.upstream, ms = pause.as_millis() as u64;
+                    "upstream asks for a pause"
+                );
+                "paused"
             }
-            Some(Change::Paused(pause)) => log::info!(
-                target: BELIEFS,
-                upstream:% = self.upstream, ms = pause.as_millis() as u64;
-                "upstream asks for a pause"
-            ),
             Some(Change::Resumed) => {
                 log::info!(target: BELIEFS, upstream:% = self.upstream; "upstream resumes");
+                "resumed"
             }
             None => return,
-        }
+        };
+        let notices = &self.dispatcher.metrics.notices;
+        notices.with_label_values(&[notice]).inc();
         // Requests that wait look at the upstreams again.
         self.dispatcher.capacity_freed.notify_waiters();
     }
--- a/crates/gateway/src/dispatch/tests.rs
+++ b/crates/gateway/src/dispatch/tests.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Dispatcher, InFlight, Unavailable},
-    crate::{Clock, profile::Profile, protocol::ResponseHead},
+    crate::{Clock, metrics::Metrics, profile::Profile, protocol::ResponseHead},
     marigoldroute_core::{
         admission::Bar,
         forward::{AllowanceSettings, Change, Registration, Service, State},
@@ -35,6 +35,7 @@
     let clock = Clock::new();
     let dispatcher = Dispatcher::new(
         clock,
+        Arc::new(Metrics::new().expect("valid names")),
         origin,
         route::Settings::default(),
         AllowanceSettings::default(),
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -86,6 +86,7 @@
     let throttle = Throttle::new(settings.instance.clone(), settings.view_term());
     let dispatcher = Arc::new(Dispatcher::new(
         clock,
+        metrics.clone(),
         origin,
         settings.routing.clone(),
         settings.retries,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,8 @@
     pub(crate) limited: IntCounterVec,
     /// Permits for requests to upstreams that have stated a rate, by result.
     pub(crate) permits: IntCounterVec,
+    /// What upstreams said about later requests: `leaving`, `paused` or `resumed`.
+    pub(crate) notices: IntCounterVec,
     /// Calls to the store, by result.
     pub(crate) store_calls: IntCounterVec,
     /// Reservations of tokens, by the host that made them: `own`, `other` or `none`.
@@ -86,6 +88,11 @@
                 "Permits for requests to upstreams that have stated a rate, by result",
                 "result",
             )?,
+            notices: counter(
+                "marigoldroute_gateway_notices_total",
+                "Upstreams that began to leave, asked for a pause or resumed",
+                "notice",
+            )?,
             store_calls: counter(
                 "marigoldroute_gateway_store_calls_total",
                 "Calls to the store, by result",
