--- /dev/null
+++ b/crates/core/tests/admission/world.rs
@@ -0,0 +1,284 @@
+//! A host and its upstreams, which check what they get.
+
+use {
+    marigoldroute_core::{
+        admission::{Admission, Notice, Stage, Standing},
+        fleet::WeightedHost,
+        id::UpstreamId,
+        throttle::{Process, Rate, Statement, Step, Throttle},
+    },
+    proptest::{
+        collection::vec,
+        prelude::{Just, Strategy, any, prop_assert, prop_oneof},
+        test_runner::TestCaseError,
+    },
+    std::time::Duration,
+};
+
+/// Requests that the host may have in flight at an upstream.
+pub const LIMIT: u32 = 3;
+/// Time for which a view of the fleet holds.
+const TERM: Duration = Duration::from_secs(1);
+/// Upstreams of the property test.
+pub const UPSTREAMS: usize = 2;
+
+pub fn admission(host: &str) -> Admission {
+    Admission::new(host.into(), Throttle::new(host.into(), TERM))
+}
+
+pub fn process(id: &str, started_ms: u64) -> Process {
+    Process {
+        upstream: id.into(),
+        started_ms,
+    }
+}
+
+/// What happens next to the host.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Chooses an upstream for a request; a retry or a resumed stream has tried the other one.
+    Choose {
+        upstream: usize,
+    },
+    /// Sends a request that was chosen some time ago, or gives it up.
+    Send {
+        index: usize,
+        is_given_up: bool,
+    },
+    /// An answer to a request that was sent.
+    Answer {
+        index: usize,
+        notice: Notice,
+        rate: Option<Option<f64>>,
+    },
+    Join {
+        upstream: usize,
+        is_restart: bool,
+    },
+    Leave {
+        upstream: usize,
+    },
+    Wait {
+        ms: u64,
+    },
+}
+
+pub fn actions() -> impl Strategy<Value = Vec<Action>> {
+    let upstream = || 0..UPSTREAMS;
+    let asked = prop_oneof![
+        Just(Duration::ZERO),
+        (1..5_000_u64).prop_map(Duration::from_millis),
+        Just(Duration::MAX),
+    ];
+    let asked = prop_oneof![6 => Just(None), 1 => asked.prop_map(Some)];
+    let notice = (prop_oneof![12 => Just(false), 1 => Just(true)], asked)
+        .prop_map(|(is_leaving, pause)| Notice { is_leaving, pause });
+    let rate = prop_oneof![
+        8 => Just(None),
+        1 => (0.0..20.0).prop_map(|rate| Some(Some(rate))),
+        1 => Just(Some(None)),
+    ];
+    let action = prop_oneof![
+        8 => upstream().prop_map(|upstream| Action::Choose { upstream }),
+        8 => (any::<usize>(), prop_oneof![9 => Just(false), 1 => Just(true)])
+            .prop_map(|(index, is_given_up)| Action::Send { index, is_given_up }),
+        6 => (any::<usize>(), notice, rate)
+            .prop_map(|(index, notice, rate)| Action::Answer { index, notice, rate }),
+        2 => (upstream(), any::<bool>())
+            .prop_map(|(upstream, is_restart)| Action::Join { upstream, is_restart }),
+        1 => upstream().prop_map(|upstream| Action::Leave { upstream }),
+        6 => (0..1_500_u64).prop_map(|ms| Action::Wait { ms }),
+    ];
+    vec(action, 1..150)
+}
+
+/// An upstream with what it has said to the host, as itself knows it.
+#[derive(Clone, Debug, Default)]
+struct Peer {
+    started_ms: u64,
+    is_listed: bool,
+    has_left: bool,
+    /// Until when it wants nothing.
+    until: Duration,
+    /// The rate that it stated last, and the requests that it got since then.
+    rate: Option<(f64, Duration, u32)>,
+    in_flight: u32,
+}
+
+/// A request of the host.
+#[derive(Clone, Debug)]
+struct Request {
+    upstream: usize,
+    process: Process,
+    has_permit: bool,
+    sent_at: Option<Duration>,
+}
+
+pub struct World {
+    now: Duration,
+    host: Admission,
+    peers: Vec<Peer>,
+    requests: Vec<Request>,
+}
+
+impl World {
+    pub fn new() -> Self {
+        let mut host = admission("h");
+        let own = WeightedHost {
+            host: "h".into(),
+            weight: 1,
+        };
+        host.throttle()
+            .update_hosts(Duration::ZERO, vec![own], Some(Duration::ZERO));
+        Self {
+            now: TERM * 3,
+            host,
+            peers: vec![Peer::default(); UPSTREAMS],
+            requests: Vec::new(),
+        }
+    }
+
+    fn id(upstream: usize) -> UpstreamId {
+        format!("u{upstream}").into()
+    }
+
+    fn choose(&mut self, upstream: usize) -> Result<(), TestCaseError> {
+        let id = Self::id(upstream);
+        let standing = self
+            .host
+            .standing(self.now, &id, Stage::Choose { limit: LIMIT });
+        let has_permit = match standing {
+            Standing::Barred(_) => return Ok(()),
+            Standing::Open => false,
+            Standing::Limited(_) => match self.host.throttle().acquire(self.now, &id) {
+                Step::Send => true,
+                Step::Closed | Step::Ask(..) => return Ok(()),
+            },
+        };
+        let peer = &mut self.peers[upstream];
+        prop_assert!(peer.in_flight < LIMIT, "over the limit of connections");
+        peer.in_flight += 1;
+        let process = self.host.begin(self.now, &id).expect("it was chosen");
+        self.requests.push(Request {
+            upstream,
+            process,
+            has_permit,
+            sent_at: None,
+        });
+        Ok(())
+    }
+
+    /// Sends a request unless it is barred; checks each rule at the upstream.
+    fn send(&mut self, index: usize, is_given_up: bool) -> Result<(), TestCaseError> {
+        let waiting = self.requests.iter().enumerate();
+        let waiting: Vec<_> = waiting
+            .filter(|(_, request)| request.sent_at.is_none())
+            .collect();
+        if waiting.is_empty() {
+            return Ok(());
+        }
+        let index = waiting[index % waiting.len()].0;
+        let request = &mut self.requests[index];
+        let stage = Stage::Send {
+            has_permit: request.has_permit,
+        };
+        let standing = self
+            .host
+            .standing(self.now, &request.process.upstream, stage);
+        let peer = &mut self.peers[request.upstream];
+        if is_given_up || matches!(standing, Standing::Barred(_)) {
+            peer.in_flight -= 1;
+            self.host.end(&request.process.upstream);
+            self.requests.remove(index);
+            return Ok(());
+        }
+        request.sent_at = Some(self.now);
+        prop_assert!(peer.is_listed, "sent to an upstream that is not listed");
+        prop_assert!(!peer.has_left, "sent to an upstream that leaves");
+        prop_assert!(peer.until <= self.now, "sent in a pause");
+        if let Some((_, _, count)) = &mut peer.rate {
+            prop_assert!(request.has_permit, "sent without a permit");
+            *count += 1;
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, index: usize, notice: Notice, rate: Option<Option<f64>>) {
+        let sent = self.requests.iter().enumerate();
+        let sent: Vec<_> = sent
+            .filter(|(_, request)| request.sent_at.is_some())
+            .collect();
+        if sent.is_empty() {
+            return;
+        }
+        let index = sent[index % sent.len()].0;
+        let request = self.requests.remove(index);
+        let peer = &mut self.peers[request.upstream];
+        peer.in_flight -= 1;
+        let sent_at = request.sent_at.expect("it was sent");
+        self.host
+            .record(self.now, &request.process, sent_at, notice);
+        let is_current = peer.started_ms == request.process.started_ms;
+        if let Some(stated) = rate.filter(|_| is_current) {
+            let rate = stated.and_then(Rate::new);
+            let statement = rate.map_or(Statement::Unlimited, Statement::Limited);
+            let changed =
+                self.host
+                    .throttle()
+                    .record(self.now, &request.process, self.now, statement, true);
+            if changed.is_some() {
+                peer.rate = stated.map(|rate| (rate, self.now, 0));
+            }
+        }
+        if is_current {
+            peer.has_left |= notice.is_leaving;
+            let cap = Duration::from_secs(600);
+            let until = self.now + notice.pause.unwrap_or_default().min(cap);
+            peer.until = peer.until.max(until);
+        }
+        self.host.end(&request.process.upstream);
+    }
+
+    pub fn apply(&mut self, action: Action) -> Result<(), TestCaseError> {
+        match action {
+            Action::Choose { upstream } => self.choose(upstream)?,
+            Action::Send { index, is_given_up } => self.send(index, is_given_up)?,
+            Action::Answer {
+                index,
+                notice,
+                rate,
+            } => self.answer(index, notice, rate),
+            Action::Join {
+                upstream,
+                is_restart,
+            } => {
+                let peer = &mut self.peers[upstream];
+                if is_restart {
+                    let started_ms = peer.started_ms + 1;
+                    *peer = Peer {
+                        started_ms,
+                        in_flight: peer.in_flight,
+                        ..Peer::default()
+                    };
+                }
+                peer.is_listed = true;
+                let process = process(&Self::id(upstream), peer.started_ms);
+                self.host.join(self.now, &process);
+            }
+            Action::Leave { upstream } => {
+                self.peers[upstream].is_listed = false;
+                self.host.leave(self.now, &Self::id(upstream));
+            }
+            Action::Wait { ms } => self.now += Duration::from_millis(ms),
+        }
+        for peer in &self.peers {
+            if let Some((rate, since, count)) = peer.rate {
+                let time = (self.now - since).as_secs_f64();
+                // Permits that were acquired and not used yet, and a burst.
+                let most = rate.max(1.0 / 30.0) * (time + 0.3) + f64::from(LIMIT) + 1.0;
+                prop_assert!(f64::from(count) <= most, "{count} at {rate} in {time} s");
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -276,7 +276,7 @@
             let acquire_retry = || self.context.dispatcher.acquire_retry(&self.service.name);
             match retry::decide(&attempt, acquire_retry) {
                 Decision::Retry => {}
-                Decision::Refuse => return Answer::Error(Error::Refused),
+                Decision::Refuse => return Answer::Error(self.refused()),
                 Decision::Fail => return failure.unwrap_or(Answer::Error(Error::Failed)),
             }
         }
@@ -292,6 +292,13 @@
         })
     }
 
+    /// Returns the error when the upstreams have refused the request: the caller returns when one of
+    /// them takes requests again.
+    fn refused(&self) -> Error {
+        let returns_after = self.context.dispatcher.returns_after(&self.service.name);
+        returns_after.map_or(Error::Refused, Error::RateLimited)
+    }
+
     /// Counts a request that may not be sent, or not any longer, because of a part of its prompt,
     /// and returns its error.
     pub(crate) fn record_quarantined(&self, rest: Duration) -> Error {
--- a/crates/gateway/src/request/handover.rs
+++ b/crates/gateway/src/request/handover.rs
@@ -93,9 +93,12 @@
                     failure
                 }
             };
-            let is_unsent = failure.outcome == Outcome::Unsent;
-            self.sent -= u32::from(is_unsent);
-            if !is_unsent || tries_left == 0 {
+            self.sent -= u32::from(failure.outcome.is_unsent());
+            if failure.outcome == Outcome::Barred {
+                self.forget_choice(in_flight);
+                return Err(failure);
+            }
+            if failure.outcome != Outcome::Unsent || tries_left == 0 {
                 in_flight.report(Progress::Failed);
                 return Err(failure);
             }
--- a/crates/gateway/tests/harness/protocol.rs
+++ b/crates/gateway/tests/harness/protocol.rs
@@ -42,6 +42,7 @@
         headers.remove(name);
     }
     headers.remove("x-key");
+    headers.remove("x-leaving");
     headers
 }
 
@@ -108,6 +109,10 @@
                     .map_or(Statement::Unreadable, Statement::Limited),
                 None => Statement::Unlimited,
             },
+            is_leaving: headers.contains_key("x-leaving"),
+            pause: text(headers, "x-pause")
+                .and_then(|pause| pause.parse().ok())
+                .map(Duration::from_secs_f64),
             is_closing: headers.contains_key(CONNECTION),
             keep_alive: text(headers, "x-keep-alive")
                 .and_then(|seconds| seconds.parse().ok())
