Blame only what explains the ends of upstreams

Cause: a workspace's part that was in several prompts which crashed, right after a start when no answer was known, was quarantined beside the deadly part, and nothing that would have cleared it was sent (145 healthy requests refused in one of 500 simulated fleets).

Change: parts that were accused together each time keep only prompts with all of them from upstreams, in place of parts with the same last end. A prompt with a quarantined part accuses no other part, and the ends that a part explains alone no longer count against others.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -45,6 +45,8 @@
 /// Parts of one request, and of one message, that are looked at.
 const PART_LIMIT: usize = 64;
 
+/// Parts of a prompt that are remembered as accused together with another one.
+const COMPANION_LIMIT: usize = 6;
 /// Largest number of other hosts that all count the accusations of every part.
 const SMALL_FLEET_LIMIT: usize = 16;
 /// Hosts that count the accusations of a part in a larger fleet; several, as hosts end and views of
@@ -52,11 +54,13 @@
 const JUDGE_COUNT: usize = 8;
 
 /// The end of a process of an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 struct Crash {
     /// Hash of the upstream and the start of its process.
     process: u64,
     at: Duration,
+    /// Parts of the same prompt that were accused with it.
+    companions: Vec<PartId>,
 }
 
 /// An accused part.
@@ -69,6 +73,16 @@
 }
 
 impl Suspect {
+    /// Returns the parts that were accused with it each time.
+    fn common(&self) -> Vec<PartId> {
+        let Some((first, others)) = self.crashes.split_first() else {
+            return Vec::new();
+        };
+        let mut common = first.companions.clone();
+        common.retain(|part| others.iter().all(|other| other.companions.contains(part)));
+        common
+    }
+
     /// Adds an end; returns whether it is another one than those that are known.
     fn add(&mut self, now: Duration, crash: Crash) -> bool {
         self.crashes
@@ -92,8 +106,9 @@
 struct Ward {
     until: Duration,
     suspect: Suspect,
-    /// Process of the last end at which it was accused, if known.
-    last_end: Option<u64>,
+    /// Parts that were accused with it each time. Any of them may be the deadly one, so only
+    /// prompts with all of them are kept from upstreams.
+    common: Vec<PartId>,
 }
 
 impl Ward {
@@ -177,20 +192,12 @@
 impl Quarantine {
     /// Returns for how long no request with these parts may be sent; `None` when it may.
     ///
-    /// Parts with the same last end were in one prompt, and any of them may be the deadly one. A
-    /// prompt with some of them and not all is sent: an answer clears those that it has, and an end
-    /// convicts them.
+    /// Of parts that were always accused together, any may be the deadly one. A prompt with some of
+    /// them and not all is sent: an answer clears those that it has, and an end convicts them.
     pub fn check(&self, now: Duration, parts: &[PartId]) -> Option<Duration> {
         let wards = parts.iter().filter_map(|part| self.wards.get(*part));
         let blocking = wards.filter(|ward| {
-            let mut others = self.wards.iter();
-            let is_absent = |(part, other): (PartId, &Ward)| {
-                other.is_active(now)
-                    && ward.last_end.is_some()
-                    && ward.last_end == other.last_end
-                    && !parts.contains(&part)
-            };
-            ward.is_active(now) && !others.any(is_absent)
+            ward.is_active(now) && ward.common.iter().all(|other| parts.contains(other))
         });
         blocking.map(|ward| ward.until.saturating_sub(now)).max()
     }
@@ -216,12 +223,21 @@
     /// Records that a process of an upstream ended after it had begun to answer a request with
     /// these parts, and before the first event.
     pub fn record_crash(&mut self, now: Duration, process: u64, parts: &[PartId]) -> Vec<Change> {
-        let crash = Crash { process, at: now };
+        let mut accused = parts.to_vec();
+        accused.retain(|part| !self.is_sound(*part, now));
+        if self.check(now, parts).is_some() {
+            // What is quarantined explains the end.
+            accused.retain(|part| self.wards.get(*part).is_some());
+        }
+        let surplus = accused.len().saturating_sub(COMPANION_LIMIT + 1);
         let mut changes = Vec::new();
-        for part in parts.iter().take(PART_LIMIT) {
-            if self.is_sound(*part, now) {
-                continue;
-            }
+        for part in accused.iter().take(PART_LIMIT) {
+            let others = accused[surplus..].iter().filter(|other| *other != part);
+            let crash = Crash {
+                process,
+                at: now,
+                companions: others.take(COMPANION_LIMIT).copied().collect(),
+            };
             let change = self.accuse(now, *part, crash);
             changes.extend(change.map(|change| Change {
                 audience: change.audience.or(Some(Audience::Judges)),
@@ -243,14 +259,15 @@
             let accusations = suspect.crashes.iter().map(|crash| Accusation {
                 process: crash.process,
                 age_ms: now.saturating_sub(crash.at).as_millis() as u64,
+                companions: crash.companions.clone(),
             });
-            let last_end = ward.and_then(|ward| ward.last_end);
+            let common = ward.map_or_else(Vec::new, |ward| ward.common.clone());
             let rest = ward.map_or(Duration::ZERO, |ward| ward.until.saturating_sub(now));
             Some(Message {
                 part: *part,
                 accusations: accusations.collect(),
                 quarantined_ms: rest.as_millis() as u64,
-                last_end,
+                common,
             })
         };
         parts.iter().filter_map(message).collect()
@@ -283,6 +300,7 @@
         let crashes = crashes.map(|accusation| Crash {
             process: accusation.process,
             at: now.saturating_sub(Duration::from_millis(accusation.age_ms)),
+            companions: bounded(&accusation.companions),
         });
         let mut is_contradicted = false;
         let mut last_change = None;
@@ -300,7 +318,7 @@
                 ..change
             };
             last_change = self
-                .restore(now, part, rest, suspect.last_end)
+                .restore(now, part, rest, &suspect.common)
                 .or(last_change.map(untold));
         }
         if is_contradicted {
@@ -310,26 +328,32 @@
     }
 
     /// Records that another host, or an earlier process, has quarantined a part that stays so for
-    /// `rest`, with the process of the last end if known; ignored when the part has been answered since.
+    /// `rest`, and was always accused with `common`; ignored when the part has been answered since.
     pub fn restore(
         &mut self,
         now: Duration,
         part: PartId,
         rest: Duration,
-        last_end: Option<u64>,
+        common: &[PartId],
     ) -> Option<Change> {
         let until = now + rest.min(TERM);
         let is_answered = self.is_sound(part, until.saturating_sub(TERM));
-        let known = self.wards.get(part);
-        if rest.is_zero() || is_answered || known.is_some_and(|ward| ward.is_active(now)) {
+        if rest.is_zero() || is_answered {
+            return None;
+        }
+        let known = self.wards.get_mut(part);
+        if let Some(ward) = known.filter(|ward| ward.is_active(now)) {
+            ward.common.retain(|other| common.contains(other));
             return None;
         }
         let suspect = self.suspects.remove(part).unwrap_or_default();
         let crashes = suspect.crashes.len();
+        let mut common = bounded(common);
+        common.retain(|other| !self.is_sound(*other, now));
         let ward = Ward {
             until,
             suspect,
-            last_end,
+            common,
         };
         self.wards.insert(part, ward);
         Some(Change {
@@ -339,12 +363,12 @@
         })
     }
 
-    /// Returns the quarantined parts with the rest of their quarantine and the process of their last
-    /// end.
-    pub fn quarantined(&self, now: Duration) -> Vec<(PartId, Duration, Option<u64>)> {
+    /// Returns the quarantined parts with the rest of their quarantine and the parts that were always
+    /// accused with them.
+    pub fn quarantined(&self, now: Duration) -> Vec<(PartId, Duration, Vec<PartId>)> {
         let active = self.wards.iter().filter(|(_, ward)| ward.is_active(now));
         let mut list: Vec<_> = active
-            .map(|(part, ward)| (part, ward.until.saturating_sub(now), ward.last_end))
+            .map(|(part, ward)| (part, ward.until.saturating_sub(now), ward.common.clone()))
             .collect();
         list.sort_unstable();
         list
@@ -368,19 +392,39 @@
         let ward = self.wards.remove(part);
         let ward = ward.map(|ward| (ward.suspect, Audience::All));
         let suspect = self.suspects.remove(part);
+        if ward.is_some() || suspect.is_some() {
+            // It no longer explains the ends at which others were accused with it.
+            self.wards
+                .for_each(|ward| ward.common.retain(|other| *other != part));
+        }
         ward.or(suspect.map(|suspect| (suspect, Audience::Judges)))
     }
 
+    /// Drops accusations of other parts at ends which a quarantined part alone explains.
+    fn explain_by(&mut self, ward: &Ward) {
+        if ward.common.is_empty() {
+            let ends = &ward.suspect.crashes;
+            let is_explained = |crash: &Crash| ends.iter().any(|end| end.process == crash.process);
+            self.suspects
+                .for_each(|suspect| suspect.crashes.retain(|crash| !is_explained(crash)));
+        }
+    }
+
     fn accuse(&mut self, now: Duration, part: PartId, crash: Crash) -> Option<Change> {
         if let Some(ward) = self.wards.get_mut(part) {
-            let is_new = ward.suspect.add(now, crash) && crash.at > ward.started_at();
-            if !is_new {
+            let companions = crash.companions.clone();
+            let at = crash.at;
+            if !ward.suspect.add(now, crash) || at <= ward.started_at() {
+                return None;
+            }
+            let known = ward.common.len();
+            ward.common.retain(|other| companions.contains(other));
+            if ward.is_active(now) && ward.common.len() == known {
                 return None;
             }
-            ward.last_end = ward.suspect.crashes.last().map(|crash| crash.process);
             if !ward.is_active(now) {
                 // One more end is enough after a quarantine.
-                ward.until = crash.at + TERM;
+                ward.until = at + TERM;
             }
             return Some(Change {
                 part,
@@ -405,9 +449,10 @@
         suspect.is_published = true;
         let ward = Ward {
             until: now + TERM,
-            last_end: suspect.crashes.last().map(|crash| crash.process),
+            common: suspect.common(),
             suspect,
         };
+        self.explain_by(&ward);
         self.wards.insert(part, ward);
         Some(Change {
             part,
@@ -416,3 +461,8 @@
         })
     }
 }
+
+/// Returns the parts of a message or a row that are looked at.
+fn bounded(parts: &[PartId]) -> Vec<PartId> {
+    parts.iter().take(COMPANION_LIMIT).copied().collect()
+}
--- a/crates/core/src/quarantine/recent.rs
+++ b/crates/core/src/quarantine/recent.rs
@@ -42,6 +42,12 @@
         self.entries.iter().map(|(key, (_, value))| (*key, value))
     }
 
+    pub(super) fn for_each(&mut self, mut change: impl FnMut(&mut V)) {
+        self.entries
+            .values_mut()
+            .for_each(|(_, value)| change(value));
+    }
+
     /// Inserts or replaces an entry, which becomes the newest one.
     pub(super) fn insert(&mut self, key: u64, value: V) {
         self.inserted += 1;
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -295,9 +295,9 @@
     /// Time until the end of its quarantine, in milliseconds; 0 when it is only suspected.
     #[prost(uint64, tag = "3")]
     pub quarantined_ms: u64,
-    /// Process of the last end of a quarantined part; parts with the same one were in one prompt.
-    #[prost(fixed64, optional, tag = "4")]
-    pub last_end: Option<u64>,
+    /// Parts that were accused together with a quarantined part each time.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub common: Vec<u64>,
 }
 
 /// The end of a process of an upstream.
@@ -309,6 +309,9 @@
     /// Time since the end, in milliseconds.
     #[prost(uint64, tag = "2")]
     pub age_ms: u64,
+    /// Parts of the same prompt that were accused with it.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub companions: Vec<u64>,
 }
 
 /// Asks a host how many of its requests run on upstreams that get no new work of that kind.
--- a/crates/core/tests/quarantine/messages.rs
+++ b/crates/core/tests/quarantine/messages.rs
@@ -63,7 +63,7 @@
     quarantine.record_success(now, &[PART]);
     assert_eq!(quarantine.check(now, &[PART]), None);
     // The row of another host still has it.
-    quarantine.restore(now + SECOND, PART, TERM - SECOND, None);
+    quarantine.restore(now + SECOND, PART, TERM - SECOND, &[]);
     assert_eq!(quarantine.check(now + SECOND, &[PART]), None);
 }
 
@@ -103,14 +103,15 @@
     let now = SECOND * 5;
     let extreme = |part| Suspect {
         part,
-        accusations: (0..1_000)
+        accusations: (0..20)
             .map(|process| Accusation {
                 process,
                 age_ms: u64::MAX - process,
+                companions: vec![part; 100],
             })
             .collect(),
         quarantined_ms: u64::MAX,
-        last_end: Some(part),
+        common: vec![part; 100],
     };
     for first in 0..100 {
         quarantine.learn(now, &message((first * 100..).map(extreme).take(100)));
@@ -130,12 +131,13 @@
     let accusations = (1..4).map(|process| Accusation {
         process,
         age_ms: process * 200,
+        companions: Vec::new(),
     });
     let suspect = Suspect {
         part: PART,
         accusations: accusations.collect(),
         quarantined_ms: 1_000,
-        last_end: None,
+        common: Vec::new(),
     };
     let learned = quarantine.learn(now + SECOND, &message([suspect].into_iter()));
     assert_eq!(learned.contradicted, [PART]);
--- a/crates/core/tests/quarantine/world.rs
+++ b/crates/core/tests/quarantine/world.rs
@@ -34,7 +34,7 @@
     /// Notices with how often they still have to be sent, and when next.
     outbox: BTreeMap<PartId, (Change, u32, Duration)>,
     /// Quarantined parts in the host's row, with their ends.
-    row: Vec<(PartId, Duration, Option<u64>)>,
+    row: Vec<(PartId, Duration, Vec<PartId>)>,
 }
 
 #[derive(Clone)]
@@ -139,8 +139,8 @@
     /// Replaces a host by a new process, which reads the rows of all hosts.
     fn restart(&mut self, host: usize) {
         let mut quarantine = Quarantine::default();
-        for (part, until, end) in self.hosts.iter().flat_map(|host| &host.row) {
-            quarantine.restore(self.now, *part, until.saturating_sub(self.now), *end);
+        for (part, until, common) in self.hosts.iter().flat_map(|host| &host.row) {
+            quarantine.restore(self.now, *part, until.saturating_sub(self.now), common);
         }
         self.hosts[host].quarantine = quarantine;
         self.hosts[host].outbox.clear();
@@ -357,7 +357,7 @@
         for host in &mut self.hosts {
             let parts = host.quarantine.quarantined(now).into_iter();
             host.row = parts
-                .map(|(part, rest, end)| (part, now + rest, end))
+                .map(|(part, rest, common)| (part, now + rest, common))
                 .collect();
         }
         let rows: Vec<_> = self
@@ -365,11 +365,13 @@
             .iter()
             .flat_map(|host| host.row.clone())
             .collect();
-        for (host, (part, until, end)) in
+        for (host, (part, until, common)) in
             (0..self.hosts.len()).flat_map(|host| rows.iter().map(move |row| (host, row)))
         {
             let rest = until.saturating_sub(now);
-            self.hosts[host].quarantine.restore(now, *part, rest, *end);
+            self.hosts[host]
+                .quarantine
+                .restore(now, *part, rest, common);
         }
     }
 }
--- a/crates/gateway/src/peers/parts.rs
+++ b/crates/gateway/src/peers/parts.rs
@@ -11,7 +11,7 @@
 };
 
 /// Limit of parts of prompts in a datagram.
-const DATAGRAM_PARTS: usize = 10;
+const DATAGRAM_PARTS: usize = 4;
 /// Pause between two sendings of the same notice about a part of prompts.
 const NOTICE_PAUSE: Duration = Duration::from_millis(60);
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -43,10 +43,9 @@
     pub(crate) part: String,
     /// End of the quarantine, in milliseconds since 1970.
     pub(crate) until_ms: u64,
-    /// Process of the last end of an upstream at which it was accused, in hexadecimal; empty when
-    /// it is not known.
+    /// Parts that were always accused with it, in hexadecimal.
     #[serde(default)]
-    pub(crate) last_end: String,
+    pub(crate) common: Vec<String>,
 }
 
 /// What has to be sent about a part.
@@ -245,10 +244,10 @@
         let now_ms = unix_ms();
         let rows = quarantined
             .into_iter()
-            .map(|(part, rest, last_end)| Quarantined {
+            .map(|(part, rest, common)| Quarantined {
                 part: format!("{part:016x}"),
                 until_ms: now_ms.saturating_add(rest.as_millis() as u64),
-                last_end: last_end.map_or_else(String::new, |end| format!("{end:016x}")),
+                common: common.iter().map(|part| format!("{part:016x}")).collect(),
             });
         rows.collect()
     }
@@ -260,8 +259,9 @@
         let known = rows.iter().take(QUARANTINE_LIMIT).filter_map(|row| {
             let part = u64::from_str_radix(&row.part, 16).ok()?;
             let rest = Duration::from_millis(row.until_ms.saturating_sub(now_ms));
-            let last_end = u64::from_str_radix(&row.last_end, 16).ok();
-            inner.restore(now, part, rest, last_end)
+            let common = row.common.iter();
+            let common = common.filter_map(|part| u64::from_str_radix(part, 16).ok());
+            inner.restore(now, part, rest, &common.collect::<Vec<_>>())
         });
         let changes: Vec<_> = known.collect();
         drop(inner);
