--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
 //! host.
 
 mod recent;
+mod suspect;
 
 use {
     crate::{
@@ -15,6 +16,7 @@
     },
     recent::Recent,
     std::time::Duration,
+    suspect::{Crash, Suspect, Ward},
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
@@ -26,16 +28,11 @@
 pub const CRASH_LIMIT: usize = 3;
 /// Time for which a part stays quarantined.
 pub const TERM: Duration = Duration::from_secs(600);
-/// Ends of upstreams within this time count once, as they may have a common cause; covers the
-/// spread with which hosts see them.
-const SAME_INSTANT: Duration = Duration::from_millis(100);
 /// Time after an answer during which a part is not accused.
 const SOUND_TIME: Duration = Duration::from_secs(10);
 /// Time between two updates of the time of a part's last answer; much shorter than
 /// [`SOUND_TIME`].
 const SOUND_STEP: Duration = Duration::from_secs(1);
-/// Time for which an accusation counts.
-const ACCUSATION_TIME: Duration = Duration::from_secs(120);
 /// Parts that are remembered as accused.
 const SUSPECT_LIMIT: usize = 512;
 /// Parts that are quarantined at the same time.
@@ -53,74 +50,6 @@
 /// the fleet differ.
 const JUDGE_COUNT: usize = 8;
 
-/// The end of a process of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Crash {
-    /// Hash of the upstream and the start of its process.
-    process: u64,
-    at: Duration,
-    /// Parts of the same prompt that were accused with it.
-    companions: Vec<PartId>,
-}
-
-/// An accused part.
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    /// The newest ends at which it was accused, each at another instant and of another process.
-    crashes: Vec<Crash>,
-    /// Whether this host has told others.
-    is_published: bool,
-}
-
-impl Suspect {
-    /// Returns the parts that were accused with it each time.
-    fn common(&self) -> Vec<PartId> {
-        let Some((first, others)) = self.crashes.split_first() else {
-            return Vec::new();
-        };
-        let mut common = first.companions.clone();
-        common.retain(|part| others.iter().all(|other| other.companions.contains(part)));
-        common
-    }
-
-    /// Adds an end; returns whether it is another one than those that are known.
-    fn add(&mut self, now: Duration, crash: Crash) -> bool {
-        self.crashes
-            .retain(|known| now.saturating_sub(known.at) <= ACCUSATION_TIME);
-        let is_known = self.crashes.iter().any(|known| {
-            known.process == crash.process || known.at.abs_diff(crash.at) < SAME_INSTANT
-        });
-        if is_known || now.saturating_sub(crash.at) > ACCUSATION_TIME {
-            return false;
-        }
-        self.crashes.push(crash);
-        self.crashes.sort_by_key(|crash| crash.at);
-        let surplus = self.crashes.len().saturating_sub(CRASH_LIMIT);
-        self.crashes.drain(..surplus);
-        true
-    }
-}
-
-/// A quarantined part.
-#[derive(Clone, Debug)]
-struct Ward {
-    until: Duration,
-    suspect: Suspect,
-    /// Parts that were accused with it each time. Any of them may be the deadly one, so only
-    /// prompts with all of them are kept from upstreams.
-    common: Vec<PartId>,
-}
-
-impl Ward {
-    fn is_active(&self, now: Duration) -> bool {
-        now < self.until
-    }
-
-    fn started_at(&self) -> Duration {
-        self.until.saturating_sub(TERM)
-    }
-}
-
 /// Hosts that have to be told about a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Audience {
