Hold back requests for a process that is gone

A request that was assigned to one process of an upstream and waited for a connection was sent to its address after the list had named another process, so also to one that had said that it leaves.

The check right before sending names the process. The time of a refusal with another status than 503 no longer counts in the routing policy either.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -59,6 +59,8 @@
     },
     /// To send a request that is assigned to the upstream and counts as in flight there.
     Send {
+        /// Start of the process that it is assigned to.
+        started_ms: u64,
         /// Whether the request has acquired a permit.
         has_permit: bool,
     },
@@ -78,7 +80,7 @@
 /// Why an upstream gets no request.
 #[derive(Clone, Copy, Debug, Display, PartialEq)]
 pub enum Bar {
-    /// It is not on the list, or the list says that it takes no new work.
+    /// It, or the process that was chosen, is not on the list, or takes no new work by the list.
     #[display("not on the list")]
     Unlisted,
     /// It has said that it leaves.
@@ -217,7 +219,11 @@
         let Some(upstream) = self.upstreams.get(id) else {
             return Standing::Barred(Bar::Unlisted);
         };
-        if upstream.left_at.is_some() {
+        let is_current = match stage {
+            Stage::Choose { .. } => true,
+            Stage::Send { started_ms, .. } => started_ms == upstream.started_ms,
+        };
+        if upstream.left_at.is_some() || !is_current {
             return Standing::Barred(Bar::Unlisted);
         }
         if upstream.is_leaving {
@@ -242,7 +248,7 @@
                 State::Limited(rate) => Standing::Limited(rate),
                 State::Free => Standing::Open,
             },
-            Stage::Send { has_permit } => match rate {
+            Stage::Send { has_permit, .. } => match rate {
                 State::Free => Standing::Open,
                 State::Limited(_) | State::Closed(..) if has_permit => Standing::Open,
                 // The rate was stated after the upstream had been chosen.
--- a/crates/core/tests/admission/world.rs
+++ b/crates/core/tests/admission/world.rs
@@ -180,6 +180,7 @@
         let index = waiting[index % waiting.len()].0;
         let request = &mut self.requests[index];
         let stage = Stage::Send {
+            started_ms: request.process.started_ms,
             has_permit: request.has_permit,
         };
         let standing = self
@@ -193,6 +194,8 @@
             return Ok(());
         }
         request.sent_at = Some(self.now);
+        let is_current = request.process.started_ms == peer.started_ms;
+        prop_assert!(is_current, "sent to a process that is gone");
         prop_assert!(peer.is_listed, "sent to an upstream that is not listed");
         prop_assert!(!peer.has_left, "sent to an upstream that leaves");
         prop_assert!(peer.until <= self.now, "sent in a pause");
--- a/crates/gateway/src/dispatch/notices.rs
+++ b/crates/gateway/src/dispatch/notices.rs
@@ -16,9 +16,11 @@
     /// Returns why the request must not be sent now, if so.
     pub(crate) fn bar(&self) -> Option<Bar> {
         let now = self.dispatcher.clock.now();
-        let has_permit = self.rate.is_some();
         let inner = lock(&self.dispatcher.inner);
-        let stage = Stage::Send { has_permit };
+        let stage = Stage::Send {
+            started_ms: self.process.started_ms,
+            has_permit: self.rate.is_some(),
+        };
         match inner.admission.standing(now, &self.upstream, stage) {
             Standing::Open | Standing::Limited(_) => None,
             Standing::Barred(bar) => Some(bar),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -137,7 +137,9 @@
     /// Ends the exchange after a refusal. Its connection is kept if the rest of the response
     /// arrives within [`REFUSAL_READ_LIMIT`].
     pub(crate) async fn finish_refused(mut self) {
-        let after = self.head.pause.filter(|pause| !pause.is_zero());
+        let is_unavailable = self.head.status == StatusCode::SERVICE_UNAVAILABLE;
+        let pause = self.head.pause.filter(|_| is_unavailable);
+        let after = pause.filter(|pause| !pause.is_zero());
         let rest = async {
             while self.read().await?.is_some() {}
             Ok::<_, Failure>(())
