Take the service of a request from the configuration of its route

What callers saw: an admitted request was refused with 503, or its route of one version was mixed with a service of the next, when the configuration changed between its head and the end of its body: the service was looked up in the configuration in effect after the body was read.

Change: the service is chosen when the request is authorized, from the same configuration. A route without a service is refused before its body is read.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -12,7 +12,7 @@
     bytes::Bytes,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody},
     hyper::body::{Body as _, Incoming},
-    marigoldroute_core::forward::{Access, Service},
+    marigoldroute_core::forward::{Access, Directory, Service},
     marigoldroute_process::logs::REQUESTS,
     poem::http::{
         HeaderValue, Request, Response,
@@ -52,6 +52,14 @@
     full_body(bytes).map_frame(keep).boxed_unsync()
 }
 
+/// A request that was authorized and whose body has arrived.
+struct Admitted {
+    access: Access,
+    /// One of the route's services, of the same configuration as the route.
+    service: Arc<Service>,
+    body: Bytes,
+}
+
 /// The service that handles callers' requests.
 #[derive(Clone)]
 pub(crate) struct Frontend(pub(crate) Arc<Context>);
@@ -86,7 +94,7 @@
             }
         };
         match self.admit(&head, &mut body).await {
-            Ok((access, body)) => self.forward(head, access, body, arrived).await,
+            Ok(admitted) => self.forward(head, admitted, arrived).await,
             Err(error) => {
                 discard(&mut body, expects_continue).await;
                 let response = self.reject(Some(&head), arrived, error);
@@ -114,14 +122,11 @@
     }
 
     /// Authorizes a request and reads its body.
-    async fn admit(
-        &self,
-        head: &RequestHead,
-        body: &mut Incoming,
-    ) -> Result<(Access, Bytes), Error> {
+    async fn admit(&self, head: &RequestHead, body: &mut Incoming) -> Result<Admitted, Error> {
         let directory = self.0.view.directory().ok_or(Error::Unconfigured)?;
         let access = directory.find(&head.host, head.target.path(), head.key.as_deref());
         let access = access.map_err(Error::Access)?;
+        let service = choose_service(&directory, &access).ok_or(Error::NoUpstream)?;
         let limit = directory.limits().body_bytes;
         let timeout = head.timeout.unwrap_or(BODY_TIMEOUT);
         let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
@@ -129,25 +134,29 @@
             Ok(Ok(body)) => {
                 let body = body.to_bytes();
                 self.record_bytes(body.len());
-                Ok((access, body))
+                Ok(Admitted {
+                    access,
+                    service,
+                    body,
+                })
             }
             Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
             Ok(Err(_)) | Err(_) => Err(Error::Incomplete),
         }
     }
 
-    /// Forwards an admitted request to one of the route's services.
+    /// Forwards an admitted request to its service.
     async fn forward(
         &self,
         head: RequestHead,
-        access: Access,
-        body: Bytes,
+        admitted: Admitted,
         arrived: Duration,
     ) -> Response<Body> {
-        let service = self.choose_service(&access);
-        let Some(service) = service else {
-            return self.reject(Some(&head), arrived, Error::NoUpstream);
-        };
+        let Admitted {
+            access,
+            service,
+            body,
+        } = admitted;
         self.0.dispatcher.record_request(&service.name);
         let last_event = head.last_event;
         let mut request = ActiveRequest::new(self.0.clone(), head, access, service, body, arrived);
@@ -172,14 +181,6 @@
         }
     }
 
-    /// Chooses one of the route's services at random, by weight.
-    fn choose_service(&self, access: &Access) -> Option<Arc<Service>> {
-        let directory = self.0.view.directory()?;
-        let random = rand::random::<f64>();
-        let target = access.route.pick(random)?;
-        directory.service(&target.service).cloned()
-    }
-
     /// Adds a message with this many body bytes to the load of the link.
     fn record_bytes(&self, bytes: usize) {
         let now = self.0.clock.now();
@@ -231,6 +232,13 @@
     }
 }
 
+/// Chooses one of the route's services at random, by weight.
+fn choose_service(directory: &Directory, access: &Access) -> Option<Arc<Service>> {
+    let random = rand::random::<f64>();
+    let target = access.route.pick(random)?;
+    directory.service(&target.service).cloned()
+}
+
 /// Reads the rest of a request's body and drops it. Closing a connection with unread bytes resets
 /// it, so that the caller may lose the response.
 ///
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -159,3 +159,41 @@
     };
     tokio::join!(changed, streaming);
 }
+
+/// Sends the head of a request and waits until the gateway begins to read its body.
+async fn begin(harness: &Harness, head: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(harness.callers).await.expect("connects");
+    let head = head.replace("\r\n\r\n", "\r\nexpect: 100-continue\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("it is open");
+    let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+    let mut text = vec![0; interim.len()];
+    let reading = tokio::time::timeout(PATIENCE, stream.read_exact(&mut text)).await;
+    reading.expect("an interim response").expect("it is open");
+    assert_eq!(text, interim);
+    stream
+}
+
+/// Guards against the refusal of an admitted request whose service a new configuration removes
+/// before the body has arrived.
+#[tokio::test]
+async fn changes_of_the_configuration_keep_admitted_requests() {
+    let snapshot = harness::snapshot(1, 1_000_000);
+    let script = Script::Complete(200, "the answer");
+    let (harness, _upstreams) = Harness::with_snapshot(snapshot.clone(), vec![script]).await;
+    let mut stream = begin(&harness, &head("once", "r1", KEY, 4)).await;
+    let mut next = snapshot;
+    next.version = 2;
+    next.services.clear();
+    next.routes[0].prefix = "/new/".into();
+    harness.store.configure(next);
+    let is_in_effect = async {
+        let mut other = TcpStream::connect(harness.callers).await.expect("connects");
+        while call(&mut other, "new", "r2").await.contains("404") {}
+    };
+    let is_in_effect = tokio::time::timeout(PATIENCE, is_in_effect).await;
+    is_in_effect.expect("the new version");
+    stream.write_all(b"text").await.expect("it is open");
+    let (line, body) = read_response(&mut stream).await;
+    assert!(line.contains("200"), "{line}");
+    assert_eq!(body, b"A\r\nthe answer\r\n0\r\n\r\n");
+}
