Answer 408 when the body of a request does not arrive in time

What callers saw: 400, which is never repeated, when their body was late, although nothing had run; and error responses that waited for the rest of a body for 2 s although the caller had less time left.

Change: a late body is an error of its own with the status 408, after the smaller of the caller's timeout and the route's; a body that breaks off stays 400. The rest of a body is read at most for the time that the caller has left.

--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -27,9 +27,12 @@
     /// The body exceeds the configured limit.
     #[display("the body is too large")]
     TooLarge,
-    /// The caller disconnected or timed out while it sent the body.
+    /// The caller disconnected while it sent the body.
     #[display("the body is incomplete")]
     Incomplete,
+    /// The body did not arrive in time, and the request has not run.
+    #[display("the body did not arrive in time")]
+    Late,
     /// No route matches the request, or its key is unknown.
     #[display("{_0}")]
     Access(AccessError),
@@ -58,10 +61,12 @@
 }
 
 impl Error {
-    /// Returns the HTTP status. 503 guarantees that the request has not run and will not run.
+    /// Returns the HTTP status. 503 and 408 guarantee that the request has not run and will not
+    /// run.
     fn status(self) -> StatusCode {
         match self {
             Self::Malformed(_) | Self::Incomplete => StatusCode::BAD_REQUEST,
+            Self::Late => StatusCode::REQUEST_TIMEOUT,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Access(AccessError::NoRoute) => StatusCode::NOT_FOUND,
             Self::Access(AccessError::UnknownKey) => StatusCode::UNAUTHORIZED,
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -89,14 +89,15 @@
         let head = match head {
             Ok(head) => head,
             Err(malformed) => {
-                discard(&mut body, expects_continue).await;
+                discard(&mut body, expects_continue, DISCARD_TIMEOUT).await;
                 return self.reject(None, arrived, Error::Malformed(malformed));
             }
         };
         match self.admit(&head, &mut body).await {
             Ok(admitted) => self.forward(head, admitted, arrived).await,
             Err(error) => {
-                discard(&mut body, expects_continue).await;
+                let left = self.caller_time_left(&head, arrived);
+                discard(&mut body, expects_continue, left.min(DISCARD_TIMEOUT)).await;
                 let response = self.reject(Some(&head), arrived, error);
                 self.record_unread(&body, &response);
                 response
@@ -104,6 +105,13 @@
         }
     }
 
+    /// Returns the time for which the caller still waits for the response.
+    fn caller_time_left(&self, head: &RequestHead, arrived: Duration) -> Duration {
+        let elapsed = self.0.clock.now().saturating_sub(arrived);
+        let timeout = head.timeout.unwrap_or(Duration::MAX);
+        timeout.saturating_sub(elapsed)
+    }
+
     /// Counts a response that is returned before the end of the request's body.
     fn record_unread(&self, body: &Incoming, response: &Response<Body>) {
         if !body.is_end_stream() {
@@ -129,6 +137,7 @@
         let service = choose_service(&directory, &access).ok_or(Error::NoUpstream)?;
         let limit = directory.limits().body_bytes;
         let timeout = head.timeout.unwrap_or(BODY_TIMEOUT);
+        let timeout = timeout.min(access.route.timeout);
         let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
         match read {
             Ok(Ok(body)) => {
@@ -141,7 +150,8 @@
                 })
             }
             Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
-            Ok(Err(_)) | Err(_) => Err(Error::Incomplete),
+            Ok(Err(_)) => Err(Error::Incomplete),
+            Err(_) => Err(Error::Late),
         }
     }
 
@@ -243,7 +253,7 @@
 /// it, so that the caller may lose the response.
 ///
 /// A caller that waits for the interim response 100 has not sent its body and need not send it.
-async fn discard(body: &mut Incoming, expects_continue: bool) {
+async fn discard(body: &mut Incoming, expects_continue: bool, limit: Duration) {
     if expects_continue {
         return;
     }
@@ -258,7 +268,7 @@
         }
     };
     // Whoever is slower gets the response on a connection that closes.
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
+    let _ = tokio::time::timeout(limit, rest).await;
 }
 
 fn build_response(head: &ResponseHead, body: Body) -> Response<Body> {
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -17,6 +17,9 @@
 const BODY_BYTES: usize = 8 << 20;
 /// Longest time for a response, far above what a local one takes.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Longest time for a response to a caller that waits for a second, below the time for which the
+/// gateway reads the bodies of callers that wait longer.
+const DISCARD_PATIENCE: Duration = Duration::from_millis(1_700);
 
 /// A pause during which the gateway checks for how long its connections have been idle.
 const IDLE_PAUSE: Duration = Duration::from_millis(3_600);
@@ -197,3 +200,38 @@
     assert!(line.contains("200"), "{line}");
     assert_eq!(body, b"A\r\nthe answer\r\n0\r\n\r\n");
 }
+
+/// Guards against a status that forbids a repetition when the body did not arrive in time, although
+/// nothing has run, and against an error response that waits for the body after the caller's time.
+#[tokio::test]
+async fn late_bodies_get_408_in_time() {
+    let mut snapshot = harness::snapshot(1, 1_000_000);
+    for route in &mut snapshot.routes {
+        route.timeout = Duration::from_millis(300);
+    }
+    let script = Script::Complete(200, "the answer");
+    let (harness, upstreams) = Harness::with_snapshot(snapshot, vec![script]).await;
+    let answer = async |path, timeout: &str, is_broken| {
+        let mut stream = TcpStream::connect(harness.callers).await.expect("connects");
+        let head = head(path, "r1", KEY, 8).replace("x-key", &format!("{timeout}x-key"));
+        stream.write_all(head.as_bytes()).await.expect("it is open");
+        stream.write_all(b"half").await.expect("it is open");
+        if is_broken {
+            stream.shutdown().await.expect("it is open");
+        }
+        let reading = tokio::time::timeout(DISCARD_PATIENCE, read_response(&mut stream)).await;
+        reading.expect("a response in time").0
+    };
+    let (route, caller) = ("x-timeout: 1000\r\n", "x-timeout: 100\r\n");
+    let (by_route, by_caller, broken, unknown) = tokio::join!(
+        answer("once", route, false),
+        answer("once", caller, false),
+        answer("once", "", true),
+        answer("gone", caller, false),
+    );
+    assert!(by_route.contains("408"), "{by_route}");
+    assert!(by_caller.contains("408"), "{by_caller}");
+    assert!(broken.contains("400"), "{broken}");
+    assert!(unknown.contains("404"), "{unknown}");
+    assert!(upstreams[0].arrivals().is_empty());
+}
