Count the bodies that were not read by how their reading ended

Cause: a chunked body never counts as ended for hyper, so that each error response to one was counted as returned before the end of the body, and those after a malformed head were not counted at all.

Change: the reading of the rest of a body returns whether it came to the end, and both kinds of error responses count by that.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -89,17 +89,19 @@
         let head = match head {
             Ok(head) => head,
             Err(malformed) => {
-                discard(&mut body, expects_continue, DISCARD_TIMEOUT).await;
-                return self.reject(None, arrived, Error::Malformed(malformed));
+                let is_read = discard(&mut body, expects_continue, DISCARD_TIMEOUT).await;
+                let response = self.reject(None, arrived, Error::Malformed(malformed));
+                self.record_unread(is_read, &response);
+                return response;
             }
         };
         match self.admit(&head, &mut body).await {
             Ok(admitted) => self.forward(head, admitted, arrived).await,
             Err(error) => {
                 let left = self.caller_time_left(&head, arrived);
-                discard(&mut body, expects_continue, left.min(DISCARD_TIMEOUT)).await;
+                let is_read = discard(&mut body, expects_continue, left.min(DISCARD_TIMEOUT)).await;
                 let response = self.reject(Some(&head), arrived, error);
-                self.record_unread(&body, &response);
+                self.record_unread(is_read, &response);
                 response
             }
         }
@@ -113,8 +115,8 @@
     }
 
     /// Counts a response that is returned before the end of the request's body.
-    fn record_unread(&self, body: &Incoming, response: &Response<Body>) {
-        if !body.is_end_stream() {
+    fn record_unread(&self, is_read: bool, response: &Response<Body>) {
+        if !is_read {
             let unread = &self.0.metrics.unread_bodies;
             unread
                 .with_label_values(&[response.status().as_str()])
@@ -250,25 +252,29 @@
 }
 
 /// Reads the rest of a request's body and drops it. Closing a connection with unread bytes resets
-/// it, so that the caller may lose the response.
+/// it, so that the caller may lose the response. Returns whether the body was read to its end.
 ///
 /// A caller that waits for the interim response 100 has not sent its body and need not send it.
-async fn discard(body: &mut Incoming, expects_continue: bool, limit: Duration) {
+async fn discard(body: &mut Incoming, expects_continue: bool, limit: Duration) -> bool {
     if expects_continue {
-        return;
+        return body.is_end_stream();
     }
     let rest = async {
         let mut left = DISCARD_LIMIT_BYTES;
-        while let Some(Ok(frame)) = body.frame().await {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return false;
+            };
             let bytes = frame.data_ref().map_or(0, Bytes::len);
             let Some(fewer) = left.checked_sub(bytes) else {
-                return;
+                return false;
             };
             left = fewer;
         }
+        true
     };
     // Whoever is slower gets the response on a connection that closes.
-    let _ = tokio::time::timeout(limit, rest).await;
+    tokio::time::timeout(limit, rest).await.unwrap_or(false)
 }
 
 fn build_response(head: &ResponseHead, body: Body) -> Response<Body> {
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -5,7 +5,8 @@
 use {
     harness::{Harness, KEY, upstream::Script},
     marigoldroute_core::forward::Limits,
-    std::{sync::Arc, time::Duration},
+    marigoldroute_gateway::Settings,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -20,6 +21,8 @@
 /// Longest time for a response to a caller that waits for a second, below the time for which the
 /// gateway reads the bodies of callers that wait longer.
 const DISCARD_PATIENCE: Duration = Duration::from_millis(1_700);
+/// Name of the counter of bodies that were not read.
+const UNREAD_BODIES: &str = "marigoldroute_gateway_unread_bodies_total";
 
 /// A pause during which the gateway checks for how long its connections have been idle.
 const IDLE_PAUSE: Duration = Duration::from_millis(3_600);
@@ -235,3 +238,59 @@
     assert!(unknown.contains("404"), "{unknown}");
     assert!(upstreams[0].arrivals().is_empty());
 }
+
+/// Returns an address that was free a moment ago.
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+/// Guards against counting bodies without a stated length that were read to their end, and against
+/// missing unread ones after a malformed head.
+#[tokio::test]
+async fn unread_bodies_are_counted_and_chunked_ones_read() {
+    let metrics = free_address();
+    let settings = Settings {
+        listen_metrics: Some(metrics),
+        ..Settings::default()
+    };
+    let snapshot = harness::snapshot(1, 1_000_000);
+    let (harness, _upstreams) = Harness::with_settings(settings, snapshot, vec![]).await;
+    let chunked = async {
+        let stream = TcpStream::connect(harness.callers).await.expect("connects");
+        let (mut reader, mut writer) = stream.into_split();
+        let head = head("gone", "r1", KEY, 0);
+        let head = head.replace("content-length: 0", "transfer-encoding: chunked");
+        let sending = async {
+            writer.write_all(head.as_bytes()).await?;
+            writer
+                .write_all(format!("{BODY_BYTES:x}\r\n").as_bytes())
+                .await?;
+            writer.write_all(&vec![b'x'; BODY_BYTES]).await?;
+            writer.write_all(b"\r\n0\r\n\r\n").await
+        };
+        let (sent, (line, _)) = tokio::join!(sending, read_response(&mut reader));
+        sent.unwrap_or_else(|error| panic!("the body before {line} is not read: {error}"));
+        assert!(line.contains("404"), "{line}");
+    };
+    let malformed = async {
+        let mut stream = TcpStream::connect(harness.callers).await.expect("connects");
+        let head = head("once", "r2", KEY, 8).replace("x-request-id", "x-other");
+        stream.write_all(head.as_bytes()).await.expect("it is open");
+        let (line, _) = read_response(&mut stream).await;
+        assert!(line.contains("400"), "{line}");
+    };
+    let both = async { tokio::join!(chunked, malformed) };
+    tokio::time::timeout(PATIENCE, both)
+        .await
+        .expect("responses in time");
+    let text = harness
+        .client
+        .get(format!("http://{metrics}/metrics"))
+        .send()
+        .await;
+    let text = text.expect("metrics").text().await.expect("a text");
+    let unread = text.lines().filter(|line| line.starts_with(UNREAD_BODIES));
+    let expected = format!("{UNREAD_BODIES}{{status=\"400\"}} 1");
+    assert_eq!(unread.collect::<Vec<_>>(), [expected]);
+}
