Forget calls to other hosts whose caller is dropped

Cause: a call to another host was only removed from the calls in progress when it came to its end, so that each one whose request reached its deadline or whose caller left stayed there for the life of the process.

Change: the entry is removed when the call is dropped.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,9 @@
 //! Each datagram is one frame, authenticated with the fleet's key. A call is sent again until it is
 //! answered, so the receiver has to handle repetitions.
 
+#[cfg(test)]
+mod tests;
+
 use {
     crate::{dispatch::Dispatcher, escrow::Responder, view::lock},
     anyhow::Context,
@@ -70,6 +73,34 @@
     pub(crate) address: SocketAddr,
 }
 
+/// Senders of answers to the calls in progress, by correlation number.
+type Calls = Mutex<HashMap<u64, mpsc::Sender<Body>>>;
+
+/// A call in progress, until it is dropped.
+struct Call<'a> {
+    calls: &'a Calls,
+    correlation: u64,
+    answers: mpsc::Receiver<Body>,
+}
+
+impl<'a> Call<'a> {
+    fn new(calls: &'a Calls, correlation: u64) -> Self {
+        let (sender, answers) = mpsc::channel(ANSWER_QUEUE_LEN);
+        lock(calls).insert(correlation, sender);
+        Self {
+            calls,
+            correlation,
+            answers,
+        }
+    }
+}
+
+impl Drop for Call<'_> {
+    fn drop(&mut self) {
+        lock(self.calls).remove(&self.correlation);
+    }
+}
+
 /// Socket for messages between hosts, with the calls in progress.
 pub(crate) struct Peers {
     socket: UdpSocket,
@@ -79,8 +110,7 @@
     keys: Mutex<Option<Keys>>,
     endpoints: Mutex<HashMap<HostId, Endpoint>>,
     next_correlation: AtomicU64,
-    /// Calls in progress by correlation number.
-    calls: Mutex<HashMap<u64, mpsc::Sender<Body>>>,
+    calls: Calls,
     /// Answers to recent questions for permits, by process and correlation number.
     acquired: Mutex<HashMap<(String, u64), (Instant, Acquired)>>,
 }
@@ -144,13 +174,9 @@
             return CallOutcome::Unanswered;
         };
         let correlation = self.next_correlation.fetch_add(1, Ordering::Relaxed);
-        let (sender, mut answers) = mpsc::channel(ANSWER_QUEUE_LEN);
-        lock(&self.calls).insert(correlation, sender);
-        let outcome = self
-            .exchange(&endpoint, correlation, &body, limit, &mut answers)
-            .await;
-        lock(&self.calls).remove(&correlation);
-        outcome
+        let mut call = Call::new(&self.calls, correlation);
+        self.exchange(&endpoint, correlation, &body, limit, &mut call.answers)
+            .await
     }
 
     async fn exchange(
--- /dev/null
+++ b/crates/gateway/src/peers/tests.rs
@@ -0,0 +1,45 @@
+use {
+    super::{Endpoint, Peers},
+    crate::{Clock, dispatch::Dispatcher, settings::Settings, view::lock},
+    futures_util::FutureExt,
+    marigoldroute_core::{
+        route::Origin,
+        throttle::Throttle,
+        wire::{Acquire, Body},
+    },
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Returns the messages of a host that knows one other host, `other`, and no key.
+fn peers() -> Peers {
+    let settings = Settings::default();
+    let origin = Origin {
+        host: settings.host.clone(),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+    };
+    let throttle = Throttle::new(settings.instance.clone(), settings.view_term());
+    let (routing, retries) = (settings.routing.clone(), settings.retries);
+    let dispatcher = Dispatcher::new(Clock::new(), origin, routing, retries, throttle);
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let peers = Peers::bind(address, "own".into(), Arc::new(dispatcher)).expect("a port");
+    let endpoint = Endpoint {
+        process: "other".into(),
+        address,
+    };
+    peers.set_endpoints(HashMap::from([("other".into(), endpoint)]));
+    peers
+}
+
+/// Guards against calls that are kept forever when their caller has left or its time is over.
+#[tokio::test]
+async fn dropped_calls_are_forgotten() {
+    let peers = peers();
+    let host = "other".into();
+    let body = Body::Acquire(Acquire::default());
+    let mut call = Box::pin(peers.call(&host, body, Duration::from_secs(1)));
+    assert!(call.as_mut().now_or_never().is_none(), "it waits");
+    assert_eq!(lock(&peers.calls).len(), 1);
+    drop(call);
+    assert!(lock(&peers.calls).is_empty());
+}
