Accept waiting connections before a planned stop closes the listener

What callers saw: connections that were established but not accepted yet when a planned stop ended the accepting were reset, with the requests that were sent on them.

Change: those in the queue of the kernel are accepted, without waiting and up to the length of the queue, before the listener is closed.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -3,6 +3,9 @@
 //! They are served by hyper directly: poem ends the body of a response as complete when its source
 //! fails, so that a caller would take a truncated stream for a complete one.
 
+#[cfg(test)]
+mod tests;
+
 use {
     crate::{
         frontend::{Body, Frontend},
@@ -34,6 +37,9 @@
 
 /// Pause after a failed accept, for example when the process has run out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Largest number of waiting connections that are accepted at a stop, so that those that arrive in
+/// the meantime cannot put it off; the kernel queues no more.
+const BACKLOG_LIMIT: usize = 1_024;
 /// Time between two checks of how long a connection has been idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(3);
 /// Multiple of the idle limit after which a connection is closed, so that a request sent right at
@@ -49,36 +55,56 @@
     stop: &CancellationToken,
 ) -> anyhow::Result<SocketAddr> {
     let (listener, address) = listen(address)?;
-    tasks.spawn(run(listener, frontend, tasks.clone(), stop.clone()));
+    let (connections, closing) = (tasks.clone(), stop.clone());
+    let start = move |stream| {
+        let (frontend, stop) = (frontend.clone(), closing.clone());
+        // A panic while a response is sent closes only this connection.
+        connections.spawn(async move {
+            let metrics = frontend.0.metrics.clone();
+            catch_panic(&metrics, "connection", serve(stream, frontend, stop)).await;
+        });
+    };
+    tasks.spawn(run(listener, start, stop.clone()));
     Ok(address)
 }
 
-async fn run(
-    listener: TcpListener,
-    frontend: Frontend,
-    tasks: TaskTracker,
-    stop: CancellationToken,
-) {
+/// Accepts connections and starts each until `stop`; then starts those that are waiting.
+async fn run(listener: TcpListener, start: impl Fn(TcpStream), stop: CancellationToken) {
     loop {
         let accepted = tokio::select! {
-            () = stop.cancelled() => return,
+            () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                // A panic while a response is sent closes only this connection.
-                let (frontend, stop) = (frontend.clone(), stop.clone());
-                tasks.spawn(async move {
-                    let metrics = frontend.0.metrics.clone();
-                    catch_panic(&metrics, "connection", serve(stream, frontend, stop)).await;
-                });
-            }
+            Ok((stream, _)) => start(stream),
             Err(error) => {
                 log::warn!("connection not accepted: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    if let Err(error) = accept_backlog(listener, start) {
+        log::warn!("connections not accepted before the stop: {error}");
+    }
+}
+
+/// Starts the connections that are established but not accepted yet, which closing the listener
+/// would reset.
+fn accept_backlog(listener: TcpListener, start: impl Fn(TcpStream)) -> io::Result<()> {
+    // The runtime may not have seen yet that there are connections.
+    let listener = listener.into_std()?;
+    for _ in 0..BACKLOG_LIMIT {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                start(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
 }
 
 /// Requests in progress on a connection.
