--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -12,7 +12,7 @@
     bytes::Bytes,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody},
     hyper::body::{Body as _, Incoming},
-    marigoldroute_core::forward::{Access, Service},
+    marigoldroute_core::forward::{Access, Directory, Service},
     marigoldroute_process::logs::REQUESTS,
     poem::http::{
         HeaderValue, Request, Response,
@@ -52,6 +52,14 @@
     full_body(bytes).map_frame(keep).boxed_unsync()
 }
 
+/// A request that was authorized and whose body has arrived.
+struct Admitted {
+    access: Access,
+    /// One of the route's services, of the same configuration as the route.
+    service: Arc<Service>,
+    body: Bytes,
+}
+
 /// The service that handles callers' requests.
 #[derive(Clone)]
 pub(crate) struct Frontend(pub(crate) Arc<Context>);
@@ -81,24 +89,34 @@
         let head = match head {
             Ok(head) => head,
             Err(malformed) => {
-                discard(&mut body, expects_continue).await;
-                return self.reject(None, arrived, Error::Malformed(malformed));
+                let is_read = discard(&mut body, expects_continue, DISCARD_TIMEOUT).await;
+                let response = self.reject(None, arrived, Error::Malformed(malformed));
+                self.record_unread(is_read, &response);
+                return response;
             }
         };
         match self.admit(&head, &mut body).await {
-            Ok((access, body)) => self.forward(head, access, body, arrived).await,
+            Ok(admitted) => self.forward(head, admitted, arrived).await,
             Err(error) => {
-                discard(&mut body, expects_continue).await;
+                let left = self.caller_time_left(&head, arrived);
+                let is_read = discard(&mut body, expects_continue, left.min(DISCARD_TIMEOUT)).await;
                 let response = self.reject(Some(&head), arrived, error);
-                self.record_unread(&body, &response);
+                self.record_unread(is_read, &response);
                 response
             }
         }
     }
 
+    /// Returns the time for which the caller still waits for the response.
+    fn caller_time_left(&self, head: &RequestHead, arrived: Duration) -> Duration {
+        let elapsed = self.0.clock.now().saturating_sub(arrived);
+        let timeout = head.timeout.unwrap_or(Duration::MAX);
+        timeout.saturating_sub(elapsed)
+    }
+
     /// Counts a response that is returned before the end of the request's body.
-    fn record_unread(&self, body: &Incoming, response: &Response<Body>) {
-        if !body.is_end_stream() {
+    fn record_unread(&self, is_read: bool, response: &Response<Body>) {
+        if !is_read {
             let unread = &self.0.metrics.unread_bodies;
             unread
                 .with_label_values(&[response.status().as_str()])
@@ -114,40 +132,43 @@
     }
 
     /// Authorizes a request and reads its body.
-    async fn admit(
-        &self,
-        head: &RequestHead,
-        body: &mut Incoming,
-    ) -> Result<(Access, Bytes), Error> {
+    async fn admit(&self, head: &RequestHead, body: &mut Incoming) -> Result<Admitted, Error> {
         let directory = self.0.view.directory().ok_or(Error::Unconfigured)?;
         let access = directory.find(&head.host, head.target.path(), head.key.as_deref());
         let access = access.map_err(Error::Access)?;
+        let service = choose_service(&directory, &access).ok_or(Error::NoUpstream)?;
         let limit = directory.limits().body_bytes;
         let timeout = head.timeout.unwrap_or(BODY_TIMEOUT);
+        let timeout = timeout.min(access.route.timeout);
         let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
         match read {
             Ok(Ok(body)) => {
                 let body = body.to_bytes();
                 self.record_bytes(body.len());
-                Ok((access, body))
+                Ok(Admitted {
+                    access,
+                    service,
+                    body,
+                })
             }
             Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
-            Ok(Err(_)) | Err(_) => Err(Error::Incomplete),
+            Ok(Err(_)) => Err(Error::Incomplete),
+            Err(_) => Err(Error::Late),
         }
     }
 
-    /// Forwards an admitted request to one of the route's services.
+    /// Forwards an admitted request to its service.
     async fn forward(
         &self,
         head: RequestHead,
-        access: Access,
-        body: Bytes,
+        admitted: Admitted,
         arrived: Duration,
     ) -> Response<Body> {
-        let service = self.choose_service(&access);
-        let Some(service) = service else {
-            return self.reject(Some(&head), arrived, Error::NoUpstream);
-        };
+        let Admitted {
+            access,
+            service,
+            body,
+        } = admitted;
         self.0.dispatcher.record_request(&service.name);
         let last_event = head.last_event;
         let mut request = ActiveRequest::new(self.0.clone(), head, access, service, body, arrived);
@@ -176,14 +197,6 @@
         }
     }
 
-    /// Chooses one of the route's services at random, by weight.
-    fn choose_service(&self, access: &Access) -> Option<Arc<Service>> {
-        let directory = self.0.view.directory()?;
-        let random = rand::random::<f64>();
-        let target = access.route.pick(random)?;
-        directory.service(&target.service).cloned()
-    }
-
     /// Adds a message with this many body bytes to the load of the link.
     fn record_bytes(&self, bytes: usize) {
         let now = self.0.clock.now();
@@ -235,26 +248,37 @@
     }
 }
 
+/// Chooses one of the route's services at random, by weight.
+fn choose_service(directory: &Directory, access: &Access) -> Option<Arc<Service>> {
+    let random = rand::random::<f64>();
+    let target = access.route.pick(random)?;
+    directory.service(&target.service).cloned()
+}
+
 /// Reads the rest of a request's body and drops it. Closing a connection with unread bytes resets
-/// it, so that the caller may lose the response.
+/// it, so that the caller may lose the response. Returns whether the body was read to its end.
 ///
 /// A caller that waits for the interim response 100 has not sent its body and need not send it.
-async fn discard(body: &mut Incoming, expects_continue: bool) {
+async fn discard(body: &mut Incoming, expects_continue: bool, limit: Duration) -> bool {
     if expects_continue {
-        return;
+        return body.is_end_stream();
     }
     let rest = async {
         let mut left = DISCARD_LIMIT_BYTES;
-        while let Some(Ok(frame)) = body.frame().await {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return false;
+            };
             let bytes = frame.data_ref().map_or(0, Bytes::len);
             let Some(fewer) = left.checked_sub(bytes) else {
-                return;
+                return false;
             };
             left = fewer;
         }
+        true
     };
     // Whoever is slower gets the response on a connection that closes.
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
+    tokio::time::timeout(limit, rest).await.unwrap_or(false)
 }
 
 fn build_response(head: &ResponseHead, body: Body) -> Response<Body> {
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -5,7 +5,8 @@
 use {
     harness::{Harness, KEY, upstream::Script},
     marigoldroute_core::forward::Limits,
-    std::{sync::Arc, time::Duration},
+    marigoldroute_gateway::Settings,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -17,6 +18,11 @@
 const BODY_BYTES: usize = 8 << 20;
 /// Longest time for a response, far above what a local one takes.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Longest time for a response to a caller that waits for a second, below the time for which the
+/// gateway reads the bodies of callers that wait longer.
+const DISCARD_PATIENCE: Duration = Duration::from_millis(1_700);
+/// Name of the counter of bodies that were not read.
+const UNREAD_BODIES: &str = "marigoldroute_gateway_unread_bodies_total";
 
 /// A pause during which the gateway checks for how long its connections have been idle.
 const IDLE_PAUSE: Duration = Duration::from_millis(3_600);
@@ -159,3 +165,132 @@
     };
     tokio::join!(changed, streaming);
 }
+
+/// Sends the head of a request and waits until the gateway begins to read its body.
+async fn begin(harness: &Harness, head: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(harness.callers).await.expect("connects");
+    let head = head.replace("\r\n\r\n", "\r\nexpect: 100-continue\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("it is open");
+    let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+    let mut text = vec![0; interim.len()];
+    let reading = tokio::time::timeout(PATIENCE, stream.read_exact(&mut text)).await;
+    reading.expect("an interim response").expect("it is open");
+    assert_eq!(text, interim);
+    stream
+}
+
+/// Guards against the refusal of an admitted request whose service a new configuration removes
+/// before the body has arrived.
+#[tokio::test]
+async fn changes_of_the_configuration_keep_admitted_requests() {
+    let snapshot = harness::snapshot(1, 1_000_000);
+    let script = Script::Complete(200, "the answer");
+    let (harness, _upstreams) = Harness::with_snapshot(snapshot.clone(), vec![script]).await;
+    let mut stream = begin(&harness, &head("once", "r1", KEY, 4)).await;
+    let mut next = snapshot;
+    next.version = 2;
+    next.services.clear();
+    next.routes[0].prefix = "/new/".into();
+    harness.store.configure(next);
+    let is_in_effect = async {
+        let mut other = TcpStream::connect(harness.callers).await.expect("connects");
+        while call(&mut other, "new", "r2").await.contains("404") {}
+    };
+    let is_in_effect = tokio::time::timeout(PATIENCE, is_in_effect).await;
+    is_in_effect.expect("the new version");
+    stream.write_all(b"text").await.expect("it is open");
+    let (line, body) = read_response(&mut stream).await;
+    assert!(line.contains("200"), "{line}");
+    assert_eq!(body, b"A\r\nthe answer\r\n0\r\n\r\n");
+}
+
+/// Guards against a status that forbids a repetition when the body did not arrive in time, although
+/// nothing has run, and against an error response that waits for the body after the caller's time.
+#[tokio::test]
+async fn late_bodies_get_408_in_time() {
+    let mut snapshot = harness::snapshot(1, 1_000_000);
+    for route in &mut snapshot.routes {
+        route.timeout = Duration::from_millis(300);
+    }
+    let script = Script::Complete(200, "the answer");
+    let (harness, upstreams) = Harness::with_snapshot(snapshot, vec![script]).await;
+    let answer = async |path, timeout: &str, is_broken| {
+        let mut stream = TcpStream::connect(harness.callers).await.expect("connects");
+        let head = head(path, "r1", KEY, 8).replace("x-key", &format!("{timeout}x-key"));
+        stream.write_all(head.as_bytes()).await.expect("it is open");
+        stream.write_all(b"half").await.expect("it is open");
+        if is_broken {
+            stream.shutdown().await.expect("it is open");
+        }
+        let reading = tokio::time::timeout(DISCARD_PATIENCE, read_response(&mut stream)).await;
+        reading.expect("a response in time").0
+    };
+    let (route, caller) = ("x-timeout: 1000\r\n", "x-timeout: 100\r\n");
+    let (by_route, by_caller, broken, unknown) = tokio::join!(
+        answer("once", route, false),
+        answer("once", caller, false),
+        answer("once", "", true),
+        answer("gone", caller, false),
+    );
+    assert!(by_route.contains("408"), "{by_route}");
+    assert!(by_caller.contains("408"), "{by_caller}");
+    assert!(broken.contains("400"), "{broken}");
+    assert!(unknown.contains("404"), "{unknown}");
+    assert!(upstreams[0].arrivals().is_empty());
+}
+
+/// Returns an address that was free a moment ago.
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+/// Guards against counting bodies without a stated length that were read to their end, and against
+/// missing unread ones after a malformed head.
+#[tokio::test]
+async fn unread_bodies_are_counted_and_chunked_ones_read() {
+    let metrics = free_address();
+    let settings = Settings {
+        listen_metrics: Some(metrics),
+        ..Settings::default()
+    };
+    let snapshot = harness::snapshot(1, 1_000_000);
+    let (harness, _upstreams) = Harness::with_settings(settings, snapshot, vec![]).await;
+    let chunked = async {
+        let stream = TcpStream::connect(harness.callers).await.expect("connects");
+        let (mut reader, mut writer) = stream.into_split();
+        let head = head("gone", "r1", KEY, 0);
+        let head = head.replace("content-length: 0", "transfer-encoding: chunked");
+        let sending = async {
+            writer.write_all(head.as_bytes()).await?;
+            writer
+                .write_all(format!("{BODY_BYTES:x}\r\n").as_bytes())
+                .await?;
+            writer.write_all(&vec![b'x'; BODY_BYTES]).await?;
+            writer.write_all(b"\r\n0\r\n\r\n").await
+        };
+        let (sent, (line, _)) = tokio::join!(sending, read_response(&mut reader));
+        sent.unwrap_or_else(|error| panic!("the body before {line} is not read: {error}"));
+        assert!(line.contains("404"), "{line}");
+    };
+    let malformed = async {
+        let mut stream = TcpStream::connect(harness.callers).await.expect("connects");
+        let head = head("once", "r2", KEY, 8).replace("x-request-id", "x-other");
+        stream.write_all(head.as_bytes()).await.expect("it is open");
+        let (line, _) = read_response(&mut stream).await;
+        assert!(line.contains("400"), "{line}");
+    };
+    let both = async { tokio::join!(chunked, malformed) };
+    tokio::time::timeout(PATIENCE, both)
+        .await
+        .expect("responses in time");
+    let text = harness
+        .client
+        .get(format!("http://{metrics}/metrics"))
+        .send()
+        .await;
+    let text = text.expect("metrics").text().await.expect("a text");
+    let unread = text.lines().filter(|line| line.starts_with(UNREAD_BODIES));
+    let expected = format!("{UNREAD_BODIES}{{status=\"400\"}} 1");
+    assert_eq!(unread.collect::<Vec<_>>(), [expected]);
+}
