--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -1,6 +1,9 @@
 use {
     super::{Endpoint, Peers},
-    crate::{Clock, dispatch::Dispatcher, settings::Settings, view::lock},
+    crate::{
+        Clock, dispatch::Dispatcher, metrics::Metrics, quarantine::Quarantine, settings::Settings,
+        view::lock,
+    },
     futures_util::FutureExt,
     marigoldroute_core::{
         route::Origin,
@@ -20,9 +23,13 @@
     };
     let throttle = Throttle::new(settings.instance.clone(), settings.view_term());
     let (routing, retries) = (settings.routing.clone(), settings.retries);
-    let dispatcher = Dispatcher::new(Clock::new(), origin, routing, retries, throttle);
+    let clock = Clock::new();
+    let metrics = Arc::new(Metrics::new().expect("metrics"));
+    let dispatcher = Dispatcher::new(clock, metrics.clone(), origin, routing, retries, throttle);
+    let quarantine = Arc::new(Quarantine::new(clock, metrics));
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let peers = Peers::bind(address, "own".into(), Arc::new(dispatcher)).expect("a port");
+    let peers = Peers::bind(address, "own".into(), Arc::new(dispatcher), quarantine);
+    let peers = peers.expect("a port");
     let endpoint = Endpoint {
         process: "other".into(),
         address,
