Return the failure that an upstream answered at the deadline

What callers saw: 504 of the gateway, when the deadline passed during an attempt after an upstream had answered with a failure, which the caller would have got without that attempt.

Change: the answer of the upstream is kept over the end of the deadline.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -238,7 +238,7 @@
                 Ok(Err(Interrupted::Unassigned(reason))) => {
                     return failure.unwrap_or_else(|| self.without_upstream(reason));
                 }
-                Err(_) => return self.timed_out(),
+                Err(_) => return failure.unwrap_or_else(|| self.timed_out()),
             };
             let is_still_unexecuted = outcome.is_not_run() && self.is_unexecuted;
             if let Some(reservation) = self.reservation.as_mut().filter(|_| is_still_unexecuted) {
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -4,7 +4,7 @@
 
 use {
     harness::{Harness, upstream::Script},
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
     tokio::sync::Notify,
 };
 
@@ -216,3 +216,32 @@
     assert_eq!(response.status(), 500);
     assert_eq!(response.text().await.expect("a body"), "broken");
 }
+
+/// Guards against an answer of an upstream that is replaced by an error of the gateway when the
+/// deadline passes during the next attempt.
+#[tokio::test]
+async fn failures_that_an_upstream_answered_are_returned_at_the_deadline() {
+    let mut snapshot = harness::snapshot(1, 1_000_000);
+    for route in &mut snapshot.routes {
+        route.timeout = Duration::from_millis(400);
+    }
+    let scripts = vec![Script::Complete(500, "its failure"), Script::Silent];
+    let (harness, upstreams) = Harness::with_snapshot(snapshot, scripts).await;
+    let calls = (0..8).map(|number| {
+        let id = format!("r{number}");
+        let request = harness.request("safe", &id);
+        tokio::spawn(async move { (id, request.send().await.expect("an answer").status()) })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut failures = 0;
+    for call in calls {
+        let (id, status) = call.await.expect("it ends");
+        let has_failed = upstreams[0]
+            .arrivals()
+            .iter()
+            .any(|arrival| arrival.id == id);
+        assert_eq!(status, if has_failed { 500 } else { 504 });
+        failures += usize::from(has_failed);
+    }
+    assert!(failures > 0);
+}
