Read the body of callers that were told to continue before an error

What callers saw: a reset connection in place of 413 or 408, when they had asked for the interim response 100, got it, and sent a body that was too large or too slow.

Cause: the rest of the body was not read for any caller that asks for the interim response, also after the body had begun to be read, which sends it.

Change: it is left unread only for errors from before that.

Result: the new test failed before with 'Broken pipe'; it passes.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -99,6 +99,9 @@
             Ok(admitted) => self.forward(head, admitted, arrived).await,
             Err(error) => {
                 let left = self.caller_time_left(&head, arrived);
+                // Reading the body has sent the interim response.
+                let was_read = matches!(error, Error::TooLarge | Error::Incomplete | Error::Late);
+                let expects_continue = expects_continue && !was_read;
                 let is_read = discard(&mut body, expects_continue, left.min(DISCARD_TIMEOUT)).await;
                 let response = self.reject(Some(&head), arrived, error);
                 self.record_unread(is_read, &response);
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -102,6 +102,36 @@
     assert_answered(&harness, &[("once", KEY, "503"); 2]).await;
 }
 
+/// Guards against a lost error response to a caller that sends its body after the interim response.
+#[tokio::test]
+async fn early_errors_reach_callers_that_were_told_to_continue() {
+    let mut snapshot = harness::snapshot(1, 1_000_000);
+    snapshot.limits = Limits {
+        body_bytes: BODY_BYTES / 2,
+        ..Limits::default()
+    };
+    let script = Script::Complete(200, "the answer");
+    let (harness, _upstreams) = Harness::with_snapshot(snapshot, vec![script]).await;
+    let stream = TcpStream::connect(harness.callers).await.expect("connects");
+    let (mut reader, mut writer) = stream.into_split();
+    let head =
+        head("once", "r1", KEY, BODY_BYTES).replace("\r\n\r\n", "\r\nexpect: 100-continue\r\n\r\n");
+    let exchange = async {
+        writer.write_all(head.as_bytes()).await.expect("it is open");
+        let mut interim = Vec::new();
+        while !interim.ends_with(b"\r\n\r\n") {
+            interim.push(reader.read_u8().await.expect("an interim response"));
+        }
+        assert!(interim.starts_with(b"HTTP/1.1 100"));
+        let body = vec![b'x'; BODY_BYTES];
+        let (sent, (line, _)) = tokio::join!(writer.write_all(&body), read_response(&mut reader));
+        sent.expect("the whole body is read");
+        assert!(line.contains("413"), "{line}");
+    };
+    let exchange = tokio::time::timeout(PATIENCE, exchange).await;
+    exchange.expect("a response in time");
+}
+
 /// Sends a request without a body and reads its response.
 async fn call(stream: &mut TcpStream, path: &str, id: &str) -> String {
     let head = head(path, id, KEY, 0);
