Name the entries of the quarantine for what they are

Cause: Ward says to a new reader nothing about a part that no request with it may be sent.

Change: Block; no change of behaviour.

Result: the linter passes.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -16,7 +16,7 @@
     },
     recent::Recent,
     std::time::Duration,
-    suspect::{Crash, Suspect, Ward},
+    suspect::{Block, Crash, Suspect},
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
@@ -103,7 +103,7 @@
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     suspects: Recent<Suspect>,
-    wards: Recent<Ward>,
+    blocks: Recent<Block>,
     /// When a request with the part was last answered, as far as this host knows.
     sound: Recent<Duration>,
 }
@@ -112,7 +112,7 @@
     fn default() -> Self {
         Self {
             suspects: Recent::new(SUSPECT_LIMIT),
-            wards: Recent::new(QUARANTINE_LIMIT),
+            blocks: Recent::new(QUARANTINE_LIMIT),
             sound: Recent::new(SOUND_LIMIT),
         }
     }
@@ -124,11 +124,11 @@
     /// Of parts that were always accused together, any may be the deadly one. A prompt with some of
     /// them and not all is sent: an answer clears those that it has, and an end convicts them.
     pub fn check(&self, now: Duration, parts: &[PartId]) -> Option<Duration> {
-        let wards = parts.iter().filter_map(|part| self.wards.get(*part));
-        let blocking = wards.filter(|ward| {
-            ward.is_active(now) && ward.common.iter().all(|other| parts.contains(other))
+        let blocks = parts.iter().filter_map(|part| self.blocks.get(*part));
+        let blocking = blocks.filter(|block| {
+            block.is_active(now) && block.common.iter().all(|other| parts.contains(other))
         });
-        blocking.map(|ward| ward.until.saturating_sub(now)).max()
+        blocking.map(|block| block.until.saturating_sub(now)).max()
     }
 
     /// Records that a request with these parts was answered.
@@ -156,7 +156,7 @@
         accused.retain(|part| !self.is_sound(*part, now));
         if self.check(now, parts).is_some() {
             // What is quarantined explains the end.
-            accused.retain(|part| self.wards.get(*part).is_some());
+            accused.retain(|part| self.blocks.get(*part).is_some());
         }
         let surplus = accused.len().saturating_sub(COMPANION_LIMIT + 1);
         let mut changes = Vec::new();
@@ -182,16 +182,16 @@
     /// Returns a message about accused and quarantined parts.
     pub fn describe(&self, now: Duration, parts: &[PartId]) -> Vec<Message> {
         let message = |part: &PartId| {
-            let ward = self.wards.get(*part);
-            let suspect = ward.map(|ward| &ward.suspect);
+            let block = self.blocks.get(*part);
+            let suspect = block.map(|block| &block.suspect);
             let suspect = suspect.or_else(|| self.suspects.get(*part))?;
             let accusations = suspect.crashes.iter().map(|crash| Accusation {
                 process: crash.process,
                 age_ms: now.saturating_sub(crash.at).as_millis() as u64,
                 companions: crash.companions.clone(),
             });
-            let common = ward.map_or_else(Vec::new, |ward| ward.common.clone());
-            let rest = ward.map_or(Duration::ZERO, |ward| ward.until.saturating_sub(now));
+            let common = block.map_or_else(Vec::new, |block| block.common.clone());
+            let rest = block.map_or(Duration::ZERO, |block| block.until.saturating_sub(now));
             Some(Message {
                 part: *part,
                 accusations: accusations.collect(),
@@ -270,21 +270,21 @@
         if rest.is_zero() || is_answered {
             return None;
         }
-        let known = self.wards.get_mut(part);
-        if let Some(ward) = known.filter(|ward| ward.is_active(now)) {
-            ward.common.retain(|other| common.contains(other));
+        let known = self.blocks.get_mut(part);
+        if let Some(block) = known.filter(|block| block.is_active(now)) {
+            block.common.retain(|other| common.contains(other));
             return None;
         }
         let suspect = self.suspects.remove(part).unwrap_or_default();
         let crashes = suspect.crashes.len();
         let mut common = bounded(common);
         common.retain(|other| !self.is_sound(*other, now));
-        let ward = Ward {
+        let block = Block {
             until,
             suspect,
             common,
         };
-        self.wards.insert(part, ward);
+        self.blocks.insert(part, block);
         Some(Change {
             part,
             state: State::Quarantined(crashes),
@@ -295,9 +295,9 @@
     /// Returns the quarantined parts with the rest of their quarantine and the parts that were always
     /// accused with them.
     pub fn quarantined(&self, now: Duration) -> Vec<(PartId, Duration, Vec<PartId>)> {
-        let active = self.wards.iter().filter(|(_, ward)| ward.is_active(now));
+        let active = self.blocks.iter().filter(|(_, block)| block.is_active(now));
         let mut list: Vec<_> = active
-            .map(|(part, ward)| (part, ward.until.saturating_sub(now), ward.common.clone()))
+            .map(|(part, block)| (part, block.until.saturating_sub(now), block.common.clone()))
             .collect();
         list.sort_unstable();
         list
@@ -310,29 +310,29 @@
     }
 
     fn suspect_mut(&mut self, part: PartId) -> Option<&mut Suspect> {
-        match self.wards.get_mut(part) {
-            Some(ward) => Some(&mut ward.suspect),
+        match self.blocks.get_mut(part) {
+            Some(block) => Some(&mut block.suspect),
             None => self.suspects.get_mut(part),
         }
     }
 
     /// Ends the accusation and the quarantine of a part; returns the hosts that may know of it.
     fn clear(&mut self, part: PartId) -> Option<(Suspect, Audience)> {
-        let ward = self.wards.remove(part);
-        let ward = ward.map(|ward| (ward.suspect, Audience::All));
+        let block = self.blocks.remove(part);
+        let block = block.map(|block| (block.suspect, Audience::All));
         let suspect = self.suspects.remove(part);
-        if ward.is_some() || suspect.is_some() {
+        if block.is_some() || suspect.is_some() {
             // It no longer explains the ends at which others were accused with it.
-            self.wards
-                .for_each(|ward| ward.common.retain(|other| *other != part));
+            self.blocks
+                .for_each(|block| block.common.retain(|other| *other != part));
         }
-        ward.or(suspect.map(|suspect| (suspect, Audience::Judges)))
+        block.or(suspect.map(|suspect| (suspect, Audience::Judges)))
     }
 
     /// Drops accusations of other parts at ends which a quarantined part alone explains.
-    fn explain_by(&mut self, ward: &Ward) {
-        if ward.common.is_empty() {
-            let ends = &ward.suspect.crashes;
+    fn explain_by(&mut self, block: &Block) {
+        if block.common.is_empty() {
+            let ends = &block.suspect.crashes;
             let is_explained = |crash: &Crash| ends.iter().any(|end| end.process == crash.process);
             self.suspects
                 .for_each(|suspect| suspect.crashes.retain(|crash| !is_explained(crash)));
@@ -340,24 +340,24 @@
     }
 
     fn accuse(&mut self, now: Duration, part: PartId, crash: Crash) -> Option<Change> {
-        if let Some(ward) = self.wards.get_mut(part) {
+        if let Some(block) = self.blocks.get_mut(part) {
             let companions = crash.companions.clone();
             let at = crash.at;
-            if !ward.suspect.add(now, crash) || at <= ward.started_at() {
+            if !block.suspect.add(now, crash) || at <= block.started_at() {
                 return None;
             }
-            let known = ward.common.len();
-            ward.common.retain(|other| companions.contains(other));
-            if ward.is_active(now) && ward.common.len() == known {
+            let known = block.common.len();
+            block.common.retain(|other| companions.contains(other));
+            if block.is_active(now) && block.common.len() == known {
                 return None;
             }
-            if !ward.is_active(now) {
+            if !block.is_active(now) {
                 // One more end is enough after a quarantine.
-                ward.until = at + TERM;
+                block.until = at + TERM;
             }
             return Some(Change {
                 part,
-                state: State::Quarantined(ward.suspect.crashes.len()),
+                state: State::Quarantined(block.suspect.crashes.len()),
                 audience: Some(Audience::All),
             });
         }
@@ -376,13 +376,13 @@
         }
         self.suspects.remove(part);
         suspect.is_published = true;
-        let ward = Ward {
+        let block = Block {
             until: now + TERM,
             common: suspect.common(),
             suspect,
         };
-        self.explain_by(&ward);
-        self.wards.insert(part, ward);
+        self.explain_by(&block);
+        self.blocks.insert(part, block);
         Some(Change {
             part,
             state: State::Quarantined(crashes),
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -61,7 +61,7 @@
 
 /// A quarantined part.
 #[derive(Clone, Debug)]
-pub(super) struct Ward {
+pub(super) struct Block {
     pub(super) until: Duration,
     pub(super) suspect: Suspect,
     /// Parts that were accused with it each time. Any of them may be the deadly one, so only
@@ -69,7 +69,7 @@
     pub(super) common: Vec<PartId>,
 }
 
-impl Ward {
+impl Block {
     pub(super) fn is_active(&self, now: Duration) -> bool {
         now < self.until
     }
