--- a/crates/gateway/tests/crashing_prompts.rs
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -140,11 +140,7 @@
         .header("x-parts", parts);
     let response = request.send().await.expect("an answer");
     assert_eq!(response.status(), 503);
-    let after = response
-        .headers()
-        .get("retry-after")
-        .expect("a time to return");
-    let after: f64 = after.to_str().expect("text").parse().expect("seconds");
+    let after = harness::retry_after(&response);
     assert!(after > 300.0, "to return after {after} s");
 }
 
--- a/crates/gateway/tests/extremes.rs
+++ b/crates/gateway/tests/extremes.rs
@@ -2,18 +2,7 @@
 
 mod harness;
 
-use harness::{Harness, snapshot, upstream::Script};
-
-/// Returns the peak memory of this process in MiB.
-fn peak_mib() -> usize {
-    let status = std::fs::read_to_string("/proc/self/status").expect("the status of the process");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let kib = line.and_then(|line| line.split_whitespace().next());
-    let kib: usize = kib
-        .and_then(|kib| kib.parse().ok())
-        .expect("a number of KiB");
-    kib >> 10
-}
+use harness::{Harness, peak_mib, snapshot, upstream::Script};
 
 /// Guards against memory in proportion to the tokens that a caller states, which ends the process.
 #[tokio::test]
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -100,6 +100,24 @@
     }
 }
 
+/// Returns the peak memory of this process in MiB.
+pub fn peak_mib() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the status of the process");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kib = line.and_then(|line| line.split_whitespace().next());
+    let kib: usize = kib
+        .and_then(|kib| kib.parse().ok())
+        .expect("a number of KiB");
+    kib >> 10
+}
+
+/// Returns the time in seconds after which a refused caller should return.
+pub fn retry_after(response: &reqwest::Response) -> f64 {
+    let after = response.headers().get("retry-after");
+    let after = after.expect("a time to return");
+    after.to_str().expect("text").parse().expect("seconds")
+}
+
 impl Harness {
     /// Starts a gateway and an upstream for each script, and waits until the gateway is ready. The
     /// workspace has a budget of 1,000,000 tokens.
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -4,7 +4,7 @@
 mod harness;
 
 use {
-    harness::{Harness, snapshot, upstream::Script},
+    harness::{Harness, peak_mib, snapshot, upstream::Script},
     marigoldroute_gateway::Settings,
     std::time::Duration,
 };
@@ -12,17 +12,6 @@
 const STREAM: &str =
     "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n";
 
-/// Returns the peak memory of this process in MiB.
-fn peak_mib() -> usize {
-    let status = std::fs::read_to_string("/proc/self/status").expect("the status of the process");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let kib = line.and_then(|line| line.split_whitespace().next());
-    let kib: usize = kib
-        .and_then(|kib| kib.parse().ok())
-        .expect("a number of KiB");
-    kib >> 10
-}
-
 /// Guards against endless responses that together take more memory than a host of 96 MB has. The
 /// limit has to cover the whole process, not only each response.
 #[tokio::test]
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -134,11 +134,7 @@
             continue;
         }
         assert_eq!(response.status(), 503);
-        let after = response
-            .headers()
-            .get("retry-after")
-            .expect("a time to return");
-        let after: f64 = after.to_str().expect("text").parse().expect("seconds");
+        let after = harness::retry_after(&response);
         returns.push(after);
     }
     assert!(sent_at.elapsed() < Duration::from_secs(1), "refused late");
