Bar the upstreams of evacuated availability zones

Operators saw: an order to evacuate an availability zone had no effect; its upstreams got requests as before.

Cause: nothing between an order and the choice of an upstream knew of evacuations or of the zone of an upstream.

Change: Admission knows the zone of each upstream and the zones that are evacuated. Bar::Evacuated holds when an upstream is chosen and right before a request is sent, ranks before what ends at a known time, and promises callers no time to return. Orders are not read yet.

Result: the property test drives orders, their ends and whole reads of them beside all other reasons.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -5,16 +5,22 @@
 //! chosen and again right before a request is sent. Failures and load are no part of it: they make
 //! the routing policy prefer other upstreams, and bar none.
 
+mod evacuation;
 mod pause;
 
+pub use evacuation::Evacuation;
+
 use {
     crate::{
-        id::{HostId, ServiceId, UpstreamId},
+        id::{HostId, ServiceId, UpstreamId, Zone},
         throttle::{Process, Rate, State, Throttle},
     },
     derive_more::Display,
     pause::Pause,
-    std::{collections::HashMap, time::Duration},
+    std::{
+        collections::{BTreeSet, HashMap},
+        time::Duration,
+    },
 };
 
 /// Time for which the notices of an upstream are kept after it has left the list; it may come back
@@ -83,6 +89,9 @@
     /// It, or the process that was chosen, is not on the list, or takes no new work by the list.
     #[display("not on the list")]
     Unlisted,
+    /// Operators have evacuated its availability zone.
+    #[display("in an evacuated zone")]
+    Evacuated,
     /// It has said that it leaves.
     #[display("leaves")]
     Leaving,
@@ -106,6 +115,7 @@
 struct Upstream {
     /// Start of the process, in milliseconds since 1970. Notices hold for this process alone.
     started_ms: u64,
+    zone: Zone,
     /// When it left the list or took no new work; `None` while it is listed.
     left_at: Option<Duration>,
     /// Whether this process has said that it leaves. It does not take that back.
@@ -153,6 +163,8 @@
 pub struct Admission {
     own: HostId,
     upstreams: HashMap<UpstreamId, Upstream>,
+    /// Availability zones that operators have evacuated, also ones without upstreams.
+    evacuated: BTreeSet<Zone>,
     throttle: Throttle,
 }
 
@@ -162,6 +174,7 @@
         Self {
             own,
             upstreams: HashMap::new(),
+            evacuated: BTreeSet::new(),
             throttle,
         }
     }
@@ -171,21 +184,23 @@
         &mut self.throttle
     }
 
-    /// Records that a process of an upstream is on the list and takes work. A process that was not
-    /// known before is free of the notices of an earlier one.
-    pub fn join(&mut self, now: Duration, process: &Process) {
+    /// Records that a process of an upstream in a zone is on the list and takes work. A process that
+    /// was not known before is free of the notices of an earlier one.
+    pub fn join(&mut self, now: Duration, process: &Process, zone: &Zone) {
         self.throttle.join(process);
         self.upstreams
             .retain(|id, upstream| *id == process.upstream || !upstream.is_forgettable(now));
         let upstream = self.upstreams.entry(process.upstream.clone());
         let upstream = upstream.or_insert(Upstream {
             started_ms: process.started_ms,
+            zone: zone.clone(),
             left_at: None,
             is_leaving: false,
             pause: None,
             in_flight: 0,
         });
         upstream.left_at = None;
+        upstream.zone.clone_from(zone);
         if upstream.started_ms != process.started_ms {
             upstream.started_ms = process.started_ms;
             upstream.is_leaving = false;
@@ -226,6 +241,9 @@
         if upstream.left_at.is_some() || !is_current {
             return Standing::Barred(Bar::Unlisted);
         }
+        if self.evacuated.contains(&upstream.zone) {
+            return Standing::Barred(Bar::Evacuated);
+        }
         if upstream.is_leaving {
             return Standing::Barred(Bar::Leaving);
         }
@@ -328,7 +346,7 @@
             match self.standing(now, id, stage) {
                 Standing::Open | Standing::Limited(_) => return None,
                 Standing::Barred(bar) => match bar {
-                    Bar::Unlisted | Bar::Leaving => {}
+                    Bar::Unlisted | Bar::Evacuated | Bar::Leaving => {}
                     Bar::Spent(..) => spent.push(*id),
                     Bar::Paused(_) => {
                         let pause = self.upstreams.get(*id).and_then(|known| known.pause);
--- a/crates/core/tests/admission/main.rs
+++ b/crates/core/tests/admission/main.rs
@@ -4,12 +4,12 @@
 
 use {
     marigoldroute_core::{
-        admission::{Admission, Notice, Stage, Standing},
+        admission::{Admission, Evacuation, Notice, Stage, Standing},
         id::UpstreamId,
     },
     proptest::{prelude::ProptestConfig, proptest},
     std::time::Duration,
-    world::{Action, LIMIT, UPSTREAMS, World, actions, admission, process},
+    world::{Action, LIMIT, UPSTREAMS, World, actions, admission, process, zone},
 };
 
 fn pause(time: Duration) -> Notice {
@@ -33,7 +33,7 @@
         .collect();
     let id: UpstreamId = "u".into();
     for host in &mut hosts {
-        host.join(Duration::ZERO, &process(&id, 1));
+        host.join(Duration::ZERO, &process(&id, 1), &zone(0));
         host.record(
             Duration::ZERO,
             &process(&id, 1),
@@ -77,7 +77,7 @@
 fn callers_come_back_in_the_order_in_which_they_were_refused() {
     let mut host = admission("h");
     let id: UpstreamId = "u".into();
-    host.join(Duration::ZERO, &process(&id, 1));
+    host.join(Duration::ZERO, &process(&id, 1), &zone(0));
     host.record(
         Duration::ZERO,
         &process(&id, 1),
@@ -114,7 +114,7 @@
     ];
     for (pauses, closed_s, open_s) in cases {
         let mut host = admission("h");
-        host.join(Duration::ZERO, &process(&id, 1));
+        host.join(Duration::ZERO, &process(&id, 1), &zone(0));
         for time in &pauses {
             host.record(
                 Duration::ZERO,
@@ -146,17 +146,46 @@
     for notice in [leaving, pause(Duration::from_secs(60))] {
         let mut host = admission("h");
         let at = Duration::from_secs;
-        host.join(at(0), &process(&id, 1));
+        host.join(at(0), &process(&id, 1), &zone(0));
         host.record(at(1), &process(&id, 1), at(0), notice);
         host.leave(at(2), &id);
-        host.join(at(3), &process(&id, 1));
+        host.join(at(3), &process(&id, 1), &zone(0));
         assert!(!may_choose(&host, at(4), &id), "{notice:?}");
-        host.join(at(5), &process(&id, 2));
+        host.join(at(5), &process(&id, 2), &zone(0));
         host.record(at(5), &process(&id, 1), at(0), notice);
         assert!(may_choose(&host, at(6), &id), "a late answer: {notice:?}");
     }
 }
 
+/// Guards against an evacuation that an upstream escapes by leaving the list or by a new process,
+/// against one that outlasts its end, and against a time to return that nobody knows.
+#[test]
+fn an_evacuation_holds_for_the_zone_until_it_ends() {
+    let at = Duration::from_secs;
+    let (id, other): (UpstreamId, UpstreamId) = ("u".into(), "o".into());
+    let mut host = admission("h");
+    host.join(at(0), &process(&id, 1), &zone(0));
+    host.join(at(0), &process(&other, 1), &zone(1));
+    host.record(at(0), &process(&id, 1), at(0), pause(at(60)));
+    let begun = Evacuation::Begun(zone(0));
+    let changes = host.apply_evacuations([begun.clone(), begun.clone()]);
+    assert_eq!(changes, [begun], "a second order changes nothing");
+    assert!(may_choose(&host, at(1), &other), "another zone");
+    assert_eq!(host.schedule_return(at(1), &"s".into(), &[&id]), None);
+    host.leave(at(2), &id);
+    host.join(at(3), &process(&id, 2), &zone(0));
+    assert!(!may_choose(&host, at(4), &id));
+    host.join(at(5), &process(&id, 2), &zone(1));
+    assert!(may_choose(&host, at(6), &id), "it has moved");
+    let moved = host.replace_evacuated([zone(1)].into());
+    let expected = [Evacuation::Ended(zone(0)), Evacuation::Begun(zone(1))];
+    assert_eq!(moved, expected);
+    assert!(!may_choose(&host, at(7), &id));
+    let ended = Evacuation::Ended(zone(1));
+    assert_eq!(host.apply_evacuations([ended.clone()]), [ended]);
+    assert!(may_choose(&host, at(8), &id) && host.evacuated().is_empty());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
@@ -166,7 +195,7 @@
     fn every_reason_holds_on_every_path(actions in actions()) {
         let mut world = World::new();
         for upstream in 0..UPSTREAMS {
-            world.apply(Action::Join { upstream, is_restart: false })?;
+            world.apply(Action::Join { upstream, zone: upstream, is_restart: false })?;
         }
         for action in actions {
             world.apply(action)?;
--- a/crates/core/tests/admission/world.rs
+++ b/crates/core/tests/admission/world.rs
@@ -2,17 +2,17 @@
 
 use {
     marigoldroute_core::{
-        admission::{Admission, Notice, Stage, Standing},
+        admission::{Admission, Evacuation, Notice, Stage, Standing},
         fleet::WeightedHost,
-        id::UpstreamId,
+        id::{UpstreamId, Zone},
         throttle::{Process, Rate, Statement, Step, Throttle},
     },
     proptest::{
-        collection::vec,
+        collection::{btree_set, vec},
         prelude::{Just, Strategy, any, prop_assert, prop_oneof},
         test_runner::TestCaseError,
     },
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// Requests that the host may have in flight at an upstream.
@@ -33,6 +33,11 @@
     }
 }
 
+/// Returns one of the availability zones, of which there are as many as upstreams.
+pub fn zone(index: usize) -> Zone {
+    format!("z{index}").into()
+}
+
 /// What happens next to the host.
 #[derive(Clone, Debug)]
 pub enum Action {
@@ -53,11 +58,21 @@
     },
     Join {
         upstream: usize,
+        zone: usize,
         is_restart: bool,
     },
     Leave {
         upstream: usize,
     },
+    /// Operators evacuate a zone, or take that back.
+    Evacuate {
+        zone: usize,
+        is_end: bool,
+    },
+    /// All orders to evacuate are read again.
+    ReadEvacuations {
+        zones: BTreeSet<usize>,
+    },
     Wait {
         ms: u64,
     },
@@ -84,9 +99,12 @@
             .prop_map(|(index, is_given_up)| Action::Send { index, is_given_up }),
         6 => (any::<usize>(), notice, rate)
             .prop_map(|(index, notice, rate)| Action::Answer { index, notice, rate }),
-        2 => (upstream(), any::<bool>())
-            .prop_map(|(upstream, is_restart)| Action::Join { upstream, is_restart }),
+        2 => (upstream(), upstream(), any::<bool>())
+            .prop_map(|(upstream, zone, is_restart)| Action::Join { upstream, zone, is_restart }),
         1 => upstream().prop_map(|upstream| Action::Leave { upstream }),
+        2 => (upstream(), prop_oneof![1 => Just(false), 2 => Just(true)])
+            .prop_map(|(zone, is_end)| Action::Evacuate { zone, is_end }),
+        1 => btree_set(upstream(), 0..=1).prop_map(|zones| Action::ReadEvacuations { zones }),
         6 => (0..1_500_u64).prop_map(|ms| Action::Wait { ms }),
     ];
     vec(action, 1..150)
@@ -96,6 +114,7 @@
 #[derive(Clone, Debug, Default)]
 struct Peer {
     started_ms: u64,
+    zone: usize,
     is_listed: bool,
     has_left: bool,
     /// Until when it wants nothing.
@@ -118,6 +137,7 @@
     now: Duration,
     host: Admission,
     peers: Vec<Peer>,
+    evacuated: BTreeSet<usize>,
     requests: Vec<Request>,
 }
 
@@ -134,6 +154,7 @@
             now: TERM * 3,
             host,
             peers: vec![Peer::default(); UPSTREAMS],
+            evacuated: BTreeSet::new(),
             requests: Vec::new(),
         }
     }
@@ -197,6 +218,8 @@
         let is_current = request.process.started_ms == peer.started_ms;
         prop_assert!(is_current, "sent to a process that is gone");
         prop_assert!(peer.is_listed, "sent to an upstream that is not listed");
+        let is_evacuated = self.evacuated.contains(&peer.zone);
+        prop_assert!(!is_evacuated, "sent to an evacuated zone");
         prop_assert!(!peer.has_left, "sent to an upstream that leaves");
         prop_assert!(peer.until <= self.now, "sent in a pause");
         if let Some((_, _, count)) = &mut peer.rate {
@@ -253,6 +276,7 @@
             } => self.answer(index, notice, rate),
             Action::Join {
                 upstream,
+                zone: index,
                 is_restart,
             } => {
                 let peer = &mut self.peers[upstream];
@@ -265,13 +289,33 @@
                     };
                 }
                 peer.is_listed = true;
+                peer.zone = index;
                 let process = process(&Self::id(upstream), peer.started_ms);
-                self.host.join(self.now, &process);
+                self.host.join(self.now, &process, &zone(index));
             }
             Action::Leave { upstream } => {
                 self.peers[upstream].is_listed = false;
                 self.host.leave(self.now, &Self::id(upstream));
             }
+            Action::Evacuate {
+                zone: index,
+                is_end,
+            } => {
+                let (change, has_changed) = match is_end {
+                    true => (
+                        Evacuation::Ended(zone(index)),
+                        self.evacuated.remove(&index),
+                    ),
+                    false => (Evacuation::Begun(zone(index)), self.evacuated.insert(index)),
+                };
+                let changes = self.host.apply_evacuations([change]);
+                prop_assert!(changes.is_empty() != has_changed, "{changes:?}");
+            }
+            Action::ReadEvacuations { zones } => {
+                let names = zones.iter().map(|index| zone(*index)).collect();
+                self.host.replace_evacuated(names);
+                self.evacuated = zones;
+            }
             Action::Wait { ms } => self.now += Duration::from_millis(ms),
         }
         for peer in &self.peers {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -133,7 +133,7 @@
 impl Obstacles {
     fn with(mut self, bar: Bar) -> Self {
         let opens_at = match bar {
-            Bar::Unlisted | Bar::Leaving => None,
+            Bar::Unlisted | Bar::Evacuated | Bar::Leaving => None,
             Bar::Paused(until) | Bar::Spent(_, until) => Some(until),
             Bar::Resuming(until) => {
                 self.is_busy = true;
@@ -216,7 +216,7 @@
                     upstream: id.clone(),
                     started_ms: entry.started_ms,
                 };
-                inner.admission.join(now, &process);
+                inner.admission.join(now, &process, &entry.zone);
                 let candidate = Candidate {
                     id: id.clone(),
                     serves: vec![entry.service.clone()],
