Follow orders to evacuate availability zones

Operators saw: an order to evacuate an availability zone (a row `op/evacuate/ZONE`) was ignored; its upstreams got requests all the while.

Cause: hosts read one row of the operators' table, the configuration. Rows with orders came with the same feed and were left out.

Change: the store's trait returns what operators change as `Orders`: the configuration and the evacuations that began or ended. A host reads all evacuations (one small range) before the configuration when it starts and after the store has discarded its history, so it is not ready, and sends nothing, before it knows them; from then on the feed that it waits on anyway delivers the changes. A failed read changes nothing. Requests that wait for a place look at the upstreams again when an order arrives. A log line for each change and the gauge marigoldroute_gateway_evacuated_zones.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Assignment of requests to upstreams, with this host's requests in flight and retries.
 
+mod evacuations;
 mod in_flight;
 mod notices;
 mod rates;
--- a/crates/gateway/src/dispatch/tests.rs
+++ b/crates/gateway/src/dispatch/tests.rs
@@ -4,7 +4,7 @@
     super::{Dispatcher, InFlight, Unavailable},
     crate::{Clock, metrics::Metrics, profile::Profile, protocol::ResponseHead},
     marigoldroute_core::{
-        admission::Bar,
+        admission::{Bar, Evacuation},
         forward::{AllowanceSettings, Change, Registration, Service, State},
         route::{self, Origin},
         throttle::{Rate, Statement, Throttle},
@@ -132,3 +132,21 @@
     dispatcher.apply(dispatcher.clock.now(), change);
     assert_eq!(with_permit.bar(), Some(Bar::Unlisted));
 }
+
+/// Guards against a request that is sent to a zone which was evacuated while it waited for a permit
+/// or a connection, and against a time to return that nobody knows.
+#[test]
+fn assigned_requests_are_held_back_from_evacuated_zones() {
+    let dispatcher = dispatcher();
+    let mut waiting = assign(&dispatcher).expect("an upstream");
+    let mut connecting = assign(&dispatcher).expect("an upstream");
+    assert!(connecting.record_sent(&Profile::default()));
+    dispatcher.apply_evacuations(vec![Evacuation::Begun("zone".into())]);
+    assert!(!waiting.record_sent(&Profile::default()));
+    assert_eq!(connecting.bar(), Some(Bar::Evacuated));
+    assert_eq!(assign(&dispatcher).err(), Some(Unavailable::NoCandidate));
+    assert_eq!(dispatcher.metrics.evacuated_zones.get(), 1);
+    dispatcher.replace_evacuated(["other".into()].into());
+    assert_eq!(connecting.bar(), None);
+    assert!(assign(&dispatcher).is_ok());
+}
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -170,9 +170,7 @@
         settings: settings.clone(),
     };
     let watchers = (watcher.clone(), watcher.clone());
-    supervisor.start("configuration", move |stop| {
-        watchers.0.clone().configuration(stop)
-    });
+    supervisor.start("configuration", move |stop| watchers.0.clone().orders(stop));
     supervisor.start("upstreams", move |stop| watchers.1.clone().upstreams(stop));
     supervisor.start("expiry", move |stop| watcher.clone().expire(stop));
     let membership = Membership {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,8 @@
     pub(crate) version: IntGauge,
     /// Hosts in the fleet.
     pub(crate) hosts: IntGauge,
+    /// Availability zones that operators have evacuated.
+    pub(crate) evacuated_zones: IntGauge,
 }
 
 impl Metrics {
@@ -160,6 +162,10 @@
                 "Configuration version in effect",
             )?,
             hosts: gauge("marigoldroute_gateway_hosts", "Hosts in the fleet")?,
+            evacuated_zones: gauge(
+                "marigoldroute_gateway_evacuated_zones",
+                "Availability zones that operators have evacuated",
+            )?,
             registry,
         })
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,11 +4,12 @@
     derive_more::{Display, Error},
     futures_util::future::BoxFuture,
     marigoldroute_core::{
+        admission::Evacuation,
         forward::{Registration, Snapshot},
-        id::UpstreamId,
+        id::{UpstreamId, Zone},
         table::{Row, Transaction, Verdict},
     },
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// Position in the store's sequence of changes.
@@ -40,6 +41,15 @@
     pub position: Position,
 }
 
+/// What operators have changed.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Orders {
+    /// The newest configuration; `None` when it has not changed.
+    pub configuration: Option<Snapshot>,
+    /// Availability zones whose evacuation has begun or ended, in the order of the changes.
+    pub evacuations: Vec<Evacuation>,
+}
+
 /// The list of upstreams, without invalid entries.
 pub type Listing = Vec<(UpstreamId, Registration)>;
 
@@ -74,13 +84,15 @@
     /// Returns the newest configuration; its content is `None` when there is none.
     fn configuration(&self) -> BoxFuture<'_, Result<Read<Option<Snapshot>>, Fault>>;
 
-    /// Waits up to `wait` for a configuration newer than the position `since`; the content is
-    /// `None` when there is none.
-    fn configuration_after(
+    /// Returns the availability zones that operators have evacuated.
+    fn evacuated(&self) -> BoxFuture<'_, Result<Read<BTreeSet<Zone>>, Fault>>;
+
+    /// Waits up to `wait` for what operators change after the position `since`.
+    fn orders_after(
         &self,
         since: Position,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<Read<Option<Snapshot>>, Fault>>;
+    ) -> BoxFuture<'_, Result<Read<Orders>, Fault>>;
 
     /// Returns the whole list of upstreams.
     fn upstreams(&self) -> BoxFuture<'_, Result<Read<Listing>, Fault>>;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,4 +1,4 @@
-//! Tasks that watch the configuration and the list of upstreams in the store.
+//! Tasks that watch the orders of operators and the list of upstreams in the store.
 
 use {
     crate::{
@@ -6,7 +6,7 @@
         dispatch::Dispatcher,
         metrics::Metrics,
         settings::Settings,
-        store::{Fault, Position, Read, Store, Update},
+        store::{Fault, Position, Store, Update},
         view::{View, lock},
     },
     marigoldroute_core::forward::{Change, Directory, Snapshot},
@@ -40,22 +40,19 @@
 }
 
 impl Watcher {
-    /// Watches the configuration until `stop`.
-    pub(crate) async fn configuration(self, stop: CancellationToken) {
+    /// Watches the configuration and the evacuations until `stop`.
+    pub(crate) async fn orders(self, stop: CancellationToken) {
         let mut position = None;
         let mut outage = Outage::new("configuration");
         loop {
             let read = tokio::select! {
                 () = stop.cancelled() => return,
-                read = self.read_configuration(position) => read,
+                read = self.read_orders(position) => read,
             };
             match read {
-                Ok(read) => {
+                Ok(next) => {
                     outage.record_success();
-                    position = Some(read.position);
-                    if let Some(snapshot) = read.content {
-                        self.apply_configuration(snapshot);
-                    }
+                    position = Some(next);
                 }
                 Err(fault) => {
                     outage.record_fault(fault);
@@ -68,24 +65,36 @@
         }
     }
 
-    /// Reads the configuration, or waits for a newer one than at the position.
-    async fn read_configuration(
-        &self,
-        position: Option<Position>,
-    ) -> Result<Read<Option<Snapshot>>, Fault> {
+    /// Reads what operators have set, or waits for changes after the position, and applies it;
+    /// returns the new position.
+    ///
+    /// The evacuations are read before the configuration. So no configuration is in effect, and no
+    /// request is sent, while they are not known. Changes are read from the earlier position of the
+    /// two, because evacuations may change in between.
+    async fn read_orders(&self, position: Option<Position>) -> Result<Position, Fault> {
         let wait = self
             .settings
             .scale_interval(self.settings.watch_wait, self.view.hosts());
-        match position {
-            None => {
-                self.call_with_timeout(Duration::ZERO, self.store.configuration())
-                    .await
-            }
-            Some(position) => {
-                let read = self.store.configuration_after(position, wait);
-                self.call_with_timeout(wait, read).await
+        let Some(position) = position else {
+            let evacuated = self.store.evacuated();
+            let evacuated = self.call_with_timeout(Duration::ZERO, evacuated).await?;
+            self.dispatcher.replace_evacuated(evacuated.content);
+            let configuration = self.store.configuration();
+            let configuration = self
+                .call_with_timeout(Duration::ZERO, configuration)
+                .await?;
+            if let Some(snapshot) = configuration.content {
+                self.apply_configuration(snapshot);
             }
+            return Ok(evacuated.position.min(configuration.position));
+        };
+        let read = self.store.orders_after(position, wait);
+        let read = self.call_with_timeout(wait, read).await?;
+        self.dispatcher.apply_evacuations(read.content.evacuations);
+        if let Some(snapshot) = read.content.configuration {
+            self.apply_configuration(snapshot);
         }
+        Ok(read.position)
     }
 
     /// Puts a configuration into effect if it is newer than the current one.
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -3,13 +3,14 @@
 use {
     futures_util::future::BoxFuture,
     marigoldroute_core::{
+        admission::Evacuation,
         forward::{Registration, Snapshot},
-        id::UpstreamId,
+        id::{UpstreamId, Zone},
         table::{self, Row, Transaction, Verdict, Write},
     },
-    marigoldroute_gateway::store::{Fault, Listing, Position, Read, Store, Update},
+    marigoldroute_gateway::store::{Fault, Listing, Orders, Position, Read, Store, Update},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         sync::{Mutex, MutexGuard},
         time::{Duration, Instant},
     },
@@ -23,8 +24,19 @@
     entries: BTreeMap<UpstreamId, Registration>,
     /// Upstreams that were put or removed, with the position of the change.
     log: Vec<(Position, UpstreamId)>,
+    evacuated: BTreeSet<Zone>,
+    /// Zones whose evacuation began or ended, with the position of the change.
+    evacuations: Vec<(Position, Zone)>,
     /// Position of the newest configuration.
     configured: Position,
+    /// Position after which the history of operators' changes is kept.
+    kept_since: Position,
+    /// Largest position from which changes of operators were read.
+    followed: Position,
+    /// Reads of the whole configuration and of all evacuations that were answered or refused.
+    whole_reads: (u32, u32),
+    /// Whether reads of all evacuations fail.
+    has_unreadable_evacuations: bool,
     /// Position of the newest change.
     position: Position,
     is_down: bool,
@@ -100,6 +112,43 @@
         });
     }
 
+    /// Begins the evacuation of a zone, or ends it, whether the store is down for hosts or not.
+    pub fn set_evacuated(&self, zone: &str, is_evacuated: bool) {
+        self.change(|inner, position| {
+            match is_evacuated {
+                true => inner.evacuated.insert(zone.into()),
+                false => inner.evacuated.remove(zone),
+            };
+            inner.evacuations.push((position, zone.into()));
+        });
+    }
+
+    /// Waits until the only host has applied all changes by operators.
+    pub async fn until_followed(&self) {
+        while !self.is_followed() {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn is_followed(&self) -> bool {
+        let inner = self.lock();
+        inner.followed >= inner.position
+    }
+
+    /// Discards the history of operators' changes.
+    pub fn discard_history(&self) {
+        self.change(|inner, position| inner.kept_since = position);
+    }
+
+    /// Returns how often the whole configuration and all evacuations were read or asked for.
+    pub fn whole_reads(&self) -> (u32, u32) {
+        self.lock().whole_reads
+    }
+
+    pub fn set_evacuations_unreadable(&self, is_unreadable: bool) {
+        self.lock().has_unreadable_evacuations = is_unreadable;
+    }
+
     pub fn set_down(&self, is_down: bool) {
         self.lock().is_down = is_down;
     }
@@ -181,7 +230,8 @@
         Box::pin(async move {
             let transfer = self.lock().transfer;
             tokio::time::sleep(transfer).await;
-            let inner = self.lock_available()?;
+            let mut inner = self.lock_available()?;
+            inner.whole_reads.0 += 1;
             Ok(Read {
                 content: inner.snapshot.clone(),
                 position: inner.position,
@@ -189,18 +239,47 @@
         })
     }
 
-    fn configuration_after(
+    fn evacuated(&self) -> BoxFuture<'_, Result<Read<BTreeSet<Zone>>, Fault>> {
+        Box::pin(async move {
+            let mut inner = self.lock_available()?;
+            inner.whole_reads.1 += 1;
+            if inner.has_unreadable_evacuations {
+                return Err(Fault::Unavailable);
+            }
+            Ok(Read {
+                content: inner.evacuated.clone(),
+                position: inner.position,
+            })
+        })
+    }
+
+    fn orders_after(
         &self,
         since: Position,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<Read<Option<Snapshot>>, Fault>> {
+    ) -> BoxFuture<'_, Result<Read<Orders>, Fault>> {
         Box::pin(async move {
+            {
+                let mut inner = self.lock_available()?;
+                inner.followed = inner.followed.max(since);
+            }
             self.wait(since, wait).await;
             let inner = self.lock_available()?;
+            if since < inner.kept_since {
+                return Err(Fault::Discarded);
+            }
+            let changes = inner.evacuations.iter();
+            let changes = changes.filter(|(position, _)| *position > since);
+            let evacuation = |(_, zone): &(Position, Zone)| match inner.evacuated.contains(zone) {
+                true => Evacuation::Begun(zone.clone()),
+                false => Evacuation::Ended(zone.clone()),
+            };
             let is_new = inner.configured > since;
-            let content = inner.snapshot.clone().filter(|_| is_new);
             Ok(Read {
-                content,
+                content: Orders {
+                    configuration: inner.snapshot.clone().filter(|_| is_new),
+                    evacuations: changes.map(evacuation).collect(),
+                },
                 position: inner.position,
             })
         })
