Count bytes of refused requests in the load of the link

Callers saw: a host with a slow link kept taking new callers while the bodies of requests that it refused, such as those with an unknown key, filled its link. Its reads of the store then failed for want of bandwidth, so that it did not learn which upstreams leave.

Cause: bytes of a request's body were added to the load of the link only after the whole body had been read for a request that is forwarded. Bodies that are read and dropped before an error response did not count.

Change: all bytes of requests' bodies count as they arrive, and so does the head of each request.

Result: bodies_of_refused_requests_load_the_link failed before and passes.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -11,7 +11,7 @@
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody},
-    hyper::body::{Body as _, Incoming},
+    hyper::body::Incoming,
     marigoldroute_core::forward::{Access, Directory, Service},
     marigoldroute_process::logs::REQUESTS,
     poem::http::{
@@ -36,6 +36,11 @@
 /// truncated response for a complete one.
 pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
 
+/// Body of a caller's request.
+trait RequestBody: hyper::body::Body<Data = Bytes, Error = hyper::Error> {}
+
+impl<B: hyper::body::Body<Data = Bytes, Error = hyper::Error>> RequestBody for B {}
+
 /// Returns a body with all of its bytes.
 pub(crate) fn full_body(bytes: Bytes) -> Body {
     Full::new(bytes)
@@ -85,7 +90,12 @@
                 .protocol
                 .parse_request(request.method(), request.uri(), request.headers());
         let expects_continue = request.headers().contains_key(EXPECT);
-        let mut body = request.into_body();
+        self.record_bytes(HEAD_BYTES);
+        // Also counts bodies that are dropped before an error response.
+        let mut body = request.into_body().map_frame(|frame| {
+            self.record_bytes(frame.data_ref().map_or(0, Bytes::len));
+            frame
+        });
         let head = match head {
             Ok(head) => head,
             Err(malformed) => {
@@ -135,7 +145,11 @@
     }
 
     /// Authorizes a request and reads its body.
-    async fn admit(&self, head: &RequestHead, body: &mut Incoming) -> Result<Admitted, Error> {
+    async fn admit(
+        &self,
+        head: &RequestHead,
+        body: &mut (impl RequestBody + Unpin),
+    ) -> Result<Admitted, Error> {
         let directory = self.0.view.directory().ok_or(Error::Unconfigured)?;
         let access = directory.find(&head.host, head.target.path(), head.key.as_deref());
         let access = access.map_err(Error::Access)?;
@@ -145,15 +159,11 @@
         let timeout = timeout.min(access.route.timeout);
         let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
         match read {
-            Ok(Ok(body)) => {
-                let body = body.to_bytes();
-                self.record_bytes(body.len());
-                Ok(Admitted {
-                    access,
-                    service,
-                    body,
-                })
-            }
+            Ok(Ok(body)) => Ok(Admitted {
+                access,
+                service,
+                body: body.to_bytes(),
+            }),
             Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
             Ok(Err(_)) => Err(Error::Incomplete),
             Err(_) => Err(Error::Late),
@@ -188,7 +198,7 @@
         match answer {
             Answer::Error(error) => self.reject(Some(&request.head), arrived, error),
             Answer::Complete(head, body, permit) => {
-                self.record_bytes(body.len());
+                self.record_bytes(HEAD_BYTES + body.len());
                 self.record_answer(&request, &head, elapsed);
                 build_response(&head, permitted_body(body, permit))
             }
@@ -200,10 +210,9 @@
         }
     }
 
-    /// Adds a message with this many body bytes to the load of the link.
+    /// Adds bytes of a request or a response to the load of the link.
     fn record_bytes(&self, bytes: usize) {
-        let now = self.0.clock.now();
-        self.0.view.record_bytes(now, bytes + HEAD_BYTES);
+        self.0.view.record_bytes(self.0.clock.now(), bytes);
     }
 
     fn record_answer(&self, request: &ActiveRequest, head: &ResponseHead, elapsed: Duration) {
@@ -262,7 +271,11 @@
 /// it, so that the caller may lose the response. Returns whether the body was read to its end.
 ///
 /// A caller that waits for the interim response 100 has not sent its body and need not send it.
-async fn discard(body: &mut Incoming, expects_continue: bool, limit: Duration) -> bool {
+async fn discard(
+    body: &mut (impl RequestBody + Unpin),
+    expects_continue: bool,
+    limit: Duration,
+) -> bool {
     if expects_continue {
         return body.is_end_stream();
     }
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -4,7 +4,7 @@
 
 use {
     harness::{Harness, KEY, upstream::Script},
-    marigoldroute_core::forward::Limits,
+    marigoldroute_core::{forward::Limits, limit::LinkSettings},
     marigoldroute_gateway::Settings,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -324,3 +324,27 @@
     let expected = format!("{UNREAD_BODIES}{{status=\"400\"}} 1");
     assert_eq!(unread.collect::<Vec<_>>(), [expected]);
 }
+
+/// Guards against a host that takes new callers although refused bodies fill its link.
+#[tokio::test]
+async fn bodies_of_refused_requests_load_the_link() {
+    // Long enough that the load does not decay during the test.
+    let smoothing = Duration::from_secs(3_600);
+    let link = LinkSettings {
+        capacity: Some(2.0 * BODY_BYTES as f64 / smoothing.as_secs_f64()),
+        smoothing,
+        ..LinkSettings::default()
+    };
+    let settings = Settings {
+        link,
+        ..Settings::default()
+    };
+    let snapshot = harness::snapshot(1, 1_000_000);
+    let script = Script::Complete(200, "the answer");
+    let (harness, _upstreams) = Harness::with_settings(settings, snapshot, vec![script]).await;
+    let refused = [("once", "revoked", "401")];
+    assert_answered(&harness, &refused).await;
+    assert!(harness.is_ready().await, "half of the capacity is in use");
+    assert_answered(&harness, &refused).await;
+    assert!(!harness.is_ready().await);
+}
