--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -37,6 +37,9 @@
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
+/// Time between two attempts to bind the address of the metrics.
+const METRICS_BIND_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Time between two removals of expired idle connections.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -74,7 +77,7 @@
 /// Starts a gateway on the current Tokio runtime.
 ///
 /// # Errors
-/// When an address cannot be bound or a metric cannot be registered.
+/// When an address other than that of the metrics cannot be bound, or a metric cannot be registered.
 pub fn start(
     settings: Settings,
     store: Arc<dyn Store>,
@@ -144,14 +147,17 @@
         &tasks,
         &stop,
     )?;
-    if let Some(address) = settings.listen_metrics {
-        serve(address, exposition(metrics.clone()), &tasks, &stop)?;
-    }
     let supervisor = Supervisor {
         metrics: metrics.clone(),
         tasks: tasks.clone(),
         stop: stop.clone(),
     };
+    if let Some(address) = settings.listen_metrics {
+        let (metrics, tasks) = (metrics.clone(), tasks.clone());
+        supervisor.start("metrics", move |stop| {
+            serve_metrics(address, metrics.clone(), tasks.clone(), stop)
+        });
+    }
     if let Some(peers) = peers.clone() {
         let responder = Responder::new(clock, escrow.clone(), view.clone(), tasks.clone());
         let responder = Arc::new(responder);
@@ -299,6 +305,22 @@
     Route::new().at("/readyz", get(check.map_to_response()))
 }
 
+/// Serves the metrics. While their address is taken, the rest of the process goes on without them.
+async fn serve_metrics(
+    address: SocketAddr,
+    metrics: Arc<Metrics>,
+    tasks: TaskTracker,
+    stop: CancellationToken,
+) {
+    while let Err(error) = serve(address, exposition(metrics.clone()), &tasks, &stop) {
+        log::warn!("metrics not served: {error:#}");
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(METRICS_BIND_INTERVAL) => {}
+        }
+    }
+}
+
 /// Returns the endpoint of the metrics.
 fn exposition(metrics: Arc<Metrics>) -> impl Endpoint {
     let text = make_sync(move |_| Response::builder().body(metrics.text()).into_response());
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,6 +46,8 @@
     pub(crate) quarantined: IntCounterVec,
     /// Panics that were caught, by task.
     pub(crate) panics: IntCounterVec,
+    /// Time from the choice of an upstream to the first bytes of its answer.
+    pub(crate) attempt: Histogram,
     /// Time from a request's arrival to the first byte of its answer.
     pub(crate) first_byte: Histogram,
     /// Configuration version in effect.
@@ -67,12 +69,12 @@
             registry.register(Box::new(gauge.clone()))?;
             prometheus::Result::Ok(gauge)
         };
-        let options = HistogramOpts::new(
-            "marigoldroute_gateway_first_byte_seconds",
-            "Time from the arrival of a request to the first byte of its answer",
-        );
-        let first_byte = Histogram::with_opts(options.buckets(LATENCY_SECONDS.into()))?;
-        registry.register(Box::new(first_byte.clone()))?;
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_SECONDS.into());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            prometheus::Result::Ok(histogram)
+        };
         Ok(Self {
             requests: counter(
                 "marigoldroute_gateway_requests_total",
@@ -154,7 +156,14 @@
                 "Panics caught, by task",
                 "task",
             )?,
-            first_byte,
+            attempt: histogram(
+                "marigoldroute_gateway_attempt_seconds",
+                "Time from the choice of an upstream to the first bytes of its answer",
+            )?,
+            first_byte: histogram(
+                "marigoldroute_gateway_first_byte_seconds",
+                "Time from the arrival of a request to the first byte of its answer",
+            )?,
             version: gauge(
                 "marigoldroute_gateway_configuration_version",
                 "Configuration version in effect",
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -396,11 +396,10 @@
     }
 
     fn record_success(&self, upstream: &UpstreamId, started: Duration, exchange: &Exchange) {
-        self.context
-            .metrics
-            .attempts
-            .with_label_values(&["answered"])
-            .inc();
+        let metrics = &self.context.metrics;
+        metrics.attempts.with_label_values(&["answered"]).inc();
+        let elapsed = self.context.clock.now().saturating_sub(started);
+        metrics.attempt.observe(elapsed.as_secs_f64());
         let status = exchange.head.status.as_u16();
         log::debug!(
             target: REQUESTS,
