Count responses as memory until their caller has read them

A host with little memory could be ended by callers that do not read. A whole response left the quota as soon as the HTTP library had taken it, and the events of a stream counted only while one was incomplete.

The bytes of a response now hold their permit until they are written to the connection. Whole responses are sent with their length, not chunked any more: the wrapper that kept the permit had hidden the size.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -3,7 +3,6 @@
 use {
     crate::{
         error::{self, Error},
-        memory::Permit,
         protocol::{RequestHead, ResponseHead},
         relay::Relay,
         request::{ActiveRequest, Answer, Context},
@@ -43,15 +42,6 @@
         .boxed_unsync()
 }
 
-/// Returns a body that keeps its memory permit until it has been sent or dropped.
-fn permitted_body(bytes: Bytes, permit: Permit) -> Body {
-    let keep = move |frame| {
-        let _ = &permit;
-        frame
-    };
-    full_body(bytes).map_frame(keep).boxed_unsync()
-}
-
 /// A request that was authorized and whose body has arrived.
 struct Admitted {
     access: Access,
@@ -190,7 +180,7 @@
             Answer::Complete(head, body, permit) => {
                 self.record_bytes(body.len());
                 self.record_answer(&request, &head, elapsed);
-                build_response(&head, permitted_body(body, permit))
+                build_response(&head, full_body(permit.attach(body)))
             }
             Answer::Stream(stream) => {
                 let head = stream.exchange.head.clone();
