Report a budget as exhausted only by its row

Operators saw 402 from a host that had just started, while its own log line said that 556,298 tokens were left in the budget row. Two causes, both from rows without budget changes, which a holder writes for requests that wait:

- Such a row counted as proof that the budget could not cover what reservations lacked.
- It also cleared the shortage, so that the budget row was not read in the same flush.
A busy holder, whose every flush begins with such a row, refilled only by its low-water level.

A shortage now lasts until the mark covers it or the budget row was read, and only a flush that read the row reports exhaustion. Callers get 503 with a time meanwhile. A slot that nobody uses is removed also with a shortage, as before when the flush had cleared it.

--- a/crates/core/src/budget/flush.rs
+++ b/crates/core/src/budget/flush.rs
@@ -223,6 +223,7 @@
         for (budget, slot) in &mut self.slots {
             let share = shares.entry(budget.clone()).or_default();
             is_due |= slot.is_mark_low(&self.settings);
+            let is_read = accounts.get_mut(budget).is_some();
             if self.phase == Phase::Draining {
                 if accounts.deallocate(budget, slot.headroom()).is_some() {
                     share.allocated = slot.used();
@@ -238,7 +239,8 @@
                     || slot.is_bound_stale(now, &settings)
                     || must_restrict_bound
             });
-            if let Some(covered) = slot.clear_shortage(now, &self.settings, share.mark) {
+            let covered = slot.clear_shortage(now, &self.settings, share.mark, is_read);
+            if let Some(covered) = covered {
                 shortages.insert(budget.clone(), covered);
             }
         }
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -26,12 +26,13 @@
     pub spent: Tokens,
     /// Tokens of open reservations; `spent + reserved ≤ ceiling`.
     pub reserved: Tokens,
-    /// Largest number of tokens that a single reservation lacked since the last flush.
+    /// Largest number of tokens that a single reservation lacked since the last flush that covered
+    /// it or read the budget row.
     pub shortage: Tokens,
-    /// Smallest number of tokens that a single reservation lacked since the last flush; 0 when none
-    /// lacked any.
+    /// Smallest number of tokens that a single reservation lacked since then; 0 when none lacked
+    /// any.
     pub min_shortage: Tokens,
-    /// Sum of the tokens that reservations lacked since the last flush; a repeated call of the same
+    /// Sum of the tokens that reservations lacked since then; a repeated call of the same
     /// request counts again.
     pub total_shortage: Tokens,
     /// Largest number of tokens that a reservation lacked to get all it asked for, although it
@@ -170,7 +171,7 @@
     /// interval.
     pub fn is_idle(&self, now: Duration, settings: &Settings) -> bool {
         let is_empty = self.durable.allocated == self.durable.spent && self.reserved == 0;
-        is_empty && self.shortage == 0 && now > self.last_used + settings.review_interval
+        is_empty && now > self.last_used + settings.review_interval
     }
 
     /// Returns whether the next flush needs the budget row: to refill, or to return tokens.
@@ -240,27 +241,38 @@
         allocated
     }
 
-    /// Resets the recorded shortages at a flush with the given mark. Returns the largest shortage
-    /// if the mark covers it; otherwise, after [`Settings::exhaustion_delay`], reports the budget
-    /// as exhausted.
+    /// Resets the recorded shortages at a flush with the given mark that has read the budget row, or
+    /// whose mark covers the largest one. Returns the largest shortage if the mark covers it;
+    /// otherwise, after [`Settings::exhaustion_delay`], reports the budget as exhausted.
+    ///
+    /// Without the budget row, it is not known what the budget can provide: what the mark does not
+    /// cover is left to the next flush.
     pub fn clear_shortage(
         &mut self,
         now: Duration,
         settings: &Settings,
         mark: Tokens,
+        is_read: bool,
     ) -> Option<Tokens> {
+        let is_covered = mark >= self.ceiling + self.shortage;
+        if !is_read && !is_covered && self.shortage > 0 {
+            let raised = mark.saturating_sub(self.ceiling);
+            self.shortage -= raised;
+            self.min_shortage = self.min_shortage.saturating_sub(raised).max(1);
+            return None;
+        }
         let max = std::mem::take(&mut self.shortage);
         let min = std::mem::take(&mut self.min_shortage);
         self.desired_shortage = 0;
         self.total_shortage = 0;
-        if mark >= self.ceiling + max {
+        if is_covered {
             return (max > 0).then_some(max);
         }
         let since = *self.starved_since.get_or_insert(now);
         if now.saturating_sub(since) >= settings.exhaustion_delay {
             self.exhausted_until = now + settings.exhausted_ttl;
-            let is_covered = mark >= self.ceiling + min;
-            self.exhausted_amount = if is_covered { max } else { min };
+            let is_min_covered = mark >= self.ceiling + min;
+            self.exhausted_amount = if is_min_covered { max } else { min };
         }
         None
     }
--- /dev/null
+++ b/crates/core/src/budget/tests/exhaustion.rs
@@ -0,0 +1,74 @@
+//! Tests of when a budget counts as exhausted.
+
+use {
+    super::{
+        super::{Holder, ReserveError, Settings, bound},
+        harness::fetch,
+        store,
+    },
+    crate::{
+        id::Tokens,
+        table::{Memory, Row},
+    },
+    std::time::Duration,
+};
+
+fn holder() -> Holder {
+    let settings = Settings {
+        bound: Some(bound::Settings::default()),
+        ..Settings::default()
+    };
+    let mut holder = Holder::new("h1.1".into(), settings);
+    holder.observe_store_clock(1_000);
+    holder
+}
+
+fn reserve(holder: &mut Holder, now: Duration, tokens: Tokens) -> Result<Tokens, ReserveError> {
+    holder.reserve(now, &"r1".into(), &"hems".into(), tokens)
+}
+
+/// Commits the next row; `rows` are the budget rows as the holder read them.
+fn flush(holder: &mut Holder, table: &mut Memory, now: Duration, rows: &[Row]) {
+    if let Some(transaction) = holder.flush(now, rows) {
+        let verdict = table.commit(&transaction);
+        holder.apply_verdict(&verdict);
+    }
+}
+
+/// Guards against reporting a budget as exhausted whose row cannot be read, while rows without
+/// budget changes are written.
+#[test]
+fn a_budget_that_cannot_be_read_is_not_exhausted() {
+    let mut table = store(1_000);
+    let mut holder = holder();
+    for step in 0..40 {
+        let now = Duration::from_millis(10_000 + step * 250);
+        let reserved = reserve(&mut holder, now, 2_000);
+        assert_eq!(reserved, Err(ReserveError::RefillPending), "{now:?}");
+        flush(&mut holder, &mut table, now, &[]);
+    }
+    for now in [20, 21, 22].map(Duration::from_secs) {
+        let reserved = reserve(&mut holder, now, 2_000);
+        assert_eq!(reserved, Err(ReserveError::RefillPending), "{now:?}");
+        let rows = fetch(&table, &holder.required_keys());
+        flush(&mut holder, &mut table, now, &rows);
+    }
+    let reserved = reserve(&mut holder, Duration::from_secs(22), 2_000);
+    assert_eq!(reserved, Err(ReserveError::Exhausted));
+}
+
+/// Guards against a refill that is forgotten because a row without budget changes is written before
+/// the budget row is read.
+#[test]
+fn a_shortage_lasts_until_the_budget_row_is_read() {
+    let mut table = store(1_000_000);
+    let mut holder = holder();
+    let now = Duration::from_secs(10);
+    let _ = reserve(&mut holder, now, 2_000);
+    flush(&mut holder, &mut table, now, &[]);
+    let keys = holder.required_keys();
+    assert!(keys.contains(&"budget/hems".into()), "{keys:?}");
+    let rows = fetch(&table, &keys);
+    flush(&mut holder, &mut table, now, &rows);
+    assert_eq!(reserve(&mut holder, now, 2_000), Ok(2_000));
+}
--- a/crates/core/src/budget/tests/mod.rs
+++ b/crates/core/src/budget/tests/mod.rs
@@ -11,6 +11,7 @@
 
 mod assignment;
 mod configured_total;
+mod exhaustion;
 mod fuzz;
 mod harness;
 mod inspect;
