Start the exhaustion delay at the first shortage, not at a return of tokens

A holder that returned tokens to the budget row counted as starved from then on, although no reservation had lacked any. Its next shortage was reported as exhausted at once, without the delay in which other holders return theirs, and a second return reported all amounts as exhausted.

A flush without a shortage now leaves both unchanged. The new test reported Exhausted after 1 s before, in place of 3 s.

--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -254,8 +254,12 @@
         mark: Tokens,
         is_read: bool,
     ) -> Option<Tokens> {
+        if self.shortage == 0 {
+            self.desired_shortage = 0;
+            return None;
+        }
         let is_covered = mark >= self.ceiling + self.shortage;
-        if !is_read && !is_covered && self.shortage > 0 {
+        if !is_read && !is_covered {
             let raised = mark.saturating_sub(self.ceiling);
             self.shortage -= raised;
             self.min_shortage = self.min_shortage.saturating_sub(raised).max(1);
@@ -266,7 +270,7 @@
         self.desired_shortage = 0;
         self.total_shortage = 0;
         if is_covered {
-            return (max > 0).then_some(max);
+            return Some(max);
         }
         let since = *self.starved_since.get_or_insert(now);
         if now.saturating_sub(since) >= settings.exhaustion_delay {
--- a/crates/core/src/budget/tests/exhaustion.rs
+++ b/crates/core/src/budget/tests/exhaustion.rs
@@ -2,13 +2,13 @@
 
 use {
     super::{
-        super::{Holder, ReserveError, Settings, bound},
+        super::{Account, Holder, ReserveError, Settings, account::Shortfall, bound},
         harness::fetch,
         store,
     },
     crate::{
         id::Tokens,
-        table::{Memory, Row},
+        table::{Memory, Row, Transaction},
     },
     std::time::Duration,
 };
@@ -35,6 +35,16 @@
     }
 }
 
+fn stored(table: &Memory) -> Account {
+    serde_json::from_str(&table.get("budget/hems").unwrap().value).unwrap()
+}
+
+fn store_account(table: &mut Memory, account: &Account) {
+    let mut transaction = Transaction::default();
+    transaction.put("budget/hems", serde_json::to_string(account).unwrap());
+    table.commit(&transaction);
+}
+
 /// Guards against reporting a budget as exhausted whose row cannot be read, while rows without
 /// budget changes are written.
 #[test]
@@ -72,3 +82,40 @@
     flush(&mut holder, &mut table, now, &rows);
     assert_eq!(reserve(&mut holder, now, 2_000), Ok(2_000));
 }
+
+/// Guards against reporting a budget as exhausted at the first shortage, because the holder has
+/// returned tokens before.
+#[test]
+fn a_holder_that_has_returned_tokens_gives_others_time() {
+    let mut table = store(10_000);
+    let mut holder = holder();
+    let at = Duration::from_secs;
+    let sync = |holder: &mut Holder, table: &mut Memory, now| {
+        let rows = fetch(table, &holder.required_keys());
+        flush(holder, table, now, &rows);
+    };
+    let _ = reserve(&mut holder, at(10), 2_000);
+    sync(&mut holder, &mut table, at(10));
+    let mut account: Account = stored(&table);
+    account.wanted = Some(Shortfall {
+        holder: "h2.1".into(),
+        tokens: 10_000,
+    });
+    store_account(&mut table, &account);
+    holder.review("hems");
+    sync(&mut holder, &mut table, at(11));
+    let mut account = stored(&table);
+    assert_eq!(account.allocated, 0);
+    assert_eq!(account.grant(10_000), 10_000);
+    store_account(&mut table, &account);
+    for (now, expected) in [
+        (20, ReserveError::RefillPending),
+        (21, ReserveError::RefillPending),
+        (22, ReserveError::RefillPending),
+        (23, ReserveError::Exhausted),
+    ] {
+        let reserved = reserve(&mut holder, at(now), 2_000);
+        assert_eq!(reserved, Err(expected), "{now}");
+        sync(&mut holder, &mut table, at(now));
+    }
+}
