State an absent bound as such in the view of a holder

The log line on a refusal printed tokens within the bound for a budget whose rows have none. It says "no bound" now; the new test failed on the number.

--- a/crates/core/src/budget/holder.rs
+++ b/crates/core/src/budget/holder.rs
@@ -67,14 +67,15 @@
 /// Figures of one budget at a holder, for the log.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[display(
-    "{free} tokens below the mark, {within_bound} within the bound, {headroom} allocated, \
-     {unallocated} left in the budget row, demand {demand} per second"
+    "{free} tokens below the mark, {}, {headroom} allocated, {unallocated} left in the budget row, \
+     demand {demand} per second",
+    within_bound.map_or_else(|| "no bound".into(), |tokens| format!("{tokens} within the bound"))
 )]
 pub struct Summary {
     /// Unreserved tokens below the mark.
     pub free: Tokens,
-    /// Tokens that the bounds of the rows allow to reserve.
-    pub within_bound: Tokens,
+    /// Tokens that the bounds of the rows allow to reserve; `None` when no row has a bound.
+    pub within_bound: Option<Tokens>,
     /// Allocated tokens that are neither spent nor reserved.
     pub headroom: Tokens,
     /// Tokens of the budget that no holder had when its row was last read.
@@ -222,7 +223,7 @@
         if amount > free {
             slot.record_shortage(amount - free);
         }
-        if amount > free || amount > slot.within_bound(now) {
+        if amount > free || !slot.is_within_bound(now, amount) {
             if self.settings.bound.is_some() {
                 slot.waiting.insert(request.clone(), amount);
             }
@@ -436,7 +437,7 @@
     pub fn is_row_awaited(&self, now: Duration) -> bool {
         let mut slots = self.slots.values();
         slots.any(|slot| {
-            slot.admissible(slot.ceiling) > 0 && slot.within_bound(now) < slot.max_waiting()
+            slot.admissible(slot.ceiling) > 0 && !slot.is_within_bound(now, slot.max_waiting())
         })
     }
 
--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -76,11 +76,16 @@
         self.ceiling.saturating_sub(self.used())
     }
 
-    /// Returns the tokens that the bounds of the durable and the pending row allow to reserve now.
-    pub fn within_bound(&self, now: Duration) -> Tokens {
+    /// Returns the tokens that the bounds of the durable and the pending row allow to reserve now;
+    /// `None` when neither has a bound.
+    pub fn within_bound(&self, now: Duration) -> Option<Tokens> {
         let meters = self.meter.iter().chain(&self.pending_meter);
-        let free = meters.map(|meter| meter.free(now)).min();
-        free.unwrap_or(Tokens::MAX)
+        meters.map(|meter| meter.free(now)).min()
+    }
+
+    /// Returns whether the bounds allow a reservation of `tokens` now.
+    pub fn is_within_bound(&self, now: Duration, tokens: Tokens) -> bool {
+        self.within_bound(now).is_none_or(|free| tokens <= free)
     }
 
     /// Returns the time until the bounds of the rows allow a reservation of `tokens`, or `None`
--- a/crates/core/src/budget/tests/mod.rs
+++ b/crates/core/src/budget/tests/mod.rs
@@ -116,3 +116,16 @@
     assert_eq!(again, Err(ReserveError::Billed));
     assert_eq!(holder.reserve(NOW, &"r2".into(), &budget, 100), Ok(100));
 }
+
+/// Guards against a log that states the largest number in place of an absent bound.
+#[test]
+fn the_log_states_an_absent_bound() {
+    let mut table = store(10_000);
+    let mut holder = Holder::new("h1.1".into(), Settings::default());
+    let _ = holder.reserve(NOW, &"r1".into(), &"hems".into(), 100);
+    flush(&mut holder, &mut table);
+    let summary = holder.summary("hems").expect("a budget in use").to_string();
+    let expected = "2500 tokens below the mark, no bound, 2500 allocated, \
+                    7500 left in the budget row, demand 0 per second";
+    assert_eq!(summary, expected);
+}
