--- a/crates/gateway/tests/budgets.rs
+++ b/crates/gateway/tests/budgets.rs
@@ -2,7 +2,14 @@
 
 mod harness;
 
-use harness::{Harness, upstream::Script};
+use {
+    harness::{
+        Harness,
+        upstream::{Script, Upstream},
+    },
+    marigoldroute_core::budget::Journal,
+    std::time::Duration,
+};
 
 const EVENTS: Script = Script::Events { upto: 3, of: 3 };
 
@@ -119,3 +126,90 @@
         tokio::task::yield_now().await;
     }
 }
+
+/// Head of a response that belongs to a request, without any event.
+const HEAD: &str = "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\n\
+                    transfer-encoding: chunked\r\n\r\n";
+
+/// Sends a request whose caller leaves before the first event; returns whether the gateway answered.
+async fn leave(harness: &Harness, path: &str, id: &str) -> bool {
+    let request = harness
+        .request(path, id)
+        .timeout(Duration::from_millis(250));
+    let answered = request.send().await;
+    answered.is_ok_and(|response| response.status() != 200)
+}
+
+/// Returns the tokens that the journal has billed for a request, once it has.
+async fn billed(harness: &Harness, id: &str) -> u64 {
+    loop {
+        for row in harness.store.rows("journal/") {
+            let journal: Journal = serde_json::from_str(&row.value).expect("a journal row");
+            let mut bills = journal.entry.bills().iter();
+            if let Some(bill) = bills.find(|bill| *bill.request == *id) {
+                return bill.charged;
+            }
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Guards against charging the prompt of a request whose caller left while it waited at an
+/// upstream, which dropped it.
+#[tokio::test]
+async fn requests_that_never_began_are_not_billed() {
+    let snapshot = harness::snapshot(1, 240);
+    let (harness, _upstreams) = Harness::with_snapshot(snapshot, vec![Script::Silent]).await;
+    for id in 0..8 {
+        // The request before may not have ended yet.
+        let mut attempts = (0..20).map(|attempt| format!("r{id}.{attempt}"));
+        let is_sent = loop {
+            let Some(attempt) = attempts.next() else {
+                break false;
+            };
+            if !leave(&harness, "stream", &attempt).await {
+                break true;
+            }
+        };
+        assert!(is_sent, "request {id} is refused");
+    }
+}
+
+/// Guards against serving requests that are not billed: the upstream may have begun to run them.
+#[tokio::test]
+async fn requests_that_may_have_begun_are_billed() {
+    let deaf = Script::Endless {
+        text: "",
+        piece: "",
+        pause: Duration::from_millis(50),
+    };
+    for script in [deaf, Script::Close, Script::Raw(vec![HEAD, ""])] {
+        let (harness, upstreams) = Harness::new(vec![script.clone()]).await;
+        let mut ids = (1..).map(|id| format!("r{id}"));
+        // The first requests may still wait for their tokens when their callers leave.
+        while upstreams[0].arrivals().is_empty() {
+            leave(&harness, "stream", &ids.next().expect("an id")).await;
+        }
+        let id = upstreams[0].arrivals()[0].id.clone();
+        assert_eq!(billed(&harness, &id).await, 100, "{script:?}");
+    }
+}
+
+/// Guards against forgetting an attempt that may have run when a later one never began, and against
+/// billing the prompt for both.
+#[tokio::test]
+async fn retried_requests_are_billed_once() {
+    let scripts = vec![Script::Close, Script::Silent];
+    let (harness, upstreams) = Harness::new(scripts).await;
+    for id in (0..).map(|id| format!("r{id}")) {
+        leave(&harness, "safe", &id).await;
+        let has_arrived = |upstream: &Upstream| {
+            let arrivals = upstream.arrivals();
+            arrivals.iter().any(|arrival| arrival.id == id)
+        };
+        if upstreams.iter().all(has_arrived) {
+            assert_eq!(billed(&harness, &id).await, 100);
+            return;
+        }
+    }
+}
