Let the test of later attempts fail when they need no permit

The test `retries_and_resumed_streams_keep_the_rate` passed with retries that take no permit. Its upstreams both stated a rate, and each first attempt, which had a permit, led to one retry at most: the rate was doubled, 16 requests in 4 s with 17 allowed.

The test now lets one upstream hold 12 requests while another one states a rate, and moves all of them at once, as retries, as resumed streams and as streams that stall. Without a rate all of them arrive at the other upstream, with one none does. The part with a fleet stays as it is.

--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -66,6 +66,8 @@
     /// As [`Self::Events`] with all of 4 events, but ends the upstream after the head of the
     /// response to a request with this part in its prompt; it is back after this time.
     Crash { part: u64, down: Duration },
+    /// Sends the first event of a stream, and closes the connection after the notification.
+    BreakLater { release: Arc<Notify> },
     /// Sends the first event, and the others after the notification.
     Paused { of: u64, resume: Arc<Notify> },
 }
@@ -339,6 +341,12 @@
             let events = [first, first + 1, first].map(raw).concat();
             head(200, "transfer-encoding: chunked\r\n") + &chunk(&events)
         }
+        Script::BreakLater { release } => {
+            let text = head(200, "transfer-encoding: chunked\r\n") + &event(1);
+            stream.write_all(text.as_bytes()).await.ok()?;
+            release.notified().await;
+            return None;
+        }
         Script::Paused { of, resume } => {
             let text = head(200, "transfer-encoding: chunked\r\n") + &event(1);
             stream.write_all(text.as_bytes()).await.ok()?;
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -5,13 +5,19 @@
 use {
     bytes::BytesMut,
     harness::{
-        Harness,
+        Harness, entry, snapshot,
         upstream::{Script, Upstream},
     },
-    marigoldroute_core::wire::{Acquire, Acquired, Body, Codec, Frame, Keys, Stated},
+    marigoldroute_core::{
+        forward::{AllowanceSettings, State},
+        wire::{Acquire, Acquired, Body, Codec, Frame, Keys, Stated},
+    },
     marigoldroute_gateway::Settings,
-    std::time::{Duration, Instant},
-    tokio::{net::UdpSocket, task::JoinSet},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{net::UdpSocket, sync::Notify, task::JoinSet},
     tokio_util::codec::{Decoder, Encoder},
 };
 
@@ -98,9 +104,113 @@
     assert!(most > 0, "the upstream was not used");
 }
 
+/// Requests that one upstream holds while another one states a rate.
+const HELD: usize = 12;
+/// Time after an answer by which all requests have arrived that were sent before it.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
+
+/// How requests that one upstream has begun get to another one.
+#[derive(Clone, Copy, Debug)]
+enum Move {
+    /// The first upstream refuses them.
+    Retry,
+    /// The first upstream closes the connections of their streams.
+    Resume,
+    /// Their streams stall.
+    Handover,
+}
+
+/// Starts requests that an upstream begins, lets another one state a rate, and moves the requests
+/// all at once. Returns how many of them reach the other upstream.
+async fn move_requests(kind: Move, rate: Option<&'static str>) -> usize {
+    let release = Arc::new(Notify::new());
+    let held = release.clone();
+    // `probe` is the path of a request that is not moved when the other upstream answers it.
+    let (path, probe, first, other) = match kind {
+        Move::Retry => (
+            "safe",
+            "safe",
+            Script::RefuseLater { release: held },
+            Script::Rated(200),
+        ),
+        Move::Resume => (
+            "resumable",
+            "stream",
+            Script::BreakLater { release: held },
+            Script::RatedEvents { of: 2 },
+        ),
+        Move::Handover => (
+            "resumable",
+            "stream",
+            Script::Paused {
+                of: 2,
+                resume: Arc::default(),
+            },
+            Script::RatedEvents { of: 2 },
+        ),
+    };
+    let settings = Settings {
+        retries: AllowanceSettings {
+            share: 1.0,
+            slack: 2.0 * HELD as f64,
+            ..AllowanceSettings::default()
+        },
+        ..settings()
+    };
+    let mut snapshot = snapshot(1, 0);
+    snapshot.workspaces[0].purchased = None;
+    for route in &mut snapshot.routes {
+        route.objective = Duration::from_secs(1);
+    }
+    let (harness, upstreams) = Harness::with_settings(settings, snapshot, vec![first]).await;
+    let mut calls = JoinSet::new();
+    let mut send = |path: &str| {
+        let id = format!("r{}", calls.len());
+        let request = harness.plain_request(path, &id).send();
+        calls.spawn(async move {
+            let response = request.await.expect("an answer");
+            // Streams that are not moved break off.
+            let _ = response.bytes().await;
+        })
+    };
+    let until = async |arrivals: &dyn Fn() -> usize, count: usize| {
+        while arrivals() < count {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    let begun = || upstreams[0].arrivals().len();
+    for count in 1..=HELD {
+        send(path);
+        until(&begun, count).await;
+    }
+    let other = Upstream::start("other", other).await;
+    other.state_rate(rate);
+    harness
+        .store
+        .put(&other.id, entry(other.address, State::Ready));
+    let stated = || other.arrivals().len();
+    while stated() == 0 {
+        let count = begun() + 1;
+        send(probe);
+        until(&|| begun() + stated(), count).await;
+    }
+    tokio::time::sleep(SETTLE_TIME).await;
+    let before = stated();
+    release.notify_waiters();
+    calls.join_all().await;
+    stated() - before
+}
+
 /// Guards against retries and resumed streams that need no permit.
 #[tokio::test]
 async fn retries_and_resumed_streams_keep_the_rate() {
+    for kind in [Move::Retry, Move::Resume, Move::Handover] {
+        let moved = move_requests(kind, None).await;
+        assert!(moved >= HELD, "{kind:?}: {moved} moved without a rate");
+        // The statement is the answer to a request, and the next one is due after 20 s.
+        let moved = move_requests(kind, Some("0.05")).await;
+        assert_eq!(moved, 0, "{kind:?}: sent without a permit");
+    }
     for (path, script) in [
         ("safe", Script::Rated(500)),
         ("resumable", Script::RatedEvents { of: 4 }),
