--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -3,7 +3,6 @@
 use {
     crate::{
         error::{self, Error},
-        memory::Permit,
         protocol::{RequestHead, ResponseHead},
         relay::Relay,
         request::{ActiveRequest, Answer, Context},
@@ -11,7 +10,7 @@
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody},
-    hyper::body::{Body as _, Incoming},
+    hyper::body::Incoming,
     marigoldroute_core::forward::{Access, Directory, Service},
     marigoldroute_process::logs::REQUESTS,
     poem::http::{
@@ -36,6 +35,11 @@
 /// truncated response for a complete one.
 pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
 
+/// Body of a caller's request.
+trait RequestBody: hyper::body::Body<Data = Bytes, Error = hyper::Error> {}
+
+impl<B: hyper::body::Body<Data = Bytes, Error = hyper::Error>> RequestBody for B {}
+
 /// Returns a body with all of its bytes.
 pub(crate) fn full_body(bytes: Bytes) -> Body {
     Full::new(bytes)
@@ -43,15 +47,6 @@
         .boxed_unsync()
 }
 
-/// Returns a body that keeps its memory permit until it has been sent or dropped.
-fn permitted_body(bytes: Bytes, permit: Permit) -> Body {
-    let keep = move |frame| {
-        let _ = &permit;
-        frame
-    };
-    full_body(bytes).map_frame(keep).boxed_unsync()
-}
-
 /// A request that was authorized and whose body has arrived.
 struct Admitted {
     access: Access,
@@ -85,7 +80,12 @@
                 .protocol
                 .parse_request(request.method(), request.uri(), request.headers());
         let expects_continue = request.headers().contains_key(EXPECT);
-        let mut body = request.into_body();
+        self.record_bytes(HEAD_BYTES);
+        // Also counts bodies that are dropped before an error response.
+        let mut body = request.into_body().map_frame(|frame| {
+            self.record_bytes(frame.data_ref().map_or(0, Bytes::len));
+            frame
+        });
         let head = match head {
             Ok(head) => head,
             Err(malformed) => {
@@ -135,7 +135,11 @@
     }
 
     /// Authorizes a request and reads its body.
-    async fn admit(&self, head: &RequestHead, body: &mut Incoming) -> Result<Admitted, Error> {
+    async fn admit(
+        &self,
+        head: &RequestHead,
+        body: &mut (impl RequestBody + Unpin),
+    ) -> Result<Admitted, Error> {
         let directory = self.0.view.directory().ok_or(Error::Unconfigured)?;
         let access = directory.find(&head.host, head.target.path(), head.key.as_deref());
         let access = access.map_err(Error::Access)?;
@@ -145,15 +149,11 @@
         let timeout = timeout.min(access.route.timeout);
         let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
         match read {
-            Ok(Ok(body)) => {
-                let body = body.to_bytes();
-                self.record_bytes(body.len());
-                Ok(Admitted {
-                    access,
-                    service,
-                    body,
-                })
-            }
+            Ok(Ok(body)) => Ok(Admitted {
+                access,
+                service,
+                body: body.to_bytes(),
+            }),
             Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
             Ok(Err(_)) => Err(Error::Incomplete),
             Err(_) => Err(Error::Late),
@@ -188,9 +188,9 @@
         match answer {
             Answer::Error(error) => self.reject(Some(&request.head), arrived, error),
             Answer::Complete(head, body, permit) => {
-                self.record_bytes(body.len());
+                self.record_bytes(HEAD_BYTES + body.len());
                 self.record_answer(&request, &head, elapsed);
-                build_response(&head, permitted_body(body, permit))
+                build_response(&head, full_body(permit.attach(body)))
             }
             Answer::Stream(stream) => {
                 let head = stream.exchange.head.clone();
@@ -200,10 +200,9 @@
         }
     }
 
-    /// Adds a message with this many body bytes to the load of the link.
+    /// Adds bytes of a request or a response to the load of the link.
     fn record_bytes(&self, bytes: usize) {
-        let now = self.0.clock.now();
-        self.0.view.record_bytes(now, bytes + HEAD_BYTES);
+        self.0.view.record_bytes(self.0.clock.now(), bytes);
     }
 
     fn record_answer(&self, request: &ActiveRequest, head: &ResponseHead, elapsed: Duration) {
@@ -262,7 +261,11 @@
 /// it, so that the caller may lose the response. Returns whether the body was read to its end.
 ///
 /// A caller that waits for the interim response 100 has not sent its body and need not send it.
-async fn discard(body: &mut Incoming, expects_continue: bool, limit: Duration) -> bool {
+async fn discard(
+    body: &mut (impl RequestBody + Unpin),
+    expects_continue: bool,
+    limit: Duration,
+) -> bool {
     if expects_continue {
         return body.is_end_stream();
     }
