Guard the billing of resumed streams

A stream that goes on at another upstream has one reservation: its prompt is billed once, and each event once. The test passes on the code before as well; no second charge was found in the paths of retries, resumed streams and takeovers.

--- a/crates/gateway/tests/budgets.rs
+++ b/crates/gateway/tests/budgets.rs
@@ -213,3 +213,24 @@
         }
     }
 }
+
+/// Guards against billing the prompt of a stream again when it goes on at another upstream, and
+/// against billing events twice.
+#[tokio::test]
+async fn resumed_streams_are_billed_once() {
+    let broken = Script::Events { upto: 2, of: 3 };
+    let (harness, upstreams) = Harness::new(vec![broken.clone(), broken]).await;
+    for id in (0..).map(|id| format!("r{id}")) {
+        let response = harness.request("resumable", &id).send().await;
+        let body = response.expect("an answer").text().await;
+        let arrived = upstreams.iter().all(|upstream| {
+            let arrivals = upstream.arrivals();
+            arrivals.iter().any(|arrival| arrival.id == id)
+        });
+        if arrived {
+            assert_eq!(body.expect("a complete answer").matches("id: ").count(), 3);
+            assert_eq!(billed(&harness, &id).await, 130);
+            return;
+        }
+    }
+}
