Use limited upstreams on when the host that grants their permits dies

After the host that grants the permits for an upstream had died, callers were refused, or sent elsewhere, until another one granted: nothing reached the upstream for up to 22 s, and for 10 s after a planned stop. A host that was cut off from the store, together with its successor, granted one and a half times the rate.

The first two hosts of the ranking now grant half of the rate each, by the same rule of a confirmed term, and hosts ask the other one when one has no permit or is silent. A host that is cut off from the store grants half of its part.

--- a/crates/core/src/throttle/fleet.rs
+++ b/crates/core/src/throttle/fleet.rs
@@ -1,11 +1,12 @@
-//! Choice of the host that grants the permits for an upstream.
+//! Choice of the hosts that grant the permits for an upstream.
 //!
-//! Every host ranks the hosts that it knows by rendezvous hashing; the first one grants. Views of
-//! the fleet differ for a while when hosts join, die or are cut off from the store, so a host only
-//! grants the whole rate while its own view is confirmed, and after it has been first for the time
-//! that other views can be old. This keeps two hosts from granting the whole rate at the same time.
-//! A host that is cut off from the store goes on with half of the rate: another host may have taken
-//! over, or the store may be away for all of them.
+//! Every host ranks the hosts that it knows by rendezvous hashing; the first two grant half of the
+//! rate each, so that the upstream is used on when one of them dies. Views of the fleet differ for
+//! a while when hosts join, die or are cut off from the store, so a host only grants its half while
+//! its own view is confirmed, and after it has been one of the two for the time that other views
+//! can be old. This keeps a third host from granting at the same time. A host that is cut off from
+//! the store goes on with half of its part: another host may have taken over, or the store may be
+//! away for all of them.
 
 use {
     super::Rate,
@@ -16,6 +17,8 @@
     std::{collections::VecDeque, time::Duration},
 };
 
+/// Hosts that grant the permits for one upstream.
+const GRANTERS: usize = 2;
 /// Time after which to ask again a host that does not grant.
 const ELSEWHERE_WAIT: Duration = Duration::from_millis(500);
 
@@ -25,7 +28,7 @@
     own: HostId,
     /// Time for which a view is confirmed by a renewal of this host's row and the count of all
     /// rows. It must be shorter than the time after which others take this host for dead. Also the
-    /// time for which a host must have been first before it grants.
+    /// time for which a host must have been a granter before it grants.
     term: Duration,
     /// Views in effect during the last term, the newest last.
     views: VecDeque<View>,
@@ -35,22 +38,20 @@
     confirmed_since: Duration,
 }
 
-/// Part of a rate that a host may grant.
+/// Part of a rate that a host may grant: the whole rate divided by this number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Part {
-    /// No other host grants.
-    Whole,
-    /// Another host may grant the whole rate.
-    Half,
-}
+pub(super) struct Part(u32);
 
 impl Part {
+    /// Creates the part of one of so many granters.
+    fn new(granters: usize, is_confirmed: bool) -> Self {
+        let doubt = if is_confirmed { 1 } else { 2 };
+        Self(granters as u32 * doubt)
+    }
+
     /// Returns the time between two permits of this part.
     pub(super) fn interval(self, rate: Rate) -> Duration {
-        match self {
-            Self::Whole => rate.interval(),
-            Self::Half => rate.interval() * 2,
-        }
+        rate.interval() * self.0
     }
 }
 
@@ -70,8 +71,10 @@
 }
 
 impl View {
-    fn first(&self, upstream: &UpstreamId) -> Option<&HostId> {
-        rank(upstream, &self.hosts).into_iter().next()
+    fn granters(&self, upstream: &UpstreamId) -> Vec<&HostId> {
+        let mut ranked = rank(upstream, &self.hosts);
+        ranked.truncate(GRANTERS);
+        ranked
     }
 }
 
@@ -120,9 +123,10 @@
         self.views.back().map_or(0, |view| view.hosts.len())
     }
 
-    /// Returns the host to ask for permits, as far as this host knows.
-    pub(super) fn granter(&self, upstream: &UpstreamId) -> Option<&HostId> {
-        self.views.back()?.first(upstream)
+    /// Returns the hosts to ask for permits, as far as this host knows, by rank.
+    pub(super) fn granters(&self, upstream: &UpstreamId) -> Vec<&HostId> {
+        let view = self.views.back();
+        view.map_or_else(Vec::new, |view| view.granters(upstream))
     }
 
     /// Returns which part of the rate of an upstream this host may grant.
@@ -130,19 +134,21 @@
     /// # Errors
     /// The time after which to ask again, when it is none.
     pub(super) fn part(&self, now: Duration, upstream: &UpstreamId) -> Result<Part, Duration> {
-        let mut first_since = None;
+        let mut granter_since = None;
+        // Another granter of any view in effect during the last term may still grant its half.
+        let mut granters = 0;
         for view in &self.views {
-            let is_first = view.first(upstream) == Some(&self.own);
-            first_since = is_first.then(|| first_since.unwrap_or(view.since));
+            let known = view.granters(upstream);
+            let is_granter = known.contains(&&self.own);
+            granter_since = is_granter.then(|| granter_since.unwrap_or(view.since));
+            granters = granters.max(known.len());
         }
-        let grants_from = first_since.ok_or(ELSEWHERE_WAIT)? + self.term;
+        let grants_from = granter_since.ok_or(ELSEWHERE_WAIT)? + self.term;
         if grants_from > now {
             return Err(grants_from - now);
         }
-        match self.is_confirmed(now) && self.confirmed_since + self.term <= now {
-            true => Ok(Part::Whole),
-            false => Ok(Part::Half),
-        }
+        let is_confirmed = self.is_confirmed(now) && self.confirmed_since + self.term <= now;
+        Ok(Part::new(granters, is_confirmed))
     }
 
     fn is_confirmed(&self, now: Duration) -> bool {
--- a/crates/core/src/throttle/mod.rs
+++ b/crates/core/src/throttle/mod.rs
@@ -1,12 +1,13 @@
 //! Rates that upstreams state, and how all hosts share them.
 //!
 //! An upstream in need states the number of requests a second that it takes from all hosts
-//! together. For each such upstream, one host grants permits at this rate, and every request to it
-//! needs one. [`Throttle`] is the state of one host: what it knows about rates, the permits that it
+//! together. For each such upstream, two hosts grant permits, each at half of this rate, and every
+//! request to it needs one. [`Throttle`] is the state of one host: what it knows about rates, the permits that it
 //! grants, and when it may ask other hosts for permits again.
 
 mod bucket;
 mod fleet;
+mod granters;
 mod rate;
 mod returns;
 
@@ -18,6 +19,7 @@
     },
     bucket::Bucket,
     fleet::Fleet,
+    granters::Granters,
     returns::Returns,
     std::{
         collections::{BTreeSet, HashMap},
@@ -32,6 +34,9 @@
 /// Time for which what an upstream stated is kept after the upstream has left or stated no rate.
 const MEMORY: Duration = Duration::from_secs(600);
 
+/// Hosts that did not answer, with the time until which they are not asked.
+type Silences = HashMap<HostId, Duration>;
+
 /// A process of an upstream. A later process of the same upstream knows nothing of its rate.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Process {
@@ -82,12 +87,12 @@
     stated_at: Duration,
     /// When this host learned that there is a rate.
     limited_since: Duration,
-    /// Until when this host does not ask for permits.
+    /// Until when this host does not look for a granter, when it has found none.
     closed_until: Duration,
     /// Permits that this host grants.
     bucket: Option<Bucket>,
-    /// Host that grants the permits, as far as this host knows.
-    granter: Option<HostId>,
+    /// Hosts that grant the permits, as far as this host knows.
+    granters: Granters,
     /// When the upstream left the list, if it did.
     left_at: Option<Duration>,
 }
@@ -100,6 +105,7 @@
             return None;
         }
         self.closed_until = now;
+        self.granters.open(now);
         if previous.is_none() {
             self.limited_since = now;
         }
@@ -125,8 +131,7 @@
     own: HostId,
     fleet: Fleet,
     upstreams: HashMap<UpstreamId, Upstream>,
-    /// Hosts that did not answer, with the time until which they are not asked.
-    silent: HashMap<HostId, Duration>,
+    silences: Silences,
     returns: Returns,
     /// Upstreams whose rate other hosts have to be told.
     unpublished: BTreeSet<UpstreamId>,
@@ -142,7 +147,7 @@
             fleet: Fleet::new(own.clone(), term),
             own,
             upstreams: HashMap::new(),
-            silent: HashMap::new(),
+            silences: Silences::new(),
             returns: Returns::default(),
             unpublished: BTreeSet::new(),
         }
@@ -156,18 +161,14 @@
         hosts: Vec<WeightedHost>,
         confirmed_at: Option<Duration>,
     ) {
-        self.silent.retain(|_, until| *until > now);
+        self.silences.retain(|_, until| *until > now);
         let Some(change) = self.fleet.update(now, hosts, confirmed_at) else {
             return;
         };
         for (id, upstream) in &mut self.upstreams {
-            let granter = self.fleet.granter(id).cloned();
-            if upstream.granter != granter {
-                // The wait was for another host.
-                upstream.closed_until = now;
-            }
-            upstream.granter = granter;
-            let is_own = upstream.granter.as_ref() == Some(&self.own);
+            upstream.granters.update(now, &self.fleet.granters(id));
+            upstream.closed_until = now;
+            let is_own = upstream.granters.publisher(now, &self.silences) == Some(&self.own);
             if change == fleet::Change::Joined && is_own && upstream.rate.is_some() {
                 self.unpublished.insert(id.clone());
             }
@@ -202,13 +203,8 @@
         let Some(rate) = upstream.rate else {
             return State::Free;
         };
-        let silent_until = upstream
-            .granter
-            .as_ref()
-            .and_then(|host| self.silent.get(host));
-        let closed_until = silent_until.map_or(upstream.closed_until, |until| {
-            upstream.closed_until.max(*until)
-        });
+        let opens_at = upstream.granters.opens_at(&self.silences);
+        let closed_until = opens_at.unwrap_or(upstream.closed_until);
         match closed_until > now {
             true => State::Closed(rate, closed_until),
             false => State::Limited(rate),
@@ -265,7 +261,7 @@
             }
         }
         let change = self.set(now, &process, rate, stated_at);
-        if change.is_some() && self.is_own(&process.upstream) {
+        if change.is_some() && self.is_publisher(now, &process.upstream) {
             self.unpublished.insert(process.upstream);
         }
         change
@@ -285,7 +281,8 @@
             self.upstreams
                 .retain(|_, upstream| !upstream.is_forgotten(now));
         }
-        let granter = self.fleet.granter(id).cloned();
+        let mut granters = Granters::default();
+        granters.update(now, &self.fleet.granters(id));
         let new = || Upstream {
             started_ms: process.started_ms,
             rate: None,
@@ -293,10 +290,10 @@
             limited_since: now,
             closed_until: now,
             bucket: None,
-            granter,
+            granters: granters.clone(),
             left_at: None,
         };
-        let upstream = self.upstreams.entry(id.clone()).or_insert_with(new.clone());
+        let upstream = self.upstreams.entry(id.clone()).or_insert_with(new);
         if upstream.started_ms != process.started_ms {
             if upstream.started_ms > process.started_ms {
                 return None;
@@ -312,28 +309,34 @@
     }
 
     /// Begins to acquire a permit for one request.
-    pub fn acquire(&mut self, now: Duration, upstream: &UpstreamId) -> Step {
-        match self.state(now, upstream) {
-            State::Free => return Step::Send,
-            State::Closed(..) => return Step::Closed,
-            State::Limited(_) => {}
-        }
-        let Some(stated) = self.stated(now, upstream) else {
-            return Step::Send;
-        };
-        match self.granter(upstream).cloned() {
-            Some(host) if host == self.own => {
-                let acquired = self.grant(now, upstream);
-                if acquired.is_granted {
-                    return Step::Send;
-                }
-                self.close(upstream, now + Duration::from_millis(acquired.wait_ms));
-                Step::Closed
+    pub fn acquire(&mut self, now: Duration, id: &UpstreamId) -> Step {
+        loop {
+            match self.state(now, id) {
+                State::Free => return Step::Send,
+                State::Closed(..) => return Step::Closed,
+                State::Limited(_) => {}
             }
-            Some(host) => Step::Ask(host, Acquire { stated }),
-            None => {
-                self.close(upstream, now + SILENCE_WAIT);
-                Step::Closed
+            let Some(stated) = self.stated(now, id) else {
+                return Step::Send;
+            };
+            let Some(upstream) = self.upstreams.get_mut(id) else {
+                return Step::Send;
+            };
+            let chosen = upstream.granters.choose(now, &self.own, &self.silences);
+            match chosen.cloned() {
+                Some(host) if host == self.own => {
+                    let acquired = self.grant(now, id);
+                    if acquired.is_granted {
+                        return Step::Send;
+                    }
+                    let own = self.own.clone();
+                    self.close(id, &own, now + Duration::from_millis(acquired.wait_ms));
+                }
+                Some(host) => return Step::Ask(host, Acquire { stated }),
+                None => {
+                    upstream.closed_until = now + SILENCE_WAIT;
+                    return Step::Closed;
+                }
             }
         }
     }
@@ -369,24 +372,30 @@
         }
     }
 
-    /// Applies the answer of the host that grants the permits.
-    pub fn apply(&mut self, now: Duration, id: &UpstreamId, acquired: &Acquired) -> Option<Change> {
+    /// Applies the answer of a host that grants permits.
+    pub fn apply(
+        &mut self,
+        now: Duration,
+        id: &UpstreamId,
+        host: &HostId,
+        acquired: &Acquired,
+    ) -> Option<Change> {
         let stated = acquired.stated.as_ref();
         let change = stated.and_then(|stated| self.learn(now, stated));
         if !acquired.is_granted {
-            self.close(id, now + Duration::from_millis(acquired.wait_ms));
+            self.close(id, host, now + Duration::from_millis(acquired.wait_ms));
         }
         change
     }
 
     /// Records that a host did not answer. It is not asked for permits of any upstream for a while.
     pub fn record_silence(&mut self, now: Duration, host: HostId) {
-        self.silent.insert(host, now + SILENCE_WAIT);
+        self.silences.insert(host, now + SILENCE_WAIT);
     }
 
-    fn close(&mut self, id: &UpstreamId, until: Duration) {
+    fn close(&mut self, id: &UpstreamId, host: &HostId, until: Duration) {
         if let Some(upstream) = self.upstreams.get_mut(id) {
-            upstream.closed_until = until;
+            upstream.granters.close(host, until);
         }
     }
 
@@ -415,18 +424,22 @@
         self.returns.schedule(now, service, opens_at, interval)
     }
 
-    /// Takes what other hosts have to be told: all of them, or, where this host does not grant
-    /// the permits, the host that does.
+    /// Takes what other hosts have to be told: all of them, or, where another host tells all, the
+    /// hosts that grant the permits.
     pub fn take_unpublished(&mut self, now: Duration) -> (Vec<Stated>, Vec<(HostId, Stated)>) {
         let (mut to_all, mut to_granters) = (Vec::new(), Vec::new());
         for id in std::mem::take(&mut self.unpublished) {
             let Some(stated) = self.stated(now, &id) else {
                 continue;
             };
-            match self.granter(&id) {
-                Some(host) if *host != self.own => to_granters.push((host.clone(), stated)),
-                _ => to_all.push(stated),
+            if self.is_publisher(now, &id) {
+                to_all.push(stated);
+                continue;
             }
+            let granters = self.upstreams.get(&id).into_iter();
+            let hosts = granters.flat_map(|upstream| upstream.granters.hosts());
+            let others = hosts.filter(|host| **host != self.own);
+            to_granters.extend(others.map(|host| (host.clone(), stated.clone())));
         }
         (to_all, to_granters)
     }
@@ -436,12 +449,11 @@
         !self.unpublished.is_empty()
     }
 
-    fn granter(&self, upstream: &UpstreamId) -> Option<&HostId> {
-        self.upstreams.get(upstream)?.granter.as_ref()
-    }
-
-    fn is_own(&self, upstream: &UpstreamId) -> bool {
-        self.granter(upstream) == Some(&self.own)
+    /// Returns whether this host tells all others what an upstream states, as far as it knows.
+    fn is_publisher(&self, now: Duration, id: &UpstreamId) -> bool {
+        let upstream = self.upstreams.get(id);
+        let publisher = upstream.map(|known| known.granters.publisher(now, &self.silences));
+        publisher.is_some_and(|host| host.is_none_or(|host| *host == self.own))
     }
 
     fn stated(&self, now: Duration, id: &UpstreamId) -> Option<Stated> {
--- a/crates/core/tests/throttle/main.rs
+++ b/crates/core/tests/throttle/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `MARIGOLDROUTE_THROTTLE=START:COUNT` runs COUNT more seeds from START.
 
+mod changes;
 mod world;
 
 use {
@@ -248,6 +249,7 @@
     }
     for (upstream, rate) in world.upstreams.iter().zip(rates) {
         let most = upstream.busiest_span(Duration::ZERO, world.now);
+        println!("seed {seed}, {hosts} hosts: {most} requests in 4 s at {rate} a second");
         assert!(
             most <= allowed(rate),
             "seed {seed}, {hosts} hosts: {most} requests in 4 s at {rate} a second"
--- a/crates/core/tests/throttle/world.rs
+++ b/crates/core/tests/throttle/world.rs
@@ -2,7 +2,7 @@
 
 use {
     marigoldroute_core::{
-        fleet::{Census, WeightedHost},
+        fleet::{Census, WeightedHost, rank},
         id::{HostId, UpstreamId},
         throttle::{Process, Rate, State, Statement, Step, Throttle},
         wire::{Acquire, Acquired, Stated},
@@ -44,6 +44,7 @@
     /// The answer reaches the asker.
     Answer {
         asker: usize,
+        granter: usize,
         upstream: usize,
         acquired: Acquired,
         call: u64,
@@ -146,6 +147,8 @@
     /// Requests a second at each host.
     pub load: f64,
     pub sent: usize,
+    /// Questions for permits.
+    pub asked: usize,
     /// Times after which refused callers were told to return.
     pub refused: Vec<(Duration, Duration)>,
 }
@@ -171,6 +174,7 @@
             is_store_up: true,
             load,
             sent: 0,
+            asked: 0,
             refused: Vec::new(),
         };
         for _ in 0..hosts {
@@ -224,6 +228,22 @@
         self.hosts[index].process += 1;
     }
 
+    /// Ends the process of a host in a planned way: it has removed its row.
+    pub fn stop(&mut self, index: usize) {
+        let row = self.hosts[index].row.clone();
+        self.rows.remove(&row);
+        self.kill(index);
+    }
+
+    /// Returns the hosts in the order of the ranking for an upstream.
+    pub fn ranked(&self, upstream: usize) -> Vec<usize> {
+        let hosts = self.hosts.iter().filter(|host| host.is_up);
+        let hosts: Vec<_> = hosts.map(|host| weighted(&host.id)).collect();
+        let ranked = rank(&self.upstreams[upstream].id, &hosts);
+        let index = |id: &HostId| self.hosts.iter().position(|host| host.id == *id);
+        ranked.into_iter().filter_map(index).collect()
+    }
+
     /// Makes a host stand still.
     pub fn freeze(&mut self, index: usize, time: Duration) {
         self.hosts[index].frozen_until = self.now + time;
@@ -327,6 +347,7 @@
                     let delay = self.delay();
                     let answer = Event::Answer {
                         asker,
+                        granter,
                         upstream,
                         acquired,
                         call,
@@ -336,6 +357,7 @@
             }
             Event::Answer {
                 asker,
+                granter,
                 upstream,
                 acquired,
                 call,
@@ -345,7 +367,9 @@
                 }
                 let now = self.clock(asker);
                 let id = self.upstreams[upstream].id.clone();
-                self.hosts[asker].throttle.apply(now, &id, &acquired);
+                let host = self.hosts[granter].id.clone();
+                let throttle = &mut self.hosts[asker].throttle;
+                throttle.apply(now, &id, &host, &acquired);
                 self.note_knowledge(asker);
                 match acquired.is_granted {
                     true => self.send(asker, upstream),
@@ -452,10 +476,7 @@
                 *known = (*known).max(*version);
             }
         }
-        let hosts = newest.into_keys().map(|id| WeightedHost {
-            host: id.clone(),
-            weight: 1,
-        });
+        let hosts = newest.into_keys().map(weighted);
         host.throttle.update_hosts(now, hosts.collect(), Some(now));
         for key in host.census.removable(now) {
             self.rows.remove(&key.0);
@@ -488,6 +509,7 @@
                     let granter = self.hosts.iter().position(|other| other.id == granter);
                     let granter = granter.expect("a known host");
                     self.numbers += 1;
+                    self.asked += 1;
                     let call = self.numbers;
                     self.hosts[host].calls.insert(call);
                     let silence = Event::Silence {
@@ -541,6 +563,13 @@
     }
 }
 
+fn weighted(id: &HostId) -> WeightedHost {
+    WeightedHost {
+        host: id.clone(),
+        weight: 1,
+    }
+}
+
 /// Returns the host at which an event happens.
 fn owner(event: &Event) -> usize {
     match event {
@@ -572,6 +601,19 @@
         most
     }
 
+    /// Returns the longest time without an arrival between these times.
+    pub fn longest_gap(&self, from: Duration, to: Duration) -> Duration {
+        let times = self.arrivals.iter().map(|(at, _)| *at);
+        let within = times.filter(|at| (from..to).contains(at));
+        let mut last = from;
+        let gaps = within.chain([to]).map(|at| {
+            let gap = at - last;
+            last = at;
+            gap
+        });
+        gaps.max().unwrap_or_default()
+    }
+
     /// Returns the number of all arrivals between these times.
     pub fn count(&self, from: Duration, to: Duration) -> usize {
         let within = self
--- a/crates/gateway/src/dispatch/rates.rs
+++ b/crates/gateway/src/dispatch/rates.rs
@@ -65,7 +65,10 @@
             inner.admission.throttle().record_silence(now, host);
             return;
         };
-        let change = inner.admission.throttle().apply(now, upstream, acquired);
+        let change = inner
+            .admission
+            .throttle()
+            .apply(now, upstream, &host, acquired);
         drop(inner);
         self.report_rate(upstream, change, &host);
     }
