Doubt the view of the fleet after the machine was suspended

A host that grants permits and was suspended with its machine for longer than others need to take over went on with its whole part afterwards, beside its successor: the monotonic clock does not count the suspension, so its view of the fleet still seemed to be confirmed.

Before it grants, a host now compares the monotonic clock with the time of day.

The random faults of the simulation suspend hosts, too.

--- a/crates/core/src/throttle/fleet.rs
+++ b/crates/core/src/throttle/fleet.rs
@@ -22,6 +22,10 @@
 /// Time after which to ask again a host that does not grant.
 const ELSEWHERE_WAIT: Duration = Duration::from_millis(500);
 
+/// Time by which the time of day may run ahead of the monotonic clock between two readings, for
+/// example because it is set. After a suspension of less than this, views are not too old.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(1);
+
 /// The fleet as this host has seen it.
 #[derive(Clone, Debug)]
 pub(super) struct Fleet {
@@ -36,6 +40,8 @@
     confirmed_at: Option<Duration>,
     /// Since when the view has been confirmed without a gap.
     confirmed_since: Duration,
+    /// Last readings of the monotonic clock and of the time of day.
+    clocks: Option<(Duration, Duration)>,
 }
 
 /// Part of a rate that a host may grant: the whole rate divided by this number.
@@ -86,6 +92,18 @@
             views: VecDeque::new(),
             confirmed_at: None,
             confirmed_since: Duration::ZERO,
+            clocks: None,
+        }
+    }
+
+    /// Compares the monotonic clock with the time of day. The confirmation is lost when the first
+    /// has stood still, because the machine was suspended.
+    pub(super) fn check_clocks(&mut self, now: Duration, wall: Duration) {
+        if let Some((last, last_wall)) = self.clocks.replace((now, wall)) {
+            let counted = now.saturating_sub(last) + CLOCK_TOLERANCE;
+            if wall.saturating_sub(last_wall) > counted {
+                self.confirmed_at = None;
+            }
         }
     }
 
--- a/crates/core/src/throttle/mod.rs
+++ b/crates/core/src/throttle/mod.rs
@@ -175,6 +175,12 @@
         }
     }
 
+    /// Compares the monotonic clock with the time of day since 1970, before permits are granted: a
+    /// host that was suspended does not rely on its view of the fleet.
+    pub fn check_clocks(&mut self, now: Duration, wall: Duration) {
+        self.fleet.check_clocks(now, wall);
+    }
+
     /// Forgets the rate of an earlier process of an upstream that is on the list.
     pub fn join(&mut self, process: &Process) {
         let upstream = self.upstreams.get_mut(&process.upstream);
--- a/crates/core/tests/throttle/changes.rs
+++ b/crates/core/tests/throttle/changes.rs
@@ -1,7 +1,10 @@
 //! What an upstream gets after a change of the fleet.
 
 use {
-    crate::world::{Upstream, World, seconds},
+    crate::{
+        allowed,
+        world::{Upstream, World, seconds},
+    },
     std::time::Duration,
 };
 
@@ -110,6 +113,31 @@
     }
 }
 
+/// Guards against hosts that go on granting after they were suspended, beside those that have taken
+/// over. Their clocks do not count the time.
+#[test]
+fn suspended_hosts_do_not_grant_beside_their_successors() {
+    let rate = 40.0;
+    for suspended in [1, 2] {
+        let mut worst = 0;
+        for seed in 0..10 {
+            let mut world = World::new(200 + seed, 6, &[Some(rate)], 80.0);
+            world.run(seconds(30));
+            let granters = world.ranked(0);
+            for host in &granters[..suspended] {
+                world.suspend(*host, seconds(28) + Duration::from_millis(300 * seed));
+            }
+            world.run(seconds(75));
+            worst = worst.max(world.upstreams[0].busiest_span(seconds(30), seconds(75)));
+        }
+        println!("{suspended} suspended: {worst} requests in 4 s at {rate} a second");
+        assert!(
+            worst <= allowed(rate),
+            "{suspended} suspended: {worst} requests in 4 s"
+        );
+    }
+}
+
 /// Guards against hosts that grant as much as before when they are cut off from the store, while
 /// others take over.
 #[test]
--- a/crates/core/tests/throttle/main.rs
+++ b/crates/core/tests/throttle/main.rs
@@ -214,7 +214,7 @@
         let step = Duration::from_millis(world.random.random_range(200..4_000));
         world.run(world.now + step);
         let host = world.random.random_range(0..world.hosts.len());
-        match world.random.random_range(0..12) {
+        match world.random.random_range(0..13) {
             0 | 1 if world.hosts[host].is_up => world.kill(host),
             0..=3 => {
                 world.kill(host);
@@ -244,6 +244,10 @@
                 let time = Duration::from_millis(world.random.random_range(100..3_000));
                 world.freeze(host, time);
             }
+            10 => {
+                let time = Duration::from_millis(world.random.random_range(3_000..20_000));
+                world.suspend(host, time);
+            }
             _ => world.heal(),
         }
     }
--- a/crates/core/tests/throttle/world.rs
+++ b/crates/core/tests/throttle/world.rs
@@ -113,6 +113,8 @@
     pub side: u8,
     /// Until when the host stands still.
     frozen_until: Duration,
+    /// Until when messages to the host are lost.
+    deaf_until: Duration,
     /// Time that the host has stood still, which its clock does not count.
     frozen: Duration,
     /// Since when this process knows each upstream's rate.
@@ -197,6 +199,7 @@
             reaches_store: true,
             side: 0,
             frozen_until: Duration::ZERO,
+            deaf_until: Duration::ZERO,
             frozen: Duration::ZERO,
             knows_since: HashMap::new(),
             calls: BTreeSet::new(),
@@ -250,6 +253,12 @@
         self.hosts[index].frozen += time;
     }
 
+    /// Makes a host stand still, with its machine: what others send it meanwhile is lost.
+    pub fn suspend(&mut self, index: usize, time: Duration) {
+        self.freeze(index, time);
+        self.hosts[index].deaf_until = self.hosts[index].frozen_until;
+    }
+
     /// Ends all cuts and the outage of the store.
     pub fn heal(&mut self) {
         self.is_store_up = true;
@@ -287,6 +296,13 @@
             if is_local && self.hosts[host].process != process {
                 continue;
             }
+            let is_message = matches!(
+                event,
+                Event::Ask { .. } | Event::Answer { .. } | Event::Learn { .. }
+            );
+            if is_message && self.hosts[host].deaf_until > at {
+                continue;
+            }
             if is_local && thaw > at {
                 self.events.push(Scheduled(thaw, number, process, event));
                 continue;
@@ -321,6 +337,12 @@
         self.now + seconds(100) - self.hosts[host].frozen
     }
 
+    /// Lets a host compare its clock with the time of day, which counts the time of a suspension.
+    fn check_clocks(&mut self, host: usize) {
+        let now = self.clock(host);
+        self.hosts[host].throttle.check_clocks(now, self.now);
+    }
+
     fn reach(&self, from: usize, to: usize) -> bool {
         self.hosts[to].is_up && self.hosts[from].side == self.hosts[to].side
     }
@@ -341,6 +363,7 @@
                 call,
             } => {
                 let now = self.clock(granter);
+                self.check_clocks(granter);
                 let (acquired, _) = self.hosts[granter].throttle.answer(now, &acquire);
                 self.note_knowledge(granter);
                 if self.reach(granter, asker) {
@@ -486,6 +509,7 @@
     /// Serves a request with a random upstream that is not closed.
     fn request(&mut self, host: usize) {
         let now = self.clock(host);
+        self.check_clocks(host);
         loop {
             let throttle = &self.hosts[host].throttle;
             let is_open = |upstream: &usize| {
--- a/crates/gateway/src/dispatch/rates.rs
+++ b/crates/gateway/src/dispatch/rates.rs
@@ -10,7 +10,7 @@
         wire::{Acquire, Acquired, Stated},
     },
     marigoldroute_process::logs::BELIEFS,
-    std::time::Duration,
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 impl InFlight {
@@ -46,10 +46,10 @@
     /// Begins to acquire a permit for a request to an upstream that has stated a rate.
     pub(crate) fn acquire(&self, upstream: &UpstreamId) -> Step {
         let now = self.clock.now();
-        lock(&self.inner)
-            .admission
-            .throttle()
-            .acquire(now, upstream)
+        let mut inner = lock(&self.inner);
+        let throttle = inner.admission.throttle();
+        throttle.check_clocks(now, time_of_day());
+        throttle.acquire(now, upstream)
     }
 
     /// Applies the answer of a host that was asked for a permit; `None` when it did not answer.
@@ -76,7 +76,11 @@
     /// Answers another host that asks for a permit.
     pub(crate) fn answer_acquire(&self, from: &str, acquire: &Acquire) -> Acquired {
         let now = self.clock.now();
-        let (acquired, change) = lock(&self.inner).admission.throttle().answer(now, acquire);
+        let mut inner = lock(&self.inner);
+        let throttle = inner.admission.throttle();
+        throttle.check_clocks(now, time_of_day());
+        let (acquired, change) = throttle.answer(now, acquire);
+        drop(inner);
         self.report_rate(&acquire.stated.upstream.as_str().into(), change, from);
         acquired
     }
@@ -110,3 +114,10 @@
         self.capacity_freed.notify_waiters();
     }
 }
+
+/// Returns the time since 1970; zero if the clock is set to an earlier time.
+fn time_of_day() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
