Send cold upstreams no more than they take, from all hosts together

Operators of upstreams saw: upstreams that come back cold got what the policy of each host thought best. They are idle, so all hosts turned to them: 65 requests in a second from three hosts where 13 are allowed.

Cause: the time for which an upstream stays cold was parsed and not used, and the limits of services on cold upstreams were not read.

Change: admission::ColdStarts keeps the limit without messages. The first hosts in the rendezvous order of a cold upstream send it one request a second each, planned for half of the bound, so that hosts with an older view of the fleet may send as well; the others send nothing. Bar::Cold is asked when an upstream is chosen and right before a request is sent: one that was assigned before its upstream became cold, or waited for more than 0.5 s, chooses again. The time comes from the entry in the list or from an answer, and is only ever extended. An upstream that joins the list later, and those of a zone whose evacuation ends, count as cold for the start time of their service. Entries of warm upstreams that say nothing new cause no work.

The property test of core's admission fails when the bar is left out at sending.

--- a/crates/core/src/admission/evacuation.rs
+++ b/crates/core/src/admission/evacuation.rs
@@ -1,6 +1,10 @@
 //! Availability zones that are evacuated.
 
-use {super::Admission, crate::id::Zone, std::collections::BTreeSet};
+use {
+    super::Admission,
+    crate::id::Zone,
+    std::{collections::BTreeSet, time::Duration},
+};
 
 /// A change of the availability zones that operators have evacuated.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,6 +41,16 @@
             .collect()
     }
 
+    /// Records that the upstreams of a zone take requests again after an evacuation. They may have
+    /// become cold meanwhile, and all of them are idle.
+    pub fn restore(&mut self, now: Duration, zone: &Zone) {
+        for (id, upstream) in &self.upstreams {
+            if upstream.zone == *zone {
+                self.cold_starts.restore(now, id);
+            }
+        }
+    }
+
     /// Returns the zones that are evacuated.
     pub fn evacuated(&self) -> &BTreeSet<Zone> {
         &self.evacuated
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -5,10 +5,14 @@
 //! chosen and again right before a request is sent. Failures and load are no part of it: they make
 //! the routing policy prefer other upstreams, and bar none.
 
+mod cold;
 mod evacuation;
 mod pause;
 
-pub use evacuation::Evacuation;
+pub use {
+    cold::{ColdSettings, ColdStarts},
+    evacuation::Evacuation,
+};
 
 use {
     crate::{
@@ -69,6 +73,8 @@
         started_ms: u64,
         /// Whether the request has acquired a permit.
         has_permit: bool,
+        /// When it was assigned.
+        assigned_at: Duration,
     },
 }
 
@@ -98,6 +104,9 @@
     /// It has asked for a pause, which ends at this time.
     #[display("asks for a pause")]
     Paused(Duration),
+    /// It is cold, and takes nothing more from this host before this time.
+    #[display("cold")]
+    Cold(Duration),
     /// There is no permit before this time at the rate that it states.
     #[display("no permit")]
     Spent(Rate, Duration),
@@ -166,12 +175,14 @@
     /// Availability zones that operators have evacuated, also ones without upstreams.
     evacuated: BTreeSet<Zone>,
     throttle: Throttle,
+    cold_starts: ColdStarts,
 }
 
 impl Admission {
     /// Creates the state of the host `own`, which knows no upstreams.
-    pub fn new(own: HostId, throttle: Throttle) -> Self {
+    pub fn new(own: HostId, throttle: Throttle, cold: ColdSettings) -> Self {
         Self {
+            cold_starts: ColdStarts::new(own.clone(), cold),
             own,
             upstreams: HashMap::new(),
             evacuated: BTreeSet::new(),
@@ -184,6 +195,11 @@
         &mut self.throttle
     }
 
+    /// Returns the cold upstreams.
+    pub fn cold_starts(&mut self) -> &mut ColdStarts {
+        &mut self.cold_starts
+    }
+
     /// Records that a process of an upstream in a zone is on the list and takes work. A process that
     /// was not known before is free of the notices of an earlier one.
     pub fn join(&mut self, now: Duration, process: &Process, zone: &Zone) {
@@ -258,6 +274,16 @@
             // The request at hand may be the one whose answer the others wait for.
             (pause::State::Resuming(_), Stage::Send { .. }) | (pause::State::Over, _) => {}
         }
+        let cold = match stage {
+            Stage::Choose { .. } => self.cold_starts.closed_until(now, id),
+            Stage::Send { assigned_at, .. } => {
+                let is_uncounted = self.cold_starts.is_uncounted(now, id, assigned_at);
+                is_uncounted.then_some(now)
+            }
+        };
+        if let Some(until) = cold {
+            return Standing::Barred(Bar::Cold(until));
+        }
         let rate = self.throttle.state(now, id);
         match stage {
             Stage::Choose { limit } => match rate {
@@ -281,6 +307,7 @@
     pub fn begin(&mut self, now: Duration, id: &UpstreamId) -> Option<Process> {
         let upstream = self.upstreams.get_mut(id)?;
         upstream.in_flight += 1;
+        self.cold_starts.count(now, id);
         if let Some(pause) = &mut upstream.pause {
             pause.begin(now);
         }
@@ -356,6 +383,10 @@
                     Bar::Resuming(until) => {
                         resumed = Some(resumed.map_or(until, |other| other.min(until)));
                     }
+                    Bar::Cold(until) => {
+                        let turn = self.cold_starts.turn(now, until);
+                        resumed = Some(resumed.map_or(turn, |other| other.min(turn)));
+                    }
                     Bar::Full => return None,
                 },
             }
--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -21,6 +21,6 @@
     directory::{Access, AccessError, Directory},
     roster::{Change, Registration, Roster, State},
     sequence::{Accepted, Rejected, Sequence, event_id},
-    snapshot::{Engine, Kind, Limits, Route, Service, Snapshot, Target, Workspace},
+    snapshot::{ColdStart, Engine, Kind, Limits, Route, Service, Snapshot, Target, Workspace},
     stall::Stall,
 };
--- a/crates/core/src/forward/roster.rs
+++ b/crates/core/src/forward/roster.rs
@@ -36,6 +36,8 @@
     /// Start of the process in milliseconds of Unix time; a restarted upstream has lost its state,
     /// such as its prefix cache.
     pub started_ms: u64,
+    /// Time for which it stays cold and takes few requests, from when it wrote the entry.
+    pub cold_left: Duration,
 }
 
 impl Registration {
@@ -43,6 +45,15 @@
     pub fn is_ready(&self) -> bool {
         self.state == State::Ready
     }
+
+    /// Returns whether another entry differs in nothing but the time for which it stays cold.
+    fn is_similar(&self, other: &Self) -> bool {
+        let cold_left = other.cold_left;
+        Self {
+            cold_left,
+            ..self.clone()
+        } == *other
+    }
 }
 
 /// A change of the upstreams that take new work.
@@ -50,6 +61,8 @@
 pub enum Change {
     /// The upstream takes new work, or its registration changed, as after a restart.
     Joined(UpstreamId, Registration),
+    /// The upstream is cold, by a registration that is otherwise the same.
+    Cold(UpstreamId, Registration),
     /// The upstream takes no new work.
     Left(UpstreamId),
 }
@@ -116,8 +129,9 @@
     pub fn put(&mut self, id: UpstreamId, entry: Registration) -> Option<Change> {
         self.missing.remove(&id);
         let known = self.entries.insert(id.clone(), entry.clone());
-        if known.as_ref() == Some(&entry) {
-            return None;
+        if known.as_ref().is_some_and(|known| known.is_similar(&entry)) {
+            let is_cold = entry.is_ready() && !entry.cold_left.is_zero();
+            return is_cold.then_some(Change::Cold(id, entry));
         }
         if entry.is_ready() {
             return Some(Change::Joined(id, entry));
--- a/crates/core/src/forward/snapshot.rs
+++ b/crates/core/src/forward/snapshot.rs
@@ -106,6 +106,18 @@
     pub connection_limit: u32,
     /// Properties of its engines; absent for plain services.
     pub engine: Option<Engine>,
+    /// Limit on requests to its cold upstreams, if any.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What an upstream takes while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Time for which an upstream is cold after it has started.
+    pub time: Duration,
+    /// Requests per second that a cold upstream takes from all hosts together; there is no limit if
+    /// it is not greater than 0.
+    pub rate: f64,
 }
 
 /// A customer's workspace with its keys and its budget.
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -229,6 +229,7 @@
         slots: 6,
         state,
         started_ms: 1,
+        cold_left: Duration::ZERO,
     }
 }
 
@@ -266,6 +267,31 @@
     assert_eq!(roster.ready().count(), 1);
 }
 
+/// Guards against hosts that miss that an upstream is cold again, and against work for entries that
+/// say nothing new.
+#[test]
+fn only_cold_entries_are_news() {
+    let mut roster = Roster::default();
+    let entry = |seconds| Registration {
+        cold_left: SECOND * seconds,
+        ..registration(State::Ready)
+    };
+    let joined = roster.put("a".into(), entry(2));
+    assert!(matches!(joined, Some(Change::Joined(..))), "{joined:?}");
+    for (seconds, is_news) in [(1, true), (0, false), (0, false), (3, true), (3, true)] {
+        let change = roster.put("a".into(), entry(seconds));
+        let expected = Change::Cold("a".into(), entry(seconds));
+        assert_eq!(change, is_news.then_some(expected));
+    }
+    let draining = Registration {
+        state: State::Draining,
+        ..entry(2)
+    };
+    let left = roster.put("a".into(), draining.clone());
+    assert_eq!(left, Some(Change::Left("a".into())));
+    assert_eq!(roster.put("a".into(), draining), None);
+}
+
 /// Guards against relaying a stream with a missing or repeated event.
 #[test]
 fn events_follow_one_another() {
--- a/crates/core/tests/admission/world.rs
+++ b/crates/core/tests/admission/world.rs
@@ -2,8 +2,9 @@
 
 use {
     marigoldroute_core::{
-        admission::{Admission, Evacuation, Notice, Stage, Standing},
+        admission::{Admission, ColdSettings, Evacuation, Notice, Stage, Standing},
         fleet::WeightedHost,
+        forward::ColdStart,
         id::{UpstreamId, Zone},
         throttle::{Process, Rate, Statement, Step, Throttle},
     },
@@ -19,11 +20,19 @@
 pub const LIMIT: u32 = 3;
 /// Time for which a view of the fleet holds.
 const TERM: Duration = Duration::from_secs(1);
+/// Limit on what a cold upstream gets in a second.
+const COLD: ColdSettings = ColdSettings {
+    overage: 1.5,
+    tolerance: 5.0,
+};
+/// Requests per second that a cold upstream takes.
+const COLD_RATE: f64 = 5.9;
 /// Upstreams of the property test.
 pub const UPSTREAMS: usize = 2;
 
 pub fn admission(host: &str) -> Admission {
-    Admission::new(host.into(), Throttle::new(host.into(), TERM))
+    let throttle = Throttle::new(host.into(), TERM);
+    Admission::new(host.into(), throttle, COLD)
 }
 
 pub fn process(id: &str, started_ms: u64) -> Process {
@@ -73,6 +82,12 @@
     ReadEvacuations {
         zones: BTreeSet<usize>,
     },
+    /// The upstream becomes cold, or says so again, in its entry or in an answer.
+    Cold {
+        upstream: usize,
+        ms: u64,
+        is_listed: bool,
+    },
     Wait {
         ms: u64,
     },
@@ -105,6 +120,8 @@
         2 => (upstream(), prop_oneof![1 => Just(false), 2 => Just(true)])
             .prop_map(|(zone, is_end)| Action::Evacuate { zone, is_end }),
         1 => btree_set(upstream(), 0..=1).prop_map(|zones| Action::ReadEvacuations { zones }),
+        2 => (upstream(), 0..4_000_u64, any::<bool>())
+            .prop_map(|(upstream, ms, is_listed)| Action::Cold { upstream, ms, is_listed }),
         6 => (0..1_500_u64).prop_map(|ms| Action::Wait { ms }),
     ];
     vec(action, 1..150)
@@ -122,6 +139,10 @@
     /// The rate that it stated last, and the requests that it got since then.
     rate: Option<(f64, Duration, u32)>,
     in_flight: u32,
+    /// When it became cold, and until when it is.
+    cold: (Duration, Duration),
+    /// When it got requests.
+    arrivals: Vec<Duration>,
 }
 
 /// A request of the host.
@@ -130,6 +151,9 @@
     upstream: usize,
     process: Process,
     has_permit: bool,
+    assigned_at: Duration,
+    /// Whether the host took the upstream for cold by then.
+    is_counted: bool,
     sent_at: Option<Duration>,
 }
 
@@ -148,6 +172,14 @@
             host: "h".into(),
             weight: 1,
         };
+        let start = ColdStart {
+            time: Duration::from_secs(3),
+            rate: COLD_RATE,
+        };
+        host.cold_starts()
+            .update_services(Duration::ZERO, [("s".into(), start)]);
+        host.cold_starts()
+            .update_hosts(Duration::ZERO, ["h".into()]);
         host.throttle()
             .update_hosts(Duration::ZERO, vec![own], Some(Duration::ZERO));
         Self {
@@ -179,11 +211,14 @@
         let peer = &mut self.peers[upstream];
         prop_assert!(peer.in_flight < LIMIT, "over the limit of connections");
         peer.in_flight += 1;
+        let is_counted = self.host.cold_starts().is_cold(self.now, &id);
         let process = self.host.begin(self.now, &id).expect("it was chosen");
         self.requests.push(Request {
             upstream,
             process,
             has_permit,
+            assigned_at: self.now,
+            is_counted,
             sent_at: None,
         });
         Ok(())
@@ -203,6 +238,7 @@
         let stage = Stage::Send {
             started_ms: request.process.started_ms,
             has_permit: request.has_permit,
+            assigned_at: request.assigned_at,
         };
         let standing = self
             .host
@@ -222,6 +258,16 @@
         prop_assert!(!is_evacuated, "sent to an evacuated zone");
         prop_assert!(!peer.has_left, "sent to an upstream that leaves");
         prop_assert!(peer.until <= self.now, "sent in a pause");
+        let (cold_since, cold_until) = peer.cold;
+        peer.arrivals.push(self.now);
+        if self.now < cold_until {
+            let is_counted = request.is_counted || request.assigned_at >= cold_since;
+            prop_assert!(is_counted, "sent uncounted to a cold upstream");
+            let from = cold_since.max(self.now.saturating_sub(Duration::from_secs(1)));
+            let count = peer.arrivals.iter().filter(|at| **at >= from).count();
+            let bound = COLD_RATE * COLD.overage + COLD.tolerance;
+            prop_assert!(count as f64 <= bound, "{count} requests to a cold upstream");
+        }
         if let Some((_, _, count)) = &mut peer.rate {
             prop_assert!(request.has_permit, "sent without a permit");
             *count += 1;
@@ -292,10 +338,37 @@
                 peer.zone = index;
                 let process = process(&Self::id(upstream), peer.started_ms);
                 self.host.join(self.now, &process, &zone(index));
+                let left = peer.cold.1.saturating_sub(self.now);
+                self.host
+                    .cold_starts()
+                    .join(self.now, &process, &"s".into(), left);
             }
             Action::Leave { upstream } => {
                 self.peers[upstream].is_listed = false;
-                self.host.leave(self.now, &Self::id(upstream));
+                let id = Self::id(upstream);
+                self.host.leave(self.now, &id);
+                self.host.cold_starts().leave(&id);
+            }
+            Action::Cold {
+                upstream,
+                ms,
+                is_listed,
+            } => {
+                let peer = &mut self.peers[upstream];
+                if !peer.is_listed {
+                    return Ok(());
+                }
+                let left = Duration::from_millis(ms);
+                let (since, until) = peer.cold;
+                let is_known = self.now < until;
+                let until = until.max(self.now + left);
+                peer.cold = (if is_known { since } else { self.now }, until);
+                let process = process(&Self::id(upstream), peer.started_ms);
+                let cold_starts = self.host.cold_starts();
+                match is_listed {
+                    true => cold_starts.join(self.now, &process, &"s".into(), left),
+                    false => cold_starts.extend(self.now, &process, left),
+                };
             }
             Action::Evacuate {
                 zone: index,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Assignment of requests to upstreams, with this host's requests in flight and retries.
 
+mod cold;
 mod evacuations;
 mod in_flight;
 mod notices;
@@ -17,7 +18,7 @@
         forward::{Allowance, AllowanceSettings, Change, Service},
         id::{ServiceId, UpstreamId},
         route::{self, Adaptive, CacheUpdate, Candidate, Choice, Origin, Policy, Reason},
-        throttle::{Process, Throttle},
+        throttle::Process,
     },
     marigoldroute_process::logs::BELIEFS,
     rand::{SeedableRng, rngs::SmallRng},
@@ -135,7 +136,7 @@
     fn with(mut self, bar: Bar) -> Self {
         let opens_at = match bar {
             Bar::Unlisted | Bar::Evacuated | Bar::Leaving => None,
-            Bar::Paused(until) | Bar::Spent(_, until) => Some(until),
+            Bar::Paused(until) | Bar::Spent(_, until) | Bar::Cold(until) => Some(until),
             Bar::Resuming(until) => {
                 self.is_busy = true;
                 Some(until)
@@ -159,8 +160,8 @@
     /// Every candidate that was not tried takes no requests now, and at least one of them is
     /// expected to within moments. Holds the time until the first of the others may take one.
     Busy(Option<Duration>),
-    /// Every candidate that was not tried has asked for a pause, or takes no more requests at the
-    /// rate that it states; holds the time after which the caller should return.
+    /// Every candidate that was not tried has asked for a pause, is cold, or takes no more requests
+    /// at the rate that it states; holds the time after which the caller should return.
     Closed(Duration),
     /// No upstream is known that was not tried.
     NoCandidate,
@@ -175,11 +176,11 @@
         origin: Origin,
         settings: route::Settings,
         retries: AllowanceSettings,
-        throttle: Throttle,
+        admission: Admission,
     ) -> Self {
         let block_tokens = settings.block_tokens;
         let inner = Inner {
-            admission: Admission::new(origin.host.clone(), throttle),
+            admission,
             policy: Adaptive::new(origin, settings),
             random: SmallRng::from_os_rng(),
             allowances: HashMap::new(),
@@ -210,14 +211,21 @@
             Change::Left(id) => {
                 inner.policy.withdraw(&id);
                 inner.admission.leave(now, &id);
+                inner.admission.cold_starts().leave(&id);
                 inner.remove_if_done(&id);
             }
+            Change::Cold(id, entry) => {
+                inner.learn_cold(now, &id, &entry);
+                // Nobody waits for an upstream to become cold.
+                return;
+            }
             Change::Joined(id, entry) => {
                 let process = Process {
                     upstream: id.clone(),
                     started_ms: entry.started_ms,
                 };
                 inner.admission.join(now, &process, &entry.zone);
+                inner.learn_cold(now, &id, &entry);
                 let candidate = Candidate {
                     id: id.clone(),
                     serves: vec![entry.service.clone()],
--- a/crates/gateway/src/dispatch/evacuations.rs
+++ b/crates/gateway/src/dispatch/evacuations.rs
@@ -23,8 +23,14 @@
     }
 
     fn update_evacuated(&self, update: impl FnOnce(&mut Admission) -> Vec<Evacuation>) {
+        let now = self.clock.now();
         let mut inner = lock(&self.inner);
         let changes = update(&mut inner.admission);
+        for change in &changes {
+            if let Evacuation::Ended(zone) = change {
+                inner.admission.restore(now, zone);
+            }
+        }
         let count = inner.admission.evacuated().len();
         drop(inner);
         if changes.is_empty() {
--- a/crates/gateway/src/dispatch/notices.rs
+++ b/crates/gateway/src/dispatch/notices.rs
@@ -20,6 +20,7 @@
         let stage = Stage::Send {
             started_ms: self.process.started_ms,
             has_permit: self.rate.is_some(),
+            assigned_at: self.sent_at,
         };
         match inner.admission.standing(now, &self.upstream, stage) {
             Standing::Open | Standing::Limited(_) => None,
--- a/crates/gateway/src/dispatch/rates.rs
+++ b/crates/gateway/src/dispatch/rates.rs
@@ -27,11 +27,13 @@
 }
 
 impl Dispatcher {
-    /// Replaces the hosts that share the rates of upstreams; see
+    /// Replaces the hosts that share the limits of upstreams; see
     /// [`Throttle::update_hosts`](marigoldroute_core::throttle::Throttle::update_hosts).
     pub(crate) fn update_hosts(&self, hosts: Vec<WeightedHost>, confirmed_at: Option<Duration>) {
         let now = self.clock.now();
         let mut inner = lock(&self.inner);
+        let ids = hosts.iter().map(|host| host.host.clone());
+        inner.admission.cold_starts().update_hosts(now, ids);
         inner
             .admission
             .throttle()
--- a/crates/gateway/src/dispatch/tests.rs
+++ b/crates/gateway/src/dispatch/tests.rs
@@ -4,7 +4,7 @@
     super::{Dispatcher, InFlight, Unavailable},
     crate::{Clock, metrics::Metrics, profile::Profile, protocol::ResponseHead},
     marigoldroute_core::{
-        admission::{Bar, Evacuation},
+        admission::{Admission, Bar, ColdSettings, Evacuation},
         forward::{AllowanceSettings, Change, Registration, Service, State},
         route::{self, Origin},
         throttle::{Rate, Statement, Throttle},
@@ -22,6 +22,7 @@
         name: "desk".into(),
         connection_limit: 64,
         engine: None,
+        cold_start: None,
     }
 }
 
@@ -39,7 +40,11 @@
         origin,
         route::Settings::default(),
         AllowanceSettings::default(),
-        Throttle::new("h".into(), Duration::from_secs(1)),
+        Admission::new(
+            "h".into(),
+            Throttle::new("h".into(), Duration::from_secs(1)),
+            ColdSettings::default(),
+        ),
     );
     let entry = Registration {
         service: "desk".into(),
@@ -49,6 +54,7 @@
         slots: 8,
         state: State::Ready,
         started_ms: 1,
+        cold_left: Duration::ZERO,
     };
     dispatcher.apply(clock.now(), Change::Joined("u".into(), entry));
     Arc::new(dispatcher)
@@ -70,6 +76,7 @@
         load: None,
         rate: Statement::Unlimited,
         is_leaving: false,
+        cold_left: None,
         pause: None,
         is_closing: false,
         keep_alive: None,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -123,6 +123,9 @@
         if is_own && head.status != StatusCode::MISDIRECTED_REQUEST {
             in_flight.record_statement(head.rate, head.status.is_success());
             in_flight.record_notice(&head, &request_head.id);
+            if let Some(left) = head.cold_left {
+                in_flight.record_cold(left);
+            }
         }
         let pool = pool.clone();
         Ok(Self {
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -23,7 +23,7 @@
         view::View,
         watch::Watcher,
     },
-    marigoldroute_core::{id::HolderId, route::Origin, throttle::Throttle},
+    marigoldroute_core::{admission::Admission, id::HolderId, route::Origin, throttle::Throttle},
     poem::{
         Endpoint, EndpointExt, IntoResponse, Response, Route, Server, endpoint::make_sync, get,
         http::StatusCode,
@@ -94,13 +94,14 @@
         zone: settings.zone.clone(),
     };
     let throttle = Throttle::new(settings.instance.clone(), settings.view_term());
+    let admission = Admission::new(settings.instance.clone(), throttle, settings.cold);
     let dispatcher = Arc::new(Dispatcher::new(
         clock,
         metrics.clone(),
         origin,
         settings.routing.clone(),
         settings.retries,
-        throttle,
+        admission,
     ));
     let escrow = Arc::new(Escrow::new(process.clone(), clock, &settings));
     let pool = Arc::new(Pool::new(clock, metrics.clone(), settings.connect_timeout));
--- a/crates/gateway/src/peers/tests.rs
+++ b/crates/gateway/src/peers/tests.rs
@@ -6,6 +6,7 @@
     },
     futures_util::FutureExt,
     marigoldroute_core::{
+        admission::Admission,
         route::Origin,
         throttle::Throttle,
         wire::{Acquire, Body},
@@ -25,7 +26,8 @@
     let (routing, retries) = (settings.routing.clone(), settings.retries);
     let clock = Clock::new();
     let metrics = Arc::new(Metrics::new().expect("metrics"));
-    let dispatcher = Dispatcher::new(clock, metrics.clone(), origin, routing, retries, throttle);
+    let admission = Admission::new(settings.instance.clone(), throttle, settings.cold);
+    let dispatcher = Dispatcher::new(clock, metrics.clone(), origin, routing, retries, admission);
     let quarantine = Arc::new(Quarantine::new(clock, metrics));
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
     let peers = Peers::bind(address, "own".into(), Arc::new(dispatcher), quarantine);
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -122,6 +122,8 @@
     pub rate: Statement,
     /// Whether the upstream states that it leaves: this process of it takes nothing new.
     pub is_leaving: bool,
+    /// Time for which the upstream stays cold, when stated.
+    pub cold_left: Option<Duration>,
     /// Time for which the upstream wants nothing from this host, when the response states one. It
     /// counts only in a response with status 503. In `headers`, it stays for the caller that gets
     /// this very response; no other response repeats it.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     marigoldroute_core::{
+        admission::ColdSettings,
         budget,
         forward::AllowanceSettings,
         id::{HostId, Region, Zone},
@@ -45,6 +46,8 @@
     pub link: LinkSettings,
     /// Limit on the retries of the whole fleet.
     pub retries: AllowanceSettings,
+    /// Limit on what the whole fleet sends to a cold upstream.
+    pub cold: ColdSettings,
     /// Time between two regular flushes of the journal; longer in a large fleet.
     pub flush_interval: Duration,
     /// Writes per second that the store accepts from all hosts together.
@@ -146,6 +149,7 @@
             routing: routing(),
             link: LinkSettings::default(),
             retries: AllowanceSettings::default(),
+            cold: ColdSettings::default(),
             flush_interval: Duration::from_millis(300),
             store_writes: 600.0,
             reserve_timeout: Duration::from_millis(1_000),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -101,8 +101,15 @@
     fn apply_configuration(&self, snapshot: Snapshot) {
         let version = snapshot.version;
         let (routes, workspaces) = (snapshot.routes.len(), snapshot.workspaces.len());
+        let cold_starts = snapshot.services.iter();
+        let cold_starts = cold_starts.filter_map(|service| {
+            let start = service.cold_start?;
+            Some((service.name.clone(), start))
+        });
+        let cold_starts: Vec<_> = cold_starts.collect();
         let directory = Directory::new(snapshot);
         if self.view.update_directory(directory) {
+            self.dispatcher.update_cold_starts(cold_starts);
             self.metrics.version.set(version as i64);
             log::info!(target: BELIEFS, version, routes, workspaces; "configuration in effect");
         }
@@ -158,6 +165,7 @@
                 roster.replace(self.clock.now(), read.content)
             };
             self.apply_changes(changes);
+            self.dispatcher.record_list();
             self.view.set_upstreams_read();
             return Ok((read.position, false));
         };
@@ -198,6 +206,7 @@
                     upstream:% = id, service:% = entry.service, address:% = entry.address;
                     "upstream takes work"
                 ),
+                Change::Cold(..) => {}
                 Change::Left(id) => {
                     log::info!(target: BELIEFS, upstream:% = id; "upstream takes no new work");
                 }
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -81,6 +81,7 @@
             name: "desk".into(),
             connection_limit: 64,
             engine: Some(engine),
+            cold_start: None,
         }],
         workspaces: vec![workspace],
         ..Snapshot::default()
@@ -97,6 +98,7 @@
         slots: 8,
         state,
         started_ms: 1,
+        cold_left: Duration::ZERO,
     }
 }
 
--- a/crates/gateway/tests/harness/protocol.rs
+++ b/crates/gateway/tests/harness/protocol.rs
@@ -110,6 +110,9 @@
                 None => Statement::Unlimited,
             },
             is_leaving: headers.contains_key("x-leaving"),
+            cold_left: text(headers, "x-cold")
+                .and_then(|left| left.parse().ok())
+                .map(Duration::from_secs_f64),
             pause: text(headers, "x-pause")
                 .and_then(|pause| pause.parse().ok())
                 .map(Duration::from_secs_f64),
