Test that requests that waited need a permit

The new test lets 12 requests wait for the only place of an upstream that states a rate in its first answer.

--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -26,6 +26,8 @@
     /// Sends a complete response with this status that states the rate which the upstream takes
     /// now, see [`Upstream::state_rate`].
     Rated(u16),
+    /// As [`Self::Rated`] with 200, after the notification.
+    RatedLater { release: Arc<Notify> },
     /// As [`Self::Events`] with `upto: 1`, and states the rate.
     RatedEvents { of: u64 },
     /// States that it did not run the request.
@@ -257,6 +259,10 @@
             head(*status, &format!("content-length: {}\r\n", body.len())) + body
         }
         Script::Rated(status) => head(*status, &format!("{rate}content-length: 5\r\n")) + "rated",
+        Script::RatedLater { release } => {
+            release.notified().await;
+            head(200, &format!("{rate}content-length: 5\r\n")) + "rated"
+        }
         Script::RatedEvents { of } => {
             let first = arrival.last_event.map_or(1, |last| last + 1);
             let head = head(200, &format!("{rate}transfer-encoding: chunked\r\n"));
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -228,6 +228,38 @@
     }
 }
 
+/// Guards against requests that need no permit when they have waited for a place at an upstream.
+#[tokio::test]
+async fn requests_that_waited_keep_the_rate() {
+    for (rate, expected) in [(None, HELD), (Some("0.05"), 1)] {
+        let release = Arc::new(Notify::new());
+        let script = Script::RatedLater {
+            release: release.clone(),
+        };
+        let mut snapshot = snapshot(1, 0);
+        snapshot.workspaces[0].purchased = None;
+        snapshot.services[0].connection_limit = 1;
+        let (harness, upstreams) = Harness::with_snapshot(snapshot, vec![script]).await;
+        upstreams[0].state_rate(rate);
+        let mut calls = JoinSet::new();
+        for id in 0..HELD {
+            calls.spawn(harness.plain_request("once", &format!("r{id}")).send());
+        }
+        while upstreams[0].arrivals().is_empty() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        tokio::time::sleep(SETTLE_TIME).await;
+        assert_eq!(upstreams[0].arrivals().len(), 1, "the others wait");
+        while !calls.is_empty() {
+            release.notify_one();
+            let answered = calls.join_next().await.expect("a call");
+            answered.expect("no panic").expect("an answer");
+        }
+        let count = upstreams[0].arrivals().len();
+        assert_eq!(count, expected, "at a rate of {rate:?}");
+    }
+}
+
 /// Guards against requests that wait for a limited upstream, and against a time to return at which
 /// it takes nothing.
 #[tokio::test]
