--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -232,7 +232,7 @@
     pub stated: Stated,
 }
 
-/// The answer of the host that grants the permits of an upstream.
+/// The answer of a host that grants permits of an upstream.
 #[derive(Clone, PartialEq, Message)]
 pub struct Acquired {
     /// Whether the request may be sent; it must be sent at once.
--- a/crates/gateway/src/permit.rs
+++ b/crates/gateway/src/permit.rs
@@ -10,10 +10,10 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Acquires permits, at this host or at the one that grants them.
+/// Acquires permits, at this host or at those that grant them.
 pub(crate) struct Permits {
     dispatcher: Arc<Dispatcher>,
-    /// Absent when hosts exchange no messages; then only the host that grants gets permits.
+    /// Absent when hosts exchange no messages; then only hosts that grant get permits.
     peers: Option<Arc<Peers>>,
     metrics: Arc<Metrics>,
 }
