Drop a shortage with the requests that wait for it

A shortage that was left to a later flush, because the budget row had not been read, lasted until it was read, also when its requests had given up: the holder then read the row, asked others for tokens and returned its own for nobody. It lasts for the exhaustion delay after the last request now. The new test fails on the code before.

--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -251,7 +251,7 @@
     /// otherwise, after [`Settings::exhaustion_delay`], reports the budget as exhausted.
     ///
     /// Without the budget row, it is not known what the budget can provide: what the mark does not
-    /// cover is left to the next flush.
+    /// cover is left to the next flush, as long as requests ask for it.
     pub fn clear_shortage(
         &mut self,
         now: Duration,
@@ -264,7 +264,9 @@
             return None;
         }
         let is_covered = mark >= self.ceiling + self.shortage;
-        if !is_read && !is_covered {
+        // Requests that wait ask again after each flush.
+        let is_waited_for = now <= self.last_used + settings.exhaustion_delay;
+        if !is_read && !is_covered && is_waited_for {
             let raised = mark.saturating_sub(self.ceiling);
             self.shortage -= raised;
             self.min_shortage = self.min_shortage.saturating_sub(raised).max(1);
@@ -277,6 +279,9 @@
         if is_covered {
             return Some(max);
         }
+        if !is_read {
+            return None;
+        }
         let since = *self.starved_since.get_or_insert(now);
         if now.saturating_sub(since) >= settings.exhaustion_delay {
             self.exhausted_until = now + settings.exhausted_ttl;
--- a/crates/core/src/budget/tests/exhaustion.rs
+++ b/crates/core/src/budget/tests/exhaustion.rs
@@ -119,3 +119,16 @@
         sync(&mut holder, &mut table, at(now));
     }
 }
+
+/// Guards against reads of a budget row, and returns of tokens to other holders, for a shortage of
+/// requests that no longer wait.
+#[test]
+fn a_shortage_ends_with_its_requests() {
+    let mut table = store(1_000_000);
+    let mut holder = holder();
+    let _ = reserve(&mut holder, Duration::from_secs(10), 2_000);
+    flush(&mut holder, &mut table, Duration::from_secs(10), &[]);
+    assert!(!holder.required_keys().is_empty());
+    flush(&mut holder, &mut table, Duration::from_secs(13), &[]);
+    assert_eq!(holder.required_keys(), Vec::<String>::new());
+}
