--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -246,8 +246,8 @@
         allocated
     }
 
-    /// Resets the recorded shortages at a flush with the given mark that has read the budget row, or
-    /// whose mark covers the largest one. Returns the largest shortage if the mark covers it;
+    /// Resets the recorded shortages at a flush with the given mark that has read the budget row,
+    /// or whose mark covers the largest one. Returns the largest shortage if the mark covers it;
     /// otherwise, after [`Settings::exhaustion_delay`], reports the budget as exhausted.
     ///
     /// Without the budget row, it is not known what the budget can provide: what the mark does not
