--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -63,6 +63,8 @@
     Paced { of: u64, pause: Duration },
     /// Sends two events and, in the same chunk, another one with the id of the first.
     RepeatedEvent,
+    /// Sends the first event, and again after the notification.
+    Repeated { resume: Arc<Notify> },
     /// As [`Self::Events`] with all of 4 events, but ends the upstream after the head of the
     /// response to a request with this part in its prompt; it is back after this time.
     Crash { part: u64, down: Duration },
@@ -339,6 +341,12 @@
             let events = [first, first + 1, first].map(raw).concat();
             head(200, "transfer-encoding: chunked\r\n") + &chunk(&events)
         }
+        Script::Repeated { resume } => {
+            let text = head(200, "transfer-encoding: chunked\r\n") + &event(1);
+            stream.write_all(text.as_bytes()).await.ok()?;
+            resume.notified().await;
+            event(1)
+        }
         Script::Paused { of, resume } => {
             let text = head(200, "transfer-encoding: chunked\r\n") + &event(1);
             stream.write_all(text.as_bytes()).await.ok()?;
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -181,3 +181,76 @@
     closed.expect("the connection to the first upstream closes");
     paused.assert_whole("moved").await;
 }
+
+/// Guards against two upstreams that work on a stream, while the one that has agreed to continue it
+/// sends no event yet.
+#[tokio::test]
+async fn moved_streams_leave_their_upstream_before_the_next_event() {
+    let agreeing = Script::Endless {
+        text: "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+        piece: "",
+        pause: PATIENCE * 10,
+    };
+    let mut configuration = configuration(2);
+    for route in &mut configuration.routes {
+        route.timeout = PATIENCE * 10;
+    }
+    let mut paused = Paused::start(Settings::default(), configuration, Some(agreeing)).await;
+    paused.until_asked().await;
+    let closed = tokio::time::timeout(PATIENCE, paused.upstreams[0].closed.recv()).await;
+    closed.expect("the connection to the first upstream closes");
+}
+
+/// Guards against two upstreams that work on a stream after the first one has sent an event twice.
+#[tokio::test]
+async fn resumed_streams_leave_their_upstream_before_the_next_answer() {
+    let resume = Arc::new(Notify::new());
+    let script = Script::Repeated {
+        resume: resume.clone(),
+    };
+    let mut configuration = configuration(2);
+    for route in &mut configuration.routes {
+        (route.timeout, route.event_interval) = (PATIENCE * 10, PATIENCE * 10);
+    }
+    let (harness, mut upstreams) = Harness::with_snapshot(configuration, vec![script]).await;
+    let call = harness.request("resumable", "r1").send().await;
+    let mut response = call.expect("a head");
+    response.chunk().await.expect("an event").expect("an event");
+    let reading = tokio::spawn(async move { response.chunk().await });
+    // The first upstream gets nothing new, so that the other requests show when the second is known.
+    let first = &upstreams[0];
+    harness
+        .store
+        .put(&first.id, harness::entry(first.address, State::Draining));
+    let other = Upstream::start("other", Script::Silent).await;
+    harness
+        .store
+        .put(&other.id, harness::entry(other.address, State::Ready));
+    let known = async {
+        for number in 0.. {
+            let call = tokio::spawn(harness.request("safe", &format!("s{number}")).send());
+            tokio::time::sleep(OBJECTIVE / 5).await;
+            call.abort();
+            if !other.arrivals().is_empty() {
+                return;
+            }
+        }
+    };
+    let known = tokio::time::timeout(PATIENCE, known).await;
+    known.expect("the other upstream is known");
+    // Those that arrived before it drained are cancelled, and their connections close too.
+    let connections = first.arrivals().len();
+    resume.notify_waiters();
+    for _ in 0..connections {
+        let closed = tokio::time::timeout(PATIENCE, upstreams[0].closed.recv()).await;
+        closed.expect("the connection to the first upstream closes");
+    }
+    let asked = async {
+        while !other.arrivals().iter().any(|arrival| arrival.id == "r1") {
+            tokio::task::yield_now().await;
+        }
+    };
+    let asked = tokio::time::timeout(PATIENCE, asked).await;
+    asked.expect("the other upstream is asked");
+    reading.abort();
+}
