Revert "Disconnect callers that read nothing more"

A review showed by a test that callers who read steadily, but slowly, were disconnected: a socket counts as writable only when about a third of its send buffer is free, so the time was not started anew by each byte that a caller took (a caller that takes 20 kB every 100 ms was cut after 2.8 MB of 7 MiB, with a limit of 1.5 s). Callers that read nothing are kept as before.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -5,7 +5,6 @@
 
 #[cfg(test)]
 mod tests;
-mod unread;
 
 use {
     crate::{
@@ -34,7 +33,6 @@
     },
     tokio::net::{TcpListener, TcpStream},
     tokio_util::{sync::CancellationToken, task::TaskTracker},
-    unread::Watched,
 };
 
 /// Pause after a failed accept, for example when the process has run out of file descriptors.
@@ -42,8 +40,8 @@
 /// Largest number of waiting connections that are accepted at a stop, so that those that arrive in
 /// the meantime cannot put it off; the kernel queues no more.
 const BACKLOG_LIMIT: usize = 1_024;
-/// Time between two checks of how long a connection has been idle, or its caller has not read.
-const CHECK_INTERVAL: Duration = Duration::from_secs(3);
+/// Time between two checks of how long a connection has been idle.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(3);
 /// Multiple of the idle limit after which a connection is closed, so that a request sent right at
 /// the limit does not arrive while the connection closes.
 const IDLE_FACTOR: f64 = 1.3;
@@ -226,8 +224,6 @@
     });
     let mut builder = http1::Builder::new();
     builder.max_buf_size(buffer_bytes(&frontend));
-    let stream = Watched::new(stream, frontend.0.clock);
-    let blockage = stream.blockage();
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut is_closing = false;
@@ -242,36 +238,20 @@
                 return;
             }
             () = stopped(&stop), if !is_closing => "stop",
-            () = tokio::time::sleep(CHECK_INTERVAL) => {
-                if is_unread(&frontend, blockage.since()) {
-                    log::info!("connection closed: its caller does not read");
-                    record_close(&frontend, "unread");
-                    return;
-                }
-                if is_closing || !lock(&watched).is_expired(&frontend) {
+            () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !is_closing => {
+                if !lock(&watched).is_expired(&frontend) {
                     continue;
                 }
                 "idle"
             }
         };
         is_closing = true;
-        record_close(&frontend, close_reason);
+        let closed = &frontend.0.metrics.closed_connections;
+        closed.with_label_values(&[close_reason]).inc();
         connection.as_mut().graceful_shutdown();
     }
 }
 
-/// Returns whether bytes have been waiting since `blocked_since` for longer than allowed.
-fn is_unread(frontend: &Frontend, blocked_since: Option<Duration>) -> bool {
-    let context = &frontend.0;
-    let limit = context.settings.unread_timeout;
-    blocked_since.is_some_and(|since| context.clock.now().saturating_sub(since) > limit)
-}
-
-fn record_close(frontend: &Frontend, reason: &str) {
-    let closed = &frontend.0.metrics.closed_connections;
-    closed.with_label_values(&[reason]).inc();
-}
-
 /// Waits for the stop, and then until the runtime has seen which connections have new bytes.
 async fn stopped(stop: &CancellationToken) {
     stop.cancelled().await;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -56,8 +56,6 @@
     pub reserve_timeout: Duration,
     /// Memory that responses of upstreams may take together, in bytes.
     pub answer_memory: usize,
-    /// Time after which the connection of a caller is closed that takes no more of its response.
-    pub unread_timeout: Duration,
     /// Longest time to open a connection to an upstream.
     pub connect_timeout: Duration,
     /// Time that the store waits for a change before it answers a read; longer in a large fleet.
@@ -154,7 +152,6 @@
             store_writes: 600.0,
             reserve_timeout: Duration::from_millis(1_000),
             answer_memory: 32 << 20,
-            unread_timeout: Duration::from_secs(30),
             connect_timeout: Duration::from_millis(400),
             watch_wait: Duration::from_millis(700),
             store_timeout: Duration::from_millis(1_100),
