Revert "Count responses as memory until their caller has read them"

A review showed by tests that callers who read slowly made others lose whole responses and running streams: once the quota was full, the next response of an upstream that had run its request became a 502, and streams that were read at once were cut. Responses have to wait for memory instead of failing before unread ones may count. Callers that do not read can take the memory of a small host as before.

--- a/crates/core/src/stream/event.rs
+++ b/crates/core/src/stream/event.rs
@@ -10,9 +10,6 @@
 /// Maximum size of a buffered event in bytes.
 const EVENT_LIMIT_BYTES: usize = 1 << 20;
 
-/// Capacity above which the buffer shrinks once an event is complete.
-const SHRINK_BYTES: usize = 32 << 10;
-
 /// One server-sent event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -54,10 +51,6 @@
             self.searched = 0;
             events.push(parse(raw));
         }
-        if !events.is_empty() && self.buffer.capacity() > SHRINK_BYTES {
-            // The rest would keep the memory of the events before it.
-            self.buffer = BytesMut::from(&self.buffer[..]);
-        }
         // The end of an event takes up to four bytes, of which three may have arrived.
         self.searched = self.buffer.len().saturating_sub(3);
         (self.buffer.len() <= EVENT_LIMIT_BYTES).then_some(events)
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -46,11 +46,6 @@
 /// the limit does not arrive while the connection closes.
 const IDLE_FACTOR: f64 = 1.3;
 
-/// Smallest size of the buffers of a connection.
-const MIN_BUFFER_BYTES: usize = 64 << 10;
-/// Largest size of the buffers of a connection.
-const MAX_BUFFER_BYTES: usize = 400 << 10;
-
 /// Binds an address and serves callers there until `stop`; then closes idle connections at once,
 /// and the others after their responses.
 pub(crate) fn accept(
@@ -139,14 +134,6 @@
     }
 }
 
-/// Returns the size of the buffers of a connection: the largest head of a request, and the size at
-/// which no more of a response is taken before the caller has read the rest.
-fn buffer_bytes(frontend: &Frontend) -> usize {
-    let directory = frontend.0.view.directory().unwrap_or_default();
-    let heads = directory.limits().header_bytes.saturating_mul(2);
-    heads.clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES)
-}
-
 /// Returns the limit on the idle time of callers' connections by the configuration in effect.
 fn idle_limit(frontend: &Frontend) -> Duration {
     let directory = frontend.0.view.directory().unwrap_or_default();
@@ -222,9 +209,7 @@
             }))
         }
     });
-    let mut builder = http1::Builder::new();
-    builder.max_buf_size(buffer_bytes(&frontend));
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut is_closing = false;
     loop {
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         error::{self, Error},
+        memory::Permit,
         protocol::{RequestHead, ResponseHead},
         relay::Relay,
         request::{ActiveRequest, Answer, Context},
@@ -47,6 +48,15 @@
         .boxed_unsync()
 }
 
+/// Returns a body that keeps its memory permit until it has been sent or dropped.
+fn permitted_body(bytes: Bytes, permit: Permit) -> Body {
+    let keep = move |frame| {
+        let _ = &permit;
+        frame
+    };
+    full_body(bytes).map_frame(keep).boxed_unsync()
+}
+
 /// A request that was authorized and whose body has arrived.
 struct Admitted {
     access: Access,
@@ -190,7 +200,7 @@
             Answer::Complete(head, body, permit) => {
                 self.record_bytes(HEAD_BYTES + body.len());
                 self.record_answer(&request, &head, elapsed);
-                build_response(&head, full_body(permit.attach(body)))
+                build_response(&head, permitted_body(body, permit))
             }
             Answer::Stream(stream) => {
                 let head = stream.exchange.head.clone();
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -4,7 +4,6 @@
 //! because callers do not read theirs.
 
 use {
-    bytes::Bytes,
     derive_more::{Display, Error},
     std::sync::Arc,
     tokio::sync::{OwnedSemaphorePermit, Semaphore},
@@ -44,18 +43,6 @@
     units: Option<OwnedSemaphorePermit>,
 }
 
-/// Bytes with the permit for their memory.
-struct Permitted {
-    bytes: Bytes,
-    _permit: Permit,
-}
-
-impl AsRef<[u8]> for Permitted {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 impl Permit {
     /// Grows or shrinks to the size of the response.
     ///
@@ -82,23 +69,4 @@
         }
         Ok(())
     }
-
-    /// Splits off the permit for this many bytes of the response, at most the whole permit.
-    pub(crate) fn split(&mut self, bytes: usize) -> Self {
-        let held = self.units.as_ref().map_or(0, |units| units.num_permits());
-        let wanted = bytes.div_ceil(UNIT_BYTES).min(held);
-        Self {
-            quota: self.quota.clone(),
-            units: self.units.as_mut().and_then(|units| units.split(wanted)),
-        }
-    }
-
-    /// Returns bytes that keep the permit until the last handle to them is dropped, which is after
-    /// they were written to the connection of the caller.
-    pub(crate) fn attach(self, bytes: Bytes) -> Bytes {
-        Bytes::from_owner(Permitted {
-            bytes,
-            _permit: self,
-        })
-    }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
         frontend::Body,
         request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, Stream},
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     futures_util::stream,
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
@@ -157,19 +157,19 @@
         let Some(stream) = &mut self.stream else {
             return Step::End;
         };
+        let mut bytes = BytesMut::new();
         let before = self.sequence.relayed();
-        let mut accepted = 0;
-        for event in &stream.events {
-            if let Err(rejected) = self.sequence.accept_event(event) {
-                if accepted == 0 {
+        while let Some(event) = stream.events.pop_front() {
+            if let Err(rejected) = self.sequence.accept_event(&event.raw) {
+                if bytes.is_empty() {
                     return Step::Fail(Failure::new(Outcome::Unknown, rejected.to_string()));
                 }
                 // Send the valid events before it first: a resumed stream continues after them.
+                stream.events.push_front(event);
                 break;
             }
-            accepted += 1;
+            bytes.extend_from_slice(&event.raw);
         }
-        let bytes = stream.take_events(accepted);
         let relayed = self.sequence.relayed() - before;
         if relayed > 0 {
             self.stall.record_event(self.request.context.clock.now());
@@ -179,7 +179,7 @@
         }
         let context = &self.request.context;
         context.view.record_bytes(context.clock.now(), bytes.len());
-        Step::Send(bytes)
+        Step::Send(bytes.freeze())
     }
 
     /// Relays the events of another upstream from now on.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -33,7 +33,7 @@
             retry::{self, Decision, Outcome},
         },
         id::{UpstreamId, WorkspaceId},
-        stream::Splitter,
+        stream::{Event, Splitter},
     },
     std::{collections::VecDeque, sync::Arc, time::Duration},
     tokio_util::sync::CancellationToken,
@@ -70,10 +70,10 @@
 pub(crate) struct Stream {
     pub(crate) exchange: Exchange,
     pub(crate) splitter: Splitter,
-    /// Memory of the event that is still incomplete and of `events`.
+    /// Memory of the event that is still incomplete.
     pub(crate) permit: Permit,
     /// Complete events that have not been relayed.
-    pub(crate) events: VecDeque<Bytes>,
+    pub(crate) events: VecDeque<Event>,
     /// Whether the upstream has ended the stream.
     pub(crate) has_ended: bool,
 }
@@ -90,23 +90,9 @@
         };
         let too_large = || Failure::new(Outcome::Unknown, "an event is too large");
         let events = self.splitter.push(&data).ok_or_else(too_large)?;
-        self.events
-            .extend(events.into_iter().map(|event| event.raw));
-        Ok(self.permit.resize(self.buffered_bytes())?)
-    }
-
-    /// Removes the first `count` events and returns them as one piece, which keeps the permit for
-    /// its memory.
-    pub(crate) fn take_events(&mut self, count: usize) -> Bytes {
-        let taken: Vec<_> = self.events.drain(..count).collect();
-        let bytes = Bytes::from(taken.concat());
-        let permit = self.permit.split(bytes.len());
-        permit.attach(bytes)
-    }
-
-    fn buffered_bytes(&self) -> usize {
-        let events = self.events.iter().map(Bytes::len);
-        self.splitter.buffered_bytes() + events.sum::<usize>()
+        self.permit.resize(self.splitter.buffered_bytes())?;
+        self.events.extend(events);
+        Ok(())
     }
 }
 
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -15,7 +15,7 @@
         forward::{Rejected, Sequence, Stall, retry::Outcome},
         id::UpstreamId,
         route::Progress,
-        stream::Splitter,
+        stream::{Event, Splitter},
         throttle::Rate,
     },
     marigoldroute_process::logs::{REQUESTS, ROUTING},
@@ -322,7 +322,7 @@
         &self,
         exchange: &mut Exchange,
         last_event: Option<u64>,
-    ) -> Result<(Splitter, Permit, VecDeque<Bytes>, bool), Failure> {
+    ) -> Result<(Splitter, Permit, VecDeque<Event>, bool), Failure> {
         let mut splitter = Splitter::default();
         let mut permit = self.context.quota.permit();
         let mut sequence = Sequence::new(last_event);
@@ -338,18 +338,16 @@
             };
             let too_large = || Failure::new(Outcome::Unknown, "an event is too large");
             let events = splitter.push(&data).ok_or_else(too_large)?;
-            let events: VecDeque<_> = events.into_iter().map(|event| event.raw).collect();
-            let complete = events.iter().map(Bytes::len);
-            permit.resize(splitter.buffered_bytes() + complete.sum::<usize>())?;
-            let Some(first) = events.front() else {
+            permit.resize(splitter.buffered_bytes())?;
+            let Some(first) = events.first() else {
                 stall.get_or_insert_with(|| self.start_stall_timer());
                 continue;
             };
             let out_of_order = |error: Rejected| Failure::new(Outcome::Unknown, error.to_string());
-            sequence.accept_event(first).map_err(out_of_order)?;
+            sequence.accept_event(&first.raw).map_err(out_of_order)?;
             exchange.in_flight.report(Progress::FirstToken);
             self.context.quarantine.record_success(&self.parts);
-            return Ok((splitter, permit, events, false));
+            return Ok((splitter, permit, events.into(), false));
         }
     }
 
