Let the permits of two granters alternate

Operators of upstreams would have seen: an upstream that states the lowest rate got its requests in pairs, 60 s apart, so that it waited up to a minute for the next one after it had recovered. Only an answer tells that a rate has ended; one request in 30 s is promised.

Cause: both granters space their permits at twice the interval and began at about the same time.

Change: the first permit of a granter is due after as many intervals of the whole rate as its rank, so that the permits of the two alternate.

--- a/crates/core/src/throttle/bucket.rs
+++ b/crates/core/src/throttle/bucket.rs
@@ -14,6 +14,9 @@
 /// intervals.
 #[derive(Clone, Debug)]
 pub(super) struct Bucket {
+    /// Place of this host among the granters, from 0. Their permits alternate, because the first
+    /// ones are due one after the other.
+    rank: u32,
     /// When the next permit is due; it may be taken by the burst time earlier.
     next: Duration,
     /// Turn of the next asker that gets none.
@@ -21,18 +24,20 @@
 }
 
 impl Bucket {
-    /// Creates a bucket whose first permit is due after one interval, because the upstream has just
-    /// received a request.
-    pub(super) fn new(now: Duration, interval: Duration) -> Self {
+    /// Creates a bucket whose first permit is due after one interval of the whole rate, because the
+    /// upstream has just received a request, and after those of the granters of lower rank.
+    pub(super) fn new(now: Duration, rank: u32, interval: Duration) -> Self {
         Self {
-            next: now + interval,
+            rank,
+            next: now + interval * (rank + 1),
             turn: now,
         }
     }
 
-    /// Lets the next permit follow within one interval, after a change of the rate.
+    /// Lets the next permit follow as in a new bucket, after a change of the rate to one of this
+    /// interval.
     pub(super) fn limit_wait(&mut self, now: Duration, interval: Duration) {
-        self.next = self.next.min(now + interval);
+        self.next = self.next.min(now + interval * (self.rank + 1));
         self.turn = now;
     }
 
--- a/crates/core/src/throttle/fleet.rs
+++ b/crates/core/src/throttle/fleet.rs
@@ -44,20 +44,33 @@
     clocks: Option<(Duration, Duration)>,
 }
 
-/// Part of a rate that a host may grant: the whole rate divided by this number.
+/// Part of a rate that a host may grant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Part(u32);
+pub(super) struct Part {
+    /// Number by which the whole rate is divided.
+    divisor: u32,
+    /// Place of the host among the granters, from 0.
+    rank: u32,
+}
 
 impl Part {
     /// Creates the part of one of so many granters.
-    fn new(granters: usize, is_confirmed: bool) -> Self {
+    fn new(granters: usize, rank: usize, is_confirmed: bool) -> Self {
         let doubt = if is_confirmed { 1 } else { 2 };
-        Self(granters as u32 * doubt)
+        Self {
+            divisor: granters as u32 * doubt,
+            rank: rank as u32,
+        }
     }
 
     /// Returns the time between two permits of this part.
     pub(super) fn interval(self, rate: Rate) -> Duration {
-        rate.interval() * self.0
+        rate.interval() * self.divisor
+    }
+
+    /// Returns the place of the host among the granters, from 0.
+    pub(super) fn rank(self) -> u32 {
+        self.rank
     }
 }
 
@@ -155,10 +168,12 @@
         let mut granter_since = None;
         // Another granter of any view in effect during the last term may still grant its half.
         let mut granters = 0;
+        let mut rank = 0;
         for view in &self.views {
             let known = view.granters(upstream);
-            let is_granter = known.contains(&&self.own);
-            granter_since = is_granter.then(|| granter_since.unwrap_or(view.since));
+            let place = known.iter().position(|host| **host == self.own);
+            rank = place.unwrap_or(rank);
+            granter_since = place.map(|_| granter_since.unwrap_or(view.since));
             granters = granters.max(known.len());
         }
         let grants_from = granter_since.ok_or(ELSEWHERE_WAIT)? + self.term;
@@ -166,7 +181,7 @@
             return Err(grants_from - now);
         }
         let is_confirmed = self.is_confirmed(now) && self.confirmed_since + self.term <= now;
-        Ok(Part::new(granters, is_confirmed))
+        Ok(Part::new(granters, rank, is_confirmed))
     }
 
     fn is_confirmed(&self, now: Duration) -> bool {
--- a/crates/core/src/throttle/mod.rs
+++ b/crates/core/src/throttle/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! An upstream in need states the number of requests a second that it takes from all hosts
 //! together. For each such upstream, two hosts grant permits, each at half of this rate, and every
-//! request to it needs one. [`Throttle`] is the state of one host: what it knows about rates, the permits that it
-//! grants, and when it may ask other hosts for permits again.
+//! request to it needs one. [`Throttle`] is the state of one host: what it knows about rates, the
+//! permits that it grants, and when it may ask other hosts for permits again.
 
 mod bucket;
 mod fleet;
@@ -363,7 +363,7 @@
                     let interval = part.interval(rate);
                     let bucket = upstream
                         .bucket
-                        .get_or_insert_with(|| Bucket::new(now, interval));
+                        .get_or_insert_with(|| Bucket::new(now, part.rank(), rate.interval()));
                     bucket.take(now, interval)
                 }),
                 None => Ok(()),
--- a/crates/core/tests/throttle/changes.rs
+++ b/crates/core/tests/throttle/changes.rs
@@ -161,3 +161,15 @@
         assert!(worst <= limit, "{cut} cut off: {worst} requests in 4 s");
     }
 }
+
+/// Guards against an upstream of the lowest rate that gets no request for over 30 s: only an answer
+/// tells that a rate has ended.
+#[test]
+fn the_lowest_rate_is_tried_every_30_seconds() {
+    for seed in 500..510 {
+        let mut world = World::new(seed, 6, &[Some(0.01)], 10.0);
+        world.run(seconds(200));
+        let gap = world.upstreams[0].longest_gap(seconds(20), seconds(200));
+        assert!(gap < seconds(36), "seed {seed}: {gap:?}");
+    }
+}
