--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -130,8 +130,8 @@
     }
 
     /// Returns whether the process accepts new callers: it is not stopping, the link has capacity,
-    /// and the list of upstreams and the configuration are known, which is put into effect after the
-    /// evacuations.
+    /// and both the list of upstreams and the configuration are known. The evacuations are read
+    /// before the configuration.
     pub(crate) fn is_ready(&self, now: Duration) -> bool {
         !self.is_draining()
             && !self.is_busy(now)
