Sum the tokens of the largest requests without overflow

A request that states close to 2^64 tokens made sums of a holder overflow.

The sums stop at the largest number.

`the_largest_requests_do_not_hide_an_exhausted_budget` failed before (attempt to add with overflow, in clear_shortage) and passes now, with the other four tests of budget::tests::exhaustion.

--- a/crates/core/src/budget/slot.rs
+++ b/crates/core/src/budget/slot.rs
@@ -112,9 +112,9 @@
     pub fn admissible(&self, mark: Tokens) -> Tokens {
         let available = mark.saturating_sub(self.used());
         let waiting = self.waiting.values();
-        waiting.fold(0, |sum, tokens| match sum + tokens <= available {
-            true => sum + tokens,
-            false => sum,
+        waiting.fold(0, |sum, tokens| {
+            let with = sum.saturating_add(*tokens);
+            if with <= available { with } else { sum }
         })
     }
 
@@ -263,7 +263,7 @@
             self.desired_shortage = 0;
             return None;
         }
-        let is_covered = mark >= self.ceiling + self.shortage;
+        let is_covered = mark >= self.ceiling.saturating_add(self.shortage);
         // Requests that wait ask again after each flush.
         let is_waited_for = now <= self.last_used + settings.exhaustion_delay;
         if !is_read && !is_covered && is_waited_for {
@@ -285,7 +285,7 @@
         let since = *self.starved_since.get_or_insert(now);
         if now.saturating_sub(since) >= settings.exhaustion_delay {
             self.exhausted_until = now + settings.exhausted_ttl;
-            let is_min_covered = mark >= self.ceiling + min;
+            let is_min_covered = mark >= self.ceiling.saturating_add(min);
             self.exhausted_amount = if is_min_covered { max } else { min };
         }
         None
@@ -295,8 +295,8 @@
     pub fn next_mark(&self, settings: &Settings, allocated: Tokens) -> Tokens {
         let headroom = allocated.saturating_sub(self.used());
         let lead = settings.lead(self.unallocated + headroom, &self.demand);
-        let desired =
-            (self.used() + lead).max(self.ceiling + self.shortage.max(self.desired_shortage));
+        let shortage = self.shortage.max(self.desired_shortage);
+        let desired = (self.used() + lead).max(self.ceiling.saturating_add(shortage));
         desired.max(self.durable.mark).min(allocated)
     }
 
--- a/crates/core/src/budget/tests/exhaustion.rs
+++ b/crates/core/src/budget/tests/exhaustion.rs
@@ -132,3 +132,27 @@
     flush(&mut holder, &mut table, Duration::from_secs(13), &[]);
     assert_eq!(holder.required_keys(), Vec::<String>::new());
 }
+
+/// Guards against sums of stated tokens that overflow, after which a shortage passes for covered
+/// and nobody learns that the budget is exhausted.
+#[test]
+fn the_largest_requests_do_not_hide_an_exhausted_budget() {
+    let mut table = store(1_000);
+    let mut holder = holder();
+    let mut reserve = |holder: &mut Holder, now, request: &str, tokens| {
+        let reserved = holder.reserve(now, &request.into(), &"hems".into(), tokens);
+        let rows = fetch(&table, &holder.required_keys());
+        flush(holder, &mut table, now, &rows);
+        reserved
+    };
+    let at = |second| Duration::from_secs(second);
+    let _ = reserve(&mut holder, at(10), "r1", 600);
+    assert_eq!(reserve(&mut holder, at(10), "r1", 600), Ok(600));
+    let _ = reserve(&mut holder, at(11), "r2", 300);
+    for second in 11..14 {
+        let reserved = reserve(&mut holder, at(second), "r3", Tokens::MAX);
+        assert_eq!(reserved, Err(ReserveError::RefillPending), "{second}");
+    }
+    let reserved = reserve(&mut holder, at(14), "r3", Tokens::MAX);
+    assert_eq!(reserved, Err(ReserveError::Exhausted));
+}
