Refuse requests above the whole budget at once

Callers whose request exceeds all tokens that their workspace has bought waited 0.8 s for a refill, on a busy machine up to the limit of 1 s, and then got 503 with a time to return in place of 402; while the store is away they always got 503. Meanwhile the shortage in the budget's row made other holders return their tokens.

The gateway compares the request with the tokens bought before it asks a holder, and logs the refusal with both figures.

`requests_above_the_whole_budget_are_refused_at_once` failed before (503 in place of 402) and passes now, with the other tests of budgets and extremes.

--- a/crates/core/src/forward/snapshot.rs
+++ b/crates/core/src/forward/snapshot.rs
@@ -133,6 +133,14 @@
     pub purchased: Option<Tokens>,
 }
 
+impl Workspace {
+    /// Returns whether a request of so many tokens exceeds the whole budget, so that it cannot be
+    /// served before more tokens are bought.
+    pub fn is_exceeded_by(&self, tokens: Tokens) -> bool {
+        self.purchased.is_some_and(|purchased| tokens > purchased)
+    }
+}
+
 /// Limits on what callers may send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -35,6 +35,7 @@
         id::{UpstreamId, WorkspaceId},
         stream::{Event, Splitter},
     },
+    marigoldroute_process::logs::TOKENS,
     std::{collections::VecDeque, sync::Arc, time::Duration},
     tokio_util::sync::CancellationToken,
 };
@@ -205,6 +206,16 @@
         }
         // The budget cannot be enforced for an engine's request that does not state its tokens.
         let usage = self.head.usage.ok_or(Error::Malformed(Malformed::Usage))?;
+        // To wait for a refill would be in vain, and holders would return their tokens for it.
+        if workspace.is_exceeded_by(usage.total()) {
+            log::info!(
+                target: TOKENS,
+                request:% = self.head.id, budget:% = workspace.name, amount = usage.total(),
+                purchased = workspace.purchased;
+                "request exceeds the whole budget"
+            );
+            return Err(Error::BudgetExhausted);
+        }
         let spec = ReservationSpec {
             request: self.head.id.clone(),
             workspace: workspace.name.clone(),
--- a/crates/gateway/tests/budgets.rs
+++ b/crates/gateway/tests/budgets.rs
@@ -222,3 +222,35 @@
     }
     panic!("no stream went on at the other upstream");
 }
+
+/// Guards against a request above the whole budget that waits for tokens until its deadline, takes
+/// those of other holders, or is told to come back.
+#[tokio::test]
+async fn requests_above_the_whole_budget_are_refused_at_once() {
+    let (harness, upstreams) = Harness::new(vec![EVENTS]).await;
+    harness.store.set_down(true);
+    let largest = u64::MAX;
+    let tokens = [
+        "1000001,0".to_owned(),
+        "999990,11".to_owned(),
+        format!("{largest},0"),
+        format!("{largest},{largest}"),
+    ];
+    for (id, tokens) in tokens.iter().enumerate() {
+        let request = harness.plain_request("stream", &format!("r{id}"));
+        let response = request.header("x-tokens", tokens).send().await;
+        assert_eq!(response.expect("an answer").status(), 402, "{tokens}");
+    }
+    harness.store.set_down(false);
+    assert_eq!(upstreams[0].arrivals().len(), 0);
+    assert_eq!(harness.account().wanted, None);
+    harness.store.configure(harness::snapshot(2, 1_000_001));
+    let send = || {
+        let request = harness.plain_request("stream", "r9");
+        request.header("x-tokens", "1000001,0").send()
+    };
+    // Until the tokens bought have reached the budget's row.
+    while send().await.expect("an answer").status() != 200 {
+        tokio::task::yield_now().await;
+    }
+}
