Keep streams that pause within their first event

Callers of resumable streams got 502 when a healthy upstream paused within its first event for longer than a stream may stall and no other upstream took the request: the attempt was cancelled before it was known whether another one could run it.

The handover of stalled streams now serves both the first event and the rest. It moves from the relay to the request: the other upstream is chosen and asked while the stream is read, and the stream is given up once the other one has agreed.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,7 +6,7 @@
     crate::{
         exchange::Failure,
         frontend::Body,
-        request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, Stream},
+        request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, Stream, give_up},
     },
     bytes::{Bytes, BytesMut},
     futures_util::stream,
@@ -46,13 +46,6 @@
     Fail(Failure),
 }
 
-/// Closes the connection of a stream, which cancels its run.
-fn give_up(stream: &mut Option<Box<Stream>>) {
-    if let Some(mut stream) = stream.take() {
-        stream.exchange.in_flight.report(Progress::Failed);
-    }
-}
-
 impl Drop for Relay {
     /// Logs a stream that the caller stopped reading; `stream` is absent for all others.
     fn drop(&mut self) {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -2,10 +2,12 @@
 
 mod attempt;
 mod handover;
+mod opening;
 
 pub(crate) use {
-    attempt::{ENDED_WITHIN_EVENT, Received},
-    handover::Continuation,
+    attempt::Received,
+    handover::{Continuation, give_up},
+    opening::ENDED_WITHIN_EVENT,
 };
 
 use {
@@ -80,6 +82,17 @@
 }
 
 impl Stream {
+    /// Returns a stream of which nothing has been read.
+    fn new(exchange: Exchange, quota: &Quota) -> Self {
+        Self {
+            exchange,
+            splitter: Splitter::default(),
+            permit: quota.permit(),
+            events: VecDeque::new(),
+            has_ended: false,
+        }
+    }
+
     /// Adds what was read from the upstream to the events that are to be relayed.
     ///
     /// # Errors
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -2,7 +2,7 @@
 //! response.
 
 use {
-    super::{ActiveRequest, Answer, Stream},
+    super::{ActiveRequest, Answer},
     crate::{
         dispatch::{InFlight, Unavailable},
         exchange::{Exchange, Failure},
@@ -12,20 +12,12 @@
     },
     bytes::Bytes,
     marigoldroute_core::{
-        forward::{Rejected, Sequence, Stall, retry::Outcome},
-        id::UpstreamId,
-        route::Progress,
-        stream::{Event, Splitter},
-        throttle::Rate,
+        forward::retry::Outcome, id::UpstreamId, route::Progress, throttle::Rate,
     },
     marigoldroute_process::logs::{REQUESTS, ROUTING},
-    std::{collections::VecDeque, time::Duration},
+    std::time::Duration,
 };
 
-/// Reason of the failure of an attempt whose stream stalled.
-const STALL_REASON: &str = "no event for too long";
-/// Reason of the failure of a stream whose end is not the end of an event.
-pub(crate) const ENDED_WITHIN_EVENT: &str = "the stream ended within an event";
 /// Connections that an attempt uses at most, when each turns out to be closed before anything was
 /// written.
 pub(super) const CONNECTION_LIMIT: usize = 3;
@@ -221,23 +213,10 @@
         let upstream = exchange.in_flight.upstream.clone();
         let validated = self.validate(&exchange.head);
         let has_begun = validated.is_ok() && exchange.head.status.is_success();
+        if has_begun && self.kind().is_stream() {
+            return self.open_stream(exchange, started, last_event).await;
+        }
         let failure = match validated {
-            Ok(()) if exchange.head.status.is_success() && self.kind().is_stream() => {
-                match self.read_first_events(&mut exchange, last_event).await {
-                    Ok((splitter, permit, events, has_ended)) => {
-                        self.record_success(&upstream, started, &exchange);
-                        let stream = Stream {
-                            exchange,
-                            splitter,
-                            permit,
-                            events,
-                            has_ended,
-                        };
-                        return Ok(Received::Final(Answer::Stream(Box::new(stream))));
-                    }
-                    Err(failure) => failure,
-                }
-            }
             Ok(()) => match self.read_all(&mut exchange).await {
                 Ok((body, permit)) => {
                     self.record_success(&upstream, started, &exchange);
@@ -266,14 +245,19 @@
         exchange.in_flight.report(Progress::Failed);
         self.record_failure(&upstream, started, &failure);
         if has_begun && failure.is_break {
-            self.record_break("begun");
-            let quarantine = self.context.quarantine.clone();
-            let examined = quarantine.examine(&exchange.in_flight, &self.parts);
-            self.is_accused |= examined.await;
+            self.examine_break(&exchange.in_flight).await;
         }
         Err(failure.outcome)
     }
 
+    /// Records that an upstream broke its connection after the head of a successful response, and
+    /// finds out whether it has ended on this request.
+    pub(super) async fn examine_break(&mut self, in_flight: &InFlight) {
+        self.record_break("begun");
+        let quarantine = self.context.quarantine.clone();
+        self.is_accused |= quarantine.examine(in_flight, &self.parts).await;
+    }
+
     /// Checks that a response belongs to this request and that a successful one is signed.
     pub(super) fn validate(&self, response: &ResponseHead) -> Result<(), Failure> {
         // The request may run even if a late refusal of an earlier request arrives on its
@@ -309,66 +293,6 @@
         Ok((body, permit))
     }
 
-    /// Reads until the first event is complete, or to the end of a stream without events.
-    async fn read_first_events(
-        &self,
-        exchange: &mut Exchange,
-        last_event: Option<u64>,
-    ) -> Result<(Splitter, Permit, VecDeque<Event>, bool), Failure> {
-        let mut splitter = Splitter::default();
-        let mut permit = self.context.quota.permit();
-        let mut sequence = Sequence::new(last_event);
-        // The wait for the first byte covers queueing and the prompt and is not limited. Once bytes
-        // arrive, the event must be complete before the stream counts as stalled.
-        let mut stall = None;
-        loop {
-            let Some(data) = self.read_unless_stalled(exchange, stall).await? else {
-                return match splitter.is_partial() {
-                    true => Err(Failure::new(Outcome::Unknown, ENDED_WITHIN_EVENT)),
-                    false => Ok((splitter, permit, VecDeque::new(), true)),
-                };
-            };
-            let too_large = || Failure::new(Outcome::Unknown, "an event is too large");
-            let events = splitter.push(&data).ok_or_else(too_large)?;
-            permit.resize(splitter.buffered_bytes())?;
-            let Some(first) = events.first() else {
-                stall.get_or_insert_with(|| self.start_stall_timer());
-                continue;
-            };
-            let out_of_order = |error: Rejected| Failure::new(Outcome::Unknown, error.to_string());
-            sequence.accept_event(&first.raw).map_err(out_of_order)?;
-            exchange.in_flight.report(Progress::FirstToken);
-            self.context.quarantine.record_success(&self.parts);
-            return Ok((splitter, permit, events.into(), false));
-        }
-    }
-
-    /// Reads the next bytes; fails once the stream has stalled, if another upstream may continue
-    /// it.
-    async fn read_unless_stalled(
-        &self,
-        exchange: &mut Exchange,
-        stall: Option<Stall>,
-    ) -> Result<Option<Bytes>, Failure> {
-        let stall = stall.filter(|_| self.is_movable());
-        let Some(stall) = stall else {
-            return exchange.read().await;
-        };
-        let stalled_at = self.context.clock.instant(stall.deadline());
-        let read = tokio::time::timeout_at(stalled_at.into(), exchange.read()).await;
-        read.unwrap_or_else(|_| Err(Failure::new(Outcome::Unknown, STALL_REASON)))
-    }
-
-    /// Starts the detection of a stalled stream.
-    pub(crate) fn start_stall_timer(&self) -> Stall {
-        let route = &self.access.route;
-        Stall::new(
-            self.context.clock.now(),
-            route.objective,
-            route.event_interval,
-        )
-    }
-
     pub(super) fn record_failure(
         &self,
         upstream: &UpstreamId,
@@ -395,7 +319,12 @@
         broken.with_label_values(&[state]).inc();
     }
 
-    fn record_success(&self, upstream: &UpstreamId, started: Duration, exchange: &Exchange) {
+    pub(super) fn record_success(
+        &self,
+        upstream: &UpstreamId,
+        started: Duration,
+        exchange: &Exchange,
+    ) {
         let metrics = &self.context.metrics;
         metrics.attempts.with_label_values(&["answered"]).inc();
         let elapsed = self.context.clock.now().saturating_sub(started);
--- a/crates/gateway/src/request/handover.rs
+++ b/crates/gateway/src/request/handover.rs
@@ -1,14 +1,19 @@
 //! Another upstream for a stream that has stalled.
 
 use {
-    super::{ActiveRequest, attempt::CONNECTION_LIMIT},
+    super::{ActiveRequest, Stream, attempt::CONNECTION_LIMIT},
     crate::{
         dispatch::InFlight,
         exchange::{Exchange, Failure},
         pool::Connection,
     },
-    marigoldroute_core::{forward::retry::Outcome, id::UpstreamId, route::Progress},
-    std::time::Duration,
+    marigoldroute_core::{
+        forward::{Sequence, retry::Outcome},
+        id::UpstreamId,
+        route::Progress,
+    },
+    marigoldroute_process::logs::REQUESTS,
+    std::{pin::pin, time::Duration},
 };
 
 /// Choices of an upstream for one handover, when each turns out to be unusable.
@@ -21,16 +26,136 @@
     pub(crate) started: Duration,
 }
 
+/// What came of the attempt to move a stream.
+enum Asked {
+    /// The stream went on, or nobody else continues it.
+    Kept(&'static str),
+    /// Another upstream has agreed to continue it.
+    Agreed(Box<Continuation>),
+    /// The stream broke, and nobody else continues it.
+    Lost(Failure),
+}
+
+/// A stream that broke while another upstream was asked.
+struct Broken {
+    in_flight: InFlight,
+    failure: Failure,
+}
+
+/// Closes the connection of a stream, which cancels its run.
+pub(crate) fn give_up(stream: &mut Option<Box<Stream>>) -> Option<InFlight> {
+    let mut in_flight = stream.take()?.exchange.into_in_flight();
+    in_flight.report(Progress::Failed);
+    Some(in_flight)
+}
+
 impl ActiveRequest {
+    /// Asks another upstream to continue a stalled stream, of which the caller has the events of
+    /// `sequence`. The stream is read meanwhile, and given up only when the other one has agreed,
+    /// that is, begins to work on the request. Returns `None` if the stream is kept.
+    ///
+    /// # Errors
+    /// The failure of the stream, which was given up.
+    pub(crate) async fn find_successor(
+        &mut self,
+        stream: &mut Option<Box<Stream>>,
+        sequence: &Sequence,
+    ) -> Result<Option<Box<Continuation>>, Failure> {
+        // After a pause of this process, its timers expire before bytes that have arrived are read.
+        tokio::task::yield_now().await;
+        let Some(current) = stream else {
+            return Ok(None);
+        };
+        let current = current.exchange.in_flight.upstream.clone();
+        let (asked, broken) = self.ask(stream, sequence.last()).await;
+        let is_unopened = sequence.relayed() == 0;
+        if let Some(broken) = broken.filter(|broken| is_unopened && broken.failure.is_break) {
+            self.examine_break(&broken.in_flight).await;
+        }
+        match asked {
+            Asked::Kept(reason) => {
+                self.record_kept(&current);
+                self.record_stall("kept", reason, &current, sequence.relayed());
+                Ok(None)
+            }
+            Asked::Lost(failure) => {
+                self.record_stall("lost", &failure.reason, &current, sequence.relayed());
+                Err(failure)
+            }
+            Asked::Agreed(continuation) => {
+                give_up(stream);
+                Ok(Some(continuation))
+            }
+        }
+    }
+
+    /// Asks another upstream to continue the stream, until the stream itself goes on.
+    async fn ask(
+        &mut self,
+        stream: &mut Option<Box<Stream>>,
+        last: Option<u64>,
+    ) -> (Asked, Option<Broken>) {
+        let deadline = self.context.clock.instant(self.deadline).into();
+        let mut asking = pin!(self.ask_successor(last));
+        let (asked, broken) = loop {
+            let Some(current) = stream else {
+                return (Asked::Kept("the stream has ended"), None);
+            };
+            let read = tokio::select! {
+                biased;
+                read = current.exchange.read() => read,
+                asked = &mut asking => break (asked, None),
+                () = tokio::time::sleep_until(deadline) => {
+                    return (Asked::Kept("the deadline has passed"), None);
+                }
+            };
+            match current.push(read) {
+                Ok(()) if current.has_ended || !current.events.is_empty() => {
+                    return (Asked::Kept("the stream goes on"), None);
+                }
+                Ok(()) => {}
+                Err(failure) => {
+                    let in_flight = give_up(stream);
+                    let asked = tokio::time::timeout_at(deadline, asking).await;
+                    let broken = in_flight.map(|in_flight| Broken { in_flight, failure });
+                    break (asked.unwrap_or_default(), broken);
+                }
+            }
+        };
+        let asked = match (asked, &broken) {
+            (Some(Ok(continuation)), _) => Asked::Agreed(Box::new(continuation)),
+            (Some(Err(failure)), Some(_)) => Asked::Lost(failure),
+            (None, Some(broken)) => Asked::Lost(broken.failure.clone()),
+            (Some(Err(_)), None) => Asked::Kept("the other upstream declined"),
+            (None, None) => Asked::Kept("no other upstream can continue it"),
+        };
+        (asked, broken)
+    }
+
+    /// Counts a stalled stream; `relayed` is the number of events that the caller has.
+    pub(crate) fn record_stall(
+        &self,
+        result: &str,
+        reason: &str,
+        upstream: &UpstreamId,
+        relayed: u64,
+    ) {
+        let stalled = &self.context.metrics.stalled_streams;
+        stalled.with_label_values(&[result]).inc();
+        log::info!(
+            target: REQUESTS,
+            request:% = self.head.id, upstream:%, result, reason,
+            events = relayed, left_ms = self.remaining().as_millis() as u64;
+            "stream stalled"
+        );
+    }
+
     /// Asks another upstream to continue the stream after the event with the id `last`. Returns
     /// `None` if no one can be asked now. May be dropped at any time, which cancels the request.
     ///
     /// # Errors
     /// The failure, after which the upstream that was asked does not run the request.
-    pub(crate) async fn ask_successor(
-        &mut self,
-        last: Option<u64>,
-    ) -> Option<Result<Continuation, Failure>> {
+    async fn ask_successor(&mut self, last: Option<u64>) -> Option<Result<Continuation, Failure>> {
         let (in_flight, connection) = self.connect_successor().await?;
         if !self.admit_resume() {
             let (pool, upstream) = (&self.context.pool, &in_flight.upstream);
@@ -51,7 +176,7 @@
     }
 
     /// Records that the upstream that had the stream keeps it.
-    pub(crate) fn record_kept(&mut self, upstream: &UpstreamId) {
+    fn record_kept(&mut self, upstream: &UpstreamId) {
         if let Some(reservation) = &mut self.reservation {
             reservation.record_sent(upstream);
         }
--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -74,6 +74,8 @@
     BreakLater { release: Arc<Notify> },
     /// Sends the first event, and the others after the notification.
     Paused { of: u64, resume: Arc<Notify> },
+    /// As [`Self::Paused`], but sends only a part of the first event before.
+    PausedWithin { of: u64, resume: Arc<Notify> },
 }
 
 /// A request that an upstream received.
@@ -361,15 +363,19 @@
             resume.notified().await;
             event(1)
         }
-        Script::Paused { of, resume } => {
-            let text = head(200, "transfer-encoding: chunked\r\n") + &event(1);
+        Script::Paused { of, resume } | Script::PausedWithin { of, resume } => {
+            let is_within = matches!(script, Script::PausedWithin { .. });
+            let first = raw(1);
+            let (begin, rest) = first.split_at(if is_within { 4 } else { first.len() });
+            let text = head(200, "transfer-encoding: chunked\r\n") + &chunk(begin);
             stream.write_all(text.as_bytes()).await.ok()?;
             let mut byte = [0];
             tokio::select! {
                 () = resume.notified() => {}
                 _ = stream.read(&mut byte) => return None,
             }
-            (2..=*of).map(event).collect::<String>() + "0\r\n\r\n"
+            let events = (2..=*of).map(raw).collect::<String>();
+            chunk(&format!("{rest}{events}")) + "0\r\n\r\n"
         }
     };
     stream.write_all(text.as_bytes()).await.ok()
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -254,3 +254,44 @@
     asked.expect("the other upstream is asked");
     reading.abort();
 }
+
+/// Guards against giving up a stream that pauses within its first event before another upstream has
+/// agreed to run it.
+#[tokio::test]
+async fn streams_that_pause_within_their_first_event_are_kept_until_another_upstream_agrees() {
+    let others = [
+        (None, 1),
+        (Some(Script::Refuse), 2),
+        (Some(Script::Complete(500, "broken")), 2),
+        (Some(Script::Close), 2),
+        (Some(Script::Events { upto: 5, of: 5 }), 2),
+    ];
+    for (other, arrivals) in others {
+        let is_healthy = matches!(other, Some(Script::Events { .. }));
+        let resume = Arc::new(Notify::new());
+        let script = Script::PausedWithin {
+            of: 5,
+            resume: resume.clone(),
+        };
+        let (harness, mut upstreams) = Harness::with_snapshot(configuration(2), vec![script]).await;
+        let call = tokio::spawn(harness.request("resumable", "r1").send());
+        while upstreams[0].arrivals().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        if let Some(script) = other.clone() {
+            let upstream = Upstream::start("other", script).await;
+            let entry = harness::entry(upstream.address, State::Ready);
+            harness.store.put(&upstream.id, entry);
+            upstreams.push(upstream);
+        }
+        tokio::time::sleep(PAUSE).await;
+        assert!(is_healthy || !call.is_finished(), "{other:?}");
+        resume.notify_one();
+        let response = call.await.expect("it ends").expect("a response");
+        assert_eq!(response.status(), 200, "{other:?}");
+        let text = response.text().await;
+        assert_eq!(text.expect("a whole stream"), events(1..=5), "{other:?}");
+        let sent: usize = upstreams.iter().map(|one| one.arrivals().len()).sum();
+        assert_eq!(sent, arrivals, "{other:?}");
+    }
+}
