Keep stalled streams until their continuation is certain

Callers lost streams whose healthy upstream paused for longer than a stream may stall: another upstream agreed to continue, the stream was given up, and the response of the other one ended with its connection and without an event. Such a response may have broken off and does not count as complete, so the caller's connection was closed.

An upstream whose response marks no end has agreed with its first event, or when it sends nothing for 150 ms, as it then works on the request. If it ends before, it has declined and the stream is kept.

Not covered: the other upstream pauses for longer than that before it ends.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,7 +6,7 @@
     crate::{
         exchange::Failure,
         frontend::Body,
-        request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, Stream, give_up},
+        request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, NOT_CONTINUED, Stream, give_up},
     },
     bytes::{Bytes, BytesMut},
     futures_util::stream,
@@ -124,7 +124,7 @@
                 let reason = if stream.splitter.is_partial() {
                     ENDED_WITHIN_EVENT
                 } else if self.sequence.is_unconfirmed() && !stream.exchange.is_end_marked {
-                    "the stream did not continue"
+                    NOT_CONTINUED
                 } else {
                     return Step::End;
                 };
--- a/crates/gateway/src/relay/handover.rs
+++ b/crates/gateway/src/relay/handover.rs
@@ -4,7 +4,7 @@
     super::Relay,
     crate::{
         exchange::Failure,
-        request::{Answer, Continuation, Received, Stream},
+        request::{Continuation, NOT_CONTINUED, Stream},
     },
     marigoldroute_core::forward::retry::Outcome,
 };
@@ -40,14 +40,13 @@
 
     /// Reads the first events of the other upstream.
     async fn receive(&mut self, continuation: Continuation) -> Result<Box<Stream>, Failure> {
-        let Continuation { exchange, started } = continuation;
+        let Continuation { stream, started } = continuation;
         let remaining = self.request.remaining();
         let last = self.sequence.last();
-        let received = self.request.receive(exchange, started, last);
-        match tokio::time::timeout(remaining, received).await {
-            Ok(Ok(Received::Final(Answer::Stream(stream)))) => Ok(stream),
-            Ok(Ok(_)) => Err(Failure::new(Outcome::Failed, "the answer is not a stream")),
-            Ok(Err(outcome)) => Err(Failure::new(outcome, "the stream did not continue")),
+        let opened = self.request.open_stream(stream, started, last);
+        match tokio::time::timeout(remaining, opened).await {
+            Ok(Ok(stream)) => Ok(stream),
+            Ok(Err(outcome)) => Err(Failure::new(outcome, NOT_CONTINUED)),
             Err(_) => Err(Failure::new(Outcome::Unknown, super::DEADLINE_REASON)),
         }
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,7 +5,6 @@
 mod opening;
 
 pub(crate) use {
-    attempt::Received,
     handover::{Continuation, give_up},
     opening::ENDED_WITHIN_EVENT,
 };
@@ -27,7 +26,7 @@
         settings::Settings,
         view::View,
     },
-    attempt::Interrupted,
+    attempt::{Interrupted, Received},
     bytes::Bytes,
     marigoldroute_core::{
         forward::{
@@ -42,6 +41,10 @@
     tokio_util::sync::CancellationToken,
 };
 
+/// Reason of the failure of a stream that an upstream ended without an event or a mark of the end,
+/// when it was to continue it.
+pub(crate) const NOT_CONTINUED: &str = "the stream did not continue";
+
 /// The parts of the process that requests use.
 pub(crate) struct Context {
     pub(crate) clock: Clock,
@@ -93,6 +96,21 @@
         }
     }
 
+    /// Reads until an event is complete.
+    ///
+    /// # Errors
+    /// The failed read, or the failure that the stream ended before.
+    async fn read_event(&mut self) -> Result<(), Failure> {
+        while self.events.is_empty() {
+            if self.has_ended {
+                return Err(Failure::new(Outcome::Unknown, NOT_CONTINUED));
+            }
+            let read = self.exchange.read().await;
+            self.push(read)?;
+        }
+        Ok(())
+    }
+
     /// Adds what was read from the upstream to the events that are to be relayed.
     ///
     /// # Errors
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -2,7 +2,7 @@
 //! response.
 
 use {
-    super::{ActiveRequest, Answer},
+    super::{ActiveRequest, Answer, Stream},
     crate::{
         dispatch::{InFlight, Unavailable},
         exchange::{Exchange, Failure},
@@ -23,7 +23,7 @@
 pub(super) const CONNECTION_LIMIT: usize = 3;
 
 /// A response that an attempt received.
-pub(crate) enum Received {
+pub(super) enum Received {
     /// The answer for the caller.
     Final(Answer),
     /// The upstream ran the request and failed; its response goes to the caller unless there is a
@@ -204,7 +204,7 @@
     }
 
     /// Validates the head of a response, and reads the body or the first events of a stream.
-    pub(crate) async fn receive(
+    async fn receive(
         &mut self,
         mut exchange: Exchange,
         started: Duration,
@@ -214,7 +214,9 @@
         let validated = self.validate(&exchange.head);
         let has_begun = validated.is_ok() && exchange.head.status.is_success();
         if has_begun && self.kind().is_stream() {
-            return self.open_stream(exchange, started, last_event).await;
+            let stream = Box::new(Stream::new(exchange, &self.context.quota));
+            let opened = self.open_stream(stream, started, last_event).await;
+            return opened.map(|stream| Received::Final(Answer::Stream(stream)));
         }
         let failure = match validated {
             Ok(()) => match self.read_all(&mut exchange).await {
--- a/crates/gateway/src/request/handover.rs
+++ b/crates/gateway/src/request/handover.rs
@@ -19,9 +19,13 @@
 /// Choices of an upstream for one handover, when each turns out to be unusable.
 const CHOICE_LIMIT: usize = 3;
 
+/// Longest time to wait for an event of an upstream that has agreed to continue a stream, while the
+/// stream is kept. Both work on the request meanwhile.
+const CONFIRM_TIME: Duration = Duration::from_millis(150);
+
 /// A stream that another upstream has agreed to continue.
 pub(crate) struct Continuation {
-    pub(crate) exchange: Exchange,
+    pub(crate) stream: Box<Stream>,
     /// When the request was sent.
     pub(crate) started: Duration,
 }
@@ -165,9 +169,12 @@
         let started = self.context.clock.now();
         let upstream = in_flight.upstream.clone();
         self.tried.push(upstream.clone());
-        let asked = self.send_to_successor(in_flight, connection, last).await;
+        let asked = match self.send_to_successor(in_flight, connection, last).await {
+            Ok(exchange) => self.confirm(exchange, last).await,
+            Err(failure) => Err(failure),
+        };
         Some(match asked {
-            Ok(exchange) => Ok(Continuation { exchange, started }),
+            Ok(stream) => Ok(Continuation { stream, started }),
             Err(failure) => {
                 self.record_failure(&upstream, started, &failure);
                 Err(failure)
@@ -175,6 +182,31 @@
         })
     }
 
+    /// Waits for an event of an upstream that has agreed to continue a stream but does not mark the
+    /// end of its response, which may have broken off if it ends without one.
+    async fn confirm(
+        &mut self,
+        exchange: Exchange,
+        last: Option<u64>,
+    ) -> Result<Box<Stream>, Failure> {
+        let needs_event = last.is_some() && !exchange.is_end_marked;
+        let mut stream = Box::new(Stream::new(exchange, &self.context.quota));
+        if !needs_event {
+            return Ok(stream);
+        }
+        let confirmed = tokio::time::timeout(CONFIRM_TIME, stream.read_event()).await;
+        // Whoever sends nothing yet works on the request.
+        let Err(failure) = confirmed.unwrap_or(Ok(())) else {
+            return Ok(stream);
+        };
+        let mut in_flight = stream.exchange.into_in_flight();
+        in_flight.report(Progress::Failed);
+        if failure.is_break {
+            self.examine_break(&in_flight).await;
+        }
+        Err(failure)
+    }
+
     /// Records that the upstream that had the stream keeps it.
     fn record_kept(&mut self, upstream: &UpstreamId) {
         if let Some(reservation) = &mut self.reservation {
--- a/crates/gateway/src/request/opening.rs
+++ b/crates/gateway/src/request/opening.rs
@@ -1,7 +1,7 @@
 //! The first events of a stream.
 
 use {
-    super::{ActiveRequest, Answer, Received, Stream},
+    super::{ActiveRequest, Stream},
     crate::exchange::{Exchange, Failure},
     bytes::Bytes,
     marigoldroute_core::{
@@ -20,15 +20,14 @@
 impl ActiveRequest {
     /// Reads until the first event of a stream is complete, or to the end of one without events. A
     /// stream that stalls before may move to another upstream.
-    pub(super) async fn open_stream(
+    pub(crate) async fn open_stream(
         &mut self,
-        exchange: Exchange,
+        stream: Box<Stream>,
         mut started: Duration,
         last_event: Option<u64>,
-    ) -> Result<Received, Outcome> {
-        let context = self.context.clone();
-        let mut upstream = exchange.in_flight.upstream.clone();
-        let mut stream = Some(Box::new(Stream::new(exchange, &context.quota)));
+    ) -> Result<Box<Stream>, Outcome> {
+        let mut upstream = stream.exchange.in_flight.upstream.clone();
+        let mut stream = Some(stream);
         let mut sequence = Sequence::new(last_event);
         let mut stall = None;
         let failure = loop {
@@ -41,17 +40,16 @@
                         return Err(Outcome::Unknown);
                     };
                     self.record_success(&upstream, started, &stream.exchange);
-                    return Ok(Received::Final(Answer::Stream(stream)));
+                    return Ok(stream);
                 }
             }
             match self.find_successor(&mut stream, &sequence).await {
                 Ok(None) => {}
                 Ok(Some(continuation)) => {
                     self.record_stall("moved", "another upstream has agreed", &upstream, 0);
-                    upstream = continuation.exchange.in_flight.upstream.clone();
-                    started = continuation.started;
-                    let moved = Stream::new(continuation.exchange, &context.quota);
-                    (stream, stall) = (Some(Box::new(moved)), None);
+                    let moved = continuation.stream;
+                    upstream = moved.exchange.in_flight.upstream.clone();
+                    (started, stream, stall) = (continuation.started, Some(moved), None);
                 }
                 Err(failure) => break failure,
             }
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -128,7 +128,14 @@
         paused.resume.notify_one();
         paused.assert_whole(why).await;
     }
+    // It marks no end, so that it may have broken off.
+    let empty = Script::Continued {
+        first: String::new(),
+        rest: "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\n\r\n".into(),
+        is_reset: false,
+    };
     let declining = [
+        empty,
         Script::Refuse,
         Script::Complete(500, "broken"),
         Script::Close,
