Count no small incomplete events as memory of responses

Callers lost a healthy stream, or got 502 before its first event, when an event arrived in two pieces while other responses had taken all memory that responses may: the piece had to be counted, which failed the stream. Its retry at another upstream met the same limit. The new test failed so (502 in place of 200).

An incomplete event of up to 4 KiB does not count any more. The connections of a stream take more than that for their buffers, so the limit still bounds the memory of the process.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -45,6 +45,10 @@
 /// when it was to continue it.
 pub(crate) const NOT_CONTINUED: &str = "the stream did not continue";
 
+/// Largest part of an incomplete event that does not count as memory of responses, so that large
+/// responses cut no stream of usual events. The connections of a stream take more for their buffers.
+const SMALL_EVENT_BYTES: usize = 4 << 10;
+
 /// The parts of the process that requests use.
 pub(crate) struct Context {
     pub(crate) clock: Clock,
@@ -76,7 +80,7 @@
 pub(crate) struct Stream {
     pub(crate) exchange: Exchange,
     pub(crate) splitter: Splitter,
-    /// Memory of the event that is still incomplete.
+    /// Memory of the event that is still incomplete, unless it is small.
     pub(crate) permit: Permit,
     /// Complete events that have not been relayed.
     pub(crate) events: VecDeque<Event>,
@@ -122,7 +126,13 @@
         };
         let too_large = || Failure::new(Outcome::Unknown, "an event is too large");
         let events = self.splitter.push(&data).ok_or_else(too_large)?;
-        self.permit.resize(self.splitter.buffered_bytes())?;
+        let buffered = self.splitter.buffered_bytes();
+        let counted = if buffered > SMALL_EVENT_BYTES {
+            buffered
+        } else {
+            0
+        };
+        self.permit.resize(counted)?;
         self.events.extend(events);
         Ok(())
     }
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -302,3 +302,30 @@
         assert_eq!(sent, arrivals, "{other:?}");
     }
 }
+
+/// Guards against cutting a stream that pauses within an event when other responses have taken all
+/// memory that responses may.
+#[tokio::test]
+async fn streams_that_pause_within_an_event_are_kept_when_no_memory_is_left() {
+    let settings = Settings {
+        answer_memory: 0,
+        ..Settings::default()
+    };
+    let resume = Arc::new(Notify::new());
+    let script = Script::PausedWithin {
+        of: 5,
+        resume: resume.clone(),
+    };
+    let (harness, upstreams) =
+        Harness::with_settings(settings, configuration(1), vec![script]).await;
+    let call = tokio::spawn(harness.request("stream", "r1").send());
+    while upstreams[0].arrivals().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    tokio::time::sleep(OBJECTIVE).await;
+    resume.notify_one();
+    let response = call.await.expect("it ends").expect("a response");
+    assert_eq!(response.status(), 200);
+    let text = response.text().await;
+    assert_eq!(text.expect("a whole stream"), events(1..=5));
+}
