--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -2,10 +2,11 @@
 
 mod attempt;
 mod handover;
+mod opening;
 
 pub(crate) use {
-    attempt::{ENDED_WITHIN_EVENT, Received},
-    handover::Continuation,
+    handover::{Continuation, give_up},
+    opening::ENDED_WITHIN_EVENT,
 };
 
 use {
@@ -25,7 +26,7 @@
         settings::Settings,
         view::View,
     },
-    attempt::Interrupted,
+    attempt::{Interrupted, Received},
     bytes::Bytes,
     marigoldroute_core::{
         forward::{
@@ -40,6 +41,14 @@
     tokio_util::sync::CancellationToken,
 };
 
+/// Reason of the failure of a stream that an upstream ended without an event or a mark of the end,
+/// when it was to continue it.
+pub(crate) const NOT_CONTINUED: &str = "the stream did not continue";
+
+/// Largest part of an incomplete event that does not count as memory of responses, so that large
+/// responses cut no stream of usual events. The connections of a stream take more for their buffers.
+const SMALL_EVENT_BYTES: usize = 4 << 10;
+
 /// The parts of the process that requests use.
 pub(crate) struct Context {
     pub(crate) clock: Clock,
@@ -71,7 +80,7 @@
 pub(crate) struct Stream {
     pub(crate) exchange: Exchange,
     pub(crate) splitter: Splitter,
-    /// Memory of the event that is still incomplete.
+    /// Memory of the event that is still incomplete, unless it is small.
     pub(crate) permit: Permit,
     /// Complete events that have not been relayed.
     pub(crate) events: VecDeque<Event>,
@@ -80,6 +89,32 @@
 }
 
 impl Stream {
+    /// Returns a stream of which nothing has been read.
+    fn new(exchange: Exchange, quota: &Quota) -> Self {
+        Self {
+            exchange,
+            splitter: Splitter::default(),
+            permit: quota.permit(),
+            events: VecDeque::new(),
+            has_ended: false,
+        }
+    }
+
+    /// Reads until an event is complete.
+    ///
+    /// # Errors
+    /// The failed read, or the failure that the stream ended before.
+    async fn read_event(&mut self) -> Result<(), Failure> {
+        while self.events.is_empty() {
+            if self.has_ended {
+                return Err(Failure::new(Outcome::Unknown, NOT_CONTINUED));
+            }
+            let read = self.exchange.read().await;
+            self.push(read)?;
+        }
+        Ok(())
+    }
+
     /// Adds what was read from the upstream to the events that are to be relayed.
     ///
     /// # Errors
@@ -91,7 +126,13 @@
         };
         let too_large = || Failure::new(Outcome::Unknown, "an event is too large");
         let events = self.splitter.push(&data).ok_or_else(too_large)?;
-        self.permit.resize(self.splitter.buffered_bytes())?;
+        let buffered = self.splitter.buffered_bytes();
+        let counted = if buffered > SMALL_EVENT_BYTES {
+            buffered
+        } else {
+            0
+        };
+        self.permit.resize(counted)?;
         self.events.extend(events);
         Ok(())
     }
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -128,7 +128,14 @@
         paused.resume.notify_one();
         paused.assert_whole(why).await;
     }
+    // It marks no end, so that it may have broken off.
+    let empty = Script::Continued {
+        first: String::new(),
+        rest: "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\n\r\n".into(),
+        is_reset: false,
+    };
     let declining = [
+        empty,
         Script::Refuse,
         Script::Complete(500, "broken"),
         Script::Close,
@@ -254,3 +261,71 @@
     asked.expect("the other upstream is asked");
     reading.abort();
 }
+
+/// Guards against giving up a stream that pauses within its first event before another upstream has
+/// agreed to run it.
+#[tokio::test]
+async fn streams_that_pause_within_their_first_event_are_kept_until_another_upstream_agrees() {
+    let others = [
+        (None, 1),
+        (Some(Script::Refuse), 2),
+        (Some(Script::Complete(500, "broken")), 2),
+        (Some(Script::Close), 2),
+        (Some(Script::Events { upto: 5, of: 5 }), 2),
+    ];
+    for (other, arrivals) in others {
+        let is_healthy = matches!(other, Some(Script::Events { .. }));
+        let resume = Arc::new(Notify::new());
+        let script = Script::PausedWithin {
+            of: 5,
+            resume: resume.clone(),
+        };
+        let (harness, mut upstreams) = Harness::with_snapshot(configuration(2), vec![script]).await;
+        let call = tokio::spawn(harness.request("resumable", "r1").send());
+        while upstreams[0].arrivals().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        if let Some(script) = other.clone() {
+            let upstream = Upstream::start("other", script).await;
+            let entry = harness::entry(upstream.address, State::Ready);
+            harness.store.put(&upstream.id, entry);
+            upstreams.push(upstream);
+        }
+        tokio::time::sleep(PAUSE).await;
+        assert!(is_healthy || !call.is_finished(), "{other:?}");
+        resume.notify_one();
+        let response = call.await.expect("it ends").expect("a response");
+        assert_eq!(response.status(), 200, "{other:?}");
+        let text = response.text().await;
+        assert_eq!(text.expect("a whole stream"), events(1..=5), "{other:?}");
+        let sent: usize = upstreams.iter().map(|one| one.arrivals().len()).sum();
+        assert_eq!(sent, arrivals, "{other:?}");
+    }
+}
+
+/// Guards against cutting a stream that pauses within an event when other responses have taken all
+/// memory that responses may.
+#[tokio::test]
+async fn streams_that_pause_within_an_event_are_kept_when_no_memory_is_left() {
+    let settings = Settings {
+        answer_memory: 0,
+        ..Settings::default()
+    };
+    let resume = Arc::new(Notify::new());
+    let script = Script::PausedWithin {
+        of: 5,
+        resume: resume.clone(),
+    };
+    let (harness, upstreams) =
+        Harness::with_settings(settings, configuration(1), vec![script]).await;
+    let call = tokio::spawn(harness.request("stream", "r1").send());
+    while upstreams[0].arrivals().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    tokio::time::sleep(OBJECTIVE).await;
+    resume.notify_one();
+    let response = call.await.expect("it ends").expect("a response");
+    assert_eq!(response.status(), 200);
+    let text = response.text().await;
+    assert_eq!(text.expect("a whole stream"), events(1..=5));
+}
