Fail responses whose status alone says that nothing ran

Callers take 408, 421, 429 and 503 for the promise that their request did not run. An upstream that answered with one of them without stating that it did not run the request had its response passed on, so that a caller could repeat a request that may run once.

Such a response counts as one that does not say what became of the request, as a success that says it did not run does already. What may be repeated is sent to another upstream; the caller gets 502 otherwise.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -19,6 +19,7 @@
         throttle::Rate,
     },
     marigoldroute_process::logs::{REQUESTS, ROUTING},
+    poem::http::StatusCode,
     std::{collections::VecDeque, time::Duration},
 };
 
@@ -30,6 +31,17 @@
 /// written.
 pub(super) const CONNECTION_LIMIT: usize = 3;
 
+/// Returns whether a caller takes the status for the promise that its request did not run.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// A response that an attempt received.
 pub(crate) enum Received {
     /// The answer for the caller.
@@ -284,7 +296,10 @@
                 "the answer belongs to another request",
             ));
         }
-        let is_contradictory = response.is_refused && response.status.is_success();
+        let is_contradictory = match response.is_refused {
+            true => response.status.is_success(),
+            false => is_promise(response.status),
+        };
         if is_contradictory || response.status.is_informational() {
             return Err(Failure::new(
                 Outcome::Unknown,
--- a/crates/gateway/tests/late_refusals.rs
+++ b/crates/gateway/tests/late_refusals.rs
@@ -149,3 +149,23 @@
         assert_eq!(arrivals.sum::<usize>(), 1, "{answer:?}");
     }
 }
+
+/// Guards against a status that promises callers that their request did not run, from an upstream
+/// that does not state so: the request may have run, and runs nowhere else unless it may be repeated.
+#[tokio::test]
+async fn statuses_alone_do_not_promise_that_a_request_did_not_run() {
+    for status in [408, 421, 429, 503] {
+        let head = format!("HTTP/1.1 {status} X\r\nx-request-id: {{id}}\r\nx-signed: 1\r\n");
+        let answer: &'static str = (head + "content-length: 4\r\n\r\nbusy").leak();
+        for (route, limit) in [("once", 1), ("stream", 1), ("safe", 2), ("resumable", 2)] {
+            let scripts = vec![Script::Raw(vec![answer]); 2];
+            let (harness, upstreams) = Harness::unlimited(scripts).await;
+            let response = harness.request(route, "r1").send().await;
+            let response = response.expect("an answer");
+            assert_eq!(response.status(), 502, "after {status} on {route}");
+            assert!(!response.headers().contains_key("x-signed"));
+            let arrivals = upstreams.iter().map(|upstream| upstream.arrivals().len());
+            assert_eq!(arrivals.sum::<usize>(), limit, "{status} on {route}");
+        }
+    }
+}
