Cut streams before text that is no event

A head or an error's text that an upstream wrote within an event, or as the start of its stream, reached callers, and the stream then ended as complete: events with an id were not looked at beyond it, and before the first id any text passed. `a_head_within_a_stream_is_not_relayed`, extended, and `text_that_is_no_event_does_not_begin_a_stream` failed before (the head in the stream; 200 in place of 502).

An event has to consist of known fields with at most one id. Its first line may also be a name with a number, as engines announce a change of their version. A unit test expected that a head passes before the first id; it now expects that it is rejected, which is stricter. What is rejected ends like any event out of order: the stream continues at another upstream if it may, and is cut otherwise.

--- a/crates/core/src/forward/sequence.rs
+++ b/crates/core/src/forward/sequence.rs
@@ -36,6 +36,9 @@
         /// Id of the last relayed event.
         last: u64,
     },
+    /// It is no event, or several that were run together.
+    #[display("text that is no event")]
+    Malformed,
 }
 
 /// Tracks the ids of the events that a caller has received.
@@ -109,22 +112,24 @@
         Ok(Accepted::Next)
     }
 
-    /// Checks that an event, in its raw form, follows the last one, and records it. In a numbered
-    /// stream, an event without an id has to be a comment or to consist of known fields; the first
-    /// one of an upstream that continues the stream has to be a comment.
+    /// Checks that an event, in its raw form, follows the last one, and records it. It has to be well
+    /// formed; the first one without an id of an upstream that continues a numbered stream has to be a
+    /// comment.
     ///
     /// # Errors
     /// [`Rejected`] when the event does not follow the last one or is no part of the stream.
     pub fn accept_event(&mut self, event: &[u8]) -> Result<Accepted, Rejected> {
         let id = event_id(event);
-        if id.is_none() && !lines(event).all(is_comment) {
-            if let Some(last) = self.last
-                && (self.is_resuming || !lines(event).all(is_unnumbered_line))
-            {
-                return Err(Rejected::Foreign { last });
-            }
-            self.has_unnumbered = true;
+        let is_unnumbered = id.is_none() && !lines(event).all(is_comment);
+        if let Some(last) = self.last.filter(|_| is_unnumbered)
+            && (self.is_resuming || !lines(event).all(is_unnumbered_line))
+        {
+            return Err(Rejected::Foreign { last });
+        }
+        if !is_well_formed(event) {
+            return Err(Rejected::Malformed);
         }
+        self.has_unnumbered |= is_unnumbered;
         self.accept(id)
     }
 }
@@ -139,10 +144,39 @@
     line.starts_with(b":")
 }
 
+/// Returns whether an event has known fields only and at most one id. Its first line may have another
+/// field with a number, by which engines announce a change of their version.
+fn is_well_formed(event: &[u8]) -> bool {
+    let mut lines = lines(event).peekable();
+    lines.next_if(|line| is_announcement(line));
+    let mut ids = 0;
+    lines.all(|line| {
+        let is_id = field_name(line) == b"id";
+        ids += usize::from(is_id);
+        ids <= 1 && (is_id || is_unnumbered_line(line))
+    })
+}
+
+/// Returns whether a line consists of a name and a number.
+fn is_announcement(line: &[u8]) -> bool {
+    let name = field_name(line);
+    let value = line.get(name.len() + 1..).unwrap_or_default().trim_ascii();
+    let is_name = |byte: &u8| byte.is_ascii_lowercase() || *byte == b'-';
+    name != b"id"
+        && !name.is_empty()
+        && name.iter().all(is_name)
+        && !value.is_empty()
+        && value.iter().all(u8::is_ascii_digit)
+}
+
+/// Returns the name of the field of a line; an empty one of a comment.
+fn field_name(line: &[u8]) -> &[u8] {
+    line.split(|byte| *byte == b':').next().unwrap_or_default()
+}
+
 /// Returns whether an event without an id may have this line.
 fn is_unnumbered_line(line: &[u8]) -> bool {
-    let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
-    matches!(name, b"" | b"data" | b"event" | b"retry")
+    matches!(field_name(line), b"" | b"data" | b"event" | b"retry")
 }
 
 /// Returns the numeric id of a server-sent event, if it has one.
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -319,7 +319,7 @@
     let mut sequence = Sequence::default();
     assert_eq!(
         sequence.accept_event(b"HTTP/1.1 200 X\r\n\r\n"),
-        Ok(Accepted::Unnumbered)
+        Err(Rejected::Malformed)
     );
     assert_eq!(sequence.accept_event(b"id: 1\n\n"), Ok(Accepted::Next));
     for text in ["data: [DONE]\n\n", "event: x\ndata\n\n", ": here\r\n\r\n"] {
@@ -349,3 +349,33 @@
         Ok(Accepted::Unnumbered)
     );
 }
+
+/// Guards against text of another response, or the start of another event, that reaches a caller
+/// within an event.
+#[test]
+fn events_with_text_of_others_are_not_relayed() {
+    let foreign = [
+        "id: 1\ndata: aHTTP/1.1 503 X\r\nx-request-id: r0\r\n\r\n",
+        "id: 1\nHTTP/1.1 503 X\r\nx-request-id: r0\r\n\r\n",
+        "HTTP/1.1 503 X\nid: 1\ndata: a\n\n",
+        "id: 1\ndata: a\nid: 1\ndata: a\n\n",
+        "id: 1\ndata: a\nan error\n\n",
+        "id: 1\nversions: 7\n\n",
+        "{\"error\":\"a\"}\n\n",
+        "data: a\nan error\n\n",
+    ];
+    for text in foreign {
+        let mut sequence = Sequence::default();
+        let rejected = sequence.accept_event(text.as_bytes());
+        assert_eq!(rejected, Err(Rejected::Malformed), "{text}");
+        assert_eq!((sequence.last(), sequence.is_resumable()), (None, true));
+    }
+    let mut sequence = Sequence::default();
+    for text in [
+        "a-version: 7\nid: 1\ndata: a\n\n",
+        ": here\nid: 2\r\nevent: a\r\ndata: id: 9\r\ndata\r\nretry: 5\r\n\r\n",
+    ] {
+        let accepted = sequence.accept_event(text.as_bytes());
+        assert_eq!(accepted, Ok(Accepted::Next), "{text}");
+    }
+}
--- a/crates/gateway/tests/continued_streams.rs
+++ b/crates/gateway/tests/continued_streams.rs
@@ -115,6 +115,28 @@
     let first = chunked(&events(1..=2)) + &chunk(head) + &chunk(&events(3..=3)) + "0\r\n\r\n";
     let played = play("stream", &first, "", false).await;
     assert_eq!(played, (events(1..=2), false, 1));
+    // The head follows the start of an event, and ends like one.
+    let cut = format!("{}id: 3\ndata: pie{head}", events(1..=2));
+    for first in [unframed(&cut), chunked(&cut) + "0\r\n\r\n"] {
+        let played = play("stream", &first, "", false).await;
+        assert_eq!(played, (events(1..=2), false, 1));
+        let rest = chunked(&events(3..=4)) + "0\r\n\r\n";
+        let played = play("resumable", &first, &rest, false).await;
+        assert_eq!(played, (events(1..=4), true, 2));
+    }
+}
+
+/// Guards against a response that is no stream of events, and whose text passes for one.
+#[tokio::test]
+async fn text_that_is_no_event_does_not_begin_a_stream() {
+    let head = "HTTP/1.1 503 X\r\nx-request-id: r0\r\nx-not-run: 1\r\n\r\n";
+    for text in [head, "an error\n\n", "{\"error\":\"a\"}\n\n"] {
+        let first = chunked(text) + &chunk(&events(1..=2)) + "0\r\n\r\n";
+        let script = Script::Raw(vec![first.leak()]);
+        let (harness, _upstreams) = Harness::new(vec![script]).await;
+        let response = harness.request("stream", "r1").send().await;
+        assert_eq!(response.expect("a head").status(), 502, "{text:?}");
+    }
 }
 
 /// Guards against a connection that is reset and passes for the end of an answer without a length.
