Continue streams only with responses like the first

Any success of the upstream that should continue a broken stream was taken for its continuation: the events of a partial response or of another media type were joined to it, and an empty 204, 205, 206 or page of text with a marked end completed it.

The response has to have the status and the media type of the one that the caller gets. Otherwise its connection is closed and the stream is cut, as after an error; one that was moved because it stalled may continue elsewhere.

--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -6,7 +6,7 @@
         id::{ModelId, RequestId, Tokens, UpstreamId, WorkspaceId},
         throttle::Statement,
     },
-    poem::http::{HeaderMap, Method, StatusCode, Uri},
+    poem::http::{HeaderMap, Method, StatusCode, Uri, header::CONTENT_TYPE},
     std::{sync::Arc, time::Duration},
 };
 
@@ -134,6 +134,20 @@
     pub keep_alive: Option<Duration>,
 }
 
+impl ResponseHead {
+    /// Returns whether a stream that began with this response may go on with that of another
+    /// upstream: with the same status and media type.
+    pub(crate) fn is_continued_by(&self, other: &Self) -> bool {
+        self.status == other.status && self.media_type() == other.media_type()
+    }
+
+    fn media_type(&self) -> Option<String> {
+        let value = self.headers.get(CONTENT_TYPE)?.to_str().ok()?;
+        let media_type = value.split(';').next()?;
+        Some(media_type.trim().to_ascii_lowercase())
+    }
+}
+
 /// Parses and creates HTTP headers; holds no state and makes no decisions.
 pub trait Protocol: Send + Sync + 'static {
     /// Parses the head of a caller's request.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,6 +6,7 @@
     crate::{
         exchange::Failure,
         frontend::Body,
+        protocol::ResponseHead,
         request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, Stream},
     },
     bytes::{Bytes, BytesMut},
@@ -26,6 +27,8 @@
 /// A stream of events on its way to the caller.
 pub(crate) struct Relay {
     request: ActiveRequest,
+    /// Head of the response that the caller gets.
+    head: ResponseHead,
     /// Absent once the stream has ended or failed.
     stream: Option<Box<Stream>>,
     sequence: Sequence,
@@ -77,6 +80,7 @@
             sequence: Sequence::new(request.head.last_event),
             stall: request.start_stall_timer(),
             event_tokens: engine.map_or(1, |engine| engine.event_tokens.max(1)),
+            head: stream.exchange.head.clone(),
             stream: Some(stream),
             request,
         }
@@ -183,10 +187,20 @@
     }
 
     /// Relays the events of another upstream from now on.
-    fn go_on(&mut self, stream: Box<Stream>) {
+    ///
+    /// # Errors
+    /// When its response does not continue the one that the caller gets.
+    fn go_on(&mut self, mut stream: Box<Stream>) -> Result<(), Failure> {
+        let next = &stream.exchange.head;
+        if !self.head.is_continued_by(next) {
+            let reason = format!("an upstream answered {}", next.status);
+            stream.exchange.in_flight.report(Progress::Failed);
+            return Err(Failure::new(Outcome::Unknown, reason));
+        }
         self.stream = Some(stream);
         self.sequence.resume();
         self.stall = self.request.start_stall_timer();
+        Ok(())
     }
 
     /// Continues the stream at another upstream if a retry is allowed; returns whether it goes on.
@@ -211,21 +225,19 @@
             self.record_cut(failure, "no retry is allowed");
             return false;
         }
-        match self.request.run(last).await {
-            Answer::Stream(stream) => {
-                log::info!(target: REQUESTS, request:% = self.request.head.id; "stream resumed");
-                self.go_on(stream);
-                true
-            }
-            Answer::Complete(head, ..) => {
-                self.record_cut(failure, &format!("an upstream answered {}", head.status));
-                false
-            }
-            Answer::Error(error) => {
-                self.record_cut(failure, &error.to_string());
-                false
-            }
-        }
+        let obstacle = match self.request.run(last).await {
+            Answer::Stream(stream) => match self.go_on(stream) {
+                Ok(()) => {
+                    log::info!(target: REQUESTS, request:% = self.request.head.id; "stream resumed");
+                    return true;
+                }
+                Err(other) => other.reason,
+            },
+            Answer::Complete(head, ..) => format!("an upstream answered {}", head.status),
+            Answer::Error(error) => error.to_string(),
+        };
+        self.record_cut(failure, &obstacle);
+        false
     }
 
     /// Records that the stream ends although it is incomplete; `obstacle` is why it does not
--- a/crates/gateway/src/relay/handover.rs
+++ b/crates/gateway/src/relay/handover.rs
@@ -51,11 +51,11 @@
             }
             Asked::Agreed(continuation) => {
                 give_up(&mut self.stream);
-                let continued = self.receive(*continuation).await;
+                let received = self.receive(*continuation).await;
+                let continued = received.and_then(|stream| self.go_on(stream));
                 let result = if continued.is_ok() { "moved" } else { "lost" };
                 self.record_stall(result, "another upstream has agreed", &current);
-                self.go_on(continued?);
-                Ok(())
+                continued
             }
         }
     }
--- a/crates/gateway/tests/continued_streams.rs
+++ b/crates/gateway/tests/continued_streams.rs
@@ -91,6 +91,42 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Guards against a response of another kind that continues a stream, or whose end completes it,
+/// because it is a success.
+#[tokio::test]
+async fn only_responses_like_the_first_continue_a_stream() {
+    let like = |status: u16, more: &str| {
+        format!("HTTP/1.1 {status} X\r\nx-request-id: {{id}}\r\nx-signed: 1\r\n{more}\r\n")
+    };
+    let length = "content-length: 0\r\n";
+    let chunks = "transfer-encoding: chunked\r\n";
+    let rest = chunk(&events(3..=5)) + "0\r\n\r\n";
+    let typed = |media_type: &str| like(200, &format!("content-type: {media_type}\r\n{chunks}"));
+    let rests = [
+        like(204, ""),
+        like(204, length),
+        like(205, length),
+        like(206, length),
+        like(206, chunks) + &rest,
+        like(200, length),
+        like(200, &format!("content-type: text/html\r\n{length}")),
+        typed("text/html") + &rest,
+        typed("application/json") + "0\r\n\r\n",
+    ];
+    let first = typed("text/event-stream; charset=utf-8") + &chunk(&events(1..=2));
+    let mut wrong = Vec::new();
+    for rest in rests {
+        let played = play("resumable", &first, &rest, false).await;
+        if played != (events(1..=2), false, 2) {
+            wrong.push((rest, played));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    let rest = typed("Text/Event-Stream") + &rest;
+    let played = play("resumable", &first, &rest, false).await;
+    assert_eq!(played, (events(1..=5), true, 2));
+}
+
 /// Guards against a comment of the next upstream after which text without an id, or nothing, is
 /// taken for the rest of the stream.
 #[tokio::test]
