Count only lengths and chunks as marked ends

The body of a response with an encoding of the transfer other than chunks ends with its connection, but counted as one whose end is marked. An empty one from the upstream that should continue a broken stream completed that stream for its caller. `only_chunks_and_lengths_mark_an_end` failed before: complete in place of cut, for "gzip".

The length that the HTTP library found in the head, or chunks as the last coding, mark the end.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,12 +10,9 @@
     bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
     http_body_util::{BodyExt, Full},
-    hyper::body::Incoming,
+    hyper::body::{Body, Incoming},
     marigoldroute_core::{forward::retry::Outcome, route::Progress},
-    poem::http::{
-        Request, StatusCode,
-        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-    },
+    poem::http::{HeaderMap, Request, StatusCode, header::TRANSFER_ENCODING},
     std::{sync::Arc, time::Duration},
 };
 
@@ -69,6 +66,14 @@
     }
 }
 
+/// Returns whether a body is sent in chunks. With any other encoding of the transfer, it ends with its
+/// connection.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let last = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let coding = last.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// A response whose head has arrived. Dropping it closes the connection, which cancels the request
 /// at the upstream.
 pub(crate) struct Exchange {
@@ -111,9 +116,7 @@
         };
         let (parts, body) = response.into_parts();
         let head = protocol.parse_response(parts.status, &parts.headers);
-        let is_end_marked = [CONTENT_LENGTH, TRANSFER_ENCODING]
-            .iter()
-            .any(|name| parts.headers.contains_key(name));
+        let is_end_marked = body.size_hint().exact().is_some() || is_chunked(&parts.headers);
         // Bytes of another answer belong to no request, and state nothing about the upstream.
         let is_own = head.id.as_ref() == Some(&request_head.id);
         if let Some(load) = head.load.as_ref().filter(|_| is_own) {
--- a/crates/gateway/tests/continued_streams.rs
+++ b/crates/gateway/tests/continued_streams.rs
@@ -109,6 +109,8 @@
         like(206, length),
         like(206, chunks) + &rest,
         like(200, length),
+        like(200, "transfer-encoding: gzip\r\n"),
+        like(200, "transfer-encoding: identity\r\ncontent-length: 0\r\n"),
         like(200, &format!("content-type: text/html\r\n{length}")),
         typed("text/html") + &rest,
         typed("application/json") + "0\r\n\r\n",
@@ -127,6 +129,20 @@
     assert_eq!(played, (events(1..=5), true, 2));
 }
 
+/// Guards against an encoding of the transfer, without chunks, that passes for a marked end.
+#[tokio::test]
+async fn only_chunks_and_lengths_mark_an_end() {
+    let first = chunked(&events(1..=2));
+    for coding in ["gzip", "identity", "chunked, gzip"] {
+        let rest = format!("{HEAD}transfer-encoding: {coding}\r\n\r\n");
+        let played = play("resumable", &first, &rest, false).await;
+        assert_eq!(played, (events(1..=2), false, 2), "{coding}");
+    }
+    let rest = format!("{HEAD}transfer-encoding: gzip, Chunked\r\n\r\n0\r\n\r\n");
+    let played = play("resumable", &first, &rest, false).await;
+    assert_eq!(played, (events(1..=2), true, 2));
+}
+
 /// Guards against a comment of the next upstream after which text without an id, or nothing, is
 /// taken for the rest of the stream.
 #[tokio::test]
