Fail streams that end with their connection before an event

An upstream that breaks off after the head of a stream without a length or chunks closes its connection, which looks like the end of the stream: callers got an empty stream that was complete. The new test failed before: 200 in place of 502, on both kinds of streams.

Such an end before the first event with content is a failure, as it was already for an upstream that continues a stream; comments do not count. A caller that states its last event may have all of them, so its empty stream still completes, unless it broke off at an upstream before.

--- a/crates/core/src/forward/sequence.rs
+++ b/crates/core/src/forward/sequence.rs
@@ -51,6 +51,10 @@
     is_resuming: bool,
     /// Whether the caller has content of events without an id.
     has_unnumbered: bool,
+    /// Whether the stream broke off at another upstream.
+    is_continued: bool,
+    /// Whether the upstream that sends the events has sent one with content.
+    has_content: bool,
 }
 
 impl Sequence {
@@ -66,6 +70,8 @@
     /// Records that the next events come from an upstream that continues the stream.
     pub fn resume(&mut self) {
         self.is_resuming = self.last.is_some();
+        self.is_continued = true;
+        self.has_content = false;
     }
 
     /// Returns whether the id of the last event tells how much the caller has, so that the stream
@@ -84,10 +90,10 @@
         self.relayed
     }
 
-    /// Returns whether the stream broke after an event that was relayed here, and the upstream that
-    /// continues it has sent none. It may have broken off as well, unless it marks the end.
+    /// Returns whether the upstream has to send more, as far as is known, and has sent no event with
+    /// content. It may have broken off, unless it marks the end.
     pub fn is_unconfirmed(&self) -> bool {
-        self.is_resuming && self.relayed > 0
+        !self.has_content && (self.is_continued || self.last.is_none())
     }
 
     /// Checks that an event follows the last one, and records it.
@@ -109,6 +115,7 @@
         self.last = Some(id);
         self.relayed += 1;
         self.is_resuming = false;
+        self.has_content = true;
         Ok(Accepted::Next)
     }
 
@@ -130,6 +137,7 @@
             return Err(Rejected::Malformed);
         }
         self.has_unnumbered |= is_unnumbered;
+        self.has_content |= is_unnumbered;
         self.accept(id)
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
         exchange::Failure,
         frontend::Body,
         protocol::ResponseHead,
-        request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, Stream},
+        request::{ActiveRequest, Answer, ENDED_WITHIN_EVENT, ENDED_WITHOUT_EVENT, Stream},
     },
     bytes::{Bytes, BytesMut},
     futures_util::stream,
@@ -135,7 +135,7 @@
                 let reason = if stream.splitter.is_partial() {
                     ENDED_WITHIN_EVENT
                 } else if self.sequence.is_unconfirmed() && !stream.exchange.is_end_marked {
-                    "the stream did not continue"
+                    ENDED_WITHOUT_EVENT
                 } else {
                     return Step::End;
                 };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,7 +4,7 @@
 mod handover;
 
 pub(crate) use {
-    attempt::{ENDED_WITHIN_EVENT, Received},
+    attempt::{ENDED_WITHIN_EVENT, ENDED_WITHOUT_EVENT, Received},
     handover::Continuation,
 };
 
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -27,6 +27,8 @@
 const STALL_REASON: &str = "no event for too long";
 /// Reason of the failure of a stream whose end is not the end of an event.
 pub(crate) const ENDED_WITHIN_EVENT: &str = "the stream ended within an event";
+/// Reason of the failure of a stream that ended with its connection before an event with content.
+pub(crate) const ENDED_WITHOUT_EVENT: &str = "the stream ended without an event";
 /// Connections that an attempt uses at most, when each turns out to be closed before anything was
 /// written.
 pub(super) const CONNECTION_LIMIT: usize = 3;
@@ -338,10 +340,14 @@
         let mut stall = None;
         loop {
             let Some(data) = self.read_unless_stalled(exchange, stall).await? else {
-                return match splitter.is_partial() {
-                    true => Err(Failure::new(Outcome::Unknown, ENDED_WITHIN_EVENT)),
-                    false => Ok((splitter, permit, VecDeque::new(), true)),
+                let reason = if splitter.is_partial() {
+                    ENDED_WITHIN_EVENT
+                } else if sequence.is_unconfirmed() && !exchange.is_end_marked {
+                    ENDED_WITHOUT_EVENT
+                } else {
+                    return Ok((splitter, permit, VecDeque::new(), true));
                 };
+                return Err(Failure::new(Outcome::Unknown, reason));
             };
             let too_large = || Failure::new(Outcome::Unknown, "an event is too large");
             let events = splitter.push(&data).ok_or_else(too_large)?;
--- a/crates/gateway/tests/continued_streams.rs
+++ b/crates/gateway/tests/continued_streams.rs
@@ -129,6 +129,34 @@
     assert_eq!(played, (events(1..=5), true, 2));
 }
 
+/// Guards against a stream whose upstream broke off before its first event, without a length or
+/// chunks, and that passes for a complete one.
+#[tokio::test]
+async fn streams_that_end_with_their_connection_before_an_event_are_not_complete() {
+    for (text, relayed) in [("", ""), (": here\n\n", ": here\n\n")] {
+        for (route, limit) in [("stream", 1), ("resumable", 2)] {
+            let first = unframed(text);
+            let script = Script::Raw(vec![first.leak()]);
+            let (harness, upstreams) = Harness::new(vec![script; limit]).await;
+            let request = harness.request(route, "r1").send().await;
+            let response = request.expect("a head");
+            let status = response.status().as_u16();
+            assert_eq!(status, if relayed.is_empty() { 502 } else { 200 });
+            let is_complete = response.bytes().await.is_ok();
+            assert!(status == 502 || !is_complete, "{text:?} on {route}");
+            let arrivals = upstreams.iter().map(|upstream| upstream.arrivals().len());
+            assert_eq!(arrivals.sum::<usize>(), limit, "{text:?} on {route}");
+        }
+    }
+    // A caller that has events may have all of them.
+    let script = Script::Raw(vec![unframed("").leak()]);
+    let (harness, _upstreams) = Harness::new(vec![script]).await;
+    let request = harness.request("resumable", "r1");
+    let response = request.header("x-last-event", "4").send().await;
+    let response = response.expect("a head");
+    assert_eq!(response.text().await.expect("a whole stream"), "");
+}
+
 /// Guards against an encoding of the transfer, without chunks, that passes for a marked end.
 #[tokio::test]
 async fn only_chunks_and_lengths_mark_an_end() {
