Count crashes in streams that end with their connection

An upstream that crashed after the head of a stream without a length or chunks, or within its first event, was not taken for one that broke off: the end of the connection looked like the end of the stream. Such crashes never quarantined the part of the prompt that caused them, and requests with it went on to crash upstreams. `crashes_count_in_responses_that_end_with_their_connection` failed before: none of five requests was refused.

An end without a mark, before or within the first event, is now a broken connection, after which the upstream is examined as after any other.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -43,7 +43,7 @@
     }
 
     /// Returns the failure of a connection that broke while the request may have run.
-    fn broken(reason: impl Into<String>) -> Self {
+    pub(crate) fn broken(reason: impl Into<String>) -> Self {
         Self {
             is_break: true,
             ..Self::new(Outcome::Unknown, reason)
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -347,7 +347,10 @@
                 } else {
                     return Ok((splitter, permit, VecDeque::new(), true));
                 };
-                return Err(Failure::new(Outcome::Unknown, reason));
+                return Err(match exchange.is_end_marked {
+                    true => Failure::new(Outcome::Unknown, reason),
+                    false => Failure::broken(reason),
+                });
             };
             let too_large = || Failure::new(Outcome::Unknown, "an event is too large");
             let events = splitter.push(&data).ok_or_else(too_large)?;
--- a/crates/gateway/tests/crashing_prompts.rs
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -23,14 +23,17 @@
 const RENEWAL: Duration = Duration::from_millis(200);
 /// Time within which ends of upstreams count once.
 const INSTANT: Duration = Duration::from_millis(110);
+/// Start of a response in chunks.
+const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
 /// Longest wait for what a test expects.
 const PATIENCE: Duration = Duration::from_secs(5);
 
-/// Starts a fleet of hosts with upstreams that the deadly part crashes, and waits until the hosts
-/// know each other.
-async fn start_fleet(hosts: usize) -> (Vec<Harness>, Vec<Upstream>) {
+/// Starts a fleet of hosts with upstreams that the deadly part crashes after this start of their
+/// response, and waits until the hosts know each other.
+async fn start_fleet(hosts: usize, start: &'static str) -> (Vec<Harness>, Vec<Upstream>) {
     let script = Script::Crash {
         part: DEADLY,
+        start,
         down: Duration::from_millis(300),
     };
     let (mut harness, upstreams) = Harness::unlimited(vec![script; 8]).await;
@@ -107,7 +110,7 @@
 /// against a quarantine that refuses healthy requests.
 #[tokio::test]
 async fn a_deadly_part_stops_at_every_host_and_healthy_requests_go_on() {
-    let (fleet, upstreams) = start_fleet(2).await;
+    let (fleet, upstreams) = start_fleet(2, CHUNKED).await;
     for round in 0..8 {
         for (index, host) in fleet.iter().enumerate() {
             let id = format!("healthy{round}-{index}");
@@ -144,10 +147,23 @@
     assert!(after > 300.0, "to return after {after} s");
 }
 
+/// Guards against crashes that do not count because the response of the upstream ends with its
+/// connection, which looks like the end of a stream.
+#[tokio::test]
+async fn crashes_count_in_responses_that_end_with_their_connection() {
+    for start in ["\r\n", "\r\n: here\n", "\r\nid: 1\nda"] {
+        let (fleet, upstreams) = start_fleet(1, start).await;
+        crash_until_refused(&fleet[0], "stream").await;
+        let parts = format!("{COMMON},21,6");
+        let (status, _) = send(&fleet[0], "stream", "healthy", &parts).await;
+        assert_eq!((status.as_u16(), deadly(&upstreams) >= 3), (200, true));
+    }
+}
+
 /// Guards against a host that starts later and sends what the others have quarantined.
 #[tokio::test]
 async fn a_new_host_learns_quarantined_parts_from_the_rows() {
-    let (fleet, upstreams) = start_fleet(1).await;
+    let (fleet, upstreams) = start_fleet(1, CHUNKED).await;
     crash_until_refused(&fleet[0], "resumable").await;
     let part = format!("{DEADLY:016x}");
     let is_in_row = |prefix: &str| {
--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -67,9 +67,14 @@
     RepeatedEvent,
     /// Sends the first event, and again after the notification.
     Repeated { resume: Arc<Notify> },
-    /// As [`Self::Events`] with all of 4 events, but ends the upstream after the head of the
-    /// response to a request with this part in its prompt; it is back after this time.
-    Crash { part: u64, down: Duration },
+    /// As [`Self::Events`] with all of 4 events, but ends the upstream after the start of the
+    /// response to a request with this part in its prompt; it is back after this time. `start` is
+    /// the rest of the head, and what follows it.
+    Crash {
+        part: u64,
+        start: &'static str,
+        down: Duration,
+    },
     /// Sends the first event of a stream, and closes the connection after the notification.
     BreakLater { release: Arc<Notify> },
     /// Sends the first event, and the others after the notification.
@@ -333,14 +338,17 @@
             stream.write_all(text.as_bytes()).await.ok()?;
             return (last == *of).then_some(());
         }
-        Script::Crash { part, .. } => {
-            let head = head(200, "transfer-encoding: chunked\r\n");
-            stream.write_all(head.as_bytes()).await.ok()?;
+        Script::Crash { part, start, .. } => {
             if arrival.parts.contains(part) {
+                let head = head(200, "");
+                let text = head.trim_end().to_owned() + "\r\n" + start;
+                stream.write_all(text.as_bytes()).await.ok()?;
                 tokio::time::sleep(WRITE_TIME).await;
                 crash.notify_one();
                 std::future::pending::<()>().await;
             }
+            let head = head(200, "transfer-encoding: chunked\r\n");
+            stream.write_all(head.as_bytes()).await.ok()?;
             let first = arrival.last_event.map_or(1, |last| last + 1);
             (first..=4).map(event).collect::<String>() + "0\r\n\r\n"
         }
