--- a/crates/gateway/src/relay/handover.rs
+++ b/crates/gateway/src/relay/handover.rs
@@ -30,12 +30,12 @@
         let Some(continuation) = asking.await? else {
             return Ok(());
         };
-        let continued = self.receive(*continuation).await;
+        let received = self.receive(*continuation).await;
+        let continued = received.and_then(|stream| self.go_on(stream));
         let result = if continued.is_ok() { "moved" } else { "lost" };
         let (reason, relayed) = ("another upstream has agreed", self.sequence.relayed());
         self.request.record_stall(result, reason, &current, relayed);
-        self.go_on(continued?);
-        Ok(())
+        continued
     }
 
     /// Reads the first events of the other upstream.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,7 +6,7 @@
 
 pub(crate) use {
     handover::{Continuation, give_up},
-    opening::ENDED_WITHIN_EVENT,
+    opening::{ENDED_WITHIN_EVENT, ENDED_WITHOUT_EVENT},
 };
 
 use {
--- a/crates/gateway/src/request/opening.rs
+++ b/crates/gateway/src/request/opening.rs
@@ -14,6 +14,9 @@
 /// Reason of the failure of a stream whose end is not the end of an event.
 pub(crate) const ENDED_WITHIN_EVENT: &str = "the stream ended within an event";
 
+/// Reason of the failure of a stream that ended with its connection before an event with content.
+pub(crate) const ENDED_WITHOUT_EVENT: &str = "the stream ended without an event";
+
 /// A stream that has stalled within its first event.
 struct Stalled;
 
@@ -86,10 +89,18 @@
                 return Ok(None);
             }
             if stream.has_ended {
-                return match stream.splitter.is_partial() {
-                    true => Err(Failure::new(Outcome::Unknown, ENDED_WITHIN_EVENT)),
-                    false => Ok(None),
+                let is_end_marked = stream.exchange.is_end_marked;
+                let reason = if stream.splitter.is_partial() {
+                    ENDED_WITHIN_EVENT
+                } else if sequence.is_unconfirmed() && !is_end_marked {
+                    ENDED_WITHOUT_EVENT
+                } else {
+                    return Ok(None);
                 };
+                return Err(match is_end_marked {
+                    true => Failure::new(Outcome::Unknown, reason),
+                    false => Failure::broken(reason),
+                });
             }
             // The wait for the first byte covers queueing and the prompt and is not limited.
             if stream.splitter.is_partial() {
--- a/crates/gateway/tests/continued_streams.rs
+++ b/crates/gateway/tests/continued_streams.rs
@@ -91,6 +91,86 @@
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
+/// Guards against a response of another kind that continues a stream, or whose end completes it,
+/// because it is a success.
+#[tokio::test]
+async fn only_responses_like_the_first_continue_a_stream() {
+    let like = |status: u16, more: &str| {
+        format!("HTTP/1.1 {status} X\r\nx-request-id: {{id}}\r\nx-signed: 1\r\n{more}\r\n")
+    };
+    let length = "content-length: 0\r\n";
+    let chunks = "transfer-encoding: chunked\r\n";
+    let rest = chunk(&events(3..=5)) + "0\r\n\r\n";
+    let typed = |media_type: &str| like(200, &format!("content-type: {media_type}\r\n{chunks}"));
+    let rests = [
+        like(204, ""),
+        like(204, length),
+        like(205, length),
+        like(206, length),
+        like(206, chunks) + &rest,
+        like(200, length),
+        like(200, "transfer-encoding: gzip\r\n"),
+        like(200, "transfer-encoding: identity\r\ncontent-length: 0\r\n"),
+        like(200, &format!("content-type: text/html\r\n{length}")),
+        typed("text/html") + &rest,
+        typed("application/json") + "0\r\n\r\n",
+    ];
+    let first = typed("text/event-stream; charset=utf-8") + &chunk(&events(1..=2));
+    let mut wrong = Vec::new();
+    for rest in rests {
+        let played = play("resumable", &first, &rest, false).await;
+        if played != (events(1..=2), false, 2) {
+            wrong.push((rest, played));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+    let rest = typed("Text/Event-Stream") + &rest;
+    let played = play("resumable", &first, &rest, false).await;
+    assert_eq!(played, (events(1..=5), true, 2));
+}
+
+/// Guards against a stream whose upstream broke off before its first event, without a length or
+/// chunks, and that passes for a complete one.
+#[tokio::test]
+async fn streams_that_end_with_their_connection_before_an_event_are_not_complete() {
+    for (text, relayed) in [("", ""), (": here\n\n", ": here\n\n")] {
+        for (route, limit) in [("stream", 1), ("resumable", 2)] {
+            let first = unframed(text);
+            let script = Script::Raw(vec![first.leak()]);
+            let (harness, upstreams) = Harness::new(vec![script; limit]).await;
+            let request = harness.request(route, "r1").send().await;
+            let response = request.expect("a head");
+            let status = response.status().as_u16();
+            assert_eq!(status, if relayed.is_empty() { 502 } else { 200 });
+            let is_complete = response.bytes().await.is_ok();
+            assert!(status == 502 || !is_complete, "{text:?} on {route}");
+            let arrivals = upstreams.iter().map(|upstream| upstream.arrivals().len());
+            assert_eq!(arrivals.sum::<usize>(), limit, "{text:?} on {route}");
+        }
+    }
+    // A caller that has events may have all of them.
+    let script = Script::Raw(vec![unframed("").leak()]);
+    let (harness, _upstreams) = Harness::new(vec![script]).await;
+    let request = harness.request("resumable", "r1");
+    let response = request.header("x-last-event", "4").send().await;
+    let response = response.expect("a head");
+    assert_eq!(response.text().await.expect("a whole stream"), "");
+}
+
+/// Guards against an encoding of the transfer, without chunks, that passes for a marked end.
+#[tokio::test]
+async fn only_chunks_and_lengths_mark_an_end() {
+    let first = chunked(&events(1..=2));
+    for coding in ["gzip", "identity", "chunked, gzip"] {
+        let rest = format!("{HEAD}transfer-encoding: {coding}\r\n\r\n");
+        let played = play("resumable", &first, &rest, false).await;
+        assert_eq!(played, (events(1..=2), false, 2), "{coding}");
+    }
+    let rest = format!("{HEAD}transfer-encoding: gzip, Chunked\r\n\r\n0\r\n\r\n");
+    let played = play("resumable", &first, &rest, false).await;
+    assert_eq!(played, (events(1..=2), true, 2));
+}
+
 /// Guards against a comment of the next upstream after which text without an id, or nothing, is
 /// taken for the rest of the stream.
 #[tokio::test]
@@ -115,6 +195,28 @@
     let first = chunked(&events(1..=2)) + &chunk(head) + &chunk(&events(3..=3)) + "0\r\n\r\n";
     let played = play("stream", &first, "", false).await;
     assert_eq!(played, (events(1..=2), false, 1));
+    // The head follows the start of an event, and ends like one.
+    let cut = format!("{}id: 3\ndata: pie{head}", events(1..=2));
+    for first in [unframed(&cut), chunked(&cut) + "0\r\n\r\n"] {
+        let played = play("stream", &first, "", false).await;
+        assert_eq!(played, (events(1..=2), false, 1));
+        let rest = chunked(&events(3..=4)) + "0\r\n\r\n";
+        let played = play("resumable", &first, &rest, false).await;
+        assert_eq!(played, (events(1..=4), true, 2));
+    }
+}
+
+/// Guards against a response that is no stream of events, and whose text passes for one.
+#[tokio::test]
+async fn text_that_is_no_event_does_not_begin_a_stream() {
+    let head = "HTTP/1.1 503 X\r\nx-request-id: r0\r\nx-not-run: 1\r\n\r\n";
+    for text in [head, "an error\n\n", "{\"error\":\"a\"}\n\n"] {
+        let first = chunked(text) + &chunk(&events(1..=2)) + "0\r\n\r\n";
+        let script = Script::Raw(vec![first.leak()]);
+        let (harness, _upstreams) = Harness::new(vec![script]).await;
+        let response = harness.request("stream", "r1").send().await;
+        assert_eq!(response.expect("a head").status(), 502, "{text:?}");
+    }
 }
 
 /// Guards against a connection that is reset and passes for the end of an answer without a length.
