--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -141,6 +141,16 @@
         self.status == other.status && self.media_type() == other.media_type()
     }
 
+    /// Returns whether the response does not say what became of the request: it is not final, or its
+    /// status and the statement that the request did not run exclude each other.
+    pub(crate) fn is_contradictory(&self) -> bool {
+        let contradicts = match self.is_refused {
+            true => self.status.is_success(),
+            false => is_promise(self.status),
+        };
+        contradicts || self.status.is_informational()
+    }
+
     fn media_type(&self) -> Option<String> {
         let value = self.headers.get(CONTENT_TYPE)?.to_str().ok()?;
         let media_type = value.split(';').next()?;
@@ -148,6 +158,17 @@
     }
 }
 
+/// Returns whether a caller takes the status for the promise that its request did not run.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Parses and creates HTTP headers; holds no state and makes no decisions.
 pub trait Protocol: Send + Sync + 'static {
     /// Parses the head of a caller's request.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -19,7 +19,6 @@
         throttle::Rate,
     },
     marigoldroute_process::logs::{REQUESTS, ROUTING},
-    poem::http::StatusCode,
     std::{collections::VecDeque, time::Duration},
 };
 
@@ -33,17 +32,6 @@
 /// written.
 pub(super) const CONNECTION_LIMIT: usize = 3;
 
-/// Returns whether a caller takes the status for the promise that its request did not run.
-fn is_promise(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
 /// A response that an attempt received.
 pub(crate) enum Received {
     /// The answer for the caller.
@@ -298,11 +286,7 @@
                 "the answer belongs to another request",
             ));
         }
-        let is_contradictory = match response.is_refused {
-            true => response.status.is_success(),
-            false => is_promise(response.status),
-        };
-        if is_contradictory || response.status.is_informational() {
+        if response.is_contradictory() {
             return Err(Failure::new(
                 Outcome::Unknown,
                 "the answer does not say what became of the request",
