Take an unframed end before the first event for a break

An upstream that crashed while it answered with neither a length nor chunks went unnoticed. A stream that ended with its connection before its first event reached the caller as a complete, empty one, and one that ended within its first event was no evidence of a crash, so no part of the prompt was ever quarantined. A whole answer without a length cleared the accused parts.

A stream whose end is not marked and that has no complete first event has broken off: the attempt fails, and its upstream is examined as after any other break. Only a stream that is continued may end so. An answer whose end is not marked clears no part.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -149,6 +149,15 @@
         Ok(None)
     }
 
+    /// Returns the failure of a response that ended too early. Its connection broke, unless the
+    /// upstream marked the end.
+    pub(crate) fn ended_early(&self, reason: &str) -> Failure {
+        Failure {
+            is_break: !self.is_end_marked,
+            ..Failure::new(Outcome::Unknown, reason)
+        }
+    }
+
     /// Returns the whole body; `permit` grows with its size.
     pub(crate) async fn read_all(&mut self, permit: &mut Permit) -> Result<Bytes, Failure> {
         let mut all = BytesMut::new();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -135,7 +135,7 @@
                 } else {
                     return Step::End;
                 };
-                return Step::Fail(Failure::new(Outcome::Unknown, reason));
+                return Step::Fail(stream.exchange.ended_early(reason));
             }
             let read = tokio::select! {
                 biased;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -26,6 +26,8 @@
 const STALL_REASON: &str = "no event for too long";
 /// Reason of the failure of a stream whose end is not the end of an event.
 pub(crate) const ENDED_WITHIN_EVENT: &str = "the stream ended within an event";
+/// Reason of the failure of a stream that ended with its connection before its first event.
+const ENDED_WITHOUT_EVENT: &str = "the stream ended without an event";
 /// Connections that an attempt uses at most, when each turns out to be closed before anything was
 /// written.
 pub(super) const CONNECTION_LIMIT: usize = 3;
@@ -243,7 +245,8 @@
                     self.record_success(&upstream, started, &exchange);
                     let head = Box::new(exchange.head.clone());
                     let is_failure = head.status.is_server_error();
-                    if has_begun {
+                    // Any other end may be that of the upstream.
+                    if has_begun && exchange.is_end_marked {
                         self.context.quarantine.record_success(&self.parts);
                     }
                     exchange.finish(Progress::Finished { tokens: 1 });
@@ -323,10 +326,14 @@
         let mut stall = None;
         loop {
             let Some(data) = self.read_unless_stalled(exchange, stall).await? else {
-                return match splitter.is_partial() {
-                    true => Err(Failure::new(Outcome::Unknown, ENDED_WITHIN_EVENT)),
-                    false => Ok((splitter, permit, VecDeque::new(), true)),
-                };
+                if splitter.is_partial() {
+                    return Err(exchange.ended_early(ENDED_WITHIN_EVENT));
+                }
+                // Nothing may follow the last event of a stream that is continued.
+                if last_event.is_none() && !exchange.is_end_marked {
+                    return Err(exchange.ended_early(ENDED_WITHOUT_EVENT));
+                }
+                return Ok((splitter, permit, VecDeque::new(), true));
             };
             let too_large = || Failure::new(Outcome::Unknown, "an event is too large");
             let events = splitter.push(&data).ok_or_else(too_large)?;
--- a/crates/gateway/tests/crashing_prompts.rs
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -23,16 +23,27 @@
 const RENEWAL: Duration = Duration::from_millis(200);
 /// Time within which ends of upstreams count once.
 const INSTANT: Duration = Duration::from_millis(110);
+/// Answers without a length between the ends that quarantine a part; an upstream that ends twice
+/// under the same entry counts once.
+const WHOLE_ANSWERS: usize = 12;
 /// Longest wait for what a test expects.
 const PATIENCE: Duration = Duration::from_secs(5);
 
+/// Time for which a crashed upstream is down.
+const DOWN: Duration = Duration::from_millis(300);
+
 /// Starts a fleet of hosts with upstreams that the deadly part crashes, and waits until the hosts
 /// know each other.
 async fn start_fleet(hosts: usize) -> (Vec<Harness>, Vec<Upstream>) {
     let script = Script::Crash {
         part: DEADLY,
-        down: Duration::from_millis(300),
+        down: DOWN,
     };
+    start_fleet_with(hosts, script).await
+}
+
+/// As [`start_fleet`], with this script of the upstreams.
+async fn start_fleet_with(hosts: usize, script: Script) -> (Vec<Harness>, Vec<Upstream>) {
     let (mut harness, upstreams) = Harness::unlimited(vec![script; 8]).await;
     harness.gateway.take().expect("it runs").stop().await;
     let mut fleet = Vec::new();
@@ -144,6 +155,62 @@
     assert!(after > 300.0, "to return after {after} s");
 }
 
+/// Guards against a crash that passes for the end of a stream with neither a length nor chunks, and
+/// so accuses no part and looks complete to its caller.
+#[tokio::test]
+async fn crashes_that_end_unframed_streams_are_evidence() {
+    for text in ["", "id: 1\nda"] {
+        let script = Script::CrashUnframed {
+            part: DEADLY,
+            down: DOWN,
+            text,
+        };
+        let (fleet, upstreams) = start_fleet_with(1, script).await;
+        for round in 0..8 {
+            let parts = format!("{COMMON},21,9{round}");
+            let (status, body) = send(&fleet[0], "stream", &format!("s{round}"), &parts).await;
+            assert_eq!((status.as_u16(), body.contains("piece 4")), (200, true));
+            let parts = format!("{COMMON},{DEADLY},8{round}");
+            let (status, _) = send(&fleet[0], "stream", &format!("d{round}"), &parts).await;
+            assert_ne!(status, 200, "{text:?}: request {round} looks answered");
+            // Ends at the same instant would count once.
+            tokio::time::sleep(INSTANT).await;
+        }
+        let arrivals = deadly(&upstreams);
+        assert!(arrivals <= ARRIVAL_LIMIT, "{text:?}: {arrivals} were sent");
+    }
+}
+
+/// Guards against an answer without a length that passes for whole when a crash has ended it, and
+/// clears the part that was accused.
+#[tokio::test]
+async fn crashes_that_end_unframed_answers_clear_no_part() {
+    let script = Script::CrashUnframed {
+        part: DEADLY,
+        down: DOWN,
+        text: "",
+    };
+    let (fleet, upstreams) = start_fleet_with(1, script).await;
+    let is_refused = async || {
+        for round in 0..WHOLE_ANSWERS {
+            for path in ["safe", "stream"] {
+                let parts = format!("{COMMON},{DEADLY},8{round}");
+                if send(&fleet[0], path, &format!("{path}{round}"), &parts)
+                    .await
+                    .0
+                    == 503
+                {
+                    return true;
+                }
+                // Ends at the same instant would count once.
+                tokio::time::sleep(INSTANT).await;
+            }
+        }
+        false
+    };
+    assert!(is_refused().await, "{} were sent", deadly(&upstreams));
+}
+
 /// Guards against a host that starts later and sends what the others have quarantined.
 #[tokio::test]
 async fn a_new_host_learns_quarantined_parts_from_the_rows() {
--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -70,6 +70,13 @@
     /// As [`Self::Events`] with all of 4 events, but ends the upstream after the head of the
     /// response to a request with this part in its prompt; it is back after this time.
     Crash { part: u64, down: Duration },
+    /// As [`Self::Crash`], but its responses have neither a length nor chunks and end with their
+    /// connection, and this text follows the head before the upstream ends.
+    CrashUnframed {
+        part: u64,
+        down: Duration,
+        text: &'static str,
+    },
     /// Sends the first event of a stream, and closes the connection after the notification.
     BreakLater { release: Arc<Notify> },
     /// Sends the first event, and the others after the notification.
@@ -107,7 +114,7 @@
         let (times, rate) = (Arc::default(), Arc::default());
         let crash = Arc::new(Notify::new());
         let down = match script {
-            Script::Crash { down, .. } => down,
+            Script::Crash { down, .. } | Script::CrashUnframed { down, .. } => down,
             _ => Duration::ZERO,
         };
         let connection = Connection {
@@ -344,6 +351,21 @@
             let first = arrival.last_event.map_or(1, |last| last + 1);
             (first..=4).map(event).collect::<String>() + "0\r\n\r\n"
         }
+        Script::CrashUnframed { part, text, .. } => {
+            let is_deadly = arrival.parts.contains(part);
+            let events: String = (1..=4).map(raw).collect();
+            let body = if is_deadly { *text } else { &events };
+            stream
+                .write_all((head(200, "") + body).as_bytes())
+                .await
+                .ok()?;
+            if is_deadly {
+                tokio::time::sleep(WRITE_TIME).await;
+                crash.notify_one();
+                std::future::pending::<()>().await;
+            }
+            return None;
+        }
         Script::RepeatedEvent => {
             let first = arrival.last_event.map_or(1, |last| last + 1);
             let events = [first, first + 1, first].map(raw).concat();
