Share accusations by the rows of hosts, too

Hosts of a small fleet that did not reach each other's datagrams each counted the crashes of a part by themselves, while the store and their callers reached them: quarantined parts were in their rows, accusations were not, and a row was renewed every 3 s only.

With up to 16 other hosts, the row of a host has the 16 parts that it accused last, with their ends, and all rows are renewed 100 ms after a decision or such an accusation. Larger fleets keep their accusations out of the rows, which every host reads. The simulated hosts renew their rows one after the other instead of at the same instant, and can be cut off from each other, with or without the store.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -6,9 +6,12 @@
 //! and contradict those of parts that they know to be sound. [`Quarantine`] is the state of one
 //! host.
 
+mod change;
 mod recent;
 mod suspect;
 
+pub use change::{Audience, Change, Learned, State};
+
 use {
     crate::{
         id::HostId,
@@ -37,6 +40,8 @@
 const SUSPECT_LIMIT: usize = 512;
 /// Parts that are quarantined at the same time.
 pub const QUARANTINE_LIMIT: usize = 32;
+/// Accused parts, the most recent ones, of which other hosts learn by the row of the accuser.
+pub const PUBLISHED_LIMIT: usize = 16;
 /// Parts that are remembered as answered; covers [`SOUND_TIME`] of a busy host.
 const SOUND_LIMIT: usize = 4_096;
 /// Parts of one request, and of one message, that are looked at.
@@ -50,46 +55,6 @@
 /// the fleet differ.
 const JUDGE_COUNT: usize = 8;
 
-/// Hosts that have to be told about a part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Audience {
-    /// The hosts that count its accusations, see [`judges`].
-    Judges,
-    /// All hosts.
-    All,
-}
-
-/// What a host knows about a part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    /// It was accused at this number of distinct ends of upstreams.
-    Suspected(usize),
-    /// It is quarantined, and was accused at this number of ends that this host knows.
-    Quarantined(usize),
-    /// It is neither.
-    Sound,
-}
-
-/// A change of what a host knows about a part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Change {
-    /// The part.
-    pub part: PartId,
-    /// Its state from now on.
-    pub state: State,
-    /// Hosts that have to be told, if any.
-    pub audience: Option<Audience>,
-}
-
-/// What follows from a message of another host.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Learned {
-    /// Accused parts that this host knows to be sound; the sender has to be told.
-    pub contradicted: Vec<PartId>,
-    /// Changes of what this host knows.
-    pub changes: Vec<Change>,
-}
-
 /// Chooses the hosts that count the accusations of a part: all of them in a small fleet, and
 /// otherwise a few by hash, so that the accusations of all hosts meet there.
 pub fn judges(part: PartId, hosts: &mut Vec<HostId>) {
@@ -106,6 +71,8 @@
     blocks: Recent<Block>,
     /// When a request with the part was last answered, as far as this host knows.
     sound: Recent<Duration>,
+    /// Other hosts of the fleet.
+    other_hosts: usize,
 }
 
 impl Default for Quarantine {
@@ -114,6 +81,7 @@
             suspects: Recent::new(SUSPECT_LIMIT),
             blocks: Recent::new(QUARANTINE_LIMIT),
             sound: Recent::new(SOUND_LIMIT),
+            other_hosts: 0,
         }
     }
 }
@@ -303,6 +271,40 @@
         list
     }
 
+    /// Sets the number of other hosts of the fleet.
+    pub fn set_other_hosts(&mut self, count: usize) {
+        self.other_hosts = count;
+    }
+
+    /// Returns whether the row of this host has to show a change soon.
+    pub fn is_news(&self, change: &Change) -> bool {
+        let is_shown = match change.state {
+            State::Suspected(_) => self.other_hosts <= SMALL_FLEET_LIMIT,
+            State::Quarantined(_) => true,
+            State::Sound => false,
+        };
+        is_shown && change.audience.is_some()
+    }
+
+    /// Returns messages for the row of this host about the parts that it has accused and that are
+    /// not quarantined; none in a large fleet, where every host would read too many.
+    pub fn accused(&self, now: Duration) -> Vec<Message> {
+        if self.other_hosts > SMALL_FLEET_LIMIT {
+            return Vec::new();
+        }
+        let published = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.is_published && suspect.is_recent(now));
+        let mut list: Vec<_> = published
+            .map(|(part, suspect)| (suspect.crashes.last().map(|crash| crash.at), part))
+            .collect();
+        list.sort_unstable_by(|a, b| b.cmp(a));
+        list.truncate(PUBLISHED_LIMIT);
+        let parts: Vec<_> = list.into_iter().map(|(_, part)| part).collect();
+        self.describe(now, &parts)
+    }
+
     /// Returns whether the part was answered so late that an end at this time is no evidence.
     fn is_sound(&self, part: PartId, at: Duration) -> bool {
         let answered_at = self.sound.get(part);
--- a/crates/core/src/quarantine/suspect.rs
+++ b/crates/core/src/quarantine/suspect.rs
@@ -41,6 +41,15 @@
         common
     }
 
+    /// Returns whether one of its accusations counts.
+    pub(super) fn is_recent(&self, now: Duration) -> bool {
+        let mut ages = self
+            .crashes
+            .iter()
+            .map(|crash| now.saturating_sub(crash.at));
+        ages.any(|age| age <= ACCUSATION_TIME)
+    }
+
     /// Adds an end; returns whether it is another one than those that are known.
     pub(super) fn add(&mut self, now: Duration, crash: Crash) -> bool {
         self.crashes
--- a/crates/core/tests/quarantine/main.rs
+++ b/crates/core/tests/quarantine/main.rs
@@ -5,7 +5,7 @@
 mod world;
 
 use {
-    plan::{Outcome, Plan},
+    plan::{Cut, Outcome, Plan},
     std::time::Duration,
     world::World,
 };
@@ -78,3 +78,28 @@
     let outcome = play(1, &fleet(6));
     assert_eq!(outcome.datagrams, 0);
 }
+
+/// Guards against hosts that do not reach each other, or not even the store, and that each need as
+/// many crashes as the fleet.
+#[test]
+fn hosts_that_are_cut_off_count_crashes_together() {
+    for (seed, includes_store) in (0..60).flat_map(|seed| [(seed, false), (seed, true)]) {
+        let plan = Plan {
+            deadly: [0.01, 0.03][seed as usize % 2],
+            cuts: vec![Cut {
+                from: SECOND * 2,
+                to: SECOND * 10,
+                hosts: [6, 2][seed as usize / 2 % 2],
+                includes_store,
+            }],
+            ..fleet(6)
+        };
+        let outcome = play(seed, &plan);
+        let late = outcome.late_arrivals(GRACE);
+        assert!(
+            late <= LATE_LIMIT,
+            "seed {seed}, {includes_store}: {late} late"
+        );
+        assert_eq!(outcome.refused, 0, "seed {seed}, {includes_store}");
+    }
+}
--- a/crates/core/tests/quarantine/plan.rs
+++ b/crates/core/tests/quarantine/plan.rs
@@ -19,6 +19,19 @@
     pub flapping: usize,
     /// When a host is replaced by a new process.
     pub restarts: Vec<Duration>,
+    /// Times at which hosts are cut off.
+    pub cuts: Vec<Cut>,
+}
+
+/// A time at which hosts are cut off from each other, while their callers and upstreams reach them.
+#[derive(Clone, Debug)]
+pub struct Cut {
+    pub from: Duration,
+    pub to: Duration,
+    /// Hosts that are cut off, the first ones.
+    pub hosts: usize,
+    /// Whether they are cut off from the store, too.
+    pub includes_store: bool,
 }
 
 impl Default for Plan {
@@ -32,6 +45,7 @@
             mass_crashes: Vec::new(),
             flapping: 0,
             restarts: Vec::new(),
+            cuts: Vec::new(),
         }
     }
 }
--- a/crates/core/tests/quarantine/world.rs
+++ b/crates/core/tests/quarantine/world.rs
@@ -1,5 +1,7 @@
 //! A fleet with its upstreams on a simulated clock.
 
+mod rows;
+
 use {
     crate::plan::{Outcome, Plan},
     marigoldroute_core::{
@@ -8,6 +10,7 @@
         wire::Parts,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
+    rows::Row,
     std::{
         collections::{BTreeMap, HashMap},
         time::Duration,
@@ -28,13 +31,25 @@
 const SENDINGS: u32 = 3;
 const SENDING_PAUSE: Duration = Duration::from_millis(60);
 const RENEWAL: Duration = Duration::from_secs(3);
+/// Time after which a row with news is written.
+const NEWS_DELAY: Duration = Duration::from_millis(100);
+/// Time without a cut after which a host counts as in touch.
+pub const CONTACT: Duration = Duration::from_secs(3);
 
 struct Host {
     quarantine: Quarantine,
     /// Notices with how often they still have to be sent, and when next.
     outbox: BTreeMap<PartId, (Change, u32, Duration)>,
-    /// Quarantined parts in the host's row, with their ends.
-    row: Vec<(PartId, Duration, Vec<PartId>)>,
+    row: Row,
+    /// When the row has to be written before its time.
+    writes_at: Option<Duration>,
+}
+
+/// Returns what a new process knows in a fleet of this many hosts.
+fn quarantine(hosts: usize) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    quarantine.set_other_hosts(hosts - 1);
+    quarantine
 }
 
 #[derive(Clone)]
@@ -71,9 +86,10 @@
 impl World {
     pub fn new(seed: u64, plan: Plan) -> Self {
         let host = || Host {
-            quarantine: Quarantine::default(),
+            quarantine: quarantine(plan.hosts),
             outbox: BTreeMap::new(),
-            row: Vec::new(),
+            row: Row::default(),
+            writes_at: None,
         };
         Self {
             random: SmallRng::seed_from_u64(seed),
@@ -100,6 +116,7 @@
             self.deliver();
             self.send_notices();
             self.renew_rows();
+            self.write_news();
             let expected = self.plan.rate * STEP.as_secs_f64();
             let count = expected as usize + usize::from(self.random.random_bool(expected.fract()));
             for _ in 0..count {
@@ -138,9 +155,9 @@
 
     /// Replaces a host by a new process, which reads the rows of all hosts.
     fn restart(&mut self, host: usize) {
-        let mut quarantine = Quarantine::default();
-        for (part, until, common) in self.hosts.iter().flat_map(|host| &host.row) {
-            quarantine.restore(self.now, *part, until.saturating_sub(self.now), common);
+        let mut quarantine = quarantine(self.hosts.len());
+        for other in &self.hosts {
+            rows::read(&mut quarantine, self.now, &other.row);
         }
         self.hosts[host].quarantine = quarantine;
         self.hosts[host].outbox.clear();
@@ -176,7 +193,7 @@
         }
         let upstream = up[self.random.random_range(0..up.len())];
         let wait = Duration::from_millis(self.random.random_range(10..300));
-        if is_deadly {
+        if is_deadly && self.is_in_touch(host) {
             self.outcome.deadly_arrivals.push(self.now);
         }
         self.runs.push(Run {
@@ -289,6 +306,10 @@
         for change in changes.iter().filter(|change| change.audience.is_some()) {
             let notice = (*change, SENDINGS, self.now);
             self.hosts[host].outbox.insert(change.part, notice);
+            if self.hosts[host].quarantine.is_news(change) {
+                let writes_at = &mut self.hosts[host].writes_at;
+                writes_at.get_or_insert(self.now + NEWS_DELAY);
+            }
         }
     }
 
@@ -343,35 +364,12 @@
 
     fn send(&mut self, from: usize, to: usize, message: Parts) {
         self.outcome.datagrams += 1;
+        if self.is_cut_off(from, false) || self.is_cut_off(to, false) {
+            return;
+        }
         if !self.random.random_bool(self.plan.loss) {
             let delay = Duration::from_millis(self.random.random_range(1..40));
             self.schedule(delay, to, Delivery::Message(from, message));
         }
     }
-
-    fn renew_rows(&mut self) {
-        if !self.now.as_millis().is_multiple_of(RENEWAL.as_millis()) {
-            return;
-        }
-        let now = self.now;
-        for host in &mut self.hosts {
-            let parts = host.quarantine.quarantined(now).into_iter();
-            host.row = parts
-                .map(|(part, rest, common)| (part, now + rest, common))
-                .collect();
-        }
-        let rows: Vec<_> = self
-            .hosts
-            .iter()
-            .flat_map(|host| host.row.clone())
-            .collect();
-        for (host, (part, until, common)) in
-            (0..self.hosts.len()).flat_map(|host| rows.iter().map(move |row| (host, row)))
-        {
-            let rest = until.saturating_sub(now);
-            self.hosts[host]
-                .quarantine
-                .restore(now, *part, rest, common);
-        }
-    }
 }
--- a/crates/gateway/src/members.rs
+++ b/crates/gateway/src/members.rs
@@ -7,7 +7,7 @@
         escrow::Reserver,
         metrics::Metrics,
         peers::{Endpoint, Peers},
-        quarantine::{Quarantine, Quarantined},
+        quarantine::{PartRows, Quarantine},
         settings::Settings,
         store::Store,
         view::{View, is_committed},
@@ -32,8 +32,8 @@
 const HOST_PREFIX: &str = "host/";
 /// Key of the row with the secret that authenticates messages between hosts.
 const FLEET_KEY_ROW: &str = "fleet/key";
-/// Name of the field [`Member::quarantined`], which only few rows have.
-const QUARANTINED_FIELD: &str = "\"quarantined\"";
+/// Time during which news for the row are collected before it is renewed early.
+const NEWS_DELAY: Duration = Duration::from_millis(100);
 /// Length of the secret before it is written in hexadecimal.
 const KEY_BYTES: usize = 32;
 
@@ -64,9 +64,9 @@
     weight: u32,
     /// Address at which the host receives messages of other hosts, if it does.
     peers: Option<SocketAddr>,
-    /// Parts of prompts that no host sends to upstreams, for processes that start later.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    quarantined: Vec<Quarantined>,
+    /// Parts of prompts that crash upstreams; few rows have any.
+    #[serde(flatten)]
+    parts: PartRows,
 }
 
 impl Membership {
@@ -80,9 +80,8 @@
             self.fetch_key().await;
             let confirmed_at = is_renewed.then_some(started);
             self.count_hosts(&mut census, confirmed_at).await;
-            tokio::select! {
-                () = stop.cancelled() => break,
-                () = tokio::time::sleep(pause) => {}
+            if !self.wait(pause, &stop).await {
+                break;
             }
             pause = self.settings.renew_interval;
         }
@@ -91,6 +90,22 @@
         self.commit(transaction).await;
     }
 
+    /// Waits for the next round, and renews the row meanwhile when it has news for other hosts.
+    /// Returns false on `stop`.
+    async fn wait(&self, pause: Duration, stop: &CancellationToken) -> bool {
+        let next = tokio::time::sleep(pause);
+        tokio::pin!(next);
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return false,
+                () = &mut next => return true,
+                () = self.quarantine.row_changed.notified() => {}
+            }
+            tokio::time::sleep(NEWS_DELAY).await;
+            self.renew().await;
+        }
+    }
+
     /// Returns the key of this host's row.
     fn key(&self) -> String {
         format!("{HOST_PREFIX}{}", self.process)
@@ -106,7 +121,7 @@
             zone: self.settings.zone.clone(),
             weight: self.settings.weight,
             peers,
-            quarantined: self.quarantine.rows(),
+            parts: self.quarantine.rows(),
         };
         match serde_json::to_string(&member) {
             Ok(text) => {
@@ -142,7 +157,7 @@
         let now = self.clock.now();
         let versions = rows.iter().map(|row| (row.key.clone(), row.version));
         census.update(now, &versions.collect::<Vec<_>>());
-        self.learn_quarantined(&rows);
+        self.learn_parts(&rows);
         let live: Vec<_> = rows
             .iter()
             .filter(|row| census.is_live(now, &row.key))
@@ -153,6 +168,7 @@
             self.view.set_hosts(live);
             self.metrics.hosts.set(live as i64);
             self.dispatcher.set_hosts(live);
+            self.quarantine.set_other_hosts(live.saturating_sub(1));
         }
         let mut transaction = Transaction::default();
         for (key, version) in census.removable(now) {
@@ -164,13 +180,14 @@
         }
     }
 
-    /// Learns the quarantined parts of prompts from all rows, also those of dead processes.
-    fn learn_quarantined(&self, rows: &[Row]) {
+    /// Learns of accused and quarantined parts of prompts from all rows, also those of dead
+    /// processes.
+    fn learn_parts(&self, rows: &[Row]) {
         let own = self.key();
-        let has_parts = |row: &&Row| *row.key != *own && row.value.contains(QUARANTINED_FIELD);
+        let has_parts = |row: &&Row| *row.key != *own && PartRows::may_be_in(&row.value);
         for row in rows.iter().filter(has_parts) {
             if let Ok(member) = serde_json::from_str::<Member>(&row.value) {
-                self.quarantine.learn_rows(&row.key, &member.quarantined);
+                self.quarantine.learn_rows(&row.key, &member.parts);
             }
         }
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,18 +1,21 @@
 //! Quarantine of parts of prompts that crash upstreams, shared with other hosts.
 
+mod rows;
+
+pub(crate) use rows::PartRows;
+
 use {
     crate::{Clock, dispatch::InFlight, metrics::Metrics, protocol::PromptPart, view::lock},
     marigoldroute_core::{
-        quarantine::{self, Audience, Change, PartId, QUARANTINE_LIMIT, State},
+        quarantine::{self, Audience, Change, PartId, State},
         wire::Parts,
     },
     marigoldroute_process::logs::BELIEFS,
-    serde::{Deserialize, Serialize},
     std::{
         collections::HashMap,
         io,
         sync::{Arc, Mutex},
-        time::{Duration, SystemTime, UNIX_EPOCH},
+        time::Duration,
     },
     tokio::{net::TcpStream, sync::Notify},
     xxhash_rust::xxh3::xxh3_64_with_seed,
@@ -36,18 +39,6 @@
     shared.iter().map(|part| part.id).collect()
 }
 
-/// A quarantined part in a host's row.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Quarantined {
-    /// Id of the part in hexadecimal.
-    pub(crate) part: String,
-    /// End of the quarantine, in milliseconds since 1970.
-    pub(crate) until_ms: u64,
-    /// Parts that were always accused with it, in hexadecimal.
-    #[serde(default)]
-    pub(crate) common: Vec<String>,
-}
-
 /// What has to be sent about a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Notice {
@@ -67,6 +58,8 @@
     pub(crate) outbox_filled: Notify,
     /// Notified when a part has been quarantined.
     began: Notify,
+    /// Notified when this host has accused or quarantined a part, which its row has to show.
+    pub(crate) row_changed: Notify,
 }
 
 impl Quarantine {
@@ -78,6 +71,7 @@
             outbox: Mutex::default(),
             outbox_filled: Notify::new(),
             began: Notify::new(),
+            row_changed: Notify::new(),
         }
     }
 
@@ -100,6 +94,11 @@
         }
     }
 
+    /// Sets the number of other hosts of the fleet.
+    pub(crate) fn set_other_hosts(&self, count: usize) {
+        lock(&self.inner).set_other_hosts(count);
+    }
+
     /// Records that an upstream answered a request with these parts.
     pub(crate) fn record_success(&self, parts: &[PartId]) {
         if parts.is_empty() {
@@ -188,6 +187,13 @@
         if changes.iter().any(is_quarantine) {
             self.began.notify_waiters();
         }
+        let has_news = {
+            let inner = lock(&self.inner);
+            changes.iter().any(|change| inner.is_news(change))
+        };
+        if has_news {
+            self.row_changed.notify_one();
+        }
         self.post(changes);
     }
 
@@ -237,45 +243,9 @@
             sound: parts(true),
         }
     }
-
-    /// Returns the quarantined parts for this host's row.
-    pub(crate) fn rows(&self) -> Vec<Quarantined> {
-        let quarantined = lock(&self.inner).quarantined(self.clock.now());
-        let now_ms = unix_ms();
-        let rows = quarantined
-            .into_iter()
-            .map(|(part, rest, common)| Quarantined {
-                part: format!("{part:016x}"),
-                until_ms: now_ms.saturating_add(rest.as_millis() as u64),
-                common: common.iter().map(|part| format!("{part:016x}")).collect(),
-            });
-        rows.collect()
-    }
-
-    /// Learns the quarantined parts in the row of another process.
-    pub(crate) fn learn_rows(&self, process: &str, rows: &[Quarantined]) {
-        let (now, now_ms) = (self.clock.now(), unix_ms());
-        let mut inner = lock(&self.inner);
-        let known = rows.iter().take(QUARANTINE_LIMIT).filter_map(|row| {
-            let part = u64::from_str_radix(&row.part, 16).ok()?;
-            let rest = Duration::from_millis(row.until_ms.saturating_sub(now_ms));
-            let common = row.common.iter();
-            let common = common.filter_map(|part| u64::from_str_radix(part, 16).ok());
-            inner.restore(now, part, rest, &common.collect::<Vec<_>>())
-        });
-        let changes: Vec<_> = known.collect();
-        drop(inner);
-        self.apply(&changes, process);
-    }
 }
 
 fn join_hex(parts: &[PartId]) -> String {
     let parts = parts.iter().map(|part| format!("{part:016x}"));
     parts.collect::<Vec<_>>().join(",")
 }
-
-/// Returns the wall clock's milliseconds since 1970.
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
--- a/crates/gateway/tests/crashing_prompts.rs
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -50,15 +50,7 @@
     for index in 0..hosts {
         fleet.push(start_host(&harness, index).await);
     }
-    // A host knows the others once it has renewed its row after theirs.
-    let versions = versions(&harness);
-    until(|| {
-        let renewed = self::versions(&harness);
-        let mut pairs = renewed.iter().zip(&versions);
-        renewed.len() == hosts
-            && pairs.all(|(renewed, first)| renewed >= &(first + 2 * hosts as u64))
-    })
-    .await;
+    until_rows_are_read(&harness, hosts).await;
     (fleet, upstreams)
 }
 
@@ -76,6 +68,21 @@
     rows.iter().map(|row| row.version).collect()
 }
 
+/// Waits until these hosts have read the rows as they are now: each reads them after it has renewed
+/// its own at its time, and may renew it once or twice between.
+async fn until_rows_are_read(harness: &Harness, hosts: usize) {
+    until(|| versions(harness).len() == hosts).await;
+    for _ in 0..4 {
+        let before = versions(harness);
+        until(|| {
+            let renewed = versions(harness);
+            let mut pairs = renewed.iter().zip(&before);
+            renewed.len() == hosts && pairs.all(|(renewed, before)| renewed > before)
+        })
+        .await;
+    }
+}
+
 /// Waits for a condition.
 async fn until(mut condition: impl FnMut() -> bool) {
     let wait = async {
@@ -233,6 +240,34 @@
     assert_eq!(send(&late, "safe", "healthy", &parts).await.0, 200);
 }
 
+/// Guards against hosts whose messages do not reach each other and that each need as many crashes
+/// as the fleet.
+#[tokio::test]
+async fn hosts_apart_count_crashes_together() {
+    let script = Script::Crash {
+        part: DEADLY,
+        // No upstream ends twice.
+        down: PATIENCE * 9,
+    };
+    let (mut harness, upstreams) = Harness::unlimited(vec![script; 8]).await;
+    harness.gateway.take().expect("it runs").stop().await;
+    let settings = Settings {
+        renew_interval: RENEWAL,
+        ..Settings::default()
+    };
+    let mut fleet = Vec::new();
+    for instance in ["h0", "h1", "h2"] {
+        fleet.push(harness.start_host_apart(instance, settings.clone()).await);
+    }
+    for (index, host) in fleet.iter().chain(&fleet).enumerate() {
+        let parts = format!("{COMMON},{DEADLY},{index}");
+        let (status, _) = send(host, "once", &format!("deadly{index}"), &parts).await;
+        assert_eq!(status == 503, index >= 3, "request {index}");
+        until_rows_are_read(&harness, fleet.len()).await;
+    }
+    assert_eq!(deadly(&upstreams), 3);
+}
+
 /// Returns the row of a process that has quarantined the deadly part.
 fn row() -> String {
     let now = SystemTime::now()
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -197,10 +197,19 @@
     /// Starts another host of the same fleet and waits until it is ready.
     pub async fn start_host(&self, instance: &str, settings: Settings) -> Self {
         let settings = Settings {
-            instance: instance.into(),
             listen_peers: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
             ..settings
         };
+        self.start_host_apart(instance, settings).await
+    }
+
+    /// As [`Self::start_host`], but no message of another host reaches it unless the settings have
+    /// an address for them.
+    pub async fn start_host_apart(&self, instance: &str, settings: Settings) -> Self {
+        let settings = Settings {
+            instance: instance.into(),
+            ..settings
+        };
         let mut harness = Self {
             store: self.store.clone(),
             gateway: None,
