--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -43,7 +43,7 @@
     }
 
     /// Returns the failure of a connection that broke while the request may have run.
-    pub(crate) fn broken(reason: impl Into<String>) -> Self {
+    fn broken(reason: impl Into<String>) -> Self {
         Self {
             is_break: true,
             ..Self::new(Outcome::Unknown, reason)
@@ -152,6 +152,15 @@
         Ok(None)
     }
 
+    /// Returns the failure of a response that ended too early. Its connection broke, unless the
+    /// upstream marked the end.
+    pub(crate) fn ended_early(&self, reason: &str) -> Failure {
+        Failure {
+            is_break: !self.is_end_marked,
+            ..Failure::new(Outcome::Unknown, reason)
+        }
+    }
+
     /// Returns the whole body; `permit` grows with its size.
     pub(crate) async fn read_all(&mut self, permit: &mut Permit) -> Result<Bytes, Failure> {
         let mut all = BytesMut::new();
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -224,7 +224,8 @@
                     self.record_success(&upstream, started, &exchange);
                     let head = Box::new(exchange.head.clone());
                     let is_failure = head.status.is_server_error();
-                    if has_begun {
+                    // Any other end may be that of the upstream.
+                    if has_begun && exchange.is_end_marked {
                         self.context.quarantine.record_success(&self.parts);
                     }
                     exchange.finish(Progress::Finished { tokens: 1 });
--- a/crates/gateway/src/request/opening.rs
+++ b/crates/gateway/src/request/opening.rs
@@ -89,18 +89,14 @@
                 return Ok(None);
             }
             if stream.has_ended {
-                let is_end_marked = stream.exchange.is_end_marked;
                 let reason = if stream.splitter.is_partial() {
                     ENDED_WITHIN_EVENT
-                } else if sequence.is_unconfirmed() && !is_end_marked {
+                } else if sequence.is_unconfirmed() && !stream.exchange.is_end_marked {
                     ENDED_WITHOUT_EVENT
                 } else {
                     return Ok(None);
                 };
-                return Err(match is_end_marked {
-                    true => Failure::new(Outcome::Unknown, reason),
-                    false => Failure::broken(reason),
-                });
+                return Err(stream.exchange.ended_early(reason));
             }
             // The wait for the first byte covers queueing and the prompt and is not limited.
             if stream.splitter.is_partial() {
--- a/crates/gateway/tests/crashing_prompts.rs
+++ b/crates/gateway/tests/crashing_prompts.rs
@@ -25,32 +25,35 @@
 const INSTANT: Duration = Duration::from_millis(110);
 /// Start of a response in chunks.
 const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
+/// Answers without a length between the ends that quarantine a part; an upstream that ends twice
+/// under the same entry counts once.
+const WHOLE_ANSWERS: usize = 12;
 /// Longest wait for what a test expects.
 const PATIENCE: Duration = Duration::from_secs(5);
 
-/// Starts a fleet of hosts with upstreams that the deadly part crashes after this start of their
-/// response, and waits until the hosts know each other.
-async fn start_fleet(hosts: usize, start: &'static str) -> (Vec<Harness>, Vec<Upstream>) {
+/// Time for which a crashed upstream is down.
+const DOWN: Duration = Duration::from_millis(300);
+
+/// Starts a fleet of hosts with upstreams that the deadly part crashes, and waits until the hosts
+/// know each other.
+async fn start_fleet(hosts: usize) -> (Vec<Harness>, Vec<Upstream>) {
     let script = Script::Crash {
         part: DEADLY,
-        start,
-        down: Duration::from_millis(300),
+        start: CHUNKED,
+        down: DOWN,
     };
+    start_fleet_with(hosts, script).await
+}
+
+/// As [`start_fleet`], with this script of the upstreams.
+async fn start_fleet_with(hosts: usize, script: Script) -> (Vec<Harness>, Vec<Upstream>) {
     let (mut harness, upstreams) = Harness::unlimited(vec![script; 8]).await;
     harness.gateway.take().expect("it runs").stop().await;
     let mut fleet = Vec::new();
     for index in 0..hosts {
         fleet.push(start_host(&harness, index).await);
     }
-    // A host knows the others once it has renewed its row after theirs.
-    let versions = versions(&harness);
-    until(|| {
-        let renewed = self::versions(&harness);
-        let mut pairs = renewed.iter().zip(&versions);
-        renewed.len() == hosts
-            && pairs.all(|(renewed, first)| renewed >= &(first + 2 * hosts as u64))
-    })
-    .await;
+    until_rows_are_read(&harness, hosts).await;
     (fleet, upstreams)
 }
 
@@ -68,6 +71,21 @@
     rows.iter().map(|row| row.version).collect()
 }
 
+/// Waits until these hosts have read the rows as they are now: each reads them after it has renewed
+/// its own at its time, and may renew it once or twice between.
+async fn until_rows_are_read(harness: &Harness, hosts: usize) {
+    until(|| versions(harness).len() == hosts).await;
+    for _ in 0..4 {
+        let before = versions(harness);
+        until(|| {
+            let renewed = versions(harness);
+            let mut pairs = renewed.iter().zip(&before);
+            renewed.len() == hosts && pairs.all(|(renewed, before)| renewed > before)
+        })
+        .await;
+    }
+}
+
 /// Waits for a condition.
 async fn until(mut condition: impl FnMut() -> bool) {
     let wait = async {
@@ -110,7 +128,7 @@
 /// against a quarantine that refuses healthy requests.
 #[tokio::test]
 async fn a_deadly_part_stops_at_every_host_and_healthy_requests_go_on() {
-    let (fleet, upstreams) = start_fleet(2, CHUNKED).await;
+    let (fleet, upstreams) = start_fleet(2).await;
     for round in 0..8 {
         for (index, host) in fleet.iter().enumerate() {
             let id = format!("healthy{round}-{index}");
@@ -152,7 +170,12 @@
 #[tokio::test]
 async fn crashes_count_in_responses_that_end_with_their_connection() {
     for start in ["\r\n", "\r\n: here\n", "\r\nid: 1\nda"] {
-        let (fleet, upstreams) = start_fleet(1, start).await;
+        let script = Script::Crash {
+            part: DEADLY,
+            start,
+            down: DOWN,
+        };
+        let (fleet, upstreams) = start_fleet_with(1, script).await;
         crash_until_refused(&fleet[0], "stream").await;
         let parts = format!("{COMMON},21,6");
         let (status, _) = send(&fleet[0], "stream", "healthy", &parts).await;
@@ -160,10 +183,66 @@
     }
 }
 
+/// Guards against a crash that passes for the end of a stream with neither a length nor chunks, and
+/// so accuses no part and looks complete to its caller.
+#[tokio::test]
+async fn crashes_that_end_unframed_streams_are_evidence() {
+    for text in ["", "id: 1\nda"] {
+        let script = Script::CrashUnframed {
+            part: DEADLY,
+            down: DOWN,
+            text,
+        };
+        let (fleet, upstreams) = start_fleet_with(1, script).await;
+        for round in 0..8 {
+            let parts = format!("{COMMON},21,9{round}");
+            let (status, body) = send(&fleet[0], "stream", &format!("s{round}"), &parts).await;
+            assert_eq!((status.as_u16(), body.contains("piece 4")), (200, true));
+            let parts = format!("{COMMON},{DEADLY},8{round}");
+            let (status, _) = send(&fleet[0], "stream", &format!("d{round}"), &parts).await;
+            assert_ne!(status, 200, "{text:?}: request {round} looks answered");
+            // Ends at the same instant would count once.
+            tokio::time::sleep(INSTANT).await;
+        }
+        let arrivals = deadly(&upstreams);
+        assert!(arrivals <= ARRIVAL_LIMIT, "{text:?}: {arrivals} were sent");
+    }
+}
+
+/// Guards against an answer without a length that passes for whole when a crash has ended it, and
+/// clears the part that was accused.
+#[tokio::test]
+async fn crashes_that_end_unframed_answers_clear_no_part() {
+    let script = Script::CrashUnframed {
+        part: DEADLY,
+        down: DOWN,
+        text: "",
+    };
+    let (fleet, upstreams) = start_fleet_with(1, script).await;
+    let is_refused = async || {
+        for round in 0..WHOLE_ANSWERS {
+            for path in ["safe", "stream"] {
+                let parts = format!("{COMMON},{DEADLY},8{round}");
+                if send(&fleet[0], path, &format!("{path}{round}"), &parts)
+                    .await
+                    .0
+                    == 503
+                {
+                    return true;
+                }
+                // Ends at the same instant would count once.
+                tokio::time::sleep(INSTANT).await;
+            }
+        }
+        false
+    };
+    assert!(is_refused().await, "{} were sent", deadly(&upstreams));
+}
+
 /// Guards against a host that starts later and sends what the others have quarantined.
 #[tokio::test]
 async fn a_new_host_learns_quarantined_parts_from_the_rows() {
-    let (fleet, upstreams) = start_fleet(1, CHUNKED).await;
+    let (fleet, upstreams) = start_fleet(1).await;
     crash_until_refused(&fleet[0], "resumable").await;
     let part = format!("{DEADLY:016x}");
     let is_in_row = |prefix: &str| {
@@ -182,6 +261,35 @@
     assert_eq!(send(&late, "safe", "healthy", &parts).await.0, 200);
 }
 
+/// Guards against hosts whose messages do not reach each other and that each need as many crashes
+/// as the fleet.
+#[tokio::test]
+async fn hosts_apart_count_crashes_together() {
+    let script = Script::Crash {
+        part: DEADLY,
+        start: CHUNKED,
+        // No upstream ends twice.
+        down: PATIENCE * 9,
+    };
+    let (mut harness, upstreams) = Harness::unlimited(vec![script; 8]).await;
+    harness.gateway.take().expect("it runs").stop().await;
+    let settings = Settings {
+        renew_interval: RENEWAL,
+        ..Settings::default()
+    };
+    let mut fleet = Vec::new();
+    for instance in ["h0", "h1", "h2"] {
+        fleet.push(harness.start_host_apart(instance, settings.clone()).await);
+    }
+    for (index, host) in fleet.iter().chain(&fleet).enumerate() {
+        let parts = format!("{COMMON},{DEADLY},{index}");
+        let (status, _) = send(host, "once", &format!("deadly{index}"), &parts).await;
+        assert_eq!(status == 503, index >= 3, "request {index}");
+        until_rows_are_read(&harness, fleet.len()).await;
+    }
+    assert_eq!(deadly(&upstreams), 3);
+}
+
 /// Returns the row of a process that has quarantined the deadly part.
 fn row() -> String {
     let now = SystemTime::now()
