Let callers leave in tests once their request has begun

`requests_that_are_given_up_in_their_run_are_billed` failed in 4 of 50 runs of its program at a load of about 50 (0 arrivals in place of 1): its caller left after 400 ms, in which the request may still wait for its tokens. `requests_that_come_back_are_billed` had a fixed wait of the same kind, and passed without a first run when that was too short. Both relied on 0.5 s in which the list of upstreams would be read.

The callers leave when the upstream has the request, and the upstream is listed before the gateway's first read.

--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -162,6 +162,20 @@
         (harness, upstreams)
     }
 
+    /// Starts a gateway with an upstream that runs already, and waits until the gateway is ready.
+    pub async fn with_upstream(
+        settings: Settings,
+        snapshot: Snapshot,
+        id: &str,
+        entry: Registration,
+    ) -> Self {
+        let harness = Self::set_up(settings, Some(snapshot), Duration::ZERO);
+        // Before the gateway's tasks run, so that its first read of the list has the entry.
+        harness.store.put(id, entry);
+        harness.until_ready().await;
+        harness
+    }
+
     /// Starts a gateway without upstreams, with or without a configuration.
     pub async fn without_upstreams(snapshot: Option<Snapshot>) -> Self {
         Self::with_transfer_time(snapshot, Duration::ZERO).await
--- a/crates/gateway/tests/slow_and_leaving_callers.rs
+++ b/crates/gateway/tests/slow_and_leaving_callers.rs
@@ -6,18 +6,17 @@
     harness::{Harness, KEY, entry, snapshot, upstream::Script},
     marigoldroute_core::{budget::Journal, forward::State},
     marigoldroute_gateway::Settings,
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpSocket, TcpStream},
+        sync::Notify,
         time::{Instant, sleep, timeout},
     },
 };
 
 /// Longest time for a step, far above what a local one takes.
 const PATIENCE: Duration = Duration::from_secs(20);
-/// Time in which the list of upstreams is read after a change.
-const LIST_TIME: Duration = Duration::from_millis(500);
 /// Size of a response of which few fit into the memory of a small host.
 const RESPONSE_BYTES: usize = 7 << 20;
 /// Memory for responses on a host of 96 MB.
@@ -33,25 +32,31 @@
     Queue,
 }
 
-async fn start_upstream(mode: Mode) -> SocketAddr {
+/// Starts an upstream; returns its address and a notification of its first request.
+async fn start_upstream(mode: Mode) -> (SocketAddr, Arc<Notify>) {
+    let begun = Arc::new(Notify::new());
+    let beginning = begun.clone();
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
         let mut number = 0;
         while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(answer(stream, mode, number));
+            tokio::spawn(answer(stream, mode, number, beginning.clone()));
             number += 1;
         }
     });
-    address
+    (address, begun)
 }
 
 /// Answers the request of a connection, until the gateway closes it.
-async fn answer(mut stream: TcpStream, mode: Mode, number: u32) -> Option<()> {
+async fn answer(mut stream: TcpStream, mode: Mode, number: u32, begun: Arc<Notify>) -> Option<()> {
     let mut text = Vec::new();
     while !text.ends_with(b"\r\n\r\n") {
         text.push(stream.read_u8().await.ok()?);
     }
+    if number == 0 {
+        begun.notify_one();
+    }
     let text = String::from_utf8_lossy(&text).into_owned();
     let mut lines = text.lines();
     let id = lines.find_map(|line| line.strip_prefix("x-request-id: "))?;
@@ -84,16 +89,15 @@
     std::future::pending().await
 }
 
-async fn harness(settings: Settings, mode: Mode) -> Harness {
+async fn harness(settings: Settings, mode: Mode) -> (Harness, Arc<Notify>) {
     let mut snapshot = snapshot(1, 1_000_000);
     for route in &mut snapshot.routes {
         route.timeout = PATIENCE;
     }
-    let (harness, _) = Harness::with_settings(settings, snapshot, vec![]).await;
-    let upstream = entry(start_upstream(mode).await, State::Ready);
-    harness.store.put("u0", upstream);
-    sleep(LIST_TIME).await;
-    harness
+    let (address, begun) = start_upstream(mode).await;
+    let upstream = entry(address, State::Ready);
+    let harness = Harness::with_upstream(settings, snapshot, "u0", upstream).await;
+    (harness, begun)
 }
 
 /// Sends a request on a connection with this size of the receive buffer.
@@ -138,7 +142,7 @@
         answer_memory: SMALL_MEMORY,
         ..Settings::default()
     };
-    let harness = harness(settings, Mode::Large).await;
+    let (harness, _) = harness(settings, Mode::Large).await;
     for id in ["slow1", "slow2"] {
         let mut slow = call(&harness, "safe", id, Some(4_096)).await;
         let mut status = [0; 12];
@@ -160,9 +164,10 @@
 /// given up.
 #[tokio::test]
 async fn requests_that_come_back_are_billed() {
-    let harness = harness(Settings::default(), Mode::Queue).await;
+    let (harness, begun) = harness(Settings::default(), Mode::Queue).await;
     let first = call(&harness, "stream", "r1", None).await;
-    sleep(Duration::from_millis(200)).await;
+    let begun = timeout(PATIENCE, begun.notified()).await;
+    begun.expect("the request is sent");
     drop(first);
     sleep(Duration::from_millis(30)).await;
     let again = harness.request("stream", "r1").send().await;
@@ -182,9 +187,13 @@
 #[tokio::test]
 async fn requests_that_are_given_up_in_their_run_are_billed() {
     let (harness, upstreams) = Harness::new(vec![Script::Silent]).await;
-    let request = harness.request("safe", "r1");
-    let request = request.timeout(Duration::from_millis(400));
-    assert!(request.send().await.is_err());
+    let call = tokio::spawn(harness.request("safe", "r1").send());
+    while upstreams[0].arrivals().is_empty() {
+        assert!(!call.is_finished(), "it is answered before its run");
+        sleep(Duration::from_millis(5)).await;
+    }
+    call.abort();
+    assert!(call.await.is_err(), "it is answered in its run");
     assert_eq!(upstreams[0].arrivals().len(), 1);
     assert_eq!(billed(&harness, "r1").await, [100]);
 }
