Round times to return up

Callers who were refused within half a millisecond of the next free turn were told to return after "0.000" seconds, before an upstream takes anything; other times were up to half a millisecond too short. The time was rounded to the nearest millisecond.

The time is rounded up.

`times_to_return_are_not_rounded_down` fails with the former rounding and passes now, with the other 5 tests in the library of the gateway.

--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -1,5 +1,8 @@
 //! Error responses that the gateway generates itself.
 
+#[cfg(test)]
+mod tests;
+
 use {
     crate::{
         frontend::{Body, full_body},
@@ -109,10 +112,14 @@
     *response.headers_mut() = protocol.error_headers(head);
     if let Some(delay) = error.retry_after() {
         let jitter = 1.0 + RETRY_JITTER * rand::rng().random::<f64>();
-        let seconds = format!("{:.3}", delay.as_secs_f64() * jitter);
-        if let Ok(value) = HeaderValue::from_str(&seconds) {
+        if let Ok(value) = HeaderValue::from_str(&seconds(delay.as_secs_f64() * jitter)) {
             response.headers_mut().insert(RETRY_AFTER, value);
         }
     }
     response
 }
+
+/// Returns a time in seconds, in milliseconds and rounded up, so that no caller returns early.
+fn seconds(time: f64) -> String {
+    format!("{:.3}", (time * 1_000.0).ceil() / 1_000.0)
+}
