Keep the connections on which tests send late copies

`late_copies_are_not_taken_for_answers` failed in 1 of 69 runs of faulty_upstreams at a load of about 33 (200 in place of 502): the next request came more than 0.4 s after the first, when the gateway had closed the idle connection, so that it got the first answer of a new one. The tests of late refusals depend on the same reuse.

The first answers and refusals state an idle timeout of 30 s.

--- a/crates/gateway/tests/faulty_upstreams.rs
+++ b/crates/gateway/tests/faulty_upstreams.rs
@@ -18,8 +18,8 @@
 /// Deadline that no request reaches unless a test fails.
 const DEADLINE: Duration = Duration::from_secs(200);
 
-const ANSWER: &str =
-    "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nfresh";
+/// States an idle timeout, so that the next request uses the connection on a busy machine, too.
+const ANSWER: &str = "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\nx-keep-alive: 30\r\ncontent-length: 5\r\n\r\nfresh";
 const STREAM: &str =
     "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n";
 
--- a/crates/gateway/tests/late_refusals.rs
+++ b/crates/gateway/tests/late_refusals.rs
@@ -13,8 +13,8 @@
     tokio::sync::Notify,
 };
 
-const ANSWER: &str =
-    "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nfresh";
+/// States an idle timeout, so that the next request uses the connection on a busy machine, too.
+const ANSWER: &str = "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\nx-keep-alive: 30\r\ncontent-length: 5\r\n\r\nfresh";
 
 /// Guards against a refusal of an earlier request, written once more, that is taken for one of a
 /// later request: that one may run, and must neither count as not run nor be sent elsewhere.
@@ -26,6 +26,7 @@
             id => format!("x-request-id: {id}\r\n"),
         };
         let text = format!("HTTP/1.1 {status} X\r\n{id}x-signed: 1\r\nx-not-run: 1\r\n");
+        let text = text + "x-keep-alive: 30\r\n";
         (text + "content-length: 0\r\n\r\n").leak()
     };
     let interim = |copy: &str| -> &'static str {
