--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -28,6 +28,10 @@
 /// The only workspace.
 pub const WORKSPACE: &str = "hostel";
 
+/// Wait for the reservation of tokens, above the deadline of the routes: on a busy machine the first
+/// row may take longer than the default.
+const RESERVE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// A gateway with its store, its upstreams and a client.
 pub struct Harness {
     pub store: Arc<MemoryStore>,
@@ -158,6 +162,20 @@
         (harness, upstreams)
     }
 
+    /// Starts a gateway with an upstream that runs already, and waits until the gateway is ready.
+    pub async fn with_upstream(
+        settings: Settings,
+        snapshot: Snapshot,
+        id: &str,
+        entry: Registration,
+    ) -> Self {
+        let harness = Self::set_up(settings, Some(snapshot), Duration::ZERO);
+        // Before the gateway's tasks run, so that its first read of the list has the entry.
+        harness.store.put(id, entry);
+        harness.until_ready().await;
+        harness
+    }
+
     /// Starts a gateway without upstreams, with or without a configuration.
     pub async fn without_upstreams(snapshot: Option<Snapshot>) -> Self {
         Self::with_transfer_time(snapshot, Duration::ZERO).await
@@ -177,6 +195,7 @@
         }
         let settings = Settings {
             deregistration_delay: Duration::from_millis(50),
+            reserve_timeout: RESERVE_TIMEOUT,
             ..settings
         };
         let mut harness = Self {
@@ -194,7 +213,8 @@
         harness
     }
 
-    /// Starts another host of the same fleet and waits until it is ready.
+    /// Starts another host of the same fleet, with exactly these settings but for its addresses, and
+    /// waits until it is ready.
     pub async fn start_host(&self, instance: &str, settings: Settings) -> Self {
         let settings = Settings {
             listen_peers: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
