--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -5,6 +5,7 @@
     std::{
         io::{self, BufReader, Write},
         net::{SocketAddr, TcpStream},
+        thread,
         time::{Duration, Instant},
     },
 };
@@ -19,6 +20,8 @@
     /// Prompt and output tokens, for a model.
     pub tokens: Option<(u64, u64)>,
     pub body: &'a [u8],
+    /// Pause within the head.
+    pub pause: Duration,
 }
 
 /// How a call ended.
@@ -36,6 +39,8 @@
     stream: TcpStream,
     /// Whether the machine has asked to close it.
     pub is_closing: bool,
+    /// When the last byte of a request was sent.
+    pub sent_at: Option<Instant>,
     /// When the machine wants the client back, by its last answer.
     pub retry_after: Option<Duration>,
 }
@@ -49,6 +54,7 @@
             reader,
             stream,
             is_closing: false,
+            sent_at: None,
             retry_after: None,
         })
     }
@@ -79,8 +85,14 @@
         );
         let limit = Duration::from_millis(call.deadline_ms + 3_000);
         self.stream.set_read_timeout(Some(limit))?;
-        self.stream.write_all(head.as_bytes())?;
+        let (begin, rest) = head.as_bytes().split_at(head.len() / 2);
+        self.stream.write_all(begin)?;
+        if !call.pause.is_zero() {
+            thread::sleep(call.pause);
+        }
+        self.stream.write_all(rest)?;
         self.stream.write_all(call.body)?;
+        self.sent_at = Some(Instant::now());
         let end = Instant::now() + limit;
         let Some((first, headers)) = http::read_head(&mut self.reader)? else {
             return Ok(Outcome::Broken(0));
--- a/review/standin/entries.rs
+++ b/review/standin/entries.rs
@@ -151,6 +151,7 @@
             deadline_ms: 4_000,
             tokens,
             body: b"text",
+            pause: Duration::ZERO,
         });
         let text = match outcome {
             Outcome::Answered(status, ..) => format!("{path}: status {status}"),
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -193,6 +193,13 @@
         }
     }
 
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        const SIGTERM: i32 = 15;
+        // SAFETY: the call takes no pointers; the process is a child that was not waited for.
+        unsafe { kill(self.id() as i32, SIGTERM) };
+    }
+
     /// Returns the resident memory of the process in bytes.
     pub fn memory(&self) -> u64 {
         let path = format!("/proc/{}/statm", self.id());
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod replica;
+mod stopping;
 mod store;
 mod succession;
 
@@ -48,6 +49,7 @@
     let play = || match name.as_str() {
         "bodies" => bodies::run(&temporary, &record, has_trouble),
         "entries" => entries::run(&temporary, &record, has_trouble),
+        "stopping" => stopping::run(&temporary, &record, has_trouble),
         "succession" => succession::run(&temporary, &record, has_trouble),
         _ => Err(format!("no case {name}")),
     };
--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -7,7 +7,7 @@
         store::Store,
     },
     std::{
-        io::{self, Read, Write},
+        io::{self, Write},
         net::{SocketAddr, TcpStream},
         sync::{
             Arc, Mutex,
@@ -162,7 +162,7 @@
     fn peek_closed(&mut self) -> bool {
         let start = Instant::now();
         let timeout = self.read_timeout().ok().flatten().unwrap_or_default();
-        match self.read(&mut [0; 0]).and_then(|_| self.peek(&mut [0; 1])) {
+        match self.peek(&mut [0; 1]) {
             Ok(0) => true,
             Ok(_) => {
                 thread::sleep(timeout.saturating_sub(start.elapsed()));
--- a/review/standin/succession.rs
+++ b/review/standin/succession.rs
@@ -192,6 +192,7 @@
             deadline_ms: left.as_millis() as u64,
             tokens: Some((PROMPT, OUTPUT)),
             body: b"a question",
+            pause: Duration::ZERO,
         });
         let (text, events) = match outcome {
             Outcome::Answered(status, events, _) => (format!("status {status}"), events),
