--- a/review/standin/entries.rs
+++ b/review/standin/entries.rs
@@ -24,8 +24,10 @@
 /// Time between two writes of a replica's entry, by the settings.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Requests a second.
-const RATE: u32 = 60;
-/// Time of the other writer's entry after the start of the traffic, and the end of the traffic.
+const RATE: u32 = 80;
+/// Entries of the other writer, each right after one of the replica.
+const ENTRIES: u32 = 4;
+/// Time of the first one after the start of the traffic, and the end of the traffic.
 const ENTRY_AT: Duration = Duration::from_millis(4_000);
 const END_AT: Duration = Duration::from_millis(12_000);
 
@@ -84,31 +86,34 @@
     }
     thread::sleep(Duration::from_secs(3));
     let counts = Counts::default();
-    let (begun, mut has_entry, mut calls) = (Instant::now(), !has_trouble, Vec::new());
+    if has_trouble {
+        // No `version`, `slots`, `cold_left_ms`, `seq` and `born`; and the service is not that of the
+        // replica.
+        let entry = format!(
+            r#"{{"service":"app","address":"{}","zone":"kolkata","state":"ready"}}"#,
+            models[0].address
+        );
+        let (store, record, id) = (store.clone(), record.clone(), models[0].id.clone());
+        thread::spawn(move || {
+            thread::sleep(ENTRY_AT);
+            // Each stands until the replica writes its own entry again.
+            for _ in 0..ENTRIES {
+                let last = beaten.load(Ordering::Relaxed);
+                while beaten.load(Ordering::Relaxed) == last {
+                    thread::sleep(Duration::from_millis(1));
+                }
+                record.line(&format!("another writer writes servers/{id}: {entry}"));
+                store.put("servers", &id, &entry);
+            }
+        });
+    }
+    let (begun, mut calls) = (Instant::now(), Vec::new());
     for number in 0.. {
         let due = Duration::from_secs(1) / RATE * number;
         thread::sleep(due.saturating_sub(begun.elapsed()));
         if begun.elapsed() > END_AT {
             break;
         }
-        if begun.elapsed() > ENTRY_AT && !has_entry {
-            has_entry = true;
-            // No `version`, `slots`, `cold_left_ms`, `seq` and `born`; and the service is not that of the replica.
-            let entry = format!(
-                r#"{{"service":"app","address":"{}","zone":"kolkata","state":"ready"}}"#,
-                models[0].address
-            );
-            // It stands until the replica writes its own entry again.
-            let last = beaten.load(Ordering::Relaxed);
-            while beaten.load(Ordering::Relaxed) == last {
-                thread::sleep(Duration::from_millis(1));
-            }
-            record.line(&format!(
-                "another writer writes servers/{}: {entry}",
-                models[0].id
-            ));
-            store.put("servers", &models[0].id, &entry);
-        }
         let (record, counts, frontend) = (record.clone(), counts.clone(), machine.frontend);
         calls.push(thread::spawn(move || {
             send(frontend, number, &record, &counts)
