Log and count requests that end without a response

Callers: none of the logs told a request whose caller left before its response from one that the host lost: both end after `upstream chosen`.

Cause: a stream logs `caller left` only after its head; a request before that is dropped by hyper without a trace.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -8,6 +8,7 @@
         relay::Relay,
         request::{ActiveRequest, Answer, Context},
         supervise::catch_panic,
+        unanswered::Unanswered,
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody},
@@ -105,7 +106,8 @@
                 return response;
             }
         };
-        match self.admit(&head, &mut body).await {
+        let unanswered = Unanswered::new(context.clone(), head.id.clone(), arrived);
+        let response = match self.admit(&head, &mut body).await {
             Ok(admitted) => self.forward(head, admitted, arrived).await,
             Err(error) => {
                 let left = self.caller_time_left(&head, arrived);
@@ -117,7 +119,9 @@
                 self.record_unread(is_read, &response);
                 response
             }
-        }
+        };
+        unanswered.finish();
+        response
     }
 
     /// Returns the time for which the caller still waits for the response.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod store;
 mod succession;
 mod supervise;
+mod unanswered;
 mod view;
 mod watch;
 
--- a/crates/gateway/tests/metrics.rs
+++ b/crates/gateway/tests/metrics.rs
@@ -41,3 +41,36 @@
     assert!(text.contains("marigoldroute_gateway_requests_total{outcome=\"answered\"} 1"));
     harness.gateway.take().expect("it runs").stop().await;
 }
+
+/// Guards against requests that end without a response and without a trace of it.
+#[tokio::test]
+async fn requests_without_a_response_are_counted() {
+    let address = TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr());
+    let address = address.expect("an address");
+    let settings = Settings {
+        listen_metrics: Some(address),
+        ..Settings::default()
+    };
+    let scripts = vec![Script::Silent];
+    let (harness, upstreams) =
+        Harness::with_settings(settings, snapshot(1, 1_000_000), scripts).await;
+    let call = tokio::spawn(harness.request("safe", "r1").send());
+    while upstreams[0].arrivals().is_empty() {
+        tokio::task::yield_now().await;
+    }
+    call.abort();
+    let url = format!("http://{address}/metrics");
+    let unanswered = async {
+        loop {
+            if let Ok(response) = harness.client.get(&url).send().await {
+                let text = response.text().await.expect("a text");
+                if text.contains("marigoldroute_gateway_requests_total{outcome=\"unanswered\"} 1") {
+                    return;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let counted = tokio::time::timeout(PATIENCE, unanswered).await;
+    counted.expect("the request is counted");
+}
