Refuse requests that a planned stop leaves too little time for

What callers saw: requests that arrived late in a planned stop, as their heads or bodies came slowly or they waited for a place or a retry, were sent to an upstream and cut at the drain limit without an answer, among them requests that may not be repeated.

Cause: nothing compared the rest of the stop with the time that a request takes; a stop only stopped accepting connections.

Change: forward::Forecast follows the longest recent requests of each route, and the recent pace of events where a request states its output tokens. A request that is not expected to end before the stop does, and whose deadline lies beyond it, is refused as not run: when its head arrives, before tokens are reserved, while it waits for a place, and right before the first byte is written (ActiveRequest::start_exchange, which first tries, retries, resumed and moved streams share). One that may have run fails as before. The scripted upstream of the tests sends without Nagle's algorithm, as otherwise its events arrive in one piece.

--- a/crates/core/src/forward/mod.rs
+++ b/crates/core/src/forward/mod.rs
@@ -3,10 +3,12 @@
 //! A [`Directory`] looks up the route and the workspace of a request in one configuration version,
 //! [`retry`] decides whether to retry after an attempt, [`Allowance`] bounds the retries of the
 //! whole fleet, [`Roster`] tracks which upstreams may receive work, [`Sequence`] checks the order
-//! of a stream's events, and [`Stall`] detects stalled streams.
+//! of a stream's events, [`Stall`] detects stalled streams, and [`Forecast`] tells how long requests
+//! last.
 
 mod allowance;
 mod directory;
+pub mod forecast;
 pub mod retry;
 mod roster;
 mod sequence;
@@ -19,6 +21,7 @@
 pub use {
     allowance::{Allowance, Settings as AllowanceSettings},
     directory::{Access, AccessError, Directory},
+    forecast::Forecast,
     roster::{Change, Registration, Roster, State},
     sequence::{Accepted, Rejected, Sequence, event_id},
     snapshot::{ColdStart, Engine, Kind, Limits, Route, Service, Snapshot, Target, Workspace},
--- a/crates/core/src/forward/retry.rs
+++ b/crates/core/src/forward/retry.rs
@@ -14,6 +14,9 @@
     /// Nothing was sent, since the upstream took no requests any more by the time it was to be.
     #[display("held back")]
     Barred,
+    /// Nothing was sent, since the process stops before the request could end.
+    #[display("too late")]
+    Late,
     /// The upstream stated that it did not run the request.
     #[display("not run")]
     Refused,
@@ -28,12 +31,17 @@
 impl Outcome {
     /// Returns whether the attempt certainly did not run the request.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::Unsent | Self::Barred | Self::Refused)
+        self.is_unsent() || self == Self::Refused
     }
 
     /// Returns whether no byte of the request reached an upstream.
     pub fn is_unsent(self) -> bool {
-        matches!(self, Self::Unsent | Self::Barred)
+        self == Self::Unsent || self.is_held_back()
+    }
+
+    /// Returns whether the request was kept from an upstream that could have been sent it.
+    pub fn is_held_back(self) -> bool {
+        matches!(self, Self::Barred | Self::Late)
     }
 }
 
@@ -69,7 +77,8 @@
     /// Returns whether the kind of request, the attempt limit and the time left allow another
     /// attempt.
     pub fn is_repeatable(&self) -> bool {
-        (self.outcome.is_not_run() || self.kind.is_repeatable())
+        self.outcome != Outcome::Late
+            && (self.outcome.is_not_run() || self.kind.is_repeatable())
             && self.sent < self.attempt_limit
             && self.remaining >= MIN_ATTEMPT_TIME
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -165,6 +165,8 @@
     Closed(Duration),
     /// No upstream is known that was not tried.
     NoCandidate,
+    /// The process stops before the request could end.
+    Stopping,
     /// A part of the prompt is quarantined for this time.
     Quarantined(Duration),
 }
--- /dev/null
+++ b/crates/gateway/src/drain.rs
@@ -0,0 +1,107 @@
+//! The planned stop: until when requests may run, and which are still taken.
+
+use {
+    crate::{Clock, protocol::RequestHead, settings::Settings, view::lock},
+    marigoldroute_core::forward::{
+        Access, Forecast, Service,
+        forecast::{self, Response},
+    },
+    std::{
+        sync::{Arc, Mutex, OnceLock},
+        time::Duration,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time before the end of a planned stop at which requests that still wait for an upstream or for
+/// its response get an error response.
+const REFUSAL_TIME: Duration = Duration::from_millis(300);
+
+/// The planned stop of a process, if it has begun.
+pub(crate) struct Drain {
+    clock: Clock,
+    limit: Duration,
+    /// When requests are cut.
+    end: OnceLock<Duration>,
+    /// Cancelled when requests without a response have to end.
+    pub(crate) ending: CancellationToken,
+    forecast: Mutex<Forecast>,
+}
+
+impl Drain {
+    pub(crate) fn new(clock: Clock, settings: &Settings) -> Self {
+        Self {
+            clock,
+            limit: settings.drain_limit,
+            end: OnceLock::new(),
+            ending: CancellationToken::new(),
+            forecast: Mutex::default(),
+        }
+    }
+
+    /// Begins the stop.
+    pub(crate) fn start(&self) {
+        self.end.get_or_init(|| self.clock.now() + self.limit);
+    }
+
+    /// Returns the time until requests are cut; none before the stop.
+    pub(crate) fn time_left(&self) -> Option<Duration> {
+        let end = self.end.get()?;
+        Some(end.saturating_sub(self.clock.now()))
+    }
+
+    /// Returns the time until requests without a response have to end.
+    pub(crate) fn patience(&self) -> Duration {
+        let left = self.time_left().unwrap_or(Duration::MAX);
+        left.saturating_sub(REFUSAL_TIME)
+    }
+
+    /// Returns for how long a request may still wait before it is sent to an upstream, which is zero
+    /// if the stop leaves too little time for it.
+    pub(crate) fn slack(&self, prospect: &Prospect<'_>) -> Duration {
+        let Some(end) = self.end.get() else {
+            return Duration::MAX;
+        };
+        let now = self.clock.now();
+        let route = &prospect.access.route.name;
+        let expected = lock(&self.forecast).expect(now, route, prospect.response());
+        let end = end.saturating_sub(REFUSAL_TIME);
+        forecast::slack(now, end, prospect.deadline, expected)
+    }
+
+    /// Records the time from sending a request to its answer or its first event.
+    pub(crate) fn record_wait(&self, route: &Arc<str>, wait: Duration) {
+        lock(&self.forecast).record_wait(self.clock.now(), route, wait);
+    }
+
+    /// Records a stream with its number of events, the first of which came at `begun`.
+    pub(crate) fn record_stream(&self, route: &Arc<str>, events: u64, begun: Duration) {
+        let now = self.clock.now();
+        let time = now.saturating_sub(begun);
+        lock(&self.forecast).record_stream(now, route, events, time);
+    }
+}
+
+/// What tells how long a request that is to be sent will last.
+pub(crate) struct Prospect<'a> {
+    pub(crate) head: &'a RequestHead,
+    pub(crate) access: &'a Access,
+    pub(crate) service: &'a Service,
+    pub(crate) deadline: Duration,
+    /// Id of the last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+}
+
+impl Prospect<'_> {
+    fn response(&self) -> Response {
+        if !self.access.route.kind.is_stream() {
+            return Response::Whole;
+        }
+        let engine = self.service.engine.as_ref();
+        let events = engine.zip(self.head.usage).map(|(engine, usage)| {
+            let events = usage.output.div_ceil(engine.event_tokens.max(1));
+            events.saturating_sub(self.last_event.unwrap_or(0))
+        });
+        Response::Stream(events)
+    }
+}
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -55,6 +55,10 @@
     /// A part of the prompt is quarantined; holds the time until the end of the quarantine.
     #[display("a part of the prompt crashes upstreams")]
     Quarantined(Duration),
+    /// The process stops before the request could end, and it has not run; holds the time after
+    /// which the caller should return.
+    #[display("the host is stopping")]
+    Stopping(Duration),
     /// Every attempt ended without a run of the request.
     #[display("the upstreams refused the request")]
     Refused,
@@ -82,6 +86,7 @@
             | Self::NoUpstream
             | Self::RateLimited(_)
             | Self::Quarantined(_)
+            | Self::Stopping(_)
             | Self::Refused => StatusCode::SERVICE_UNAVAILABLE,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -94,7 +99,8 @@
             Self::Unconfigured => Some(Duration::from_millis(500)),
             Self::BudgetUnreachable(after)
             | Self::RateLimited(after)
-            | Self::Quarantined(after) => Some(after),
+            | Self::Quarantined(after)
+            | Self::Stopping(after) => Some(after),
             Self::NoUpstream | Self::Refused => Some(Duration::from_millis(200)),
             _ => None,
         }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        drain::Prospect,
         error::{self, Error},
         memory::Permit,
         protocol::{RequestHead, ResponseHead},
@@ -105,10 +106,16 @@
                 return response;
             }
         };
-        match self.admit(&head, &mut body).await {
+        match self.admit(&head, &mut body, arrived).await {
             Ok(admitted) => self.forward(head, admitted, arrived).await,
             Err(error) => {
                 let left = self.caller_time_left(&head, arrived);
+                // The response has to be sent before the process ends.
+                let left = self
+                    .0
+                    .drain
+                    .time_left()
+                    .map_or(left, |end| left.min(end / 2));
                 // Reading the body has sent the interim response.
                 let was_read = matches!(error, Error::TooLarge | Error::Incomplete | Error::Late);
                 let expects_continue = expects_continue && !was_read;
@@ -149,16 +156,29 @@
         &self,
         head: &RequestHead,
         body: &mut (impl RequestBody + Unpin),
+        arrived: Duration,
     ) -> Result<Admitted, Error> {
         let directory = self.0.view.directory().ok_or(Error::Unconfigured)?;
         let access = directory.find(&head.host, head.target.path(), head.key.as_deref());
         let access = access.map_err(Error::Access)?;
         let service = choose_service(&directory, &access).ok_or(Error::NoUpstream)?;
+        let prospect = Prospect {
+            head,
+            access: &access,
+            service: &service,
+            deadline: arrived + head.time_limit(&access.route),
+            last_event: head.last_event,
+        };
+        let drain = &self.0.drain;
+        if drain.slack(&prospect).is_zero() {
+            return Err(self.0.stopping());
+        }
         let limit = directory.limits().body_bytes;
         let timeout = head.timeout.unwrap_or(BODY_TIMEOUT);
         let timeout = timeout.min(access.route.timeout);
-        let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
-        match read {
+        let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect());
+        let read = drain.ending.run_until_cancelled(read).await;
+        match read.ok_or_else(|| self.0.stopping())? {
             Ok(Ok(body)) => Ok(Admitted {
                 access,
                 service,
@@ -189,6 +209,9 @@
             let error = request.record_quarantined(rest);
             return self.reject(Some(&request.head), arrived, error);
         }
+        if request.is_too_late(last_event) {
+            return self.reject(Some(&request.head), arrived, self.0.stopping());
+        }
         if let Err(error) = request.reserve().await {
             return self.reject(Some(&request.head), arrived, error);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod accept;
 mod dispatch;
+mod drain;
 mod error;
 mod escrow;
 mod exchange;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -5,6 +5,7 @@
         Clock,
         accept::accept,
         dispatch::Dispatcher,
+        drain::Drain,
         escrow::{Escrow, Reserver, Responder, Writer},
         frontend::Frontend,
         listen::acceptor,
@@ -43,20 +44,16 @@
 /// Time between two removals of expired idle connections.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time before the end of a planned stop at which requests that still wait for an upstream or for
-/// its response get an error response.
-const REFUSAL_TIME: Duration = Duration::from_millis(300);
-
 /// A running gateway. Dropping it does not stop the tasks.
 pub struct Handle {
     addresses: Addresses,
     settings: Arc<Settings>,
     escrow: Arc<Escrow>,
     view: Arc<View>,
+    dispatcher: Arc<Dispatcher>,
+    drain: Arc<Drain>,
     /// Cancelled when no new connections are accepted any more and idle ones are closed.
     close: CancellationToken,
-    /// Cancelled when requests without a response have to end.
-    ending: CancellationToken,
     /// Cancelled when the background tasks have to end.
     stop: CancellationToken,
     /// Connections of callers.
@@ -106,7 +103,8 @@
     let escrow = Arc::new(Escrow::new(process.clone(), clock, &settings));
     let pool = Arc::new(Pool::new(clock, metrics.clone(), settings.connect_timeout));
     let quarantine = Arc::new(Quarantine::new(clock, metrics.clone()));
-    let [close, ending, stop] = std::array::from_fn(|_| CancellationToken::new());
+    let drain = Arc::new(Drain::new(clock, &settings));
+    let [close, stop] = std::array::from_fn(|_| CancellationToken::new());
     let (connections, tasks) = (TaskTracker::new(), TaskTracker::new());
     let peers = match settings.listen_peers {
         Some(address) => Some(Arc::new(Peers::bind(
@@ -139,7 +137,7 @@
         quota: Quota::new(settings.answer_memory),
         metrics: metrics.clone(),
         settings: settings.clone(),
-        ending: ending.clone(),
+        drain: drain.clone(),
     });
     let callers = accept(settings.listen, Frontend(context), &connections, &close)?;
     let ready = serve(
@@ -185,7 +183,7 @@
         clock,
         store: store.clone(),
         view: view.clone(),
-        dispatcher,
+        dispatcher: dispatcher.clone(),
         quarantine,
         peers,
         reserver: reserver.clone(),
@@ -212,8 +210,9 @@
         settings,
         escrow,
         view,
+        dispatcher,
+        drain,
         close,
-        ending,
         stop,
         connections,
         tasks,
@@ -230,21 +229,19 @@
     /// taken the host out, lets requests finish, and returns unspent tokens.
     pub async fn stop(self) {
         log::info!("planned stop");
+        self.drain.start();
         self.view.start_draining();
+        // Requests that wait for a place look again whether there is time for them.
+        self.dispatcher.capacity_freed.notify_waiters();
         self.escrow.require_write_ahead();
         tokio::time::sleep(self.settings.deregistration_delay).await;
         self.close.cancel();
-        let remaining = self
-            .settings
-            .drain_limit
-            .saturating_sub(self.settings.deregistration_delay);
         self.connections.close();
-        let patience = remaining.saturating_sub(REFUSAL_TIME);
-        let ended = tokio::time::timeout(patience, self.connections.wait()).await;
+        let ended = tokio::time::timeout(self.drain.patience(), self.connections.wait()).await;
         if ended.is_err() {
             log::info!(left = self.connections.len(); "requests without a response end");
-            self.ending.cancel();
-            let left = remaining.saturating_sub(patience);
+            self.drain.ending.cancel();
+            let left = self.drain.time_left().unwrap_or_default();
             wait(&self.connections, left, "requests cut at the drain limit").await;
         }
         self.stop.cancel();
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -3,6 +3,7 @@
 use {
     derive_more::{Display, Error},
     marigoldroute_core::{
+        forward::Route,
         id::{ModelId, RequestId, Tokens, UpstreamId, WorkspaceId},
         throttle::Statement,
     },
@@ -62,6 +63,13 @@
     pub prompt_parts: Vec<PromptPart>,
 }
 
+impl RequestHead {
+    /// Returns the time in which the response is due: that of the caller, at most that of the route.
+    pub(crate) fn time_limit(&self, route: &Route) -> Duration {
+        self.timeout.unwrap_or(route.timeout).min(route.timeout)
+    }
+}
+
 /// Why the head of a request cannot be parsed.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum Malformed {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,7 +20,7 @@
         route::Progress,
     },
     marigoldroute_process::logs::REQUESTS,
-    std::io,
+    std::{io, time::Duration},
 };
 
 /// Reason of the failure of a stream that its caller no longer waits for.
@@ -35,6 +35,8 @@
     stream: Option<Box<Stream>>,
     sequence: Sequence,
     stall: Stall,
+    /// When the first event came.
+    begun: Duration,
     /// Output tokens billed for an event.
     event_tokens: u64,
 }
@@ -57,6 +59,7 @@
         if self.stream.is_none() {
             return;
         }
+        self.record_pace();
         let clock = self.request.context.clock;
         log::info!(
             target: REQUESTS,
@@ -74,6 +77,7 @@
         Self {
             sequence: Sequence::new(request.head.last_event),
             stall: request.start_stall_timer(),
+            begun: request.context.clock.now(),
             event_tokens: engine.map_or(1, |engine| engine.event_tokens.max(1)),
             head: stream.exchange.head.clone(),
             stream: Some(stream),
@@ -120,7 +124,7 @@
     async fn step(&mut self) -> Step {
         let clock = self.request.context.clock;
         let deadline = clock.instant(self.request.deadline).into();
-        let is_movable = self.request.is_movable();
+        let is_movable = self.request.is_movable(self.sequence.last());
         let stalled_at = clock.instant(self.stall.deadline()).into();
         let Some(stream) = &mut self.stream else {
             return Step::End;
@@ -205,6 +209,7 @@
         }
         // Close the connection, which cancels the run, before another run starts.
         give_up(&mut self.stream);
+        self.record_pace();
         let last = self.sequence.last();
         log::info!(
             target: REQUESTS,
@@ -216,6 +221,10 @@
             self.record_cut(failure, "events without an id were relayed");
             return false;
         }
+        if self.request.is_too_late(last) {
+            self.record_cut(failure, "the process stops");
+            return false;
+        }
         if !self.request.admit_resume() {
             self.record_cut(failure, "no retry is allowed");
             return false;
@@ -258,8 +267,19 @@
         );
     }
 
+    /// Records how long the events have taken so far.
+    fn record_pace(&self) {
+        let (request, events) = (&self.request, self.sequence.relayed());
+        let route = &request.access.route.name;
+        request
+            .context
+            .drain
+            .record_stream(route, events, self.begun);
+    }
+
     /// Records that the stream is complete.
     fn finish(&mut self) {
+        self.record_pace();
         if let Some(stream) = self.stream.take() {
             let tokens = self.sequence.relayed().saturating_mul(self.event_tokens);
             let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod handover;
 mod opening;
+mod stop;
 
 pub(crate) use {
     handover::{Continuation, give_up},
@@ -13,6 +14,7 @@
     crate::{
         Clock,
         dispatch::{Dispatcher, Unavailable},
+        drain::Drain,
         error::Error,
         escrow::{Refusal, Reservation, ReservationSpec, Reserver},
         exchange::{Exchange, Failure},
@@ -38,7 +40,6 @@
     },
     marigoldroute_process::logs::TOKENS,
     std::{collections::VecDeque, sync::Arc, time::Duration},
-    tokio_util::sync::CancellationToken,
 };
 
 /// Reason of the failure of a stream that an upstream ended without an event or a mark of the end,
@@ -62,8 +63,7 @@
     pub(crate) quota: Quota,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) settings: Arc<Settings>,
-    /// Cancelled when requests without a response have to end, as the process stops.
-    pub(crate) ending: CancellationToken,
+    pub(crate) drain: Arc<Drain>,
 }
 
 /// The result of a request, to be returned to the caller.
@@ -172,8 +172,7 @@
         body: Bytes,
         arrived: Duration,
     ) -> Self {
-        let timeout = head.timeout.unwrap_or(access.route.timeout);
-        let deadline = arrived + timeout.min(access.route.timeout);
+        let deadline = arrived + head.time_limit(&access.route);
         let profile = context.dispatcher.profile(&head, access.priority());
         Self {
             parts: shared_parts(&head.prompt_parts),
@@ -213,9 +212,11 @@
     }
 
     /// Returns whether a stream that has begun, or is about to, may continue at another upstream
-    /// by its kind, its attempts, its time and the allowance of retries.
-    pub(crate) fn is_movable(&self) -> bool {
+    /// after the event with the id `last` by its kind, its attempts, its time and the allowance of
+    /// retries.
+    pub(crate) fn is_movable(&self, last: Option<u64>) -> bool {
         self.kind() == Kind::Resumable
+            && !self.is_too_late(last)
             && self.running_attempt().is_repeatable()
             && self.context.dispatcher.has_retry(&self.service.name)
     }
@@ -273,8 +274,13 @@
             .context
             .reserver
             .reserve(spec, reserve_by.min(self.deadline));
-        let reserved = self.context.ending.run_until_cancelled(reserving).await;
-        let reserved = reserved.ok_or(Error::BudgetUnreachable(reserve_timeout))?;
+        let reserved = self
+            .context
+            .drain
+            .ending
+            .run_until_cancelled(reserving)
+            .await;
+        let reserved = reserved.ok_or_else(|| self.context.stopping())?;
         self.reservation = Some(reserved.map_err(|refusal| match refusal {
             Refusal::Exhausted => Error::BudgetExhausted,
             Refusal::Unreachable { retry_after } => Error::BudgetUnreachable(retry_after),
@@ -290,7 +296,7 @@
         let mut failure = None;
         let (context, parts) = (self.context.clone(), self.parts.clone());
         loop {
-            let remaining = self.remaining();
+            let (started, remaining) = (context.clock.now(), self.remaining());
             let attempt = tokio::time::timeout(remaining, self.attempt(last_event));
             let received = tokio::select! {
                 biased;
@@ -298,7 +304,7 @@
                 rest = context.quarantine.wait(&parts) => {
                     return Answer::Error(self.record_quarantined(rest));
                 }
-                () = context.ending.cancelled() => return self.timed_out(),
+                () = context.drain.ending.cancelled() => return self.timed_out(),
             };
             let outcome = match received {
                 Ok(Ok(Received::Final(answer))) => return answer,
@@ -310,7 +316,13 @@
                 Ok(Err(Interrupted::Unassigned(reason))) => {
                     return failure.unwrap_or_else(|| self.without_upstream(reason));
                 }
-                Err(_) => return failure.unwrap_or_else(|| self.timed_out()),
+                Err(_) => {
+                    if self.sent > 0 {
+                        let wait = context.clock.now().saturating_sub(started);
+                        context.drain.record_wait(&self.access.route.name, wait);
+                    }
+                    return failure.unwrap_or_else(|| self.timed_out());
+                }
             };
             let is_still_unexecuted = outcome.is_not_run() && self.is_unexecuted;
             if let Some(reservation) = self.reservation.as_mut().filter(|_| is_still_unexecuted) {
@@ -328,6 +340,9 @@
             let acquire_retry = || self.context.dispatcher.acquire_retry(&self.service.name);
             match retry::decide(&attempt, acquire_retry) {
                 Decision::Retry => {}
+                Decision::Refuse if outcome == Outcome::Late => {
+                    return Answer::Error(context.stopping());
+                }
                 Decision::Refuse => return Answer::Error(self.refused()),
                 Decision::Fail => return failure.unwrap_or(Answer::Error(Error::Failed)),
             }
@@ -339,6 +354,7 @@
         Answer::Error(match reason {
             Unavailable::Quarantined(rest) => self.record_quarantined(rest),
             _ if !self.is_unexecuted => Error::Failed,
+            Unavailable::Stopping => self.context.stopping(),
             Unavailable::Closed(retry_after) => Error::RateLimited(retry_after),
             Unavailable::Busy(_) | Unavailable::NoCandidate => Error::NoUpstream,
         })
@@ -370,6 +386,8 @@
         let may_have_run = !self.is_unexecuted || self.sent > 0;
         Answer::Error(if may_have_run {
             Error::Timeout
+        } else if self.context.drain.ending.is_cancelled() {
+            self.context.stopping()
         } else {
             Error::NoUpstream
         })
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -48,7 +48,7 @@
         &mut self,
         last_event: Option<u64>,
     ) -> Result<Received, Interrupted> {
-        let assigned = self.acquire_upstream().await;
+        let assigned = self.acquire_upstream(last_event).await;
         let mut in_flight = assigned.map_err(Interrupted::Unassigned)?;
         let upstream = in_flight.upstream.clone();
         self.tried.push(upstream.clone());
@@ -77,7 +77,7 @@
                         break;
                     }
                     self.sent -= 1;
-                    if failure.outcome == Outcome::Barred {
+                    if failure.outcome.is_held_back() {
                         self.forget_choice(in_flight);
                         self.record_failure(&upstream, started, &failure);
                         return Err(Interrupted::Failed(failure.outcome));
@@ -114,17 +114,21 @@
 
     /// Assigns an upstream, with a permit if it has stated a rate, waiting while every candidate is
     /// at its limit.
-    async fn acquire_upstream(&self) -> Result<InFlight, Unavailable> {
+    async fn acquire_upstream(&self, last_event: Option<u64>) -> Result<InFlight, Unavailable> {
         let context = &self.context;
         loop {
             let capacity_freed = context.dispatcher.capacity_freed.notified();
+            let slack = self.slack(last_event);
+            if slack.is_zero() {
+                return Err(Unavailable::Stopping);
+            }
             match self.try_acquire_upstream().await {
                 Ok(Some(in_flight)) => return Ok(in_flight),
                 Ok(None) => {}
                 Err(Unavailable::Busy(opens_after)) => {
                     let opens_after = opens_after.unwrap_or(self.remaining());
                     // Either way, the candidates are looked at again.
-                    let _ = tokio::time::timeout(opens_after, capacity_freed).await;
+                    let _ = tokio::time::timeout(opens_after.min(slack), capacity_freed).await;
                 }
                 Err(unavailable) => return Err(unavailable),
             }
@@ -188,6 +192,10 @@
         connection: Connection,
         last_event: Option<u64>,
     ) -> Result<Exchange, (InFlight, Failure)> {
+        if self.is_too_late(last_event) {
+            let failure = Failure::new(Outcome::Late, "the process stops");
+            return Err((in_flight, failure));
+        }
         let upstream = in_flight.upstream.clone();
         let attempt = Attempt {
             upstream: &upstream,
@@ -331,6 +339,9 @@
         metrics.attempts.with_label_values(&["answered"]).inc();
         let elapsed = self.context.clock.now().saturating_sub(started);
         metrics.attempt.observe(elapsed.as_secs_f64());
+        self.context
+            .drain
+            .record_wait(&self.access.route.name, elapsed);
         let status = exchange.head.status.as_u16();
         log::debug!(
             target: REQUESTS,
--- a/crates/gateway/src/request/handover.rs
+++ b/crates/gateway/src/request/handover.rs
@@ -251,7 +251,7 @@
                 }
             };
             self.sent -= u32::from(failure.outcome.is_unsent());
-            if failure.outcome == Outcome::Barred {
+            if failure.outcome.is_held_back() {
                 self.forget_choice(in_flight);
                 return Err(failure);
             }
--- a/crates/gateway/src/request/opening.rs
+++ b/crates/gateway/src/request/opening.rs
@@ -102,7 +102,10 @@
             if stream.splitter.is_partial() {
                 stall.get_or_insert_with(|| self.start_stall_timer());
             }
-            let Some(read) = self.read_unless_stalled(&mut stream.exchange, stall).await else {
+            let Some(read) = self
+                .read_unless_stalled(&mut stream.exchange, stall, sequence.last())
+                .await
+            else {
                 return Ok(Some(Stalled));
             };
             stream.push(read)?;
@@ -115,8 +118,9 @@
         &self,
         exchange: &mut Exchange,
         stall: &mut Option<Stall>,
+        last: Option<u64>,
     ) -> Option<Result<Option<Bytes>, Failure>> {
-        let Some(stall) = stall.as_mut().filter(|_| self.is_movable()) else {
+        let Some(stall) = stall.as_mut().filter(|_| self.is_movable(last)) else {
             return Some(exchange.read().await);
         };
         let stalled_at = self.context.clock.instant(stall.deadline());
--- /dev/null
+++ b/crates/gateway/src/request/stop.rs
@@ -0,0 +1,38 @@
+//! Requests beside a planned stop.
+
+use {
+    super::{ActiveRequest, Context},
+    crate::{drain::Prospect, error::Error},
+    std::time::Duration,
+};
+
+/// Time after which the caller of a host that stops should return, to another host.
+const OTHER_HOST_DELAY: Duration = Duration::from_millis(10);
+
+impl Context {
+    /// Returns the error of a request that the stop of the process leaves too little time for.
+    pub(crate) fn stopping(&self) -> Error {
+        let is_alone = self.view.hosts() == Some(1);
+        let left = self.drain.time_left().filter(|_| is_alone);
+        Error::Stopping(left.unwrap_or(OTHER_HOST_DELAY))
+    }
+}
+
+impl ActiveRequest {
+    /// Returns for how long the request may wait before it is sent to continue after this event, so
+    /// that it ends before the process does.
+    pub(super) fn slack(&self, last_event: Option<u64>) -> Duration {
+        self.context.drain.slack(&Prospect {
+            head: &self.head,
+            access: &self.access,
+            service: &self.service,
+            deadline: self.deadline,
+            last_event,
+        })
+    }
+
+    /// Returns whether the process stops before the request could end, if it is sent now.
+    pub(crate) fn is_too_late(&self, last_event: Option<u64>) -> bool {
+        self.slack(last_event).is_zero()
+    }
+}
--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -138,6 +138,8 @@
                 tokio::select! {
                     accepted = listener.accept() => {
                         let (stream, _) = accepted.expect("a connection");
+                        // Otherwise, events wait for the acknowledgement of those before.
+                        stream.set_nodelay(true).expect("it is open");
                         connections.spawn(serve(stream, connection.clone()));
                     }
                     () = crash.notified() => {
--- /dev/null
+++ b/crates/gateway/tests/late_in_stops.rs
@@ -0,0 +1,254 @@
+//! Requests that reach their upstream late in a planned stop, or would.
+
+mod harness;
+
+use {
+    harness::{
+        Harness, KEY, snapshot,
+        upstream::{Script, Upstream},
+    },
+    marigoldroute_core::forward::Snapshot,
+    marigoldroute_gateway::Settings,
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        sync::Notify,
+        task::JoinHandle,
+        time::timeout,
+    },
+};
+
+/// Longest time for a step, far above what a local one takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Drain limit of stops that are to last.
+const LONG_STOP: Duration = Duration::from_secs(20);
+/// Timeout of the routes, beyond the end of each stop.
+const TIMEOUT: Duration = Duration::from_secs(60);
+/// Requests of a route after which it is known how long they last.
+const KNOWN: usize = 12;
+
+/// Returns a configuration whose routes have a timeout beyond the end of each stop.
+fn long_routes() -> Snapshot {
+    let mut snapshot = snapshot(1, 1_000_000);
+    for route in &mut snapshot.routes {
+        route.timeout = TIMEOUT;
+    }
+    snapshot
+}
+
+async fn start(
+    drain_limit: Duration,
+    snapshot: Snapshot,
+    scripts: Vec<Script>,
+) -> (Harness, Vec<Upstream>) {
+    let settings = Settings {
+        drain_limit,
+        ..Settings::default()
+    };
+    Harness::with_settings(settings, snapshot, scripts).await
+}
+
+/// Begins a planned stop.
+async fn begin_stop(harness: &mut Harness) -> JoinHandle<()> {
+    let stopping = tokio::spawn(harness.gateway.take().expect("it runs").stop());
+    let begun = async {
+        while harness.is_ready().await {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(PATIENCE, begun).await.expect("the stop begins");
+    stopping
+}
+
+/// Returns the text of a request with a body of ten bytes.
+fn text(path: &str, id: &str, more: &str) -> String {
+    format!(
+        "POST /{path}/x HTTP/1.1\r\nhost: desk.example\r\nx-request-id: {id}\r\nx-key: {KEY}\r\n\
+         x-tokens: 100,50\r\n{more}content-length: 10\r\n\r\n0123456789"
+    )
+}
+
+/// Sends a text on a new connection.
+async fn send(harness: &Harness, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(harness.callers).await.expect("connects");
+    stream.write_all(text.as_bytes()).await.expect("it is open");
+    stream
+}
+
+/// Reads until the connection is closed.
+async fn read_all(mut stream: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let read = timeout(PATIENCE, stream.read_to_end(&mut bytes)).await;
+    // A connection that was reset ends as well.
+    let _ = read.expect("the connection ends");
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Waits until a request has arrived at one of the upstreams; returns which.
+async fn first_arrival(upstreams: &[Upstream]) -> usize {
+    let arrived = async {
+        loop {
+            let mut upstreams = upstreams.iter();
+            if let Some(index) = upstreams.position(|upstream| !upstream.arrivals().is_empty()) {
+                return index;
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(PATIENCE, arrived).await.expect("a request arrives")
+}
+
+fn is_refused(response: &str) -> bool {
+    response.starts_with("HTTP/1.1 503 ") && response.contains("retry-after: ")
+}
+
+/// Guards against requests that arrive slowly and are sent so late in a planned stop that it cuts
+/// them.
+#[tokio::test]
+async fn requests_whose_rest_comes_late_in_a_stop_are_refused_unsent() {
+    let resume = Arc::new(Notify::new());
+    let script = Script::Paused { of: 2, resume };
+    let (mut harness, upstreams) = start(Duration::from_secs(2), long_routes(), vec![script]).await;
+    let mut calls = Vec::new();
+    for path in ["once", "safe", "stream", "resumable"] {
+        for (part, left) in [("head", 60), ("body", 5)] {
+            let text = text(path, &format!("{path}-{part}"), "");
+            let (begin, rest) = text.split_at(text.len() - left);
+            calls.push((send(&harness, begin).await, rest.to_owned()));
+        }
+    }
+    let stopping = begin_stop(&mut harness).await;
+    let mut responses = Vec::new();
+    for (mut stream, rest) in calls {
+        stream.write_all(rest.as_bytes()).await.expect("it is open");
+        responses.push(tokio::spawn(read_all(stream)));
+    }
+    for response in responses {
+        let response = response.await.expect("it ends");
+        assert!(is_refused(&response), "{response:?}");
+    }
+    stopping.await.expect("the stop ends");
+    assert_eq!(upstreams[0].arrivals(), []);
+}
+
+/// Guards against requests that wait for a place at an upstream and get it so late in a planned stop
+/// that it cuts them.
+#[tokio::test]
+async fn requests_that_wait_for_a_place_at_a_stop_are_refused_unsent() {
+    let release = Arc::new(Notify::new());
+    let script = Script::RatedLater {
+        release: release.clone(),
+    };
+    let mut snapshot = long_routes();
+    snapshot.services[0].connection_limit = 1;
+    let (mut harness, upstreams) = start(Duration::from_secs(2), snapshot, vec![script]).await;
+    let running = tokio::spawn(harness.request("once", "running").send());
+    first_arrival(&upstreams).await;
+    let waiting = send(&harness, &text("once", "waiting", "")).await;
+    let waiting = tokio::spawn(read_all(waiting));
+    let stopping = begin_stop(&mut harness).await;
+    release.notify_one();
+    let running = running.await.expect("it ends").expect("a response");
+    assert_eq!(running.status(), 200);
+    let waiting = waiting.await.expect("it ends");
+    stopping.await.expect("the stop ends");
+    assert!(is_refused(&waiting), "{waiting:?}");
+    assert_eq!(upstreams[0].arrivals().len(), 1);
+}
+
+/// Guards against a retry so late in a planned stop that it is cut, although the caller could have
+/// gone to another host.
+#[tokio::test]
+async fn refused_requests_are_not_sent_again_late_in_a_stop() {
+    let releases = [Arc::new(Notify::new()), Arc::new(Notify::new())];
+    let scripts = releases
+        .clone()
+        .map(|release| Script::RefuseLater { release });
+    let (mut harness, upstreams) =
+        start(Duration::from_secs(2), long_routes(), scripts.to_vec()).await;
+    let call = send(&harness, &text("once", "r1", "")).await;
+    let first = first_arrival(&upstreams).await;
+    let stopping = begin_stop(&mut harness).await;
+    releases[first].notify_one();
+    let response = read_all(call).await;
+    stopping.await.expect("the stop ends");
+    assert!(is_refused(&response), "{response:?}");
+    assert_eq!(upstreams[1 - first].arrivals(), []);
+}
+
+/// Guards against answering that a request has not run when its attempt failed late in a planned
+/// stop and may have run.
+#[tokio::test]
+async fn requests_that_may_have_run_are_not_refused_late_in_a_stop() {
+    let releases = [Arc::new(Notify::new()), Arc::new(Notify::new())];
+    let scripts = releases
+        .clone()
+        .map(|release| Script::BreakLater { release });
+    let (mut harness, upstreams) =
+        start(Duration::from_secs(2), long_routes(), scripts.to_vec()).await;
+    let call = send(&harness, &text("safe", "r1", "")).await;
+    let first = first_arrival(&upstreams).await;
+    let stopping = begin_stop(&mut harness).await;
+    releases[first].notify_one();
+    let response = read_all(call).await;
+    stopping.await.expect("the stop ends");
+    assert!(response.starts_with("HTTP/1.1 502 "), "{response:?}");
+    assert_eq!(upstreams[1 - first].arrivals(), []);
+}
+
+/// Guards against refusing what can be finished in the rest of a planned stop, and against taking
+/// what cannot, where it is known how long requests last.
+#[tokio::test]
+async fn requests_that_fit_into_the_rest_of_a_stop_are_served() {
+    let script = Script::Paced {
+        of: 5,
+        pause: Duration::from_millis(5),
+    };
+    let (mut harness, upstreams) = start(LONG_STOP, long_routes(), vec![script]).await;
+    for path in ["once", "stream"] {
+        for number in 0..KNOWN {
+            let request = harness.request(path, &format!("{path}-{number}"));
+            let response = request.send().await.expect("an answer");
+            response.bytes().await.expect("a complete answer");
+        }
+    }
+    let mut calls = Vec::new();
+    for (path, id, tokens) in [
+        ("once", "short", "100,50"),
+        ("stream", "short stream", "100,50"),
+        ("stream", "long stream", "100,500000"),
+    ] {
+        let text = text(path, id, "").replace("100,50", tokens);
+        let (begin, rest) = text.split_at(text.len() - 5);
+        calls.push((send(&harness, begin).await, rest.to_owned()));
+    }
+    let stopping = begin_stop(&mut harness).await;
+    let mut responses = Vec::new();
+    for (mut stream, rest) in calls {
+        stream.write_all(rest.as_bytes()).await.expect("it is open");
+        responses.push(read_all(stream).await);
+    }
+    stopping.await.expect("the stop ends");
+    for response in &responses[..2] {
+        assert!(response.starts_with("HTTP/1.1 200 "), "{responses:?}");
+        assert!(response.ends_with("0\r\n\r\n"), "{responses:?}");
+    }
+    assert!(is_refused(&responses[2]), "{responses:?}");
+    assert_eq!(upstreams[0].arrivals().len(), 2 * KNOWN + 2);
+}
+
+/// Guards against refusing requests that end by their own deadline before a planned stop does.
+#[tokio::test]
+async fn requests_with_a_deadline_within_a_stop_are_taken() {
+    let (mut harness, upstreams) = start(LONG_STOP, long_routes(), vec![Script::Silent]).await;
+    let text = text("once", "r1", "x-timeout: 3000\r\n");
+    let (begin, rest) = text.split_at(text.len() - 5);
+    let mut call = send(&harness, begin).await;
+    let stopping = begin_stop(&mut harness).await;
+    call.write_all(rest.as_bytes()).await.expect("it is open");
+    first_arrival(&upstreams).await;
+    let response = read_all(call).await;
+    assert!(response.starts_with("HTTP/1.1 504 "), "{response:?}");
+    stopping.await.expect("the stop ends");
+}
