Answer a request sent behind another one at a planned stop

What callers saw: a second request that was sent on a connection before the response to the first one had ended was dropped without an answer when a planned stop began meanwhile, although no response had said that the connection closes.

Cause: hyper's graceful shutdown, begun while a request is in progress, ends the connection after its response without reading what has arrived behind it.

Change: a connection is shut down once no request is in progress on it. The response to the request behind says that the connection closes.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -31,7 +31,10 @@
         task::{Context, Poll},
         time::Duration,
     },
-    tokio::net::{TcpListener, TcpStream},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Notify,
+    },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
@@ -114,6 +117,8 @@
     idle_since: Duration,
     /// Limit on the idle time that was in effect then, and by which the caller goes.
     idle_limit: Duration,
+    /// Notified when a request has ended.
+    ended: Arc<Notify>,
 }
 
 impl Activity {
@@ -122,6 +127,7 @@
             running: 0,
             idle_since: frontend.0.clock.now(),
             idle_limit: idle_limit(frontend),
+            ended: Arc::default(),
         }
     }
 
@@ -159,8 +165,10 @@
         let mut activity = lock(&self.activity);
         *activity = Activity {
             running: activity.running - 1,
+            ended: activity.ended.clone(),
             ..Activity::new(&self.frontend)
         };
+        activity.ended.notify_one();
     }
 }
 
@@ -222,7 +230,7 @@
                 }
                 return;
             }
-            () = stopped(&stop), if !is_closing => "stop",
+            () = idle_at_stop(&stop, &watched), if !is_closing => "stop",
             () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !is_closing => {
                 if !lock(&watched).is_expired(&frontend) {
                     continue;
@@ -237,8 +245,17 @@
     }
 }
 
-/// Waits for the stop, and then until the runtime has seen which connections have new bytes.
-async fn stopped(stop: &CancellationToken) {
+/// Waits for the stop, and then until no request is in progress. One that has been sent behind
+/// another is in progress as well, although a connection that closes would not read it.
+async fn idle_at_stop(stop: &CancellationToken, activity: &Mutex<Activity>) {
     stop.cancelled().await;
-    tokio::task::yield_now().await;
+    let ended = lock(activity).ended.clone();
+    loop {
+        // Lets the runtime see which connections have new bytes, and this one read them.
+        tokio::task::yield_now().await;
+        if lock(activity).running == 0 {
+            return;
+        }
+        ended.notified().await;
+    }
 }
--- a/crates/gateway/tests/late_in_stops.rs
+++ b/crates/gateway/tests/late_in_stops.rs
@@ -76,6 +76,18 @@
     stream
 }
 
+/// Reads until the text has arrived.
+async fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut bytes = Vec::new();
+    let read = async {
+        while !bytes.ends_with(end.as_bytes()) {
+            bytes.push(stream.read_u8().await.expect("it is open"));
+        }
+    };
+    timeout(PATIENCE, read).await.expect("the text arrives");
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// Reads until the connection is closed.
 async fn read_all(mut stream: TcpStream) -> String {
     let mut bytes = Vec::new();
@@ -197,6 +209,36 @@
     assert_eq!(upstreams[1 - first].arrivals(), []);
 }
 
+/// Guards against a second request on a connection that gets no response because the first one was
+/// in progress when a planned stop began.
+#[tokio::test]
+async fn requests_sent_behind_another_one_get_a_response_at_a_stop() {
+    let resume = Arc::new(Notify::new());
+    let script = Script::Paused {
+        of: 2,
+        resume: resume.clone(),
+    };
+    let (mut harness, upstreams) = start(LONG_STOP, long_routes(), vec![script]).await;
+    let both = text("stream", "r1", "") + &text("once", "r2", "");
+    let mut call = send(&harness, &both).await;
+    let begin = read_until(&mut call, "piece 1\n\n").await;
+    assert!(begin.starts_with("HTTP/1.1 200 "), "{begin:?}");
+    let stopping = begin_stop(&mut harness).await;
+    let closed = async {
+        while TcpStream::connect(harness.callers).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(PATIENCE, closed).await.expect("it listens no more");
+    resume.notify_one();
+    let responses = read_all(call).await;
+    stopping.await.expect("the stop ends");
+    let (first, second) = responses.split_once("0\r\n\r\n").expect("a whole stream");
+    assert!(first.ends_with("piece 2\n\n\r\n"), "{responses:?}");
+    assert!(is_refused(second), "{responses:?}");
+    assert_eq!(upstreams[0].arrivals().len(), 1);
+}
+
 /// Guards against refusing what can be finished in the rest of a planned stop, and against taking
 /// what cannot, where it is known how long requests last.
 #[tokio::test]
