Resume broken streams until the end of a planned stop

What callers saw: a stream that broke in the last 0.3 s of a planned stop, or was being resumed then, was cut although another upstream could finish it in time.

Cause: the time at which requests without a response get an error response also ended the attempts that resume a stream, whose caller gets no error response any more.

Change: it counts only until the caller has the begin of the response; from then on, the drain limit counts. A stream that has too many events left for the rest of the stop is not resumed. Settings::refusal_time replaces the constant, with the same value, so that tests can set it.

Before, streams_are_resumed_until_the_end_of_a_stop panicked at crates/gateway/tests/late_in_stops.rs:290: "\r\n", where the second event and the end of the stream were due. It passes now, three runs of three. long_streams_are_not_resumed_in_a_stop fails when the forecast is not applied to resumed streams.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -13,14 +13,12 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// Time before the end of a planned stop at which requests that still wait for an upstream or for
-/// its response get an error response.
-const REFUSAL_TIME: Duration = Duration::from_millis(300);
-
 /// The planned stop of a process, if it has begun.
 pub(crate) struct Drain {
     clock: Clock,
     limit: Duration,
+    /// Time before the end at which requests without a response have to end.
+    refusal_time: Duration,
     /// When requests are cut.
     end: OnceLock<Duration>,
     /// Cancelled when requests without a response have to end.
@@ -33,6 +31,7 @@
         Self {
             clock,
             limit: settings.drain_limit,
+            refusal_time: settings.refusal_time,
             end: OnceLock::new(),
             ending: CancellationToken::new(),
             forecast: Mutex::default(),
@@ -53,7 +52,7 @@
     /// Returns the time until requests without a response have to end.
     pub(crate) fn patience(&self) -> Duration {
         let left = self.time_left().unwrap_or(Duration::MAX);
-        left.saturating_sub(REFUSAL_TIME)
+        left.saturating_sub(self.refusal_time)
     }
 
     /// Returns for how long a request may still wait before it is sent to an upstream, which is zero
@@ -65,7 +64,11 @@
         let now = self.clock.now();
         let route = &prospect.access.route.name;
         let expected = lock(&self.forecast).expect(now, route, prospect.response());
-        let end = end.saturating_sub(REFUSAL_TIME);
+        // A stream that broke is lost unless it is resumed, and its caller gets no error response.
+        let (expected, end) = match prospect.has_begun {
+            true => (expected.or(Some(Duration::ZERO)), *end),
+            false => (expected, end.saturating_sub(self.refusal_time)),
+        };
         forecast::slack(now, end, prospect.deadline, expected)
     }
 
@@ -90,6 +93,8 @@
     pub(crate) deadline: Duration,
     /// Id of the last event that the caller has.
     pub(crate) last_event: Option<u64>,
+    /// Whether the caller has the begin of the response.
+    pub(crate) has_begun: bool,
 }
 
 impl Prospect<'_> {
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -168,6 +168,7 @@
             service: &service,
             deadline: arrived + head.time_limit(&access.route),
             last_event: head.last_event,
+            has_begun: false,
         };
         let drain = &self.0.drain;
         if drain.slack(&prospect).is_zero() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -72,7 +72,8 @@
 }
 
 impl Relay {
-    pub(crate) fn new(request: ActiveRequest, stream: Box<Stream>) -> Self {
+    pub(crate) fn new(mut request: ActiveRequest, stream: Box<Stream>) -> Self {
+        request.has_begun = true;
         let engine = request.service.engine.as_ref();
         Self {
             sequence: Sequence::new(request.head.last_event),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -159,6 +159,8 @@
     pub(crate) sent: u32,
     /// Whether the request certainly has not run in any attempt.
     is_unexecuted: bool,
+    /// Whether the caller has the begin of the response.
+    pub(crate) has_begun: bool,
     /// Reserved tokens; absent for requests without a budget.
     pub(crate) reservation: Option<Reservation>,
 }
@@ -188,6 +190,7 @@
             tried: Vec::new(),
             sent: 0,
             is_unexecuted: true,
+            has_begun: false,
             reservation: None,
         }
     }
@@ -295,6 +298,7 @@
         // The last failure that an upstream itself answered.
         let mut failure = None;
         let (context, parts) = (self.context.clone(), self.parts.clone());
+        let has_begun = self.has_begun;
         loop {
             let (started, remaining) = (context.clock.now(), self.remaining());
             let attempt = tokio::time::timeout(remaining, self.attempt(last_event));
@@ -304,7 +308,7 @@
                 rest = context.quarantine.wait(&parts) => {
                     return Answer::Error(self.record_quarantined(rest));
                 }
-                () = context.drain.ending.cancelled() => return self.timed_out(),
+                () = context.drain.ending.cancelled(), if !has_begun => return self.timed_out(),
             };
             let outcome = match received {
                 Ok(Ok(Received::Final(answer))) => return answer,
--- a/crates/gateway/src/request/stop.rs
+++ b/crates/gateway/src/request/stop.rs
@@ -28,6 +28,7 @@
             service: &self.service,
             deadline: self.deadline,
             last_event,
+            has_begun: self.has_begun,
         })
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -70,6 +70,9 @@
     pub deregistration_delay: Duration,
     /// Longest time that a planned stop waits for requests, the deregistration delay included.
     pub drain_limit: Duration,
+    /// Time before the drain limit at which requests that still wait for an upstream or for its
+    /// response get an error response.
+    pub refusal_time: Duration,
 }
 
 /// Writes per second that each host may make. Once all hosts together would exceed the rate of the
@@ -158,6 +161,7 @@
             renew_interval: Duration::from_secs(3),
             deregistration_delay: Duration::from_millis(2_300),
             drain_limit: Duration::from_secs(7),
+            refusal_time: Duration::from_millis(300),
         }
     }
 }
--- a/crates/gateway/tests/harness/upstream.rs
+++ b/crates/gateway/tests/harness/upstream.rs
@@ -84,6 +84,8 @@
     },
     /// Sends the first event of a stream, and closes the connection after the notification.
     BreakLater { release: Arc<Notify> },
+    /// As [`Self::BreakLater`], but sends the next event and the end of a stream that it continues.
+    BreakOnce { release: Arc<Notify> },
     /// Sends the first event, and the others after the notification.
     Paused { of: u64, resume: Arc<Notify> },
     /// As [`Self::Paused`], but sends only a part of the first event before.
@@ -383,7 +385,11 @@
             let events = [first, first + 1, first].map(raw).concat();
             head(200, "transfer-encoding: chunked\r\n") + &chunk(&events)
         }
-        Script::BreakLater { release } => {
+        Script::BreakOnce { .. } if arrival.last_event.is_some() => {
+            let next = arrival.last_event.map_or(1, |last| last + 1);
+            head(200, "transfer-encoding: chunked\r\n") + &event(next) + "0\r\n\r\n"
+        }
+        Script::BreakLater { release } | Script::BreakOnce { release } => {
             let text = head(200, "transfer-encoding: chunked\r\n") + &event(1);
             stream.write_all(text.as_bytes()).await.ok()?;
             release.notified().await;
--- a/crates/gateway/tests/late_in_stops.rs
+++ b/crates/gateway/tests/late_in_stops.rs
@@ -7,7 +7,7 @@
         Harness, KEY, snapshot,
         upstream::{Script, Upstream},
     },
-    marigoldroute_core::forward::Snapshot,
+    marigoldroute_core::forward::{AllowanceSettings, Snapshot},
     marigoldroute_gateway::Settings,
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -49,6 +49,39 @@
     Harness::with_settings(settings, snapshot, scripts).await
 }
 
+/// Starts a gateway whose requests without a response have to end soon after the start of a planned
+/// stop and long before its end, and two upstreams that break streams at the notifications.
+async fn start_breaking() -> (Harness, Vec<Upstream>, [Arc<Notify>; 2]) {
+    let settings = Settings {
+        drain_limit: LONG_STOP,
+        refusal_time: LONG_STOP - Duration::from_millis(300),
+        retries: AllowanceSettings {
+            slack: 10_000.0,
+            ..AllowanceSettings::default()
+        },
+        ..Settings::default()
+    };
+    let releases = [Arc::new(Notify::new()), Arc::new(Notify::new())];
+    let scripts = releases
+        .clone()
+        .map(|release| Script::BreakOnce { release });
+    let mut snapshot = long_routes();
+    snapshot.workspaces[0].purchased = None;
+    let (harness, upstreams) = Harness::with_settings(settings, snapshot, scripts.to_vec()).await;
+    (harness, upstreams, releases)
+}
+
+/// Begins a planned stop, and waits until requests without a response have to end in it.
+async fn begin_end_of_stop(harness: &mut Harness, upstreams: &[Upstream]) -> JoinHandle<()> {
+    let running = send(harness, &text("once", "running", "")).await;
+    let running = tokio::spawn(read_all(running));
+    arrival_of(upstreams, "running").await;
+    let stopping = begin_stop(harness).await;
+    let running = running.await.expect("it ends");
+    assert!(running.starts_with("HTTP/1.1 504 "), "{running:?}");
+    stopping
+}
+
 /// Begins a planned stop.
 async fn begin_stop(harness: &mut Harness) -> JoinHandle<()> {
     let stopping = tokio::spawn(harness.gateway.take().expect("it runs").stop());
@@ -98,11 +131,14 @@
 }
 
 /// Waits until a request has arrived at one of the upstreams; returns which.
-async fn first_arrival(upstreams: &[Upstream]) -> usize {
+async fn arrival_of(upstreams: &[Upstream], id: &str) -> usize {
+    let has_arrived = |upstream: &Upstream| {
+        let arrivals = upstream.arrivals();
+        arrivals.iter().any(|arrival| arrival.id == id)
+    };
     let arrived = async {
         loop {
-            let mut upstreams = upstreams.iter();
-            if let Some(index) = upstreams.position(|upstream| !upstream.arrivals().is_empty()) {
+            if let Some(index) = upstreams.iter().position(has_arrived) {
                 return index;
             }
             tokio::task::yield_now().await;
@@ -156,7 +192,7 @@
     snapshot.services[0].connection_limit = 1;
     let (mut harness, upstreams) = start(Duration::from_secs(2), snapshot, vec![script]).await;
     let running = tokio::spawn(harness.request("once", "running").send());
-    first_arrival(&upstreams).await;
+    arrival_of(&upstreams, "running").await;
     let waiting = send(&harness, &text("once", "waiting", "")).await;
     let waiting = tokio::spawn(read_all(waiting));
     let stopping = begin_stop(&mut harness).await;
@@ -180,7 +216,7 @@
     let (mut harness, upstreams) =
         start(Duration::from_secs(2), long_routes(), scripts.to_vec()).await;
     let call = send(&harness, &text("once", "r1", "")).await;
-    let first = first_arrival(&upstreams).await;
+    let first = arrival_of(&upstreams, "r1").await;
     let stopping = begin_stop(&mut harness).await;
     releases[first].notify_one();
     let response = read_all(call).await;
@@ -200,7 +236,7 @@
     let (mut harness, upstreams) =
         start(Duration::from_secs(2), long_routes(), scripts.to_vec()).await;
     let call = send(&harness, &text("safe", "r1", "")).await;
-    let first = first_arrival(&upstreams).await;
+    let first = arrival_of(&upstreams, "r1").await;
     let stopping = begin_stop(&mut harness).await;
     releases[first].notify_one();
     let response = read_all(call).await;
@@ -239,6 +275,48 @@
     assert_eq!(upstreams[0].arrivals().len(), 1);
 }
 
+/// Guards against a stream that breaks near the end of a planned stop and is cut although another
+/// upstream could finish it in time.
+#[tokio::test]
+async fn streams_are_resumed_until_the_end_of_a_stop() {
+    let (mut harness, upstreams, releases) = start_breaking().await;
+    let mut call = send(&harness, &text("resumable", "r1", "")).await;
+    read_until(&mut call, "piece 1\n\n").await;
+    let first = arrival_of(&upstreams, "r1").await;
+    let stopping = begin_end_of_stop(&mut harness, &upstreams).await;
+    releases[first].notify_waiters();
+    let rest = read_all(call).await;
+    stopping.await.expect("the stop ends");
+    assert!(rest.ends_with("piece 2\n\n\r\n0\r\n\r\n"), "{rest:?}");
+}
+
+/// Guards against work for a stream that breaks late in a planned stop and cannot be finished in it,
+/// while its caller waits.
+#[tokio::test]
+async fn long_streams_are_not_resumed_in_a_stop() {
+    let (mut harness, upstreams, releases) = start_breaking().await;
+    let mut calls = Vec::new();
+    for number in 0..KNOWN {
+        let mut call = send(&harness, &text("resumable", &format!("r{number}"), "")).await;
+        read_until(&mut call, "piece 1\n\n").await;
+        calls.push(call);
+    }
+    releases.iter().for_each(|release| release.notify_waiters());
+    for mut call in calls {
+        read_until(&mut call, "0\r\n\r\n").await;
+    }
+    let text = text("resumable", "long", "").replace("100,50", "100,500000000000");
+    let mut call = send(&harness, &text).await;
+    read_until(&mut call, "piece 1\n\n").await;
+    let stopping = begin_stop(&mut harness).await;
+    releases.iter().for_each(|release| release.notify_waiters());
+    let rest = read_all(call).await;
+    stopping.await.expect("the stop ends");
+    assert!(!rest.contains("piece 2"), "{rest:?}");
+    let arrivals = upstreams.iter().flat_map(Upstream::arrivals);
+    assert_eq!(arrivals.filter(|arrival| arrival.id == "long").count(), 1);
+}
+
 /// Guards against refusing what can be finished in the rest of a planned stop, and against taking
 /// what cannot, where it is known how long requests last.
 #[tokio::test]
@@ -289,7 +367,7 @@
     let mut call = send(&harness, begin).await;
     let stopping = begin_stop(&mut harness).await;
     call.write_all(rest.as_bytes()).await.expect("it is open");
-    first_arrival(&upstreams).await;
+    arrival_of(&upstreams, "r1").await;
     let response = read_all(call).await;
     assert!(response.starts_with("HTTP/1.1 504 "), "{response:?}");
     stopping.await.expect("the stop ends");
