Log each request that a planned stop cuts

What operators saw: the number of requests cut at the drain limit, and no line that tells which, how far they were and why. A stream that was cut was not logged, or logged as one whose caller had left.

Change: at the drain limit, connections of callers are closed before the background tasks end, so that what was in progress on them is recorded and billed. `stream cut` has the cause `stop` then, `request cut` stands for a request that was sent and has no response, and `connection cut` for a response that its caller has not read. A stream whose caller leaves while it is resumed has its line as well.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -21,6 +21,8 @@
         service::service_fn,
     },
     hyper_util::rt::TokioIo,
+    marigoldroute_core::id::RequestId,
+    marigoldroute_process::logs::REQUESTS,
     poem::http::Request,
     std::{
         convert::Infallible,
@@ -119,6 +121,8 @@
     idle_limit: Duration,
     /// Notified when a request has ended.
     ended: Arc<Notify>,
+    /// Request of the last response, which may not have been sent to its end.
+    answered: Option<RequestId>,
 }
 
 impl Activity {
@@ -128,6 +132,14 @@
             idle_since: frontend.0.clock.now(),
             idle_limit: idle_limit(frontend),
             ended: Arc::default(),
+            answered: None,
+        }
+    }
+
+    /// Records that the connection is cut; a request in progress has a line of its own.
+    fn record_cut(&self) {
+        if let Some(request) = self.answered.as_ref().filter(|_| self.running == 0) {
+            log::info!(target: REQUESTS, request:%, cause = "stop"; "connection cut");
         }
     }
 
@@ -166,6 +178,7 @@
         *activity = Activity {
             running: activity.running - 1,
             ended: activity.ended.clone(),
+            answered: activity.answered.take(),
             ..Activity::new(&self.frontend)
         };
         activity.ended.notify_one();
@@ -211,6 +224,8 @@
         let frontend = service_frontend.clone();
         async move {
             let response = frontend.call(request).await;
+            let answered = response.extensions().get().cloned();
+            lock(&running.activity).answered = answered;
             Ok::<_, Infallible>(response.map(|body| RunningBody {
                 body,
                 _running: running,
@@ -230,6 +245,10 @@
                 }
                 return;
             }
+            () = frontend.0.drain.cut.cancelled() => {
+                lock(&watched).record_cut();
+                return;
+            }
             () = idle_at_stop(&stop, &watched), if !is_closing => "stop",
             () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !is_closing => {
                 if !lock(&watched).is_expired(&frontend) {
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -23,6 +23,8 @@
     end: OnceLock<Duration>,
     /// Cancelled when requests without a response have to end.
     pub(crate) ending: CancellationToken,
+    /// Cancelled when all requests are cut.
+    pub(crate) cut: CancellationToken,
     forecast: Mutex<Forecast>,
 }
 
@@ -34,6 +36,7 @@
             refusal_time: settings.refusal_time,
             end: OnceLock::new(),
             ending: CancellationToken::new(),
+            cut: CancellationToken::new(),
             forecast: Mutex::default(),
         }
     }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -325,5 +325,8 @@
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     response.headers_mut().extend(head.headers.clone());
+    if let Some(id) = &head.id {
+        response.extensions_mut().insert(id.clone());
+    }
     response
 }
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -44,6 +44,9 @@
 /// Time between two removals of expired idle connections.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Longest time for the connections of callers to close when their requests are cut.
+const CUT_TIME: Duration = Duration::from_millis(50);
+
 /// A running gateway. Dropping it does not stop the tasks.
 pub struct Handle {
     addresses: Addresses,
@@ -243,6 +246,8 @@
             self.drain.ending.cancel();
             let left = self.drain.time_left().unwrap_or_default();
             wait(&self.connections, left, "requests cut at the drain limit").await;
+            self.drain.cut.cancel();
+            wait(&self.connections, CUT_TIME, "connections not closed").await;
         }
         self.stop.cancel();
         wait(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,13 +26,17 @@
 /// Reason of the failure of a stream that its caller no longer waits for.
 const DEADLINE_REASON: &str = "the deadline has passed";
 
+/// Reason of the failure of a stream that is cut as the process stops.
+const STOP_REASON: &str = "the process stops";
+
 /// A stream of events on its way to the caller.
 pub(crate) struct Relay {
     request: ActiveRequest,
     /// Head of the response that the caller gets.
     head: ResponseHead,
-    /// Absent once the stream has ended or failed.
+    /// Absent once the stream has ended or failed, and while it is resumed.
     stream: Option<Box<Stream>>,
+    has_ended: bool,
     sequence: Sequence,
     stall: Stall,
     /// When the first event came.
@@ -54,12 +58,17 @@
 }
 
 impl Drop for Relay {
-    /// Logs a stream that the caller stopped reading; `stream` is absent for all others.
+    /// Logs a stream that the caller stopped reading, or that is cut as the process stops.
     fn drop(&mut self) {
-        if self.stream.is_none() {
+        if self.has_ended {
             return;
         }
         self.record_pace();
+        if self.request.context.drain.cut.is_cancelled() {
+            let failure = Failure::new(Outcome::Unknown, STOP_REASON);
+            self.record_cut(&failure, "the drain limit is reached");
+            return;
+        }
         let clock = self.request.context.clock;
         log::info!(
             target: REQUESTS,
@@ -82,6 +91,7 @@
             event_tokens: engine.map_or(1, |engine| engine.event_tokens.max(1)),
             head: stream.exchange.head.clone(),
             stream: Some(stream),
+            has_ended: false,
             request,
         }
     }
@@ -98,7 +108,9 @@
     /// Returns the next bytes; an error closes the connection, so that the caller does not take a
     /// truncated stream for a complete one.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
-        self.stream.as_ref()?;
+        if self.has_ended {
+            return None;
+        }
         loop {
             let failure = match self.step().await {
                 Step::Send(bytes) => return Some(Ok(bytes)),
@@ -113,7 +125,7 @@
                 Step::Fail(failure) => failure,
             };
             if !self.resume(&failure).await {
-                self.stream = None;
+                self.has_ended = true;
                 // Lets the bytes before the failure be sent, which closes the connection.
                 tokio::task::yield_now().await;
                 return Some(Err(io::Error::other(failure)));
@@ -223,7 +235,7 @@
             return false;
         }
         if self.request.is_too_late(last) {
-            self.record_cut(failure, "the process stops");
+            self.record_cut(failure, STOP_REASON);
             return false;
         }
         if !self.request.admit_resume() {
@@ -250,6 +262,7 @@
     fn record_cut(&self, failure: &Failure, obstacle: &str) {
         let cause = match failure.reason.as_str() {
             DEADLINE_REASON => "deadline",
+            STOP_REASON => "stop",
             _ => "broken",
         };
         let context = &self.request.context;
@@ -280,6 +293,7 @@
 
     /// Records that the stream is complete.
     fn finish(&mut self) {
+        self.has_ended = true;
         self.record_pace();
         if let Some(stream) = self.stream.take() {
             let tokens = self.sequence.relayed().saturating_mul(self.event_tokens);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -308,7 +308,7 @@
                 rest = context.quarantine.wait(&parts) => {
                     return Answer::Error(self.record_quarantined(rest));
                 }
-                () = context.drain.ending.cancelled(), if !has_begun => return self.timed_out(),
+                () = context.drain.ending.cancelled(), if !has_begun => return self.cut(),
             };
             let outcome = match received {
                 Ok(Ok(Received::Final(answer))) => return answer,
--- a/crates/gateway/src/request/stop.rs
+++ b/crates/gateway/src/request/stop.rs
@@ -1,8 +1,9 @@
 //! Requests beside a planned stop.
 
 use {
-    super::{ActiveRequest, Context},
+    super::{ActiveRequest, Answer, Context},
     crate::{drain::Prospect, error::Error},
+    marigoldroute_process::logs::REQUESTS,
     std::time::Duration,
 };
 
@@ -36,4 +37,19 @@
     pub(crate) fn is_too_late(&self, last_event: Option<u64>) -> bool {
         self.slack(last_event).is_zero()
     }
+
+    /// Ends the request before a response has begun, as the process stops.
+    pub(super) fn cut(&self) -> Answer {
+        if self.sent > 0 {
+            let now = self.context.clock.now();
+            log::info!(
+                target: REQUESTS,
+                request:% = self.head.id, cause = "stop", sent = self.sent,
+                ms = now.saturating_sub(self.arrived).as_millis() as u64,
+                left_ms = self.remaining().as_millis() as u64;
+                "request cut"
+            );
+        }
+        self.timed_out()
+    }
 }
