--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -62,7 +62,6 @@
                     break;
                 }
             };
-            self.record_send(&in_flight);
             match self.start_exchange(in_flight, connection, last_event).await {
                 Ok(exchange) => {
                     return self
@@ -76,7 +75,6 @@
                     if !failure.outcome.is_unsent() {
                         break;
                     }
-                    self.sent -= 1;
                     if failure.outcome.is_held_back() {
                         self.forget_choice(in_flight);
                         self.record_failure(&upstream, started, &failure);
@@ -100,7 +98,7 @@
     }
 
     /// Records that the upstream may run the request from now on.
-    pub(super) fn record_send(&mut self, in_flight: &InFlight) {
+    fn record_send(&mut self, in_flight: &InFlight) {
         if in_flight.rate.is_some() {
             let attempt = if self.sent == 0 { "first" } else { "later" };
             let limited = &self.context.metrics.limited;
@@ -187,7 +185,7 @@
 
     /// Sends the request; a failure returns `in_flight` for another connection.
     pub(super) async fn start_exchange(
-        &self,
+        &mut self,
         in_flight: InFlight,
         connection: Connection,
         last_event: Option<u64>,
@@ -196,6 +194,7 @@
             let failure = Failure::new(Outcome::Late, "the process stops");
             return Err((in_flight, failure));
         }
+        self.record_send(&in_flight);
         let upstream = in_flight.upstream.clone();
         let attempt = Attempt {
             upstream: &upstream,
@@ -205,10 +204,14 @@
         };
         let (protocol, pool) = (&*self.context.protocol, &self.context.pool);
         let body = self.body.clone();
-        Exchange::start(
+        let started = Exchange::start(
             protocol, pool, in_flight, connection, &self.head, &attempt, body,
-        )
-        .await
+        );
+        let started = started.await;
+        if let Err((_, failure)) = &started {
+            self.sent -= u32::from(failure.outcome.is_unsent());
+        }
+        started
     }
 
     /// Validates the head of a response, and reads the body or the first events of a stream.
--- a/crates/gateway/src/request/handover.rs
+++ b/crates/gateway/src/request/handover.rs
@@ -242,7 +242,6 @@
         let mut tries_left = CONNECTION_LIMIT;
         let exchange = loop {
             tries_left -= 1;
-            self.record_send(&in_flight);
             let failure = match self.start_exchange(in_flight, connection, last).await {
                 Ok(exchange) => break exchange,
                 Err((returned, failure)) => {
@@ -250,7 +249,6 @@
                     failure
                 }
             };
-            self.sent -= u32::from(failure.outcome.is_unsent());
             if failure.outcome.is_held_back() {
                 self.forget_choice(in_flight);
                 return Err(failure);
