--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -21,6 +21,8 @@
         service::service_fn,
     },
     hyper_util::rt::TokioIo,
+    marigoldroute_core::id::RequestId,
+    marigoldroute_process::logs::REQUESTS,
     poem::http::Request,
     std::{
         convert::Infallible,
@@ -31,7 +33,10 @@
         task::{Context, Poll},
         time::Duration,
     },
-    tokio::net::{TcpListener, TcpStream},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Notify,
+    },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
@@ -114,6 +119,10 @@
     idle_since: Duration,
     /// Limit on the idle time that was in effect then, and by which the caller goes.
     idle_limit: Duration,
+    /// Notified when a request has ended.
+    ended: Arc<Notify>,
+    /// Request of the last response, which may not have been sent to its end.
+    answered: Option<RequestId>,
 }
 
 impl Activity {
@@ -122,6 +131,15 @@
             running: 0,
             idle_since: frontend.0.clock.now(),
             idle_limit: idle_limit(frontend),
+            ended: Arc::default(),
+            answered: None,
+        }
+    }
+
+    /// Records that the connection is cut; a request in progress has a line of its own.
+    fn record_cut(&self) {
+        if let Some(request) = self.answered.as_ref().filter(|_| self.running == 0) {
+            log::info!(target: REQUESTS, request:%, cause = "stop"; "connection cut");
         }
     }
 
@@ -159,8 +177,11 @@
         let mut activity = lock(&self.activity);
         *activity = Activity {
             running: activity.running - 1,
+            ended: activity.ended.clone(),
+            answered: activity.answered.take(),
             ..Activity::new(&self.frontend)
         };
+        activity.ended.notify_one();
     }
 }
 
@@ -203,6 +224,8 @@
         let frontend = service_frontend.clone();
         async move {
             let response = frontend.call(request).await;
+            let answered = response.extensions().get().cloned();
+            lock(&running.activity).answered = answered;
             Ok::<_, Infallible>(response.map(|body| RunningBody {
                 body,
                 _running: running,
@@ -222,7 +245,11 @@
                 }
                 return;
             }
-            () = stopped(&stop), if !is_closing => "stop",
+            () = frontend.0.drain.cut.cancelled() => {
+                lock(&watched).record_cut();
+                return;
+            }
+            () = idle_at_stop(&stop, &watched), if !is_closing => "stop",
             () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !is_closing => {
                 if !lock(&watched).is_expired(&frontend) {
                     continue;
@@ -237,8 +264,17 @@
     }
 }
 
-/// Waits for the stop, and then until the runtime has seen which connections have new bytes.
-async fn stopped(stop: &CancellationToken) {
+/// Waits for the stop, and then until no request is in progress. One that has been sent behind
+/// another is in progress as well, although a connection that closes would not read it.
+async fn idle_at_stop(stop: &CancellationToken, activity: &Mutex<Activity>) {
     stop.cancelled().await;
-    tokio::task::yield_now().await;
+    let ended = lock(activity).ended.clone();
+    loop {
+        // Lets the runtime see which connections have new bytes, and this one read them.
+        tokio::task::yield_now().await;
+        if lock(activity).running == 0 {
+            return;
+        }
+        ended.notified().await;
+    }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,21 +20,27 @@
         route::Progress,
     },
     marigoldroute_process::logs::REQUESTS,
-    std::io,
+    std::{io, time::Duration},
 };
 
 /// Reason of the failure of a stream that its caller no longer waits for.
 const DEADLINE_REASON: &str = "the deadline has passed";
 
+/// Reason of the failure of a stream that is cut as the process stops.
+const STOP_REASON: &str = "the process stops";
+
 /// A stream of events on its way to the caller.
 pub(crate) struct Relay {
     request: ActiveRequest,
     /// Head of the response that the caller gets.
     head: ResponseHead,
-    /// Absent once the stream has ended or failed.
+    /// Absent once the stream has ended or failed, and while it is resumed.
     stream: Option<Box<Stream>>,
+    has_ended: bool,
     sequence: Sequence,
     stall: Stall,
+    /// When the first event came.
+    begun: Duration,
     /// Output tokens billed for an event.
     event_tokens: u64,
 }
@@ -52,9 +58,15 @@
 }
 
 impl Drop for Relay {
-    /// Logs a stream that the caller stopped reading; `stream` is absent for all others.
+    /// Logs a stream that the caller stopped reading, or that is cut as the process stops.
     fn drop(&mut self) {
-        if self.stream.is_none() {
+        if self.has_ended {
+            return;
+        }
+        self.record_pace();
+        if self.request.context.drain.cut.is_cancelled() {
+            let failure = Failure::new(Outcome::Unknown, STOP_REASON);
+            self.record_cut(&failure, "the drain limit is reached");
             return;
         }
         let clock = self.request.context.clock;
@@ -69,14 +81,17 @@
 }
 
 impl Relay {
-    pub(crate) fn new(request: ActiveRequest, stream: Box<Stream>) -> Self {
+    pub(crate) fn new(mut request: ActiveRequest, stream: Box<Stream>) -> Self {
+        request.has_begun = true;
         let engine = request.service.engine.as_ref();
         Self {
             sequence: Sequence::new(request.head.last_event),
             stall: request.start_stall_timer(),
+            begun: request.context.clock.now(),
             event_tokens: engine.map_or(1, |engine| engine.event_tokens.max(1)),
             head: stream.exchange.head.clone(),
             stream: Some(stream),
+            has_ended: false,
             request,
         }
     }
@@ -93,7 +108,9 @@
     /// Returns the next bytes; an error closes the connection, so that the caller does not take a
     /// truncated stream for a complete one.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
-        self.stream.as_ref()?;
+        if self.has_ended {
+            return None;
+        }
         loop {
             let failure = match self.step().await {
                 Step::Send(bytes) => return Some(Ok(bytes)),
@@ -108,7 +125,7 @@
                 Step::Fail(failure) => failure,
             };
             if !self.resume(&failure).await {
-                self.stream = None;
+                self.has_ended = true;
                 // Lets the bytes before the failure be sent, which closes the connection.
                 tokio::task::yield_now().await;
                 return Some(Err(io::Error::other(failure)));
@@ -120,7 +137,7 @@
     async fn step(&mut self) -> Step {
         let clock = self.request.context.clock;
         let deadline = clock.instant(self.request.deadline).into();
-        let is_movable = self.request.is_movable();
+        let is_movable = self.request.is_movable(self.sequence.last());
         let stalled_at = clock.instant(self.stall.deadline()).into();
         let Some(stream) = &mut self.stream else {
             return Step::End;
@@ -205,6 +222,7 @@
         }
         // Close the connection, which cancels the run, before another run starts.
         give_up(&mut self.stream);
+        self.record_pace();
         let last = self.sequence.last();
         log::info!(
             target: REQUESTS,
@@ -216,6 +234,10 @@
             self.record_cut(failure, "events without an id were relayed");
             return false;
         }
+        if self.request.is_too_late(last) {
+            self.record_cut(failure, STOP_REASON);
+            return false;
+        }
         if !self.request.admit_resume() {
             self.record_cut(failure, "no retry is allowed");
             return false;
@@ -240,6 +262,7 @@
     fn record_cut(&self, failure: &Failure, obstacle: &str) {
         let cause = match failure.reason.as_str() {
             DEADLINE_REASON => "deadline",
+            STOP_REASON => "stop",
             _ => "broken",
         };
         let context = &self.request.context;
@@ -258,8 +281,20 @@
         );
     }
 
+    /// Records how long the events have taken so far.
+    fn record_pace(&self) {
+        let (request, events) = (&self.request, self.sequence.relayed());
+        let route = &request.access.route.name;
+        request
+            .context
+            .drain
+            .record_stream(route, events, self.begun);
+    }
+
     /// Records that the stream is complete.
     fn finish(&mut self) {
+        self.has_ended = true;
+        self.record_pace();
         if let Some(stream) = self.stream.take() {
             let tokens = self.sequence.relayed().saturating_mul(self.event_tokens);
             let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -48,7 +48,7 @@
         &mut self,
         last_event: Option<u64>,
     ) -> Result<Received, Interrupted> {
-        let assigned = self.acquire_upstream().await;
+        let assigned = self.acquire_upstream(last_event).await;
         let mut in_flight = assigned.map_err(Interrupted::Unassigned)?;
         let upstream = in_flight.upstream.clone();
         self.tried.push(upstream.clone());
@@ -62,7 +62,6 @@
                     break;
                 }
             };
-            self.record_send(&in_flight);
             match self.start_exchange(in_flight, connection, last_event).await {
                 Ok(exchange) => {
                     return self
@@ -76,8 +75,7 @@
                     if !failure.outcome.is_unsent() {
                         break;
                     }
-                    self.sent -= 1;
-                    if failure.outcome == Outcome::Barred {
+                    if failure.outcome.is_held_back() {
                         self.forget_choice(in_flight);
                         self.record_failure(&upstream, started, &failure);
                         return Err(Interrupted::Failed(failure.outcome));
@@ -100,7 +98,7 @@
     }
 
     /// Records that the upstream may run the request from now on.
-    pub(super) fn record_send(&mut self, in_flight: &InFlight) {
+    fn record_send(&mut self, in_flight: &InFlight) {
         if in_flight.rate.is_some() {
             let attempt = if self.sent == 0 { "first" } else { "later" };
             let limited = &self.context.metrics.limited;
@@ -114,17 +112,21 @@
 
     /// Assigns an upstream, with a permit if it has stated a rate, waiting while every candidate is
     /// at its limit.
-    async fn acquire_upstream(&self) -> Result<InFlight, Unavailable> {
+    async fn acquire_upstream(&self, last_event: Option<u64>) -> Result<InFlight, Unavailable> {
         let context = &self.context;
         loop {
             let capacity_freed = context.dispatcher.capacity_freed.notified();
+            let slack = self.slack(last_event);
+            if slack.is_zero() {
+                return Err(Unavailable::Stopping);
+            }
             match self.try_acquire_upstream().await {
                 Ok(Some(in_flight)) => return Ok(in_flight),
                 Ok(None) => {}
                 Err(Unavailable::Busy(opens_after)) => {
                     let opens_after = opens_after.unwrap_or(self.remaining());
                     // Either way, the candidates are looked at again.
-                    let _ = tokio::time::timeout(opens_after, capacity_freed).await;
+                    let _ = tokio::time::timeout(opens_after.min(slack), capacity_freed).await;
                 }
                 Err(unavailable) => return Err(unavailable),
             }
@@ -183,11 +185,16 @@
 
     /// Sends the request; a failure returns `in_flight` for another connection.
     pub(super) async fn start_exchange(
-        &self,
+        &mut self,
         in_flight: InFlight,
         connection: Connection,
         last_event: Option<u64>,
     ) -> Result<Exchange, (InFlight, Failure)> {
+        if self.is_too_late(last_event) {
+            let failure = Failure::new(Outcome::Late, "the process stops");
+            return Err((in_flight, failure));
+        }
+        self.record_send(&in_flight);
         let upstream = in_flight.upstream.clone();
         let attempt = Attempt {
             upstream: &upstream,
@@ -197,10 +204,14 @@
         };
         let (protocol, pool) = (&*self.context.protocol, &self.context.pool);
         let body = self.body.clone();
-        Exchange::start(
+        let started = Exchange::start(
             protocol, pool, in_flight, connection, &self.head, &attempt, body,
-        )
-        .await
+        );
+        let started = started.await;
+        if let Err((_, failure)) = &started {
+            self.sent -= u32::from(failure.outcome.is_unsent());
+        }
+        started
     }
 
     /// Validates the head of a response, and reads the body or the first events of a stream.
@@ -331,6 +342,9 @@
         metrics.attempts.with_label_values(&["answered"]).inc();
         let elapsed = self.context.clock.now().saturating_sub(started);
         metrics.attempt.observe(elapsed.as_secs_f64());
+        self.context
+            .drain
+            .record_wait(&self.access.route.name, elapsed);
         let status = exchange.head.status.as_u16();
         log::debug!(
             target: REQUESTS,
