--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -55,8 +55,6 @@
     view: Arc<View>,
     dispatcher: Arc<Dispatcher>,
     drain: Arc<Drain>,
-    /// Cancelled when no new connections are accepted any more and idle ones are closed.
-    close: CancellationToken,
     /// Cancelled when the background tasks have to end.
     stop: CancellationToken,
     /// Connections of callers.
@@ -107,7 +105,7 @@
     let pool = Arc::new(Pool::new(clock, metrics.clone(), settings.connect_timeout));
     let quarantine = Arc::new(Quarantine::new(clock, metrics.clone()));
     let drain = Arc::new(Drain::new(clock, &settings));
-    let [close, stop] = std::array::from_fn(|_| CancellationToken::new());
+    let stop = CancellationToken::new();
     let (connections, tasks) = (TaskTracker::new(), TaskTracker::new());
     let peers = match settings.listen_peers {
         Some(address) => Some(Arc::new(Peers::bind(
@@ -142,7 +140,12 @@
         settings: settings.clone(),
         drain: drain.clone(),
     });
-    let callers = accept(settings.listen, Frontend(context), &connections, &close)?;
+    let callers = accept(
+        settings.listen,
+        Frontend(context),
+        &connections,
+        &drain.close,
+    )?;
     let ready = serve(
         settings.listen_ready,
         readiness(clock, view.clone()),
@@ -215,7 +218,6 @@
         view,
         dispatcher,
         drain,
-        close,
         stop,
         connections,
         tasks,
@@ -238,7 +240,7 @@
         self.dispatcher.capacity_freed.notify_waiters();
         self.escrow.require_write_ahead();
         tokio::time::sleep(self.settings.deregistration_delay).await;
-        self.close.cancel();
+        self.drain.close.cancel();
         self.connections.close();
         let ended = tokio::time::timeout(self.drain.patience(), self.connections.wait()).await;
         if ended.is_err() {
