Refuse requests that wait for tokens or a body as soon as it is too late

What callers saw: a request that waited for tokens, or for the rest of its body, when a planned stop began was refused only when that wait was over, or at the end of the stop, with the time to return of a budget out of reach.

Cause: both waits ended only with the time at which all requests without a response have to end.

Change: they end when the rest of the stop is too short for the request.

Before, requests_that_wait_at_a_stop_are_refused_at_once panicked at crates/gateway/tests/late_in_stops.rs:234: "19.701666035s", in a stop of 20 s. It passes now.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -21,6 +21,8 @@
     refusal_time: Duration,
     /// When requests are cut.
     end: OnceLock<Duration>,
+    /// Cancelled when the stop has begun.
+    begun: CancellationToken,
     /// Cancelled when requests without a response have to end.
     pub(crate) ending: CancellationToken,
     /// Cancelled when all requests are cut.
@@ -35,6 +37,7 @@
             limit: settings.drain_limit,
             refusal_time: settings.refusal_time,
             end: OnceLock::new(),
+            begun: CancellationToken::new(),
             ending: CancellationToken::new(),
             cut: CancellationToken::new(),
             forecast: Mutex::default(),
@@ -44,6 +47,7 @@
     /// Begins the stop.
     pub(crate) fn start(&self) {
         self.end.get_or_init(|| self.clock.now() + self.limit);
+        self.begun.cancel();
     }
 
     /// Returns the time until requests are cut; none before the stop.
@@ -75,6 +79,18 @@
         forecast::slack(now, end, prospect.deadline, expected)
     }
 
+    /// Waits until the stop leaves too little time for a request that is still to be sent.
+    pub(crate) async fn until_late(&self, prospect: &Prospect<'_>) {
+        self.begun.cancelled().await;
+        loop {
+            let slack = self.slack(prospect);
+            if slack.is_zero() {
+                return;
+            }
+            tokio::time::sleep(slack).await;
+        }
+    }
+
     /// Records the time from sending a request to its answer or its first event.
     pub(crate) fn record_wait(&self, route: &Arc<str>, wait: Duration) {
         lock(&self.forecast).record_wait(self.clock.now(), route, wait);
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -178,8 +178,12 @@
         let timeout = head.timeout.unwrap_or(BODY_TIMEOUT);
         let timeout = timeout.min(access.route.timeout);
         let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect());
-        let read = drain.ending.run_until_cancelled(read).await;
-        match read.ok_or_else(|| self.0.stopping())? {
+        let read = tokio::select! {
+            biased;
+            read = read => read,
+            () = drain.until_late(&prospect) => return Err(self.0.stopping()),
+        };
+        match read {
             Ok(Ok(body)) => Ok(Admitted {
                 access,
                 service,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -277,13 +277,11 @@
             .context
             .reserver
             .reserve(spec, reserve_by.min(self.deadline));
-        let reserved = self
-            .context
-            .drain
-            .ending
-            .run_until_cancelled(reserving)
-            .await;
-        let reserved = reserved.ok_or_else(|| self.context.stopping())?;
+        let reserved = tokio::select! {
+            biased;
+            reserved = reserving => reserved,
+            () = self.until_late() => return Err(self.context.stopping()),
+        };
         self.reservation = Some(reserved.map_err(|refusal| match refusal {
             Refusal::Exhausted => Error::BudgetExhausted,
             Refusal::Unreachable { retry_after } => Error::BudgetUnreachable(retry_after),
--- a/crates/gateway/src/request/stop.rs
+++ b/crates/gateway/src/request/stop.rs
@@ -23,14 +23,24 @@
     /// Returns for how long the request may wait before it is sent to continue after this event, so
     /// that it ends before the process does.
     pub(super) fn slack(&self, last_event: Option<u64>) -> Duration {
-        self.context.drain.slack(&Prospect {
+        self.context.drain.slack(&self.prospect(last_event))
+    }
+
+    /// Waits until the process stops too early for the request, which was not sent.
+    pub(super) async fn until_late(&self) {
+        let prospect = self.prospect(self.head.last_event);
+        self.context.drain.until_late(&prospect).await;
+    }
+
+    fn prospect(&self, last_event: Option<u64>) -> Prospect<'_> {
+        Prospect {
             head: &self.head,
             access: &self.access,
             service: &self.service,
             deadline: self.deadline,
             last_event,
             has_begun: self.has_begun,
-        })
+        }
     }
 
     /// Returns whether the process stops before the request could end, if it is sent now.
--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -17,6 +17,9 @@
     tokio::sync::watch,
 };
 
+/// Time between two checks whether commits still have to wait.
+const HOLD_INTERVAL: Duration = Duration::from_millis(5);
+
 #[derive(Default)]
 struct Inner {
     table: table::Memory,
@@ -44,6 +47,8 @@
     is_down: bool,
     /// Time to transfer the whole configuration.
     transfer: Duration,
+    /// Whether commits wait.
+    is_held: bool,
     /// Whether the next read for updates of the list panics.
     has_injected_panic: bool,
     /// Takeovers of journals that are still to fail with a conflict.
@@ -165,6 +170,11 @@
         self.change(|inner, _| inner.has_injected_panic = true);
     }
 
+    /// Makes commits wait, or lets them go on.
+    pub fn set_held(&self, is_held: bool) {
+        self.lock().is_held = is_held;
+    }
+
     pub fn set_transfer(&self, time: Duration) {
         self.lock().transfer = time;
     }
@@ -224,6 +234,9 @@
 
     fn commit(&self, transaction: Transaction) -> BoxFuture<'_, Result<Verdict, Fault>> {
         Box::pin(async move {
+            while self.lock().is_held {
+                tokio::time::sleep(HOLD_INTERVAL).await;
+            }
             let mut inner = self.lock_available()?;
             if inner.lost_takeovers > 0 && is_takeover(&transaction) {
                 inner.lost_takeovers -= 1;
--- a/crates/gateway/tests/late_in_stops.rs
+++ b/crates/gateway/tests/late_in_stops.rs
@@ -9,7 +9,10 @@
     },
     marigoldroute_core::forward::{AllowanceSettings, Snapshot},
     marigoldroute_gateway::Settings,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -205,6 +208,35 @@
     assert_eq!(upstreams[0].arrivals().len(), 1);
 }
 
+/// Guards against requests that wait for tokens or for their body until the end of a planned stop,
+/// although their callers could go to another host.
+#[tokio::test]
+async fn requests_that_wait_at_a_stop_are_refused_at_once() {
+    let settings = Settings {
+        drain_limit: LONG_STOP,
+        store_timeout: TIMEOUT,
+        ..Settings::default()
+    };
+    let script = Script::Events { upto: 1, of: 1 };
+    let (mut harness, upstreams) =
+        Harness::with_settings(settings, long_routes(), vec![script]).await;
+    harness.store.set_held(true);
+    let waiting = send(&harness, &text("once", "r1", "")).await;
+    let body = text("once", "r2", "x-timeout: 50000\r\n");
+    let body = send(&harness, &body[..body.len() - 5]).await;
+    let begun = Instant::now();
+    let stopping = begin_stop(&mut harness).await;
+    for call in [waiting, body] {
+        let response = read_all(call).await;
+        assert!(is_refused(&response), "{response:?}");
+        assert!(response.ends_with("the host is stopping"), "{response:?}");
+    }
+    assert!(begun.elapsed() < LONG_STOP / 2, "{:?}", begun.elapsed());
+    harness.store.set_held(false);
+    stopping.await.expect("the stop ends");
+    assert_eq!(upstreams[0].arrivals(), []);
+}
+
 /// Guards against a retry so late in a planned stop that it is cut, although the caller could have
 /// gone to another host.
 #[tokio::test]
