--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -23,6 +23,8 @@
     end: OnceLock<Duration>,
     /// Cancelled when no new connections are accepted any more and idle ones are closed.
     pub(crate) close: CancellationToken,
+    /// Cancelled when the stop has begun.
+    begun: CancellationToken,
     /// Cancelled when requests without a response have to end.
     pub(crate) ending: CancellationToken,
     /// Cancelled when all requests are cut.
@@ -38,6 +40,7 @@
             refusal_time: settings.refusal_time,
             end: OnceLock::new(),
             close: CancellationToken::new(),
+            begun: CancellationToken::new(),
             ending: CancellationToken::new(),
             cut: CancellationToken::new(),
             forecast: Mutex::default(),
@@ -47,6 +50,7 @@
     /// Begins the stop.
     pub(crate) fn start(&self) {
         self.end.get_or_init(|| self.clock.now() + self.limit);
+        self.begun.cancel();
     }
 
     /// Returns the time until requests are cut; none before the stop.
@@ -84,6 +88,22 @@
         forecast::slack(now, end, prospect.deadline, expected)
     }
 
+    /// Waits until the stop leaves too little time for a request that is still to be sent.
+    pub(crate) async fn until_late(&self, prospect: &Prospect<'_>) {
+        self.begun.cancelled().await;
+        loop {
+            let slack = self.slack(prospect);
+            if slack.is_zero() {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(slack) => {}
+                // Less is taken from then on.
+                () = self.close.cancelled(), if !self.close.is_cancelled() => {}
+            }
+        }
+    }
+
     /// Records the time from sending a request to its answer or its first event.
     pub(crate) fn record_wait(&self, route: &Arc<str>, wait: Duration) {
         lock(&self.forecast).record_wait(self.clock.now(), route, wait);
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -236,11 +236,13 @@
         log::info!("planned stop");
         self.drain.start();
         self.view.start_draining();
-        // Requests that wait for a place look again whether there is time for them.
-        self.dispatcher.capacity_freed.notify_waiters();
         self.escrow.require_write_ahead();
+        // Requests that wait for a place look again whether there is time for them, now and when
+        // less is taken.
+        self.dispatcher.capacity_freed.notify_waiters();
         tokio::time::sleep(self.settings.deregistration_delay).await;
         self.drain.close.cancel();
+        self.dispatcher.capacity_freed.notify_waiters();
         self.connections.close();
         let ended = tokio::time::timeout(self.drain.patience(), self.connections.wait()).await;
         if ended.is_err() {
