Take an unframed end before the body for a break

An upstream sent the head of a success with neither a length nor chunks and closed. Callers of routes without streams got a 200 with an empty body and content-length 0, which they had to take for the whole answer.

Streams already count such an end as a break; whole answers did not. They do now: the request fails, moves on if it may be repeated, and the break is looked into as the end of the upstream.

A body without a mark of its end that is cut after its first byte by the end of the connection, without a reset, cannot be told from a whole one.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -162,6 +162,10 @@
     }
 
     /// Returns the whole body; `permit` grows with its size.
+    ///
+    /// # Errors
+    /// When it breaks off, takes too much memory, or ends with its connection before it has begun
+    /// although the response is a success.
     pub(crate) async fn read_all(&mut self, permit: &mut Permit) -> Result<Bytes, Failure> {
         let mut all = BytesMut::new();
         while let Some(data) = self.read().await? {
@@ -172,6 +176,9 @@
             permit.resize(all.capacity())?;
             all.extend_from_slice(&data);
         }
+        if all.is_empty() && !self.is_end_marked && self.head.status.is_success() {
+            return Err(self.ended_early("the answer ended without a body"));
+        }
         Ok(all.freeze())
     }
 
