Refuse streams to callers to whom no end can be marked

A caller that speaks HTTP/1.0 knows no chunks: a stream to it ends with its connection. One that broke off after two of five events looked complete to it, as would one whose process ended.

Streams for such callers are refused with 505 before anything is sent to an upstream. Whole answers are still served.

--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -39,6 +39,9 @@
     /// No route matches the request, or its key is unknown.
     #[display("{_0}")]
     Access(AccessError),
+    /// The response is a stream, whose end cannot be marked in the caller's version of HTTP.
+    #[display("streams need HTTP/1.1")]
+    Version,
     /// The budget has too few tokens left for the request.
     #[display("the budget does not cover the request")]
     BudgetExhausted,
@@ -76,6 +79,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Access(AccessError::NoRoute) => StatusCode::NOT_FOUND,
             Self::Access(AccessError::UnknownKey) => StatusCode::UNAUTHORIZED,
+            Self::Version => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Self::Unconfigured
             | Self::BudgetUnreachable(_)
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -15,7 +15,7 @@
     marigoldroute_core::forward::{Access, Directory, Service},
     marigoldroute_process::logs::REQUESTS,
     poem::http::{
-        HeaderValue, Request, Response,
+        HeaderValue, Request, Response, Version,
         header::{CONNECTION, EXPECT},
     },
     std::{io, sync::Arc, time::Duration},
@@ -90,6 +90,8 @@
                 .protocol
                 .parse_request(request.method(), request.uri(), request.headers());
         let expects_continue = request.headers().contains_key(EXPECT);
+        // A caller without chunks takes the end of its connection for that of the stream.
+        let takes_streams = request.version() > Version::HTTP_10;
         self.record_bytes(HEAD_BYTES);
         // Also counts bodies that are dropped before an error response.
         let mut body = request.into_body().map_frame(|frame| {
@@ -106,6 +108,9 @@
             }
         };
         match self.admit(&head, &mut body).await {
+            Ok(admitted) if admitted.access.route.kind.is_stream() && !takes_streams => {
+                self.reject(Some(&head), arrived, Error::Version)
+            }
             Ok(admitted) => self.forward(head, admitted, arrived).await,
             Err(error) => {
                 let left = self.caller_time_left(&head, arrived);
