Search for the end of an event once

For each event that had arrived, the splitter searched all bytes behind it for an end with CR LF, so that many small events in one piece took the square of their number.

The bytes are searched once, for each line end.

--- a/crates/core/src/stream/event.rs
+++ b/crates/core/src/stream/event.rs
@@ -69,14 +69,13 @@
 
 /// Returns the length of the first event including the blank line that ends it.
 fn find_blank_line(buffer: &[u8]) -> Option<usize> {
-    let lf = buffer.windows(2).position(|pair| pair == b"\n\n");
-    let crlf = buffer.windows(4).position(|quad| quad == b"\r\n\r\n");
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) if crlf < lf => Some(crlf + 4),
-        (Some(lf), _) => Some(lf + 2),
-        (None, Some(crlf)) => Some(crlf + 4),
-        (None, None) => None,
-    }
+    let bytes = buffer.iter().enumerate();
+    let mut line_ends = bytes.filter_map(|(at, byte)| (*byte == b'\n').then_some(at));
+    line_ends.find_map(|at| match &buffer[at + 1..] {
+        [b'\n', ..] => Some(at + 2),
+        [b'\r', b'\n', ..] if buffer[..at].ends_with(b"\r") => Some(at + 3),
+        _ => None,
+    })
 }
 
 fn parse(raw: Bytes) -> Event {
--- a/crates/core/src/stream/tests.rs
+++ b/crates/core/src/stream/tests.rs
@@ -1,6 +1,9 @@
 //! Tests of answer validation.
 
-use super::{Action, Event, InvalidAnswer, Splitter, Validator};
+use {
+    super::{Action, Event, InvalidAnswer, Splitter, Validator},
+    std::time::{Duration, Instant},
+};
 
 fn events(text: &str) -> Vec<Event> {
     Splitter::default().push(text.as_bytes()).unwrap()
@@ -88,6 +91,19 @@
     }
 }
 
+/// Guards against a search of all bytes that have arrived for each event in them, which keeps a
+/// processor from everything else.
+#[test]
+fn many_small_events_are_split_in_linear_time() {
+    let started = Instant::now();
+    for event in ["\n\n", ":\n\n", "\r\n\r\n"] {
+        let text = event.repeat(100_000);
+        assert_eq!(events(&text).len(), 100_000);
+    }
+    // The square of the number takes minutes.
+    assert!(started.elapsed() < Duration::from_secs(20));
+}
+
 /// Guards against treating a different answer as the same one when the request runs again at
 /// another upstream.
 #[test]
