Count the memory of whole answers until they are sent

The permit for the memory of a whole answer went with its body, which hyper drops as soon as it has taken the bytes, before it has written them. Callers that did not read held answers of up to 8 MiB each that counted for nothing. The body had no length either, so a caller of HTTP/1.0 got an answer that ended with its connection, and a short one looked complete to it.

The permit now goes with the bytes themselves, and whole answers have a length. An answer of a stated length gets its space at once, and counts what has been written there; what others took while they grew is given back at their end. slow_callers_do_not_cost_others_their_response fails without this part, since the answers of three slow callers no longer fit.

whole_answers_have_a_length failed before: the answer had no length.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -167,15 +167,24 @@
     /// When it breaks off, takes too much memory, or ends with its connection before it has begun
     /// although the response is a success.
     pub(crate) async fn read_all(&mut self, permit: &mut Permit) -> Result<Bytes, Failure> {
-        let mut all = BytesMut::new();
+        let too_large = || Failure::new(Outcome::Unknown, "the answer is too large");
+        let stated = self.body.size_hint().exact();
+        let stated = stated.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+        if stated.is_some_and(|length| length > BODY_LIMIT_BYTES) {
+            return Err(too_large());
+        }
+        let mut all = BytesMut::with_capacity(stated.unwrap_or_default());
         while let Some(data) = self.read().await? {
-            if all.len() + data.len() > BODY_LIMIT_BYTES {
-                return Err(Failure::new(Outcome::Unknown, "the answer is too large"));
+            let length = all.len() + data.len();
+            if length > BODY_LIMIT_BYTES {
+                return Err(too_large());
             }
             all.reserve(data.len());
-            permit.resize(all.capacity())?;
+            // Space for a stated length takes no memory before it is written.
+            permit.resize(stated.map_or(all.capacity(), |_| length))?;
             all.extend_from_slice(&data);
         }
+        permit.resize(all.len())?;
         if all.is_empty() && !self.is_end_marked && self.head.status.is_success() {
             return Err(self.ended_early("the answer ended without a body"));
         }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -48,13 +48,24 @@
         .boxed_unsync()
 }
 
-/// Returns a body that keeps its memory permit until it has been sent or dropped.
-fn permitted_body(bytes: Bytes, permit: Permit) -> Body {
-    let keep = move |frame| {
-        let _ = &permit;
-        frame
-    };
-    full_body(bytes).map_frame(keep).boxed_unsync()
+/// Bytes of a response with the permit for their memory.
+struct Permitted {
+    bytes: Bytes,
+    _permit: Permit,
+}
+
+impl AsRef<[u8]> for Permitted {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Returns bytes that keep their memory permit until they have been sent or dropped.
+pub(crate) fn permitted(bytes: Bytes, permit: Permit) -> Bytes {
+    Bytes::from_owner(Permitted {
+        bytes,
+        _permit: permit,
+    })
 }
 
 /// A request that was authorized and whose body has arrived.
@@ -205,7 +216,7 @@
             Answer::Complete(head, body, permit) => {
                 self.record_bytes(HEAD_BYTES + body.len());
                 self.record_answer(&request, &head, elapsed);
-                build_response(&head, permitted_body(body, permit))
+                build_response(&head, full_body(permitted(body, permit)))
             }
             Answer::Stream(stream) => {
                 let head = stream.exchange.head.clone();
--- a/crates/gateway/tests/old_callers.rs
+++ b/crates/gateway/tests/old_callers.rs
@@ -72,3 +72,16 @@
         }
     }
 }
+/// Guards against a whole answer whose end is only that of its connection, so that a short one looks
+/// complete.
+#[tokio::test]
+async fn whole_answers_have_a_length() {
+    let (harness, _upstreams) = Harness::unlimited(vec![Script::Complete(200, "the answer")]).await;
+    for connection in ["close", "keep-alive"] {
+        for route in ["once", "safe"] {
+            let (status, response, _) = call(harness.callers, route, connection).await;
+            assert_eq!(status, "HTTP/1.0 200 OK", "{route}");
+            assert!(is_whole(response.as_bytes()), "{route}: {response}");
+        }
+    }
+}
