Count large events until they are sent

The memory of an event counted until it was complete. Pieces that one read can fill do not count, so that others cut no stream of usual events.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -36,7 +36,7 @@
 const IDLE_TIMEOUT_LIMIT: Duration = Duration::from_secs(30);
 /// Largest head of a response, and bytes read ahead of its body. Heads of healthy upstreams take
 /// less than a kilobyte.
-const READ_BUFFER_BYTES: usize = 32 << 10;
+pub(crate) const READ_BUFFER_BYTES: usize = 32 << 10;
 /// Idle connections kept for one upstream.
 const IDLE_LIMIT_PER_UPSTREAM: usize = 16;
 /// Idle time after which the kernel probes a connection, and time between its probes.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,8 @@
 use {
     crate::{
         exchange::Failure,
-        frontend::Body,
+        frontend::{Body, permitted},
+        pool::READ_BUFFER_BYTES,
         protocol::ResponseHead,
         request::{
             ActiveRequest, Answer, ENDED_WITHIN_EVENT, ENDED_WITHOUT_EVENT, Stream, give_up,
@@ -169,6 +170,13 @@
             }
             bytes.extend_from_slice(&event.raw);
         }
+        // What hyper takes from here waits until the caller reads it.
+        let mut permit = self.request.context.quota.permit();
+        if bytes.len() > READ_BUFFER_BYTES
+            && let Err(exceeded) = permit.resize(bytes.len())
+        {
+            return Step::Fail(exceeded.into());
+        }
         let relayed = self.sequence.relayed() - before;
         if relayed > 0 {
             self.stall.record_event(self.request.context.clock.now());
@@ -178,7 +186,7 @@
         }
         let context = &self.request.context;
         context.view.record_bytes(context.clock.now(), bytes.len());
-        Step::Send(bytes.freeze())
+        Step::Send(permitted(bytes.freeze(), permit))
     }
 
     /// Relays the events of another upstream from now on.
