--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,11 +3,12 @@
 use {
     crate::{
         dispatch::InFlight,
-        memory::{Exceeded, Permit},
+        memory::{Exceeded, Quota},
         pool::{Connection, Pool, SendError},
         protocol::{Attempt, Protocol, RequestHead, ResponseHead},
+        whole::Whole,
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     derive_more::{Display, Error},
     http_body_util::{BodyExt, Full},
     hyper::body::{Body, Incoming},
@@ -161,34 +162,23 @@
         }
     }
 
-    /// Returns the whole body; `permit` grows with its size.
+    /// Returns the whole body, whose memory is taken from `quota`.
     ///
     /// # Errors
     /// When it breaks off, takes too much memory, or ends with its connection before it has begun
     /// although the response is a success.
-    pub(crate) async fn read_all(&mut self, permit: &mut Permit) -> Result<Bytes, Failure> {
-        let too_large = || Failure::new(Outcome::Unknown, "the answer is too large");
-        let stated = self.body.size_hint().exact();
-        let stated = stated.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
-        if stated.is_some_and(|length| length > BODY_LIMIT_BYTES) {
-            return Err(too_large());
-        }
-        let mut all = BytesMut::with_capacity(stated.unwrap_or_default());
+    pub(crate) async fn read_all(&mut self, quota: &Quota) -> Result<Whole, Failure> {
+        let mut all = Whole::new(quota.permit());
         while let Some(data) = self.read().await? {
-            let length = all.len() + data.len();
-            if length > BODY_LIMIT_BYTES {
-                return Err(too_large());
+            if all.len() + data.len() > BODY_LIMIT_BYTES {
+                return Err(Failure::new(Outcome::Unknown, "the answer is too large"));
             }
-            all.reserve(data.len());
-            // Space for a stated length takes no memory before it is written.
-            permit.resize(stated.map_or(all.capacity(), |_| length))?;
-            all.extend_from_slice(&data);
+            all.push(data)?;
         }
-        permit.resize(all.len())?;
-        if all.is_empty() && !self.is_end_marked && self.head.status.is_success() {
+        if all.len() == 0 && !self.is_end_marked && self.head.status.is_success() {
             return Err(self.ended_early("the answer ended without a body"));
         }
-        Ok(all.freeze())
+        Ok(all)
     }
 
     /// Ends the exchange after a refusal. Its connection is kept if the rest of the response
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -3,7 +3,6 @@
 use {
     crate::{
         error::{self, Error},
-        memory::Permit,
         protocol::{RequestHead, ResponseHead},
         relay::Relay,
         request::{ActiveRequest, Answer, Context},
@@ -48,26 +47,6 @@
         .boxed_unsync()
 }
 
-/// Bytes of a response with the permit for their memory.
-struct Permitted {
-    bytes: Bytes,
-    _permit: Permit,
-}
-
-impl AsRef<[u8]> for Permitted {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
-/// Returns bytes that keep their memory permit until they have been sent or dropped.
-pub(crate) fn permitted(bytes: Bytes, permit: Permit) -> Bytes {
-    Bytes::from_owner(Permitted {
-        bytes,
-        _permit: permit,
-    })
-}
-
 /// A request that was authorized and whose body has arrived.
 struct Admitted {
     access: Access,
@@ -213,10 +192,10 @@
         self.0.metrics.first_byte.observe(elapsed.as_secs_f64());
         match answer {
             Answer::Error(error) => self.reject(Some(&request.head), arrived, error),
-            Answer::Complete(head, body, permit) => {
+            Answer::Complete(head, body) => {
                 self.record_bytes(HEAD_BYTES + body.len());
                 self.record_answer(&request, &head, elapsed);
-                build_response(&head, full_body(permitted(body, permit)))
+                build_response(&head, body.into_body())
             }
             Answer::Stream(stream) => {
                 let head = stream.exchange.head.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod supervise;
 mod view;
 mod watch;
+mod whole;
 
 use marigoldroute_process::Clock;
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,12 +5,13 @@
 use {
     crate::{
         exchange::Failure,
-        frontend::{Body, permitted},
+        frontend::Body,
         pool::READ_BUFFER_BYTES,
         protocol::ResponseHead,
         request::{
             ActiveRequest, Answer, ENDED_WITHIN_EVENT, ENDED_WITHOUT_EVENT, Stream, give_up,
         },
+        whole::permitted,
     },
     bytes::{Bytes, BytesMut},
     futures_util::stream,
@@ -186,7 +187,7 @@
         }
         let context = &self.request.context;
         context.view.record_bytes(context.clock.now(), bytes.len());
-        Step::Send(permitted(bytes.freeze(), permit))
+        Step::Send(permitted(bytes.freeze(), permit.into()))
     }
 
     /// Relays the events of another upstream from now on.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -25,6 +25,7 @@
         quarantine::{Quarantine, SharedParts, shared_parts},
         settings::Settings,
         view::View,
+        whole::Whole,
     },
     attempt::{Interrupted, Received},
     bytes::Bytes,
@@ -68,8 +69,8 @@
 
 /// The result of a request, to be returned to the caller.
 pub(crate) enum Answer {
-    /// A complete response of an upstream, with the permit for the memory of its body.
-    Complete(Box<ResponseHead>, Bytes, Permit),
+    /// A complete response of an upstream.
+    Complete(Box<ResponseHead>, Whole),
     /// A stream whose first event has arrived, or that ended without an event.
     Stream(Box<Stream>),
     /// An error that the gateway reports itself.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -6,11 +6,9 @@
     crate::{
         dispatch::{InFlight, Unavailable},
         exchange::{Exchange, Failure},
-        memory::Permit,
         pool::Connection,
         protocol::{Attempt, ResponseHead},
     },
-    bytes::Bytes,
     marigoldroute_core::{
         forward::retry::Outcome, id::UpstreamId, route::Progress, throttle::Rate,
     },
@@ -219,8 +217,8 @@
             return opened.map(|stream| Received::Final(Answer::Stream(stream)));
         }
         let failure = match validated {
-            Ok(()) => match self.read_all(&mut exchange).await {
-                Ok((body, permit)) => {
+            Ok(()) => match exchange.read_all(&self.context.quota).await {
+                Ok(body) => {
                     self.record_success(&upstream, started, &exchange);
                     let head = Box::new(exchange.head.clone());
                     let is_failure = head.status.is_server_error();
@@ -229,7 +227,7 @@
                         self.context.quarantine.record_success(&self.parts);
                     }
                     exchange.finish(Progress::Finished { tokens: 1 });
-                    let answer = Answer::Complete(head, body, permit);
+                    let answer = Answer::Complete(head, body);
                     return Ok(if is_failure {
                         Received::ServerError(answer)
                     } else {
@@ -289,12 +287,6 @@
         Ok(())
     }
 
-    async fn read_all(&self, exchange: &mut Exchange) -> Result<(Bytes, Permit), Failure> {
-        let mut permit = self.context.quota.permit();
-        let body = exchange.read_all(&mut permit).await?;
-        Ok((body, permit))
-    }
-
     pub(super) fn record_failure(
         &self,
         upstream: &UpstreamId,
