--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -28,6 +28,9 @@
 /// Reason of the failure of a stream that its caller no longer waits for.
 const DEADLINE_REASON: &str = "the deadline has passed";
 
+/// Events for which a stream keeps space between two reads.
+const SPARE_EVENTS: usize = 16;
+
 /// A stream of events on its way to the caller.
 pub(crate) struct Relay {
     request: ActiveRequest,
@@ -171,6 +174,8 @@
             }
             bytes.extend_from_slice(&event.raw);
         }
+        // Many small events may have grown it far beyond what the next ones need.
+        stream.events.shrink_to(SPARE_EVENTS);
         // What hyper takes from here waits until the caller reads it.
         let mut permit = self.request.context.quota.permit();
         if bytes.len() > READ_BUFFER_BYTES
