Cut long texts in log lines

A line quoted what others had sent in full: an error about a malformed response of the store repeats the string that it found, of up to the size of the response, and 4,096 lines may wait for the writer. Each text of a line now has at most 2 KiB.

--- a/crates/process/src/logs.rs
+++ b/crates/process/src/logs.rs
@@ -1,5 +1,8 @@
 //! Structured logging: each line is one JSON object.
 
+#[cfg(test)]
+mod tests;
+
 use {
     crate::queue::Queue,
     anyhow::Context,
@@ -8,7 +11,10 @@
         kv::{Error, Key, Value, VisitSource},
     },
     serde_json::Map,
-    std::time::{SystemTime, UNIX_EPOCH},
+    std::{
+        fmt::Display,
+        time::{SystemTime, UNIX_EPOCH},
+    },
 };
 
 /// Target of routing decisions, one line each.
@@ -23,6 +29,9 @@
 /// store.
 pub const BELIEFS: &str = "marigoldroute::beliefs";
 
+/// Longest text in a line, in bytes. A text may quote what others have sent.
+const TEXT_LIMIT_BYTES: usize = 2_048;
+
 /// Starts logging to standard error.
 ///
 /// # Errors
@@ -68,12 +77,19 @@
     fields.0.insert("target".into(), record.target().into());
     fields
         .0
-        .insert("message".into(), record.args().to_string().into());
+        .insert("message".into(), shortened(record.args()).into());
     // A pair that cannot be formatted is left out; the line itself is still written.
     let _ = record.key_values().visit(&mut fields);
     serde_json::Value::Object(fields.0).to_string()
 }
 
+/// Returns a text, cut at the limit.
+fn shortened(text: impl Display) -> String {
+    let mut text = text.to_string();
+    text.truncate(text.floor_char_boundary(TEXT_LIMIT_BYTES));
+    text
+}
+
 /// Collects key-value pairs; numbers and booleans keep their JSON type, other values become text.
 struct Fields(Map<String, serde_json::Value>);
 
@@ -83,7 +99,7 @@
             (Some(number), ..) => number.into(),
             (_, Some(number), _) => number.into(),
             (.., Some(flag)) => flag.into(),
-            _ => value.to_string().into(),
+            _ => shortened(value).into(),
         };
         self.0.insert(key.to_string(), value);
         Ok(())
