Relay events without parsing their data

The gateway relays events as they came, but each of them was parsed, and a copy of its data kept beside it.

--- a/crates/core/src/stream/event.rs
+++ b/crates/core/src/stream/event.rs
@@ -44,12 +44,18 @@
     /// Adds bytes and returns the events that they complete, or `None` when an incomplete event
     /// exceeds the size limit of 1 MiB.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Vec<Event>> {
+        let events = self.split(bytes)?.into_iter();
+        Some(events.map(parse).collect())
+    }
+
+    /// As [`Self::push`], without parsing the events.
+    pub fn split(&mut self, bytes: &[u8]) -> Option<Vec<Bytes>> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
         while let Some(end) = find_blank_line(&self.buffer[self.searched..]) {
             let raw = self.buffer.split_to(self.searched + end).freeze();
             self.searched = 0;
-            events.push(parse(raw));
+            events.push(raw);
         }
         // The end of an event takes up to four bytes, of which three may have arrived.
         self.searched = self.buffer.len().saturating_sub(3);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -164,7 +164,7 @@
         let mut bytes = BytesMut::new();
         let before = self.sequence.relayed();
         while let Some(event) = stream.events.pop_front() {
-            if let Err(rejected) = self.sequence.accept_event(&event.raw) {
+            if let Err(rejected) = self.sequence.accept_event(&event) {
                 if bytes.is_empty() {
                     return Step::Fail(Failure::new(Outcome::Unknown, rejected.to_string()));
                 }
@@ -172,7 +172,7 @@
                 stream.events.push_front(event);
                 break;
             }
-            bytes.extend_from_slice(&event.raw);
+            bytes.extend_from_slice(&event);
         }
         // Many small events may have grown it far beyond what the next ones need.
         stream.events.shrink_to(SPARE_EVENTS);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -35,7 +35,7 @@
             retry::{self, Decision, Outcome},
         },
         id::{UpstreamId, WorkspaceId},
-        stream::{Event, Splitter},
+        stream::Splitter,
     },
     marigoldroute_process::logs::TOKENS,
     std::{collections::VecDeque, sync::Arc, time::Duration},
@@ -84,7 +84,7 @@
     /// Memory of the event that is still incomplete, unless it is small.
     pub(crate) permit: Permit,
     /// Complete events that have not been relayed.
-    pub(crate) events: VecDeque<Event>,
+    pub(crate) events: VecDeque<Bytes>,
     /// Whether the upstream has ended the stream.
     pub(crate) has_ended: bool,
 }
@@ -126,7 +126,7 @@
             return Ok(());
         };
         let too_large = || Failure::new(Outcome::Unknown, "an event is too large");
-        let events = self.splitter.push(&data).ok_or_else(too_large)?;
+        let events = self.splitter.split(&data).ok_or_else(too_large)?;
         let buffered = self.splitter.buffered_bytes();
         let counted = if buffered > SMALL_EVENT_BYTES {
             buffered
--- a/crates/gateway/src/request/opening.rs
+++ b/crates/gateway/src/request/opening.rs
@@ -83,7 +83,7 @@
             if let Some(first) = stream.events.front() {
                 let out_of_order =
                     |error: Rejected| Failure::new(Outcome::Unknown, error.to_string());
-                sequence.accept_event(&first.raw).map_err(out_of_order)?;
+                sequence.accept_event(first).map_err(out_of_order)?;
                 stream.exchange.in_flight.report(Progress::FirstToken);
                 self.context.quarantine.record_success(&self.parts);
                 return Ok(None);
