--- a/crates/core/src/stream/event.rs
+++ b/crates/core/src/stream/event.rs
@@ -44,12 +44,18 @@
     /// Adds bytes and returns the events that they complete, or `None` when an incomplete event
     /// exceeds the size limit of 1 MiB.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Vec<Event>> {
+        let events = self.split(bytes)?.into_iter();
+        Some(events.map(parse).collect())
+    }
+
+    /// As [`Self::push`], without parsing the events.
+    pub fn split(&mut self, bytes: &[u8]) -> Option<Vec<Bytes>> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
         while let Some(end) = find_blank_line(&self.buffer[self.searched..]) {
             let raw = self.buffer.split_to(self.searched + end).freeze();
             self.searched = 0;
-            events.push(parse(raw));
+            events.push(raw);
         }
         // The end of an event takes up to four bytes, of which three may have arrived.
         self.searched = self.buffer.len().saturating_sub(3);
@@ -69,14 +75,13 @@
 
 /// Returns the length of the first event including the blank line that ends it.
 fn find_blank_line(buffer: &[u8]) -> Option<usize> {
-    let lf = buffer.windows(2).position(|pair| pair == b"\n\n");
-    let crlf = buffer.windows(4).position(|quad| quad == b"\r\n\r\n");
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) if crlf < lf => Some(crlf + 4),
-        (Some(lf), _) => Some(lf + 2),
-        (None, Some(crlf)) => Some(crlf + 4),
-        (None, None) => None,
-    }
+    let bytes = buffer.iter().enumerate();
+    let mut line_ends = bytes.filter_map(|(at, byte)| (*byte == b'\n').then_some(at));
+    line_ends.find_map(|at| match &buffer[at + 1..] {
+        [b'\n', ..] => Some(at + 2),
+        [b'\r', b'\n', ..] if buffer[..at].ends_with(b"\r") => Some(at + 3),
+        _ => None,
+    })
 }
 
 fn parse(raw: Bytes) -> Event {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,11 +3,12 @@
 use {
     crate::{
         dispatch::InFlight,
-        memory::{Exceeded, Permit},
+        memory::{Exceeded, Quota},
         pool::{Connection, Pool, SendError},
         protocol::{Attempt, Protocol, RequestHead, ResponseHead},
+        whole::Whole,
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     derive_more::{Display, Error},
     http_body_util::{BodyExt, Full},
     hyper::body::{Body, Incoming},
@@ -161,18 +162,23 @@
         }
     }
 
-    /// Returns the whole body; `permit` grows with its size.
-    pub(crate) async fn read_all(&mut self, permit: &mut Permit) -> Result<Bytes, Failure> {
-        let mut all = BytesMut::new();
+    /// Returns the whole body, whose memory is taken from `quota`.
+    ///
+    /// # Errors
+    /// When it breaks off, takes too much memory, or ends with its connection before it has begun
+    /// although the response is a success.
+    pub(crate) async fn read_all(&mut self, quota: &Quota) -> Result<Whole, Failure> {
+        let mut all = Whole::new(quota.permit());
         while let Some(data) = self.read().await? {
             if all.len() + data.len() > BODY_LIMIT_BYTES {
                 return Err(Failure::new(Outcome::Unknown, "the answer is too large"));
             }
-            all.reserve(data.len());
-            permit.resize(all.capacity())?;
-            all.extend_from_slice(&data);
+            all.push(data)?;
+        }
+        if all.len() == 0 && !self.is_end_marked && self.head.status.is_success() {
+            return Err(self.ended_early("the answer ended without a body"));
         }
-        Ok(all.freeze())
+        Ok(all)
     }
 
     /// Ends the exchange after a refusal. Its connection is kept if the rest of the response
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -4,7 +4,6 @@
     crate::{
         drain::Prospect,
         error::{self, Error},
-        memory::Permit,
         protocol::{RequestHead, ResponseHead},
         relay::Relay,
         request::{ActiveRequest, Answer, Context},
@@ -17,7 +16,7 @@
     marigoldroute_core::forward::{Access, Directory, Service},
     marigoldroute_process::logs::REQUESTS,
     poem::http::{
-        HeaderValue, Request, Response,
+        HeaderValue, Request, Response, Version,
         header::{CONNECTION, EXPECT},
     },
     std::{io, sync::Arc, time::Duration},
@@ -50,15 +49,6 @@
         .boxed_unsync()
 }
 
-/// Returns a body that keeps its memory permit until it has been sent or dropped.
-fn permitted_body(bytes: Bytes, permit: Permit) -> Body {
-    let keep = move |frame| {
-        let _ = &permit;
-        frame
-    };
-    full_body(bytes).map_frame(keep).boxed_unsync()
-}
-
 /// A request that was authorized and whose body has arrived.
 struct Admitted {
     access: Access,
@@ -92,6 +82,8 @@
                 .protocol
                 .parse_request(request.method(), request.uri(), request.headers());
         let expects_continue = request.headers().contains_key(EXPECT);
+        // A caller without chunks takes the end of its connection for that of the stream.
+        let takes_streams = request.version() > Version::HTTP_10;
         self.record_bytes(HEAD_BYTES);
         // Also counts bodies that are dropped before an error response.
         let mut body = request.into_body().map_frame(|frame| {
@@ -109,6 +101,9 @@
         };
         let unanswered = Unanswered::new(context.clone(), head.id.clone(), arrived);
         let response = match self.admit(&head, &mut body, arrived).await {
+            Ok(admitted) if admitted.access.route.kind.is_stream() && !takes_streams => {
+                self.reject(Some(&head), arrived, Error::Version)
+            }
             Ok(admitted) => self.forward(head, admitted, arrived).await,
             Err(error) => {
                 let left = self.caller_time_left(&head, arrived);
@@ -229,10 +224,10 @@
         self.0.metrics.first_byte.observe(elapsed.as_secs_f64());
         match answer {
             Answer::Error(error) => self.reject(Some(&request.head), arrived, error),
-            Answer::Complete(head, body, permit) => {
+            Answer::Complete(head, body) => {
                 self.record_bytes(HEAD_BYTES + body.len());
                 self.record_answer(&request, &head, elapsed);
-                build_response(&head, permitted_body(body, permit))
+                build_response(&head, body.into_body())
             }
             Answer::Stream(stream) => {
                 let head = stream.exchange.head.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod unanswered;
 mod view;
 mod watch;
+mod whole;
 
 use marigoldroute_process::Clock;
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,10 +6,12 @@
     crate::{
         exchange::Failure,
         frontend::Body,
+        pool::READ_BUFFER_BYTES,
         protocol::ResponseHead,
         request::{
             ActiveRequest, Answer, ENDED_WITHIN_EVENT, ENDED_WITHOUT_EVENT, Stream, give_up,
         },
+        whole::permitted,
     },
     bytes::{Bytes, BytesMut},
     futures_util::stream,
@@ -29,6 +31,9 @@
 /// Reason of the failure of a stream that is cut as the process stops.
 const STOP_REASON: &str = "the process stops";
 
+/// Events for which a stream keeps space between two reads.
+const SPARE_EVENTS: usize = 16;
+
 /// A stream of events on its way to the caller.
 pub(crate) struct Relay {
     request: ActiveRequest,
@@ -176,7 +181,7 @@
         let mut bytes = BytesMut::new();
         let before = self.sequence.relayed();
         while let Some(event) = stream.events.pop_front() {
-            if let Err(rejected) = self.sequence.accept_event(&event.raw) {
+            if let Err(rejected) = self.sequence.accept_event(&event) {
                 if bytes.is_empty() {
                     return Step::Fail(Failure::new(Outcome::Unknown, rejected.to_string()));
                 }
@@ -184,7 +189,16 @@
                 stream.events.push_front(event);
                 break;
             }
-            bytes.extend_from_slice(&event.raw);
+            bytes.extend_from_slice(&event);
+        }
+        // Many small events may have grown it far beyond what the next ones need.
+        stream.events.shrink_to(SPARE_EVENTS);
+        // What hyper takes from here waits until the caller reads it.
+        let mut permit = self.request.context.quota.permit();
+        if bytes.len() > READ_BUFFER_BYTES
+            && let Err(exceeded) = permit.resize(bytes.len())
+        {
+            return Step::Fail(exceeded.into());
         }
         let relayed = self.sequence.relayed() - before;
         if relayed > 0 {
@@ -195,7 +209,7 @@
         }
         let context = &self.request.context;
         context.view.record_bytes(context.clock.now(), bytes.len());
-        Step::Send(bytes.freeze())
+        Step::Send(permitted(bytes.freeze(), permit.into()))
     }
 
     /// Relays the events of another upstream from now on.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -27,6 +27,7 @@
         quarantine::{Quarantine, SharedParts, shared_parts},
         settings::Settings,
         view::View,
+        whole::Whole,
     },
     attempt::{Interrupted, Received},
     bytes::Bytes,
@@ -36,7 +37,7 @@
             retry::{self, Decision, Outcome},
         },
         id::{UpstreamId, WorkspaceId},
-        stream::{Event, Splitter},
+        stream::Splitter,
     },
     marigoldroute_process::logs::TOKENS,
     std::{collections::VecDeque, sync::Arc, time::Duration},
@@ -68,8 +69,8 @@
 
 /// The result of a request, to be returned to the caller.
 pub(crate) enum Answer {
-    /// A complete response of an upstream, with the permit for the memory of its body.
-    Complete(Box<ResponseHead>, Bytes, Permit),
+    /// A complete response of an upstream.
+    Complete(Box<ResponseHead>, Whole),
     /// A stream whose first event has arrived, or that ended without an event.
     Stream(Box<Stream>),
     /// An error that the gateway reports itself.
@@ -83,7 +84,7 @@
     /// Memory of the event that is still incomplete, unless it is small.
     pub(crate) permit: Permit,
     /// Complete events that have not been relayed.
-    pub(crate) events: VecDeque<Event>,
+    pub(crate) events: VecDeque<Bytes>,
     /// Whether the upstream has ended the stream.
     pub(crate) has_ended: bool,
 }
@@ -125,7 +126,7 @@
             return Ok(());
         };
         let too_large = || Failure::new(Outcome::Unknown, "an event is too large");
-        let events = self.splitter.push(&data).ok_or_else(too_large)?;
+        let events = self.splitter.split(&data).ok_or_else(too_large)?;
         let buffered = self.splitter.buffered_bytes();
         let counted = if buffered > SMALL_EVENT_BYTES {
             buffered
