Let requests run to the longest timeout of their route in force

What callers saw: a stream that was admitted under a short timeout of its route was cut in the middle, and a whole request got 504 or 503, although a version with a longer timeout had come into force while it ran. A host that is seconds late with a version admits by the older one.

Cause: the deadline was fixed when the request was admitted, by the timeout of the version in force then.

Change: the deadline is the caller's timeout after the arrival, at most the longest timeout of the route (same host and prefix) in any version that has been in force since. Waits for it are put off by a new version. A shortened timeout cuts nothing that was admitted under the longer one, the caller's own timeout holds, and the time that an upstream is told is what is left when the request is sent to it.

--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -116,6 +116,12 @@
         Ok(Access { route, workspace })
     }
 
+    /// Returns the route with the host name and the prefix of a route of another version.
+    pub fn successor(&self, route: &Route) -> Option<&Arc<Route>> {
+        let mut routes = self.routes.get(&route.host)?.iter();
+        routes.find(|other| other.prefix == route.prefix)
+    }
+
     fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.split_once(':').map_or(host, |(name, _)| name);
         let routes = self.routes.get(name.to_ascii_lowercase().as_str())?;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -119,7 +119,7 @@
     /// Waits for complete events, the end of the stream, or its failure.
     async fn step(&mut self) -> Step {
         let clock = self.request.context.clock;
-        let deadline = clock.instant(self.request.deadline).into();
+        let deadline = &self.request.deadline;
         let is_movable = self.request.is_movable();
         let stalled_at = clock.instant(self.stall.deadline()).into();
         let Some(stream) = &mut self.stream else {
@@ -139,7 +139,7 @@
             let read = tokio::select! {
                 biased;
                 read = stream.exchange.read() => read,
-                () = tokio::time::sleep_until(deadline) => {
+                () = deadline.passed() => {
                     Err(Failure::new(Outcome::Unknown, DEADLINE_REASON))
                 }
                 () = tokio::time::sleep_until(stalled_at), if is_movable => return Step::Stalled,
--- a/crates/gateway/src/relay/handover.rs
+++ b/crates/gateway/src/relay/handover.rs
@@ -41,13 +41,13 @@
     /// Reads the first events of the other upstream.
     async fn receive(&mut self, continuation: Continuation) -> Result<Box<Stream>, Failure> {
         let Continuation { stream, started } = continuation;
-        let remaining = self.request.remaining();
+        let deadline = self.request.deadline.clone();
         let last = self.sequence.last();
         let opened = self.request.open_stream(stream, started, last);
-        match tokio::time::timeout(remaining, opened).await {
-            Ok(Ok(stream)) => Ok(stream),
-            Ok(Err(outcome)) => Err(Failure::new(outcome, NOT_CONTINUED)),
-            Err(_) => Err(Failure::new(Outcome::Unknown, super::DEADLINE_REASON)),
+        match deadline.run(opened).await {
+            Some(Ok(stream)) => Ok(stream),
+            Some(Err(outcome)) => Err(Failure::new(outcome, NOT_CONTINUED)),
+            None => Err(Failure::new(Outcome::Unknown, super::DEADLINE_REASON)),
         }
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,10 +1,12 @@
 //! An admitted request: its reservation of tokens and its attempts at upstreams.
 
 mod attempt;
+mod deadline;
 mod handover;
 mod opening;
 
 pub(crate) use {
+    deadline::Deadline,
     handover::{Continuation, give_up},
     opening::{ENDED_WITHIN_EVENT, ENDED_WITHOUT_EVENT},
 };
@@ -146,8 +148,8 @@
     pub(crate) service: Arc<Service>,
     pub(crate) body: Bytes,
     pub(crate) arrived: Duration,
-    /// When the response is due: the caller's timeout after the arrival, at most the route's.
-    pub(crate) deadline: Duration,
+    /// When the response is due.
+    pub(crate) deadline: Arc<Deadline>,
     pub(crate) profile: Profile,
     /// Parts of the prompt that other requests may share.
     pub(crate) parts: SharedParts,
@@ -172,8 +174,13 @@
         body: Bytes,
         arrived: Duration,
     ) -> Self {
-        let timeout = head.timeout.unwrap_or(access.route.timeout);
-        let deadline = arrived + timeout.min(access.route.timeout);
+        let deadline = Deadline::new(
+            context.clock,
+            context.view.clone(),
+            arrived,
+            head.timeout,
+            access.route.clone(),
+        );
         let profile = context.dispatcher.profile(&head, access.priority());
         Self {
             parts: shared_parts(&head.prompt_parts),
@@ -184,7 +191,7 @@
             service,
             body,
             arrived,
-            deadline,
+            deadline: Arc::new(deadline),
             profile,
             tried: Vec::new(),
             sent: 0,
@@ -234,7 +241,7 @@
 
     /// Returns the time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
-        self.deadline.saturating_sub(self.context.clock.now())
+        self.deadline.remaining()
     }
 
     /// Reserves the request's tokens if its workspace has a budget and its service is an engine.
@@ -272,7 +279,7 @@
         let reserving = self
             .context
             .reserver
-            .reserve(spec, reserve_by.min(self.deadline));
+            .reserve(spec, reserve_by.min(self.deadline.at()));
         let reserved = self.context.ending.run_until_cancelled(reserving).await;
         let reserved = reserved.ok_or(Error::BudgetUnreachable(reserve_timeout))?;
         self.reservation = Some(reserved.map_err(|refusal| match refusal {
@@ -289,9 +296,9 @@
         // The last failure that an upstream itself answered.
         let mut failure = None;
         let (context, parts) = (self.context.clone(), self.parts.clone());
+        let deadline = self.deadline.clone();
         loop {
-            let remaining = self.remaining();
-            let attempt = tokio::time::timeout(remaining, self.attempt(last_event));
+            let attempt = deadline.run(self.attempt(last_event));
             let received = tokio::select! {
                 biased;
                 received = attempt => received,
@@ -301,16 +308,16 @@
                 () = context.ending.cancelled() => return self.timed_out(),
             };
             let outcome = match received {
-                Ok(Ok(Received::Final(answer))) => return answer,
-                Ok(Ok(Received::ServerError(answer))) => {
+                Some(Ok(Received::Final(answer))) => return answer,
+                Some(Ok(Received::ServerError(answer))) => {
                     failure = Some(answer);
                     Outcome::Failed
                 }
-                Ok(Err(Interrupted::Failed(outcome))) => outcome,
-                Ok(Err(Interrupted::Unassigned(reason))) => {
+                Some(Err(Interrupted::Failed(outcome))) => outcome,
+                Some(Err(Interrupted::Unassigned(reason))) => {
                     return failure.unwrap_or_else(|| self.without_upstream(reason));
                 }
-                Err(_) => return failure.unwrap_or_else(|| self.timed_out()),
+                None => return failure.unwrap_or_else(|| self.timed_out()),
             };
             let is_still_unexecuted = outcome.is_not_run() && self.is_unexecuted;
             if let Some(reservation) = self.reservation.as_mut().filter(|_| is_still_unexecuted) {
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -122,9 +122,11 @@
                 Ok(Some(in_flight)) => return Ok(in_flight),
                 Ok(None) => {}
                 Err(Unavailable::Busy(opens_after)) => {
-                    let opens_after = opens_after.unwrap_or(self.remaining());
                     // Either way, the candidates are looked at again.
-                    let _ = tokio::time::timeout(opens_after, capacity_freed).await;
+                    match opens_after {
+                        Some(time) => drop(tokio::time::timeout(time, capacity_freed).await),
+                        None => capacity_freed.await,
+                    }
                 }
                 Err(unavailable) => return Err(unavailable),
             }
--- a/crates/gateway/src/request/handover.rs
+++ b/crates/gateway/src/request/handover.rs
@@ -99,7 +99,7 @@
         stream: &mut Option<Box<Stream>>,
         last: Option<u64>,
     ) -> (Asked, Option<Broken>) {
-        let deadline = self.context.clock.instant(self.deadline).into();
+        let deadline = self.deadline.clone();
         let mut asking = pin!(self.ask_successor(last));
         let (asked, broken) = loop {
             let Some(current) = stream else {
@@ -109,7 +109,7 @@
                 biased;
                 read = current.exchange.read() => read,
                 asked = &mut asking => break (asked, None),
-                () = tokio::time::sleep_until(deadline) => {
+                () = deadline.passed() => {
                     return (Asked::Kept("the deadline has passed"), None);
                 }
             };
@@ -120,7 +120,7 @@
                 Ok(()) => {}
                 Err(failure) => {
                     let in_flight = give_up(stream);
-                    let asked = tokio::time::timeout_at(deadline, asking).await;
+                    let asked = deadline.run(asking).await;
                     let broken = in_flight.map(|in_flight| Broken { in_flight, failure });
                     break (asked.unwrap_or_default(), broken);
                 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -3,6 +3,7 @@
 use {
     marigoldroute_core::{
         forward::{Directory, Roster},
+        id::Version,
         limit::{Link, LinkSettings},
         table::Verdict,
     },
@@ -33,7 +34,7 @@
 pub(crate) struct View {
     directory: RwLock<Option<Arc<Directory>>>,
     /// Version of the directory; notifies of a new one.
-    version: watch::Sender<u64>,
+    version: watch::Sender<Version>,
     pub(crate) roster: Mutex<Roster>,
     /// Hosts in the fleet; 0 until they have been counted.
     hosts: AtomicUsize,
@@ -84,8 +85,13 @@
         true
     }
 
+    /// Returns the version of the configuration in effect; 0 while there is none.
+    pub(crate) fn version(&self) -> Version {
+        *self.version.borrow()
+    }
+
     /// Returns a receiver of the versions of new configurations.
-    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Version> {
         self.version.subscribe()
     }
 
