Add a test of overlapping disruptions

Timeouts that go down and up around running requests, routes, keys and services that come and go, idle limits up to which callers keep connections, upstreams that fall silent, break off, forget connections, state rates, pause and leave, outages of the store, planned stops in the middle with a new process after each, and one or two hosts. Its check: a whole request gets a whole response or a truthful refusal unless its time is over or its upstream broke off.

--- a/crates/gateway/tests/deadlines.rs
+++ b/crates/gateway/tests/deadlines.rs
@@ -95,6 +95,9 @@
     }
 }
 
+/// A script of an upstream that responds after a notification.
+type Later = fn(Arc<Notify>) -> Script;
+
 fn paused(resume: Arc<Notify>) -> Script {
     Script::Paused { of: 5, resume }
 }
@@ -115,7 +118,7 @@
 /// Guards against ending a request at a timeout of its route that is no longer in force.
 #[tokio::test]
 async fn requests_end_at_the_longest_timeout_in_force() {
-    let cases: [(_, fn(Arc<Notify>) -> Script, _); 5] = [
+    let cases: [(_, Later, _); 5] = [
         ("stream", paused, events()),
         ("resumable", paused, events()),
         ("stream", paused_within, events()),
@@ -143,7 +146,7 @@
 /// Guards against a shorter timeout that ends requests which were admitted under a longer one.
 #[tokio::test]
 async fn shortened_timeouts_keep_admitted_requests() {
-    let cases: [(_, fn(Arc<Notify>) -> Script, _); 2] = [
+    let cases: [(_, Later, _); 2] = [
         ("stream", paused, events()),
         ("once", later, "rated".to_owned()),
     ];
--- /dev/null
+++ b/crates/gateway/tests/overlaps/main.rs
@@ -0,0 +1,305 @@
+//! Changes of the configuration and of upstreams, silences, breaks, outages of the store and planned
+//! stops that overlap at random.
+
+mod caller;
+#[path = "../harness/mod.rs"]
+mod harness;
+mod record;
+mod upstream;
+
+use {
+    caller::{Caller, Host, KEYS},
+    harness::{Harness, entry, snapshot},
+    marigoldroute_core::forward::{Limits, Registration, Service, Snapshot, State, Target},
+    marigoldroute_gateway::Settings,
+    rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
+    record::{Counts, Shared, lock},
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::task::JoinHandle,
+    upstream::Mood,
+};
+
+const CALLERS: u64 = 150;
+const UPSTREAMS: u64 = 6;
+const SERVICES: [&str; 2] = ["desk", "annex"];
+/// Timeouts of the routes.
+const TIMEOUTS_MS: [u64; 5] = [500, 1_500, 4_000, 8_000, 16_000];
+/// Lowest limit on the idle time of callers' connections.
+const IDLE_LIMIT: Duration = Duration::from_millis(300);
+/// Time for a process to end; longer than a response may take.
+const DRAIN_LIMIT: Duration = Duration::from_secs(40);
+/// Time of changes in the run of CI.
+const DURATION: Duration = Duration::from_millis(1_500);
+
+/// Returns a random configuration.
+fn configuration(random: &mut SmallRng, version: u64) -> Snapshot {
+    let mut next = snapshot(version, 1_000_000_000);
+    let annex = Service {
+        name: SERVICES[1].into(),
+        ..next.services[0].clone()
+    };
+    next.services.push(annex);
+    for service in &mut next.services {
+        service.connection_limit = *[2, 8, 64, 64].choose(random).expect("a limit");
+    }
+    let kept = *SERVICES.choose(random).expect("a service");
+    let removed = random.random_bool(0.3);
+    for route in &mut next.routes {
+        let targets = SERVICES.iter().filter(|name| !removed || **name == kept);
+        let target = |name: &&str| Target {
+            service: (*name).into(),
+            weight: random.random_range(1..5),
+        };
+        route.targets = targets.map(target).collect();
+        let timeout = TIMEOUTS_MS.choose(random).expect("a timeout");
+        route.timeout = Duration::from_millis(*timeout);
+        route.objective = Duration::from_millis(random.random_range(50..300));
+        route.event_interval = route.objective / 4;
+        route.attempts = random.random_range(1..4);
+    }
+    if removed {
+        next.services.retain(|service| *service.name == *kept);
+    }
+    next.routes.retain(|_| random.random_bool(0.95));
+    let workspace = &mut next.workspaces[0];
+    workspace.purchased = workspace.purchased.filter(|_| random.random_bool(0.5));
+    let keys = KEYS.iter().filter(|_| random.random_bool(0.9));
+    workspace.keys = keys.map(|key| (*key).into()).collect();
+    next.limits = Limits {
+        idle_timeout: IDLE_LIMIT.mul_f64(random.random_range(1.0..10.0)),
+        ..Limits::default()
+    };
+    next
+}
+
+/// An upstream with its entry in the list.
+struct Listed {
+    id: String,
+    entry: Registration,
+    mood: Arc<Mood>,
+}
+
+/// A host with the stop of its process, if one is under way.
+struct Running {
+    harness: Harness,
+    host: Arc<Host>,
+    stopping: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    fn new(harness: Harness) -> Self {
+        let host = Arc::new(Host::default());
+        *host.address.lock().expect("no task panics") = Some(harness.callers);
+        Self {
+            harness,
+            host,
+            stopping: None,
+        }
+    }
+
+    /// Begins a planned stop unless one is under way.
+    fn stop(&mut self) {
+        if let Some(gateway) = self.harness.gateway.take() {
+            self.host.is_stopping.store(true, Ordering::SeqCst);
+            self.stopping = Some(tokio::spawn(gateway.stop()));
+        }
+    }
+
+    /// Starts a new process after the end of a planned stop.
+    async fn restart(&mut self) {
+        if self.stopping.as_ref().is_some_and(JoinHandle::is_finished) {
+            self.stopping = None;
+            self.harness.start();
+            *self.host.address.lock().expect("no task panics") = Some(self.harness.callers);
+            self.host.is_stopping.store(false, Ordering::SeqCst);
+        }
+    }
+
+    async fn end(mut self) {
+        self.stop();
+        if let Some(stopping) = self.stopping.take() {
+            stopping.await.expect("the stop ends");
+        }
+    }
+}
+
+/// What a run changes.
+struct Director {
+    random: SmallRng,
+    record: Shared,
+    hosts: Vec<Running>,
+    upstreams: Vec<Listed>,
+    version: u64,
+    /// When the store comes back.
+    down_until: Option<Instant>,
+}
+
+impl Director {
+    async fn run(&mut self, duration: Duration) {
+        let ends_at = Instant::now() + duration;
+        while Instant::now() < ends_at {
+            if self.random.random_bool(0.6) {
+                self.configure();
+            }
+            if self.random.random_bool(0.3) {
+                self.change_upstream();
+            }
+            if lock(&self.record).has_outages && self.random.random_bool(0.05) {
+                let outage = Duration::from_millis(self.random.random_range(100..1_500));
+                self.down_until = Some(Instant::now() + outage);
+            }
+            let is_down = self.down_until.is_some_and(|until| until > Instant::now());
+            self.hosts[0].harness.store.set_down(is_down);
+            if self.random.random_bool(0.04) {
+                let index = self.random.random_range(0..self.hosts.len());
+                self.hosts[index].stop();
+            }
+            for host in &mut self.hosts {
+                host.restart().await;
+            }
+            let pause = self.random.random_range(10..250);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        self.hosts[0].harness.store.set_down(false);
+    }
+
+    fn configure(&mut self) {
+        self.version += self.random.random_range(1..4);
+        let next = configuration(&mut self.random, self.version);
+        lock(&self.record).put(&next);
+        self.hosts[0].harness.store.configure(next);
+    }
+
+    /// Lets an upstream pause, leave or return. The first one of each service stays.
+    fn change_upstream(&mut self) {
+        let index = self
+            .random
+            .random_range(SERVICES.len()..self.upstreams.len());
+        let store = self.hosts[0].harness.store.clone();
+        let upstream = &mut self.upstreams[index];
+        match self.random.random_range(0..6) {
+            0 => upstream.mood.is_leaving.store(true, Ordering::Relaxed),
+            1 => {
+                let pause = Duration::from_millis(self.random.random_range(100..1_000));
+                let until = Some(Instant::now() + pause);
+                *upstream.mood.paused_until.lock().expect("no task panics") = until;
+            }
+            2 => {
+                upstream.entry.state = State::Draining;
+                store.put(&upstream.id, upstream.entry.clone());
+            }
+            3 => store.remove(&upstream.id),
+            _ => {
+                upstream.mood.is_leaving.store(false, Ordering::Relaxed);
+                upstream.entry.state = State::Ready;
+                upstream.entry.started_ms += 1;
+                store.put(&upstream.id, upstream.entry.clone());
+            }
+        }
+    }
+}
+
+/// Starts the hosts and their upstreams.
+async fn set_up(seed: u64, record: &Shared) -> Director {
+    let mut random = SmallRng::seed_from_u64(seed);
+    lock(record).has_outages = random.random_bool(0.4);
+    let is_forgetful = random.random_bool(0.3);
+    lock(record).has_forgetful_upstreams = is_forgetful;
+    let settings = Settings {
+        drain_limit: DRAIN_LIMIT,
+        deregistration_delay: Duration::from_millis(50),
+        listen_peers: Some(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
+        ..Settings::default()
+    };
+    let first = configuration(&mut random, 1);
+    lock(record).put(&first);
+    let (harness, _) = Harness::with_settings(settings.clone(), first, Vec::new()).await;
+    let mut hosts = vec![];
+    if random.random_bool(0.5) {
+        hosts.push(Running::new(harness.start_host("second", settings).await));
+    }
+    hosts.insert(0, Running::new(harness));
+    let break_share = *[0.0, 0.02, 0.1].choose(&mut random).expect("a share");
+    let rate = *[None, None, Some(40.0)]
+        .choose(&mut random)
+        .expect("a rate");
+    let mut upstreams = Vec::new();
+    for index in 0..UPSTREAMS {
+        let mood = Arc::new(Mood {
+            rate: rate.filter(|_| index >= SERVICES.len() as u64),
+            break_share,
+            is_forgetful,
+            ..Mood::default()
+        });
+        let address = upstream::start(seed + index * 7_919, mood.clone(), record.clone()).await;
+        let entry = Registration {
+            service: SERVICES[index as usize % SERVICES.len()].into(),
+            ..entry(address, State::Ready)
+        };
+        let id = format!("u{index}");
+        hosts[0].harness.store.put(&id, entry.clone());
+        upstreams.push(Listed { id, entry, mood });
+    }
+    Director {
+        random,
+        record: record.clone(),
+        hosts,
+        upstreams,
+        version: 1,
+        down_until: None,
+    }
+}
+
+async fn run(seed: u64, duration: Duration) -> Counts {
+    let record = Shared::default();
+    let mut director = set_up(seed, &record).await;
+    let is_done = Arc::new(AtomicBool::new(false));
+    let hosts: Vec<_> = director.hosts.iter().map(|one| one.host.clone()).collect();
+    let callers = (0..CALLERS).map(|number| {
+        let caller = Caller {
+            name: format!("c{number}"),
+            hosts: hosts.clone(),
+            random: SmallRng::seed_from_u64(director.random.random()),
+            record: record.clone(),
+            is_done: is_done.clone(),
+        };
+        tokio::spawn(caller.run())
+    });
+    let callers: Vec<_> = callers.collect();
+    director.run(duration).await;
+    is_done.store(true, Ordering::Relaxed);
+    let ending = director.hosts.into_iter().map(Running::end);
+    futures_util::future::join_all(ending).await;
+    for caller in callers {
+        caller.await.expect("the caller ends");
+    }
+    lock(&record).check(seed)
+}
+
+/// Guards against requests that end without a response, or with a part of one, while their upstream
+/// is sound and their time is not over.
+///
+/// `MARIGOLDROUTE_OVERLAPS=START:COUNT` runs these seeds, each for longer than the gateway's checks
+/// of idle connections are apart.
+#[tokio::test]
+async fn overlapping_disruptions_lose_no_request() {
+    let Ok(range) = std::env::var("MARIGOLDROUTE_OVERLAPS") else {
+        let counts = run(1, DURATION).await;
+        assert!(counts.answered > 0 && counts.refused > 0, "{counts:?}");
+        return;
+    };
+    let (start, count) = range.split_once(':').expect("START:COUNT");
+    let start: u64 = start.parse().expect("a number");
+    let count: u64 = count.parse().expect("a number");
+    for seed in start..start + count {
+        let counts = run(seed, DURATION * 5).await;
+        println!("seed {seed}: {counts:?}");
+    }
+}
