Count timeouts that are in force while a request is admitted

Cause: the deadline was set up after the body had been read, and did not see versions that came and went before that, or while tokens were reserved.

Change: the deadline begins with the admission and follows the versions while the body arrives and while tokens are reserved.

Measured: timeouts_in_force_while_the_body_arrives_count failed before with cut: HTTP/1.1 200 OK [...] and passes now.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -6,7 +6,7 @@
         memory::Permit,
         protocol::{RequestHead, ResponseHead},
         relay::Relay,
-        request::{ActiveRequest, Answer, Context},
+        request::{ActiveRequest, Answer, Context, Deadline},
         supervise::catch_panic,
     },
     bytes::Bytes,
@@ -63,6 +63,7 @@
     /// One of the route's services, of the same configuration as the route.
     service: Arc<Service>,
     body: Bytes,
+    deadline: Deadline,
 }
 
 /// The service that handles callers' requests.
@@ -105,7 +106,7 @@
                 return response;
             }
         };
-        match self.admit(&head, &mut body).await {
+        match self.admit(&head, &mut body, arrived).await {
             Ok(admitted) => self.forward(head, admitted, arrived).await,
             Err(error) => {
                 let left = self.caller_time_left(&head, arrived);
@@ -149,24 +150,26 @@
         &self,
         head: &RequestHead,
         body: &mut (impl RequestBody + Unpin),
+        arrived: Duration,
     ) -> Result<Admitted, Error> {
         let directory = self.0.view.directory().ok_or(Error::Unconfigured)?;
         let access = directory.find(&head.host, head.target.path(), head.key.as_deref());
         let access = access.map_err(Error::Access)?;
         let service = choose_service(&directory, &access).ok_or(Error::NoUpstream)?;
         let limit = directory.limits().body_bytes;
+        let deadline = Deadline::new(&self.0, arrived, head.timeout, access.route.clone());
         let timeout = head.timeout.unwrap_or(BODY_TIMEOUT);
-        let timeout = timeout.min(access.route.timeout);
-        let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
-        match read {
-            Ok(Ok(body)) => Ok(Admitted {
+        let reading = tokio::time::timeout(timeout, Limited::new(body, limit).collect());
+        match deadline.run(reading).await {
+            Some(Ok(Ok(body))) => Ok(Admitted {
                 access,
                 service,
                 body: body.to_bytes(),
+                deadline,
             }),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
-            Ok(Err(_)) => Err(Error::Incomplete),
-            Err(_) => Err(Error::Late),
+            Some(Ok(Err(error))) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
+            Some(Ok(Err(_))) => Err(Error::Incomplete),
+            Some(Err(_)) | None => Err(Error::Late),
         }
     }
 
@@ -181,10 +184,13 @@
             access,
             service,
             body,
+            deadline,
         } = admitted;
         self.0.dispatcher.record_request(&service.name);
         let last_event = head.last_event;
-        let mut request = ActiveRequest::new(self.0.clone(), head, access, service, body, arrived);
+        let context = self.0.clone();
+        let mut request =
+            ActiveRequest::new(context, head, access, service, body, arrived, deadline);
         if let Some(rest) = self.0.quarantine.check(&request.parts) {
             let error = request.record_quarantined(rest);
             return self.reject(Some(&request.head), arrived, error);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -173,14 +173,8 @@
         service: Arc<Service>,
         body: Bytes,
         arrived: Duration,
+        deadline: Deadline,
     ) -> Self {
-        let deadline = Deadline::new(
-            context.clock,
-            context.view.clone(),
-            arrived,
-            head.timeout,
-            access.route.clone(),
-        );
         let profile = context.dispatcher.profile(&head, access.priority());
         Self {
             parts: shared_parts(&head.prompt_parts),
@@ -280,7 +274,8 @@
             .context
             .reserver
             .reserve(spec, reserve_by.min(self.deadline.at()));
-        let reserved = self.context.ending.run_until_cancelled(reserving).await;
+        let reserving = self.context.ending.run_until_cancelled(reserving);
+        let reserved = self.deadline.run(reserving).await.flatten();
         let reserved = reserved.ok_or(Error::BudgetUnreachable(reserve_timeout))?;
         self.reservation = Some(reserved.map_err(|refusal| match refusal {
             Refusal::Exhausted => Error::BudgetExhausted,
--- a/crates/gateway/src/request/deadline.rs
+++ b/crates/gateway/src/request/deadline.rs
@@ -1,6 +1,7 @@
 //! The time by which the response of a request is due.
 
 use {
+    super::Context,
     crate::{
         Clock,
         view::{View, lock},
@@ -33,9 +34,9 @@
 }
 
 impl Deadline {
+    /// Starts to consider new versions.
     pub(crate) fn new(
-        clock: Clock,
-        view: Arc<View>,
+        context: &Context,
         arrived: Duration,
         stated: Option<Duration>,
         route: Arc<Route>,
@@ -45,8 +46,8 @@
             version: 0,
         });
         Self {
-            clock,
-            view,
+            clock: context.clock,
+            view: context.view.clone(),
             arrived,
             stated,
             route,
--- a/crates/gateway/tests/deadlines.rs
+++ b/crates/gateway/tests/deadlines.rs
@@ -4,12 +4,18 @@
 
 use {
     harness::{
-        Harness, snapshot,
+        Harness, KEY, snapshot,
         upstream::{Script, Upstream},
     },
     marigoldroute_core::forward::Snapshot,
     std::{sync::Arc, time::Duration},
-    tokio::{sync::Notify, task::JoinHandle, time::Instant},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        sync::Notify,
+        task::JoinHandle,
+        time::Instant,
+    },
 };
 
 /// Timeout of the routes until it is raised.
@@ -143,6 +149,38 @@
     futures_util::future::join_all(runs).await;
 }
 
+/// Guards against forgetting a longer timeout that was in force while the body of a request arrived.
+#[tokio::test]
+async fn timeouts_in_force_while_the_body_arrives_count() {
+    let resume = Arc::new(Notify::new());
+    let scripts = vec![paused(resume.clone())];
+    let (harness, upstreams) = Harness::with_snapshot(configuration(1, SHORT), scripts).await;
+    let mut stream = TcpStream::connect(harness.callers).await.expect("connects");
+    let sent_at = Instant::now();
+    let head = format!(
+        "POST /stream/x HTTP/1.1\r\nhost: desk.example\r\nx-request-id: r1\r\nx-key: {KEY}\r\n\
+         x-tokens: 100,50\r\nexpect: 100-continue\r\nconnection: close\r\ncontent-length: 4\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("is written");
+    // The interim response shows that the request was admitted.
+    let mut interim = [0; 25];
+    stream.read_exact(&mut interim).await.expect("is read");
+    for (version, timeout) in [(2, LONG), (3, SHORT / 2)] {
+        let next = configuration(version, timeout);
+        harness.store.configure(next);
+        harness.store.until_followed().await;
+    }
+    stream.write_all(b"text").await.expect("is written");
+    tokio::time::sleep_until(sent_at + SHORT.mul_f64(1.2)).await;
+    assert_eq!(upstreams[0].arrivals().len(), 1);
+    resume.notify_one();
+    let mut text = String::new();
+    let reading = stream.read_to_string(&mut text);
+    let read = tokio::time::timeout(PATIENCE, reading).await;
+    read.expect("an end").expect("text");
+    assert!(text.ends_with("0\r\n\r\n"), "cut: {text}");
+}
+
 /// Guards against a shorter timeout that ends requests which were admitted under a longer one.
 #[tokio::test]
 async fn shortened_timeouts_keep_admitted_requests() {
