Read requests that arrived while the process stood still before an idle close

What callers saw: a connection closed without a response although its request was sent well within the idle limit, on a host that stood still for a while.

Cause: the check of idle connections polled the connection first, but the runtime learns of new bytes only when it polls the kernel. When the process stood still between that and the check, the time had passed by then, and the request that had arrived meanwhile was dropped with its connection.

Change: the check lets the runtime poll the kernel and the connection once more, and then looks again whether the connection is idle.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -223,12 +223,7 @@
                 return;
             }
             () = stopped(&stop), if !is_closing => "stop",
-            () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !is_closing => {
-                if !lock(&watched).is_expired(&frontend) {
-                    continue;
-                }
-                "idle"
-            }
+            () = expired(&watched, &frontend), if !is_closing => "idle",
         };
         is_closing = true;
         let closed = &frontend.0.metrics.closed_connections;
@@ -237,6 +232,20 @@
     }
 }
 
+/// Waits until the connection has been idle for too long even after the runtime has seen which
+/// connections have new bytes.
+async fn expired(activity: &Mutex<Activity>, frontend: &Frontend) {
+    loop {
+        tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+        if lock(activity).is_expired(frontend) {
+            tokio::task::yield_now().await;
+            if lock(activity).is_expired(frontend) {
+                return;
+            }
+        }
+    }
+}
+
 /// Waits for the stop, and then until the runtime has seen which connections have new bytes.
 async fn stopped(stop: &CancellationToken) {
     stop.cancelled().await;
