Overlaps: a connection belongs to a process, and callers rest by the lowest limit

A connection that its process closed in a planned stop was judged by whether a later process was stopping, and callers rested by a limit that a host in an outage of the store did not know yet. Failures now print the timeouts in force.

--- a/crates/gateway/tests/overlaps/caller.rs
+++ b/crates/gateway/tests/overlaps/caller.rs
@@ -27,25 +27,28 @@
 /// Longest time to wait for a response.
 const PATIENCE: Duration = Duration::from_secs(60);
 
-/// A host as its callers see it.
-#[derive(Default)]
-pub struct Host {
-    /// Address of the running process.
-    pub address: Mutex<Option<SocketAddr>>,
-    pub is_stopping: AtomicBool,
+/// A process of a host as its callers see it.
+#[derive(Clone)]
+pub struct Process {
+    pub address: SocketAddr,
+    /// Whether its planned stop has begun.
+    pub is_stopping: Arc<AtomicBool>,
 }
 
+/// The running process of a host.
+pub type Host = Arc<Mutex<Process>>;
+
 /// A connection that is open after a response.
 struct Kept {
     stream: BufReader<TcpStream>,
-    host: Arc<Host>,
+    process: Process,
     idle_since: Instant,
     carried: u64,
 }
 
 pub struct Caller {
     pub name: String,
-    pub hosts: Vec<Arc<Host>>,
+    pub hosts: Vec<Host>,
     pub random: SmallRng,
     pub record: Shared,
     pub is_done: Arc<AtomicBool>,
@@ -85,12 +88,12 @@
     }
 
     async fn connect(&mut self) -> Option<Kept> {
-        let host = self.hosts.choose(&mut self.random).expect("a host").clone();
-        let address = (*host.address.lock().expect("no task panics"))?;
-        let stream = TcpStream::connect(address).await.ok()?;
+        let host = self.hosts.choose(&mut self.random).expect("a host");
+        let process = host.lock().expect("no task panics").clone();
+        let stream = TcpStream::connect(process.address).await.ok()?;
         Some(Kept {
             stream: BufReader::new(stream),
-            host,
+            process,
             idle_since: Instant::now(),
             carried: 0,
         })
@@ -125,7 +128,6 @@
             true => format!("{:x}\r\n{content}\r\n0\r\n\r\n", content.len()),
             false => content,
         };
-        let was_stopping = connection.host.is_stopping.load(Ordering::SeqCst);
         let sent_at = Instant::now();
         let mut text = Vec::new();
         let stream = &mut connection.stream;
@@ -141,7 +143,7 @@
             Err(error) if text.is_empty() => End::Closed(error.to_string()),
             Err(error) => End::Cut(format!("{error} after {head:?}")),
         };
-        let is_stopping = was_stopping || connection.host.is_stopping.load(Ordering::SeqCst);
+        let is_stopping = connection.process.is_stopping.load(Ordering::SeqCst);
         lock(&self.record).requests.push(Request {
             id,
             path,
--- a/crates/gateway/tests/overlaps/main.rs
+++ b/crates/gateway/tests/overlaps/main.rs
@@ -8,7 +8,7 @@
 mod upstream;
 
 use {
-    caller::{Caller, Host, KEYS},
+    caller::{Caller, Host, KEYS, Process},
     harness::{Harness, entry, snapshot},
     marigoldroute_core::forward::{Limits, Registration, Service, Snapshot, State, Target},
     marigoldroute_gateway::Settings,
@@ -17,7 +17,7 @@
     std::{
         net::{Ipv4Addr, SocketAddr},
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicBool, Ordering},
         },
         time::{Duration, Instant},
@@ -89,14 +89,21 @@
 /// A host with the stop of its process, if one is under way.
 struct Running {
     harness: Harness,
-    host: Arc<Host>,
+    host: Host,
     stopping: Option<JoinHandle<()>>,
 }
 
+/// Returns the process of a host.
+fn process(harness: &Harness) -> Process {
+    Process {
+        address: harness.callers,
+        is_stopping: Arc::default(),
+    }
+}
+
 impl Running {
     fn new(harness: Harness) -> Self {
-        let host = Arc::new(Host::default());
-        *host.address.lock().expect("no task panics") = Some(harness.callers);
+        let host = Arc::new(Mutex::new(process(&harness)));
         Self {
             harness,
             host,
@@ -107,7 +114,8 @@
     /// Begins a planned stop unless one is under way.
     fn stop(&mut self) {
         if let Some(gateway) = self.harness.gateway.take() {
-            self.host.is_stopping.store(true, Ordering::SeqCst);
+            let process = self.host.lock().expect("no task panics");
+            process.is_stopping.store(true, Ordering::SeqCst);
             self.stopping = Some(tokio::spawn(gateway.stop()));
         }
     }
@@ -117,8 +125,7 @@
         if self.stopping.as_ref().is_some_and(JoinHandle::is_finished) {
             self.stopping = None;
             self.harness.start();
-            *self.host.address.lock().expect("no task panics") = Some(self.harness.callers);
-            self.host.is_stopping.store(false, Ordering::SeqCst);
+            *self.host.lock().expect("no task panics") = process(&self.harness);
         }
     }
 
--- a/crates/gateway/tests/overlaps/record.rs
+++ b/crates/gateway/tests/overlaps/record.rs
@@ -63,7 +63,7 @@
     /// When its last byte was written.
     pub written_at: Instant,
     pub ended_at: Instant,
-    /// Whether a planned stop of the host ran at any time of the request.
+    /// Whether the planned stop of its process had begun by its end.
     pub is_stopping: bool,
     /// How long the connection was idle before.
     pub idle: Duration,
@@ -114,9 +114,12 @@
         });
     }
 
-    /// Returns the idle limit of the newest version.
+    /// Returns the lowest idle limit that a host may go by now.
     pub fn idle_limit(&self) -> Duration {
-        self.versions.last().expect("a version").idle_limit
+        let now = Instant::now();
+        let versions = self.in_force(now - self.apply_time(), now);
+        let limits = versions.map(|version| version.idle_limit);
+        limits.min().expect("a version")
     }
 
     fn apply_time(&self) -> Duration {
@@ -162,6 +165,23 @@
         request.stated.map_or(timeout, |stated| stated.min(timeout))
     }
 
+    /// Returns the timeouts of the route of a request around its time, with when their versions were
+    /// put before it was sent and after.
+    fn timeouts(&self, request: &Request) -> Vec<(Duration, Duration, Option<&Duration>)> {
+        let versions = self.in_force(request.sent_at - self.apply_time(), request.ended_at);
+        let around = |version: &Version| {
+            (
+                request.sent_at.saturating_duration_since(version.put_at),
+                version.put_at.saturating_duration_since(request.sent_at),
+            )
+        };
+        let timeouts = versions.map(|version| {
+            let (before, after) = around(version);
+            (before, after, version.timeouts.get(request.path))
+        });
+        timeouts.collect()
+    }
+
     /// Checks all requests.
     pub fn check(&self, seed: u64) -> Counts {
         let mut counts = Counts::default();
@@ -170,9 +190,10 @@
             match self.judge(request) {
                 Ok(count) => *count(&mut counts) += 1,
                 Err(why) => wrong.push(format!(
-                    "{why}: after {:?} of {:?}, {:?}, runs {:?}",
+                    "{why}: after {:?} of {:?} by {:?}, {:?}, runs {:?}",
                     request.ended_at - request.sent_at,
                     self.shortest_timeout(request),
+                    self.timeouts(request),
                     request,
                     self.runs.get(&request.id),
                 )),
