Keep a stalled stream when the other upstream answers with another kind of response

What callers saw: a stream whose upstream was silent for a moment was cut after its first events.

Cause: an upstream that was asked to continue it and answered with another success status or media type counted as agreed, so that the stream was given up before the gateway found that the responses do not belong together.

Change: the head is compared with the one that the caller has before the upstream counts as agreed.

--- a/crates/gateway/src/relay/handover.rs
+++ b/crates/gateway/src/relay/handover.rs
@@ -4,7 +4,7 @@
     super::Relay,
     crate::{
         exchange::Failure,
-        request::{Continuation, NOT_CONTINUED, Stream},
+        request::{Continuation, Delivered, NOT_CONTINUED, Stream},
     },
     marigoldroute_core::forward::retry::Outcome,
 };
@@ -24,9 +24,11 @@
             return Ok(());
         };
         let current = stream.exchange.in_flight.upstream.clone();
-        let asking = self
-            .request
-            .find_successor(&mut self.stream, &self.sequence);
+        let delivered = Delivered {
+            head: Some(&self.head),
+            sequence: &self.sequence,
+        };
+        let asking = self.request.find_successor(&mut self.stream, delivered);
         let Some(continuation) = asking.await? else {
             return Ok(());
         };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -7,7 +7,7 @@
 
 pub(crate) use {
     deadline::Deadline,
-    handover::{Continuation, give_up},
+    handover::{Continuation, Delivered, give_up},
     opening::{ENDED_WITHIN_EVENT, ENDED_WITHOUT_EVENT},
 };
 
--- a/crates/gateway/src/request/handover.rs
+++ b/crates/gateway/src/request/handover.rs
@@ -6,6 +6,7 @@
         dispatch::InFlight,
         exchange::{Exchange, Failure},
         pool::Connection,
+        protocol::ResponseHead,
     },
     marigoldroute_core::{
         forward::{Sequence, retry::Outcome},
@@ -30,6 +31,14 @@
     pub(crate) started: Duration,
 }
 
+/// What the caller has of a stream.
+#[derive(Clone, Copy)]
+pub(crate) struct Delivered<'a> {
+    /// Head of the response; absent before it was sent.
+    pub(crate) head: Option<&'a ResponseHead>,
+    pub(crate) sequence: &'a Sequence,
+}
+
 /// What came of the attempt to move a stream.
 enum Asked {
     /// The stream went on, or nobody else continues it.
@@ -54,16 +63,16 @@
 }
 
 impl ActiveRequest {
-    /// Asks another upstream to continue a stalled stream, of which the caller has the events of
-    /// `sequence`. The stream is read meanwhile, and given up only when the other one has agreed,
-    /// that is, begins to work on the request. Returns `None` if the stream is kept.
+    /// Asks another upstream to continue a stalled stream, of which the caller has `delivered`. The
+    /// stream is read meanwhile, and given up only when the other one has agreed, that is, begins to
+    /// work on the request with a response that continues it. Returns `None` if the stream is kept.
     ///
     /// # Errors
     /// The failure of the stream, which was given up.
     pub(crate) async fn find_successor(
         &mut self,
         stream: &mut Option<Box<Stream>>,
-        sequence: &Sequence,
+        delivered: Delivered<'_>,
     ) -> Result<Option<Box<Continuation>>, Failure> {
         // After a pause of this process, its timers expire before bytes that have arrived are read.
         tokio::task::yield_now().await;
@@ -71,19 +80,20 @@
             return Ok(None);
         };
         let current = current.exchange.in_flight.upstream.clone();
-        let (asked, broken) = self.ask(stream, sequence.last()).await;
-        let is_unopened = sequence.relayed() == 0;
+        let (asked, broken) = self.ask(stream, delivered).await;
+        let relayed = delivered.sequence.relayed();
+        let is_unopened = relayed == 0;
         if let Some(broken) = broken.filter(|broken| is_unopened && broken.failure.is_break) {
             self.examine_break(&broken.in_flight).await;
         }
         match asked {
             Asked::Kept(reason) => {
                 self.record_kept(&current);
-                self.record_stall("kept", reason, &current, sequence.relayed());
+                self.record_stall("kept", reason, &current, relayed);
                 Ok(None)
             }
             Asked::Lost(failure) => {
-                self.record_stall("lost", &failure.reason, &current, sequence.relayed());
+                self.record_stall("lost", &failure.reason, &current, relayed);
                 Err(failure)
             }
             Asked::Agreed(continuation) => {
@@ -97,10 +107,10 @@
     async fn ask(
         &mut self,
         stream: &mut Option<Box<Stream>>,
-        last: Option<u64>,
+        delivered: Delivered<'_>,
     ) -> (Asked, Option<Broken>) {
         let deadline = self.deadline.clone();
-        let mut asking = pin!(self.ask_successor(last));
+        let mut asking = pin!(self.ask_successor(delivered));
         let (asked, broken) = loop {
             let Some(current) = stream else {
                 return (Asked::Kept("the stream has ended"), None);
@@ -154,12 +164,15 @@
         );
     }
 
-    /// Asks another upstream to continue the stream after the event with the id `last`. Returns
-    /// `None` if no one can be asked now. May be dropped at any time, which cancels the request.
+    /// Asks another upstream to continue the stream after what was delivered. Returns `None` if no one can be asked now. May be dropped at any time, which cancels the request.
     ///
     /// # Errors
     /// The failure, after which the upstream that was asked does not run the request.
-    async fn ask_successor(&mut self, last: Option<u64>) -> Option<Result<Continuation, Failure>> {
+    async fn ask_successor(
+        &mut self,
+        delivered: Delivered<'_>,
+    ) -> Option<Result<Continuation, Failure>> {
+        let last = delivered.sequence.last();
         let (in_flight, connection) = self.connect_successor().await?;
         if !self.admit_resume() {
             let (pool, upstream) = (&self.context.pool, &in_flight.upstream);
@@ -169,7 +182,10 @@
         let started = self.context.clock.now();
         let upstream = in_flight.upstream.clone();
         self.tried.push(upstream.clone());
-        let asked = match self.send_to_successor(in_flight, connection, last).await {
+        let asked = match self
+            .send_to_successor(in_flight, connection, delivered)
+            .await
+        {
             Ok(exchange) => self.confirm(exchange, last).await,
             Err(failure) => Err(failure),
         };
@@ -237,8 +253,9 @@
         &mut self,
         mut in_flight: InFlight,
         mut connection: Connection,
-        last: Option<u64>,
+        delivered: Delivered<'_>,
     ) -> Result<Exchange, Failure> {
+        let last = delivered.sequence.last();
         let mut tries_left = CONNECTION_LIMIT;
         let exchange = loop {
             tries_left -= 1;
@@ -263,8 +280,10 @@
                 in_flight.report(Progress::Failed);
             })?;
         };
-        let failure = match self.validate(&exchange.head) {
-            Ok(()) if exchange.head.status.is_success() => return Ok(exchange),
+        let head = &exchange.head;
+        let continues = delivered.head.is_none_or(|own| own.is_continued_by(head));
+        let failure = match self.validate(head) {
+            Ok(()) if head.status.is_success() && continues => return Ok(exchange),
             Ok(()) => Failure::new(Outcome::Failed, "the upstream did not continue the stream"),
             Err(failure) => failure,
         };
--- a/crates/gateway/src/request/opening.rs
+++ b/crates/gateway/src/request/opening.rs
@@ -1,7 +1,7 @@
 //! The first events of a stream.
 
 use {
-    super::{ActiveRequest, Stream},
+    super::{ActiveRequest, Delivered, Stream},
     crate::exchange::{Exchange, Failure},
     bytes::Bytes,
     marigoldroute_core::{
@@ -46,7 +46,11 @@
                     return Ok(stream);
                 }
             }
-            match self.find_successor(&mut stream, &sequence).await {
+            let delivered = Delivered {
+                head: None,
+                sequence: &sequence,
+            };
+            match self.find_successor(&mut stream, delivered).await {
                 Ok(None) => {}
                 Ok(Some(continuation)) => {
                     self.record_stall("moved", "another upstream has agreed", &upstream, 0);
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -151,6 +151,29 @@
     }
 }
 
+/// Guards against giving up a stream for an upstream whose response cannot continue it.
+#[tokio::test]
+async fn paused_streams_are_kept_when_the_other_response_is_of_another_kind() {
+    let heads = [
+        "HTTP/1.1 200 X\r\ncontent-type: text/plain\r\n",
+        "HTTP/1.1 206 X\r\n",
+    ];
+    for head in heads {
+        let rest = "x-request-id: {id}\r\nx-signed: 1\r\ncontent-length: 0\r\n\r\n";
+        let other = Script::Continued {
+            first: String::new(),
+            rest: format!("{head}{rest}"),
+            is_reset: false,
+        };
+        let settings = Settings::default();
+        let mut paused = Paused::start(settings, configuration(2), Some(other)).await;
+        paused.until_asked().await;
+        paused.assert_silent(head).await;
+        paused.resume.notify_one();
+        paused.assert_whole(head).await;
+    }
+}
+
 /// Guards against giving up a stream, or not reading it, while another upstream has not agreed to
 /// continue it.
 #[tokio::test]
