--- a/crates/gateway/tests/harness/store.rs
+++ b/crates/gateway/tests/harness/store.rs
@@ -44,6 +44,8 @@
     is_down: bool,
     /// Time to transfer the whole configuration.
     transfer: Duration,
+    /// Time that each call takes.
+    latency: Duration,
     /// Whether the next read for updates of the list panics.
     has_injected_panic: bool,
     /// Takeovers of journals that are still to fail with a conflict.
@@ -54,6 +56,8 @@
 pub struct MemoryStore {
     inner: Mutex<Inner>,
     changed: watch::Sender<Position>,
+    /// Whether calls get no response.
+    is_silent: watch::Sender<bool>,
     started: Instant,
 }
 
@@ -62,6 +66,7 @@
         Self {
             inner: Mutex::default(),
             changed: watch::Sender::new(0),
+            is_silent: watch::Sender::new(false),
             started: Instant::now(),
         }
     }
@@ -165,6 +170,26 @@
         self.change(|inner, _| inner.has_injected_panic = true);
     }
 
+    /// Holds all calls back until the store is no longer silent.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.send_replace(is_silent);
+    }
+
+    pub fn set_latency(&self, latency: Duration) {
+        self.lock().latency = latency;
+    }
+
+    /// Waits for as long as a call takes.
+    async fn delay(&self) {
+        let latency = self.lock().latency;
+        if !latency.is_zero() {
+            tokio::time::sleep(latency).await;
+        }
+        let mut is_silent = self.is_silent.subscribe();
+        // The sender lives as long as the store.
+        let _ = is_silent.wait_for(|is_silent| !is_silent).await;
+    }
+
     pub fn set_transfer(&self, time: Duration) {
         self.lock().transfer = time;
     }
@@ -206,6 +231,7 @@
 impl Store for MemoryStore {
     fn get(&self, keys: Vec<String>) -> BoxFuture<'_, Result<Vec<Row>, Fault>> {
         Box::pin(async move {
+            self.delay().await;
             let inner = self.lock_available()?;
             Ok(keys
                 .iter()
@@ -215,7 +241,10 @@
     }
 
     fn scan(&self, prefix: String) -> BoxFuture<'_, Result<Vec<Row>, Fault>> {
-        Box::pin(async move { Ok(self.lock_available()?.table.scan(&prefix, "", usize::MAX)) })
+        Box::pin(async move {
+            self.delay().await;
+            Ok(self.lock_available()?.table.scan(&prefix, "", usize::MAX))
+        })
     }
 
     fn clock_ms(&self) -> Option<u64> {
@@ -224,6 +253,7 @@
 
     fn commit(&self, transaction: Transaction) -> BoxFuture<'_, Result<Verdict, Fault>> {
         Box::pin(async move {
+            self.delay().await;
             let mut inner = self.lock_available()?;
             if inner.lost_takeovers > 0 && is_takeover(&transaction) {
                 inner.lost_takeovers -= 1;
@@ -235,6 +265,7 @@
 
     fn configuration(&self) -> BoxFuture<'_, Result<Read<Option<Snapshot>>, Fault>> {
         Box::pin(async move {
+            self.delay().await;
             let transfer = self.lock().transfer;
             tokio::time::sleep(transfer).await;
             let mut inner = self.lock_available()?;
@@ -248,6 +279,7 @@
 
     fn evacuated(&self) -> BoxFuture<'_, Result<Read<BTreeSet<Zone>>, Fault>> {
         Box::pin(async move {
+            self.delay().await;
             let mut inner = self.lock_available()?;
             inner.whole_reads.1 += 1;
             if inner.has_unreadable_evacuations {
@@ -272,11 +304,13 @@
         wait: Duration,
     ) -> BoxFuture<'_, Result<Read<Orders>, Fault>> {
         Box::pin(async move {
+            self.delay().await;
             {
                 let mut inner = self.lock_available()?;
                 inner.followed = inner.followed.max(since);
             }
             self.wait(since, wait).await;
+            self.delay().await;
             let inner = self.lock_available()?;
             if since < inner.kept_since {
                 return Err(Fault::Discarded);
@@ -300,6 +334,7 @@
 
     fn upstreams(&self) -> BoxFuture<'_, Result<Read<Listing>, Fault>> {
         Box::pin(async move {
+            self.delay().await;
             let inner = self.lock_available()?;
             let content = inner.entries.clone().into_iter().collect();
             Ok(Read {
@@ -315,7 +350,9 @@
         wait: Duration,
     ) -> BoxFuture<'_, Result<Read<Vec<Update>>, Fault>> {
         Box::pin(async move {
+            self.delay().await;
             self.wait(since, wait).await;
+            self.delay().await;
             let mut inner = self.lock_available()?;
             let has_injected_panic = std::mem::take(&mut inner.has_injected_panic);
             drop(inner);
--- a/crates/gateway/tests/overlaps/main.rs
+++ b/crates/gateway/tests/overlaps/main.rs
@@ -35,9 +35,22 @@
 const IDLE_LIMIT: Duration = Duration::from_millis(300);
 /// Time for a process to end; longer than a response may take.
 const DRAIN_LIMIT: Duration = Duration::from_secs(40);
+/// Time that a call of a slow store takes.
+const LATENCY: Duration = Duration::from_millis(150);
+/// Shortest time between two disruptions of the store.
+const CALM: Duration = Duration::from_secs(1);
+const OUTAGES: [Outage; 3] = [Outage::Down, Outage::Silent, Outage::Slow];
 /// Time of changes in the run of CI.
 const DURATION: Duration = Duration::from_millis(1_500);
 
+/// A disruption of the store.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Outage {
+    Down,
+    Silent,
+    Slow,
+}
+
 /// Returns a random configuration.
 fn configuration(random: &mut SmallRng, version: u64) -> Snapshot {
     let mut next = snapshot(version, 1_000_000_000);
@@ -144,8 +157,8 @@
     hosts: Vec<Running>,
     upstreams: Vec<Listed>,
     version: u64,
-    /// When the store comes back.
-    down_until: Option<Instant>,
+    /// Disruption of the store, and when it ends.
+    outage: Option<(Outage, Instant)>,
 }
 
 impl Director {
@@ -158,12 +171,7 @@
             if self.random.random_bool(0.3) {
                 self.change_upstream();
             }
-            if lock(&self.record).has_outages && self.random.random_bool(0.05) {
-                let outage = Duration::from_millis(self.random.random_range(100..1_500));
-                self.down_until = Some(Instant::now() + outage);
-            }
-            let is_down = self.down_until.is_some_and(|until| until > Instant::now());
-            self.hosts[0].harness.store.set_down(is_down);
+            self.disturb_store();
             if self.random.random_bool(0.04) {
                 let index = self.random.random_range(0..self.hosts.len());
                 self.hosts[index].stop();
@@ -174,7 +182,28 @@
             let pause = self.random.random_range(10..250);
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
-        self.hosts[0].harness.store.set_down(false);
+        self.set_outage(None);
+    }
+
+    /// Begins or ends a disruption of the store at random.
+    fn disturb_store(&mut self) {
+        let now = Instant::now();
+        let is_calm = self.outage.is_none_or(|(_, until)| until + CALM < now);
+        if lock(&self.record).has_outages && is_calm && self.random.random_bool(0.05) {
+            let outage = *OUTAGES.choose(&mut self.random).expect("a kind");
+            let time = Duration::from_millis(self.random.random_range(100..1_500));
+            self.outage = Some((outage, now + time));
+        }
+        let current = self.outage.filter(|(_, until)| *until > now);
+        self.set_outage(current.map(|(outage, _)| outage));
+    }
+
+    fn set_outage(&self, outage: Option<Outage>) {
+        let store = &self.hosts[0].harness.store;
+        store.set_down(outage == Some(Outage::Down));
+        store.set_silent(outage == Some(Outage::Silent));
+        let is_slow = outage == Some(Outage::Slow);
+        store.set_latency(if is_slow { LATENCY } else { Duration::ZERO });
     }
 
     fn configure(&mut self) {
@@ -260,7 +289,7 @@
         hosts,
         upstreams,
         version: 1,
-        down_until: None,
+        outage: None,
     }
 }
 
