Follow the timeout of the route that a request's path has now

What callers saw: a stream was cut at the short timeout of its route although a version had split the route since and gave its path a longer one.

Cause: the deadline followed the route with the same host and prefix only.

Change: it follows the route that each version finds for the host and path.

Measured: timeouts_of_a_route_that_was_split_count failed before with split: error decoding response body and passes now.

--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -116,13 +116,8 @@
         Ok(Access { route, workspace })
     }
 
-    /// Returns the route with the host name and the prefix of a route of another version.
-    pub fn successor(&self, route: &Route) -> Option<&Arc<Route>> {
-        let mut routes = self.routes.get(&route.host)?.iter();
-        routes.find(|other| other.prefix == route.prefix)
-    }
-
-    fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+    /// Returns the route that matches the host name and the path; a port in `host` is ignored.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.split_once(':').map_or(host, |(name, _)| name);
         let routes = self.routes.get(name.to_ascii_lowercase().as_str())?;
         routes.iter().find(|route| path.starts_with(&*route.prefix))
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -157,7 +157,7 @@
         let access = access.map_err(Error::Access)?;
         let service = choose_service(&directory, &access).ok_or(Error::NoUpstream)?;
         let limit = directory.limits().body_bytes;
-        let deadline = Deadline::new(&self.0, arrived, head.timeout, access.route.clone());
+        let deadline = Deadline::new(&self.0, head, &access.route, arrived);
         let timeout = head.timeout.unwrap_or(BODY_TIMEOUT);
         let reading = tokio::time::timeout(timeout, Limited::new(body, limit).collect());
         match deadline.run(reading).await {
--- a/crates/gateway/src/request/deadline.rs
+++ b/crates/gateway/src/request/deadline.rs
@@ -4,9 +4,11 @@
     super::Context,
     crate::{
         Clock,
+        protocol::RequestHead,
         view::{View, lock},
     },
     marigoldroute_core::{forward::Route, id::Version},
+    poem::http::Uri,
     std::{
         sync::{Arc, Mutex},
         time::Duration,
@@ -14,15 +16,16 @@
 };
 
 /// When the response of a request is due: the caller's timeout after the arrival, at most the
-/// longest timeout of the route that has been in effect since.
+/// longest timeout that the configuration has given to such requests since.
 pub(crate) struct Deadline {
     clock: Clock,
     view: Arc<View>,
     arrived: Duration,
     /// Timeout that the caller states, if any.
     stated: Option<Duration>,
-    /// Route under which the request was admitted.
-    route: Arc<Route>,
+    /// Host name and target, by which each version finds its route.
+    host: String,
+    target: Uri,
     longest: Mutex<Longest>,
 }
 
@@ -34,12 +37,12 @@
 }
 
 impl Deadline {
-    /// Starts to consider new versions.
+    /// Starts to consider new versions. `route` is the one under which the request is admitted.
     pub(crate) fn new(
         context: &Context,
+        head: &RequestHead,
+        route: &Route,
         arrived: Duration,
-        stated: Option<Duration>,
-        route: Arc<Route>,
     ) -> Self {
         let longest = Mutex::new(Longest {
             timeout: route.timeout,
@@ -49,8 +52,9 @@
             clock: context.clock,
             view: context.view.clone(),
             arrived,
-            stated,
-            route,
+            stated: head.timeout,
+            host: head.host.clone(),
+            target: head.target.clone(),
             longest,
         }
     }
@@ -68,7 +72,7 @@
             && let Some(directory) = self.view.directory()
         {
             longest.version = directory.version();
-            if let Some(route) = directory.successor(&self.route) {
+            if let Some(route) = directory.route(&self.host, self.target.path()) {
                 longest.timeout = longest.timeout.max(route.timeout);
             }
         }
--- a/crates/gateway/tests/deadlines.rs
+++ b/crates/gateway/tests/deadlines.rs
@@ -181,6 +181,20 @@
     assert!(text.ends_with("0\r\n\r\n"), "cut: {text}");
 }
 
+/// Guards against ending a request at the timeout of a route that has been split since.
+#[tokio::test]
+async fn timeouts_of_a_route_that_was_split_count() {
+    let pending = Pending::start("stream/x", None, paused, configuration(1, SHORT)).await;
+    let mut next = configuration(2, SHORT);
+    let mut part = next.routes[2].clone();
+    part.prefix = "/stream/x/".into();
+    part.timeout = LONG;
+    next.routes.push(part);
+    pending.harness.store.configure(next);
+    pending.harness.store.until_followed().await;
+    assert_eq!(pending.finish("split").await, (200, events()));
+}
+
 /// Guards against a shorter timeout that ends requests which were admitted under a longer one.
 #[tokio::test]
 async fn shortened_timeouts_keep_admitted_requests() {
