--- a/crates/gateway/tests/overlaps/caller.rs
+++ b/crates/gateway/tests/overlaps/caller.rs
@@ -71,7 +71,9 @@
             number += 1;
             let path = *PATHS.choose(&mut self.random).expect("a path");
             let id = format!("{path}.{}-{number}", self.name);
-            let is_kept = self.exchange(&mut connection, path, id).await;
+            let part = ["", "part/"].choose(&mut self.random).expect("a part");
+            let target = format!("/{path}/{part}x");
+            let is_kept = self.exchange(&mut connection, path, target, id).await;
             connection.idle_since = Instant::now();
             connection.carried += 1;
             let limit = lock(&self.record).idle_limit().mul_f64(KEPT_SHARE);
@@ -100,7 +102,13 @@
     }
 
     /// Sends a request and records how it ends; returns whether the connection stays open.
-    async fn exchange(&mut self, connection: &mut Kept, path: &'static str, id: String) -> bool {
+    async fn exchange(
+        &mut self,
+        connection: &mut Kept,
+        path: &'static str,
+        target: String,
+        id: String,
+    ) -> bool {
         let idle = connection.idle_since.elapsed();
         let content = "x".repeat(self.random.random_range(1..3_000));
         let key = *KEYS.choose(&mut self.random).expect("a key");
@@ -121,7 +129,7 @@
             false => format!("content-length: {}", content.len()),
         };
         let head = format!(
-            "POST /{path}/x HTTP/1.1\r\nhost: desk.example\r\nx-request-id: {id}\r\nx-key: {key}\r\n\
+            "POST {target} HTTP/1.1\r\nhost: desk.example\r\nx-request-id: {id}\r\nx-key: {key}\r\n\
              x-tokens: 100,50\r\n{timeout}{closing}{framing}\r\n\r\n"
         );
         let body = match is_chunked {
@@ -147,6 +155,7 @@
         lock(&self.record).requests.push(Request {
             id,
             path,
+            target,
             key,
             stated,
             sent_at,
--- a/crates/gateway/tests/overlaps/main.rs
+++ b/crates/gateway/tests/overlaps/main.rs
@@ -10,7 +10,7 @@
 use {
     caller::{Caller, Host, KEYS, Process},
     harness::{Harness, entry, snapshot},
-    marigoldroute_core::forward::{Limits, Registration, Service, Snapshot, State, Target},
+    marigoldroute_core::forward::{Limits, Registration, Route, Service, Snapshot, State, Target},
     marigoldroute_gateway::Settings,
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
     record::{Counts, Shared, lock},
@@ -51,6 +51,10 @@
     Slow,
 }
 
+fn choose_timeout(random: &mut SmallRng) -> Duration {
+    Duration::from_millis(*TIMEOUTS_MS.choose(random).expect("a timeout"))
+}
+
 /// Returns a random configuration.
 fn configuration(random: &mut SmallRng, version: u64) -> Snapshot {
     let mut next = snapshot(version, 1_000_000_000);
@@ -71,8 +75,7 @@
             weight: random.random_range(1..5),
         };
         route.targets = targets.map(target).collect();
-        let timeout = TIMEOUTS_MS.choose(random).expect("a timeout");
-        route.timeout = Duration::from_millis(*timeout);
+        route.timeout = choose_timeout(random);
         route.objective = Duration::from_millis(random.random_range(50..300));
         route.event_interval = route.objective / 4;
         route.attempts = random.random_range(1..4);
@@ -80,6 +83,14 @@
     if removed {
         next.services.retain(|service| *service.name == *kept);
     }
+    let parts = next.routes.iter().map(|route| Route {
+        prefix: format!("{}part/", route.prefix).into(),
+        timeout: choose_timeout(random),
+        ..route.clone()
+    });
+    let parts: Vec<_> = parts.collect();
+    let parts = parts.into_iter().filter(|_| random.random_bool(0.3));
+    next.routes.extend(parts);
     next.routes.retain(|_| random.random_bool(0.95));
     let workspace = &mut next.workspaces[0];
     workspace.purchased = workspace.purchased.filter(|_| random.random_bool(0.5));
--- a/crates/gateway/tests/overlaps/record.rs
+++ b/crates/gateway/tests/overlaps/record.rs
@@ -23,12 +23,22 @@
 /// A version of the configuration.
 struct Version {
     put_at: Instant,
-    /// Timeouts of the routes.
-    timeouts: HashMap<String, Duration>,
+    /// Prefixes of the routes and their timeouts.
+    timeouts: Vec<(String, Duration)>,
     keys: HashSet<String>,
     idle_limit: Duration,
 }
 
+impl Version {
+    /// Returns the timeout of the route of a request.
+    fn timeout(&self, request: &Request) -> Option<Duration> {
+        let routes = self.timeouts.iter();
+        let routes = routes.filter(|(prefix, _)| request.target.starts_with(prefix));
+        let route = routes.max_by_key(|(prefix, _)| prefix.len());
+        route.map(|(_, timeout)| *timeout)
+    }
+}
+
 /// One run of a request at an upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Run {
@@ -57,6 +67,7 @@
 pub struct Request {
     pub id: String,
     pub path: &'static str,
+    pub target: String,
     pub key: &'static str,
     pub stated: Option<Duration>,
     pub sent_at: Instant,
@@ -107,7 +118,7 @@
         self.versions.push(Version {
             put_at: Instant::now(),
             timeouts: routes
-                .map(|route| (route.name.to_string(), route.timeout))
+                .map(|route| (route.prefix.to_string(), route.timeout))
                 .collect(),
             keys: keys.map(ToString::to_string).collect(),
             idle_limit: snapshot.limits.idle_timeout,
@@ -144,15 +155,15 @@
         let before = request.sent_at - self.apply_time();
         // A body that comes later is read by the version of the head.
         let admitting = self.in_force(before, request.sent_at + APPLY_TIME);
-        let admitted = admitting.filter_map(|version| version.timeouts.get(request.path));
-        let admitted = admitted.min().copied().unwrap_or_default();
+        let admitted = admitting.filter_map(|version| version.timeout(request));
+        let admitted = admitted.min().unwrap_or_default();
         let applied = request.ended_at - self.apply_time();
         let later = self
             .versions
             .iter()
             .filter(|version| version.put_at >= request.sent_at && version.put_at <= applied);
-        let later = later.filter_map(|version| version.timeouts.get(request.path));
-        let timeout = later.max().copied().unwrap_or_default().max(admitted);
+        let later = later.filter_map(|version| version.timeout(request));
+        let timeout = later.max().unwrap_or_default().max(admitted);
         request.stated.map_or(timeout, |stated| stated.min(timeout))
     }
 
@@ -160,14 +171,14 @@
     fn longest_timeout(&self, request: &Request) -> Duration {
         let before = request.sent_at - self.apply_time();
         let versions = self.in_force(before, request.ended_at);
-        let timeouts = versions.filter_map(|version| version.timeouts.get(request.path));
-        let timeout = timeouts.max().copied().unwrap_or_default();
+        let timeouts = versions.filter_map(|version| version.timeout(request));
+        let timeout = timeouts.max().unwrap_or_default();
         request.stated.map_or(timeout, |stated| stated.min(timeout))
     }
 
     /// Returns the timeouts of the route of a request around its time, with when their versions were
     /// put before it was sent and after.
-    fn timeouts(&self, request: &Request) -> Vec<(Duration, Duration, Option<&Duration>)> {
+    fn timeouts(&self, request: &Request) -> Vec<(Duration, Duration, Option<Duration>)> {
         let versions = self.in_force(request.sent_at - self.apply_time(), request.ended_at);
         let around = |version: &Version| {
             (
@@ -177,7 +188,7 @@
         };
         let timeouts = versions.map(|version| {
             let (before, after) = around(version);
-            (before, after, version.timeouts.get(request.path))
+            (before, after, version.timeout(request))
         });
         timeouts.collect()
     }
@@ -234,9 +245,7 @@
             End::Response(401, _) if versions.all(|one| one.keys.contains(request.key)) => {
                 Err("no version lacks the key")
             }
-            End::Response(404, _)
-                if versions.all(|one| one.timeouts.contains_key(request.path)) =>
-            {
+            End::Response(404, _) if versions.all(|one| one.timeout(request).is_some()) => {
                 Err("no version lacks the route")
             }
             End::Response(408, _) if !is_over => Err("a body in time is not late"),
