Overlaps: the process stands still, and skipped versions count as unread

A version now counts as read when it lasted for 100 ms beside no disruption of the store; any other is still one by which a request may have been admitted. Callers that stand still may exceed the idle limit, and only then may their connection have been closed.

--- a/crates/gateway/tests/overlaps/caller.rs
+++ b/crates/gateway/tests/overlaps/caller.rs
@@ -43,6 +43,7 @@
     stream: BufReader<TcpStream>,
     process: Process,
     idle_since: Instant,
+    idle_limit: Duration,
     carried: u64,
 }
 
@@ -76,7 +77,8 @@
             let is_kept = self.exchange(&mut connection, path, target, id).await;
             connection.idle_since = Instant::now();
             connection.carried += 1;
-            let limit = lock(&self.record).idle_limit().mul_f64(KEPT_SHARE);
+            connection.idle_limit = lock(&self.record).idle_limit();
+            let limit = connection.idle_limit.mul_f64(KEPT_SHARE);
             let rest = match self.random.random_range(0..20) {
                 0 => limit,
                 1 => limit.mul_f64(self.random.random()),
@@ -97,6 +99,7 @@
             stream: BufReader::new(stream),
             process,
             idle_since: Instant::now(),
+            idle_limit: Duration::MAX,
             carried: 0,
         })
     }
@@ -162,6 +165,7 @@
             written_at,
             ended_at: Instant::now(),
             is_stopping,
+            idle_limit: connection.idle_limit,
             idle,
             carried: connection.carried,
             end,
--- a/crates/gateway/tests/overlaps/main.rs
+++ b/crates/gateway/tests/overlaps/main.rs
@@ -37,6 +37,8 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(40);
 /// Time that a call of a slow store takes.
 const LATENCY: Duration = Duration::from_millis(150);
+/// Longest time for which the process stands still.
+const STALL: Duration = Duration::from_millis(300);
 /// Shortest time between two disruptions of the store.
 const CALM: Duration = Duration::from_secs(1);
 const OUTAGES: [Outage; 3] = [Outage::Down, Outage::Silent, Outage::Slow];
@@ -183,6 +185,11 @@
                 self.change_upstream();
             }
             self.disturb_store();
+            let longest = lock(&self.record).longest_stall;
+            if !longest.is_zero() && self.random.random_bool(0.1) {
+                // The whole process stands still, with its hosts, callers and upstreams.
+                std::thread::sleep(longest.mul_f64(self.random.random()));
+            }
             if self.random.random_bool(0.04) {
                 let index = self.random.random_range(0..self.hosts.len());
                 self.hosts[index].stop();
@@ -204,6 +211,7 @@
             let outage = *OUTAGES.choose(&mut self.random).expect("a kind");
             let time = Duration::from_millis(self.random.random_range(100..1_500));
             self.outage = Some((outage, now + time));
+            lock(&self.record).outages.push((now, now + time));
         }
         let current = self.outage.filter(|(_, until)| *until > now);
         self.set_outage(current.map(|(outage, _)| outage));
@@ -257,6 +265,9 @@
 async fn set_up(seed: u64, record: &Shared) -> Director {
     let mut random = SmallRng::seed_from_u64(seed);
     lock(record).has_outages = random.random_bool(0.4);
+    if random.random_bool(0.3) {
+        lock(record).longest_stall = STALL;
+    }
     let is_forgetful = random.random_bool(0.3);
     lock(record).has_forgetful_upstreams = is_forgetful;
     let settings = Settings {
--- a/crates/gateway/tests/overlaps/record.rs
+++ b/crates/gateway/tests/overlaps/record.rs
@@ -14,6 +14,10 @@
 const APPLY_TIME: Duration = Duration::from_secs(1);
 /// As [`APPLY_TIME`], when the store is down at times.
 const OUTAGE_APPLY_TIME: Duration = Duration::from_secs(4);
+/// Longest time until a host reads a version of a calm store.
+const READ_TIME: Duration = Duration::from_millis(100);
+/// Time after a disruption of the store in which hosts may still miss a version.
+const OUTAGE_END_TIME: Duration = Duration::from_secs(1);
 /// Longest time from the deadline of a request to its end.
 const END_TIME: Duration = Duration::from_secs(5);
 
@@ -76,6 +80,8 @@
     pub ended_at: Instant,
     /// Whether the planned stop of its process had begun by its end.
     pub is_stopping: bool,
+    /// Limit by which its caller kept the connection.
+    pub idle_limit: Duration,
     /// How long the connection was idle before.
     pub idle: Duration,
     /// Requests that the connection carried before.
@@ -90,6 +96,10 @@
     pub requests: Vec<Request>,
     /// Whether upstreams close connections without notice.
     pub has_forgetful_upstreams: bool,
+    /// Longest time for which the process stands still at times; zero if it does not.
+    pub longest_stall: Duration,
+    /// Disruptions of the store.
+    pub outages: Vec<(Instant, Instant)>,
     /// Whether the store is down at times.
     pub has_outages: bool,
 }
@@ -140,12 +150,25 @@
         }
     }
 
+    /// Returns the versions, each with when the next one was put.
+    fn spans(&self) -> impl Iterator<Item = (&Version, Option<Instant>)> {
+        let ends = self.versions.iter().skip(1).map(|next| Some(next.put_at));
+        self.versions.iter().zip(ends.chain([None]))
+    }
+
+    /// Returns whether hosts have read a version before the next one was put at `end`: those that
+    /// reach the store read the newest version only.
+    fn is_read(&self, version: &Version, end: Instant) -> bool {
+        let is_calm = self
+            .outages
+            .iter()
+            .all(|(from, to)| *from > end || *to + OUTAGE_END_TIME < version.put_at);
+        is_calm && end - version.put_at >= READ_TIME + self.longest_stall
+    }
+
     /// Returns the versions that may be in force at any time of a span.
     fn in_force(&self, from: Instant, to: Instant) -> impl Iterator<Item = &Version> {
-        let ends = self.versions.iter().skip(1).map(|next| Some(next.put_at));
-        let ends = ends.chain([None]);
-        let spans = self.versions.iter().zip(ends);
-        spans
+        self.spans()
             .filter(move |(version, end)| version.put_at <= to && end.is_none_or(|end| end >= from))
             .map(|(version, _)| version)
     }
@@ -158,10 +181,12 @@
         let admitted = admitting.filter_map(|version| version.timeout(request));
         let admitted = admitted.min().unwrap_or_default();
         let applied = request.ended_at - self.apply_time();
-        let later = self
-            .versions
-            .iter()
-            .filter(|version| version.put_at >= request.sent_at && version.put_at <= applied);
+        let later = self.spans().filter(|(version, end)| {
+            version.put_at >= request.sent_at
+                && version.put_at <= applied
+                && self.is_read(version, end.unwrap_or(request.ended_at))
+        });
+        let later = later.map(|(version, _)| version);
         let later = later.filter_map(|version| version.timeout(request));
         let timeout = later.max().unwrap_or_default().max(admitted);
         request.stated.map_or(timeout, |stated| stated.min(timeout))
@@ -261,6 +286,10 @@
             End::Closed(_) if request.is_stopping && waited < CLOSE_TIME => {
                 Ok(|counts| &mut counts.closed)
             }
+            // A caller that stands still exceeds the limit, and sees the response before late.
+            End::Closed(_) if request.idle + self.longest_stall * 2 > request.idle_limit => {
+                Ok(|counts| &mut counts.closed)
+            }
             End::Closed(_) => Err("closed without a response"),
             End::Cut(_) => Err("cut"),
             End::Response(..) => Err("failed"),
