--- a/crates/core/src/forward/directory.rs
+++ b/crates/core/src/forward/directory.rs
@@ -116,7 +116,8 @@
         Ok(Access { route, workspace })
     }
 
-    fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+    /// Returns the route that matches the host name and the path; a port in `host` is ignored.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.split_once(':').map_or(host, |(name, _)| name);
         let routes = self.routes.get(name.to_ascii_lowercase().as_str())?;
         routes.iter().find(|route| path.starts_with(&*route.prefix))
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -250,12 +250,7 @@
                 return;
             }
             () = idle_at_stop(&stop, &watched), if !is_closing => "stop",
-            () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !is_closing => {
-                if !lock(&watched).is_expired(&frontend) {
-                    continue;
-                }
-                "idle"
-            }
+            () = expired(&watched, &frontend), if !is_closing => "idle",
         };
         is_closing = true;
         let closed = &frontend.0.metrics.closed_connections;
@@ -264,6 +259,20 @@
     }
 }
 
+/// Waits until the connection has been idle for too long even after the runtime has seen which
+/// connections have new bytes.
+async fn expired(activity: &Mutex<Activity>, frontend: &Frontend) {
+    loop {
+        tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+        if lock(activity).is_expired(frontend) {
+            tokio::task::yield_now().await;
+            if lock(activity).is_expired(frontend) {
+                return;
+            }
+        }
+    }
+}
+
 /// Waits for the stop, and then until no request is in progress. One that has been sent behind
 /// another is in progress as well, although a connection that closes would not read it.
 async fn idle_at_stop(stop: &CancellationToken, activity: &Mutex<Activity>) {
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -6,7 +6,7 @@
         error::{self, Error},
         protocol::{RequestHead, ResponseHead},
         relay::Relay,
-        request::{ActiveRequest, Answer, Context},
+        request::{ActiveRequest, Answer, Context, Deadline},
         supervise::catch_panic,
         unanswered::Unanswered,
     },
@@ -55,6 +55,7 @@
     /// One of the route's services, of the same configuration as the route.
     service: Arc<Service>,
     body: Bytes,
+    deadline: Deadline,
 }
 
 /// The service that handles callers' requests.
@@ -161,11 +162,12 @@
         let access = directory.find(&head.host, head.target.path(), head.key.as_deref());
         let access = access.map_err(Error::Access)?;
         let service = choose_service(&directory, &access).ok_or(Error::NoUpstream)?;
+        let deadline = Deadline::new(&self.0, head, &access.route, arrived);
         let prospect = Prospect {
             head,
             access: &access,
             service: &service,
-            deadline: arrived + head.time_limit(&access.route),
+            deadline: deadline.at(),
             last_event: head.last_event,
             has_begun: false,
         };
@@ -175,22 +177,22 @@
         }
         let limit = directory.limits().body_bytes;
         let timeout = head.timeout.unwrap_or(BODY_TIMEOUT);
-        let timeout = timeout.min(access.route.timeout);
-        let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect());
+        let reading = tokio::time::timeout(timeout, Limited::new(body, limit).collect());
         let read = tokio::select! {
             biased;
-            read = read => read,
+            read = deadline.run(reading) => read,
             () = drain.until_late(&prospect) => return Err(self.0.stopping()),
         };
         match read {
-            Ok(Ok(body)) => Ok(Admitted {
+            Some(Ok(Ok(body))) => Ok(Admitted {
                 access,
                 service,
                 body: body.to_bytes(),
+                deadline,
             }),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
-            Ok(Err(_)) => Err(Error::Incomplete),
-            Err(_) => Err(Error::Late),
+            Some(Ok(Err(error))) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
+            Some(Ok(Err(_))) => Err(Error::Incomplete),
+            Some(Err(_)) | None => Err(Error::Late),
         }
     }
 
@@ -205,10 +207,13 @@
             access,
             service,
             body,
+            deadline,
         } = admitted;
         self.0.dispatcher.record_request(&service.name);
         let last_event = head.last_event;
-        let mut request = ActiveRequest::new(self.0.clone(), head, access, service, body, arrived);
+        let context = self.0.clone();
+        let mut request =
+            ActiveRequest::new(context, head, access, service, body, arrived, deadline);
         if let Some(rest) = self.0.quarantine.check(&request.parts) {
             let error = request.record_quarantined(rest);
             return self.reject(Some(&request.head), arrived, error);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,12 +1,14 @@
 //! An admitted request: its reservation of tokens and its attempts at upstreams.
 
 mod attempt;
+mod deadline;
 mod handover;
 mod opening;
 mod stop;
 
 pub(crate) use {
-    handover::{Continuation, give_up},
+    deadline::Deadline,
+    handover::{Continuation, Delivered, give_up},
     opening::{ENDED_WITHIN_EVENT, ENDED_WITHOUT_EVENT},
 };
 
@@ -147,8 +149,8 @@
     pub(crate) service: Arc<Service>,
     pub(crate) body: Bytes,
     pub(crate) arrived: Duration,
-    /// When the response is due: the caller's timeout after the arrival, at most the route's.
-    pub(crate) deadline: Duration,
+    /// When the response is due.
+    pub(crate) deadline: Arc<Deadline>,
     pub(crate) profile: Profile,
     /// Parts of the prompt that other requests may share.
     pub(crate) parts: SharedParts,
@@ -174,8 +176,8 @@
         service: Arc<Service>,
         body: Bytes,
         arrived: Duration,
+        deadline: Deadline,
     ) -> Self {
-        let deadline = arrived + head.time_limit(&access.route);
         let profile = context.dispatcher.profile(&head, access.priority());
         Self {
             parts: shared_parts(&head.prompt_parts),
@@ -186,7 +188,7 @@
             service,
             body,
             arrived,
-            deadline,
+            deadline: Arc::new(deadline),
             profile,
             tried: Vec::new(),
             sent: 0,
@@ -239,7 +241,7 @@
 
     /// Returns the time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
-        self.deadline.saturating_sub(self.context.clock.now())
+        self.deadline.remaining()
     }
 
     /// Reserves the request's tokens if its workspace has a budget and its service is an engine.
@@ -277,12 +279,13 @@
         let reserving = self
             .context
             .reserver
-            .reserve(spec, reserve_by.min(self.deadline));
+            .reserve(spec, reserve_by.min(self.deadline.at()));
         let reserved = tokio::select! {
             biased;
-            reserved = reserving => reserved,
+            reserved = self.deadline.run(reserving) => reserved,
             () = self.until_late() => return Err(self.context.stopping()),
         };
+        let reserved = reserved.ok_or(Error::BudgetUnreachable(reserve_timeout))?;
         self.reservation = Some(reserved.map_err(|refusal| match refusal {
             Refusal::Exhausted => Error::BudgetExhausted,
             Refusal::Unreachable { retry_after } => Error::BudgetUnreachable(retry_after),
@@ -298,9 +301,10 @@
         let mut failure = None;
         let (context, parts) = (self.context.clone(), self.parts.clone());
         let has_begun = self.has_begun;
+        let deadline = self.deadline.clone();
         loop {
-            let (started, remaining) = (context.clock.now(), self.remaining());
-            let attempt = tokio::time::timeout(remaining, self.attempt(last_event));
+            let started = context.clock.now();
+            let attempt = deadline.run(self.attempt(last_event));
             let received = tokio::select! {
                 biased;
                 received = attempt => received,
@@ -310,16 +314,16 @@
                 () = context.drain.ending.cancelled(), if !has_begun => return self.cut(),
             };
             let outcome = match received {
-                Ok(Ok(Received::Final(answer))) => return answer,
-                Ok(Ok(Received::ServerError(answer))) => {
+                Some(Ok(Received::Final(answer))) => return answer,
+                Some(Ok(Received::ServerError(answer))) => {
                     failure = Some(answer);
                     Outcome::Failed
                 }
-                Ok(Err(Interrupted::Failed(outcome))) => outcome,
-                Ok(Err(Interrupted::Unassigned(reason))) => {
+                Some(Err(Interrupted::Failed(outcome))) => outcome,
+                Some(Err(Interrupted::Unassigned(reason))) => {
                     return failure.unwrap_or_else(|| self.without_upstream(reason));
                 }
-                Err(_) => {
+                None => {
                     if self.sent > 0 {
                         let wait = context.clock.now().saturating_sub(started);
                         context.drain.record_wait(&self.access.route.name, wait);
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -122,9 +122,9 @@
                 Ok(Some(in_flight)) => return Ok(in_flight),
                 Ok(None) => {}
                 Err(Unavailable::Busy(opens_after)) => {
-                    let opens_after = opens_after.unwrap_or(self.remaining());
                     // Either way, the candidates are looked at again.
-                    let _ = tokio::time::timeout(opens_after.min(slack), capacity_freed).await;
+                    let opens_after = opens_after.unwrap_or(Duration::MAX).min(slack);
+                    drop(tokio::time::timeout(opens_after, capacity_freed).await);
                 }
                 Err(unavailable) => return Err(unavailable),
             }
--- a/crates/gateway/src/request/stop.rs
+++ b/crates/gateway/src/request/stop.rs
@@ -37,7 +37,7 @@
             head: &self.head,
             access: &self.access,
             service: &self.service,
-            deadline: self.deadline,
+            deadline: self.deadline.at(),
             last_event,
             has_begun: self.has_begun,
         }
