Bound the memory that bodies of callers take together

Callers saw connections end without an answer: a burst of bodies of the allowed size took the process over the memory limit of its host, and all requests in progress ended with it.

Cause: each body was bounded by the configuration, their sum was not. The pieces of a body also kept the read buffers of hyper alive, which grow to 400 KiB, and joining them held the body twice.

While it is short, a body is not read for at most 0.5 s; then the request is refused with 503 as not run, and the rest of its body is dropped. Responses keep their quota. Bodies are copied out of the read buffers, which hold at most 64 KiB.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -35,6 +35,8 @@
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
+/// Bytes that a connection reads ahead and writes behind.
+const BUFFER_BYTES: usize = 64 << 10;
 /// Pause after a failed accept, for example when the process has run out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Largest number of waiting connections that are accepted at a stop, so that those that arrive in
@@ -209,7 +211,9 @@
             }))
         }
     });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let connection = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut is_closing = false;
     loop {
--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,231 @@
+//! Bodies of callers' requests, and the memory that they take together.
+
+#[cfg(test)]
+mod tests;
+
+use {
+    crate::error::Error,
+    bytes::{Bytes, BytesMut},
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::body::{Body, Frame, SizeHint},
+    std::{
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll},
+        time::Duration,
+    },
+    tokio::{
+        sync::{AcquireError, OwnedSemaphorePermit, Semaphore, TryAcquireError},
+        time::Instant,
+    },
+};
+
+/// Granularity of the accounting: one semaphore permit stands for this many bytes.
+const UNIT_BYTES: usize = 1 << 10;
+/// Largest body for which a part of the memory is set aside.
+const SMALL_BYTES: usize = 128 << 10;
+/// The memory divided by this is set aside for small bodies.
+const SMALL_DIVISOR: usize = 4;
+/// Memory taken first for a body that does not state its length.
+const FIRST_BYTES: usize = 16 << 10;
+/// Longest wait of a body for memory, shorter than the time after which callers give up a request
+/// that is not read.
+const WAIT_LIMIT: Duration = Duration::from_millis(500);
+/// Part of the time that the caller waits for its response which may pass in a wait for memory.
+const WAIT_DIVISOR: u32 = 4;
+
+/// Body of a caller's request.
+pub(crate) trait RequestBody: Body<Data = Bytes, Error = hyper::Error> {}
+
+impl<B: Body<Data = Bytes, Error = hyper::Error>> RequestBody for B {}
+
+/// A body whose bytes are counted as they arrive.
+pub(crate) struct Counted<B, F> {
+    body: B,
+    count: F,
+    /// Whether any bytes have arrived.
+    pub(crate) has_begun: bool,
+}
+
+impl<B, F: Fn(usize)> Counted<B, F> {
+    /// Passes the size of each piece of a body to `count`.
+    pub(crate) fn new(body: B, count: F) -> Self {
+        Self {
+            body,
+            count,
+            has_begun: false,
+        }
+    }
+}
+
+impl<B: RequestBody + Unpin, F: Fn(usize) + Unpin> Body for Counted<B, F> {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            self.has_begun = true;
+            (self.count)(frame.data_ref().map_or(0, Bytes::len));
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Quota of memory that the bodies of all requests share. Each gets its memory in the order of
+/// arrival; small ones do not wait for large ones.
+#[derive(Clone, Debug)]
+pub(crate) struct Quota {
+    common: Arc<Semaphore>,
+    small: Arc<Semaphore>,
+    /// Units of `common`, taken or not.
+    common_units: usize,
+}
+
+impl Quota {
+    /// Creates a quota; it is rounded down to whole units.
+    pub(crate) fn new(bytes: usize) -> Self {
+        let units = (bytes / UNIT_BYTES).min(Semaphore::MAX_PERMITS);
+        let small = units / SMALL_DIVISOR;
+        Self {
+            common: Arc::new(Semaphore::new(units - small)),
+            small: Arc::new(Semaphore::new(small)),
+            common_units: units - small,
+        }
+    }
+
+    /// Reads a body of at most `limit` bytes whose caller waits for the response for `timeout`. The
+    /// memory returns to the quota when the last clone of the body is dropped.
+    ///
+    /// # Errors
+    /// [`Error::TooLarge`], [`Error::Incomplete`] and [`Error::OutOfMemory`].
+    pub(crate) async fn read(
+        &self,
+        body: &mut (impl RequestBody + Unpin),
+        limit: usize,
+        timeout: Duration,
+    ) -> Result<Bytes, Error> {
+        let length = body.size_hint().exact();
+        let length = length.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+        if length == Some(0) {
+            return Ok(Bytes::new());
+        }
+        let mut body = Limited::new(body, limit);
+        let mut held = Held::new(self, timeout);
+        match length {
+            Some(length) if length > limit => {}
+            Some(length) => held.grow(length).await?,
+            None => held.grow(FIRST_BYTES.min(limit)).await?,
+        }
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
+                true => Error::TooLarge,
+                false => Error::Incomplete,
+            })?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if length.is_some_and(|length| length > limit) {
+                return Err(Error::TooLarge);
+            }
+            held.extend(&data, limit).await?;
+        }
+        Ok(held.into_bytes())
+    }
+}
+
+/// The part of a body that has arrived, in memory that it has taken from the quota.
+struct Held<'a> {
+    quota: &'a Quota,
+    bytes: BytesMut,
+    /// Size of the memory that was taken.
+    size: usize,
+    permits: Vec<OwnedSemaphorePermit>,
+    /// Time for which the body may still wait for memory.
+    wait: Duration,
+}
+
+impl<'a> Held<'a> {
+    fn new(quota: &'a Quota, timeout: Duration) -> Self {
+        Self {
+            quota,
+            bytes: BytesMut::new(),
+            size: 0,
+            permits: Vec::new(),
+            wait: WAIT_LIMIT.min(timeout / WAIT_DIVISOR),
+        }
+    }
+
+    /// Adds bytes; the frame that they came in would keep a whole read buffer alive.
+    async fn extend(&mut self, data: &[u8], limit: usize) -> Result<(), Error> {
+        let wanted = self.bytes.len() + data.len();
+        if wanted > self.size {
+            self.grow(wanted.max(self.size * 2).min(limit)).await?;
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Takes memory until the body has this size, waiting while there is too little.
+    async fn grow(&mut self, size: usize) -> Result<(), Error> {
+        let units = size.div_ceil(UNIT_BYTES) - self.size.div_ceil(UNIT_BYTES);
+        let more = u32::try_from(units).map_err(|_| Error::OutOfMemory)?;
+        let permit = match self.quota.common.clone().try_acquire_many_owned(more) {
+            Ok(permit) => permit,
+            Err(TryAcquireError::NoPermits) => self.wait_for(more, size).await?,
+            Err(TryAcquireError::Closed) => return Err(Error::OutOfMemory),
+        };
+        self.permits.push(permit);
+        self.bytes.reserve(size - self.bytes.len());
+        self.size = size;
+        Ok(())
+    }
+
+    async fn wait_for(&mut self, units: u32, size: usize) -> Result<OwnedSemaphorePermit, Error> {
+        let is_small = size <= SMALL_BYTES;
+        if !is_small && units as usize > self.quota.common_units {
+            return Err(Error::OutOfMemory);
+        }
+        let source = if is_small {
+            &self.quota.small
+        } else {
+            &self.quota.common
+        };
+        let started = Instant::now();
+        let acquired = source.clone().acquire_many_owned(units);
+        let acquired = tokio::time::timeout(self.wait, acquired).await;
+        self.wait = self.wait.saturating_sub(started.elapsed());
+        let acquired = acquired.map_err(|_| Error::OutOfMemory)?;
+        acquired.map_err(|_: AcquireError| Error::OutOfMemory)
+    }
+
+    fn into_bytes(self) -> Bytes {
+        Bytes::from_owner(Owner {
+            bytes: self.bytes,
+            _permits: self.permits,
+        })
+    }
+}
+
+/// A complete body with the memory that it has taken from the quota.
+struct Owner {
+    bytes: BytesMut,
+    _permits: Vec<OwnedSemaphorePermit>,
+}
+
+impl AsRef<[u8]> for Owner {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -36,6 +36,9 @@
     /// The body did not arrive in time, and the request has not run.
     #[display("the body did not arrive in time")]
     Late,
+    /// The bodies of other requests take the memory, and the request has not run.
+    #[display("the bodies of requests take all memory that they may")]
+    OutOfMemory,
     /// No route matches the request, or its key is unknown.
     #[display("{_0}")]
     Access(AccessError),
@@ -79,6 +82,7 @@
             Self::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Self::Unconfigured
             | Self::BudgetUnreachable(_)
+            | Self::OutOfMemory
             | Self::NoUpstream
             | Self::RateLimited(_)
             | Self::Quarantined(_)
@@ -95,7 +99,9 @@
             Self::BudgetUnreachable(after)
             | Self::RateLimited(after)
             | Self::Quarantined(after) => Some(after),
-            Self::NoUpstream | Self::Refused => Some(Duration::from_millis(200)),
+            Self::OutOfMemory | Self::NoUpstream | Self::Refused => {
+                Some(Duration::from_millis(200))
+            }
             _ => None,
         }
     }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        body::{Counted, RequestBody},
         error::{self, Error},
         memory::Permit,
         protocol::{RequestHead, ResponseHead},
@@ -10,7 +11,7 @@
         supervise::catch_panic,
     },
     bytes::Bytes,
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody},
+    http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
     hyper::body::Incoming,
     marigoldroute_core::forward::{Access, Directory, Service},
     marigoldroute_process::logs::REQUESTS,
@@ -36,11 +37,6 @@
 /// truncated response for a complete one.
 pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
 
-/// Body of a caller's request.
-trait RequestBody: hyper::body::Body<Data = Bytes, Error = hyper::Error> {}
-
-impl<B: hyper::body::Body<Data = Bytes, Error = hyper::Error>> RequestBody for B {}
-
 /// Returns a body with all of its bytes.
 pub(crate) fn full_body(bytes: Bytes) -> Body {
     Full::new(bytes)
@@ -92,10 +88,7 @@
         let expects_continue = request.headers().contains_key(EXPECT);
         self.record_bytes(HEAD_BYTES);
         // Also counts bodies that are dropped before an error response.
-        let mut body = request.into_body().map_frame(|frame| {
-            self.record_bytes(frame.data_ref().map_or(0, Bytes::len));
-            frame
-        });
+        let mut body = Counted::new(request.into_body(), |bytes| self.record_bytes(bytes));
         let head = match head {
             Ok(head) => head,
             Err(malformed) => {
@@ -110,7 +103,8 @@
             Err(error) => {
                 let left = self.caller_time_left(&head, arrived);
                 // Reading the body has sent the interim response.
-                let was_read = matches!(error, Error::TooLarge | Error::Incomplete | Error::Late);
+                let was_read = body.has_begun
+                    || matches!(error, Error::TooLarge | Error::Incomplete | Error::Late);
                 let expects_continue = expects_continue && !was_read;
                 let is_read = discard(&mut body, expects_continue, left.min(DISCARD_TIMEOUT)).await;
                 let response = self.reject(Some(&head), arrived, error);
@@ -157,17 +151,13 @@
         let limit = directory.limits().body_bytes;
         let timeout = head.timeout.unwrap_or(BODY_TIMEOUT);
         let timeout = timeout.min(access.route.timeout);
-        let read = tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await;
-        match read {
-            Ok(Ok(body)) => Ok(Admitted {
-                access,
-                service,
-                body: body.to_bytes(),
-            }),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
-            Ok(Err(_)) => Err(Error::Incomplete),
-            Err(_) => Err(Error::Late),
-        }
+        let read = self.0.body_quota.read(body, limit, timeout);
+        let read = tokio::time::timeout(timeout, read).await;
+        Ok(Admitted {
+            access,
+            service,
+            body: read.map_err(|_| Error::Late)??,
+        })
     }
 
     /// Forwards an admitted request to its service.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! the program that embeds it implements [`Protocol`] and [`Store`].
 
 mod accept;
+mod body;
 mod dispatch;
 mod error;
 mod escrow;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -4,6 +4,7 @@
     crate::{
         Clock,
         accept::accept,
+        body,
         dispatch::Dispatcher,
         escrow::{Escrow, Reserver, Responder, Writer},
         frontend::Frontend,
@@ -137,6 +138,7 @@
         pool: pool.clone(),
         reserver: reserver.clone(),
         quota: Quota::new(settings.answer_memory),
+        body_quota: body::Quota::new(settings.body_memory),
         metrics: metrics.clone(),
         settings: settings.clone(),
         ending: ending.clone(),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -11,7 +11,7 @@
 
 use {
     crate::{
-        Clock,
+        Clock, body,
         dispatch::{Dispatcher, Unavailable},
         error::Error,
         escrow::{Refusal, Reservation, ReservationSpec, Reserver},
@@ -60,6 +60,7 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) reserver: Arc<Reserver>,
     pub(crate) quota: Quota,
+    pub(crate) body_quota: body::Quota,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) settings: Arc<Settings>,
     /// Cancelled when requests without a response have to end, as the process stops.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -56,6 +56,8 @@
     pub reserve_timeout: Duration,
     /// Memory that responses of upstreams may take together, in bytes.
     pub answer_memory: usize,
+    /// Memory that bodies of callers' requests may take together, in bytes.
+    pub body_memory: usize,
     /// Longest time to open a connection to an upstream.
     pub connect_timeout: Duration,
     /// Time that the store waits for a change before it answers a read; longer in a large fleet.
@@ -152,6 +154,7 @@
             store_writes: 600.0,
             reserve_timeout: Duration::from_millis(1_000),
             answer_memory: 32 << 20,
+            body_memory: 32 << 20,
             connect_timeout: Duration::from_millis(400),
             watch_wait: Duration::from_millis(700),
             store_timeout: Duration::from_millis(1_100),
