Let bodies go that cannot be sent again

Callers were refused while the bodies of others took the memory, although nothing was to be done with these any more: a body stayed until the end of its response, also of a stream that runs for seconds in its only attempt.

The last attempt of a request now takes the body when it begins to send it, so that its memory returns once it has been written. A body of a request that must not be repeated goes when the head of its response says that it has run. Any other stays, since another upstream may have to get it.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -4,13 +4,15 @@
 mod tests;
 
 use {
-    crate::error::Error,
+    crate::{error::Error, view::lock},
     bytes::{Bytes, BytesMut},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::{Body, Frame, SizeHint},
     std::{
+        convert::Infallible,
+        mem,
         pin::Pin,
-        sync::Arc,
+        sync::{Arc, Mutex},
         task::{Context, Poll},
         time::Duration,
     },
@@ -229,3 +231,75 @@
         &self.bytes
     }
 }
+
+/// Body of a request that its attempts send.
+#[derive(Debug)]
+pub(crate) struct Source {
+    /// Empty once the body has been let go.
+    bytes: Arc<Mutex<Bytes>>,
+    length: usize,
+}
+
+impl From<Bytes> for Source {
+    fn from(bytes: Bytes) -> Self {
+        Self {
+            length: bytes.len(),
+            bytes: Arc::new(Mutex::new(bytes)),
+        }
+    }
+}
+
+impl Source {
+    /// Returns the body for an attempt. The last one takes it once it begins to send it, so that its
+    /// memory returns when it has been written.
+    pub(crate) fn attempt(&self, is_last: bool) -> Outgoing {
+        Outgoing {
+            bytes: self.bytes.clone(),
+            length: self.length,
+            is_last,
+        }
+    }
+
+    /// Lets the body go, since no other attempt will send it.
+    pub(crate) fn release(&self) {
+        lock(&self.bytes).clear();
+    }
+}
+
+/// Body of one attempt.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    bytes: Arc<Mutex<Bytes>>,
+    /// Bytes that have not been passed on.
+    length: usize,
+    is_last: bool,
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.is_end_stream() {
+            return Poll::Ready(None);
+        }
+        self.length = 0;
+        let mut bytes = lock(&self.bytes);
+        let bytes = match self.is_last {
+            true => mem::take(&mut *bytes),
+            false => bytes.clone(),
+        };
+        Poll::Ready(Some(Ok(Frame::data(bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.length == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.length as u64)
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        body::Outgoing,
         dispatch::InFlight,
         memory::{Exceeded, Permit},
         pool::{Connection, Pool, SendError},
@@ -9,7 +10,7 @@
     },
     bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
-    http_body_util::{BodyExt, Full},
+    http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
     marigoldroute_core::{forward::retry::Outcome, route::Progress},
     poem::http::{HeaderMap, Request, StatusCode, header::TRANSFER_ENCODING},
@@ -99,9 +100,9 @@
         mut connection: Connection,
         request_head: &RequestHead,
         attempt: &Attempt<'_>,
-        body: Bytes,
+        body: Outgoing,
     ) -> Result<Self, (InFlight, Failure)> {
-        let mut request = Request::new(Full::new(body));
+        let mut request = Request::new(body);
         *request.method_mut() = request_head.method.clone();
         *request.uri_mut() = request_head.target.clone();
         *request.headers_mut() = protocol.upstream_headers(request_head, attempt);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -5,10 +5,8 @@
 //! whether a request was written, and do not close a connection with an unsolicited response.
 
 use {
-    crate::{Clock, metrics::Metrics, view::lock},
-    bytes::Bytes,
+    crate::{Clock, body::Outgoing, metrics::Metrics, view::lock},
     derive_more::{Display, Error},
-    http_body_util::Full,
     hyper::{
         body::Incoming,
         client::conn::http1::{self, SendRequest},
@@ -64,7 +62,7 @@
 /// An open connection; dropping it closes it, which cancels the request that runs there.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     driver: AbortHandle,
 }
 
@@ -81,7 +79,7 @@
     /// [`SendError`], by whether the request may have been written.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Outgoing>,
     ) -> Result<Response<Incoming>, SendError> {
         if let Err(error) = self.sender.ready().await {
             return Err(SendError::Unsent {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -145,7 +145,7 @@
     pub(crate) head: RequestHead,
     pub(crate) access: Access,
     pub(crate) service: Arc<Service>,
-    pub(crate) body: Bytes,
+    body: body::Source,
     pub(crate) arrived: Duration,
     /// When the response is due: the caller's timeout after the arrival, at most the route's.
     pub(crate) deadline: Duration,
@@ -183,7 +183,7 @@
             head,
             access,
             service,
-            body,
+            body: body.into(),
             arrived,
             deadline,
             profile,
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -196,7 +196,7 @@
             last_event,
         };
         let (protocol, pool) = (&*self.context.protocol, &self.context.pool);
-        let body = self.body.clone();
+        let body = self.body.attempt(self.sent >= self.access.route.attempts);
         Exchange::start(
             protocol, pool, in_flight, connection, &self.head, &attempt, body,
         )
@@ -212,6 +212,9 @@
     ) -> Result<Received, Outcome> {
         let upstream = exchange.in_flight.upstream.clone();
         let validated = self.validate(&exchange.head);
+        if validated.is_ok() && !self.kind().is_repeatable() {
+            self.body.release();
+        }
         let has_begun = validated.is_ok() && exchange.head.status.is_success();
         if has_begun && self.kind().is_stream() {
             let stream = Box::new(Stream::new(exchange, &self.context.quota));
