Refuse heads above the configured limit

A head of 200 KB was forwarded with a limit of 16 KB: the limit was parsed and read by nothing. Half heads could grow the buffer of each connection to 400 KiB, which stayed.

A complete head above the limit in effect now gets 431, and its connection closes; the rest of its body is read first, so that the response arrives. The buffers of a connection, bounded at 64 KiB when bodies got their quota, bound heads that are not complete.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -35,7 +35,8 @@
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
-/// Bytes that a connection reads ahead and writes behind.
+/// Bytes that a connection reads ahead and writes behind. A head that does not fit gets a response
+/// with status 431.
 const BUFFER_BYTES: usize = 64 << 10;
 /// Pause after a failed accept, for example when the process has run out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -27,6 +27,9 @@
     /// The head of the request cannot be parsed.
     #[display("{_0}")]
     Malformed(Malformed),
+    /// The head exceeds the configured limit.
+    #[display("the head is too large")]
+    HeadTooLarge,
     /// The body exceeds the configured limit.
     #[display("the body is too large")]
     TooLarge,
@@ -76,6 +79,7 @@
         match self {
             Self::Malformed(_) | Self::Incomplete => StatusCode::BAD_REQUEST,
             Self::Late => StatusCode::REQUEST_TIMEOUT,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Access(AccessError::NoRoute) => StatusCode::NOT_FOUND,
             Self::Access(AccessError::UnknownKey) => StatusCode::UNAUTHORIZED,
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -16,7 +16,7 @@
     marigoldroute_core::forward::{Access, Directory, Service},
     marigoldroute_process::logs::REQUESTS,
     poem::http::{
-        HeaderValue, Request, Response,
+        HeaderValue, Request, Response, StatusCode,
         header::{CONNECTION, EXPECT},
     },
     std::{io, sync::Arc, time::Duration},
@@ -66,12 +66,13 @@
 pub(crate) struct Frontend(pub(crate) Arc<Context>);
 
 impl Frontend {
-    /// Handles a request; asks the caller to close the connection while this host should get no new
-    /// requests.
+    /// Handles a request; asks the caller to close the connection after a head that is too large, and
+    /// while this host should get no new requests.
     pub(crate) async fn call(&self, request: Request<Incoming>) -> Response<Body> {
         let mut response = self.handle_guarded(request).await;
         let view = &self.0.view;
-        if view.is_draining() || view.is_busy(self.0.clock.now()) {
+        let is_head_too_large = response.status() == StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        if is_head_too_large || view.is_draining() || view.is_busy(self.0.clock.now()) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -85,15 +86,19 @@
             context
                 .protocol
                 .parse_request(request.method(), request.uri(), request.headers());
+        let head = match head_bytes(&request) > self.head_limit() {
+            true => Err(Error::HeadTooLarge),
+            false => head.map_err(Error::Malformed),
+        };
         let expects_continue = request.headers().contains_key(EXPECT);
         self.record_bytes(HEAD_BYTES);
         // Also counts bodies that are dropped before an error response.
         let mut body = Counted::new(request.into_body(), |bytes| self.record_bytes(bytes));
         let head = match head {
             Ok(head) => head,
-            Err(malformed) => {
+            Err(error) => {
                 let is_read = discard(&mut body, expects_continue, DISCARD_TIMEOUT).await;
-                let response = self.reject(None, arrived, Error::Malformed(malformed));
+                let response = self.reject(None, arrived, error);
                 self.record_unread(is_read, &response);
                 return response;
             }
@@ -114,6 +119,12 @@
         }
     }
 
+    /// Returns the largest head that callers may send, by the configuration in effect.
+    fn head_limit(&self) -> usize {
+        let directory = self.0.view.directory().unwrap_or_default();
+        directory.limits().header_bytes
+    }
+
     /// Returns the time for which the caller still waits for the response.
     fn caller_time_left(&self, head: &RequestHead, arrived: Duration) -> Duration {
         let elapsed = self.0.clock.now().saturating_sub(arrived);
@@ -250,6 +261,14 @@
     }
 }
 
+/// Returns the size of the head of a request, as sent without needless spaces.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    let line = format!("{} {} HTTP/1.1\r\n", request.method(), request.uri());
+    let headers = request.headers().iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    line.len() + headers.sum::<usize>() + "\r\n".len()
+}
+
 /// Chooses one of the route's services at random, by weight.
 fn choose_service(directory: &Directory, access: &Access) -> Option<Arc<Service>> {
     let random = rand::random::<f64>();
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -348,3 +348,31 @@
     assert_answered(&harness, &refused).await;
     assert!(!harness.is_ready().await);
 }
+
+/// Guards against heads above the configured limit that are forwarded, and against a limit that does
+/// not follow the configuration.
+#[tokio::test]
+async fn heads_above_the_limit_are_refused() {
+    let configure = |version, header_bytes| {
+        let mut snapshot = harness::snapshot(version, 0);
+        snapshot.workspaces[0].purchased = None;
+        snapshot.limits.header_bytes = header_bytes;
+        snapshot
+    };
+    let script = Script::Complete(200, "the answer");
+    let (harness, upstreams) = Harness::with_snapshot(configure(1, 4_096), vec![script]).await;
+    let send = async |bytes: usize| {
+        let request = harness
+            .request("once", "r1")
+            .header("x-more", "x".repeat(bytes));
+        request.send().await.expect("an answer")
+    };
+    let refused = send(4_096).await;
+    assert_eq!(refused.status().as_u16(), 431);
+    assert_eq!(refused.headers()["connection"], "close");
+    assert!(!refused.bytes().await.expect("a whole response").is_empty());
+    assert!(upstreams[0].arrivals().is_empty());
+    assert_eq!(send(3_000).await.status().as_u16(), 200);
+    harness.store.configure(configure(2, 16_384));
+    while send(4_096).await.status().as_u16() != 200 {}
+}
