--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -27,6 +27,9 @@
     /// The head of the request cannot be parsed.
     #[display("{_0}")]
     Malformed(Malformed),
+    /// The head exceeds the configured limit.
+    #[display("the head is too large")]
+    HeadTooLarge,
     /// The body exceeds the configured limit.
     #[display("the body is too large")]
     TooLarge,
@@ -36,6 +39,9 @@
     /// The body did not arrive in time, and the request has not run.
     #[display("the body did not arrive in time")]
     Late,
+    /// The bodies of other requests take the memory, and the request has not run.
+    #[display("the bodies of requests take all memory that they may")]
+    OutOfMemory,
     /// No route matches the request, or its key is unknown.
     #[display("{_0}")]
     Access(AccessError),
@@ -80,6 +86,7 @@
         match self {
             Self::Malformed(_) | Self::Incomplete => StatusCode::BAD_REQUEST,
             Self::Late => StatusCode::REQUEST_TIMEOUT,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Access(AccessError::NoRoute) => StatusCode::NOT_FOUND,
             Self::Access(AccessError::UnknownKey) => StatusCode::UNAUTHORIZED,
@@ -87,6 +94,7 @@
             Self::BudgetExhausted => StatusCode::PAYMENT_REQUIRED,
             Self::Unconfigured
             | Self::BudgetUnreachable(_)
+            | Self::OutOfMemory
             | Self::NoUpstream
             | Self::RateLimited(_)
             | Self::Quarantined(_)
@@ -105,7 +113,9 @@
             | Self::RateLimited(after)
             | Self::Quarantined(after)
             | Self::Stopping(after) => Some(after),
-            Self::NoUpstream | Self::Refused => Some(Duration::from_millis(200)),
+            Self::OutOfMemory | Self::NoUpstream | Self::Refused => {
+                Some(Duration::from_millis(200))
+            }
             _ => None,
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        body::Outgoing,
         dispatch::InFlight,
         memory::{Exceeded, Quota},
         pool::{Connection, Pool, SendError},
@@ -10,7 +11,7 @@
     },
     bytes::Bytes,
     derive_more::{Display, Error},
-    http_body_util::{BodyExt, Full},
+    http_body_util::BodyExt,
     hyper::body::{Body, Incoming},
     marigoldroute_core::{forward::retry::Outcome, route::Progress},
     poem::http::{HeaderMap, Request, StatusCode, header::TRANSFER_ENCODING},
@@ -100,9 +101,9 @@
         mut connection: Connection,
         request_head: &RequestHead,
         attempt: &Attempt<'_>,
-        body: Bytes,
+        body: Outgoing,
     ) -> Result<Self, (InFlight, Failure)> {
-        let mut request = Request::new(Full::new(body));
+        let mut request = Request::new(body);
         *request.method_mut() = request_head.method.clone();
         *request.uri_mut() = request_head.target.clone();
         *request.headers_mut() = protocol.upstream_headers(request_head, attempt);
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        body::{Counted, RequestBody},
         drain::Prospect,
         error::{self, Error},
         protocol::{RequestHead, ResponseHead},
@@ -11,12 +12,12 @@
         unanswered::Unanswered,
     },
     bytes::Bytes,
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody},
+    http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
     hyper::body::Incoming,
     marigoldroute_core::forward::{Access, Directory, Service},
     marigoldroute_process::logs::REQUESTS,
     poem::http::{
-        HeaderValue, Request, Response, Version,
+        HeaderValue, Request, Response, StatusCode, Version,
         header::{CONNECTION, EXPECT},
     },
     std::{io, sync::Arc, time::Duration},
@@ -37,11 +38,6 @@
 /// truncated response for a complete one.
 pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
 
-/// Body of a caller's request.
-trait RequestBody: hyper::body::Body<Data = Bytes, Error = hyper::Error> {}
-
-impl<B: hyper::body::Body<Data = Bytes, Error = hyper::Error>> RequestBody for B {}
-
 /// Returns a body with all of its bytes.
 pub(crate) fn full_body(bytes: Bytes) -> Body {
     Full::new(bytes)
@@ -63,12 +59,13 @@
 pub(crate) struct Frontend(pub(crate) Arc<Context>);
 
 impl Frontend {
-    /// Handles a request; asks the caller to close the connection while this host should get no new
-    /// requests.
+    /// Handles a request; asks the caller to close the connection after a head that is too large, and
+    /// while this host should get no new requests.
     pub(crate) async fn call(&self, request: Request<Incoming>) -> Response<Body> {
         let mut response = self.handle_guarded(request).await;
         let view = &self.0.view;
-        if view.is_draining() || view.is_busy(self.0.clock.now()) {
+        let is_head_too_large = response.status() == StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        if is_head_too_large || view.is_draining() || view.is_busy(self.0.clock.now()) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
@@ -82,20 +79,21 @@
             context
                 .protocol
                 .parse_request(request.method(), request.uri(), request.headers());
+        let head = match head_bytes(&request) > self.head_limit() {
+            true => Err(Error::HeadTooLarge),
+            false => head.map_err(Error::Malformed),
+        };
         let expects_continue = request.headers().contains_key(EXPECT);
         // A caller without chunks takes the end of its connection for that of the stream.
         let takes_streams = request.version() > Version::HTTP_10;
         self.record_bytes(HEAD_BYTES);
         // Also counts bodies that are dropped before an error response.
-        let mut body = request.into_body().map_frame(|frame| {
-            self.record_bytes(frame.data_ref().map_or(0, Bytes::len));
-            frame
-        });
+        let mut body = Counted::new(request.into_body(), |bytes| self.record_bytes(bytes));
         let head = match head {
             Ok(head) => head,
-            Err(malformed) => {
+            Err(error) => {
                 let is_read = discard(&mut body, expects_continue, DISCARD_TIMEOUT).await;
-                let response = self.reject(None, arrived, Error::Malformed(malformed));
+                let response = self.reject(None, arrived, error);
                 self.record_unread(is_read, &response);
                 return response;
             }
@@ -115,7 +113,8 @@
                     .time_left()
                     .map_or(left, |end| left.min(end / 2));
                 // Reading the body has sent the interim response.
-                let was_read = matches!(error, Error::TooLarge | Error::Incomplete | Error::Late);
+                let was_read = body.has_begun
+                    || matches!(error, Error::TooLarge | Error::Incomplete | Error::Late);
                 let expects_continue = expects_continue && !was_read;
                 let is_read = discard(&mut body, expects_continue, left.min(DISCARD_TIMEOUT)).await;
                 let response = self.reject(Some(&head), arrived, error);
@@ -127,6 +126,12 @@
         response
     }
 
+    /// Returns the largest head that callers may send, by the configuration in effect.
+    fn head_limit(&self) -> usize {
+        let directory = self.0.view.directory().unwrap_or_default();
+        directory.limits().header_bytes
+    }
+
     /// Returns the time for which the caller still waits for the response.
     fn caller_time_left(&self, head: &RequestHead, arrived: Duration) -> Duration {
         let elapsed = self.0.clock.now().saturating_sub(arrived);
@@ -177,23 +182,21 @@
         }
         let limit = directory.limits().body_bytes;
         let timeout = head.timeout.unwrap_or(BODY_TIMEOUT);
-        let reading = tokio::time::timeout(timeout, Limited::new(body, limit).collect());
+        let patience = timeout.min(deadline.remaining());
+        let reading = self.0.body_quota.read(body, limit, patience);
+        let reading = tokio::time::timeout(timeout, reading);
         let read = tokio::select! {
             biased;
             read = deadline.run(reading) => read,
             () = drain.until_late(&prospect) => return Err(self.0.stopping()),
         };
-        match read {
-            Some(Ok(Ok(body))) => Ok(Admitted {
-                access,
-                service,
-                body: body.to_bytes(),
-                deadline,
-            }),
-            Some(Ok(Err(error))) if error.is::<LengthLimitError>() => Err(Error::TooLarge),
-            Some(Ok(Err(_))) => Err(Error::Incomplete),
-            Some(Err(_)) | None => Err(Error::Late),
-        }
+        let body = read.and_then(Result::ok).ok_or(Error::Late)??;
+        Ok(Admitted {
+            access,
+            service,
+            body,
+            deadline,
+        })
     }
 
     /// Forwards an admitted request to its service.
@@ -292,6 +295,14 @@
     }
 }
 
+/// Returns the size of the head of a request, as sent without needless spaces.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    let line = format!("{} {} HTTP/1.1\r\n", request.method(), request.uri());
+    let headers = request.headers().iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    line.len() + headers.sum::<usize>() + "\r\n".len()
+}
+
 /// Chooses one of the route's services at random, by weight.
 fn choose_service(directory: &Directory, access: &Access) -> Option<Arc<Service>> {
     let random = rand::random::<f64>();
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -4,6 +4,7 @@
     crate::{
         Clock,
         accept::accept,
+        body,
         dispatch::Dispatcher,
         drain::Drain,
         escrow::{Escrow, Reserver, Responder, Writer},
@@ -136,6 +137,7 @@
         pool: pool.clone(),
         reserver: reserver.clone(),
         quota: Quota::new(settings.answer_memory),
+        body_quota: body::Quota::new(settings.body_memory),
         metrics: metrics.clone(),
         settings: settings.clone(),
         drain: drain.clone(),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,7 +14,7 @@
 
 use {
     crate::{
-        Clock,
+        Clock, body,
         dispatch::{Dispatcher, Unavailable},
         drain::Drain,
         error::Error,
@@ -64,6 +64,7 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) reserver: Arc<Reserver>,
     pub(crate) quota: Quota,
+    pub(crate) body_quota: body::Quota,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) settings: Arc<Settings>,
     pub(crate) drain: Arc<Drain>,
@@ -147,7 +148,7 @@
     pub(crate) head: RequestHead,
     pub(crate) access: Access,
     pub(crate) service: Arc<Service>,
-    pub(crate) body: Bytes,
+    body: body::Source,
     pub(crate) arrived: Duration,
     /// When the response is due.
     pub(crate) deadline: Arc<Deadline>,
@@ -186,7 +187,7 @@
             head,
             access,
             service,
-            body,
+            body: body.into(),
             arrived,
             deadline: Arc::new(deadline),
             profile,
