Answer heads that do not arrive in time

A connection with half a head stayed open for ever: the time limit of the configuration was read by nothing, and the close of idle connections waits for a head that has begun. Whoever sent a head that was too large for its connection got a reset in place of the response.

The limit is now read and in effect: a head that is incomplete for longer gets 408, and its connection closes, within three seconds after the limit. The timer of hyper would also run on idle connections, which callers may use for longer, so the first byte of a head starts it here.

--- a/crates/core/src/forward/snapshot.rs
+++ b/crates/core/src/forward/snapshot.rs
@@ -146,6 +146,8 @@
 pub struct Limits {
     /// Maximum size of a request head in bytes.
     pub header_bytes: usize,
+    /// Time in which a request head has to arrive, from its first byte.
+    pub header_timeout: Duration,
     /// Maximum size of a request body in bytes.
     pub body_bytes: usize,
     /// Time after which an idle connection is closed.
@@ -156,6 +158,7 @@
     fn default() -> Self {
         Self {
             header_bytes: 16 << 10,
+            header_timeout: Duration::from_secs(10),
             body_bytes: 4 << 20,
             idle_timeout: Duration::from_secs(15),
         }
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -3,10 +3,12 @@
 //! They are served by hyper directly: poem ends the body of a response as complete when its source
 //! fails, so that a caller would take a truncated stream for a complete one.
 
+mod stream;
 #[cfg(test)]
 mod tests;
 
 use {
+    self::stream::Watched,
     crate::{
         frontend::{Body, Frontend},
         listen::listen,
@@ -43,7 +45,10 @@
 /// Largest number of waiting connections that are accepted at a stop, so that those that arrive in
 /// the meantime cannot put it off; the kernel queues no more.
 const BACKLOG_LIMIT: usize = 1_024;
-/// Time between two checks of how long a connection has been idle.
+/// Response to a head that is late; its request has not run.
+const LATE_HEAD: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// Time between two checks of how long a connection has been idle or sends a head.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(3);
 /// Multiple of the idle limit after which a connection is closed, so that a request sent right at
 /// the limit does not arrive while the connection closes.
@@ -117,6 +122,10 @@
     idle_since: Duration,
     /// Limit on the idle time that was in effect then, and by which the caller goes.
     idle_limit: Duration,
+    /// When the first bytes of a head arrived that is incomplete.
+    head_since: Option<Duration>,
+    /// Whether the caller does not read what is to be written.
+    is_write_blocked: bool,
 }
 
 impl Activity {
@@ -125,9 +134,28 @@
             running: 0,
             idle_since: frontend.0.clock.now(),
             idle_limit: idle_limit(frontend),
+            head_since: None,
+            is_write_blocked: false,
         }
     }
 
+    /// Records that bytes have arrived; without a request in progress, they belong to a head.
+    fn record_bytes(&mut self, now: Duration) {
+        if self.running == 0 {
+            self.head_since.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether a head has been incomplete for too long. While responses wait for their
+    /// caller, no head counts as late.
+    fn is_head_late(&self, frontend: &Frontend) -> bool {
+        let directory = frontend.0.view.directory().unwrap_or_default();
+        let limit = directory.limits().header_timeout;
+        let now = frontend.0.clock.now();
+        let is_late = |since| now.saturating_sub(since) > limit;
+        self.running == 0 && !self.is_write_blocked && self.head_since.is_some_and(is_late)
+    }
+
     /// Returns whether the connection has been idle for longer than any limit that its caller may
     /// go by.
     fn is_expired(&self, frontend: &Frontend) -> bool {
@@ -151,7 +179,10 @@
 
 impl Running {
     fn start(activity: &Arc<Mutex<Activity>>, frontend: &Frontend) -> Self {
-        lock(activity).running += 1;
+        let mut state = lock(activity);
+        state.running += 1;
+        state.head_since = None;
+        drop(state);
         let (activity, frontend) = (activity.clone(), frontend.clone());
         Self { activity, frontend }
     }
@@ -162,6 +193,7 @@
         let mut activity = lock(&self.activity);
         *activity = Activity {
             running: activity.running - 1,
+            is_write_blocked: activity.is_write_blocked,
             ..Activity::new(&self.frontend)
         };
     }
@@ -200,6 +232,7 @@
         return;
     }
     let activity = Arc::new(Mutex::new(Activity::new(&frontend)));
+    let stream = Watched::new(stream, frontend.0.clock, activity.clone());
     let (watched, service_frontend) = (activity.clone(), frontend.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let running = Running::start(&activity, &service_frontend);
@@ -212,33 +245,49 @@
             }))
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
     let mut is_closing = false;
     loop {
         let close_reason = tokio::select! {
             // A request that has arrived is read before the connection is closed.
             biased;
-            result = connection.as_mut() => {
-                if let Err(error) = result {
-                    log::debug!("connection ended: {error}");
+            result = &mut connection => {
+                let Err(error) = result else {
+                    return;
+                };
+                log::debug!("connection ended: {error}");
+                if error.is_parse_too_large() {
+                    connection.into_parts().io.into_inner().close(b"").await;
                 }
                 return;
             }
             () = stopped(&stop), if !is_closing => "stop",
-            () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !is_closing => {
-                if !lock(&watched).is_expired(&frontend) {
+            () = tokio::time::sleep(IDLE_CHECK_INTERVAL) => {
+                let activity = lock(&watched);
+                if activity.is_head_late(&frontend) {
+                    "late head"
+                } else if !is_closing && activity.is_expired(&frontend) {
+                    "idle"
+                } else {
                     continue;
                 }
-                "idle"
             }
         };
         is_closing = true;
         let closed = &frontend.0.metrics.closed_connections;
         closed.with_label_values(&[close_reason]).inc();
-        connection.as_mut().graceful_shutdown();
+        if close_reason == "late head" {
+            connection
+                .into_parts()
+                .io
+                .into_inner()
+                .close(LATE_HEAD)
+                .await;
+            return;
+        }
+        Pin::new(&mut connection).graceful_shutdown();
     }
 }
 
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -376,3 +376,32 @@
     harness.store.configure(configure(2, 16_384));
     while send(4_096).await.status().as_u16() != 200 {}
 }
+
+/// Guards against heads that never end, which keep their connections open, and against a limit on
+/// them that closes idle connections.
+#[tokio::test]
+async fn heads_that_do_not_end_get_a_timeout() {
+    let mut snapshot = harness::snapshot(1, 1_000_000);
+    snapshot.limits.header_timeout = Duration::from_millis(10);
+    let script = Script::Complete(200, "the answer");
+    let (harness, _upstreams) = Harness::with_snapshot(snapshot, vec![script]).await;
+    let open = async || TcpStream::connect(harness.callers).await.expect("connects");
+    let (mut trickling, mut endless, idle) = (open().await, open().await, open().await);
+    let begin = b"GET /safe/x HTTP/1.1\r\nx-more: ";
+    trickling.write_all(begin).await.expect("it is open");
+    endless.write_all(begin).await.expect("it is open");
+    let more = vec![b'x'; 300_000];
+    endless.write_all(&more).await.expect("it is read");
+    for (mut stream, status) in [(trickling, "408"), (endless, "431")] {
+        let mut text = String::new();
+        let read = tokio::time::timeout(PATIENCE, stream.read_to_string(&mut text)).await;
+        read.expect("the connection closes").expect("no reset");
+        assert!(text.starts_with(&format!("HTTP/1.1 {status}")), "{text}");
+        assert!(text.ends_with("\r\n\r\n"));
+    }
+    let (mut reader, mut writer) = idle.into_split();
+    let head = head("safe", "r1", KEY, 0);
+    writer.write_all(head.as_bytes()).await.expect("it is open");
+    let (line, _) = read_response(&mut reader).await;
+    assert!(line.contains("200"), "{line}");
+}
