--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -3,12 +3,14 @@
 //! They are served by hyper directly: poem ends the body of a response as complete when its source
 //! fails, so that a caller would take a truncated stream for a complete one.
 
+mod stream;
 #[cfg(test)]
 mod tests;
 
 use {
+    self::stream::Watched,
     crate::{
-        frontend::{Body, Frontend},
+        frontend::{Answered, Body, Frontend},
         listen::listen,
         pool::configure_socket,
         supervise::catch_panic,
@@ -21,7 +23,6 @@
         service::service_fn,
     },
     hyper_util::rt::TokioIo,
-    marigoldroute_core::id::RequestId,
     marigoldroute_process::logs::REQUESTS,
     poem::http::Request,
     std::{
@@ -48,8 +49,13 @@
 /// Largest number of waiting connections that are accepted at a stop, so that those that arrive in
 /// the meantime cannot put it off; the kernel queues no more.
 const BACKLOG_LIMIT: usize = 1_024;
-/// Time between two checks of how long a connection has been idle.
+/// Response to a head that is late; its request has not run.
+const LATE_HEAD: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// Time between two checks of how long a connection has been idle or sends a head.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(3);
+/// Reason to close a connection whose head does not arrive in time.
+const LATE_HEAD_REASON: &str = "late head";
 /// Multiple of the idle limit after which a connection is closed, so that a request sent right at
 /// the limit does not arrive while the connection closes.
 const IDLE_FACTOR: f64 = 1.3;
@@ -124,8 +130,13 @@
     idle_limit: Duration,
     /// Notified when a request has ended.
     ended: Arc<Notify>,
-    /// Request of the last response, which may not have been sent to its end.
-    answered: Option<RequestId>,
+    /// The last response, which may not have been sent to its end; absent once the next request has
+    /// begun.
+    answered: Option<Answered>,
+    /// When the first bytes of a head arrived that is incomplete.
+    head_since: Option<Duration>,
+    /// Whether the caller does not read what is to be written.
+    is_write_blocked: bool,
 }
 
 impl Activity {
@@ -136,16 +147,38 @@
             idle_limit: idle_limit(frontend),
             ended: Arc::default(),
             answered: None,
+            head_since: None,
+            is_write_blocked: false,
         }
     }
 
-    /// Records that the connection is cut; a request in progress has a line of its own.
+    /// Records that the connection is cut; a stream in progress has a line of its own.
     fn record_cut(&self) {
-        if let Some(request) = self.answered.as_ref().filter(|_| self.running == 0) {
+        let is_running = self.running > 0;
+        let answered = self.answered.as_ref();
+        let cut = answered.filter(|answered| !(answered.is_stream && is_running));
+        if let Some(Answered { request, .. }) = cut {
             log::info!(target: REQUESTS, request:%, cause = "stop"; "connection cut");
         }
     }
 
+    /// Records that bytes have arrived; without a request in progress, they belong to a head.
+    fn record_bytes(&mut self, now: Duration) {
+        if self.running == 0 {
+            self.head_since.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether a head has been incomplete for too long. While responses wait for their
+    /// caller, no head counts as late.
+    fn is_head_late(&self, frontend: &Frontend) -> bool {
+        let directory = frontend.0.view.directory().unwrap_or_default();
+        let limit = directory.limits().header_timeout;
+        let now = frontend.0.clock.now();
+        let is_late = |since| now.saturating_sub(since) > limit;
+        self.running == 0 && !self.is_write_blocked && self.head_since.is_some_and(is_late)
+    }
+
     /// Returns whether the connection has been idle for longer than any limit that its caller may
     /// go by.
     fn is_expired(&self, frontend: &Frontend) -> bool {
@@ -169,7 +202,11 @@
 
 impl Running {
     fn start(activity: &Arc<Mutex<Activity>>, frontend: &Frontend) -> Self {
-        lock(activity).running += 1;
+        let mut state = lock(activity);
+        state.running += 1;
+        state.head_since = None;
+        state.answered = None;
+        drop(state);
         let (activity, frontend) = (activity.clone(), frontend.clone());
         Self { activity, frontend }
     }
@@ -182,6 +219,7 @@
             running: activity.running - 1,
             ended: activity.ended.clone(),
             answered: activity.answered.take(),
+            is_write_blocked: activity.is_write_blocked,
             ..Activity::new(&self.frontend)
         };
         activity.ended.notify_one();
@@ -221,6 +259,7 @@
         return;
     }
     let activity = Arc::new(Mutex::new(Activity::new(&frontend)));
+    let stream = Watched::new(stream, frontend.0.clock, activity.clone());
     let (watched, service_frontend) = (activity.clone(), frontend.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let running = Running::start(&activity, &service_frontend);
@@ -235,18 +274,21 @@
             }))
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
     let mut is_closing = false;
     loop {
         let close_reason = tokio::select! {
             // A request that has arrived is read before the connection is closed.
             biased;
-            result = connection.as_mut() => {
-                if let Err(error) = result {
-                    log::debug!("connection ended: {error}");
+            result = &mut connection => {
+                let Err(error) = result else {
+                    return;
+                };
+                log::debug!("connection ended: {error}");
+                if error.is_parse_too_large() {
+                    connection.into_parts().io.into_inner().close(b"").await;
                 }
                 return;
             }
@@ -255,24 +297,46 @@
                 return;
             }
             () = idle_at_stop(&stop, &watched), if !is_closing => "stop",
-            () = expired(&watched, &frontend), if !is_closing => "idle",
+            reason = overdue(&watched, &frontend, is_closing) => reason,
         };
         is_closing = true;
         let closed = &frontend.0.metrics.closed_connections;
         closed.with_label_values(&[close_reason]).inc();
-        connection.as_mut().graceful_shutdown();
+        if close_reason == LATE_HEAD_REASON {
+            connection
+                .into_parts()
+                .io
+                .into_inner()
+                .close(LATE_HEAD)
+                .await;
+            return;
+        }
+        Pin::new(&mut connection).graceful_shutdown();
     }
 }
 
-/// Waits until the connection has been idle for too long even after the runtime has seen which
-/// connections have new bytes.
-async fn expired(activity: &Mutex<Activity>, frontend: &Frontend) {
+/// Waits until the connection has to be closed even after the runtime has seen which connections
+/// have new bytes; returns why.
+async fn overdue(
+    activity: &Mutex<Activity>,
+    frontend: &Frontend,
+    is_closing: bool,
+) -> &'static str {
+    let check = || {
+        let activity = lock(activity);
+        if activity.is_head_late(frontend) {
+            Some(LATE_HEAD_REASON)
+        } else {
+            let is_idle = !is_closing && activity.is_expired(frontend);
+            is_idle.then_some("idle")
+        }
+    };
     loop {
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
-        if lock(activity).is_expired(frontend) {
+        if check().is_some() {
             tokio::task::yield_now().await;
-            if lock(activity).is_expired(frontend) {
-                return;
+            if let Some(reason) = check() {
+                return reason;
             }
         }
     }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -14,7 +14,10 @@
     bytes::Bytes,
     http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
     hyper::body::Incoming,
-    marigoldroute_core::forward::{Access, Directory, Service},
+    marigoldroute_core::{
+        forward::{Access, Directory, Service},
+        id::RequestId,
+    },
     marigoldroute_process::logs::REQUESTS,
     poem::http::{
         HeaderValue, Request, Response, StatusCode, Version,
@@ -235,12 +238,12 @@
             Answer::Complete(head, body) => {
                 self.record_bytes(HEAD_BYTES + body.len());
                 self.record_answer(&request, &head, elapsed);
-                build_response(&head, body.into_body())
+                build_response(&head, body.into_body(), false)
             }
             Answer::Stream(stream) => {
                 let head = stream.exchange.head.clone();
                 self.record_answer(&request, &head, elapsed);
-                build_response(&head, Relay::new(request, stream).body())
+                build_response(&head, Relay::new(request, stream).body(), true)
             }
         }
     }
@@ -340,12 +343,20 @@
     tokio::time::timeout(limit, rest).await.unwrap_or(false)
 }
 
-fn build_response(head: &ResponseHead, body: Body) -> Response<Body> {
+/// Marks the response of an upstream, in its extensions.
+#[derive(Clone, Debug)]
+pub(crate) struct Answered {
+    pub(crate) request: RequestId,
+    pub(crate) is_stream: bool,
+}
+
+fn build_response(head: &ResponseHead, body: Body, is_stream: bool) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     response.headers_mut().extend(head.headers.clone());
-    if let Some(id) = &head.id {
-        response.extensions_mut().insert(id.clone());
+    if let Some(request) = head.id.clone() {
+        let extensions = response.extensions_mut();
+        extensions.insert(Answered { request, is_stream });
     }
     response
 }
