State the length of whole answers to HTTP/1.0 only

With a length, hyper sends no chunks, and the test of callers' connections (changes_of_the_configuration_keep_admitted_requests) compares the chunks of an answer byte by byte. Callers of HTTP/1.1 get chunks as before.

--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -10,12 +10,12 @@
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited, combinators::UnsyncBoxBody},
-    hyper::body::Incoming,
+    hyper::body::{Body as _, Incoming},
     marigoldroute_core::forward::{Access, Directory, Service},
     marigoldroute_process::logs::REQUESTS,
     poem::http::{
         HeaderValue, Request, Response, Version,
-        header::{CONNECTION, EXPECT},
+        header::{CONNECTION, CONTENT_LENGTH, EXPECT},
     },
     std::{io, sync::Arc, time::Duration},
 };
@@ -101,7 +101,14 @@
             Ok(admitted) if admitted.access.route.kind.is_stream() && !takes_streams => {
                 self.reject(Some(&head), arrived, Error::Version)
             }
-            Ok(admitted) => self.forward(head, admitted, arrived).await,
+            Ok(admitted) => {
+                let mut response = self.forward(head, admitted, arrived).await;
+                let length = response.body().size_hint().lower();
+                if !takes_streams && length > 0 {
+                    response.headers_mut().insert(CONTENT_LENGTH, length.into());
+                }
+                response
+            }
             Err(error) => {
                 let left = self.caller_time_left(&head, arrived);
                 // Reading the body has sent the interim response.
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -91,7 +91,7 @@
         Ok(())
     }
 
-    /// Returns the body to send, with its length.
+    /// Returns the body to send, whose length is the lower bound of its size hint.
     pub(crate) fn into_body(mut self) -> Body {
         self.full.push_back(self.last.freeze());
         let permit = Arc::new(self.permit);
@@ -130,6 +130,9 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.left)
+        // With an upper bound, hyper would state the length in place of chunks.
+        let mut hint = SizeHint::new();
+        hint.set_lower(self.left);
+        hint
     }
 }
