--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -13,7 +13,7 @@
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
-    hyper::body::Incoming,
+    hyper::body::{Body as _, Incoming},
     marigoldroute_core::{
         forward::{Access, Directory, Service},
         id::RequestId,
@@ -21,7 +21,7 @@
     marigoldroute_process::logs::REQUESTS,
     poem::http::{
         HeaderValue, Request, Response, StatusCode, Version,
-        header::{CONNECTION, EXPECT},
+        header::{CONNECTION, CONTENT_LENGTH, EXPECT},
     },
     std::{io, sync::Arc, time::Duration},
 };
@@ -106,7 +106,14 @@
             Ok(admitted) if admitted.access.route.kind.is_stream() && !takes_streams => {
                 self.reject(Some(&head), arrived, Error::Version)
             }
-            Ok(admitted) => self.forward(head, admitted, arrived).await,
+            Ok(admitted) => {
+                let mut response = self.forward(head, admitted, arrived).await;
+                let length = response.body().size_hint().lower();
+                if !takes_streams && length > 0 {
+                    response.headers_mut().insert(CONTENT_LENGTH, length.into());
+                }
+                response
+            }
             Err(error) => {
                 let left = self.caller_time_left(&head, arrived);
                 // The response has to be sent before the process ends.
