--- a/crates/gateway/tests/endless_memory.rs
+++ b/crates/gateway/tests/endless_memory.rs
@@ -12,6 +12,10 @@
     marigoldroute_gateway::Settings,
     std::{
         process::Command,
+        sync::{
+            Mutex,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::{
@@ -23,6 +27,8 @@
 
 /// Memory that the process may take in addition on a host of 96 MB.
 const LIMIT_MIB: usize = 64;
+/// Processes at the same time, each with another case.
+const PROCESSES: usize = 4;
 /// Requests at the same time.
 const COUNTS: [usize; 2] = [64, 256];
 /// Deadline of the requests whose responses never end.
@@ -324,6 +330,30 @@
     (failed > 0).then(|| format!("{failed} of {others} others failed"))
 }
 
+/// Plays a case in a process of its own.
+///
+/// # Errors
+/// What it has told, if it failed.
+fn play_apart(number: usize, count: usize, name: &str) -> Result<(), String> {
+    let program = std::env::current_exe().expect("the path of this program");
+    let played = Command::new(program)
+        .args([
+            "endless_bytes_leave_memory_and_time_for_others",
+            "--exact",
+            "--nocapture",
+        ])
+        .env(CASE_VARIABLE, format!("{number} {count}"))
+        .output()
+        .expect("the process of a case");
+    let text = String::from_utf8_lossy(&played.stdout);
+    let told = text.lines().find(|line| line.starts_with(name));
+    println!("{}", told.unwrap_or("no result"));
+    match played.status.success() {
+        true => Ok(()),
+        false => Err(told.unwrap_or(name).to_owned()),
+    }
+}
+
 /// Guards against a process that runs out of memory, or does not serve others, while upstreams send
 /// bytes without end at any point of their responses.
 #[test]
@@ -343,26 +373,22 @@
         assert_eq!(wrong, None, "{}", cases[number].name);
         return;
     }
-    let mut wrong = Vec::new();
-    for (number, case) in cases.iter().enumerate() {
-        for count in COUNTS {
-            let program = std::env::current_exe().expect("the path of this program");
-            let played = Command::new(program)
-                .args([
-                    "endless_bytes_leave_memory_and_time_for_others",
-                    "--exact",
-                    "--nocapture",
-                ])
-                .env(CASE_VARIABLE, format!("{number} {count}"))
-                .output()
-                .expect("the process of a case");
-            let text = String::from_utf8_lossy(&played.stdout);
-            let told = text.lines().find(|line| line.starts_with(case.name));
-            println!("{}", told.unwrap_or("no result"));
-            if !played.status.success() {
-                wrong.push(told.unwrap_or(case.name).to_owned());
-            }
+    let plays: Vec<_> = (0..cases.len())
+        .flat_map(|number| COUNTS.map(|count| (number, count)))
+        .collect();
+    let next = AtomicUsize::new(0);
+    let wrong = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..PROCESSES {
+            scope.spawn(|| {
+                while let Some((number, count)) = plays.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    if let Err(told) = play_apart(*number, *count, cases[*number].name) {
+                        wrong.lock().expect("no other panic").push(told);
+                    }
+                }
+            });
         }
-    }
+    });
+    let wrong = wrong.into_inner().expect("no panic");
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
