Take memory for events before they count as sent

Callers: a stream was cut, and a resumable one went on with events missing and ended as complete, when the memory for responses did not hold what had arrived of it at once.

Cause: events were accepted, which moves the position from which another upstream continues, and the memory for them was taken afterwards; when there was none, they were dropped.

Change: an event is accepted only with its memory. What does not fit waits while others are sent; only a single large event that does not fit fails the stream.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -179,27 +179,29 @@
             return Step::End;
         };
         let mut bytes = BytesMut::new();
+        // What hyper takes from here waits until the caller reads it.
+        let mut permit = self.request.context.quota.permit();
         let before = self.sequence.relayed();
-        while let Some(event) = stream.events.pop_front() {
-            if let Err(rejected) = self.sequence.accept_event(&event) {
-                if bytes.is_empty() {
-                    return Step::Fail(Failure::new(Outcome::Unknown, rejected.to_string()));
-                }
-                // Send the valid events before it first: a resumed stream continues after them.
-                stream.events.push_front(event);
-                break;
+        while let Some(event) = stream.events.front() {
+            let length = bytes.len() + event.len();
+            // An event that is accepted has to be sent, since a resumed stream continues after it.
+            let rejected = match length > READ_BUFFER_BYTES {
+                true => permit.resize(length).err().map(Failure::from),
+                false => None,
+            };
+            let rejected = rejected.or_else(|| {
+                let rejected = self.sequence.accept_event(event).err()?;
+                Some(Failure::new(Outcome::Unknown, rejected.to_string()))
+            });
+            match rejected {
+                Some(failure) if bytes.is_empty() => return Step::Fail(failure),
+                Some(_) => break,
+                None => bytes.extend_from_slice(event),
             }
-            bytes.extend_from_slice(&event);
+            stream.events.pop_front();
         }
         // Many small events may have grown it far beyond what the next ones need.
         stream.events.shrink_to(SPARE_EVENTS);
-        // What hyper takes from here waits until the caller reads it.
-        let mut permit = self.request.context.quota.permit();
-        if bytes.len() > READ_BUFFER_BYTES
-            && let Err(exceeded) = permit.resize(bytes.len())
-        {
-            return Step::Fail(exceeded.into());
-        }
         let relayed = self.sequence.relayed() - before;
         if relayed > 0 {
             self.stall.record_event(self.request.context.clock.now());
--- a/crates/gateway/tests/continued_streams.rs
+++ b/crates/gateway/tests/continued_streams.rs
@@ -2,7 +2,10 @@
 
 mod harness;
 
-use harness::{Harness, upstream::Script};
+use {
+    harness::{Harness, snapshot, upstream::Script},
+    marigoldroute_gateway::Settings,
+};
 
 const HEAD: &str = "HTTP/1.1 200 X\r\nx-request-id: {id}\r\nx-signed: 1\r\n";
 const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
@@ -262,3 +265,31 @@
         ("data: a\n\n", false, 1)
     );
 }
+
+/// Guards against a stream that lacks events, or is cut, as the memory for responses does not hold
+/// what has arrived of it at once.
+#[tokio::test]
+async fn streams_lack_no_event_when_little_memory_is_left() {
+    let mut all = events(1..=1);
+    all += &format!("id: 2\ndata: {}\n\n", "x".repeat(36 << 10));
+    for id in 3..=80 {
+        all += &format!("id: {id}\ndata: {}\n\n", "x".repeat(500));
+    }
+    let script = Script::Continued {
+        first: format!("{}0\r\n\r\n", chunked(&all)),
+        rest: format!("{}0\r\n\r\n", chunked(&events(81..=81))),
+        is_reset: false,
+    };
+    for path in ["stream", "resumable"] {
+        let settings = Settings {
+            answer_memory: 40 << 10,
+            ..Settings::default()
+        };
+        let scripts = vec![script.clone(), script.clone()];
+        let (harness, _upstreams) =
+            Harness::with_settings(settings, snapshot(1, 1_000_000), scripts).await;
+        let response = harness.request(path, "r1").send().await;
+        let text = response.expect("a head").text().await;
+        assert!(text.is_ok_and(|text| text == all), "{path}");
+    }
+}
