Keep connections whose response waits for its caller at a stop

Callers: a second request on a connection could be dropped at a planned stop, or when the connection counted as idle, while the end of the first response waited for its caller to read. A half head on a kept connection could be dropped at the idle limit in place of a 408. Found by a review that read the code; neither was seen in a run.

Cause: a request counted as ended when hyper had taken the last piece of its response, which may still have to be written, and the idle limit did not look at heads that have begun.

Change: a connection is idle only if nothing waits to be written, and does not expire while a head is incomplete, which has a time limit of its own.

Result: requests_behind_an_unread_response_get_one_at_a_stop passes; it passed on the code before too (3 runs), since it does not meet the moment. The other tests of stops and callers pass.

--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -128,7 +128,7 @@
     idle_since: Duration,
     /// Limit on the idle time that was in effect then, and by which the caller goes.
     idle_limit: Duration,
-    /// Notified when a request has ended.
+    /// Notified when a request has ended, or a response no longer waits for its caller.
     ended: Arc<Notify>,
     /// The last response, which may not have been sent to its end; absent once the next request has
     /// begun.
@@ -176,7 +176,7 @@
         let limit = directory.limits().header_timeout;
         let now = frontend.0.clock.now();
         let is_late = |since| now.saturating_sub(since) > limit;
-        self.running == 0 && !self.is_write_blocked && self.head_since.is_some_and(is_late)
+        self.is_idle() && self.head_since.is_some_and(is_late)
     }
 
     /// Returns whether the connection has been idle for longer than any limit that its caller may
@@ -184,7 +184,21 @@
     fn is_expired(&self, frontend: &Frontend) -> bool {
         let limit = self.idle_limit.max(idle_limit(frontend));
         let idle = frontend.0.clock.now().saturating_sub(self.idle_since);
-        self.running == 0 && idle > limit.mul_f64(IDLE_FACTOR)
+        let has_head = self.head_since.is_some();
+        self.is_idle() && !has_head && idle > limit.mul_f64(IDLE_FACTOR)
+    }
+
+    /// Returns whether no request is in progress and no response waits for its caller.
+    fn is_idle(&self) -> bool {
+        self.running == 0 && !self.is_write_blocked
+    }
+
+    /// Records whether a write waits for the caller.
+    fn record_write(&mut self, is_blocked: bool) {
+        let was_blocked = std::mem::replace(&mut self.is_write_blocked, is_blocked);
+        if was_blocked && !is_blocked {
+            self.ended.notify_one();
+        }
     }
 }
 
@@ -342,15 +356,16 @@
     }
 }
 
-/// Waits for the stop, and then until no request is in progress. One that has been sent behind
-/// another is in progress as well, although a connection that closes would not read it.
+/// Waits for the stop, and then until no request is in progress and no response waits for its
+/// caller. A request that has been sent behind another is in progress as well, although a connection
+/// that closes would not read it.
 async fn idle_at_stop(stop: &CancellationToken, activity: &Mutex<Activity>) {
     stop.cancelled().await;
     let ended = lock(activity).ended.clone();
     loop {
         // Lets the runtime see which connections have new bytes, and this one read them.
         tokio::task::yield_now().await;
-        if lock(activity).running == 0 {
+        if lock(activity).is_idle() {
             return;
         }
         ended.notified().await;
--- a/crates/gateway/src/accept/stream.rs
+++ b/crates/gateway/src/accept/stream.rs
@@ -41,7 +41,7 @@
     }
 
     fn record_write<T>(&self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        lock(&self.activity).is_write_blocked = written.is_pending();
+        lock(&self.activity).record_write(written.is_pending());
         written
     }
 
--- a/crates/gateway/tests/late_in_stops.rs
+++ b/crates/gateway/tests/late_in_stops.rs
@@ -15,7 +15,7 @@
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::TcpStream,
+        net::{TcpSocket, TcpStream},
         sync::Notify,
         task::JoinHandle,
         time::timeout,
@@ -427,3 +427,34 @@
     stopping.await.expect("the stop ends");
     begin_stop(&mut harness).await.await.expect("the stop ends");
 }
+
+/// Guards against dropping a request that was sent behind another one whose response still waits for
+/// its caller at a planned stop.
+#[tokio::test]
+async fn requests_behind_an_unread_response_get_one_at_a_stop() {
+    let answer = "x".repeat(6 << 20).leak();
+    let scripts = vec![Script::Complete(200, answer)];
+    let (mut harness, _upstreams) = start(LONG_STOP, long_routes(), scripts).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("a small buffer");
+    let mut call = socket.connect(harness.callers).await.expect("connects");
+    let both = text("once", "r1", "") + &text("once", "r2", "");
+    call.write_all(both.as_bytes()).await.expect("it is open");
+    // A response that closes its connection excuses the other one.
+    let head = read_until(&mut call, "\r\n\r\n").await;
+    assert!(!head.contains("connection: close"), "{head}");
+    let stopping = begin_stop(&mut harness).await;
+    let (mut received, mut piece) = (head.into_bytes(), vec![0; 4_096]);
+    while let Ok(length @ 1..) = call.read(&mut piece).await {
+        received.extend_from_slice(&piece[..length]);
+        tokio::task::yield_now().await;
+    }
+    stopping.await.expect("the stop ends");
+    let text = String::from_utf8_lossy(&received);
+    assert_eq!(
+        text.matches("HTTP/1.1 ").count(),
+        2,
+        "{} bytes",
+        received.len()
+    );
+}
