Answer late bodies at once, and read bodies that were asked for

Callers: a 408 for a late body came up to 2 s after the time of its request, as the rest of the body was awaited; a refusal at a planned stop could be lost in a reset when the caller had been told to send its body and had not yet begun.

Cause: the deadline of the request now ends the read of its body, but what is read before an error response had a limit of its own; whether the interim response was sent was derived from the error.

Change: at most 0.2 s for late bodies; hyper sends the interim response when the body is polled, which is recorded.

Result: the tests callers, bodies, late_in_stops, stop, stop_lines, idle_connections and head_memory pass.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -45,8 +45,8 @@
 pub(crate) struct Counted<B, F> {
     body: B,
     count: F,
-    /// Whether any bytes have arrived.
-    pub(crate) has_begun: bool,
+    /// Whether it was asked for bytes, on which hyper sends the interim response.
+    pub(crate) was_polled: bool,
 }
 
 impl<B, F: Fn(usize)> Counted<B, F> {
@@ -55,7 +55,7 @@
         Self {
             body,
             count,
-            has_begun: false,
+            was_polled: false,
         }
     }
 }
@@ -68,9 +68,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
+        self.was_polled = true;
         let polled = Pin::new(&mut self.body).poll_frame(context);
         if let Poll::Ready(Some(Ok(frame))) = &polled {
-            self.has_begun = true;
             (self.count)(frame.data_ref().map_or(0, Bytes::len));
         }
         polled
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -31,6 +31,8 @@
 
 /// Longest time to read the rest of a body whose request gets an error response.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// As [`DISCARD_TIMEOUT`], for a body that did not arrive in time.
+const LATE_DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 /// Largest rest of a body that is read before an error response.
 const DISCARD_LIMIT_BYTES: usize = 16 << 20;
 
@@ -122,11 +124,13 @@
                     .drain
                     .time_left()
                     .map_or(left, |end| left.min(end / 2));
-                // Reading the body has sent the interim response.
-                let was_read = body.has_begun
-                    || matches!(error, Error::TooLarge | Error::Incomplete | Error::Late);
-                let expects_continue = expects_continue && !was_read;
-                let is_read = discard(&mut body, expects_continue, left.min(DISCARD_TIMEOUT)).await;
+                let limit = match error {
+                    // The time of the request is over already.
+                    Error::Late => LATE_DISCARD_TIMEOUT,
+                    _ => DISCARD_TIMEOUT,
+                };
+                let expects_continue = expects_continue && !body.was_polled;
+                let is_read = discard(&mut body, expects_continue, left.min(limit)).await;
                 let response = self.reject(Some(&head), arrived, error);
                 self.record_unread(is_read, &response);
                 response
