--- a/review/standin-2/callers.rs
+++ b/review/standin-2/callers.rs
@@ -51,6 +51,14 @@
     )
 }
 
+/// Returns the last number of a host's address.
+fn host_number(frontend: SocketAddr) -> u8 {
+    match frontend {
+        SocketAddr::V4(address) => address.ip().octets()[3],
+        SocketAddr::V6(_) => 0,
+    }
+}
+
 /// Sends a request of the route `r-draft`.
 pub fn ask_draft(frontend: SocketAddr, id: &str, key: &str, (prompt, output): Usage) -> Answer {
     let head = format!(
@@ -61,15 +69,6 @@
     http::ask(frontend, &head, b"{}", Duration::from_secs(16))
 }
 
-/// Sends a request of the route `r-status`.
-pub fn ask_status(frontend: SocketAddr, id: &str, key: &str) -> Answer {
-    let head = format!(
-        "GET /status/2f HTTP/1.1\r\nHost: desk.example\r\nMarigoldroute-Attempt-Id: {id}\r\n\
-         Marigoldroute-Deadline-Ms: 1500\r\nAuthorization: Bearer {key}\r\n\r\n"
-    );
-    http::ask(frontend, &head, b"", Duration::from_secs(2))
-}
-
 /// Callers of `r-draft` at several hosts.
 pub struct Callers {
     stop: Arc<AtomicBool>,
@@ -88,7 +87,8 @@
     ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let attempts = Arc::new(Mutex::new(Vec::new()));
-        let callers = frontends.into_iter().enumerate().map(|(host, frontend)| {
+        let callers = frontends.into_iter().map(|frontend| {
+            let port = u64::from(frontend.port()) << 8 | u64::from(host_number(frontend));
             let (record, stop, attempts) = (record.clone(), stop.clone(), attempts.clone());
             thread::spawn(move || {
                 let mut sent = Vec::new();
@@ -98,7 +98,7 @@
                     }
                     let (record, attempts) = (record.clone(), attempts.clone());
                     sent.push(thread::spawn(move || {
-                        let id = format!("{:08x}{number:08x}", 0x9c41_d000 + host);
+                        let id = format!("{port:08x}{number:08x}");
                         let key = tenant(1 + number % tenants).1;
                         let at = record.now();
                         let answer = ask_draft(frontend, &id, &key, usage);
--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -167,11 +167,16 @@
     pub fn is_ready(&self) -> bool {
         (0..200).any(|_| {
             thread::sleep(Duration::from_millis(50));
-            self.probe()
-                .is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
+            self.says_ready()
         })
     }
 
+    /// Returns whether the readiness check passes now.
+    pub fn says_ready(&self) -> bool {
+        let answer = self.probe();
+        answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
+    }
+
     fn probe(&self) -> Option<String> {
         let mut stream = TcpStream::connect(self.ready).ok()?;
         stream
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,10 +9,9 @@
 mod http;
 mod json;
 mod many_tenants;
-mod odd_entry;
-mod overspend;
 mod record;
 mod replica;
+mod restored;
 mod store;
 mod takeover_memory;
 
@@ -46,10 +45,9 @@
         "without the disruption"
     });
     let run = match case.as_str() {
-        "overspend" => overspend::run,
+        "restored" => restored::run,
         "takeover-memory" => takeover_memory::run,
         "many-tenants" => many_tenants::run,
-        "odd-entry" => odd_entry::run,
         _ => {
             eprintln!("no such case: {case}");
             process::exit(2);
--- a/review/standin-2/replica.rs
+++ b/review/standin-2/replica.rs
@@ -26,7 +26,6 @@
 
 /// A request that ran.
 pub struct Run {
-    pub at: u64,
     pub id: String,
 }
 
@@ -99,15 +98,12 @@
                 format!("HTTP/1.1 421 Misdirected Request\r\n{head}\r\nContent-Length: 0\r\n\r\n");
             return writer.write_all(head.as_bytes());
         }
-        let run = Run {
-            at: self.record.now(),
-            id: id.to_string(),
-        };
+        let run = Run { id: id.to_string() };
         self.runs.lock().unwrap().push(run);
         let tenant = request.header("marigoldroute-tenant");
         let usage = request.header("marigoldroute-token-usage");
         self.record.add(format!(
-            "replica {} runs {id}, tenant {tenant}, tokens {usage}",
+            "replica {} runs {id:.40}, tenant {tenant}, tokens {usage}",
             self.id
         ));
         let head = format!(
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -31,8 +31,8 @@
 /// Table, part and key.
 type Key = (String, String, String);
 
-#[derive(Default)]
-struct Rows {
+#[derive(Clone, Default)]
+pub struct Rows {
     /// Value in base64 and version.
     rows: BTreeMap<Key, (String, u64)>,
     /// Changes of the tables of which anybody reads changes.
@@ -49,6 +49,8 @@
     pub is_silent: AtomicBool,
     /// Answers are under way for this long, in milliseconds.
     pub delay_ms: AtomicU64,
+    /// Era that all answers state; 0 for none.
+    pub era: AtomicU64,
     /// Transactions that are larger than the pages allow.
     pub refused: AtomicU64,
 }
@@ -63,6 +65,7 @@
             changed: Condvar::new(),
             is_silent: AtomicBool::new(false),
             delay_ms: AtomicU64::new(0),
+            era: AtomicU64::new(0),
             refused: AtomicU64::new(0),
         });
         let serving = store.clone();
@@ -84,6 +87,18 @@
         self.changed.notify_all();
     }
 
+    /// Returns a copy of all rows.
+    pub fn copy(&self) -> Rows {
+        self.rows.lock().unwrap().clone()
+    }
+
+    /// Comes back from a copy, in the next era. Versions go back.
+    pub fn restore(&self, copy: Rows) {
+        *self.rows.lock().unwrap() = copy;
+        self.era.fetch_add(1, SeqCst);
+        self.changed.notify_all();
+    }
+
     /// Returns the bytes of the rows of a table in the parts that begin so, without base64.
     pub fn size(&self, table: &str, part: &str) -> usize {
         let rows = self.rows.lock().unwrap();
@@ -118,7 +133,10 @@
             }
             thread::sleep(Duration::from_millis(self.delay_ms.load(SeqCst)));
             let length = body.len();
-            let head = "Content-Type: application/json";
+            let head = match self.era.load(SeqCst) {
+                0 => "Content-Type: application/json".to_string(),
+                era => format!("Content-Type: application/json\r\nStore-Era: {era}"),
+            };
             let answer =
                 format!("HTTP/1.1 {status} -\r\n{head}\r\nContent-Length: {length}\r\n\r\n{body}");
             if writer.write_all(answer.as_bytes()).is_err() {
