--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,8 @@
 mod host;
 mod http;
 mod json;
+mod kept;
+mod long_ids;
 mod many_tenants;
 mod record;
 mod replica;
@@ -47,6 +49,7 @@
     let run = match case.as_str() {
         "restored" => restored::run,
         "takeover-memory" => takeover_memory::run,
+        "long-ids" => long_ids::run,
         "many-tenants" => many_tenants::run,
         _ => {
             eprintln!("no such case: {case}");
