--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 //! could not run. With `TROUBLE=0` the disruption is left out.
 
 mod callers;
+mod crowd;
 mod host;
 mod http;
 mod json;
@@ -50,6 +51,7 @@
         "restored" => restored::run,
         "takeover-memory" => takeover_memory::run,
         "long-ids" => long_ids::run,
+        "crowd" => crowd::run,
         "many-tenants" => many_tenants::run,
         _ => {
             eprintln!("no such case: {case}");
